--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the fallturn node module. */
+package org.fallturn.node;
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/package-info.java
@@ -0,0 +1,2 @@
+/** Programs of the fallturn rehearsal module. */
+package org.fallturn.rehearsal;
