--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tenant limits and their shares across the fleet. */
+package org.fallturn.core.admission;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Accepted configuration: records, image, delta and the accepted sequence. */
+package org.fallturn.core.configuration;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/domain/package-info.java
@@ -0,0 +1,2 @@
+/** Names and small values used everywhere. */
+package org.fallturn.core.domain;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/error/package-info.java
@@ -0,0 +1,2 @@
+/** The closed list of error kinds and their answers. */
+package org.fallturn.core.error;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** At most one run of what must not be repeated. */
+package org.fallturn.core.idempotency;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leadership of pools: leases, epochs and fences. */
+package org.fallturn.core.lease;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/machines/MachineList.java
@@ -0,0 +1,17 @@
+package org.fallturn.core.port.machines;
+
+import java.util.List;
+
+/**
+ * The platform's list of machines, {@code GET /v1/machines}. It lags behind reality.
+ *
+ * @param version rises with each change of the list
+ * @param machines all machines the platform knows
+ */
+public record MachineList(long version, List<Machine> machines) {
+
+  /** A private copy of the machines. */
+  public MachineList {
+    machines = List.copyOf(machines);
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/objectstore/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's object store as a port. */
+package org.fallturn.core.port.objectstore;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/package-info.java
@@ -0,0 +1,2 @@
+/** Ports towards engines and the platform. */
+package org.fallturn.core.port;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/package-info.java
@@ -0,0 +1,2 @@
+/** Which engines prefill and which decode. */
+package org.fallturn.core.roles;
