--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -0,0 +1,123 @@
+package org.fallturn.node.duty;
+
+import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.RingBuffer;
+import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
+import com.lmax.disruptor.TimeoutException;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One thread with one duty, fed by a bounded ring. Any thread may offer events; the handler runs on
+ * the duty's thread alone. When the ring is full, {@link #offer} says so at once and the caller
+ * decides what to drop.
+ *
+ * @param <E> type of the events
+ */
+public final class DutyThread<E> implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(DutyThread.class);
+  private static final long CLOSE_SECONDS = 5;
+
+  private final String name;
+  private final DutyHandler<E> handler;
+  private final long tickNanos;
+  private final Disruptor<Slot<E>> disruptor;
+  private final RingBuffer<Slot<E>> ring;
+  private long lastTickNanos;
+
+  /**
+   * A duty that is not started yet.
+   *
+   * @param name name of the thread
+   * @param ringSize a power of two
+   * @param tick about how often {@link DutyHandler#onTick()} is called
+   * @param handler the duty
+   */
+  public DutyThread(String name, int ringSize, Duration tick, DutyHandler<E> handler) {
+    this.name = name;
+    this.handler = handler;
+    this.tickNanos = tick.toNanos();
+    this.disruptor =
+        new Disruptor<>(
+            Slot::new,
+            ringSize,
+            task -> daemon(name, task),
+            ProducerType.MULTI,
+            new TimeoutBlockingWaitStrategy(tickNanos, TimeUnit.NANOSECONDS));
+    disruptor.handleEventsWith(new SlotHandler());
+    this.ring = disruptor.getRingBuffer();
+  }
+
+  private static Thread daemon(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Starts the thread. */
+  public DutyThread<E> start() {
+    lastTickNanos = System.nanoTime();
+    disruptor.start();
+    return this;
+  }
+
+  /** Hands over an event; false when the ring is full and the event was not taken. */
+  public boolean offer(E event) {
+    return ring.tryPublishEvent((slot, sequence) -> slot.event = event);
+  }
+
+  /** Handles what is in the ring, then ends the thread. */
+  @Override
+  public void close() {
+    try {
+      disruptor.shutdown(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("duty: {} did not finish its events in time.", name);
+      disruptor.halt();
+    }
+  }
+
+  private void tickWhenDue() {
+    long now = System.nanoTime();
+    if (now - lastTickNanos < tickNanos) {
+      return;
+    }
+    lastTickNanos = now;
+    try {
+      handler.onTick();
+    } catch (Exception e) {
+      LOG.error("duty: {} failed in its tick.", name, e);
+    }
+  }
+
+  /** One place in the ring. */
+  private static final class Slot<E> {
+    private E event;
+  }
+
+  /** Runs the handler on the duty's thread. */
+  private final class SlotHandler implements EventHandler<Slot<E>> {
+
+    @Override
+    public void onEvent(Slot<E> slot, long sequence, boolean endOfBatch) {
+      E event = slot.event;
+      slot.event = null;
+      try {
+        handler.onEvent(event);
+      } catch (Exception e) {
+        LOG.error("duty: {} failed on an event.", name, e);
+      }
+      tickWhenDue();
+    }
+
+    @Override
+    public void onTimeout(long sequence) {
+      tickWhenDue();
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -0,0 +1,54 @@
+package org.fallturn.node.http;
+
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.domain.NetworkAddress;
+
+/** One HTTP port served by Jetty, with its own bounded thread pool. */
+public final class HttpListener implements AutoCloseable {
+
+  private static final int MIN_THREADS = 4;
+  private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+
+  private final Server server;
+  private final ServerConnector connector;
+
+  /**
+   * Binds and starts.
+   *
+   * @param name prefix of its thread names
+   * @param address where to listen; port 0 takes any free one
+   * @param maxThreads bound on its threads
+   * @param handler what serves the requests
+   * @throws Exception when the port cannot be bound
+   */
+  public HttpListener(String name, NetworkAddress address, int maxThreads, Handler handler)
+      throws Exception {
+    QueuedThreadPool threads = new QueuedThreadPool(maxThreads, MIN_THREADS);
+    threads.setName(name);
+    server = new Server(threads);
+    HttpConfiguration configuration = new HttpConfiguration();
+    configuration.setSendServerVersion(false);
+    connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    connector.setHost(address.host());
+    connector.setPort(address.port());
+    connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+    server.addConnector(connector);
+    server.setHandler(handler);
+    server.start();
+  }
+
+  /** Where it listens, with the real port. */
+  public NetworkAddress address() {
+    return new NetworkAddress(connector.getHost(), connector.getLocalPort());
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP by Jetty: listening ports, routes, JSON messages and error answers. */
+package org.fallturn.node.http;
