--- a/fallturn-core/src/main/java/org/fallturn/core/configuration/ConfigurationImage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/configuration/ConfigurationImage.java
@@ -75,6 +75,29 @@
     return drains.containsKey(machine);
   }
 
+  /** The record of that name, whatever its kind. */
+  public Optional<ConfigurationRecord> find(RecordKey key) {
+    return Optional.ofNullable(records(key.type()).get(key.key()));
+  }
+
+  /**
+   * All records of a kind by key.
+   *
+   * @throws IllegalArgumentException when there is no such kind
+   */
+  public Map<String, ? extends ConfigurationRecord> records(String type) {
+    return switch (type) {
+      case RecordKey.TENANT -> tenants;
+      case RecordKey.API_KEY -> apiKeys;
+      case RecordKey.SERVICE -> services;
+      case RecordKey.RULE -> rules;
+      case RecordKey.POOL_POLICY -> poolPolicies;
+      case RecordKey.MACHINE_DRAIN -> drains;
+      case RecordKey.OPERATOR -> operators;
+      default -> throw new IllegalArgumentException("unknown record type " + type);
+    };
+  }
+
   /**
    * The image after one more change.
    *
@@ -135,13 +158,13 @@
 
     private Map<String, ? extends ConfigurationRecord> mapOf(String type) {
       return switch (type) {
-        case "tenant" -> tenants;
-        case "api-key" -> apiKeys;
-        case "service" -> services;
-        case "rule" -> rules;
-        case "pool-policy" -> poolPolicies;
-        case "machine-drain" -> drains;
-        case "operator" -> operators;
+        case RecordKey.TENANT -> tenants;
+        case RecordKey.API_KEY -> apiKeys;
+        case RecordKey.SERVICE -> services;
+        case RecordKey.RULE -> rules;
+        case RecordKey.POOL_POLICY -> poolPolicies;
+        case RecordKey.MACHINE_DRAIN -> drains;
+        case RecordKey.OPERATOR -> operators;
         default -> throw new IllegalArgumentException("unknown record type " + type);
       };
     }
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/query/LiveTable.java
@@ -0,0 +1,31 @@
+package org.fallturn.core.query;
+
+/**
+ * A table that operators can read: a module's port towards the operators' language. A module
+ * registers one for each kind of object that it knows.
+ */
+public interface LiveTable {
+
+  /** Name and columns; constant. */
+  TableSchema schema();
+
+  /** Which nodes have to be asked for the whole table; constant. */
+  Scope scope();
+
+  /**
+   * The rows that this node answers for. Called on any thread; must be quick and must not block.
+   * For {@link Scope#LEADERS} only the rows of pools this node leads, so that each row comes from
+   * one node.
+   */
+  LiveRows read();
+
+  /** Which nodes have to be asked for the whole table. */
+  enum Scope {
+    /** Any node knows the whole table, for example the configuration. */
+    THIS_NODE,
+    /** One node of each zone knows the zone's rows, for example the members. */
+    EACH_ZONE,
+    /** Each pool's leader knows the pool's rows, for example the engines. */
+    LEADERS
+  }
+}
