--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/command/package-info.java
@@ -0,0 +1,2 @@
+/** Sub-commands of the {@code fallturn} program. */
+package org.fallturn.node.command;
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/PeersSettings.java
@@ -0,0 +1,53 @@
+package org.fallturn.node.settings;
+
+import java.time.Duration;
+import java.util.List;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * The port for the other nodes.
+ *
+ * @param listen where other nodes connect; port 0 takes any free one
+ * @param maxThreads bound on the port's threads
+ * @param maxBody largest peer message
+ * @param callTimeout how long a call to a peer may take
+ */
+public record PeersSettings(
+    NetworkAddress listen, int maxThreads, DataSize maxBody, Duration callTimeout) {
+
+  private static final SettingDefinition<NetworkAddress> LISTEN =
+      SettingDefinition.address(
+          "peers.listen",
+          "127.0.0.1:8082",
+          "Where other nodes connect; port 0 takes any free one.");
+
+  private static final SettingDefinition<Integer> MAX_THREADS =
+      SettingDefinition.integer("peers.max_threads", 24, 8, 256, "Bound on the port's threads.");
+
+  private static final SettingDefinition<DataSize> MAX_BODY =
+      SettingDefinition.dataSize(
+          "peers.max_body",
+          DataSize.ofMebibytes(4),
+          DataSize.ofKibibytes(16),
+          DataSize.ofMebibytes(64),
+          "Largest peer message.");
+
+  private static final SettingDefinition<Duration> CALL_TIMEOUT =
+      SettingDefinition.duration(
+          "peers.call_timeout",
+          Duration.ofSeconds(1),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(60),
+          "How long a call to a peer may take.");
+
+  static final List<SettingDefinition<?>> DEFINITIONS =
+      List.of(LISTEN, MAX_THREADS, MAX_BODY, CALL_TIMEOUT);
+
+  static PeersSettings from(SettingValues values) {
+    return new PeersSettings(
+        values.get(LISTEN),
+        values.get(MAX_THREADS),
+        values.get(MAX_BODY),
+        values.get(CALL_TIMEOUT));
+  }
+}
