--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/objectstore/package-info.java
@@ -0,0 +1,2 @@
+/** Adapter of the platform's object store. */
+package org.fallturn.node.objectstore;
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/table/package-info.java
@@ -0,0 +1,2 @@
+/** Adapter of the platform's transactional table service. */
+package org.fallturn.node.table;
