--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
@@ -0,0 +1,116 @@
+package org.fallturn.node.server;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.UUID;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.domain.RegionName;
+import org.fallturn.core.domain.ZoneName;
+import org.fallturn.core.port.objectstore.ObjectStore;
+import org.fallturn.core.port.table.TableService;
+import org.fallturn.node.http.JsonHttpClient;
+import org.fallturn.node.json.JsonCodec;
+import org.fallturn.node.objectstore.HttpObjectStore;
+import org.fallturn.node.settings.NodeSettings;
+import org.fallturn.node.table.HttpTableService;
+
+/**
+ * What every part of a node shares: its identity, the codec, the HTTP clients, the platform's
+ * services and the metrics. Immutable after construction; all of it may be used by any thread.
+ */
+final class NodePlumbing implements AutoCloseable {
+
+  private static final int CLIENT_THREADS = 32;
+  private static final int CONNECTIONS_PER_DESTINATION = 2048;
+  private static final int QUEUED_PER_DESTINATION = 8192;
+  private static final int ID_LENGTH = 12;
+
+  private final NodeId node;
+  private final RegionName region;
+  private final ZoneName zone;
+  private final JsonCodec codec = new JsonCodec();
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final HttpClient jettyClient;
+  private final JsonHttpClient client;
+  private final TableService table;
+  private final ObjectStore objectStore;
+
+  NodePlumbing(NodeSettings settings) throws Exception {
+    node = nodeId(settings.identity().id());
+    region = new RegionName(settings.identity().region());
+    zone = new ZoneName(settings.identity().zone());
+    jettyClient = startClient();
+    client = new JsonHttpClient(jettyClient, codec);
+    table =
+        new HttpTableService(
+            client, settings.platform().table(), settings.platform().callTimeout());
+    objectStore =
+        new HttpObjectStore(
+            client, settings.platform().objectStore(), settings.platform().callTimeout());
+  }
+
+  private static NodeId nodeId(String configured) {
+    if (!configured.isEmpty()) {
+      return new NodeId(configured);
+    }
+    return new NodeId("node-" + UUID.randomUUID().toString().substring(0, ID_LENGTH));
+  }
+
+  private static HttpClient startClient() throws Exception {
+    QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS);
+    threads.setName("http-client");
+    threads.setDaemon(true);
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(2);
+    connector.setExecutor(threads);
+    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client.setMaxConnectionsPerDestination(CONNECTIONS_PER_DESTINATION);
+    client.setMaxRequestsQueuedPerDestination(QUEUED_PER_DESTINATION);
+    client.setFollowRedirects(false);
+    client.start();
+    return client;
+  }
+
+  NodeId node() {
+    return node;
+  }
+
+  RegionName region() {
+    return region;
+  }
+
+  ZoneName zone() {
+    return zone;
+  }
+
+  JsonCodec codec() {
+    return codec;
+  }
+
+  JsonHttpClient client() {
+    return client;
+  }
+
+  TableService table() {
+    return table;
+  }
+
+  ObjectStore objectStore() {
+    return objectStore;
+  }
+
+  PrometheusMeterRegistry metrics() {
+    return metrics;
+  }
+
+  @Override
+  public void close() throws Exception {
+    jettyClient.stop();
+    metrics.close();
+  }
+}
