--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/DemandWindow.java
@@ -0,0 +1,22 @@
+package org.fallturn.core.placement;
+
+/** Counts what happened since the last observation. */
+final class DemandWindow {
+  long startNanos;
+  int arrivedRequests;
+  long arrivedPromptTokens;
+  long arrivedOutputTokens;
+  int refusedRequests;
+  int completedRequests;
+  int expiredRequests;
+
+  DemandWindow(long startNanos) {
+    this.startNanos = startNanos;
+  }
+
+  void arrived(int promptTokens, int outputTokens) {
+    arrivedRequests++;
+    arrivedPromptTokens += promptTokens;
+    arrivedOutputTokens += outputTokens;
+  }
+}
