--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/HealthRoutes.java
@@ -0,0 +1,66 @@
+package org.fallturn.node.metrics;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.node.http.HttpRouter;
+
+/**
+ * {@code /healthz} (the process runs), {@code /readyz} (it should get callers) and {@code
+ * /metrics}. Called on server threads.
+ */
+public final class HealthRoutes {
+
+  private static final String GET = "GET";
+  private static final String TEXT = "text/plain; charset=utf-8";
+  private static final String METRICS_TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+  private final NodeHealth health;
+  private final PrometheusMeterRegistry registry;
+
+  /** Routes over a node's health and meters. */
+  public HealthRoutes(NodeHealth health, PrometheusMeterRegistry registry) {
+    this.health = health;
+    this.registry = registry;
+  }
+
+  /** Adds the three routes. */
+  public void addTo(HttpRouter router) {
+    router.route(
+        GET,
+        "/healthz",
+        (request, response, callback) -> text(response, HttpStatus.OK_200, "ok\n", callback));
+    router.route(GET, "/readyz", (request, response, callback) -> readiness(response, callback));
+    router.route(GET, "/metrics", (request, response, callback) -> metrics(response, callback));
+  }
+
+  private void readiness(Response response, Callback callback) {
+    List<String> obstacles = health.obstacles();
+    if (obstacles.isEmpty()) {
+      text(response, HttpStatus.OK_200, "ready\n", callback);
+    } else {
+      String reasons = "not ready: " + String.join(", ", obstacles) + "\n";
+      text(response, HttpStatus.SERVICE_UNAVAILABLE_503, reasons, callback);
+    }
+  }
+
+  private void metrics(Response response, Callback callback) {
+    write(response, HttpStatus.OK_200, METRICS_TEXT, registry.scrape(), callback);
+  }
+
+  private static void text(Response response, int status, String body, Callback callback) {
+    write(response, status, TEXT, body, callback);
+  }
+
+  private static void write(
+      Response response, int status, String type, String body, Callback callback) {
+    response.setStatus(status);
+    response.getHeaders().put(HttpHeader.CONTENT_TYPE, type);
+    response.write(true, BufferUtil.toBuffer(body, StandardCharsets.UTF_8), callback);
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -0,0 +1,53 @@
+package org.fallturn.node.metrics;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import org.fallturn.node.settings.LogFormat;
+import org.fallturn.node.settings.LogLevel;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sets Logback up from the settings: one appender on standard error, as text or JSON lines. Called
+ * once, before anything else logs.
+ */
+public final class LogSetup {
+
+  private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%thread] %msg%n%ex";
+
+  private LogSetup() {}
+
+  /** Replaces the present set-up. */
+  public static void apply(LogFormat format, LogLevel level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+    appender.setContext(context);
+    appender.setTarget("System.err");
+    appender.setEncoder(encoder(context, format));
+    appender.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.WARN);
+    root.addAppender(appender);
+    context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
+  }
+
+  private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
+    if (format == LogFormat.JSON) {
+      JsonEncoder encoder = new JsonEncoder();
+      encoder.setContext(context);
+      encoder.start();
+      return encoder;
+    }
+    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    encoder.setContext(context);
+    encoder.setPattern(PATTERN);
+    encoder.start();
+    return encoder;
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/NodeMeters.java
@@ -0,0 +1,22 @@
+package org.fallturn.node.metrics;
+
+import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics;
+import io.micrometer.core.instrument.binder.jvm.JvmThreadMetrics;
+import io.micrometer.core.instrument.binder.system.ProcessorMetrics;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** Makes the registry that holds every meter of a node. Thread-safe. */
+public final class NodeMeters {
+
+  private NodeMeters() {}
+
+  /** A registry with the process's own meters: memory, threads and processor. */
+  public static PrometheusMeterRegistry registry() {
+    PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    new JvmMemoryMetrics().bindTo(registry);
+    new JvmThreadMetrics().bindTo(registry);
+    new ProcessorMetrics().bindTo(registry);
+    return registry;
+  }
+}
