--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/orders/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to engines: numbering, fences, what is in progress, shares of the weight store. */
+package org.fallturn.core.orders;
