--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
@@ -0,0 +1,156 @@
+package org.fallturn.node.callers;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.admission.AdmissionControl;
+import org.fallturn.core.configuration.ConfigurationImage;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.domain.RequestId;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.placement.PlacementService;
+import org.fallturn.core.port.machines.MachineList;
+import org.fallturn.core.port.table.TableService;
+import org.fallturn.node.engine.EngineClient;
+import org.fallturn.node.http.HttpListener;
+import org.fallturn.node.http.HttpRouter;
+import org.fallturn.node.http.JsonHttpClient;
+import org.fallturn.node.http.ListenerLimits;
+import org.fallturn.node.http.RouteHandler;
+import org.fallturn.node.json.JsonCodec;
+
+/**
+ * The callers' door: its listening port, its routes and its duties. Thread-safe. After {@link
+ * #beginDrain()} new requests are refused as STOPPING and those in progress go on.
+ */
+public final class CallersModule implements AutoCloseable {
+
+  private static final int ID_RADIX = 36;
+
+  private final CallersSettings settings;
+  private final CallerServices services;
+  private final HttpRouter router;
+  private final AtomicLong requestNumber = new AtomicLong();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private HttpListener listener;
+
+  /**
+   * A door that is not open yet.
+   *
+   * @param client a started client that this class does not stop
+   */
+  public CallersModule(
+      PlacementService placement,
+      AdmissionControl admission,
+      Supplier<ConfigurationImage> configuration,
+      Supplier<MachineList> machines,
+      JsonHttpClient client,
+      TableService table,
+      CallersSettings settings,
+      MeterRegistry registry) {
+    this.settings = settings;
+    JsonCodec codec = new JsonCodec();
+    this.services =
+        new CallerServices(
+            settings,
+            placement,
+            admission,
+            configuration,
+            machines,
+            new EngineClient(client.jettyClient(), codec),
+            new InFlightRequests(),
+            new CallerAnswers(codec),
+            new CallerMetrics(registry),
+            codec);
+    this.router = new HttpRouter(codec);
+    addRoutes();
+  }
+
+  private void addRoutes() {
+    CompletionsHandler completions = new CompletionsHandler(services);
+    ModelsHandler models = new ModelsHandler(services);
+    router.route(
+        "POST",
+        "/v1/chat/completions",
+        accept(caller -> completions.handle(CompletionStyle.CHAT, caller)));
+    router.route(
+        "POST",
+        "/v1/completions",
+        accept(caller -> completions.handle(CompletionStyle.TEXT, caller)));
+    router.route("GET", "/v1/models", accept(models::handle));
+  }
+
+  /** Opens the door. */
+  public void start() throws Exception {
+    services.inFlight().start();
+    ListenerLimits limits =
+        new ListenerLimits(
+            settings.maxThreads(), settings.maxConnections(), settings.maxHeaderBytes());
+    listener = new HttpListener("callers", settings.address(), limits, router);
+  }
+
+  /** Where callers connect, with the real port. */
+  public NetworkAddress address() {
+    return listener.address();
+  }
+
+  /** Refuses new requests from now on; those in progress go on. */
+  public void beginDrain() {
+    draining.set(true);
+  }
+
+  /** Requests in progress. */
+  public int inFlight() {
+    return inFlight.get();
+  }
+
+  @Override
+  public void close() throws Exception {
+    if (listener != null) {
+      listener.close();
+    }
+    services.inFlight().close();
+  }
+
+  /** Serves one accepted request. */
+  @FunctionalInterface
+  private interface CallerHandler {
+    void handle(CallerRequest caller) throws FallturnException;
+  }
+
+  private RouteHandler accept(CallerHandler handler) {
+    return (request, response, callback) -> {
+      CallerRequest caller = callerRequest(request, response, callback);
+      inFlight.incrementAndGet();
+      Request.addCompletionListener(request, failure -> inFlight.decrementAndGet());
+      try {
+        refuseWhileDraining(response);
+        handler.handle(caller);
+      } catch (FallturnException e) {
+        services.metrics().failed(e.kind());
+        services.answers().error(caller, e);
+      }
+    };
+  }
+
+  private CallerRequest callerRequest(Request request, Response response, Callback callback) {
+    String number = Long.toString(requestNumber.incrementAndGet(), ID_RADIX);
+    RequestId id = new RequestId(settings.node() + "-" + number);
+    return new CallerRequest(request, response, callback, id, System.nanoTime());
+  }
+
+  private void refuseWhileDraining(Response response) throws FallturnException {
+    if (draining.get()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+      throw new FallturnException(ErrorKind.STOPPING, "this node is stopping; use another one");
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpAnswers.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpAnswers.java
@@ -32,7 +32,7 @@
   public void error(
       Response response, FallturnException error, String requestId, Callback callback) {
     ErrorKind kind = error.kind();
-    if (kind.hasRetryAfter()) {
+    if (kind.hasRetryAfter() || error.retryAfter().isPresent()) {
       long millis = error.retryAfter().map(java.time.Duration::toMillis).orElse(MILLIS_PER_SECOND);
       long seconds = Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
       response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -3,6 +3,7 @@
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -12,6 +13,8 @@
 public final class HttpListener implements AutoCloseable {
 
   private static final int MIN_THREADS = 4;
+  private static final int MAX_CONNECTIONS = 8_192;
+  private static final int MAX_HEADER_BYTES = 8 * 1024;
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
   private final Server server;
@@ -28,16 +31,32 @@
    */
   public HttpListener(String name, NetworkAddress address, int maxThreads, Handler handler)
       throws Exception {
-    QueuedThreadPool threads = new QueuedThreadPool(maxThreads, MIN_THREADS);
+    this(name, address, new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES), handler);
+  }
+
+  /**
+   * Binds and starts with bounds of its own.
+   *
+   * @param name prefix of its thread names
+   * @param address where to listen; port 0 takes any free one
+   * @param limits bounds on what clients may take
+   * @param handler what serves the requests
+   * @throws Exception when the port cannot be bound
+   */
+  public HttpListener(String name, NetworkAddress address, ListenerLimits limits, Handler handler)
+      throws Exception {
+    QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads(), MIN_THREADS);
     threads.setName(name);
     server = new Server(threads);
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
+    configuration.setRequestHeaderSize(limits.maxHeaderBytes());
     connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
     connector.setHost(address.host());
     connector.setPort(address.port());
     connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
     server.addConnector(connector);
+    server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
     server.start();
   }
