Add the node command, the planned stop and the fault-injecting proxy

Nodes can now advertise other addresses than they bind and choose the host they call from, so that links can tell callers apart.

--- a/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
@@ -4,6 +4,7 @@
 import org.fallturn.node.command.CheckCommand;
 import org.fallturn.node.command.Command;
 import org.fallturn.node.command.CommandLine;
+import org.fallturn.node.command.NodeCommand;
 
 /** Entry point of the {@code fallturn} program: picks a sub-command and runs it. */
 public final class FallturnMain {
@@ -17,6 +18,6 @@
   }
 
   private static List<Command> commands() {
-    return List.of(new CheckCommand(System.out));
+    return List.of(new NodeCommand(System.out), new CheckCommand(System.out));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
@@ -1,7 +1,7 @@
 package org.fallturn.node.server;
 
-import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
 import java.util.UUID;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -14,6 +14,7 @@
 import org.fallturn.core.port.table.TableService;
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.json.JsonCodec;
+import org.fallturn.node.metrics.NodeMeters;
 import org.fallturn.node.objectstore.HttpObjectStore;
 import org.fallturn.node.settings.NodeSettings;
 import org.fallturn.node.table.HttpTableService;
@@ -33,8 +34,7 @@
   private final RegionName region;
   private final ZoneName zone;
   private final JsonCodec codec = new JsonCodec();
-  private final PrometheusMeterRegistry metrics =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final PrometheusMeterRegistry metrics = NodeMeters.registry();
   private final HttpClient jettyClient;
   private final JsonHttpClient client;
   private final TableService table;
@@ -44,7 +44,7 @@
     node = nodeId(settings.identity().id());
     region = new RegionName(settings.identity().region());
     zone = new ZoneName(settings.identity().zone());
-    jettyClient = startClient();
+    jettyClient = startClient(settings.identity().outgoingHost());
     client = new JsonHttpClient(jettyClient, codec);
     table =
         new HttpTableService(
@@ -61,7 +61,7 @@
     return new NodeId("node-" + UUID.randomUUID().toString().substring(0, ID_LENGTH));
   }
 
-  private static HttpClient startClient() throws Exception {
+  private static HttpClient startClient(String outgoingHost) throws Exception {
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS);
     threads.setName("http-client");
     threads.setDaemon(true);
@@ -72,6 +72,9 @@
     client.setMaxConnectionsPerDestination(CONNECTIONS_PER_DESTINATION);
     client.setMaxRequestsQueuedPerDestination(QUEUED_PER_DESTINATION);
     client.setFollowRedirects(false);
+    if (!outgoingHost.isEmpty()) {
+      client.setBindAddress(new InetSocketAddress(outgoingHost, 0));
+    }
     client.start();
     return client;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -3,10 +3,14 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
+import org.fallturn.node.metrics.HealthRoutes;
+import org.fallturn.node.metrics.NodeHealth;
 import org.fallturn.node.settings.NodeSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,7 +28,11 @@
   private final NodePlumbing plumbing;
   private final HttpRouter peerRouter;
   private final Deque<AutoCloseable> started = new ArrayDeque<>();
+  private final NodeHealth health = new NodeHealth();
+  private final PlannedStop plannedStop = new PlannedStop(health);
+  private final HttpRouter operatorRouter;
   private HttpListener peers;
+  private HttpListener operators;
 
   /**
    * Builds the parts of a node; nothing listens yet.
@@ -36,6 +44,8 @@
     this.plumbing = new NodePlumbing(settings);
     started.push(plumbing);
     this.peerRouter = new HttpRouter(plumbing.codec());
+    this.operatorRouter = new HttpRouter(plumbing.codec());
+    new HealthRoutes(health, plumbing.metrics()).addTo(operatorRouter);
   }
 
   /**
@@ -58,6 +68,13 @@
         keep(
             new HttpListener(
                 "peers", settings.peers().listen(), settings.peers().maxThreads(), peerRouter));
+    operators =
+        keep(
+            new HttpListener(
+                "operators",
+                settings.operators().listen(),
+                settings.operators().maxThreads(),
+                operatorRouter));
   }
 
   private <T extends AutoCloseable> T keep(T part) {
@@ -75,6 +92,32 @@
     return peers.address();
   }
 
+  /** Where operators connect, once started. */
+  public NetworkAddress operatorsAddress() {
+    return operators.address();
+  }
+
+  /** Every port this node listens on, by name, once started. */
+  public Map<String, NetworkAddress> addresses() {
+    Map<String, NetworkAddress> addresses = new LinkedHashMap<>();
+    addresses.put("operators", operatorsAddress());
+    addresses.put("peers", peersAddress());
+    return addresses;
+  }
+
+  /**
+   * Stops without cutting a request: not ready, out of the membership, leases handed over, every
+   * request ended; then closes.
+   *
+   * @return whether all this was done within the stop timeout of the settings
+   */
+  public boolean stopAsPlanned() throws InterruptedException {
+    boolean idle = plannedStop.run(settings.identity().stopTimeout());
+    close();
+    LOG.info("node: Stopped.");
+    return idle;
+  }
+
   /** The node's metrics. */
   public PrometheusMeterRegistry metrics() {
     return plumbing.metrics();
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GossipSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GossipSettings.java
@@ -8,6 +8,8 @@
  * Membership by gossip over UDP.
  *
  * @param listen where datagrams are received; port 0 takes any free one
+ * @param advertised where datagrams are sent to, if not advertised_host and the port listened on;
+ *     host 0.0.0.0 or port 0 leaves that part
  * @param probeInterval how often one member is probed
  * @param probeTimeout how long a probe waits before members are asked to probe for it
  * @param suspicionTimeout how long a suspect has to refute before it counts as dead
@@ -15,6 +17,7 @@
  */
 public record GossipSettings(
     NetworkAddress listen,
+    NetworkAddress advertised,
     Duration probeInterval,
     Duration probeTimeout,
     Duration suspicionTimeout,
@@ -26,6 +29,12 @@
           "127.0.0.1:8083",
           "Where datagrams are received; port 0 takes any free one.");
 
+  private static final SettingDefinition<NetworkAddress> ADVERTISED =
+      SettingDefinition.address(
+          "gossip.advertised",
+          "0.0.0.0:0",
+          "Where datagrams are sent to, if not advertised_host and the port listened on; host 0.0.0.0 or port 0 leaves that part.");
+
   private static final SettingDefinition<Duration> PROBE_INTERVAL =
       SettingDefinition.duration(
           "gossip.probe_interval",
@@ -59,11 +68,18 @@
           "Cap on what this node sends by gossip in a second.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(LISTEN, PROBE_INTERVAL, PROBE_TIMEOUT, SUSPICION_TIMEOUT, MAX_BYTES_PER_SECOND);
+      List.of(
+          LISTEN,
+          ADVERTISED,
+          PROBE_INTERVAL,
+          PROBE_TIMEOUT,
+          SUSPICION_TIMEOUT,
+          MAX_BYTES_PER_SECOND);
 
   static GossipSettings from(SettingValues values) {
     return new GossipSettings(
         values.get(LISTEN),
+        values.get(ADVERTISED),
         values.get(PROBE_INTERVAL),
         values.get(PROBE_TIMEOUT),
         values.get(SUSPICION_TIMEOUT),
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/IdentitySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/IdentitySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.fallturn.core.domain.NetworkAddress;
 
 /**
  * Who this process is and how it stops.
@@ -10,6 +11,7 @@
  * @param region region this process runs in
  * @param zone zone this process runs in
  * @param advertisedHost IP number under which the other nodes reach this one
+ * @param outgoingHost IP number that outgoing connections come from; empty leaves it to the system
  * @param clusterKey secret shared by the nodes of a cluster; empty leaves peer messages unsigned
  * @param clusterKeyFile file that holds the cluster key; wins over cluster_key
  * @param stopTimeout how long a planned stop waits for requests in progress
@@ -19,10 +21,13 @@
     String region,
     String zone,
     String advertisedHost,
+    String outgoingHost,
     String clusterKey,
     String clusterKeyFile,
     Duration stopTimeout) {
 
+  private static final String ANY_HOST = "0.0.0.0";
+
   private static final SettingDefinition<String> ID =
       SettingDefinition.name(
           "node.id",
@@ -41,6 +46,12 @@
           "127.0.0.1",
           "IP number under which the other nodes reach this one.");
 
+  private static final SettingDefinition<String> OUTGOING_HOST =
+      SettingDefinition.text(
+          "node.outgoing_host",
+          "",
+          "IP number that outgoing connections come from; empty leaves it to the system.");
+
   private static final SettingDefinition<String> CLUSTER_KEY =
       SettingDefinition.text(
           "node.cluster_key",
@@ -60,7 +71,15 @@
           "How long a planned stop waits for requests in progress.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(ID, REGION, ZONE, ADVERTISED_HOST, CLUSTER_KEY, CLUSTER_KEY_FILE, STOP_TIMEOUT);
+      List.of(
+          ID,
+          REGION,
+          ZONE,
+          ADVERTISED_HOST,
+          OUTGOING_HOST,
+          CLUSTER_KEY,
+          CLUSTER_KEY_FILE,
+          STOP_TIMEOUT);
 
   static IdentitySettings from(SettingValues values) {
     return new IdentitySettings(
@@ -68,8 +87,21 @@
         values.get(REGION),
         values.get(ZONE),
         values.get(ADVERTISED_HOST),
+        values.get(OUTGOING_HOST),
         values.get(CLUSTER_KEY),
         values.get(CLUSTER_KEY_FILE),
         values.get(STOP_TIMEOUT));
   }
+
+  /**
+   * The address to tell others.
+   *
+   * @param configured what the settings say; host 0.0.0.0 or port 0 leaves that part open
+   * @param bound where this process listens
+   */
+  public NetworkAddress advertise(NetworkAddress configured, NetworkAddress bound) {
+    String host = configured.host().equals(ANY_HOST) ? advertisedHost : configured.host();
+    int port = configured.port() == 0 ? bound.port() : configured.port();
+    return new NetworkAddress(host, port);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/PeersSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/PeersSettings.java
@@ -8,12 +8,18 @@
  * The port for the other nodes.
  *
  * @param listen where other nodes connect; port 0 takes any free one
+ * @param advertised where other nodes connect, if not advertised_host and the port listened on;
+ *     host 0.0.0.0 or port 0 leaves that part
  * @param maxThreads bound on the port's threads
  * @param maxBody largest peer message
  * @param callTimeout how long a call to a peer may take
  */
 public record PeersSettings(
-    NetworkAddress listen, int maxThreads, DataSize maxBody, Duration callTimeout) {
+    NetworkAddress listen,
+    NetworkAddress advertised,
+    int maxThreads,
+    DataSize maxBody,
+    Duration callTimeout) {
 
   private static final SettingDefinition<NetworkAddress> LISTEN =
       SettingDefinition.address(
@@ -21,6 +27,12 @@
           "127.0.0.1:8082",
           "Where other nodes connect; port 0 takes any free one.");
 
+  private static final SettingDefinition<NetworkAddress> ADVERTISED =
+      SettingDefinition.address(
+          "peers.advertised",
+          "0.0.0.0:0",
+          "Where other nodes connect, if not advertised_host and the port listened on; host 0.0.0.0 or port 0 leaves that part.");
+
   private static final SettingDefinition<Integer> MAX_THREADS =
       SettingDefinition.integer("peers.max_threads", 24, 8, 256, "Bound on the port's threads.");
 
@@ -41,11 +53,12 @@
           "How long a call to a peer may take.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(LISTEN, MAX_THREADS, MAX_BODY, CALL_TIMEOUT);
+      List.of(LISTEN, ADVERTISED, MAX_THREADS, MAX_BODY, CALL_TIMEOUT);
 
   static PeersSettings from(SettingValues values) {
     return new PeersSettings(
         values.get(LISTEN),
+        values.get(ADVERTISED),
         values.get(MAX_THREADS),
         values.get(MAX_BODY),
         values.get(CALL_TIMEOUT));
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
@@ -0,0 +1,141 @@
+package org.fallturn.rehearsal.faults;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Supplier;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * One forwarded connection: a thread copies each direction through one small buffer, so that a slow
+ * reader slows the writer down. {@link #run()} returns when both directions have ended.
+ */
+final class TcpFaultConnection {
+
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final int CONNECT_TIMEOUT_MILLIS = 5_000;
+  private static final long HOLD_CHECK_MILLIS = 200;
+
+  private final Socket caller;
+  private final Socket server = new Socket();
+  private final NetworkAddress target;
+  private final Supplier<LinkFaults> current;
+  private final FaultTable changes;
+  private final CountDownLatch bothDirections = new CountDownLatch(2);
+  private volatile boolean aborted;
+
+  TcpFaultConnection(
+      Socket caller, NetworkAddress target, Supplier<LinkFaults> current, FaultTable changes) {
+    this.caller = caller;
+    this.target = target;
+    this.current = current;
+    this.changes = changes;
+  }
+
+  void run() {
+    try {
+      caller.setTcpNoDelay(true);
+      awaitFlow(true);
+      server.setTcpNoDelay(true);
+      server.connect(new InetSocketAddress(target.host(), target.port()), CONNECT_TIMEOUT_MILLIS);
+      FaultThreads.start("fault-back", () -> copy(server, caller, false));
+      copy(caller, server, true);
+      bothDirections.await();
+    } catch (IOException e) {
+      abort();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      abort();
+    }
+    close(caller);
+    close(server);
+  }
+
+  private void copy(Socket from, Socket to, boolean forward) {
+    byte[] buffer = new byte[BUFFER_BYTES];
+    long carried = 0;
+    try {
+      InputStream input = from.getInputStream();
+      OutputStream output = to.getOutputStream();
+      for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+        delay();
+        awaitFlow(forward);
+        int allowed = forward ? count : allowed(carried, count);
+        output.write(buffer, 0, allowed);
+        carried += allowed;
+        if (allowed < count) {
+          abort();
+          return;
+        }
+      }
+      awaitFlow(forward);
+      to.shutdownOutput();
+    } catch (IOException e) {
+      abort();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      abort();
+    } finally {
+      bothDirections.countDown();
+    }
+  }
+
+  private int allowed(long carried, int count) {
+    long limit = current.get().resetAfterBytes();
+    return limit == 0 ? count : (int) Math.max(0, Math.min(count, limit - carried));
+  }
+
+  private void delay() throws InterruptedException {
+    long millis = current.get().delayMillis();
+    if (millis > 0) {
+      Thread.sleep(millis);
+    }
+  }
+
+  private void awaitFlow(boolean forward) throws InterruptedException {
+    while (!aborted && held(forward)) {
+      changes.awaitChange(HOLD_CHECK_MILLIS);
+    }
+  }
+
+  private boolean held(boolean forward) {
+    LinkFaults faults = current.get();
+    return forward ? faults.holdForward() : faults.holdBackward();
+  }
+
+  void resetWhenCut() {
+    if (current.get().cut()) {
+      abort();
+    }
+  }
+
+  /** Resets both sides. */
+  void abort() {
+    aborted = true;
+    reset(caller);
+    reset(server);
+  }
+
+  /** Closes a socket so that its peer sees a reset. */
+  static void reset(Socket socket) {
+    try {
+      socket.setSoLinger(true, 0);
+    } catch (IOException e) {
+      // The socket is closed already, which is what is wanted.
+      return;
+    }
+    close(socket);
+  }
+
+  private static void close(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // Nothing is left to do with a socket that cannot even be closed.
+      return;
+    }
+  }
+}
