Open the operators' door and the query client

Statements come with an operator's key; viewers read, operators change. Queries ask one node a zone or the pools' leaders and name missing parts; a change is answered with its version and on how many nodes it is in force. A 401 answer lacked WWW-Authenticate, which the HTTP client rejects as a protocol violation; it carries one now.

--- a/fallturn-core/src/main/java/org/fallturn/core/configuration/HeadWatchers.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/configuration/HeadWatchers.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.membership.RendezvousHash;
 
 /** Which nodes of a zone read the head of the accepted sequence from the table. */
 public final class HeadWatchers {
@@ -14,7 +15,6 @@
 
   /** The watchers among a zone's nodes; all of them when there are few. */
   public static List<NodeId> of(Collection<NodeId> zoneNodes) {
-    List<NodeId> order = RendezvousHash.order(zoneNodes, "configuration-head");
-    return order.subList(0, Math.min(PER_ZONE, order.size()));
+    return RendezvousHash.top("configuration-head", zoneNodes, PER_ZONE);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/configuration/PropagationTree.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/configuration/PropagationTree.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.membership.RendezvousHash;
 
 /**
  * The tree along which one version is pushed through a zone. Its order differs from version to
@@ -24,7 +25,7 @@
    * @param version the version to push
    */
   public PropagationTree(Collection<NodeId> nodes, long version) {
-    this.order = RendezvousHash.order(nodes, "configuration-push/" + version);
+    this.order = RendezvousHash.top("configuration-push/" + version, nodes, nodes.size());
   }
 
   /** Where the tree begins; empty when there are no nodes. */
--- a/fallturn-core/src/main/java/org/fallturn/core/query/LiveTable.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/query/LiveTable.java
@@ -1,5 +1,8 @@
 package org.fallturn.core.query;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
 /**
  * A table that operators can read: a module's port towards the operators' language. A module
  * registers one for each kind of object that it knows.
@@ -19,6 +22,11 @@
    */
   LiveRows read();
 
+  /** The same for a table that has to fetch its rows first. Must not block either. */
+  default CompletionStage<LiveRows> readAsync() {
+    return CompletableFuture.completedFuture(read());
+  }
+
   /** Which nodes have to be asked for the whole table. */
   enum Scope {
     /** Any node knows the whole table, for example the configuration. */
--- a/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
@@ -5,6 +5,7 @@
 import org.fallturn.node.command.Command;
 import org.fallturn.node.command.CommandLine;
 import org.fallturn.node.command.NodeCommand;
+import org.fallturn.node.query.QueryCommand;
 
 /** Entry point of the {@code fallturn} program: picks a sub-command and runs it. */
 public final class FallturnMain {
@@ -18,6 +19,9 @@
   }
 
   private static List<Command> commands() {
-    return List.of(new NodeCommand(System.out), new CheckCommand(System.out));
+    return List.of(
+        new NodeCommand(System.out),
+        new CheckCommand(System.out),
+        new QueryCommand(System.in, System.out, System.err, System.getenv()));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/AppliedConfiguration.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/AppliedConfiguration.java
@@ -79,6 +79,13 @@
     }
   }
 
+  /** All kept changes in order. */
+  List<ConfigurationDelta> kept() {
+    synchronized (kept) {
+      return List.copyOf(kept);
+    }
+  }
+
   private void keep(ConfigurationDelta delta) {
     synchronized (kept) {
       kept.addLast(delta);
--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/ConfigurationModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/ConfigurationModule.java
@@ -31,7 +31,7 @@
 
   private final AppliedConfiguration applied = new AppliedConfiguration();
   private final DutyThread<DistributionEvent> distribution;
-  private final DutyThread<ConfigurationStoreDuty.Proposal> store;
+  private final DutyThread<ConfigurationStoreDuty.StoreEvent> store;
   private final InForceCheck inForceCheck;
 
   /** A module that is not started yet. */
@@ -115,6 +115,23 @@
     return answer;
   }
 
+  /**
+   * The newest accepted changes in order, from the table; from what this node has kept when the
+   * table does not answer.
+   */
+  public CompletionStage<List<ConfigurationDelta>> history(int changes) {
+    CompletableFuture<List<ConfigurationDelta>> answer = new CompletableFuture<>();
+    if (!store.offer(new ConfigurationStoreDuty.HistoryRequest(changes, answer))) {
+      return completed(keptHistory());
+    }
+    return answer.exceptionally(failure -> keptHistory());
+  }
+
+  /** The newest accepted changes that this node has kept, in order. */
+  public List<ConfigurationDelta> keptHistory() {
+    return applied.kept();
+  }
+
   /** On how many nodes of the fleet a version is in force now. */
   public CompletionStage<InForceReport> inForce(long version) {
     return inForceCheck.countFleet(version);
--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/ConfigurationStoreDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/ConfigurationStoreDuty.java
@@ -23,7 +23,7 @@
  * head when this node is a watcher, loads and saves snapshots. Runs on its own duty thread, because
  * the stores block it for as long as they are slow.
  */
-final class ConfigurationStoreDuty implements DutyHandler<ConfigurationStoreDuty.Proposal> {
+final class ConfigurationStoreDuty implements DutyHandler<ConfigurationStoreDuty.StoreEvent> {
 
   private static final Logger LOG = LoggerFactory.getLogger(ConfigurationStoreDuty.class);
 
@@ -59,7 +59,15 @@
   }
 
   @Override
-  public void onEvent(Proposal proposal) {
+  public void onEvent(StoreEvent event) {
+    if (event instanceof Proposal proposal) {
+      commitOrFail(proposal);
+    } else if (event instanceof HistoryRequest request) {
+      readHistory(request);
+    }
+  }
+
+  private void commitOrFail(Proposal proposal) {
     try {
       commit(proposal);
     } catch (RuntimeException e) {
@@ -68,6 +76,16 @@
     }
   }
 
+  private void readHistory(HistoryRequest request) {
+    try {
+      long newest = table.readHead().version();
+      long after = Math.max(0, newest - request.changes());
+      request.answer().complete(table.readDeltas(after, newest));
+    } catch (StoreException e) {
+      request.answer().completeExceptionally(e);
+    }
+  }
+
   @Override
   public void onTick() {
     long now = System.nanoTime();
@@ -205,13 +223,26 @@
     void onCommitted(ConfigurationImage base, ConfigurationDelta delta, Runnable whenApplied);
   }
 
+  /** Work for the store duty. */
+  sealed interface StoreEvent {}
+
+  /**
+   * A read of the newest changes.
+   *
+   * @param changes at most so many
+   * @param answer completed with them in order, or with the store's failure
+   */
+  record HistoryRequest(int changes, CompletableFuture<List<ConfigurationDelta>> answer)
+      implements StoreEvent {}
+
   /**
    * A change waiting to be committed.
    *
    * @param change the change
    * @param answer completed when it is committed and in force here, or refused
    */
-  record Proposal(ProposedChange change, CompletableFuture<CommitResult> answer) {
+  record Proposal(ProposedChange change, CompletableFuture<CommitResult> answer)
+      implements StoreEvent {
 
     /** The refusal when too many changes wait. */
     static FallturnException tooMany() {
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpAnswers.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpAnswers.java
@@ -12,6 +12,7 @@
 public final class HttpAnswers {
 
   private static final String JSON_TYPE = "application/json";
+  private static final String CHALLENGE = "Bearer";
   private static final long MILLIS_PER_SECOND = 1000;
 
   private final JsonCodec codec;
@@ -37,6 +38,9 @@
       long seconds = Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
       response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
     }
+    if (kind == ErrorKind.UNAUTHENTICATED) {
+      response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, CHALLENGE);
+    }
     json(response, kind.httpStatus(), ErrorBody.of(kind, error.getMessage(), requestId), callback);
   }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/query/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' client: {@code fallturn query}. */
+package org.fallturn.node.query;
--- a/fallturn-node/src/test/java/org/fallturn/node/configuration/TestNode.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/configuration/TestNode.java
@@ -25,8 +25,10 @@
   private final HttpClient jettyClient = new HttpClient();
   private final JsonCodec codec = new JsonCodec();
   private final JsonHttpClient client = new JsonHttpClient(jettyClient, codec);
+  private final HttpRouter router = new HttpRouter(codec);
   private final HttpListener listener;
   private final LocalNode self;
+  private final ZoneNodes nodes;
   private final ConfigurationModule module;
   private volatile boolean cutOff;
 
@@ -34,13 +36,12 @@
   public TestNode(String name, String zone, Map<NodeId, TestNode> fleet, InMemoryTable table)
       throws Exception {
     this.fleet = fleet;
-    HttpRouter router = new HttpRouter(codec);
     listener = new HttpListener(name, new NetworkAddress("127.0.0.1", 0), 8, router);
     jettyClient.start();
     self = new LocalNode(new NodeId(name), new ZoneName(zone), listener.address());
     ConfigurationOptions options =
         new ConfigurationOptions(Duration.ofMillis(50), Duration.ofSeconds(2), 3);
-    ZoneNodes nodes = new ZoneNodes(self, this::view, () -> new MachineList(1, List.of()));
+    nodes = new ZoneNodes(self, this::view, () -> new MachineList(1, List.of()));
     module = new ConfigurationModule(options, nodes, table, table, client, codec);
     module.addRoutes(router);
     fleet.put(self.node(), this);
@@ -56,6 +57,16 @@
     return module;
   }
 
+  /** The routes for its peers. */
+  public HttpRouter peerRouter() {
+    return router;
+  }
+
+  /** The other nodes as it sees them. */
+  public ZoneNodes nodes() {
+    return nodes;
+  }
+
   /** The client of this node. */
   public JsonHttpClient client() {
     return client;
@@ -82,6 +93,11 @@
     return new MembershipView(self.node(), members);
   }
 
+  /** Makes it deaf to its peers, as when its process is gone. */
+  public void closeListener() throws Exception {
+    listener.close();
+  }
+
   private Member asMember() {
     return new Member(
         self.node(),
