--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Starts a whole fleet as real processes behind the fault-injecting proxy, and breaks it. */
+package org.fallturn.rehearsal.fleet;
