Let the engine stand-in refuse orders meant for another incarnation

Orders now name the incarnation they are meant for, because a restarted engine has forgotten its fence. The stand-in forgets it too, which is the harder case, and takes an order for any incarnation only when it raises the fence.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/engine/OrderExecutor.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/engine/OrderExecutor.java
@@ -13,9 +13,9 @@
 import org.fallturn.rehearsal.engine.CrashPlan.Point;
 
 /**
- * Takes fenced orders: the highest number wins, anything not above it is refused without effect.
- * The fence survives a crash of the engine, for the supervisor of the machine keeps it. Runs on the
- * engine's thread only.
+ * Takes fenced orders: the highest number wins, anything not above it is refused without effect,
+ * and so is an order meant for another incarnation. A restarted engine has forgotten its fence.
+ * Runs on the engine's thread only.
  */
 final class OrderExecutor {
 
@@ -60,8 +60,9 @@
     this.roleChangeNanos = new EngineCostModel(settings.costs()).roleChangeNanos();
   }
 
-  /** The engine has started anew: everything is as the settings say, except the fence. */
+  /** The engine has started anew: everything is as the settings say. */
   void restart(long newIncarnation) {
+    fence = OrderNumber.NONE;
     incarnation = newIncarnation;
     role = settings.role();
     model = settings.model();
@@ -113,6 +114,9 @@
     if (order.number().compareTo(fence) <= 0) {
       return "not above the fence " + fence.epoch().value() + "/" + fence.sequence();
     }
+    if (!isMeantForMe(order)) {
+      return "meant for incarnation " + order.incarnation() + ", not " + incarnation;
+    }
     boolean takesAway =
         order.command() instanceof EngineCommand.ChangeRole
             || order.command() instanceof EngineCommand.LoadModel;
@@ -122,6 +126,13 @@
     return "";
   }
 
+  private boolean isMeantForMe(EngineOrder order) {
+    boolean forAny =
+        order.incarnation() == EngineOrder.ANY_INCARNATION
+            && order.command() instanceof EngineCommand.RaiseFence;
+    return forAny || order.incarnation() == incarnation;
+  }
+
   private void begin(EngineCommand command) {
     if (command instanceof EngineCommand.ChangeRole change) {
       beginRoleChange(change);
