--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineChooser.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineChooser.java
@@ -66,7 +66,10 @@
 
   /** Whether an engine that the request does not exclude could serve it some time. */
   boolean isServable(PlacementRequest request) {
-    return !engines.leastLoadedDecode(request.excluded(), 1).isEmpty();
+    return !engines.leastLoadedDecode(request.excluded(), 1).isEmpty()
+        || engines.all().stream()
+            .filter(slot -> !request.excluded().contains(slot.engine))
+            .anyMatch(slot -> slot.mayServeSoon(EngineRole.DECODE));
   }
 
   private boolean hasDecodeRoom(Urgency urgency) {
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineFollower.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineFollower.java
@@ -79,6 +79,7 @@
         () -> {
           slot.state = Optional.of(state);
           slot.reachable = true;
+          slot.suspect = false;
           slot.unknownRequests = Math.max(0, state.running() - placed);
           if (slot.unknownRequests == 0) {
             slot.unknownPromptTokens = 0;
@@ -100,6 +101,11 @@
     }
   }
 
+  /** A request failed on the engine: it gets nothing new until it has told its state. */
+  void onSuspected(EngineSlot slot) {
+    engines.change(slot, () -> slot.suspect = true);
+  }
+
   void onLoadReport(LoadReport report, long nowNanos) {
     EngineSlot slot = engines.find(report.engine());
     if (slot == null || slot.incarnation() != report.incarnation()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineSlot.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineSlot.java
@@ -27,6 +27,7 @@
   boolean leaving;
   boolean drained;
   boolean reachable;
+  boolean suspect;
   Optional<EngineState> state = Optional.empty();
   Optional<EngineRole> drainingFor = Optional.empty();
   final long[] prefillTokens = new long[URGENCIES];
@@ -85,6 +86,11 @@
     return isPlaceable() && state.get().role() == role;
   }
 
+  /** Whether it may serve again as soon as it answers: a request failed there, no more is known. */
+  boolean mayServeSoon(EngineRole role) {
+    return suspect && reachable && state.filter(told -> told.role() == role).isPresent();
+  }
+
   boolean isPlaceable() {
     return state.isPresent()
         && state.get().activity() == EngineState.Activity.SERVING
@@ -92,6 +98,7 @@
         && !leaving
         && !drained
         && reachable
+        && !suspect
         && drainingFor.isEmpty();
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolMap.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolMap.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.fallturn.core.domain.EngineId;
 import org.fallturn.core.domain.ModelName;
 import org.fallturn.core.domain.PoolId;
@@ -112,6 +113,20 @@
     return List.copyOf(pools.getOrDefault(pool, List.of()));
   }
 
+  /** The engines of a pool as the scheduler takes them, with the operators' drains. */
+  public List<EngineListing> listing(PoolId pool, Predicate<String> isDrained) {
+    return engines(pool).stream()
+        .map(
+            machine ->
+                new EngineListing(
+                    new EngineId(machine.id()),
+                    machine.zone(),
+                    machine.address(),
+                    machine.state() == Machine.State.LEAVING,
+                    isDrained.test(machine.id())))
+        .toList();
+  }
+
   /** The pool an engine belongs to. */
   public Optional<PoolId> poolOf(EngineId engine) {
     return Optional.ofNullable(poolOfEngine.get(engine));
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -89,12 +89,21 @@
 
   @Override
   public void submit(PlacementRequest request, long nowNanos) {
+    submit(request, true, nowNanos);
+  }
+
+  /**
+   * A request asks for a place.
+   *
+   * @param mayQueue whether it waits here when there is no room; otherwise it is refused at once
+   */
+  public void submit(PlacementRequest request, boolean mayQueue, long nowNanos) {
     if (isRepeated(request, nowNanos)) {
       return;
     }
     int uncached = chooser.uncachedTokens(request);
-    observer.window().arrived(uncached, request.expectedOutputTokens());
     if (!chooser.isServable(request)) {
+      observer.window().arrived(uncached, request.expectedOutputTokens());
       refuse(
           request,
           ErrorKind.NO_CAPACITY,
@@ -104,6 +113,20 @@
     }
     enqueue(request, nowNanos);
     placeWaiting(nowNanos);
+    boolean passedOn = !mayQueue && refuseQueued(request);
+    if (!passedOn) {
+      observer.window().arrived(uncached, request.expectedOutputTokens());
+    }
+  }
+
+  private boolean refuseQueued(PlacementRequest request) {
+    Optional<QueuedRequest> queued = queue.find(request.requestId());
+    queued.ifPresent(
+        waiting -> {
+          queue.removeUnserved(waiting);
+          refuse(request, ErrorKind.NO_CAPACITY, "the pool has no room now", retryMillis());
+        });
+    return queued.isPresent();
   }
 
   private boolean isRepeated(PlacementRequest request, long nowNanos) {
@@ -228,7 +251,7 @@
 
   private void onFailed(PlacedRequest placed, Optional<EngineSlot> failed, long nowNanos) {
     inFlight.release(placed, nowNanos);
-    failed.ifPresent(slot -> follower.onUnreachable(slot.engine));
+    failed.filter(slot -> engines.find(slot.engine) == slot).ifPresent(follower::onSuspected);
   }
 
   @Override
@@ -237,6 +260,11 @@
     placeWaiting(nowNanos);
   }
 
+  /** Engines that get nothing until they tell their state, because a request failed there. */
+  public List<EngineId> suspects() {
+    return engines.all().stream().filter(slot -> slot.suspect).map(slot -> slot.engine).toList();
+  }
+
   /** When {@link #advance} has something to do at the latest; empty when only events can change. */
   public Optional<Long> nextWakeNanos() {
     Optional<Long> hopeless = queue.nextLatestStartNanos();
