--- a/fallturn-core/src/main/java/org/fallturn/core/membership/Disseminator.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/Disseminator.java
@@ -16,7 +16,7 @@
   private static final int PERIODIC_TRANSMISSIONS = 3;
   private static final int REMOTE_TRANSMISSIONS = 2;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final MemberTable table;
   private final MessageWriter writer;
   private final PoolDigestTable pools = new PoolDigestTable();
@@ -28,7 +28,7 @@
   private long refutations;
 
   Disseminator(
-      GossipSettings settings,
+      GossipParameters settings,
       MemberTable table,
       MessageWriter writer,
       ZoneDigests zones,
@@ -52,6 +52,11 @@
     return pools.all();
   }
 
+  /** Others should hear from this node at once. */
+  void markUrgent() {
+    urgent = true;
+  }
+
   /** Whether something came up that others should hear at once; asking clears it. */
   boolean takeUrgent() {
     boolean was = urgent;
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/GossipSettings.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/GossipParameters.java
@@ -21,7 +21,7 @@
  * @param maxDatagramBytes bound on a datagram's payload
  * @param bytesPerSecond cap on what the node sends, headers of IP and UDP included
  */
-public record GossipSettings(
+public record GossipParameters(
     Duration probePeriod,
     Duration probeTimeout,
     Duration suspicionTimeout,
@@ -41,8 +41,8 @@
   private static final int DEFAULT_BYTES_PER_SECOND = 1200;
 
   /** What a node uses unless its settings say otherwise. */
-  public static GossipSettings defaults() {
-    return new GossipSettings(
+  public static GossipParameters defaults() {
+    return new GossipParameters(
         Duration.ofSeconds(1),
         Duration.ofMillis(300),
         Duration.ofSeconds(5),
@@ -60,8 +60,8 @@
   }
 
   /** The same settings with another cap. */
-  public GossipSettings withBytesPerSecond(int cap) {
-    return new GossipSettings(
+  public GossipParameters withBytesPerSecond(int cap) {
+    return new GossipParameters(
         probePeriod,
         probeTimeout,
         suspicionTimeout,
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/GossipState.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/GossipState.java
@@ -29,7 +29,7 @@
   private static final long NO_PROBE = 0;
   private static final int STALLED_PERIODS = 2;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final MemberTable table;
   private final MessageWriter writer;
   private final ZoneDigests zones;
@@ -53,7 +53,7 @@
    * @param self the node; its incarnation must be above that of any earlier process of its id
    */
   public GossipState(
-      GossipSettings settings,
+      GossipParameters settings,
       Member self,
       MessageSizer sizer,
       GossipListener listener,
@@ -86,7 +86,10 @@
 
   /** The node has a machine list. */
   public void machineListVersion(long version) {
-    writer.machineListVersion(version);
+    if (version > writer.machineListVersion()) {
+      writer.machineListVersion(version);
+      disseminator.markUrgent();
+    }
   }
 
   /** Spreads the digest of a pool this node leads. */
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/MemberTable.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/MemberTable.java
@@ -20,13 +20,13 @@
   private static final int JITTER_DIVISOR = 4;
   private static final long NOT_SUSPECTED = Long.MAX_VALUE;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final Random random;
   private final Map<NodeId, Entry> entries = new HashMap<>();
   private Member self;
   private long modifications;
 
-  MemberTable(Member self, GossipSettings settings, Random random) {
+  MemberTable(Member self, GossipParameters settings, Random random) {
     this.random = random;
     this.self = self;
     this.settings = settings;
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/MessageWriter.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/MessageWriter.java
@@ -20,7 +20,7 @@
 
   private static final int MAX_KEY_CHARACTERS = 64;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final MemberTable table;
   private final MessageSizer sizer;
   private final long session;
@@ -34,7 +34,7 @@
   private long bytesSent;
   private long messagesOverBudget;
 
-  MessageWriter(GossipSettings settings, MemberTable table, MessageSizer sizer, long nowNanos) {
+  MessageWriter(GossipParameters settings, MemberTable table, MessageSizer sizer, long nowNanos) {
     this.now = nowNanos;
     this.settings = settings;
     this.table = table;
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/Prober.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/Prober.java
@@ -18,7 +18,7 @@
  */
 final class Prober {
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final MemberTable table;
   private final MessageWriter writer;
   private final Random random;
@@ -32,7 +32,7 @@
   private boolean askedOthers;
 
   Prober(
-      GossipSettings settings,
+      GossipParameters settings,
       MemberTable table,
       MessageWriter writer,
       Random random,
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/ZoneBridge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/ZoneBridge.java
@@ -19,7 +19,7 @@
 
   private static final int SYNC_EVERY = 5;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final MemberTable table;
   private final MessageWriter writer;
   private final ZoneDigests zones;
@@ -31,7 +31,7 @@
   private boolean bridge;
 
   ZoneBridge(
-      GossipSettings settings,
+      GossipParameters settings,
       MemberTable table,
       MessageWriter writer,
       ZoneDigests zones,
--- a/fallturn-core/src/test/java/org/fallturn/core/membership/GossipSimulation.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/membership/GossipSimulation.java
@@ -26,7 +26,7 @@
   private static final long TICK_NANOS = 100 * MILLI;
   private static final int MAX_DELAY_MICROS = 3_000;
 
-  private final GossipSettings settings;
+  private final GossipParameters settings;
   private final Random random;
   private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
   private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -36,7 +36,7 @@
   private long eventCount;
   private long bytesDelivered;
 
-  GossipSimulation(GossipSettings settings, long seed) {
+  GossipSimulation(GossipParameters settings, long seed) {
     this.settings = settings;
     this.random = new Random(seed);
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/membership/GossipStateTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/membership/GossipStateTest.java
@@ -20,7 +20,7 @@
 
 class GossipStateTest {
 
-  private static final GossipSettings SETTINGS = GossipSettings.defaults();
+  private static final GossipParameters SETTINGS = GossipParameters.defaults();
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
@@ -158,7 +158,7 @@
 
   @Test
   void capHoldsWhenEverythingHappensAtOnce() {
-    GossipSettings capped = SETTINGS.withBytesPerSecond(400);
+    GossipParameters capped = SETTINGS.withBytesPerSecond(400);
     GossipSimulation simulation = new GossipSimulation(capped, 12);
     List<NodeId> zone = simulation.addZone("a", 40);
     simulation.run(10 * SECOND);
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipIdentity.java
@@ -0,0 +1,22 @@
+package org.fallturn.node.gossip;
+
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.domain.RegionName;
+import org.fallturn.core.domain.ZoneName;
+
+/**
+ * Who this node is towards the others.
+ *
+ * @param node its id
+ * @param region its region
+ * @param zone its zone
+ * @param advertisedHost IP number under which the others reach it
+ * @param peerAddress TCP port for peer messages, as the others reach it
+ */
+public record GossipIdentity(
+    NodeId node,
+    RegionName region,
+    ZoneName zone,
+    String advertisedHost,
+    NetworkAddress peerAddress) {}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
@@ -0,0 +1,88 @@
+package org.fallturn.node.gossip;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.ByteBuffer;
+import java.nio.channels.ClosedChannelException;
+import java.nio.channels.DatagramChannel;
+import java.util.function.BiConsumer;
+import org.fallturn.core.domain.NetworkAddress;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A UDP port with one thread that receives. Any thread may send; a datagram that the system does
+ * not take at once is dropped, as on the network.
+ */
+final class UdpSocket implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(UdpSocket.class);
+  private static final int MAX_DATAGRAM_BYTES = 2048;
+
+  private final DatagramChannel channel;
+  private final NetworkAddress address;
+  private final Thread receiver;
+
+  /**
+   * Binds the port.
+   *
+   * @param receive called on the receiving thread with each datagram and its source
+   */
+  UdpSocket(String name, NetworkAddress listen, BiConsumer<byte[], NetworkAddress> receive)
+      throws IOException {
+    channel = DatagramChannel.open();
+    channel.bind(socketAddress(listen));
+    InetSocketAddress bound = (InetSocketAddress) channel.getLocalAddress();
+    address = new NetworkAddress(bound.getAddress().getHostAddress(), bound.getPort());
+    receiver = new Thread(() -> receiveUntilClosed(receive), name);
+    receiver.setDaemon(true);
+  }
+
+  /** Where it listens, with the real port. */
+  NetworkAddress address() {
+    return address;
+  }
+
+  void start() {
+    receiver.start();
+  }
+
+  void send(byte[] datagram, NetworkAddress to) {
+    try {
+      channel.send(ByteBuffer.wrap(datagram), socketAddress(to));
+    } catch (IOException e) {
+      LOG.debug("gossip: Could not send to {}: {}.", to, e.toString());
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    channel.close();
+  }
+
+  private void receiveUntilClosed(BiConsumer<byte[], NetworkAddress> receive) {
+    ByteBuffer buffer = ByteBuffer.allocate(MAX_DATAGRAM_BYTES);
+    while (channel.isOpen()) {
+      try {
+        buffer.clear();
+        InetSocketAddress source = (InetSocketAddress) channel.receive(buffer);
+        buffer.flip();
+        byte[] datagram = new byte[buffer.remaining()];
+        buffer.get(datagram);
+        receive.accept(
+            datagram, new NetworkAddress(source.getAddress().getHostAddress(), source.getPort()));
+      } catch (ClosedChannelException e) {
+        return;
+      } catch (IOException | RuntimeException e) {
+        LOG.warn("gossip: Could not receive: {}.", e.toString());
+      }
+    }
+  }
+
+  private static InetSocketAddress socketAddress(NetworkAddress address)
+      throws UnknownHostException {
+    return new InetSocketAddress(InetAddress.getByName(address.host()), address.port());
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/package-info.java
@@ -0,0 +1,2 @@
+/** Gossip over UDP: the socket, the datagrams' authentication and the duty that runs membership. */
+package org.fallturn.node.gossip;
