--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformStandIn.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformStandIn.java
@@ -38,10 +38,12 @@
   private static final int MAX_THREADS = 32;
   private static final int OK = 200;
   private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int UNAVAILABLE = 503;
+  private static final String AFTER = "after=";
   private static final String OBJECTS = "/v1/objects/";
 
   private final PlatformSettings settings;
@@ -226,7 +228,13 @@
   }
 
   private void listMachines(Exchange exchange) {
-    json(exchange, machines.seenAt(System.nanoTime()));
+    MachineList list = machines.seenAt(System.nanoTime());
+    String query = exchange.request().getHttpURI().getQuery();
+    if ((AFTER + list.version()).equals(query)) {
+      status(exchange, NOT_MODIFIED);
+    } else {
+      json(exchange, list);
+    }
   }
 
   private CompletionStage<PlatformFaults> controlFaults(PlatformFaults next) {
