--- a/fallturn-core/src/main/java/org/fallturn/core/membership/GossipParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/GossipParameters.java
@@ -59,7 +59,7 @@
         DEFAULT_BYTES_PER_SECOND);
   }
 
-  /** The same settings with another cap. */
+  /** The same with another cap. */
   public GossipParameters withBytesPerSecond(int cap) {
     return new GossipParameters(
         probePeriod,
@@ -77,4 +77,23 @@
         maxDatagramBytes,
         cap);
   }
+
+  /** The same with another pace of failure detection. */
+  public GossipParameters withDetection(Duration period, Duration timeout, Duration suspicion) {
+    return new GossipParameters(
+        period,
+        timeout,
+        suspicion,
+        indirectProbes,
+        pushFanout,
+        bridgesPerZone,
+        bridgePeriod,
+        zoneSilence,
+        forgetAfter,
+        syncPeriod,
+        digestPeriod,
+        remoteDigestPeriod,
+        maxDatagramBytes,
+        bytesPerSecond);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -54,6 +55,7 @@
   private final AtomicLong bytesReceived = new AtomicLong();
   private final AtomicLong malformed = new AtomicLong();
   private final AtomicLong notAuthentic = new AtomicLong();
+  private final AtomicBoolean closed = new AtomicBoolean();
   private final AtomicLong overrun = new AtomicLong();
 
   /**
@@ -155,6 +157,9 @@
   /** Tells the others that this node has stopped, and stops. */
   @Override
   public void close() throws IOException {
+    if (closed.get()) {
+      return;
+    }
     CountDownLatch told = new CountDownLatch(1);
     announce(new GossipEvent.Stopped(told), told);
     abort();
@@ -162,8 +167,10 @@
 
   /** Stops without a word, as a killed process does. */
   public void abort() throws IOException {
-    socket.close();
-    thread.close();
+    if (closed.compareAndSet(false, true)) {
+      socket.close();
+      thread.close();
+    }
   }
 
   private void announce(GossipEvent event, CountDownLatch told) {
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -7,8 +7,12 @@
 import java.util.Map;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
+import org.fallturn.node.gossip.GossipIdentity;
+import org.fallturn.node.gossip.GossipModule;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
+import org.fallturn.node.machines.MachineListModule;
+import org.fallturn.node.machines.MachineListSource;
 import org.fallturn.node.metrics.HealthRoutes;
 import org.fallturn.node.metrics.NodeHealth;
 import org.fallturn.node.settings.NodeSettings;
@@ -31,6 +35,8 @@
   private final NodeHealth health = new NodeHealth();
   private final PlannedStop plannedStop = new PlannedStop(health);
   private final HttpRouter operatorRouter;
+  private MachineListModule machines;
+  private GossipModule gossip;
   private HttpListener peers;
   private HttpListener operators;
 
@@ -64,6 +70,17 @@
   }
 
   private void startParts() throws Exception {
+    machines =
+        new MachineListModule(
+            plumbing.client(),
+            new MachineListSource(
+                settings.platform().machines(),
+                settings.platform().machinesInterval(),
+                settings.platform().callTimeout()),
+            plumbing.node(),
+            plumbing.zone(),
+            () -> gossip.view());
+    machines.addTo(peerRouter);
     peers =
         keep(
             new HttpListener(
@@ -75,6 +92,32 @@
                 settings.operators().listen(),
                 settings.operators().maxThreads(),
                 operatorRouter));
+    startMembership();
+  }
+
+  private void startMembership() throws Exception {
+    String host = settings.identity().advertisedHost();
+    GossipIdentity identity =
+        new GossipIdentity(
+            plumbing.node(),
+            plumbing.region(),
+            plumbing.zone(),
+            host,
+            new NetworkAddress(host, peers.address().port()));
+    gossip =
+        keep(
+            new GossipModule(
+                settings.gossip().parameters(),
+                identity,
+                settings.gossip().listen(),
+                ClusterKey.read(settings.identity()),
+                plumbing.codec()));
+    gossip.addMachineListNotice(machines::onNewerVersion);
+    machines.addListener(gossip::machineList);
+    plannedStop.add("gossip", gossip::announceLeaving, () -> true);
+    gossip.start();
+    keep(machines);
+    machines.start();
   }
 
   private <T extends AutoCloseable> T keep(T part) {
@@ -102,6 +145,7 @@
     Map<String, NetworkAddress> addresses = new LinkedHashMap<>();
     addresses.put("operators", operatorsAddress());
     addresses.put("peers", peersAddress());
+    addresses.put("gossip", gossip.address());
     return addresses;
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GossipSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GossipSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.membership.GossipParameters;
 
 /**
  * Membership by gossip over UDP.
@@ -54,7 +55,7 @@
   private static final SettingDefinition<Duration> SUSPICION_TIMEOUT =
       SettingDefinition.duration(
           "gossip.suspicion_timeout",
-          Duration.ofSeconds(4),
+          Duration.ofSeconds(5),
           Duration.ofMillis(50),
           Duration.ofMinutes(10),
           "How long a suspect has to refute before it counts as dead.");
@@ -62,7 +63,7 @@
   private static final SettingDefinition<DataSize> MAX_BYTES_PER_SECOND =
       SettingDefinition.dataSize(
           "gossip.max_bytes_per_second",
-          DataSize.ofKibibytes(3),
+          new DataSize(1200),
           new DataSize(256),
           DataSize.ofMebibytes(1),
           "Cap on what this node sends by gossip in a second.");
@@ -76,6 +77,13 @@
           SUSPICION_TIMEOUT,
           MAX_BYTES_PER_SECOND);
 
+  /** The same for the membership of the core. */
+  public GossipParameters parameters() {
+    return GossipParameters.defaults()
+        .withDetection(probeInterval, probeTimeout, suspicionTimeout)
+        .withBytesPerSecond(maxBytesPerSecond.bytesAsInt());
+  }
+
   static GossipSettings from(SettingValues values) {
     return new GossipSettings(
         values.get(LISTEN),
