--- a/fallturn-core/src/main/java/org/fallturn/core/membership/GossipSettings.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/GossipParameters.java
@@ -21,7 +21,7 @@
  * @param maxDatagramBytes bound on a datagram's payload
  * @param bytesPerSecond cap on what the node sends, headers of IP and UDP included
  */
-public record GossipSettings(
+public record GossipParameters(
     Duration probePeriod,
     Duration probeTimeout,
     Duration suspicionTimeout,
@@ -41,8 +41,8 @@
   private static final int DEFAULT_BYTES_PER_SECOND = 1200;
 
   /** What a node uses unless its settings say otherwise. */
-  public static GossipSettings defaults() {
-    return new GossipSettings(
+  public static GossipParameters defaults() {
+    return new GossipParameters(
         Duration.ofSeconds(1),
         Duration.ofMillis(300),
         Duration.ofSeconds(5),
@@ -59,9 +59,9 @@
         DEFAULT_BYTES_PER_SECOND);
   }
 
-  /** The same settings with another cap. */
-  public GossipSettings withBytesPerSecond(int cap) {
-    return new GossipSettings(
+  /** The same with another cap. */
+  public GossipParameters withBytesPerSecond(int cap) {
+    return new GossipParameters(
         probePeriod,
         probeTimeout,
         suspicionTimeout,
@@ -77,4 +77,23 @@
         maxDatagramBytes,
         cap);
   }
+
+  /** The same with another pace of failure detection. */
+  public GossipParameters withDetection(Duration period, Duration timeout, Duration suspicion) {
+    return new GossipParameters(
+        period,
+        timeout,
+        suspicion,
+        indirectProbes,
+        pushFanout,
+        bridgesPerZone,
+        bridgePeriod,
+        zoneSilence,
+        forgetAfter,
+        syncPeriod,
+        digestPeriod,
+        remoteDigestPeriod,
+        maxDatagramBytes,
+        bytesPerSecond);
+  }
 }
