Join membership, configuration, leases, placement and callers into one node

Cause: the parts stood side by side. Ruled out: adding routes before the ports bind, since the advertised peer address is needed to build the parts; the router takes routes while it runs. Conclusion: one node starts all its duties; tenant limits are still unlimited until their part lands.

--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpRouter.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpRouter.java
@@ -1,10 +1,10 @@
 package org.fallturn.node.http;
 
 import java.io.IOException;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -19,7 +19,8 @@
 
 /**
  * Sends each request to the handler of its method and path. A path that ends in a slash is a
- * prefix; the longest matching one wins. Routes are added before the server starts.
+ * prefix; the longest matching one wins. A route may be added while the server runs; until then its
+ * path answers NOT_FOUND.
  */
 public final class HttpRouter extends Handler.Abstract {
 
@@ -28,8 +29,8 @@
 
   private final JsonCodec codec;
   private final HttpAnswers answers;
-  private final Map<String, RouteHandler> exactRoutes = new HashMap<>();
-  private final Map<String, RouteHandler> prefixRoutes = new HashMap<>();
+  private final Map<String, RouteHandler> exactRoutes = new ConcurrentHashMap<>();
+  private final Map<String, RouteHandler> prefixRoutes = new ConcurrentHashMap<>();
 
   /** A router without routes. */
   public HttpRouter(JsonCodec codec) {
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/NodeHealth.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/NodeHealth.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /**
  * Whether this node should get callers. It is ready once every condition that was declared has been
@@ -12,6 +13,7 @@
 public final class NodeHealth {
 
   private final Map<String, Boolean> conditions = new LinkedHashMap<>();
+  private final Map<String, BooleanSupplier> checks = new LinkedHashMap<>();
   private boolean stopping;
 
   /** Declares a condition that is not met yet. */
@@ -19,6 +21,11 @@
     conditions.putIfAbsent(condition, false);
   }
 
+  /** Declares a condition that is looked up whenever the health is asked for. */
+  public synchronized void require(String condition, BooleanSupplier met) {
+    checks.put(condition, met);
+  }
+
   /** Notes that a condition is met from now on, or no longer. */
   public synchronized void set(String condition, boolean met) {
     conditions.put(condition, met);
@@ -41,6 +48,12 @@
             obstacles.add(condition);
           }
         });
+    checks.forEach(
+        (condition, met) -> {
+          if (!met.getAsBoolean()) {
+            obstacles.add(condition);
+          }
+        });
     return obstacles;
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -5,16 +5,35 @@
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.lease.LeaseParameters;
+import org.fallturn.core.placement.PlacementParameters;
+import org.fallturn.core.placement.PoolDigest;
+import org.fallturn.core.roles.KeepRoles;
+import org.fallturn.node.callers.CallersModule;
+import org.fallturn.node.callers.CallersSettings;
+import org.fallturn.node.configuration.ConfigurationModule;
+import org.fallturn.node.configuration.ConfigurationOptions;
+import org.fallturn.node.configuration.LocalNode;
+import org.fallturn.node.configuration.ZoneNodes;
 import org.fallturn.node.gossip.GossipIdentity;
 import org.fallturn.node.gossip.GossipModule;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
+import org.fallturn.node.lease.LeaseModule;
+import org.fallturn.node.lease.LeaseModuleSettings;
 import org.fallturn.node.machines.MachineListModule;
 import org.fallturn.node.machines.MachineListSource;
 import org.fallturn.node.metrics.HealthRoutes;
 import org.fallturn.node.metrics.NodeHealth;
+import org.fallturn.node.placement.ClientParts;
+import org.fallturn.node.placement.DigestLeaderDirectory;
+import org.fallturn.node.placement.LeaderParts;
+import org.fallturn.node.placement.PlacementClient;
+import org.fallturn.node.placement.PlacementModule;
 import org.fallturn.node.settings.NodeSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,7 +54,15 @@
   private final NodeHealth health = new NodeHealth();
   private final PlannedStop plannedStop = new PlannedStop(health);
   private final HttpRouter operatorRouter;
+  private final DigestBoard digests = new DigestBoard();
+  private final PlacementParameters placementParameters = PlacementParameters.defaults();
   private MachineListModule machines;
+  private ConfigurationModule configuration;
+  private LeaseModule leases;
+  private PlacementModule leader;
+  private PlacementClient placement;
+  private CallersModule callers;
+  private volatile CompletionStage<Void> leaving = CompletableFuture.completedFuture(null);
   private GossipModule gossip;
   private HttpListener peers;
   private HttpListener operators;
@@ -70,17 +97,22 @@
   }
 
   private void startParts() throws Exception {
-    machines =
-        new MachineListModule(
-            plumbing.client(),
-            new MachineListSource(
-                settings.platform().machines(),
-                settings.platform().machinesInterval(),
-                settings.platform().callTimeout()),
-            plumbing.node(),
-            plumbing.zone(),
-            () -> gossip.view());
-    machines.addTo(peerRouter);
+    startListeners();
+    startMembership();
+    startConfiguration();
+    startLeadership();
+    startCallers();
+    registerPlannedStop();
+  }
+
+  private void registerPlannedStop() {
+    plannedStop.add("callers", callers::beginDrain, () -> callers.inFlight() == 0);
+    plannedStop.add("gossip", gossip::announceLeaving, () -> true);
+    plannedStop.add(
+        "leases", () -> leaving = leases.leave(settings.lease().duration()), this::hasLeft);
+  }
+
+  private void startListeners() throws Exception {
     peers =
         keep(
             new HttpListener(
@@ -92,18 +124,27 @@
                 settings.operators().listen(),
                 settings.operators().maxThreads(),
                 operatorRouter));
-    startMembership();
   }
 
   private void startMembership() throws Exception {
-    String host = settings.identity().advertisedHost();
+    machines =
+        new MachineListModule(
+            plumbing.client(),
+            new MachineListSource(
+                settings.platform().machines(),
+                settings.platform().machinesInterval(),
+                settings.platform().callTimeout()),
+            plumbing.node(),
+            plumbing.zone(),
+            () -> gossip.view());
+    machines.addTo(peerRouter);
     GossipIdentity identity =
         new GossipIdentity(
             plumbing.node(),
             plumbing.region(),
             plumbing.zone(),
-            host,
-            new NetworkAddress(host, peers.address().port()));
+            settings.identity().advertisedHost(),
+            advertisedPeerAddress());
     gossip =
         keep(
             new GossipModule(
@@ -113,11 +154,123 @@
                 ClusterKey.read(settings.identity()),
                 plumbing.codec()));
     gossip.addMachineListNotice(machines::onNewerVersion);
+    gossip.addDigestListener(digests::add);
     machines.addListener(gossip::machineList);
-    plannedStop.add("gossip", gossip::announceLeaving, () -> true);
     gossip.start();
     keep(machines);
     machines.start();
+    health.require("machine list", () -> machines.get().version() != MachineListModule.NO_LIST);
+  }
+
+  private void startConfiguration() {
+    ConfigurationOptions options =
+        new ConfigurationOptions(
+            settings.configuration().watchInterval(),
+            settings.configuration().fetchTimeout(),
+            settings.configuration().snapshotEvery());
+    LocalNode self = new LocalNode(plumbing.node(), plumbing.zone(), advertisedPeerAddress());
+    ZoneNodes nodes = new ZoneNodes(self, gossip.viewSupplier(), machines);
+    configuration =
+        keep(
+            new ConfigurationModule(
+                options,
+                nodes,
+                plumbing.table(),
+                plumbing.objectStore(),
+                plumbing.client(),
+                plumbing.codec()));
+    configuration.addListener(image -> gossip.configurationVersion(image.version()));
+    configuration.addRoutes(peerRouter);
+    configuration.start();
+    health.require("configuration", configuration::isLoaded);
+  }
+
+  private void startLeadership() {
+    LeaseModuleSettings leaseSettings =
+        LeaseModuleSettings.of(
+            LeaseParameters.of(
+                settings.lease().duration(),
+                settings.lease().renewInterval(),
+                settings.lease().safetyMargin()),
+            settings.lease().orderTimeout());
+    LeadershipRelay relay = new LeadershipRelay();
+    LeaseModule.Ports ports =
+        new LeaseModule.Ports(
+            plumbing.node(),
+            plumbing.table(),
+            gossip.viewSupplier(),
+            machines,
+            new RegionPools(plumbing.region(), machines, placementParameters),
+            plumbing.client(),
+            plumbing.codec(),
+            plumbing.metrics());
+    leases = keep(new LeaseModule(ports, leaseSettings, relay));
+    gossip.addDigestListener(digest -> leases.onLeaderSeen(digest.pool(), digest.epoch()));
+    leases.addRoutes(peerRouter);
+    leader = keep(new PlacementModule(leaderParts()));
+    relay.relayTo(leader);
+    leader.addRoutes(peerRouter);
+    leader.start();
+    leases.start();
+  }
+
+  private boolean hasLeft() {
+    return leaving.toCompletableFuture().isDone();
+  }
+
+  private LeaderParts leaderParts() {
+    return new LeaderParts(
+        plumbing.node(),
+        this::advertisedPeerAddress,
+        plumbing.client(),
+        machines,
+        configuration,
+        leases,
+        pool -> new KeepRoles(),
+        this::publish,
+        placementParameters,
+        settings.placement());
+  }
+
+  private void publish(PoolDigest digest) {
+    digests.add(digest);
+    gossip.publish(digest);
+  }
+
+  private void startCallers() throws Exception {
+    placement =
+        keep(
+            new PlacementClient(
+                new ClientParts(
+                    plumbing.node(),
+                    plumbing.region(),
+                    plumbing.zone(),
+                    plumbing.client(),
+                    leader,
+                    new DigestLeaderDirectory(digests::digests),
+                    machines,
+                    configuration,
+                    placementParameters,
+                    settings.placement(),
+                    plumbing.metrics())));
+    placement.start();
+    callers =
+        keep(
+            new CallersModule(
+                placement,
+                new UnlimitedAdmission(),
+                configuration,
+                machines,
+                plumbing.client(),
+                plumbing.table(),
+                CallersSettings.defaults(
+                    plumbing.node(), plumbing.zone(), settings.callers().listen()),
+                plumbing.metrics()));
+    callers.start();
+  }
+
+  private NetworkAddress advertisedPeerAddress() {
+    return new NetworkAddress(settings.identity().advertisedHost(), peers.address().port());
   }
 
   private <T extends AutoCloseable> T keep(T part) {
@@ -135,6 +288,11 @@
     return peers.address();
   }
 
+  /** Where callers connect, once started. */
+  public NetworkAddress callersAddress() {
+    return callers.address();
+  }
+
   /** Where operators connect, once started. */
   public NetworkAddress operatorsAddress() {
     return operators.address();
@@ -143,6 +301,7 @@
   /** Every port this node listens on, by name, once started. */
   public Map<String, NetworkAddress> addresses() {
     Map<String, NetworkAddress> addresses = new LinkedHashMap<>();
+    addresses.put("callers", callersAddress());
     addresses.put("operators", operatorsAddress());
     addresses.put("peers", peersAddress());
     addresses.put("gossip", gossip.address());
