Forward application services; claim idempotency keys by group commit

A request that may not be repeated runs under a claim row written by one duty thread, many claims a transaction; a lost answer is settled by reading back the attempt's id, and a row is overwritten only when its claim was released. The first property run found that a batch with two claims on one key could overwrite the first after a lost answer (expected version 1, was 2); only released rows keep their version now. Application answers go out whole up to a bound and by demand beyond it. Listening for a caller's failure before the exchange starts mended an exchange that ended before its listeners were set.

--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/application/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the application back ends: choice of a back end and forwarding of one request. */
+package org.fallturn.node.application;
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/AnswerSink.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/AnswerSink.java
@@ -25,6 +25,11 @@
   /** The answer will not be whole; says so at once. */
   void fail(FallturnException error);
 
+  /** Whether the request goes on when its caller is gone. */
+  default boolean survivesCaller() {
+    return false;
+  }
+
   /** The caller is gone; ends the exchange without an answer. */
   void abandon();
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallerAnswers.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallerAnswers.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.idempotency.StoredAnswer;
 import org.fallturn.node.http.HttpAnswers;
 import org.fallturn.node.json.JsonCodec;
 
@@ -11,6 +12,7 @@
 final class CallerAnswers {
 
   private static final String REQUEST_ID_HEADER = "X-Request-Id";
+  private static final String REPLAYED_HEADER = "Idempotent-Replayed";
 
   private final HttpAnswers answers;
 
@@ -37,6 +39,17 @@
     caller.response().write(true, ByteBuffer.wrap(body), caller.callback());
   }
 
+  /** Writes the answer that an earlier request got. */
+  void stored(CallerRequest caller, StoredAnswer answer) {
+    putRequestId(caller);
+    caller.response().setStatus(answer.status());
+    if (!answer.contentType().isEmpty()) {
+      caller.response().getHeaders().put(HttpHeader.CONTENT_TYPE, answer.contentType());
+    }
+    caller.response().getHeaders().put(REPLAYED_HEADER, "true");
+    caller.response().write(true, ByteBuffer.wrap(answer.body()), caller.callback());
+  }
+
   /** Writes an error answer. */
   void error(CallerRequest caller, FallturnException error) {
     putRequestId(caller);
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallerGoneException.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallerGoneException.java
@@ -1,11 +1,15 @@
 package org.fallturn.node.callers;
 
-/** The caller's connection failed before its answer was written. */
+/** The exchange with the caller ends without a whole answer; its connection is closed. */
 final class CallerGoneException extends Exception {
 
   private static final long serialVersionUID = 1L;
 
   CallerGoneException() {
-    super("the caller is gone");
+    this("the caller is gone");
+  }
+
+  CallerGoneException(String message) {
+    super(message);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallerIdentity.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallerIdentity.java
@@ -3,9 +3,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
 import java.util.HexFormat;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
 import org.fallturn.core.configuration.ConfigurationImage;
 import org.fallturn.core.configuration.RuleRecord;
 import org.fallturn.core.configuration.ServiceRecord;
@@ -56,6 +58,15 @@
             () -> new FallturnException(ErrorKind.NOT_FOUND, "no such service: " + service));
   }
 
+  /** Hash of what a request asks for: method, path, query and body. */
+  static String bodyHash(Request request, byte[] body) {
+    String target = request.getMethod() + " " + request.getHttpURI().getPathQuery() + "\n";
+    byte[] head = target.getBytes(StandardCharsets.UTF_8);
+    byte[] all = Arrays.copyOf(head, head.length + body.length);
+    System.arraycopy(body, 0, all, head.length, body.length);
+    return sha256(all);
+  }
+
   /** Hexadecimal SHA-256. */
   static String sha256(byte[] content) {
     try {
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallerMetrics.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallerMetrics.java
@@ -35,6 +35,16 @@
     registry.counter(REQUESTS, OUTCOME, kind.name()).increment();
   }
 
+  /** A retry got the stored answer. */
+  void replayed() {
+    registry.counter(REQUESTS, OUTCOME, "replayed").increment();
+  }
+
+  /** An answer broke off after a part of it was passed on. */
+  void brokenOff() {
+    registry.counter(REQUESTS, OUTCOME, "broken-off").increment();
+  }
+
   /** A caller went away. */
   void abandoned() {
     registry.counter(REQUESTS, OUTCOME, "abandoned").increment();
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallerRequest.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallerRequest.java
@@ -11,8 +11,14 @@
  * @param request Jetty's request
  * @param response Jetty's response
  * @param callback completed when the exchange is over
+ * @param connection tells when the caller is gone
  * @param requestId the id given to it
  * @param startNanos monotonic time when it came
  */
 record CallerRequest(
-    Request request, Response response, Callback callback, RequestId requestId, long startNanos) {}
+    Request request,
+    Response response,
+    Callback callback,
+    CallerConnection connection,
+    RequestId requestId,
+    long startNanos) {}
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.callers;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -18,12 +19,16 @@
 import org.fallturn.core.placement.PlacementService;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.core.port.table.TableService;
+import org.fallturn.node.application.BackEndSelector;
+import org.fallturn.node.application.ForwardClient;
 import org.fallturn.node.engine.EngineClient;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.http.ListenerLimits;
 import org.fallturn.node.http.RouteHandler;
+import org.fallturn.node.idempotency.ClaimDuty;
+import org.fallturn.node.idempotency.JsonClaimRowCodec;
 import org.fallturn.node.json.JsonCodec;
 
 /**
@@ -33,8 +38,11 @@
 public final class CallersModule implements AutoCloseable {
 
   private static final int ID_RADIX = 36;
+  private static final List<String> APPLICATION_METHODS =
+      List.of("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS");
 
-  private final CallersSettings settings;
+  private final CallersModuleSettings settings;
+  private final ClaimDuty claims;
   private final CallerServices services;
   private final HttpRouter router;
   private final AtomicLong requestNumber = new AtomicLong();
@@ -54,18 +62,26 @@
       Supplier<MachineList> machines,
       JsonHttpClient client,
       TableService table,
-      CallersSettings settings,
+      CallersModuleSettings settings,
       MeterRegistry registry) {
     this.settings = settings;
     JsonCodec codec = new JsonCodec();
+    this.claims =
+        new ClaimDuty(
+            table,
+            new JsonClaimRowCodec(codec),
+            settings.claimTimeout(),
+            System::currentTimeMillis);
     this.services =
         new CallerServices(
             settings,
             placement,
             admission,
             configuration,
-            machines,
             new EngineClient(client.jettyClient(), codec),
+            new ForwardClient(client.jettyClient()),
+            new BackEndSelector(machines, configuration, settings.zone(), System::nanoTime),
+            new RequestClaims(claims, settings.node()),
             new InFlightRequests(),
             new CallerAnswers(codec),
             new CallerMetrics(registry),
@@ -86,14 +102,22 @@
         "/v1/completions",
         accept(caller -> completions.handle(CompletionStyle.TEXT, caller)));
     router.route("GET", "/v1/models", accept(models::handle));
+    ApplicationsHandler applications = new ApplicationsHandler(services);
+    for (String method : APPLICATION_METHODS) {
+      router.route(method, ApplicationsHandler.PREFIX, accept(applications::handle));
+    }
   }
 
   /** Opens the door. */
   public void start() throws Exception {
+    claims.start();
     services.inFlight().start();
     ListenerLimits limits =
         new ListenerLimits(
-            settings.maxThreads(), settings.maxConnections(), settings.maxHeaderBytes());
+            settings.maxThreads(),
+            settings.maxConnections(),
+            settings.maxHeaderBytes(),
+            settings.idleTimeout());
     listener = new HttpListener("callers", settings.address(), limits, router);
   }
 
@@ -107,9 +131,12 @@
     draining.set(true);
   }
 
-  /** Requests in progress. */
+  /**
+   * Requests in progress, those included that go on without their caller, and ends of claims that
+   * are not yet stored.
+   */
   public int inFlight() {
-    return inFlight.get();
+    return Math.max(inFlight.get(), services.inFlight().size()) + claims.unsettled();
   }
 
   @Override
@@ -118,6 +145,7 @@
       listener.close();
     }
     services.inFlight().close();
+    claims.close();
   }
 
   /** Serves one accepted request. */
@@ -135,8 +163,7 @@
         refuseWhileDraining(response);
         handler.handle(caller);
       } catch (FallturnException e) {
-        services.metrics().failed(e.kind());
-        services.answers().error(caller, e);
+        services.refuse(caller, e);
       }
     };
   }
@@ -144,7 +171,8 @@
   private CallerRequest callerRequest(Request request, Response response, Callback callback) {
     String number = Long.toString(requestNumber.incrementAndGet(), ID_RADIX);
     RequestId id = new RequestId(settings.node() + "-" + number);
-    return new CallerRequest(request, response, callback, id, System.nanoTime());
+    CallerConnection connection = CallerConnection.watch(request);
+    return new CallerRequest(request, response, callback, connection, id, System.nanoTime());
   }
 
   private void refuseWhileDraining(Response response) throws FallturnException {
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.callers;
 
 import java.util.List;
+import java.util.Optional;
 import org.fallturn.core.admission.AdmissionTicket;
 import org.fallturn.core.configuration.ConfigurationImage;
 import org.fallturn.core.configuration.RuleRecord;
@@ -11,7 +12,9 @@
 import org.fallturn.core.domain.ServiceName;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.idempotency.StoredAnswer;
 import org.fallturn.core.request.RequestSpec;
+import org.fallturn.node.idempotency.HeldClaim;
 import org.fallturn.node.json.MalformedMessageException;
 
 /** Serves completions: reads and checks the request, then starts its exchange. Thread-safe. */
@@ -41,7 +44,7 @@
         caller.request(),
         services.settings().maxBodyBytes(),
         body -> start(call, body),
-        error -> services.answers().error(caller, error));
+        error -> services.refuse(caller, error));
   }
 
   private void start(Call call, byte[] body) throws FallturnException {
@@ -54,38 +57,77 @@
       throw new FallturnException(ErrorKind.NOT_FOUND, "service " + name + " is not a model");
     }
     RequestSpec spec = spec(call, completion, service, target, rule);
-    AdmissionTicket ticket =
-        services
-            .admission()
-            .admit(call.tenant().tenant(), name, (long) spec.promptTokens() + spec.maxTokens());
-    long deadlineNanos =
-        call.caller().startNanos() + call.headers().deadlineMillisFor(service) * NANOS_PER_MILLI;
-    run(call, completion, spec, ticket, deadlineNanos);
+    long deadlineMillis = call.headers().deadlineMillisFor(service);
+    RequestClaims.Wish wish =
+        new RequestClaims.Wish(
+            call.tenant(),
+            service,
+            call.headers().idempotencyKey(),
+            call.caller().request(),
+            body,
+            deadlineMillis);
+    services.claims().settle(wish, new Start(call, completion, spec, deadlineMillis));
   }
 
-  private void run(
-      Call call,
-      CompletionCall completion,
-      RequestSpec spec,
-      AdmissionTicket ticket,
-      long deadlineNanos) {
-    CallerRequest caller = call.caller();
-    SerialExecutor executor = new SerialExecutor();
-    ModelExchange exchange =
-        new ModelExchange(services, spec, executor, ticket, caller.startNanos(), deadlineNanos);
-    CompletionFormat format =
-        new CompletionFormat(
-            call.style(),
-            spec.requestId(),
-            spec.service(),
-            System.currentTimeMillis() / MILLIS_PER_SECOND);
-    AnswerSink sink =
-        completion.stream()
-            ? new StreamedAnswer(caller, format, services, executor, exchange)
-            : new WholeAnswer(caller, format, services.answers(), spec.promptTokens());
-    caller.request().addIdleTimeoutListener(timeout -> false);
-    caller.request().addFailureListener(failure -> exchange.onCallerFailure());
-    exchange.start(sink);
+  /** Starts the exchange once its claim, if it needs one, is settled. */
+  private final class Start implements RequestClaims.Verdict {
+
+    private final Call call;
+    private final CompletionCall completion;
+    private final RequestSpec spec;
+    private final long deadlineMillis;
+
+    Start(Call call, CompletionCall completion, RequestSpec spec, long deadlineMillis) {
+      this.call = call;
+      this.completion = completion;
+      this.spec = spec;
+      this.deadlineMillis = deadlineMillis;
+    }
+
+    @Override
+    public void run(Optional<HeldClaim> claim) throws FallturnException {
+      long tokens = (long) spec.promptTokens() + spec.maxTokens();
+      AdmissionTicket ticket = services.admission().admit(spec.tenant(), spec.service(), tokens);
+      long startNanos = call.caller().startNanos();
+      SerialExecutor executor = new SerialExecutor();
+      ModelExchange exchange =
+          new ModelExchange(
+              services,
+              spec,
+              executor,
+              ticket,
+              startNanos,
+              startNanos + deadlineMillis * NANOS_PER_MILLI);
+      exchange.start(sink(executor, exchange, claim));
+      call.caller().connection().onFailure(exchange::onCallerFailure);
+    }
+
+    private AnswerSink sink(
+        SerialExecutor executor, ModelExchange exchange, Optional<HeldClaim> claim) {
+      CallerRequest caller = call.caller();
+      long createdSeconds = System.currentTimeMillis() / MILLIS_PER_SECOND;
+      CompletionFormat format =
+          new CompletionFormat(call.style(), spec.requestId(), spec.service(), createdSeconds);
+      int promptTokens = spec.promptTokens();
+      AnswerSink answer =
+          completion.stream()
+              ? new StreamedAnswer(caller, format, services, executor, exchange)
+              : new WholeAnswer(caller, format, services.answers(), promptTokens);
+      return claim
+          .<AnswerSink>map(
+              held -> new RecordedAnswer(answer, held, format, completion.stream(), promptTokens))
+          .orElse(answer);
+    }
+
+    @Override
+    public void replay(StoredAnswer answer) {
+      services.replay(call.caller(), answer);
+    }
+
+    @Override
+    public void refuse(FallturnException error) {
+      services.refuse(call.caller(), error);
+    }
   }
 
   private RequestSpec spec(
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/InFlightRequests.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/InFlightRequests.java
@@ -40,6 +40,10 @@
     requests.remove(request);
   }
 
+  int size() {
+    return requests.size();
+  }
+
   @Override
   public void close() {
     duty.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/ModelExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/ModelExchange.java
@@ -94,7 +94,12 @@
 
   @Override
   public void onCallerGone() {
-    handle(new RequestEvent.CallerGone());
+    if (sink.survivesCaller()) {
+      sink.abandon();
+      onDrained();
+    } else {
+      handle(new RequestEvent.CallerGone());
+    }
   }
 
   private void handle(RequestEvent event) {
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/StreamedAnswer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/StreamedAnswer.java
@@ -53,6 +53,9 @@
 
   @Override
   public void append(List<String> tokens, Finish finish) {
+    if (abandoned) {
+      return;
+    }
     start();
     format.appendEvent(gathered, tokens, finish);
   }
@@ -72,7 +75,7 @@
   @Override
   public void flush() {
     boolean nothing = gathered.size() == 0 && !last;
-    if (writing || nothing) {
+    if (writing || nothing || abandoned) {
       return;
     }
     writing = true;
@@ -114,11 +117,14 @@
 
   @Override
   public boolean isFull() {
-    return gathered.size() >= services.settings().callerBufferBytes();
+    return !abandoned && gathered.size() >= services.settings().callerBufferBytes();
   }
 
   @Override
   public void complete() {
+    if (abandoned) {
+      return;
+    }
     start();
     CompletionFormat.appendDone(gathered);
     last = true;
@@ -127,6 +133,9 @@
 
   @Override
   public void fail(FallturnException error) {
+    if (abandoned) {
+      return;
+    }
     if (!started) {
       last = true;
       writing = true;
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/WholeAnswer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/WholeAnswer.java
@@ -13,6 +13,7 @@
   private final int promptTokens;
   private final StringBuilder text = new StringBuilder();
   private int tokenCount;
+  private boolean abandoned;
   private Finish finish = Finish.STOP;
 
   WholeAnswer(
@@ -42,17 +43,27 @@
 
   @Override
   public void complete() {
+    if (abandoned) {
+      return;
+    }
     byte[] body = format.whole(text.toString(), finish, promptTokens, tokenCount);
     answers.jsonBytes(caller, body);
   }
 
   @Override
   public void fail(FallturnException error) {
+    if (abandoned) {
+      return;
+    }
     answers.error(caller, error);
   }
 
   @Override
   public void abandon() {
+    if (abandoned) {
+      return;
+    }
+    abandoned = true;
     caller.callback().failed(new CallerGoneException());
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
@@ -13,4 +13,9 @@
 
   /** Called about every tick, also when no event comes. */
   void onTick() throws Exception;
+
+  /** No further event is waiting; for handlers that gather events and act once for many. */
+  default void onBatchEnd() throws Exception {
+    // Most duties act on each event by itself.
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -112,9 +112,20 @@
       } catch (Exception e) {
         LOG.error("duty: {} failed on an event.", name, e);
       }
+      if (endOfBatch) {
+        endBatch();
+      }
       tickWhenDue();
     }
 
+    private void endBatch() {
+      try {
+        handler.onBatchEnd();
+      } catch (Exception e) {
+        LOG.error("duty: {} failed at the end of a batch.", name, e);
+      }
+    }
+
     @Override
     public void onTimeout(long sequence) {
       tickWhenDue();
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.http;
 
+import java.time.Duration;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -15,7 +16,7 @@
   private static final int MIN_THREADS = 4;
   private static final int MAX_CONNECTIONS = 8_192;
   private static final int MAX_HEADER_BYTES = 8 * 1024;
-  private static final long IDLE_TIMEOUT_MILLIS = 60_000;
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
   private final Server server;
   private final ServerConnector connector;
@@ -31,7 +32,11 @@
    */
   public HttpListener(String name, NetworkAddress address, int maxThreads, Handler handler)
       throws Exception {
-    this(name, address, new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES), handler);
+    this(
+        name,
+        address,
+        new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES, IDLE_TIMEOUT),
+        handler);
   }
 
   /**
@@ -54,7 +59,7 @@
     connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
     connector.setHost(address.host());
     connector.setPort(address.port());
-    connector.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+    connector.setIdleTimeout(limits.idleTimeout().toMillis());
     server.addConnector(connector);
     server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
--- a/fallturn-node/src/test/java/org/fallturn/node/callers/DoorFixture.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/callers/DoorFixture.java
@@ -63,9 +63,7 @@
 
   DoorFixture(TableService table, Duration stallTimeout) throws Exception {
     client.start();
-    CallersSettings settings =
-        CallersSettings.defaults(new NodeId("node-1"), ZONE, new NetworkAddress("127.0.0.1", 0))
-            .withStallTimeout(stallTimeout);
+    CallersModuleSettings settings = settings(stallTimeout);
     door =
         new CallersModule(
             new FirstNotExcluded(),
@@ -79,6 +77,25 @@
     door.start();
   }
 
+  private static CallersModuleSettings settings(Duration stallTimeout) {
+    return new CallersModuleSettings(
+        new NodeId("node-1"),
+        ZONE,
+        new NetworkAddress("127.0.0.1", 0),
+        16,
+        1_000,
+        8 * 1024,
+        2 * 1024 * 1024,
+        16_384,
+        16 * 1024,
+        64 * 1024,
+        Duration.ofSeconds(30),
+        stallTimeout,
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(2),
+        4);
+  }
+
   static ConfigurationImage image() {
     TenantName alava = new TenantName("alava");
     Map<String, ServiceRecord> services = new java.util.HashMap<>();
