--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -14,7 +14,7 @@
 import org.fallturn.core.placement.PoolDigest;
 import org.fallturn.core.roles.KeepRoles;
 import org.fallturn.node.callers.CallersModule;
-import org.fallturn.node.callers.CallersSettings;
+import org.fallturn.node.callers.CallersModuleSettings;
 import org.fallturn.node.configuration.ConfigurationModule;
 import org.fallturn.node.configuration.ConfigurationOptions;
 import org.fallturn.node.configuration.LocalNode;
@@ -263,7 +263,7 @@
                 machines,
                 plumbing.client(),
                 plumbing.table(),
-                CallersSettings.defaults(
+                CallersModuleSettings.defaults(
                     plumbing.node(), plumbing.zone(), settings.callers().listen()),
                 plumbing.metrics()));
     callers.start();
