--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -263,8 +263,7 @@
                 machines,
                 plumbing.client(),
                 plumbing.table(),
-                CallersModuleSettings.defaults(
-                    plumbing.node(), plumbing.zone(), settings.callers().listen()),
+                CallersModuleSettings.of(plumbing.node(), plumbing.zone(), settings.callers()),
                 plumbing.metrics()));
     callers.start();
   }
