Prove peer messages by the cluster key, encrypt the doors, wire the operators' door

Peer messages carry an HMAC over path, clock, nonce and body; other keys, changed bodies and replays are refused. Callers' and operators' ports take a PKCS 12 certificate, read anew when the file changes. A node now serves statements on its operators' port. Tests: replays over the whole window of the clock, strangers on peer paths, a certificate replaced without a restart.

--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,6 +28,7 @@
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.http.ListenerLimits;
 import org.fallturn.node.http.RouteHandler;
+import org.fallturn.node.http.TlsCertificate;
 import org.fallturn.node.idempotency.ClaimDuty;
 import org.fallturn.node.idempotency.JsonClaimRowCodec;
 import org.fallturn.node.json.JsonCodec;
@@ -108,8 +110,13 @@
     }
   }
 
-  /** Opens the door. */
+  /** Opens the door without encryption. */
   public void start() throws Exception {
+    start(Optional.empty());
+  }
+
+  /** Opens the door, encrypted when there is a certificate. */
+  public void start(Optional<TlsCertificate> certificate) throws Exception {
     claims.start();
     services.inFlight().start();
     ListenerLimits limits =
@@ -118,7 +125,7 @@
             settings.maxConnections(),
             settings.maxHeaderBytes(),
             settings.idleTimeout());
-    listener = new HttpListener("callers", settings.address(), limits, router);
+    listener = new HttpListener("callers", settings.address(), limits, certificate, router);
   }
 
   /** Where callers connect, with the real port. */
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -1,12 +1,15 @@
 package org.fallturn.node.http;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.SslConnectionFactory;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.fallturn.core.domain.NetworkAddress;
 
@@ -32,10 +35,31 @@
    */
   public HttpListener(String name, NetworkAddress address, int maxThreads, Handler handler)
       throws Exception {
+    this(name, address, maxThreads, Optional.empty(), handler);
+  }
+
+  /**
+   * Binds and starts, encrypted when there is a certificate.
+   *
+   * @param name prefix of its thread names
+   * @param address where to listen; port 0 takes any free one
+   * @param maxThreads bound on its threads
+   * @param certificate its certificate; plain HTTP without
+   * @param handler what serves the requests
+   * @throws Exception when the port cannot be bound or the certificate cannot be read
+   */
+  public HttpListener(
+      String name,
+      NetworkAddress address,
+      int maxThreads,
+      Optional<TlsCertificate> certificate,
+      Handler handler)
+      throws Exception {
     this(
         name,
         address,
         new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES, IDLE_TIMEOUT),
+        certificate,
         handler);
   }
 
@@ -50,13 +74,37 @@
    */
   public HttpListener(String name, NetworkAddress address, ListenerLimits limits, Handler handler)
       throws Exception {
+    this(name, address, limits, Optional.empty(), handler);
+  }
+
+  /**
+   * Binds and starts, encrypted when there is a certificate.
+   *
+   * @param name prefix of its thread names
+   * @param address where to listen; port 0 takes any free one
+   * @param limits bounds on what clients may take
+   * @param certificate its certificate; plain HTTP without
+   * @param handler what serves the requests
+   * @throws Exception when the port cannot be bound or the certificate cannot be read
+   */
+  public HttpListener(
+      String name,
+      NetworkAddress address,
+      ListenerLimits limits,
+      Optional<TlsCertificate> certificate,
+      Handler handler)
+      throws Exception {
     QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads(), MIN_THREADS);
     threads.setName(name);
     server = new Server(threads);
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
     configuration.setRequestHeaderSize(limits.maxHeaderBytes());
-    connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    HttpConnectionFactory http = new HttpConnectionFactory(configuration);
+    connector =
+        certificate.isPresent()
+            ? encrypted(certificate.get(), http)
+            : new ServerConnector(server, 1, 1, http);
     connector.setHost(address.host());
     connector.setPort(address.port());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
@@ -66,6 +114,13 @@
     server.start();
   }
 
+  private ServerConnector encrypted(TlsCertificate certificate, HttpConnectionFactory http) {
+    SslContextFactory.Server tls = certificate.newContextFactory();
+    server.addBean(certificate.newScanner(tls));
+    SslConnectionFactory ssl = new SslConnectionFactory(tls, http.getProtocol());
+    return new ServerConnector(server, 1, 1, ssl, http);
+  }
+
   /** Where it listens, with the real port. */
   public NetworkAddress address() {
     return new NetworkAddress(connector.getHost(), connector.getLocalPort());
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpRouter.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpRouter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,14 +27,23 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(HttpRouter.class);
   private static final String NO_REQUEST = "";
+  private static final byte[] NO_BODY = {};
 
   private final JsonCodec codec;
   private final HttpAnswers answers;
   private final Map<String, RouteHandler> exactRoutes = new ConcurrentHashMap<>();
   private final Map<String, RouteHandler> prefixRoutes = new ConcurrentHashMap<>();
 
+  private final Optional<MessageAuthenticator> authenticator;
+
   /** A router without routes. */
   public HttpRouter(JsonCodec codec) {
+    this(codec, Optional.empty());
+  }
+
+  /** A router without routes that verifies messages and documents below the peers' paths. */
+  public HttpRouter(JsonCodec codec, Optional<MessageAuthenticator> authenticator) {
+    this.authenticator = authenticator;
     this.codec = codec;
     this.answers = new HttpAnswers(codec);
   }
@@ -55,7 +65,7 @@
         path,
         (request, response, callback) ->
             answer(
-                () -> handler.handle(codec.decode(read(request, maxBytes), type)),
+                () -> handler.handle(codec.decode(verified(request, maxBytes), type)),
                 response,
                 callback));
   }
@@ -65,7 +75,24 @@
     return route(
         "GET",
         path,
-        (request, response, callback) -> answer(() -> handler.handle(request), response, callback));
+        (request, response, callback) -> {
+          verify(request, NO_BODY);
+          answer(() -> handler.handle(request), response, callback);
+        });
+  }
+
+  private byte[] verified(Request request, int maxBytes) throws FallturnException {
+    byte[] body = read(request, maxBytes);
+    verify(request, body);
+    return body;
+  }
+
+  private void verify(Request request, byte[] body) throws FallturnException {
+    String path = request.getHttpURI().getPathQuery();
+    if (authenticator.isPresent() && path.startsWith(MessageAuthenticator.PEER_PATHS)) {
+      String proof = request.getHeaders().get(MessageAuthenticator.HEADER);
+      authenticator.get().verify(path, proof, body);
+    }
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/http/JsonHttpClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/JsonHttpClient.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -22,16 +23,25 @@
 public final class JsonHttpClient {
 
   private static final int MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+  private static final byte[] NO_BODY = {};
   private static final int OK_FROM = 200;
   private static final int OK_BELOW = 300;
 
   private final HttpClient client;
   private final JsonCodec codec;
+  private final Optional<MessageAuthenticator> authenticator;
 
   /** Uses a started client. */
   public JsonHttpClient(HttpClient client, JsonCodec codec) {
+    this(client, codec, Optional.empty());
+  }
+
+  /** Uses a started client, and signs messages to peers. */
+  public JsonHttpClient(
+      HttpClient client, JsonCodec codec, Optional<MessageAuthenticator> authenticator) {
     this.client = client;
     this.codec = codec;
+    this.authenticator = authenticator;
   }
 
   /** The Jetty client, for streams. */
@@ -43,14 +53,25 @@
   public <A> CompletableFuture<A> post(
       NetworkAddress address, String path, Object body, Class<A> answerType, Duration timeout) {
     Request request = client.newRequest(uri(address, path)).method(HttpMethod.POST);
-    request.body(new BytesRequestContent("application/json", codec.encode(body)));
+    byte[] content = codec.encode(body);
+    request.body(new BytesRequestContent("application/json", content));
+    sign(request, path, content);
     return send(request, answerType, timeout);
   }
 
   /** Gets a document. */
   public <A> CompletableFuture<A> get(
       NetworkAddress address, String path, Class<A> answerType, Duration timeout) {
-    return send(client.newRequest(uri(address, path)).method(HttpMethod.GET), answerType, timeout);
+    Request request = client.newRequest(uri(address, path)).method(HttpMethod.GET);
+    sign(request, path, NO_BODY);
+    return send(request, answerType, timeout);
+  }
+
+  private void sign(Request request, String path, byte[] body) {
+    if (authenticator.isPresent() && path.startsWith(MessageAuthenticator.PEER_PATHS)) {
+      String proof = authenticator.get().sign(path, body);
+      request.headers(headers -> headers.put(MessageAuthenticator.HEADER, proof));
+    }
   }
 
   /** Waits for a call; for duty threads that own blocking traffic. */
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/peers/package-info.java
@@ -0,0 +1,2 @@
+/** What all messages among nodes share: proof of origin. */
+package org.fallturn.node.peers;
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
@@ -1,7 +1,10 @@
 package org.fallturn.node.server;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
 import java.util.UUID;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -12,11 +15,16 @@
 import org.fallturn.core.domain.ZoneName;
 import org.fallturn.core.port.objectstore.ObjectStore;
 import org.fallturn.core.port.table.TableService;
+import org.fallturn.node.http.HttpRouter;
 import org.fallturn.node.http.JsonHttpClient;
+import org.fallturn.node.http.MessageAuthenticator;
+import org.fallturn.node.http.TlsCertificate;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.metrics.NodeMeters;
 import org.fallturn.node.objectstore.HttpObjectStore;
+import org.fallturn.node.peers.PeerAuthenticator;
 import org.fallturn.node.settings.NodeSettings;
+import org.fallturn.node.settings.TlsSettings;
 import org.fallturn.node.table.HttpTableService;
 
 /**
@@ -36,6 +44,9 @@
   private final JsonCodec codec = new JsonCodec();
   private final PrometheusMeterRegistry metrics = NodeMeters.registry();
   private final HttpClient jettyClient;
+  private final Optional<TlsCertificate> certificate;
+  private final byte[] clusterKey;
+  private final Optional<MessageAuthenticator> authenticator;
   private final JsonHttpClient client;
   private final TableService table;
   private final ObjectStore objectStore;
@@ -45,7 +56,10 @@
     region = new RegionName(settings.identity().region());
     zone = new ZoneName(settings.identity().zone());
     jettyClient = startClient(settings.identity().outgoingHost());
-    client = new JsonHttpClient(jettyClient, codec);
+    certificate = certificate(settings.tls());
+    clusterKey = ClusterKey.read(settings.identity());
+    authenticator = authenticator(clusterKey);
+    client = new JsonHttpClient(jettyClient, codec, authenticator);
     table =
         new HttpTableService(
             client, settings.platform().table(), settings.platform().callTimeout());
@@ -54,6 +68,21 @@
             client, settings.platform().objectStore(), settings.platform().callTimeout());
   }
 
+  private static Optional<MessageAuthenticator> authenticator(byte[] clusterKey) {
+    if (clusterKey.length == 0) {
+      return Optional.empty();
+    }
+    return Optional.of(new PeerAuthenticator(clusterKey, System::currentTimeMillis));
+  }
+
+  private static Optional<TlsCertificate> certificate(TlsSettings tls) throws IOException {
+    if (tls.keystoreFile().isEmpty()) {
+      return Optional.empty();
+    }
+    Path keyStore = Path.of(tls.keystoreFile());
+    return Optional.of(new TlsCertificate(keyStore, Path.of(tls.keystorePasswordFile())));
+  }
+
   private static NodeId nodeId(String configured) {
     if (!configured.isEmpty()) {
       return new NodeId(configured);
@@ -91,6 +120,20 @@
     return zone;
   }
 
+  byte[] clusterKey() {
+    return clusterKey.clone();
+  }
+
+  /** The certificate of the callers' and operators' ports, when there is one. */
+  Optional<TlsCertificate> certificate() {
+    return certificate;
+  }
+
+  /** A router that takes only messages of holders of the cluster key, when there is one. */
+  HttpRouter newPeerRouter() {
+    return new HttpRouter(codec, authenticator);
+  }
+
   JsonCodec codec() {
     return codec;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -29,6 +29,10 @@
 import org.fallturn.node.machines.MachineListSource;
 import org.fallturn.node.metrics.HealthRoutes;
 import org.fallturn.node.metrics.NodeHealth;
+import org.fallturn.node.operators.ChangesTable;
+import org.fallturn.node.operators.FleetTables;
+import org.fallturn.node.operators.OperatorsModule;
+import org.fallturn.node.operators.TableRegistry;
 import org.fallturn.node.placement.ClientParts;
 import org.fallturn.node.placement.DigestLeaderDirectory;
 import org.fallturn.node.placement.LeaderParts;
@@ -58,6 +62,7 @@
   private final PlacementParameters placementParameters = PlacementParameters.defaults();
   private MachineListModule machines;
   private ConfigurationModule configuration;
+  private TableRegistry tables;
   private LeaseModule leases;
   private PlacementModule leader;
   private PlacementClient placement;
@@ -76,7 +81,7 @@
     this.settings = settings;
     this.plumbing = new NodePlumbing(settings);
     started.push(plumbing);
-    this.peerRouter = new HttpRouter(plumbing.codec());
+    this.peerRouter = plumbing.newPeerRouter();
     this.operatorRouter = new HttpRouter(plumbing.codec());
     new HealthRoutes(health, plumbing.metrics()).addTo(operatorRouter);
   }
@@ -100,6 +105,7 @@
     startListeners();
     startMembership();
     startConfiguration();
+    startOperators();
     startLeadership();
     startCallers();
     registerPlannedStop();
@@ -123,6 +129,7 @@
                 "operators",
                 settings.operators().listen(),
                 settings.operators().maxThreads(),
+                plumbing.certificate(),
                 operatorRouter));
   }
 
@@ -151,7 +158,7 @@
                 settings.gossip().parameters(),
                 identity,
                 settings.gossip().listen(),
-                ClusterKey.read(settings.identity()),
+                plumbing.clusterKey(),
                 plumbing.codec()));
     gossip.addMachineListNotice(machines::onNewerVersion);
     gossip.addDigestListener(digests::add);
@@ -168,8 +175,7 @@
             settings.configuration().watchInterval(),
             settings.configuration().fetchTimeout(),
             settings.configuration().snapshotEvery());
-    LocalNode self = new LocalNode(plumbing.node(), plumbing.zone(), advertisedPeerAddress());
-    ZoneNodes nodes = new ZoneNodes(self, gossip.viewSupplier(), machines);
+    ZoneNodes nodes = new ZoneNodes(localNode(), gossip.viewSupplier(), machines);
     configuration =
         keep(
             new ConfigurationModule(
@@ -185,6 +191,28 @@
     health.require("configuration", configuration::isLoaded);
   }
 
+  private void startOperators() {
+    tables = new TableRegistry(configuration);
+    new FleetTables(localNode(), gossip.viewSupplier(), machines, configuration).register(tables);
+    tables.register(new ChangesTable(configuration));
+    OperatorsModule door =
+        keep(
+            new OperatorsModule(
+                configuration,
+                settings.operators().bootstrapKeyHash(),
+                tables,
+                new ZoneNodes(localNode(), gossip.viewSupplier(), machines),
+                () -> digests.digests().values(),
+                machines,
+                plumbing.client(),
+                plumbing.codec()));
+    door.addRoutes(operatorRouter, peerRouter);
+  }
+
+  private LocalNode localNode() {
+    return new LocalNode(plumbing.node(), plumbing.zone(), advertisedPeerAddress());
+  }
+
   private void startLeadership() {
     LeaseModuleSettings leaseSettings =
         LeaseModuleSettings.of(
@@ -265,7 +293,7 @@
                 plumbing.table(),
                 CallersModuleSettings.of(plumbing.node(), plumbing.zone(), settings.callers()),
                 plumbing.metrics()));
-    callers.start();
+    callers.start(plumbing.certificate());
   }
 
   private NetworkAddress advertisedPeerAddress() {
