--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PlacementRequest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PlacementRequest.java
@@ -44,4 +44,21 @@
     prefixHashes = List.copyOf(prefixHashes);
     excluded = Set.copyOf(excluded);
   }
+
+  /** The same request with another time left until its deadline. */
+  public PlacementRequest withDeadlineMillis(long millis) {
+    return new PlacementRequest(
+        requestId,
+        attempt,
+        tenant,
+        shareWeight,
+        model,
+        adapter,
+        urgency,
+        promptTokens,
+        prefixHashes,
+        expectedOutputTokens,
+        millis,
+        excluded);
+  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -401,6 +401,13 @@
     return queue.size();
   }
 
+  /** Gives the waiting request whose turn it is to another pool; no decision is made here. */
+  public Optional<PlacementRequest> giveAway(long nowNanos) {
+    Optional<QueuedRequest> first = queue.first();
+    first.ifPresent(queue::removeUnserved);
+    return first.map(queued -> queued.remaining(nowNanos));
+  }
+
   /** Takes every waiting request out without a decision; the leadership is over. */
   public List<PlacementRequest> abandonAll() {
     return queue.removeAll().stream().map(queued -> queued.request).toList();
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/QueuedRequest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/QueuedRequest.java
@@ -5,6 +5,8 @@
 
 /** A request waiting at the leader. Immutable. */
 final class QueuedRequest {
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   /** Earliest deadline first, then first come first served. */
   static final Comparator<QueuedRequest> BY_DEADLINE =
       Comparator.comparingLong((QueuedRequest queued) -> queued.deadlineNanos)
@@ -40,6 +42,11 @@
     this.latestStartNanos = latestStartNanos;
   }
 
+  /** The request with the time that is left. */
+  PlacementRequest remaining(long nowNanos) {
+    return request.withDeadlineMillis((deadlineNanos - nowNanos) / NANOS_PER_MILLI);
+  }
+
   TenantName tenant() {
     return request.tenant();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/ClientDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/ClientDuty.java
@@ -23,14 +23,16 @@
 import org.fallturn.core.placement.SpillPlan;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.node.duty.DutyHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The work of {@link PlacementClient}. Runs on one duty thread. */
 final class ClientDuty implements DutyHandler<ClientEvent> {
+  private static final Logger LOG = LoggerFactory.getLogger(ClientDuty.class);
   private static final long NANOS_PER_MILLI = 1_000_000;
   private static final long RETRY_MILLIS = 1_000;
   private static final int MAX_SPILLS = 2;
   private static final int SILENCE_FACTOR = 4;
-  private static final long FALLBACK_WAIT_NANOS = 600 * NANOS_PER_MILLI;
   private static final long FORGET_NANOS = 5_000 * NANOS_PER_MILLI;
 
   /** A leader may hold an answer back this long; then it is asked again and keeps the place. */
@@ -81,6 +83,7 @@
     } else if (event instanceof ClientEvent.BatchAnswered answered) {
       onBatchAnswered(answered, now);
     } else if (event instanceof ClientEvent.BatchFailed failed) {
+      LOG.debug("placement: Leader {} is silent: {}.", failed.leader(), failed.reason());
       onBatchFailed(failed.leader(), now);
     } else if (event instanceof ClientEvent.StatesRead read) {
       fallback.onStates(read, now);
@@ -127,7 +130,6 @@
       spilled.increment();
     }
     request.asked = Optional.of(next);
-    request.lookupSinceNanos = now;
     ask(request, now);
   }
 
@@ -148,7 +150,8 @@
             events.accept(
                 failure == null
                     ? new ClientEvent.Answered(request, ask, choice.pool(), answer)
-                    : new ClientEvent.CallFailed(request, ask, leader.get().node())));
+                    : new ClientEvent.CallFailed(
+                        request, ask, leader.get().node(), failure.getMessage())));
   }
 
   private CompletionStage<PlacementAnswer> call(
@@ -241,13 +244,16 @@
   }
 
   private void onCallFailed(ClientEvent.CallFailed event, long now) {
+    LOG.debug("placement: Leader {} could not be asked: {}.", event.leader(), event.reason());
+    boolean waits = pending.contains(event.pending()) && event.pending().asks == event.ask();
+    if (!waits) {
+      return;
+    }
     LeaderLink link = links.get(event.leader());
     if (link != null) {
       link.failed();
     }
-    if (pending.contains(event.pending()) && event.pending().asks == event.ask()) {
-      placeWithoutLeader(event.pending(), now);
-    }
+    placeWithoutLeader(event.pending(), now);
   }
 
   /** Serving never waits for an election: places from what this node knows itself. */
@@ -256,8 +262,7 @@
     request.leader = Optional.empty();
     PoolId pool = request.pool();
     List<EngineListing> engines = listing(pool);
-    boolean ready = fallback.isReady(pool, engines, now);
-    if (!ready && now - request.lookupSinceNanos < FALLBACK_WAIT_NANOS) {
+    if (!fallback.isReady(pool, engines, now)) {
       return;
     }
     Optional<PlacementAnswer.Placed> placed = fallback.place(pool, request.request, engines);
@@ -366,7 +371,7 @@
                 events.accept(
                     failure == null
                         ? new ClientEvent.BatchAnswered(leader, asked, answer.led())
-                        : new ClientEvent.BatchFailed(leader)));
+                        : new ClientEvent.BatchFailed(leader, failure.getMessage())));
   }
 
   private boolean isForgotten(LeaderLink link, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/ClientEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/ClientEvent.java
@@ -18,7 +18,8 @@
       implements ClientEvent {}
 
   /** A leader could not be reached. */
-  record CallFailed(PendingPlacement pending, int ask, NodeId leader) implements ClientEvent {}
+  record CallFailed(PendingPlacement pending, int ask, NodeId leader, String reason)
+      implements ClientEvent {}
 
   /** Something happened to a placed request. */
   record Reported(PlacementProgress progress) implements ClientEvent {}
@@ -28,7 +29,7 @@
       implements ClientEvent {}
 
   /** A leader did not answer a progress batch. */
-  record BatchFailed(NodeId leader) implements ClientEvent {}
+  record BatchFailed(NodeId leader, String reason) implements ClientEvent {}
 
   /** Engines of a pool without a leader told their states, as far as they answered. */
   record StatesRead(PoolId pool, List<EngineState> states) implements ClientEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/DigestPacer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/DigestPacer.java
@@ -64,9 +64,8 @@
     boolean roles =
         capacity.prefillEngines() != published.prefillEngines()
             || capacity.decodeEngines() != published.decodeEngines();
-    boolean queue = (capacity.queued() == 0) != (published.queued() == 0);
     return roles
-        || queue
+        || differs(capacity.queued(), published.queued())
         || differs(capacity.freeDecodeSlots(), published.freeDecodeSlots())
         || differs(capacity.freePrefillTokens(), published.freePrefillTokens());
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderlessFallback.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderlessFallback.java
@@ -25,7 +25,7 @@
  * once a second a pool and only while such requests come. Used by the client's duty thread.
  */
 final class LeaderlessFallback {
-  private static final int MAX_IN_FLIGHT_PER_ENGINE = 8;
+  static final int MAX_IN_FLIGHT_PER_ENGINE = 8;
   private static final Duration READ_TIMEOUT = Duration.ofMillis(500);
   private static final long REFRESH_NANOS = Duration.ofSeconds(1).toNanos();
   private static final long USABLE_NANOS = Duration.ofSeconds(5).toNanos();
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/PendingPlacement.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/PendingPlacement.java
@@ -22,7 +22,6 @@
   Optional<PoolChoice> asked = Optional.empty();
   int asks;
   long askedNanos;
-  long lookupSinceNanos;
 
   PendingPlacement(PlacementRequest request, long nowNanos) {
     this.request = request;
@@ -36,19 +35,7 @@
 
   /** The request with the time that is left. */
   PlacementRequest remaining(long nowNanos) {
-    return new PlacementRequest(
-        request.requestId(),
-        request.attempt(),
-        request.tenant(),
-        request.shareWeight(),
-        request.model(),
-        request.adapter(),
-        request.urgency(),
-        request.promptTokens(),
-        request.prefixHashes(),
-        request.expectedOutputTokens(),
-        (deadlineNanos - nowNanos) / NANOS_PER_MILLI,
-        request.excluded());
+    return request.withDeadlineMillis((deadlineNanos - nowNanos) / NANOS_PER_MILLI);
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
@@ -117,28 +117,13 @@
   void submit(LeaderEvent.Submitted event, long nowNanos) {
     Waiting key = new Waiting(event.request().requestId(), event.request().attempt());
     waiting.computeIfAbsent(key, k -> new ArrayList<>(1)).add(event.answer());
-    PlacementRequest request = aged(event.request(), nowNanos - event.receivedNanos());
+    long ageMillis = (nowNanos - event.receivedNanos()) / NANOS_PER_MILLI;
+    PlacementRequest request = event.request();
+    request = request.withDeadlineMillis(request.deadlineMillis() - ageMillis);
     scheduler.submit(request, event.mayQueue(), nowNanos);
     answerDecided();
   }
 
-  private static PlacementRequest aged(PlacementRequest request, long ageNanos) {
-    long remainingMillis = request.deadlineMillis() - ageNanos / NANOS_PER_MILLI;
-    return new PlacementRequest(
-        request.requestId(),
-        request.attempt(),
-        request.tenant(),
-        request.shareWeight(),
-        request.model(),
-        request.adapter(),
-        request.urgency(),
-        request.promptTokens(),
-        request.prefixHashes(),
-        request.expectedOutputTokens(),
-        remainingMillis,
-        request.excluded());
-  }
-
   void onProgress(PlacementProgress progress, long nowNanos) {
     scheduler.onProgress(progress, nowNanos);
     if (progress.stage() == Stage.PREFILL_FAILED || progress.stage() == Stage.DECODE_FAILED) {
