Add the load generator

Open loop: requests arrive whether or not earlier ones are answered, and times count from the intended start. Every byte is checked; an answer that is another request's, or short but ends as if whole, counts as wrong, a stream without its end mark as unknown. Back ends' journals add doubles, cuts and role changes to the report.

--- a/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
@@ -8,7 +8,7 @@
  * Splits a stream of server-sent events into the data of each event. Takes buffers cut anywhere.
  * Fields other than {@code data}, and comments, are skipped. Not thread-safe.
  */
-final class ServerSentEventParser {
+public final class ServerSentEventParser {
 
   private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
 
@@ -22,7 +22,7 @@
    * @param maxEventBytes longest line taken
    * @param onData called with each event's data
    */
-  ServerSentEventParser(int maxEventBytes, Consumer<byte[]> onData) {
+  public ServerSentEventParser(int maxEventBytes, Consumer<byte[]> onData) {
     this.maxEventBytes = maxEventBytes;
     this.onData = onData;
   }
@@ -32,7 +32,7 @@
    *
    * @throws EventTooLongException when a line is longer than the bound
    */
-  void accept(ByteBuffer buffer) throws EventTooLongException {
+  public void accept(ByteBuffer buffer) throws EventTooLongException {
     while (buffer.hasRemaining()) {
       byte next = buffer.get();
       if (next == '\n') {
@@ -76,7 +76,7 @@
   }
 
   /** A line was longer than the bound. */
-  static final class EventTooLongException extends Exception {
+  public static final class EventTooLongException extends Exception {
     private static final long serialVersionUID = 1L;
 
     EventTooLongException(int maxEventBytes) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -10,6 +10,7 @@
 import org.fallturn.rehearsal.application.ApplicationCommand;
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
@@ -23,7 +24,8 @@
           new PlatformCommand(),
           new EngineCommandLine(),
           new ApplicationCommand(),
-          new FaultsCommand());
+          new FaultsCommand(),
+          new LoadCommand());
 
   private RehearsalMain() {}
 
