--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipIdentity.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipIdentity.java
@@ -11,12 +11,12 @@
  * @param node its id
  * @param region its region
  * @param zone its zone
- * @param advertisedHost IP number under which the others reach it
+ * @param gossipAddress where the others send datagrams; port 0 stands for the port bound
  * @param peerAddress TCP port for peer messages, as the others reach it
  */
 public record GossipIdentity(
     NodeId node,
     RegionName region,
     ZoneName zone,
-    String advertisedHost,
+    NetworkAddress gossipAddress,
     NetworkAddress peerAddress) {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
@@ -213,12 +213,17 @@
         identity.region(),
         identity.zone(),
         identity.peerAddress(),
-        new NetworkAddress(identity.advertisedHost(), gossipPort),
+        advertised(identity.gossipAddress(), gossipPort),
         Instant.now().getEpochSecond() - INCARNATION_ORIGIN,
         Member.State.ALIVE,
         0);
   }
 
+  private static NetworkAddress advertised(NetworkAddress configured, int boundPort) {
+    int port = configured.port() == 0 ? boundPort : configured.port();
+    return new NetworkAddress(configured.host(), port);
+  }
+
   /** Passes what gossip brings to the listeners. */
   private final class Fanout implements GossipListener {
 
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -143,7 +143,9 @@
             plumbing.node(),
             plumbing.region(),
             plumbing.zone(),
-            settings.identity().advertisedHost(),
+            settings
+                .identity()
+                .advertise(settings.gossip().advertised(), settings.gossip().listen()),
             advertisedPeerAddress());
     gossip =
         keep(
@@ -270,7 +272,7 @@
   }
 
   private NetworkAddress advertisedPeerAddress() {
-    return new NetworkAddress(settings.identity().advertisedHost(), peers.address().port());
+    return settings.identity().advertise(settings.peers().advertised(), peers.address());
   }
 
   private <T extends AutoCloseable> T keep(T part) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gossip/GossipModuleTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gossip/GossipModuleTest.java
@@ -132,7 +132,7 @@
 
   private GossipModule create(String node, byte[] key) throws Exception {
     GossipIdentity identity =
-        new GossipIdentity(new NodeId(node), REGION, ZONE, "127.0.0.1", ANY_PORT);
+        new GossipIdentity(new NodeId(node), REGION, ZONE, ANY_PORT, ANY_PORT);
     GossipModule module = new GossipModule(FAST, identity, ANY_PORT, key, new JsonCodec());
     modules.add(module);
     return module;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetConfiguration.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetConfiguration.java
@@ -61,6 +61,13 @@
 
   /** Writes the first accepted change. */
   public static void write(TableService table, JsonCodec codec) throws StoreException {
+    if (!table.transact(firstChange(codec)).committed()) {
+      throw new StoreException("the table service is not empty", true, null);
+    }
+  }
+
+  /** The transaction that makes the first accepted change on an empty table. */
+  public static TableTransaction firstChange(JsonCodec codec) {
     ConfigurationDelta delta =
         new ConfigurationDelta(
             1, "rehearsal", "rehearsal", Instant.now(), "first change", records(), List.of());
@@ -68,17 +75,10 @@
     RowKey change =
         new RowKey("configuration_changes", String.format(Locale.ROOT, "%020d", delta.version()));
     String headValue = codec.encodeText(new Head(delta.version(), delta.attemptId()));
-    boolean committed =
-        table
-            .transact(
-                new TableTransaction(
-                    List.of(
-                        new RowWrite(head, TableRow.ABSENT, headValue),
-                        new RowWrite(change, TableRow.ABSENT, codec.encodeText(delta)))))
-            .committed();
-    if (!committed) {
-      throw new StoreException("the table service is not empty", true, null);
-    }
+    return new TableTransaction(
+        List.of(
+            new RowWrite(head, TableRow.ABSENT, headValue),
+            new RowWrite(change, TableRow.ABSENT, codec.encodeText(delta))));
   }
 
   private record Head(long version, String attemptId) {}
