--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
@@ -119,6 +119,24 @@
     }
   }
 
+  @Test
+  void datagramAnswersFindTheirSender() throws IOException {
+    try (DatagramSocket target = datagrams();
+        DatagramSocket sender = datagrams()) {
+      NetworkAddress link =
+          proxy.openUdp("gossip", ANY, new NetworkAddress("127.0.0.1", target.getLocalPort()));
+      send(sender, link, "question");
+      DatagramPacket question = new DatagramPacket(new byte[64], 64);
+      target.receive(question);
+      byte[] answer = "answer".getBytes(StandardCharsets.UTF_8);
+      target.send(new DatagramPacket(answer, answer.length, question.getSocketAddress()));
+
+      DatagramPacket received = new DatagramPacket(new byte[64], 64);
+      sender.receive(received);
+      assertThat(received.getPort()).isEqualTo(link.port());
+    }
+  }
+
   private void echoAll() {
     while (!echo.isClosed()) {
       try {
