--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.server.NodeServer;
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.application.ApplicationStandIn;
@@ -88,6 +89,7 @@
     LoadReport completed = new LoadReport(DEADLINE);
     LoadReport acted = new LoadReport(DEADLINE);
     try (FleetCaller caller = new FleetCaller(FleetConfiguration.FIRST_KEY, DEADLINE)) {
+      awaitFirstAnswers(caller, fleet);
       new BoundedLoad(caller, fleet.callers(), arguments.getLong("seed"))
           .play(arguments.getInt("completions"), arguments.getInt("actions"), completed, acted);
     }
@@ -108,6 +110,20 @@
     return good;
   }
 
+  /** Until the pool has its first leader, a node says of a completion that it was not run. */
+  private static void awaitFirstAnswers(FleetCaller caller, LocalFleet fleet)
+      throws IOException, InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+    for (NetworkAddress node : fleet.callers()) {
+      while (caller.complete(node, "ready?", 1).verdict() != CallResult.Verdict.COMPLETE) {
+        if (System.nanoTime() - deadline > 0) {
+          throw new IOException("no completion through " + node);
+        }
+        Thread.sleep(READY_CHECK_MILLIS);
+      }
+    }
+  }
+
   private static boolean allComplete(LoadReport report) {
     return report.count(CallResult.Verdict.COMPLETE) == report.total();
   }
