--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -10,6 +10,7 @@
 import org.fallturn.rehearsal.application.ApplicationCommand;
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 
@@ -25,6 +26,7 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
+          new LoadCommand(),
           new QuickstartCommand());
 
   private RehearsalMain() {}
