--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -312,6 +312,11 @@
     return plumbing.node();
   }
 
+  /** The accepted configuration on this node, once started. */
+  public ConfigurationModule configuration() {
+    return configuration;
+  }
+
   /** Where other nodes connect, once started. */
   public NetworkAddress peersAddress() {
     return peers.address();
