--- a/fallturn-core/src/main/java/org/fallturn/core/request/RequestStateMachine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/request/RequestStateMachine.java
@@ -94,7 +94,7 @@
   /** Takes one event and says what to do. An event that comes too late has no effect. */
   public List<RequestAction> on(RequestEvent event, long nowNanos) {
     if (phase == Phase.ENDED) {
-      return List.of();
+      return afterTheEnd(event);
     }
     if (event instanceof RequestEvent.ChunkReceived received) {
       return onChunk(received, nowNanos);
@@ -165,6 +165,12 @@
     return end(ErrorKind.NO_CAPACITY, "the pool has no leader now", RETRY_SOON_MILLIS);
   }
 
+  private List<RequestAction> afterTheEnd(RequestEvent event) {
+    return event instanceof RequestEvent.PlacementAnswered answered
+        ? releaseLatePlacement(answered)
+        : List.of();
+  }
+
   private List<RequestAction> releaseLatePlacement(RequestEvent.PlacementAnswered event) {
     if (!(event.answer() instanceof PlacementAnswer.Placed placed)) {
       return List.of();
--- a/fallturn-core/src/test/java/org/fallturn/core/request/RequestStateMachineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/request/RequestStateMachineTest.java
@@ -24,9 +24,11 @@
 import org.fallturn.core.error.Outcome;
 import org.fallturn.core.placement.EngineTarget;
 import org.fallturn.core.placement.PlacementAnswer;
+import org.fallturn.core.placement.PlacementProgress;
 import org.fallturn.core.port.engine.PrefillAnswer;
 import org.fallturn.core.port.engine.TokenChunk;
 import org.fallturn.core.port.engine.TokenChunk.Finish;
+import org.junit.jupiter.api.Test;
 
 /** Random histories of engines that crash, stall, refuse, cross, double and lose chunks. */
 class RequestStateMachineTest {
@@ -235,6 +237,23 @@
     }
   }
 
+  @Test
+  void aPlacementThatComesTooLateIsGivenBack() {
+    RequestStateMachine machine = new RequestStateMachine(spec(true), DEADLINE_NANOS);
+    machine.start(0);
+    machine.on(new RequestEvent.CallerGone(), 1);
+    PlacementAnswer placed =
+        new PlacementAnswer.Placed(
+            new PoolId(new ZoneName("z"), new ModelName("m"), 0),
+            new Epoch(1),
+            Optional.empty(),
+            History.engine("d"));
+    List<RequestAction> actions = machine.on(new RequestEvent.PlacementAnswered(0, placed), 2);
+    assertThat(actions).hasSize(1);
+    PlacementProgress progress = ((RequestAction.Report) actions.get(0)).progress();
+    assertThat(progress.stage()).isEqualTo(PlacementProgress.Stage.ABANDONED);
+  }
+
   @Property(tries = 3000, seed = "20240602")
   void nothingIsResentOnceAByteMayHaveReachedAnEngine(@ForAll long seed) {
     List<String> sends = new ArrayList<>();
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/ApplicationsHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/ApplicationsHandler.java
@@ -42,7 +42,7 @@
     }
     BodyReader.read(
         caller.request(),
-        services.settings().maxBodyBytes(),
+        services,
         body -> start(caller, headers, tenant, service, body),
         error -> services.refuse(caller, error));
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/BodyReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/BodyReader.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.fallturn.core.error.ErrorKind;
@@ -11,14 +12,17 @@
 
 /**
  * Reads a caller's body up to a bound by asynchronous demand, so that a slow caller holds no
- * thread. One reader a request.
+ * thread. A body that is not whole within a bound on time is refused, also when it comes in drops.
+ * One reader a request.
  */
-final class BodyReader implements Runnable {
+final class BodyReader implements Runnable, InFlightRequests.TimedRequest {
 
   private static final Logger LOG = LoggerFactory.getLogger(BodyReader.class);
 
   private final Request request;
   private final int maxBytes;
+  private final InFlightRequests inFlight;
+  private final long untilNanos;
   private final Next next;
   private final Failed failed;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -35,23 +39,39 @@
     void accept(FallturnException error);
   }
 
-  private BodyReader(Request request, int maxBytes, Next next, Failed failed) {
+  private BodyReader(Request request, CallerServices services, Next next, Failed failed) {
     this.request = request;
-    this.maxBytes = maxBytes;
+    this.maxBytes = services.settings().maxBodyBytes();
+    this.inFlight = services.inFlight();
+    this.untilNanos = System.nanoTime() + services.settings().idleTimeout().toNanos();
     this.next = next;
     this.failed = failed;
   }
 
   /** Starts reading; exactly one of the two is called, possibly before this returns. */
-  static void read(Request request, int maxBytes, Next next, Failed failed) {
-    BodyReader reader = new BodyReader(request, maxBytes, next, failed);
-    if (request.getLength() > maxBytes) {
+  static void read(Request request, CallerServices services, Next next, Failed failed) {
+    BodyReader reader = new BodyReader(request, services, next, failed);
+    if (request.getLength() > reader.maxBytes) {
       failed.accept(reader.tooLarge());
       return;
     }
+    reader.inFlight.add(reader);
     reader.run();
   }
 
+  @Override
+  public void onTick(long nowNanos) {
+    if (nowNanos - untilNanos >= 0) {
+      inFlight.remove(this);
+      request.fail(new TimeoutException("the body took too long"));
+    }
+  }
+
+  private void fail(FallturnException error) {
+    inFlight.remove(this);
+    failed.accept(error);
+  }
+
   @Override
   public void run() {
     while (true) {
@@ -61,7 +81,7 @@
         return;
       }
       if (Content.Chunk.isFailure(chunk)) {
-        failed.accept(
+        fail(
             new FallturnException(
                 ErrorKind.INVALID_REQUEST, "the body broke off", chunk.getFailure()));
         return;
@@ -70,7 +90,7 @@
       boolean last = chunk.isLast();
       chunk.release();
       if (!fits) {
-        failed.accept(tooLarge());
+        fail(tooLarge());
         return;
       }
       if (last) {
@@ -91,6 +111,7 @@
   }
 
   private void handOver() {
+    inFlight.remove(this);
     try {
       next.accept(body.toByteArray());
     } catch (FallturnException e) {
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
@@ -42,7 +42,7 @@
     Call call = new Call(caller, style, headers, tenant);
     BodyReader.read(
         caller.request(),
-        services.settings().maxBodyBytes(),
+        services,
         body -> start(call, body),
         error -> services.refuse(caller, error));
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/callers/CompletionsDoorTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/callers/CompletionsDoorTest.java
@@ -4,12 +4,16 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fallturn.core.domain.RequestId;
 import org.fallturn.core.domain.Urgency;
 import org.fallturn.core.placement.PlacementProgress.Stage;
@@ -198,6 +202,71 @@
     await().atMost(WAIT).until(() -> fixture.door.inFlight() == 0);
   }
 
+  @Test
+  void aStuckCallerHoldsUpItsOwnEngineStreamOnly() throws Exception {
+    int tokens = 8_000;
+    String large = "x".repeat(4_000);
+    AtomicInteger written = new AtomicInteger();
+    first.next(
+        (request, answer) -> {
+          for (int index = 0; index < tokens; index++) {
+            boolean last = index + 1 == tokens;
+            Finish finish = last ? Finish.LENGTH : Finish.NONE;
+            answer.send(new TokenChunk(request.requestId(), index, List.of(large), finish));
+            written.incrementAndGet();
+          }
+          answer.end();
+        });
+    String body = chat("assistant", true, tokens);
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(4 * 1024);
+      socket.connect(
+          new InetSocketAddress(fixture.door.address().host(), fixture.door.address().port()));
+      String head =
+          "POST %s HTTP/1.1\r\nHost: door\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n"
+              .formatted(CHAT, DoorFixture.KEY, body.length());
+      socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+      AtomicInteger before = new AtomicInteger(-1);
+      await()
+          .atMost(WAIT)
+          .pollInterval(Duration.ofMillis(500))
+          .until(() -> written.get() > 0 && before.getAndSet(written.get()) == written.get());
+      assertThat(written.get()).isLessThan(tokens);
+      HttpResponse<String> other = fixture.post(CHAT, chat("assistant", true, 50));
+      assertThat(other.body()).endsWith("data: [DONE]\n\n");
+      String all = new String(readUntilDone(socket.getInputStream()), StandardCharsets.UTF_8);
+      long letters = all.chars().filter(letter -> letter == 'x').count();
+      assertThat(letters).isGreaterThanOrEqualTo((long) tokens * large.length());
+    }
+    assertThat(fixture.placements).hasSize(2);
+  }
+
+  private static byte[] readUntilDone(InputStream stream) throws Exception {
+    java.io.ByteArrayOutputStream all = new java.io.ByteArrayOutputStream();
+    byte[] part = new byte[64 * 1024];
+    int count = stream.read(part);
+    while (count >= 0) {
+      all.write(part, 0, count);
+      if (new String(part, 0, count, StandardCharsets.UTF_8).contains("[DONE]")) {
+        return all.toByteArray();
+      }
+      count = stream.read(part);
+    }
+    return all.toByteArray();
+  }
+
+  @Test
+  void aBodyThatComesInDropsIsRefused() throws Exception {
+    try (Socket socket = new Socket(fixture.door.address().host(), fixture.door.address().port())) {
+      String head =
+          "POST %s HTTP/1.1\r\nHost: door\r\nAuthorization: Bearer %s\r\nContent-Length: 9\r\n\r\n{"
+              .formatted(CHAT, DoorFixture.KEY);
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+      byte[] start = socket.getInputStream().readNBytes(12);
+      assertThat(new String(start, StandardCharsets.UTF_8)).isEqualTo("HTTP/1.1 400");
+    }
+  }
+
   @Test
   void aStoppingDoorRefusesNewWorkAndFinishesTheOld() throws Exception {
     java.util.concurrent.CountDownLatch goOn = new java.util.concurrent.CountDownLatch(1);
--- a/fallturn-node/src/test/java/org/fallturn/node/callers/DoorFixture.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/callers/DoorFixture.java
@@ -89,7 +89,7 @@
         16_384,
         16 * 1024,
         64 * 1024,
-        Duration.ofSeconds(30),
+        Duration.ofSeconds(3),
         stallTimeout,
         Duration.ofSeconds(10),
         Duration.ofSeconds(2),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -5,6 +5,7 @@
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -49,10 +50,25 @@
    */
   public static ManagedProcess start(
       String name, Path directory, Class<?> mainClass, List<String> arguments) throws IOException {
+    return start(name, directory, SMALL_JVM, mainClass, arguments);
+  }
+
+  /**
+   * Starts a process with options of its own for the virtual machine.
+   *
+   * @param jvmOptions for example the bound on the heap
+   */
+  public static ManagedProcess start(
+      String name,
+      Path directory,
+      List<String> jvmOptions,
+      Class<?> mainClass,
+      List<String> arguments)
+      throws IOException {
     Path logFile = directory.resolve(name + ".log");
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(SMALL_JVM);
+    command.addAll(jvmOptions);
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(mainClass.getName());
@@ -128,6 +144,11 @@
     return ports.get(port);
   }
 
+  /** Processor time it has used so far, over all its threads. */
+  public Duration processorTime() {
+    return process.toHandle().info().totalCpuDuration().orElse(Duration.ZERO);
+  }
+
   /** Whether it runs. */
   public boolean isAlive() {
     return process.isAlive();
