--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -12,6 +12,7 @@
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
+import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -25,7 +26,8 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
-          new LoadCommand());
+          new LoadCommand(),
+          new QuickstartCommand());
 
   private RehearsalMain() {}
 
