--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipDuty.java
@@ -23,14 +23,14 @@
   private final GossipState state;
   private final ReplayGuard replayGuard;
   private final DatagramCodec codec;
-  private final UdpSocket socket;
+  private final GossipTransport socket;
   private final AtomicLong replayed = new AtomicLong();
   private volatile MembershipView view;
   private volatile GossipCounters counters;
   private long publishedModifications = -1;
   private long publishedAtNanos;
 
-  GossipDuty(NodeId self, GossipState state, DatagramCodec codec, UdpSocket socket) {
+  GossipDuty(NodeId self, GossipState state, DatagramCodec codec, GossipTransport socket) {
     this.state = state;
     this.codec = codec;
     this.socket = socket;
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
@@ -43,7 +43,7 @@
   private static final long ANNOUNCE_MILLIS = 1_000;
   private static final int HEADER_BYTES = 28;
 
-  private final UdpSocket socket;
+  private final GossipTransport socket;
   private final DatagramCodec receiveCodec;
   private final GossipDuty duty;
   private final DutyThread<GossipEvent> thread;
@@ -71,9 +71,21 @@
       byte[] clusterKey,
       JsonCodec json)
       throws IOException {
+    this(parameters, identity, listen, clusterKey, json, UdpSocket::new);
+  }
+
+  /** The same over another transport. */
+  public GossipModule(
+      GossipParameters parameters,
+      GossipIdentity identity,
+      NetworkAddress listen,
+      byte[] clusterKey,
+      JsonCodec json,
+      GossipTransport.Opener opener)
+      throws IOException {
     byte[] key = clusterKey.length == 0 ? UNSIGNED_KEY : clusterKey.clone();
     receiveCodec = new DatagramCodec(json, key);
-    socket = new UdpSocket("gossip-receive-" + identity.node(), listen, this::receive);
+    socket = opener.open("gossip-receive-" + identity.node(), listen, this::receive);
     self = member(identity, socket.address().port());
     DatagramCodec codec = new DatagramCodec(json, key);
     long seed = new SecureRandom().nextLong();
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
@@ -16,7 +16,7 @@
  * A UDP port with one thread that receives. Any thread may send; a datagram that the system does
  * not take at once is dropped, as on the network.
  */
-final class UdpSocket implements AutoCloseable {
+public final class UdpSocket implements GossipTransport {
 
   private static final Logger LOG = LoggerFactory.getLogger(UdpSocket.class);
   private static final int MAX_DATAGRAM_BYTES = 2048;
@@ -30,7 +30,7 @@
    *
    * @param receive called on the receiving thread with each datagram and its source
    */
-  UdpSocket(String name, NetworkAddress listen, BiConsumer<byte[], NetworkAddress> receive)
+  public UdpSocket(String name, NetworkAddress listen, BiConsumer<byte[], NetworkAddress> receive)
       throws IOException {
     channel = DatagramChannel.open();
     channel.bind(socketAddress(listen));
@@ -40,16 +40,18 @@
     receiver.setDaemon(true);
   }
 
-  /** Where it listens, with the real port. */
-  NetworkAddress address() {
+  @Override
+  public NetworkAddress address() {
     return address;
   }
 
-  void start() {
+  @Override
+  public void start() {
     receiver.start();
   }
 
-  void send(byte[] datagram, NetworkAddress to) {
+  @Override
+  public void send(byte[] datagram, NetworkAddress to) {
     try {
       channel.send(ByteBuffer.wrap(datagram), socketAddress(to));
     } catch (IOException e) {
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -20,6 +20,7 @@
 
   private final Server server;
   private final ServerConnector connector;
+  private final ConnectionTraffic traffic = new ConnectionTraffic(false);
 
   /**
    * Binds and starts.
@@ -60,6 +61,7 @@
     connector.setHost(address.host());
     connector.setPort(address.port());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
+    connector.addBean(traffic);
     server.addConnector(connector);
     server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
@@ -71,6 +73,11 @@
     return new NetworkAddress(connector.getHost(), connector.getLocalPort());
   }
 
+  /** Bytes that passed its connections. */
+  public ConnectionTraffic traffic() {
+    return traffic;
+  }
+
   @Override
   public void close() throws Exception {
     server.stop();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -11,6 +11,7 @@
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
+import org.fallturn.rehearsal.scale.MembershipCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -23,7 +24,8 @@
           new PlatformCommand(),
           new EngineCommandLine(),
           new ApplicationCommand(),
-          new FaultsCommand());
+          new FaultsCommand(),
+          new MembershipCommand());
 
   private RehearsalMain() {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -49,10 +49,21 @@
    */
   public static ManagedProcess start(
       String name, Path directory, Class<?> mainClass, List<String> arguments) throws IOException {
+    return start(name, directory, SMALL_JVM, mainClass, arguments);
+  }
+
+  /** The same with options of the Java runtime. */
+  public static ManagedProcess start(
+      String name,
+      Path directory,
+      List<String> runtimeOptions,
+      Class<?> mainClass,
+      List<String> arguments)
+      throws IOException {
     Path logFile = directory.resolve(name + ".log");
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(SMALL_JVM);
+    command.addAll(runtimeOptions);
     command.add("-cp");
     command.add(System.getProperty("java.class.path"));
     command.add(mainClass.getName());
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformStandIn.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformStandIn.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -15,6 +17,7 @@
 import org.fallturn.core.port.machines.Machine;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.core.port.table.ReadRequest;
+import org.fallturn.core.port.table.RowKey;
 import org.fallturn.core.port.table.RowList;
 import org.fallturn.core.port.table.ScanRequest;
 import org.fallturn.core.port.table.TableTransaction;
@@ -51,6 +54,7 @@
   private final HttpAnswers answers = new HttpAnswers(codec);
   private final TableStore table = new TableStore();
   private final Map<String, byte[]> objects = new ConcurrentHashMap<>();
+  private final Map<String, LongAdder> operations = new ConcurrentHashMap<>();
   private final MachineHistory machines;
   private final FaultPlan faults = new FaultPlan();
   private final RateLimit tableLimit;
@@ -103,6 +107,17 @@
     return table;
   }
 
+  /** Requests served since the start, by operation and table. */
+  public Map<String, Long> operationCounts() {
+    Map<String, Long> counts = new TreeMap<>();
+    operations.forEach((operation, count) -> counts.put(operation, count.sum()));
+    return counts;
+  }
+
+  private void count(String operation, String subject) {
+    operations.computeIfAbsent(operation + " " + subject, key -> new LongAdder()).increment();
+  }
+
   /** Replaces all faults. */
   public void setFaults(PlatformFaults next) {
     faults.set(next);
@@ -183,16 +198,21 @@
 
   private void read(Exchange exchange) throws MalformedMessageException {
     ReadRequest request = codec.decode(exchange.body(), ReadRequest.class);
+    count("read", request.keys().stream().findFirst().map(RowKey::table).orElse(""));
     json(exchange, new RowList(table.read(request.keys())));
   }
 
   private void scan(Exchange exchange) throws MalformedMessageException {
     ScanRequest request = codec.decode(exchange.body(), ScanRequest.class);
+    count("scan", request.table());
     json(exchange, new RowList(table.scan(request)));
   }
 
   private void transact(Exchange exchange) throws MalformedMessageException {
     TableTransaction transaction = codec.decode(exchange.body(), TableTransaction.class);
+    count(
+        "transact",
+        transaction.writes().stream().findFirst().map(w -> w.key().table()).orElse(""));
     TransactionAnswer answer = table.transact(transaction);
     if (faults.takeLostAnswer(transaction)) {
       StandInAnswers.cut(exchange.request(), exchange.response(), exchange.callback());
@@ -202,11 +222,13 @@
   }
 
   private void putObject(Exchange exchange) {
+    count("put", "object");
     objects.put(objectName(exchange), exchange.body());
     status(exchange, NO_CONTENT);
   }
 
   private void getObject(Exchange exchange) {
+    count("get", "object");
     byte[] content = objects.get(objectName(exchange));
     if (content == null) {
       status(exchange, NOT_FOUND);
@@ -231,8 +253,10 @@
     MachineList list = machines.seenAt(System.nanoTime());
     String query = exchange.request().getHttpURI().getQuery();
     if ((AFTER + list.version()).equals(query)) {
+      count("machines", "unchanged");
       status(exchange, NOT_MODIFIED);
     } else {
+      count("machines", "whole list");
       json(exchange, list);
     }
   }
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
@@ -0,0 +1,72 @@
+package org.fallturn.rehearsal.scale;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.json.JsonCodec;
+import org.fallturn.rehearsal.RehearsalCommand;
+
+/** {@code fallturn-rehearsal experiment scale}. */
+public final class ScaleCommand implements RehearsalCommand {
+
+  private static final int FULL_NODES = 370;
+  private static final int FULL_ENGINES = 2700;
+  private static final double FULL_PLACEMENTS = 4200;
+  private static final int REAL_NODES = 3;
+  private static final int REAL_ENGINES = 4;
+  private static final long SETTLE_SECONDS = 30;
+  private static final long MEASURE_SECONDS = 15;
+  private static final int MEASUREMENTS = 2;
+
+  @Override
+  public String name() {
+    return "scale";
+  }
+
+  @Override
+  public String help() {
+    return "control traffic, processor time and memory of a fleet of hollow nodes";
+  }
+
+  @Override
+  public void configure(Subparser parser) {
+    parser.addArgument("--nodes").type(Integer.class).setDefault(FULL_NODES);
+    parser.addArgument("--engines").type(Integer.class).setDefault(FULL_ENGINES);
+    parser
+        .addArgument("--placements-per-second")
+        .type(Double.class)
+        .setDefault(FULL_PLACEMENTS)
+        .help("asked for in a fleet of 370 nodes; smaller fleets get their share");
+    parser.addArgument("--settle-seconds").type(Long.class).setDefault(SETTLE_SECONDS);
+    parser.addArgument("--events").action(Arguments.storeTrue()).help("play the failures too");
+    parser.addArgument("--logs").setDefault("scale-logs").help("folder for the processes' logs");
+    parser.addArgument("--json").help("file to write the report to");
+  }
+
+  @Override
+  public int run(Namespace arguments) throws Exception {
+    int nodes = arguments.getInt("nodes");
+    ScalePlan plan =
+        new ScalePlan(
+            nodes,
+            arguments.getInt("engines"),
+            REAL_NODES,
+            REAL_ENGINES,
+            arguments.getLong("settle_seconds"),
+            MEASURE_SECONDS,
+            MEASUREMENTS,
+            arguments.getDouble("placements_per_second") * nodes / FULL_NODES,
+            arguments.getBoolean("events"));
+    Path logs = Path.of(arguments.getString("logs"));
+    ScaleReport report = new ScaleExperiment(plan, System.out).run(logs);
+    String file = arguments.getString("json");
+    if (file != null) {
+      JsonCodec codec = new JsonCodec();
+      Files.write(
+          Path.of(file), codec.mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(report));
+    }
+    return 0;
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -0,0 +1,59 @@
+package org.fallturn.rehearsal.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What the scale experiment runs.
+ *
+ * @param nodes hollow nodes
+ * @param engines hollow engines
+ * @param realNodes node processes beside them
+ * @param realEngines engine stand-ins beside them
+ * @param settleSeconds wait after the start
+ * @param measureSeconds length of each measurement at rest
+ * @param measurements measurements at rest, for the spread
+ * @param placementsPerSecond placements asked for in the whole fleet while callers are played
+ * @param events whether failures are played afterwards
+ */
+record ScalePlan(
+    int nodes,
+    int engines,
+    int realNodes,
+    int realEngines,
+    long settleSeconds,
+    long measureSeconds,
+    int measurements,
+    double placementsPerSecond,
+    boolean events) {
+
+  private static final int ZONES = 6;
+  private static final int ZONES_PER_REGION = 2;
+  private static final int RACK_NODES = 21;
+
+  int zones() {
+    return ZONES;
+  }
+
+  String zone(int index) {
+    return "zone-" + (index + 1);
+  }
+
+  String region(int zoneIndex) {
+    return "region-" + (zoneIndex / ZONES_PER_REGION + 1);
+  }
+
+  /** Names of a zone's nodes, rack by rack. */
+  List<List<String>> racksOf(int zone) {
+    int count = nodes / ZONES + (zone < nodes % ZONES ? 1 : 0);
+    int rackCount = Math.max(1, (count + RACK_NODES - 1) / RACK_NODES);
+    List<List<String>> racks = new ArrayList<>();
+    for (int rack = 0; rack < rackCount; rack++) {
+      racks.add(new ArrayList<>());
+    }
+    for (int index = 0; index < count; index++) {
+      racks.get(index % rackCount).add("n" + (zone + 1) + "-" + index);
+    }
+    return racks;
+  }
+}
