--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipDuty.java
@@ -27,6 +27,7 @@
   private final AtomicLong replayed = new AtomicLong();
   private volatile MembershipView view;
   private volatile GossipCounters counters;
+  private volatile boolean bridge;
   private long publishedModifications = -1;
   private long publishedAtNanos;
 
@@ -42,6 +43,10 @@
     return view;
   }
 
+  boolean isBridge() {
+    return bridge;
+  }
+
   GossipCounters counters() {
     return counters;
   }
@@ -109,6 +114,7 @@
 
   private void publishView(long nowNanos) {
     counters = state.counters();
+    bridge = state.isBridge();
     boolean changed = state.modifications() != publishedModifications;
     if (view != null && !changed && nowNanos - publishedAtNanos < VIEW_REFRESH_NANOS) {
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
@@ -154,6 +154,11 @@
     announce(new GossipEvent.Leaving(told), told);
   }
 
+  /** Whether this node links its zone to the others now. */
+  public boolean isBridge() {
+    return duty.isBridge();
+  }
+
   /** What passed the port since the start. */
   public GossipTraffic traffic() {
     return new GossipTraffic(
