--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -10,7 +10,9 @@
 import org.fallturn.rehearsal.application.ApplicationCommand;
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
+import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 import org.fallturn.rehearsal.scale.HollowNodesCommand;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
@@ -29,7 +31,9 @@
           new FaultsCommand(),
           new MembershipCommand(),
           new ScaleCommand(),
-          new HollowNodesCommand());
+          new HollowNodesCommand(),
+          new LoadCommand(),
+          new QuickstartCommand());
 
   private RehearsalMain() {}
 
