--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMember.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMember.java
@@ -37,7 +37,7 @@
   }
 
   private GossipModule start(JsonCodec codec, GossipTransport.Opener opener) throws IOException {
-    GossipIdentity identity = new GossipIdentity(node, region, zone, "127.0.0.1", ANY_PORT);
+    GossipIdentity identity = new GossipIdentity(node, region, zone, ANY_PORT, ANY_PORT);
     GossipModule module =
         new GossipModule(GossipParameters.defaults(), identity, ANY_PORT, KEY, codec, opener);
     module.start();
