Add the model checker with its leadership scenario

Cause: leases, witnesses, fences and orders must hold under any mix of lost, doubled and late messages, pauses, kills and store faults; integration tests reach only a few of these. The book now ignores a state whose fence is older than its own.

--- a/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseHolding.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseHolding.java
@@ -71,7 +71,7 @@
     }
     long limit = confirmedNanos + parameters.usableNanos(record.outageLimit());
     long extended = byWitnesses.map(end -> earlier(end, limit)).orElse(byLease);
-    return new Authority(epoch, extended - byLease > 0 ? extended : byLease);
+    return new Authority(epoch, byLease, extended - byLease > 0 ? extended : byLease);
   }
 
   private Optional<Long> quorumEnd(List<LeaseWitness> witnesses) {
--- a/fallturn-core/src/main/java/org/fallturn/core/orders/PoolOrderBook.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/orders/PoolOrderBook.java
@@ -198,7 +198,7 @@
    */
   public void onState(EngineId engine, EngineState state, long nowNanos) {
     EngineEntry entry = engines.get(engine);
-    if (entry == null || !isKnown(entry)) {
+    if (entry == null || !isKnown(entry) || isOutdated(state, entry)) {
       return;
     }
     if (state.incarnation() != entry.state().incarnation()) {
@@ -208,6 +208,12 @@
     }
   }
 
+  /** Whether a late answer tells a state from before the last order that the engine accepted. */
+  private static boolean isOutdated(EngineState state, EngineEntry entry) {
+    boolean sameIncarnation = state.incarnation() == entry.state().incarnation();
+    return sameIncarnation && state.fence().compareTo(entry.state().fence()) < 0;
+  }
+
   private OrderNumber nextNumber() {
     return new OrderNumber(epoch, nextSequence++);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/lease/LeaseModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/lease/LeaseModule.java
@@ -140,6 +140,16 @@
     Gauge.builder("fallturn.leases.valid", board, LeaseModule::countValid)
         .description("Pools whose engines this node may order now.")
         .register(metrics);
+    Gauge.builder("fallturn.leases.extended", board, LeaseModule::countExtended)
+        .description("Pools whose lease has run out in the table and is extended by witnesses.")
+        .register(metrics);
+  }
+
+  private static double countExtended(AuthorityBoard board) {
+    long now = System.nanoTime();
+    return board.authorities().values().stream()
+        .filter(authority -> authority.isExtended(now))
+        .count();
   }
 
   private static double countValid(AuthorityBoard board) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.application.ApplicationCommand;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
@@ -18,7 +19,11 @@
   private static final int USAGE_ERROR = 2;
 
   private static final List<RehearsalCommand> COMMANDS =
-      List.of(new PlatformCommand(), new ApplicationCommand(), new FaultsCommand());
+      List.of(
+          new PlatformCommand(),
+          new ApplicationCommand(),
+          new FaultsCommand(),
+          new CheckInvariantsCommand());
 
   private RehearsalMain() {}
 
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/BrokenVariant.java
@@ -0,0 +1,61 @@
+package org.fallturn.rehearsal.modelcheck;
+
+import java.util.Set;
+
+/**
+ * A deliberate fault in the protocol, applied at the border between the simulation and the core's
+ * unchanged classes. The model checker must catch each one; that shows that its checks bite.
+ */
+public enum BrokenVariant {
+  /** A new leader orders engines without raising its fence first. */
+  FENCE_NOT_RAISED(
+      LeadershipScenario.NAME,
+      Invariant.STALE_ORDER_HAS_NO_EFFECT,
+      Invariant.NO_CONFLICTING_ORDERS),
+  /** A holder sends orders without looking at its clock. */
+  LEASE_NOT_CHECKED_BEFORE_SEND(LeadershipScenario.NAME, Invariant.ORDER_NEEDS_LEASE),
+  /** A challenger does not wait until the old lease has run out. */
+  TAKEOVER_WITHOUT_WAITING(LeadershipScenario.NAME, Invariant.ONE_LEADER),
+  /** A challenger does not ask the witnesses. */
+  TAKEOVER_WITHOUT_CONSENT(LeadershipScenario.NAME, Invariant.ONE_LEADER),
+  /** A restarted witness has forgotten its promises but goes by the same name. */
+  WITNESS_FORGETS_PROMISES(
+      LeadershipScenario.NAME, Invariant.ONE_LEADER, Invariant.ORDER_NEEDS_LEASE),
+  /** A witness extends a lease although it has consented to the takeover of the same version. */
+  PROMISE_DESPITE_CONSENT(
+      LeadershipScenario.NAME, Invariant.ONE_LEADER, Invariant.ORDER_NEEDS_LEASE),
+  /** A holder counts a write as done although no answer came. */
+  LOST_ANSWER_GUESSED_AS_DONE(
+      LeadershipScenario.NAME,
+      Invariant.ONE_LEADER,
+      Invariant.ORDER_NEEDS_LEASE,
+      Invariant.EPOCH_UNIQUE),
+  /** A holder counts a write as failed although no answer came. */
+  LOST_ANSWER_GUESSED_AS_FAILED(
+      LeadershipScenario.NAME, Invariant.ONE_LEADER, Invariant.ORDER_NEEDS_LEASE),
+  /** An engine takes orders that were meant for its earlier incarnation. */
+  ENGINE_INCARNATION_IGNORED(
+      LeadershipScenario.NAME,
+      Invariant.STALE_ORDER_HAS_NO_EFFECT,
+      Invariant.NO_CONFLICTING_ORDERS),
+  /** A leader goes on after a lost answer as if the order had been carried out. */
+  LOST_ORDER_NOT_SETTLED(LeadershipScenario.NAME, Invariant.NO_CONFLICTING_ORDERS);
+
+  private final String scenario;
+  private final Set<Invariant> expected;
+
+  BrokenVariant(String scenario, Invariant... expected) {
+    this.scenario = scenario;
+    this.expected = Set.of(expected);
+  }
+
+  /** Name of the scenario that shows it. */
+  public String scenario() {
+    return scenario;
+  }
+
+  /** The invariants it may break; which one comes first depends on the seed. */
+  public Set<Invariant> expected() {
+    return expected;
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -0,0 +1,71 @@
+package org.fallturn.rehearsal.modelcheck;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+
+/** Runs scenarios over many seeds on all cores. */
+public final class ModelChecker {
+
+  private static final List<Scenario> SCENARIOS = List.of(new LeadershipScenario());
+
+  private ModelChecker() {}
+
+  /** Every scenario. */
+  public static List<Scenario> scenarios() {
+    return SCENARIOS;
+  }
+
+  /** The scenario of that name. */
+  public static Optional<Scenario> scenario(String name) {
+    return SCENARIOS.stream().filter(scenario -> scenario.name().equals(name)).findFirst();
+  }
+
+  /**
+   * Runs a scenario over consecutive seeds.
+   *
+   * @param first the first seed
+   * @param count how many
+   * @param variant the deliberate fault to build in, if any
+   */
+  public static CheckResult check(
+      Scenario scenario, long first, int count, Optional<BrokenVariant> variant) {
+    List<SeedResult> results =
+        LongStream.range(first, first + count)
+            .parallel()
+            .mapToObj(seed -> runSeed(scenario, seed, variant))
+            .toList();
+    Coverage coverage = new Coverage();
+    results.forEach(result -> coverage.merge(result.coverage()));
+    List<Violation> violations =
+        results.stream().flatMap(result -> result.violation().stream()).toList();
+    return new CheckResult(count, violations, coverage);
+  }
+
+  /** Runs seeds one after another until a violation is found. */
+  public static Optional<Violation> firstViolation(
+      Scenario scenario, long first, int count, BrokenVariant variant) {
+    return LongStream.range(first, first + count)
+        .parallel()
+        .mapToObj(seed -> runSeed(scenario, seed, Optional.of(variant)))
+        .flatMap(result -> result.violation().stream())
+        .filter(violation -> variant.expected().contains(violation.invariant()))
+        .findAny();
+  }
+
+  private static SeedResult runSeed(Scenario scenario, long seed, Optional<BrokenVariant> variant) {
+    Coverage coverage = new Coverage();
+    return new SeedResult(scenario.run(seed, variant, coverage), coverage);
+  }
+
+  private record SeedResult(Optional<Violation> violation, Coverage coverage) {}
+
+  /**
+   * Result over many seeds.
+   *
+   * @param seeds how many were run
+   * @param violations one a seed at most
+   * @param coverage what the simulations went through
+   */
+  public record CheckResult(int seeds, List<Violation> violations, Coverage coverage) {}
+}
