--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -8,9 +8,12 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.application.ApplicationCommand;
+import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
+import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -21,8 +24,11 @@
   private static final List<RehearsalCommand> COMMANDS =
       List.of(
           new PlatformCommand(),
+          new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
+          new LoadCommand(),
+          new QuickstartCommand(),
           new CheckInvariantsCommand());
 
   private RehearsalMain() {}
