--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -11,6 +11,7 @@
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
+import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 import org.fallturn.rehearsal.scale.HollowNodesCommand;
@@ -33,7 +34,8 @@
           new ScaleCommand(),
           new HollowNodesCommand(),
           new LoadCommand(),
-          new QuickstartCommand());
+          new QuickstartCommand(),
+          new CheckInvariantsCommand());
 
   private RehearsalMain() {}
 
