--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -11,8 +11,12 @@
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
+import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
+import org.fallturn.rehearsal.scale.HollowNodesCommand;
+import org.fallturn.rehearsal.scale.MembershipCommand;
+import org.fallturn.rehearsal.scale.ScaleCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -26,8 +30,12 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
+          new MembershipCommand(),
+          new ScaleCommand(),
+          new HollowNodesCommand(),
           new LoadCommand(),
-          new QuickstartCommand());
+          new QuickstartCommand(),
+          new CheckInvariantsCommand());
 
   private RehearsalMain() {}
 
