Count closed connections at their remote address; look for one's turn to read less often

A node that is not a reader of the machine list worked out the readers ten times a second; now it does so once an interval.

--- a/fallturn-node/src/main/java/org/fallturn/node/http/ConnectionTraffic.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/ConnectionTraffic.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Predicate;
@@ -17,7 +16,7 @@
 
   private static final NetworkAddress UNKNOWN = new NetworkAddress("0.0.0.0", 0);
 
-  private final Set<Connection> open = ConcurrentHashMap.newKeySet();
+  private final ConcurrentHashMap<Connection, NetworkAddress> open = new ConcurrentHashMap<>();
   private final ConcurrentHashMap<NetworkAddress, Closed> closed = new ConcurrentHashMap<>();
   private final boolean byRemote;
 
@@ -33,13 +32,14 @@
 
   @Override
   public void onOpened(Connection connection) {
-    open.add(connection);
+    open.put(connection, remote(connection));
   }
 
   @Override
   public void onClosed(Connection connection) {
-    if (open.remove(connection)) {
-      Closed sums = closed.computeIfAbsent(remote(connection), address -> new Closed());
+    NetworkAddress remote = open.remove(connection);
+    if (remote != null) {
+      Closed sums = closed.computeIfAbsent(remote, address -> new Closed());
       sums.bytesIn.add(connection.getBytesIn());
       sums.bytesOut.add(connection.getBytesOut());
       sums.messages.add(messages(connection));
@@ -58,8 +58,9 @@
         messages += entry.getValue().messages.sum();
       }
     }
-    for (Connection connection : open) {
-      if (remote.test(remote(connection))) {
+    for (var entry : open.entrySet()) {
+      Connection connection = entry.getKey();
+      if (remote.test(entry.getValue())) {
         bytesIn += Math.max(0, connection.getBytesIn());
         bytesOut += Math.max(0, connection.getBytesOut());
         messages += messages(connection);
--- a/fallturn-node/src/main/java/org/fallturn/node/machines/MachineListModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/machines/MachineListModule.java
@@ -150,10 +150,12 @@
 
     @Override
     public void onTick() {
-      if (System.nanoTime() - nextReadNanos < 0 || !isReader()) {
+      if (System.nanoTime() - nextReadNanos < 0) {
         return;
       }
-      readFromPlatform();
+      if (isReader()) {
+        readFromPlatform();
+      }
       long interval = source.interval().toNanos() * backoffFactor;
       nextReadNanos = System.nanoTime() + interval / 2 + random.nextLong(interval);
     }
