--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodePlumbing.java
@@ -1,7 +1,10 @@
 package org.fallturn.node.server;
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Optional;
 import java.util.UUID;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
@@ -12,11 +15,17 @@
 import org.fallturn.core.domain.ZoneName;
 import org.fallturn.core.port.objectstore.ObjectStore;
 import org.fallturn.core.port.table.TableService;
+import org.fallturn.node.http.ConnectionTraffic;
+import org.fallturn.node.http.HttpRouter;
 import org.fallturn.node.http.JsonHttpClient;
+import org.fallturn.node.http.MessageAuthenticator;
+import org.fallturn.node.http.TlsCertificate;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.metrics.NodeMeters;
 import org.fallturn.node.objectstore.HttpObjectStore;
+import org.fallturn.node.peers.PeerAuthenticator;
 import org.fallturn.node.settings.NodeSettings;
+import org.fallturn.node.settings.TlsSettings;
 import org.fallturn.node.table.HttpTableService;
 
 /**
@@ -35,7 +44,11 @@
   private final ZoneName zone;
   private final JsonCodec codec = new JsonCodec();
   private final PrometheusMeterRegistry metrics = NodeMeters.registry();
+  private final ConnectionTraffic clientTraffic = new ConnectionTraffic(true);
   private final HttpClient jettyClient;
+  private final Optional<TlsCertificate> certificate;
+  private final byte[] clusterKey;
+  private final Optional<MessageAuthenticator> authenticator;
   private final JsonHttpClient client;
   private final TableService table;
   private final ObjectStore objectStore;
@@ -44,8 +57,11 @@
     node = nodeId(settings.identity().id());
     region = new RegionName(settings.identity().region());
     zone = new ZoneName(settings.identity().zone());
-    jettyClient = startClient(settings.identity().outgoingHost());
-    client = new JsonHttpClient(jettyClient, codec);
+    jettyClient = startClient(settings.identity().outgoingHost(), clientTraffic);
+    certificate = certificate(settings.tls());
+    clusterKey = ClusterKey.read(settings.identity());
+    authenticator = authenticator(clusterKey);
+    client = new JsonHttpClient(jettyClient, codec, authenticator);
     table =
         new HttpTableService(
             client, settings.platform().table(), settings.platform().callTimeout());
@@ -54,6 +70,21 @@
             client, settings.platform().objectStore(), settings.platform().callTimeout());
   }
 
+  private static Optional<MessageAuthenticator> authenticator(byte[] clusterKey) {
+    if (clusterKey.length == 0) {
+      return Optional.empty();
+    }
+    return Optional.of(new PeerAuthenticator(clusterKey, System::currentTimeMillis));
+  }
+
+  private static Optional<TlsCertificate> certificate(TlsSettings tls) throws IOException {
+    if (tls.keystoreFile().isEmpty()) {
+      return Optional.empty();
+    }
+    Path keyStore = Path.of(tls.keystoreFile());
+    return Optional.of(new TlsCertificate(keyStore, Path.of(tls.keystorePasswordFile())));
+  }
+
   private static NodeId nodeId(String configured) {
     if (!configured.isEmpty()) {
       return new NodeId(configured);
@@ -61,7 +92,8 @@
     return new NodeId("node-" + UUID.randomUUID().toString().substring(0, ID_LENGTH));
   }
 
-  private static HttpClient startClient(String outgoingHost) throws Exception {
+  private static HttpClient startClient(String outgoingHost, ConnectionTraffic traffic)
+      throws Exception {
     QueuedThreadPool threads = new QueuedThreadPool(CLIENT_THREADS);
     threads.setName("http-client");
     threads.setDaemon(true);
@@ -75,6 +107,7 @@
     if (!outgoingHost.isEmpty()) {
       client.setBindAddress(new InetSocketAddress(outgoingHost, 0));
     }
+    client.addBean(traffic);
     client.start();
     return client;
   }
@@ -91,6 +124,20 @@
     return zone;
   }
 
+  byte[] clusterKey() {
+    return clusterKey.clone();
+  }
+
+  /** The certificate of the callers' and operators' ports, when there is one. */
+  Optional<TlsCertificate> certificate() {
+    return certificate;
+  }
+
+  /** A router that takes only messages of holders of the cluster key, when there is one. */
+  HttpRouter newPeerRouter() {
+    return new HttpRouter(codec, authenticator);
+  }
+
   JsonCodec codec() {
     return codec;
   }
@@ -99,6 +146,10 @@
     return client;
   }
 
+  ConnectionTraffic clientTraffic() {
+    return clientTraffic;
+  }
+
   TableService table() {
     return table;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -21,6 +21,8 @@
 import org.fallturn.node.configuration.ZoneNodes;
 import org.fallturn.node.gossip.GossipIdentity;
 import org.fallturn.node.gossip.GossipModule;
+import org.fallturn.node.gossip.GossipTransport;
+import org.fallturn.node.gossip.UdpSocket;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
 import org.fallturn.node.lease.LeaseModule;
@@ -29,6 +31,10 @@
 import org.fallturn.node.machines.MachineListSource;
 import org.fallturn.node.metrics.HealthRoutes;
 import org.fallturn.node.metrics.NodeHealth;
+import org.fallturn.node.operators.ChangesTable;
+import org.fallturn.node.operators.FleetTables;
+import org.fallturn.node.operators.OperatorsModule;
+import org.fallturn.node.operators.TableRegistry;
 import org.fallturn.node.placement.ClientParts;
 import org.fallturn.node.placement.DigestLeaderDirectory;
 import org.fallturn.node.placement.LeaderParts;
@@ -48,6 +54,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
 
   private final NodeSettings settings;
+  private final GossipTransport.Opener gossipTransport;
   private final NodePlumbing plumbing;
   private final HttpRouter peerRouter;
   private final Deque<AutoCloseable> started = new ArrayDeque<>();
@@ -58,6 +65,7 @@
   private final PlacementParameters placementParameters = PlacementParameters.defaults();
   private MachineListModule machines;
   private ConfigurationModule configuration;
+  private TableRegistry tables;
   private LeaseModule leases;
   private PlacementModule leader;
   private PlacementClient placement;
@@ -73,10 +81,17 @@
    * @throws Exception when the HTTP client cannot start
    */
   public NodeServer(NodeSettings settings) throws Exception {
+    this(settings, UdpSocket::new);
+  }
+
+  /** The same with another transport of gossip. */
+  public NodeServer(NodeSettings settings, GossipTransport.Opener gossipTransport)
+      throws Exception {
     this.settings = settings;
+    this.gossipTransport = gossipTransport;
     this.plumbing = new NodePlumbing(settings);
     started.push(plumbing);
-    this.peerRouter = new HttpRouter(plumbing.codec());
+    this.peerRouter = plumbing.newPeerRouter();
     this.operatorRouter = new HttpRouter(plumbing.codec());
     new HealthRoutes(health, plumbing.metrics()).addTo(operatorRouter);
   }
@@ -100,6 +115,7 @@
     startListeners();
     startMembership();
     startConfiguration();
+    startOperators();
     startLeadership();
     startCallers();
     registerPlannedStop();
@@ -123,6 +139,7 @@
                 "operators",
                 settings.operators().listen(),
                 settings.operators().maxThreads(),
+                plumbing.certificate(),
                 operatorRouter));
   }
 
@@ -143,7 +160,9 @@
             plumbing.node(),
             plumbing.region(),
             plumbing.zone(),
-            settings.identity().advertisedHost(),
+            settings
+                .identity()
+                .advertise(settings.gossip().advertised(), settings.gossip().listen()),
             advertisedPeerAddress());
     gossip =
         keep(
@@ -151,8 +170,9 @@
                 settings.gossip().parameters(),
                 identity,
                 settings.gossip().listen(),
-                ClusterKey.read(settings.identity()),
-                plumbing.codec()));
+                plumbing.clusterKey(),
+                plumbing.codec(),
+                gossipTransport));
     gossip.addMachineListNotice(machines::onNewerVersion);
     gossip.addDigestListener(digests::add);
     machines.addListener(gossip::machineList);
@@ -168,8 +188,7 @@
             settings.configuration().watchInterval(),
             settings.configuration().fetchTimeout(),
             settings.configuration().snapshotEvery());
-    LocalNode self = new LocalNode(plumbing.node(), plumbing.zone(), advertisedPeerAddress());
-    ZoneNodes nodes = new ZoneNodes(self, gossip.viewSupplier(), machines);
+    ZoneNodes nodes = new ZoneNodes(localNode(), gossip.viewSupplier(), machines);
     configuration =
         keep(
             new ConfigurationModule(
@@ -185,6 +204,28 @@
     health.require("configuration", configuration::isLoaded);
   }
 
+  private void startOperators() {
+    tables = new TableRegistry(configuration);
+    new FleetTables(localNode(), gossip.viewSupplier(), machines, configuration).register(tables);
+    tables.register(new ChangesTable(configuration));
+    OperatorsModule door =
+        keep(
+            new OperatorsModule(
+                configuration,
+                settings.operators().bootstrapKeyHash(),
+                tables,
+                new ZoneNodes(localNode(), gossip.viewSupplier(), machines),
+                () -> digests.digests().values(),
+                machines,
+                plumbing.client(),
+                plumbing.codec()));
+    door.addRoutes(operatorRouter, peerRouter);
+  }
+
+  private LocalNode localNode() {
+    return new LocalNode(plumbing.node(), plumbing.zone(), advertisedPeerAddress());
+  }
+
   private void startLeadership() {
     LeaseModuleSettings leaseSettings =
         LeaseModuleSettings.of(
@@ -265,11 +306,11 @@
                 plumbing.table(),
                 CallersModuleSettings.of(plumbing.node(), plumbing.zone(), settings.callers()),
                 plumbing.metrics()));
-    callers.start();
+    callers.start(plumbing.certificate());
   }
 
   private NetworkAddress advertisedPeerAddress() {
-    return new NetworkAddress(settings.identity().advertisedHost(), peers.address().port());
+    return settings.identity().advertise(settings.peers().advertised(), peers.address());
   }
 
   private <T extends AutoCloseable> T keep(T part) {
@@ -282,6 +323,11 @@
     return plumbing.node();
   }
 
+  /** The accepted configuration on this node, once started. */
+  public ConfigurationModule configuration() {
+    return configuration;
+  }
+
   /** Where other nodes connect, once started. */
   public NetworkAddress peersAddress() {
     return peers.address();
@@ -320,6 +366,18 @@
     return idle;
   }
 
+  /** What a measurement looks at, once started. */
+  public ControlParts controlParts() {
+    return new ControlParts(
+        gossip,
+        configuration,
+        leases,
+        placement,
+        plumbing.clientTraffic(),
+        peers.traffic(),
+        plumbing.metrics());
+  }
+
   /** The node's metrics. */
   public PrometheusMeterRegistry metrics() {
     return plumbing.metrics();
