Tick idle duties less often; start hollow nodes one by one

Every duty of a node woke at its tick, two of them a hundred times a second, also with nothing to do. A duty without an event for a second now ticks up to five times slower, at least 20 times a second.

--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -2,7 +2,6 @@
 
 import com.lmax.disruptor.EventHandler;
 import com.lmax.disruptor.RingBuffer;
-import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
 import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
@@ -14,7 +13,7 @@
 /**
  * One thread with one duty, fed by a bounded ring. Any thread may offer events; the handler runs on
  * the duty's thread alone. When the ring is full, {@link #offer} says so at once and the caller
- * decides what to drop.
+ * decides what to drop. A duty that has had no event for a second is called less often on its tick.
  *
  * @param <E> type of the events
  */
@@ -22,6 +21,8 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(DutyThread.class);
   private static final long CLOSE_SECONDS = 5;
+  private static final long IDLE_FACTOR = 5;
+  private static final long MAX_IDLE_TICK_NANOS = 50_000_000L;
 
   private final String name;
   private final DutyHandler<E> handler;
@@ -35,7 +36,8 @@
    *
    * @param name name of the thread
    * @param ringSize a power of two
-   * @param tick about how often {@link DutyHandler#onTick()} is called
+   * @param tick about how often {@link DutyHandler#onTick()} is called; up to 50 ms apart when no
+   *     event has come for a second
    * @param handler the duty
    */
   public DutyThread(String name, int ringSize, Duration tick, DutyHandler<E> handler) {
@@ -48,11 +50,16 @@
             ringSize,
             task -> daemon(name, task),
             ProducerType.MULTI,
-            new TimeoutBlockingWaitStrategy(tickNanos, TimeUnit.NANOSECONDS));
+            new TickWaitStrategy(tickNanos, idleTickNanos(tickNanos)));
     disruptor.handleEventsWith(new SlotHandler());
     this.ring = disruptor.getRingBuffer();
   }
 
+  /** A duty without events for a second ticks up to five times slower, but 20 times a second. */
+  private static long idleTickNanos(long tickNanos) {
+    return Math.max(tickNanos, Math.min(IDLE_FACTOR * tickNanos, MAX_IDLE_TICK_NANOS));
+  }
+
   private static Thread daemon(String name, Runnable task) {
     Thread thread = new Thread(task, name);
     thread.setDaemon(true);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMessages.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMessages.java
@@ -12,7 +12,12 @@
   private HollowMessages() {}
 
   /** Start these nodes. */
-  record Start(List<String> nodes, String region, String zone, NetworkAddress platform) {}
+  record Start(
+      List<String> nodes,
+      String region,
+      String zone,
+      NetworkAddress platform,
+      String reportInterval) {}
 
   /** Their entries in the machine list. */
   record Started(List<Machine> machines) {}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNode.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNode.java
@@ -37,19 +37,14 @@
   private final ThreadGroupCpu cpu;
   private final NodeServer server;
 
-  private HollowNode(
-      String name,
-      String region,
-      String zone,
-      NetworkAddress platform,
-      Supplier<Set<NetworkAddress>> blocked)
+  private HollowNode(String name, HollowMessages.Start start, Supplier<Set<NetworkAddress>> blocked)
       throws Exception {
     this.name = name;
-    this.region = new RegionName(region);
-    this.zone = new ZoneName(zone);
-    this.platform = platform;
+    this.region = new RegionName(start.region());
+    this.zone = new ZoneName(start.zone());
+    this.platform = start.platform();
     this.cpu = new ThreadGroupCpu(name);
-    NodeSettings settings = settings(name, region, zone, platform);
+    NodeSettings settings = settings(name, start);
     this.server = cpu.call(() -> startServer(settings, blocked));
   }
 
@@ -57,7 +52,7 @@
   static HollowNode start(
       String name, HollowMessages.Start start, Supplier<Set<NetworkAddress>> blocked)
       throws Exception {
-    return new HollowNode(name, start.region(), start.zone(), start.platform(), blocked);
+    return new HollowNode(name, start, blocked);
   }
 
   private static NodeServer startServer(
@@ -67,18 +62,19 @@
     return node;
   }
 
-  private static NodeSettings settings(
-      String name, String region, String zone, NetworkAddress platform) throws SettingsException {
+  private static NodeSettings settings(String name, HollowMessages.Start start)
+      throws SettingsException {
     Map<String, String> flags = new LinkedHashMap<>();
     flags.put("node.id", name);
-    flags.put("node.region", region);
-    flags.put("node.zone", zone);
+    flags.put("node.region", start.region());
+    flags.put("node.zone", start.zone());
+    flags.put("placement.report_interval", start.reportInterval());
     flags.put("node.cluster_key", ScaleFleet.CLUSTER_KEY);
     for (String port : List.of("callers", "operators", "peers", "gossip")) {
       flags.put(port + ".listen", ANY_PORT);
     }
     for (String service : List.of("table", "object_store", "machines")) {
-      flags.put("platform." + service, platform.toString());
+      flags.put("platform." + service, start.platform().toString());
     }
     return NodeSettings.from(NodeSettings.reader().flags(flags).values());
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
@@ -40,6 +40,10 @@
         .setDefault(FULL_PLACEMENTS)
         .help("asked for in a fleet of 370 nodes; smaller fleets get their share");
     parser.addArgument("--settle-seconds").type(Long.class).setDefault(SETTLE_SECONDS);
+    parser
+        .addArgument("--report-interval")
+        .setDefault("250ms")
+        .help("how often a leader reads its engines' load");
     parser.addArgument("--events").action(Arguments.storeTrue()).help("play the failures too");
     parser.addArgument("--logs").setDefault("scale-logs").help("folder for the processes' logs");
     parser.addArgument("--json").help("file to write the report to");
@@ -58,6 +62,7 @@
             MEASURE_SECONDS,
             MEASUREMENTS,
             arguments.getDouble("placements_per_second") * nodes / FULL_NODES,
+            arguments.getString("report_interval"),
             arguments.getBoolean("events"));
     Path logs = Path.of(arguments.getString("logs"));
     ScaleReport report = new ScaleExperiment(plan, System.out).run(logs);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
@@ -45,6 +45,7 @@
           plan.engines(),
           plan.realNodes(),
           plan.realEngines(),
+          plan.reportInterval(),
           Runtime.getRuntime().availableProcessors(),
           loadBefore,
           startSeconds,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleFleet.java
@@ -10,6 +10,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.HttpClient;
 import org.fallturn.core.domain.EngineRole;
 import org.fallturn.core.domain.ModelName;
@@ -36,6 +40,8 @@
   static final String CLUSTER_KEY = "rehearsal-cluster-key";
 
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(150);
+  private static final long NODES_ALONE_SECONDS = 10;
+  private static final int RACKS_AT_ONCE = 18;
   private static final List<String> RACK_JVM =
       List.of(
           "-Xmx640m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto");
@@ -75,19 +81,28 @@
   }
 
   private void startAll() throws Exception {
+    jetty.setIdleTimeout(COMMAND_TIMEOUT.toMillis());
     jetty.start();
     platform.start();
     HttpTableService table =
         new HttpTableService(client, platform.address(), Duration.ofSeconds(20));
     ScaleConfiguration.write(table, codec);
-    addHollowEngines();
     startRealEngines();
-    platform.setMachines(List.copyOf(machines.values()));
     startRacks();
     startRealNodes();
+    platform.setMachines(nodesOnly());
+    TimeUnit.SECONDS.sleep(NODES_ALONE_SECONDS);
+    addHollowEngines();
     platform.setMachines(List.copyOf(machines.values()));
   }
 
+  /** The nodes find each other before the long list with the engines comes. */
+  private List<Machine> nodesOnly() {
+    return machines.values().stream()
+        .filter(machine -> machine.kind() == Machine.Kind.NODE)
+        .toList();
+  }
+
   private void addHollowEngines() {
     for (int index = 0; index < plan.engines(); index++) {
       String id = "engine-" + index;
@@ -134,7 +149,7 @@
   }
 
   private void startRacks() throws Exception {
-    List<CompletableFuture<HollowMessages.Started>> starting = new ArrayList<>();
+    List<CompletableFuture<List<Machine>>> starting = new ArrayList<>();
     for (int zone = 0; zone < plan.zones(); zone++) {
       for (List<String> nodes : plan.racksOf(zone)) {
         String name = "rack-" + racks.size();
@@ -145,20 +160,34 @@
         racks.add(rack);
       }
     }
+    ExecutorService starters = Executors.newFixedThreadPool(RACKS_AT_ONCE);
     for (Rack rack : racks) {
-      starting.add(startNodes(rack, rack.nodes()));
+      starting.add(CompletableFuture.supplyAsync(() -> startRack(rack), starters));
+    }
+    for (CompletableFuture<List<Machine>> started : starting) {
+      started.join().forEach(machine -> machines.put(machine.id(), machine));
     }
-    for (CompletableFuture<HollowMessages.Started> started : starting) {
-      JsonHttpClient.await(started).machines().forEach(m -> machines.put(m.id(), m));
+    starters.shutdown();
+  }
+
+  private List<Machine> startRack(Rack rack) {
+    List<Machine> started = new ArrayList<>();
+    for (String node : rack.nodes()) {
+      try {
+        started.addAll(startNode(rack, node).machines());
+      } catch (IOException | RemoteCallException e) {
+        throw new CompletionException(rack.name() + " could not start " + node, e);
+      }
     }
+    return started;
   }
 
-  private CompletableFuture<HollowMessages.Started> startNodes(Rack rack, List<String> nodes)
-      throws IOException {
+  private HollowMessages.Started startNode(Rack rack, String node)
+      throws IOException, RemoteCallException {
     HollowMessages.Start start =
-        new HollowMessages.Start(nodes, rack.region(), rack.zone(), platform.address());
-    return client.post(
-        rack.process().address(), "/start", start, HollowMessages.Started.class, COMMAND_TIMEOUT);
+        new HollowMessages.Start(
+            List.of(node), rack.region(), rack.zone(), platform.address(), plan.reportInterval());
+    return ask(rack, "/start", start, HollowMessages.Started.class);
   }
 
   private void startRealNodes() throws IOException {
@@ -244,9 +273,7 @@
 
   /** Starts one more node in a rack and lists it. */
   void add(Rack rack, String node) throws Exception {
-    JsonHttpClient.await(startNodes(rack, List.of(node)))
-        .machines()
-        .forEach(machine -> machines.put(machine.id(), machine));
+    startNode(rack, node).machines().forEach(machine -> machines.put(machine.id(), machine));
     platform.setMachines(List.copyOf(machines.values()));
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -14,6 +14,7 @@
  * @param measureSeconds length of each measurement at rest
  * @param measurements measurements at rest, for the spread
  * @param placementsPerSecond placements asked for in the whole fleet while callers are played
+ * @param reportInterval how often a leader reads its engines' load, as the setting's text
  * @param events whether failures are played afterwards
  */
 record ScalePlan(
@@ -25,6 +26,7 @@
     long measureSeconds,
     int measurements,
     double placementsPerSecond,
+    String reportInterval,
     boolean events) {
 
   private static final int ZONES = 6;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleReport.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleReport.java
@@ -11,6 +11,7 @@
  * @param engines hollow engines
  * @param realNodes node processes beside them
  * @param realEngines engine stand-ins beside them
+ * @param reportInterval how often a leader reads its engines' load
  * @param processors processors of the machine
  * @param loadAverageBefore load of the machine by others before the run
  * @param startSeconds until every node listened
@@ -24,6 +25,7 @@
     int engines,
     int realNodes,
     int realEngines,
+    String reportInterval,
     int processors,
     double loadAverageBefore,
     double startSeconds,
