--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
@@ -0,0 +1,41 @@
+package org.fallturn.core.roles;
+
+/**
+ * How a {@link PredictiveRolePolicy} estimates and weighs. Immutable.
+ *
+ * @param arrivalMemorySeconds time constant of the demand estimate in a steady mix
+ * @param shiftWindowSeconds time constant of the estimate that notices a shift
+ * @param shiftDeviations standard deviations between both estimates that count as a shift
+ * @param horizonSeconds how long a mix is expected to last; gains are summed over this time
+ * @param changeSeconds expected time a change takes an engine away, drain included
+ * @param backlogDrainSeconds time in which a backlog should be worked off
+ * @param fullServiceHeadroom capacity over demand from which on all requests are in time
+ * @param leastGainShare gain, as a share of the requests in the horizon, below which the pool is
+ *     left alone whatever the price
+ */
+public record RolePolicyParameters(
+    double arrivalMemorySeconds,
+    double shiftWindowSeconds,
+    double shiftDeviations,
+    double horizonSeconds,
+    double changeSeconds,
+    double backlogDrainSeconds,
+    double fullServiceHeadroom,
+    double leastGainShare) {
+  /** Values that the experiments in the documentation led to. */
+  public static final RolePolicyParameters DEFAULT =
+      new RolePolicyParameters(20, 3, 3, 60, 8, 15, 1.25, 0.01);
+
+  /** Rejects times that are not positive. */
+  public RolePolicyParameters {
+    boolean positive =
+        arrivalMemorySeconds > 0
+            && shiftWindowSeconds > 0
+            && horizonSeconds > 0
+            && changeSeconds >= 0
+            && backlogDrainSeconds > 0;
+    if (!positive || shiftDeviations < 0 || fullServiceHeadroom < 1 || leastGainShare < 0) {
+      throw new IllegalArgumentException("role policy parameters out of range: " + this);
+    }
+  }
+}
