--- a/fallturn-core/src/main/java/org/fallturn/core/roles/DemandEstimator.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/DemandEstimator.java
@@ -1,5 +1,7 @@
 package org.fallturn.core.roles;
 
+import org.fallturn.core.domain.Urgency;
+
 /** Estimates a pool's demand from its leader's observations. Used by one thread. */
 final class DemandEstimator {
   private static final double NANOS_PER_SECOND = 1e9;
@@ -8,12 +10,14 @@
   private final ShiftingEstimate requests;
   private final ShiftingEstimate promptTokens;
   private final ShiftingEstimate outputTokens;
+  private final EngineTimeEstimator engineTimes;
 
   DemandEstimator(RolePolicyParameters parameters) {
     this.parameters = parameters;
     requests = estimate();
     promptTokens = estimate();
     outputTokens = estimate();
+    engineTimes = new EngineTimeEstimator(parameters.rateMemorySeconds());
   }
 
   private ShiftingEstimate estimate() {
@@ -31,16 +35,23 @@
       promptTokens.add(observation.arrivedPromptTokens() / seconds, seconds);
       outputTokens.add(observation.arrivedOutputTokens() / seconds, seconds);
     }
-    EngineRates rates = observation.rates();
-    double promptRate = promptTokens.value() + backlogRate(observation.queuedPromptTokens());
-    double outputRate = outputTokens.value() + backlogRate(observation.queuedOutputTokens());
+    engineTimes.observe(observation, seconds);
+    double promptRate = promptTokens.value();
+    double outputRate = outputTokens.value();
+    for (UrgencyObservation queue : observation.queues()) {
+      double drainSeconds = drainSeconds(queue.urgency());
+      promptRate += queue.queuedPromptTokens() / drainSeconds;
+      outputRate += queue.queuedOutputTokens() / drainSeconds;
+    }
     return new Demand(
-        promptRate / rates.prefillTokensPerSecond(),
-        outputRate / rates.decodeTokensPerSecond(),
+        promptRate * engineTimes.prefillSecondsPerToken(),
+        outputRate * engineTimes.decodeSecondsPerToken(),
         requests.value());
   }
 
-  private double backlogRate(long tokens) {
-    return tokens / parameters.backlogDrainSeconds();
+  private double drainSeconds(Urgency urgency) {
+    return urgency == Urgency.BATCH
+        ? parameters.batchDrainSeconds()
+        : parameters.urgentDrainSeconds();
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
@@ -8,7 +8,9 @@
  * @param shiftDeviations standard deviations between both estimates that count as a shift
  * @param horizonSeconds how long a mix is expected to last; gains are summed over this time
  * @param changeSeconds expected time a change takes an engine away, drain included
- * @param backlogDrainSeconds time in which a backlog should be worked off
+ * @param urgentDrainSeconds time in which waiting requests above batch should be worked off
+ * @param batchDrainSeconds time in which waiting batch requests should be worked off
+ * @param rateMemorySeconds time constant of the measured engine time a token
  * @param fullServiceHeadroom capacity over demand from which on all requests are in time
  * @param leastGainShare gain, as a share of the requests in the horizon, below which the pool is
  *     left alone whatever the price
@@ -19,12 +21,14 @@
     double shiftDeviations,
     double horizonSeconds,
     double changeSeconds,
-    double backlogDrainSeconds,
+    double urgentDrainSeconds,
+    double batchDrainSeconds,
+    double rateMemorySeconds,
     double fullServiceHeadroom,
     double leastGainShare) {
   /** Values that the experiments in the documentation led to. */
   public static final RolePolicyParameters DEFAULT =
-      new RolePolicyParameters(20, 3, 3, 60, 8, 15, 1.25, 0.01);
+      new RolePolicyParameters(20, 3, 3, 60, 10, 5, 45, 30, 1.15, 0.02);
 
   /** Rejects times that are not positive. */
   public RolePolicyParameters {
@@ -33,7 +37,9 @@
             && shiftWindowSeconds > 0
             && horizonSeconds > 0
             && changeSeconds >= 0
-            && backlogDrainSeconds > 0;
+            && urgentDrainSeconds > 0
+            && batchDrainSeconds > 0
+            && rateMemorySeconds > 0;
     if (!positive || shiftDeviations < 0 || fullServiceHeadroom < 1 || leastGainShare < 0) {
       throw new IllegalArgumentException("role policy parameters out of range: " + this);
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/ThresholdRolePolicy.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/ThresholdRolePolicy.java
@@ -7,14 +7,14 @@
 
 /**
  * Baseline: a controller of the usual kind. When one role's engines are busier than the high mark
- * and the other role's are less busy than the low mark, or have less than half as much to do, one
- * engine changes; then it waits for a time. Used by one thread.
+ * and the other role's are less busy than the low mark, one engine changes; then it waits for a
+ * time. Used by one thread.
  */
 public final class ThresholdRolePolicy implements RolePolicy {
   private static final double HIGH_MARK = 0.85;
   private static final double LOW_MARK = 0.6;
   private static final long COOL_DOWN_NANOS = 5_000_000_000L;
-  private static final double PREFILL_QUEUE_SECONDS = 1.0;
+  private static final double PREFILL_QUEUE_SECONDS = 0.4;
 
   private long earliestChangeNanos = Long.MIN_VALUE;
 
@@ -40,12 +40,12 @@
   }
 
   private static boolean isShortOf(double load, double otherLoad) {
-    return load > HIGH_MARK && (otherLoad < LOW_MARK || otherLoad < load / 2);
+    return load > HIGH_MARK && otherLoad < LOW_MARK;
   }
 
-  /** Seconds of prompt work at hand for each prefill engine, over the time one may queue. */
+  /** Prompt work placed on the prefill engines, over what the scheduler places ahead. */
   private static double prefillLoad(PoolObservation observation) {
-    long tokens = observation.queuedPromptTokens();
+    long tokens = 0;
     int engines = 0;
     for (EngineObservation engine : observation.engines()) {
       if (isServing(engine, EngineRole.PREFILL)) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.application.ApplicationCommand;
+import org.fallturn.rehearsal.experiment.ExperimentCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
@@ -17,7 +18,7 @@
   private static final int USAGE_ERROR = 2;
 
   private static final List<RehearsalCommand> COMMANDS =
-      List.of(new PlatformCommand(), new ApplicationCommand());
+      List.of(new PlatformCommand(), new ApplicationCommand(), new ExperimentCommand());
 
   private RehearsalMain() {}
 
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -0,0 +1,59 @@
+package org.fallturn.rehearsal.experiment;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.rehearsal.RehearsalCommand;
+
+/** Sub-command {@code experiment}; each experiment is one entry of the list. */
+public final class ExperimentCommand implements RehearsalCommand {
+  private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
+  private static final int DEFAULT_SEEDS = 20;
+  private static final int DEFAULT_THREADS = 4;
+
+  @Override
+  public String name() {
+    return "experiment";
+  }
+
+  @Override
+  public String help() {
+    return "run an experiment; writes tables and plots";
+  }
+
+  @Override
+  public void configure(Subparser parser) {
+    parser.addArgument("experiment").choices(EXPERIMENTS.stream().map(Experiment::name).toList());
+    parser.addArgument("--seeds").type(Integer.class).setDefault(DEFAULT_SEEDS);
+    parser.addArgument("--first-seed").dest("firstSeed").type(Long.class).setDefault(1L);
+    parser.addArgument("--out").setDefault("experiment-results").help("output folder");
+    parser.addArgument("--threads").type(Integer.class).setDefault(DEFAULT_THREADS);
+    parser.addArgument("--real").action(Arguments.storeTrue()).help("play on real processes");
+    parser.addArgument("--workload").nargs("*").setDefault(List.of()).help("name or TOML file");
+    parser.addArgument("--shift").nargs("*").setDefault(List.of()).help("names of shifts");
+  }
+
+  @Override
+  public int run(Namespace arguments) throws Exception {
+    ExperimentOptions options =
+        new ExperimentOptions(
+            arguments.getInt("seeds"),
+            arguments.getLong("firstSeed"),
+            Path.of(arguments.getString("out")),
+            arguments.getInt("threads"),
+            arguments.getBoolean("real"),
+            arguments.getList("workload"),
+            arguments.getList("shift"));
+    Files.createDirectories(options.output());
+    String name = arguments.getString("experiment");
+    for (Experiment experiment : EXPERIMENTS) {
+      if (experiment.name().equals(name)) {
+        return experiment.run(options, System.out);
+      }
+    }
+    throw new IllegalArgumentException("no experiment of the name " + name);
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** Experiments: each is a class behind one sub-command, and they share report and plot helpers. */
+package org.fallturn.rehearsal.experiment;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/CacheEventLog.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/CacheEventLog.java
@@ -16,7 +16,6 @@
     }
     last++;
     CacheEvent.Kind kind = stored ? CacheEvent.Kind.STORED : CacheEvent.Kind.EVICTED;
-    return new CacheEvents(
-        incarnation, last, List.of(new CacheEvent(kind, prefix.hashes())));
+    return new CacheEvents(incarnation, last, List.of(new CacheEvent(kind, prefix.hashes())));
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/OutcomeCounts.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/OutcomeCounts.java
@@ -15,10 +15,7 @@
   /** The sum of both. */
   public OutcomeCounts plus(OutcomeCounts other) {
     return new OutcomeCounts(
-        offered + other.offered,
-        inTime + other.inTime,
-        refused + other.refused,
-        late + other.late);
+        offered + other.offered, inTime + other.inTime, refused + other.refused, late + other.late);
   }
 
   /** Share answered within the deadline; 1 when there were none. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulatedEngine.java
@@ -14,9 +14,9 @@
 import org.fallturn.core.domain.ModelName;
 import org.fallturn.core.domain.ZoneName;
 import org.fallturn.core.port.engine.EngineState;
+import org.fallturn.core.port.engine.EngineState.Activity;
 import org.fallturn.core.port.engine.LoadReport;
 import org.fallturn.core.port.engine.OrderNumber;
-import org.fallturn.core.port.engine.EngineState.Activity;
 import org.fallturn.rehearsal.engine.EngineCostModel;
 import org.fallturn.rehearsal.engine.StepWork;
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulatedPool.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulatedPool.java
@@ -20,7 +20,6 @@
 import org.fallturn.core.placement.PlacementPolicy;
 import org.fallturn.core.placement.PlacementProgress;
 import org.fallturn.core.placement.PlacementProgress.Stage;
-import org.fallturn.core.placement.PlacementRequest;
 import org.fallturn.core.placement.PoolScheduler;
 import org.fallturn.core.port.engine.EngineState.Activity;
 import org.fallturn.core.roles.PoolObservation;
@@ -58,8 +57,7 @@
     this.placement = placement;
     this.rolePolicy = rolePolicy;
     this.policyRecord = policyRecord;
-    scheduler =
-        placement instanceof PoolScheduler pool ? Optional.of(pool) : Optional.empty();
+    scheduler = placement instanceof PoolScheduler pool ? Optional.of(pool) : Optional.empty();
     List<EngineListing> listing = new ArrayList<>();
     for (SimulatedEngine.Description description : descriptions) {
       EngineId id = description.engine();
@@ -291,8 +289,7 @@
   }
 
   private void tellState(SimulatedEngine engine) {
-    placement.onEngineState(
-        engine.state(context.poolId().model()), context.events().nowNanos());
+    placement.onEngineState(engine.state(context.poolId().model()), context.events().nowNanos());
   }
 
   /** Every engine makes a load report, which comes after the lag. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/Simulation.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/Simulation.java
@@ -139,7 +139,10 @@
   }
 
   private double longestDeadlineSeconds() {
-    return workload.classes().stream().mapToLong(traffic -> traffic.deadlineMillis()).max().orElse(0)
+    return workload.classes().stream()
+            .mapToLong(traffic -> traffic.deadlineMillis())
+            .max()
+            .orElse(0)
         * NANOS_PER_MILLI
         / NANOS_PER_SECOND;
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulationContext.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/SimulationContext.java
@@ -13,7 +13,9 @@
 import org.fallturn.rehearsal.workload.TrafficClass;
 import org.fallturn.rehearsal.workload.Workload;
 
-/** What the parts of one simulated pool share: clock, latencies, random numbers. Not thread-safe. */
+/**
+ * What the parts of one simulated pool share: clock, latencies, random numbers. Not thread-safe.
+ */
 final class SimulationContext {
   private static final double NANOS_PER_SECOND = 1e9;
   private static final long NANOS_PER_MICRO = 1_000;
@@ -83,8 +85,7 @@
   SharedPrefix prefix(SimulatedRequest request) {
     TimedRequest timed = request.timed;
     PrefixKey key =
-        new PrefixKey(
-            timed.tenant().value(), timed.traffic().service().value(), timed.prefix());
+        new PrefixKey(timed.tenant().value(), timed.traffic().service().value(), timed.prefix());
     return prefixes.computeIfAbsent(key, unknown -> SharedPrefix.of(timed));
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/workload/ArrivalGeneratorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/workload/ArrivalGeneratorTest.java
@@ -23,7 +23,7 @@
 
     assertThat(requests)
         .isSortedAccordingTo((a, b) -> Long.compare(a.arrivalNanos(), b.arrivalNanos()));
-    assertThat(requests.get(requests.size() - 1).arrivalNanos() / NANOS_PER_SECOND).isLessThan(480);
+    assertThat(requests.get(requests.size() - 1).arrivalNanos() / NANOS_PER_SECOND).isLessThan(360);
   }
 
   @Test
