--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OracleSearch.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OracleSearch.java
@@ -94,7 +94,8 @@
     List<Map.Entry<Long, Integer>> steps = new ArrayList<>(plan.entrySet());
     int chosen = random.nextInt(steps.size());
     int kind = random.nextInt(KINDS_OF_MUTATION);
-    long shift = (random.nextBoolean() ? 1 : -1) * (random.nextBoolean() ? SHORT_SHIFT : LONG_SHIFT);
+    long shift =
+        (random.nextBoolean() ? 1 : -1) * (random.nextBoolean() ? SHORT_SHIFT : LONG_SHIFT);
     int level = random.nextBoolean() ? 1 : -1;
     NavigableMap<Long, Integer> mutated = new TreeMap<>();
     for (int index = 0; index < steps.size(); index++) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleContest.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleContest.java
@@ -48,7 +48,6 @@
   }
 
   private static SimulationResult playStatic(RoleCase roleCase, int prefillEngines) {
-    return roleCase.play(
-        () -> new StaticRolePolicy(prefillEngines), engines -> prefillEngines);
+    return roleCase.play(() -> new StaticRolePolicy(prefillEngines), engines -> prefillEngines);
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleReport.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleReport.java
@@ -49,8 +49,7 @@
       List<Map<Contender, SimulationResult>> runs,
       Contender contender,
       ToDoubleFunction<SimulationResult> figure) {
-    return Spread.of(
-        runs.stream().map(run -> figure.applyAsDouble(run.get(contender))).toList());
+    return Spread.of(runs.stream().map(run -> figure.applyAsDouble(run.get(contender))).toList());
   }
 
   /** One row for each shift and contender. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RolesExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RolesExperiment.java
@@ -20,8 +20,8 @@
 import org.fallturn.rehearsal.workload.WorkloadFileException;
 
 /**
- * Plays every shift of the mix with the role policy, an oracle, the best fixed split and a threshold
- * controller, all over the same scheduler and the same requests. Stateless.
+ * Plays every shift of the mix with the role policy, an oracle, the best fixed split and a
+ * threshold controller, all over the same scheduler and the same requests. Stateless.
  */
 public final class RolesExperiment implements Experiment {
   private static final List<String> DEFAULT_WORKLOADS = List.of("alava", "guatemala");
@@ -50,8 +50,7 @@
     }
     String text = report.text() + "\n" + verdict(missed);
     Files.writeString(options.output().resolve("roles.txt"), text);
-    Files.write(
-        options.output().resolve("roles.json"), new JsonCodec().encode(report.summaries()));
+    Files.write(options.output().resolve("roles.json"), new JsonCodec().encode(report.summaries()));
     output.println(text);
     return 0;
   }
