--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -11,7 +11,10 @@
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.experiment.ExperimentCommand;
 import org.fallturn.rehearsal.faults.FaultsCommand;
+import org.fallturn.rehearsal.load.LoadCommand;
+import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
+import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -25,6 +28,9 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
+          new LoadCommand(),
+          new QuickstartCommand(),
+          new CheckInvariantsCommand(),
           new ExperimentCommand());
 
   private RehearsalMain() {}
