--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/simulator/SimulatedEngineTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/simulator/SimulatedEngineTest.java
@@ -115,8 +115,7 @@
           }
 
           @Override
-          public void onCacheChange(
-              SimulatedEngine engine, SharedPrefix prefix, boolean stored) {
+          public void onCacheChange(SimulatedEngine engine, SharedPrefix prefix, boolean stored) {
             assertThat(prefix).isNotNull();
           }
         };
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/simulator/SimulationTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/simulator/SimulationTest.java
@@ -47,8 +47,7 @@
   @Test
   void everyRequestEndsExactlyOnceThroughCrashesAndStoreOutages() {
     SimulationSettings faults =
-        SimulationSettings.DEFAULT.withFaults(
-            30, List.of(new SimulationSettings.Outage(50, 60)));
+        SimulationSettings.DEFAULT.withFaults(30, List.of(new SimulationSettings.Outage(50, 60)));
 
     SimulationResult result = play(5, faults);
 
