Check configuration and claims by the model checker

Cause: the invariants on accepted configuration and on work that must not be repeated had no check under arbitrary faults. The rule by which a node's image moves is now one pure class that node and checker share.

--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/AppliedConfiguration.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/AppliedConfiguration.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.fallturn.core.configuration.ConfigurationDelta;
 import org.fallturn.core.configuration.ConfigurationImage;
+import org.fallturn.core.configuration.ImageProgress;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,26 +48,25 @@
   /** Applies each change that is the next one, in order; true when the version rose. */
   boolean apply(List<ConfigurationDelta> deltas) {
     ConfigurationImage before = image;
-    ConfigurationImage next = before;
-    for (ConfigurationDelta delta : deltas) {
-      if (delta.version() == next.version() + 1) {
-        next = next.apply(delta);
-        keep(delta);
-      }
-    }
+    ConfigurationImage next = ImageProgress.afterChanges(before, deltas);
+    deltas.stream()
+        .filter(delta -> delta.version() > before.version())
+        .filter(delta -> delta.version() <= next.version())
+        .forEach(this::keep);
     return publish(before, next);
   }
 
   /** Takes over a whole image when it is newer; true when the version rose. */
   boolean install(ConfigurationImage newer) {
     ConfigurationImage before = image;
-    if (newer.version() <= before.version()) {
+    ConfigurationImage next = ImageProgress.newer(before, newer);
+    if (next == before) {
       return false;
     }
     synchronized (kept) {
       kept.clear();
     }
-    return publish(before, newer);
+    return publish(before, next);
   }
 
   /** Kept changes after a version; empty when some of them are no longer kept. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -7,7 +7,8 @@
 /** Runs scenarios over many seeds on all cores. */
 public final class ModelChecker {
 
-  private static final List<Scenario> SCENARIOS = List.of(new LeadershipScenario());
+  private static final List<Scenario> SCENARIOS =
+      List.of(new LeadershipScenario(), new ConfigurationScenario(), new ClaimScenario());
 
   private ModelChecker() {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/SimulatedTable.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/SimulatedTable.java
@@ -9,8 +9,9 @@
 
 /**
  * A table with compare-and-set as seen through a faulty network: requests and answers get lost or
- * late, and the whole table can be down. Every call is answered exactly once, at the latest by the
- * client's timeout; its request may take effect even after that.
+ * late, and the whole table can be down. Neither is doubled, because each call has a connection of
+ * its own. Every call is answered exactly once, at the latest by the client's timeout; its request
+ * may take effect even after that.
  *
  * @param <K> type of the keys
  * @param <V> type of the values
@@ -88,13 +89,13 @@
       Function<SimulatedTable<K, V>, Answer<K, V>> operation,
       Consumer<Answer<K, V>> receiver) {
     Once<Answer<K, V>> once = new Once<>(receiver);
-    simulation.send(
+    simulation.sendOnce(
         client,
         NAME,
         () -> {
           Answer<K, V> answer =
               down ? new Answer<>(Result.NO_EFFECT, Map.of()) : operation.apply(this);
-          simulation.send(NAME, client, () -> once.accept(answer));
+          simulation.sendOnce(NAME, client, () -> once.accept(answer));
         });
     simulation.after(TIMEOUT.toNanos(), () -> once.accept(new Answer<>(Result.UNKNOWN, Map.of())));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/Simulation.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/Simulation.java
@@ -117,6 +117,13 @@
     }
   }
 
+  /** Like {@link #send}, but never twice: a request over one connection. */
+  void sendOnce(String from, String to, Runnable delivery) {
+    if (!isCut(from, to) && !chance(lossShare)) {
+      after(delay(from, to), delivery);
+    }
+  }
+
   private long delay(String from, String to) {
     long most = isSlow(from, to) || chance(SLOW_SHARE) ? MAX_SLOW_NANOS : MAX_DELAY_NANOS;
     return random.nextLong(MIN_DELAY_NANOS, most);
