Check model requests by the model checker

Cause: whole answers, at-most-once and honest not-run for streams had no check under refusals, crashes, silence and late, doubled or crossed chunks. Conclusion: placement (leaving engines, drained changes) is still to come.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/BrokenVariant.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/BrokenVariant.java
@@ -53,7 +53,16 @@
   /** Work that must not be repeated is sent again although a byte may have reached a back end. */
   RETRY_AFTER_FIRST_BYTE(ClaimScenario.NAME, Invariant.AT_MOST_ONCE),
   /** A request that was sent and got no answer is reported as not run. */
-  NOT_RUN_SAID_AFTER_SEND(ClaimScenario.NAME, Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE);
+  NOT_RUN_SAID_AFTER_SEND(ClaimScenario.NAME, Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE),
+  /** A chunk goes to the caller without a look at its request id and offset. */
+  CHUNK_NOT_CHECKED(RequestScenario.NAME, Invariant.WHOLE_OWN_ANSWER),
+  /** A stream that broke off counts as the end of the answer. */
+  BROKEN_STREAM_TAKEN_AS_WHOLE(RequestScenario.NAME, Invariant.WHOLE_OWN_ANSWER),
+  /** A model request that must not be repeated is resumed on another engine. */
+  REPEATED_AFTER_BROKEN_STREAM(RequestScenario.NAME, Invariant.AT_MOST_ONCE),
+  /** An engine that fell silent counts as one that never saw the request. */
+  STALL_REPORTED_AS_NOT_SENT(
+      RequestScenario.NAME, Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE);
 
   private final String scenario;
   private final Set<Invariant> expected;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -8,7 +8,11 @@
 public final class ModelChecker {
 
   private static final List<Scenario> SCENARIOS =
-      List.of(new LeadershipScenario(), new ConfigurationScenario(), new ClaimScenario());
+      List.of(
+          new LeadershipScenario(),
+          new ConfigurationScenario(),
+          new ClaimScenario(),
+          new RequestScenario());
 
   private ModelChecker() {}
 
