--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -23,6 +23,7 @@
 
   private final Server server;
   private final ServerConnector connector;
+  private final ConnectionTraffic traffic = new ConnectionTraffic(false);
 
   /**
    * Binds and starts.
@@ -108,6 +109,7 @@
     connector.setHost(address.host());
     connector.setPort(address.port());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
+    connector.addBean(traffic);
     server.addConnector(connector);
     server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
@@ -126,6 +128,11 @@
     return new NetworkAddress(connector.getHost(), connector.getLocalPort());
   }
 
+  /** Bytes that passed its connections. */
+  public ConnectionTraffic traffic() {
+    return traffic;
+  }
+
   @Override
   public void close() throws Exception {
     server.stop();
