--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -16,8 +16,6 @@
 import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 import org.fallturn.rehearsal.scale.HollowNodesCommand;
-import org.fallturn.rehearsal.scale.MembershipCommand;
-import org.fallturn.rehearsal.scale.ScaleCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -31,8 +29,6 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
-          new MembershipCommand(),
-          new ScaleCommand(),
           new HollowNodesCommand(),
           new LoadCommand(),
           new QuickstartCommand(),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -6,11 +6,17 @@
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.RehearsalCommand;
+import org.fallturn.rehearsal.scale.MembershipCommand;
+import org.fallturn.rehearsal.scale.ScaleCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
+  private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
+      List.of(new MembershipCommand(), new ScaleCommand());
+  private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
 
@@ -26,7 +32,20 @@
 
   @Override
   public void configure(Subparser parser) {
-    parser.addArgument("experiment").choices(EXPERIMENTS.stream().map(Experiment::name).toList());
+    Subparsers subparsers = parser.addSubparsers().title("experiments").metavar("EXPERIMENT");
+    for (Experiment experiment : EXPERIMENTS) {
+      Subparser subparser = subparsers.addParser(experiment.name());
+      subparser.setDefault(CHOSEN, experiment);
+      addCommonOptions(subparser);
+    }
+    for (RehearsalCommand experiment : WITH_OWN_OPTIONS) {
+      Subparser subparser = subparsers.addParser(experiment.name()).help(experiment.help());
+      subparser.setDefault(CHOSEN, experiment);
+      experiment.configure(subparser);
+    }
+  }
+
+  private static void addCommonOptions(Subparser parser) {
     parser.addArgument("--seeds").type(Integer.class).setDefault(DEFAULT_SEEDS);
     parser.addArgument("--first-seed").dest("firstSeed").type(Long.class).setDefault(1L);
     parser.addArgument("--out").setDefault("experiment-results").help("output folder");
@@ -38,6 +57,11 @@
 
   @Override
   public int run(Namespace arguments) throws Exception {
+    Object chosen = arguments.get(CHOSEN);
+    if (chosen instanceof RehearsalCommand withOwnOptions) {
+      return withOwnOptions.run(arguments);
+    }
+    Experiment experiment = (Experiment) chosen;
     ExperimentOptions options =
         new ExperimentOptions(
             arguments.getInt("seeds"),
@@ -48,12 +72,6 @@
             arguments.getList("workload"),
             arguments.getList("shift"));
     Files.createDirectories(options.output());
-    String name = arguments.getString("experiment");
-    for (Experiment experiment : EXPERIMENTS) {
-      if (experiment.name().equals(name)) {
-        return experiment.run(options, System.out);
-      }
-    }
-    throw new IllegalArgumentException("no experiment of the name " + name);
+    return experiment.run(options, System.out);
   }
 }
