Let no tenant's failures take an engine from others; ask engines less

Cause: one failed request kept its engine from all new work until the next state read, so one tenant's malformed prompts could stop a pool. Now two tenants' failures within 2 s are needed; a single one only hastens the state read. Engines are read every 2 s, load and cache events half as often, for the bound on control bytes; the counts are exact without them.

--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineFollower.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fallturn.core.domain.EngineId;
+import org.fallturn.core.domain.TenantName;
 import org.fallturn.core.port.engine.CacheEvents;
 import org.fallturn.core.port.engine.EngineState;
 import org.fallturn.core.port.engine.LoadReport;
@@ -18,6 +19,7 @@
  */
 final class EngineFollower {
   private static final long NANOS_PER_MILLI = 1_000_000;
+  private static final long SUSPICION_NANOS = 2_000 * NANOS_PER_MILLI;
   private static final long COUNT_SLACK_NANOS = 500 * NANOS_PER_MILLI;
 
   private final PlacementParameters parameters;
@@ -101,9 +103,19 @@
     }
   }
 
-  /** A request failed on the engine: it gets nothing new until it has told its state. */
-  void onSuspected(EngineSlot slot) {
-    engines.change(slot, () -> slot.suspect = true);
+  /**
+   * A request failed on the engine. When those of two tenants fail within a short time, it gets
+   * nothing new until it has told its state; one tenant's requests alone never take it away from
+   * the others.
+   */
+  void onFailed(EngineSlot slot, TenantName tenant, long nowNanos) {
+    boolean recent = nowNanos - slot.failedNanos <= SUSPICION_NANOS;
+    boolean otherTenant = slot.failedTenant.filter(former -> !former.equals(tenant)).isPresent();
+    slot.failedTenant = Optional.of(tenant);
+    slot.failedNanos = nowNanos;
+    if (recent && otherTenant) {
+      engines.change(slot, () -> slot.suspect = true);
+    }
   }
 
   void onLoadReport(LoadReport report, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineSlot.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineSlot.java
@@ -5,6 +5,7 @@
 import org.fallturn.core.domain.EngineId;
 import org.fallturn.core.domain.EngineRole;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.domain.TenantName;
 import org.fallturn.core.domain.Urgency;
 import org.fallturn.core.domain.ZoneName;
 import org.fallturn.core.port.engine.EngineState;
@@ -28,6 +29,8 @@
   boolean drained;
   boolean reachable;
   boolean suspect;
+  Optional<TenantName> failedTenant = Optional.empty();
+  long failedNanos;
   Optional<EngineState> state = Optional.empty();
   Optional<EngineRole> drainingFor = Optional.empty();
   final long[] prefillTokens = new long[URGENCIES];
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -1,8 +1,10 @@
 package org.fallturn.core.placement;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.fallturn.core.domain.EngineId;
 import org.fallturn.core.domain.EngineRole;
 import org.fallturn.core.domain.Epoch;
@@ -39,6 +41,7 @@
   private final EngineFollower follower;
   private final WaitEstimator waits;
   private final PoolObserver observer;
+  private final Set<EngineId> doubted = new HashSet<>();
   private List<PlacementDecision> decisions = new ArrayList<>();
   private long nextSequence;
 
@@ -251,7 +254,12 @@
 
   private void onFailed(PlacedRequest placed, Optional<EngineSlot> failed, long nowNanos) {
     inFlight.release(placed, nowNanos);
-    failed.filter(slot -> engines.find(slot.engine) == slot).ifPresent(follower::onSuspected);
+    Optional<EngineSlot> listed = failed.filter(slot -> engines.find(slot.engine) == slot);
+    listed.ifPresent(
+        slot -> {
+          follower.onFailed(slot, placed.request.tenant(), nowNanos);
+          doubted.add(slot.engine);
+        });
   }
 
   @Override
@@ -260,9 +268,11 @@
     placeWaiting(nowNanos);
   }
 
-  /** Engines that get nothing until they tell their state, because a request failed there. */
-  public List<EngineId> suspects() {
-    return engines.all().stream().filter(slot -> slot.suspect).map(slot -> slot.engine).toList();
+  /** Engines on which a request failed since the last call; their state should be read soon. */
+  public Set<EngineId> takeDoubted() {
+    Set<EngineId> taken = Set.copyOf(doubted);
+    doubted.clear();
+    return taken;
   }
 
   /** When {@link #advance} has something to do at the latest; empty when only events can change. */
--- a/fallturn-core/src/test/java/org/fallturn/core/placement/PoolSchedulerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/placement/PoolSchedulerTest.java
@@ -287,6 +287,27 @@
     assertThat(pool.scheduler.inFlightCount()).isEqualTo(1);
   }
 
+  @Test
+  void oneTenantsFailuresNeverTakeAnEngineFromOthersButTwoTenantsDo() {
+    SchedulerFixture pool = new SchedulerFixture(slots(8, 10), 1, 1);
+    for (int index = 0; index < 5; index++) {
+      fail(pool, request("bad-" + index).tenant("aggressor", 1).build(), index);
+    }
+    assertThat(isPlaced(pool.submit(request("a").tenant("victim", 1).build(), 6).get(0))).isTrue();
+    assertThat(pool.scheduler.takeDoubted()).containsExactly(decode(0));
+
+    fail(pool, request("b").tenant("victim", 1).build(), 7);
+    assertThat(pool.submit(request("c").tenant("victim", 1).build(), 8)).isEmpty();
+    pool.scheduler.onEngineState(serving(decode(0), 1, 0), 9);
+    pool.scheduler.advance(9);
+    assertThat(isPlaced(pool.scheduler.takeDecisions().get(0))).isTrue();
+  }
+
+  private static void fail(SchedulerFixture pool, PlacementRequest request, long nowNanos) {
+    assertThat(isPlaced(pool.submit(request, nowNanos).get(0))).isTrue();
+    pool.report(request, Stage.DECODE_FAILED, 0, nowNanos);
+  }
+
   private static PlacementAnswer.Placed placed(List<PlacementDecision> decisions) {
     assertThat(decisions).hasSize(1);
     return (PlacementAnswer.Placed) decisions.get(0).answer();
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/EnginePoller.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/EnginePoller.java
@@ -24,7 +24,7 @@
  */
 final class EnginePoller {
   private static final Duration TIMEOUT = Duration.ofSeconds(1);
-  private static final int IDLE_FACTOR = 2;
+  private static final int REPORT_FACTOR = 2;
   private static final int HASTE_FACTOR = 4;
 
   /** What an engine is asked. */
@@ -84,7 +84,7 @@
       Schedule schedule = scheduleOf(entry.engine());
       for (Kind kind : Kind.values()) {
         if (schedule.isDue(kind, nowNanos)) {
-          long interval = kind == Kind.LOAD ? intervalNanos : IDLE_FACTOR * intervalNanos;
+          long interval = kind == Kind.STATE ? intervalNanos : REPORT_FACTOR * intervalNanos;
           schedule.asked(kind, nowNanos, interval);
           ask(entry, kind);
         }
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
@@ -16,7 +16,6 @@
 import org.fallturn.core.placement.PlacementAnswer;
 import org.fallturn.core.placement.PlacementDecision;
 import org.fallturn.core.placement.PlacementProgress;
-import org.fallturn.core.placement.PlacementProgress.Stage;
 import org.fallturn.core.placement.PlacementRequest;
 import org.fallturn.core.placement.PoolScheduler;
 import org.fallturn.core.port.engine.EngineState;
@@ -126,9 +125,7 @@
 
   void onProgress(PlacementProgress progress, long nowNanos) {
     scheduler.onProgress(progress, nowNanos);
-    if (progress.stage() == Stage.PREFILL_FAILED || progress.stage() == Stage.DECODE_FAILED) {
-      scheduler.suspects().forEach(suspect -> poller.hasten(suspect, nowNanos));
-    }
+    scheduler.takeDoubted().forEach(engine -> poller.hasten(engine, nowNanos));
     answerDecided();
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/PlacementSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/PlacementSettings.java
@@ -7,7 +7,8 @@
  * Placement of requests on engines.
  *
  * @param answerTimeout how long a node waits for the leader before it places from its last digest
- * @param reportInterval how often the leader reads load reports and cache events
+ * @param reportInterval how often the leader reads an engine's state; load and cache events half as
+ *     often
  * @param digestInterval how often the leader tells the zone its digest
  */
 public record PlacementSettings(
@@ -24,10 +25,10 @@
   private static final SettingDefinition<Duration> REPORT_INTERVAL =
       SettingDefinition.duration(
           "placement.report_interval",
-          Duration.ofMillis(250),
+          Duration.ofSeconds(2),
           Duration.ofMillis(20),
           Duration.ofSeconds(30),
-          "How often the leader reads load reports and cache events.");
+          "How often the leader reads an engine's state; load and cache events half as often.");
 
   private static final SettingDefinition<Duration> DIGEST_INTERVAL =
       SettingDefinition.duration(
