--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -9,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.application.ApplicationCommand;
 import org.fallturn.rehearsal.engine.EngineCommandLine;
+import org.fallturn.rehearsal.experiment.ExperimentCommand;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
@@ -35,7 +36,8 @@
           new HollowNodesCommand(),
           new LoadCommand(),
           new QuickstartCommand(),
-          new CheckInvariantsCommand());
+          new CheckInvariantsCommand(),
+          new ExperimentCommand());
 
   private RehearsalMain() {}
 
