--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -7,7 +7,12 @@
 /** Runs scenarios over many seeds on all cores. */
 public final class ModelChecker {
 
-  private static final List<Scenario> SCENARIOS = List.of(new LeadershipScenario());
+  private static final List<Scenario> SCENARIOS =
+      List.of(
+          new LeadershipScenario(),
+          new ConfigurationScenario(),
+          new ClaimScenario(),
+          new RequestScenario());
 
   private ModelChecker() {}
 
