--- a/fallturn-node/src/main/java/org/fallturn/node/engine/JettyEngineStream.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/engine/JettyEngineStream.java
@@ -94,12 +94,12 @@
     }
   }
 
-  private void onData(byte[] data) {
+  private void onData(byte[] bytes, int offset, int length) {
     if (fault != null) {
       return;
     }
     try {
-      listener.onChunk(codec.decode(data, TokenChunk.class));
+      listener.onChunk(codec.decode(bytes, offset, length, TokenChunk.class));
     } catch (MalformedMessageException e) {
       fault = new AttemptFailure(AttemptFailure.Kind.CORRUPT, e.getMessage());
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
@@ -1,30 +1,37 @@
 package org.fallturn.node.engine;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.function.Consumer;
+import java.util.Arrays;
 
 /**
  * Splits a stream of server-sent events into the data of each event. Takes buffers cut anywhere.
  * Fields other than {@code data}, and comments, are skipped. Not thread-safe.
  */
-public final class ServerSentEventParser {
+final class ServerSentEventParser {
 
   private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
+  private static final int FIRST_CAPACITY = 512;
 
   private final int maxEventBytes;
-  private final Consumer<byte[]> onData;
-  private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final DataHandler handler;
+  private byte[] line = new byte[FIRST_CAPACITY];
+  private int length;
+
+  /** Takes the data of one event, valid during the call only. */
+  @FunctionalInterface
+  interface DataHandler {
+    void onData(byte[] bytes, int offset, int length);
+  }
 
   /**
    * A parser at the start of a stream.
    *
    * @param maxEventBytes longest line taken
-   * @param onData called with each event's data
+   * @param handler called with each event's data
    */
-  public ServerSentEventParser(int maxEventBytes, Consumer<byte[]> onData) {
+  ServerSentEventParser(int maxEventBytes, DataHandler handler) {
     this.maxEventBytes = maxEventBytes;
-    this.onData = onData;
+    this.handler = handler;
   }
 
   /**
@@ -32,51 +39,56 @@
    *
    * @throws EventTooLongException when a line is longer than the bound
    */
-  public void accept(ByteBuffer buffer) throws EventTooLongException {
+  void accept(ByteBuffer buffer) throws EventTooLongException {
     while (buffer.hasRemaining()) {
-      byte next = buffer.get();
-      if (next == '\n') {
+      int end = endOfLine(buffer);
+      boolean whole = end < buffer.limit();
+      append(buffer, end - buffer.position());
+      if (whole) {
+        buffer.get();
         endLine();
-      } else if (next != '\r') {
-        append(next);
       }
     }
   }
 
-  private void append(byte next) throws EventTooLongException {
-    if (line.size() >= maxEventBytes) {
-      throw new EventTooLongException(maxEventBytes);
+  private static int endOfLine(ByteBuffer buffer) {
+    int limit = buffer.limit();
+    int index = buffer.position();
+    while (index < limit && buffer.get(index) != '\n') {
+      index++;
     }
-    line.write(next);
+    return index;
   }
 
-  private void endLine() {
-    byte[] bytes = line.toByteArray();
-    line.reset();
-    if (!startsWithDataField(bytes)) {
-      return;
+  private void append(ByteBuffer buffer, int count) throws EventTooLongException {
+    if (length + count > maxEventBytes) {
+      throw new EventTooLongException(maxEventBytes);
     }
-    int from = DATA_FIELD.length;
-    if (from < bytes.length && bytes[from] == ' ') {
-      from++;
+    if (length + count > line.length) {
+      line = Arrays.copyOf(line, Math.max(length + count, 2 * line.length));
     }
-    onData.accept(java.util.Arrays.copyOfRange(bytes, from, bytes.length));
+    buffer.get(line, length, count);
+    length += count;
   }
 
-  private static boolean startsWithDataField(byte[] bytes) {
-    if (bytes.length < DATA_FIELD.length) {
-      return false;
+  private void endLine() {
+    int end = length;
+    length = 0;
+    if (end > 0 && line[end - 1] == '\r') {
+      end--;
     }
-    for (int index = 0; index < DATA_FIELD.length; index++) {
-      if (bytes[index] != DATA_FIELD[index]) {
-        return false;
-      }
+    int from = DATA_FIELD.length;
+    if (end < from || !Arrays.equals(line, 0, from, DATA_FIELD, 0, from)) {
+      return;
+    }
+    if (from < end && line[from] == ' ') {
+      from++;
     }
-    return true;
+    handler.onData(line, from, end - from);
   }
 
   /** A line was longer than the bound. */
-  public static final class EventTooLongException extends Exception {
+  static final class EventTooLongException extends Exception {
     private static final long serialVersionUID = 1L;
 
     EventTooLongException(int maxEventBytes) {
--- a/fallturn-node/src/main/java/org/fallturn/node/json/JsonCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/json/JsonCodec.java
@@ -67,6 +67,16 @@
     }
   }
 
+  /** Reads a message from a part of an array of UTF-8 bytes. */
+  public <T> T decode(byte[] bytes, int offset, int length, Class<T> type)
+      throws MalformedMessageException {
+    try {
+      return requirePresent(mapper.readValue(bytes, offset, length, type), type);
+    } catch (IOException | IllegalArgumentException e) {
+      throw malformed(type, e);
+    }
+  }
+
   /** Reads a message from text. */
   public <T> T decode(String text, Class<T> type) throws MalformedMessageException {
     try {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/NodeTarget.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/NodeTarget.java
@@ -101,7 +101,8 @@
       int status = outcome.getResponse() == null ? 0 : outcome.getResponse().getStatus();
       if (outcome.isFailed() || status != OK || !done) {
         result.completeExceptionally(
-            new IllegalStateException("status " + status + ", " + outcome.getFailure()));
+            new IllegalStateException(
+                "status " + status + ", " + outcome.getFailure() + ", last line: " + line));
       } else {
         check.end(result);
       }
