Keep the event parser public for the load generator

The load generator reads answers with the same parser; merging it with the parser that moves whole lines left the constructor hidden, and the build of the rehearsal module failed. The generator takes its own copy of each event.

--- a/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/engine/ServerSentEventParser.java
@@ -7,7 +7,7 @@
  * Splits a stream of server-sent events into the data of each event. Takes buffers cut anywhere.
  * Fields other than {@code data}, and comments, are skipped. Not thread-safe.
  */
-final class ServerSentEventParser {
+public final class ServerSentEventParser {
 
   private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
   private static final int FIRST_CAPACITY = 512;
@@ -19,7 +19,8 @@
 
   /** Takes the data of one event, valid during the call only. */
   @FunctionalInterface
-  interface DataHandler {
+  public interface DataHandler {
+    /** One event's data: {@code length} bytes from {@code offset}. */
     void onData(byte[] bytes, int offset, int length);
   }
 
@@ -29,7 +30,7 @@
    * @param maxEventBytes longest line taken
    * @param handler called with each event's data
    */
-  ServerSentEventParser(int maxEventBytes, DataHandler handler) {
+  public ServerSentEventParser(int maxEventBytes, DataHandler handler) {
     this.maxEventBytes = maxEventBytes;
     this.handler = handler;
   }
@@ -39,7 +40,7 @@
    *
    * @throws EventTooLongException when a line is longer than the bound
    */
-  void accept(ByteBuffer buffer) throws EventTooLongException {
+  public void accept(ByteBuffer buffer) throws EventTooLongException {
     while (buffer.hasRemaining()) {
       int end = endOfLine(buffer);
       boolean whole = end < buffer.limit();
@@ -88,7 +89,7 @@
   }
 
   /** A line was longer than the bound. */
-  static final class EventTooLongException extends Exception {
+  public static final class EventTooLongException extends Exception {
     private static final long serialVersionUID = 1L;
 
     EventTooLongException(int maxEventBytes) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/load/Caller.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/load/Caller.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -89,7 +90,10 @@
 
   /** Sends the request. */
   void send() {
-    events = new ServerSentEventParser(MAX_EVENT_BYTES, this::event);
+    events =
+        new ServerSentEventParser(
+            MAX_EVENT_BYTES,
+            (bytes, offset, length) -> event(Arrays.copyOfRange(bytes, offset, offset + length)));
     body = new java.io.ByteArrayOutputStream();
     Request request = client.newRequest("http://" + node() + path()).method("POST");
     Duration timeout = settings.answerTimeout();
