--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -26,6 +26,7 @@
 
   private final Server server;
   private final ServerConnector connector;
+  private final ConnectionTraffic traffic = new ConnectionTraffic(false);
 
   /**
    * Binds and starts.
@@ -111,6 +112,7 @@
     connector.setHost(address.host());
     connector.setPort(address.port());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
+    connector.addBean(traffic);
     server.addConnector(connector);
     server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
@@ -141,6 +143,11 @@
     }
   }
 
+  /** Bytes that passed its connections. */
+  public ConnectionTraffic traffic() {
+    return traffic;
+  }
+
   @Override
   public void close() throws Exception {
     server.stop();
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -21,6 +21,8 @@
 import org.fallturn.node.configuration.ZoneNodes;
 import org.fallturn.node.gossip.GossipIdentity;
 import org.fallturn.node.gossip.GossipModule;
+import org.fallturn.node.gossip.GossipTransport;
+import org.fallturn.node.gossip.UdpSocket;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
 import org.fallturn.node.lease.LeaseModule;
@@ -52,6 +54,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(NodeServer.class);
 
   private final NodeSettings settings;
+  private final GossipTransport.Opener gossipTransport;
   private final NodePlumbing plumbing;
   private final HttpRouter peerRouter;
   private final Deque<AutoCloseable> started = new ArrayDeque<>();
@@ -78,7 +81,14 @@
    * @throws Exception when the HTTP client cannot start
    */
   public NodeServer(NodeSettings settings) throws Exception {
+    this(settings, UdpSocket::new);
+  }
+
+  /** The same with another transport of gossip. */
+  public NodeServer(NodeSettings settings, GossipTransport.Opener gossipTransport)
+      throws Exception {
     this.settings = settings;
+    this.gossipTransport = gossipTransport;
     this.plumbing = new NodePlumbing(settings);
     started.push(plumbing);
     this.peerRouter = plumbing.newPeerRouter();
@@ -161,7 +171,8 @@
                 identity,
                 settings.gossip().listen(),
                 plumbing.clusterKey(),
-                plumbing.codec()));
+                plumbing.codec(),
+                gossipTransport));
     gossip.addMachineListNotice(machines::onNewerVersion);
     gossip.addDigestListener(digests::add);
     machines.addListener(gossip::machineList);
@@ -312,6 +323,11 @@
     return plumbing.node();
   }
 
+  /** The accepted configuration on this node, once started. */
+  public ConfigurationModule configuration() {
+    return configuration;
+  }
+
   /** Where other nodes connect, once started. */
   public NetworkAddress peersAddress() {
     return peers.address();
@@ -351,6 +367,18 @@
     return idle;
   }
 
+  /** What a measurement looks at, once started. */
+  public ControlParts controlParts() {
+    return new ControlParts(
+        gossip,
+        configuration,
+        leases,
+        placement,
+        plumbing.clientTraffic(),
+        peers.traffic(),
+        plumbing.metrics());
+  }
+
   /** The node's metrics. */
   public PrometheusMeterRegistry metrics() {
     return plumbing.metrics();
