Hold tenant limits across the fleet by leased shares

Cause: a limit is one number for the whole fleet, but requests come in at every node. A tenant's owner (rendezvous hash) leases shares of the limit to the nodes that see its traffic; a tenth is divided among all nodes for good. Admission now comes before the idempotency claim, so that refused requests write no rows. Ruled out: a share for each tenant on every node, which cost 58 KB/s a node.

--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Tenant limits over the fleet: admits requests, leases shares of limits between nodes. */
+package org.fallturn.node.admission;
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/ApplicationsHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/ApplicationsHandler.java
@@ -68,7 +68,16 @@
     RequestClaims.Wish wish =
         new RequestClaims.Wish(
             tenant, service, headers.idempotencyKey(), caller.request(), body, deadlineMillis);
-    services.claims().settle(wish, new Start(caller, tenant, service, body, deadlineMillis));
+    CallerAdmission.admit(
+        services,
+        caller,
+        tenant.tenant(),
+        service.service(),
+        0,
+        ticket ->
+            services
+                .claims()
+                .settle(wish, new Start(caller, tenant, service, body, deadlineMillis, ticket)));
   }
 
   /** Starts the exchange once its claim, if it needs one, is settled. */
@@ -79,23 +88,25 @@
     private final ServiceRecord service;
     private final byte[] body;
     private final long deadlineMillis;
+    private final AdmissionTicket ticket;
 
     Start(
         CallerRequest caller,
         TenantRecord tenant,
         ServiceRecord service,
         byte[] body,
-        long deadlineMillis) {
+        long deadlineMillis,
+        AdmissionTicket ticket) {
       this.caller = caller;
       this.tenant = tenant;
       this.service = service;
       this.body = body;
       this.deadlineMillis = deadlineMillis;
+      this.ticket = ticket;
     }
 
     @Override
     public void run(Optional<HeldClaim> claim) throws FallturnException {
-      AdmissionTicket ticket = services.admission().admit(tenant.tenant(), service.service(), 0);
       HttpFields fields =
           ForwardHeaders.forBackEnd(
               caller.request().getHeaders(), tenant.tenant(), caller.requestId(), deadlineMillis);
@@ -115,11 +126,13 @@
 
     @Override
     public void replay(StoredAnswer answer) {
+      ticket.finished(0);
       services.replay(caller, answer);
     }
 
     @Override
     public void refuse(FallturnException error) {
+      ticket.finished(0);
       services.refuse(caller, error);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CompletionsHandler.java
@@ -66,7 +66,16 @@
             call.caller().request(),
             body,
             deadlineMillis);
-    services.claims().settle(wish, new Start(call, completion, spec, deadlineMillis));
+    CallerAdmission.admit(
+        services,
+        call.caller(),
+        spec.tenant(),
+        spec.service(),
+        (long) spec.promptTokens() + spec.maxTokens(),
+        ticket ->
+            services
+                .claims()
+                .settle(wish, new Start(call, completion, spec, deadlineMillis, ticket)));
   }
 
   /** Starts the exchange once its claim, if it needs one, is settled. */
@@ -76,18 +85,23 @@
     private final CompletionCall completion;
     private final RequestSpec spec;
     private final long deadlineMillis;
-
-    Start(Call call, CompletionCall completion, RequestSpec spec, long deadlineMillis) {
+    private final AdmissionTicket ticket;
+
+    Start(
+        Call call,
+        CompletionCall completion,
+        RequestSpec spec,
+        long deadlineMillis,
+        AdmissionTicket ticket) {
       this.call = call;
       this.completion = completion;
       this.spec = spec;
       this.deadlineMillis = deadlineMillis;
+      this.ticket = ticket;
     }
 
     @Override
     public void run(Optional<HeldClaim> claim) throws FallturnException {
-      long tokens = (long) spec.promptTokens() + spec.maxTokens();
-      AdmissionTicket ticket = services.admission().admit(spec.tenant(), spec.service(), tokens);
       long startNanos = call.caller().startNanos();
       SerialExecutor executor = new SerialExecutor();
       ModelExchange exchange =
@@ -121,11 +135,13 @@
 
     @Override
     public void replay(StoredAnswer answer) {
+      ticket.finished(0);
       services.replay(call.caller(), answer);
     }
 
     @Override
     public void refuse(FallturnException error) {
+      ticket.finished(0);
       services.refuse(call.caller(), error);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.fallturn.core.admission.QuotaParameters;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.lease.LeaseParameters;
 import org.fallturn.core.placement.PlacementParameters;
 import org.fallturn.core.placement.PoolDigest;
 import org.fallturn.core.roles.KeepRoles;
+import org.fallturn.node.admission.AdmissionModule;
 import org.fallturn.node.callers.CallersModule;
 import org.fallturn.node.callers.CallersModuleSettings;
 import org.fallturn.node.configuration.ConfigurationModule;
@@ -69,6 +71,7 @@
   private LeaseModule leases;
   private PlacementModule leader;
   private PlacementClient placement;
+  private AdmissionModule admission;
   private CallersModule callers;
   private volatile CompletionStage<Void> leaving = CompletableFuture.completedFuture(null);
   private GossipModule gossip;
@@ -295,11 +298,12 @@
                     settings.placement(),
                     plumbing.metrics())));
     placement.start();
+    startAdmission();
     callers =
         keep(
             new CallersModule(
                 placement,
-                new UnlimitedAdmission(),
+                admission,
                 configuration,
                 machines,
                 plumbing.client(),
@@ -309,6 +313,22 @@
     callers.start(plumbing.certificate());
   }
 
+  private void startAdmission() {
+    QuotaParameters parameters =
+        QuotaParameters.of(
+            settings.admission().shareDuration(), settings.admission().shareInterval());
+    admission =
+        keep(
+            new AdmissionModule(
+                plumbing.node(),
+                parameters,
+                new AdmissionModule.Sources(gossip.viewSupplier(), machines, configuration),
+                plumbing.client(),
+                plumbing.metrics()));
+    admission.addRoutes(peerRouter);
+    admission.start();
+  }
+
   private NetworkAddress advertisedPeerAddress() {
     return settings.identity().advertise(settings.peers().advertised(), peers.address());
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/AdmissionSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/AdmissionSettings.java
@@ -14,8 +14,8 @@
   private static final SettingDefinition<Duration> SHARE_DURATION =
       SettingDefinition.duration(
           "admission.share_duration",
-          Duration.ofSeconds(3),
-          Duration.ofMillis(100),
+          Duration.ofSeconds(10),
+          Duration.ofSeconds(1),
           Duration.ofMinutes(5),
           "How long a share of a tenant's limits holds without renewal.");
 
