Measure on hollow nodes how fast a change comes into force

370 nodes in one process, each with its own port, duties and image, read the stand-in's table over HTTP. Cases: all alive, the accepting node dies right after the commit, one node in twenty just died. Prints lag, bytes a node a change and commits a second.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.application.ApplicationCommand;
+import org.fallturn.rehearsal.configuration.ConfigurationExperimentCommand;
 import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
@@ -35,6 +36,7 @@
           new HollowNodesCommand(),
           new LoadCommand(),
           new QuickstartCommand(),
+          new ConfigurationExperimentCommand(),
           new CheckInvariantsCommand());
 
   private RehearsalMain() {}
