--- a/fallturn-core/src/main/java/org/fallturn/core/request/RequestStateMachine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/request/RequestStateMachine.java
@@ -53,6 +53,7 @@
   private int attempt = -1;
   private int deliveredTokens;
   private int engineFailures;
+  private long retryAdviceMillis = RETRY_SOON_MILLIS;
   private boolean engineMayHaveSeen;
   private PlacementAnswer.Placed placement;
 
@@ -181,6 +182,7 @@
       return end(kind, message, retryAfterMillis);
     }
     phase = Phase.WAITING;
+    retryAdviceMillis = retryAfterMillis;
     return List.of(new RequestAction.WakeLater(PLACE_AGAIN_MILLIS));
   }
 
@@ -303,7 +305,7 @@
     }
     engineFailures++;
     if (engineFailures >= spec.maxAttempts()) {
-      return end(ErrorKind.NO_CAPACITY, failure.message(), RETRY_SOON_MILLIS);
+      return end(ErrorKind.NO_CAPACITY, failure.message(), retryAdviceMillis);
     }
     return nextAttempt(nowNanos);
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/callers/CompletionsDoorTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/callers/CompletionsDoorTest.java
@@ -27,6 +27,7 @@
 /** Completions over loopback against scripted engines. */
 class CompletionsDoorTest {
 
+  private static final int MORE_THAN_ALL_ATTEMPTS = 10;
   private static final String CHAT = "/v1/chat/completions";
   private static final Duration WAIT = Duration.ofSeconds(30);
 
@@ -162,9 +163,20 @@
   }
 
   @Test
-  void notRunIsNotSaidOnceAnEngineSawTheRequest() throws Exception {
+  void workThatAnEngineBeganGoesOnOnceAnEngineHasRoomAgain() throws Exception {
     first.next((request, answer) -> answer.crash());
     second.next((request, answer) -> answer.refuse(Reason.FULL));
+    HttpResponse<String> answer = fixture.post(CHAT, chat("assistant", true, 10));
+    assertThat(answer.body()).endsWith("data: [DONE]\n\n");
+  }
+
+  @Test
+  void notRunIsNotSaidOnceAnEngineSawTheRequest() throws Exception {
+    first.next((request, answer) -> answer.crash());
+    for (int attempt = 0; attempt < MORE_THAN_ALL_ATTEMPTS; attempt++) {
+      first.next((request, answer) -> answer.refuse(Reason.FULL));
+      second.next((request, answer) -> answer.refuse(Reason.FULL));
+    }
     HttpResponse<String> answer = fixture.post(CHAT, chat("assistant", false, 10));
     assertThat(answer.statusCode()).isEqualTo(502);
     assertThat(answer.body()).contains("outcome-unknown");
