Check placement by the model checker: leaving engines, drained changes

Cause: that a leaving engine gets no work and that a planned change cuts nothing had no check under late and lost messages. Every invariant now has at least one broken variant.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/BrokenVariant.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/BrokenVariant.java
@@ -62,7 +62,11 @@
   REPEATED_AFTER_BROKEN_STREAM(RequestScenario.NAME, Invariant.AT_MOST_ONCE),
   /** An engine that fell silent counts as one that never saw the request. */
   STALL_REPORTED_AS_NOT_SENT(
-      RequestScenario.NAME, Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE);
+      RequestScenario.NAME, Invariant.NOT_RUN_IS_TRUE, Invariant.AT_MOST_ONCE),
+  /** A leader does not look at whether an engine is leaving. */
+  LEAVING_ENGINE_IGNORED(PlacementScenario.NAME, Invariant.LEAVING_GETS_NO_WORK),
+  /** A role change is ordered without waiting until the engine is idle. */
+  CHANGE_WITHOUT_DRAIN(PlacementScenario.NAME, Invariant.PLANNED_CHANGE_CUTS_NOTHING);
 
   private final String scenario;
   private final Set<Invariant> expected;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/Invariant.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/Invariant.java
@@ -21,7 +21,11 @@
   /** "Not run" is said only of work that did not run and never will. */
   NOT_RUN_IS_TRUE("a request that was answered not-run never runs"),
   /** A caller gets the whole answer to its own request. */
-  WHOLE_OWN_ANSWER("an answer that looks whole is the whole answer to that very request");
+  WHOLE_OWN_ANSWER("an answer that looks whole is the whole answer to that very request"),
+  /** A leaving back end gets no new work after the bound. */
+  LEAVING_GETS_NO_WORK("a leaving back end gets no new work after a few seconds"),
+  /** A planned change cuts no request. */
+  PLANNED_CHANGE_CUTS_NOTHING("no engine is ordered to change while it works on a request");
 
   private final String description;
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -12,7 +12,8 @@
           new LeadershipScenario(),
           new ConfigurationScenario(),
           new ClaimScenario(),
-          new RequestScenario());
+          new RequestScenario(),
+          new PlacementScenario());
 
   private ModelChecker() {}
 
