--- a/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseManager.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseManager.java
@@ -106,8 +106,12 @@
   }
 
   private void addRenewals(long nowNanos, List<LeaseAction> actions) {
+    if (leases.values().stream().noneMatch(lease -> lease.isRenewalDue(nowNanos))) {
+      return;
+    }
+    long ahead = parameters.renewInterval().toNanos() / 2;
     List<LeaseWrite> writes = new ArrayList<>();
-    leases.values().forEach(lease -> lease.nextRenewal(nowNanos).ifPresent(writes::add));
+    leases.values().forEach(lease -> lease.nextRenewal(nowNanos, ahead).ifPresent(writes::add));
     addBatch(writes, actions);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/lease/PoolLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/PoolLease.java
@@ -142,8 +142,20 @@
 
   // Writing.
 
-  /** The renewal or release to send now, first or again. */
-  Optional<LeaseWrite> nextRenewal(long nowNanos) {
+  /** Whether a renewal or release should be sent now. */
+  boolean isRenewalDue(long nowNanos) {
+    if (attempt != null) {
+      return attempt.kind() != LeaseAttempt.Kind.ACQUIRE && attempt.isResendDue(nowNanos);
+    }
+    return releasing || holding != null && nowNanos - nextRenewNanos >= 0;
+  }
+
+  /**
+   * The renewal or release to send now, first or again.
+   *
+   * @param aheadNanos how much earlier than needed a renewal may join the others
+   */
+  Optional<LeaseWrite> nextRenewal(long nowNanos, long aheadNanos) {
     if (attempt != null) {
       boolean wanted = attempt.kind() != LeaseAttempt.Kind.ACQUIRE;
       return wanted ? resend(nowNanos) : Optional.empty();
@@ -151,7 +163,7 @@
     if (releasing) {
       return nextRelease(nowNanos);
     }
-    if (holding == null || nowNanos - nextRenewNanos < 0) {
+    if (holding == null || nowNanos + aheadNanos - nextRenewNanos < 0) {
       return Optional.empty();
     }
     LeaseRecord renewed = newRecord(Optional.of(self), holding.epoch());
