--- a/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderDuty.java
@@ -63,6 +63,10 @@
       with(answered.pool(), answered.epoch(), leader -> leader.onEvent(answered, now));
     } else if (event instanceof LeaderEvent.RoleChangeFailed failed) {
       with(failed.pool(), failed.epoch(), leader -> leader.onEvent(failed, now));
+    } else if (event instanceof LeaderEvent.LoadAnswered answered) {
+      with(answered.pool(), answered.epoch(), leader -> leader.onEvent(answered, now));
+    } else if (event instanceof LeaderEvent.LoadFailed failed) {
+      with(failed.pool(), failed.epoch(), leader -> leader.onEvent(failed, now));
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/LeaderEvent.java
@@ -5,6 +5,7 @@
 import org.fallturn.core.domain.EngineId;
 import org.fallturn.core.domain.Epoch;
 import org.fallturn.core.domain.PoolId;
+import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.placement.PlacementAnswer;
 import org.fallturn.core.placement.PlacementRequest;
 import org.fallturn.core.port.engine.CacheEvents;
@@ -58,4 +59,12 @@
   /** A role change was not sent or got no answer. */
   record RoleChangeFailed(PoolId pool, Epoch epoch, EngineId engine, String reason)
       implements LeaderEvent {}
+
+  /** An engine answered a load. */
+  record LoadAnswered(PoolId pool, Epoch epoch, EngineId engine, OrderAnswer answer)
+      implements LeaderEvent {}
+
+  /** A load was not sent or got no answer. */
+  record LoadFailed(PoolId pool, Epoch epoch, EngineId engine, ErrorKind kind)
+      implements LeaderEvent {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/PoolLeader.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.fallturn.core.configuration.ConfigurationImage;
 import org.fallturn.core.configuration.PoolPolicyRecord;
 import org.fallturn.core.domain.Epoch;
@@ -35,6 +36,7 @@
   private final PoolScheduler scheduler;
   private final EnginePoller poller;
   private final RoleChangeDriver roleChanges;
+  private final VersionRolloutDriver versionRollout;
   private final DigestPacer digests;
   private final Map<Waiting, List<CompletableFuture<PlacementAnswer>>> waiting = new HashMap<>();
   private long nextRoleDecisionNanos;
@@ -56,6 +58,7 @@
     roleChanges =
         new RoleChangeDriver(
             pool, epoch, scheduler, parts.rolePolicies().apply(pool), parts.orders(), events);
+    versionRollout = new VersionRolloutDriver(pool, epoch, scheduler, parts.orders(), events);
     digests = new DigestPacer(pool, epoch, parts);
     nextRoleDecisionNanos = nowNanos + ROLE_DECISION_NANOS;
   }
@@ -71,11 +74,14 @@
   void onListing(List<EngineListing> listing, long nowNanos) {
     scheduler.onListing(listing, nowNanos);
     poller.onListing(listing);
+    versionRollout.onEngines(
+        listing.stream().map(EngineListing::engine).collect(Collectors.toSet()));
   }
 
   void onEngineState(EngineState state, long nowNanos) {
     poller.answered(state.engine(), EnginePoller.Kind.STATE);
     scheduler.onEngineState(state, nowNanos);
+    versionRollout.onState(state);
     if (state.activity() != EngineState.Activity.SERVING) {
       poller.hasten(state.engine(), nowNanos);
     }
@@ -113,6 +119,17 @@
     poller.hasten(event.engine(), nowNanos);
   }
 
+  void onEvent(LeaderEvent.LoadAnswered event, long nowNanos) {
+    versionRollout.answered(event.engine(), event.answer(), nowNanos);
+    poller.hasten(event.engine(), nowNanos);
+    answerDecided();
+  }
+
+  void onEvent(LeaderEvent.LoadFailed event, long nowNanos) {
+    versionRollout.failed(event.engine(), event.kind(), nowNanos);
+    poller.hasten(event.engine(), nowNanos);
+  }
+
   void submit(LeaderEvent.Submitted event, long nowNanos) {
     Waiting key = new Waiting(event.request().requestId(), event.request().attempt());
     waiting.computeIfAbsent(key, k -> new ArrayList<>(1)).add(event.answer());
@@ -134,9 +151,12 @@
     answerDecided();
     if (nowNanos >= nextRoleDecisionNanos) {
       nextRoleDecisionNanos = nowNanos + ROLE_DECISION_NANOS;
-      roleChanges.decide(operatorsPolicy(), nowNanos);
+      PoolPolicyRecord policy = operatorsPolicy();
+      roleChanges.decide(policy, nowNanos);
+      versionRollout.decide(policy.modelVersion(), roleChanges.underWay(), nowNanos);
     }
     roleChanges.advance(nowNanos);
+    versionRollout.advance(nowNanos);
     poller.poll(nowNanos);
     digests.publishWhenDue(scheduler.capacity(), nowNanos);
   }
