--- a/fallturn-it/src/test/java/org/fallturn/it/OperationsPageIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/OperationsPageIT.java
@@ -42,6 +42,7 @@
   private static final String MODEL = "suggest-7b";
   private static final String BOOTSTRAP_KEY = "the operator's first key";
   private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final int ENGINES = 3;
   private static final long WAIT_MILLIS = 30_000;
 
   private final JsonCodec codec = new JsonCodec();
@@ -68,7 +69,8 @@
         .until(() -> nodes.stream().allMatch(node -> node.configuration().isLoaded()));
     keys.put("operator", BOOTSTRAP_KEY);
     for (NodeServer node : nodes) {
-      await().atMost(PATIENCE).until(() -> membersSeenBy(node) == nodes.size());
+      await().atMost(PATIENCE).until(() -> rowsSeenBy(node, "members") == nodes.size());
+      await().atMost(PATIENCE).until(() -> rowsSeenBy(node, "engines") == ENGINES);
     }
   }
 
@@ -99,9 +101,10 @@
     assertThat(completionStatus("archive/2026-12")).isEqualTo(401);
   }
 
-  private int membersSeenBy(NodeServer node) throws Exception {
-    ContentResponse response = send(node.operatorsAddress(), "SELECT node FROM members");
-    return codec.decode(response.getContent(), StatementAnswer.class).rows().size();
+  private int rowsSeenBy(NodeServer node, String table) throws Exception {
+    ContentResponse response = send(node.operatorsAddress(), "SELECT * FROM " + table);
+    StatementAnswer answer = codec.decode(response.getContent(), StatementAnswer.class);
+    return answer.incomplete() ? 0 : answer.rows().size();
   }
 
   private static void assertRefused(OperationsPage.Block block, ContentResponse response) {
