Let witnesses extend a lease for as long as the table is down

Cause: an integration test showed orders end about one lease duration after the table went down. Challengers that could not reach the table either had waited the lease out and asked the witnesses, and a question alone ends the holder's extension for good. A challenger now asks only while it reaches the table. An engine that restarts is now fenced again as soon as its new incarnation is seen. Conclusion: safety never depended on this, but role changes did.

--- a/fallturn-core/src/main/java/org/fallturn/core/lease/EngineOrderService.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/EngineOrderService.java
@@ -4,6 +4,7 @@
 import org.fallturn.core.domain.EngineId;
 import org.fallturn.core.domain.PoolId;
 import org.fallturn.core.port.engine.EngineCommand;
+import org.fallturn.core.port.engine.EngineState;
 import org.fallturn.core.port.engine.OrderAnswer;
 
 /**
@@ -19,4 +20,10 @@
    * order).
    */
   CompletionStage<OrderAnswer> order(PoolId pool, EngineId engine, EngineCommand command);
+
+  /**
+   * An engine was seen with another incarnation than before: it has restarted without its fence and
+   * is fenced again.
+   */
+  default void onRestartSeen(PoolId pool, EngineState state) {}
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseManager.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/LeaseManager.java
@@ -87,7 +87,8 @@
     addReads(nowNanos, actions);
     addRenewals(nowNanos, actions);
     addAcquisitions(nowNanos, actions);
-    leases.values().forEach(lease -> lease.askWitnesses(nowNanos, actions));
+    boolean reachable = isTableReachable(nowNanos);
+    leases.values().forEach(lease -> lease.askWitnesses(reachable, nowNanos, actions));
     return answerOwnWitness(actions, nowNanos);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/lease/PoolLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/PoolLease.java
@@ -374,14 +374,19 @@
 
   // Witnesses.
 
-  /** Questions to witnesses that are due now. */
-  void askWitnesses(long nowNanos, List<LeaseAction> actions) {
+  /**
+   * Questions to witnesses that are due now.
+   *
+   * @param tableReachable whether this node reached the table of late; a challenger that cannot
+   *     write must not ask, because its question alone ends the holder's extension
+   */
+  void askWitnesses(boolean tableReachable, long nowNanos, List<LeaseAction> actions) {
     if (nowNanos - nextAskNanos < 0) {
       return;
     }
     if (holding != null && renewalFailing) {
       askPromises(nowNanos, actions);
-    } else if (wantsConsent(nowNanos)) {
+    } else if (tableReachable && wantsConsent(nowNanos)) {
       askConsents(nowNanos, actions);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/lease/LeaseModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/lease/LeaseModule.java
@@ -30,6 +30,7 @@
 import org.fallturn.core.lease.PromiseRequest;
 import org.fallturn.core.membership.MembershipView;
 import org.fallturn.core.port.engine.EngineCommand;
+import org.fallturn.core.port.engine.EngineState;
 import org.fallturn.core.port.engine.OrderAnswer;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.core.port.table.TableService;
@@ -186,6 +187,14 @@
     return answer;
   }
 
+  @Override
+  public void onRestartSeen(PoolId pool, EngineState state) {
+    Authority authority = board.authorities().get(pool);
+    if (authority != null) {
+      orderDuty.offer(new OrderEvent.StateRead(pool, authority.epoch(), state.engine(), state));
+    }
+  }
+
   /** The rights to order that this node has now, for the operators' view. */
   public Map<PoolId, Authority> authorities() {
     return board.authorities();
--- a/fallturn-node/src/main/java/org/fallturn/node/placement/VersionRolloutDriver.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/VersionRolloutDriver.java
@@ -60,7 +60,15 @@
   }
 
   void onState(EngineState state) {
+    boolean restarted =
+        rollout
+            .state(state.engine())
+            .filter(known -> known.incarnation() != state.incarnation())
+            .isPresent();
     rollout.onState(state);
+    if (restarted) {
+      orders.onRestartSeen(pool, state);
+    }
   }
 
   /** Begins with the next engine when there is room. */
