Add experiment faults: a checked load on real processes under seeded faults

Fourteen kinds of faults and planned changes come one after the other; each is healed and followed by time to settle. Counted are requests by outcome, what was cut while no unplanned fault was in force, answers crossed, actions doubled, actions that ran although every attempt was told not-run, and orders an engine executed out of order.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -8,6 +8,7 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.RehearsalCommand;
+import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
 
@@ -15,7 +16,7 @@
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
-      List.of(new MembershipCommand(), new ScaleCommand());
+      List.of(new MembershipCommand(), new ScaleCommand(), new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetControl.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetControl.java
@@ -1,6 +1,9 @@
 package org.fallturn.rehearsal.fleet;
 
 import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.fallturn.core.domain.NetworkAddress;
@@ -12,6 +15,7 @@
 import org.fallturn.node.table.HttpTableService;
 import org.fallturn.rehearsal.application.ApplicationControl;
 import org.fallturn.rehearsal.application.ExecutionCounts;
+import org.fallturn.rehearsal.engine.EngineJournal;
 import org.fallturn.rehearsal.platform.PlatformFaults;
 
 /**
@@ -22,6 +26,8 @@
 
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
   private static final int THREADS = 8;
+  private static final int READY = 200;
+  private static final long CHECK_MILLIS = 100;
 
   private final JsonCodec codec = new JsonCodec();
   private final HttpClient jetty;
@@ -75,6 +81,45 @@
     post(application, "/control/behaviour", behaviour, ApplicationControl.class);
   }
 
+  /** Waits until a node says that it is ready. */
+  public void awaitAnswering(NetworkAddress operators, long seconds)
+      throws RemoteCallException, InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (!isReady(operators)) {
+      if (System.nanoTime() - deadline > 0) {
+        throw new RemoteCallException(
+            operators + " does not become ready", RemoteCallException.NO_STATUS, "", null);
+      }
+      TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+    }
+  }
+
+  private boolean isReady(NetworkAddress operators) throws InterruptedException {
+    try {
+      return jetty.GET("http://" + operators + "/readyz").getStatus() == READY;
+    } catch (ExecutionException | TimeoutException e) {
+      return false;
+    }
+  }
+
+  /** Waits until no request runs or waits on an engine. */
+  public void awaitIdleEngine(NetworkAddress engine, long seconds)
+      throws RemoteCallException, InterruptedException {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+    while (isBusy(get(engine, "/control/journal", EngineJournal.class))) {
+      if (System.nanoTime() - deadline > 0) {
+        throw new RemoteCallException(
+            engine + " does not become idle", RemoteCallException.NO_STATUS, "", null);
+      }
+      TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+    }
+  }
+
+  private static boolean isBusy(EngineJournal journal) {
+    return journal.requests().stream()
+        .anyMatch(request -> request.end() == EngineJournal.End.RUNNING);
+  }
+
   /** Posts a message to any process. */
   public <A> A post(NetworkAddress address, String path, Object body, Class<A> type)
       throws RemoteCallException {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ProcessFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ProcessFleet.java
@@ -33,6 +33,7 @@
   private final Map<String, ManagedProcess> applications = new LinkedHashMap<>();
   private final Map<String, FleetNode> nodes = new LinkedHashMap<>();
   private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Map<String, String> engineRoles = new LinkedHashMap<>();
   private ManagedProcess platform;
   private FleetControl control;
   private int nodesStarted;
@@ -121,6 +122,7 @@
                 platform.address().toString()));
     arguments.addAll(plan.engineArguments());
     engines.put(id, rehearsal(id, arguments));
+    engineRoles.put(id, role);
     return id;
   }
 
@@ -282,6 +284,11 @@
     return engines;
   }
 
+  /** The role an engine was started in. */
+  public String engineRole(String id) {
+    return engineRoles.get(id);
+  }
+
   /** Every application, by id. */
   public Map<String, ManagedProcess> applications() {
     return applications;
