--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -34,6 +34,8 @@
 import org.fallturn.node.operators.ChangesTable;
 import org.fallturn.node.operators.FleetTables;
 import org.fallturn.node.operators.OperatorsModule;
+import org.fallturn.node.operators.PoolBoard;
+import org.fallturn.node.operators.PoolTables;
 import org.fallturn.node.operators.TableRegistry;
 import org.fallturn.node.placement.ClientParts;
 import org.fallturn.node.placement.DigestLeaderDirectory;
@@ -65,6 +67,7 @@
   private final PlacementParameters placementParameters = PlacementParameters.defaults();
   private MachineListModule machines;
   private ConfigurationModule configuration;
+  private final PoolBoard poolBoard = new PoolBoard();
   private TableRegistry tables;
   private LeaseModule leases;
   private PlacementModule leader;
@@ -253,6 +256,14 @@
     leader.addRoutes(peerRouter);
     leader.start();
     leases.start();
+    new PoolTables(
+            plumbing.node(),
+            poolBoard,
+            () -> digests.digests().values(),
+            leases::authorities,
+            configuration,
+            System::nanoTime)
+        .register(tables);
   }
 
   private boolean hasLeft() {
@@ -267,7 +278,7 @@
         machines,
         configuration,
         leases,
-        pool -> new KeepRoles(),
+        poolBoard.listenTo(pool -> new KeepRoles()),
         this::publish,
         placementParameters,
         settings.placement());
