Add experiment overhead, with JSON of its figures

bin/fallturn-rehearsal experiment overhead plays the same load straight to the engines and through a node process with a 256 MB heap, and writes overhead.json.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -15,7 +15,7 @@
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
-      List.of(new MembershipCommand(), new ScaleCommand());
+      List.of(new OverheadExperiment(), new MembershipCommand(), new ScaleCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
