--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -18,7 +18,11 @@
   private static final List<Experiment> EXPERIMENTS =
       List.of(new RolesExperiment(), new SpreadExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
-      List.of(new MembershipCommand(), new ScaleCommand(), new FaultExperimentCommand());
+      List.of(
+          new OverheadExperiment(),
+          new MembershipCommand(),
+          new ScaleCommand(),
+          new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
