Name every change since the expected version; write the configuration figures as JSON

A stale expected version listed the changes since the local image in place of those since that version, so some could be left out or named needlessly. A commit that keeps finding a conflict without a newer head now ends. Tests cover old images on both sides.

--- a/fallturn-core/src/main/java/org/fallturn/core/configuration/CommitAttempt.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/configuration/CommitAttempt.java
@@ -19,11 +19,14 @@
   /** How often a lost answer is followed up before the outcome is reported as unknown. */
   static final int MAX_FOLLOW_UPS = 5;
 
+  private static final int MAX_NAMED_CHANGES = 20;
+
   private final ProposedChange proposal;
   private final long nowMillis;
   private ConfigurationImage image;
   private HeadRow head = HeadRow.NONE;
   private ConfigurationDelta delta;
+  private boolean namingConflict;
   private boolean sent;
   private boolean mayBeCommitted;
   private int followUps;
@@ -66,18 +69,18 @@
     if (sent) {
       return settle(deltas);
     }
+    if (namingConflict) {
+      return new CommitAction.Refused(conflict(deltas));
+    }
     for (ConfigurationDelta accepted : deltas) {
       if (accepted.version() == image.version() + 1) {
         image = image.apply(accepted);
       }
     }
-    if (isExpectedVersionStale()) {
-      return new CommitAction.Refused(conflict(deltas));
-    }
     if (image.version() < head.version()) {
       return refuse(ErrorKind.STORE_UNAVAILABLE, "the accepted changes could not be read whole");
     }
-    return plan();
+    return checkExpectedVersion();
   }
 
   /** The transaction took effect. */
@@ -87,7 +90,8 @@
 
   /** The transaction found another head; an earlier sending of it may be the cause. */
   public CommitAction onConflict() {
-    return new CommitAction.ReadHead();
+    followUps++;
+    return followUps > MAX_FOLLOW_UPS ? outcomeUnknown() : new CommitAction.ReadHead();
   }
 
   /** The store gave no usable answer to the last action. */
@@ -99,16 +103,17 @@
       return refuse(ErrorKind.STORE_UNAVAILABLE, "the table service cannot be reached");
     }
     followUps++;
-    if (followUps > MAX_FOLLOW_UPS) {
-      return refuse(
-          ErrorKind.OUTCOME_UNKNOWN,
-          "no answer on whether version "
-              + delta.version()
-              + " was accepted; look for attempt_id '"
-              + proposal.attemptId()
-              + "' in table changes");
-    }
-    return new CommitAction.ReadHead();
+    return followUps > MAX_FOLLOW_UPS ? outcomeUnknown() : new CommitAction.ReadHead();
+  }
+
+  private CommitAction outcomeUnknown() {
+    return refuse(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "no answer on whether version "
+            + delta.version()
+            + " was accepted; look for attempt_id '"
+            + proposal.attemptId()
+            + "' in table changes");
   }
 
   /** The newest image this attempt has seen; for the caller to apply. */
@@ -131,7 +136,9 @@
           ErrorKind.CONFLICT,
           "expected version " + expected + " does not exist; the newest is " + image.version());
     }
-    return new CommitAction.ReadDeltas(expected, head.version());
+    namingConflict = true;
+    long after = Math.max(expected, head.version() - MAX_NAMED_CHANGES);
+    return new CommitAction.ReadDeltas(after, head.version());
   }
 
   private CommitAction plan() {
--- a/fallturn-core/src/test/java/org/fallturn/core/configuration/CommitAttemptTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/configuration/CommitAttemptTest.java
@@ -117,6 +117,35 @@
     assertThat(table.accepted).hasSize(2);
   }
 
+  @Test
+  void conflictNamesAllChangesSinceExpectedVersionAlsoWhenLocalImageIsOld() {
+    for (int version = 1; version <= 5; version++) {
+      table.accepted.add(Records.delta(version, Records.tenant("tenant-" + version)));
+    }
+    ConfigurationImage second =
+        ConfigurationImage.EMPTY.apply(table.accepted.get(0)).apply(table.accepted.get(1));
+
+    ProposedChange seenFirst = proposal("a", OptionalLong.of(1), Records.service("suggest"));
+    ProposedChange seenFourth = proposal("b", OptionalLong.of(4), Records.service("suggest"));
+
+    assertThat(refusal(table.run(new CommitAttempt(seenFirst, second, 0))).getMessage())
+        .contains("tenant-2", "tenant-3", "tenant-4", "tenant-5")
+        .doesNotContain("tenant-1");
+    assertThat(refusal(table.run(new CommitAttempt(seenFourth, second, 0))).getMessage())
+        .contains("tenant-5")
+        .doesNotContain("tenant-4");
+  }
+
+  @Test
+  void expectedVersionAboveNewestDoesNotExist() {
+    ProposedChange change = proposal("a", OptionalLong.of(3), Records.tenant("alava"));
+
+    FallturnException error =
+        refusal(table.run(new CommitAttempt(change, ConfigurationImage.EMPTY, 0)));
+
+    assertThat(error.getMessage()).isEqualTo("expected version 3 does not exist; the newest is 0");
+  }
+
   @Test
   void changeThatDoesNothingIsNotWritten() {
     CommitAction end = table.run(attempt("a"));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/configuration/ConfigurationExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/configuration/ConfigurationExperiment.java
@@ -54,7 +54,7 @@
     this.random = new Random(plan.seed());
   }
 
-  void run() throws Exception {
+  ConfigurationReport run() throws Exception {
     ScheduledExecutorService gossip = Executors.newSingleThreadScheduledExecutor();
     try (HollowFleet fleet = new HollowFleet(plan.nodes(), plan.zones())) {
       gossip.scheduleAtFixedRate(
@@ -70,6 +70,7 @@
       killSome(fleet);
       spread.add(spread("some nodes just died", fleet, () -> anyLiving(fleet).module()));
       print(spread, commits);
+      return new ConfigurationReport(plan.nodes(), plan.zones(), plan.tenants(), spread, commits);
     } finally {
       gossip.shutdownNow();
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/configuration/SpreadExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/configuration/SpreadExperiment.java
@@ -1,13 +1,16 @@
 package org.fallturn.rehearsal.configuration;
 
 import java.io.PrintStream;
+import java.nio.file.Files;
 import java.time.Duration;
+import org.fallturn.node.json.JsonCodec;
 import org.fallturn.rehearsal.experiment.Experiment;
 import org.fallturn.rehearsal.experiment.ExperimentOptions;
 
 /** {@code fallturn-rehearsal experiment configuration}, at the size the project is for. */
 public final class SpreadExperiment implements Experiment {
 
+  private static final String REPORT_FILE = "configuration.json";
   private static final int NODES = 370;
   private static final int ZONES = 6;
   private static final int TENANTS = 410;
@@ -33,7 +36,10 @@
             COMMIT_TIME,
             DEAD_SHARE,
             options.firstSeed());
-    new ConfigurationExperiment(plan, output).run();
+    ConfigurationReport report = new ConfigurationExperiment(plan, output).run();
+    Files.write(
+        options.output().resolve(REPORT_FILE),
+        new JsonCodec().mapper().writerWithDefaultPrettyPrinter().writeValueAsBytes(report));
     return 0;
   }
 }
