--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -10,12 +10,13 @@
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
+import org.fallturn.rehearsal.scale.ScaleTablesCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
-      List.of(new MembershipCommand(), new ScaleCommand());
+      List.of(new MembershipCommand(), new ScaleCommand(), new ScaleTablesCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMessages.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowMessages.java
@@ -22,6 +22,9 @@
   /** Their entries in the machine list. */
   record Started(List<Machine> machines) {}
 
+  /** The nodes of the process. */
+  record Names(List<String> nodes) {}
+
   /** Stop these nodes as planned. */
   record Stop(List<String> nodes) {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowRack.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowRack.java
@@ -46,6 +46,7 @@
     add(router, "/start", HollowMessages.Start.class, this::start);
     add(router, "/stop", HollowMessages.Stop.class, this::stop);
     add(router, "/block", HollowMessages.Block.class, this::block);
+    add(router, "/names", Ask.class, ask -> new HollowMessages.Names(List.copyOf(nodes.keySet())));
     add(router, "/sight", Ask.class, this::sight);
     add(router, "/leaderships", Ask.class, ask -> leaderships());
     add(router, "/samples", Ask.class, ask -> samples());
@@ -109,6 +110,7 @@
     for (String name : stop.nodes()) {
       HollowNode node = nodes.remove(name);
       if (node != null) {
+        versions.forget(name);
         node.stop();
       }
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
@@ -37,8 +37,10 @@
       out.printf("%d nodes listen after %.1f s%n", plan.nodes(), startSeconds);
       TimeUnit.SECONDS.sleep(plan.settleSeconds());
       List<ScaleReport.Measurement> rest = measureRest(fleet);
-      List<ScaleReport.Measurement> placements = measurePlacements(fleet);
-      List<ScaleReport.Event> events = plan.events() ? new ScaleEvents(fleet).play() : List.of();
+      List<ScaleReport.Measurement> placements =
+          plan.events().isEmpty() ? measurePlacements(fleet) : List.of();
+      List<ScaleReport.Event> events =
+          new ScaleEvents(fleet, plan.placementsPerSecond() / plan.nodes()).play(plan.events());
       return new ScaleReport(
           startedAt,
           plan.nodes(),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleFleet.java
@@ -18,13 +18,18 @@
 import org.fallturn.core.domain.EngineRole;
 import org.fallturn.core.domain.ModelName;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.domain.RegionName;
 import org.fallturn.core.domain.ZoneName;
+import org.fallturn.core.lease.LeaseRecord;
 import org.fallturn.core.port.machines.Machine;
+import org.fallturn.core.port.table.ScanRequest;
+import org.fallturn.core.port.table.TableRow;
 import org.fallturn.node.FallturnMain;
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.http.RemoteCallException;
 import org.fallturn.node.json.JsonCodec;
+import org.fallturn.node.json.MalformedMessageException;
 import org.fallturn.node.table.HttpTableService;
 import org.fallturn.rehearsal.RehearsalMain;
 import org.fallturn.rehearsal.fleet.ManagedProcess;
@@ -33,13 +38,17 @@
 
 /**
  * A fleet of hollow nodes in racks, each rack a process, with hollow engines and the platform in
- * this process, beside a few real node processes and real engine stand-ins. Not thread-safe.
+ * this process, beside a few real node processes and real engine stand-ins. Several threads may
+ * add, list and ask at once.
  */
 final class ScaleFleet implements AutoCloseable {
 
   static final String CLUSTER_KEY = "rehearsal-cluster-key";
 
   private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(150);
+  private static final String REAL_NODE = "real-node-";
+  private static final String LEASE_TABLE = "lease";
+  private static final int MAX_LEASE_ROWS = 10_000;
   private static final long NODES_ALONE_SECONDS = 10;
   private static final int RACKS_AT_ONCE = 18;
   private static final List<String> RACK_JVM =
@@ -196,7 +205,7 @@
       started.add(startRealNode(index));
     }
     for (int index = 0; index < plan.realNodes(); index++) {
-      String id = "real-node-" + index;
+      String id = REAL_NODE + index;
       ManagedProcess process = started.get(index);
       machines.put(id, realNode(id, index % plan.zones(), process));
     }
@@ -207,7 +216,7 @@
     List<String> arguments = new ArrayList<>();
     arguments.add("node");
     Map<String, String> settings = new LinkedHashMap<>();
-    settings.put("node.id", "real-node-" + index);
+    settings.put("node.id", REAL_NODE + index);
     settings.put("node.region", plan.region(zone));
     settings.put("node.zone", plan.zone(zone));
     settings.put("node.cluster_key", CLUSTER_KEY);
@@ -221,7 +230,7 @@
           arguments.add(value);
         });
     ManagedProcess process =
-        ManagedProcess.start("real-node-" + index, logs, FallturnMain.class, arguments);
+        ManagedProcess.start(REAL_NODE + index, logs, FallturnMain.class, arguments);
     realProcesses.add(process);
     return process;
   }
@@ -251,6 +260,20 @@
     return List.copyOf(racks);
   }
 
+  /** Pools whose lease names a node process as its holder. */
+  Map<String, String> poolsOfRealNodes() throws MalformedMessageException {
+    Map<String, String> pools = new LinkedHashMap<>();
+    for (TableRow row : platform.table().scan(new ScanRequest(LEASE_TABLE, "", MAX_LEASE_ROWS))) {
+      LeaseRecord lease = codec.decode(row.value(), LeaseRecord.class);
+      lease
+          .holder()
+          .map(NodeId::value)
+          .filter(holder -> holder.startsWith(REAL_NODE))
+          .ifPresent(holder -> pools.put(lease.pool().toString(), holder));
+    }
+    return pools;
+  }
+
   /** Addresses where the nodes of a region gossip. */
   List<NetworkAddress> gossipAddresses(String region) {
     return machines.values().stream()
@@ -266,19 +289,23 @@
   }
 
   /** Takes a rack's nodes off the platform's list. */
-  void unlist(Rack rack) {
+  synchronized void unlist(Rack rack) {
     rack.nodes().forEach(machines::remove);
     platform.setMachines(List.copyOf(machines.values()));
   }
 
   /** Starts one more node in a rack and lists it. */
   void add(Rack rack, String node) throws Exception {
-    startNode(rack, node).machines().forEach(machine -> machines.put(machine.id(), machine));
+    list(startNode(rack, node).machines());
+  }
+
+  private synchronized void list(List<Machine> started) {
+    started.forEach(machine -> machines.put(machine.id(), machine));
     platform.setMachines(List.copyOf(machines.values()));
   }
 
   /** Takes a node off the list. */
-  void unlist(String node) {
+  synchronized void unlist(String node) {
     machines.remove(node);
     platform.setMachines(List.copyOf(machines.values()));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -15,7 +15,7 @@
  * @param measurements measurements at rest, for the spread
  * @param placementsPerSecond placements asked for in the whole fleet while callers are played
  * @param reportInterval how often a leader reads its engines' load, as the setting's text
- * @param events whether failures are played afterwards
+ * @param events what is played afterwards
  */
 record ScalePlan(
     int nodes,
@@ -27,7 +27,12 @@
     int measurements,
     double placementsPerSecond,
     String reportInterval,
-    boolean events) {
+    List<ScaleEvent> events) {
+
+  /** A private copy of the events. */
+  ScalePlan {
+    events = List.copyOf(events);
+  }
 
   private static final int ZONES = 6;
   private static final int ZONES_PER_REGION = 2;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/VersionWatch.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/VersionWatch.java
@@ -33,6 +33,11 @@
     return new HollowMessages.InForce(copy);
   }
 
+  /** Drops what was noted of a node that stops, because it will not see later versions. */
+  synchronized void forget(String node) {
+    firstMillis.remove(node);
+  }
+
   @Override
   public void close() {
     closed = true;
