--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -7,12 +7,14 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.fallturn.core.admission.QuotaParameters;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.lease.LeaseParameters;
 import org.fallturn.core.placement.PlacementParameters;
 import org.fallturn.core.placement.PoolDigest;
 import org.fallturn.core.roles.KeepRoles;
+import org.fallturn.node.admission.AdmissionModule;
 import org.fallturn.node.callers.CallersModule;
 import org.fallturn.node.callers.CallersModuleSettings;
 import org.fallturn.node.configuration.ConfigurationModule;
@@ -34,6 +36,8 @@
 import org.fallturn.node.operators.ChangesTable;
 import org.fallturn.node.operators.FleetTables;
 import org.fallturn.node.operators.OperatorsModule;
+import org.fallturn.node.operators.PoolBoard;
+import org.fallturn.node.operators.PoolTables;
 import org.fallturn.node.operators.TableRegistry;
 import org.fallturn.node.placement.ClientParts;
 import org.fallturn.node.placement.DigestLeaderDirectory;
@@ -65,10 +69,12 @@
   private final PlacementParameters placementParameters = PlacementParameters.defaults();
   private MachineListModule machines;
   private ConfigurationModule configuration;
+  private final PoolBoard poolBoard = new PoolBoard();
   private TableRegistry tables;
   private LeaseModule leases;
   private PlacementModule leader;
   private PlacementClient placement;
+  private AdmissionModule admission;
   private CallersModule callers;
   private volatile CompletionStage<Void> leaving = CompletableFuture.completedFuture(null);
   private GossipModule gossip;
@@ -253,6 +259,14 @@
     leader.addRoutes(peerRouter);
     leader.start();
     leases.start();
+    new PoolTables(
+            plumbing.node(),
+            poolBoard,
+            () -> digests.digests().values(),
+            leases::authorities,
+            configuration,
+            System::nanoTime)
+        .register(tables);
   }
 
   private boolean hasLeft() {
@@ -267,7 +281,7 @@
         machines,
         configuration,
         leases,
-        pool -> new KeepRoles(),
+        poolBoard.listenTo(pool -> new KeepRoles()),
         this::publish,
         placementParameters,
         settings.placement());
@@ -295,11 +309,12 @@
                     settings.placement(),
                     plumbing.metrics())));
     placement.start();
+    startAdmission();
     callers =
         keep(
             new CallersModule(
                 placement,
-                new UnlimitedAdmission(),
+                admission,
                 configuration,
                 machines,
                 plumbing.client(),
@@ -309,6 +324,22 @@
     callers.start(plumbing.certificate());
   }
 
+  private void startAdmission() {
+    QuotaParameters parameters =
+        QuotaParameters.of(
+            settings.admission().shareDuration(), settings.admission().shareInterval());
+    admission =
+        keep(
+            new AdmissionModule(
+                plumbing.node(),
+                parameters,
+                new AdmissionModule.Sources(gossip.viewSupplier(), machines, configuration),
+                plumbing.client(),
+                plumbing.metrics()));
+    admission.addRoutes(peerRouter);
+    admission.start();
+  }
+
   private NetworkAddress advertisedPeerAddress() {
     return settings.identity().advertise(settings.peers().advertised(), peers.address());
   }
