--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
@@ -16,6 +16,7 @@
   private static final double FULL_PLACEMENTS = 4200;
   private static final int REAL_NODES = 3;
   private static final int REAL_ENGINES = 4;
+  private static final int CHANGES = 100;
   private static final long SETTLE_SECONDS = 25;
   private static final long MEASURE_SECONDS = 15;
   private static final int MEASUREMENTS = 2;
@@ -39,6 +40,11 @@
         .type(Double.class)
         .setDefault(FULL_PLACEMENTS)
         .help("asked for in a fleet of 370 nodes; smaller fleets get their share");
+    parser.addArgument("--real-nodes").type(Integer.class).setDefault(REAL_NODES);
+    parser.addArgument("--real-engines").type(Integer.class).setDefault(REAL_ENGINES);
+    parser.addArgument("--measure-seconds").type(Long.class).setDefault(MEASURE_SECONDS);
+    parser.addArgument("--measurements").type(Integer.class).setDefault(MEASUREMENTS);
+    parser.addArgument("--changes").type(Integer.class).setDefault(CHANGES);
     parser.addArgument("--settle-seconds").type(Long.class).setDefault(SETTLE_SECONDS);
     parser
         .addArgument("--report-interval")
@@ -62,14 +68,15 @@
         new ScalePlan(
             nodes,
             arguments.getInt("engines"),
-            REAL_NODES,
-            REAL_ENGINES,
+            arguments.getInt("real_nodes"),
+            arguments.getInt("real_engines"),
             arguments.getLong("settle_seconds"),
-            MEASURE_SECONDS,
-            events.isEmpty() ? MEASUREMENTS : 1,
+            arguments.getLong("measure_seconds"),
+            events.isEmpty() ? arguments.getInt("measurements") : 1,
             arguments.getDouble("placements_per_second") * nodes / FULL_NODES,
             arguments.getString("report_interval"),
-            events);
+            events,
+            arguments.getInt("changes"));
     Path logs = Path.of(arguments.getString("logs"));
     ScaleReport report = new ScaleExperiment(plan, System.out).run(logs);
     String file = arguments.getString("json");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
@@ -31,7 +31,6 @@
   private static final double NANOS_PER_SECOND = 1e9;
   private static final double NOT_REACHED = -1;
   private static final long LOOK_MILLIS = 250;
-  private static final int CHANGES = 100;
   private static final long CHANGE_INTERVAL_MILLIS = 600;
   private static final int REPLACED_SHARE = 10;
   private static final long RACK_LIMIT_SECONDS = 30;
@@ -47,17 +46,14 @@
 
   private final ScaleFleet fleet;
   private final double placementsPerSecond;
+  private final int changes;
   private final List<ScaleReport.Event> events = new ArrayList<>();
 
-  /**
-   * Plays nothing yet.
-   *
-   * @param placementsPerSecond asked for at each node at the peak; while events are played each
-   *     node asks for a tenth
-   */
-  ScaleEvents(ScaleFleet fleet, double placementsPerSecond) {
+  /** Plays nothing yet. While events are played each node asks for a tenth of the placements. */
+  ScaleEvents(ScaleFleet fleet, ScalePlan plan) {
     this.fleet = fleet;
-    this.placementsPerSecond = placementsPerSecond / PLACEMENT_SHARE;
+    this.changes = plan.changes();
+    this.placementsPerSecond = plan.placementsPerSecond() / plan.nodes() / PLACEMENT_SHARE;
   }
 
   List<ScaleReport.Event> play(List<ScaleEvent> chosen) throws Exception {
@@ -166,7 +162,7 @@
             committer.nodes().get(0), CHANGES_AT_ONCE, CHANGE_INTERVAL_MILLIS);
     Map<Long, Long> accepted = new TreeMap<>();
     int failed = 0;
-    for (int done = 0; done < CHANGES; done += CHANGES_AT_ONCE) {
+    for (int done = 0; done < changes; done += CHANGES_AT_ONCE) {
       Committed part = fleet.ask(committer, "/commit", commit, Committed.class);
       accepted.putAll(part.acceptedMillis());
       failed += part.failed();
@@ -186,7 +182,7 @@
   private int replaceATenth() throws Exception {
     List<Rack> racks = fleet.racks().subList(1, fleet.racks().size());
     int total = racks.stream().mapToInt(rack -> rack.nodes().size()).sum() / REPLACED_SHARE;
-    long pace = CHANGES * CHANGE_INTERVAL_MILLIS / Math.max(1, total);
+    long pace = changes * CHANGE_INTERVAL_MILLIS / Math.max(1, total);
     List<CompletableFuture<Boolean>> replacing = new ArrayList<>();
     for (int index = 0; index < total; index++) {
       Rack rack = racks.get(index % racks.size());
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleExperiment.java
@@ -39,8 +39,7 @@
       List<ScaleReport.Measurement> rest = measureRest(fleet);
       List<ScaleReport.Measurement> placements =
           plan.events().isEmpty() ? measurePlacements(fleet) : List.of();
-      List<ScaleReport.Event> events =
-          new ScaleEvents(fleet, plan.placementsPerSecond() / plan.nodes()).play(plan.events());
+      List<ScaleReport.Event> events = new ScaleEvents(fleet, plan).play(plan.events());
       return new ScaleReport(
           startedAt,
           plan.nodes(),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -16,6 +16,7 @@
  * @param placementsPerSecond placements asked for in the whole fleet while callers are played
  * @param reportInterval how often a leader reads its engines' load, as the setting's text
  * @param events what is played afterwards
+ * @param changes configuration changes of {@link ScaleEvent#CHANGES}
  */
 record ScalePlan(
     int nodes,
@@ -27,7 +28,8 @@
     int measurements,
     double placementsPerSecond,
     String reportInterval,
-    List<ScaleEvent> events) {
+    List<ScaleEvent> events,
+    int changes) {
 
   /** A private copy of the events. */
   ScalePlan {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleTables.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleTables.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -164,7 +165,7 @@
 
   private void perSecond(String title, Function<Measurement, Map<String, Double>> figure) {
     heading(title);
-    Map<String, Map<Integer, Double>> table = new TreeMap<>();
+    Map<String, Map<ScaleReport, Double>> table = new TreeMap<>();
     for (ScaleReport report : reports) {
       for (Measurement rest : report.rest()) {
         figure
@@ -172,22 +173,21 @@
             .forEach(
                 (kind, rate) ->
                     table
-                        .computeIfAbsent(kind, ignored -> new TreeMap<>())
-                        .merge(report.nodes(), rate / report.rest().size(), Double::sum));
+                        .computeIfAbsent(kind, ignored -> new HashMap<>())
+                        .merge(report, rate / report.rest().size(), Double::sum));
       }
     }
-    List<Integer> sizes = reports.stream().map(ScaleReport::nodes).distinct().toList();
     StringBuilder head = new StringBuilder("| kind |");
-    sizes.forEach(size -> head.append(" ").append(size).append(" nodes |"));
+    reports.forEach(report -> head.append(" ").append(report.nodes()).append(" nodes |"));
     line(head.toString());
-    line("| --- |" + " --- |".repeat(sizes.size()));
+    line("| --- |" + " --- |".repeat(reports.size()));
     table.forEach(
-        (kind, bySize) -> {
+        (kind, byReport) -> {
           StringBuilder row = new StringBuilder("| " + kind + " |");
-          sizes.forEach(
-              size ->
+          reports.forEach(
+              report ->
                   row.append(
-                      String.format(Locale.ROOT, " %.2f |", bySize.getOrDefault(size, 0.0))));
+                      String.format(Locale.ROOT, " %.2f |", byReport.getOrDefault(report, 0.0))));
           line(row.toString());
         });
   }
