--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -298,9 +299,12 @@
                 0,
                 ""));
     int lowest = before;
+    LongSummaryStatistics led = new LongSummaryStatistics();
     long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(STORE_DOWN_SECONDS);
     while (System.nanoTime() < end) {
-      lowest = Math.min(lowest, poolsLed().size());
+      int now = poolsLed().size();
+      lowest = Math.min(lowest, now);
+      led.accept(now);
       TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
     }
     fleet.platform().setFaults(PlatformFaults.NONE);
@@ -309,6 +313,7 @@
     figures.put("seconds down", (double) STORE_DOWN_SECONDS);
     figures.put("pools with a valid lease before", (double) before);
     figures.put("lowest number of pools with a valid lease meanwhile", (double) lowest);
+    figures.put("mean number of pools with a valid lease meanwhile", led.getAverage());
     figures.put("all pools led again after s", back);
     return figures;
   }
