--- a/fallturn-core/src/main/java/org/fallturn/core/placement/DemandWindow.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/DemandWindow.java
@@ -6,6 +6,8 @@
   int arrivedRequests;
   long arrivedPromptTokens;
   long arrivedOutputTokens;
+  long placedPromptTokens;
+  long placedOutputTokens;
   int refusedRequests;
   int completedRequests;
   int expiredRequests;
@@ -19,4 +21,9 @@
     arrivedPromptTokens += promptTokens;
     arrivedOutputTokens += outputTokens;
   }
+
+  void placed(int promptTokens, int outputTokens) {
+    placedPromptTokens += promptTokens;
+    placedOutputTokens += outputTokens;
+  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolObserver.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolObserver.java
@@ -44,6 +44,8 @@
         past.arrivedRequests,
         past.arrivedPromptTokens,
         past.arrivedOutputTokens,
+        past.placedPromptTokens,
+        past.placedOutputTokens,
         past.refusedRequests,
         past.completedRequests,
         past.expiredRequests,
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -339,6 +339,7 @@
     queue.removeServed(
         queued, costs.engineSeconds(choice.uncachedTokens(), request.expectedOutputTokens()));
     inFlight.add(placed, nowNanos);
+    observer.window().placed(choice.uncachedTokens(), request.expectedOutputTokens());
     prefixes.expect(choice.prefill().orElse(choice.decode()).engine, request.prefixHashes());
     decide(request, answer);
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/EngineTimeEstimator.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/EngineTimeEstimator.java
@@ -5,7 +5,7 @@
 
 /**
  * Measures how much engine time a token takes in each role: the time engines were busy over the
- * tokens that left the queue. Unlike the leader's fits, which follow the lengths of the last few
+ * tokens placed on them. Unlike the leader's fits, which follow the lengths of the last few
  * requests, this includes whatever keeps an engine busy, and it is right just where it matters,
  * near saturation. While decode engines have room the leader's rate of a full batch stands in,
  * because a stream in a small batch is quicker. Used by one thread.
@@ -18,8 +18,6 @@
   private final double memorySeconds;
   private final Ratio prefill = new Ratio();
   private final Ratio decode = new Ratio();
-  private long queuedPromptTokens;
-  private long queuedOutputTokens;
   private boolean isPrimed;
 
   EngineTimeEstimator(double memorySeconds) {
@@ -35,17 +33,8 @@
       decode.prime(rates.decodeTokensPerSecond());
     }
     double kept = Math.exp(-seconds / memorySeconds);
-    double accepted = acceptedShare(observation);
-    long queuedPrompt = observation.queuedPromptTokens();
-    long queuedOutput = observation.queuedOutputTokens();
-    double prompt =
-        accepted * observation.arrivedPromptTokens() + queuedPromptTokens - queuedPrompt;
-    double output =
-        accepted * observation.arrivedOutputTokens() + queuedOutputTokens - queuedOutput;
-    queuedPromptTokens = queuedPrompt;
-    queuedOutputTokens = queuedOutput;
-    prefill.add(kept, busyPrefillEngines(observation) * seconds, prompt);
-    addDecode(observation, kept, seconds, output);
+    prefill.add(kept, busyPrefillEngines(observation) * seconds, observation.placedPromptTokens());
+    addDecode(observation, kept, seconds, observation.placedOutputTokens());
   }
 
   private void addDecode(PoolObservation observation, double kept, double seconds, double output) {
@@ -66,11 +55,6 @@
     }
   }
 
-  private static double acceptedShare(PoolObservation observation) {
-    int arrived = observation.arrivedRequests();
-    return arrived == 0 ? 1 : Math.max(0, 1 - (double) observation.refusedRequests() / arrived);
-  }
-
   private static double busyPrefillEngines(PoolObservation observation) {
     return observation.engines().stream()
         .filter(engine -> isServing(engine, EngineRole.PREFILL))
@@ -101,10 +85,9 @@
     }
 
     void add(double kept, double addedSeconds, double addedTokens) {
-      double nextTokens = kept * tokens + addedTokens;
-      if (nextTokens > 0 && addedSeconds > 0) {
+      if (addedTokens > 0) {
         engineSeconds = kept * engineSeconds + addedSeconds;
-        tokens = nextTokens;
+        tokens = kept * tokens + addedTokens;
       }
     }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/PoolObservation.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/PoolObservation.java
@@ -12,6 +12,9 @@
  * @param arrivedRequests requests that asked for a placement within the window, refused ones too
  * @param arrivedPromptTokens their prompt tokens, without what the prefix cache saves
  * @param arrivedOutputTokens estimate of their output tokens
+ * @param placedPromptTokens prompt tokens of the requests placed within the window, without what
+ *     the prefix cache saves
+ * @param placedOutputTokens estimate of the output tokens of the requests placed
  * @param refusedRequests requests refused for want of capacity within the window
  * @param completedRequests requests completed within the window
  * @param expiredRequests requests whose deadline passed after they were placed, within the window
@@ -26,6 +29,8 @@
     int arrivedRequests,
     long arrivedPromptTokens,
     long arrivedOutputTokens,
+    long placedPromptTokens,
+    long placedOutputTokens,
     int refusedRequests,
     int completedRequests,
     int expiredRequests,
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/PredictiveRolePolicy.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/PredictiveRolePolicy.java
@@ -7,12 +7,17 @@
  * Moves engines between roles when the requests it expects to bring into time over a horizon
  * outweigh what the move costs: the engines' time away and the operators' weight on each change.
  *
- * <p>It acts on arrivals, so it moves before queues build. Floors and the bound on engines that
+ * <p>It acts on arrivals, so it moves before queues build. A move is not undone at once unless
+ * arrivals have shifted since, so it does not follow noise. Floors and the bound on engines that
  * change at once hold for whatever it is shown. Used by one thread.
  */
 public final class PredictiveRolePolicy implements RolePolicy {
+  private static final double NANOS_PER_SECOND = 1e9;
+
   private final RolePolicyParameters parameters;
   private final DemandEstimator estimator;
+  private int lastDirection;
+  private long lastChangeNanos;
 
   /** A policy that has seen nothing yet. */
   public PredictiveRolePolicy(RolePolicyParameters parameters) {
@@ -25,7 +30,23 @@
     Demand demand = estimator.observe(observation);
     RoleCounts counts = RoleCounts.of(observation.engines());
     int target = targetPrefill(demand, counts, policy);
-    return RoleMoves.towards(target, observation.engines(), counts, policy);
+    if (isEarlyReversal(target - counts.prefill(), observation.observedAtNanos())) {
+      return List.of();
+    }
+    List<RoleChange> changes = RoleMoves.towards(target, observation.engines(), counts, policy);
+    if (!changes.isEmpty()) {
+      lastDirection = Integer.signum(target - counts.prefill());
+      lastChangeNanos = observation.observedAtNanos();
+    }
+    return changes;
+  }
+
+  /** Undoing a change before its effect shows would only follow noise. */
+  private boolean isEarlyReversal(int difference, long nowNanos) {
+    boolean isReversal = lastDirection != 0 && Integer.signum(difference) == -lastDirection;
+    double since = (nowNanos - lastChangeNanos) / NANOS_PER_SECOND;
+    boolean isSteadyMix = estimator.lastShiftNanos() <= lastChangeNanos;
+    return isReversal && isSteadyMix && since < parameters.reversalSeconds();
   }
 
   private int targetPrefill(Demand demand, RoleCounts counts, PoolPolicyRecord policy) {
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
@@ -11,6 +11,10 @@
  * @param urgentDrainSeconds time in which waiting requests above batch should be worked off
  * @param batchDrainSeconds time in which waiting batch requests should be worked off
  * @param rateMemorySeconds time constant of the measured engine time a token
+ * @param utilizationMemorySeconds time constant of the engines' utilization
+ * @param saturationGrowth how much more a saturated role is taken to need than it has, while the
+ *     other role idles
+ * @param reversalSeconds time for which a move is not undone unless arrivals shift
  * @param fullServiceHeadroom capacity over demand from which on all requests are in time
  * @param leastGainShare gain, as a share of the requests in the horizon, below which the pool is
  *     left alone whatever the price
@@ -24,11 +28,14 @@
     double urgentDrainSeconds,
     double batchDrainSeconds,
     double rateMemorySeconds,
+    double utilizationMemorySeconds,
+    double saturationGrowth,
+    double reversalSeconds,
     double fullServiceHeadroom,
     double leastGainShare) {
   /** Values that the experiments in the documentation led to. */
   public static final RolePolicyParameters DEFAULT =
-      new RolePolicyParameters(20, 3, 3, 60, 10, 5, 45, 30, 1.15, 0.02);
+      new RolePolicyParameters(20, 3, 3, 60, 14, 5, 45, 30, 6, 1.2, 40, 1.15, 0.02);
 
   /** Rejects times that are not positive. */
   public RolePolicyParameters {
@@ -39,7 +46,8 @@
             && changeSeconds >= 0
             && urgentDrainSeconds > 0
             && batchDrainSeconds > 0
-            && rateMemorySeconds > 0;
+            && rateMemorySeconds > 0
+            && utilizationMemorySeconds > 0;
     if (!positive || shiftDeviations < 0 || fullServiceHeadroom < 1 || leastGainShare < 0) {
       throw new IllegalArgumentException("role policy parameters out of range: " + this);
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/roles/ShiftingEstimate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/ShiftingEstimate.java
@@ -22,8 +22,8 @@
     this.deviations = deviations;
   }
 
-  /** Takes in the rate seen over a window. */
-  void add(double rate, double windowSeconds) {
+  /** Takes in the rate seen over a window; true when it shows a shift. */
+  boolean add(double rate, double windowSeconds) {
     if (observedSeconds == 0) {
       slow = rate;
       quick = rate;
@@ -35,10 +35,12 @@
     sampleVariance += slowShare * (difference * difference - sampleVariance);
     slow += slowShare * (rate - slow);
     quick += share(windowSeconds, shiftSeconds) * (rate - quick);
-    if (isShift(windowSeconds)) {
+    boolean isShift = isShift(windowSeconds);
+    if (isShift) {
       slow = quick;
       observedSeconds = Math.max(shiftSeconds, windowSeconds);
     }
+    return isShift;
   }
 
   /** The rate expected now. */
--- a/fallturn-core/src/test/java/org/fallturn/core/roles/PredictiveRolePolicyTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/roles/PredictiveRolePolicyTest.java
@@ -156,6 +156,8 @@
         random.nextInt(200),
         random.nextInt(400_000),
         random.nextInt(40_000),
+        random.nextInt(400_000),
+        random.nextInt(40_000),
         random.nextInt(50),
         random.nextInt(100),
         random.nextInt(10),
@@ -179,13 +181,30 @@
       this.prefill = prefill;
     }
 
+    /** As many prefill engines are busy as the prompts need. */
+    private static boolean isBusy(int index, Arrivals arrivals) {
+      return index < Math.round(arrivals.promptTokens() / RATES.prefillTokensPerSecond());
+    }
+
+    /** The decode engines share the streams that the answers keep in progress. */
+    private int streamsPerEngine(Arrivals arrivals) {
+      double needed = arrivals.outputTokens() / RATES.decodeTokensPerSecond();
+      double share = Math.min(1, needed / (ENGINES - prefill));
+      return (int) Math.round(share * RATES.decodeSlots());
+    }
+
     int step(Arrivals arrivals, double weight) {
       List<EngineObservation> engines = new ArrayList<>();
       for (int index = 0; index < ENGINES; index++) {
         EngineRole role = index < prefill ? EngineRole.PREFILL : EngineRole.DECODE;
         engines.add(
             new EngineObservation(
-                new EngineId("e" + index), role, Availability.SERVING, 30, 1_000, 3_000));
+                new EngineId("e" + index),
+                role,
+                Availability.SERVING,
+                role == EngineRole.DECODE ? streamsPerEngine(arrivals) : 1,
+                isBusy(index, arrivals) ? 1_000 : 0,
+                3_000));
       }
       PoolObservation observation =
           new PoolObservation(
@@ -195,6 +214,8 @@
               arrivals.requests(),
               arrivals.promptTokens(),
               arrivals.outputTokens(),
+              arrivals.promptTokens(),
+              arrivals.outputTokens(),
               0,
               arrivals.requests(),
               0,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OracleSearch.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OracleSearch.java
@@ -23,7 +23,7 @@
 final class OracleSearch {
   private static final double[] PRICE_FACTORS = {1, 4};
   private static final double LEAST_PRICE = 15;
-  private static final int IMPROVEMENTS = 14;
+  private static final int IMPROVEMENTS = 10;
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
   private static final long SHORT_SHIFT = 4 * NANOS_PER_SECOND;
   private static final long LONG_SHIFT = 10 * NANOS_PER_SECOND;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleReport.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RoleReport.java
@@ -38,6 +38,11 @@
     return summaries;
   }
 
+  /** The workloads played, each once. */
+  List<String> workloads() {
+    return summaries.stream().map(RoleSummary::workload).distinct().toList();
+  }
+
   private static double mean(
       List<Map<Contender, SimulationResult>> runs,
       Contender contender,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RolesExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/RolesExperiment.java
@@ -38,16 +38,22 @@
     List<String> missed = new ArrayList<>();
     ExecutorService runners = Executors.newFixedThreadPool(options.threads());
     try {
+      List<ShiftRuns> submitted = new ArrayList<>();
       for (String name : names) {
         Workload workload = workload(name);
         for (MixShift shift : chosenShifts(workload, options)) {
-          missed.addAll(playShift(workload, shift, options, runners, report, output));
+          submitted.add(submit(workload, shift, options, runners));
         }
-        RolePlots.goodputAgainstChanges(options.output(), workload.name(), report.summaries());
+      }
+      for (ShiftRuns runs : submitted) {
+        missed.addAll(collect(runs, options, report, output));
       }
     } finally {
       runners.shutdownNow();
     }
+    for (String workload : report.workloads()) {
+      RolePlots.goodputAgainstChanges(options.output(), workload, report.summaries());
+    }
     String text = report.text() + "\n" + verdict(missed);
     Files.writeString(options.output().resolve("roles.txt"), text);
     Files.write(options.output().resolve("roles.json"), new JsonCodec().encode(report.summaries()));
@@ -66,28 +72,31 @@
         .toList();
   }
 
-  private static List<String> playShift(
-      Workload workload,
-      MixShift shift,
-      ExperimentOptions options,
-      ExecutorService runners,
-      RoleReport report,
-      PrintStream output)
-      throws InterruptedException, ExecutionException, IOException {
+  private static ShiftRuns submit(
+      Workload workload, MixShift shift, ExperimentOptions options, ExecutorService runners) {
     List<Future<Map<Contender, SimulationResult>>> pending = new ArrayList<>();
     for (int index = 0; index < options.seeds(); index++) {
       long seed = options.firstSeed() + index;
       RoleCase roleCase = new RoleCase(workload, shift, seed, SimulationSettings.DEFAULT);
       pending.add(runners.submit(() -> RoleContest.play(roleCase)));
     }
+    return new ShiftRuns(workload, shift, pending);
+  }
+
+  private static List<String> collect(
+      ShiftRuns submitted, ExperimentOptions options, RoleReport report, PrintStream output)
+      throws InterruptedException, ExecutionException, IOException {
+    Workload workload = submitted.workload();
+    MixShift shift = submitted.shift();
     List<Map<Contender, SimulationResult>> runs = new ArrayList<>();
-    for (Future<Map<Contender, SimulationResult>> run : pending) {
+    for (Future<Map<Contender, SimulationResult>> run : submitted.pending()) {
       runs.add(run.get());
     }
     report.add(workload.name(), shift.name(), runs);
     output.println("roles: Played " + workload.name() + " " + shift.name() + ".");
     String name = workload.name() + "-" + shift.name();
     RolePlots.overTime(options.output(), name, runs.get(0));
+    Files.writeString(options.output().resolve("roles.txt"), report.text());
     int contenders = Contender.values().length;
     List<RoleSummary> all = report.summaries();
     boolean weighsChanges = workload.deployment().roleChangeWeight() > 0;
@@ -100,4 +109,7 @@
     }
     return "Targets missed:\n  " + String.join("\n  ", missed) + "\n";
   }
+
+  private record ShiftRuns(
+      Workload workload, MixShift shift, List<Future<Map<Contender, SimulationResult>>> pending) {}
 }
