Let a pool's leader decide roles by the predictive policy

Until now a node kept the roles it found. The operators' table test gives the observation its two new counts; what it checks is unchanged.

--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -13,7 +13,8 @@
 import org.fallturn.core.lease.LeaseParameters;
 import org.fallturn.core.placement.PlacementParameters;
 import org.fallturn.core.placement.PoolDigest;
-import org.fallturn.core.roles.KeepRoles;
+import org.fallturn.core.roles.PredictiveRolePolicy;
+import org.fallturn.core.roles.RolePolicyParameters;
 import org.fallturn.node.admission.AdmissionModule;
 import org.fallturn.node.callers.CallersModule;
 import org.fallturn.node.callers.CallersModuleSettings;
@@ -281,7 +282,7 @@
         machines,
         configuration,
         leases,
-        poolBoard.listenTo(pool -> new KeepRoles()),
+        poolBoard.listenTo(pool -> new PredictiveRolePolicy(RolePolicyParameters.DEFAULT)),
         this::publish,
         placementParameters,
         settings.placement());
--- a/fallturn-node/src/test/java/org/fallturn/node/operators/PoolTablesTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/operators/PoolTablesTest.java
@@ -94,6 +94,8 @@
             0,
             0,
             0,
+            0,
+            0,
             List.of(new UrgencyObservation(Urgency.HIGH, 4, 10, 20, 300)),
             List.of(seen),
             null);
