--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -75,7 +75,9 @@
     command.addAll(arguments);
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.redirectError(ProcessBuilder.Redirect.appendTo(logFile.toFile()));
-    ManagedProcess managed = new ManagedProcess(name, logFile, builder.start());
+    Process process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    ManagedProcess managed = new ManagedProcess(name, logFile, process);
     Thread reader = new Thread(managed::readOutput, "output-" + name);
     reader.setDaemon(true);
     reader.start();
