Count listed nodes that gossip does not know when a change comes into force

An integration test got 'in force on 1 of 1 nodes' from a fleet of three: members were counted alone, and gossip had not met yet. Live nodes of the zone that only the machine list names are asked now; one that does not answer is a laggard.

--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/InForceCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/InForceCheck.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.fallturn.core.domain.NetworkAddress;
@@ -13,7 +14,8 @@
 
 /**
  * Counts the nodes that have a version in force. Each zone is counted by one of its own nodes: from
- * its membership view, and by asking those members whose version in the view is still older.
+ * its membership view, and by asking those members whose version in the view is still older and
+ * those nodes that only the machine list knows; of these, one that does not answer is a laggard.
  * Thread-safe; nothing blocks.
  */
 final class InForceCheck {
@@ -37,17 +39,16 @@
   /** Counts the own zone. */
   CompletionStage<PeerMessages.ZoneStatus> countZone(long version) {
     List<String> laggards = new ArrayList<>();
-    List<Member> behind = new ArrayList<>();
-    Map<?, Member> others = nodes.othersInZone();
+    Map<String, NetworkAddress> behind = new TreeMap<>(nodes.listedStrangersInZone());
+    int total = nodes.zone().size() + behind.size();
     if (applied.image().version() < version) {
       laggards.add(nodes.self().node().value());
     }
-    for (Member member : others.values()) {
+    for (Member member : nodes.othersInZone().values()) {
       if (member.configurationVersion() < version) {
-        behind.add(member);
+        behind.put(member.node().value(), member.peerAddress());
       }
     }
-    int total = others.size() + 1;
     return askDirectly(behind, version)
         .thenApply(
             stillBehind -> {
@@ -90,34 +91,28 @@
         .thenCompose(next -> next);
   }
 
-  private CompletableFuture<List<String>> askDirectly(List<Member> behind, long version) {
-    List<CompletableFuture<Boolean>> answers = new ArrayList<>();
-    for (Member member : behind) {
-      answers.add(
-          answers.size() < MAX_ASKED_DIRECTLY
-              ? hasVersion(member, version)
-              : CompletableFuture.completedFuture(false));
-    }
-    return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+  private CompletableFuture<List<String>> askDirectly(
+      Map<String, NetworkAddress> behind, long version) {
+    Map<String, CompletableFuture<Boolean>> answers = new TreeMap<>();
+    behind.forEach(
+        (node, address) ->
+            answers.put(
+                node,
+                answers.size() < MAX_ASKED_DIRECTLY
+                    ? hasVersion(address, version)
+                    : CompletableFuture.completedFuture(false)));
+    return CompletableFuture.allOf(answers.values().toArray(CompletableFuture[]::new))
         .thenApply(
-            done -> {
-              List<String> laggards = new ArrayList<>();
-              for (int index = 0; index < answers.size(); index++) {
-                if (!answers.get(index).join()) {
-                  laggards.add(behind.get(index).node().value());
-                }
-              }
-              return laggards;
-            });
+            done ->
+                answers.entrySet().stream()
+                    .filter(entry -> !entry.getValue().join())
+                    .map(Map.Entry::getKey)
+                    .toList());
   }
 
-  private CompletableFuture<Boolean> hasVersion(Member member, long version) {
+  private CompletableFuture<Boolean> hasVersion(NetworkAddress address, long version) {
     return client
-        .get(
-            member.peerAddress(),
-            PeerMessages.VERSION_PATH,
-            PeerMessages.Version.class,
-            callTimeout)
+        .get(address, PeerMessages.VERSION_PATH, PeerMessages.Version.class, callTimeout)
         .handle((answer, failure) -> failure == null && answer.version() >= version);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/configuration/ZoneNodes.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/configuration/ZoneNodes.java
@@ -52,6 +52,22 @@
     return others;
   }
 
+  /**
+   * Live nodes of the own zone that the machine list names and gossip does not: just started, just
+   * gone, or cut off. Peer addresses by id.
+   */
+  public Map<String, NetworkAddress> listedStrangersInZone() {
+    Set<NodeId> known = zone();
+    Map<String, NetworkAddress> strangers = new TreeMap<>();
+    for (Machine machine : listedNodes()) {
+      boolean live = machine.state() == Machine.State.LIVE;
+      if (live && machine.zone().equals(self.zone()) && !known.contains(new NodeId(machine.id()))) {
+        strangers.put(machine.id(), machine.address());
+      }
+    }
+    return strangers;
+  }
+
   /** Ids of the own zone's nodes that are not dead, the node itself included. */
   public Set<NodeId> zone() {
     Set<NodeId> nodes = new LinkedHashSet<>(othersInZone().keySet());
--- a/fallturn-node/src/test/java/org/fallturn/node/configuration/ConfigurationModuleTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/configuration/ConfigurationModuleTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -17,9 +18,13 @@
 import org.fallturn.core.configuration.ProposedChange;
 import org.fallturn.core.configuration.TenantRecord;
 import org.fallturn.core.domain.NodeId;
+import org.fallturn.core.domain.RegionName;
 import org.fallturn.core.domain.TenantName;
+import org.fallturn.core.domain.ZoneName;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.port.machines.Machine;
+import org.fallturn.core.port.machines.MachineList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -63,6 +68,32 @@
     assertThat(behind.module().version()).isZero();
   }
 
+  @Test
+  void nodeThatOnlyMachineListKnowsIsCountedAndNamed() throws Exception {
+    TestNode first = start("node-0", "lakua");
+    TestNode cutOff = new TestNode("node-1", "lakua", fleet, table);
+    cutOff.setCutOff(true);
+    first.setMachines(
+        new MachineList(
+            1,
+            List.of(
+                new Machine(
+                    "node-1",
+                    Machine.Kind.NODE,
+                    new RegionName("alava"),
+                    new ZoneName("lakua"),
+                    cutOff.nodes().self().peerAddress(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Machine.State.LIVE))));
+
+    put(first, "alava");
+
+    assertThat(report(first, 1).nodes()).isEqualTo(2);
+    assertThat(report(first, 1).laggards()).containsExactly("node-1");
+  }
+
   @Test
   void nodeThatStartsDuringStoreOutageGetsItFromPeers() throws Exception {
     TestNode first = start("node-0", "lakua");
--- a/fallturn-node/src/test/java/org/fallturn/node/configuration/TestNode.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/configuration/TestNode.java
@@ -31,6 +31,7 @@
   private final ZoneNodes nodes;
   private final ConfigurationModule module;
   private volatile boolean cutOff;
+  private volatile MachineList machines = new MachineList(1, List.of());
 
   /** Joins a fleet. */
   public TestNode(String name, String zone, Map<NodeId, TestNode> fleet, InMemoryTable table)
@@ -41,7 +42,7 @@
     self = new LocalNode(new NodeId(name), new ZoneName(zone), listener.address());
     ConfigurationOptions options =
         new ConfigurationOptions(Duration.ofMillis(50), Duration.ofSeconds(2), 3);
-    nodes = new ZoneNodes(self, this::view, () -> new MachineList(1, List.of()));
+    nodes = new ZoneNodes(self, this::view, () -> machines);
     module = new ConfigurationModule(options, nodes, table, table, client, codec);
     module.addRoutes(router);
     fleet.put(self.node(), this);
@@ -77,6 +78,11 @@
     return codec;
   }
 
+  /** The machine list as this node reads it. */
+  public void setMachines(MachineList list) {
+    machines = list;
+  }
+
   /** Takes the node out of everybody's view, and everybody out of its own. */
   public void setCutOff(boolean isCutOff) {
     cutOff = isCutOff;
