--- a/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/CallersModule.java
@@ -92,6 +92,7 @@
             codec);
     this.router = new HttpRouter(codec);
     addRoutes();
+    registry.gauge("fallturn.requests.in.flight", this, CallersModule::inFlight);
   }
 
   private void addRoutes() {
--- a/fallturn-node/src/main/java/org/fallturn/node/callers/ModelExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/ModelExchange.java
@@ -28,7 +28,7 @@
 final class ModelExchange implements InFlightRequests.TimedRequest, StreamedAnswer.Listener {
 
   private static final long NOT_WAITING = Long.MAX_VALUE;
-  private static final Duration MIN_STALL_TIMEOUT = Duration.ofMillis(500);
+  private static final long MIN_STALL_NANOS = Duration.ofMillis(500).toNanos();
 
   private final CallerServices services;
   private final RequestSpec spec;
@@ -168,7 +168,8 @@
 
   private void sendPrefill(RequestAction.SendPrefill send) {
     int attempt = send.attempt();
-    Duration timeout = shorterOf(services.settings().prefillTimeout());
+    Duration timeout =
+        Duration.ofNanos(boundedNanos(services.settings().prefillTimeout(), System.nanoTime()));
     prefill = services.engines().prefill(send.target(), send.request(), timeout);
     prefill
         .answer()
@@ -246,7 +247,8 @@
   }
 
   private void waitForEngine() {
-    stallAtNanos = System.nanoTime() + shorterOf(services.settings().stallTimeout()).toNanos();
+    long nowNanos = System.nanoTime();
+    stallAtNanos = nowNanos + boundedNanos(services.settings().stallTimeout(), nowNanos);
   }
 
   private void onStall() {
@@ -259,10 +261,9 @@
   }
 
   /** The timeout, or half the time left if that is less, so that another attempt has a chance. */
-  private Duration shorterOf(Duration timeout) {
-    Duration half = Duration.ofNanos(Math.max(0, deadlineNanos - System.nanoTime()) / 2);
-    Duration shorter = half.compareTo(timeout) < 0 ? half : timeout;
-    return shorter.compareTo(MIN_STALL_TIMEOUT) < 0 ? MIN_STALL_TIMEOUT : shorter;
+  private long boundedNanos(Duration timeout, long nowNanos) {
+    long half = Math.max(0, deadlineNanos - nowNanos) / 2;
+    return Math.max(MIN_STALL_NANOS, Math.min(timeout.toNanos(), half));
   }
 
   /** Passes one attempt's stream on to the state machine. */
--- a/fallturn-node/src/main/java/org/fallturn/node/json/JsonCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/json/JsonCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
@@ -19,6 +20,15 @@
 
   private final ObjectMapper mapper;
 
+  /** A reader for each type of message, so that its deserializer is looked up once. */
+  private final ClassValue<ObjectReader> readers =
+      new ClassValue<>() {
+        @Override
+        protected ObjectReader computeValue(Class<?> type) {
+          return mapper.readerFor(type);
+        }
+      };
+
   /** A codec with fallturn's fixed settings. */
   public JsonCodec() {
     mapper =
@@ -61,7 +71,7 @@
   /** Reads a message from UTF-8 bytes. */
   public <T> T decode(byte[] bytes, Class<T> type) throws MalformedMessageException {
     try {
-      return requirePresent(mapper.readValue(bytes, type), type);
+      return requirePresent(readers.get(type).<T>readValue(bytes), type);
     } catch (IOException | IllegalArgumentException e) {
       throw malformed(type, e);
     }
@@ -71,7 +81,7 @@
   public <T> T decode(byte[] bytes, int offset, int length, Class<T> type)
       throws MalformedMessageException {
     try {
-      return requirePresent(mapper.readValue(bytes, offset, length, type), type);
+      return requirePresent(readers.get(type).<T>readValue(bytes, offset, length), type);
     } catch (IOException | IllegalArgumentException e) {
       throw malformed(type, e);
     }
@@ -80,7 +90,7 @@
   /** Reads a message from text. */
   public <T> T decode(String text, Class<T> type) throws MalformedMessageException {
     try {
-      return requirePresent(mapper.readValue(text, type), type);
+      return requirePresent(readers.get(type).<T>readValue(text), type);
     } catch (IOException | IllegalArgumentException e) {
       throw malformed(type, e);
     }
