--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -28,6 +28,7 @@
   private static final long MIN_RETRY_MILLIS = 200;
   private static final long MAX_RETRY_MILLIS = 30_000;
   private static final int MAX_SET_ASIDE = 64;
+  private static final long DEADLINE_SLACK_NANOS = 50 * NANOS_PER_MILLI;
 
   private final PoolId pool;
   private final Epoch epoch;
@@ -40,6 +41,7 @@
   private final EngineChooser chooser;
   private final EngineFollower follower;
   private final WaitEstimator waits;
+  private final StretchEstimate stretch = new StretchEstimate();
   private final PoolObserver observer;
   private final Set<EngineId> doubted = new HashSet<>();
   private List<PlacementDecision> decisions = new ArrayList<>();
@@ -155,16 +157,12 @@
   private void enqueue(PlacementRequest request, int uncachedTokens, long nowNanos) {
     double least = chooser.leastSeconds(request, uncachedTokens);
     double wait = waits.waitSeconds(request);
-    double predicted = costs.isCalibrated() ? parameters.estimateFactor() * least : 0;
+    double predicted = cautious(request, least);
     double predictedWait = costs.isCalibrated() ? parameters.estimateFactor() * wait : 0;
     long deadline = nowNanos + request.deadlineMillis() * NANOS_PER_MILLI;
     long latestStart = deadline - (long) (predicted * NANOS_PER_SECOND);
     if (latestStart < nowNanos + (long) (predictedWait * NANOS_PER_SECOND)) {
-      refuse(
-          request,
-          ErrorKind.DEADLINE_UNREACHABLE,
-          "the pool cannot finish the request before its deadline",
-          (long) (wait * MILLIS_PER_SECOND));
+      refuseLate(request, (long) (wait * MILLIS_PER_SECOND));
       return;
     }
     if (queue.size() >= parameters.maxQueued() && !makeRoomFor(request)) {
@@ -199,7 +197,7 @@
     switch (progress.stage()) {
       case PREFILLED -> onPrefilled(placed, nowNanos);
       case COMPLETED -> onCompleted(placed, progress.generatedTokens(), nowNanos);
-      case ABANDONED -> inFlight.release(placed, nowNanos);
+      case ABANDONED -> onAbandoned(placed, nowNanos);
       case PREFILL_FAILED -> onFailed(placed, placed.choice.prefill(), nowNanos);
       case DECODE_FAILED -> onFailed(placed, Optional.of(placed.choice.decode()), nowNanos);
       default -> throw new IllegalArgumentException("unknown stage " + progress.stage());
@@ -236,6 +234,7 @@
 
   private void onCompleted(PlacedRequest placed, int generatedTokens, long nowNanos) {
     observer.window().completedRequests++;
+    learn(placed, nowNanos);
     boolean measurable = placed.prefill.isEmpty();
     EngineSlot decode = placed.choice.decode();
     double meanBatch = (placed.batchAtStart + decode.decodeLoad()) / 2.0;
@@ -252,6 +251,25 @@
         .correctCost(placed.request.tenant(), placed.request.shareWeight(), extraCost);
   }
 
+  private void onAbandoned(PlacedRequest placed, long nowNanos) {
+    if (nowNanos >= placed.deadlineNanos - DEADLINE_SLACK_NANOS) {
+      learn(placed, nowNanos);
+    }
+    inFlight.release(placed, nowNanos);
+  }
+
+  private void learn(PlacedRequest placed, long nowNanos) {
+    double actual = (nowNanos - placed.placedNanos) / NANOS_PER_SECOND;
+    stretch.add(placed.request.urgency(), placed.choice.finishSeconds(), actual);
+  }
+
+  /** The part of a predicted time that refusals count on; nothing before enough was measured. */
+  private double cautious(PlacementRequest request, double seconds) {
+    return costs.isCalibrated()
+        ? parameters.estimateFactor() * stretch.factor(request.urgency()) * seconds
+        : 0;
+  }
+
   private void onFailed(PlacedRequest placed, Optional<EngineSlot> failed, long nowNanos) {
     inFlight.release(placed, nowNanos);
     Optional<EngineSlot> listed = failed.filter(slot -> engines.find(slot.engine) == slot);
@@ -264,7 +282,9 @@
 
   @Override
   public void advance(long nowNanos) {
-    observer.window().expiredRequests += inFlight.releaseExpired(nowNanos).size();
+    List<PlacedRequest> expired = inFlight.releaseExpired(nowNanos);
+    expired.forEach(placed -> learn(placed, nowNanos));
+    observer.window().expiredRequests += expired.size();
     placeWaiting(nowNanos);
   }
 
@@ -300,7 +320,7 @@
   private boolean tryFirst(QueuedRequest first, long nowNanos) {
     Optional<EngineChoice> choice = chooser.choose(first.request);
     if (choice.isPresent()) {
-      place(first, choice.get(), nowNanos);
+      placeOrRefuse(first, choice.get(), nowNanos);
       return true;
     }
     if (!chooser.isServable(first.request)) {
@@ -319,13 +339,28 @@
     return false;
   }
 
+  /** Work that would end too late is not begun: it would only take others their time. */
+  private void placeOrRefuse(QueuedRequest first, EngineChoice choice, long nowNanos) {
+    double seconds = cautious(first.request, choice.finishSeconds());
+    if (nowNanos + (long) (seconds * NANOS_PER_SECOND) <= first.deadlineNanos) {
+      place(first, choice, nowNanos);
+      return;
+    }
+    queue.removeUnserved(first);
+    refuseLate(first.request, retryMillis());
+  }
+
+  private void refuseLate(PlacementRequest request, long retryAfterMillis) {
+    refuse(
+        request,
+        ErrorKind.DEADLINE_UNREACHABLE,
+        "the pool cannot finish the request before its deadline",
+        retryAfterMillis);
+  }
+
   private void refuseHopeless(long nowNanos) {
     for (QueuedRequest queued : queue.removeHopeless(nowNanos)) {
-      refuse(
-          queued.request,
-          ErrorKind.DEADLINE_UNREACHABLE,
-          "the pool cannot finish the request before its deadline",
-          retryMillis());
+      refuseLate(queued.request, retryMillis());
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -12,7 +12,8 @@
 import org.fallturn.core.lease.LeaseParameters;
 import org.fallturn.core.placement.PlacementParameters;
 import org.fallturn.core.placement.PoolDigest;
-import org.fallturn.core.roles.KeepRoles;
+import org.fallturn.core.roles.PredictiveRolePolicy;
+import org.fallturn.core.roles.RolePolicyParameters;
 import org.fallturn.node.callers.CallersModule;
 import org.fallturn.node.callers.CallersModuleSettings;
 import org.fallturn.node.configuration.ConfigurationModule;
@@ -267,7 +268,7 @@
         machines,
         configuration,
         leases,
-        pool -> new KeepRoles(),
+        pool -> new PredictiveRolePolicy(RolePolicyParameters.DEFAULT),
         this::publish,
         placementParameters,
         settings.placement());
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -10,7 +10,8 @@
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
-  private static final List<Experiment> EXPERIMENTS = List.of(new RolesExperiment());
+  private static final List<Experiment> EXPERIMENTS =
+      List.of(new RolesExperiment(), new PlacementExperiment());
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
 
