--- a/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/PoolScheduler.java
@@ -34,6 +34,7 @@
   private final Epoch epoch;
   private final PlacementParameters parameters;
   private final EngineTable engines;
+  private final TenantShares shares = new TenantShares();
   private final InFlightTable inFlight;
   private final RequestQueue queue = new RequestQueue();
   private final PrefixIndex prefixes;
@@ -53,10 +54,10 @@
     this.epoch = epoch;
     this.parameters = parameters;
     engines = new EngineTable(parameters.decodeSlots());
-    inFlight = new InFlightTable(engines);
+    inFlight = new InFlightTable(engines, shares);
     prefixes = new PrefixIndex(parameters.maxBlocksPerEngine());
     costs = new CostModel(parameters);
-    chooser = new EngineChooser(parameters, engines, prefixes, costs);
+    chooser = new EngineChooser(parameters, engines, prefixes, costs, shares);
     follower = new EngineFollower(parameters, engines, inFlight, prefixes);
     waits = new WaitEstimator(engines, queue, costs);
     observer = new PoolObserver(pool, engines, queue, costs, nowNanos);
@@ -106,6 +107,7 @@
     if (isRepeated(request, nowNanos)) {
       return;
     }
+    shares.asked(request.tenant(), request.shareWeight(), nowNanos);
     int uncached = chooser.uncachedTokens(request);
     if (!chooser.isServable(request)) {
       observer.window().arrived(uncached, request.expectedOutputTokens());
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/PlacementContender.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/PlacementContender.java
@@ -46,6 +46,11 @@
     return title;
   }
 
+  /** Whether it looks at reports or digests at all; otherwise their age changes nothing. */
+  boolean usesLoadInformation() {
+    return this != RANDOM && this != ZONES_ALONE && this != ZONES_PULL_RANDOM;
+  }
+
   /** Makes the policy of a pool; {@code lagMillis} is the age of reports and digests. */
   PlacementPolicy policy(PoolId pool, long lagMillis, long seed) {
     return switch (this) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/PlacementExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/PlacementExperiment.java
@@ -84,15 +84,10 @@
     int prefill = bestSplit(workload, shift, options.firstSeed(), runners);
     List<PlacementSummary> summaries = new ArrayList<>();
     for (PlacementContender contender : PlacementContender.values()) {
+      List<SimulationResult> results = List.of();
       for (long lag : LAGS_MILLIS) {
-        List<Future<SimulationResult>> pending = new ArrayList<>();
-        for (int index = 0; index < options.seeds(); index++) {
-          long seed = options.firstSeed() + index;
-          pending.add(runners.submit(() -> play(workload, shift, seed, contender, lag, prefill)));
-        }
-        List<SimulationResult> results = new ArrayList<>();
-        for (Future<SimulationResult> run : pending) {
-          results.add(run.get());
+        if (results.isEmpty() || contender.usesLoadInformation()) {
+          results = playSeeds(workload, shift, options, runners, contender, lag, prefill);
         }
         summaries.add(summary(workload, shift, contender, lag, results));
       }
@@ -100,6 +95,27 @@
     return summaries;
   }
 
+  private static List<SimulationResult> playSeeds(
+      Workload workload,
+      MixShift shift,
+      ExperimentOptions options,
+      ExecutorService runners,
+      PlacementContender contender,
+      long lag,
+      int prefill)
+      throws InterruptedException, ExecutionException {
+    List<Future<SimulationResult>> pending = new ArrayList<>();
+    for (int index = 0; index < options.seeds(); index++) {
+      long seed = options.firstSeed() + index;
+      pending.add(runners.submit(() -> play(workload, shift, seed, contender, lag, prefill)));
+    }
+    List<SimulationResult> results = new ArrayList<>();
+    for (Future<SimulationResult> run : pending) {
+      results.add(run.get());
+    }
+    return results;
+  }
+
   private static int bestSplit(
       Workload workload, MixShift shift, long seed, ExecutorService runners)
       throws InterruptedException, ExecutionException {
