--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -12,6 +12,7 @@
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
+import org.fallturn.rehearsal.scale.ScaleTablesCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
@@ -22,6 +23,7 @@
           new OverheadExperiment(),
           new MembershipCommand(),
           new ScaleCommand(),
+          new ScaleTablesCommand(),
           new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
