--- a/fallturn-core/src/main/java/org/fallturn/core/placement/InFlightTable.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/InFlightTable.java
@@ -16,11 +16,13 @@
  */
 final class InFlightTable {
   private final EngineTable engines;
+  private final TenantShares shares;
   private final Map<RequestId, PlacedRequest> byId = new HashMap<>();
   private final TreeSet<PlacedRequest> byDeadline = new TreeSet<>(PlacedRequest.BY_DEADLINE);
 
-  InFlightTable(EngineTable engines) {
+  InFlightTable(EngineTable engines, TenantShares shares) {
     this.engines = engines;
+    this.shares = shares;
   }
 
   int size() {
@@ -38,6 +40,7 @@
   void add(PlacedRequest placed, long nowNanos) {
     byId.put(placed.request.requestId(), placed);
     byDeadline.add(placed);
+    shares.placed(placed.request.tenant());
     placed.prefill.ifPresent(
         slot ->
             change(
@@ -83,6 +86,7 @@
       return;
     }
     byDeadline.remove(placed);
+    shares.released(placed.request.tenant());
     releasePrefill(placed, nowNanos);
     EngineSlot slot = placed.decode.orElseThrow();
     placed.decode = Optional.empty();
