--- a/fallturn-it/src/test/java/org/fallturn/it/PlannedStopIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/PlannedStopIT.java
@@ -4,11 +4,14 @@
 
 import java.util.OptionalInt;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.fallturn.rehearsal.engine.EngineJournal;
 import org.fallturn.rehearsal.fleet.CallResult;
 import org.fallturn.rehearsal.fleet.FleetConfiguration;
 import org.fallturn.rehearsal.fleet.FleetNode;
 import org.fallturn.rehearsal.fleet.FleetPlan;
+import org.fallturn.rehearsal.fleet.ManagedProcess;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.extension.RegisterExtension;
 
@@ -17,6 +20,8 @@
 
   private static final int LONG_ANSWER_TOKENS = 400;
   private static final long EXIT_SECONDS = 90;
+  private static final long FEW_SECONDS = 3;
+  private static final String LEAVER = "engine-2";
 
   @RegisterExtension
   static final FleetExtension FLEET = new FleetExtension(FleetPlan.small(2).withEngines(1, 2));
@@ -47,10 +52,20 @@
     FleetNode node = FLEET.fleet().node("node-2");
     try (BackgroundLoad load = new BackgroundLoad(8, number -> complete(node, number))) {
       FleetExtension.eventually().until(() -> load.complete() >= 8);
-      FLEET.fleet().announceLeaving("engine-2");
+      FLEET.fleet().announceLeaving(LEAVER);
+      ManagedProcess engine = FLEET.fleet().engines().get(LEAVER);
+      TimeUnit.SECONDS.sleep(FEW_SECONDS);
+      FLEET.fleet().control().awaitIdleEngine(engine.address(), EXIT_SECONDS);
+      EngineJournal journal =
+          FLEET.fleet().control().get(engine.address(), "/control/journal", EngineJournal.class);
+      engine.kill();
       long goal = load.complete() + 40;
       FleetExtension.eventually().until(() -> load.complete() >= goal);
       load.close();
+      assertThat(journal.requestsCutByOrder()).isZero();
+      assertThat(journal.requests())
+          .extracting(EngineJournal.RequestEntry::end)
+          .containsOnly(EngineJournal.End.FINISHED);
       assertThat(load.results())
           .extracting(CallResult::verdict)
           .containsOnly(CallResult.Verdict.COMPLETE);
