Show what the owners of quotas have given out as table usage

The page's reads are repeated for a bounded time until they have rows and nothing is missing, since a new tenant's owner needs a share interval to know of it; what must come out is as before.

--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaLedger.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaLedger.java
@@ -107,6 +107,17 @@
     }
   }
 
+  /** What is given out of a limit now. */
+  QuotaUsage usage(QuotaKey key) {
+    QuotaAmounts leased = QuotaAmounts.NONE;
+    QuotaAmounts asked = QuotaAmounts.NONE;
+    for (Entry entry : entries.values()) {
+      leased = leased.plus(entry.committed());
+      asked = asked.plus(entry.wanted());
+    }
+    return new QuotaUsage(key, leased, asked, entries.size());
+  }
+
   /** Whether the holders' demand in all is above the limit. */
   boolean isContended(QuotaAmounts limit) {
     double requests = 0;
--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaNode.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaNode.java
@@ -101,6 +101,16 @@
     return holder.usable(key, nowNanos);
   }
 
+  /** What is given out of the limits of the tenants this node owns. */
+  public List<QuotaUsage> usage() {
+    return owner.usage();
+  }
+
+  /** The node that owns a tenant's quota, as this one sees it. */
+  public NodeId owner(TenantName tenant) {
+    return ownerOf(tenant.value());
+  }
+
   /** Renews what is due; called every share interval. */
   public List<QuotaAction> onInterval(long nowNanos) {
     claims.values().removeIf(claim -> claim.untilNanos() - nowNanos <= 0);
--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaOwner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaOwner.java
@@ -90,6 +90,20 @@
     return questions;
   }
 
+  /** What is given out of each limit of the owned tenants; one entry a tenant at least. */
+  public List<QuotaUsage> usage() {
+    List<QuotaUsage> usage = new ArrayList<>();
+    owned.forEach(
+        (name, tenant) -> {
+          QuotaKey whole = new QuotaKey(name);
+          if (!tenant.ledgers.containsKey(whole)) {
+            usage.add(QuotaUsage.none(whole));
+          }
+          tenant.ledgers.forEach((key, ledger) -> usage.add(ledger.usage(key)));
+        });
+    return usage;
+  }
+
   /** Nodes that are neither seen nor listed any more hold nothing. */
   public void forgetGone(Set<NodeId> present) {
     for (OwnedTenant tenant : owned.values()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/query/LiveTable.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/query/LiveTable.java
@@ -34,6 +34,11 @@
     /** One node of each zone knows the zone's rows, for example the members. */
     EACH_ZONE,
     /** Each pool's leader knows the pool's rows, for example the engines. */
-    LEADERS
+    LEADERS,
+    /**
+     * The owner of each tenant's quota knows the tenant's rows. The first column is the tenant, so
+     * that a condition on it tells which owners to ask.
+     */
+    QUOTA_OWNERS
   }
 }
--- a/fallturn-it/src/test/java/org/fallturn/it/OperationsPageIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/OperationsPageIT.java
@@ -91,6 +91,8 @@
       NetworkAddress door = nodes.get(turn++ % nodes.size()).operatorsAddress();
       if (block.refused()) {
         assertRefused(block, send(door, block.statement()));
+      } else if (block.statement().startsWith("SELECT")) {
+        await().atMost(PATIENCE).until(() -> hasRows(send(door, block.statement())));
       } else {
         noteKeys(assertDone(block, send(door, block.statement())));
       }
@@ -124,6 +126,12 @@
     return answer;
   }
 
+  private boolean hasRows(ContentResponse response) throws Exception {
+    assertThat(response.getStatus()).as(response.getContentAsString()).isEqualTo(200);
+    StatementAnswer answer = codec.decode(response.getContent(), StatementAnswer.class);
+    return !answer.rows().isEmpty() && !answer.incomplete();
+  }
+
   private void noteKeys(StatementAnswer answer) {
     for (GeneratedKey key : answer.generatedKeys()) {
       keys.put(key.name().equals("ana") ? "operator" : key.name(), key.key());
--- a/fallturn-node/src/main/java/org/fallturn/node/admission/AdmissionModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/admission/AdmissionModule.java
@@ -24,6 +24,7 @@
 import org.fallturn.core.admission.QuotaMessages.ShareRequests;
 import org.fallturn.core.admission.QuotaNode;
 import org.fallturn.core.admission.QuotaParameters;
+import org.fallturn.core.admission.QuotaUsage;
 import org.fallturn.core.configuration.ConfigurationImage;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
@@ -88,6 +89,20 @@
     this.duty = new DutyThread<>("admission", RING_SIZE, TICK, new Handler());
   }
 
+  /** What is given out of the limits of the tenants whose quota this node owns. */
+  public List<QuotaUsage> usage() {
+    synchronized (node) {
+      return node.usage();
+    }
+  }
+
+  /** The node that owns a tenant's quota, as this one sees it. */
+  public NodeId quotaOwner(TenantName tenant) {
+    synchronized (node) {
+      return node.owner(tenant);
+    }
+  }
+
   /** Adds the peer routes. */
   public void addRoutes(HttpRouter peers) {
     peers.message(SHARES_PATH, ShareRequests.class, MAX_MESSAGE_BYTES, this::onShareRequests);
--- a/fallturn-node/src/main/java/org/fallturn/node/operators/LiveQueries.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/operators/LiveQueries.java
@@ -60,7 +60,7 @@
   CompletionStage<StatementAnswer> answer(Submission.Query query, long version) {
     LiveTable table = tables.find(query.selection().table()).orElseThrow();
     List<CompletableFuture<Gathered>> parts = new ArrayList<>();
-    for (PartTarget target : targets.of(table.scope())) {
+    for (PartTarget target : targets.of(table, query.selection())) {
       parts.add(gather(target, query));
     }
     return CompletableFuture.allOf(parts.toArray(CompletableFuture[]::new))
@@ -72,7 +72,7 @@
   StatementAnswer explain(Submission.Query query, long version) {
     LiveTable table = tables.find(query.selection().table()).orElseThrow();
     List<Row> rows = new ArrayList<>();
-    for (PartTarget target : targets.of(table.scope())) {
+    for (PartTarget target : targets.of(table, query.selection())) {
       String asked = target.local() ? selfNode : target.contacts().toString();
       rows.add(Row.of(table.schema().name(), table.scope(), target.name(), asked));
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/operators/OperatorsModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/operators/OperatorsModule.java
@@ -36,6 +36,7 @@
   private final ConfigurationModule configuration;
   private final OperatorAuthenticator authenticator;
   private final StatementParser parser;
+  private final QueryTargets targets;
   private final LiveQueries queries;
   private final ChangeExecution changes;
   private final JsonCodec codec;
@@ -64,7 +65,7 @@
     this.authenticator = new OperatorAuthenticator(configuration, bootstrapKeyHash);
     this.parser = new StatementParser(tables.schemas());
     String self = nodes.self().node().value();
-    QueryTargets targets = new QueryTargets(nodes, digests, machines);
+    targets = new QueryTargets(nodes, digests, machines);
     this.queries = new LiveQueries(self, tables, parser, targets, client);
     this.changes = new ChangeExecution(configuration);
     this.codec = codec;
@@ -78,6 +79,11 @@
         TablePart.PATH, TablePartRequest.class, MAX_PART_REQUEST_BYTES, queries::answerPart);
   }
 
+  /** Says how to reach the owners of quotas; before a table of theirs is registered. */
+  public void setQuotaOwners(QuotaOwners owners) {
+    targets.setQuotaOwners(owners);
+  }
+
   private void handle(Request request, Response response, Callback callback) throws Exception {
     requireLoaded();
     OperatorRecord operator = authenticator.authenticate(request);
--- a/fallturn-node/src/main/java/org/fallturn/node/operators/QueryTargets.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/operators/QueryTargets.java
@@ -13,9 +13,13 @@
 import org.fallturn.core.port.machines.Machine;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.core.query.LiveTable;
+import org.fallturn.core.query.Selection;
 import org.fallturn.node.configuration.ZoneNodes;
 
-/** Which nodes have to be asked for a table: never all, one a zone or the pools' leaders. */
+/**
+ * Which nodes have to be asked for a table: never all, one a zone, the pools' leaders, the owners
+ * of quotas.
+ */
 final class QueryTargets {
 
   private static final String THIS_NODE = "this node";
@@ -23,6 +27,7 @@
   private final ZoneNodes nodes;
   private final Supplier<? extends Iterable<PoolDigest>> digests;
   private final Supplier<MachineList> machines;
+  private volatile QuotaOwners quotaOwners;
 
   QueryTargets(
       ZoneNodes nodes,
@@ -33,10 +38,18 @@
     this.machines = machines;
   }
 
-  List<PartTarget> of(LiveTable.Scope scope) {
-    return switch (scope) {
+  /** Adds the way to the owners of quotas, once it is known. */
+  void setQuotaOwners(QuotaOwners owners) {
+    quotaOwners = owners;
+  }
+
+  List<PartTarget> of(LiveTable table, Selection selection) {
+    return switch (table.scope()) {
       case EACH_ZONE -> zones();
       case LEADERS -> leaders();
+      case QUOTA_OWNERS ->
+          quotaOwners.targets(
+              nodes.self().node(), selection.where(), table.schema().columns().size());
       default -> List.of(new PartTarget(THIS_NODE, List.of(), true));
     };
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -11,6 +11,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.lease.LeaseParameters;
+import org.fallturn.core.membership.Member;
 import org.fallturn.core.placement.PlacementParameters;
 import org.fallturn.core.placement.PoolDigest;
 import org.fallturn.core.roles.PredictiveRolePolicy;
@@ -39,7 +40,9 @@
 import org.fallturn.node.operators.OperatorsModule;
 import org.fallturn.node.operators.PoolBoard;
 import org.fallturn.node.operators.PoolTables;
+import org.fallturn.node.operators.QuotaOwners;
 import org.fallturn.node.operators.TableRegistry;
+import org.fallturn.node.operators.UsageTable;
 import org.fallturn.node.placement.ClientParts;
 import org.fallturn.node.placement.DigestLeaderDirectory;
 import org.fallturn.node.placement.LeaderParts;
@@ -72,6 +75,7 @@
   private ConfigurationModule configuration;
   private final PoolBoard poolBoard = new PoolBoard();
   private TableRegistry tables;
+  private OperatorsModule door;
   private LeaseModule leases;
   private PlacementModule leader;
   private PlacementClient placement;
@@ -215,7 +219,7 @@
     tables = new TableRegistry(configuration);
     new FleetTables(localNode(), gossip.viewSupplier(), machines, configuration).register(tables);
     tables.register(new ChangesTable(configuration));
-    OperatorsModule door =
+    door =
         keep(
             new OperatorsModule(
                 configuration,
@@ -339,6 +343,12 @@
                 plumbing.metrics()));
     admission.addRoutes(peerRouter);
     admission.start();
+    door.setQuotaOwners(
+        new QuotaOwners(
+            configuration,
+            admission::quotaOwner,
+            node -> gossip.view().member(node).map(Member::peerAddress)));
+    tables.register(new UsageTable(plumbing.node(), admission::usage));
   }
 
   private NetworkAddress advertisedPeerAddress() {
