Warm the overhead measurement up until the compilers are done

A thread dump a minute after the node's start (trial) had 22 s of processor time in C1 and C2 and 3 s in the node's busiest own thread, so tokens a second of processor time measured the compilers. Warm-up is 10,000 requests and 500 long streams each way now. A request's executor goes on after an Error in one step too, so that its deadline can still end it.

--- a/fallturn-node/src/main/java/org/fallturn/node/callers/SerialExecutor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/callers/SerialExecutor.java
@@ -9,7 +9,8 @@
 
 /**
  * Runs the tasks of one request one after another, in order, on whichever thread brings them. A
- * task brought while another runs, also by that one, runs after it. Never blocks.
+ * task brought while another runs, also by that one, runs after it. A task that fails is logged and
+ * the next one runs: a request whose step failed is ended by its deadline. Never blocks.
  */
 final class SerialExecutor implements Executor {
 
@@ -32,7 +33,7 @@
   private static void run(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("callers: A step of a request failed.", e);
     }
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadMeasurement.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadMeasurement.java
@@ -25,7 +25,8 @@
   private static final double TIME_SCALE = 20;
   private static final int CLIENT_THREADS = 64;
   private static final int CONNECTIONS = 1024;
-  private static final int WARM_UP_REQUESTS = 3_000;
+  private static final int WARM_UP_REQUESTS = 10_000;
+  private static final int WARM_UP_STREAMS = 500;
   private static final int WARM_UP_CONCURRENT = 16;
   private static final double REQUESTS_PER_SECOND = 300;
   private static final int REQUESTS_A_ROUND = 3_000;
@@ -109,9 +110,11 @@
     }
   }
 
+  /** Lets the compilers of all processes finish, so that their time is not taken for the node's. */
   private void warmUp(CompletionTarget direct, CompletionTarget node) throws InterruptedException {
     for (CompletionTarget target : List.of(direct, node)) {
       load.closedLoop(target, WARM_UP_CONCURRENT, WARM_UP_REQUESTS, PROMPT_WORDS, OUTPUT_TOKENS);
+      load.closedLoop(target, STREAMS, WARM_UP_STREAMS, PROMPT_WORDS, STREAM_TOKENS);
     }
   }
 
