--- a/fallturn-node/src/main/java/org/fallturn/node/placement/DigestPacer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/placement/DigestPacer.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.placement;
 
 import org.fallturn.core.domain.Epoch;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.domain.PoolId;
 import org.fallturn.core.placement.PoolCapacity;
 import org.fallturn.core.placement.PoolDigest;
@@ -16,6 +17,7 @@
   private final PoolId pool;
   private final Epoch epoch;
   private final LeaderParts parts;
+  private final NetworkAddress peerAddress;
   private final long intervalNanos;
   private PoolCapacity published;
   private long publishedNanos;
@@ -25,6 +27,7 @@
     this.pool = pool;
     this.epoch = epoch;
     this.parts = parts;
+    this.peerAddress = parts.peerAddress().get();
     this.intervalNanos = parts.settings().digestInterval().toNanos();
   }
 
@@ -43,7 +46,7 @@
                 epoch,
                 sequence,
                 parts.self(),
-                parts.peerAddress().get(),
+                peerAddress,
                 capacity.prefillEngines(),
                 capacity.decodeEngines(),
                 capacity.freePrefillTokens(),
