Let the model checker survive a zone whose nodes are all down

Ruled out: a fault of the lease protocol; no invariant was broken. Before: IllegalArgumentException without a seed; after: the fault is skipped, and an unexpected failure names its scenario and seed. The seed is a test now.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/LeadershipScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/LeadershipScenario.java
@@ -97,6 +97,10 @@
     }
 
     private void fault() {
+      if (world.nodes().isEmpty()) {
+        simulation.trace(() -> "every node is down and awaits its replacement");
+        return;
+      }
       LeadershipNode node = anyNode();
       switch (simulation.random().nextInt(10)) {
         case 0 -> killAndReplace(node);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -61,7 +61,11 @@
 
   private static SeedResult runSeed(Scenario scenario, long seed, Optional<BrokenVariant> variant) {
     Coverage coverage = new Coverage();
-    return new SeedResult(scenario.run(seed, variant, coverage), coverage);
+    try {
+      return new SeedResult(scenario.run(seed, variant, coverage), coverage);
+    } catch (RuntimeException e) {
+      throw new IllegalStateException("scenario " + scenario.name() + " failed at seed " + seed, e);
+    }
   }
 
   private record SeedResult(Optional<Violation> violation, Coverage coverage) {}
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/modelcheck/ModelCheckerTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/modelcheck/ModelCheckerTest.java
@@ -15,6 +15,7 @@
 
   private static final int INTACT_SEEDS = 60;
   private static final int BROKEN_SEEDS = 1000;
+  private static final long SEED_WITH_ALL_NODES_DOWN = 5207;
 
   private static Scenario scenario(String name) {
     return ModelChecker.scenario(name).orElseThrow();
@@ -59,6 +60,13 @@
     assertThat(coverage.of("lost-orders")).isPositive();
   }
 
+  @Test
+  void aZoneWithoutAnyLiveNodeIsNoFaultOfTheCheckerItself() {
+    Optional<Violation> violation =
+        scenario("leadership").run(SEED_WITH_ALL_NODES_DOWN, Optional.empty(), new Coverage());
+    assertThat(violation).isEmpty();
+  }
+
   @Test
   void sameSeedGivesTheSameRun() {
     Optional<BrokenVariant> variant = Optional.of(BrokenVariant.TAKEOVER_WITHOUT_WAITING);
