--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -12,16 +12,18 @@
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
+import org.fallturn.rehearsal.scale.ScaleTablesCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS =
-      List.of(new RolesExperiment(), new SpreadExperiment());
+      List.of(new RolesExperiment(), new PlacementExperiment(), new SpreadExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
       List.of(
           new OverheadExperiment(),
           new MembershipCommand(),
           new ScaleCommand(),
+          new ScaleTablesCommand(),
           new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
