--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
@@ -14,6 +14,7 @@
   private static final int FULL_NODES = 370;
   private static final int FULL_ENGINES = 2700;
   private static final double FULL_PLACEMENTS = 4200;
+  private static final int RACK_NODES = 21;
   private static final int REAL_NODES = 3;
   private static final int REAL_ENGINES = 4;
   private static final int CHANGES = 100;
@@ -40,6 +41,7 @@
         .type(Double.class)
         .setDefault(FULL_PLACEMENTS)
         .help("asked for in a fleet of 370 nodes; smaller fleets get their share");
+    parser.addArgument("--rack-nodes").type(Integer.class).setDefault(RACK_NODES);
     parser.addArgument("--real-nodes").type(Integer.class).setDefault(REAL_NODES);
     parser.addArgument("--real-engines").type(Integer.class).setDefault(REAL_ENGINES);
     parser.addArgument("--measure-seconds").type(Long.class).setDefault(MEASURE_SECONDS);
@@ -68,6 +70,7 @@
         new ScalePlan(
             nodes,
             arguments.getInt("engines"),
+            arguments.getInt("rack_nodes"),
             arguments.getInt("real_nodes"),
             arguments.getInt("real_engines"),
             arguments.getLong("settle_seconds"),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -8,6 +8,7 @@
  *
  * @param nodes hollow nodes
  * @param engines hollow engines
+ * @param rackNodes hollow nodes that share a process and die together
  * @param realNodes node processes beside them
  * @param realEngines engine stand-ins beside them
  * @param settleSeconds wait after the start
@@ -21,6 +22,7 @@
 record ScalePlan(
     int nodes,
     int engines,
+    int rackNodes,
     int realNodes,
     int realEngines,
     long settleSeconds,
@@ -38,7 +40,6 @@
 
   private static final int ZONES = 6;
   private static final int ZONES_PER_REGION = 2;
-  private static final int RACK_NODES = 21;
 
   int zones() {
     return ZONES;
@@ -55,7 +56,7 @@
   /** Names of a zone's nodes, rack by rack. */
   List<List<String>> racksOf(int zone) {
     int count = nodes / ZONES + (zone < nodes % ZONES ? 1 : 0);
-    int rackCount = Math.max(1, (count + RACK_NODES - 1) / RACK_NODES);
+    int rackCount = Math.max(1, (count + rackNodes - 1) / rackNodes);
     List<List<String>> racks = new ArrayList<>();
     for (int rack = 0; rack < rackCount; rack++) {
       racks.add(new ArrayList<>());
