Serve encrypted ports to clients that address a node by IP number

A statement over https was answered 400 Invalid SNI: Jetty compares the name a client sends with the certificate, and nodes are addressed by IP number. The check is off now; the client decides by its authorities. Also the operators' door takes its body limit from the settings. Tests: fallturn query over https with the authority's file succeeds and without it fails; the first of these failed before the change.

--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
+import org.eclipse.jetty.server.SecureRequestCustomizer;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.server.SslConnectionFactory;
@@ -119,9 +120,12 @@
     server.start();
   }
 
+  /** Nodes are addressed by IP number, so the name that a client sends is not compared. */
   private ServerConnector encrypted(TlsCertificate certificate, HttpConnectionFactory http) {
     SslContextFactory.Server tls = certificate.newContextFactory();
     server.addBean(certificate.newScanner(tls));
+    boolean checkHostName = false;
+    http.getHttpConfiguration().addCustomizer(new SecureRequestCustomizer(checkHostName));
     SslConnectionFactory ssl = new SslConnectionFactory(tls, http.getProtocol());
     return new ServerConnector(server, 1, 1, ssl, http);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/operators/OperatorsModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/operators/OperatorsModule.java
@@ -30,7 +30,6 @@
 public final class OperatorsModule implements AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(OperatorsModule.class);
-  private static final int MAX_BODY_BYTES = 256 * 1024;
   private static final int MAX_PART_REQUEST_BYTES = 128 * 1024;
 
   private final ConfigurationModule configuration;
@@ -39,6 +38,7 @@
   private final QueryTargets targets;
   private final LiveQueries queries;
   private final ChangeExecution changes;
+  private final int maxBodyBytes;
   private final JsonCodec codec;
   private final HttpAnswers answers;
 
@@ -46,7 +46,7 @@
    * A door without a port; see {@link #addRoutes}.
    *
    * @param configuration what changes go to
-   * @param bootstrapKeyHash hash of the key that counts until an operator is configured, or empty
+   * @param settings its settings
    * @param tables what can be read
    * @param nodes the other nodes
    * @param digests the newest digest of each pool, which names its leader
@@ -54,7 +54,7 @@
    */
   public OperatorsModule(
       ConfigurationModule configuration,
-      String bootstrapKeyHash,
+      Door settings,
       TableRegistry tables,
       ZoneNodes nodes,
       Supplier<? extends Iterable<PoolDigest>> digests,
@@ -62,12 +62,13 @@
       JsonHttpClient client,
       JsonCodec codec) {
     this.configuration = configuration;
-    this.authenticator = new OperatorAuthenticator(configuration, bootstrapKeyHash);
+    this.authenticator = new OperatorAuthenticator(configuration, settings.bootstrapKeyHash());
     this.parser = new StatementParser(tables.schemas());
     String self = nodes.self().node().value();
     targets = new QueryTargets(nodes, digests, machines);
     this.queries = new LiveQueries(self, tables, parser, targets, client);
     this.changes = new ChangeExecution(configuration);
+    this.maxBodyBytes = settings.maxBodyBytes();
     this.codec = codec;
     this.answers = new HttpAnswers(codec);
   }
@@ -106,7 +107,7 @@
   }
 
   private StatementRequest read(Request request) throws FallturnException {
-    byte[] body = HttpRouter.read(request, MAX_BODY_BYTES);
+    byte[] body = HttpRouter.read(request, maxBodyBytes);
     try {
       StatementRequest read = codec.decode(body, StatementRequest.class);
       if (read.statement() == null) {
@@ -149,4 +150,12 @@
   public void close() {
     parser.close();
   }
+
+  /**
+   * Settings of the door.
+   *
+   * @param bootstrapKeyHash hash of the key that counts until an operator is configured, or empty
+   * @param maxBodyBytes largest body of a request
+   */
+  public record Door(String bootstrapKeyHash, int maxBodyBytes) {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -223,7 +223,9 @@
         keep(
             new OperatorsModule(
                 configuration,
-                settings.operators().bootstrapKeyHash(),
+                new OperatorsModule.Door(
+                    settings.operators().bootstrapKeyHash(),
+                    (int) settings.operators().maxBody().bytes()),
                 tables,
                 new ZoneNodes(localNode(), gossip.viewSupplier(), machines),
                 () -> digests.digests().values(),
--- a/fallturn-node/src/test/java/org/fallturn/node/http/TlsListenerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/http/TlsListenerTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -22,24 +21,23 @@
 
 class TlsListenerTest {
 
-  private static final String PASSWORD = "changeit";
-
   @TempDir private Path directory;
 
   @Test
   void newCertificateIsServedWithoutRestart() throws Exception {
     Path keyStore = directory.resolve("node.p12");
-    Files.move(newKeyStore("first"), keyStore);
+    Files.move(TestKeyStore.create(directory, "first"), keyStore);
     HttpRouter router = new HttpRouter(new JsonCodec());
     router.document("/hello", request -> CompletableFuture.completedFuture(Map.of()));
-    TlsCertificate certificate = new TlsCertificate(keyStore, PASSWORD, 1);
+    TlsCertificate certificate = new TlsCertificate(keyStore, TestKeyStore.PASSWORD, 1);
     ListenerLimits limits = new ListenerLimits(8, 10, 8192, Duration.ofSeconds(60));
     try (HttpListener listener =
         new HttpListener(
             "tls", new NetworkAddress("127.0.0.1", 0), limits, Optional.of(certificate), router)) {
       assertThat(servedName(listener.address())).isEqualTo("CN=first");
 
-      Files.move(newKeyStore("second"), keyStore, StandardCopyOption.REPLACE_EXISTING);
+      Files.move(
+          TestKeyStore.create(directory, "second"), keyStore, StandardCopyOption.REPLACE_EXISTING);
 
       await()
           .atMost(Duration.ofSeconds(60))
@@ -47,30 +45,6 @@
     }
   }
 
-  private Path newKeyStore(String name) throws IOException, InterruptedException {
-    Path file = directory.resolve(name + ".p12");
-    Process keytool =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "keytool").toString(),
-                "-genkeypair",
-                "-alias",
-                "node",
-                "-keyalg",
-                "EC",
-                "-storetype",
-                "PKCS12",
-                "-dname",
-                "CN=" + name,
-                "-storepass",
-                PASSWORD,
-                "-keystore",
-                file.toString())
-            .inheritIO()
-            .start();
-    assertThat(keytool.waitFor()).isZero();
-    return file;
-  }
-
   private static String servedName(NetworkAddress address) throws Exception {
     SSLContext context = SSLContext.getInstance("TLS");
     context.init(null, new X509TrustManager[] {new TrustAll()}, null);
--- a/fallturn-node/src/test/java/org/fallturn/node/operators/OperatorsTestNode.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/operators/OperatorsTestNode.java
@@ -15,6 +15,7 @@
 import org.fallturn.node.configuration.TestNode;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.HttpRouter;
+import org.fallturn.node.http.TlsCertificate;
 
 /** A node with its configuration and an operators' port. */
 public final class OperatorsTestNode implements AutoCloseable {
@@ -22,6 +23,8 @@
   /** The key that counts until an operator is configured. */
   public static final String BOOTSTRAP_KEY = "bootstrap-key";
 
+  private static final int MAX_STATEMENT_BYTES = 256 * 1024;
+
   private static final MachineList MACHINES =
       new MachineList(
           1,
@@ -46,6 +49,17 @@
   /** Joins a fleet. */
   public OperatorsTestNode(
       String name, String zone, Map<NodeId, TestNode> fleet, InMemoryTable store) throws Exception {
+    this(name, zone, fleet, store, Optional.empty());
+  }
+
+  /** Joins a fleet, with an encrypted operators' port when there is a certificate. */
+  public OperatorsTestNode(
+      String name,
+      String zone,
+      Map<NodeId, TestNode> fleet,
+      InMemoryTable store,
+      Optional<TlsCertificate> certificate)
+      throws Exception {
     node = new TestNode(name, zone, fleet, store);
     tables = new TableRegistry(node.module());
     new FleetTables(node.nodes().self(), node::view, () -> MACHINES, node.module())
@@ -54,7 +68,7 @@
     module =
         new OperatorsModule(
             node.module(),
-            KeyHashes.hash(BOOTSTRAP_KEY),
+            new OperatorsModule.Door(KeyHashes.hash(BOOTSTRAP_KEY), MAX_STATEMENT_BYTES),
             tables,
             node.nodes(),
             List::<PoolDigest>of,
@@ -63,7 +77,9 @@
             node.codec());
     HttpRouter operators = new HttpRouter(node.codec());
     module.addRoutes(operators, node.peerRouter());
-    listener = new HttpListener("operators", new NetworkAddress("127.0.0.1", 0), 8, operators);
+    listener =
+        new HttpListener(
+            "operators", new NetworkAddress("127.0.0.1", 0), 8, certificate, operators);
     address = listener.address();
     node.module().start();
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/query/QueryCommandTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/query/QueryCommandTest.java
@@ -11,10 +11,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.awaitility.Awaitility;
 import org.fallturn.node.command.CommandLine;
 import org.fallturn.node.configuration.InMemoryTable;
 import org.fallturn.node.configuration.TestNode;
+import org.fallturn.node.http.TestKeyStore;
+import org.fallturn.node.http.TlsCertificate;
 import org.fallturn.node.operators.OperatorsTestNode;
 import org.jline.terminal.Terminal;
 import org.jline.terminal.impl.DumbTerminal;
@@ -84,6 +87,35 @@
     assertThat(text(errors)).contains("nothing listens at");
   }
 
+  @Test
+  void encryptedPortIsTrustedByItsCertificateOnly(@TempDir Path directory) throws Exception {
+    Path keyStore = TestKeyStore.create(directory, "lakua-1");
+    Path password = Files.writeString(directory.resolve("password"), TestKeyStore.PASSWORD);
+    Path authority = TestKeyStore.exportCertificate(keyStore, directory);
+    try (OperatorsTestNode encrypted =
+        new OperatorsTestNode(
+            "lakua-2",
+            "lakua",
+            TestNode.fleet(),
+            new InMemoryTable(),
+            Optional.of(new TlsCertificate(keyStore, password)))) {
+      Awaitility.await().until(() -> encrypted.node().module().isLoaded());
+      String address = "https://" + encrypted.address();
+
+      assertThat(run("", "SELECT * FROM tenants", "--address", address)).isEqualTo(3);
+      assertThat(
+              run(
+                  "",
+                  "SELECT * FROM tenants",
+                  "--address",
+                  address,
+                  "--ca-file",
+                  authority.toString()))
+          .as(text(errors))
+          .isZero();
+    }
+  }
+
   @Test
   void keyIsNeeded() {
     QueryCommand command =
@@ -104,7 +136,7 @@
             new ByteArrayInputStream(typed.getBytes(StandardCharsets.UTF_8)),
             new ByteArrayOutputStream())) {
       new QueryPrompt(
-              java.util.Optional.empty(),
+              Optional.empty(),
               statement -> {
                 statements.add(statement);
                 return 0;
@@ -122,7 +154,10 @@
             stream(out),
             stream(errors),
             environment);
-    List<String> line = new ArrayList<>(List.of("query", "--address", node.address().toString()));
+    List<String> line = new ArrayList<>(List.of("query"));
+    if (!List.of(arguments).contains("--address")) {
+      line.addAll(List.of("--address", node.address().toString()));
+    }
     line.addAll(List.of(arguments));
     return new CommandLine("fallturn", "", List.of(command)).run(line.toArray(String[]::new));
   }
