Hold what is in use when a share is lowered or expires

Cause: a node whose share was lowered below its running requests said on its next wish that it held only the lowered share, and the owner gave the rest to others: 13 tickets of a limit of 12, seen by AdmissionModuleTest in a whole run. Ruled out: two owners, late grants, local fractions. Conclusion: a node holds its share or its requests in progress, whichever is more.

--- a/fallturn-core/src/main/java/org/fallturn/core/admission/LocalQuota.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/LocalQuota.java
@@ -181,15 +181,26 @@
         Math.ceil(QuotaLedger.HEADROOM * peakWaiting) + SPARE_REQUESTS);
   }
 
-  /** Gives back what is above the need; what is in use stays held. */
+  /** Gives back what is above the need, and says what is held after that. */
   QuotaAmounts shrinkTo(QuotaAmounts wanted, long nowNanos) {
     fill(nowNanos);
-    QuotaAmounts inUse = new QuotaAmounts(0, 0, running, waiting);
-    share = share(nowNanos).min(wanted.max(inUse));
+    share = share(nowNanos).min(wanted.max(inUse()));
     if (share.equals(QuotaAmounts.NONE)) {
       shareUntilNanos = Math.min(shareUntilNanos, nowNanos);
     }
-    return share;
+    return held(nowNanos);
+  }
+
+  /**
+   * What nobody else may be given: the share, and the requests in progress that a share since
+   * lowered or expired had admitted.
+   */
+  QuotaAmounts held(long nowNanos) {
+    return share(nowNanos).max(inUse().minus(local));
+  }
+
+  private QuotaAmounts inUse() {
+    return new QuotaAmounts(0, 0, running, waiting);
   }
 
   boolean isIdle(long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaHolder.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaHolder.java
@@ -126,9 +126,9 @@
     List<ShareGrant> holdings = new ArrayList<>();
     quotas.forEach(
         (key, quota) -> {
-          QuotaAmounts share = quota.share(nowNanos);
-          if (wanted.contains(key.tenant()) && !share.equals(QuotaAmounts.NONE)) {
-            holdings.add(new ShareGrant(key, share, false));
+          QuotaAmounts held = quota.held(nowNanos);
+          if (wanted.contains(key.tenant()) && !held.equals(QuotaAmounts.NONE)) {
+            holdings.add(new ShareGrant(key, held, false));
           }
         });
     return holdings;
