--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -9,13 +9,19 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.configuration.SpreadExperiment;
+import org.fallturn.rehearsal.limits.IsolationExperiment;
+import org.fallturn.rehearsal.limits.LimitsExperiment;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS =
-      List.of(new RolesExperiment(), new SpreadExperiment());
+      List.of(
+          new RolesExperiment(),
+          new SpreadExperiment(),
+          new LimitsExperiment(),
+          new IsolationExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
       List.of(new MembershipCommand(), new ScaleCommand());
   private static final String CHOSEN = "experiment";
