--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -9,21 +9,29 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.configuration.SpreadExperiment;
+import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.limits.IsolationExperiment;
 import org.fallturn.rehearsal.limits.LimitsExperiment;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
+import org.fallturn.rehearsal.scale.ScaleTablesCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS =
       List.of(
           new RolesExperiment(),
+          new PlacementExperiment(),
           new SpreadExperiment(),
           new LimitsExperiment(),
           new IsolationExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
-      List.of(new MembershipCommand(), new ScaleCommand());
+      List.of(
+          new OverheadExperiment(),
+          new MembershipCommand(),
+          new ScaleCommand(),
+          new ScaleTablesCommand(),
+          new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
