--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/Simulation.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/simulator/Simulation.java
@@ -163,7 +163,7 @@
 
   private void recordRoles() {
     int prefill = pools.values().stream().mapToInt(SimulatedPool::prefillEngines).sum();
-    if (events.nowNanos() < workload.durationSeconds() * NANOS_PER_SECOND) {
+    if (events.nowNanos() <= workload.durationSeconds() * NANOS_PER_SECOND) {
       recorder.timeline().prefillEngines(events.nowNanos() - 1, prefill);
     }
   }
