--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -391,7 +391,7 @@
     addresses.put("callers", callersAddress());
     addresses.put("operators", operatorsAddress());
     addresses.put("peers", peersAddress());
-    addresses.put("gossip", gossip.address());
+    addresses.put("gossip", gossip.listenAddress());
     return addresses;
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -10,6 +10,8 @@
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.configuration.SpreadExperiment;
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
+import org.fallturn.rehearsal.limits.IsolationExperiment;
+import org.fallturn.rehearsal.limits.LimitsExperiment;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
 import org.fallturn.rehearsal.scale.ScaleTablesCommand;
@@ -17,7 +19,12 @@
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements RehearsalCommand {
   private static final List<Experiment> EXPERIMENTS =
-      List.of(new RolesExperiment(), new PlacementExperiment(), new SpreadExperiment());
+      List.of(
+          new RolesExperiment(),
+          new PlacementExperiment(),
+          new SpreadExperiment(),
+          new LimitsExperiment(),
+          new IsolationExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
       List.of(
           new OverheadExperiment(),
