--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/GossipModule.java
@@ -107,6 +107,11 @@
     return self.gossipAddress();
   }
 
+  /** The port this node itself listens on; others may reach it by another address. */
+  public NetworkAddress listenAddress() {
+    return socket.address();
+  }
+
   /** The members as this node sees them now. */
   public MembershipView view() {
     return duty.view();
