--- a/fallturn-core/src/main/java/org/fallturn/core/admission/LocalQuota.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/LocalQuota.java
@@ -184,12 +184,21 @@
   /** Gives back what is above the need; what is in use stays held. */
   QuotaAmounts shrinkTo(QuotaAmounts wanted, long nowNanos) {
     fill(nowNanos);
-    QuotaAmounts inUse = new QuotaAmounts(0, 0, running, waiting);
-    share = share(nowNanos).min(wanted.max(inUse));
+    share = share(nowNanos).min(wanted);
     if (share.equals(QuotaAmounts.NONE)) {
       shareUntilNanos = Math.min(shareUntilNanos, nowNanos);
     }
-    return share;
+    return held(nowNanos);
+  }
+
+  /** The share, and beyond it what requests in progress still occupy. */
+  QuotaAmounts held(long nowNanos) {
+    QuotaAmounts granted = share(nowNanos);
+    return new QuotaAmounts(
+        granted.requests(),
+        granted.tokens(),
+        Math.max(granted.concurrent(), running - local.concurrent()),
+        Math.max(granted.queued(), waiting - local.queued()));
   }
 
   boolean isIdle(long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaHolder.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaHolder.java
@@ -126,7 +126,7 @@
     List<ShareGrant> holdings = new ArrayList<>();
     quotas.forEach(
         (key, quota) -> {
-          QuotaAmounts share = quota.share(nowNanos);
+          QuotaAmounts share = quota.held(nowNanos);
           if (wanted.contains(key.tenant()) && !share.equals(QuotaAmounts.NONE)) {
             holdings.add(new ShareGrant(key, share, false));
           }
