Keep the roles of the overhead measurement's engines fixed

The load straight to the engines sends prefill to one engine and decode to the others for good; with the predictive policy now in the node a role change would have made those engines refuse it. The pool policy of this measurement keeps one engine in prefill and all others in decode.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetConfiguration.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/FleetConfiguration.java
@@ -68,9 +68,25 @@
 
   /** The transaction that makes the first accepted change on an empty table. */
   public static TableTransaction firstChange(JsonCodec codec) {
+    return firstChange(codec, 1, 1);
+  }
+
+  /**
+   * The same with other bounds on role changes.
+   *
+   * @param minPrefill engines that must keep the prefill role
+   * @param minDecode engines that must keep the decode role
+   */
+  public static TableTransaction firstChange(JsonCodec codec, int minPrefill, int minDecode) {
     ConfigurationDelta delta =
         new ConfigurationDelta(
-            1, "rehearsal", "rehearsal", Instant.now(), "first change", records(), List.of());
+            1,
+            "rehearsal",
+            "rehearsal",
+            Instant.now(),
+            "first change",
+            records(minPrefill, minDecode),
+            List.of());
     RowKey head = new RowKey("configuration_head", "head");
     RowKey change =
         new RowKey("configuration_changes", String.format(Locale.ROOT, "%020d", delta.version()));
@@ -83,7 +99,7 @@
 
   private record Head(long version, String attemptId) {}
 
-  private static List<ConfigurationRecord> records() {
+  private static List<ConfigurationRecord> records(int minPrefill, int minDecode) {
     TenantName first = new TenantName("household-orders");
     TenantName second = new TenantName("address-desk");
     return List.of(
@@ -106,7 +122,7 @@
         rule(second, REPEATABLE_SERVICE),
         rule(first, ONCE_SERVICE),
         rule(second, ONCE_SERVICE),
-        new PoolPolicyRecord(new ModelName(MODEL), 1, 1, 1, 1, ""));
+        new PoolPolicyRecord(new ModelName(MODEL), 1, minPrefill, minDecode, 1, ""));
   }
 
   private static TenantRecord tenant(TenantName name) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadFleet.java
@@ -45,13 +45,14 @@
     this.directory = directory;
   }
 
-  /** Starts everything; the first engine prefills, the others decode. */
+  /** Starts everything; the first engine prefills, the others decode, and keep doing so. */
   void start(int decoders, HttpClient client, double timeScale) throws Exception {
     Files.createDirectories(directory);
     platform.start();
     JsonCodec codec = new JsonCodec();
     JsonHttpClient json = new JsonHttpClient(client, codec);
-    FleetConfiguration.write(new HttpTableService(json, platform.address(), TABLE_TIMEOUT), codec);
+    new HttpTableService(json, platform.address(), TABLE_TIMEOUT)
+        .transact(FleetConfiguration.firstChange(codec, 1, decoders));
     startEngine("PREFILL", timeScale);
     for (int index = 0; index < decoders; index++) {
       startEngine("DECODE", timeScale);
