--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
@@ -328,9 +328,19 @@
     return leaders;
   }
 
+  /** Kills the rack whose nodes lead most pools. */
   private Map<String, Double> rackDies() throws Exception {
-    List<Rack> racks = fleet.racks();
-    return die(List.of(racks.get(racks.size() - 1)), RACK_LIMIT_SECONDS);
+    Rack leading = fleet.racks().get(0);
+    int most = -1;
+    for (Map.Entry<Rack, Leaderships> rack :
+        fleet.askAll("/leaderships", new Ask(List.of()), Leaderships.class).entrySet()) {
+      int pools = rack.getValue().poolsByNode().values().stream().mapToInt(List::size).sum();
+      if (pools > most) {
+        most = pools;
+        leading = rack.getKey();
+      }
+    }
+    return die(List.of(leading), RACK_LIMIT_SECONDS);
   }
 
   private Map<String, Double> zoneDies() throws Exception {
@@ -369,9 +379,10 @@
     Map<String, Double> figures = new TreeMap<>();
     figures.put("nodes", (double) victims.size());
     if (!sameZone.isEmpty()) {
-      figures.put("no node of the zone sees one alive after s", inZone);
+      figures.put("every node of the zone sees them suspect or dead after s", inZone);
     }
-    figures.put("no node at all sees one alive after s", further < 0 ? NOT_REACHED : everywhere);
+    figures.put(
+        "every node sees them suspect or dead after s", further < 0 ? NOT_REACHED : everywhere);
     figures.put("pools that lost their leader", (double) orphaned.size());
     figures.put("all of them led again after s", get(takenOver));
     return figures;
