--- a/fallturn-core/src/main/java/org/fallturn/core/placement/EngineChooser.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/EngineChooser.java
@@ -17,23 +17,30 @@
 final class EngineChooser {
   private static final double NANOS_PER_SECOND = 1e9;
   private static final int NEAREST = 3;
+  private static final double FAIR_RESERVE = 0.03;
 
   private final PlacementParameters parameters;
   private final EngineTable engines;
   private final PrefixIndex prefixes;
   private final CostModel costs;
+  private final TenantShares shares;
 
   EngineChooser(
-      PlacementParameters parameters, EngineTable engines, PrefixIndex prefixes, CostModel costs) {
+      PlacementParameters parameters,
+      EngineTable engines,
+      PrefixIndex prefixes,
+      CostModel costs,
+      TenantShares shares) {
     this.parameters = parameters;
     this.engines = engines;
     this.prefixes = prefixes;
     this.costs = costs;
+    this.shares = shares;
   }
 
   /** The best engines with room for the request now; empty when it must wait. */
   Optional<EngineChoice> choose(PlacementRequest request) {
-    if (!hasDecodeRoom(request.urgency())) {
+    if (!hasDecodeRoom(request)) {
       return Optional.empty();
     }
     List<EngineSlot> decodes = engines.leastLoadedDecode(request.excluded(), NEAREST);
@@ -72,12 +79,17 @@
             .anyMatch(slot -> slot.mayServeSoon(EngineRole.DECODE));
   }
 
-  private boolean hasDecodeRoom(Urgency urgency) {
-    if (urgency.compareTo(Urgency.HIGH) >= 0) {
-      return true;
-    }
+  /** Some slots stay free for urgent work, and some for tenants below their share. */
+  private boolean hasDecodeRoom(PlacementRequest request) {
     int slots = parameters.decodeSlots() * engines.decodeEngines();
-    return engines.freeDecodeSlots() > (int) (slots * parameters.urgentReserve());
+    double reserve = 0;
+    if (request.urgency().compareTo(Urgency.HIGH) < 0) {
+      reserve = Math.floor(slots * parameters.urgentReserve());
+    }
+    if (shares.isAtShare(request.tenant(), slots)) {
+      reserve += Math.ceil(slots * FAIR_RESERVE);
+    }
+    return engines.freeDecodeSlots() > reserve;
   }
 
   private boolean hasSlot(EngineSlot decode) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScalePlan.java
@@ -8,6 +8,7 @@
  *
  * @param nodes hollow nodes
  * @param engines hollow engines
+ * @param rackNodes hollow nodes that share a process and die together
  * @param realNodes node processes beside them
  * @param realEngines engine stand-ins beside them
  * @param settleSeconds wait after the start
@@ -15,11 +16,13 @@
  * @param measurements measurements at rest, for the spread
  * @param placementsPerSecond placements asked for in the whole fleet while callers are played
  * @param reportInterval how often a leader reads its engines' load, as the setting's text
- * @param events whether failures are played afterwards
+ * @param events what is played afterwards
+ * @param changes configuration changes of {@link ScaleEvent#CHANGES}
  */
 record ScalePlan(
     int nodes,
     int engines,
+    int rackNodes,
     int realNodes,
     int realEngines,
     long settleSeconds,
@@ -27,11 +30,16 @@
     int measurements,
     double placementsPerSecond,
     String reportInterval,
-    boolean events) {
+    List<ScaleEvent> events,
+    int changes) {
+
+  /** A private copy of the events. */
+  ScalePlan {
+    events = List.copyOf(events);
+  }
 
   private static final int ZONES = 6;
   private static final int ZONES_PER_REGION = 2;
-  private static final int RACK_NODES = 21;
 
   int zones() {
     return ZONES;
@@ -48,7 +56,7 @@
   /** Names of a zone's nodes, rack by rack. */
   List<List<String>> racksOf(int zone) {
     int count = nodes / ZONES + (zone < nodes % ZONES ? 1 : 0);
-    int rackCount = Math.max(1, (count + RACK_NODES - 1) / RACK_NODES);
+    int rackCount = Math.max(1, (count + rackNodes - 1) / rackNodes);
     List<List<String>> racks = new ArrayList<>();
     for (int rack = 0; rack < rackCount; rack++) {
       racks.add(new ArrayList<>());
