Begin the outage test when the lease row names its witnesses

Cause: with four nodes all three others must be alive members and listed before the holder can name witnesses; the test cut the table off earlier.

--- a/fallturn-it/src/test/java/org/fallturn/it/LeadershipIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/LeadershipIT.java
@@ -67,6 +67,7 @@
 
   @Test
   void theLeaderGoesOnOrderingLongAfterTheTableWentDown() throws Exception {
+    FleetExtension.eventually().until(() -> lease().witnesses().size() == 3);
     LeaseRecord before = lease();
     FleetControl control = FLEET.fleet().control();
     control.platformFaults(PlatformFaults.tableRefusing());
