--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/limits/LimitsOutcome.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/limits/LimitsOutcome.java
@@ -10,8 +10,8 @@
  * @param worstWindow most requests of a tenant admitted in any share duration, over what the limit
  *     allows in it plus one burst
  * @param useReached requests admitted, over the smaller of offered and allowed
- * @param bytesPerNodePerSecond bytes of control messages that a node sends and receives
- * @param messagesPerNodePerSecond control messages that a node sends and receives
+ * @param bytesPerNodePerSecond bytes of control messages that a node sends and receives under load
+ * @param messagesPerNodePerSecond control messages that a node sends and receives under load
  */
 public record LimitsOutcome(
     long offered,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/limits/LimitsSimulation.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/limits/LimitsSimulation.java
@@ -141,7 +141,7 @@
       worst = Math.max(worst, window.most() / inWindow);
     }
     allowed = limit * loadSeconds * scenario.tenants();
-    double nodeSeconds = scenario.nodes() * scenario.seconds();
+    double nodeSeconds = scenario.nodes() * loadSeconds;
     return new LimitsOutcome(
         offered,
         admitted,
@@ -245,8 +245,10 @@
       action.run();
       return;
     }
-    bytes += codec.encode(message).length + HEADER_BYTES;
-    messages++;
+    if (now > WARM_UP_SECONDS) {
+      bytes += codec.encode(message).length + HEADER_BYTES;
+      messages++;
+    }
     boolean lost = scenario.lossOneIn() > 0 && random.nextInt(scenario.lossOneIn()) == 0;
     double delay =
         MIN_DELAY_SECONDS + random.nextDouble() * (MAX_DELAY_SECONDS - MIN_DELAY_SECONDS);
