--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -10,6 +10,8 @@
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.configuration.SpreadExperiment;
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
+import org.fallturn.rehearsal.limits.IsolationExperiment;
+import org.fallturn.rehearsal.limits.LimitsExperiment;
 import org.fallturn.rehearsal.scale.MembershipCommand;
 import org.fallturn.rehearsal.scale.ScaleCommand;
 import org.fallturn.rehearsal.scale.ScaleTablesCommand;
@@ -20,8 +22,7 @@
       List.of(
           new RolesExperiment(),
           new PlacementExperiment(),
-          new SchedulerSpeedExperiment(),
-          new SpreadExperiment());
+      List.of(new SchedulerSpeedExperiment(), new SpreadExperiment(), new LimitsExperiment(), new IsolationExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
       List.of(
           new OverheadExperiment(),
