--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -22,7 +22,10 @@
       List.of(
           new RolesExperiment(),
           new PlacementExperiment(),
-      List.of(new SchedulerSpeedExperiment(), new SpreadExperiment(), new LimitsExperiment(), new IsolationExperiment());
+          new SchedulerSpeedExperiment(),
+          new SpreadExperiment(),
+          new LimitsExperiment(),
+          new IsolationExperiment());
   private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
       List.of(
           new OverheadExperiment(),
