--- a/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/server/NodeServer.java
@@ -24,6 +24,7 @@
 import org.fallturn.node.configuration.LocalNode;
 import org.fallturn.node.configuration.ZoneNodes;
 import org.fallturn.node.gossip.GossipIdentity;
+import org.fallturn.node.gossip.GossipMeters;
 import org.fallturn.node.gossip.GossipModule;
 import org.fallturn.node.gossip.GossipTransport;
 import org.fallturn.node.gossip.UdpSocket;
@@ -184,6 +185,7 @@
                 plumbing.clusterKey(),
                 plumbing.codec(),
                 gossipTransport));
+    GossipMeters.register(plumbing.metrics(), gossip);
     gossip.addMachineListNotice(machines::onNewerVersion);
     gossip.addDigestListener(digests::add);
     machines.addListener(gossip::machineList);
--- a/fallturn-node/src/test/java/org/fallturn/node/gossip/GossipModuleTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gossip/GossipModuleTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
@@ -94,6 +95,10 @@
               assertThat(a.traffic().replayed()).isEqualTo(2);
             });
     assertThat(a.view().members()).containsOnlyKeys(new NodeId("a"));
+    SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    GossipMeters.register(registry, a);
+    assertThat(registry.get("fallturn.gossip.replayed").functionCounter().count()).isEqualTo(2);
+    assertThat(registry.get("fallturn.members").tag("state", "ALIVE").gauge().value()).isEqualTo(1);
   }
 
   @Test
