Keep the scale report when an event cannot be played to its end

A rack that does not answer ended the whole run without a file. The report now says which event that was.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleEvents.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.scale;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
+import org.fallturn.node.http.RemoteCallException;
 import org.fallturn.rehearsal.platform.PlatformFaults;
 import org.fallturn.rehearsal.scale.HollowMessages.Ask;
 import org.fallturn.rehearsal.scale.HollowMessages.Committed;
@@ -66,7 +68,12 @@
       TimeUnit.SECONDS.sleep(PLACEMENT_START_SECONDS);
     }
     for (ScaleEvent event : chosen) {
-      play(event);
+      try {
+        play(event);
+      } catch (IOException | RemoteCallException e) {
+        System.out.println(event.option() + " could not be played to its end: " + e);
+        events.add(new ScaleReport.Event(event.option(), Map.of("not played to its end", 1.0)));
+      }
     }
     return events;
   }
