--- a/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/roles/RolePolicyParameters.java
@@ -35,7 +35,7 @@
     double leastGainShare) {
   /** Values that the experiments in the documentation led to. */
   public static final RolePolicyParameters DEFAULT =
-      new RolePolicyParameters(20, 3, 3, 60, 14, 5, 45, 30, 6, 1.2, 40, 1.15, 0.02);
+      new RolePolicyParameters(20, 3, 3, 60, 14, 5, 90, 30, 6, 1.1, 60, 1, 0.08);
 
   /** Rejects times that are not positive. */
   public RolePolicyParameters {
--- a/fallturn-core/src/test/java/org/fallturn/core/roles/PredictiveRolePolicyTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/roles/PredictiveRolePolicyTest.java
@@ -181,6 +181,11 @@
       this.prefill = prefill;
     }
 
+    /** No more work is placed than the engines of the role can do. */
+    private static long placed(long arrived, int engines, double tokensPerSecond) {
+      return Math.min(arrived, Math.round(engines * tokensPerSecond));
+    }
+
     /** As many prefill engines are busy as the prompts need. */
     private static boolean isBusy(int index, Arrivals arrivals) {
       return index < Math.round(arrivals.promptTokens() / RATES.prefillTokensPerSecond());
@@ -214,8 +219,8 @@
               arrivals.requests(),
               arrivals.promptTokens(),
               arrivals.outputTokens(),
-              arrivals.promptTokens(),
-              arrivals.outputTokens(),
+              placed(arrivals.promptTokens(), prefill, RATES.prefillTokensPerSecond()),
+              placed(arrivals.outputTokens(), ENGINES - prefill, RATES.decodeTokensPerSecond()),
               0,
               arrivals.requests(),
               0,
