--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -22,6 +22,7 @@
       List.of(
           new RolesExperiment(),
           new PlacementExperiment(),
+          new SchedulerSpeedExperiment(),
           new SpreadExperiment(),
           new LimitsExperiment(),
           new IsolationExperiment());
