Let the quickstart wait for both kinds of answers and use the default lease

One first run in a fresh clone, right after its build at a load average above 50, ended NOT GOOD; the cause is not known, since only its last lines were kept. What a starved process could hit is made less likely: the lease is no longer shorter than the default, and a node must have answered an action too before the load.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/LocalFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/LocalFleet.java
@@ -100,8 +100,6 @@
     for (String service : List.of("table", "object_store", "machines")) {
       flags.put("platform." + service, platform.address().toString());
     }
-    flags.put("lease.duration", "3s");
-    flags.put("lease.renew_interval", "1s");
     flags.put("platform.machines_interval", "200ms");
     NodeSettings settings = NodeSettings.from(NodeSettings.reader().flags(flags).values());
     NodeServer node = keep(new NodeServer(settings));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
@@ -4,6 +4,7 @@
 import java.net.HttpURLConnection;
 import java.net.URI;
 import java.time.Duration;
+import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import net.sourceforge.argparse4j.impl.Arguments;
@@ -115,7 +116,7 @@
       throws IOException, InterruptedException {
     long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
     for (NetworkAddress node : fleet.callers()) {
-      while (caller.complete(node, "ready?", 1).verdict() != CallResult.Verdict.COMPLETE) {
+      while (!answers(caller, node)) {
         if (System.nanoTime() - deadline > 0) {
           throw new IOException("no completion through " + node);
         }
@@ -124,6 +125,13 @@
     }
   }
 
+  private static boolean answers(FleetCaller caller, NetworkAddress node) {
+    String key = "ready-" + UUID.randomUUID();
+    return caller.complete(node, "ready?", 1).verdict() == CallResult.Verdict.COMPLETE
+        && caller.act(node, FleetConfiguration.ONCE_SERVICE, key, key).verdict()
+            == CallResult.Verdict.COMPLETE;
+  }
+
   private static boolean allComplete(LoadReport report) {
     return report.count(CallResult.Verdict.COMPLETE) == report.total();
   }
