Derive owners and candidates only from what changed

Cause: a run of 370 hollow nodes on this machine spent 2.15 % of a core a node, 0.88 in the lease duty and 0.63 in admission. Both hashed every pool or tenant against every node again on each change of the membership view, 22 pools by 124 members and 410 tenants by 370 nodes. Change: a lease candidate ranks only pools it may lead, and only when the live nodes of its region or the machine list changed; a tenant's owner is compared with the nodes that came, and chosen anew only when it went. Ruled out: ticking less often, which would slow takeovers.

--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaNode.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaNode.java
@@ -16,7 +16,6 @@
 import org.fallturn.core.configuration.ConfigurationImage;
 import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.domain.TenantName;
-import org.fallturn.core.membership.RendezvousHash;
 
 /**
  * One node's part in the fleet-wide limits, as holder of shares and as owner of quotas. Events in,
@@ -28,7 +27,6 @@
  */
 public final class QuotaNode {
 
-  private static final String DUTY = "quota/";
   private static final int ASKS_PER_INTERVAL = 20;
 
   private final NodeId self;
@@ -36,7 +34,7 @@
   private final QuotaHolder holder;
   private final QuotaOwner owner;
   private final long startedNanos;
-  private final Map<String, NodeId> owners = new HashMap<>();
+  private final TenantOwners owners = new TenantOwners();
   private final Map<String, Claim> claims = new HashMap<>();
   private final Map<NodeId, Long> askedNanos = new HashMap<>();
   private final Map<NodeId, Long> lastAskNanos = new HashMap<>();
@@ -62,17 +60,11 @@
 
   /** The configuration in force. */
   public void setImage(ConfigurationImage next) {
-    if (!next.tenants().keySet().equals(image.tenants().keySet())) {
-      owners.clear();
-    }
     image = next;
   }
 
   /** The nodes as this one sees them now. */
   public void setSurroundings(QuotaSurroundings next) {
-    if (!next.eligible().equals(surroundings.eligible())) {
-      owners.clear();
-    }
     surroundings = next;
   }
 
@@ -203,15 +195,11 @@
     if (claim != null && surroundings.seen().contains(claim.owner())) {
       return claim.owner();
     }
-    return owners.getOrDefault(tenant, self);
+    return owners.owners().getOrDefault(tenant, self);
   }
 
   private void refreshOwners(long nowNanos) {
-    if (owners.isEmpty() && !surroundings.eligible().isEmpty()) {
-      for (String tenant : image.tenants().keySet()) {
-        NodeId first = RendezvousHash.top(DUTY + tenant, surroundings.eligible(), 1).get(0);
-        owners.put(tenant, first);
-      }
+    if (owners.update(image.tenants().keySet(), surroundings.eligible())) {
       ownTenants(nowNanos);
       lastHoldingsNanos = nowNanos - parameters.shareInterval().toNanos();
     }
@@ -220,12 +208,14 @@
   private void ownTenants(long nowNanos) {
     Set<String> own = new HashSet<>();
     if (surroundings.hasMajority()) {
-      owners.forEach(
-          (tenant, node) -> {
-            if (node.equals(self) && ownerOf(tenant).equals(self)) {
-              own.add(tenant);
-            }
-          });
+      owners
+          .owners()
+          .forEach(
+              (tenant, node) -> {
+                if (node.equals(self) && ownerOf(tenant).equals(self)) {
+                  own.add(tenant);
+                }
+              });
     }
     owner.setTenants(own, present(), nowNanos);
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/lease/CandidateSelection.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/lease/CandidateSelection.java
@@ -24,6 +24,8 @@
   private static final String LEADER_DUTY = "lease/";
   private static final String WITNESS_DUTY = "lease-witness/";
 
+  private static final int NO_RANK = -1;
+
   private final LeaseParameters parameters;
 
   /** A selection by the given counts. */
@@ -39,35 +41,43 @@
     if (self == null) {
       return candidates;
     }
-    List<Member> region =
-        view.members().values().stream()
-            .filter(member -> member.region().equals(self.region()))
-            .filter(member -> member.state() == Member.State.ALIVE)
-            .toList();
+    List<Member> region = liveIn(view, self);
     Set<NodeId> healthy = ids(region);
     Set<NodeId> listed = listedNodes(machines);
     for (PoolId pool : pools) {
       List<Member> zone =
           region.stream().filter(member -> member.zone().equals(pool.zone())).toList();
       List<Member> eligible = zone.isEmpty() ? region : zone;
-      List<NodeId> ranked =
-          RendezvousHash.top(LEADER_DUTY + pool, ids(eligible), parameters.watchers());
       long poolsOfZone = pools.stream().filter(other -> other.zone().equals(pool.zone())).count();
       int fairShare = Math.toIntExact(divideUp(poolsOfZone, Math.max(1, eligible.size())));
-      List<LeaseWitness> witnesses = witnesses(pool, view.self(), zone, region, listed);
+      boolean isEligible = eligible.contains(self);
+      int rank = isEligible ? rank(pool, view.self(), eligible) : NO_RANK;
+      List<LeaseWitness> witnesses =
+          isEligible ? witnesses(pool, view.self(), zone, region, listed) : List.of();
       candidates.put(
           pool,
-          new PoolCandidates(
-              ranked.indexOf(view.self()),
-              fairShare,
-              healthy,
-              witnesses,
-              listed,
-              machines.version()));
+          new PoolCandidates(rank, fairShare, healthy, witnesses, listed, machines.version()));
     }
     return candidates;
   }
 
+  /** The members that candidates and witnesses are chosen from: the live ones of this region. */
+  public static Set<NodeId> healthy(MembershipView view) {
+    return view.member(view.self()).map(self -> ids(liveIn(view, self))).orElse(Set.of());
+  }
+
+  private static List<Member> liveIn(MembershipView view, Member self) {
+    return view.members().values().stream()
+        .filter(member -> member.region().equals(self.region()))
+        .filter(member -> member.state() == Member.State.ALIVE)
+        .toList();
+  }
+
+  private int rank(PoolId pool, NodeId self, List<Member> eligible) {
+    return RendezvousHash.top(LEADER_DUTY + pool, ids(eligible), parameters.watchers())
+        .indexOf(self);
+  }
+
   private List<LeaseWitness> witnesses(
       PoolId pool, NodeId self, List<Member> zone, List<Member> region, Set<NodeId> listed) {
     List<Member> choice = others(zone, self, listed);
--- a/fallturn-node/src/main/java/org/fallturn/node/lease/CandidateSource.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/lease/CandidateSource.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
+import org.fallturn.core.domain.NodeId;
 import org.fallturn.core.domain.PoolId;
 import org.fallturn.core.lease.CandidateSelection;
 import org.fallturn.core.lease.PoolCandidates;
@@ -24,6 +26,7 @@
   private final Supplier<MachineList> machines;
   private final Supplier<List<PoolEngines>> pools;
   private MembershipView lastView;
+  private Set<NodeId> lastHealthy = Set.of();
   private MachineList lastMachines;
   private long lastNanos;
 
@@ -49,8 +52,14 @@
     if (view == lastView && list == lastMachines) {
       return Optional.empty();
     }
+    Set<NodeId> healthy = CandidateSelection.healthy(view);
+    boolean sameChoice = lastView != null && list == lastMachines && healthy.equals(lastHealthy);
     lastView = view;
     lastMachines = list;
+    lastHealthy = healthy;
+    if (sameChoice) {
+      return Optional.empty();
+    }
     List<PoolId> names = pools.get().stream().map(PoolEngines::pool).toList();
     return Optional.of(selection.select(view, list, names));
   }
