--- a/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaLedger.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/admission/QuotaLedger.java
@@ -20,9 +20,6 @@
   /** Holders ask for this factor of their demand. */
   static final double HEADROOM = 2;
 
-  /** A first wish is small; where there is plenty it gets this part of the pool at once. */
-  private static final double LEAST_PART = 0.02;
-
   private static final double CONTENDED_ABOVE = 1.25;
 
   private final long durationNanos;
@@ -91,8 +88,7 @@
     forgetWaitedOut(nowNanos);
     put(holder, holding, wanted, nowNanos);
     QuotaAmounts free = pool.minus(committedByOthers(holder));
-    QuotaAmounts share =
-        wholeNumbers(fair(wanted, pool).max(generous(free, wanted, pool)).min(free));
+    QuotaAmounts share = wholeNumbers(fair(wanted, pool).max(generous(free, wanted)).min(free));
     put(holder, holding.max(share), wanted, nowNanos);
     return share;
   }
@@ -149,9 +145,9 @@
   }
 
   /** More than is asked for, when there is plenty: growing traffic need not ask for each step. */
-  private QuotaAmounts generous(QuotaAmounts free, QuotaAmounts wanted, QuotaAmounts pool) {
-    QuotaAmounts room = wanted.plus(wanted).plus(wanted.plus(wanted));
-    return free.fraction(1.0 / (entries.size() + 1)).min(room.max(pool.fraction(LEAST_PART)));
+  private QuotaAmounts generous(QuotaAmounts free, QuotaAmounts wanted) {
+    return free.fraction(1.0 / (entries.size() + 1))
+        .min(wanted.plus(wanted).plus(wanted.plus(wanted)));
   }
 
   private QuotaAmounts fair(QuotaAmounts wanted, QuotaAmounts budget) {
