--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
@@ -0,0 +1,33 @@
+package org.fallturn.core.dispatch;
+
+/** How an attempt at one engine ended without a whole, good answer. */
+public enum AttemptOutcome {
+  /** No byte of the request reached the engine. */
+  NOT_SENT(false),
+  /** The engine says that it did not run the request. */
+  NOT_EXECUTED(false),
+  /** The engine answered with a failure of its own after it may have run the request. */
+  ANSWERED_FAILURE(true),
+  /** The connection broke, or what came back is no answer to this request. */
+  LOST(true),
+  /** No sign of an answer within the patience of the attempt. */
+  SILENT(true),
+  /** Part of the answer had been passed on when it broke off. */
+  BROKEN_MIDWAY(true);
+
+  private final boolean mayHaveRun;
+
+  AttemptOutcome(boolean mayHaveRun) {
+    this.mayHaveRun = mayHaveRun;
+  }
+
+  /** Whether the engine may have begun work on the request. */
+  public boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
+  /** Whether it speaks against the engine or the way to it. */
+  public boolean blamesEngine() {
+    return this != NOT_EXECUTED && this != ANSWERED_FAILURE;
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -0,0 +1,40 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.routing.ServingEngine;
+
+/** What is to be done next for a request. */
+public sealed interface Decision {
+
+  /**
+   * Have an engine read the prompt and keep its KV cache for another engine.
+   *
+   * @param engine the engine
+   * @param patience how long to wait for it
+   */
+  record Prefill(ServingEngine engine, Duration patience) implements Decision {}
+
+  /**
+   * Have an engine run the request.
+   *
+   * @param engine the engine
+   * @param source where it fetches the prompt's KV cache; empty when it reads the prompt itself
+   * @param patience how long to wait for the head of its answer
+   */
+  record Run(ServingEngine engine, Optional<CacheSource> source, Duration patience)
+      implements Decision {}
+
+  /**
+   * End the request with an error of this node.
+   *
+   * @param kind entry of the closed list
+   * @param reason for people
+   * @param retryAfter when to come back, for a request that was not run
+   */
+  record Refuse(ErrorKind kind, String reason, Optional<Duration> retryAfter) implements Decision {}
+
+  /** Pass on the failure that the last engine answered with. */
+  record PassFailure() implements Decision {}
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -0,0 +1,23 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+
+/**
+ * Constants of the dispatcher; see the settings of section {@code dispatch} for their bounds.
+ *
+ * @param zone zone of this node
+ * @param prefillThresholdTokens uncached tokens from which a prompt is read on a prefill engine
+ * @param prefillTokensPerMilli reading speed that is assumed until one is measured
+ * @param retryRatio repeats a request, over the whole fleet
+ * @param retrySlack repeats beyond the ratio, over the whole fleet
+ * @param retryWindow window of the two
+ * @param minRetryAfter shortest advice on when to come back
+ */
+public record DispatchParameters(
+    String zone,
+    int prefillThresholdTokens,
+    double prefillTokensPerMilli,
+    double retryRatio,
+    double retrySlack,
+    Duration retryWindow,
+    Duration minRetryAfter) {}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -0,0 +1,251 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.EngineProfile;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServiceDefinition;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Decides where each request runs and what follows when an attempt fails.
+ *
+ * <p>Invariants: a request that may not be repeated is sent again only when no engine can have run
+ * it; it is called not run only when no engine can have run it; no request may run on more engines
+ * than its route allows; repeats stay within the retry budget. Only the dispatch thread calls.
+ */
+public final class Dispatcher {
+
+  private static final int MAX_PREFILL_ATTEMPTS = 2;
+  private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
+  private static final long DEFAULT_CACHE_TOKENS = 400_000;
+  private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
+
+  private final DispatchParameters parameters;
+  private final PeerLoads peerLoads = new PeerLoads();
+  private final EngineSelector selector;
+  private final Patience patience;
+  private final ServiceSplit split = new ServiceSplit();
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final List<PlacedPrompt> newPrompts = new ArrayList<>();
+  private Optional<RoutingImage> routing = Optional.empty();
+
+  /** A dispatcher that knows no engine yet. */
+  public Dispatcher(DispatchParameters parameters) {
+    this.parameters = parameters;
+    this.selector = new EngineSelector(parameters.zone(), peerLoads);
+    this.patience = new Patience(parameters);
+  }
+
+  /** Takes a newer list of engines. */
+  public void setDirectory(EngineDirectory directory) {
+    selector.setDirectory(directory);
+  }
+
+  /** Takes a newer set of services. */
+  public void setRouting(RoutingImage image) {
+    routing = Optional.of(image);
+  }
+
+  /** Takes what another node says of its load. */
+  public void onDigest(LoadDigest digest, long nowNanos) {
+    peerLoads.onDigest(digest, nowNanos);
+    for (PlacedPrompt prompt : digest.prompts()) {
+      selector.cachedParts().record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts());
+    }
+  }
+
+  /** What this node has at each engine, for the other nodes. */
+  public Map<String, EngineDigest> ownLoads() {
+    Map<String, EngineDigest> digests = new HashMap<>();
+    selector
+        .loads()
+        .forEach(
+            (id, load) -> {
+              if (!load.idle()) {
+                digests.put(id, new EngineDigest(load.running(), load.prefillTokens()));
+              }
+            });
+    return digests;
+  }
+
+  /** Prompts placed since the last call. */
+  public List<PlacedPrompt> takeNewPrompts() {
+    List<PlacedPrompt> taken = List.copyOf(newPrompts);
+    newPrompts.clear();
+    return taken;
+  }
+
+  /** Nodes that share the retry budget, this one included. */
+  public int liveNodes(long nowNanos) {
+    return 1 + peerLoads.liveNodes(nowNanos);
+  }
+
+  /** First decision for a request. */
+  public Decision start(RequestProgress progress, long nowNanos) {
+    progress.chooseService(split.next(progress.envelope().route()));
+    budget(progress).onRequest(nowNanos);
+    return place(progress, nowNanos);
+  }
+
+  /** The prompt was read; its KV cache waits under the handle. */
+  public Decision onPrefilled(RequestProgress progress, String handle, long nowNanos) {
+    ServingEngine engine = progress.engine().orElseThrow();
+    selector.load(engine).health().onGood();
+    release(progress, false);
+    progress.keepSource(new CacheSource(engine, handle));
+    return run(progress, nowNanos);
+  }
+
+  /** An attempt ended without a whole, good answer. */
+  public Decision onFailure(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
+    boolean wasPrefill = progress.prefilling();
+    progress
+        .engine()
+        .ifPresent(engine -> selector.load(engine).health().onFailure(outcome, nowNanos));
+    release(progress, outcome.mayHaveRun());
+    if (wasPrefill) {
+      return afterFailedPrefill(progress, nowNanos);
+    }
+    return afterFailedRun(progress, outcome, nowNanos);
+  }
+
+  /** The answer was passed on whole. */
+  public void onFinished(RequestProgress progress) {
+    progress.engine().ifPresent(engine -> selector.load(engine).health().onGood());
+    release(progress, true);
+  }
+
+  /** The caller left or its time is over; says nothing about the engine. */
+  public void onAbandoned(RequestProgress progress) {
+    progress.engine().ifPresent(engine -> selector.load(engine).health().onAbandoned());
+    release(progress, true);
+  }
+
+  private Decision afterFailedPrefill(RequestProgress progress, long nowNanos) {
+    boolean again =
+        progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS
+            && selector.canPrefill(progress, nowNanos)
+            && takeRepeat(progress, nowNanos);
+    return again ? prefill(progress, nowNanos) : run(progress, nowNanos);
+  }
+
+  private Decision afterFailedRun(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
+    if (progress.arrivals() > 1 || outcome.mayHaveRun()) {
+      progress.dropSource();
+    }
+    if (mayTryAgain(progress, outcome, nowNanos)) {
+      return run(progress, nowNanos);
+    }
+    return giveUp(progress, outcome);
+  }
+
+  private boolean mayTryAgain(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
+    Route route = progress.envelope().route();
+    if (outcome.mayHaveRun() && !route.repeatable()) {
+      return false;
+    }
+    if (progress.possibleRuns() >= route.maxAttempts()
+        || progress.arrivals() >= route.maxAttempts() + MAX_ARRIVALS_BEYOND_RUNS) {
+      return false;
+    }
+    if (progress.envelope().remainingNanos(nowNanos) < MIN_TIME_FOR_ATTEMPT.toNanos()) {
+      return false;
+    }
+    boolean free = outcome == AttemptOutcome.NOT_SENT;
+    return selector.forRun(progress, nowNanos).isPresent()
+        && (free || takeRepeat(progress, nowNanos));
+  }
+
+  private Decision giveUp(RequestProgress progress, AttemptOutcome outcome) {
+    if (outcome == AttemptOutcome.ANSWERED_FAILURE) {
+      return new Decision.PassFailure();
+    }
+    if (progress.possibleRuns() == 0) {
+      return notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " took it");
+    }
+    return new Decision.Refuse(
+        ErrorKind.OUTCOME_UNKNOWN, "an engine may have run it: " + outcome, Optional.empty());
+  }
+
+  private Decision place(RequestProgress progress, long nowNanos) {
+    if (progress.envelope().remainingNanos(nowNanos) <= 0) {
+      return notRun(ErrorKind.DEADLINE_UNREACHABLE, "its time was over when it had been read");
+    }
+    boolean readAhead =
+        progress.envelope().prompt().isPresent()
+            && progress.envelope().prompt().get().promptTokens()
+                >= parameters.prefillThresholdTokens()
+            && selector.canPrefill(progress, nowNanos);
+    return readAhead ? prefill(progress, nowNanos) : run(progress, nowNanos);
+  }
+
+  private Decision prefill(RequestProgress progress, long nowNanos) {
+    PromptShape prompt = progress.envelope().prompt().orElseThrow();
+    Optional<ServingEngine> engine = selector.forPrefill(progress, prompt, nowNanos);
+    if (engine.isEmpty()) {
+      return run(progress, nowNanos);
+    }
+    ServingEngine chosen = engine.get();
+    int tokens = selector.uncachedTokens(chosen, prompt);
+    Duration patienceForIt =
+        patience.forPrefill(
+            selector.backlogTokens(chosen, nowNanos) + tokens,
+            progress.envelope().remainingNanos(nowNanos));
+    selector.load(chosen).add(tokens);
+    progress.beginPrefill(chosen, tokens);
+    remember(chosen, progress, prompt);
+    return new Decision.Prefill(chosen, patienceForIt);
+  }
+
+  private void remember(ServingEngine engine, RequestProgress progress, PromptShape prompt) {
+    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts());
+    newPrompts.add(new PlacedPrompt(engine.id(), prompt.parts()));
+  }
+
+  private long cacheTokens(RequestProgress progress) {
+    return routing
+        .flatMap(image -> image.service(progress.service()))
+        .flatMap(ServiceDefinition::engine)
+        .map(EngineProfile::cacheTokens)
+        .orElse(DEFAULT_CACHE_TOKENS);
+  }
+
+  private Decision run(RequestProgress progress, long nowNanos) {
+    Optional<ServingEngine> engine = selector.forRun(progress, nowNanos);
+    if (engine.isEmpty()) {
+      return progress.possibleRuns() == 0
+          ? notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " is there")
+          : giveUp(progress, AttemptOutcome.LOST);
+    }
+    selector.load(engine.get()).add(0);
+    progress.beginRun(engine.get(), 0);
+    Duration patienceForIt =
+        patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
+    return new Decision.Run(engine.get(), progress.source(), patienceForIt);
+  }
+
+  private Decision notRun(ErrorKind kind, String reason) {
+    return new Decision.Refuse(kind, reason, Optional.of(parameters.minRetryAfter()));
+  }
+
+  private void release(RequestProgress progress, boolean mayHaveRun) {
+    progress.engine().ifPresent(engine -> selector.load(engine).remove(progress.chargedTokens()));
+    progress.endAttempt(mayHaveRun);
+  }
+
+  private boolean takeRepeat(RequestProgress progress, long nowNanos) {
+    return budget(progress).tryTake(liveNodes(nowNanos), nowNanos);
+  }
+
+  private RetryBudget budget(RequestProgress progress) {
+    return budgets.computeIfAbsent(progress.service(), name -> new RetryBudget(parameters));
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -0,0 +1,75 @@
+package org.fallturn.core.dispatch;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What outcomes say of one engine. Failures in a row suspend it for a growing time, after which one
+ * request at a time tries it again; a share of failed answers makes it less attractive without
+ * suspending it. One thread calls.
+ */
+final class EngineHealth {
+
+  private static final int FAILURES_TO_SUSPEND = 2;
+  private static final long FIRST_SUSPENSION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long MAX_SUSPENSION_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final double SMOOTHING = 0.15;
+
+  private int failuresInRow;
+  private long suspendedUntilNanos;
+  private long suspensionNanos = FIRST_SUSPENSION_NANOS;
+  private boolean suspended;
+  private boolean probing;
+  private double failureShare;
+
+  /** Whether a request may go there now. */
+  boolean usable(long nowNanos) {
+    if (!suspended) {
+      return true;
+    }
+    return !probing && nowNanos - suspendedUntilNanos >= 0;
+  }
+
+  /** Recent share of attempts that failed, 0 to 1. */
+  double failureShare() {
+    return failureShare;
+  }
+
+  void onSent() {
+    if (suspended) {
+      probing = true;
+    }
+  }
+
+  void onGood() {
+    failuresInRow = 0;
+    suspended = false;
+    probing = false;
+    suspensionNanos = FIRST_SUSPENSION_NANOS;
+    failureShare -= SMOOTHING * failureShare;
+  }
+
+  void onFailure(AttemptOutcome outcome, long nowNanos) {
+    probing = false;
+    failureShare += SMOOTHING * (1 - failureShare);
+    if (!outcome.blamesEngine()) {
+      return;
+    }
+    failuresInRow++;
+    if (failuresInRow >= FAILURES_TO_SUSPEND || suspended) {
+      suspend(nowNanos);
+    }
+  }
+
+  /** The attempt ended for a reason that says nothing about the engine. */
+  void onAbandoned() {
+    probing = false;
+  }
+
+  private void suspend(long nowNanos) {
+    if (suspended) {
+      suspensionNanos = Math.min(2 * suspensionNanos, MAX_SUSPENSION_NANOS);
+    }
+    suspended = true;
+    suspendedUntilNanos = nowNanos + suspensionNanos;
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -0,0 +1,175 @@
+package org.fallturn.core.dispatch;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Picks engines by cost: load as this node and its peers count it, health from outcomes, distance,
+ * and for prompts the tokens that would have to be read. One thread calls.
+ */
+final class EngineSelector {
+
+  private static final double OTHER_ZONE_RUN_COST = 0.03;
+  private static final double OTHER_ZONE_FETCH_COST = 0.1;
+  private static final double FAILURE_RUN_COST = 1.0;
+  private static final double FAILURE_PREFILL_TOKENS = 20_000;
+  private static final double OTHER_ZONE_PREFILL_TOKENS = 300;
+
+  private final String zone;
+  private final Map<String, EngineLoad> loads = new HashMap<>();
+  private final CachedParts cachedParts = new CachedParts();
+  private final PeerLoads peerLoads;
+  private EngineDirectory directory = EngineDirectory.empty();
+
+  EngineSelector(String zone, PeerLoads peerLoads) {
+    this.zone = zone;
+    this.peerLoads = peerLoads;
+  }
+
+  /** Takes a new list; loads of engines that are gone stay until their requests have ended. */
+  void setDirectory(EngineDirectory newDirectory) {
+    directory = newDirectory;
+    Set<String> present = new HashSet<>();
+    directory.all().forEach(engine -> present.add(engine.id()));
+    cachedParts.retain(present);
+    loads.entrySet().removeIf(e -> !present.contains(e.getKey()) && e.getValue().idle());
+  }
+
+  EngineLoad load(ServingEngine engine) {
+    return loads.computeIfAbsent(engine.id(), id -> new EngineLoad());
+  }
+
+  Map<String, EngineLoad> loads() {
+    return loads;
+  }
+
+  CachedParts cachedParts() {
+    return cachedParts;
+  }
+
+  /** Whether the service has an engine that reads prompts ahead. */
+  boolean canPrefill(RequestProgress progress, long nowNanos) {
+    return directory.ofService(progress.service()).stream()
+        .anyMatch(engine -> prefills(engine) && usable(engine, progress, nowNanos));
+  }
+
+  /** The engine that would have read the prompt first. */
+  Optional<ServingEngine> forPrefill(RequestProgress progress, PromptShape prompt, long nowNanos) {
+    List<ServingEngine> candidates = candidates(progress, EngineSelector::prefills, nowNanos);
+    Optional<ServingEngine> home = home(prompt, candidates);
+    return cheapest(
+        candidates,
+        engine -> {
+          EngineLoad load = load(engine);
+          return backlogTokens(engine, nowNanos)
+              + uncachedTokens(engine, prompt, home)
+              + FAILURE_PREFILL_TOKENS * load.health().failureShare()
+              + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_PREFILL_TOKENS);
+        },
+        progress);
+  }
+
+  /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
+  long backlogTokens(ServingEngine engine, long nowNanos) {
+    return load(engine).prefillTokens() + peerLoads.prefillTokens(engine.id(), nowNanos);
+  }
+
+  /** Tokens of the prompt that the engine would have to read. */
+  int uncachedTokens(ServingEngine engine, PromptShape prompt) {
+    int cached = cachedParts.cachedTokens(engine.id(), prompt.parts());
+    return Math.max(0, prompt.promptTokens() - cached);
+  }
+
+  /** As {@link #uncachedTokens(ServingEngine, PromptShape)}; unknown parts are taken to be home. */
+  private int uncachedTokens(
+      ServingEngine engine, PromptShape prompt, Optional<ServingEngine> home) {
+    boolean unknown = prompt.lastSharedPart().filter(part -> !cachedParts.known(part)).isPresent();
+    if (unknown && home.isPresent() && home.get().id().equals(engine.id())) {
+      return Math.max(0, prompt.promptTokens() - prompt.sharedTokens());
+    }
+    return uncachedTokens(engine, prompt);
+  }
+
+  /** All nodes agree on the first engine to read a shared part, so that it is read once. */
+  private static Optional<ServingEngine> home(
+      PromptShape prompt, Collection<ServingEngine> candidates) {
+    return prompt
+        .lastSharedPart()
+        .flatMap(
+            part ->
+                candidates.stream()
+                    .max(
+                        (left, right) ->
+                            Long.compareUnsigned(
+                                RendezvousHash.weight(part.id(), left.id()),
+                                RendezvousHash.weight(part.id(), right.id()))));
+  }
+
+  /** The engine that runs the request, near the KV cache when there is one to be fetched. */
+  Optional<ServingEngine> forRun(RequestProgress progress, long nowNanos) {
+    List<ServingEngine> candidates =
+        candidates(progress, engine -> engine.stage() != EngineStage.PREFILL, nowNanos);
+    Optional<CacheSource> source = progress.source();
+    String near = source.map(from -> from.engine().zone()).orElse(zone);
+    double distanceCost = source.isPresent() ? OTHER_ZONE_FETCH_COST : OTHER_ZONE_RUN_COST;
+    return cheapest(
+        candidates,
+        engine -> {
+          EngineLoad load = load(engine);
+          double running = load.running() + peerLoads.running(engine.id(), nowNanos);
+          return (running + 1) / Math.max(1, engine.slots())
+              + FAILURE_RUN_COST * load.health().failureShare()
+              + (engine.zone().equals(near) ? 0 : distanceCost);
+        },
+        progress);
+  }
+
+  private static boolean prefills(ServingEngine engine) {
+    return engine.stage() == EngineStage.PREFILL;
+  }
+
+  /** Engines not tried yet and in good health; when there is none, those merely not leaving. */
+  private List<ServingEngine> candidates(
+      RequestProgress progress, Predicate<ServingEngine> fits, long nowNanos) {
+    List<ServingEngine> present =
+        directory.ofService(progress.service()).stream()
+            .filter(engine -> !engine.leaving() && fits.test(engine))
+            .toList();
+    List<ServingEngine> good =
+        present.stream().filter(engine -> usable(engine, progress, nowNanos)).toList();
+    if (!good.isEmpty()) {
+      return good;
+    }
+    return present.stream().filter(engine -> !progress.hasTried(engine)).toList();
+  }
+
+  private boolean usable(ServingEngine engine, RequestProgress progress, long nowNanos) {
+    return !engine.leaving()
+        && !progress.hasTried(engine)
+        && load(engine).health().usable(nowNanos);
+  }
+
+  /** Equal costs are decided by the request's id, so that nodes do not all take the same engine. */
+  private static Optional<ServingEngine> cheapest(
+      List<ServingEngine> candidates,
+      ToDoubleFunction<ServingEngine> cost,
+      RequestProgress progress) {
+    String requestId = progress.envelope().requestId();
+    return candidates.stream()
+        .min(
+            Comparator.comparingDouble(cost)
+                .thenComparingLong(engine -> RendezvousHash.weight(requestId, engine.id())));
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -0,0 +1,39 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import org.fallturn.core.routing.Route;
+
+/**
+ * How long an attempt may go without a sign of an answer before another engine is tried. A request
+ * that could not be sent again is waited for until its time is over. Immutable.
+ */
+final class Patience {
+
+  private static final double RUN_TARGETS = 2.0;
+  private static final double PREFILL_FACTOR = 3.0;
+  private static final long PREFILL_BASE_NANOS = Duration.ofMillis(300).toNanos();
+
+  private final DispatchParameters parameters;
+
+  Patience(DispatchParameters parameters) {
+    this.parameters = parameters;
+  }
+
+  /** For a prompt behind a backlog, both in tokens. */
+  Duration forPrefill(long tokens, long remainingNanos) {
+    double millis = PREFILL_FACTOR * tokens / parameters.prefillTokensPerMilli();
+    long wanted = PREFILL_BASE_NANOS + Duration.ofMillis((long) millis).toNanos();
+    return Duration.ofNanos(Math.min(wanted, remainingNanos / 2));
+  }
+
+  /** For a request that runs. */
+  Duration forRun(RequestProgress progress, long remainingNanos) {
+    Route route = progress.envelope().route();
+    boolean last = progress.possibleRuns() >= route.maxAttempts();
+    if (!route.repeatable() || last) {
+      return Duration.ofNanos(Math.max(0, remainingNanos));
+    }
+    long wanted = (long) (RUN_TARGETS * route.targetLatency().toNanos());
+    return Duration.ofNanos(Math.max(0, Math.min(wanted, remainingNanos)));
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -0,0 +1,62 @@
+package org.fallturn.core.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What the other nodes last said they have at each engine. A node that has said nothing for a while
+ * counts as having nothing, so that the loss of a node does not leave load behind. One thread
+ * calls.
+ */
+public final class PeerLoads {
+
+  private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final Map<String, Heard> heardByNode = new HashMap<>();
+
+  /** Takes a digest; one that is older than the last from the same process is dropped. */
+  public void onDigest(LoadDigest digest, long nowNanos) {
+    Heard before = heardByNode.get(digest.node());
+    if (before != null && before.digest.isNewerThan(digest)) {
+      return;
+    }
+    heardByNode.put(digest.node(), new Heard(digest, nowNanos));
+  }
+
+  /** How many other nodes spoke lately. */
+  public int liveNodes(long nowNanos) {
+    return (int) heardByNode.values().stream().filter(heard -> heard.fresh(nowNanos)).count();
+  }
+
+  /** Requests that the other nodes have at an engine. */
+  int running(String engineId, long nowNanos) {
+    int sum = 0;
+    for (Heard heard : heardByNode.values()) {
+      EngineDigest engine = heard.digest.engines().get(engineId);
+      if (engine != null && heard.fresh(nowNanos)) {
+        sum += engine.running();
+      }
+    }
+    return sum;
+  }
+
+  /** Prompt tokens that the other nodes have waiting at an engine. */
+  long prefillTokens(String engineId, long nowNanos) {
+    long sum = 0;
+    for (Heard heard : heardByNode.values()) {
+      EngineDigest engine = heard.digest.engines().get(engineId);
+      if (engine != null && heard.fresh(nowNanos)) {
+        sum += engine.prefillTokens();
+      }
+    }
+    return sum;
+  }
+
+  private record Heard(LoadDigest digest, long atNanos) {
+
+    boolean fresh(long nowNanos) {
+      return nowNanos - atNanos < LIFETIME_NANOS;
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -0,0 +1,26 @@
+package org.fallturn.core.dispatch;
+
+import java.util.Optional;
+import org.fallturn.core.routing.Route;
+
+/**
+ * All that is decided on for one request; its head and body pass through untouched. Immutable.
+ *
+ * @param requestId the caller's id of this attempt
+ * @param route the route it came on
+ * @param prompt shape of its prompt; empty for an application request
+ * @param arrivedNanos when it was read whole
+ * @param answerByNanos when the caller or the operator stops waiting, whichever is first
+ */
+public record RequestEnvelope(
+    String requestId,
+    Route route,
+    Optional<PromptShape> prompt,
+    long arrivedNanos,
+    long answerByNanos) {
+
+  /** Time left to answer; negative when it has passed. */
+  public long remainingNanos(long nowNanos) {
+    return answerByNanos - nowNanos;
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -0,0 +1,115 @@
+package org.fallturn.core.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * What has been done for one request so far. Only the dispatcher writes it, on the dispatch thread.
+ */
+public final class RequestProgress {
+
+  private final RequestEnvelope envelope;
+  private final Set<String> triedEngines = new HashSet<>();
+  private String service = "";
+  private int arrivals;
+  private int possibleRuns;
+  private int prefillAttempts;
+  private ServingEngine engine;
+  private boolean prefilling;
+  private int chargedTokens;
+  private CacheSource source;
+
+  /** A request that has just arrived. */
+  public RequestProgress(RequestEnvelope envelope) {
+    this.envelope = envelope;
+  }
+
+  /** What is decided on. */
+  public RequestEnvelope envelope() {
+    return envelope;
+  }
+
+  /** The service it goes to; empty before the first decision. */
+  public String service() {
+    return service;
+  }
+
+  /** The engine that has the request now. */
+  public Optional<ServingEngine> engine() {
+    return Optional.ofNullable(engine);
+  }
+
+  /** Whether the present attempt only reads the prompt. */
+  public boolean prefilling() {
+    return prefilling;
+  }
+
+  /** How many engines may have run it, the present one included. */
+  public int possibleRuns() {
+    return possibleRuns;
+  }
+
+  /** How often it was sent to be run. */
+  public int arrivals() {
+    return arrivals;
+  }
+
+  /** How often a prompt was sent to be read ahead. */
+  public int prefillAttempts() {
+    return prefillAttempts;
+  }
+
+  /** A KV cache that waits to be fetched. */
+  public Optional<CacheSource> source() {
+    return Optional.ofNullable(source);
+  }
+
+  boolean hasTried(ServingEngine candidate) {
+    return triedEngines.contains(candidate.id());
+  }
+
+  int chargedTokens() {
+    return chargedTokens;
+  }
+
+  void chooseService(String name) {
+    service = name;
+  }
+
+  void beginPrefill(ServingEngine chosen, int tokens) {
+    engine = chosen;
+    prefilling = true;
+    chargedTokens = tokens;
+    prefillAttempts++;
+    triedEngines.add(chosen.id());
+  }
+
+  void beginRun(ServingEngine chosen, int tokens) {
+    engine = chosen;
+    prefilling = false;
+    chargedTokens = tokens;
+    arrivals++;
+    possibleRuns++;
+    triedEngines.add(chosen.id());
+  }
+
+  /** The present attempt is over. */
+  void endAttempt(boolean mayHaveRun) {
+    if (!prefilling && !mayHaveRun) {
+      possibleRuns--;
+    }
+    engine = null;
+    prefilling = false;
+    chargedTokens = 0;
+  }
+
+  void keepSource(CacheSource kept) {
+    source = kept;
+  }
+
+  void dropSource() {
+    source = null;
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/RendezvousHash.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/RendezvousHash.java
@@ -33,7 +33,12 @@
 
   /** Weight of a node for a duty, an unsigned number. */
   public static long weight(String duty, NodeId node) {
-    long hash = mix(mix(FNV_OFFSET, duty), node.value());
+    return weight(duty, node.value());
+  }
+
+  /** Weight of any named candidate for a duty, an unsigned number. */
+  public static long weight(String duty, String candidate) {
+    long hash = mix(mix(FNV_OFFSET, duty), candidate);
     hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
     hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
     return hash ^ (hash >>> 33);
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedRow.java
@@ -0,0 +1,11 @@
+package org.fallturn.core.port.feed;
+
+/**
+ * A row as it was at one position of the store's history.
+ *
+ * @param key key within the table
+ * @param version position at which the row was last written
+ * @param value its text; empty when it is gone
+ * @param gone whether the row was removed
+ */
+public record FeedRow(String key, long version, String value, boolean gone) {}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/RowFeed.java
@@ -0,0 +1,23 @@
+package org.fallturn.core.port.feed;
+
+import java.time.Duration;
+import org.fallturn.core.port.table.StoreException;
+
+/**
+ * One table of the platform's store. Calls block their thread for a bounded time; only the thread
+ * that follows the table calls them. Reading changes nothing, so a failed call may be repeated.
+ */
+public interface RowFeed {
+
+  /** Reads the whole table as of one moment, which may lie a little in the past. */
+  FeedAnswer snapshot() throws StoreException;
+
+  /**
+   * Reads the changes after a position, as soon as there are any.
+   *
+   * @param after the position reached so far
+   * @param wait how long to wait for a change; an empty answer follows when none came
+   * @throws HistoryLostException when the store no longer has them
+   */
+  FeedAnswer changesAfter(long after, Duration wait) throws StoreException, HistoryLostException;
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/EngineDirectory.java
@@ -0,0 +1,78 @@
+package org.fallturn.core.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The engines that a node knows, at one position of the store's history. Immutable; made again from
+ * the previous one and a change.
+ */
+public final class EngineDirectory {
+
+  private static final EngineDirectory EMPTY = new EngineDirectory(0, Map.of());
+
+  private final long revision;
+  private final Map<String, ServingEngine> engines;
+  private final Map<String, List<ServingEngine>> byService;
+
+  private EngineDirectory(long revision, Map<String, ServingEngine> engines) {
+    this.revision = revision;
+    this.engines = Map.copyOf(engines);
+    Map<String, List<ServingEngine>> grouped = new HashMap<>();
+    for (ServingEngine engine : engines.values()) {
+      grouped.computeIfAbsent(engine.service(), name -> new ArrayList<>()).add(engine);
+    }
+    this.byService = Map.copyOf(grouped);
+  }
+
+  /** No engine is known yet. */
+  public static EngineDirectory empty() {
+    return EMPTY;
+  }
+
+  /** The whole list as read at a position. */
+  public static EngineDirectory of(long revision, Collection<ServingEngine> all) {
+    Map<String, ServingEngine> engines = new HashMap<>();
+    all.forEach(engine -> engines.put(engine.id(), engine));
+    return new EngineDirectory(revision, engines);
+  }
+
+  /**
+   * This list after some changes.
+   *
+   * @param newRevision position after the changes
+   * @param present engines that appeared or changed
+   * @param gone ids of engines whose entry went away
+   */
+  public EngineDirectory with(
+      long newRevision, Collection<ServingEngine> present, Collection<String> gone) {
+    Map<String, ServingEngine> changed = new HashMap<>(engines);
+    gone.forEach(changed::remove);
+    present.forEach(engine -> changed.put(engine.id(), engine));
+    return new EngineDirectory(newRevision, changed);
+  }
+
+  /** Position in the store's history. */
+  public long revision() {
+    return revision;
+  }
+
+  /** Every engine. */
+  public Collection<ServingEngine> all() {
+    return engines.values();
+  }
+
+  /** The engines of one service, in no particular order. */
+  public List<ServingEngine> ofService(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /** One engine, when its entry is there. */
+  public Optional<ServingEngine> find(String id) {
+    return Optional.ofNullable(engines.get(id));
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/ServiceDefinition.java
@@ -0,0 +1,12 @@
+package org.fallturn.core.routing;
+
+import java.util.Optional;
+
+/**
+ * A service as the operator defines it.
+ *
+ * @param name name of the service
+ * @param maxConnections connections that one engine takes from all nodes together
+ * @param engine what its model engines can hold; empty for an application service
+ */
+public record ServiceDefinition(String name, int maxConnections, Optional<EngineProfile> engine) {}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -0,0 +1,151 @@
+package org.fallturn.node.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.dispatch.RequestEnvelope;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+
+/**
+ * The door for callers: finds the route, reads the body whole within the operator's limits and
+ * hands the request to the dispatch duty. Called on server threads; never blocks.
+ */
+final class CallerDoor extends Handler.Abstract.NonBlocking {
+
+  private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
+
+  private final GatewayState gateway;
+  private final Consumer<DispatchEvent> events;
+  private final DecisionLog log;
+
+  CallerDoor(GatewayState gateway, Consumer<DispatchEvent> events, DecisionLog log) {
+    this.gateway = gateway;
+    this.events = events;
+    this.log = log;
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    CallerTriple caller = new CallerTriple(request, response, callback);
+    RoutingImage routing = gateway.routing();
+    if (routing == null) {
+      refuse(caller, "", ErrorKind.STORE_UNAVAILABLE, "no configuration is known yet");
+      return true;
+    }
+    try {
+      accept(caller, routing);
+    } catch (FallturnException e) {
+      refuse(caller, "", e.kind(), e.getMessage());
+    }
+    return true;
+  }
+
+  private void accept(CallerTriple caller, RoutingImage routing) throws FallturnException {
+    CallerHead head = gateway.callerProtocol().readHead(caller.request());
+    Optional<Route> route = routing.match(head.host(), head.path());
+    if (route.isEmpty()) {
+      refuse(caller, head.requestId(), ErrorKind.NOT_FOUND, "no route");
+      return;
+    }
+    int maxBody = routing.limits().maxBodyBytes();
+    if (caller.request().getLength() > maxBody) {
+      refuse(caller, head.requestId(), ErrorKind.TOO_LARGE, "body over " + maxBody + " bytes");
+      return;
+    }
+    new BodyCollector(caller, head, route.get(), maxBody).run();
+  }
+
+  private void refuse(CallerTriple caller, String requestId, ErrorKind kind, String reason) {
+    log.refusedAtDoor(requestId, kind, reason);
+    Optional<Duration> retryAfter =
+        kind.hasRetryAfter() ? Optional.of(DEFAULT_RETRY_AFTER) : Optional.empty();
+    HttpFields.Mutable headers = HttpFields.build();
+    gateway.callerProtocol().writeOwnAnswer(headers, requestId, retryAfter);
+    caller.response().setStatus(kind.httpStatus());
+    caller.response().getHeaders().add(headers);
+    if (gateway.stopping()) {
+      caller.response().getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+    caller.response().write(true, BufferUtil.EMPTY_BUFFER, caller.callback());
+  }
+
+  private void handOver(CallerTriple caller, CallerHead head, Route route, byte[] body) {
+    if (!gateway.tryBegin(body.length)) {
+      refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, "too many bytes in flight");
+      return;
+    }
+    long now = System.nanoTime();
+    Duration patience =
+        head.deadline().filter(d -> d.compareTo(route.timeout()) < 0).orElse(route.timeout());
+    RequestEnvelope envelope =
+        new RequestEnvelope(head.requestId(), route, head.prompt(), now, now + patience.toNanos());
+    Exchange exchange = new Exchange(caller, head, envelope, body, events, gateway);
+    events.accept(new DispatchEvent.Arrived(exchange));
+  }
+
+  /** Reads one body by asynchronous demand, so that a slow caller holds no thread. */
+  private final class BodyCollector implements Runnable {
+
+    private final CallerTriple caller;
+    private final CallerHead head;
+    private final Route route;
+    private final int maxBytes;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+    BodyCollector(CallerTriple caller, CallerHead head, Route route, int maxBytes) {
+      this.caller = caller;
+      this.head = head;
+      this.route = route;
+      this.maxBytes = maxBytes;
+    }
+
+    @Override
+    public void run() {
+      while (true) {
+        Content.Chunk chunk = caller.request().read();
+        if (chunk == null) {
+          caller.request().demand(this);
+          return;
+        }
+        if (Content.Chunk.isFailure(chunk)) {
+          log.refusedAtDoor(head.requestId(), ErrorKind.INVALID_REQUEST, "the body broke off");
+          caller.callback().failed(chunk.getFailure());
+          return;
+        }
+        boolean last = chunk.isLast();
+        boolean fits = keep(chunk.getByteBuffer());
+        chunk.release();
+        if (!fits) {
+          refuse(caller, head.requestId(), ErrorKind.TOO_LARGE, "body over " + maxBytes);
+          return;
+        }
+        if (last) {
+          handOver(caller, head, route, body.toByteArray());
+          return;
+        }
+      }
+    }
+
+    private boolean keep(ByteBuffer bytes) {
+      if (body.size() + bytes.remaining() > maxBytes) {
+        return false;
+      }
+      body.writeBytes(BufferUtil.toArray(bytes));
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -0,0 +1,165 @@
+package org.fallturn.node.gateway;
+
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.Decision;
+import org.fallturn.core.dispatch.RequestProgress;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServingEngine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/**
+ * Writes one structured line for each decision: what was decided, from which inputs of which
+ * version, with which outcome. Thread-safe; never blocks, since the appender drops what it cannot
+ * take.
+ */
+final class DecisionLog {
+
+  private static final Logger LOG = LoggerFactory.getLogger("org.fallturn.gateway");
+
+  private volatile long routingVersion;
+  private volatile long directoryRevision;
+
+  private static LoggingEventBuilder line(LogEvent event) {
+    return LOG.atInfo().setMessage("gateway").addKeyValue("event", event);
+  }
+
+  private static LoggingEventBuilder line(LogEvent event, Exchange exchange) {
+    RequestProgress progress = exchange.progress();
+    return line(event)
+        .addKeyValue("request", exchange.head().requestId())
+        .addKeyValue("route", exchange.envelope().route().name())
+        .addKeyValue("service", progress.service())
+        .addKeyValue("ageMs", ageMillis(exchange, System.nanoTime()));
+  }
+
+  private static long ageMillis(Exchange exchange, long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(nowNanos - exchange.envelope().arrivedNanos());
+  }
+
+  void started(String node) {
+    line(LogEvent.STARTED).addKeyValue("node", node).log();
+  }
+
+  void stopping(int inFlight) {
+    line(LogEvent.STOPPING).addKeyValue("inFlight", inFlight).log();
+  }
+
+  void stopped(int inFlight) {
+    line(LogEvent.STOPPED).addKeyValue("inFlight", inFlight).log();
+  }
+
+  void settingsReloaded() {
+    line(LogEvent.SETTINGS_RELOADED).log();
+  }
+
+  void settingsRefused(String mistakes) {
+    line(LogEvent.SETTINGS_REFUSED).addKeyValue("mistakes", mistakes).log();
+  }
+
+  void dependencyLost(String name, Exception failure) {
+    line(LogEvent.DEPENDENCY_LOST)
+        .addKeyValue("dependency", name)
+        .addKeyValue("failure", failure.toString())
+        .log();
+  }
+
+  void dependencyRegained(String name) {
+    line(LogEvent.DEPENDENCY_REGAINED).addKeyValue("dependency", name).log();
+  }
+
+  void historyLost(String table, long position) {
+    line(LogEvent.HISTORY_LOST).addKeyValue("table", table).addKeyValue("position", position).log();
+  }
+
+  void routingChanged(RoutingImage image) {
+    routingVersion = image.version();
+    line(LogEvent.ROUTING_CHANGED)
+        .addKeyValue("version", image.version())
+        .addKeyValue("revision", image.revision())
+        .addKeyValue("routes", image.routeCount())
+        .log();
+  }
+
+  void enginesChanged(EngineDirectory directory) {
+    directoryRevision = directory.revision();
+    long leaving = directory.all().stream().filter(ServingEngine::leaving).count();
+    line(LogEvent.ENGINES_CHANGED)
+        .addKeyValue("revision", directory.revision())
+        .addKeyValue("engines", directory.all().size())
+        .addKeyValue("leaving", leaving)
+        .log();
+  }
+
+  void rowRefused(String table, String key, String reason) {
+    line(LogEvent.ROW_REFUSED)
+        .addKeyValue("table", table)
+        .addKeyValue("key", key)
+        .addKeyValue("reason", reason)
+        .log();
+  }
+
+  void refusedAtDoor(String requestId, ErrorKind kind, String reason) {
+    line(LogEvent.REFUSED_AT_DOOR)
+        .addKeyValue("request", requestId)
+        .addKeyValue("kind", kind)
+        .addKeyValue("reason", reason)
+        .addKeyValue("routingVersion", routingVersion)
+        .log();
+  }
+
+  void decided(Exchange exchange, Decision decision) {
+    if (decision instanceof Decision.Prefill prefill) {
+      placed(exchange, prefill.engine()).addKeyValue("stage", "prefill").log();
+    } else if (decision instanceof Decision.Run run) {
+      placed(exchange, run.engine())
+          .addKeyValue("stage", "run")
+          .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
+          .log();
+    } else if (decision instanceof Decision.Refuse refuse) {
+      line(LogEvent.REFUSED, exchange)
+          .addKeyValue("kind", refuse.kind())
+          .addKeyValue("reason", refuse.reason())
+          .addKeyValue("directoryRevision", directoryRevision)
+          .log();
+    } else {
+      line(LogEvent.FAILURE_PASSED, exchange).log();
+    }
+  }
+
+  private LoggingEventBuilder placed(Exchange exchange, ServingEngine engine) {
+    return line(LogEvent.PLACED, exchange)
+        .addKeyValue("engine", engine.id())
+        .addKeyValue("address", engine.address())
+        .addKeyValue("arrivals", exchange.progress().arrivals())
+        .addKeyValue("routingVersion", routingVersion)
+        .addKeyValue("directoryRevision", directoryRevision);
+  }
+
+  void attemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome) {
+    EngineAnswerHead head = attempt.head();
+    line(LogEvent.ATTEMPT_FAILED, exchange)
+        .addKeyValue("engine", attempt.call().engine().id())
+        .addKeyValue("outcome", outcome)
+        .addKeyValue("status", head == null ? 0 : head.status())
+        .log();
+  }
+
+  void finished(Exchange exchange, long nowNanos) {
+    line(LogEvent.FINISHED, exchange).addKeyValue("arrivals", exchange.progress().arrivals()).log();
+  }
+
+  void callerGone(Exchange exchange) {
+    line(LogEvent.CALLER_GONE, exchange).log();
+  }
+
+  void timeOver(Exchange exchange) {
+    line(LogEvent.TIME_OVER, exchange)
+        .addKeyValue("possibleRuns", exchange.progress().possibleRuns())
+        .log();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -0,0 +1,206 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.CacheSource;
+import org.fallturn.core.dispatch.Decision;
+import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.node.duty.DutyHandler;
+
+/**
+ * The dispatch duty: asks the dispatcher what is next for each request and carries it out. Its
+ * thread alone touches the dispatcher and the progress of requests; sends and answers are begun
+ * here and go on elsewhere.
+ */
+final class DispatchDuty implements DutyHandler<DispatchEvent> {
+
+  private static final long DIGEST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private final Dispatcher dispatcher;
+  private final EngineClient engines;
+  private final DecisionLog log;
+  private final LoadSender loadSender;
+  private final Set<Exchange> active = new HashSet<>();
+  private long lastDigestNanos;
+
+  DispatchDuty(
+      Dispatcher dispatcher, EngineClient engines, DecisionLog log, LoadSender loadSender) {
+    this.dispatcher = dispatcher;
+    this.engines = engines;
+    this.log = log;
+    this.loadSender = loadSender;
+  }
+
+  @Override
+  public void onEvent(DispatchEvent event) {
+    long now = System.nanoTime();
+    if (event instanceof DispatchEvent.Arrived arrived) {
+      onArrived(arrived.exchange(), now);
+    } else if (event instanceof DispatchEvent.Prefilled prefilled) {
+      onPrefilled(prefilled, now);
+    } else if (event instanceof DispatchEvent.AttemptFailed failed) {
+      onFailed(failed, now);
+    } else if (event instanceof DispatchEvent.Finished finished) {
+      onFinished(finished.exchange(), now);
+    } else if (event instanceof DispatchEvent.CallerGone gone) {
+      onCallerGone(gone.exchange());
+    } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
+      dispatcher.setDirectory(changed.directory());
+    } else if (event instanceof DispatchEvent.RoutingChanged changed) {
+      dispatcher.setRouting(changed.image());
+      engines.setServices(changed.image());
+    } else if (event instanceof DispatchEvent.DigestHeard heard) {
+      dispatcher.onDigest(heard.digest(), now);
+    }
+  }
+
+  private void onArrived(Exchange exchange, long now) {
+    active.add(exchange);
+    exchange.watchCaller();
+    carryOut(exchange, dispatcher.start(exchange.progress(), now), now);
+  }
+
+  private void onPrefilled(DispatchEvent.Prefilled event, long now) {
+    Exchange exchange = event.exchange();
+    if (!isPresent(exchange, event.attempt())) {
+      engines.freeHandle(event.attempt().call().engine(), event.handle());
+      return;
+    }
+    carryOut(exchange, dispatcher.onPrefilled(exchange.progress(), event.handle(), now), now);
+  }
+
+  private void onFailed(DispatchEvent.AttemptFailed event, long now) {
+    Exchange exchange = event.exchange();
+    if (!isPresent(exchange, event.attempt())) {
+      return;
+    }
+    log.attemptFailed(exchange, event.attempt(), event.outcome());
+    exchange.framer().dropPartialEvent();
+    Optional<CacheSource> source = exchange.progress().source();
+    Decision next = dispatcher.onFailure(exchange.progress(), event.outcome(), now);
+    if (event.outcome() != AttemptOutcome.NOT_SENT && exchange.progress().source().isEmpty()) {
+      source.ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
+    }
+    carryOut(exchange, next, now);
+  }
+
+  private boolean isPresent(Exchange exchange, EngineAttempt attempt) {
+    return active.contains(exchange) && exchange.attempt().filter(a -> a == attempt).isPresent();
+  }
+
+  private void onFinished(Exchange exchange, long now) {
+    if (active.remove(exchange)) {
+      log.finished(exchange, now);
+      dispatcher.onFinished(exchange.progress());
+    }
+  }
+
+  private void onCallerGone(Exchange exchange) {
+    if (!active.remove(exchange)) {
+      return;
+    }
+    log.callerGone(exchange);
+    abandon(exchange, "the caller left");
+    exchange.breakOff();
+  }
+
+  private void abandon(Exchange exchange, String why) {
+    exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
+    boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
+    if (!running) {
+      exchange
+          .progress()
+          .source()
+          .ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
+    }
+    dispatcher.onAbandoned(exchange.progress());
+  }
+
+  private void carryOut(Exchange exchange, Decision decision, long now) {
+    log.decided(exchange, decision);
+    if (decision instanceof Decision.Prefill prefill) {
+      send(
+          exchange,
+          new EngineCall(
+              prefill.engine(), true, Optional.empty(), left(exchange, now), Optional.empty()),
+          prefill.patience(),
+          now);
+    } else if (decision instanceof Decision.Run run) {
+      send(
+          exchange,
+          new EngineCall(
+              run.engine(),
+              false,
+              run.source(),
+              left(exchange, now),
+              exchange.framer().lastEventId()),
+          run.patience(),
+          now);
+    } else if (decision instanceof Decision.Refuse refuse) {
+      active.remove(exchange);
+      exchange.refuse(refuse.kind(), refuse.retryAfter());
+    } else if (decision instanceof Decision.PassFailure) {
+      active.remove(exchange);
+      exchange.passFailure(exchange.attempt().orElseThrow(), engines.protocol());
+    }
+  }
+
+  private static Duration left(Exchange exchange, long now) {
+    return Duration.ofNanos(Math.max(0, exchange.envelope().remainingNanos(now)));
+  }
+
+  private void send(Exchange exchange, EngineCall call, Duration patience, long now) {
+    EngineAttempt attempt =
+        new EngineAttempt(exchange, call, engines.protocol(), now + patience.toNanos());
+    exchange.setAttempt(attempt);
+    engines.send(exchange, attempt);
+  }
+
+  @Override
+  public void onTick() {
+    long now = System.nanoTime();
+    for (Exchange exchange : Set.copyOf(active)) {
+      if (exchange.envelope().remainingNanos(now) <= 0) {
+        onTimeOver(exchange);
+      } else {
+        checkPatience(exchange, now);
+      }
+    }
+    if (now - lastDigestNanos >= DIGEST_NANOS) {
+      lastDigestNanos = now;
+      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+    }
+  }
+
+  private void onTimeOver(Exchange exchange) {
+    active.remove(exchange);
+    log.timeOver(exchange);
+    boolean mayHaveRun = exchange.progress().possibleRuns() > 0;
+    abandon(exchange, "its time is over");
+    exchange.refuse(
+        mayHaveRun ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
+        mayHaveRun ? Optional.empty() : Optional.of(Duration.ofSeconds(1)));
+  }
+
+  private void checkPatience(Exchange exchange, long now) {
+    EngineAttempt attempt = exchange.attempt().orElse(null);
+    if (attempt == null || !attempt.outOfPatience(now)) {
+      return;
+    }
+    if (attempt.cancel("no answer in time")) {
+      AttemptOutcome outcome =
+          attempt.maybeSent() ? AttemptOutcome.SILENT : AttemptOutcome.NOT_SENT;
+      onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
+    }
+  }
+
+  /** How many requests are being served. */
+  int activeRequests() {
+    return active.size();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -0,0 +1,36 @@
+package org.fallturn.node.gateway;
+
+import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.RoutingImage;
+
+/** What the dispatch duty is told. */
+sealed interface DispatchEvent {
+
+  /** A request was read whole. */
+  record Arrived(Exchange exchange) implements DispatchEvent {}
+
+  /** An engine has read the prompt; its KV cache waits under the handle. */
+  record Prefilled(Exchange exchange, EngineAttempt attempt, String handle)
+      implements DispatchEvent {}
+
+  /** An attempt ended without a whole, good answer. */
+  record AttemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome)
+      implements DispatchEvent {}
+
+  /** The answer was passed on whole. */
+  record Finished(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+
+  /** The caller closed its connection. */
+  record CallerGone(Exchange exchange) implements DispatchEvent {}
+
+  /** The list of engines changed. */
+  record DirectoryChanged(EngineDirectory directory) implements DispatchEvent {}
+
+  /** Routes and services changed. */
+  record RoutingChanged(RoutingImage image) implements DispatchEvent {}
+
+  /** Another node told its load. */
+  record DigestHeard(LoadDigest digest) implements DispatchEvent {}
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
@@ -0,0 +1,22 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.fallturn.core.dispatch.CacheSource;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * One attempt as it is written to an engine.
+ *
+ * @param engine who is meant; any other engine at its address refuses
+ * @param prefillOnly the engine reads the prompt and keeps its KV cache for another engine
+ * @param source where the engine fetches the KV cache
+ * @param timeLeft how long the caller waits still
+ * @param lastEventId the event after which a stream goes on; empty from its beginning
+ */
+public record EngineCall(
+    ServingEngine engine,
+    boolean prefillOnly,
+    Optional<CacheSource> source,
+    Duration timeLeft,
+    Optional<String> lastEventId) {}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -0,0 +1,131 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.DuplexConnectionPool;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.ClientConnector;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServingEngine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Sends requests to engines over kept connections. Bytes of request and answer are not touched: no
+ * header of its own, no decoding, no redirects. Thread-safe.
+ */
+final class EngineClient implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+  private static final Duration IDLE_CONNECTION = Duration.ofMillis(2_500);
+  private static final Duration BUSY_CONNECTION = Duration.ofSeconds(60);
+  private static final int DEFAULT_CONNECTIONS = 16;
+  private static final int MAX_QUEUED = 4_096;
+  private static final int ASSUMED_NODES = 8;
+  private static final int BUFFER_BYTES = 8 * 1024;
+
+  private final HttpClient client;
+  private final EngineProtocol protocol;
+  private final Map<String, Integer> connectionsByService = new ConcurrentHashMap<>();
+  private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
+
+  EngineClient(EngineProtocol protocol, Executor executor) throws Exception {
+    this.protocol = protocol;
+    ClientConnector connector = new ClientConnector();
+    connector.setSelectors(1);
+    connector.setExecutor(executor);
+    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+    transport.setConnectionPoolFactory(
+        destination -> new DuplexConnectionPool(destination, maxConnections(destination)));
+    client = new HttpClient(transport);
+    client.setExecutor(executor);
+    client.setUserAgentField(null);
+    client.setFollowRedirects(false);
+    client.setDefaultRequestContentType(null);
+    client.setConnectBlocking(false);
+    client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+    client.setIdleTimeout(IDLE_CONNECTION.toMillis());
+    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
+    client.setRequestBufferSize(BUFFER_BYTES);
+    client.setResponseBufferSize(BUFFER_BYTES);
+    client.start();
+    client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().clear();
+  }
+
+  EngineProtocol protocol() {
+    return protocol;
+  }
+
+  /** Takes the bounds on connections that services set. */
+  void setServices(RoutingImage image) {
+    image
+        .services()
+        .forEach(
+            service ->
+                connectionsByService.put(
+                    service.name(), Math.max(2, service.maxConnections() / ASSUMED_NODES)));
+  }
+
+  private int maxConnections(Destination destination) {
+    NetworkAddress address =
+        new NetworkAddress(
+            destination.getOrigin().getAddress().getHost(),
+            destination.getOrigin().getAddress().getPort());
+    String service = serviceByAddress.getOrDefault(address, "");
+    return connectionsByService.getOrDefault(service, DEFAULT_CONNECTIONS);
+  }
+
+  /** Sends an attempt; its outcome is told to it. */
+  void send(Exchange exchange, EngineAttempt attempt) {
+    ServingEngine engine = attempt.call().engine();
+    org.eclipse.jetty.server.Request caller = exchange.request();
+    HttpFields.Mutable headers = protocol.requestHeaders(caller.getHeaders(), attempt.call());
+    Request request =
+        newRequest(engine, caller.getMethod(), caller.getHttpURI().getPathQuery())
+            .headers(fields -> fields.clear().add(headers));
+    if (exchange.body().length > 0) {
+      request.body(new BytesRequestContent((String) null, exchange.body()));
+    }
+    attempt.send(request);
+  }
+
+  /** Frees a KV cache that nobody will fetch; best effort, since it lapses by itself. */
+  void freeHandle(ServingEngine engine, String handle) {
+    newRequest(engine, HttpMethod.DELETE.asString(), protocol.freeHandlePath(handle))
+        .timeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS)
+        .send(
+            result -> {
+              if (result.isFailed()) {
+                LOG.debug("engines: A handle at {} was not freed.", engine.id());
+              }
+            });
+  }
+
+  private Request newRequest(ServingEngine engine, String method, String path) {
+    NetworkAddress address = engine.address();
+    serviceByAddress.put(address, engine.service());
+    return client
+        .newRequest(address.host(), address.port())
+        .method(method)
+        .path(path)
+        .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void close() throws Exception {
+    client.stop();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -0,0 +1,27 @@
+package org.fallturn.node.gateway;
+
+import org.eclipse.jetty.http.HttpFields;
+import org.fallturn.node.json.MalformedMessageException;
+
+/** Port: what is spoken with engines. Thread-safe; decides nothing. */
+public interface EngineProtocol {
+
+  /** Headers of a request to an engine, made from the caller's and the attempt. */
+  HttpFields.Mutable requestHeaders(HttpFields callerHeaders, EngineCall call);
+
+  /** Reads the head of an answer. */
+  EngineAnswerHead readHead(int status, HttpFields headers);
+
+  /** Headers of an engine's answer that are passed on to the caller. */
+  HttpFields.Mutable answerHeaders(HttpFields engineHeaders);
+
+  /**
+   * Reads the answer of an engine that has read a prompt.
+   *
+   * @return the handle under which the KV cache waits
+   */
+  String readPrefillHandle(byte[] body) throws MalformedMessageException;
+
+  /** Path of the call (method DELETE) that frees a KV cache that nobody will fetch. */
+  String freeHandlePath(String handle);
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -0,0 +1,195 @@
+package org.fallturn.node.gateway;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.dispatch.RequestEnvelope;
+import org.fallturn.core.dispatch.RequestProgress;
+import org.fallturn.core.error.ErrorKind;
+
+/**
+ * One caller's request from its last byte to the last byte of its answer. The dispatch thread owns
+ * its progress and its present attempt; the attempt that has an answer writes it. The caller's
+ * request is completed exactly once.
+ */
+final class Exchange {
+
+  private final Request request;
+  private final Response response;
+  private final Callback callback;
+  private final CallerHead head;
+  private final RequestEnvelope envelope;
+  private final RequestProgress progress;
+  private final byte[] body;
+  private final Consumer<DispatchEvent> events;
+  private final GatewayState gateway;
+  private final EventFramer framer = new EventFramer();
+  private final AtomicBoolean completed = new AtomicBoolean();
+  private boolean begun;
+  private EngineAttempt attempt;
+
+  Exchange(
+      CallerTriple caller,
+      CallerHead head,
+      RequestEnvelope envelope,
+      byte[] body,
+      Consumer<DispatchEvent> events,
+      GatewayState gateway) {
+    this.request = caller.request();
+    this.response = caller.response();
+    this.callback = caller.callback();
+    this.head = head;
+    this.envelope = envelope;
+    this.progress = new RequestProgress(envelope);
+    this.body = body;
+    this.events = events;
+    this.gateway = gateway;
+  }
+
+  CallerHead head() {
+    return head;
+  }
+
+  RequestEnvelope envelope() {
+    return envelope;
+  }
+
+  RequestProgress progress() {
+    return progress;
+  }
+
+  Request request() {
+    return request;
+  }
+
+  byte[] body() {
+    return body;
+  }
+
+  EventFramer framer() {
+    return framer;
+  }
+
+  /** The attempt that has the request now; on the dispatch thread. */
+  Optional<EngineAttempt> attempt() {
+    return Optional.ofNullable(attempt);
+  }
+
+  void setAttempt(EngineAttempt present) {
+    attempt = present;
+  }
+
+  /** Tells the dispatch duty. */
+  void tell(DispatchEvent event) {
+    events.accept(event);
+  }
+
+  /** Begins to notice that the caller leaves. */
+  void watchCaller() {
+    if (endPoint() instanceof WatchedEndPoint watched) {
+      watched.watch(() -> tell(new DispatchEvent.CallerGone(this)));
+    }
+    request.addIdleTimeoutListener(timeout -> false);
+    request.addFailureListener(failure -> tell(new DispatchEvent.CallerGone(this)));
+  }
+
+  private EndPoint endPoint() {
+    return request.getConnectionMetaData().getConnection().getEndPoint();
+  }
+
+  /** Whether any of an answer was written; a later engine's answer goes on within it. */
+  boolean begun() {
+    return begun;
+  }
+
+  /** Writes the head of the answer, unless one was written; later heads are dropped. */
+  void beginAnswer(int status, HttpFields.Mutable headers) {
+    if (begun) {
+      return;
+    }
+    begun = true;
+    response.setStatus(status);
+    response.getHeaders().add(headers);
+    closeWhenStopping();
+  }
+
+  /** Passes part of the answer on. The callback is failed when the caller has gone. */
+  void writePart(ByteBuffer bytes, Callback written) {
+    if (completed.get()) {
+      written.failed(new IllegalStateException("the request is over"));
+      return;
+    }
+    response.write(false, bytes, written);
+  }
+
+  /** Ends an answer that was passed on in parts. */
+  void endAnswer(EngineAttempt by) {
+    finish(BufferUtil.EMPTY_BUFFER);
+    tell(new DispatchEvent.Finished(this, by));
+  }
+
+  /** Passes a whole answer on. */
+  void answerWhole(EngineAttempt by, int status, HttpFields.Mutable headers, byte[] content) {
+    beginAnswer(status, headers);
+    finish(ByteBuffer.wrap(content));
+    tell(new DispatchEvent.Finished(this, by));
+  }
+
+  /** Passes on the failure that an engine answered with; on the dispatch thread. */
+  void passFailure(EngineAttempt from, EngineProtocol protocol) {
+    beginAnswer(from.head().status(), protocol.answerHeaders(from.headers()));
+    finish(ByteBuffer.wrap(from.wholeBody()));
+  }
+
+  /** Answers with an error of this node; on the dispatch thread. */
+  void refuse(ErrorKind kind, Optional<Duration> retryAfter) {
+    if (begun) {
+      breakOff();
+      return;
+    }
+    HttpFields.Mutable headers = HttpFields.build();
+    gateway.callerProtocol().writeOwnAnswer(headers, head.requestId(), retryAfter);
+    beginAnswer(kind.httpStatus(), headers);
+    finish(BufferUtil.EMPTY_BUFFER);
+  }
+
+  /** Ends the connection, so that what was passed on does not look whole. */
+  void breakOff() {
+    if (completed.compareAndSet(false, true)) {
+      unwatch();
+      endPoint().close();
+      callback.failed(new IllegalStateException("the answer broke off"));
+      gateway.onCompleted(body.length);
+    }
+  }
+
+  private void finish(ByteBuffer last) {
+    if (completed.compareAndSet(false, true)) {
+      unwatch();
+      response.write(true, last, callback);
+      gateway.onCompleted(body.length);
+    }
+  }
+
+  private void unwatch() {
+    if (endPoint() instanceof WatchedEndPoint watched) {
+      watched.unwatch();
+    }
+  }
+
+  private void closeWhenStopping() {
+    if (gateway.stopping()) {
+      response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -0,0 +1,29 @@
+package org.fallturn.node.gateway;
+
+import java.util.function.Predicate;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Everything that a gateway takes from the platform it runs on.
+ *
+ * @param callers what callers speak
+ * @param engines what engines speak
+ * @param routingFeed the table that holds the operator's configuration
+ * @param isRouting which of its rows is the configuration
+ * @param routingDecoder reads that row
+ * @param engineFeed the table in which engines keep themselves
+ * @param engineDecoder reads one of its rows
+ * @param readinessPath path at which the platform asks for readiness
+ */
+public record GatewayPlatform(
+    CallerProtocol callers,
+    EngineProtocol engines,
+    RowFeed routingFeed,
+    Predicate<FeedRow> isRouting,
+    RowDecoder<RoutingImage> routingDecoder,
+    RowFeed engineFeed,
+    RowDecoder<ServingEngine> engineDecoder,
+    String readinessPath) {}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -0,0 +1,169 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.RequestLimits;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.duty.DutyThread;
+import org.fallturn.node.json.MalformedMessageException;
+import org.fallturn.node.settings.GatewaySettings;
+
+/**
+ * Wires a gateway process: the doors, the dispatch duty, the followers of the store. One thread
+ * starts and stops it.
+ */
+public final class GatewayServer {
+
+  private static final int MAX_THREADS = 24;
+  private static final int MIN_THREADS = 4;
+  private static final int RING_SIZE = 4_096;
+  private static final Duration TICK = Duration.ofMillis(10);
+  private static final long RING_FULL_PAUSE_NANOS = 100_000;
+  private static final long MAX_BODY_BYTES_IN_FLIGHT = 48L << 20;
+  private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
+
+  /** Callers still come for about two readiness checks after the first refusal. */
+  private static final Duration LINGER = Duration.ofMillis(3_500);
+
+  private static final long STOP_CHECK_MILLIS = 20;
+
+  private final GatewaySettings settings;
+  private final GatewayPlatform platform;
+  private final DecisionLog log = new DecisionLog();
+  private final GatewayState state;
+  private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+  private final Server server;
+  private final HttpConfiguration http = new HttpConfiguration();
+  private final WatchedConnector callers;
+  private final EngineClient engines;
+  private final DutyThread<DispatchEvent> dispatch;
+  private final RowFollower routingFollower;
+  private final RowFollower engineFollower;
+
+  /** A gateway that serves nothing yet. */
+  public GatewayServer(GatewaySettings settings, GatewayPlatform platform) throws Exception {
+    this.settings = settings;
+    this.platform = platform;
+    this.state = new GatewayState(platform.callers(), MAX_BODY_BYTES_IN_FLIGHT);
+    threads.setName("gateway");
+    this.server = new Server(threads);
+    this.engines = new EngineClient(platform.engines(), threads);
+    DispatchDuty duty =
+        new DispatchDuty(
+            new Dispatcher(settings.dispatchParameters()), engines, log, (loads, prompts) -> {});
+    this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
+    this.callers = newCallersConnector();
+    this.routingFollower =
+        new RowFollower("routing", platform.routingFeed(), this::onRoutingRows, log);
+    this.engineFollower =
+        new RowFollower("engines", platform.engineFeed(), this::onEngineRows, log);
+  }
+
+  private WatchedConnector newCallersConnector() {
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    http.setUriCompliance(UriCompliance.UNSAFE);
+    http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
+    WatchedConnector connector = new WatchedConnector(server, new HttpConnectionFactory(http));
+    connector.setHost(settings.callers().host());
+    connector.setPort(settings.callers().port());
+    applyLimits(connector, RequestLimits.defaults());
+    server.addConnector(connector);
+    server.setHandler(new CallerDoor(state, this::tell, log));
+    return connector;
+  }
+
+  /** Holds for connections that are opened from now on. */
+  private void applyLimits(WatchedConnector connector, RequestLimits limits) {
+    http.setRequestHeaderSize(limits.maxHeaderBytes());
+    connector.setIdleTimeout(limits.idleTimeout().toMillis());
+  }
+
+  /** Starts everything; callers are served once routes and engines are known. */
+  public void start() throws Exception {
+    dispatch.start();
+    routingFollower.start();
+    engineFollower.start();
+    server.start();
+    ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
+    log.started(settings.nodeName());
+  }
+
+  /** Events are never dropped: a full ring holds its producers up. */
+  private void tell(DispatchEvent event) {
+    while (!dispatch.offer(event)) {
+      LockSupport.parkNanos(RING_FULL_PAUSE_NANOS);
+    }
+  }
+
+  private void onRoutingRows(FeedTracker tracker) {
+    for (FeedRow row : tracker.rows()) {
+      if (platform.isRouting().test(row)) {
+        takeRouting(row);
+      }
+    }
+  }
+
+  private void takeRouting(FeedRow row) {
+    RoutingImage image;
+    try {
+      image = platform.routingDecoder().decode(row);
+    } catch (MalformedMessageException e) {
+      log.rowRefused("routing", row.key(), e.getMessage());
+      return;
+    }
+    if (state.offerRouting(image)) {
+      applyLimits(callers, image.limits());
+      tell(new DispatchEvent.RoutingChanged(image));
+      log.routingChanged(image);
+    }
+  }
+
+  private void onEngineRows(FeedTracker tracker) {
+    List<ServingEngine> listed = new ArrayList<>();
+    for (FeedRow row : tracker.rows()) {
+      try {
+        listed.add(platform.engineDecoder().decode(row));
+      } catch (MalformedMessageException e) {
+        log.rowRefused("engines", row.key(), e.getMessage());
+      }
+    }
+    EngineDirectory directory = EngineDirectory.of(tracker.position(), listed);
+    tell(new DispatchEvent.DirectoryChanged(directory));
+    state.setEnginesKnown();
+    log.enginesChanged(directory);
+  }
+
+  /**
+   * A planned stop: no longer ready, answers ask callers to leave, and the process may end once
+   * callers have stopped coming and every request has ended, or when the grace is nearly over.
+   */
+  public void stopAsPlanned() throws InterruptedException {
+    long begun = System.nanoTime();
+    state.beginStop();
+    log.stopping(state.inFlight());
+    long lingerUntil = begun + LINGER.toNanos();
+    long endBy = begun + settings.stopWithin().toNanos();
+    while (System.nanoTime() - endBy < 0) {
+      boolean quiet = state.inFlight() == 0 && System.nanoTime() - lingerUntil >= 0;
+      if (quiet) {
+        break;
+      }
+      TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
+    }
+    log.stopped(state.inFlight());
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -0,0 +1,79 @@
+package org.fallturn.node.gateway;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.fallturn.core.routing.RoutingImage;
+
+/**
+ * What all threads of a gateway share: the routes in force, how much is in flight, and whether it
+ * is stopping. Thread-safe.
+ */
+final class GatewayState {
+
+  private final CallerProtocol callerProtocol;
+  private final long maxBodyBytesInFlight;
+  private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final AtomicLong bodyBytes = new AtomicLong();
+  private volatile boolean stopping;
+  private volatile boolean enginesKnown;
+
+  GatewayState(CallerProtocol callerProtocol, long maxBodyBytesInFlight) {
+    this.callerProtocol = callerProtocol;
+    this.maxBodyBytesInFlight = maxBodyBytesInFlight;
+  }
+
+  CallerProtocol callerProtocol() {
+    return callerProtocol;
+  }
+
+  /** The routes in force; null before any is known. */
+  RoutingImage routing() {
+    return routing.get();
+  }
+
+  /** Takes an image if it is newer than the one in force. */
+  boolean offerRouting(RoutingImage image) {
+    RoutingImage before =
+        routing.getAndUpdate(
+            present -> present == null || image.isNewerThan(present) ? image : present);
+    return before == null || image.isNewerThan(before);
+  }
+
+  void setEnginesKnown() {
+    enginesKnown = true;
+  }
+
+  /** Whether callers should be sent here. */
+  boolean ready() {
+    return !stopping && enginesKnown && routing.get() != null;
+  }
+
+  boolean stopping() {
+    return stopping;
+  }
+
+  void beginStop() {
+    stopping = true;
+  }
+
+  /** Counts a request in; false when the bodies in flight already fill their bound. */
+  boolean tryBegin(int length) {
+    if (bodyBytes.addAndGet(length) > maxBodyBytesInFlight) {
+      bodyBytes.addAndGet(-length);
+      return false;
+    }
+    inFlight.incrementAndGet();
+    return true;
+  }
+
+  void onCompleted(int length) {
+    bodyBytes.addAndGet(-length);
+    inFlight.decrementAndGet();
+  }
+
+  int inFlight() {
+    return inFlight.get();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
@@ -0,0 +1,14 @@
+package org.fallturn.node.gateway;
+
+import java.util.List;
+import java.util.Map;
+import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.PlacedPrompt;
+
+/** Tells this node's load to the other nodes. Called on the dispatch thread; must not block. */
+@FunctionalInterface
+interface LoadSender {
+
+  /** Tells it; best effort. */
+  void send(Map<String, EngineDigest> engines, List<PlacedPrompt> newPrompts);
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -0,0 +1,43 @@
+package org.fallturn.node.gateway;
+
+/** The closed list of events that a gateway logs; docs/operations/logs.md has their fields. */
+public enum LogEvent {
+  /** The process began to serve its ports. */
+  STARTED,
+  /** A planned stop began. */
+  STOPPING,
+  /** The process ends. */
+  STOPPED,
+  /** The settings were read again. */
+  SETTINGS_RELOADED,
+  /** The settings could not be read again; the old ones stay. */
+  SETTINGS_REFUSED,
+  /** The store answers again. */
+  DEPENDENCY_REGAINED,
+  /** The store does not answer. */
+  DEPENDENCY_LOST,
+  /** The store has dropped changes that were not read yet. */
+  HISTORY_LOST,
+  /** A version of routes and services is in force here. */
+  ROUTING_CHANGED,
+  /** The list of engines changed. */
+  ENGINES_CHANGED,
+  /** A row of the store could not be read and is left out. */
+  ROW_REFUSED,
+  /** A request was refused before it reached the dispatcher. */
+  REFUSED_AT_DOOR,
+  /** A request is sent to an engine. */
+  PLACED,
+  /** A request is answered with an error of this node. */
+  REFUSED,
+  /** An attempt at an engine failed. */
+  ATTEMPT_FAILED,
+  /** The failure that an engine answered with is passed on. */
+  FAILURE_PASSED,
+  /** An answer was passed on whole. */
+  FINISHED,
+  /** The caller left before its answer was whole. */
+  CALLER_GONE,
+  /** The time of a request was over before its answer was whole. */
+  TIME_OVER
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReadinessPort.java
@@ -0,0 +1,44 @@
+package org.fallturn.node.gateway;
+
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.http.HttpListener;
+
+/** The port at which the platform asks whether callers should be sent here. */
+final class ReadinessPort extends Handler.Abstract.NonBlocking {
+
+  private static final int THREADS = 4;
+
+  private final String path;
+  private final GatewayState gateway;
+
+  private ReadinessPort(String path, GatewayState gateway) {
+    this.path = path;
+    this.gateway = gateway;
+  }
+
+  /** Binds the port and answers from then on. */
+  static HttpListener open(NetworkAddress address, String path, GatewayState gateway)
+      throws Exception {
+    return new HttpListener("readiness", address, THREADS, new ReadinessPort(path, gateway));
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    response.setStatus(status(Request.getPathInContext(request)));
+    response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+    return true;
+  }
+
+  private int status(String asked) {
+    if (!asked.equals(path)) {
+      return HttpStatus.NOT_FOUND_404;
+    }
+    return gateway.ready() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -0,0 +1,122 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.feed.HistoryLostException;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.port.table.StoreException;
+
+/**
+ * The duty that follows one table of the store on a thread of its own. While the store cannot be
+ * reached, what was believed last stays in force.
+ */
+final class RowFollower implements AutoCloseable {
+
+  /** Bounds how long a watch that has gone silent is trusted. */
+  private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+
+  private static final long PAUSE_AFTER_FAILURE_MILLIS = 100;
+  private static final long LONGEST_PAUSE_MILLIS = 800;
+  private static final long PAUSE_WHEN_STALE_MILLIS = 200;
+
+  private final String name;
+  private final RowFeed feed;
+  private final Listener listener;
+  private final DecisionLog log;
+  private final FeedTracker tracker = new FeedTracker();
+  private final Thread thread;
+  private long pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
+  private volatile boolean closed;
+  private boolean reachable = true;
+
+  /** Hears on the follower's thread of what is believed now. */
+  @FunctionalInterface
+  interface Listener {
+    void onRows(FeedTracker tracker);
+  }
+
+  RowFollower(String name, RowFeed feed, Listener listener, DecisionLog log) {
+    this.name = name;
+    this.feed = feed;
+    this.listener = listener;
+    this.log = log;
+    this.thread = new Thread(this::follow, "follow-" + name);
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  private void follow() {
+    while (!closed) {
+      try {
+        step();
+        onReached();
+      } catch (StoreException | RuntimeException e) {
+        onFailed(e);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  private void step() throws StoreException, InterruptedException {
+    long now = System.nanoTime();
+    if (tracker.shouldReadWhole(now)) {
+      readWhole();
+      return;
+    }
+    Duration wait = Duration.ofNanos(tracker.waitNanos(now, LONGEST_WAIT.toNanos()));
+    try {
+      FeedAnswer answer = feed.changesAfter(tracker.position(), wait);
+      if (tracker.onChanges(answer)) {
+        listener.onRows(tracker);
+      }
+    } catch (HistoryLostException e) {
+      log.historyLost(name, tracker.position());
+      tracker.onHistoryLost(System.nanoTime());
+    }
+  }
+
+  private void readWhole() throws StoreException, InterruptedException {
+    FeedAnswer answer = feed.snapshot();
+    boolean stale = answer.version() < tracker.position();
+    if (tracker.onWhole(answer, System.nanoTime())) {
+      listener.onRows(tracker);
+    }
+    if (stale) {
+      TimeUnit.MILLISECONDS.sleep(PAUSE_WHEN_STALE_MILLIS);
+    }
+  }
+
+  private void onReached() {
+    pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
+    if (!reachable) {
+      reachable = true;
+      log.dependencyRegained(name);
+    }
+  }
+
+  private void onFailed(Exception failure) {
+    if (reachable) {
+      reachable = false;
+      log.dependencyLost(name, failure);
+    }
+    tracker.onOutage();
+    try {
+      TimeUnit.MILLISECONDS.sleep(pauseMillis);
+    } catch (InterruptedException e) {
+      closed = true;
+    }
+    pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+    thread.interrupt();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.metrics;
 
+import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -20,6 +21,8 @@
 
   private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%thread] %msg%n%ex";
 
+  private static final int QUEUE_SIZE = 2_048;
+
   private LogSetup() {}
 
   /** Replaces the present set-up. */
@@ -37,6 +40,30 @@
     context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
   }
 
+  /**
+   * One JSON object a line on standard output, written by a thread of its own. A reader that does
+   * not read costs lines, never time: what the bounded queue cannot take is dropped.
+   */
+  public static void applyStructured(LogLevel level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
+    console.setContext(context);
+    console.setTarget("System.out");
+    console.setEncoder(encoder(context, LogFormat.JSON));
+    console.start();
+    AsyncAppender queue = new AsyncAppender();
+    queue.setContext(context);
+    queue.setQueueSize(QUEUE_SIZE);
+    queue.setNeverBlock(true);
+    queue.addAppender(console);
+    queue.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.WARN);
+    root.addAppender(queue);
+    context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
+  }
+
   private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
     if (format == LogFormat.JSON) {
       JsonEncoder encoder = new JsonEncoder();
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DurationText.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DurationText.java
@@ -1,13 +1,14 @@
 package org.fallturn.node.settings;
 
+import java.math.BigDecimal;
 import java.time.Duration;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** Text form of a duration: a whole number and a unit, {@code ms}, {@code s}, {@code m} or h. */
+/** Text form of a duration: a number and a unit, {@code ms}, {@code s}, {@code m} or h. */
 final class DurationText {
 
-  private static final Pattern TEXT = Pattern.compile("(\\d{1,12})\\s*(ms|s|m|h)");
+  private static final Pattern TEXT = Pattern.compile("(\\d{1,12}(?:\\.\\d{1,6})?)\\s*(ms|s|m|h)");
 
   private DurationText() {}
 
@@ -16,13 +17,15 @@
     if (!matcher.matches()) {
       throw new IllegalArgumentException("not a duration: " + text);
     }
-    long count = Long.parseLong(matcher.group(1));
-    return switch (matcher.group(2)) {
-      case "ms" -> Duration.ofMillis(count);
-      case "s" -> Duration.ofSeconds(count);
-      case "m" -> Duration.ofMinutes(count);
-      default -> Duration.ofHours(count);
-    };
+    BigDecimal count = new BigDecimal(matcher.group(1));
+    Duration unit =
+        switch (matcher.group(2)) {
+          case "ms" -> Duration.ofMillis(1);
+          case "s" -> Duration.ofSeconds(1);
+          case "m" -> Duration.ofMinutes(1);
+          default -> Duration.ofHours(1);
+        };
+    return Duration.ofNanos(count.multiply(BigDecimal.valueOf(unit.toNanos())).longValueExact());
   }
 
   static String format(Duration duration) {
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -0,0 +1,65 @@
+package org.fallturn.node.settings;
+
+import java.time.Duration;
+import java.util.List;
+
+/**
+ * Bounds that the platform sets for a gateway process.
+ *
+ * @param grace from SIGTERM to SIGKILL
+ * @param stopMargin how long before that the process has ended by itself
+ * @param retryRatio repeats a request that the fleet may send to a service
+ * @param retrySlack repeats beyond the ratio
+ * @param retryWindow window of both
+ */
+public record GatewayBounds(
+    Duration grace,
+    Duration stopMargin,
+    double retryRatio,
+    double retrySlack,
+    Duration retryWindow) {
+
+  private static final SettingDefinition<Duration> GRACE =
+      SettingDefinition.duration(
+          "bounds.grace",
+          Duration.ofSeconds(8),
+          Duration.ofSeconds(2),
+          Duration.ofMinutes(10),
+          "From SIGTERM to SIGKILL.");
+
+  private static final SettingDefinition<Duration> STOP_MARGIN =
+      SettingDefinition.duration(
+          "bounds.stop_margin",
+          Duration.ofMillis(700),
+          Duration.ofMillis(10),
+          Duration.ofSeconds(10),
+          "How long before the end of the grace the process has ended by itself.");
+
+  private static final SettingDefinition<Double> RETRY_RATIO =
+      SettingDefinition.decimal(
+          "bounds.retry_ratio", 0.2, 0, 10, "Repeats a request, of the whole fleet.");
+
+  private static final SettingDefinition<Double> RETRY_SLACK =
+      SettingDefinition.decimal(
+          "bounds.retry_slack", 10, 0, 1e6, "Repeats beyond the ratio, of the whole fleet.");
+
+  private static final SettingDefinition<Duration> RETRY_WINDOW =
+      SettingDefinition.duration(
+          "bounds.retry_window",
+          Duration.ofSeconds(10),
+          Duration.ofSeconds(1),
+          Duration.ofMinutes(10),
+          "Window of the retry budget.");
+
+  static final List<SettingDefinition<?>> DEFINITIONS =
+      List.of(GRACE, STOP_MARGIN, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
+
+  static GatewayBounds from(SettingValues values) {
+    return new GatewayBounds(
+        values.get(GRACE),
+        values.get(STOP_MARGIN),
+        values.get(RETRY_RATIO),
+        values.get(RETRY_SLACK),
+        values.get(RETRY_WINDOW));
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -0,0 +1,113 @@
+package org.fallturn.node.settings;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+import org.fallturn.core.dispatch.DispatchParameters;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * Every setting of a gateway process: a node whose routes, engines and lasting state come from the
+ * store of the platform it runs on. Immutable.
+ *
+ * @param nodeName name of this process, unique among the nodes
+ * @param zone zone it stands in
+ * @param callers where callers connect
+ * @param readiness where readiness is asked for
+ * @param peers UDP address at which other nodes tell their load
+ * @param metricsPort port of the metrics on the same host; 0 for none
+ * @param store address of the store
+ * @param bounds what the operators of the platform promise and ask for
+ * @param dispatch constants of the dispatcher
+ * @param log the log on standard output
+ */
+public record GatewaySettings(
+    String nodeName,
+    String zone,
+    NetworkAddress callers,
+    NetworkAddress readiness,
+    NetworkAddress peers,
+    int metricsPort,
+    NetworkAddress store,
+    GatewayBounds bounds,
+    DispatchSettings dispatch,
+    LogSettings log) {
+
+  private static final int MAX_PORT = 65_535;
+
+  private static final SettingDefinition<String> NODE_NAME =
+      SettingDefinition.name("gateway.node_name", "node-1", "Name of this process, unique.");
+
+  private static final SettingDefinition<String> ZONE =
+      SettingDefinition.name("gateway.zone", "zone-1", "Zone this process stands in.");
+
+  private static final SettingDefinition<NetworkAddress> CALLERS =
+      SettingDefinition.address("gateway.callers", "127.0.0.1:8080", "Where callers connect.");
+
+  private static final SettingDefinition<NetworkAddress> READINESS =
+      SettingDefinition.address(
+          "gateway.readiness", "127.0.0.1:8081", "Where readiness is asked for.");
+
+  private static final SettingDefinition<NetworkAddress> PEERS =
+      SettingDefinition.address(
+          "gateway.peers", "127.0.0.1:0", "UDP address where other nodes tell their load.");
+
+  private static final SettingDefinition<Integer> METRICS_PORT =
+      SettingDefinition.integer(
+          "gateway.metrics_port", 0, 0, MAX_PORT, "Port of the metrics; 0 for none.");
+
+  private static final SettingDefinition<NetworkAddress> STORE =
+      SettingDefinition.address("store.address", "127.0.0.1:7000", "Address of the store.");
+
+  private static final List<SettingDefinition<?>> DEFINITIONS =
+      Stream.of(
+              List.of(NODE_NAME, ZONE, CALLERS, READINESS, PEERS, METRICS_PORT, STORE),
+              GatewayBounds.DEFINITIONS,
+              DispatchSettings.DEFINITIONS,
+              LogSettings.DEFINITIONS)
+          .flatMap(List::stream)
+          .<SettingDefinition<?>>map(definition -> definition)
+          .toList();
+
+  /** The definition of every setting, section by section. */
+  public static List<SettingDefinition<?>> definitions() {
+    return DEFINITIONS;
+  }
+
+  /** A reader that knows every setting of a gateway process. */
+  public static SettingsReader reader() {
+    return new SettingsReader(DEFINITIONS);
+  }
+
+  /** The record made from values that were read. */
+  public static GatewaySettings from(SettingValues values) {
+    return new GatewaySettings(
+        values.get(NODE_NAME),
+        values.get(ZONE),
+        values.get(CALLERS),
+        values.get(READINESS),
+        values.get(PEERS),
+        values.get(METRICS_PORT),
+        values.get(STORE),
+        GatewayBounds.from(values),
+        DispatchSettings.from(values),
+        LogSettings.from(values));
+  }
+
+  /** What the dispatcher is made with. */
+  public DispatchParameters dispatchParameters() {
+    return new DispatchParameters(
+        zone,
+        dispatch.prefillThresholdTokens(),
+        dispatch.prefillTokensPerMilli(),
+        bounds.retryRatio(),
+        bounds.retrySlack(),
+        bounds.retryWindow(),
+        dispatch.minRetryAfter());
+  }
+
+  /** Longest time a planned stop may take, with a margin before the platform kills the process. */
+  public Duration stopWithin() {
+    return bounds.grace().minus(bounds.stopMargin());
+  }
+}
