Tell load between gateways by datagrams

Cause: each node placed prompts by its own counts and read shared parts anew. Change: bounded digests of load and newly placed prompts, peers learned from seeds and from each other; the retry budget's slack is divided by a cautious count.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -23,6 +23,9 @@
  */
 public final class Dispatcher {
 
+  /** Divides the slack before the other nodes have been heard. */
+  private static final int MIN_NODE_COUNT = 6;
+
   private static final int MAX_PREFILL_ATTEMPTS = 2;
   private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
@@ -35,6 +38,7 @@
   private final ServiceSplit split = new ServiceSplit();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final List<PlacedPrompt> newPrompts = new ArrayList<>();
+  private int nodeCount = MIN_NODE_COUNT;
   private Optional<RoutingImage> routing = Optional.empty();
 
   /** A dispatcher that knows no engine yet. */
@@ -76,6 +80,11 @@
     return digests;
   }
 
+  /** Whether prompts were placed since they were last taken. */
+  public boolean hasNewPrompts() {
+    return !newPrompts.isEmpty();
+  }
+
   /** Prompts placed since the last call. */
   public List<PlacedPrompt> takeNewPrompts() {
     List<PlacedPrompt> taken = List.copyOf(newPrompts);
@@ -83,9 +92,9 @@
     return taken;
   }
 
-  /** Nodes that share the retry budget, this one included. */
-  public int liveNodes(long nowNanos) {
-    return 1 + peerLoads.liveNodes(nowNanos);
+  /** Takes the number of nodes that share the retry budget, this one included. */
+  public void setNodeCount(int count) {
+    nodeCount = Math.max(MIN_NODE_COUNT, count);
   }
 
   /** First decision for a request. */
@@ -242,7 +251,7 @@
   }
 
   private boolean takeRepeat(RequestProgress progress, long nowNanos) {
-    return budget(progress).tryTake(liveNodes(nowNanos), nowNanos);
+    return budget(progress).tryTake(nodeCount, nowNanos);
   }
 
   private RetryBudget budget(RequestProgress progress) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -18,17 +18,13 @@
   /** Takes a digest; one that is older than the last from the same process is dropped. */
   public void onDigest(LoadDigest digest, long nowNanos) {
     Heard before = heardByNode.get(digest.node());
-    if (before != null && before.digest.isNewerThan(digest)) {
+    boolean outdated = before != null && before.digest.isNewerThan(digest);
+    if (outdated && before.fresh(nowNanos)) {
       return;
     }
     heardByNode.put(digest.node(), new Heard(digest, nowNanos));
   }
 
-  /** How many other nodes spoke lately. */
-  public int liveNodes(long nowNanos) {
-    return (int) heardByNode.values().stream().filter(heard -> heard.fresh(nowNanos)).count();
-  }
-
   /** Requests that the other nodes have at an engine. */
   int running(String engineId, long nowNanos) {
     int sum = 0;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -161,6 +161,14 @@
     engines.send(exchange, attempt);
   }
 
+  /** Prompts are told at once, so that no other node reads the same parts elsewhere. */
+  @Override
+  public void onBatchEnd() {
+    if (dispatcher.hasNewPrompts()) {
+      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+    }
+  }
+
   @Override
   public void onTick() {
     long now = System.nanoTime();
@@ -173,6 +181,7 @@
     }
     if (now - lastDigestNanos >= DIGEST_NANOS) {
       lastDigestNanos = now;
+      dispatcher.setNodeCount(loadSender.cautiousNodeCount());
       loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.dispatch.PeerBook;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
 import org.fallturn.core.routing.EngineDirectory;
@@ -49,6 +50,7 @@
   private final HttpConfiguration http = new HttpConfiguration();
   private final WatchedConnector callers;
   private final EngineClient engines;
+  private final PeerExchange peers;
   private final DutyThread<DispatchEvent> dispatch;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
@@ -61,9 +63,15 @@
     threads.setName("gateway");
     this.server = new Server(threads);
     this.engines = new EngineClient(platform.engines(), threads);
+    this.peers =
+        new PeerExchange(
+            settings.nodeName(),
+            System.currentTimeMillis(),
+            settings.peers(),
+            new PeerBook(settings.peers(), settings.seedPeers()),
+            this::tell);
     DispatchDuty duty =
-        new DispatchDuty(
-            new Dispatcher(settings.dispatchParameters()), engines, log, (loads, prompts) -> {});
+        new DispatchDuty(new Dispatcher(settings.dispatchParameters()), engines, log, peers);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector();
     this.routingFollower =
@@ -95,6 +103,7 @@
   /** Starts everything; callers are served once routes and engines are known. */
   public void start() throws Exception {
     dispatch.start();
+    peers.start();
     routingFollower.start();
     engineFollower.start();
     server.start();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
@@ -6,9 +6,11 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 
 /** Tells this node's load to the other nodes. Called on the dispatch thread; must not block. */
-@FunctionalInterface
 interface LoadSender {
 
+  /** Nodes that share a bound, this one included; a cautious count. */
+  int cautiousNodeCount();
+
   /** Tells it; best effort. */
   void send(Map<String, EngineDigest> engines, List<PlacedPrompt> newPrompts);
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -0,0 +1,122 @@
+package org.fallturn.node.gateway;
+
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.dispatch.PeerBook;
+import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.gossip.UdpSocket;
+import org.fallturn.node.json.JsonCodec;
+import org.fallturn.node.json.MalformedMessageException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells this node's load to the other gateways by datagrams and hears theirs. Cost a node is
+ * bounded: a bounded number of peers a turn, a bounded datagram, and silence while nothing changes.
+ * Sends on the dispatch thread, receives on its own.
+ */
+final class PeerExchange implements LoadSender, AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
+
+  private static final int FAN_OUT = 12;
+  private static final int MAX_ENGINES = 20;
+  private static final int MAX_PROMPTS = 4;
+  private static final int MAX_PARTS = 3;
+  private static final int MAX_PEERS = 12;
+  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final String node;
+  private final long incarnation;
+  private final PeerBook book;
+  private final Consumer<DispatchEvent> events;
+  private final JsonCodec codec = new JsonCodec();
+  private final UdpSocket socket;
+  private Map<String, EngineDigest> lastSent = Map.of();
+  private long lastSentNanos;
+  private long sequence;
+
+  PeerExchange(
+      String node,
+      long incarnation,
+      NetworkAddress listen,
+      PeerBook book,
+      Consumer<DispatchEvent> events)
+      throws IOException {
+    this.node = node;
+    this.incarnation = incarnation;
+    this.book = book;
+    this.events = events;
+    this.socket = new UdpSocket("peers", listen, this::receive);
+  }
+
+  void start() {
+    socket.start();
+  }
+
+  @Override
+  public int cautiousNodeCount() {
+    return book.cautiousNodeCount(System.nanoTime());
+  }
+
+  @Override
+  public void send(Map<String, EngineDigest> engines, List<PlacedPrompt> newPrompts) {
+    long now = System.nanoTime();
+    boolean silent = newPrompts.isEmpty() && engines.equals(lastSent);
+    if (silent && now - lastSentNanos < HEARTBEAT_NANOS) {
+      return;
+    }
+    lastSent = engines;
+    lastSentNanos = now;
+    LoadDigest digest =
+        new LoadDigest(node, incarnation, ++sequence, busiest(engines), shortened(newPrompts));
+    List<NetworkAddress> heard = book.heardLately(now);
+    List<NetworkAddress> told = heard.subList(0, Math.min(MAX_PEERS, heard.size()));
+    byte[] datagram = codec.encode(new PeerMessage(digest, told));
+    book.nextTargets(FAN_OUT, now).forEach(peer -> socket.send(datagram, peer));
+  }
+
+  private static Map<String, EngineDigest> busiest(Map<String, EngineDigest> engines) {
+    if (engines.size() <= MAX_ENGINES) {
+      return engines;
+    }
+    return engines.entrySet().stream()
+        .sorted(Comparator.comparingInt(entry -> -entry.getValue().running()))
+        .limit(MAX_ENGINES)
+        .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
+  }
+
+  private static List<PlacedPrompt> shortened(List<PlacedPrompt> prompts) {
+    return prompts.stream()
+        .limit(MAX_PROMPTS)
+        .map(
+            prompt ->
+                new PlacedPrompt(
+                    prompt.engineId(),
+                    prompt.parts().subList(0, Math.min(MAX_PARTS, prompt.parts().size()))))
+        .toList();
+  }
+
+  private void receive(byte[] datagram, NetworkAddress from) {
+    try {
+      PeerMessage message = codec.decode(datagram, PeerMessage.class);
+      book.onHeard(from, message.peers(), System.nanoTime());
+      events.accept(new DispatchEvent.DigestHeard(message.load()));
+    } catch (MalformedMessageException e) {
+      LOG.warn("peers: A datagram from {} is not readable: {}.", from, e.getMessage());
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param callers where callers connect
  * @param readiness where readiness is asked for
  * @param peers UDP address at which other nodes tell their load
+ * @param seeds addresses of some other nodes, by any of their ports
  * @param metricsPort port of the metrics on the same host; 0 for none
  * @param store address of the store
  * @param bounds what the operators of the platform promise and ask for
@@ -27,6 +28,7 @@
     NetworkAddress callers,
     NetworkAddress readiness,
     NetworkAddress peers,
+    List<NetworkAddress> seeds,
     int metricsPort,
     NetworkAddress store,
     GatewayBounds bounds,
@@ -52,6 +54,10 @@
       SettingDefinition.address(
           "gateway.peers", "127.0.0.1:0", "UDP address where other nodes tell their load.");
 
+  private static final SettingDefinition<String> SEEDS =
+      SettingDefinition.addresses(
+          "gateway.seeds", "", "Some other nodes, by any of their ports; split by commas.");
+
   private static final SettingDefinition<Integer> METRICS_PORT =
       SettingDefinition.integer(
           "gateway.metrics_port", 0, 0, MAX_PORT, "Port of the metrics; 0 for none.");
@@ -61,7 +67,7 @@
 
   private static final List<SettingDefinition<?>> DEFINITIONS =
       Stream.of(
-              List.of(NODE_NAME, ZONE, CALLERS, READINESS, PEERS, METRICS_PORT, STORE),
+              List.of(NODE_NAME, ZONE, CALLERS, READINESS, PEERS, SEEDS, METRICS_PORT, STORE),
               GatewayBounds.DEFINITIONS,
               DispatchSettings.DEFINITIONS,
               LogSettings.DEFINITIONS)
@@ -87,6 +93,7 @@
         values.get(CALLERS),
         values.get(READINESS),
         values.get(PEERS),
+        addresses(values.get(SEEDS)),
         values.get(METRICS_PORT),
         values.get(STORE),
         GatewayBounds.from(values),
@@ -94,6 +101,19 @@
         LogSettings.from(values));
   }
 
+  private static List<NetworkAddress> addresses(String text) {
+    return Stream.of(text.split(","))
+        .map(String::strip)
+        .filter(part -> !part.isEmpty())
+        .map(NetworkAddress::parse)
+        .toList();
+  }
+
+  /** Where the seeds hear of load: every node uses the same port for it. */
+  public List<NetworkAddress> seedPeers() {
+    return seeds.stream().map(seed -> new NetworkAddress(seed.host(), peers.port())).toList();
+  }
+
   /** What the dispatcher is made with. */
   public DispatchParameters dispatchParameters() {
     return new DispatchParameters(
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/SettingDefinition.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/SettingDefinition.java
@@ -111,6 +111,17 @@
         doc);
   }
 
+  /** A list of addresses split by commas; may be empty. */
+  public static SettingDefinition<String> addresses(String key, String defaultValue, String doc) {
+    return new SettingDefinition<>(
+        key,
+        SettingType.TEXT,
+        defaultValue,
+        value -> value.isEmpty() || value.matches("[^\\s,:]+:\\d{1,5}(,[^\\s,:]+:\\d{1,5})*"),
+        "addresses such as \"10.0.0.1:8080,10.0.0.2:8080\", or empty",
+        doc);
+  }
+
   /** One of an enum's constants, written in lower case. */
   public static <E extends Enum<E>> SettingDefinition<E> choice(
       String key, Class<E> choices, E defaultValue, String doc) {
