--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -6,7 +6,6 @@
  * Constants of the dispatcher; see the settings of section {@code dispatch} for their bounds.
  *
  * @param zone zone of this node
- * @param prefillThresholdTokens uncached tokens from which a prompt is read on a prefill engine
  * @param prefillTokensPerMilli reading speed that is assumed until one is measured
  * @param retryRatio repeats a request, over the whole fleet
  * @param retrySlack repeats beyond the ratio, over the whole fleet
@@ -15,7 +14,6 @@
  */
 public record DispatchParameters(
     String zone,
-    int prefillThresholdTokens,
     double prefillTokensPerMilli,
     double retryRatio,
     double retrySlack,
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -28,13 +28,16 @@
 
   private static final int MAX_PREFILL_ATTEMPTS = 2;
   private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
+  private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
   private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
 
   private final DispatchParameters parameters;
   private final PeerLoads peerLoads = new PeerLoads();
   private final EngineSelector selector;
-  private final Patience patience;
+  private final PromptPlacement prompts;
+  private final Patience patience = new Patience();
+  private final Map<String, ReadingSpeed> speeds = new HashMap<>();
   private final ServiceSplit split = new ServiceSplit();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final List<PlacedPrompt> newPrompts = new ArrayList<>();
@@ -45,7 +48,7 @@
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
     this.selector = new EngineSelector(parameters.zone(), peerLoads);
-    this.patience = new Patience(parameters);
+    this.prompts = new PromptPlacement(selector, peerLoads, parameters.zone());
   }
 
   /** Takes a newer list of engines. */
@@ -108,9 +111,19 @@
   public Decision onPrefilled(RequestProgress progress, String handle, long nowNanos) {
     ServingEngine engine = progress.engine().orElseThrow();
     selector.load(engine).health().onGood();
+    double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
+    speed(progress).observe(progress.aheadTokens() + progress.chargedTokens(), millis);
     release(progress, false);
     progress.keepSource(new CacheSource(engine, handle));
-    return run(progress, nowNanos);
+    return place(progress, false, nowNanos);
+  }
+
+  /** The first part of the answer came, so that the prompt has been read. */
+  public void onBegan(RequestProgress progress) {
+    progress
+        .engine()
+        .ifPresent(engine -> selector.load(engine).promptRead(progress.chargedTokens()));
+    progress.promptRead();
   }
 
   /** An attempt ended without a whole, good answer. */
@@ -141,9 +154,9 @@
   private Decision afterFailedPrefill(RequestProgress progress, long nowNanos) {
     boolean again =
         progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS
-            && selector.canPrefill(progress, nowNanos)
+            && !selector.prefillCandidates(progress, nowNanos).isEmpty()
             && takeRepeat(progress, nowNanos);
-    return again ? prefill(progress, nowNanos) : run(progress, nowNanos);
+    return place(progress, again, nowNanos);
   }
 
   private Decision afterFailedRun(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
@@ -151,7 +164,7 @@
       progress.dropSource();
     }
     if (mayTryAgain(progress, outcome, nowNanos)) {
-      return run(progress, nowNanos);
+      return place(progress, false, nowNanos);
     }
     return giveUp(progress, outcome);
   }
@@ -169,7 +182,7 @@
       return false;
     }
     boolean free = outcome == AttemptOutcome.NOT_SENT;
-    return selector.forRun(progress, nowNanos).isPresent()
+    return !selector.runCandidates(progress, nowNanos).isEmpty()
         && (free || takeRepeat(progress, nowNanos));
   }
 
@@ -188,57 +201,66 @@
     if (progress.envelope().remainingNanos(nowNanos) <= 0) {
       return notRun(ErrorKind.DEADLINE_UNREACHABLE, "its time was over when it had been read");
     }
-    boolean readAhead =
-        progress.envelope().prompt().isPresent()
-            && progress.envelope().prompt().get().promptTokens()
-                >= parameters.prefillThresholdTokens()
-            && selector.canPrefill(progress, nowNanos);
-    return readAhead ? prefill(progress, nowNanos) : run(progress, nowNanos);
+    return place(progress, true, nowNanos);
   }
 
-  private Decision prefill(RequestProgress progress, long nowNanos) {
+  private Decision place(RequestProgress progress, boolean mayPrefill, long nowNanos) {
+    if (progress.envelope().prompt().isEmpty()) {
+      return selector
+          .leastLoaded(progress, nowNanos)
+          .map(engine -> run(progress, engine, 0, nowNanos))
+          .orElseGet(() -> nowhere(progress));
+    }
+    return prompts
+        .choose(progress, mayPrefill, speed(progress), profile(progress), nowNanos)
+        .map(plan -> carryOut(progress, plan, nowNanos))
+        .orElseGet(() -> nowhere(progress));
+  }
+
+  private Decision carryOut(RequestProgress progress, PromptPlacement.Plan plan, long nowNanos) {
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
-    Optional<ServingEngine> engine = selector.forPrefill(progress, prompt, nowNanos);
-    if (engine.isEmpty()) {
-      return run(progress, nowNanos);
+    ServingEngine engine = plan.engine();
+    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts());
+    newPrompts.add(new PlacedPrompt(engine.id(), prompt.parts()));
+    if (!plan.prefill()) {
+      return run(progress, engine, plan.uncachedTokens(), nowNanos);
     }
-    ServingEngine chosen = engine.get();
-    int tokens = selector.uncachedTokens(chosen, prompt);
+    long tokens = plan.aheadTokens() + plan.uncachedTokens();
     Duration patienceForIt =
         patience.forPrefill(
-            selector.backlogTokens(chosen, nowNanos) + tokens,
-            progress.envelope().remainingNanos(nowNanos));
-    selector.load(chosen).add(tokens);
-    progress.beginPrefill(chosen, tokens);
-    remember(chosen, progress, prompt);
-    return new Decision.Prefill(chosen, patienceForIt);
+            speed(progress).prefillMillis(tokens), progress.envelope().remainingNanos(nowNanos));
+    selector.load(engine).add(plan.uncachedTokens());
+    progress.beginPrefill(engine, plan.uncachedTokens(), plan.aheadTokens(), nowNanos);
+    return new Decision.Prefill(engine, patienceForIt);
   }
 
-  private void remember(ServingEngine engine, RequestProgress progress, PromptShape prompt) {
-    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts());
-    newPrompts.add(new PlacedPrompt(engine.id(), prompt.parts()));
+  private Decision run(RequestProgress progress, ServingEngine engine, int tokens, long nowNanos) {
+    selector.load(engine).add(tokens);
+    progress.beginRun(engine, tokens);
+    Duration patienceForIt =
+        patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
+    return new Decision.Run(engine, progress.source(), patienceForIt);
   }
 
-  private long cacheTokens(RequestProgress progress) {
+  private Decision nowhere(RequestProgress progress) {
+    return progress.possibleRuns() == 0
+        ? notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " is there")
+        : giveUp(progress, AttemptOutcome.LOST);
+  }
+
+  private ReadingSpeed speed(RequestProgress progress) {
+    return speeds.computeIfAbsent(
+        progress.service(), name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
+  }
+
+  private Optional<EngineProfile> profile(RequestProgress progress) {
     return routing
         .flatMap(image -> image.service(progress.service()))
-        .flatMap(ServiceDefinition::engine)
-        .map(EngineProfile::cacheTokens)
-        .orElse(DEFAULT_CACHE_TOKENS);
+        .flatMap(ServiceDefinition::engine);
   }
 
-  private Decision run(RequestProgress progress, long nowNanos) {
-    Optional<ServingEngine> engine = selector.forRun(progress, nowNanos);
-    if (engine.isEmpty()) {
-      return progress.possibleRuns() == 0
-          ? notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " is there")
-          : giveUp(progress, AttemptOutcome.LOST);
-    }
-    selector.load(engine.get()).add(0);
-    progress.beginRun(engine.get(), 0);
-    Duration patienceForIt =
-        patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
-    return new Decision.Run(engine.get(), progress.source(), patienceForIt);
+  private long cacheTokens(RequestProgress progress) {
+    return profile(progress).map(EngineProfile::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
   }
 
   private Decision notRun(ErrorKind kind, String reason) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -34,6 +34,11 @@
     prefillTokens -= tokens;
   }
 
+  /** So many tokens were read; the request still runs. */
+  void promptRead(int tokens) {
+    prefillTokens -= tokens;
+  }
+
   boolean idle() {
     return running == 0;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -22,10 +22,7 @@
 final class EngineSelector {
 
   private static final double OTHER_ZONE_RUN_COST = 0.03;
-  private static final double OTHER_ZONE_FETCH_COST = 0.1;
   private static final double FAILURE_RUN_COST = 1.0;
-  private static final double FAILURE_PREFILL_TOKENS = 20_000;
-  private static final double OTHER_ZONE_PREFILL_TOKENS = 300;
 
   private final String zone;
   private final Map<String, EngineLoad> loads = new HashMap<>();
@@ -59,26 +56,14 @@
     return cachedParts;
   }
 
-  /** Whether the service has an engine that reads prompts ahead. */
-  boolean canPrefill(RequestProgress progress, long nowNanos) {
-    return directory.ofService(progress.service()).stream()
-        .anyMatch(engine -> prefills(engine) && usable(engine, progress, nowNanos));
+  /** Engines that may read a prompt ahead. */
+  List<ServingEngine> prefillCandidates(RequestProgress progress, long nowNanos) {
+    return candidates(progress, EngineSelector::prefills, nowNanos);
   }
 
-  /** The engine that would have read the prompt first. */
-  Optional<ServingEngine> forPrefill(RequestProgress progress, PromptShape prompt, long nowNanos) {
-    List<ServingEngine> candidates = candidates(progress, EngineSelector::prefills, nowNanos);
-    Optional<ServingEngine> home = home(prompt, candidates);
-    return cheapest(
-        candidates,
-        engine -> {
-          EngineLoad load = load(engine);
-          return backlogTokens(engine, nowNanos)
-              + uncachedTokens(engine, prompt, home)
-              + FAILURE_PREFILL_TOKENS * load.health().failureShare()
-              + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_PREFILL_TOKENS);
-        },
-        progress);
+  /** Engines that may run a request. */
+  List<ServingEngine> runCandidates(RequestProgress progress, long nowNanos) {
+    return candidates(progress, engine -> !prefills(engine), nowNanos);
   }
 
   /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
@@ -93,8 +78,7 @@
   }
 
   /** As {@link #uncachedTokens(ServingEngine, PromptShape)}; unknown parts are taken to be home. */
-  private int uncachedTokens(
-      ServingEngine engine, PromptShape prompt, Optional<ServingEngine> home) {
+  int uncachedTokens(ServingEngine engine, PromptShape prompt, Optional<ServingEngine> home) {
     boolean unknown = prompt.lastSharedPart().filter(part -> !cachedParts.known(part)).isPresent();
     if (unknown && home.isPresent() && home.get().id().equals(engine.id())) {
       return Math.max(0, prompt.promptTokens() - prompt.sharedTokens());
@@ -103,8 +87,7 @@
   }
 
   /** All nodes agree on the first engine to read a shared part, so that it is read once. */
-  private static Optional<ServingEngine> home(
-      PromptShape prompt, Collection<ServingEngine> candidates) {
+  Optional<ServingEngine> home(PromptShape prompt, Collection<ServingEngine> candidates) {
     return prompt
         .lastSharedPart()
         .flatMap(
@@ -117,21 +100,16 @@
                                 RendezvousHash.weight(part.id(), right.id()))));
   }
 
-  /** The engine that runs the request, near the KV cache when there is one to be fetched. */
-  Optional<ServingEngine> forRun(RequestProgress progress, long nowNanos) {
-    List<ServingEngine> candidates =
-        candidates(progress, engine -> engine.stage() != EngineStage.PREFILL, nowNanos);
-    Optional<CacheSource> source = progress.source();
-    String near = source.map(from -> from.engine().zone()).orElse(zone);
-    double distanceCost = source.isPresent() ? OTHER_ZONE_FETCH_COST : OTHER_ZONE_RUN_COST;
+  /** The engine of an application service that is least loaded for its size. */
+  Optional<ServingEngine> leastLoaded(RequestProgress progress, long nowNanos) {
     return cheapest(
-        candidates,
+        runCandidates(progress, nowNanos),
         engine -> {
           EngineLoad load = load(engine);
           double running = load.running() + peerLoads.running(engine.id(), nowNanos);
           return (running + 1) / Math.max(1, engine.slots())
               + FAILURE_RUN_COST * load.health().failureShare()
-              + (engine.zone().equals(near) ? 0 : distanceCost);
+              + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
         },
         progress);
   }
@@ -170,6 +148,11 @@
     return candidates.stream()
         .min(
             Comparator.comparingDouble(cost)
-                .thenComparingLong(engine -> RendezvousHash.weight(requestId, engine.id())));
+                .thenComparingLong(engine -> tieBreak(requestId, engine)));
+  }
+
+  /** Decides between engines of equal cost. */
+  static long tieBreak(String requestId, ServingEngine engine) {
+    return RendezvousHash.weight(requestId, engine.id());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -13,16 +13,14 @@
   private static final double PREFILL_FACTOR = 3.0;
   private static final long PREFILL_BASE_NANOS = Duration.ofMillis(300).toNanos();
 
-  private final DispatchParameters parameters;
-
-  Patience(DispatchParameters parameters) {
-    this.parameters = parameters;
-  }
-
-  /** For a prompt behind a backlog, both in tokens. */
-  Duration forPrefill(long tokens, long remainingNanos) {
-    double millis = PREFILL_FACTOR * tokens / parameters.prefillTokensPerMilli();
-    long wanted = PREFILL_BASE_NANOS + Duration.ofMillis((long) millis).toNanos();
+  /**
+   * For a prompt that is read ahead.
+   *
+   * @param expectedMillis how long it should take
+   */
+  Duration forPrefill(double expectedMillis, long remainingNanos) {
+    long wanted =
+        PREFILL_BASE_NANOS + Duration.ofMillis((long) (PREFILL_FACTOR * expectedMillis)).toNanos();
     return Duration.ofNanos(Math.min(wanted, remainingNanos / 2));
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -19,6 +19,8 @@
   private ServingEngine engine;
   private boolean prefilling;
   private int chargedTokens;
+  private long aheadTokens;
+  private long sentNanos;
   private CacheSource source;
 
   /** A request that has just arrived. */
@@ -74,11 +76,28 @@
     return chargedTokens;
   }
 
+  /** Tokens that waited before it at the prefill engine. */
+  long aheadTokens() {
+    return aheadTokens;
+  }
+
+  /** When the present prefill was sent. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  /** The prompt has been read. */
+  void promptRead() {
+    chargedTokens = 0;
+  }
+
   void chooseService(String name) {
     service = name;
   }
 
-  void beginPrefill(ServingEngine chosen, int tokens) {
+  void beginPrefill(ServingEngine chosen, int tokens, long ahead, long nowNanos) {
+    aheadTokens = ahead;
+    sentNanos = nowNanos;
     engine = chosen;
     prefilling = true;
     chargedTokens = tokens;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -10,6 +10,7 @@
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.duty.DutyHandler;
 
 /**
@@ -43,6 +44,10 @@
       onArrived(arrived.exchange(), now);
     } else if (event instanceof DispatchEvent.Prefilled prefilled) {
       onPrefilled(prefilled, now);
+    } else if (event instanceof DispatchEvent.Began began) {
+      if (isPresent(began.exchange(), began.attempt())) {
+        dispatcher.onBegan(began.exchange().progress());
+      }
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       onFailed(failed, now);
     } else if (event instanceof DispatchEvent.Finished finished) {
@@ -126,21 +131,11 @@
     if (decision instanceof Decision.Prefill prefill) {
       send(
           exchange,
-          new EngineCall(
-              prefill.engine(), true, Optional.empty(), left(exchange, now), Optional.empty()),
+          call(exchange, prefill.engine(), true, Optional.empty(), now),
           prefill.patience(),
           now);
     } else if (decision instanceof Decision.Run run) {
-      send(
-          exchange,
-          new EngineCall(
-              run.engine(),
-              false,
-              run.source(),
-              left(exchange, now),
-              exchange.framer().lastEventId()),
-          run.patience(),
-          now);
+      send(exchange, call(exchange, run.engine(), false, run.source(), now), run.patience(), now);
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       exchange.refuse(refuse.kind(), refuse.retryAfter());
@@ -150,6 +145,21 @@
     }
   }
 
+  private static EngineCall call(
+      Exchange exchange,
+      ServingEngine engine,
+      boolean prefillOnly,
+      Optional<CacheSource> source,
+      long now) {
+    return new EngineCall(
+        engine,
+        prefillOnly,
+        source,
+        left(exchange, now),
+        exchange.envelope().route().priority(),
+        exchange.framer().lastEventId());
+  }
+
   private static Duration left(Exchange exchange, long now) {
     return Duration.ofNanos(Math.max(0, exchange.envelope().remainingNanos(now)));
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -15,6 +15,9 @@
   record Prefilled(Exchange exchange, EngineAttempt attempt, String handle)
       implements DispatchEvent {}
 
+  /** The first part of the answer was passed on. */
+  record Began(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+
   /** An attempt ended without a whole, good answer. */
   record AttemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome)
       implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -46,6 +46,7 @@
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
   private volatile boolean streamed;
+  private boolean told;
 
   EngineAttempt(
       Exchange exchange, EngineCall call, EngineProtocol protocol, long patienceUntilNanos) {
@@ -164,6 +165,10 @@
       demander.run();
       return;
     }
+    if (!told) {
+      told = true;
+      exchange.tell(new DispatchEvent.Began(exchange, this));
+    }
     exchange.beginAnswer(head.status(), protocol.answerHeaders(headers));
     exchange.writePart(bytes, Callback.from(demander::run, failure -> response.abort(failure)));
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
@@ -12,6 +12,7 @@
  * @param prefillOnly the engine reads the prompt and keeps its KV cache for another engine
  * @param source where the engine fetches the KV cache
  * @param timeLeft how long the caller waits still
+ * @param priority urgency among the engine's requests; 0 is first
  * @param lastEventId the event after which a stream goes on; empty from its beginning
  */
 public record EngineCall(
@@ -19,4 +20,5 @@
     boolean prefillOnly,
     Optional<CacheSource> source,
     Duration timeLeft,
+    int priority,
     Optional<String> lastEventId) {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -17,6 +17,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.http.PlainClientConnector;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -43,7 +44,7 @@
 
   EngineClient(EngineProtocol protocol, Executor executor) throws Exception {
     this.protocol = protocol;
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new PlainClientConnector();
     connector.setSelectors(1);
     connector.setExecutor(executor);
     HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.PeerBook;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
 import org.fallturn.core.routing.EngineDirectory;
@@ -111,6 +112,16 @@
     log.started(settings.nodeName());
   }
 
+  /** Whether routes and engines are known and no stop has begun. */
+  public boolean ready() {
+    return state.ready();
+  }
+
+  /** Where callers connect, with the real port. */
+  public NetworkAddress callersAddress() {
+    return new NetworkAddress(callers.getHost(), callers.getLocalPort());
+  }
+
   /** Events are never dropped: a full ring holds its producers up. */
   private void tell(DispatchEvent event) {
     while (!dispatch.offer(event)) {
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -6,20 +6,10 @@
 /**
  * Constants of the dispatcher of a gateway process.
  *
- * @param prefillThresholdTokens prompt tokens from which a prefill engine reads the prompt
  * @param prefillTokensPerMilli reading speed that is assumed
  * @param minRetryAfter shortest advice on when to come back
  */
-public record DispatchSettings(
-    int prefillThresholdTokens, double prefillTokensPerMilli, Duration minRetryAfter) {
-
-  private static final SettingDefinition<Integer> PREFILL_THRESHOLD =
-      SettingDefinition.integer(
-          "dispatch.prefill_threshold_tokens",
-          2_048,
-          0,
-          1_000_000,
-          "Prompt tokens from which a prefill engine reads the prompt.");
+public record DispatchSettings(double prefillTokensPerMilli, Duration minRetryAfter) {
 
   private static final SettingDefinition<Double> PREFILL_SPEED =
       SettingDefinition.decimal(
@@ -33,11 +23,9 @@
           Duration.ofMinutes(1),
           "Shortest advice on when to come back.");
 
-  static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(PREFILL_THRESHOLD, PREFILL_SPEED, MIN_RETRY_AFTER);
+  static final List<SettingDefinition<?>> DEFINITIONS = List.of(PREFILL_SPEED, MIN_RETRY_AFTER);
 
   static DispatchSettings from(SettingValues values) {
-    return new DispatchSettings(
-        values.get(PREFILL_THRESHOLD), values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER));
+    return new DispatchSettings(values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -118,7 +118,6 @@
   public DispatchParameters dispatchParameters() {
     return new DispatchParameters(
         zone,
-        dispatch.prefillThresholdTokens(),
         dispatch.prefillTokensPerMilli(),
         bounds.retryRatio(),
         bounds.retrySlack(),
