Copy cached parts between engines; suspend engines that go silent

Change: a placement may have the engine copy the parts another engine keeps; reading them again carries a price; an engine that says nothing for longer than its requests should take is suspended, and two nodes' suspicion counts for all.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -22,15 +22,25 @@
 
   private final Map<String, EngineParts> engines = new HashMap<>();
 
-  /** Tokens at the beginning of the prompt that the engine is believed to keep. */
+  /** Tokens at the beginning of the prompt that the engine keeps, or will once it is idle. */
   int cachedTokens(String engineId, List<PromptPart> parts) {
+    return cachedTokens(engineId, parts, Long.MAX_VALUE);
+  }
+
+  /** Tokens at the beginning of the prompt that the engine has read by a time. */
+  int readyTokens(String engineId, List<PromptPart> parts, long nowNanos) {
+    return cachedTokens(engineId, parts, nowNanos);
+  }
+
+  private int cachedTokens(String engineId, List<PromptPart> parts, long untilNanos) {
     EngineParts engine = engines.get(engineId);
     if (engine == null) {
       return 0;
     }
     int cached = 0;
     for (PromptPart part : parts) {
-      if (!engine.tokensByPart.containsKey(part.id())) {
+      Kept kept = engine.parts.get(part.id());
+      if (kept == null || untilNanos != Long.MAX_VALUE && kept.readyAtNanos - untilNanos > 0) {
         return cached;
       }
       cached += part.tokens();
@@ -40,14 +50,18 @@
 
   /** Whether any engine is believed to keep the part. */
   boolean known(PromptPart part) {
-    return engines.values().stream().anyMatch(e -> e.tokensByPart.containsKey(part.id()));
+    return engines.values().stream().anyMatch(engine -> engine.parts.containsKey(part.id()));
   }
 
-  /** The engine reads, or has read, these parts. */
-  void record(String engineId, long capacityTokens, List<PromptPart> parts) {
+  /**
+   * The engine reads these parts.
+   *
+   * @param readyAtNanos when it has read those that it did not keep already
+   */
+  void record(String engineId, long capacityTokens, List<PromptPart> parts, long readyAtNanos) {
     EngineParts engine = engines.computeIfAbsent(engineId, id -> new EngineParts());
     for (PromptPart part : parts) {
-      engine.touch(part);
+      engine.touch(part, readyAtNanos);
     }
     engine.trim((long) (KEPT_SHARE * capacityTokens));
   }
@@ -57,22 +71,27 @@
     engines.keySet().retainAll(engineIds);
   }
 
+  private record Kept(int tokens, long readyAtNanos) {}
+
   /** Parts of one engine, least recently used first. */
   private static final class EngineParts {
 
-    private final LinkedHashMap<String, Integer> tokensByPart =
+    private final LinkedHashMap<String, Kept> parts =
         new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
     private long total;
 
-    void touch(PromptPart part) {
-      Integer before = tokensByPart.put(part.id(), part.tokens());
-      total += part.tokens() - (before == null ? 0 : before);
+    void touch(PromptPart part, long readyAtNanos) {
+      Kept before = parts.get(part.id());
+      if (before == null) {
+        parts.put(part.id(), new Kept(part.tokens(), readyAtNanos));
+        total += part.tokens();
+      }
     }
 
     void trim(long capacity) {
-      Iterator<Map.Entry<String, Integer>> oldest = tokensByPart.entrySet().iterator();
+      Iterator<Map.Entry<String, Kept>> oldest = parts.entrySet().iterator();
       while (total > capacity && oldest.hasNext()) {
-        total -= oldest.next().getValue();
+        total -= oldest.next().getValue().tokens();
         oldest.remove();
       }
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -12,18 +12,25 @@
    * Have an engine read the prompt and keep its KV cache for another engine.
    *
    * @param engine the engine
+   * @param fetchFrom engine whose cached parts it copies first
    * @param patience how long to wait for it
    */
-  record Prefill(ServingEngine engine, Duration patience) implements Decision {}
+  record Prefill(ServingEngine engine, Optional<ServingEngine> fetchFrom, Duration patience)
+      implements Decision {}
 
   /**
    * Have an engine run the request.
    *
    * @param engine the engine
    * @param source where it fetches the prompt's KV cache; empty when it reads the prompt itself
+   * @param fetchFrom engine whose cached parts it copies first
    * @param patience how long to wait for the head of its answer
    */
-  record Run(ServingEngine engine, Optional<CacheSource> source, Duration patience)
+  record Run(
+      ServingEngine engine,
+      Optional<CacheSource> source,
+      Optional<ServingEngine> fetchFrom,
+      Duration patience)
       implements Decision {}
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
@@ -28,6 +29,10 @@
 
   private static final int MAX_PREFILL_ATTEMPTS = 2;
   private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
+
+  /** Shorter prompts are not worth a message to the other nodes. */
+  private static final int MIN_TOLD_TOKENS = 2_000;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
   private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
@@ -65,7 +70,10 @@
   public void onDigest(LoadDigest digest, long nowNanos) {
     peerLoads.onDigest(digest, nowNanos);
     for (PlacedPrompt prompt : digest.prompts()) {
-      selector.cachedParts().record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts());
+      long readyAt = nowNanos + TimeUnit.MILLISECONDS.toNanos(prompt.readyInMillis());
+      selector
+          .cachedParts()
+          .record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts(), readyAt);
     }
   }
 
@@ -76,13 +84,24 @@
         .loads()
         .forEach(
             (id, load) -> {
-              if (!load.idle()) {
-                digests.put(id, new EngineDigest(load.running(), load.prefillTokens()));
+              boolean suspended = load.health().suspended();
+              if (suspended || !load.idle()) {
+                digests.put(id, new EngineDigest(load.running(), load.prefillTokens(), suspended));
               }
             });
     return digests;
   }
 
+  /** Suspends engines that have gone silent; called several times a second. */
+  public void onTick(long nowNanos) {
+    selector.checkSilence(nowNanos);
+  }
+
+  /** Some of an answer came from the engine that has the request. */
+  public void onSignOfLife(RequestProgress progress, long nowNanos) {
+    progress.engine().ifPresent(engine -> selector.load(engine).onSignOfLife(nowNanos));
+  }
+
   /** Whether prompts were placed since they were last taken. */
   public boolean hasNewPrompts() {
     return !newPrompts.isEmpty();
@@ -208,11 +227,18 @@
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
-          .map(engine -> run(progress, engine, 0, nowNanos))
+          .map(engine -> run(progress, engine, Optional.empty(), 0, 0, nowNanos))
           .orElseGet(() -> nowhere(progress));
     }
+    PromptPlacement.Question question =
+        new PromptPlacement.Question(
+            progress,
+            progress.envelope().prompt().get(),
+            speed(progress),
+            profile(progress),
+            nowNanos);
     return prompts
-        .choose(progress, mayPrefill, speed(progress), profile(progress), nowNanos)
+        .choose(question, mayPrefill)
         .map(plan -> carryOut(progress, plan, nowNanos))
         .orElseGet(() -> nowhere(progress));
   }
@@ -220,26 +246,44 @@
   private Decision carryOut(RequestProgress progress, PromptPlacement.Plan plan, long nowNanos) {
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
     ServingEngine engine = plan.engine();
-    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts());
-    newPrompts.add(new PlacedPrompt(engine.id(), prompt.parts()));
+    remember(progress, engine, prompt, plan.millis(), nowNanos);
     if (!plan.prefill()) {
-      return run(progress, engine, plan.uncachedTokens(), nowNanos);
+      return run(progress, engine, plan.fetchFrom(), plan.readTokens(), plan.millis(), nowNanos);
     }
-    long tokens = plan.aheadTokens() + plan.uncachedTokens();
     Duration patienceForIt =
-        patience.forPrefill(
-            speed(progress).prefillMillis(tokens), progress.envelope().remainingNanos(nowNanos));
-    selector.load(engine).add(plan.uncachedTokens());
-    progress.beginPrefill(engine, plan.uncachedTokens(), plan.aheadTokens(), nowNanos);
-    return new Decision.Prefill(engine, patienceForIt);
+        patience.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
+    long silence = patience.beforeSilence(plan.millis());
+    selector.load(engine).add(plan.readTokens(), silence, nowNanos);
+    progress.beginPrefill(engine, plan.readTokens(), plan.aheadTokens(), nowNanos);
+    return new Decision.Prefill(engine, plan.fetchFrom(), patienceForIt);
+  }
+
+  private void remember(
+      RequestProgress progress,
+      ServingEngine engine,
+      PromptShape prompt,
+      double millis,
+      long nowNanos) {
+    long readyAt = nowNanos + (long) (millis * NANOS_PER_MILLI);
+    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts(), readyAt);
+    if (prompt.promptTokens() >= MIN_TOLD_TOKENS) {
+      newPrompts.add(new PlacedPrompt(engine.id(), (int) millis, prompt.parts()));
+    }
   }
 
-  private Decision run(RequestProgress progress, ServingEngine engine, int tokens, long nowNanos) {
-    selector.load(engine).add(tokens);
+  private Decision run(
+      RequestProgress progress,
+      ServingEngine engine,
+      Optional<ServingEngine> fetchFrom,
+      int tokens,
+      double expectedMillis,
+      long nowNanos) {
+    long silence = patience.beforeSilence(expectedMillis);
+    selector.load(engine).add(tokens, silence, nowNanos);
     progress.beginRun(engine, tokens);
     Duration patienceForIt =
         patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
-    return new Decision.Run(engine, progress.source(), patienceForIt);
+    return new Decision.Run(engine, progress.source(), fetchFrom, patienceForIt);
   }
 
   private Decision nowhere(RequestProgress progress) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
@@ -5,5 +5,6 @@
  *
  * @param running requests
  * @param prefillTokens prompt tokens that are not read yet
+ * @param suspended whether the node has suspended it
  */
-public record EngineDigest(int running, long prefillTokens) {}
+public record EngineDigest(int running, long prefillTokens, boolean suspended) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What outcomes say of one engine. Failures in a row suspend it for a growing time, after which one
- * request at a time tries it again; a share of failed answers makes it less attractive without
- * suspending it. One thread calls.
+ * What outcomes say of one engine. Failures in a row, or silence while requests wait there, suspend
+ * it for a growing time, after which one request at a time tries it again; a share of failed
+ * answers makes it less attractive without suspending it. One thread calls.
  */
 final class EngineHealth {
 
@@ -29,6 +29,11 @@
     return !probing && nowNanos - suspendedUntilNanos >= 0;
   }
 
+  /** Whether it is suspended, or tried again after a suspension. */
+  boolean suspended() {
+    return suspended;
+  }
+
   /** Recent share of attempts that failed, 0 to 1. */
   double failureShare() {
     return failureShare;
@@ -41,11 +46,16 @@
   }
 
   void onGood() {
+    onSignOfLife();
+    failureShare -= SMOOTHING * failureShare;
+  }
+
+  /** Any byte of an answer. */
+  void onSignOfLife() {
     failuresInRow = 0;
     suspended = false;
     probing = false;
     suspensionNanos = FIRST_SUSPENSION_NANOS;
-    failureShare -= SMOOTHING * failureShare;
   }
 
   void onFailure(AttemptOutcome outcome, long nowNanos) {
@@ -60,6 +70,13 @@
     }
   }
 
+  /** Requests wait there and nothing has come for longer than they should take. */
+  void onSilence(long nowNanos) {
+    if (!suspended) {
+      suspend(nowNanos);
+    }
+  }
+
   /** The attempt ended for a reason that says nothing about the engine. */
   void onAbandoned() {
     probing = false;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -48,6 +48,11 @@
     return loads.computeIfAbsent(engine.id(), id -> new EngineLoad());
   }
 
+  /** Suspends engines that have been silent for longer than their requests should take. */
+  void checkSilence(long nowNanos) {
+    loads.values().forEach(load -> load.checkSilence(nowNanos));
+  }
+
   Map<String, EngineLoad> loads() {
     return loads;
   }
@@ -77,6 +82,28 @@
     return Math.max(0, prompt.promptTokens() - cached);
   }
 
+  /** Tokens at the beginning of the prompt that the engine has read by now. */
+  int readyTokens(ServingEngine engine, PromptShape prompt, long nowNanos) {
+    return cachedParts.readyTokens(engine.id(), prompt.parts(), nowNanos);
+  }
+
+  /** Whoever else keeps most of the prompt now, near the engine when several do. */
+  Optional<ServingEngine> bestHolder(PromptPlacement.Question question, ServingEngine engine) {
+    List<PromptPart> parts = question.prompt().parts();
+    long now = question.nowNanos();
+    return directory.ofService(question.progress().service()).stream()
+        .filter(holder -> !holder.id().equals(engine.id()) && usableSource(holder, now))
+        .filter(holder -> cachedParts.readyTokens(holder.id(), parts, now) > 0)
+        .max(
+            Comparator.comparingInt(
+                    (ServingEngine holder) -> cachedParts.readyTokens(holder.id(), parts, now))
+                .thenComparing(holder -> holder.zone().equals(engine.zone())));
+  }
+
+  private boolean usableSource(ServingEngine holder, long nowNanos) {
+    return !load(holder).health().suspended() && !peerLoads.suspects(holder.id(), nowNanos);
+  }
+
   /** As {@link #uncachedTokens(ServingEngine, PromptShape)}; unknown parts are taken to be home. */
   int uncachedTokens(ServingEngine engine, PromptShape prompt, Optional<ServingEngine> home) {
     boolean unknown = prompt.lastSharedPart().filter(part -> !cachedParts.known(part)).isPresent();
@@ -136,7 +163,8 @@
   private boolean usable(ServingEngine engine, RequestProgress progress, long nowNanos) {
     return !engine.leaving()
         && !progress.hasTried(engine)
-        && load(engine).health().usable(nowNanos);
+        && load(engine).health().usable(nowNanos)
+        && !peerLoads.suspects(engine.id(), nowNanos);
   }
 
   /** Equal costs are decided by the request's id, so that nodes do not all take the same engine. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -11,6 +11,8 @@
 
   private static final double RUN_TARGETS = 2.0;
   private static final double PREFILL_FACTOR = 3.0;
+  private static final double SILENCE_FACTOR = 2.0;
+  private static final long SILENCE_BASE_NANOS = Duration.ofMillis(400).toNanos();
   private static final long PREFILL_BASE_NANOS = Duration.ofMillis(300).toNanos();
 
   /**
@@ -24,6 +26,12 @@
     return Duration.ofNanos(Math.min(wanted, remainingNanos / 2));
   }
 
+  /** How long an engine may say nothing after a request that should take so long. */
+  long beforeSilence(double expectedMillis) {
+    return SILENCE_BASE_NANOS
+        + Duration.ofMillis((long) (SILENCE_FACTOR * expectedMillis)).toNanos();
+  }
+
   /** For a request that runs. */
   Duration forRun(RequestProgress progress, long remainingNanos) {
     Route route = progress.envelope().route();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -13,6 +13,9 @@
 
   private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  /** One node alone may merely have lost its own way to the engine. */
+  private static final int SUSPECTING_NODES = 2;
+
   private final Map<String, Heard> heardByNode = new HashMap<>();
 
   /** Takes a digest; one that is older than the last from the same process is dropped. */
@@ -37,6 +40,18 @@
     return sum;
   }
 
+  /** Whether several other nodes have suspended the engine. */
+  boolean suspects(String engineId, long nowNanos) {
+    int count = 0;
+    for (Heard heard : heardByNode.values()) {
+      EngineDigest engine = heard.digest.engines().get(engineId);
+      if (engine != null && engine.suspended() && heard.fresh(nowNanos)) {
+        count++;
+      }
+    }
+    return count >= SUSPECTING_NODES;
+  }
+
   /** Prompt tokens that the other nodes have waiting at an engine. */
   long prefillTokens(String engineId, long nowNanos) {
     long sum = 0;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -3,20 +3,19 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.ServingEngine;
 
 /**
  * Chooses how a prompt is read: by a prefill engine whose KV cache a decode engine fetches, or by
- * the decode engine itself. Each way is priced by the time to the first token, in ms: tokens that
- * wait there, tokens that are not cached there, the move of the KV cache, distance and health. One
- * thread calls.
+ * the decode engine itself; and for each, whether parts that another engine keeps are copied from
+ * there. Each way is priced by the time to the first token, in ms: tokens that wait there, tokens
+ * to be read, moves of KV cache, distance and health; and by what it costs the fleet to read shared
+ * parts again. One thread calls.
  */
 final class PromptPlacement {
 
-  private static final double MEGABITS_PER_BYTE = 8e-6;
-  private static final double MILLIS_PER_SECOND = 1_000;
-
   /** A second call and the start of a move. */
   private static final double SECOND_CALL_MILLIS = 8;
 
@@ -24,6 +23,9 @@
   private static final double FAILURE_MILLIS = 300;
   private static final double RUNNING_MILLIS = 0.3;
 
+  /** Price of reading a token again that an engine keeps, beside the time it takes. */
+  private static final double READ_AGAIN_MILLIS = 0.01;
+
   private final EngineSelector selector;
   private final PeerLoads peerLoads;
   private final String zone;
@@ -33,12 +35,32 @@
    *
    * @param engine the engine
    * @param prefill whether it only reads the prompt
-   * @param uncachedTokens tokens it has to read
+   * @param fetchFrom engine whose cached parts are copied first
+   * @param readTokens tokens it has to read
    * @param aheadTokens tokens that wait there before
    * @param millis expected time to the first token
+   * @param cost the time and what else it costs, in ms
    */
   record Plan(
-      ServingEngine engine, boolean prefill, int uncachedTokens, long aheadTokens, double millis) {}
+      ServingEngine engine,
+      boolean prefill,
+      Optional<ServingEngine> fetchFrom,
+      int readTokens,
+      long aheadTokens,
+      double millis,
+      double cost) {}
+
+  /** What one choice is made from. */
+  record Question(
+      RequestProgress progress,
+      PromptShape prompt,
+      ReadingSpeed speed,
+      Optional<EngineProfile> profile,
+      long nowNanos) {}
+
+  /** How an engine comes by the beginning of a prompt. */
+  private record Reading(
+      Optional<ServingEngine> fetchFrom, int readTokens, double fetchMillis, int readAgain) {}
 
   PromptPlacement(EngineSelector selector, PeerLoads peerLoads, String zone) {
     this.selector = selector;
@@ -47,72 +69,94 @@
   }
 
   /** The best way; empty when no engine can take the prompt. */
-  Optional<Plan> choose(
-      RequestProgress progress,
-      boolean mayPrefill,
-      ReadingSpeed speed,
-      Optional<EngineProfile> profile,
-      long nowNanos) {
-    PromptShape prompt = progress.envelope().prompt().orElseThrow();
-    Optional<Plan> direct = bestRun(progress, prompt, speed, profile, nowNanos);
+  Optional<Plan> choose(Question question, boolean mayPrefill) {
+    Optional<Plan> direct =
+        cheapest(
+            question,
+            selector.runCandidates(question.progress(), question.nowNanos()),
+            engine -> runPlan(question, engine));
+    if (!mayPrefill) {
+      return direct;
+    }
+    List<ServingEngine> candidates =
+        selector.prefillCandidates(question.progress(), question.nowNanos());
+    Optional<ServingEngine> home = selector.home(question.prompt(), candidates);
     Optional<Plan> ahead =
-        mayPrefill ? bestPrefill(progress, prompt, speed, profile, nowNanos) : Optional.empty();
+        cheapest(question, candidates, engine -> prefillPlan(question, engine, home));
     if (direct.isEmpty() || ahead.isEmpty()) {
       return direct.or(() -> ahead);
     }
-    return ahead.get().millis() < direct.get().millis() ? ahead : direct;
+    return ahead.get().cost() < direct.get().cost() ? ahead : direct;
   }
 
-  private Optional<Plan> bestPrefill(
-      RequestProgress progress,
-      PromptShape prompt,
-      ReadingSpeed speed,
-      Optional<EngineProfile> profile,
-      long nowNanos) {
-    List<ServingEngine> candidates = selector.prefillCandidates(progress, nowNanos);
-    Optional<ServingEngine> home = selector.home(prompt, candidates);
-    double moveMillis = moveMillis(prompt, profile);
-    return candidates.stream()
-        .map(
-            engine -> {
-              long backlog = selector.backlogTokens(engine, nowNanos);
-              int uncached = selector.uncachedTokens(engine, prompt, home);
-              double millis =
-                  speed.prefillMillis(backlog + uncached)
-                      + moveMillis
-                      + SECOND_CALL_MILLIS
-                      + commonMillis(engine, zone);
-              return new Plan(engine, true, uncached, backlog, millis);
-            })
-        .min(byTime(progress));
+  private Plan prefillPlan(Question question, ServingEngine engine, Optional<ServingEngine> home) {
+    Reading reading = bestReading(question, engine, home, question.speed()::prefillMillis);
+    long backlog = selector.backlogTokens(engine, question.nowNanos());
+    double millis =
+        question.speed().prefillMillis(backlog + reading.readTokens())
+            + reading.fetchMillis()
+            + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
+            + SECOND_CALL_MILLIS
+            + commonMillis(engine, zone);
+    return plan(engine, true, reading, backlog, millis);
   }
 
-  private Optional<Plan> bestRun(
-      RequestProgress progress,
-      PromptShape prompt,
-      ReadingSpeed speed,
-      Optional<EngineProfile> profile,
-      long nowNanos) {
-    Optional<CacheSource> source = progress.source();
+  private Plan runPlan(Question question, ServingEngine engine) {
+    Optional<CacheSource> source = question.progress().source();
     String near = source.map(from -> from.engine().zone()).orElse(zone);
-    double moveMillis = source.isPresent() ? moveMillis(prompt, profile) : 0;
-    return selector.runCandidates(progress, nowNanos).stream()
-        .map(
-            engine -> {
-              long backlog = selector.backlogTokens(engine, nowNanos);
-              int uncached = source.isPresent() ? 0 : selector.uncachedTokens(engine, prompt);
-              int running =
-                  selector.load(engine).running() + peerLoads.running(engine.id(), nowNanos);
-              double distance = engine.zone().equals(near) ? 1 : 2;
-              double millis =
-                  speed.decodeMillis(backlog + uncached)
-                      + moveMillis * distance
-                      + RUNNING_MILLIS * running
-                      + crowdedMillis(engine, running)
-                      + commonMillis(engine, near);
-              return new Plan(engine, false, uncached, backlog, millis);
-            })
-        .min(byTime(progress));
+    Reading reading =
+        source.isPresent()
+            ? handedOver(question, engine, source.get())
+            : bestReading(question, engine, Optional.empty(), question.speed()::decodeMillis);
+    long backlog = selector.backlogTokens(engine, question.nowNanos());
+    int running =
+        selector.load(engine).running() + peerLoads.running(engine.id(), question.nowNanos());
+    double millis =
+        question.speed().decodeMillis(backlog + reading.readTokens())
+            + reading.fetchMillis()
+            + RUNNING_MILLIS * running
+            + crowdedMillis(engine, running)
+            + commonMillis(engine, near);
+    return plan(engine, false, reading, backlog, millis);
+  }
+
+  private static Plan plan(
+      ServingEngine engine, boolean prefill, Reading reading, long backlog, double millis) {
+    double cost = millis + READ_AGAIN_MILLIS * reading.readAgain();
+    return new Plan(
+        engine, prefill, reading.fetchFrom(), reading.readTokens(), backlog, millis, cost);
+  }
+
+  private static Reading handedOver(Question question, ServingEngine engine, CacheSource source) {
+    double millis =
+        CacheFetch.copyMillis(
+            question.prompt().promptTokens(), source.engine(), engine, question.profile());
+    return new Reading(Optional.empty(), 0, millis, 0);
+  }
+
+  /** Reads what the engine does not keep, or copies from whoever keeps more when that is faster. */
+  private Reading bestReading(
+      Question question,
+      ServingEngine engine,
+      Optional<ServingEngine> home,
+      Function<Long, Double> readMillis) {
+    PromptShape prompt = question.prompt();
+    int own = selector.uncachedTokens(engine, prompt, home);
+    Optional<ServingEngine> holder = selector.bestHolder(question, engine);
+    if (holder.isEmpty()) {
+      return new Reading(Optional.empty(), own, 0, 0);
+    }
+    int kept = selector.readyTokens(holder.get(), prompt, question.nowNanos());
+    int afterCopy = Math.max(0, prompt.promptTokens() - kept);
+    int copied = own - afterCopy;
+    if (copied <= 0) {
+      return new Reading(Optional.empty(), own, 0, 0);
+    }
+    double copyMillis = CacheFetch.copyMillis(copied, holder.get(), engine, question.profile());
+    if (copyMillis < readMillis.apply((long) copied) + READ_AGAIN_MILLIS * copied) {
+      return new Reading(holder, afterCopy, copyMillis, 0);
+    }
+    return new Reading(Optional.empty(), own, 0, copied);
   }
 
   /** Past its slots a request waits for another to end. */
@@ -126,18 +170,14 @@
         + FAILURE_MILLIS * selector.load(engine).health().failureShare();
   }
 
-  private static double moveMillis(PromptShape prompt, Optional<EngineProfile> profile) {
-    if (profile.isEmpty() || profile.get().linkMegabitsPerSecond() <= 0) {
-      return 0;
-    }
-    double megabits = prompt.promptTokens() * profile.get().tokenBytes() * MEGABITS_PER_BYTE;
-    return MILLIS_PER_SECOND * megabits / profile.get().linkMegabitsPerSecond();
-  }
-
-  /** Equal times are decided by the request's id, so that nodes do not all take one engine. */
-  private static Comparator<Plan> byTime(RequestProgress progress) {
-    String requestId = progress.envelope().requestId();
-    return Comparator.comparingDouble(Plan::millis)
-        .thenComparingLong(plan -> EngineSelector.tieBreak(requestId, plan.engine()));
+  /** Equal costs are decided by the request's id, so that nodes do not all take one engine. */
+  private static Optional<Plan> cheapest(
+      Question question, List<ServingEngine> engines, Function<ServingEngine, Plan> planFor) {
+    String requestId = question.progress().envelope().requestId();
+    return engines.stream()
+        .map(planFor)
+        .min(
+            Comparator.comparingDouble(Plan::cost)
+                .thenComparingLong(plan -> EngineSelector.tieBreak(requestId, plan.engine())));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -47,6 +47,7 @@
     } else if (event instanceof DispatchEvent.Began began) {
       if (isPresent(began.exchange(), began.attempt())) {
         dispatcher.onBegan(began.exchange().progress());
+        dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       onFailed(failed, now);
@@ -131,11 +132,15 @@
     if (decision instanceof Decision.Prefill prefill) {
       send(
           exchange,
-          call(exchange, prefill.engine(), true, Optional.empty(), now),
+          call(exchange, prefill.engine(), true, Optional.empty(), prefill.fetchFrom(), now),
           prefill.patience(),
           now);
     } else if (decision instanceof Decision.Run run) {
-      send(exchange, call(exchange, run.engine(), false, run.source(), now), run.patience(), now);
+      send(
+          exchange,
+          call(exchange, run.engine(), false, run.source(), run.fetchFrom(), now),
+          run.patience(),
+          now);
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       exchange.refuse(refuse.kind(), refuse.retryAfter());
@@ -150,11 +155,13 @@
       ServingEngine engine,
       boolean prefillOnly,
       Optional<CacheSource> source,
+      Optional<ServingEngine> fetchFrom,
       long now) {
     return new EngineCall(
         engine,
         prefillOnly,
         source,
+        fetchFrom,
         left(exchange, now),
         exchange.envelope().route().priority(),
         exchange.framer().lastEventId());
@@ -189,6 +196,7 @@
         checkPatience(exchange, now);
       }
     }
+    checkEngines(now);
     if (now - lastDigestNanos >= DIGEST_NANOS) {
       lastDigestNanos = now;
       dispatcher.setNodeCount(loadSender.cautiousNodeCount());
@@ -196,6 +204,15 @@
     }
   }
 
+  private void checkEngines(long now) {
+    for (Exchange exchange : active) {
+      if (exchange.attempt().filter(EngineAttempt::takeSignOfLife).isPresent()) {
+        dispatcher.onSignOfLife(exchange.progress(), now);
+      }
+    }
+    dispatcher.onTick(now);
+  }
+
   private void onTimeOver(Exchange exchange) {
     active.remove(exchange);
     log.timeOver(exchange);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -46,6 +46,7 @@
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
   private volatile boolean streamed;
+  private volatile boolean signOfLife;
   private boolean told;
 
   EngineAttempt(
@@ -122,8 +123,16 @@
     return !call.prefillOnly() && head.success() && head.signed();
   }
 
+  /** Whether anything came from the engine since the last call. */
+  boolean takeSignOfLife() {
+    boolean since = signOfLife;
+    signOfLife = false;
+    return since;
+  }
+
   @Override
   public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
+    signOfLife = true;
     if (ended()) {
       demander.run();
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
@@ -11,6 +11,7 @@
  * @param engine who is meant; any other engine at its address refuses
  * @param prefillOnly the engine reads the prompt and keeps its KV cache for another engine
  * @param source where the engine fetches the KV cache
+ * @param fetchFrom engine whose cached parts of the prompt it copies first
  * @param timeLeft how long the caller waits still
  * @param priority urgency among the engine's requests; 0 is first
  * @param lastEventId the event after which a stream goes on; empty from its beginning
@@ -19,6 +20,7 @@
     ServingEngine engine,
     boolean prefillOnly,
     Optional<CacheSource> source,
+    Optional<ServingEngine> fetchFrom,
     Duration timeLeft,
     int priority,
     Optional<String> lastEventId) {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -101,6 +101,7 @@
             prompt ->
                 new PlacedPrompt(
                     prompt.engineId(),
+                    prompt.readyInMillis(),
                     prompt.parts().subList(0, Math.min(MAX_PARTS, prompt.parts().size()))))
         .toList();
   }
