--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -20,6 +20,7 @@
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.duty.DutyThread;
+import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.json.MalformedMessageException;
 import org.fallturn.node.settings.GatewaySettings;
 
@@ -27,7 +28,7 @@
  * Wires a gateway process: the doors, the dispatch duty, the followers of the store. One thread
  * starts and stops it.
  */
-public final class GatewayServer {
+public final class GatewayServer implements AutoCloseable {
 
   private static final int MAX_THREADS = 24;
   private static final int MIN_THREADS = 4;
@@ -55,6 +56,8 @@
   private final DutyThread<DispatchEvent> dispatch;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
+  private HttpListener readiness;
+  private volatile EngineDirectory directory = EngineDirectory.empty();
 
   /** A gateway that serves nothing yet. */
   public GatewayServer(GatewaySettings settings, GatewayPlatform platform) throws Exception {
@@ -108,7 +111,7 @@
     routingFollower.start();
     engineFollower.start();
     server.start();
-    ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
+    readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     log.started(settings.nodeName());
   }
 
@@ -117,6 +120,27 @@
     return state.ready();
   }
 
+  /** Version of the routes in force; 0 before any is known. */
+  public long routingVersion() {
+    RoutingImage image = state.routing();
+    return image == null ? 0 : image.version();
+  }
+
+  /** Engines that are listed. */
+  public int engineCount() {
+    return directory.all().size();
+  }
+
+  /** Listed engines that take nothing new. */
+  public long leavingCount() {
+    return directory.all().stream().filter(ServingEngine::leaving).count();
+  }
+
+  /** Requests being served. */
+  public int inFlight() {
+    return state.inFlight();
+  }
+
   /** Where callers connect, with the real port. */
   public NetworkAddress callersAddress() {
     return new NetworkAddress(callers.getHost(), callers.getLocalPort());
@@ -161,7 +185,7 @@
         log.rowRefused("engines", row.key(), e.getMessage());
       }
     }
-    EngineDirectory directory = EngineDirectory.of(tracker.position(), listed);
+    directory = EngineDirectory.of(tracker.position(), listed);
     tell(new DispatchEvent.DirectoryChanged(directory));
     state.setEnginesKnown();
     log.enginesChanged(directory);
@@ -186,4 +210,18 @@
     }
     log.stopped(state.inFlight());
   }
+
+  /** Ends everything at once; requests in flight are cut. For use inside one process. */
+  @Override
+  public void close() throws Exception {
+    routingFollower.close();
+    engineFollower.close();
+    server.stop();
+    if (readiness != null) {
+      readiness.close();
+    }
+    peers.close();
+    engines.close();
+    dispatch.close();
+  }
 }
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -0,0 +1,125 @@
+package org.fallturn.rehearsal.emulator;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpMethod;
+import org.fallturn.core.domain.NetworkAddress;
+
+/** A client of the platform. Thread-safe. */
+public final class EmulatedClient implements AutoCloseable {
+
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+
+  private final HttpClient client = new HttpClient();
+  private final AtomicLong number = new AtomicLong();
+
+  /** Starts it. */
+  public EmulatedClient() throws Exception {
+    client.start();
+  }
+
+  /**
+   * What came back.
+   *
+   * @param requestId the id that was sent
+   * @param status HTTP status; 0 when the connection broke off
+   * @param headers headers of the answer
+   * @param body its body, as far as it came
+   * @param whole whether the answer was whole
+   */
+  public record Answer(
+      String requestId, int status, HttpFields headers, String body, boolean whole) {}
+
+  /** A request that is under way. */
+  public record Call(String requestId, Request request, CompletableFuture<Answer> answer) {
+
+    /** Waits for its answer. */
+    public Answer await() throws InterruptedException, ExecutionException {
+      return answer.join();
+    }
+
+    /** Closes the connection, as a client that leaves. */
+    public void leave() {
+      request.abort(new IllegalStateException("the client leaves"));
+    }
+  }
+
+  /** Sends a request and waits for its answer. */
+  public Answer call(NetworkAddress gateway, String path, int promptTokens) throws Exception {
+    return send(gateway, path, promptTokens, LONGEST).await();
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param promptTokens tokens of its prompt; 0 for an application request
+   * @param deadline how long it says that it waits
+   */
+  public Call send(NetworkAddress gateway, String path, int promptTokens, Duration deadline) {
+    return send(gateway, path, promptTokens, deadline, "body of the request".getBytes(UTF_8));
+  }
+
+  /** Sends an application request with a body of some size. */
+  public Call sendBody(NetworkAddress gateway, String path, int bytes) {
+    return send(gateway, path, 0, LONGEST, new byte[bytes]);
+  }
+
+  private Call send(
+      NetworkAddress gateway, String path, int promptTokens, Duration deadline, byte[] body) {
+    String requestId = "request-" + number.incrementAndGet();
+    Request request =
+        client
+            .newRequest(gateway.host(), gateway.port())
+            .method(HttpMethod.POST)
+            .path(path)
+            .timeout(LONGEST.toSeconds(), TimeUnit.SECONDS)
+            .body(new BytesRequestContent(body))
+            .headers(headers -> write(headers, requestId, promptTokens, deadline));
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    request.send(
+        new BufferingResponseListener() {
+          @Override
+          public void onComplete(Result result) {
+            answer.complete(
+                new Answer(
+                    requestId,
+                    result.getResponse().getStatus(),
+                    result.getResponse().getHeaders(),
+                    getContentAsString() == null ? "" : getContentAsString(),
+                    result.isSucceeded()));
+          }
+        });
+    return new Call(requestId, request, answer);
+  }
+
+  private static void write(
+      HttpFields.Mutable headers, String requestId, int promptTokens, Duration deadline) {
+    headers.put("Host", EmulatedPlatform.HOST);
+    headers.put("X-Fallturn-Request-Id", requestId);
+    headers.put("X-Fallturn-Deadline-Ms", Long.toString(deadline.toMillis()));
+    if (promptTokens > 0) {
+      int shared = promptTokens / 2;
+      headers.put("X-Fallturn-Model", "m");
+      headers.put("X-Fallturn-Token-Count", promptTokens + ",80");
+      headers.put(
+          "X-Fallturn-Prefix-Hash",
+          "aa:" + shared + "," + requestId.hashCode() + ":" + (promptTokens - shared));
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    client.stop();
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -0,0 +1,294 @@
+package org.fallturn.rehearsal.emulator;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * One engine or application back end of the platform: runs requests, reads prompts ahead, hands KV
+ * cache over by handles, and counts what it ran. Faults are queued; each is used by one request,
+ * and the standing fault by the others. Thread-safe.
+ */
+public final class EmulatedEngine implements AutoCloseable {
+
+  /** Events of each stream. */
+  public static final int EVENTS = 4;
+
+  private static final String REQUEST_ID = "X-Fallturn-Request-Id";
+  private static final String STAMP = "X-Fallturn-Response-Stamp";
+  private static final String NOT_EXECUTED = "X-Fallturn-Not-Executed";
+  private static final String STAGE_HEADER = "X-Fallturn-Stage";
+  private static final String KV_SOURCE = "X-Fallturn-Kv-Source";
+  private static final String EXPECT_INSTANCE = "X-Fallturn-Expect-Instance";
+  private static final String INSTANCE = "X-Fallturn-Instance-Id";
+  private static final String HANDLE_PATH = "/-/kv-handle/";
+  private static final String LAST_EVENT_ID = "Last-Event-Id";
+  private static final long EVENT_MILLIS = 5;
+  private static final long GONE_CHECK_MILLIS = 10;
+
+  private final String id;
+  private final String service;
+  private final String stage;
+  private final EmulatedServer server;
+  private final ConcurrentLinkedDeque<EngineFault> nextFaults = new ConcurrentLinkedDeque<>();
+  private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<HttpFields> heads = new ConcurrentLinkedQueue<>();
+  private final Set<String> handles = ConcurrentHashMap.newKeySet();
+  private final AtomicInteger handleNumber = new AtomicInteger();
+  private final AtomicInteger abandoned = new AtomicInteger();
+  private volatile EngineFault standingFault = EngineFault.NONE;
+
+  /**
+   * Starts on any free port.
+   *
+   * @param stage prefill, decode, or empty for an application
+   */
+  public EmulatedEngine(String id, String service, String stage) throws Exception {
+    this.id = id;
+    this.service = service;
+    this.stage = stage;
+    this.server = new EmulatedServer(new EngineHandler());
+  }
+
+  /** Its id. */
+  public String id() {
+    return id;
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return server.address();
+  }
+
+  /** The row it keeps in the store. */
+  public String row(boolean draining) {
+    return String.format(
+        Locale.ROOT,
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"slots\":8,"
+            + "\"state\":\"%s\",\"stage\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
+        service,
+        address(),
+        draining ? "draining" : "ready",
+        stage);
+  }
+
+  /** Misbehaves with the next requests, one fault each. */
+  public void failNext(EngineFault... faults) {
+    nextFaults.addAll(List.of(faults));
+  }
+
+  /** Misbehaves with every request that no queued fault is for. */
+  public void misbehave(EngineFault fault) {
+    standingFault = fault;
+  }
+
+  /** Ids of the requests that it ran, in order. */
+  public List<String> runs() {
+    return List.copyOf(runs);
+  }
+
+  /** Heads of the requests that reached it, in order. */
+  public List<HttpFields> heads() {
+    return List.copyOf(heads);
+  }
+
+  /** Handles that wait to be fetched. */
+  public Set<String> waitingHandles() {
+    return Set.copyOf(handles);
+  }
+
+  /** Requests whose caller closed the connection while they ran. */
+  public int abandoned() {
+    return abandoned.get();
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.close();
+  }
+
+  /** Serves one connection's requests. */
+  private final class EngineHandler extends Handler.Abstract {
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      String path = Request.getPathInContext(request);
+      if (path.startsWith(HANDLE_PATH)) {
+        boolean waited = handles.remove(path.substring(HANDLE_PATH.length()));
+        response.setStatus(waited ? HttpStatus.OK_200 : HttpStatus.NOT_FOUND_404);
+        response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+        return true;
+      }
+      heads.add(request.getHeaders().asImmutable());
+      Content.Source.consumeAll(request);
+      EngineFault queued = nextFaults.poll();
+      serve(request, response, callback, queued == null ? standingFault : queued);
+      return true;
+    }
+
+    private void serve(Request request, Response response, Callback callback, EngineFault fault)
+        throws Exception {
+      HttpFields headers = request.getHeaders();
+      response.getHeaders().put(REQUEST_ID, headers.get(REQUEST_ID));
+      String expected = headers.get(EXPECT_INSTANCE);
+      if (expected != null && !expected.equals(id)) {
+        response.getHeaders().put(INSTANCE, id);
+        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+      } else if (fault == EngineFault.REJECT) {
+        refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
+      } else if (headers.contains(STAGE_HEADER)) {
+        prefill(request, response, callback, fault);
+      } else if (headers.contains(KV_SOURCE) && !takeHandle(headers.get(KV_SOURCE))) {
+        refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
+      } else {
+        runs.add(headers.get(REQUEST_ID));
+        run(request, response, callback, fault);
+      }
+    }
+
+    private void refuse(Response response, Callback callback, int status) {
+      response.setStatus(status);
+      response.getHeaders().put(NOT_EXECUTED, "1");
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+    }
+
+    /** The engine that read the prompt gives its KV cache away once. */
+    private boolean takeHandle(String source) throws IOException {
+      int slash = source.indexOf('/');
+      URI uri =
+          URI.create(
+              "http://" + source.substring(0, slash) + HANDLE_PATH + source.substring(slash + 1));
+      HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
+      connection.setRequestMethod("DELETE");
+      return connection.getResponseCode() == HttpStatus.OK_200;
+    }
+
+    private void prefill(Request request, Response response, Callback callback, EngineFault fault)
+        throws Exception {
+      if (fault == EngineFault.LOSE_ANSWER) {
+        close(request, callback);
+        return;
+      }
+      if (fault == EngineFault.SILENT) {
+        waitUntilGone(request, callback);
+        return;
+      }
+      if (fault == EngineFault.FAIL) {
+        response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
+        response.getHeaders().put(STAMP, "stamp-" + id);
+        write(response, callback, "failed");
+        return;
+      }
+      String handle = "h-" + id + "-" + handleNumber.incrementAndGet();
+      handles.add(handle);
+      String body = "{\"kvHandle\":\"" + handle + "\",\"tokens\":10,\"version\":1}";
+      write(response, callback, body);
+    }
+
+    private void run(Request request, Response response, Callback callback, EngineFault fault)
+        throws Exception {
+      response.getHeaders().put(STAMP, "stamp-" + id);
+      switch (fault) {
+        case FAIL -> {
+          response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
+          write(response, callback, "failed");
+        }
+        case LOSE_ANSWER -> close(request, callback);
+        case SILENT -> waitUntilGone(request, callback);
+        case WRONG_REQUEST -> {
+          response.getHeaders().put(REQUEST_ID, "another");
+          write(response, callback, "of another request");
+        }
+        case UNSIGNED -> {
+          response.getHeaders().remove(STAMP);
+          write(response, callback, "unsigned");
+        }
+        case UNAVAILABLE_BUT_RAN -> {
+          response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
+          write(response, callback, "");
+        }
+        default -> answer(request, response, callback, fault == EngineFault.BREAK_MIDWAY);
+      }
+    }
+
+    private void answer(Request request, Response response, Callback callback, boolean breakOff)
+        throws Exception {
+      if (stage.isEmpty()) {
+        answerWhole(request, response, callback, breakOff);
+        return;
+      }
+      response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
+      String after = request.getHeaders().get(LAST_EVENT_ID);
+      int first = after == null ? 1 : Integer.parseInt(after) + 1;
+      for (int event = first; event <= EVENTS; event++) {
+        if (breakOff && event > first) {
+          part(response, "id: " + event + "\nda");
+          close(request, callback);
+          return;
+        }
+        part(response, "id: " + event + "\ndata: piece-" + event + "\n\n");
+        TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+      }
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+    }
+
+    private void answerWhole(
+        Request request, Response response, Callback callback, boolean breakOff) throws Exception {
+      String body = "answer of " + id;
+      if (!breakOff) {
+        write(response, callback, body);
+        return;
+      }
+      response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
+      part(response, body.substring(0, 4));
+      close(request, callback);
+    }
+
+    private void part(Response response, String text) throws Exception {
+      try (Blocking written = new Blocking()) {
+        response.write(false, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), written);
+        written.block();
+      }
+    }
+
+    private void write(Response response, Callback callback, String text) {
+      response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+    }
+
+    private void close(Request request, Callback callback) {
+      request.getConnectionMetaData().getConnection().getEndPoint().close();
+      callback.failed(new EofException("breaks off on command"));
+    }
+
+    /** A closed connection shows when its socket can be read to its end. */
+    private void waitUntilGone(Request request, Callback callback) throws Exception {
+      ByteBuffer buffer = BufferUtil.allocate(1);
+      while (request.getConnectionMetaData().getConnection().getEndPoint().fill(buffer) == 0) {
+        TimeUnit.MILLISECONDS.sleep(GONE_CHECK_MILLIS);
+      }
+      abandoned.incrementAndGet();
+      close(request, callback);
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -0,0 +1,144 @@
+package org.fallturn.rehearsal.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.gateway.GatewayServer;
+import org.fallturn.node.settings.GatewaySettings;
+import org.fallturn.platform.PlatformMain;
+
+/**
+ * A store, an operator's configuration, engines of both stages, application back ends and gateways,
+ * all in this process. One thread uses it.
+ */
+public final class EmulatedPlatform implements AutoCloseable {
+
+  /** Host of every route. */
+  public static final String HOST = "shop.example";
+
+  /** Path of a stream that may be resumed. */
+  public static final String RESUMABLE = "/resumable/x";
+
+  /** Path of a stream that may not be resumed. */
+  public static final String STREAM = "/stream/x";
+
+  /** Path of an application request that may be repeated. */
+  public static final String IDEMPOTENT = "/idempotent/x";
+
+  /** Path of an application request that may not be repeated. */
+  public static final String NON_IDEMPOTENT = "/once/x";
+
+  /** Service of the model engines. */
+  public static final String MODEL_SERVICE = "llm";
+
+  /** Service of the application back ends. */
+  public static final String APPLICATION_SERVICE = "app";
+
+  private static final long READY_SECONDS = 20;
+  private static final long CHECK_MILLIS = 5;
+  private static final String OPERATOR_TABLE = "op";
+  private static final String CONFIGURATION_KEY = "config";
+  private static final String ENGINE_TABLE = "servers";
+
+  private final EmulatedStore store;
+  private final List<EmulatedEngine> engines = new ArrayList<>();
+  private final List<GatewayServer> gateways = new ArrayList<>();
+  private int version = 1;
+
+  /** Starts the store with the default configuration. */
+  public EmulatedPlatform() throws Exception {
+    store = new EmulatedStore();
+    configure(RouteText.defaults());
+  }
+
+  /** The store. */
+  public EmulatedStore store() {
+    return store;
+  }
+
+  /** Puts a configuration with these routes in force. */
+  public void configure(List<String> routes) {
+    version += 2;
+    store.put(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
+  }
+
+  /** Starts an engine and lists it. */
+  public EmulatedEngine addEngine(String id, String service, String stage) throws Exception {
+    EmulatedEngine engine = new EmulatedEngine(id, service, stage);
+    engines.add(engine);
+    list(engine, false);
+    return engine;
+  }
+
+  /** Writes an engine's row. */
+  public void list(EmulatedEngine engine, boolean draining) {
+    store.put(ENGINE_TABLE, engine.id(), engine.row(draining));
+  }
+
+  /** Takes an engine's row away. */
+  public void unlist(EmulatedEngine engine) {
+    store.remove(ENGINE_TABLE, engine.id());
+  }
+
+  /** Starts a gateway and waits until it is ready. */
+  public GatewayServer addGateway(NetworkAddress... seeds) throws Exception {
+    GatewayServer gateway = startGateway(seeds);
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
+    while (!gateway.ready()) {
+      if (System.nanoTime() - until > 0) {
+        throw new IllegalStateException("the gateway does not become ready");
+      }
+      TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
+    }
+    return gateway;
+  }
+
+  /** Starts a gateway without waiting. */
+  public GatewayServer startGateway(NetworkAddress... seeds) throws Exception {
+    StringBuilder seedText = new StringBuilder();
+    for (NetworkAddress seed : seeds) {
+      seedText.append(seedText.length() == 0 ? "" : ",").append(seed);
+    }
+    String text =
+        String.format(
+            Locale.ROOT,
+            """
+            [gateway]
+            node_name = "gateway-%d"
+            zone = "zone-1"
+            callers = "127.0.0.1:0"
+            readiness = "127.0.0.1:0"
+            peers = "127.0.0.1:0"
+            seeds = "%s"
+
+            [store]
+            address = "%s"
+
+            [bounds]
+            grace = "5s"
+            retry_slack = 100
+            """,
+            gateways.size() + 1,
+            seedText,
+            store.address());
+    GatewaySettings settings =
+        GatewaySettings.from(GatewaySettings.reader().toml("emulated", text).values());
+    GatewayServer gateway = new GatewayServer(settings, PlatformMain.platform(settings));
+    gateways.add(gateway);
+    gateway.start();
+    return gateway;
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (GatewayServer gateway : gateways) {
+      gateway.close();
+    }
+    for (EmulatedEngine engine : engines) {
+      engine.close();
+    }
+    store.close();
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedServer.java
@@ -0,0 +1,39 @@
+package org.fallturn.rehearsal.emulator;
+
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.domain.NetworkAddress;
+
+/** An HTTP server on any free port of loopback. */
+final class EmulatedServer implements AutoCloseable {
+
+  private static final int THREADS = 64;
+  private static final String LOOPBACK = "127.0.0.1";
+
+  private final Server server;
+  private final ServerConnector connector;
+
+  EmulatedServer(Handler handler) throws Exception {
+    server = new Server(new QueuedThreadPool(THREADS));
+    HttpConfiguration configuration = new HttpConfiguration();
+    configuration.setSendServerVersion(false);
+    connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    connector.setHost(LOOPBACK);
+    server.addConnector(connector);
+    server.setHandler(handler);
+    server.start();
+  }
+
+  NetworkAddress address() {
+    return new NetworkAddress(LOOPBACK, connector.getLocalPort());
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.stop();
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -0,0 +1,180 @@
+package org.fallturn.rehearsal.emulator;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * The platform's metadata store: rows with one rising counter, whole readings and a feed of changes
+ * that can be made to lose its history. Thread-safe.
+ */
+public final class EmulatedStore implements AutoCloseable {
+
+  private static final long LONGEST_WAIT_MILLIS = 30_000;
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final Map<String, EmulatedRow> rows = new HashMap<>();
+  private final List<EmulatedRow> history = new ArrayList<>();
+  private final EmulatedServer server;
+  private Map<String, EmulatedRow> staleRows = Map.of();
+  private long staleVersion;
+  private long version;
+  private long historyFrom;
+  private StoreFault fault = StoreFault.NONE;
+
+  /** Starts on any free port. */
+  public EmulatedStore() throws Exception {
+    server = new EmulatedServer(new StoreHandler());
+  }
+
+  /** Where it listens. */
+  public NetworkAddress address() {
+    return server.address();
+  }
+
+  /** Writes a row, as an operator or engine would. */
+  public synchronized void put(String table, String key, String value) {
+    version++;
+    record(new EmulatedRow(table, key, value, version));
+  }
+
+  /** Removes a row. */
+  public synchronized void remove(String table, String key) {
+    version++;
+    record(new EmulatedRow(table, key, null, version));
+  }
+
+  private void record(EmulatedRow row) {
+    if (row.value() == null) {
+      rows.remove(row.table() + "/" + row.key());
+    } else {
+      rows.put(row.table() + "/" + row.key(), row);
+    }
+    history.add(row);
+    notifyAll();
+  }
+
+  /** Drops the history so far: whoever is behind must read tables whole. */
+  public synchronized void loseHistory() {
+    history.clear();
+    historyFrom = version;
+    notifyAll();
+  }
+
+  /** Begins or ends misbehaving. */
+  public synchronized void misbehave(StoreFault newFault) {
+    if (newFault == StoreFault.STALE_READS) {
+      staleRows = Map.copyOf(rows);
+      staleVersion = version;
+    }
+    fault = newFault;
+    notifyAll();
+  }
+
+  @Override
+  public void close() throws Exception {
+    misbehave(StoreFault.DOWN);
+    server.close();
+  }
+
+  private synchronized byte[] whole(String table) {
+    boolean stale = fault == StoreFault.STALE_READS;
+    Map<String, EmulatedRow> shown = stale ? staleRows : rows;
+    List<EmulatedRow> found =
+        shown.values().stream().filter(row -> row.table().equals(table)).toList();
+    return body(found, stale ? staleVersion : version);
+  }
+
+  /** Null when the history is gone. */
+  private synchronized byte[] changes(String table, long after, long waitMillis)
+      throws InterruptedException {
+    long until = System.nanoTime() + Math.min(waitMillis, LONGEST_WAIT_MILLIS) * 1_000_000;
+    while (true) {
+      if (after < historyFrom) {
+        return null;
+      }
+      List<EmulatedRow> found =
+          history.stream()
+              .filter(row -> row.table().equals(table) && row.version() > after)
+              .toList();
+      long left = (until - System.nanoTime()) / 1_000_000;
+      if (!found.isEmpty() || left <= 0 || fault == StoreFault.DOWN) {
+        return body(found, version);
+      }
+      wait(left);
+    }
+  }
+
+  private byte[] body(List<EmulatedRow> found, long at) {
+    ObjectNode answer = json.createObjectNode();
+    ArrayNode list = answer.putArray("rows");
+    for (EmulatedRow row : found) {
+      ObjectNode one = list.addObject();
+      one.put("table", row.table()).put("part", "").put("key", row.key());
+      one.put("ver", row.version());
+      if (row.value() == null) {
+        one.put("gone", true);
+      } else {
+        byte[] bytes = row.value().getBytes(StandardCharsets.UTF_8);
+        one.put("value", Base64.getEncoder().encodeToString(bytes));
+      }
+    }
+    answer.put("more", false).put("ver", at).put("now_ms", System.nanoTime() / 1_000_000);
+    return answer.toString().getBytes(StandardCharsets.UTF_8);
+  }
+
+  private synchronized StoreFault fault() {
+    return fault;
+  }
+
+  /** Answers calls. */
+  private final class StoreHandler extends Handler.Abstract {
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      switch (fault()) {
+        case DOWN -> answer(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503, null);
+        case THROTTLED -> answer(response, callback, HttpStatus.TOO_MANY_REQUESTS_429, null);
+        case SILENT -> request.addFailureListener(callback::failed);
+        default -> serve(request, response, callback);
+      }
+      return true;
+    }
+
+    private void serve(Request request, Response response, Callback callback) throws Exception {
+      Fields query = Request.extractQueryParameters(request);
+      String table = query.getValue("table");
+      switch (Request.getPathInContext(request)) {
+        case "/-/rows-get" -> answer(response, callback, HttpStatus.OK_200, whole(table));
+        case "/-/rows-feed" -> {
+          long after = Long.parseLong(query.getValue("after"));
+          byte[] body = changes(table, after, Long.parseLong(query.getValue("waitMs")));
+          int status = body == null ? HttpStatus.GONE_410 : HttpStatus.OK_200;
+          answer(response, callback, status, body);
+        }
+        default -> answer(response, callback, HttpStatus.NOT_FOUND_404, null);
+      }
+    }
+
+    private void answer(Response response, Callback callback, int status, byte[] body) {
+      response.setStatus(status);
+      response.write(
+          true, body == null ? BufferUtil.EMPTY_BUFFER : ByteBuffer.wrap(body), callback);
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -0,0 +1,57 @@
+package org.fallturn.rehearsal.emulator;
+
+import java.util.List;
+import java.util.Locale;
+
+/** Routes and configurations as an operator of the platform writes them. */
+public final class RouteText {
+
+  private static final int MODEL_ATTEMPTS = 2;
+
+  private RouteText() {}
+
+  /** One route to one service. */
+  public static String route(
+      String prefix, String type, boolean resumable, String service, int timeoutMillis) {
+    return String.format(
+        Locale.ROOT,
+        "{\"name\":\"r-%s\",\"host\":\"%s\",\"pathPrefix\":\"/%s/\",\"type\":\"%s\","
+            + "\"timeoutMs\":%d,\"targetLatencyMs\":250,\"priority\":1,\"service\":\"%s\","
+            + "\"maxAttempts\":%d,\"sticky\":true,\"resumable\":%b,\"gapTargetMs\":150}",
+        prefix,
+        EmulatedPlatform.HOST,
+        prefix,
+        type,
+        timeoutMillis,
+        service,
+        MODEL_ATTEMPTS,
+        resumable);
+  }
+
+  /** A route for each kind of request. */
+  public static List<String> defaults() {
+    int timeout = 4_000;
+    String model = EmulatedPlatform.MODEL_SERVICE;
+    String application = EmulatedPlatform.APPLICATION_SERVICE;
+    return List.of(
+        route("resumable", "streaming", true, model, timeout),
+        route("stream", "streaming", false, model, timeout),
+        route("idempotent", "idempotent", false, application, timeout),
+        route("once", "non_idempotent", false, application, timeout));
+  }
+
+  /** A whole configuration. */
+  public static String configuration(long version, List<String> routes) {
+    return String.format(
+        Locale.ROOT,
+        "{\"version\":%d,\"routes\":[%s],\"services\":["
+            + "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":300,"
+            + "\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
+            + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}},"
+            + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":100}],"
+            + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,"
+            + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+        version,
+        String.join(",", routes));
+  }
+}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ModelChecker.java
@@ -48,7 +48,12 @@
     return new CheckResult(count, violations, coverage);
   }
 
-  /** Runs seeds one after another until a violation is found. */
+  /**
+   * The violation of the lowest seed that has one, whatever the threads do.
+   *
+   * <p>A violation without a trace broke the invariant before the first traced event: in the state
+   * that the run began in.
+   */
   public static Optional<Violation> firstViolation(
       Scenario scenario, long first, int count, BrokenVariant variant) {
     return LongStream.range(first, first + count)
@@ -56,7 +61,7 @@
         .mapToObj(seed -> runSeed(scenario, seed, Optional.of(variant)))
         .flatMap(result -> result.violation().stream())
         .filter(violation -> variant.expected().contains(violation.invariant()))
-        .findAny();
+        .findFirst();
   }
 
   private static SeedResult runSeed(Scenario scenario, long seed, Optional<BrokenVariant> variant) {
