Tell a reset answer without a length from a whole one

Ruled out: chunked and counted answers, which fail on an early end already. Test: GatewayOnEmulatorTest with RESET_WITHOUT_LENGTH, 2 cases red before, green after.

--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
@@ -0,0 +1,42 @@
+package org.fallturn.node.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection that tells a reset from an orderly end. The usual end point reports both as the end
+ * of input, so that an answer without a length that was reset on its way would look whole.
+ */
+final class ResetAwareEndPoint extends SocketChannelEndPoint {
+
+  ResetAwareEndPoint(
+      SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+    super(channel, selector, key, scheduler);
+  }
+
+  @Override
+  public int fill(ByteBuffer buffer) throws IOException {
+    if (isInputShutdown()) {
+      return -1;
+    }
+    int position = BufferUtil.flipToFill(buffer);
+    int filled;
+    try {
+      filled = getChannel().read(buffer);
+    } finally {
+      BufferUtil.flipToFlush(buffer, position);
+    }
+    if (filled > 0) {
+      notIdle();
+    } else if (filled < 0) {
+      shutdownInput();
+    }
+    return filled;
+  }
+}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.HttpURLConnection;
+import java.net.StandardSocketOptions;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -17,6 +19,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -216,6 +219,7 @@
         }
         case LOSE_ANSWER -> close(request, callback);
         case SILENT -> waitUntilGone(request, callback);
+        case RESET_WITHOUT_LENGTH -> resetWithoutLength(request, callback);
         case WRONG_REQUEST -> {
           response.getHeaders().put(REQUEST_ID, "another");
           write(response, callback, "of another request");
@@ -281,6 +285,28 @@
       callback.failed(new EofException("breaks off on command"));
     }
 
+    private void resetWithoutLength(Request request, Callback callback) throws Exception {
+      String head =
+          "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+              + REQUEST_ID
+              + ": "
+              + request.getHeaders().get(REQUEST_ID)
+              + "\r\n"
+              + STAMP
+              + ": stamp-"
+              + id
+              + "\r\n\r\nans";
+      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+      try (Blocking written = new Blocking()) {
+        endPoint.write(written, ByteBuffer.wrap(head.getBytes(StandardCharsets.UTF_8)));
+        written.block();
+      }
+      TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+      SocketChannel channel = (SocketChannel) endPoint.getTransport();
+      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+      close(request, callback);
+    }
+
     /** A closed connection shows when its socket can be read to its end. */
     private void waitUntilGone(Request request, Callback callback) throws Exception {
       ByteBuffer buffer = BufferUtil.allocate(1);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
@@ -12,6 +12,8 @@
   LOSE_ANSWER,
   /** It runs the request and breaks off inside the second event, or inside the body. */
   BREAK_MIDWAY,
+  /** It runs the request; its answer without a length is reset on the way. */
+  RESET_WITHOUT_LENGTH,
   /** It runs the request and says nothing. */
   SILENT,
   /** Its answer names another request. */
