Log what a placement was decided from

Cause: expected and real times of long prompts could not be compared from the logs. Change: expected time, tokens to read, tokens ahead and the source of a copy on each placement; a line when a prompt was read ahead and when an answer begins.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -13,9 +13,14 @@
    *
    * @param engine the engine
    * @param fetchFrom engine whose cached parts it copies first
+   * @param expectation what it was decided from
    * @param patience how long to wait for it
    */
-  record Prefill(ServingEngine engine, Optional<ServingEngine> fetchFrom, Duration patience)
+  record Prefill(
+      ServingEngine engine,
+      Optional<ServingEngine> fetchFrom,
+      Expectation expectation,
+      Duration patience)
       implements Decision {}
 
   /**
@@ -24,12 +29,14 @@
    * @param engine the engine
    * @param source where it fetches the prompt's KV cache; empty when it reads the prompt itself
    * @param fetchFrom engine whose cached parts it copies first
+   * @param expectation what it was decided from
    * @param patience how long to wait for the head of its answer
    */
   record Run(
       ServingEngine engine,
       Optional<CacheSource> source,
       Optional<ServingEngine> fetchFrom,
+      Expectation expectation,
       Duration patience)
       implements Decision {}
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -227,7 +227,7 @@
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
-          .map(engine -> run(progress, engine, Optional.empty(), 0, 0, nowNanos))
+          .map(engine -> run(progress, engine, Optional.empty(), Expectation.NONE, nowNanos))
           .orElseGet(() -> nowhere(progress));
     }
     PromptPlacement.Question question =
@@ -248,14 +248,14 @@
     ServingEngine engine = plan.engine();
     remember(progress, engine, prompt, plan.millis(), nowNanos);
     if (!plan.prefill()) {
-      return run(progress, engine, plan.fetchFrom(), plan.readTokens(), plan.millis(), nowNanos);
+      return run(progress, engine, plan.fetchFrom(), plan.expectation(), nowNanos);
     }
     Duration patienceForIt =
         patience.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
     long silence = patience.beforeSilence(plan.millis());
     selector.load(engine).add(plan.readTokens(), silence, nowNanos);
     progress.beginPrefill(engine, plan.readTokens(), plan.aheadTokens(), nowNanos);
-    return new Decision.Prefill(engine, plan.fetchFrom(), patienceForIt);
+    return new Decision.Prefill(engine, plan.fetchFrom(), plan.expectation(), patienceForIt);
   }
 
   private void remember(
@@ -275,15 +275,14 @@
       RequestProgress progress,
       ServingEngine engine,
       Optional<ServingEngine> fetchFrom,
-      int tokens,
-      double expectedMillis,
+      Expectation expectation,
       long nowNanos) {
-    long silence = patience.beforeSilence(expectedMillis);
-    selector.load(engine).add(tokens, silence, nowNanos);
-    progress.beginRun(engine, tokens);
+    long silence = patience.beforeSilence(expectation.millis());
+    selector.load(engine).add(expectation.readTokens(), silence, nowNanos);
+    progress.beginRun(engine, expectation.readTokens());
     Duration patienceForIt =
         patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
-    return new Decision.Run(engine, progress.source(), fetchFrom, patienceForIt);
+    return new Decision.Run(engine, progress.source(), fetchFrom, expectation, patienceForIt);
   }
 
   private Decision nowhere(RequestProgress progress) {
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Expectation.java
@@ -0,0 +1,14 @@
+package org.fallturn.core.dispatch;
+
+/**
+ * What a placement was decided from, for logs.
+ *
+ * @param millis expected time to the first token; 0 for an application request
+ * @param readTokens prompt tokens that the engine has to read
+ * @param aheadTokens prompt tokens that wait at the engine before
+ */
+public record Expectation(double millis, int readTokens, long aheadTokens) {
+
+  /** Nothing is expected of an application request. */
+  public static final Expectation NONE = new Expectation(0, 0, 0);
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -48,7 +48,12 @@
       int readTokens,
       long aheadTokens,
       double millis,
-      double cost) {}
+      double cost) {
+
+    Expectation expectation() {
+      return new Expectation(millis, readTokens, aheadTokens);
+    }
+  }
 
   /** What one choice is made from. */
   record Question(
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.Decision;
+import org.fallturn.core.dispatch.Expectation;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
@@ -114,10 +115,14 @@
 
   void decided(Exchange exchange, Decision decision) {
     if (decision instanceof Decision.Prefill prefill) {
-      placed(exchange, prefill.engine()).addKeyValue("stage", "prefill").log();
+      placed(exchange, prefill.engine(), prefill.expectation())
+          .addKeyValue("stage", "prefill")
+          .addKeyValue("fetchFrom", prefill.fetchFrom().map(ServingEngine::id).orElse(""))
+          .log();
     } else if (decision instanceof Decision.Run run) {
-      placed(exchange, run.engine())
+      placed(exchange, run.engine(), run.expectation())
           .addKeyValue("stage", "run")
+          .addKeyValue("fetchFrom", run.fetchFrom().map(ServingEngine::id).orElse(""))
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
           .log();
     } else if (decision instanceof Decision.Refuse refuse) {
@@ -131,11 +136,15 @@
     }
   }
 
-  private LoggingEventBuilder placed(Exchange exchange, ServingEngine engine) {
+  private LoggingEventBuilder placed(
+      Exchange exchange, ServingEngine engine, Expectation expectation) {
     return line(LogEvent.PLACED, exchange)
         .addKeyValue("engine", engine.id())
         .addKeyValue("address", engine.address())
         .addKeyValue("arrivals", exchange.progress().arrivals())
+        .addKeyValue("expectedMs", Math.round(expectation.millis()))
+        .addKeyValue("readTokens", expectation.readTokens())
+        .addKeyValue("aheadTokens", expectation.aheadTokens())
         .addKeyValue("routingVersion", routingVersion)
         .addKeyValue("directoryRevision", directoryRevision);
   }
@@ -149,6 +158,14 @@
         .log();
   }
 
+  void prefilled(Exchange exchange) {
+    line(LogEvent.PREFILLED, exchange).log();
+  }
+
+  void began(Exchange exchange) {
+    line(LogEvent.BEGAN, exchange).log();
+  }
+
   void finished(Exchange exchange, long nowNanos) {
     line(LogEvent.FINISHED, exchange).addKeyValue("arrivals", exchange.progress().arrivals()).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -46,6 +46,7 @@
       onPrefilled(prefilled, now);
     } else if (event instanceof DispatchEvent.Began began) {
       if (isPresent(began.exchange(), began.attempt())) {
+        log.began(began.exchange());
         dispatcher.onBegan(began.exchange().progress());
         dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
@@ -77,6 +78,7 @@
       engines.freeHandle(event.attempt().call().engine(), event.handle());
       return;
     }
+    log.prefilled(exchange);
     carryOut(exchange, dispatcher.onPrefilled(exchange.progress(), event.handle(), now), now);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -30,6 +30,10 @@
   PLACED,
   /** A request is answered with an error of this node. */
   REFUSED,
+  /** An engine has read the prompt of a request ahead. */
+  PREFILLED,
+  /** The first part of an answer was passed on. */
+  BEGAN,
   /** An attempt at an engine failed. */
   ATTEMPT_FAILED,
   /** The failure that an engine answered with is passed on. */
