Take unknown prompt parts as uncached; let requests that are in time go first

Change: home is a preference of 20 ms, not knowledge; the urgency passed to engines puts requests that cannot meet their target behind those of their route that can.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -13,12 +13,14 @@
    *
    * @param engine the engine
    * @param fetchFrom engine whose cached parts it copies first
+   * @param urgency order among the engine's requests; 0 is first
    * @param expectation what it was decided from
    * @param patience how long to wait for it
    */
   record Prefill(
       ServingEngine engine,
       Optional<ServingEngine> fetchFrom,
+      int urgency,
       Expectation expectation,
       Duration patience)
       implements Decision {}
@@ -29,6 +31,7 @@
    * @param engine the engine
    * @param source where it fetches the prompt's KV cache; empty when it reads the prompt itself
    * @param fetchFrom engine whose cached parts it copies first
+   * @param urgency order among the engine's requests; 0 is first
    * @param expectation what it was decided from
    * @param patience how long to wait for the head of its answer
    */
@@ -36,6 +39,7 @@
       ServingEngine engine,
       Optional<CacheSource> source,
       Optional<ServingEngine> fetchFrom,
+      int urgency,
       Expectation expectation,
       Duration patience)
       implements Decision {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -33,6 +33,7 @@
   /** Shorter prompts are not worth a message to the other nodes. */
   private static final int MIN_TOLD_TOKENS = 2_000;
 
+  private static final int LEAST_URGENT = 9;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
   private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
@@ -255,7 +256,12 @@
     long silence = patience.beforeSilence(plan.millis());
     selector.load(engine).add(plan.readTokens(), silence, nowNanos);
     progress.beginPrefill(engine, plan.readTokens(), plan.aheadTokens(), nowNanos);
-    return new Decision.Prefill(engine, plan.fetchFrom(), plan.expectation(), patienceForIt);
+    return new Decision.Prefill(
+        engine,
+        plan.fetchFrom(),
+        urgency(progress, plan.expectation(), nowNanos),
+        plan.expectation(),
+        patienceForIt);
   }
 
   private void remember(
@@ -282,7 +288,25 @@
     progress.beginRun(engine, expectation.readTokens());
     Duration patienceForIt =
         patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
-    return new Decision.Run(engine, progress.source(), fetchFrom, expectation, patienceForIt);
+    return new Decision.Run(
+        engine,
+        progress.source(),
+        fetchFrom,
+        urgency(progress, expectation, nowNanos),
+        expectation,
+        patienceForIt);
+  }
+
+  /**
+   * The route's priority, and within it those first that can still be answered in time: a request
+   * that cannot only makes others late when it goes ahead of them.
+   */
+  private static int urgency(RequestProgress progress, Expectation expectation, long nowNanos) {
+    RequestEnvelope envelope = progress.envelope();
+    long target = envelope.route().targetLatency().toNanos();
+    double expected = nowNanos - envelope.arrivedNanos() + expectation.millis() * NANOS_PER_MILLI;
+    int late = expected > target ? 1 : 0;
+    return Math.min(LEAST_URGENT, 2 * envelope.route().priority() + late);
   }
 
   private Decision nowhere(RequestProgress progress) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -104,15 +104,6 @@
     return !load(holder).health().suspended() && !peerLoads.suspects(holder.id(), nowNanos);
   }
 
-  /** As {@link #uncachedTokens(ServingEngine, PromptShape)}; unknown parts are taken to be home. */
-  int uncachedTokens(ServingEngine engine, PromptShape prompt, Optional<ServingEngine> home) {
-    boolean unknown = prompt.lastSharedPart().filter(part -> !cachedParts.known(part)).isPresent();
-    if (unknown && home.isPresent() && home.get().id().equals(engine.id())) {
-      return Math.max(0, prompt.promptTokens() - prompt.sharedTokens());
-    }
-    return uncachedTokens(engine, prompt);
-  }
-
   /** All nodes agree on the first engine to read a shared part, so that it is read once. */
   Optional<ServingEngine> home(PromptShape prompt, Collection<ServingEngine> candidates) {
     return prompt
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -20,6 +20,10 @@
   private static final double SECOND_CALL_MILLIS = 8;
 
   private static final double OTHER_ZONE_MILLIS = 3;
+
+  /** Nodes that have not heard of each other's placements yet read a new part at one engine. */
+  private static final double HOME_MILLIS = 20;
+
   private static final double FAILURE_MILLIS = 300;
   private static final double RUNNING_MILLIS = 0.3;
 
@@ -95,7 +99,7 @@
   }
 
   private Plan prefillPlan(Question question, ServingEngine engine, Optional<ServingEngine> home) {
-    Reading reading = bestReading(question, engine, home, question.speed()::prefillMillis);
+    Reading reading = bestReading(question, engine, question.speed()::prefillMillis);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
     double millis =
         question.speed().prefillMillis(backlog + reading.readTokens())
@@ -103,7 +107,8 @@
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
             + commonMillis(engine, zone);
-    return plan(engine, true, reading, backlog, millis);
+    boolean isHome = home.filter(first -> first.id().equals(engine.id())).isPresent();
+    return plan(engine, true, reading, backlog, millis - (isHome ? HOME_MILLIS : 0));
   }
 
   private Plan runPlan(Question question, ServingEngine engine) {
@@ -112,7 +117,7 @@
     Reading reading =
         source.isPresent()
             ? handedOver(question, engine, source.get())
-            : bestReading(question, engine, Optional.empty(), question.speed()::decodeMillis);
+            : bestReading(question, engine, question.speed()::decodeMillis);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
     int running =
         selector.load(engine).running() + peerLoads.running(engine.id(), question.nowNanos());
@@ -141,12 +146,9 @@
 
   /** Reads what the engine does not keep, or copies from whoever keeps more when that is faster. */
   private Reading bestReading(
-      Question question,
-      ServingEngine engine,
-      Optional<ServingEngine> home,
-      Function<Long, Double> readMillis) {
+      Question question, ServingEngine engine, Function<Long, Double> readMillis) {
     PromptShape prompt = question.prompt();
-    int own = selector.uncachedTokens(engine, prompt, home);
+    int own = selector.uncachedTokens(engine, prompt);
     Optional<ServingEngine> holder = selector.bestHolder(question, engine);
     if (holder.isEmpty()) {
       return new Reading(Optional.empty(), own, 0, 0);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -134,13 +134,20 @@
     if (decision instanceof Decision.Prefill prefill) {
       send(
           exchange,
-          call(exchange, prefill.engine(), true, Optional.empty(), prefill.fetchFrom(), now),
+          call(
+              exchange,
+              prefill.engine(),
+              true,
+              Optional.empty(),
+              prefill.fetchFrom(),
+              prefill.urgency(),
+              now),
           prefill.patience(),
           now);
     } else if (decision instanceof Decision.Run run) {
       send(
           exchange,
-          call(exchange, run.engine(), false, run.source(), run.fetchFrom(), now),
+          call(exchange, run.engine(), false, run.source(), run.fetchFrom(), run.urgency(), now),
           run.patience(),
           now);
     } else if (decision instanceof Decision.Refuse refuse) {
@@ -158,6 +165,7 @@
       boolean prefillOnly,
       Optional<CacheSource> source,
       Optional<ServingEngine> fetchFrom,
+      int urgency,
       long now) {
     return new EngineCall(
         engine,
@@ -165,7 +173,7 @@
         source,
         fetchFrom,
         left(exchange, now),
-        exchange.envelope().route().priority(),
+        urgency,
         exchange.framer().lastEventId());
   }
 
