Learn tables from another node while the store does not answer

Cause: a process killed while the store is down came back without routes and engines and refused until the store returned. Change: each node answers the others with the tables it follows, with their position; a follower asks them only while it knows nothing. The patience of an attempt follows what its placement expected, so that a busy fleet is not sent everything twice. Test: gatewayThatStartsWithoutTheStoreLearnsFromAnother, red without the wiring of the seeds' own ports, green after.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -287,7 +287,8 @@
     selector.load(engine).add(expectation.readTokens(), silence, nowNanos);
     progress.beginRun(engine, expectation.readTokens());
     Duration patienceForIt =
-        patience.forRun(progress, progress.envelope().remainingNanos(nowNanos));
+        patience.forRun(
+            progress, expectation.millis(), progress.envelope().remainingNanos(nowNanos));
     return new Decision.Run(
         engine,
         progress.source(),
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -10,6 +10,7 @@
 final class Patience {
 
   private static final double RUN_TARGETS = 2.0;
+  private static final double RUN_FACTOR = 2.0;
   private static final double PREFILL_FACTOR = 3.0;
   private static final double SILENCE_FACTOR = 2.0;
   private static final long SILENCE_BASE_NANOS = Duration.ofMillis(400).toNanos();
@@ -33,13 +34,15 @@
   }
 
   /** For a request that runs. */
-  Duration forRun(RequestProgress progress, long remainingNanos) {
+  Duration forRun(RequestProgress progress, double expectedMillis, long remainingNanos) {
     Route route = progress.envelope().route();
     boolean last = progress.possibleRuns() >= route.maxAttempts();
     if (!route.repeatable() || last) {
       return Duration.ofNanos(Math.max(0, remainingNanos));
     }
-    long wanted = (long) (RUN_TARGETS * route.targetLatency().toNanos());
+    long wanted =
+        (long) (RUN_TARGETS * route.targetLatency().toNanos())
+            + Duration.ofMillis((long) (RUN_FACTOR * expectedMillis)).toNanos();
     return Duration.ofNanos(Math.max(0, Math.min(wanted, remainingNanos)));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -73,6 +73,20 @@
     line(LogEvent.DEPENDENCY_REGAINED).addKeyValue("dependency", name).log();
   }
 
+  void learnedFromPeer(String table, long position) {
+    line(LogEvent.LEARNED_FROM_PEER)
+        .addKeyValue("table", table)
+        .addKeyValue("position", position)
+        .log();
+  }
+
+  void noPeerKnows(String table, Exception failure) {
+    line(LogEvent.NO_PEER_KNOWS)
+        .addKeyValue("table", table)
+        .addKeyValue("failure", failure.getMessage())
+        .log();
+  }
+
   void historyLost(String table, long position) {
     line(LogEvent.HISTORY_LOST).addKeyValue("table", table).addKeyValue("position", position).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -66,6 +66,11 @@
     client.getProtocolHandlers().clear();
   }
 
+  /** The client, for calls to other nodes. */
+  HttpClient client() {
+    return client;
+  }
+
   EngineProtocol protocol() {
     return protocol;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -41,6 +41,9 @@
   /** Callers still come for about two readiness checks after the first refusal. */
   private static final Duration LINGER = Duration.ofMillis(3_500);
 
+  private static final String ROUTING = "routing";
+  private static final String ENGINES = "engines";
+  private static final int PEER_THREADS = 4;
   private static final long STOP_CHECK_MILLIS = 20;
 
   private final GatewaySettings settings;
@@ -53,10 +56,12 @@
   private final WatchedConnector callers;
   private final EngineClient engines;
   private final PeerExchange peers;
+  private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
   private HttpListener readiness;
+  private HttpListener peerListener;
   private volatile EngineDirectory directory = EngineDirectory.empty();
 
   /** A gateway that serves nothing yet. */
@@ -78,10 +83,13 @@
         new DispatchDuty(new Dispatcher(settings.dispatchParameters()), engines, log, peers);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector();
+    this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
     this.routingFollower =
-        new RowFollower("routing", platform.routingFeed(), this::onRoutingRows, log);
+        new RowFollower(
+            ROUTING, platform.routingFeed(), snapshots.feed(ROUTING), this::onRoutingRows, log);
     this.engineFollower =
-        new RowFollower("engines", platform.engineFeed(), this::onEngineRows, log);
+        new RowFollower(
+            ENGINES, platform.engineFeed(), snapshots.feed(ENGINES), this::onEngineRows, log);
   }
 
   private WatchedConnector newCallersConnector() {
@@ -111,6 +119,7 @@
     routingFollower.start();
     engineFollower.start();
     server.start();
+    peerListener = new HttpListener("peers", peers.address(), PEER_THREADS, snapshots);
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     log.started(settings.nodeName());
   }
@@ -136,6 +145,11 @@
     return directory.all().stream().filter(ServingEngine::leaving).count();
   }
 
+  /** Where other nodes tell their load and ask for tables. */
+  public NetworkAddress peersAddress() {
+    return peers.address();
+  }
+
   /** Requests being served. */
   public int inFlight() {
     return state.inFlight();
@@ -153,7 +167,13 @@
     }
   }
 
+  /** Every node answers the others at the same port number, over TCP beside the datagrams. */
+  private List<NetworkAddress> peersToAsk() {
+    return peers.askable();
+  }
+
   private void onRoutingRows(FeedTracker tracker) {
+    snapshots.keep(ROUTING, tracker);
     for (FeedRow row : tracker.rows()) {
       if (platform.isRouting().test(row)) {
         takeRouting(row);
@@ -177,6 +197,7 @@
   }
 
   private void onEngineRows(FeedTracker tracker) {
+    snapshots.keep(ENGINES, tracker);
     List<ServingEngine> listed = new ArrayList<>();
     for (FeedRow row : tracker.rows()) {
       try {
@@ -220,6 +241,9 @@
     if (readiness != null) {
       readiness.close();
     }
+    if (peerListener != null) {
+      peerListener.close();
+    }
     peers.close();
     engines.close();
     dispatch.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -16,6 +16,10 @@
   DEPENDENCY_REGAINED,
   /** The store does not answer. */
   DEPENDENCY_LOST,
+  /** A table was learned from another node while the store did not answer. */
+  LEARNED_FROM_PEER,
+  /** No other node could tell a table while the store did not answer. */
+  NO_PEER_KNOWS,
   /** The store has dropped changes that were not read yet. */
   HISTORY_LOST,
   /** A version of routes and services is in force here. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -28,6 +28,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
 
   private static final int FAN_OUT = 12;
+  private static final int ASKED_PEERS = 3;
   private static final int MAX_ENGINES = 20;
   private static final int MAX_PROMPTS = 4;
   private static final int MAX_PARTS = 3;
@@ -58,10 +59,20 @@
     this.socket = new UdpSocket("peers", listen, this::receive);
   }
 
+  /** Where datagrams come in, with the real port. */
+  NetworkAddress address() {
+    return socket.address();
+  }
+
   void start() {
     socket.start();
   }
 
+  /** Peers to ask for what this node does not know. */
+  List<NetworkAddress> askable() {
+    return book.nextTargets(ASKED_PEERS, System.nanoTime());
+  }
+
   @Override
   public int cautiousNodeCount() {
     return book.cautiousNodeCount(System.nanoTime());
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -0,0 +1,123 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.port.table.StoreException;
+import org.fallturn.node.json.JsonCodec;
+import org.fallturn.node.json.MalformedMessageException;
+
+/**
+ * What the nodes can tell each other of the followed tables, for a process that starts while the
+ * store cannot be reached. A reading bears the position of the store's history that it holds at, so
+ * it can never put back what is known. Thread-safe.
+ */
+final class PeerSnapshots extends Handler.Abstract.NonBlocking {
+
+  private static final String PATH_PREFIX = "/tables/";
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
+
+  private final Map<String, FeedAnswer> known = new ConcurrentHashMap<>();
+  private final JsonCodec codec = new JsonCodec();
+  private final HttpClient client;
+  private final Supplier<List<NetworkAddress>> peers;
+
+  /**
+   * Snapshots of this node, and a way to those of others.
+   *
+   * @param peers where the other nodes answer, newest knowledge first
+   */
+  PeerSnapshots(HttpClient client, Supplier<List<NetworkAddress>> peers) {
+    this.client = client;
+    this.peers = peers;
+  }
+
+  /** Remembers what this node knows of a table. */
+  void keep(String table, FeedTracker tracker) {
+    known.put(table, new FeedAnswer(List.copyOf(tracker.rows()), tracker.position()));
+  }
+
+  /** A table as some other node knows it. */
+  RowFeed feed(String table) {
+    return new PeerFeed(table);
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    String path = Request.getPathInContext(request);
+    FeedAnswer answer =
+        path.startsWith(PATH_PREFIX) ? known.get(path.substring(PATH_PREFIX.length())) : null;
+    if (answer == null) {
+      response.setStatus(HttpStatus.NOT_FOUND_404);
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+      return true;
+    }
+    response.write(true, BufferUtil.toBuffer(codec.encode(answer)), callback);
+    return true;
+  }
+
+  /** Reads one table from the first peer that knows it. */
+  private final class PeerFeed implements RowFeed {
+
+    private final String table;
+
+    PeerFeed(String table) {
+      this.table = table;
+    }
+
+    @Override
+    public FeedAnswer snapshot() throws StoreException {
+      StoreException last = new StoreException("no other node is known", false, null);
+      for (NetworkAddress peer : peers.get()) {
+        try {
+          return read(peer);
+        } catch (StoreException e) {
+          last = e;
+        }
+      }
+      throw last;
+    }
+
+    private FeedAnswer read(NetworkAddress peer) throws StoreException {
+      try {
+        ContentResponse response =
+            client
+                .newRequest(peer.host(), peer.port())
+                .path(PATH_PREFIX + table)
+                .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .send();
+        if (response.getStatus() != HttpStatus.OK_200) {
+          throw new StoreException(peer + " does not know " + table, false, null);
+        }
+        return codec.decode(response.getContent(), FeedAnswer.class);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new StoreException("interrupted", false, e);
+      } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
+        throw new StoreException("no answer from " + peer, false, e);
+      }
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait) throws StoreException {
+      throw new StoreException("other nodes are asked for whole tables only", false, null);
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -23,6 +23,7 @@
 
   private final String name;
   private final RowFeed feed;
+  private final RowFeed fallback;
   private final Listener listener;
   private final DecisionLog log;
   private final FeedTracker tracker = new FeedTracker();
@@ -37,9 +38,15 @@
     void onRows(FeedTracker tracker);
   }
 
-  RowFollower(String name, RowFeed feed, Listener listener, DecisionLog log) {
+  /**
+   * A follower that has not begun.
+   *
+   * @param fallback who is asked while nothing is known and the store does not answer
+   */
+  RowFollower(String name, RowFeed feed, RowFeed fallback, Listener listener, DecisionLog log) {
     this.name = name;
     this.feed = feed;
+    this.fallback = fallback;
     this.listener = listener;
     this.log = log;
     this.thread = new Thread(this::follow, "follow-" + name);
@@ -106,6 +113,9 @@
       log.dependencyLost(name, failure);
     }
     tracker.onOutage();
+    if (!tracker.known()) {
+      askOthers();
+    }
     try {
       TimeUnit.MILLISECONDS.sleep(pauseMillis);
     } catch (InterruptedException e) {
@@ -114,6 +124,19 @@
     pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
   }
 
+  private void askOthers() {
+    try {
+      FeedAnswer answer = fallback.snapshot();
+      if (tracker.onWhole(answer, System.nanoTime())) {
+        log.learnedFromPeer(name, answer.version());
+        listener.onRows(tracker);
+      }
+      tracker.onOutage();
+    } catch (StoreException e) {
+      log.noPeerKnows(name, e);
+    }
+  }
+
   @Override
   public void close() {
     closed = true;
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -109,8 +109,14 @@
         .toList();
   }
 
-  /** Where the seeds hear of load: every node uses the same port for it. */
+  /**
+   * Where the seeds hear of load: every node uses the same port for it. A node that takes any free
+   * port, as in tests, is told the others' ports by its seeds.
+   */
   public List<NetworkAddress> seedPeers() {
+    if (peers.port() == 0) {
+      return seeds;
+    }
     return seeds.stream().map(seed -> new NetworkAddress(seed.host(), peers.port())).toList();
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -253,6 +253,17 @@
     assertThat(lonely.ready()).isFalse();
   }
 
+  @Test
+  void gatewayThatStartsWithoutTheStoreLearnsFromAnother() throws Exception {
+    platform.store().misbehave(StoreFault.DOWN);
+    GatewayServer late = platform.addGateway(gateway.peersAddress());
+    assertThat(client.call(late.callersAddress(), EmulatedPlatform.IDEMPOTENT, 0).status())
+        .isEqualTo(200);
+    platform.store().misbehave(StoreFault.NONE);
+    platform.configure(List.of());
+    await().atMost(LONGEST).until(() -> late.routingVersion() == 5);
+  }
+
   @Test
   void drainingEngineGetsNothingNew() throws Exception {
     platform.list(appOne, true);
