Use engines that lately left as a last resort

Change: for 0.7 of the drain bound an engine that began to leave, or whose entry is gone, may be used when its service has no other. Test: serviceWhoseEntriesAllLapsedIsStillServedForAShortWhile.

--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Departures.java
@@ -0,0 +1,45 @@
+package org.fallturn.core.dispatch;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Engines that began to leave or lost their entry a short while ago. An engine serves on for some
+ * time after either, and entries also lapse when the store was down, so that they are a last resort
+ * for a service that has no other engine. One thread calls.
+ */
+final class Departures {
+
+  private final long lifetimeNanos;
+  private final Map<String, Departure> byId = new HashMap<>();
+
+  private record Departure(ServingEngine engine, long atNanos) {}
+
+  Departures(long lifetimeNanos) {
+    this.lifetimeNanos = lifetimeNanos;
+  }
+
+  /** Compares two lists. */
+  void onChange(EngineDirectory before, EngineDirectory after, long nowNanos) {
+    byId.values().removeIf(departure -> nowNanos - departure.atNanos() >= lifetimeNanos);
+    for (ServingEngine engine : before.all()) {
+      boolean stays = after.find(engine.id()).filter(now -> !now.leaving()).isPresent();
+      if (!engine.leaving() && !stays) {
+        byId.put(engine.id(), new Departure(engine, nowNanos));
+      }
+    }
+    after.all().stream().filter(engine -> !engine.leaving()).forEach(e -> byId.remove(e.id()));
+  }
+
+  /** Engines of a service that may still be used. */
+  List<ServingEngine> lately(String service, long nowNanos) {
+    return byId.values().stream()
+        .filter(departure -> nowNanos - departure.atNanos() < lifetimeNanos)
+        .map(Departure::engine)
+        .filter(engine -> engine.service().equals(service))
+        .toList();
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -10,6 +10,7 @@
  * @param retryRatio repeats a request, over the whole fleet
  * @param retrySlack repeats beyond the ratio, over the whole fleet
  * @param retryWindow window of the two
+ * @param lastResort how long a leaving engine may be used when its service has no other
  * @param minRetryAfter shortest advice on when to come back
  */
 public record DispatchParameters(
@@ -18,4 +19,5 @@
     double retryRatio,
     double retrySlack,
     Duration retryWindow,
+    Duration lastResort,
     Duration minRetryAfter) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -53,13 +53,14 @@
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
-    this.selector = new EngineSelector(parameters.zone(), peerLoads);
+    this.selector =
+        new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
     this.prompts = new PromptPlacement(selector, peerLoads, parameters.zone());
   }
 
   /** Takes a newer list of engines. */
-  public void setDirectory(EngineDirectory directory) {
-    selector.setDirectory(directory);
+  public void setDirectory(EngineDirectory directory, long nowNanos) {
+    selector.setDirectory(directory, nowNanos);
   }
 
   /** Takes a newer set of services. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -28,15 +28,24 @@
   private final Map<String, EngineLoad> loads = new HashMap<>();
   private final CachedParts cachedParts = new CachedParts();
   private final PeerLoads peerLoads;
+  private final Departures departures;
   private EngineDirectory directory = EngineDirectory.empty();
 
-  EngineSelector(String zone, PeerLoads peerLoads) {
+  /**
+   * A selector that knows no engine.
+   *
+   * @param lastResortNanos how long an engine that leaves, or whose entry is gone, may still be
+   *     used when its service has no other
+   */
+  EngineSelector(String zone, PeerLoads peerLoads, long lastResortNanos) {
     this.zone = zone;
     this.peerLoads = peerLoads;
+    this.departures = new Departures(lastResortNanos);
   }
 
   /** Takes a new list; loads of engines that are gone stay until their requests have ended. */
-  void setDirectory(EngineDirectory newDirectory) {
+  void setDirectory(EngineDirectory newDirectory, long nowNanos) {
+    departures.onChange(directory, newDirectory, nowNanos);
     directory = newDirectory;
     Set<String> present = new HashSet<>();
     directory.all().forEach(engine -> present.add(engine.id()));
@@ -148,12 +157,18 @@
     if (!good.isEmpty()) {
       return good;
     }
-    return present.stream().filter(engine -> !progress.hasTried(engine)).toList();
+    List<ServingEngine> untried =
+        present.stream().filter(engine -> !progress.hasTried(engine)).toList();
+    if (!untried.isEmpty() || !present.isEmpty()) {
+      return untried;
+    }
+    return departures.lately(progress.service(), nowNanos).stream()
+        .filter(engine -> fits.test(engine) && usable(engine, progress, nowNanos))
+        .toList();
   }
 
   private boolean usable(ServingEngine engine, RequestProgress progress, long nowNanos) {
-    return !engine.leaving()
-        && !progress.hasTried(engine)
+    return !progress.hasTried(engine)
         && load(engine).health().usable(nowNanos)
         && !peerLoads.suspects(engine.id(), nowNanos);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -57,7 +57,7 @@
     } else if (event instanceof DispatchEvent.CallerGone gone) {
       onCallerGone(gone.exchange());
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
-      dispatcher.setDirectory(changed.directory());
+      dispatcher.setDirectory(changed.directory(), now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -6,6 +6,7 @@
 /**
  * Bounds that the platform sets for a gateway process.
  *
+ * @param drain how long after an engine began to leave it may still be sent requests
  * @param grace from SIGTERM to SIGKILL
  * @param stopMargin how long before that the process has ended by itself
  * @param retryRatio repeats a request that the fleet may send to a service
@@ -13,12 +14,21 @@
  * @param retryWindow window of both
  */
 public record GatewayBounds(
+    Duration drain,
     Duration grace,
     Duration stopMargin,
     double retryRatio,
     double retrySlack,
     Duration retryWindow) {
 
+  private static final SettingDefinition<Duration> DRAIN =
+      SettingDefinition.duration(
+          "bounds.drain",
+          Duration.ofSeconds(2),
+          Duration.ofMillis(1),
+          Duration.ofMinutes(10),
+          "How long after an engine began to leave it may still be sent requests.");
+
   private static final SettingDefinition<Duration> GRACE =
       SettingDefinition.duration(
           "bounds.grace",
@@ -52,10 +62,11 @@
           "Window of the retry budget.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(GRACE, STOP_MARGIN, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
+      List.of(DRAIN, GRACE, STOP_MARGIN, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
+        values.get(DRAIN),
         values.get(GRACE),
         values.get(STOP_MARGIN),
         values.get(RETRY_RATIO),
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -35,6 +35,10 @@
     DispatchSettings dispatch,
     LogSettings log) {
 
+  /** Part of the drain bound in which a leaving engine is a last resort. */
+  private static final int LAST_RESORT_PERCENT = 70;
+
+  private static final int PERCENT = 100;
   private static final int MAX_PORT = 65_535;
 
   private static final SettingDefinition<String> NODE_NAME =
@@ -128,6 +132,7 @@
         bounds.retryRatio(),
         bounds.retrySlack(),
         bounds.retryWindow(),
+        bounds.drain().multipliedBy(LAST_RESORT_PERCENT).dividedBy(PERCENT),
         dispatch.minRetryAfter());
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -264,6 +264,17 @@
     await().atMost(LONGEST).until(() -> late.routingVersion() == 5);
   }
 
+  @Test
+  void serviceWhoseEntriesAllLapsedIsStillServedForAShortWhile() throws Exception {
+    platform.unlist(appOne);
+    platform.unlist(appTwo);
+    await().atMost(LONGEST).until(() -> gateway.engineCount() == 3);
+    assertThat(client.call(address, EmulatedPlatform.IDEMPOTENT, 0).status()).isEqualTo(200);
+    await()
+        .atMost(LONGEST)
+        .until(() -> client.call(address, EmulatedPlatform.IDEMPOTENT, 0).status() == 503);
+  }
+
   @Test
   void drainingEngineGetsNothingNew() throws Exception {
     platform.list(appOne, true);
