Prefer home among prefill engines only; come back later while the store is lost

Cause: DispatcherTest showed that the preference of 20 ms for a part's home also beat the way without a second call, so that short prompts were read ahead by idle fleets. Change: the preference counts between prefill engines; a follower that knows nothing pauses 0.15 s at most; refusals while the store is lost name 2 s.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -83,7 +83,8 @@
         cheapest(
             question,
             selector.runCandidates(question.progress(), question.nowNanos()),
-            engine -> runPlan(question, engine));
+            engine -> runPlan(question, engine),
+            Optional.empty());
     if (!mayPrefill) {
       return direct;
     }
@@ -91,14 +92,14 @@
         selector.prefillCandidates(question.progress(), question.nowNanos());
     Optional<ServingEngine> home = selector.home(question.prompt(), candidates);
     Optional<Plan> ahead =
-        cheapest(question, candidates, engine -> prefillPlan(question, engine, home));
+        cheapest(question, candidates, engine -> prefillPlan(question, engine), home);
     if (direct.isEmpty() || ahead.isEmpty()) {
       return direct.or(() -> ahead);
     }
     return ahead.get().cost() < direct.get().cost() ? ahead : direct;
   }
 
-  private Plan prefillPlan(Question question, ServingEngine engine, Optional<ServingEngine> home) {
+  private Plan prefillPlan(Question question, ServingEngine engine) {
     Reading reading = bestReading(question, engine, question.speed()::prefillMillis);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
     double millis =
@@ -107,8 +108,7 @@
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
             + commonMillis(engine, zone);
-    boolean isHome = home.filter(first -> first.id().equals(engine.id())).isPresent();
-    return plan(engine, true, reading, backlog, millis - (isHome ? HOME_MILLIS : 0));
+    return plan(engine, true, reading, backlog, millis);
   }
 
   private Plan runPlan(Question question, ServingEngine engine) {
@@ -177,14 +177,22 @@
         + FAILURE_MILLIS * selector.load(engine).health().failureShare();
   }
 
+  private static double preference(Plan plan, Optional<ServingEngine> home) {
+    boolean isHome = home.filter(first -> first.id().equals(plan.engine().id())).isPresent();
+    return isHome ? HOME_MILLIS : 0;
+  }
+
   /** Equal costs are decided by the request's id, so that nodes do not all take one engine. */
   private static Optional<Plan> cheapest(
-      Question question, List<ServingEngine> engines, Function<ServingEngine, Plan> planFor) {
+      Question question,
+      List<ServingEngine> engines,
+      Function<ServingEngine, Plan> planFor,
+      Optional<ServingEngine> home) {
     String requestId = question.progress().envelope().requestId();
     return engines.stream()
         .map(planFor)
         .min(
-            Comparator.comparingDouble(Plan::cost)
+            Comparator.comparingDouble((Plan plan) -> plan.cost() - preference(plan, home))
                 .thenComparingLong(plan -> EngineSelector.tieBreak(requestId, plan.engine())));
   }
 }
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -0,0 +1,248 @@
+package org.fallturn.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.fallturn.core.dispatch.Requests.APPLICATION;
+import static org.fallturn.core.dispatch.Requests.MODEL;
+import static org.fallturn.core.dispatch.Requests.START;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.error.Outcome;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
+import org.fallturn.core.routing.ServingEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class DispatcherTest {
+
+  private final ServingEngine appOne = Requests.engine("a-1", APPLICATION, EngineStage.NONE);
+  private final ServingEngine appTwo = Requests.engine("a-2", APPLICATION, EngineStage.NONE);
+  private final ServingEngine appThree = Requests.engine("a-3", APPLICATION, EngineStage.NONE);
+  private final ServingEngine prefill = Requests.engine("p-1", MODEL, EngineStage.PREFILL);
+  private final ServingEngine otherPrefill = Requests.engine("p-2", MODEL, EngineStage.PREFILL);
+  private final ServingEngine decode = Requests.engine("d-1", MODEL, EngineStage.DECODE);
+  private final ServingEngine otherDecode = Requests.engine("d-2", MODEL, EngineStage.DECODE);
+
+  private static ServingEngine runEngine(Decision decision) {
+    return ((Decision.Run) decision).engine();
+  }
+
+  private static long after(long millis) {
+    return START + Duration.ofMillis(millis).toNanos();
+  }
+
+  @ParameterizedTest
+  @EnumSource(AttemptOutcome.class)
+  void requestThatMayHaveRunIsNeitherRepeatedNorCalledNotRun(AttemptOutcome outcome) {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    RequestProgress progress = Requests.application(RequestKind.NON_IDEMPOTENT, 3);
+    dispatcher.start(progress, START);
+    Decision next = dispatcher.onFailure(progress, outcome, after(10));
+    if (!outcome.mayHaveRun()) {
+      assertThat(next).isInstanceOf(Decision.Run.class);
+    } else if (outcome == AttemptOutcome.ANSWERED_FAILURE) {
+      assertThat(next).isInstanceOf(Decision.PassFailure.class);
+    } else {
+      Decision.Refuse refuse = (Decision.Refuse) next;
+      assertThat(refuse.kind().outcome()).isEqualTo(Outcome.OUTCOME_UNKNOWN);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(AttemptOutcome.class)
+  void noRequestRunsOnMoreEnginesThanItsRouteAllows(AttemptOutcome outcome) {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo, appThree);
+    RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 2);
+    Set<String> engines = new HashSet<>();
+    Decision decision = dispatcher.start(progress, START);
+    while (decision instanceof Decision.Run run) {
+      assertThat(engines.add(run.engine().id())).as("an engine is tried once").isTrue();
+      assertThat(progress.possibleRuns()).isLessThanOrEqualTo(2);
+      decision = dispatcher.onFailure(progress, outcome, after(10));
+    }
+    assertThat(progress.engine()).isEmpty();
+  }
+
+  @Test
+  void requestThatNoEngineTookIsNotRunAndToldWhenToComeBack() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne);
+    RequestProgress progress = Requests.application(RequestKind.NON_IDEMPOTENT, 1);
+    dispatcher.start(progress, START);
+    Decision.Refuse refuse =
+        (Decision.Refuse) dispatcher.onFailure(progress, AttemptOutcome.NOT_EXECUTED, after(5));
+    assertThat(refuse.kind()).isEqualTo(ErrorKind.NO_CAPACITY);
+    assertThat(refuse.retryAfter()).isPresent();
+  }
+
+  @Test
+  void requestRejectedAfterAPossibleRunIsNotCalledNotRun() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 2);
+    dispatcher.start(progress, START);
+    dispatcher.onFailure(progress, AttemptOutcome.LOST, after(5));
+    Decision.Refuse refuse =
+        (Decision.Refuse) dispatcher.onFailure(progress, AttemptOutcome.NOT_EXECUTED, after(9));
+    assertThat(refuse.kind().outcome()).isEqualTo(Outcome.OUTCOME_UNKNOWN);
+  }
+
+  @Test
+  void retryBudgetBoundsRepeats() {
+    Dispatcher dispatcher = Requests.dispatcher(0, appOne, appTwo);
+    int repeats = 0;
+    int requests = 200;
+    for (int request = 0; request < requests; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 2);
+      dispatcher.start(progress, START);
+      Decision next = dispatcher.onFailure(progress, AttemptOutcome.ANSWERED_FAILURE, START);
+      if (next instanceof Decision.Run) {
+        repeats++;
+        dispatcher.onFinished(progress);
+      }
+    }
+    assertThat(repeats).isPositive().isLessThanOrEqualTo(requests / 5);
+  }
+
+  @Test
+  void leavingEngineGetsNothingWhileThereIsAnother() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    dispatcher.setDirectory(
+        EngineDirectory.of(2, List.of(Requests.leaving(appOne), appTwo)), START);
+    for (int request = 0; request < 20; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
+      assertThat(runEngine(dispatcher.start(progress, START)).id()).isEqualTo("a-2");
+    }
+  }
+
+  @Test
+  void engineWhoseEntryIsGoneIsALastResortForAShortWhileOnly() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne);
+    dispatcher.setDirectory(EngineDirectory.empty(), START);
+    RequestProgress soon = Requests.application(RequestKind.IDEMPOTENT, 1);
+    assertThat(dispatcher.start(soon, after(1_000))).isInstanceOf(Decision.Run.class);
+    RequestProgress late = Requests.application(RequestKind.IDEMPOTENT, 1);
+    assertThat(dispatcher.start(late, after(1_500))).isInstanceOf(Decision.Refuse.class);
+  }
+
+  @Test
+  void longPromptIsReadAheadAndRunWithItsCache() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
+    assertThat(dispatcher.start(progress, START)).isInstanceOf(Decision.Prefill.class);
+    Decision.Run run = (Decision.Run) dispatcher.onPrefilled(progress, "h", after(300));
+    assertThat(run.engine()).isEqualTo(decode);
+    assertThat(run.source()).contains(new CacheSource(prefill, "h"));
+    assertThat(progress.possibleRuns()).isEqualTo(1);
+  }
+
+  @Test
+  void shortPromptsGoToPrefillEnginesOnceDecodeEnginesHaveABacklog() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    Decision first = dispatcher.start(Requests.prompt(true, 0, 300), START);
+    assertThat(first).isInstanceOf(Decision.Run.class);
+    boolean readAhead = false;
+    for (int request = 0; request < 5; request++) {
+      readAhead |=
+          dispatcher.start(Requests.prompt(true, 0, 300), START) instanceof Decision.Prefill;
+    }
+    assertThat(readAhead).isTrue();
+  }
+
+  @Test
+  void sharedPartIsReadOnceAndCopiedToOtherEngines() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, otherPrefill, decode, otherDecode);
+    Decision.Prefill first =
+        (Decision.Prefill) dispatcher.start(Requests.prompt(false, 13_000, 4_000), START);
+    Set<String> copiedFrom = new HashSet<>();
+    for (int request = 0; request < 4; request++) {
+      Decision next = dispatcher.start(Requests.prompt(false, 13_000, 4_000), after(1_000));
+      if (next instanceof Decision.Prefill prefilled) {
+        prefilled.fetchFrom().ifPresent(from -> copiedFrom.add(from.id()));
+        assertThat(prefilled.expectation().readTokens()).isEqualTo(4_000);
+      }
+    }
+    assertThat(copiedFrom).containsExactly(first.engine().id());
+  }
+
+  @Test
+  void promptsThatOtherNodesPlacedAreKnown() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
+    PromptPart shared = progress.envelope().prompt().orElseThrow().parts().get(0);
+    PlacedPrompt placed = new PlacedPrompt("p-1", 100, List.of(shared));
+    dispatcher.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(placed)), START);
+    Decision.Prefill decision = (Decision.Prefill) dispatcher.start(progress, after(200));
+    assertThat(decision.expectation().readTokens()).isEqualTo(4_000);
+  }
+
+  @Test
+  void failedPrefillIsTriedElsewhereAndNeverCountsAsARun() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, otherPrefill, decode);
+    RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
+    dispatcher.start(progress, START);
+    Decision second = dispatcher.onFailure(progress, AttemptOutcome.LOST, after(50));
+    assertThat(second).isInstanceOf(Decision.Prefill.class);
+    Decision third = dispatcher.onFailure(progress, AttemptOutcome.LOST, after(100));
+    assertThat(runEngine(third)).isEqualTo(decode);
+    assertThat(progress.possibleRuns()).isEqualTo(1);
+  }
+
+  @Test
+  void silentEngineIsSuspendedAndTriedAgainLater() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    RequestProgress held = Requests.application(RequestKind.NON_IDEMPOTENT, 1);
+    ServingEngine silent = runEngine(dispatcher.start(held, START));
+    dispatcher.onTick(after(450));
+    for (int request = 0; request < 20; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
+      assertThat(runEngine(dispatcher.start(progress, after(460)))).isNotEqualTo(silent);
+      dispatcher.onFinished(progress);
+    }
+    Set<ServingEngine> used = new HashSet<>();
+    for (int request = 0; request < 40; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
+      used.add(runEngine(dispatcher.start(progress, after(1_200 + request))));
+    }
+    assertThat(used).contains(silent);
+  }
+
+  @Test
+  void suspicionOfTwoNodesCountsAndOfOneDoesNot() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    Map<String, EngineDigest> suspects = Map.of("a-1", new EngineDigest(0, 0, true));
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of()), START);
+    Set<String> used = new HashSet<>();
+    for (int request = 0; request < 20; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
+      used.add(runEngine(dispatcher.start(progress, after(1))).id());
+    }
+    assertThat(used).contains("a-1");
+    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of()), START);
+    for (int request = 0; request < 20; request++) {
+      RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
+      assertThat(runEngine(dispatcher.start(progress, after(2))).id()).isEqualTo("a-2");
+    }
+  }
+
+  @Test
+  void loadIsGivenBackHoweverARequestEnds() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode, appOne);
+    RequestProgress finished = Requests.application(RequestKind.IDEMPOTENT, 1);
+    dispatcher.start(finished, START);
+    dispatcher.onFinished(finished);
+    RequestProgress abandoned = Requests.prompt(false, 13_000, 4_000);
+    dispatcher.start(abandoned, START);
+    dispatcher.onAbandoned(abandoned);
+    RequestProgress failed = Requests.prompt(false, 0, 300);
+    dispatcher.start(failed, START);
+    dispatcher.onBegan(failed);
+    dispatcher.onFailure(failed, AttemptOutcome.BROKEN_MIDWAY, after(10));
+    assertThat(dispatcher.ownLoads()).isEmpty();
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/PeerBookTest.java
@@ -0,0 +1,61 @@
+package org.fallturn.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+class PeerBookTest {
+
+  private static NetworkAddress node(int number) {
+    return new NetworkAddress("10.0.0." + number, 7660);
+  }
+
+  private static long seconds(long count) {
+    return TimeUnit.SECONDS.toNanos(count);
+  }
+
+  @Test
+  void learnsOfOthersFromItsSeeds() {
+    PeerBook book = new PeerBook(node(1), List.of(node(1), node(2)));
+    assertThat(book.nextTargets(10, 0)).containsExactly(node(2));
+    book.onHeard(node(2), List.of(node(1), node(3)), 0);
+    assertThat(book.nextTargets(10, 0)).containsExactlyInAnyOrder(node(2), node(3));
+  }
+
+  @Test
+  void tellsOnOnlyWhomItHeardItself() {
+    PeerBook book = new PeerBook(node(1), List.of(node(2)));
+    book.onHeard(node(2), List.of(node(3)), 0);
+    assertThat(book.heardLately(seconds(1))).containsExactly(node(2));
+    assertThat(book.heardLately(seconds(4))).isEmpty();
+  }
+
+  @Test
+  void countsNodesThatFellSilentForAMinute() {
+    PeerBook book = new PeerBook(node(1), List.of());
+    book.onHeard(node(2), List.of(), 0);
+    book.onHeard(node(3), List.of(), 0);
+    assertThat(book.cautiousNodeCount(seconds(50))).isEqualTo(3);
+    assertThat(book.cautiousNodeCount(seconds(61))).isEqualTo(1);
+  }
+
+  @Test
+  void speaksToManyInTurn() {
+    PeerBook book = new PeerBook(node(1), List.of());
+    for (int peer = 2; peer < 42; peer++) {
+      book.onHeard(node(peer), List.of(), 0);
+    }
+    Set<NetworkAddress> reached = new HashSet<>();
+    for (int turn = 0; turn < 4; turn++) {
+      List<NetworkAddress> targets = book.nextTargets(10, 0);
+      assertThat(targets).hasSize(10);
+      reached.addAll(targets);
+    }
+    assertThat(reached).hasSize(40);
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -0,0 +1,108 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.EngineProfile;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
+import org.fallturn.core.routing.RequestLimits;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServiceDefinition;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.routing.WeightedService;
+
+/** Requests, engines and dispatchers for tests. */
+final class Requests {
+
+  static final String MODEL = "llm";
+  static final String APPLICATION = "app";
+  static final long START = 1_000_000_000L;
+
+  private static int number;
+
+  private Requests() {}
+
+  static Dispatcher dispatcher(ServingEngine... engines) {
+    return dispatcher(1_000, engines);
+  }
+
+  static Dispatcher dispatcher(double slack, ServingEngine... engines) {
+    Dispatcher dispatcher =
+        new Dispatcher(
+            new DispatchParameters(
+                "zone-1",
+                50,
+                0.2,
+                slack,
+                Duration.ofSeconds(10),
+                Duration.ofMillis(1_400),
+                Duration.ofMillis(200)));
+    EngineProfile profile =
+        new EngineProfile(
+            8, 400_000, 163_840, 1_900_000, Duration.ofSeconds(5), Duration.ofMillis(800));
+    dispatcher.setRouting(
+        new RoutingImage(
+            1,
+            1,
+            List.of(),
+            List.of(new ServiceDefinition(MODEL, 300, Optional.of(profile))),
+            RequestLimits.defaults()));
+    dispatcher.setDirectory(EngineDirectory.of(1, List.of(engines)), START);
+    return dispatcher;
+  }
+
+  static ServingEngine engine(String id, String service, EngineStage stage) {
+    return new ServingEngine(
+        id, service, new NetworkAddress("10.0.0.1", 1 + number++), "zone-1", 8, false, stage);
+  }
+
+  static ServingEngine leaving(ServingEngine engine) {
+    return new ServingEngine(
+        engine.id(),
+        engine.service(),
+        engine.address(),
+        engine.zone(),
+        engine.slots(),
+        true,
+        engine.stage());
+  }
+
+  static Route route(RequestKind kind, boolean resumable, String service, int maxAttempts) {
+    return new Route(
+        "route",
+        "host",
+        "/",
+        kind,
+        resumable,
+        Duration.ofSeconds(5),
+        Duration.ofMillis(500),
+        Duration.ofMillis(150),
+        1,
+        maxAttempts,
+        List.of(new WeightedService(service, 1)));
+  }
+
+  static RequestProgress application(RequestKind kind, int maxAttempts) {
+    return progress(route(kind, false, APPLICATION, maxAttempts), Optional.empty());
+  }
+
+  static RequestProgress prompt(boolean resumable, int shared, int own) {
+    PromptShape shape =
+        new PromptShape(
+            "m",
+            shared + own,
+            80,
+            List.of(new PromptPart("shared", shared), new PromptPart("own-" + number, own)));
+    return progress(route(RequestKind.STREAMING, resumable, MODEL, 2), Optional.of(shape));
+  }
+
+  static RequestProgress progress(Route route, Optional<PromptShape> prompt) {
+    String id = "request-" + number++;
+    return new RequestProgress(
+        new RequestEnvelope(id, route, prompt, START, START + Duration.ofSeconds(5).toNanos()));
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -0,0 +1,54 @@
+package org.fallturn.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+class RetryBudgetTest {
+
+  private static final double RATIO = 0.2;
+  private static final double SLACK = 54;
+  private static final long WINDOW = Duration.ofSeconds(10).toNanos();
+
+  private static RetryBudget budget() {
+    return new RetryBudget(
+        new DispatchParameters(
+            "z", 50, RATIO, SLACK, Duration.ofNanos(WINDOW), Duration.ZERO, Duration.ZERO));
+  }
+
+  /** In no window do the repeats of all nodes pass the fleet's bound, however requests come. */
+  @Property(tries = 60)
+  void everyWindowKeepsTheBoundOverAllNodes(
+      @ForAll @IntRange(min = 1, max = 9) int nodes, @ForAll long seed) {
+    Random random = new Random(seed);
+    List<RetryBudget> budgets = new ArrayList<>();
+    for (int node = 0; node < nodes; node++) {
+      budgets.add(budget());
+    }
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    long now = 0;
+    for (int event = 0; event < 3_000; event++) {
+      now += random.nextInt(4) == 0 ? random.nextInt(200_000_000) : random.nextInt(2_000_000);
+      RetryBudget budget = budgets.get(random.nextInt(nodes));
+      if (random.nextInt(3) > 0) {
+        budget.onRequest(now);
+        requests.add(now);
+      } else if (budget.tryTake(nodes, now)) {
+        repeats.add(now);
+      }
+    }
+    for (long end : repeats) {
+      long begin = end - WINDOW;
+      long repeated = repeats.stream().filter(at -> at > begin && at <= end).count();
+      long asked = requests.stream().filter(at -> at > begin - WINDOW && at <= end).count();
+      assertThat(repeated).isLessThanOrEqualTo((long) (RATIO * asked + SLACK));
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -28,6 +28,9 @@
 
   private static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(300);
 
+  /** While the store does not answer, only time helps; callers cap it by the time they have. */
+  private static final Duration OUTAGE_RETRY_AFTER = Duration.ofSeconds(2);
+
   private final GatewayState gateway;
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
@@ -71,8 +74,11 @@
 
   private void refuse(CallerTriple caller, String requestId, ErrorKind kind, String reason) {
     log.refusedAtDoor(requestId, kind, reason);
-    Optional<Duration> retryAfter =
-        kind.hasRetryAfter() ? Optional.of(DEFAULT_RETRY_AFTER) : Optional.empty();
+    Duration comeBack =
+        kind == ErrorKind.STORE_UNAVAILABLE && gateway.storeLost()
+            ? OUTAGE_RETRY_AFTER
+            : DEFAULT_RETRY_AFTER;
+    Optional<Duration> retryAfter = kind.hasRetryAfter() ? Optional.of(comeBack) : Optional.empty();
     HttpFields.Mutable headers = HttpFields.build();
     gateway.callerProtocol().writeOwnAnswer(headers, requestId, retryAfter);
     caller.response().setStatus(kind.httpStatus());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -86,10 +87,18 @@
     this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
     this.routingFollower =
         new RowFollower(
-            ROUTING, platform.routingFeed(), snapshots.feed(ROUTING), this::onRoutingRows, log);
+            ROUTING,
+            platform.routingFeed(),
+            snapshots.feed(ROUTING),
+            listener(this::onRoutingRows),
+            log);
     this.engineFollower =
         new RowFollower(
-            ENGINES, platform.engineFeed(), snapshots.feed(ENGINES), this::onEngineRows, log);
+            ENGINES,
+            platform.engineFeed(),
+            snapshots.feed(ENGINES),
+            listener(this::onEngineRows),
+            log);
   }
 
   private WatchedConnector newCallersConnector() {
@@ -172,6 +181,20 @@
     return peers.askable();
   }
 
+  private RowFollower.Listener listener(Consumer<FeedTracker> onRows) {
+    return new RowFollower.Listener() {
+      @Override
+      public void onRows(FeedTracker tracker) {
+        onRows.accept(tracker);
+      }
+
+      @Override
+      public void onReachable(boolean reachable) {
+        state.setStoreLost(!reachable);
+      }
+    };
+  }
+
   private void onRoutingRows(FeedTracker tracker) {
     snapshots.keep(ROUTING, tracker);
     for (FeedRow row : tracker.rows()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -18,6 +18,7 @@
   private final AtomicLong bodyBytes = new AtomicLong();
   private volatile boolean stopping;
   private volatile boolean enginesKnown;
+  private volatile boolean storeLost;
 
   GatewayState(CallerProtocol callerProtocol, long maxBodyBytesInFlight) {
     this.callerProtocol = callerProtocol;
@@ -45,6 +46,15 @@
     enginesKnown = true;
   }
 
+  /** Whether the store did not answer when it was last asked. */
+  boolean storeLost() {
+    return storeLost;
+  }
+
+  void setStoreLost(boolean lost) {
+    storeLost = lost;
+  }
+
   /** Whether callers should be sent here. */
   boolean ready() {
     return !stopping && enginesKnown && routing.get() != null;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -19,6 +19,10 @@
 
   private static final long PAUSE_AFTER_FAILURE_MILLIS = 100;
   private static final long LONGEST_PAUSE_MILLIS = 800;
+
+  /** Requests are refused while nothing is known, so that asking again is worth its price. */
+  private static final long LONGEST_PAUSE_UNKNOWING_MILLIS = 150;
+
   private static final long PAUSE_WHEN_STALE_MILLIS = 200;
 
   private final String name;
@@ -33,9 +37,13 @@
   private boolean reachable = true;
 
   /** Hears on the follower's thread of what is believed now. */
-  @FunctionalInterface
   interface Listener {
+
+    /** What is believed changed. */
     void onRows(FeedTracker tracker);
+
+    /** The store was lost, or answers again. */
+    void onReachable(boolean reachable);
   }
 
   /**
@@ -103,6 +111,7 @@
     pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
     if (!reachable) {
       reachable = true;
+      listener.onReachable(true);
       log.dependencyRegained(name);
     }
   }
@@ -110,6 +119,7 @@
   private void onFailed(Exception failure) {
     if (reachable) {
       reachable = false;
+      listener.onReachable(false);
       log.dependencyLost(name, failure);
     }
     tracker.onOutage();
@@ -121,7 +131,8 @@
     } catch (InterruptedException e) {
       closed = true;
     }
-    pauseMillis = Math.min(2 * pauseMillis, LONGEST_PAUSE_MILLIS);
+    long longest = tracker.known() ? LONGEST_PAUSE_MILLIS : LONGEST_PAUSE_UNKNOWING_MILLIS;
+    pauseMillis = Math.min(2 * pauseMillis, longest);
   }
 
   private void askOthers() {
