--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -38,7 +38,7 @@
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
   private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
 
-  private final DispatchParameters parameters;
+  private DispatchParameters parameters;
   private final PeerLoads peerLoads = new PeerLoads();
   private final EngineSelector selector;
   private final PromptPlacement prompts;
@@ -58,6 +58,12 @@
     this.prompts = new PromptPlacement(selector, peerLoads, parameters.zone());
   }
 
+  /** Takes changed bounds and constants; this node's zone and the windows stay. */
+  public void setParameters(DispatchParameters changed) {
+    parameters = changed;
+    budgets.values().forEach(budget -> budget.setBounds(changed));
+  }
+
   /** Takes a newer list of engines. */
   public void setDirectory(EngineDirectory directory, long nowNanos) {
     selector.setDirectory(directory, nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
@@ -16,19 +16,24 @@
   /** Part of the fleet's bound that is used, so that restarts and late arrivals stay within. */
   private static final double CAUTION = 0.8;
 
-  private final double ratio;
-  private final double slack;
+  private double ratio;
+  private double slack;
   private final long bucketNanos;
   private final int[] requests = new int[BUCKETS + 1];
   private final int[] repeats = new int[BUCKETS + 1];
   private long newestBucket;
 
   RetryBudget(DispatchParameters parameters) {
-    this.ratio = parameters.retryRatio();
-    this.slack = parameters.retrySlack();
+    setBounds(parameters);
     this.bucketNanos = parameters.retryWindow().toNanos() / BUCKETS;
   }
 
+  /** Takes changed bounds; the window stays. */
+  void setBounds(DispatchParameters parameters) {
+    ratio = parameters.retryRatio();
+    slack = parameters.retrySlack();
+  }
+
   void onRequest(long nowNanos) {
     requests[place(nowNanos)]++;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -61,6 +61,8 @@
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
+    } else if (event instanceof DispatchEvent.ParametersChanged changed) {
+      dispatcher.setParameters(changed.parameters());
     } else if (event instanceof DispatchEvent.DigestHeard heard) {
       dispatcher.onDigest(heard.digest(), now);
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
@@ -34,6 +35,9 @@
   /** Routes and services changed. */
   record RoutingChanged(RoutingImage image) implements DispatchEvent {}
 
+  /** The settings changed. */
+  record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
+
   /** Another node told its load. */
   record DigestHeard(LoadDigest digest) implements DispatchEvent {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,6 +24,7 @@
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.json.MalformedMessageException;
+import org.fallturn.node.metrics.LogSetup;
 import org.fallturn.node.settings.GatewaySettings;
 
 /**
@@ -63,6 +65,7 @@
   private final RowFollower engineFollower;
   private HttpListener readiness;
   private HttpListener peerListener;
+  private SettingsWatch settingsWatch;
   private volatile EngineDirectory directory = EngineDirectory.empty();
 
   /** A gateway that serves nothing yet. */
@@ -169,6 +172,20 @@
     return new NetworkAddress(callers.getHost(), callers.getLocalPort());
   }
 
+  /**
+   * Reads a settings file again on SIGHUP and when it changes. Log level, bounds and dispatch
+   * constants take effect; names and addresses need a restart.
+   */
+  public void watchSettings(Path file) {
+    settingsWatch = new SettingsWatch(file, this::onSettings, log);
+    settingsWatch.start();
+  }
+
+  private void onSettings(GatewaySettings changed) {
+    LogSetup.setLevel(changed.log().level());
+    tell(new DispatchEvent.ParametersChanged(changed.dispatchParameters()));
+  }
+
   /** Events are never dropped: a full ring holds its producers up. */
   private void tell(DispatchEvent event) {
     while (!dispatch.offer(event)) {
@@ -258,6 +275,9 @@
   /** Ends everything at once; requests in flight are cut. For use inside one process. */
   @Override
   public void close() throws Exception {
+    if (settingsWatch != null) {
+      settingsWatch.close();
+    }
     routingFollower.close();
     engineFollower.close();
     server.stop();
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReloadSignal.java
@@ -0,0 +1,57 @@
+package org.fallturn.node.gateway;
+
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Method;
+import java.lang.reflect.Proxy;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes SIGHUP as a wish to read the settings again; without it the Java runtime would end the
+ * process. The runtime's signal classes are supported but not part of the Java platform, and are
+ * therefore reached by reflection.
+ */
+final class ReloadSignal {
+
+  private static final Logger LOG = LoggerFactory.getLogger(ReloadSignal.class);
+  private static final String SIGNAL_CLASS = "sun.misc.Signal";
+  private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
+  private static final String SIGNAL_NAME = "HUP";
+
+  private ReloadSignal() {}
+
+  /** Calls back on a thread of the runtime at each SIGHUP. */
+  static void onSignal(Runnable reload) {
+    try {
+      Class<?> signalClass = Class.forName(SIGNAL_CLASS);
+      Class<?> handlerClass = Class.forName(HANDLER_CLASS);
+      Object signal = signalClass.getConstructor(String.class).newInstance(SIGNAL_NAME);
+      Object handler =
+          Proxy.newProxyInstance(
+              ReloadSignal.class.getClassLoader(),
+              new Class<?>[] {handlerClass},
+              new Reload(reload));
+      Method handle = signalClass.getMethod("handle", signalClass, handlerClass);
+      handle.invoke(null, signal, handler);
+    } catch (ReflectiveOperationException | IllegalArgumentException e) {
+      LOG.warn("gateway: SIGHUP cannot be taken and will end the process: {}.", e.toString());
+    }
+  }
+
+  /** The one method of a signal handler, and those that every object has. */
+  private record Reload(Runnable reload) implements InvocationHandler {
+
+    @Override
+    public Object invoke(Object proxy, Method method, Object[] arguments) {
+      return switch (method.getName()) {
+        case "handle" -> {
+          reload.run();
+          yield null;
+        }
+        case "equals" -> proxy == arguments[0];
+        case "hashCode" -> System.identityHashCode(proxy);
+        default -> "reload on SIGHUP";
+      };
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -64,6 +64,12 @@
     context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
   }
 
+  /** Changes the lowest level that is written. */
+  public static void setLevel(LogLevel level) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
+  }
+
   private static Encoder<ILoggingEvent> encoder(LoggerContext context, LogFormat format) {
     if (format == LogFormat.JSON) {
       JsonEncoder encoder = new JsonEncoder();
