Price candidates without looking at every node and engine for each

Cause: a decision asked each peer's digest for each engine, and each candidate looked at every engine for parts to copy: nodes x engines + engines x engines a prompt, which at 300 machines is some hundred thousand look-ups. Change: sums over the peers, made anew at most every 20 ms; the engines that keep most of a prompt are found once a decision. The follower waits 3 s a call, not 2.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -238,12 +238,14 @@
           .map(engine -> run(progress, engine, Optional.empty(), Expectation.NONE, nowNanos))
           .orElseGet(() -> nowhere(progress));
     }
+    PromptShape prompt = progress.envelope().prompt().get();
     PromptPlacement.Question question =
         new PromptPlacement.Question(
             progress,
-            progress.envelope().prompt().get(),
+            prompt,
             speed(progress),
             profile(progress),
+            selector.holders(progress, prompt, nowNanos),
             nowNanos);
     return prompts
         .choose(question, mayPrefill)
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,6 +25,9 @@
   private static final double OTHER_ZONE_RUN_COST = 0.03;
   private static final double FAILURE_RUN_COST = 1.0;
 
+  /** Shorter shared parts are read again sooner than they are copied. */
+  private static final int MIN_COPIED_TOKENS = 1_000;
+
   private final String zone;
   private final Map<String, EngineLoad> loads = new HashMap<>();
   private final CachedParts cachedParts = new CachedParts();
@@ -91,22 +95,19 @@
     return Math.max(0, prompt.promptTokens() - cached);
   }
 
-  /** Tokens at the beginning of the prompt that the engine has read by now. */
-  int readyTokens(ServingEngine engine, PromptShape prompt, long nowNanos) {
-    return cachedParts.readyTokens(engine.id(), prompt.parts(), nowNanos);
-  }
-
-  /** Whoever else keeps most of the prompt now, near the engine when several do. */
-  Optional<ServingEngine> bestHolder(PromptPlacement.Question question, ServingEngine engine) {
-    List<PromptPart> parts = question.prompt().parts();
-    long now = question.nowNanos();
-    return directory.ofService(question.progress().service()).stream()
-        .filter(holder -> !holder.id().equals(engine.id()) && usableSource(holder, now))
-        .filter(holder -> cachedParts.readyTokens(holder.id(), parts, now) > 0)
-        .max(
-            Comparator.comparingInt(
-                    (ServingEngine holder) -> cachedParts.readyTokens(holder.id(), parts, now))
-                .thenComparing(holder -> holder.zone().equals(engine.zone())));
+  /** Who keeps some of a prompt now and can be copied from. */
+  PartHolders holders(RequestProgress progress, PromptShape prompt, long nowNanos) {
+    if (progress.source().isPresent() || prompt.sharedTokens() < MIN_COPIED_TOKENS) {
+      return PartHolders.none();
+    }
+    List<PartHolders.Holder> holders = new ArrayList<>();
+    for (ServingEngine engine : directory.ofService(progress.service())) {
+      int tokens = cachedParts.readyTokens(engine.id(), prompt.parts(), nowNanos);
+      if (tokens > 0 && usableSource(engine, nowNanos)) {
+        holders.add(new PartHolders.Holder(engine, tokens));
+      }
+    }
+    return PartHolders.of(holders);
   }
 
   private boolean usableSource(ServingEngine holder, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -6,68 +6,97 @@
 
 /**
  * What the other nodes last said they have at each engine. A node that has said nothing for a while
- * counts as having nothing, so that the loss of a node does not leave load behind. One thread
- * calls.
+ * counts as having nothing, so that the loss of a node does not leave load behind. Sums by engine
+ * are kept, and made anew at most every few ms, so that a decision costs no more when there are
+ * many nodes. One thread calls.
  */
 public final class PeerLoads {
 
-  private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /** At least this long, and long enough for every node to have had its turn. */
+  private static final long MIN_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final int NODES_A_TURN = 4;
+
+  private static final long SUMS_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   /** One node alone may merely have lost its own way to the engine. */
   private static final int SUSPECTING_NODES = 2;
 
+  private static final Sum NOTHING = new Sum();
+
   private final Map<String, Heard> heardByNode = new HashMap<>();
+  private Map<String, Sum> sums = new HashMap<>();
+  private long sumsAtNanos;
+  private boolean sumsStale = true;
 
   /** Takes a digest; one that is older than the last from the same process is dropped. */
   public void onDigest(LoadDigest digest, long nowNanos) {
     Heard before = heardByNode.get(digest.node());
     boolean outdated = before != null && before.digest.isNewerThan(digest);
-    if (outdated && before.fresh(nowNanos)) {
+    if (outdated && nowNanos - before.atNanos < lifetimeNanos()) {
       return;
     }
     heardByNode.put(digest.node(), new Heard(digest, nowNanos));
+    sumsStale = true;
+  }
+
+  /** Whether several other nodes have suspended the engine. */
+  boolean suspects(String engineId, long nowNanos) {
+    return sum(engineId, nowNanos).suspecting >= SUSPECTING_NODES;
   }
 
   /** Requests that the other nodes have at an engine. */
   int running(String engineId, long nowNanos) {
-    int sum = 0;
-    for (Heard heard : heardByNode.values()) {
-      EngineDigest engine = heard.digest.engines().get(engineId);
-      if (engine != null && heard.fresh(nowNanos)) {
-        sum += engine.running();
-      }
-    }
-    return sum;
+    return sum(engineId, nowNanos).running;
   }
 
-  /** Whether several other nodes have suspended the engine. */
-  boolean suspects(String engineId, long nowNanos) {
-    int count = 0;
-    for (Heard heard : heardByNode.values()) {
-      EngineDigest engine = heard.digest.engines().get(engineId);
-      if (engine != null && engine.suspended() && heard.fresh(nowNanos)) {
-        count++;
-      }
+  /** Prompt tokens that the other nodes have waiting at an engine. */
+  long prefillTokens(String engineId, long nowNanos) {
+    return sum(engineId, nowNanos).prefillTokens;
+  }
+
+  private long lifetimeNanos() {
+    long turns = heardByNode.size() / NODES_A_TURN;
+    return Math.max(MIN_LIFETIME_NANOS, turns * TURN_NANOS);
+  }
+
+  private Sum sum(String engineId, long nowNanos) {
+    boolean old = nowNanos - sumsAtNanos >= SUMS_LIFETIME_NANOS;
+    if (sumsStale && old || nowNanos - sumsAtNanos >= MIN_LIFETIME_NANOS) {
+      addUp(nowNanos);
     }
-    return count >= SUSPECTING_NODES;
+    return sums.getOrDefault(engineId, NOTHING);
   }
 
-  /** Prompt tokens that the other nodes have waiting at an engine. */
-  long prefillTokens(String engineId, long nowNanos) {
-    long sum = 0;
+  private void addUp(long nowNanos) {
+    long lifetime = lifetimeNanos();
+    heardByNode.values().removeIf(heard -> nowNanos - heard.atNanos >= lifetime);
+    sums = new HashMap<>();
     for (Heard heard : heardByNode.values()) {
-      EngineDigest engine = heard.digest.engines().get(engineId);
-      if (engine != null && heard.fresh(nowNanos)) {
-        sum += engine.prefillTokens();
-      }
+      heard.digest.engines().forEach((id, engine) -> sumOf(id).add(engine));
     }
-    return sum;
+    sumsAtNanos = nowNanos;
+    sumsStale = false;
+  }
+
+  private Sum sumOf(String engineId) {
+    return sums.computeIfAbsent(engineId, id -> new Sum());
   }
 
-  private record Heard(LoadDigest digest, long atNanos) {
+  private record Heard(LoadDigest digest, long atNanos) {}
+
+  /** What all other nodes have at one engine. */
+  private static final class Sum {
+
+    private int running;
+    private long prefillTokens;
+    private int suspecting;
 
-    boolean fresh(long nowNanos) {
-      return nowNanos - atNanos < LIFETIME_NANOS;
+    void add(EngineDigest engine) {
+      running += engine.running();
+      prefillTokens += engine.prefillTokens();
+      suspecting += engine.suspended() ? 1 : 0;
     }
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -65,6 +65,7 @@
       PromptShape prompt,
       ReadingSpeed speed,
       Optional<EngineProfile> profile,
+      PartHolders holders,
       long nowNanos) {}
 
   /** How an engine comes by the beginning of a prompt. */
@@ -149,19 +150,19 @@
       Question question, ServingEngine engine, Function<Long, Double> readMillis) {
     PromptShape prompt = question.prompt();
     int own = selector.uncachedTokens(engine, prompt);
-    Optional<ServingEngine> holder = selector.bestHolder(question, engine);
+    Optional<PartHolders.Holder> holder = question.holders().sourceFor(engine);
     if (holder.isEmpty()) {
       return new Reading(Optional.empty(), own, 0, 0);
     }
-    int kept = selector.readyTokens(holder.get(), prompt, question.nowNanos());
-    int afterCopy = Math.max(0, prompt.promptTokens() - kept);
+    ServingEngine from = holder.get().engine();
+    int afterCopy = Math.max(0, prompt.promptTokens() - holder.get().tokens());
     int copied = own - afterCopy;
     if (copied <= 0) {
       return new Reading(Optional.empty(), own, 0, 0);
     }
-    double copyMillis = CacheFetch.copyMillis(copied, holder.get(), engine, question.profile());
+    double copyMillis = CacheFetch.copyMillis(copied, from, engine, question.profile());
     if (copyMillis < readMillis.apply((long) copied) + READ_AGAIN_MILLIS * copied) {
-      return new Reading(holder, afterCopy, copyMillis, 0);
+      return new Reading(Optional.of(from), afterCopy, copyMillis, 0);
     }
     return new Reading(Optional.empty(), own, 0, copied);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -15,7 +15,7 @@
 final class RowFollower implements AutoCloseable {
 
   /** Bounds how long a watch that has gone silent is trusted. */
-  private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+  private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
 
   private static final long PAUSE_AFTER_FAILURE_MILLIS = 100;
   private static final long LONGEST_PAUSE_MILLIS = 800;
