Serve the gateway's figures and check its settings

Cause: the setting gateway.metrics_port did nothing, and fallturn check knew only a node's settings. Tests: GatewayProcessIT.figuresAreServedAsText on a real process.

--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -5,7 +5,10 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.ServerSocket;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -30,6 +33,7 @@
   private EmulatedClient client;
   private Process process;
   private NetworkAddress callers;
+  private int metricsPort;
 
   @BeforeEach
   void start() throws Exception {
@@ -37,6 +41,7 @@
     platform.addEngine("a-1", EmulatedPlatform.APPLICATION_SERVICE, "");
     client = new EmulatedClient();
     callers = new NetworkAddress("127.0.0.1", freePort());
+    metricsPort = freePort();
     writeSettings("grace = \"4s\"");
     process =
         new ProcessBuilder(
@@ -85,12 +90,14 @@
             callers = "%s"
             readiness = "127.0.0.1:0"
             peers = "127.0.0.1:0"
+            metrics_port = %d
             [store]
             address = "%s"
             [bounds]
             %s
             """,
             callers,
+            metricsPort,
             platform.store().address(),
             bounds));
   }
@@ -115,11 +122,23 @@
     writeSettings("grace = \"soon\"");
     signal("HUP");
     await().atMost(LONGEST).until(() -> logged("SETTINGS_REFUSED"));
-    assertThat(Files.readString(log())).contains("bounds.grace", "settings.toml:10");
+    assertThat(Files.readString(log())).contains("bounds.grace", "settings.toml:11");
     assertThat(process.isAlive()).isTrue();
     assertThat(served()).isEqualTo(200);
   }
 
+  @Test
+  void figuresAreServedAsText() throws Exception {
+    URL address = new URL("http://127.0.0.1:" + metricsPort + "/metrics");
+    try (InputStream body = address.openStream()) {
+      String text = new String(body.readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(text)
+          .contains("fallturn_gateway_events_total{event=\"FINISHED\",detail=\"\"}")
+          .contains("fallturn_gateway_whole_ms_count ")
+          .contains("fallturn_gateway_engines 1\n");
+    }
+  }
+
   @Test
   void terminationEndsTheProcessWithItsRequestsServed() throws Exception {
     signal("TERM");
--- a/fallturn-node/src/main/java/org/fallturn/node/command/CheckCommand.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/command/CheckCommand.java
@@ -6,14 +6,17 @@
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.settings.GatewaySettings;
 import org.fallturn.node.settings.NodeSettings;
 import org.fallturn.node.settings.SettingDefinition;
 import org.fallturn.node.settings.SettingMistake;
+import org.fallturn.node.settings.SettingsReader;
 
 /** {@code fallturn check}: finds every mistake in a settings file, or lists all settings. */
 public final class CheckCommand implements Command {
 
   private static final String FILE = "file";
+  private static final String GATEWAY = "gateway";
   private static final String DESCRIBE = "describe";
 
   private final PrintStream out;
@@ -36,6 +39,10 @@
   @Override
   public void declare(Subparser parser) {
     parser.addArgument(FILE).nargs("?").metavar("FILE").help("settings file (TOML)");
+    parser
+        .addArgument("--" + GATEWAY)
+        .action(Arguments.storeTrue())
+        .help("the settings of a gateway process instead of a node's");
     parser
         .addArgument("--" + DESCRIBE)
         .action(Arguments.storeTrue())
@@ -44,8 +51,9 @@
 
   @Override
   public int run(Namespace arguments) {
+    boolean gateway = arguments.getBoolean(GATEWAY);
     if (arguments.getBoolean(DESCRIBE)) {
-      describe();
+      describe(gateway ? GatewaySettings.definitions() : NodeSettings.definitions());
       return OK;
     }
     String file = arguments.getString(FILE);
@@ -53,11 +61,11 @@
       out.println("name a settings file, or ask for --describe");
       return USAGE;
     }
-    return check(Path.of(file));
+    return check(Path.of(file), gateway ? GatewaySettings.reader() : NodeSettings.reader());
   }
 
-  private int check(Path file) {
-    List<SettingMistake> mistakes = NodeSettings.reader().file(file).mistakes();
+  private int check(Path file, SettingsReader reader) {
+    List<SettingMistake> mistakes = reader.file(file).mistakes();
     mistakes.forEach(out::println);
     if (mistakes.isEmpty()) {
       out.println(file + ": good");
@@ -65,10 +73,10 @@
     return mistakes.isEmpty() ? OK : FAILED;
   }
 
-  private void describe() {
+  private void describe(List<SettingDefinition<?>> definitions) {
     out.println("| Setting | Default | Allowed | Purpose |");
     out.println("|---|---|---|---|");
-    for (SettingDefinition<?> definition : NodeSettings.definitions()) {
+    for (SettingDefinition<?> definition : definitions) {
       out.printf(
           "| `%s` | `%s` | %s | %s |%n",
           definition.key(), definition.defaultText(), definition.allowed(), definition.doc());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -22,16 +22,31 @@
 
   private static final Logger LOG = LoggerFactory.getLogger("org.fallturn.gateway");
 
+  private final GatewayMetrics metrics;
   private volatile long routingVersion;
   private volatile long directoryRevision;
 
-  private static LoggingEventBuilder line(LogEvent event) {
+  DecisionLog(GatewayMetrics metrics) {
+    this.metrics = metrics;
+  }
+
+  private LoggingEventBuilder line(LogEvent event) {
+    return line(event, "");
+  }
+
+  /** A line, counted among the figures by a detail of a closed list. */
+  private LoggingEventBuilder line(LogEvent event, String detail) {
+    metrics.count(event, detail);
     return LOG.atInfo().setMessage("gateway").addKeyValue("event", event);
   }
 
-  private static LoggingEventBuilder line(LogEvent event, Exchange exchange) {
+  private LoggingEventBuilder line(LogEvent event, Exchange exchange) {
+    return line(event, exchange, "");
+  }
+
+  private LoggingEventBuilder line(LogEvent event, Exchange exchange, String detail) {
     RequestProgress progress = exchange.progress();
-    return line(event)
+    return line(event, detail)
         .addKeyValue("request", exchange.head().requestId())
         .addKeyValue("route", exchange.envelope().route().name())
         .addKeyValue("service", progress.service())
@@ -119,7 +134,7 @@
   }
 
   void refusedAtDoor(String requestId, ErrorKind kind, String reason) {
-    line(LogEvent.REFUSED_AT_DOOR)
+    line(LogEvent.REFUSED_AT_DOOR, kind.name())
         .addKeyValue("request", requestId)
         .addKeyValue("kind", kind)
         .addKeyValue("reason", reason)
@@ -140,7 +155,7 @@
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
           .log();
     } else if (decision instanceof Decision.Refuse refuse) {
-      line(LogEvent.REFUSED, exchange)
+      line(LogEvent.REFUSED, exchange, refuse.kind().name())
           .addKeyValue("kind", refuse.kind())
           .addKeyValue("reason", refuse.reason())
           .addKeyValue("directoryRevision", directoryRevision)
@@ -165,7 +180,7 @@
 
   void attemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome) {
     EngineAnswerHead head = attempt.head();
-    line(LogEvent.ATTEMPT_FAILED, exchange)
+    line(LogEvent.ATTEMPT_FAILED, exchange, outcome.name())
         .addKeyValue("engine", attempt.call().engine().id())
         .addKeyValue("outcome", outcome)
         .addKeyValue("status", head == null ? 0 : head.status())
@@ -176,11 +191,13 @@
     line(LogEvent.PREFILLED, exchange).log();
   }
 
-  void began(Exchange exchange) {
+  void began(Exchange exchange, long nowNanos) {
+    metrics.firstPart(nowNanos - exchange.envelope().arrivedNanos());
     line(LogEvent.BEGAN, exchange).log();
   }
 
   void finished(Exchange exchange, long nowNanos) {
+    metrics.whole(nowNanos - exchange.envelope().arrivedNanos());
     line(LogEvent.FINISHED, exchange).addKeyValue("arrivals", exchange.progress().arrivals()).log();
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -46,7 +46,7 @@
       onPrefilled(prefilled, now);
     } else if (event instanceof DispatchEvent.Began began) {
       if (isPresent(began.exchange(), began.attempt())) {
-        log.began(began.exchange());
+        log.began(began.exchange(), now);
         dispatcher.onBegan(began.exchange().progress());
         dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
@@ -0,0 +1,74 @@
+package org.fallturn.node.gateway;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.LongSupplier;
+
+/**
+ * Figures of a gateway as Prometheus text: the decisions of the log by event and detail, latencies,
+ * and gauges of what is believed. The labels are closed lists, so that their number is bounded.
+ * Thread-safe. Written by hand, since the metrics library would lengthen a process's start.
+ */
+final class GatewayMetrics {
+
+  private static final String EVENTS = "fallturn_gateway_events_total";
+  private static final String FIRST_PART = "fallturn_gateway_first_part_ms";
+  private static final String WHOLE = "fallturn_gateway_whole_ms";
+  private static final String GAUGE_PREFIX = "fallturn_gateway_";
+
+  private final Map<String, LongAdder> events = new ConcurrentHashMap<>();
+  private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
+  private final LatencyHistogram firstPart = new LatencyHistogram();
+  private final LatencyHistogram whole = new LatencyHistogram();
+
+  /**
+   * Counts an event.
+   *
+   * @param detail constant of a closed list, or empty
+   */
+  void count(LogEvent event, String detail) {
+    String labels = "event=\"" + event + "\",detail=\"" + detail + "\"";
+    events.computeIfAbsent(labels, key -> new LongAdder()).increment();
+  }
+
+  /** Time from a whole request to the first part of its answer. */
+  void firstPart(long nanos) {
+    firstPart.record(nanos);
+  }
+
+  /** Time from a whole request to its whole answer. */
+  void whole(long nanos) {
+    whole.record(nanos);
+  }
+
+  /** Adds a figure that is read when it is asked for. */
+  void gauge(String name, LongSupplier value) {
+    gauges.put(GAUGE_PREFIX + name, value);
+  }
+
+  /** Everything as text. */
+  String text() {
+    StringBuilder text = new StringBuilder();
+    text.append("# TYPE ").append(EVENTS).append(" counter\n");
+    new TreeMap<>(events)
+        .forEach(
+            (labels, count) ->
+                text.append(EVENTS)
+                    .append('{')
+                    .append(labels)
+                    .append("} ")
+                    .append(count.sum())
+                    .append('\n'));
+    new TreeMap<>(gauges)
+        .forEach(
+            (name, value) -> {
+              text.append("# TYPE ").append(name).append(" gauge\n");
+              text.append(name).append(' ').append(value.getAsLong()).append('\n');
+            });
+    firstPart.write(FIRST_PART, text);
+    whole.write(WHOLE, text);
+    return text.toString();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -51,7 +51,8 @@
 
   private final GatewaySettings settings;
   private final GatewayPlatform platform;
-  private final DecisionLog log = new DecisionLog();
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final DecisionLog log = new DecisionLog(metrics);
   private final GatewayState state;
   private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
   private final Server server;
@@ -65,6 +66,7 @@
   private final RowFollower engineFollower;
   private HttpListener readiness;
   private HttpListener peerListener;
+  private HttpListener metricsListener;
   private SettingsWatch settingsWatch;
   private volatile EngineDirectory directory = EngineDirectory.empty();
 
@@ -133,9 +135,25 @@
     server.start();
     peerListener = new HttpListener("peers", peers.address(), PEER_THREADS, snapshots);
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
+    openMetrics();
     log.started(settings.nodeName());
   }
 
+  private void openMetrics() throws Exception {
+    metrics.gauge("in_flight", state::inFlight);
+    metrics.gauge("routing_version", this::routingVersion);
+    metrics.gauge("engines", this::engineCount);
+    metrics.gauge("engines_leaving", this::leavingCount);
+    metrics.gauge("nodes", peers::cautiousNodeCount);
+    metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
+    metrics.gauge("ready", () -> state.ready() ? 1 : 0);
+    if (settings.metricsPort() > 0) {
+      NetworkAddress address =
+          new NetworkAddress(settings.readiness().host(), settings.metricsPort());
+      metricsListener = MetricsPort.open(address, metrics);
+    }
+  }
+
   /** Whether routes and engines are known and no stop has begun. */
   public boolean ready() {
     return state.ready();
@@ -284,6 +302,9 @@
     if (readiness != null) {
       readiness.close();
     }
+    if (metricsListener != null) {
+      metricsListener.close();
+    }
     if (peerListener != null) {
       peerListener.close();
     }
