--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -19,7 +19,8 @@
 /** A client of the platform. Thread-safe. */
 public final class EmulatedClient implements AutoCloseable {
 
-  private static final Duration LONGEST = Duration.ofSeconds(20);
+  /** The longest that a call is waited for. */
+  public static final Duration LONGEST = Duration.ofSeconds(20);
 
   private final HttpClient client = new HttpClient();
   private final AtomicLong number = new AtomicLong();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
@@ -14,6 +14,7 @@
 import org.fallturn.node.server.NodeServer;
 import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.application.ApplicationStandIn;
+import org.fallturn.rehearsal.emulator.PlatformQuickstart;
 import org.fallturn.rehearsal.engine.EngineStandIn;
 import org.fallturn.rehearsal.fleet.CallResult;
 import org.fallturn.rehearsal.fleet.FleetCaller;
@@ -46,6 +47,11 @@
         .addArgument("--keep")
         .action(Arguments.storeTrue())
         .help("leave the fleet up and print its addresses");
+    parser
+        .addArgument("--platform")
+        .action(Arguments.storeTrue())
+        .help("play through gateways on an emulation of the users' platform instead");
+    parser.addArgument("--requests").type(Integer.class).setDefault(400);
     parser.addArgument("--completions").type(Integer.class).setDefault(300);
     parser.addArgument("--actions").type(Integer.class).setDefault(100);
     parser.addArgument("--seed").type(Long.class).setDefault(1L);
@@ -53,6 +59,10 @@
 
   @Override
   public int run(Namespace arguments) throws Exception {
+    if (arguments.getBoolean("platform")) {
+      boolean good = new PlatformQuickstart(System.out).play(arguments.getInt("requests"));
+      return good ? 0 : 1;
+    }
     System.out.println("starting platform, 4 engines, 2 applications and 3 nodes ...");
     try (LocalFleet fleet = LocalFleet.start()) {
       awaitReady(fleet);
--- /dev/null
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/PlatformQuickstartTest.java
@@ -0,0 +1,20 @@
+package org.fallturn.rehearsal.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class PlatformQuickstartTest {
+
+  @Test
+  void everyAnswerIsWholeAndNothingRunsTwice() throws Exception {
+    ByteArrayOutputStream report = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(report, true, StandardCharsets.UTF_8);
+    assertThat(new PlatformQuickstart(out).play(64))
+        .as(report.toString(StandardCharsets.UTF_8))
+        .isTrue();
+  }
+}
