Tell a node that has just started which parts engines keep

Change: a starting node asks another for the parts; reading again is priced at 0.02 ms a token instead of 0.01; rounds of routes that are gone are forgotten; one set-up of the log instead of two. Test: nodeThatHasJustStartedLearnsWhichPartsEnginesKeep.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -30,6 +30,8 @@
   private static final int MAX_PREFILL_ATTEMPTS = 2;
   private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
 
+  private static final int MAX_EXPORTED_PARTS = 200;
+
   /** Shorter prompts are not worth a message to the other nodes. */
   private static final int MIN_TOLD_TOKENS = 2_000;
 
@@ -71,18 +73,29 @@
 
   /** Takes a newer set of services. */
   public void setRouting(RoutingImage image) {
+    split.retain(image.routeNames());
     routing = Optional.of(image);
   }
 
   /** Takes what another node says of its load. */
   public void onDigest(LoadDigest digest, long nowNanos) {
     peerLoads.onDigest(digest, nowNanos);
-    for (PlacedPrompt prompt : digest.prompts()) {
-      long readyAt = nowNanos + TimeUnit.MILLISECONDS.toNanos(prompt.readyInMillis());
-      selector
-          .cachedParts()
-          .record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts(), readyAt);
-    }
+    digest.prompts().forEach(prompt -> record(prompt, nowNanos));
+  }
+
+  /** Which parts engines are believed to keep, for a node that has just started. */
+  public List<PlacedPrompt> knownParts(long nowNanos) {
+    return selector.cachedParts().export(MAX_EXPORTED_PARTS, nowNanos);
+  }
+
+  /** Takes what another node believed of engines' caches; it never replaces what is known. */
+  public void onKnownParts(List<PlacedPrompt> parts, long nowNanos) {
+    parts.forEach(known -> record(known, nowNanos));
+  }
+
+  private void record(PlacedPrompt prompt, long nowNanos) {
+    long readyAt = nowNanos + TimeUnit.MILLISECONDS.toNanos(prompt.readyInMillis());
+    selector.cachedParts().record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts(), readyAt);
   }
 
   /** What this node has at each engine, for the other nodes. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -28,7 +28,7 @@
   private static final double RUNNING_MILLIS = 0.3;
 
   /** Price of reading a token again that an engine keeps, beside the time it takes. */
-  private static final double READ_AGAIN_MILLIS = 0.01;
+  private static final double READ_AGAIN_MILLIS = 0.02;
 
   private final EngineSelector selector;
   private final PeerLoads peerLoads;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ServiceSplit.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ServiceSplit.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.WeightedService;
 
@@ -29,6 +30,11 @@
     return turn.next();
   }
 
+  /** Forgets routes that are gone. */
+  void retain(Set<String> routeNames) {
+    turns.keySet().retainAll(routeNames);
+  }
+
   /** Where the round of one route stands. */
   private static final class Turn {
 
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
@@ -8,6 +8,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * One accepted version of routes, services and limits. Immutable. Versions rise in uneven steps;
@@ -21,7 +23,7 @@
   private final Map<String, List<Route>> routesByHost;
   private final Map<String, ServiceDefinition> services;
   private final RequestLimits limits;
-  private final int routeCount;
+  private final Set<String> routeNames;
 
   /**
    * An image.
@@ -38,7 +40,7 @@
     this.revision = revision;
     this.version = version;
     this.limits = limits;
-    this.routeCount = routes.size();
+    this.routeNames = routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
     this.routesByHost = byHost(routes);
     Map<String, ServiceDefinition> byName = new HashMap<>();
     services.forEach(service -> byName.put(service.name(), service));
@@ -74,7 +76,12 @@
 
   /** How many routes there are. */
   public int routeCount() {
-    return routeCount;
+    return routeNames.size();
+  }
+
+  /** Names of the routes. */
+  public Set<String> routeNames() {
+    return routeNames;
   }
 
   /** Every service. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -181,6 +181,19 @@
     assertThat(decision.expectation().readTokens()).isEqualTo(4_000);
   }
 
+  @Test
+  void nodeThatHasJustStartedLearnsWhichPartsEnginesKeep() {
+    Dispatcher before = Requests.dispatcher(prefill, decode);
+    RequestProgress first = Requests.prompt(false, 13_000, 4_000);
+    before.start(first, START);
+    before.onPrefilled(first, "h", after(400));
+    Dispatcher started = Requests.dispatcher(prefill, decode);
+    started.onKnownParts(before.knownParts(after(1_000)), after(1_000));
+    Decision.Prefill second =
+        (Decision.Prefill) started.start(Requests.prompt(false, 13_000, 4_000), after(1_010));
+    assertThat(second.expectation().readTokens()).isEqualTo(4_000);
+  }
+
   @Test
   void failedPrefillIsTriedElsewhereAndNeverCountsAsARun() {
     Dispatcher dispatcher = Requests.dispatcher(prefill, otherPrefill, decode);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -95,6 +95,14 @@
         .log();
   }
 
+  void partsLearned(KnownParts parts) {
+    int count = parts.engines().stream().mapToInt(engine -> engine.parts().size()).sum();
+    line(LogEvent.PARTS_LEARNED)
+        .addKeyValue("engines", parts.engines().size())
+        .addKeyValue("parts", count)
+        .log();
+  }
+
   void noPeerKnows(String table, Exception failure) {
     line(LogEvent.NO_PEER_KNOWS)
         .addKeyValue("table", table)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -61,6 +61,11 @@
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
+    } else if (event instanceof DispatchEvent.PartsWanted wanted) {
+      wanted.answer().complete(new KnownParts(dispatcher.knownParts(now)));
+    } else if (event instanceof DispatchEvent.PartsLearned learned) {
+      log.partsLearned(learned.parts());
+      dispatcher.onKnownParts(learned.parts().engines(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
     } else if (event instanceof DispatchEvent.DigestHeard heard) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.util.concurrent.CompletableFuture;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.LoadDigest;
@@ -35,6 +36,12 @@
   /** Routes and services changed. */
   record RoutingChanged(RoutingImage image) implements DispatchEvent {}
 
+  /** Another node wants to know which parts engines keep. */
+  record PartsWanted(CompletableFuture<KnownParts> answer) implements DispatchEvent {}
+
+  /** Another node told which parts engines keep. */
+  record PartsLearned(KnownParts parts) implements DispatchEvent {}
+
   /** The settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -89,7 +89,7 @@
         new DispatchDuty(new Dispatcher(settings.dispatchParameters()), engines, log, peers);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector();
-    this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
+    this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk, this::tell);
     this.routingFollower =
         new RowFollower(
             ROUTING,
@@ -135,6 +135,7 @@
     server.start();
     peerListener = new HttpListener("peers", peers.address(), PEER_THREADS, snapshots);
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
+    snapshots.learnParts();
     openMetrics();
     log.started(settings.nodeName());
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -18,6 +18,8 @@
   DEPENDENCY_LOST,
   /** A table was learned from another node while the store did not answer. */
   LEARNED_FROM_PEER,
+  /** Which parts engines keep was learned from another node. */
+  PARTS_LEARNED,
   /** No other node could tell a table while the store did not answer. */
   NO_PEER_KNOWS,
   /** The store has dropped changes that were not read yet. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
@@ -23,30 +25,78 @@
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.json.MalformedMessageException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
- * What the nodes can tell each other of the followed tables, for a process that starts while the
- * store cannot be reached. A reading bears the position of the store's history that it holds at, so
- * it can never put back what is known. Thread-safe.
+ * What the nodes can tell a process that has just started: the followed tables, for when the store
+ * cannot be reached, and which parts engines keep. A reading of a table bears the position of the
+ * store's history that it holds at, so it can never put back what is known. Thread-safe.
  */
 final class PeerSnapshots extends Handler.Abstract.NonBlocking {
 
+  private static final Logger LOG = LoggerFactory.getLogger(PeerSnapshots.class);
   private static final String PATH_PREFIX = "/tables/";
+  private static final String PARTS_PATH = "/parts";
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
   private final Map<String, FeedAnswer> known = new ConcurrentHashMap<>();
   private final JsonCodec codec = new JsonCodec();
   private final HttpClient client;
   private final Supplier<List<NetworkAddress>> peers;
+  private final Consumer<DispatchEvent> events;
 
   /**
    * Snapshots of this node, and a way to those of others.
    *
    * @param peers where the other nodes answer, newest knowledge first
    */
-  PeerSnapshots(HttpClient client, Supplier<List<NetworkAddress>> peers) {
+  PeerSnapshots(
+      HttpClient client, Supplier<List<NetworkAddress>> peers, Consumer<DispatchEvent> events) {
     this.client = client;
     this.peers = peers;
+    this.events = events;
+  }
+
+  /** Asks for the parts that engines keep; best effort, on a thread of its own. */
+  void learnParts() {
+    Thread thread = new Thread(this::askForParts, "learn-parts");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void askForParts() {
+    for (NetworkAddress peer : peers.get()) {
+      try {
+        KnownParts parts = call(peer, PARTS_PATH, KnownParts.class);
+        if (!parts.engines().isEmpty()) {
+          events.accept(new DispatchEvent.PartsLearned(parts));
+          return;
+        }
+      } catch (StoreException e) {
+        LOG.debug("peers: {} did not tell its parts.", peer);
+      }
+    }
+  }
+
+  private <T> T call(NetworkAddress peer, String path, Class<T> type) throws StoreException {
+    try {
+      ContentResponse response =
+          client
+              .newRequest(peer.host(), peer.port())
+              .path(path)
+              .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+              .send();
+      if (response.getStatus() != HttpStatus.OK_200) {
+        throw new StoreException(peer + " does not know " + path, false, null);
+      }
+      return codec.decode(response.getContent(), type);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new StoreException("interrupted", false, e);
+    } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
+      throw new StoreException("no answer from " + peer, false, e);
+    }
   }
 
   /** Remembers what this node knows of a table. */
@@ -62,6 +112,12 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     String path = Request.getPathInContext(request);
+    if (path.equals(PARTS_PATH)) {
+      CompletableFuture<KnownParts> wanted = new CompletableFuture<>();
+      wanted.thenAccept(parts -> answer(response, callback, parts));
+      events.accept(new DispatchEvent.PartsWanted(wanted));
+      return true;
+    }
     FeedAnswer answer =
         path.startsWith(PATH_PREFIX) ? known.get(path.substring(PATH_PREFIX.length())) : null;
     if (answer == null) {
@@ -69,10 +125,14 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
       return true;
     }
-    response.write(true, BufferUtil.toBuffer(codec.encode(answer)), callback);
+    answer(response, callback, answer);
     return true;
   }
 
+  private void answer(Response response, Callback callback, Object message) {
+    response.write(true, BufferUtil.toBuffer(codec.encode(message)), callback);
+  }
+
   /** Reads one table from the first peer that knows it. */
   private final class PeerFeed implements RowFeed {
 
@@ -87,7 +147,7 @@
       StoreException last = new StoreException("no other node is known", false, null);
       for (NetworkAddress peer : peers.get()) {
         try {
-          return read(peer);
+          return call(peer, PATH_PREFIX + table, FeedAnswer.class);
         } catch (StoreException e) {
           last = e;
         }
@@ -95,26 +155,6 @@
       throw last;
     }
 
-    private FeedAnswer read(NetworkAddress peer) throws StoreException {
-      try {
-        ContentResponse response =
-            client
-                .newRequest(peer.host(), peer.port())
-                .path(PATH_PREFIX + table)
-                .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .send();
-        if (response.getStatus() != HttpStatus.OK_200) {
-          throw new StoreException(peer + " does not know " + table, false, null);
-        }
-        return codec.decode(response.getContent(), FeedAnswer.class);
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        throw new StoreException("interrupted", false, e);
-      } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
-        throw new StoreException("no answer from " + peer, false, e);
-      }
-    }
-
     @Override
     public FeedAnswer changesAfter(long after, Duration wait) throws StoreException {
       throw new StoreException("other nodes are asked for whole tables only", false, null);
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -7,6 +7,7 @@
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
 import org.fallturn.node.settings.LogFormat;
@@ -25,19 +26,10 @@
 
   private LogSetup() {}
 
-  /** Replaces the present set-up. */
+  /** Replaces the present set-up: lines on standard error, written by whoever logs. */
   public static void apply(LogFormat format, LogLevel level) {
-    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
-    context.reset();
-    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
-    appender.setContext(context);
-    appender.setTarget("System.err");
-    appender.setEncoder(encoder(context, format));
-    appender.start();
-    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
-    root.setLevel(Level.WARN);
-    root.addAppender(appender);
-    context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
+    LoggerContext context = emptyContext();
+    install(context, level, console(context, "System.err", format));
   }
 
   /**
@@ -45,23 +37,38 @@
    * not read costs lines, never time: what the bounded queue cannot take is dropped.
    */
   public static void applyStructured(LogLevel level) {
-    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
-    context.reset();
-    ConsoleAppender<ILoggingEvent> console = new ConsoleAppender<>();
-    console.setContext(context);
-    console.setTarget("System.out");
-    console.setEncoder(encoder(context, LogFormat.JSON));
-    console.start();
+    LoggerContext context = emptyContext();
     AsyncAppender queue = new AsyncAppender();
     queue.setContext(context);
     queue.setQueueSize(QUEUE_SIZE);
     queue.setNeverBlock(true);
-    queue.addAppender(console);
+    queue.addAppender(console(context, "System.out", LogFormat.JSON));
     queue.start();
+    install(context, level, queue);
+  }
+
+  private static LoggerContext emptyContext() {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    return context;
+  }
+
+  private static ConsoleAppender<ILoggingEvent> console(
+      LoggerContext context, String target, LogFormat format) {
+    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+    appender.setContext(context);
+    appender.setTarget(target);
+    appender.setEncoder(encoder(context, format));
+    appender.start();
+    return appender;
+  }
+
+  private static void install(
+      LoggerContext context, LogLevel level, Appender<ILoggingEvent> appender) {
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.WARN);
-    root.addAppender(queue);
-    context.getLogger("org.fallturn").setLevel(Level.valueOf(level.name()));
+    root.addAppender(appender);
+    setLevel(level);
   }
 
   /** Changes the lowest level that is written. */
