--- a/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/FallturnMain.java
@@ -4,6 +4,7 @@
 import org.fallturn.node.command.CheckCommand;
 import org.fallturn.node.command.Command;
 import org.fallturn.node.command.CommandLine;
+import org.fallturn.node.command.ExplainCommand;
 import org.fallturn.node.command.NodeCommand;
 import org.fallturn.node.query.QueryCommand;
 
@@ -22,6 +23,7 @@
     return List.of(
         new NodeCommand(System.out),
         new CheckCommand(System.out),
+        new ExplainCommand(System.out),
         new QueryCommand(System.in, System.out, System.err, System.getenv()));
   }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
@@ -0,0 +1,139 @@
+package org.fallturn.node.gateway;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * Reads log lines of gateways and tells what happened to one request, in time order, with what each
+ * process that touched it believed when it first did: the last change of routes and engines before,
+ * and each lost or regained dependency. What stands before the object in a line is taken as the
+ * name of the process, or else the file's name.
+ */
+public final class LogStory {
+
+  private static final Set<String> BELIEFS =
+      Set.of(
+          LogEvent.ROUTING_CHANGED.name(),
+          LogEvent.ENGINES_CHANGED.name(),
+          LogEvent.DEPENDENCY_LOST.name(),
+          LogEvent.DEPENDENCY_REGAINED.name(),
+          LogEvent.STOPPING.name(),
+          LogEvent.STARTED.name());
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String EVENT = "event";
+  private static final String REQUEST = "request";
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private LogStory() {}
+
+  /** One line of a log. */
+  private record Line(String process, long timeNanos, Map<String, String> fields) {
+
+    String event() {
+      return fields.getOrDefault(EVENT, "");
+    }
+
+    String text(long beginNanos) {
+      String details =
+          fields.entrySet().stream()
+              .filter(field -> !field.getKey().equals(EVENT) && !field.getKey().equals(REQUEST))
+              .map(field -> field.getKey() + "=" + field.getValue())
+              .collect(Collectors.joining(" "));
+      double millis = (double) (timeNanos - beginNanos) / NANOS_PER_MILLI;
+      return String.format("%+10.1f ms  %s  %-16s %s", millis, process, event(), details);
+    }
+  }
+
+  /**
+   * Tells the story.
+   *
+   * @param files logs, one a process or of several
+   * @param request id of the request
+   * @return its lines; empty when no line names the request
+   */
+  public static List<String> of(List<Path> files, String request) throws IOException {
+    List<Line> lines = new ArrayList<>();
+    for (Path file : files) {
+      read(file, lines);
+    }
+    lines.sort(Comparator.comparingLong(Line::timeNanos));
+    List<Line> own =
+        lines.stream().filter(line -> request.equals(line.fields().get(REQUEST))).toList();
+    if (own.isEmpty()) {
+      return List.of();
+    }
+    long begin = own.get(0).timeNanos();
+    long end = own.get(own.size() - 1).timeNanos();
+    Set<String> processes = own.stream().map(Line::process).collect(Collectors.toSet());
+    List<Line> story = new ArrayList<>(own);
+    story.addAll(beliefs(lines, processes, begin, end));
+    story.sort(Comparator.comparingLong(Line::timeNanos));
+    return story.stream().map(line -> line.text(begin)).toList();
+  }
+
+  /** The last line of each kind before the request, and all while it was served. */
+  private static List<Line> beliefs(List<Line> lines, Set<String> processes, long begin, long end) {
+    List<Line> kept = new ArrayList<>();
+    Set<String> seenBefore = new HashSet<>();
+    for (int index = lines.size() - 1; index >= 0; index--) {
+      Line line = lines.get(index);
+      boolean belief = BELIEFS.contains(line.event()) && processes.contains(line.process());
+      if (!belief || line.timeNanos() > end) {
+        continue;
+      }
+      if (line.timeNanos() >= begin || seenBefore.add(line.process() + line.event())) {
+        kept.add(line);
+      }
+    }
+    return kept;
+  }
+
+  private static void read(Path file, List<Line> lines) throws IOException {
+    try (BufferedReader reader = Files.newBufferedReader(file)) {
+      String text = reader.readLine();
+      while (text != null) {
+        int object = text.indexOf('{');
+        if (object >= 0) {
+          parse(text.substring(0, object), text.substring(object), file, lines);
+        }
+        text = reader.readLine();
+      }
+    }
+  }
+
+  /** Lines that are no object, or bear no fields, are somebody else's. */
+  private static void parse(String before, String object, Path file, List<Line> lines) {
+    JsonNode node;
+    try {
+      node = JSON.readTree(object);
+    } catch (IOException e) {
+      return;
+    }
+    JsonNode pairs = node.path("kvpList");
+    if (!pairs.isArray() || pairs.isEmpty()) {
+      return;
+    }
+    Map<String, String> fields = new TreeMap<>();
+    pairs.forEach(
+        pair -> pair.properties().forEach(f -> fields.put(f.getKey(), f.getValue().asText())));
+    String[] words = before.strip().split("\\s+");
+    String last = words[words.length - 1];
+    String process = last.isEmpty() ? file.getFileName().toString() : last;
+    long nanos = node.path("timestamp").asLong() * NANOS_PER_MILLI;
+    nanos += node.path("nanoseconds").asLong() % NANOS_PER_MILLI;
+    lines.add(new Line(process, nanos, fields));
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/LogStoryTest.java
@@ -0,0 +1,66 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class LogStoryTest {
+
+  @TempDir private Path folder;
+
+  private static String line(long millis, String... fields) {
+    StringBuilder text = new StringBuilder("{\"timestamp\":" + millis + ",\"nanoseconds\":0,");
+    text.append("\"kvpList\":[");
+    for (int index = 0; index < fields.length; index += 2) {
+      text.append(index == 0 ? "" : ",");
+      text.append("{\"" + fields[index] + "\":\"" + fields[index + 1] + "\"}");
+    }
+    return text + "]}";
+  }
+
+  private Path log(String name, String... lines) throws IOException {
+    return Files.write(folder.resolve(name), List.of(lines));
+  }
+
+  @Test
+  void tellsARequestOverProcessesWithWhatTheyBelieved() throws Exception {
+    Path one =
+        log(
+            "one.log",
+            "not an object",
+            line(10, "event", "ROUTING_CHANGED", "version", "3"),
+            line(20, "event", "ROUTING_CHANGED", "version", "5"),
+            line(30, "event", "PLACED", "request", "r", "engine", "e-1"),
+            line(31, "event", "PLACED", "request", "other", "engine", "e-2"),
+            line(60, "event", "ATTEMPT_FAILED", "request", "r", "outcome", "LOST"),
+            line(90, "event", "ENGINES_CHANGED", "engines", "7"));
+    Path two =
+        log(
+            "two.log",
+            line(5, "event", "ENGINES_CHANGED", "engines", "8"),
+            line(70, "event", "REFUSED_AT_DOOR", "request", "r", "kind", "STOPPING"));
+    List<String> story = LogStory.of(List.of(one, two), "r");
+    assertThat(story).hasSize(5);
+    assertThat(story.get(0)).contains("two.log", "ENGINES_CHANGED", "engines=8");
+    assertThat(story.get(1)).contains("one.log", "ROUTING_CHANGED", "version=5");
+    assertThat(story.get(2)).contains("+0.0 ms", "PLACED", "engine=e-1");
+    assertThat(story.get(3)).contains("+30.0 ms", "outcome=LOST");
+    assertThat(story.get(4)).contains("+40.0 ms", "two.log", "kind=STOPPING");
+  }
+
+  @Test
+  void takesTheProcessFromWhatStandsBeforeTheObject() throws Exception {
+    Path all = log("all", "  1.5 node-7 " + line(1, "event", "PLACED", "request", "r"));
+    assertThat(LogStory.of(List.of(all), "r").get(0)).contains("node-7");
+  }
+
+  @Test
+  void unknownRequestHasNoStory() throws Exception {
+    assertThat(LogStory.of(List.of(log("empty")), "r")).isEmpty();
+  }
+}
