--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -17,7 +17,9 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.platform.PlatformMain;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.EngineFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -29,7 +31,11 @@
   private static final Duration LONGEST = Duration.ofSeconds(60);
 
   @TempDir private Path folder;
+  private static final String STREAM = EmulatedPlatform.STREAM;
+  private static final int PROMPT = 300;
+
   private EmulatedPlatform platform;
+  private EmulatedEngine application;
   private EmulatedClient client;
   private Process process;
   private NetworkAddress callers;
@@ -38,7 +44,7 @@
   @BeforeEach
   void start() throws Exception {
     platform = new EmulatedPlatform();
-    platform.addEngine("a-1", EmulatedPlatform.APPLICATION_SERVICE, "");
+    application = platform.addEngine("a-1", EmulatedPlatform.APPLICATION_SERVICE, "");
     client = new EmulatedClient();
     callers = new NetworkAddress("127.0.0.1", freePort());
     metricsPort = freePort();
@@ -139,6 +145,60 @@
     }
   }
 
+  /** The commands of docs/operations/failed-requests.md find the cause of each kind. */
+  @Test
+  void failedRequestsAreExplainedByTheCommandsOfThePage() throws Exception {
+    EmulatedEngine decode = platform.addEngine("d-1", EmulatedPlatform.MODEL_SERVICE, "decode");
+    await().atMost(LONGEST).until(() -> client.call(callers, STREAM, PROMPT).status() == 200);
+    application.failNext(EngineFault.REJECT);
+    String refused = client.call(callers, EmulatedPlatform.NON_IDEMPOTENT, 0).requestId();
+    decode.failNext(EngineFault.BREAK_MIDWAY);
+    String cutShort = client.call(callers, STREAM, PROMPT).requestId();
+    application.failNext(EngineFault.SILENT);
+    String late =
+        client
+            .send(callers, EmulatedPlatform.NON_IDEMPOTENT, 0, Duration.ofMillis(700))
+            .await()
+            .requestId();
+    assertThat(output("Refused", refused, "NO_CAPACITY"))
+        .contains("NOT_EXECUTED", "engine=a-1", "REFUSED");
+    assertThat(output("Cut short", cutShort, "BROKEN_MIDWAY")).contains("BEGAN", "engine=d-1");
+    assertThat(output("Late", late, "TIME_OVER")).contains("PLACED", "possibleRuns=1");
+  }
+
+  /** What the commands of a section print, once the log has the word that is waited for. */
+  private String output(String section, String request, String awaited) throws Exception {
+    String page = Files.readString(root().resolve("docs/operations/failed-requests.md"));
+    String text = page.substring(page.indexOf("## " + section));
+    int next = text.indexOf("\n## ", 1);
+    String[] parts = (next < 0 ? text : text.substring(0, next)).split("```");
+    StringBuilder script = new StringBuilder();
+    for (int block = 1; block < parts.length; block += 2) {
+      script.append(parts[block].replace("LOG", log().toString()).replace("ID", request));
+    }
+    String[] printed = new String[1];
+    await()
+        .atMost(LONGEST)
+        .until(
+            () -> {
+              printed[0] = run(script.toString());
+              return printed[0].contains(awaited);
+            });
+    return printed[0];
+  }
+
+  private static String run(String script) throws Exception {
+    Process shell = new ProcessBuilder("bash", "-c", script).directory(root().toFile()).start();
+    String printed = new String(shell.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    shell.waitFor();
+    return printed;
+  }
+
+  private static Path root() {
+    Path here = Path.of("").toAbsolutePath();
+    return Files.exists(here.resolve("platform")) ? here : here.getParent();
+  }
+
   @Test
   void terminationEndsTheProcessWithItsRequestsServed() throws Exception {
     signal("TERM");
