--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -118,6 +118,27 @@
     selector.checkSilence(nowNanos);
   }
 
+  /** Engines that this node began or ceased to avoid since the last call. */
+  public List<HealthChange> takeHealthChanges() {
+    List<HealthChange> changes = new ArrayList<>();
+    selector
+        .loads()
+        .forEach(
+            (id, load) -> {
+              EngineHealth health = load.health();
+              if (health.takeChange()) {
+                changes.add(
+                    new HealthChange(
+                        id,
+                        health.suspended(),
+                        health.silent(),
+                        health.failureShare(),
+                        load.running()));
+              }
+            });
+    return changes;
+  }
+
   /** Some of an answer came from the engine that has the request. */
   public void onSignOfLife(RequestProgress progress, long nowNanos) {
     progress.engine().ifPresent(engine -> selector.load(engine).onSignOfLife(nowNanos));
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -20,6 +20,20 @@
   private boolean suspended;
   private boolean probing;
   private double failureShare;
+  private boolean silent;
+  private boolean told;
+
+  /** Whether it was suspended or taken back since the last call. */
+  boolean takeChange() {
+    boolean changed = told != suspended;
+    told = suspended;
+    return changed;
+  }
+
+  /** Whether silence led to the last suspension. */
+  boolean silent() {
+    return silent;
+  }
 
   /** Whether a request may go there now. */
   boolean usable(long nowNanos) {
@@ -66,6 +80,7 @@
     }
     failuresInRow++;
     if (failuresInRow >= FAILURES_TO_SUSPEND || suspended) {
+      silent = outcome == AttemptOutcome.SILENT;
       suspend(nowNanos);
     }
   }
@@ -73,6 +88,7 @@
   /** Requests wait there and nothing has come for longer than they should take. */
   void onSilence(long nowNanos) {
     if (!suspended) {
+      silent = true;
       suspend(nowNanos);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -4,6 +4,7 @@
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Expectation;
+import org.fallturn.core.dispatch.HealthChange;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
@@ -133,6 +134,15 @@
         .log();
   }
 
+  void engineHealth(HealthChange change) {
+    line(change.suspended() ? LogEvent.ENGINE_SUSPENDED : LogEvent.ENGINE_RESUMED)
+        .addKeyValue("engine", change.engineId())
+        .addKeyValue("silent", change.silent())
+        .addKeyValue("failureShare", change.failureShare())
+        .addKeyValue("running", change.running())
+        .log();
+  }
+
   void rowRefused(String table, String key, String reason) {
     line(LogEvent.ROW_REFUSED)
         .addKeyValue("table", table)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -228,6 +228,7 @@
       }
     }
     dispatcher.onTick(now);
+    dispatcher.takeHealthChanges().forEach(log::engineHealth);
   }
 
   private void onTimeOver(Exchange exchange) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -28,6 +28,10 @@
   ROUTING_CHANGED,
   /** The list of engines changed. */
   ENGINES_CHANGED,
+  /** This node avoids an engine from now on. */
+  ENGINE_SUSPENDED,
+  /** This node uses an engine again. */
+  ENGINE_RESUMED,
   /** A row of the store could not be read and is left out. */
   ROW_REFUSED,
   /** A request was refused before it reached the dispatcher. */
