--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -3,6 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -222,6 +227,45 @@
     await().atMost(LONGEST).until(() -> gateway.inFlight() == 0);
   }
 
+  /** The second request arrives while the first is served, into the watch's side buffer. */
+  @Test
+  void requestsSentWithoutWaitingAreAnsweredInTheirOrder() throws Exception {
+    try (Socket socket = new Socket(address.host(), address.port())) {
+      socket.setSoTimeout((int) LONGEST.toMillis());
+      socket.getOutputStream().write(raw("first", EmulatedPlatform.RESUMABLE));
+      await().atMost(LONGEST).until(() -> runsOf("first") == 1);
+      socket.getOutputStream().write(raw("second", EmulatedPlatform.IDEMPOTENT));
+      String answers = readUntil(socket.getInputStream(), "answer of a-");
+      assertThat(answers).contains("X-Fallturn-Request-Id: first", "piece-4");
+      assertThat(answers.indexOf("X-Fallturn-Request-Id: second"))
+          .isGreaterThan(answers.indexOf("piece-4"));
+      assertThat(runsOf("second")).isEqualTo(1);
+    }
+  }
+
+  private static byte[] raw(String requestId, String path) {
+    String head =
+        "GET "
+            + path
+            + " HTTP/1.1\r\nHost: "
+            + EmulatedPlatform.HOST
+            + "\r\nX-Fallturn-Request-Id: "
+            + requestId
+            + "\r\nX-Fallturn-Deadline-Ms: 4000\r\nX-Fallturn-Model: m"
+            + "\r\nX-Fallturn-Token-Count: 300,80\r\n\r\n";
+    return head.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static String readUntil(InputStream input, String end) throws IOException {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    while (!read.toString(StandardCharsets.US_ASCII).contains(end)) {
+      int next = input.read();
+      assertThat(next).as("bytes before the end of the connection").isNotNegative();
+      read.write(next);
+    }
+    return read.toString(StandardCharsets.US_ASCII);
+  }
+
   @Test
   void routeTimeoutEndsARequestAndItsWork() throws Exception {
     platform.configure(
