Give a request its full urgency once its prompt has been read ahead

Ruled out: the callers' deadline (6 s) and the prefill engine's backlog alone. Test: lateRequestGoesBehindOthersOnlyUntilItsPromptHasBeenRead, red before, green after.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -343,13 +343,15 @@
 
   /**
    * The route's priority, and within it those first that can still be answered in time: a request
-   * that cannot only makes others late when it goes ahead of them.
+   * that cannot only makes others late when it goes ahead of them. Once its prompt has been read it
+   * needs only a slot and a move, and what was read is lost when its caller leaves.
    */
   private static int urgency(RequestProgress progress, Expectation expectation, long nowNanos) {
     RequestEnvelope envelope = progress.envelope();
     long target = envelope.route().targetLatency().toNanos();
     double expected = nowNanos - envelope.arrivedNanos() + expectation.millis() * NANOS_PER_MILLI;
-    int late = expected > target ? 1 : 0;
+    boolean read = progress.source().isPresent();
+    int late = !read && expected > target ? 1 : 0;
     return Math.min(LEAST_URGENT, 2 * envelope.route().priority() + late);
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -141,6 +141,17 @@
     assertThat(progress.possibleRuns()).isEqualTo(1);
   }
 
+  @Test
+  void lateRequestGoesBehindOthersOnlyUntilItsPromptHasBeenRead() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress inTime = Requests.prompt(false, 0, 4_000);
+    assertThat(((Decision.Prefill) dispatcher.start(inTime, START)).urgency()).isEqualTo(2);
+    RequestProgress late = Requests.prompt(false, 0, 40_000);
+    assertThat(((Decision.Prefill) dispatcher.start(late, START)).urgency()).isEqualTo(3);
+    Decision.Run run = (Decision.Run) dispatcher.onPrefilled(late, "h", after(1_500));
+    assertThat(run.urgency()).isEqualTo(2);
+  }
+
   @Test
   void shortPromptsGoToPrefillEnginesOnceDecodeEnginesHaveABacklog() {
     Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
