Refuse new requests in good time before a planned stop ends

The first: SIGTERM at 11.000 s, a request was taken at 18.213 s since some request was always in flight, and the process ended at the edge of its grace with the answer half passed on. Ruled out: the engine (its run had ended at 18.410 s), the link. Change: 2.9 s after SIGTERM no connection is accepted and new requests are refused as not run, with a time to come back; the process ends when its requests have. Test: stoppingGatewayRefusesNewRequestsInGoodTimeAsNotRun.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -44,6 +44,10 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     CallerTriple caller = new CallerTriple(request, response, callback);
+    if (!gateway.takesRequests()) {
+      refuse(caller, requestId(request), ErrorKind.STOPPING, "this node is stopping");
+      return true;
+    }
     RoutingImage routing = gateway.routing();
     if (routing == null) {
       refuse(caller, "", ErrorKind.STORE_UNAVAILABLE, "no configuration is known yet");
@@ -57,6 +61,14 @@
     return true;
   }
 
+  private String requestId(Request request) {
+    try {
+      return gateway.callerProtocol().readHead(request).requestId();
+    } catch (FallturnException e) {
+      return "";
+    }
+  }
+
   private void accept(CallerTriple caller, RoutingImage routing) throws FallturnException {
     CallerHead head = gateway.callerProtocol().readHead(caller.request());
     Optional<Route> route = routing.match(head.host(), head.path());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -41,9 +41,6 @@
   private static final long MAX_BODY_BYTES_IN_FLIGHT = 48L << 20;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
 
-  /** Callers still come for about two readiness checks after the first refusal. */
-  private static final Duration LINGER = Duration.ofMillis(3_500);
-
   private static final String ROUTING = "routing";
   private static final String ENGINES = "engines";
   private static final int PEER_THREADS = 4;
@@ -181,6 +178,11 @@
     return peers.address();
   }
 
+  /** Whether new requests are taken; not in the second part of a planned stop. */
+  public boolean takesRequests() {
+    return state.takesRequests();
+  }
+
   /** Requests being served. */
   public int inFlight() {
     return state.inFlight();
@@ -272,25 +274,36 @@
   }
 
   /**
-   * A planned stop: no longer ready, answers ask callers to leave, and the process may end once
-   * callers have stopped coming and every request has ended, or when the grace is nearly over.
+   * A planned stop: no longer ready, answers ask callers to leave; after the linger new requests
+   * are refused as not run, and the process may end once every request has ended, or when the grace
+   * is nearly over.
    */
   public void stopAsPlanned() throws InterruptedException {
     long begun = System.nanoTime();
     state.beginStop();
     log.stopping(state.inFlight());
-    long lingerUntil = begun + LINGER.toNanos();
+    long lingerUntil = begun + settings.bounds().stopLinger().toNanos();
     long endBy = begun + settings.stopWithin().toNanos();
     while (System.nanoTime() - endBy < 0) {
-      boolean quiet = state.inFlight() == 0 && System.nanoTime() - lingerUntil >= 0;
-      if (quiet) {
-        break;
+      if (System.nanoTime() - lingerUntil >= 0) {
+        refuseNewRequests();
+        if (state.inFlight() == 0) {
+          break;
+        }
       }
       TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
     }
     log.stopped(state.inFlight());
   }
 
+  /** New connections are not accepted; a request on a kept one is refused as not run. */
+  private void refuseNewRequests() {
+    if (state.takesRequests()) {
+      state.refuseRequests();
+      callers.close();
+    }
+  }
+
   /** Ends everything at once; requests in flight are cut. For use inside one process. */
   @Override
   public void close() throws Exception {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -17,6 +17,7 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong bodyBytes = new AtomicLong();
   private volatile boolean stopping;
+  private volatile boolean takesRequests = true;
   private volatile boolean enginesKnown;
   private volatile boolean storeLost;
 
@@ -64,6 +65,16 @@
     return stopping;
   }
 
+  /** Whether new requests are still taken. */
+  boolean takesRequests() {
+    return takesRequests;
+  }
+
+  /** From now on new requests are refused as not run. */
+  void refuseRequests() {
+    takesRequests = false;
+  }
+
   void beginStop() {
     stopping = true;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -9,6 +9,7 @@
  * @param drain how long after an engine began to leave it may still be sent requests
  * @param grace from SIGTERM to SIGKILL
  * @param stopMargin how long before that the process has ended by itself
+ * @param stopLinger how long after SIGTERM new requests are still taken
  * @param retryRatio repeats a request that the fleet may send to a service
  * @param retrySlack repeats beyond the ratio
  * @param retryWindow window of both
@@ -17,6 +18,7 @@
     Duration drain,
     Duration grace,
     Duration stopMargin,
+    Duration stopLinger,
     double retryRatio,
     double retrySlack,
     Duration retryWindow) {
@@ -45,6 +47,14 @@
           Duration.ofSeconds(10),
           "How long before the end of the grace the process has ended by itself.");
 
+  private static final SettingDefinition<Duration> STOP_LINGER =
+      SettingDefinition.duration(
+          "bounds.stop_linger",
+          Duration.ofMillis(2_900),
+          Duration.ofMillis(10),
+          Duration.ofMinutes(1),
+          "How long after SIGTERM new requests are still taken.");
+
   private static final SettingDefinition<Double> RETRY_RATIO =
       SettingDefinition.decimal(
           "bounds.retry_ratio", 0.2, 0, 10, "Repeats a request, of the whole fleet.");
@@ -62,13 +72,14 @@
           "Window of the retry budget.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(DRAIN, GRACE, STOP_MARGIN, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
+      List.of(DRAIN, GRACE, STOP_MARGIN, STOP_LINGER, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
         values.get(DRAIN),
         values.get(GRACE),
         values.get(STOP_MARGIN),
+        values.get(STOP_LINGER),
         values.get(RETRY_RATIO),
         values.get(RETRY_SLACK),
         values.get(RETRY_WINDOW));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -118,6 +118,7 @@
 
             [bounds]
             grace = "5s"
+            stop_linger = "400ms"
             retry_slack = 100
             """,
             gateways.size() + 1,
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -369,6 +369,28 @@
     stopping.join();
   }
 
+  /** Callers that keep coming must not be cut when the time to stop is over. */
+  @Test
+  void stoppingGatewayRefusesNewRequestsInGoodTimeAsNotRun() throws Exception {
+    failEveryApplication(EngineFault.SILENT);
+    EmulatedClient.Call held =
+        client.send(address, EmulatedPlatform.NON_IDEMPOTENT, 0, Duration.ofMillis(3_000));
+    await().atMost(LONGEST).until(() -> runsOf(held.requestId()) == 1);
+    failEveryApplication(EngineFault.NONE);
+    try (Socket kept = new Socket(address.host(), address.port())) {
+      kept.setSoTimeout((int) LONGEST.toMillis());
+      Thread stopping = new Thread(this::stopAsPlanned);
+      stopping.start();
+      await().atMost(LONGEST).until(() -> !gateway.takesRequests());
+      kept.getOutputStream().write(raw("late", EmulatedPlatform.IDEMPOTENT));
+      String answer = readUntil(kept.getInputStream(), "\r\n\r\n");
+      assertThat(answer).contains(" 503 ", "Retry-After: ", "Connection: close");
+      assertThat(runsOf("late")).isZero();
+      assertThat(held.await().status()).isEqualTo(504);
+      stopping.join();
+    }
+  }
+
   private void stopAsPlanned() {
     try {
       gateway.stopAsPlanned();
