Remove three methods that nothing calls

Cause: a last reading of the change: EngineDirectory.with, EventFramer.hasEvents with its field, and DispatchDuty.activeRequests had no caller left. Checks: formatter, linter and compiler over core, node, platform and rehearsal; GatewayOnEmulatorTest, DispatcherTest and LogStoryTest green.

--- a/fallturn-core/src/main/java/org/fallturn/core/routing/EngineDirectory.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/EngineDirectory.java
@@ -8,8 +8,8 @@
 import java.util.Optional;
 
 /**
- * The engines that a node knows, at one position of the store's history. Immutable; made again from
- * the previous one and a change.
+ * The engines that a node knows, at one position of the store's history. Immutable; made again
+ * whole at each change.
  */
 public final class EngineDirectory {
 
@@ -41,21 +41,6 @@
     return new EngineDirectory(revision, engines);
   }
 
-  /**
-   * This list after some changes.
-   *
-   * @param newRevision position after the changes
-   * @param present engines that appeared or changed
-   * @param gone ids of engines whose entry went away
-   */
-  public EngineDirectory with(
-      long newRevision, Collection<ServingEngine> present, Collection<String> gone) {
-    Map<String, ServingEngine> changed = new HashMap<>(engines);
-    gone.forEach(changed::remove);
-    present.forEach(engine -> changed.put(engine.id(), engine));
-    return new EngineDirectory(newRevision, changed);
-  }
-
   /** Position in the store's history. */
   public long revision() {
     return revision;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -252,9 +252,4 @@
       onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
     }
   }
-
-  /** How many requests are being served. */
-  int activeRequests() {
-    return active.size();
-  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
@@ -15,7 +15,6 @@
 
   private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
   private String lastEventId = "";
-  private boolean any;
 
   /** Adds bytes; returns the whole events that they complete, possibly none. */
   ByteBuffer add(ByteBuffer bytes) {
@@ -30,7 +29,6 @@
     pending.reset();
     pending.write(all, end, all.length - end);
     rememberId(new String(all, 0, end, StandardCharsets.UTF_8));
-    any = true;
     return ByteBuffer.wrap(all, 0, end);
   }
 
@@ -39,11 +37,6 @@
     return pending.size() > 0;
   }
 
-  /** Whether any whole event came. */
-  boolean hasEvents() {
-    return any;
-  }
-
   /** Id of the last whole event; empty when none bore one. */
   Optional<String> lastEventId() {
     return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
