Bind one peer port over UDP and TCP together, or try another number

Ruled out: leaked gateways (each test closes its own). Now both are bound before anything starts, and with port 0 another number is tried. The book of peers also learns its own real address, not port 0.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -56,6 +56,7 @@
   private final HttpConfiguration http = new HttpConfiguration();
   private final WatchedConnector callers;
   private final EngineClient engines;
+  private final PeerPorts peerPorts;
   private final PeerExchange peers;
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
@@ -75,12 +76,13 @@
     threads.setName("gateway");
     this.server = new Server(threads);
     this.engines = new EngineClient(platform.engines(), threads);
+    this.peerPorts = PeerPorts.bind(settings.peers());
     this.peers =
         new PeerExchange(
             settings.nodeName(),
             System.currentTimeMillis(),
-            settings.peers(),
-            new PeerBook(settings.peers(), settings.seedPeers()),
+            peerPorts.datagrams(),
+            new PeerBook(peerPorts.address(), settings.seedPeers()),
             this::tell);
     DispatchDuty duty =
         new DispatchDuty(new Dispatcher(settings.dispatchParameters()), engines, log, peers);
@@ -130,7 +132,7 @@
     routingFollower.start();
     engineFollower.start();
     server.start();
-    peerListener = new HttpListener("peers", peers.address(), PEER_THREADS, snapshots);
+    peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     snapshots.learnParts();
     openMetrics();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.io.IOException;
+import java.nio.channels.DatagramChannel;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -48,7 +49,7 @@
   PeerExchange(
       String node,
       long incarnation,
-      NetworkAddress listen,
+      DatagramChannel datagrams,
       PeerBook book,
       Consumer<DispatchEvent> events)
       throws IOException {
@@ -56,7 +57,7 @@
     this.incarnation = incarnation;
     this.book = book;
     this.events = events;
-    this.socket = new UdpSocket("peers", listen, this::receive);
+    this.socket = new UdpSocket("peers", datagrams, this::receive);
   }
 
   /** Where datagrams come in, with the real port. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
@@ -32,14 +32,29 @@
    */
   public UdpSocket(String name, NetworkAddress listen, BiConsumer<byte[], NetworkAddress> receive)
       throws IOException {
-    channel = DatagramChannel.open();
-    channel.bind(socketAddress(listen));
+    this(name, bind(listen), receive);
+  }
+
+  /**
+   * Takes a port that is bound already.
+   *
+   * @param receive called on the receiving thread with each datagram and its source
+   */
+  public UdpSocket(String name, DatagramChannel channel, BiConsumer<byte[], NetworkAddress> receive)
+      throws IOException {
+    this.channel = channel;
     InetSocketAddress bound = (InetSocketAddress) channel.getLocalAddress();
     address = new NetworkAddress(bound.getAddress().getHostAddress(), bound.getPort());
     receiver = new Thread(() -> receiveUntilClosed(receive), name);
     receiver.setDaemon(true);
   }
 
+  private static DatagramChannel bind(NetworkAddress listen) throws IOException {
+    DatagramChannel channel = DatagramChannel.open();
+    channel.bind(socketAddress(listen));
+    return channel;
+  }
+
   @Override
   public NetworkAddress address() {
     return address;
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -1,5 +1,7 @@
 package org.fallturn.node.http;
 
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -43,6 +45,24 @@
     this(name, address, maxThreads, Optional.empty(), handler);
   }
 
+  /**
+   * Starts on a port that is bound already, and owns it from then on.
+   *
+   * @param name prefix of its thread names
+   * @param bound the port
+   * @param maxThreads bound on its threads
+   * @param handler what serves the requests
+   * @throws Exception when the port cannot be listened at
+   */
+  public HttpListener(String name, ServerSocketChannel bound, int maxThreads, Handler handler)
+      throws Exception {
+    this(name, defaultLimits(maxThreads), Optional.empty(), handler);
+    InetSocketAddress local = (InetSocketAddress) bound.getLocalAddress();
+    connector.setHost(local.getAddress().getHostAddress());
+    connector.open(bound);
+    server.start();
+  }
+
   /**
    * Binds and starts, encrypted when there is a certificate.
    *
@@ -60,12 +80,11 @@
       Optional<TlsCertificate> certificate,
       Handler handler)
       throws Exception {
-    this(
-        name,
-        address,
-        new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES, IDLE_TIMEOUT),
-        certificate,
-        handler);
+    this(name, address, defaultLimits(maxThreads), certificate, handler);
+  }
+
+  private static ListenerLimits defaultLimits(int maxThreads) {
+    return new ListenerLimits(maxThreads, MAX_CONNECTIONS, MAX_HEADER_BYTES, IDLE_TIMEOUT);
   }
 
   /**
@@ -99,6 +118,15 @@
       Optional<TlsCertificate> certificate,
       Handler handler)
       throws Exception {
+    this(name, limits, certificate, handler);
+    connector.setHost(address.host());
+    connector.setPort(address.port());
+    server.start();
+  }
+
+  /** Wires everything but the port. */
+  private HttpListener(
+      String name, ListenerLimits limits, Optional<TlsCertificate> certificate, Handler handler) {
     QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads(), MIN_THREADS);
     threads.setName(name);
     server = new Server(threads);
@@ -110,14 +138,11 @@
         certificate.isPresent()
             ? encrypted(certificate.get(), http)
             : new ServerConnector(server, 1, 1, http);
-    connector.setHost(address.host());
-    connector.setPort(address.port());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
     connector.addBean(traffic);
     server.addConnector(connector);
     server.addBean(new NetworkConnectionLimit(limits.maxConnections(), connector));
     server.setHandler(handler);
-    server.start();
   }
 
   /** Nodes are addressed by IP number, so the name that a client sends is not compared. */
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerPortsTest.java
@@ -0,0 +1,64 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.ServerSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.fallturn.core.domain.NetworkAddress;
+import org.junit.jupiter.api.Test;
+
+class PeerPortsTest {
+
+  private static final String HOST = "127.0.0.1";
+
+  /** Enough numbers held over TCP that the first choice of UDP is often among them. */
+  private static final int HELD = 6_000;
+
+  private static void close(PeerPorts ports) throws IOException {
+    ports.datagrams().close();
+    ports.questions().close();
+  }
+
+  @Test
+  void bindsOneNumberOverBoth() throws Exception {
+    PeerPorts ports = PeerPorts.bind(new NetworkAddress(HOST, 0));
+    try {
+      InetSocketAddress questions = (InetSocketAddress) ports.questions().getLocalAddress();
+      assertThat(questions.getPort()).isEqualTo(ports.address().port()).isPositive();
+    } finally {
+      close(ports);
+    }
+  }
+
+  @Test
+  void triesAnotherNumberWhenOneIsTakenOverTcp() throws Exception {
+    List<ServerSocketChannel> held = new ArrayList<>();
+    try {
+      for (int count = 0; count < HELD; count++) {
+        held.add(ServerSocketChannel.open().bind(new InetSocketAddress(HOST, 0)));
+      }
+      for (int count = 0; count < 20; count++) {
+        close(PeerPorts.bind(new NetworkAddress(HOST, 0)));
+      }
+    } finally {
+      for (ServerSocketChannel channel : held) {
+        channel.close();
+      }
+    }
+  }
+
+  @Test
+  void refusesGivenNumberThatIsTaken() throws Exception {
+    try (ServerSocket taken = new ServerSocket()) {
+      taken.bind(new InetSocketAddress(HOST, 0));
+      NetworkAddress address = new NetworkAddress(HOST, taken.getLocalPort());
+      assertThatThrownBy(() -> PeerPorts.bind(address)).isInstanceOf(BindException.class);
+    }
+  }
+}
