Mark the end of every stream within its bytes; write parts in order

An answer whose caller's connection was to close (asked by the caller, or by a stopping node) was sent without chunks, so that its end was the end of the connection: a stream that broke off, or a process killed at the end of its grace, then looked whole. Ruled out by reading: an engine's cut stream (framed by events, refused when partial) and resets without length. Found on the way, by reading: an attempt cancelled while its bytes came in could still pass them on or move the event id from which the next engine goes on (a piece would be missing); each attempt now has its own framer and only what is passed on counts. A second engine's part could meet an unfinished write of the first; OrderedWriter holds it (OrderedWriterTest).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -95,7 +95,6 @@
       return;
     }
     log.attemptFailed(exchange, event.attempt(), event.outcome());
-    exchange.framer().dropPartialEvent();
     Optional<CacheSource> source = exchange.progress().source();
     Decision next = dispatcher.onFailure(exchange.progress(), event.outcome(), now);
     if (event.outcome() != AttemptOutcome.NOT_SENT && exchange.progress().source().isEmpty()) {
@@ -181,7 +180,7 @@
         fetchFrom,
         left(exchange, now),
         urgency,
-        exchange.framer().lastEventId());
+        exchange.lastEventId());
   }
 
   private static Duration left(Exchange exchange, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -39,6 +39,7 @@
   private final EngineCall call;
   private final EngineProtocol protocol;
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+  private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
   private volatile Request request;
   private volatile boolean maybeSent;
@@ -161,7 +162,7 @@
   }
 
   private void relayEvents(ByteBuffer bytes, Response response, Runnable demander) {
-    ByteBuffer events = exchange.framer().add(bytes);
+    ByteBuffer events = framer.add(bytes);
     if (!events.hasRemaining()) {
       demander.run();
       return;
@@ -170,7 +171,7 @@
   }
 
   private void relay(ByteBuffer bytes, Response response, Runnable demander) {
-    if (state.get() == State.WAITING && !state.compareAndSet(State.WAITING, State.RELAYING)) {
+    if (!mayRelay()) {
       demander.run();
       return;
     }
@@ -178,8 +179,16 @@
       told = true;
       exchange.tell(new DispatchEvent.Began(exchange, this));
     }
-    exchange.beginAnswer(head.status(), protocol.answerHeaders(headers));
-    exchange.writePart(bytes, Callback.from(demander::run, failure -> response.abort(failure)));
+    exchange.beginParts(head.status(), protocol.answerHeaders(headers));
+    exchange.writePart(
+        bytes,
+        framer.lastEventId(),
+        Callback.from(demander::run, failure -> response.abort(failure)));
+  }
+
+  /** Whether this attempt gives the answer; once it does, no other may begin one. */
+  private boolean mayRelay() {
+    return state.compareAndSet(State.WAITING, State.RELAYING) || state.get() == State.RELAYING;
   }
 
   @Override
@@ -207,11 +216,11 @@
   }
 
   private void finishRelay(State before) {
-    if (streamed && exchange.framer().hasPartialEvent()) {
+    if (streamed && framer.hasPartialEvent()) {
       fail(before == State.RELAYING ? AttemptOutcome.BROKEN_MIDWAY : AttemptOutcome.LOST);
       return;
     }
-    exchange.beginAnswer(head.status(), protocol.answerHeaders(headers));
+    exchange.beginParts(head.status(), protocol.answerHeaders(headers));
     exchange.endAnswer(this);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
@@ -7,7 +7,7 @@
 
 /**
  * Cuts a stream of server-sent events at the ends of events, so that only whole events are passed
- * on, and remembers the id of the last one. One thread at a time calls.
+ * on, and remembers the id of the last one. One answer of one engine; one thread at a time calls.
  */
 final class EventFramer {
 
@@ -42,11 +42,6 @@
     return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
   }
 
-  /** Forgets the unfinished event, before another engine goes on. */
-  void dropPartialEvent() {
-    pending.reset();
-  }
-
   /** One past the last blank line. */
   private static int endOfWholeEvents(byte[] bytes) {
     for (int index = bytes.length - 1; index > 0; index--) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -33,9 +34,10 @@
   private final byte[] body;
   private final Consumer<DispatchEvent> events;
   private final GatewayState gateway;
-  private final EventFramer framer = new EventFramer();
+  private final OrderedWriter writer;
   private final AtomicBoolean completed = new AtomicBoolean();
-  private boolean begun;
+  private volatile boolean begun;
+  private volatile String lastEventId = "";
   private EngineAttempt attempt;
 
   Exchange(
@@ -47,6 +49,7 @@
       GatewayState gateway) {
     this.request = caller.request();
     this.response = caller.response();
+    this.writer = new OrderedWriter(response::write);
     this.callback = caller.callback();
     this.head = head;
     this.envelope = envelope;
@@ -76,8 +79,9 @@
     return body;
   }
 
-  EventFramer framer() {
-    return framer;
+  /** Id of the last event that was passed on; empty before one that bears an id. */
+  Optional<String> lastEventId() {
+    return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
   }
 
   /** The attempt that has the request now; on the dispatch thread. */
@@ -123,13 +127,29 @@
     closeWhenStopping();
   }
 
-  /** Passes part of the answer on. The callback is failed when the caller has gone. */
-  void writePart(ByteBuffer bytes, Callback written) {
+  /**
+   * Begins an answer that is passed on in parts. Its end is marked within the bytes, also where the
+   * connection is to close after it, so that one that breaks off does not look whole.
+   */
+  void beginParts(int status, HttpFields.Mutable headers) {
+    if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
+      headers.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+    }
+    beginAnswer(status, headers);
+  }
+
+  /**
+   * Passes part of the answer on. The callback is failed when the caller has gone.
+   *
+   * @param lastId id of the last event up to the end of this part, if one bore an id
+   */
+  void writePart(ByteBuffer bytes, Optional<String> lastId, Callback written) {
     if (completed.get()) {
       written.failed(new IllegalStateException("the request is over"));
       return;
     }
-    response.write(false, bytes, written);
+    lastId.ifPresent(id -> lastEventId = id);
+    writer.write(false, bytes, written);
   }
 
   /** Ends an answer that was passed on in parts. */
@@ -176,7 +196,7 @@
   private void finish(ByteBuffer last) {
     if (completed.compareAndSet(false, true)) {
       unwatch();
-      response.write(true, last, callback);
+      writer.write(true, last, callback);
       gateway.onCompleted(body.length);
     }
   }
