Ask engines which prompt parts they keep; start quicker; blame no engine for a caller's short time

Change: CacheSurvey asks each engine that newly appears once for its list (six at a time); parts kept only partly count as far as they are kept; capacities come from the service, not a constant. AttemptPatience says whether silence is fair to hold against the engine. Ruled out: the peers' parts (nobody has any after all were killed).

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
@@ -12,6 +12,8 @@
   LOST(true),
   /** No sign of an answer within the patience of the attempt. */
   SILENT(true),
+  /** No sign of an answer before the caller's time ran short; the engine may be in good health. */
+  OUT_OF_TIME(true),
   /** Part of the answer had been passed on when it broke off. */
   BROKEN_MIDWAY(true);
 
@@ -28,6 +30,6 @@
 
   /** Whether it speaks against the engine or the way to it. */
   public boolean blamesEngine() {
-    return this != NOT_EXECUTED && this != ANSWERED_FAILURE;
+    return this != NOT_EXECUTED && this != ANSWERED_FAILURE && this != OUT_OF_TIME;
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -44,7 +44,10 @@
       if (kept == null || untilNanos != Long.MAX_VALUE && kept.readyAtNanos - untilNanos > 0) {
         return cached;
       }
-      cached += part.tokens();
+      cached += Math.min(kept.tokens, part.tokens());
+      if (kept.tokens < part.tokens()) {
+        return cached;
+      }
     }
     return cached;
   }
@@ -106,9 +109,10 @@
 
     void touch(PromptPart part, long readyAtNanos) {
       Kept before = parts.get(part.id());
-      if (before == null) {
+      int keptTokens = before == null ? 0 : before.tokens;
+      if (before == null || keptTokens < part.tokens()) {
         parts.put(part.id(), new Kept(part.tokens(), readyAtNanos));
-        total += part.tokens();
+        total += part.tokens() - keptTokens;
       }
     }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -22,7 +22,7 @@
       Optional<ServingEngine> fetchFrom,
       int urgency,
       Expectation expectation,
-      Duration patience)
+      AttemptPatience patience)
       implements Decision {}
 
   /**
@@ -41,7 +41,7 @@
       Optional<ServingEngine> fetchFrom,
       int urgency,
       Expectation expectation,
-      Duration patience)
+      AttemptPatience patience)
       implements Decision {}
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Departures.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Departures.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.ServingEngine;
 
@@ -34,6 +35,11 @@
     after.all().stream().filter(engine -> !engine.leaving()).forEach(e -> byId.remove(e.id()));
   }
 
+  /** Engines that left a short while ago. */
+  Set<String> ids() {
+    return byId.keySet();
+  }
+
   /** Engines of a service that may still be used. */
   List<ServingEngine> lately(String service, long nowNanos) {
     return byId.values().stream()
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -95,7 +95,8 @@
 
   private void record(PlacedPrompt prompt, long nowNanos) {
     long readyAt = nowNanos + TimeUnit.MILLISECONDS.toNanos(prompt.readyInMillis());
-    selector.cachedParts().record(prompt.engineId(), DEFAULT_CACHE_TOKENS, prompt.parts(), readyAt);
+    long capacity = cacheTokens(selector.serviceOf(prompt.engineId()));
+    selector.cachedParts().record(prompt.engineId(), capacity, prompt.parts(), readyAt);
   }
 
   /** What this node has at each engine, for the other nodes. */
@@ -278,7 +279,7 @@
             progress,
             prompt,
             speed(progress),
-            profile(progress),
+            profile(progress.service()),
             selector.holders(progress, prompt, nowNanos),
             nowNanos);
     return prompts
@@ -294,7 +295,7 @@
     if (!plan.prefill()) {
       return run(progress, engine, plan.fetchFrom(), plan.expectation(), nowNanos);
     }
-    Duration patienceForIt =
+    AttemptPatience patienceForIt =
         patience.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
     long silence = patience.beforeSilence(plan.millis());
     selector.load(engine).add(plan.readTokens(), silence, nowNanos);
@@ -314,7 +315,9 @@
       double millis,
       long nowNanos) {
     long readyAt = nowNanos + (long) (millis * NANOS_PER_MILLI);
-    selector.cachedParts().record(engine.id(), cacheTokens(progress), prompt.parts(), readyAt);
+    selector
+        .cachedParts()
+        .record(engine.id(), cacheTokens(progress.service()), prompt.parts(), readyAt);
     if (prompt.promptTokens() >= MIN_TOLD_TOKENS) {
       newPrompts.add(new PlacedPrompt(engine.id(), (int) millis, prompt.parts()));
     }
@@ -329,7 +332,7 @@
     long silence = patience.beforeSilence(expectation.millis());
     selector.load(engine).add(expectation.readTokens(), silence, nowNanos);
     progress.beginRun(engine, expectation.readTokens());
-    Duration patienceForIt =
+    AttemptPatience patienceForIt =
         patience.forRun(
             progress, expectation.millis(), progress.envelope().remainingNanos(nowNanos));
     return new Decision.Run(
@@ -366,14 +369,12 @@
         progress.service(), name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
   }
 
-  private Optional<EngineProfile> profile(RequestProgress progress) {
-    return routing
-        .flatMap(image -> image.service(progress.service()))
-        .flatMap(ServiceDefinition::engine);
+  private Optional<EngineProfile> profile(String service) {
+    return routing.flatMap(image -> image.service(service)).flatMap(ServiceDefinition::engine);
   }
 
-  private long cacheTokens(RequestProgress progress) {
-    return profile(progress).map(EngineProfile::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
+  private long cacheTokens(String service) {
+    return profile(service).map(EngineProfile::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
   }
 
   private Decision notRun(ErrorKind kind, String reason) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -53,10 +53,17 @@
     directory = newDirectory;
     Set<String> present = new HashSet<>();
     directory.all().forEach(engine -> present.add(engine.id()));
-    cachedParts.retain(present);
+    Set<String> believed = new HashSet<>(present);
+    believed.addAll(departures.ids());
+    cachedParts.retain(believed);
     loads.entrySet().removeIf(e -> !present.contains(e.getKey()) && e.getValue().idle());
   }
 
+  /** Service of a listed engine; empty for any other. */
+  String serviceOf(String engineId) {
+    return directory.find(engineId).map(ServingEngine::service).orElse("");
+  }
+
   EngineLoad load(ServingEngine engine) {
     return loads.computeIfAbsent(engine.id(), id -> new EngineLoad());
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -21,10 +21,15 @@
    *
    * @param expectedMillis how long it should take
    */
-  Duration forPrefill(double expectedMillis, long remainingNanos) {
+  AttemptPatience forPrefill(double expectedMillis, long remainingNanos) {
     long wanted =
         PREFILL_BASE_NANOS + Duration.ofMillis((long) (PREFILL_FACTOR * expectedMillis)).toNanos();
-    return Duration.ofNanos(Math.min(wanted, remainingNanos / 2));
+    return within(wanted, remainingNanos / 2);
+  }
+
+  private static AttemptPatience within(long wantedNanos, long mostNanos) {
+    long most = Math.max(0, mostNanos);
+    return new AttemptPatience(Duration.ofNanos(Math.min(wantedNanos, most)), wantedNanos <= most);
   }
 
   /** How long an engine may say nothing after a request that should take so long. */
@@ -34,15 +39,15 @@
   }
 
   /** For a request that runs. */
-  Duration forRun(RequestProgress progress, double expectedMillis, long remainingNanos) {
+  AttemptPatience forRun(RequestProgress progress, double expectedMillis, long remainingNanos) {
     Route route = progress.envelope().route();
     boolean last = progress.possibleRuns() >= route.maxAttempts();
     if (!route.repeatable() || last) {
-      return Duration.ofNanos(Math.max(0, remainingNanos));
+      return within(Long.MAX_VALUE, remainingNanos);
     }
     long wanted =
         (long) (RUN_TARGETS * route.targetLatency().toNanos())
             + Duration.ofMillis((long) (RUN_FACTOR * expectedMillis)).toNanos();
-    return Duration.ofNanos(Math.max(0, Math.min(wanted, remainingNanos)));
+    return within(wanted, remainingNanos);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -104,6 +104,14 @@
         .log();
   }
 
+  void cacheListed(DispatchEvent.CacheListed answer) {
+    line(LogEvent.CACHE_LISTED)
+        .addKeyValue("engine", answer.engineId())
+        .addKeyValue("answered", answer.parts().isPresent())
+        .addKeyValue("parts", answer.parts().map(known -> known.parts().size()).orElse(0))
+        .log();
+  }
+
   void noPeerKnows(String table, Exception failure) {
     line(LogEvent.NO_PEER_KNOWS)
         .addKeyValue("table", table)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.AttemptPatience;
 import org.fallturn.core.dispatch.CacheSource;
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Dispatcher;
@@ -27,14 +29,20 @@
   private final DecisionLog log;
   private final LoadSender loadSender;
   private final Set<Exchange> active = new HashSet<>();
+  private final CacheSurvey survey;
   private long lastDigestNanos;
 
   DispatchDuty(
-      Dispatcher dispatcher, EngineClient engines, DecisionLog log, LoadSender loadSender) {
+      Dispatcher dispatcher,
+      EngineClient engines,
+      DecisionLog log,
+      LoadSender loadSender,
+      CacheSurvey survey) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
     this.loadSender = loadSender;
+    this.survey = survey;
   }
 
   @Override
@@ -58,6 +66,11 @@
       onCallerGone(gone.exchange());
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
       dispatcher.setDirectory(changed.directory(), now);
+      survey.onDirectory(changed.directory());
+    } else if (event instanceof DispatchEvent.CacheListed answer) {
+      log.cacheListed(answer);
+      answer.parts().ifPresent(parts -> dispatcher.onKnownParts(List.of(parts), now));
+      survey.onAnswer(answer.parts().isPresent());
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
@@ -187,9 +200,8 @@
     return Duration.ofNanos(Math.max(0, exchange.envelope().remainingNanos(now)));
   }
 
-  private void send(Exchange exchange, EngineCall call, Duration patience, long now) {
-    EngineAttempt attempt =
-        new EngineAttempt(exchange, call, engines.protocol(), now + patience.toNanos());
+  private void send(Exchange exchange, EngineCall call, AttemptPatience patience, long now) {
+    EngineAttempt attempt = new EngineAttempt(exchange, call, engines.protocol(), patience, now);
     exchange.setAttempt(attempt);
     engines.send(exchange, attempt);
   }
@@ -247,7 +259,7 @@
     }
     if (attempt.cancel("no answer in time")) {
       AttemptOutcome outcome =
-          attempt.maybeSent() ? AttemptOutcome.SILENT : AttemptOutcome.NOT_SENT;
+          attempt.maybeSent() ? attempt.whenOutOfPatience() : AttemptOutcome.NOT_SENT;
       onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -1,9 +1,11 @@
 package org.fallturn.node.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 
@@ -42,6 +44,9 @@
   /** Another node told which parts engines keep. */
   record PartsLearned(KnownParts parts) implements DispatchEvent {}
 
+  /** An engine said which parts it keeps; nothing when it did not answer. */
+  record CacheListed(String engineId, Optional<PlacedPrompt> parts) implements DispatchEvent {}
+
   /** The settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.AttemptPatience;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -43,7 +44,8 @@
   private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
   private volatile Request request;
   private volatile boolean maybeSent;
-  private volatile long patienceUntilNanos;
+  private final AttemptPatience patience;
+  private final long patienceUntilNanos;
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
   private volatile boolean streamed;
@@ -51,11 +53,16 @@
   private boolean told;
 
   EngineAttempt(
-      Exchange exchange, EngineCall call, EngineProtocol protocol, long patienceUntilNanos) {
+      Exchange exchange,
+      EngineCall call,
+      EngineProtocol protocol,
+      AttemptPatience patience,
+      long nowNanos) {
     this.exchange = exchange;
     this.call = call;
     this.protocol = protocol;
-    this.patienceUntilNanos = patienceUntilNanos;
+    this.patience = patience;
+    this.patienceUntilNanos = nowNanos + patience.duration().toNanos();
   }
 
   EngineCall call() {
@@ -89,6 +96,11 @@
     return state.get() == State.WAITING && nowNanos - patienceUntilNanos >= 0;
   }
 
+  /** How it failed when nothing came within the patience. */
+  AttemptOutcome whenOutOfPatience() {
+    return patience.whenOver();
+  }
+
   /** Whether any byte may have reached the engine. */
   boolean maybeSent() {
     return maybeSent;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -1,23 +1,31 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
+import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.http.PlainClientConnector;
+import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,7 +33,7 @@
  * Sends requests to engines over kept connections. Bytes of request and answer are not touched: no
  * header of its own, no decoding, no redirects. Thread-safe.
  */
-final class EngineClient implements AutoCloseable {
+final class EngineClient implements CacheSurvey.CacheLister, AutoCloseable {
 
   private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
 
@@ -35,6 +43,8 @@
   private static final int DEFAULT_CONNECTIONS = 16;
   private static final int MAX_QUEUED = 4_096;
   private static final int ASSUMED_NODES = 8;
+  private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
+  private static final int MAX_LIST_BYTES = 2 << 20;
   private static final int BUFFER_BYTES = 8 * 1024;
 
   private final HttpClient client;
@@ -120,6 +130,30 @@
             });
   }
 
+  @Override
+  public void listCache(ServingEngine engine, Consumer<Optional<List<PromptPart>>> answer) {
+    newRequest(engine, HttpMethod.GET.asString(), protocol.cacheListPath())
+        .timeout(LIST_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+        .send(
+            new BufferingResponseListener(MAX_LIST_BYTES) {
+              @Override
+              public void onComplete(Result result) {
+                boolean good =
+                    result.isSucceeded() && result.getResponse().getStatus() == HttpStatus.OK_200;
+                answer.accept(good ? readList(engine, getContent()) : Optional.empty());
+              }
+            });
+  }
+
+  private Optional<List<PromptPart>> readList(ServingEngine engine, byte[] body) {
+    try {
+      return Optional.of(protocol.readCacheList(body));
+    } catch (MalformedMessageException e) {
+      LOG.warn("engines: The cache list of {} is not readable: {}.", engine.id(), e.getMessage());
+      return Optional.empty();
+    }
+  }
+
   private Request newRequest(ServingEngine engine, String method, String path) {
     NetworkAddress address = engine.address();
     serviceByAddress.put(address, engine.service());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -1,6 +1,8 @@
 package org.fallturn.node.gateway;
 
+import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
+import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.node.json.MalformedMessageException;
 
 /** Port: what is spoken with engines. Thread-safe; decides nothing. */
@@ -22,6 +24,12 @@
    */
   String readPrefillHandle(byte[] body) throws MalformedMessageException;
 
+  /** Path of the call (method GET) by which an engine lists the prompt parts it keeps. */
+  String cacheListPath();
+
+  /** Reads the answer to that call. */
+  List<PromptPart> readCacheList(byte[] body) throws MalformedMessageException;
+
   /** Path of the call (method DELETE) that frees a KV cache that nobody will fetch. */
   String freeHandlePath(String handle);
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -58,6 +58,7 @@
   private final EngineClient engines;
   private final PeerPorts peerPorts;
   private final PeerExchange peers;
+  private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
   private final RowFollower routingFollower;
@@ -84,8 +85,10 @@
             peerPorts.datagrams(),
             new PeerBook(peerPorts.address(), settings.seedPeers()),
             this::tell);
+    this.survey = new CacheSurvey(engines, this::tell);
     DispatchDuty duty =
-        new DispatchDuty(new Dispatcher(settings.dispatchParameters()), engines, log, peers);
+        new DispatchDuty(
+            new Dispatcher(settings.dispatchParameters()), engines, log, peers, survey);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector();
     this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk, this::tell);
@@ -144,6 +147,7 @@
     metrics.gauge("routing_version", this::routingVersion);
     metrics.gauge("engines", this::engineCount);
     metrics.gauge("engines_leaving", this::leavingCount);
+    metrics.gauge("caches_known", survey::answered);
     metrics.gauge("nodes", peers::cautiousNodeCount);
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
@@ -175,6 +179,11 @@
     return directory.all().stream().filter(ServingEngine::leaving).count();
   }
 
+  /** Engines that have said which prompt parts they keep. */
+  public int cachesKnown() {
+    return survey.answered();
+  }
+
   /** Where other nodes tell their load and ask for tables. */
   public NetworkAddress peersAddress() {
     return peers.address();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -20,6 +20,8 @@
   LEARNED_FROM_PEER,
   /** Which parts engines keep was learned from another node. */
   PARTS_LEARNED,
+  /** An engine said which parts it keeps, or did not answer. */
+  CACHE_LISTED,
   /** No other node could tell a table while the store did not answer. */
   NO_PEER_KNOWS,
   /** The store has dropped changes that were not read yet. */
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/SettingsReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/SettingsReader.java
@@ -4,16 +4,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.stream.Collectors;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseResult;
-import org.tomlj.TomlPosition;
 
 /**
  * Reads a TOML text and flags against a list of definitions. A flag wins over the file. Every
@@ -22,6 +19,7 @@
 public final class SettingsReader {
 
   private static final String FLAGS = "flags";
+  private static final IntSupplier NO_LINE = () -> 0;
 
   private final Map<String, SettingDefinition<?>> definitions = new LinkedHashMap<>();
   private final Map<SettingDefinition<?>, Object> values = new HashMap<>();
@@ -49,54 +47,41 @@
 
   /** Reads the text of a settings file. */
   public SettingsReader toml(String source, String text) {
-    TomlParseResult result = Toml.parse(text);
-    result
-        .errors()
-        .forEach(
-            error ->
-                mistakes.add(
-                    new SettingMistake(
-                        source,
-                        error.position().line(),
-                        "",
-                        error.getMessage(),
-                        "TOML of sections and fields")));
-    List<String> keys = new ArrayList<>(result.dottedKeySet());
-    keys.sort(Comparator.comparingInt(key -> line(result, key)));
-    for (String key : keys) {
-      readToml(source, line(result, key), key, result.get(key));
+    try {
+      TomlText toml = TomlText.parse(text);
+      toml.fields().forEach(field -> readToml(source, toml, field));
+    } catch (TomlText.MalformedTomlException e) {
+      mistakes.add(
+          new SettingMistake(source, e.line(), "", e.getMessage(), "TOML of sections and fields"));
     }
     return this;
   }
 
-  private static int line(TomlParseResult result, String key) {
-    TomlPosition position = result.inputPositionOf(key);
-    return position == null ? 0 : position.line();
-  }
-
   /** Reads flags, by dotted key. */
   public SettingsReader flags(Map<String, String> flags) {
     flags.forEach(
         (key, text) -> {
-          SettingDefinition<?> definition = known(FLAGS, 0, key);
+          SettingDefinition<?> definition = known(FLAGS, NO_LINE, key);
           if (definition != null) {
-            keep(FLAGS, 0, definition, text, definition.fromText(text));
+            keep(FLAGS, NO_LINE, definition, text, definition.fromText(text));
           }
         });
     return this;
   }
 
-  private void readToml(String source, int line, String key, Object value) {
-    SettingDefinition<?> definition = known(source, line, key);
+  private void readToml(String source, TomlText toml, TomlText.Field field) {
+    IntSupplier line = () -> toml.line(field.key());
+    SettingDefinition<?> definition = known(source, line, field.key());
     if (definition != null) {
-      keep(source, line, definition, value, definition.fromToml(value));
+      keep(source, line, definition, field.value(), definition.fromToml(field.value()));
     }
   }
 
-  private SettingDefinition<?> known(String source, int line, String key) {
+  private SettingDefinition<?> known(String source, IntSupplier line, String key) {
     SettingDefinition<?> definition = definitions.get(key);
     if (definition == null) {
-      mistakes.add(new SettingMistake(source, line, key, "no such setting", alternatives(key)));
+      mistakes.add(
+          new SettingMistake(source, line.getAsInt(), key, "no such setting", alternatives(key)));
     }
     return definition;
   }
@@ -118,11 +103,19 @@
   }
 
   private void keep(
-      String source, int line, SettingDefinition<?> definition, Object raw, Optional<?> value) {
+      String source,
+      IntSupplier line,
+      SettingDefinition<?> definition,
+      Object raw,
+      Optional<?> value) {
     if (value.isEmpty()) {
       mistakes.add(
           new SettingMistake(
-              source, line, definition.key(), "value not allowed: " + raw, definition.allowed()));
+              source,
+              line.getAsInt(),
+              definition.key(),
+              "value not allowed: " + raw,
+              definition.allowed()));
       return;
     }
     values.put(definition, value.get());
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
@@ -0,0 +1,77 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServingEngine;
+import org.junit.jupiter.api.Test;
+
+class CacheSurveyTest {
+
+  private final List<String> asked = new ArrayList<>();
+  private final List<Consumer<Optional<List<PromptPart>>>> answers = new ArrayList<>();
+  private final List<DispatchEvent> told = new ArrayList<>();
+  private final CacheSurvey survey =
+      new CacheSurvey(
+          (engine, answer) -> {
+            asked.add(engine.id());
+            answers.add(answer);
+          },
+          told::add);
+
+  private static ServingEngine engine(String id, EngineStage stage) {
+    return new ServingEngine(
+        id, "llm", new NetworkAddress("127.0.0.1", 1), "zone-1", 8, false, stage);
+  }
+
+  private static EngineDirectory listed(ServingEngine... engines) {
+    return EngineDirectory.of(1, List.of(engines));
+  }
+
+  @Test
+  void asksEachModelEngineOnceAndAgainAfterItsEntryWasGone() {
+    ServingEngine decode = engine("d-1", EngineStage.DECODE);
+    ServingEngine application = engine("a-1", EngineStage.NONE);
+    survey.onDirectory(listed(decode, application));
+    survey.onDirectory(listed(decode, application));
+    assertThat(asked).containsExactly("d-1");
+    survey.onDirectory(listed(application));
+    survey.onDirectory(listed(decode, application));
+    assertThat(asked).containsExactly("d-1", "d-1");
+  }
+
+  @Test
+  void fewAreAskedAtOnce() {
+    ServingEngine[] many =
+        IntStream.range(0, 20)
+            .mapToObj(number -> engine("d-" + number, EngineStage.DECODE))
+            .toArray(ServingEngine[]::new);
+    survey.onDirectory(listed(many));
+    int atOnce = asked.size();
+    assertThat(atOnce).isPositive().isLessThan(10);
+    survey.onAnswer(true);
+    assertThat(asked).hasSize(atOnce + 1);
+    while (asked.size() < many.length) {
+      survey.onAnswer(true);
+    }
+    assertThat(asked).doesNotHaveDuplicates();
+  }
+
+  @Test
+  void answersComeAsEvents() {
+    survey.onDirectory(listed(engine("d-1", EngineStage.DECODE)));
+    answers.get(0).accept(Optional.of(List.of(new PromptPart("aa", 30))));
+    answers.get(0).accept(Optional.empty());
+    DispatchEvent.CacheListed known = (DispatchEvent.CacheListed) told.get(0);
+    assertThat(known.parts().orElseThrow().parts()).containsExactly(new PromptPart("aa", 30));
+    assertThat(((DispatchEvent.CacheListed) told.get(1)).parts()).isEmpty();
+  }
+}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -9,12 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
@@ -46,6 +48,8 @@
   private static final String EXPECT_INSTANCE = "X-Fallturn-Expect-Instance";
   private static final String INSTANCE = "X-Fallturn-Instance-Id";
   private static final String HANDLE_PATH = "/-/kv-handle/";
+  private static final String CACHE_LIST_PATH = "/-/kv-list";
+  private static final String PREFIX_HASH = "X-Fallturn-Prefix-Hash";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
   private static final long EVENT_MILLIS = 5;
   private static final long GONE_CHECK_MILLIS = 10;
@@ -58,6 +62,7 @@
   private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<HttpFields> heads = new ConcurrentLinkedQueue<>();
   private final Set<String> handles = ConcurrentHashMap.newKeySet();
+  private final Map<String, String> keptParts = new ConcurrentHashMap<>();
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final AtomicInteger abandoned = new AtomicInteger();
   private volatile EngineFault standingFault = EngineFault.NONE;
@@ -143,6 +148,10 @@
         response.write(true, BufferUtil.EMPTY_BUFFER, callback);
         return true;
       }
+      if (path.equals(CACHE_LIST_PATH)) {
+        write(response, callback, cacheList());
+        return true;
+      }
       heads.add(request.getHeaders().asImmutable());
       Content.Source.consumeAll(request);
       EngineFault queued = nextFaults.poll();
@@ -150,6 +159,23 @@
       return true;
     }
 
+    private String cacheList() {
+      return keptParts.entrySet().stream()
+          .map(part -> "[\"\",\"" + part.getKey() + "\"," + part.getValue() + ",\"m\"]")
+          .collect(Collectors.joining(",", "{\"epoch\":1,\"nextPageToken\":1,\"held\":[", "]}"));
+    }
+
+    /** Whatever prompt it reads, it keeps. */
+    private void keepParts(HttpFields headers) {
+      String hash = headers.get(PREFIX_HASH);
+      if (hash != null) {
+        for (String part : hash.split(",", -1)) {
+          keptParts.put(
+              part.substring(0, part.indexOf(':')), part.substring(part.indexOf(':') + 1));
+        }
+      }
+    }
+
     private void serve(Request request, Response response, Callback callback, EngineFault fault)
         throws Exception {
       HttpFields headers = request.getHeaders();
@@ -166,6 +192,7 @@
         refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else {
         runs.add(headers.get(REQUEST_ID));
+        keepParts(headers);
         run(request, response, callback, fault);
       }
     }
@@ -203,6 +230,7 @@
         write(response, callback, "failed");
         return;
       }
+      keepParts(request.getHeaders());
       String handle = "h-" + id + "-" + handleNumber.incrementAndGet();
       handles.add(handle);
       String body = "{\"kvHandle\":\"" + handle + "\",\"tokens\":10,\"version\":1}";
