--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -12,6 +12,7 @@
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.metrics.LogSetup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -98,6 +99,14 @@
         .log();
   }
 
+  /** Says how many lines were dropped, if any; called now and then. */
+  void droppedLines() {
+    long count = LogSetup.takeDroppedLines();
+    if (count > 0) {
+      line(LogEvent.LINES_DROPPED).addKeyValue("count", count).log();
+    }
+  }
+
   void cacheListed(DispatchEvent.CacheListed answer) {
     line(LogEvent.CACHE_LISTED)
         .addKeyValue("engine", answer.engineId())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -255,6 +255,7 @@
     checkEngines(now);
     if (now - lastDigestNanos >= DIGEST_NANOS) {
       lastDigestNanos = now;
+      log.droppedLines();
       dispatcher.setNodeCount(loadSender.cautiousNodeCount());
       loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -12,6 +12,8 @@
   SETTINGS_RELOADED,
   /** The settings could not be read again; the old ones stay. */
   SETTINGS_REFUSED,
+  /** Lines were dropped, since they came faster than they were read. */
+  LINES_DROPPED,
   /** The store answers again. */
   DEPENDENCY_REGAINED,
   /** The store does not answer. */
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -1,6 +1,5 @@
 package org.fallturn.node.metrics;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
@@ -10,6 +9,7 @@
 import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import java.util.concurrent.atomic.AtomicReference;
 import org.fallturn.node.settings.LogFormat;
 import org.fallturn.node.settings.LogLevel;
 import org.slf4j.LoggerFactory;
@@ -23,6 +23,7 @@
   private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%thread] %msg%n%ex";
 
   private static final int QUEUE_SIZE = 2_048;
+  private static final AtomicReference<LogQueue> QUEUE = new AtomicReference<>();
 
   private LogSetup() {}
 
@@ -38,13 +39,21 @@
    */
   public static void applyStructured(LogLevel level) {
     LoggerContext context = emptyContext();
-    AsyncAppender queue = new AsyncAppender();
+    LogQueue queue = new LogQueue(QUEUE_SIZE);
     queue.setContext(context);
-    queue.setQueueSize(QUEUE_SIZE);
-    queue.setNeverBlock(true);
     queue.addAppender(console(context, "System.out", LogFormat.JSON));
     queue.start();
     install(context, level, queue);
+    QUEUE.set(queue);
+  }
+
+  /**
+   * Lines that were dropped since the last call, once there is room to say so; 0 otherwise, and
+   * where lines are not queued.
+   */
+  public static long takeDroppedLines() {
+    LogQueue queue = QUEUE.get();
+    return queue == null || !queue.hasRoom() ? 0 : queue.takeDropped();
   }
 
   private static LoggerContext emptyContext() {
