Ask engines again every few seconds what they keep

CacheSurvey asks all model engines again every 5 s (0.5 s a node where there are many), and the answer replaces what was believed but for parts that may have been read since.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An estimate of which prompt parts each engine keeps: what was sent there, least recently used
@@ -18,7 +19,10 @@
   private static final int INITIAL_CAPACITY = 64;
 
   /** Part of an engine's memory that is believed to keep parts; the rest holds running requests. */
-  private static final double KEPT_SHARE = 0.8;
+  private static final double KEPT_SHARE = 0.9;
+
+  /** A part read shortly before an engine was asked may be missing in its answer. */
+  private static final long LIST_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
   private final Map<String, EngineParts> engines = new HashMap<>();
 
@@ -69,6 +73,34 @@
     engine.trim((long) (KEPT_SHARE * capacityTokens));
   }
 
+  /**
+   * The engine said what it keeps, which replaces what was believed but for parts that it may have
+   * read since; those that were not known count as the least recently used.
+   *
+   * @param askedAtNanos when it was asked
+   */
+  void replace(String engineId, List<PromptPart> listed, long askedAtNanos) {
+    EngineParts before = engines.computeIfAbsent(engineId, id -> new EngineParts());
+    EngineParts now = new EngineParts();
+    Map<String, Integer> listedTokens = new HashMap<>();
+    for (PromptPart part : listed) {
+      listedTokens.put(part.id(), part.tokens());
+      if (!before.parts.containsKey(part.id())) {
+        now.touch(part, askedAtNanos);
+      }
+    }
+    before.parts.forEach(
+        (id, kept) -> {
+          Integer tokens = listedTokens.get(id);
+          if (tokens != null) {
+            now.touch(new PromptPart(id, tokens), kept.readyAtNanos);
+          } else if (kept.readyAtNanos - askedAtNanos > -LIST_LAG_NANOS) {
+            now.touch(new PromptPart(id, kept.tokens), kept.readyAtNanos);
+          }
+        });
+    engines.put(engineId, now);
+  }
+
   /** Forgets engines that are no longer listed. */
   void retain(Set<String> engineIds) {
     engines.keySet().retainAll(engineIds);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -81,9 +81,13 @@
     digest.prompts().forEach(prompt -> record(prompt, nowNanos));
   }
 
-  /** Takes what an engine says that it keeps; it adds to what is known. */
-  public void onCacheListed(PlacedPrompt listed, long nowNanos) {
-    record(listed, nowNanos);
+  /**
+   * Takes what an engine says that it keeps.
+   *
+   * @param askedAtNanos when it was asked
+   */
+  public void onCacheListed(PlacedPrompt listed, long askedAtNanos) {
+    selector.cachedParts().replace(listed.engineId(), listed.parts(), askedAtNanos);
   }
 
   private void record(PlacedPrompt prompt, long nowNanos) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
@@ -15,25 +15,32 @@
 import org.fallturn.core.routing.ServingEngine;
 
 /**
- * Asks each model engine that newly appears in the list, once, which prompt parts it keeps. After a
- * start this node would otherwise have every shared part read again although the engines still keep
- * them. An answer holds up the engine's work for a moment, so that few are asked at once. Only the
- * dispatch thread calls; answers come back to it as events.
+ * Asks each model engine which prompt parts it keeps: as soon as it appears in the list, and again
+ * every few seconds. After a start this node would otherwise have every shared part read again
+ * although the engines still keep them, and later its belief would drift away from the truth. An
+ * answer holds up the engine's work for a moment, so that few are asked at once. Only the dispatch
+ * thread calls; answers come back to it as events.
  */
 final class CacheSurvey {
 
   private static final int MAX_ASKED_AT_ONCE = 6;
 
+  private static final long MIN_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long PAUSE_A_NODE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** A prompt that waits longer for what engines keep gains less than it loses. */
   private static final long LONGEST_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private final CacheLister lister;
   private final Consumer<DispatchEvent> events;
   private final Deque<ServingEngine> waiting = new ArrayDeque<>();
+  private final Set<String> heard = new HashSet<>();
   private Set<String> listed = new HashSet<>();
   private int asked;
   private boolean begun;
   private long begunNanos;
+  private long lastRoundNanos;
+  private EngineDirectory directory = EngineDirectory.empty();
   private volatile int answered;
 
   /** Way to an engine's list. */
@@ -67,19 +74,22 @@
   }
 
   /** Takes a newer list of engines. */
-  void onDirectory(EngineDirectory directory, long nowNanos) {
+  void onDirectory(EngineDirectory newDirectory, long nowNanos) {
     if (!begun) {
       begun = true;
       begunNanos = nowNanos;
+      lastRoundNanos = nowNanos;
     }
     Set<String> present = new HashSet<>();
-    for (ServingEngine engine : directory.all()) {
+    for (ServingEngine engine : newDirectory.all()) {
       present.add(engine.id());
       if (!listed.contains(engine.id())) {
         add(engine);
       }
     }
     listed = present;
+    directory = newDirectory;
+    heard.retainAll(present);
     askNext();
   }
 
@@ -92,17 +102,29 @@
     }
   }
 
-  /**
-   * An engine's turn is over.
-   *
-   * @param known whether it said what it keeps
-   */
-  void onAnswer(boolean known) {
+  /** An engine answered, or did not. */
+  void onAnswer(DispatchEvent.CacheListed answer) {
     asked--;
-    answered += known ? 1 : 0;
+    if (answer.parts().isPresent()) {
+      heard.add(answer.engineId());
+      answered = heard.size();
+    }
     askNext();
   }
 
+  /**
+   * Asks all engines again when it is time: what is believed of their caches drifts away from what
+   * they keep. The more nodes ask, the less often each does.
+   */
+  void onTick(long nowNanos, int nodes) {
+    long pause = Math.max(MIN_PAUSE_NANOS, nodes * PAUSE_A_NODE_NANOS);
+    if (asked == 0 && waiting.isEmpty() && nowNanos - lastRoundNanos >= pause) {
+      lastRoundNanos = nowNanos;
+      directory.all().forEach(this::add);
+      askNext();
+    }
+  }
+
   /** How many engines have said what they keep; any thread may call. */
   int answered() {
     return answered;
@@ -112,12 +134,14 @@
     while (asked < MAX_ASKED_AT_ONCE && !waiting.isEmpty()) {
       ServingEngine engine = waiting.poll();
       asked++;
-      lister.listCache(engine, parts -> events.accept(event(engine, parts)));
+      long now = System.nanoTime();
+      lister.listCache(engine, parts -> events.accept(event(engine, now, parts)));
     }
   }
 
-  private static DispatchEvent event(ServingEngine engine, Optional<List<PromptPart>> parts) {
+  private static DispatchEvent event(
+      ServingEngine engine, long askedAtNanos, Optional<List<PromptPart>> parts) {
     return new DispatchEvent.CacheListed(
-        engine.id(), parts.map(known -> new PlacedPrompt(engine.id(), 0, known)));
+        engine.id(), askedAtNanos, parts.map(known -> new PlacedPrompt(engine.id(), 0, known)));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -74,8 +74,8 @@
       survey.onDirectory(changed.directory(), now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
       log.cacheListed(answer);
-      answer.parts().ifPresent(parts -> dispatcher.onCacheListed(parts, now));
-      survey.onAnswer(answer.parts().isPresent());
+      answer.parts().ifPresent(parts -> dispatcher.onCacheListed(parts, answer.askedAtNanos()));
+      survey.onAnswer(answer);
       endWaiting(now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
@@ -256,6 +256,7 @@
     if (now - lastDigestNanos >= DIGEST_NANOS) {
       lastDigestNanos = now;
       log.droppedLines();
+      survey.onTick(now, loadSender.cautiousNodeCount());
       dispatcher.setNodeCount(loadSender.cautiousNodeCount());
       loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -38,7 +38,8 @@
   record RoutingChanged(RoutingImage image) implements DispatchEvent {}
 
   /** An engine said which parts it keeps; nothing when it did not answer. */
-  record CacheListed(String engineId, Optional<PlacedPrompt> parts) implements DispatchEvent {}
+  record CacheListed(String engineId, long askedAtNanos, Optional<PlacedPrompt> parts)
+      implements DispatchEvent {}
 
   /** The settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.EngineDirectory;
@@ -35,6 +36,12 @@
         id, "llm", new NetworkAddress("127.0.0.1", 1), "zone-1", 8, false, stage);
   }
 
+  private static DispatchEvent.CacheListed answer(boolean known) {
+    Optional<PlacedPrompt> parts =
+        known ? Optional.of(new PlacedPrompt("d-1", 0, List.of())) : Optional.empty();
+    return new DispatchEvent.CacheListed("d-1", START, parts);
+  }
+
   private static EngineDirectory listed(ServingEngine... engines) {
     return EngineDirectory.of(1, List.of(engines));
   }
@@ -60,10 +67,10 @@
     survey.onDirectory(listed(many), START);
     int atOnce = asked.size();
     assertThat(atOnce).isPositive().isLessThan(10);
-    survey.onAnswer(true);
+    survey.onAnswer(answer(true));
     assertThat(asked).hasSize(atOnce + 1);
     while (asked.size() < many.length) {
-      survey.onAnswer(true);
+      survey.onAnswer(answer(true));
     }
     assertThat(asked).doesNotHaveDuplicates();
   }
@@ -82,12 +89,28 @@
     survey.onDirectory(listed(first), START);
     assertThat(survey.wantsPatience(START)).isTrue();
     assertThat(survey.wantsPatience(START + Duration.ofSeconds(1).toNanos())).isFalse();
-    survey.onAnswer(false);
+    survey.onAnswer(answer(false));
     assertThat(survey.wantsPatience(START)).isFalse();
     survey.onDirectory(listed(first, engine("d-2", EngineStage.DECODE)), START);
     assertThat(survey.wantsPatience(START + Duration.ofSeconds(1).toNanos())).isFalse();
   }
 
+  @Test
+  void enginesAreAskedAgainAfterAPauseThatGrowsWithTheNodes() {
+    int fewNodes = 5;
+    int manyNodes = 100;
+    survey.onDirectory(listed(engine("d-1", EngineStage.DECODE)), START);
+    survey.onTick(START + Duration.ofSeconds(6).toNanos(), fewNodes);
+    assertThat(asked).as("not while it is still asked").hasSize(1);
+    survey.onAnswer(answer(true));
+    survey.onTick(START + Duration.ofSeconds(4).toNanos(), fewNodes);
+    survey.onTick(START + Duration.ofSeconds(40).toNanos(), manyNodes);
+    assertThat(asked).hasSize(1);
+    survey.onTick(START + Duration.ofSeconds(40).toNanos(), fewNodes);
+    assertThat(asked).containsExactly("d-1", "d-1");
+    assertThat(survey.answered()).isEqualTo(1);
+  }
+
   @Test
   void answersComeAsEvents() {
     survey.onDirectory(listed(engine("d-1", EngineStage.DECODE)), START);
