--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -9,8 +9,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 import org.fallturn.core.membership.RendezvousHash;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
@@ -143,7 +145,7 @@
   /** The engine of an application service that is least loaded for its size. */
   Optional<ServingEngine> leastLoaded(RequestProgress progress, long nowNanos) {
     return cheapest(
-        runCandidates(progress, nowNanos),
+        runCandidates(progress, nowNanos).stream(),
         engine -> {
           EngineLoad load = load(engine);
           double running = load.running() + peerLoads.running(engine.id(), nowNanos);
@@ -151,6 +153,7 @@
               + FAILURE_RUN_COST * load.health().failureShare()
               + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
         },
+        Function.identity(),
         progress);
   }
 
@@ -186,20 +189,21 @@
         && !peerLoads.suspects(engine.id(), nowNanos);
   }
 
-  /** Equal costs are decided by the request's id, so that nodes do not all take the same engine. */
-  private static Optional<ServingEngine> cheapest(
-      List<ServingEngine> candidates,
-      ToDoubleFunction<ServingEngine> cost,
+  /**
+   * The choice of least cost. Equal costs are decided by the request's id, so that nodes do not all
+   * take the same engine.
+   *
+   * @param engineOf the engine of a choice
+   */
+  static <T> Optional<T> cheapest(
+      Stream<T> choices,
+      ToDoubleFunction<T> cost,
+      Function<T, ServingEngine> engineOf,
       RequestProgress progress) {
     String requestId = progress.envelope().requestId();
-    return candidates.stream()
-        .min(
-            Comparator.comparingDouble(cost)
-                .thenComparingLong(engine -> tieBreak(requestId, engine)));
-  }
-
-  /** Decides between engines of equal cost. */
-  static long tieBreak(String requestId, ServingEngine engine) {
-    return RendezvousHash.weight(requestId, engine.id());
+    return choices.min(
+        Comparator.comparingDouble(cost)
+            .thenComparingLong(
+                choice -> RendezvousHash.weight(requestId, engineOf.apply(choice).id())));
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -1,6 +1,5 @@
 package org.fallturn.core.dispatch;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
@@ -217,17 +216,15 @@
     return isHome ? HOME_MILLIS : 0;
   }
 
-  /** Equal costs are decided by the request's id, so that nodes do not all take one engine. */
   private static Optional<Plan> cheapest(
       Question question,
       List<ServingEngine> engines,
       Function<ServingEngine, Plan> planFor,
       Optional<ServingEngine> home) {
-    String requestId = question.progress().envelope().requestId();
-    return engines.stream()
-        .map(planFor)
-        .min(
-            Comparator.comparingDouble((Plan plan) -> plan.cost() - preference(plan, home))
-                .thenComparingLong(plan -> EngineSelector.tieBreak(requestId, plan.engine())));
+    return EngineSelector.cheapest(
+        engines.stream().map(planFor),
+        plan -> plan.cost() - preference(plan, home),
+        Plan::engine,
+        question.progress());
   }
 }
