--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -36,11 +36,6 @@
   /** Part of the longest pause between events that reading may take up; steps need the rest. */
   private static final double READING_SHARE_OF_PAUSE = 0.5;
 
-  /**
-   * Price of a token that is kept at one more engine; less than that of moving it to another zone.
-   */
-  private static final double DISPLACED_MILLIS = 0.0008;
-
   /** Every stream of the engine suffers a delay, so that it weighs more than this request's own. */
   private static final double DELAY_FACTOR = 3;
 
@@ -140,16 +135,8 @@
             + RUNNING_MILLIS * running
             + crowdedMillis(engine, running)
             + commonMillis(engine, near);
-    double harm =
-        source.isPresent()
-            ? displacedMillis(question, engine)
-            : DELAY_FACTOR * delayMillis(question, backlog, reading);
-    return plan(engine, false, reading, backlog, millis, harm);
-  }
-
-  /** What is moved to an engine that does not keep it yet makes other parts give way there. */
-  private double displacedMillis(Question question, ServingEngine engine) {
-    return DISPLACED_MILLIS * selector.uncachedTokens(engine, question.prompt());
+    double delay = reading.readTokens() == 0 ? 0 : delayMillis(question, backlog, reading);
+    return plan(engine, false, reading, backlog, millis, DELAY_FACTOR * delay);
   }
 
   /**
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -195,22 +195,6 @@
     assertThat(second.expectation().readTokens()).isEqualTo(4_000);
   }
 
-  @Test
-  void promptThatWasReadAheadRunsWhereItsSharedPartIsKept() {
-    Dispatcher dispatcher = Requests.dispatcher(prefill, decode, otherDecode);
-    Set<ServingEngine> used = new HashSet<>();
-    for (int request = 0; request < 6; request++) {
-      RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
-      Decision next = dispatcher.start(progress, after(400 * request));
-      if (next instanceof Decision.Prefill) {
-        next = dispatcher.onPrefilled(progress, "h", after(400 * request + 200));
-      }
-      used.add(runEngine(next));
-      dispatcher.onFinished(progress);
-    }
-    assertThat(used).hasSize(1);
-  }
-
   /** A decode engine reads between the tokens of its streams, whose pauses grow with it. */
   @Test
   void longPromptWaitsForAPrefillEngineRatherThanHoldUpStreams() {
