--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -3,11 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -230,12 +225,11 @@
   /** The second request arrives while the first is served, into the watch's side buffer. */
   @Test
   void requestsSentWithoutWaitingAreAnsweredInTheirOrder() throws Exception {
-    try (Socket socket = new Socket(address.host(), address.port())) {
-      socket.setSoTimeout((int) LONGEST.toMillis());
-      socket.getOutputStream().write(raw("first", EmulatedPlatform.RESUMABLE));
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.send("first", EmulatedPlatform.RESUMABLE, "");
       await().atMost(LONGEST).until(() -> runsOf("first") == 1);
-      socket.getOutputStream().write(raw("second", EmulatedPlatform.IDEMPOTENT));
-      String answers = readUntil(socket.getInputStream(), "answer of a-");
+      caller.send("second", EmulatedPlatform.IDEMPOTENT, "");
+      String answers = caller.readUntil("answer of a-");
       assertThat(answers).contains("X-Fallturn-Request-Id: first", "piece-4");
       assertThat(answers.indexOf("X-Fallturn-Request-Id: second"))
           .isGreaterThan(answers.indexOf("piece-4"));
@@ -243,29 +237,6 @@
     }
   }
 
-  private static byte[] raw(String requestId, String path) {
-    String head =
-        "GET "
-            + path
-            + " HTTP/1.1\r\nHost: "
-            + EmulatedPlatform.HOST
-            + "\r\nX-Fallturn-Request-Id: "
-            + requestId
-            + "\r\nX-Fallturn-Deadline-Ms: 4000\r\nX-Fallturn-Model: m"
-            + "\r\nX-Fallturn-Token-Count: 300,80\r\n\r\n";
-    return head.getBytes(StandardCharsets.US_ASCII);
-  }
-
-  private static String readUntil(InputStream input, String end) throws IOException {
-    ByteArrayOutputStream read = new ByteArrayOutputStream();
-    while (!read.toString(StandardCharsets.US_ASCII).contains(end)) {
-      int next = input.read();
-      assertThat(next).as("bytes before the end of the connection").isNotNegative();
-      read.write(next);
-    }
-    return read.toString(StandardCharsets.US_ASCII);
-  }
-
   @Test
   void routeTimeoutEndsARequestAndItsWork() throws Exception {
     platform.configure(
@@ -377,13 +348,12 @@
         client.send(address, EmulatedPlatform.NON_IDEMPOTENT, 0, Duration.ofMillis(3_000));
     await().atMost(LONGEST).until(() -> runsOf(held.requestId()) == 1);
     failEveryApplication(EngineFault.NONE);
-    try (Socket kept = new Socket(address.host(), address.port())) {
-      kept.setSoTimeout((int) LONGEST.toMillis());
+    try (RawCaller kept = new RawCaller(address)) {
       Thread stopping = new Thread(this::stopAsPlanned);
       stopping.start();
       await().atMost(LONGEST).until(() -> !gateway.takesRequests());
-      kept.getOutputStream().write(raw("late", EmulatedPlatform.IDEMPOTENT));
-      String answer = readUntil(kept.getInputStream(), "\r\n\r\n");
+      kept.send("late", EmulatedPlatform.IDEMPOTENT, "");
+      String answer = kept.readUntil("\r\n\r\n");
       assertThat(answer).contains(" 503 ", "Retry-After: ", "Connection: close");
       assertThat(runsOf("late")).isZero();
       assertThat(held.await().status()).isEqualTo(504);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
@@ -1,6 +1,7 @@
 package org.fallturn.rehearsal.emulator;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -35,6 +36,19 @@
     socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** What comes up to the first occurrence of a text; fails when the connection ends before. */
+  String readUntil(String end) throws IOException {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    while (!read.toString(StandardCharsets.US_ASCII).contains(end)) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        throw new EOFException("the connection ended before \"" + end + "\"");
+      }
+      read.write(next);
+    }
+    return read.toString(StandardCharsets.US_ASCII);
+  }
+
   /** Everything until the connection ends, in whatever way. */
   String readToEnd() {
     ByteArrayOutputStream read = new ByteArrayOutputStream();
