Write the log's last lines before a planned stop ends the process

Ruled out: the stop itself (exit code 0, request served). LogSetup.finish flushes the queue for at most 200 ms before the halt, when every request has ended.

--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogQueue.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogQueue.java
@@ -16,12 +16,16 @@
   private static final String REQUEST_FIELD = "request";
   private static final int KEPT_PART = 5;
 
+  /** How long a process that ends waits for the reader of its last lines. */
+  private static final int LONGEST_FLUSH_MILLIS = 200;
+
   private final AtomicLong dropped = new AtomicLong();
 
   LogQueue(int size) {
     setQueueSize(size);
     setDiscardingThreshold(0);
     setNeverBlock(true);
+    setMaxFlushTime(LONGEST_FLUSH_MILLIS);
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -47,6 +47,17 @@
     QUEUE.set(queue);
   }
 
+  /**
+   * Writes what waits in the queue, for as long as a reader takes it, and then no more. For a
+   * process that is about to end.
+   */
+  public static void finish() {
+    LogQueue queue = QUEUE.getAndSet(null);
+    if (queue != null) {
+      queue.stop();
+    }
+  }
+
   /**
    * Lines that were dropped since the last call, once there is room to say so; 0 otherwise, and
    * where lines are not queued.
--- a/fallturn-node/src/test/java/org/fallturn/node/metrics/LogQueueTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/metrics/LogQueueTest.java
@@ -79,6 +79,15 @@
     assertThat(queue.takeDropped()).isZero();
   }
 
+  /** A process that ends as planned writes its last lines, the one that says so among them. */
+  @Test
+  void linesThatWaitAreWrittenBeforeTheEnd() {
+    logger.atInfo().addKeyValue("event", "STOPPED").log("the last line");
+    reads.countDown();
+    queue.stop();
+    assertThat(written).containsExactly("the last line");
+  }
+
   @Test
   void linesAboutTheNodeHaveRoomWhenThoseAboutRequestsHaveNone() {
     logRequests();
