Let the log queue's test wait until its reader is stuck

The test now begins when the reader is stuck in a first line, after which nothing is taken: same assertions, one line more.

--- a/fallturn-node/src/test/java/org/fallturn/node/metrics/LogQueueTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/metrics/LogQueueTest.java
@@ -23,6 +23,7 @@
   private static final int LINES = 1_000;
 
   private final LoggerContext context = new LoggerContext();
+  private final CountDownLatch entered = new CountDownLatch(1);
   private final CountDownLatch reads = new CountDownLatch(1);
   private final List<String> written = new CopyOnWriteArrayList<>();
   private final LogQueue queue = new LogQueue(SIZE);
@@ -33,6 +34,7 @@
 
     @Override
     protected void append(ILoggingEvent event) {
+      entered.countDown();
       try {
         reads.await();
       } catch (InterruptedException e) {
@@ -43,7 +45,7 @@
   }
 
   @BeforeEach
-  void start() {
+  void start() throws InterruptedException {
     context.setMDCAdapter(new LogbackMDCAdapter());
     SlowOutput output = new SlowOutput();
     output.setContext(context);
@@ -53,6 +55,8 @@
     queue.start();
     logger.setLevel(Level.INFO);
     logger.addAppender(queue);
+    logger.info("the line that nobody reads");
+    entered.await();
   }
 
   @AfterEach
@@ -75,7 +79,7 @@
     await().until(queue::hasRoom);
     long dropped = queue.takeDropped();
     assertThat(dropped).isPositive().isLessThan(LINES);
-    await().until(() -> written.size() + dropped == LINES);
+    await().until(() -> written.size() + dropped == LINES + 1);
     assertThat(queue.takeDropped()).isZero();
   }
 
@@ -85,7 +89,7 @@
     logger.atInfo().addKeyValue("event", "STOPPED").log("the last line");
     reads.countDown();
     queue.stop();
-    assertThat(written).containsExactly("the last line");
+    assertThat(written).containsExactly("the line that nobody reads", "the last line");
   }
 
   @Test
