--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
@@ -6,6 +6,8 @@
   NOT_SENT(false),
   /** The engine says that it did not run the request. */
   NOT_EXECUTED(false),
+  /** Who answers there is not the engine that was meant, or has another part now; nothing ran. */
+  MISDIRECTED(false),
   /** The engine answered with a failure of its own after it may have run the request. */
   ANSWERED_FAILURE(true),
   /** The connection broke, or what came back is no answer to this request. */
@@ -30,6 +32,9 @@
 
   /** Whether it speaks against the engine or the way to it. */
   public boolean blamesEngine() {
-    return this != NOT_EXECUTED && this != ANSWERED_FAILURE && this != OUT_OF_TIME;
+    return switch (this) {
+      case NOT_EXECUTED, MISDIRECTED, ANSWERED_FAILURE, OUT_OF_TIME -> false;
+      case NOT_SENT, LOST, SILENT, BROKEN_MIDWAY -> true;
+    };
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -55,11 +55,6 @@
     return cached;
   }
 
-  /** Whether any engine is believed to keep the part. */
-  boolean known(PromptPart part) {
-    return engines.values().stream().anyMatch(engine -> engine.parts.containsKey(part.id()));
-  }
-
   /**
    * The engine reads these parts.
    *
@@ -101,6 +96,19 @@
     engines.put(engineId, now);
   }
 
+  /** The engine did not read these parts after all; those that it had read before stay. */
+  void forgetUnread(String engineId, List<PromptPart> parts, long nowNanos) {
+    EngineParts engine = engines.get(engineId);
+    if (engine != null) {
+      parts.forEach(part -> engine.forgetUnread(part.id(), nowNanos));
+    }
+  }
+
+  /** Nothing is known of what the engine keeps. */
+  void forget(String engineId) {
+    engines.remove(engineId);
+  }
+
   /** Forgets engines that are no longer listed. */
   void retain(Set<String> engineIds) {
     engines.keySet().retainAll(engineIds);
@@ -124,6 +132,14 @@
       }
     }
 
+    void forgetUnread(String partId, long nowNanos) {
+      Kept kept = parts.get(partId);
+      if (kept != null && kept.readyAtNanos - nowNanos > 0) {
+        parts.remove(partId);
+        total -= kept.tokens;
+      }
+    }
+
     void trim(long capacity) {
       Iterator<Map.Entry<String, Kept>> oldest = parts.entrySet().iterator();
       while (total > capacity && oldest.hasNext()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -188,9 +188,7 @@
   /** An attempt ended without a whole, good answer. */
   public Decision onFailure(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
     boolean wasPrefill = progress.prefilling();
-    progress
-        .engine()
-        .ifPresent(engine -> selector.load(engine).health().onFailure(outcome, nowNanos));
+    progress.engine().ifPresent(engine -> onFailedEngine(progress, engine, outcome, nowNanos));
     release(progress, outcome.mayHaveRun());
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
@@ -198,6 +196,24 @@
     return afterFailedRun(progress, outcome, nowNanos);
   }
 
+  private void onFailedEngine(
+      RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
+    selector.load(engine).health().onFailure(outcome, nowNanos);
+    if (outcome == AttemptOutcome.MISDIRECTED) {
+      selector.cachedParts().forget(engine.id());
+    } else {
+      forgetUnread(progress, engine, nowNanos);
+    }
+  }
+
+  private void forgetUnread(RequestProgress progress, ServingEngine engine, long nowNanos) {
+    progress
+        .envelope()
+        .prompt()
+        .ifPresent(
+            prompt -> selector.cachedParts().forgetUnread(engine.id(), prompt.parts(), nowNanos));
+  }
+
   /** The answer was passed on whole. */
   public void onFinished(RequestProgress progress) {
     progress.engine().ifPresent(engine -> selector.load(engine).health().onGood());
@@ -205,8 +221,14 @@
   }
 
   /** The caller left or its time is over; says nothing about the engine. */
-  public void onAbandoned(RequestProgress progress) {
-    progress.engine().ifPresent(engine -> selector.load(engine).health().onAbandoned());
+  public void onAbandoned(RequestProgress progress, long nowNanos) {
+    progress
+        .engine()
+        .ifPresent(
+            engine -> {
+              selector.load(engine).health().onAbandoned();
+              forgetUnread(progress, engine, nowNanos);
+            });
     release(progress, true);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -4,8 +4,9 @@
 
 /**
  * What outcomes say of one engine. Failures in a row, or silence while requests wait there, suspend
- * it for a growing time, after which one request at a time tries it again; a share of failed
- * answers makes it less attractive without suspending it. One thread calls.
+ * it for a growing time, after which one request at a time tries it again; an answer by another
+ * engine in its place suspends it for the longest time at once; a share of failed answers makes it
+ * less attractive without suspending it. One thread calls.
  */
 final class EngineHealth {
 
@@ -75,6 +76,12 @@
   void onFailure(AttemptOutcome outcome, long nowNanos) {
     probing = false;
     failureShare += SMOOTHING * (1 - failureShare);
+    if (outcome == AttemptOutcome.MISDIRECTED) {
+      silent = false;
+      suspensionNanos = MAX_SUSPENSION_NANOS;
+      suspend(nowNanos);
+      return;
+    }
     if (!outcome.blamesEngine()) {
       return;
     }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -286,11 +286,40 @@
     dispatcher.onFinished(finished);
     RequestProgress abandoned = Requests.prompt(false, 13_000, 4_000);
     dispatcher.start(abandoned, START);
-    dispatcher.onAbandoned(abandoned);
+    dispatcher.onAbandoned(abandoned, START);
     RequestProgress failed = Requests.prompt(false, 0, 300);
     dispatcher.start(failed, START);
     dispatcher.onBegan(failed);
     dispatcher.onFailure(failed, AttemptOutcome.BROKEN_MIDWAY, after(10));
     assertThat(dispatcher.ownLoads()).isEmpty();
   }
+
+  /** An engine that restarted under a new id keeps its old entry for some seconds. */
+  @Test
+  void engineInWhosePlaceAnotherAnswersGetsNothingForSeconds() {
+    Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
+    RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 2);
+    ServingEngine replaced = runEngine(dispatcher.start(progress, START));
+    dispatcher.onFailure(progress, AttemptOutcome.MISDIRECTED, START);
+    for (int request = 0; request < 20; request++) {
+      RequestProgress next = Requests.application(RequestKind.IDEMPOTENT, 1);
+      assertThat(runEngine(dispatcher.start(next, after(3_000)))).isNotEqualTo(replaced);
+    }
+  }
+
+  @Test
+  void partsOfAPromptThatNoEngineReadAreNotBelievedKept() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill);
+    RequestProgress progress = Requests.prompt(false, 13_000, 3_000);
+    dispatcher.start(progress, START);
+    dispatcher.onFailure(progress, AttemptOutcome.NOT_EXECUTED, after(2));
+    Decision again = dispatcher.start(Requests.prompt(false, 13_000, 3_000), after(20));
+    assertThat(readTokens(again)).isEqualTo(16_000);
+  }
+
+  private static int readTokens(Decision decision) {
+    return decision instanceof Decision.Prefill read
+        ? read.expectation().readTokens()
+        : ((Decision.Run) decision).expectation().readTokens();
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -68,7 +68,7 @@
     } else if (event instanceof DispatchEvent.Finished finished) {
       onFinished(finished.exchange(), now);
     } else if (event instanceof DispatchEvent.CallerGone gone) {
-      onCallerGone(gone.exchange());
+      onCallerGone(gone.exchange(), now);
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
       dispatcher.setDirectory(changed.directory(), now);
       survey.onDirectory(changed.directory(), now);
@@ -154,16 +154,16 @@
     }
   }
 
-  private void onCallerGone(Exchange exchange) {
+  private void onCallerGone(Exchange exchange, long now) {
     if (!active.remove(exchange)) {
       return;
     }
     log.callerGone(exchange);
-    abandon(exchange, "the caller left");
+    abandon(exchange, "the caller left", now);
     exchange.breakOff();
   }
 
-  private void abandon(Exchange exchange, String why) {
+  private void abandon(Exchange exchange, String why, long now) {
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
     if (!running) {
@@ -172,7 +172,7 @@
           .source()
           .ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
     }
-    dispatcher.onAbandoned(exchange.progress());
+    dispatcher.onAbandoned(exchange.progress(), now);
   }
 
   private void carryOut(Exchange exchange, Decision decision, long now) {
@@ -246,7 +246,7 @@
     long now = System.nanoTime();
     for (Exchange exchange : Set.copyOf(active)) {
       if (exchange.envelope().remainingNanos(now) <= 0) {
-        onTimeOver(exchange);
+        onTimeOver(exchange, now);
       } else {
         checkPatience(exchange, now);
       }
@@ -272,11 +272,11 @@
     dispatcher.takeHealthChanges().forEach(log::engineHealth);
   }
 
-  private void onTimeOver(Exchange exchange) {
+  private void onTimeOver(Exchange exchange, long now) {
     active.remove(exchange);
     log.timeOver(exchange);
     boolean mayHaveRun = exchange.progress().possibleRuns() > 0;
-    abandon(exchange, "its time is over");
+    abandon(exchange, "its time is over", now);
     exchange.refuse(
         mayHaveRun ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
         mayHaveRun ? Optional.empty() : Optional.of(Duration.ofSeconds(1)));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -237,7 +237,9 @@
   }
 
   private void finishWhole() {
-    if (head.notExecuted() || head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
+    if (head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
+      fail(AttemptOutcome.MISDIRECTED);
+    } else if (head.notExecuted()) {
       fail(AttemptOutcome.NOT_EXECUTED);
     } else if (call.prefillOnly()) {
       finishPrefill();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -1,5 +1,7 @@
 package org.fallturn.node.gateway;
 
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -41,6 +43,8 @@
   private static final long MAX_BODY_BYTES_IN_FLIGHT = 48L << 20;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
 
+  private static final Duration LONGEST_WAIT_TO_ACCEPT = Duration.ofMillis(300);
+
   private static final String ROUTING = "routing";
   private static final String ENGINES = "engines";
   private static final int PEER_THREADS = 4;
@@ -69,8 +73,19 @@
   private SettingsWatch settingsWatch;
   private volatile EngineDirectory directory = EngineDirectory.empty();
 
-  /** A gateway that serves nothing yet. */
+  /** A gateway that serves nothing yet; callers may already connect and wait to be accepted. */
   public GatewayServer(GatewaySettings settings, GatewayPlatform platform) throws Exception {
+    this(settings, platform, CallerSocket.bind(settings.callers()));
+  }
+
+  /**
+   * A gateway that serves nothing yet.
+   *
+   * @param callerSocket the bound socket of {@link CallerSocket}; the gateway closes it
+   */
+  public GatewayServer(
+      GatewaySettings settings, GatewayPlatform platform, ServerSocketChannel callerSocket)
+      throws Exception {
     this.settings = settings;
     this.platform = platform;
     this.state = new GatewayState(platform.callers(), MAX_BODY_BYTES_IN_FLIGHT);
@@ -90,7 +105,7 @@
         new DispatchDuty(
             new Dispatcher(settings.dispatchParameters()), engines, log, peers, survey);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
-    this.callers = newCallersConnector();
+    this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
     this.routingFollower =
         new RowFollower(
@@ -108,16 +123,15 @@
             log);
   }
 
-  private WatchedConnector newCallersConnector() {
+  private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
     http.setUriCompliance(UriCompliance.UNSAFE);
     http.setOutputBufferSize(OUTPUT_BUFFER_BYTES);
     WatchedConnector connector = new WatchedConnector(server, new HttpConnectionFactory(http));
     connector.setHost(settings.callers().host());
-    connector.setPort(settings.callers().port());
+    connector.open(socket);
     applyLimits(connector, RequestLimits.defaults());
-    server.addConnector(connector);
     server.setHandler(new CallerDoor(state, this::tell, log));
     return connector;
   }
@@ -128,7 +142,10 @@
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
   }
 
-  /** Starts everything; callers are served once routes and engines are known. */
+  /**
+   * Starts everything. Callers are accepted once routes and engines are known; when they do not
+   * become known soon, since the store does not answer, callers are accepted and told so.
+   */
   public void start() throws Exception {
     dispatch.start();
     peers.start();
@@ -138,6 +155,9 @@
     peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     openMetrics();
+    state.awaitReady(LONGEST_WAIT_TO_ACCEPT);
+    server.addConnector(callers);
+    callers.start();
     log.started(settings.nodeName());
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -1,5 +1,8 @@
 package org.fallturn.node.gateway;
 
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -16,6 +19,7 @@
   private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong bodyBytes = new AtomicLong();
+  private final CountDownLatch known = new CountDownLatch(1);
   private volatile boolean stopping;
   private volatile boolean takesRequests = true;
   private volatile boolean enginesKnown;
@@ -40,11 +44,24 @@
     RoutingImage before =
         routing.getAndUpdate(
             present -> present == null || image.isNewerThan(present) ? image : present);
+    openWhenKnown();
     return before == null || image.isNewerThan(before);
   }
 
   void setEnginesKnown() {
     enginesKnown = true;
+    openWhenKnown();
+  }
+
+  private void openWhenKnown() {
+    if (enginesKnown && routing.get() != null) {
+      known.countDown();
+    }
+  }
+
+  /** Waits until routes and engines are known, or as long as said. */
+  void awaitReady(Duration longest) throws InterruptedException {
+    known.await(longest.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /** Whether the store did not answer when it was last asked. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -97,6 +97,13 @@
 
   /** Starts a gateway without waiting. */
   public GatewayServer startGateway(NetworkAddress... seeds) throws Exception {
+    GatewayServer gateway = newGateway(seeds);
+    gateway.start();
+    return gateway;
+  }
+
+  /** Makes a gateway that callers can connect to already, and that has not been started. */
+  public GatewayServer newGateway(NetworkAddress... seeds) throws Exception {
     StringBuilder seedText = new StringBuilder();
     for (NetworkAddress seed : seeds) {
       seedText.append(seedText.length() == 0 ? "" : ",").append(seed);
@@ -128,7 +135,6 @@
         GatewaySettings.from(GatewaySettings.reader().toml("emulated", text).values());
     GatewayServer gateway = new GatewayServer(settings, PlatformMain.platform(settings));
     gateways.add(gateway);
-    gateway.start();
     return gateway;
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -368,4 +368,14 @@
       Thread.currentThread().interrupt();
     }
   }
+
+  @Test
+  void callerThatConnectsBeforeTheStartHasEndedIsServed() throws Exception {
+    GatewayServer starting = platform.newGateway();
+    try (RawCaller caller = new RawCaller(starting.callersAddress())) {
+      caller.send("early", EmulatedPlatform.STREAM, "");
+      starting.start();
+      assertThat(caller.readUntil("\r\n")).startsWith("HTTP/1.1 200");
+    }
+  }
 }
