--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -1,10 +1,12 @@
 package org.fallturn.core.dispatch;
 
 import java.time.Duration;
+import org.fallturn.core.stages.StageParameters;
 
 /**
  * Constants of the dispatcher; see the settings of section {@code dispatch} for their bounds.
  *
+ * @param node name of this node
  * @param zone zone of this node
  * @param prefillTokensPerMilli reading speed that is assumed until one is measured
  * @param retryRatio repeats a request, over the whole fleet
@@ -12,12 +14,15 @@
  * @param retryWindow window of the two
  * @param lastResort how long a leaving engine may be used when its service has no other
  * @param minRetryAfter shortest advice on when to come back
+ * @param stages when engines change their stage
  */
 public record DispatchParameters(
+    String node,
     String zone,
     double prefillTokensPerMilli,
     double retryRatio,
     double retrySlack,
     Duration retryWindow,
     Duration lastResort,
-    Duration minRetryAfter) {}
+    Duration minRetryAfter,
+    StageParameters stages) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServiceDefinition;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.StageChange;
 
 /**
  * Decides where each request runs and what follows when an attempt fails.
@@ -42,6 +43,7 @@
   private final PeerLoads peerLoads = new PeerLoads();
   private final EngineSelector selector;
   private final PromptPlacement prompts;
+  private final StageControl stages;
   private final Patience patience = new Patience();
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
   private final ServiceSplit split = new ServiceSplit();
@@ -55,7 +57,9 @@
     this.parameters = parameters;
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
-    this.prompts = new PromptPlacement(selector, peerLoads, parameters.zone());
+    this.prompts = new PromptPlacement(selector, parameters.zone());
+    this.stages =
+        new StageControl(selector, peerLoads, this::speed, parameters.node(), parameters.stages());
   }
 
   /** Takes changed bounds and constants; this node's zone and the windows stay. */
@@ -104,8 +108,11 @@
         .forEach(
             (id, load) -> {
               boolean suspended = load.health().suspended();
-              if (suspended || !load.idle()) {
-                digests.put(id, new EngineDigest(load.running(), load.prefillTokens(), suspended));
+              boolean changing = selector.changes(id);
+              if (suspended || changing || !load.idle()) {
+                digests.put(
+                    id,
+                    new EngineDigest(load.running(), load.prefillTokens(), suspended, changing));
               }
             });
     return digests;
@@ -116,6 +123,29 @@
     selector.checkSilence(nowNanos);
   }
 
+  /**
+   * The stage change that this node should order now, if any; called about every 100 ms. The caller
+   * says by one of the next three methods what became of it.
+   */
+  public Optional<StageChange> wantedStageChange(long nowNanos) {
+    return routing.flatMap(image -> stages.onTick(image.services(), nowNanos));
+  }
+
+  /** The change is about to be ordered: its engine gets no new requests. */
+  public void onStageChangeBegun(StageChange change, long nowNanos) {
+    stages.begin(change, profile(change.engine().service()), nowNanos);
+  }
+
+  /** The order was not given, or the engine refused it. */
+  public void onStageChangeAbandoned(StageChange change) {
+    stages.abandon(change);
+  }
+
+  /** The order was sent and got no answer. */
+  public void onStageOrderUnanswered(StageChange change, long nowNanos) {
+    stages.onUnanswered(change, nowNanos);
+  }
+
   /** Engines that this node began or ceased to avoid since the last call. */
   public List<HealthChange> takeHealthChanges() {
     List<HealthChange> changes = new ArrayList<>();
@@ -171,7 +201,7 @@
     ServingEngine engine = progress.engine().orElseThrow();
     selector.load(engine).health().onGood();
     double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
-    speed(progress).observe(progress.aheadTokens() + progress.chargedTokens(), millis);
+    speed(progress.service()).observe(progress.aheadTokens() + progress.chargedTokens(), millis);
     release(progress, false);
     progress.keepSource(new CacheSource(engine, handle));
     return place(progress, false, nowNanos);
@@ -297,7 +327,7 @@
         new PromptPlacement.Question(
             progress,
             prompt,
-            speed(progress),
+            speed(progress.service()),
             profile(progress.service()),
             selector.holders(progress, prompt, nowNanos),
             nowNanos);
@@ -383,9 +413,9 @@
         : giveUp(progress, AttemptOutcome.LOST);
   }
 
-  private ReadingSpeed speed(RequestProgress progress) {
+  private ReadingSpeed speed(String service) {
     return speeds.computeIfAbsent(
-        progress.service(), name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
+        service, name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
   }
 
   private Optional<EngineProfile> profile(String service) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -100,6 +100,12 @@
     }
   }
 
+  /** Forgets everything, as for an engine that was never used. */
+  void reset() {
+    onSignOfLife();
+    failureShare = 0;
+  }
+
   /** The attempt ended for a reason that says nothing about the engine. */
   void onAbandoned() {
     probing = false;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -35,6 +35,7 @@
   private final CachedParts cachedParts = new CachedParts();
   private final PeerLoads peerLoads;
   private final Departures departures;
+  private final ChangingEngines changing = new ChangingEngines();
   private EngineDirectory directory = EngineDirectory.empty();
 
   /**
@@ -52,7 +53,9 @@
   /** Takes a new list; loads of engines that are gone stay until their requests have ended. */
   void setDirectory(EngineDirectory newDirectory, long nowNanos) {
     departures.onChange(directory, newDirectory, nowNanos);
+    newDirectory.all().forEach(this::resetWhenStageChanged);
     directory = newDirectory;
+    changing.prune(directory, nowNanos);
     Set<String> present = new HashSet<>();
     directory.all().forEach(engine -> present.add(engine.id()));
     Set<String> believed = new HashSet<>(present);
@@ -61,6 +64,57 @@
     loads.entrySet().removeIf(e -> !present.contains(e.getKey()) && e.getValue().idle());
   }
 
+  /** What was held against an engine in its former stage says nothing about the new one. */
+  private void resetWhenStageChanged(ServingEngine engine) {
+    boolean changed =
+        directory.find(engine.id()).filter(b -> b.stage() != engine.stage()).isPresent();
+    if (changed) {
+      load(engine).health().reset();
+    }
+  }
+
+  /** The listed engines of a service. */
+  List<ServingEngine> listed(String service) {
+    return directory.ofService(service);
+  }
+
+  /** Whether this node sends requests to the engine. */
+  boolean takesRequests(ServingEngine engine, long nowNanos) {
+    return !engine.leaving() && healthy(engine, nowNanos);
+  }
+
+  /** Requests that all nodes have at an engine. */
+  int running(ServingEngine engine, long nowNanos) {
+    return load(engine).running() + peerLoads.running(engine.id(), nowNanos);
+  }
+
+  /** The stage an engine changes to by this node's order or another's; NONE otherwise. */
+  EngineStage changingTo(ServingEngine engine, long nowNanos) {
+    EngineStage own = changing.stageOf(engine.id());
+    if (own != EngineStage.NONE || !peerLoads.changing(engine.id(), nowNanos)) {
+      return own;
+    }
+    return engine.stage() == EngineStage.PREFILL ? EngineStage.DECODE : EngineStage.PREFILL;
+  }
+
+  void beginChange(ServingEngine engine, EngineStage stage, long untilNanos) {
+    load(engine);
+    changing.begin(engine.id(), stage, untilNanos);
+  }
+
+  void endChange(ServingEngine engine) {
+    changing.end(engine.id());
+  }
+
+  void pruneChanging(long nowNanos) {
+    changing.prune(directory, nowNanos);
+  }
+
+  /** Whether this node has ordered the engine to change. */
+  boolean changes(String engineId) {
+    return changing.stageOf(engineId) != EngineStage.NONE;
+  }
+
   /** Service of a listed engine; empty for any other. */
   String serviceOf(String engineId) {
     return directory.find(engineId).map(ServingEngine::service).orElse("");
@@ -148,7 +202,7 @@
         runCandidates(progress, nowNanos).stream(),
         engine -> {
           EngineLoad load = load(engine);
-          double running = load.running() + peerLoads.running(engine.id(), nowNanos);
+          double running = running(engine, nowNanos);
           return (running + 1) / Math.max(1, engine.slots())
               + FAILURE_RUN_COST * load.health().failureShare()
               + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
@@ -184,9 +238,13 @@
   }
 
   private boolean usable(ServingEngine engine, RequestProgress progress, long nowNanos) {
-    return !progress.hasTried(engine)
-        && load(engine).health().usable(nowNanos)
-        && !peerLoads.suspects(engine.id(), nowNanos);
+    return !progress.hasTried(engine) && healthy(engine, nowNanos);
+  }
+
+  private boolean healthy(ServingEngine engine, long nowNanos) {
+    return load(engine).health().usable(nowNanos)
+        && !peerLoads.suspects(engine.id(), nowNanos)
+        && changingTo(engine, nowNanos) == EngineStage.NONE;
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -46,6 +46,19 @@
     return sum(engineId, nowNanos).suspecting >= SUSPECTING_NODES;
   }
 
+  /** Whether another node has ordered the engine to take another stage. */
+  boolean changing(String engineId, long nowNanos) {
+    return sum(engineId, nowNanos).changing > 0;
+  }
+
+  /** Whether no other node that was heard lately has a name before this one's. */
+  boolean isFirst(String node, long nowNanos) {
+    long lifetime = lifetimeNanos();
+    return heardByNode.entrySet().stream()
+        .filter(heard -> nowNanos - heard.getValue().atNanos < lifetime)
+        .noneMatch(heard -> heard.getKey().compareTo(node) < 0);
+  }
+
   /** Requests that the other nodes have at an engine. */
   int running(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).running;
@@ -92,11 +105,13 @@
     private int running;
     private long prefillTokens;
     private int suspecting;
+    private int changing;
 
     void add(EngineDigest engine) {
       running += engine.running();
       prefillTokens += engine.prefillTokens();
       suspecting += engine.suspended() ? 1 : 0;
+      changing += engine.changing() ? 1 : 0;
     }
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -30,7 +30,6 @@
   private static final double READ_AGAIN_MILLIS = 0.02;
 
   private final EngineSelector selector;
-  private final PeerLoads peerLoads;
   private final String zone;
 
   /** Part of the longest pause between events that reading may take up; steps need the rest. */
@@ -79,9 +78,8 @@
   private record Reading(
       Optional<ServingEngine> fetchFrom, int readTokens, double fetchMillis, int readAgain) {}
 
-  PromptPlacement(EngineSelector selector, PeerLoads peerLoads, String zone) {
+  PromptPlacement(EngineSelector selector, String zone) {
     this.selector = selector;
-    this.peerLoads = peerLoads;
     this.zone = zone;
   }
 
@@ -127,8 +125,7 @@
             ? handedOver(question, engine, source.get())
             : bestReading(question, engine, question.speed()::decodeMillis);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
-    int running =
-        selector.load(engine).running() + peerLoads.running(engine.id(), question.nowNanos());
+    int running = selector.running(engine, question.nowNanos());
     double millis =
         question.speed().decodeMillis(backlog + reading.readTokens())
             + reading.fetchMillis()
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -0,0 +1,123 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.fallturn.core.routing.EngineProfile;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServiceDefinition;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.StageChange;
+import org.fallturn.core.stages.StageParameters;
+import org.fallturn.core.stages.StagePlanner;
+import org.fallturn.core.stages.StageView;
+
+/**
+ * Watches the load of every model service and says which engine should take another stage. All
+ * nodes watch; the one whose name is first among those that are heard acts, and the lease in the
+ * store keeps two that both believe they are first from ordering. Only the dispatch thread calls.
+ */
+public final class StageControl {
+
+  /** Beyond the change itself: the order's way, and the way of the news through the store. */
+  private static final Duration NEWS_MARGIN = Duration.ofSeconds(4);
+
+  /** An order without an answer may still be carried out for so long. */
+  private static final Duration UNANSWERED = Duration.ofSeconds(13);
+
+  private final EngineSelector selector;
+  private final PeerLoads peerLoads;
+  private final Function<String, ReadingSpeed> speeds;
+  private final String node;
+  private final StageParameters parameters;
+  private final Map<String, StagePlanner> planners = new HashMap<>();
+
+  StageControl(
+      EngineSelector selector,
+      PeerLoads peerLoads,
+      Function<String, ReadingSpeed> speeds,
+      String node,
+      StageParameters parameters) {
+    this.selector = selector;
+    this.peerLoads = peerLoads;
+    this.speeds = speeds;
+    this.node = node;
+    this.parameters = parameters;
+  }
+
+  /** The change that this node should order now, if any. */
+  Optional<StageChange> onTick(Collection<ServiceDefinition> services, long nowNanos) {
+    selector.pruneChanging(nowNanos);
+    if (!parameters.enabled()) {
+      return Optional.empty();
+    }
+    boolean first = peerLoads.isFirst(node, nowNanos);
+    Optional<StageChange> change = Optional.empty();
+    for (ServiceDefinition service : services) {
+      if (service.engine().isPresent()) {
+        List<StageView> views = views(service.name(), nowNanos);
+        StagePlanner planner = planner(service.name());
+        planner.observe(views, nowNanos);
+        if (first && change.isEmpty()) {
+          change = planner.wanted(views, nowNanos);
+        }
+      }
+    }
+    return change;
+  }
+
+  private StagePlanner planner(String service) {
+    return planners.computeIfAbsent(service, name -> new StagePlanner(parameters.leastShare()));
+  }
+
+  private List<StageView> views(String service, long nowNanos) {
+    List<StageView> views = new ArrayList<>();
+    for (ServingEngine engine : selector.listed(service)) {
+      if (engine.stage() != EngineStage.NONE && !engine.leaving()) {
+        views.add(view(engine, nowNanos));
+      }
+    }
+    return views;
+  }
+
+  private StageView view(ServingEngine engine, long nowNanos) {
+    ReadingSpeed speed = speeds.apply(engine.service());
+    long backlog = selector.backlogTokens(engine, nowNanos);
+    double wait =
+        engine.stage() == EngineStage.PREFILL
+            ? speed.prefillMillis(backlog)
+            : speed.decodeMillis(backlog);
+    return new StageView(
+        engine,
+        selector.takesRequests(engine, nowNanos),
+        selector.changingTo(engine, nowNanos),
+        selector.running(engine, nowNanos),
+        wait);
+  }
+
+  /**
+   * The change is about to be ordered: no request goes there from now on.
+   *
+   * @param profile how long a change takes
+   */
+  void begin(StageChange change, Optional<EngineProfile> profile, long nowNanos) {
+    Duration longest = profile.map(EngineProfile::roleSwitch).orElse(NEWS_MARGIN).plus(NEWS_MARGIN);
+    selector.beginChange(change.engine(), change.stage(), nowNanos + longest.toNanos());
+    planner(change.engine().service()).onOrdered(change.stage(), nowNanos);
+  }
+
+  /** The order was not given, or refused. */
+  void abandon(StageChange change) {
+    selector.endChange(change.engine());
+  }
+
+  /** The order got no answer: whether and when the engine changes is not known for some time. */
+  void onUnanswered(StageChange change, long nowNanos) {
+    selector.beginChange(change.engine(), change.stage(), nowNanos + UNANSWERED.toNanos());
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -0,0 +1,172 @@
+package org.fallturn.core.stages;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.fallturn.core.routing.EngineStage;
+
+/**
+ * Decides when an engine of one service changes its stage. Prompts that wait while decode slots are
+ * free make a decode engine read prompts; streams that crowd while prefill engines have nothing to
+ * do make one decode again.
+ *
+ * <p>Invariants: each stage keeps its least share of the engines, and never less than one; only a
+ * bounded part of the engines changes at once; a change is not undone within {@link
+ * #REVERSAL_NANOS}. Load is smoothed, so that one long prompt moves nothing. One thread calls,
+ * about every 100 ms.
+ */
+public final class StagePlanner {
+
+  /** Prompts that wait longer than this on average are short of prefill engines. */
+  private static final double LONG_WAIT_MILLIS = 60;
+
+  /** Prompts that wait less than this on average have prefill engines to spare. */
+  private static final double SHORT_WAIT_MILLIS = 15;
+
+  /** Share of the decode slots that may be taken after a decode engine is given away. */
+  private static final double ROOMY_OCCUPANCY = 0.4;
+
+  /** Share of the decode slots above which streams crowd each other. */
+  private static final double CROWDED_OCCUPANCY = 0.75;
+
+  private static final double SMOOTHING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
+  /** How fast a past peak of taken decode slots is forgotten. */
+  private static final double PEAK_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+  /** Between two changes the effect of the first must show. */
+  private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+
+  static final long REVERSAL_NANOS = TimeUnit.SECONDS.toNanos(8);
+
+  /** One of so many engines may be away at once, and always one. */
+  private static final int ENGINES_PER_CHANGE = 16;
+
+  private final double leastShare;
+  private boolean observed;
+  private long observedNanos;
+  private double prefillWaitMillis;
+  private double decodeWaitMillis;
+  private double occupancy;
+  private double peakOccupancy;
+  private EngineStage lastStage = EngineStage.NONE;
+  private long lastChangeNanos;
+
+  /**
+   * A planner that has seen nothing.
+   *
+   * @param leastShare share of the engines that each stage keeps
+   */
+  public StagePlanner(double leastShare) {
+    this.leastShare = leastShare;
+  }
+
+  /** Takes the present load of all engines of the service. */
+  public void observe(List<StageView> engines, long nowNanos) {
+    double share = observed ? 1 - Math.exp(-(nowNanos - observedNanos) / SMOOTHING_NANOS) : 1;
+    double decay = observed ? Math.exp(-(nowNanos - observedNanos) / PEAK_NANOS) : 0;
+    observed = true;
+    observedNanos = nowNanos;
+    prefillWaitMillis += share * (meanWait(engines, EngineStage.PREFILL) - prefillWaitMillis);
+    decodeWaitMillis += share * (meanWait(engines, EngineStage.DECODE) - decodeWaitMillis);
+    occupancy += share * (occupancy(engines) - occupancy);
+    peakOccupancy = Math.max(occupancy, peakOccupancy * decay);
+  }
+
+  private static double meanWait(List<StageView> engines, EngineStage stage) {
+    return engines.stream()
+        .filter(view -> view.serves(stage))
+        .mapToDouble(StageView::waitMillis)
+        .average()
+        .orElse(0);
+  }
+
+  private static double occupancy(List<StageView> engines) {
+    int running = 0;
+    int slots = 0;
+    for (StageView view : engines) {
+      if (view.serves(EngineStage.DECODE)) {
+        running += view.running();
+        slots += view.engine().slots();
+      }
+    }
+    return slots == 0 ? 0 : (double) running / slots;
+  }
+
+  /** The change to be ordered next, if any; the same until {@link #onOrdered}. */
+  public Optional<StageChange> wanted(List<StageView> engines, long nowNanos) {
+    int changing = (int) engines.stream().filter(StagePlanner::changes).count();
+    if (changing >= Math.max(1, engines.size() / ENGINES_PER_CHANGE)) {
+      return Optional.empty();
+    }
+    if (lastStage != EngineStage.NONE && nowNanos - lastChangeNanos < PAUSE_NANOS) {
+      return Optional.empty();
+    }
+    Optional<EngineStage> stage = wantedStage(engines).filter(next -> !undoes(next, nowNanos));
+    return stage.flatMap(next -> leastMissed(engines, next));
+  }
+
+  private static boolean changes(StageView view) {
+    return view.changingTo() != EngineStage.NONE;
+  }
+
+  private boolean undoes(EngineStage next, long nowNanos) {
+    boolean reverses = lastStage != EngineStage.NONE && lastStage != next;
+    return reverses && nowNanos - lastChangeNanos < REVERSAL_NANOS;
+  }
+
+  private Optional<EngineStage> wantedStage(List<StageView> engines) {
+    int prefill = count(engines, EngineStage.PREFILL);
+    int decode = count(engines, EngineStage.DECODE);
+    int least = Math.max(1, (int) Math.ceil(leastShare * (prefill + decode)));
+    if (decode > least && shortOfPrefill(decode)) {
+      return Optional.of(EngineStage.PREFILL);
+    }
+    if (prefill > least && shortOfDecode()) {
+      return Optional.of(EngineStage.DECODE);
+    }
+    return Optional.empty();
+  }
+
+  private boolean shortOfPrefill(int decode) {
+    double occupancyAfter = peakOccupancy * decode / (decode - 1);
+    return prefillWaitMillis > LONG_WAIT_MILLIS
+        && occupancyAfter < ROOMY_OCCUPANCY
+        && decodeWaitMillis < prefillWaitMillis;
+  }
+
+  private boolean shortOfDecode() {
+    boolean crowded = occupancy > CROWDED_OCCUPANCY || decodeWaitMillis > LONG_WAIT_MILLIS;
+    return crowded && prefillWaitMillis < SHORT_WAIT_MILLIS;
+  }
+
+  private static int count(List<StageView> engines, EngineStage stage) {
+    return (int) engines.stream().filter(view -> view.stageAfterChange() == stage).count();
+  }
+
+  /** An engine of the zone that has most of the other stage, and of these the least loaded. */
+  private static Optional<StageChange> leastMissed(List<StageView> engines, EngineStage next) {
+    EngineStage other = next == EngineStage.PREFILL ? EngineStage.DECODE : EngineStage.PREFILL;
+    Map<String, Long> byZone =
+        engines.stream()
+            .filter(view -> view.serves(other))
+            .collect(Collectors.groupingBy(view -> view.engine().zone(), Collectors.counting()));
+    return engines.stream()
+        .filter(view -> view.serves(other))
+        .min(
+            Comparator.comparingLong((StageView view) -> -byZone.get(view.engine().zone()))
+                .thenComparingDouble(StageView::waitMillis)
+                .thenComparingInt(StageView::running)
+                .thenComparing(view -> view.engine().id()))
+        .map(view -> new StageChange(view.engine(), next));
+  }
+
+  /** The change is being ordered, by this node or another. */
+  public void onOrdered(EngineStage stage, long nowNanos) {
+    lastStage = stage;
+    lastChangeNanos = nowNanos;
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.routing.ServiceDefinition;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.routing.WeightedService;
+import org.fallturn.core.stages.StageParameters;
 
 /** Requests, engines and dispatchers for tests. */
 final class Requests {
@@ -21,6 +22,8 @@
   static final String MODEL = "llm";
   static final String APPLICATION = "app";
   static final long START = 1_000_000_000L;
+  static final StageParameters STAGES =
+      new StageParameters(true, 0.35, Duration.ofSeconds(2), Duration.ofSeconds(4));
 
   private static int number;
 
@@ -34,13 +37,15 @@
     Dispatcher dispatcher =
         new Dispatcher(
             new DispatchParameters(
+                "node-1",
                 "zone-1",
                 50,
                 0.2,
                 slack,
                 Duration.ofSeconds(10),
                 Duration.ofMillis(1_400),
-                Duration.ofMillis(200)));
+                Duration.ofMillis(200),
+                STAGES));
     EngineProfile profile =
         new EngineProfile(
             8, 400_000, 163_840, 1_900_000, Duration.ofSeconds(5), Duration.ofMillis(800));
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -19,7 +19,15 @@
   private static RetryBudget budget() {
     return new RetryBudget(
         new DispatchParameters(
-            "z", 50, RATIO, SLACK, Duration.ofNanos(WINDOW), Duration.ZERO, Duration.ZERO));
+            "n",
+            "z",
+            50,
+            RATIO,
+            SLACK,
+            Duration.ofNanos(WINDOW),
+            Duration.ZERO,
+            Duration.ZERO,
+            Requests.STAGES));
   }
 
   /** In no window do the repeats of all nodes pass the fleet's bound, however requests come. */
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/stages/OrderLeaseTest.java
@@ -0,0 +1,147 @@
+package org.fallturn.core.stages;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fallturn.core.port.table.StoreException;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+
+  private static final Duration TERM = Duration.ofSeconds(2);
+  private static final Duration QUIET = Duration.ofSeconds(4);
+  private static final StageParameters PARAMETERS = new StageParameters(true, 0.35, TERM, QUIET);
+
+  /** A store with a clock, whose answers may be lost and whose writes may come late. */
+  private static final class Store implements OrderLeaseStore {
+
+    private Optional<OrderLeaseRow> row = Optional.empty();
+    private long rowVersion;
+    private long version = 100;
+    private long millis = 5_000;
+    private boolean losesAnswers;
+    private Runnable late = () -> {};
+
+    @Override
+    public OrderLeaseReading read() {
+      return new OrderLeaseReading(row, rowVersion, millis);
+    }
+
+    @Override
+    public OptionalLong write(OrderLeaseRow next, long expectedVersion) throws StoreException {
+      if (losesAnswers) {
+        late = () -> apply(next, expectedVersion);
+        throw new StoreException("no answer", true, null);
+      }
+      return apply(next, expectedVersion) ? OptionalLong.of(version) : OptionalLong.empty();
+    }
+
+    private boolean apply(OrderLeaseRow next, long expectedVersion) {
+      if (rowVersion != expectedVersion) {
+        return false;
+      }
+      row = Optional.of(next);
+      rowVersion = ++version;
+      return true;
+    }
+
+    long nanos() {
+      return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+  }
+
+  private final Store store = new Store();
+
+  private OrderLease lease(String node) {
+    return new OrderLease(store, node, PARAMETERS, store::nanos);
+  }
+
+  @Test
+  void anotherNodeWaitsForTheTermAndTheQuietTime() throws StoreException {
+    OrderLease first = lease("a");
+    OrderLease second = lease("b");
+    assertThat(first.take()).isTrue();
+    assertThat(second.take()).isFalse();
+    store.millis += TERM.plus(QUIET).toMillis() - 1;
+    assertThat(second.take()).isFalse();
+    store.millis += 1;
+    assertThat(second.take()).isTrue();
+    assertThat(second.token()).isGreaterThan(first.token());
+  }
+
+  @Test
+  void holdersOwnViewEndsBeforeTheStores() throws StoreException {
+    OrderLease first = lease("a");
+    first.take();
+    store.millis += TERM.toMillis() - 300;
+    assertThat(first.held()).isFalse();
+  }
+
+  @Test
+  void lostAnswerIsNotALease() throws StoreException {
+    OrderLease first = lease("a");
+    store.losesAnswers = true;
+    assertThat(throwsOnTake(first)).isTrue();
+    assertThat(first.held()).isFalse();
+    store.losesAnswers = false;
+    store.late.run();
+    assertThat(lease("b").take()).as("the late write keeps others away").isFalse();
+    assertThat(first.take()).isTrue();
+  }
+
+  private static boolean throwsOnTake(OrderLease lease) {
+    try {
+      lease.take();
+      return false;
+    } catch (StoreException e) {
+      return true;
+    }
+  }
+
+  private record Order(int node, long token, long millis) {}
+
+  /** Random takings, lost answers and late writes of three nodes, some of which restart. */
+  @Property(tries = 200)
+  void tokensRiseAndNodesNeverOrderWithinTheQuietTimeOfEachOther(@ForAll long seed)
+      throws StoreException {
+    Random random = new Random(seed);
+    Store shared = new Store();
+    OrderLease[] leases = new OrderLease[3];
+    Arrays.setAll(
+        leases, node -> new OrderLease(shared, "node-" + node, PARAMETERS, shared::nanos));
+    List<Order> orders = new ArrayList<>();
+    for (int step = 0; step < 400; step++) {
+      shared.millis += random.nextInt(400);
+      int node = random.nextInt(3);
+      switch (random.nextInt(6)) {
+        case 0 -> shared.losesAnswers = random.nextInt(3) == 0;
+        case 1 -> shared.late.run();
+        case 2 -> leases[node] = new OrderLease(shared, "node-" + node, PARAMETERS, shared::nanos);
+        case 3 -> throwsOnTake(leases[node]);
+        default -> {
+          if (leases[node].held()) {
+            orders.add(new Order(node, leases[node].token(), shared.millis));
+          }
+        }
+      }
+    }
+    for (int index = 1; index < orders.size(); index++) {
+      Order before = orders.get(index - 1);
+      Order after = orders.get(index);
+      assertThat(after.token()).isGreaterThanOrEqualTo(before.token());
+      if (after.node() != before.node()) {
+        assertThat(after.token()).isGreaterThan(before.token());
+        assertThat(after.millis() - before.millis()).isGreaterThan(QUIET.toMillis());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/stages/StagePlannerTest.java
@@ -0,0 +1,118 @@
+package org.fallturn.core.stages;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServingEngine;
+import org.junit.jupiter.api.Test;
+
+class StagePlannerTest {
+
+  private static final int SLOTS = 32;
+  private static final long TICK = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private final StagePlanner planner = new StagePlanner(0.35);
+  private long now = 1_000_000_000L;
+
+  private static StageView view(String id, EngineStage stage, int running, double waitMillis) {
+    String zone = id.substring(id.length() - 1);
+    ServingEngine engine =
+        new ServingEngine(id, "llm", new NetworkAddress("10.0.0.1", 1), zone, SLOTS, false, stage);
+    return new StageView(engine, true, EngineStage.NONE, running, waitMillis);
+  }
+
+  /** Five engines that read prompts and eight that decode, as at a day's beginning. */
+  private static List<StageView> fleet(double prefillWait, int running) {
+    return fleet(5, 8, prefillWait, running);
+  }
+
+  private static List<StageView> fleet(int prefill, int decode, double wait, int running) {
+    List<StageView> views = new ArrayList<>();
+    for (int index = 0; index < prefill; index++) {
+      views.add(view("p-" + index, EngineStage.PREFILL, 1, wait));
+    }
+    for (int index = 0; index < decode; index++) {
+      views.add(view("d-" + index, EngineStage.DECODE, running, 0));
+    }
+    return views;
+  }
+
+  private Optional<StageChange> after(List<StageView> views, int seconds) {
+    for (int tick = 0; tick < 10 * seconds; tick++) {
+      now += TICK;
+      planner.observe(views, now);
+    }
+    return planner.wanted(views, now);
+  }
+
+  @Test
+  void waitingPromptsMakeADecodeEngineRead() {
+    StageChange change = after(fleet(200, 2), 3).orElseThrow();
+    assertThat(change.stage()).isEqualTo(EngineStage.PREFILL);
+    assertThat(change.engine().stage()).isEqualTo(EngineStage.DECODE);
+  }
+
+  @Test
+  void calmFleetStaysAsItIs() {
+    assertThat(after(fleet(20, 2), 30)).isEmpty();
+  }
+
+  @Test
+  void oneLongPromptMovesNothing() {
+    after(fleet(0, 2), 5);
+    planner.observe(fleet(300, 2), now + TICK);
+    assertThat(planner.wanted(fleet(300, 2), now + TICK)).isEmpty();
+  }
+
+  @Test
+  void decodeEnginesWhoseSlotsAreTakenAreKept() {
+    assertThat(after(fleet(200, 20), 3)).isEmpty();
+  }
+
+  @Test
+  void pastPeakOfStreamsIsRemembered() {
+    after(fleet(0, 16), 3);
+    assertThat(after(fleet(200, 2), 3)).isEmpty();
+  }
+
+  @Test
+  void eachStageKeepsItsLeastShare() {
+    assertThat(after(fleet(8, 5, 500, 1), 5)).isEmpty();
+    assertThat(after(fleet(1, 1, 500, 0), 5)).isEmpty();
+  }
+
+  @Test
+  void crowdedStreamsMakeAnIdlePrefillEngineDecode() {
+    StageChange change = after(fleet(6, 7, 0, 30), 3).orElseThrow();
+    assertThat(change.stage()).isEqualTo(EngineStage.DECODE);
+    assertThat(change.engine().stage()).isEqualTo(EngineStage.PREFILL);
+  }
+
+  @Test
+  void onlySoManyChangeAtOnce() {
+    List<StageView> views = fleet(200, 2);
+    StageView first = views.get(views.size() - 1);
+    views.set(views.size() - 1, new StageView(first.engine(), false, EngineStage.PREFILL, 0, 0));
+    assertThat(after(views, 3)).isEmpty();
+  }
+
+  @Test
+  void changeIsNotUndoneAtOnce() {
+    after(fleet(200, 2), 3);
+    planner.onOrdered(EngineStage.PREFILL, now);
+    assertThat(after(fleet(6, 7, 0, 31), 5)).isEmpty();
+    assertThat(after(fleet(6, 7, 0, 31), 5)).isPresent();
+  }
+
+  @Test
+  void engineComesFromTheZoneThatHasMostOfItsStage() {
+    List<StageView> views = fleet(200, 2);
+    views.add(view("extra-3", EngineStage.DECODE, 5, 0));
+    assertThat(after(views, 3).orElseThrow().engine().zone()).isEqualTo("3");
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -12,6 +12,7 @@
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.metrics.LogSetup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -154,6 +155,24 @@
         .log();
   }
 
+  void stageOrdered(StageChange change, StageOrder order, int status) {
+    line(LogEvent.STAGE_ORDERED)
+        .addKeyValue("engine", change.engine().id())
+        .addKeyValue("stage", change.stage())
+        .addKeyValue("fencingToken", order.fencingToken())
+        .addKeyValue("expectedSequence", order.expectedSequence())
+        .addKeyValue("status", status)
+        .log();
+  }
+
+  void stageChangeAbandoned(StageChange change, String reason) {
+    line(LogEvent.STAGE_CHANGE_ABANDONED)
+        .addKeyValue("engine", change.engine().id())
+        .addKeyValue("stage", change.stage())
+        .addKeyValue("reason", reason)
+        .log();
+  }
+
   void rowRefused(String table, String key, String reason) {
     line(LogEvent.ROW_REFUSED)
         .addKeyValue("table", table)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptPatience;
 import org.fallturn.core.dispatch.CacheSource;
@@ -14,6 +15,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
 
 /**
@@ -34,6 +36,7 @@
   private final LoadSender loadSender;
   private final Set<Exchange> active = new HashSet<>();
   private final CacheSurvey survey;
+  private final Consumer<StageChange> stageChanges;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
   private long lastDigestNanos;
 
@@ -42,12 +45,14 @@
       EngineClient engines,
       DecisionLog log,
       LoadSender loadSender,
-      CacheSurvey survey) {
+      CacheSurvey survey,
+      Consumer<StageChange> stageChanges) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
     this.loadSender = loadSender;
     this.survey = survey;
+    this.stageChanges = stageChanges;
   }
 
   @Override
@@ -80,6 +85,13 @@
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
+    } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
+      dispatcher.onStageChangeBegun(begun.change(), now);
+      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+    } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
+      dispatcher.onStageChangeAbandoned(abandoned.change());
+    } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
+      dispatcher.onStageOrderUnanswered(unanswered.change(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
     } else if (event instanceof DispatchEvent.DigestHeard heard) {
@@ -258,6 +270,7 @@
       log.droppedLines();
       survey.onTick(now, loadSender.cautiousNodeCount());
       dispatcher.setNodeCount(loadSender.cautiousNodeCount());
+      dispatcher.wantedStageChange(now).ifPresent(stageChanges);
       loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -7,6 +7,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.stages.StageChange;
 
 /** What the dispatch duty is told. */
 sealed interface DispatchEvent {
@@ -41,6 +42,15 @@
   record CacheListed(String engineId, long askedAtNanos, Optional<PlacedPrompt> parts)
       implements DispatchEvent {}
 
+  /** An engine is about to be ordered to change its stage. */
+  record StageChangeBegun(StageChange change) implements DispatchEvent {}
+
+  /** The order was not given, or the engine refused it. */
+  record StageChangeAbandoned(StageChange change) implements DispatchEvent {}
+
+  /** The order was sent and got no answer. */
+  record StageOrderUnanswered(StageChange change) implements DispatchEvent {}
+
   /** The settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -154,7 +154,8 @@
     }
   }
 
-  private Request newRequest(ServingEngine engine, String method, String path) {
+  /** A call to an engine that has not been sent. */
+  Request newRequest(ServingEngine engine, String method, String path) {
     NetworkAddress address = engine.address();
     serviceByAddress.put(address, engine.service());
     return client
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineOrders.java
@@ -0,0 +1,64 @@
+package org.fallturn.node.gateway;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.json.MalformedMessageException;
+
+/** Reports and orders of model engines. Each call blocks its thread for a bounded time. */
+final class EngineOrders {
+
+  private static final long REPORT_TIMEOUT_MILLIS = 500;
+  private static final long ORDER_TIMEOUT_MILLIS = 1_000;
+
+  private final EngineClient engines;
+
+  EngineOrders(EngineClient engines) {
+    this.engines = engines;
+  }
+
+  /** What the engine says of itself; empty when it does not answer or not readably. */
+  Optional<EngineReport> report(ServingEngine engine) throws InterruptedException {
+    EngineProtocol protocol = engines.protocol();
+    Request request =
+        engines
+            .newRequest(engine, HttpMethod.GET.asString(), protocol.reportPath())
+            .timeout(REPORT_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    try {
+      ContentResponse answer = request.send();
+      return answer.getStatus() == HttpStatus.OK_200
+          ? Optional.of(protocol.readReport(answer.getContent()))
+          : Optional.empty();
+    } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Gives an order.
+   *
+   * @return the status of the answer; empty when none came, so that the order may have been taken
+   */
+  OptionalInt send(ServingEngine engine, StageOrder order) throws InterruptedException {
+    EngineProtocol protocol = engines.protocol();
+    Request request =
+        engines
+            .newRequest(engine, HttpMethod.POST.asString(), protocol.orderPath())
+            .headers(headers -> headers.add(protocol.orderHeaders(engine)))
+            .body(new BytesRequestContent("application/json", protocol.orderBody(order)))
+            .timeout(ORDER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    try {
+      return OptionalInt.of(request.send().getStatus());
+    } catch (TimeoutException | ExecutionException e) {
+      return OptionalInt.empty();
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.json.MalformedMessageException;
 
 /** Port: what is spoken with engines. Thread-safe; decides nothing. */
@@ -30,6 +31,21 @@
   /** Reads the answer to that call. */
   List<PromptPart> readCacheList(byte[] body) throws MalformedMessageException;
 
+  /** Path of the call (method GET) by which an engine reports on itself. */
+  String reportPath();
+
+  /** Reads the answer to that call. */
+  EngineReport readReport(byte[] body) throws MalformedMessageException;
+
+  /** Path of the call (method POST) that gives an engine an order. */
+  String orderPath();
+
+  /** Headers of an order that only the engine that is meant may take. */
+  HttpFields orderHeaders(ServingEngine engine);
+
+  /** Body of an order. */
+  byte[] orderBody(StageOrder order);
+
   /** Path of the call (method DELETE) that frees a KV cache that nobody will fetch. */
   String freeHandlePath(String handle);
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -6,6 +6,7 @@
 import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.OrderLeaseStore;
 
 /**
  * Everything that a gateway takes from the platform it runs on.
@@ -17,6 +18,7 @@
  * @param routingDecoder reads that row
  * @param engineFeed the table in which engines keep themselves
  * @param engineDecoder reads one of its rows
+ * @param orderLease the row that says who may give orders to engines
  * @param readinessPath path at which the platform asks for readiness
  */
 public record GatewayPlatform(
@@ -27,8 +29,17 @@
     RowDecoder<RoutingImage> routingDecoder,
     FeedFactory engineFeed,
     RowDecoder<ServingEngine> engineDecoder,
+    LeaseFactory orderLease,
     String readinessPath) {
 
+  /** Makes the way to the row of the lease on orders. */
+  @FunctionalInterface
+  public interface LeaseFactory {
+
+    /** A way that calls by a client that has been started. */
+    OrderLeaseStore create(HttpClient client);
+  }
+
   /** Makes the feed of a table; the process has one HTTP client, since each costs its start. */
   @FunctionalInterface
   public interface FeedFactory {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.PeerBook;
 import org.fallturn.core.domain.NetworkAddress;
@@ -23,6 +24,7 @@
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.stages.OrderLease;
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.json.MalformedMessageException;
@@ -65,6 +67,7 @@
   private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
+  private final StageDuty stages;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
   private HttpListener readiness;
@@ -101,9 +104,20 @@
             new PeerBook(peerPorts.address(), settings.seedPeers()),
             this::tell);
     this.survey = new CacheSurvey(engines, this::tell);
+    DispatchParameters parameters = settings.dispatchParameters();
+    this.stages =
+        new StageDuty(
+            new OrderLease(
+                platform.orderLease().create(engines.client()),
+                settings.nodeName(),
+                parameters.stages(),
+                System::nanoTime),
+            new EngineOrders(engines),
+            settings.nodeName(),
+            this::tell,
+            log);
     DispatchDuty duty =
-        new DispatchDuty(
-            new Dispatcher(settings.dispatchParameters()), engines, log, peers, survey);
+        new DispatchDuty(new Dispatcher(parameters), engines, log, peers, survey, stages::offer);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
@@ -149,6 +163,7 @@
   public void start() throws Exception {
     dispatch.start();
     peers.start();
+    stages.start();
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -167,6 +182,7 @@
     metrics.gauge("engines", this::engineCount);
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("caches_known", survey::answered);
+    metrics.gauge("stage_changes_abandoned", stages::abandoned);
     metrics.gauge("nodes", peers::cautiousNodeCount);
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
@@ -203,6 +219,11 @@
     return survey.answered();
   }
 
+  /** Stage changes that were given up before their order was sent. */
+  public int stageChangesAbandoned() {
+    return stages.abandoned();
+  }
+
   /** Where other nodes tell their load and ask for tables. */
   public NetworkAddress peersAddress() {
     return peers.address();
@@ -311,6 +332,7 @@
   public void stopAsPlanned() throws InterruptedException {
     long begun = System.nanoTime();
     state.beginStop();
+    stages.close();
     log.stopping(state.inFlight());
     long lingerUntil = begun + settings.bounds().stopLinger().toNanos();
     long endBy = begun + settings.stopWithin().toNanos();
@@ -340,6 +362,7 @@
     if (settingsWatch != null) {
       settingsWatch.close();
     }
+    stages.close();
     routingFollower.close();
     engineFollower.close();
     server.stop();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -34,6 +34,10 @@
   ENGINE_SUSPENDED,
   /** This node uses an engine again. */
   ENGINE_RESUMED,
+  /** An engine was ordered to take another stage. */
+  STAGE_ORDERED,
+  /** An engine was not ordered to take another stage after all. */
+  STAGE_CHANGE_ABANDONED,
   /** A row of the store could not be read and is left out. */
   ROW_REFUSED,
   /** A request was refused before it reached the dispatcher. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -101,11 +101,17 @@
       return engines;
     }
     return engines.entrySet().stream()
-        .sorted(Comparator.comparingInt(entry -> -entry.getValue().running()))
+        .sorted(
+            Comparator.comparing((Map.Entry<String, EngineDigest> entry) -> !avoided(entry))
+                .thenComparingInt(entry -> -entry.getValue().running()))
         .limit(MAX_ENGINES)
         .collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
   }
 
+  private static boolean avoided(Map.Entry<String, EngineDigest> entry) {
+    return entry.getValue().suspended() || entry.getValue().changing();
+  }
+
   private static List<PlacedPrompt> shortened(List<PlacedPrompt> prompts) {
     return prompts.stream()
         .limit(MAX_PROMPTS)
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
@@ -0,0 +1,161 @@
+package org.fallturn.node.gateway;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.port.table.StoreException;
+import org.fallturn.core.stages.OrderLease;
+import org.fallturn.core.stages.StageChange;
+
+/**
+ * The duty that orders engines to change their stage, one at a time, on a thread of its own: takes
+ * the lease, lets the other nodes know, asks the engine how it stands and sends the order.
+ *
+ * <p>Invariant: an order is sent only while the lease is held, which is asked right before. The
+ * dispatch duty is told of each step.
+ */
+final class StageDuty implements AutoCloseable {
+
+  /** In which the other nodes hear that the engine is to be left alone. */
+  private static final long TELL_PEERS_MILLIS = 150;
+
+  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Another node has ordered with a higher number: it goes on, and this one keeps still. */
+  private static final long PAUSE_AFTER_FENCED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  private final OrderLease lease;
+  private final EngineOrders orders;
+  private final String node;
+  private final Consumer<DispatchEvent> events;
+  private final DecisionLog log;
+  private final BlockingQueue<StageChange> next = new ArrayBlockingQueue<>(1);
+  private final Thread thread = new Thread(this::work, "stages");
+  private final AtomicInteger abandoned = new AtomicInteger();
+  private volatile boolean working;
+  private volatile long notBeforeNanos = System.nanoTime();
+
+  /**
+   * A duty that has not begun.
+   *
+   * @param node name of this node
+   * @param events told of each step
+   */
+  StageDuty(
+      OrderLease lease,
+      EngineOrders orders,
+      String node,
+      Consumer<DispatchEvent> events,
+      DecisionLog log) {
+    this.lease = lease;
+    this.orders = orders;
+    this.node = node;
+    this.events = events;
+    this.log = log;
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  /** Hands a change over; dropped while another is under way or right after a failure. */
+  void offer(StageChange change) {
+    if (!working && System.nanoTime() - notBeforeNanos >= 0) {
+      next.offer(change);
+    }
+  }
+
+  private void work() {
+    try {
+      while (true) {
+        StageChange change = next.take();
+        working = true;
+        carryOut(change);
+        working = false;
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void carryOut(StageChange change) throws InterruptedException {
+    if (!takeLease(change)) {
+      pause(PAUSE_AFTER_FAILURE_NANOS);
+      return;
+    }
+    events.accept(new DispatchEvent.StageChangeBegun(change));
+    TimeUnit.MILLISECONDS.sleep(TELL_PEERS_MILLIS);
+    Optional<EngineReport> report =
+        orders
+            .report(change.engine())
+            .filter(state -> !state.busy() && state.stage() != change.stage());
+    if (report.isEmpty() || !lease.held()) {
+      abandon(change, report.isEmpty() ? "the engine is not fit" : "the lease has ended");
+      return;
+    }
+    StageOrder order = new StageOrder(change.stage(), node, lease.token(), report.get().sequence());
+    settle(change, order, orders.send(change.engine(), order));
+  }
+
+  private boolean takeLease(StageChange change) {
+    try {
+      if (lease.take()) {
+        return true;
+      }
+      giveUp(change, "another node has the lease");
+    } catch (StoreException e) {
+      giveUp(change, "no lease: " + e.getMessage());
+    }
+    return false;
+  }
+
+  private void giveUp(StageChange change, String reason) {
+    abandoned.incrementAndGet();
+    log.stageChangeAbandoned(change, reason);
+  }
+
+  /** How many changes were given up before their order was sent; any thread may call. */
+  int abandoned() {
+    return abandoned.get();
+  }
+
+  private void settle(StageChange change, StageOrder order, OptionalInt status) {
+    log.stageOrdered(change, order, status.orElse(0));
+    if (status.isEmpty()) {
+      events.accept(new DispatchEvent.StageOrderUnanswered(change));
+      return;
+    }
+    switch (status.getAsInt()) {
+      case HttpStatus.OK_200, HttpStatus.ACCEPTED_202 -> {
+        return;
+      }
+      case HttpStatus.PRECONDITION_FAILED_412 -> {
+        lease.drop();
+        pause(PAUSE_AFTER_FENCED_NANOS);
+      }
+      default -> pause(PAUSE_AFTER_FAILURE_NANOS);
+    }
+    events.accept(new DispatchEvent.StageChangeAbandoned(change));
+  }
+
+  private void abandon(StageChange change, String reason) {
+    giveUp(change, reason);
+    events.accept(new DispatchEvent.StageChangeAbandoned(change));
+    pause(PAUSE_AFTER_FAILURE_NANOS);
+  }
+
+  private void pause(long nanos) {
+    notBeforeNanos = System.nanoTime() + nanos;
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -20,6 +20,7 @@
  * @param store address of the store
  * @param bounds what the operators of the platform promise and ask for
  * @param dispatch constants of the dispatcher
+ * @param stages when engines change their stage
  * @param log the log on standard output
  */
 public record GatewaySettings(
@@ -33,6 +34,7 @@
     NetworkAddress store,
     GatewayBounds bounds,
     DispatchSettings dispatch,
+    StageSettings stages,
     LogSettings log) {
 
   /** Part of the drain bound in which a leaving engine is a last resort. */
@@ -74,6 +76,7 @@
               List.of(NODE_NAME, ZONE, CALLERS, READINESS, PEERS, SEEDS, METRICS_PORT, STORE),
               GatewayBounds.DEFINITIONS,
               DispatchSettings.DEFINITIONS,
+              StageSettings.DEFINITIONS,
               LogSettings.DEFINITIONS)
           .flatMap(List::stream)
           .<SettingDefinition<?>>map(definition -> definition)
@@ -102,6 +105,7 @@
         values.get(STORE),
         GatewayBounds.from(values),
         DispatchSettings.from(values),
+        StageSettings.from(values),
         LogSettings.from(values));
   }
 
@@ -127,13 +131,15 @@
   /** What the dispatcher is made with. */
   public DispatchParameters dispatchParameters() {
     return new DispatchParameters(
+        nodeName,
         zone,
         dispatch.prefillTokensPerMilli(),
         bounds.retryRatio(),
         bounds.retrySlack(),
         bounds.retryWindow(),
         bounds.drain().multipliedBy(LAST_RESORT_PERCENT).dividedBy(PERCENT),
-        dispatch.minRetryAfter());
+        dispatch.minRetryAfter(),
+        stages.parameters());
   }
 
   /** Longest time a planned stop may take, with a margin before the platform kills the process. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -49,6 +49,8 @@
   private static final String INSTANCE = "X-Fallturn-Instance-Id";
   private static final String HANDLE_PATH = "/-/kv-handle/";
   private static final String CACHE_LIST_PATH = "/-/kv-list";
+  private static final String REPORT_PATH = "/-/report";
+  private static final String ORDER_PATH = "/-/order";
   private static final String PREFIX_HASH = "X-Fallturn-Prefix-Hash";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
   private static final long EVENT_MILLIS = 5;
@@ -56,7 +58,8 @@
 
   private final String id;
   private final String service;
-  private final String stage;
+  private final EngineOrderBook orders = new EngineOrderBook();
+  private volatile String stage;
   private final EmulatedServer server;
   private final ConcurrentLinkedDeque<EngineFault> nextFaults = new ConcurrentLinkedDeque<>();
   private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
@@ -121,6 +124,16 @@
     return List.copyOf(heads);
   }
 
+  /** Its present stage. */
+  public String stage() {
+    return stage;
+  }
+
+  /** The orders that it has taken, as they came. */
+  public List<String> takenOrders() {
+    return orders.taken();
+  }
+
   /** Handles that wait to be fetched. */
   public Set<String> waitingHandles() {
     return Set.copyOf(handles);
@@ -152,6 +165,14 @@
         write(response, callback, cacheList());
         return true;
       }
+      if (path.equals(REPORT_PATH)) {
+        write(response, callback, orders.report(stage));
+        return true;
+      }
+      if (path.equals(ORDER_PATH)) {
+        order(request, response, callback);
+        return true;
+      }
       heads.add(request.getHeaders().asImmutable());
       Content.Source.consumeAll(request);
       EngineFault queued = nextFaults.poll();
@@ -159,6 +180,19 @@
       return true;
     }
 
+    private void order(Request request, Response response, Callback callback) throws Exception {
+      String expected = request.getHeaders().get(EXPECT_INSTANCE);
+      if (!id.equals(expected)) {
+        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+        return;
+      }
+      EngineOrderBook.Answer answer =
+          orders.take(Content.Source.asString(request, StandardCharsets.UTF_8), stage);
+      stage = answer.stage();
+      response.setStatus(answer.status());
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+    }
+
     private String cacheList() {
       return keptParts.entrySet().stream()
           .map(part -> "[\"\",\"" + part.getKey() + "\"," + part.getValue() + ",\"m\"]")
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.emulator;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -11,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -120,6 +122,28 @@
     }
   }
 
+  /** All or nothing; null when a row has not the expected version. */
+  private synchronized byte[] change(JsonNode call) {
+    for (JsonNode expected : call.path("expected")) {
+      EmulatedRow row = rows.get(name(expected));
+      long present = row == null ? 0 : row.version();
+      if (present != expected.path("ver").asLong()) {
+        return null;
+      }
+    }
+    version++;
+    for (JsonNode put : call.path("put")) {
+      byte[] value = Base64.getDecoder().decode(put.path("value").asText());
+      String text = new String(value, StandardCharsets.UTF_8);
+      record(new EmulatedRow(put.path("table").asText(), put.path("key").asText(), text, version));
+    }
+    return body(List.of(), version);
+  }
+
+  private static String name(JsonNode row) {
+    return row.path("table").asText() + "/" + row.path("key").asText();
+  }
+
   private byte[] body(List<EmulatedRow> found, long at) {
     ObjectNode answer = json.createObjectNode();
     ArrayNode list = answer.putArray("rows");
@@ -160,6 +184,11 @@
       Fields query = Request.extractQueryParameters(request);
       String table = query.getValue("table");
       switch (Request.getPathInContext(request)) {
+        case "/-/rows-tx" -> {
+          byte[] changed = change(json.readTree(Content.Source.asByteBuffer(request).array()));
+          int status = changed == null ? HttpStatus.PRECONDITION_FAILED_412 : HttpStatus.OK_200;
+          answer(response, callback, status, changed);
+        }
         case "/-/rows-get" -> answer(response, callback, HttpStatus.OK_200, whole(table));
         case "/-/rows-feed" -> {
           long after = Long.parseLong(query.getValue("after"));
