End connections on which the head of a request takes too long

Tests: GatewayOnEmulatorTest.callerWhoseHeadDoesNotEndIsToldThatNothingRan (red before), requestsOnAKeptConnectionMayComeFurtherApartThanAHeadMayTake.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -44,6 +44,7 @@
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     CallerTriple caller = new CallerTriple(request, response, callback);
+    watchHeads(request);
     if (!gateway.takesRequests()) {
       refuse(caller, requestId(request), ErrorKind.STOPPING, "this node is stopping");
       return true;
@@ -61,6 +62,15 @@
     return true;
   }
 
+  /** Between the head of a request and its answer no other head comes in. */
+  private static void watchHeads(Request request) {
+    if (request.getConnectionMetaData().getConnection().getEndPoint()
+        instanceof WatchedEndPoint caller) {
+      caller.beginServing();
+      Request.addCompletionListener(request, failure -> caller.endServing());
+    }
+  }
+
   private String requestId(Request request) {
     try {
       return gateway.callerProtocol().readHead(request).requestId();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -154,6 +154,7 @@
   private void applyLimits(WatchedConnector connector, RequestLimits limits) {
     http.setRequestHeaderSize(limits.maxHeaderBytes());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
+    connector.setHeadTimeout(limits.headerTimeout());
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -14,8 +14,8 @@
 /**
  * A caller's connection that can be watched for its end while a request is served. HTTP/1.1 reads
  * nothing between the end of a request and its answer, so a caller that leaves would go unnoticed;
- * while watching, the connection is read into a side buffer that the next request is read from.
- * Thread-safe.
+ * while watching, the connection is read into a side buffer that the next request is read from. It
+ * also knows since when the head of a request has been coming in. Thread-safe.
  */
 final class WatchedEndPoint extends SocketChannelEndPoint {
 
@@ -25,6 +25,8 @@
   private ByteBuffer side = BufferUtil.EMPTY_BUFFER;
   private boolean endOfInput;
   private Runnable onGone;
+  private boolean serving;
+  private long headSinceNanos;
 
   WatchedEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
@@ -52,6 +54,14 @@
 
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
+    int filled = fillFromEither(buffer);
+    if (filled > 0) {
+      onHeadBytes();
+    }
+    return filled;
+  }
+
+  private int fillFromEither(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
       if (side.hasRemaining()) {
         return BufferUtil.append(buffer, side);
@@ -63,6 +73,43 @@
     return super.fill(buffer);
   }
 
+  private void onHeadBytes() {
+    synchronized (lock) {
+      if (!serving && headSinceNanos == 0) {
+        headSinceNanos = System.nanoTime();
+      }
+    }
+  }
+
+  /** The head of a request has been read; what comes now is its body. */
+  void beginServing() {
+    synchronized (lock) {
+      serving = true;
+      headSinceNanos = 0;
+    }
+  }
+
+  /** The request was answered; what comes now is the head of the next. */
+  void endServing() {
+    synchronized (lock) {
+      serving = false;
+    }
+  }
+
+  /** Begins to count anew how long a head has been coming in, if one is. */
+  void restartHead() {
+    synchronized (lock) {
+      headSinceNanos = headSinceNanos == 0 ? 0 : System.nanoTime();
+    }
+  }
+
+  /** Whether the head of a request has been coming in for longer than a time. */
+  boolean headTakesLongerThan(long nanos) {
+    synchronized (lock) {
+      return headSinceNanos != 0 && System.nanoTime() - headSinceNanos > nanos;
+    }
+  }
+
   private void register() {
     getFillInterest().tryRegister(new Watch());
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -1,11 +1,15 @@
 package org.fallturn.rehearsal.emulator;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 
 /** Routes and configurations as an operator of the platform writes them. */
 public final class RouteText {
 
+  /** How long the head of a request may take. */
+  public static final Duration HEADER_TIMEOUT = Duration.ofMillis(600);
+
   private static final int MODEL_ATTEMPTS = 2;
 
   private RouteText() {}
@@ -50,8 +54,9 @@
             + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}},"
             + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":100}],"
             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,"
-            + "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+            + "\"headerTimeoutMs\":%d,\"idleTimeoutMs\":15000}}",
         version,
-        String.join(",", routes));
+        String.join(",", routes),
+        HEADER_TIMEOUT.toMillis());
   }
 }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -378,4 +378,26 @@
       assertThat(caller.readUntil("\r\n")).startsWith("HTTP/1.1 200");
     }
   }
+
+  @Test
+  void callerWhoseHeadDoesNotEndIsToldThatNothingRan() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.sendPart("GET /stream/x HTTP/1.1\r\nHost: ");
+      assertThat(caller.readToEnd()).startsWith("HTTP/1.1 408 ");
+    }
+  }
+
+  @Test
+  void requestsOnAKeptConnectionMayComeFurtherApartThanAHeadMayTake() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      for (String id : List.of("first", "second")) {
+        caller.send(id, EmulatedPlatform.STREAM, "");
+        assertThat(caller.readUntil("\r\n0\r\n\r\n")).startsWith("HTTP/1.1 200");
+        await()
+            .pollDelay(RouteText.HEADER_TIMEOUT.multipliedBy(2))
+            .atMost(LONGEST)
+            .until(() -> gateway.inFlight() == 0);
+      }
+    }
+  }
 }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
@@ -36,6 +36,11 @@
     socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
   }
 
+  /** Sends bytes as they are. */
+  void sendPart(String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
   /** What comes up to the first occurrence of a text; fails when the connection ends before. */
   String readUntil(String end) throws IOException {
     ByteArrayOutputStream read = new ByteArrayOutputStream();
