Let one command line and one scenario runner serve all rehearsal programs

Cause: RehearsalCommand and its parsing repeated node.command, and five scenarios of the model checker repeated how a scenario is run. Change: rehearsal commands are node.command.Command; Scenario.run is a default method over Scenario.play. Checked: ModelCheckerTest (every broken variant is caught as before).

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/application/ApplicationCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/application/ApplicationCommand.java
@@ -3,11 +3,11 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.ForegroundProcess;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal application}. */
-public final class ApplicationCommand implements RehearsalCommand {
+public final class ApplicationCommand implements Command {
 
   @Override
   public String name() {
@@ -20,7 +20,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--id").setDefault("application-1").help("name of the machine");
     parser.addArgument("--listen").setDefault("127.0.0.1:0").help("host:port");
     parser
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/engine/EngineCommandLine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/engine/EngineCommandLine.java
@@ -7,11 +7,11 @@
 import org.fallturn.core.domain.EngineRole;
 import org.fallturn.core.domain.ModelName;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.ForegroundProcess;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal engine}. */
-public final class EngineCommandLine implements RehearsalCommand {
+public final class EngineCommandLine implements Command {
 
   @Override
   public String name() {
@@ -24,7 +24,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     EngineSettings defaults = EngineSettings.defaults("engine-1", EngineRole.DECODE, "model");
     EngineSettings.Reports reports = defaults.reports();
     parser.addArgument("--id").setDefault(defaults.engine().value()).help("name of the engine");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -7,7 +7,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
-import org.fallturn.rehearsal.RehearsalCommand;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.configuration.SpreadExperiment;
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.limits.IsolationExperiment;
@@ -17,7 +17,7 @@
 import org.fallturn.rehearsal.scale.ScaleTablesCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
-public final class ExperimentCommand implements RehearsalCommand {
+public final class ExperimentCommand implements Command {
   private static final List<Experiment> EXPERIMENTS =
       List.of(
           new RolesExperiment(),
@@ -26,7 +26,7 @@
           new SpreadExperiment(),
           new LimitsExperiment(),
           new IsolationExperiment());
-  private static final List<RehearsalCommand> WITH_OWN_OPTIONS =
+  private static final List<Command> WITH_OWN_OPTIONS =
       List.of(
           new OverheadExperiment(),
           new MembershipCommand(),
@@ -48,17 +48,17 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     Subparsers subparsers = parser.addSubparsers().title("experiments").metavar("EXPERIMENT");
     for (Experiment experiment : EXPERIMENTS) {
       Subparser subparser = subparsers.addParser(experiment.name());
       subparser.setDefault(CHOSEN, experiment);
       addCommonOptions(subparser);
     }
-    for (RehearsalCommand experiment : WITH_OWN_OPTIONS) {
+    for (Command experiment : WITH_OWN_OPTIONS) {
       Subparser subparser = subparsers.addParser(experiment.name()).help(experiment.help());
       subparser.setDefault(CHOSEN, experiment);
-      experiment.configure(subparser);
+      experiment.declare(subparser);
     }
   }
 
@@ -75,7 +75,7 @@
   @Override
   public int run(Namespace arguments) throws Exception {
     Object chosen = arguments.get(CHOSEN);
-    if (chosen instanceof RehearsalCommand withOwnOptions) {
+    if (chosen instanceof Command withOwnOptions) {
       return withOwnOptions.run(arguments);
     }
     Experiment experiment = (Experiment) chosen;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OverheadExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/OverheadExperiment.java
@@ -4,13 +4,13 @@
 import java.nio.file.Path;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.overhead.OverheadMeasurement;
 import org.fallturn.rehearsal.overhead.OverheadReport;
 
 /** {@code fallturn-rehearsal experiment overhead}: what a node adds to a request. */
-public final class OverheadExperiment implements RehearsalCommand {
+public final class OverheadExperiment implements Command {
 
   private static final int DEFAULT_ROUNDS = 5;
   private static final String FILE = "overhead.json";
@@ -26,7 +26,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--rounds").type(Integer.class).setDefault(DEFAULT_ROUNDS);
     parser
         .addArgument("--seed")
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faultload/FaultExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faultload/FaultExperimentCommand.java
@@ -12,8 +12,8 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.engine.OrderNumber;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.engine.EngineJournal;
 import org.fallturn.rehearsal.fleet.CallResult.Verdict;
 import org.fallturn.rehearsal.fleet.FleetCaller;
@@ -28,7 +28,7 @@
  * was crossed, no planned change cut a request, nothing that was said not to have run had run, and
  * no engine executed orders out of order.
  */
-public final class FaultExperimentCommand implements RehearsalCommand {
+public final class FaultExperimentCommand implements Command {
 
   private static final Duration PATIENCE = Duration.ofSeconds(40);
   private static final int NODES = 3;
@@ -47,7 +47,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--first-seed").dest("firstSeed").type(Long.class).setDefault(1L);
     parser.addArgument("--seeds").type(Integer.class).setDefault(1).help("runs, a seed each");
     parser.addArgument("--seconds").type(Integer.class).setDefault(45).help("load of each run");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultsCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultsCommand.java
@@ -3,11 +3,11 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.ForegroundProcess;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal faults}. */
-public final class FaultsCommand implements RehearsalCommand {
+public final class FaultsCommand implements Command {
 
   @Override
   public String name() {
@@ -20,7 +20,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--listen").setDefault("127.0.0.1:0").help("control address, host:port");
     parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the random faults");
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/load/LoadCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/load/LoadCommand.java
@@ -8,15 +8,15 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.eclipse.jetty.client.HttpClient;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.http.RemoteCallException;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.application.ExecutionCounts;
 import org.fallturn.rehearsal.engine.EngineJournal;
 
 /** {@code fallturn-rehearsal load}. */
-public final class LoadCommand implements RehearsalCommand {
+public final class LoadCommand implements Command {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
@@ -31,7 +31,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--node").action(Arguments.append()).required(true).help("host:port");
     parser.addArgument("--engine").action(Arguments.append()).help("read its journal: host:port");
     parser.addArgument("--application").action(Arguments.append()).help("read its counts");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/CheckInvariantsCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/CheckInvariantsCommand.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
-import org.fallturn.rehearsal.RehearsalCommand;
+import org.fallturn.node.command.Command;
 
 /** {@code check-invariants}: the model checker on the command line. */
-public final class CheckInvariantsCommand implements RehearsalCommand {
+public final class CheckInvariantsCommand implements Command {
 
   private static final int DEFAULT_SEEDS = 200;
   private static final int MAX_REPORTS = 3;
@@ -23,7 +23,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser
         .addArgument("--seeds")
         .type(Integer.class)
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ClaimScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ClaimScenario.java
@@ -35,15 +35,8 @@
   }
 
   @Override
-  public Optional<Violation> run(long seed, Optional<BrokenVariant> variant, Coverage coverage) {
-    Simulation simulation = new Simulation(seed);
-    try {
-      new World(simulation, variant, coverage).run();
-      return Optional.empty();
-    } catch (InvariantViolatedException e) {
-      return Optional.of(
-          new Violation(NAME, seed, e.invariant(), e.getMessage(), simulation.traceLines()));
-    }
+  public void play(Simulation simulation, Optional<BrokenVariant> variant, Coverage coverage) {
+    new World(simulation, variant, coverage).run();
   }
 
   /** What the caller was told. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ConfigurationScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/ConfigurationScenario.java
@@ -32,16 +32,8 @@
   }
 
   @Override
-  public Optional<Violation> run(long seed, Optional<BrokenVariant> variant, Coverage coverage) {
-    Simulation simulation = new Simulation(seed);
-    World world = new World(simulation, variant, coverage);
-    try {
-      world.run();
-      return Optional.empty();
-    } catch (InvariantViolatedException e) {
-      return Optional.of(
-          new Violation(NAME, seed, e.invariant(), e.getMessage(), simulation.traceLines()));
-    }
+  public void play(Simulation simulation, Optional<BrokenVariant> variant, Coverage coverage) {
+    new World(simulation, variant, coverage).run();
   }
 
   /** The table, the nodes, the faults and the checks. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/LeadershipScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/LeadershipScenario.java
@@ -43,16 +43,9 @@
   }
 
   @Override
-  public Optional<Violation> run(long seed, Optional<BrokenVariant> variant, Coverage coverage) {
-    Simulation simulation = new Simulation(seed);
+  public void play(Simulation simulation, Optional<BrokenVariant> variant, Coverage coverage) {
     LeadershipWorld world = new LeadershipWorld(simulation, variant, coverage, PARAMETERS);
-    try {
-      new Run(simulation, world).run();
-      return Optional.empty();
-    } catch (InvariantViolatedException e) {
-      return Optional.of(
-          new Violation(NAME, seed, e.invariant(), e.getMessage(), simulation.traceLines()));
-    }
+    new Run(simulation, world).run();
   }
 
   /** One run: sets the world up and plays the faults. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/PlacementScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/PlacementScenario.java
@@ -54,15 +54,8 @@
   }
 
   @Override
-  public Optional<Violation> run(long seed, Optional<BrokenVariant> variant, Coverage coverage) {
-    Simulation simulation = new Simulation(seed);
-    try {
-      new Run(simulation, variant, coverage).run();
-      return Optional.empty();
-    } catch (InvariantViolatedException e) {
-      return Optional.of(
-          new Violation(NAME, seed, e.invariant(), e.getMessage(), simulation.traceLines()));
-    }
+  public void play(Simulation simulation, Optional<BrokenVariant> variant, Coverage coverage) {
+    new Run(simulation, variant, coverage).run();
   }
 
   /** One run. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/RequestScenario.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/modelcheck/RequestScenario.java
@@ -29,15 +29,8 @@
   }
 
   @Override
-  public Optional<Violation> run(long seed, Optional<BrokenVariant> variant, Coverage coverage) {
-    Simulation simulation = new Simulation(seed);
-    try {
-      new World(simulation, variant, coverage).run();
-      return Optional.empty();
-    } catch (InvariantViolatedException e) {
-      return Optional.of(
-          new Violation(NAME, seed, e.invariant(), e.getMessage(), simulation.traceLines()));
-    }
+  public void play(Simulation simulation, Optional<BrokenVariant> variant, Coverage coverage) {
+    new World(simulation, variant, coverage).run();
   }
 
   /** The engines' faults, the requests and the checks. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/platform/PlatformCommand.java
@@ -3,11 +3,11 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.ForegroundProcess;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal platform}. */
-public final class PlatformCommand implements RehearsalCommand {
+public final class PlatformCommand implements Command {
 
   @Override
   public String name() {
@@ -20,7 +20,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     PlatformSettings defaults = PlatformSettings.defaults();
     parser.addArgument("--listen").setDefault(defaults.listen().toString()).help("host:port");
     parser
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
@@ -11,8 +11,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.server.NodeServer;
-import org.fallturn.rehearsal.RehearsalCommand;
 import org.fallturn.rehearsal.application.ApplicationStandIn;
 import org.fallturn.rehearsal.emulator.PlatformQuickstart;
 import org.fallturn.rehearsal.engine.EngineStandIn;
@@ -24,7 +24,7 @@
  * {@code fallturn-rehearsal quickstart}: exits with 0 only when every answer was whole and right
  * and nothing ran twice.
  */
-public final class QuickstartCommand implements RehearsalCommand {
+public final class QuickstartCommand implements Command {
 
   private static final Duration DEADLINE = Duration.ofSeconds(30);
   private static final long READY_SECONDS = 60;
@@ -42,7 +42,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser
         .addArgument("--keep")
         .action(Arguments.storeTrue())
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNodesCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNodesCommand.java
@@ -4,12 +4,12 @@
 import ch.qos.logback.classic.Logger;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.command.Command;
 import org.fallturn.rehearsal.ForegroundProcess;
-import org.fallturn.rehearsal.RehearsalCommand;
 import org.slf4j.LoggerFactory;
 
 /** {@code fallturn-rehearsal hollow-nodes}: holds the hollow nodes of one rack. */
-public final class HollowNodesCommand implements RehearsalCommand {
+public final class HollowNodesCommand implements Command {
 
   @Override
   public String name() {
@@ -22,7 +22,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     // It takes no arguments: the experiment tells it over its port what to start.
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipCommand.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal experiment membership}. */
-public final class MembershipCommand implements RehearsalCommand {
+public final class MembershipCommand implements Command {
 
   private static final long SETTLE_SECONDS = 30;
   private static final long MEASURE_SECONDS = 20;
@@ -27,7 +27,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser
         .addArgument("--members")
         .type(Integer.class)
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleCommand.java
@@ -5,11 +5,11 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal experiment scale}. */
-public final class ScaleCommand implements RehearsalCommand {
+public final class ScaleCommand implements Command {
 
   private static final int FULL_NODES = 370;
   private static final int FULL_ENGINES = 2700;
@@ -33,7 +33,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--nodes").type(Integer.class).setDefault(FULL_NODES);
     parser.addArgument("--engines").type(Integer.class).setDefault(FULL_ENGINES);
     parser
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleTablesCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ScaleTablesCommand.java
@@ -6,11 +6,11 @@
 import java.util.List;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.fallturn.node.command.Command;
 import org.fallturn.node.json.JsonCodec;
-import org.fallturn.rehearsal.RehearsalCommand;
 
 /** {@code fallturn-rehearsal experiment scale-tables}. */
-public final class ScaleTablesCommand implements RehearsalCommand {
+public final class ScaleTablesCommand implements Command {
 
   @Override
   public String name() {
@@ -23,7 +23,7 @@
   }
 
   @Override
-  public void configure(Subparser parser) {
+  public void declare(Subparser parser) {
     parser.addArgument("--out").required(true).help("Markdown file to write");
     parser.addArgument("reports").nargs("+").help("JSON files written by experiment scale");
   }
