--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package org.fallturn.core.dispatch;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -10,7 +9,6 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
-import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServiceDefinition;
 import org.fallturn.core.routing.ServingEngine;
@@ -25,19 +23,12 @@
  */
 public final class Dispatcher {
 
-  /** Divides the slack before the other nodes have been heard. */
-  private static final int MIN_NODE_COUNT = 6;
-
-  private static final int MAX_PREFILL_ATTEMPTS = 2;
-  private static final int MAX_ARRIVALS_BEYOND_RUNS = 2;
-
   /** Shorter prompts are not worth a message to the other nodes. */
   private static final int MIN_TOLD_TOKENS = 2_000;
 
   private static final int LEAST_URGENT = 9;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
-  private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
 
   private DispatchParameters parameters;
   private final PeerLoads peerLoads = new PeerLoads();
@@ -47,14 +38,14 @@
   private final Patience patience = new Patience();
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
   private final ServiceSplit split = new ServiceSplit();
-  private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final RetryRules retries;
   private final List<PlacedPrompt> newPrompts = new ArrayList<>();
-  private int nodeCount = MIN_NODE_COUNT;
   private Optional<RoutingImage> routing = Optional.empty();
 
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
+    this.retries = new RetryRules(parameters);
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
     this.prompts = new PromptPlacement(selector, parameters.zone());
@@ -65,7 +56,7 @@
   /** Takes changed bounds and constants; this node's zone and the windows stay. */
   public void setParameters(DispatchParameters changed) {
     parameters = changed;
-    budgets.values().forEach(budget -> budget.setBounds(changed));
+    retries.setParameters(changed);
   }
 
   /** Takes a newer list of engines. */
@@ -186,13 +177,13 @@
 
   /** Takes the number of nodes that share the retry budget, this one included. */
   public void setNodeCount(int count) {
-    nodeCount = Math.max(MIN_NODE_COUNT, count);
+    retries.setNodeCount(count);
   }
 
   /** First decision for a request. */
   public Decision start(RequestProgress progress, long nowNanos) {
     progress.chooseService(split.next(progress.envelope().route()));
-    budget(progress).onRequest(nowNanos);
+    retries.onRequest(progress.service(), nowNanos);
     return place(progress, nowNanos);
   }
 
@@ -263,10 +254,8 @@
   }
 
   private Decision afterFailedPrefill(RequestProgress progress, long nowNanos) {
-    boolean again =
-        progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS
-            && !selector.prefillCandidates(progress, nowNanos).isEmpty()
-            && takeRepeat(progress, nowNanos);
+    boolean hasCandidate = !selector.prefillCandidates(progress, nowNanos).isEmpty();
+    boolean again = retries.mayPrefillAgain(progress, hasCandidate, nowNanos);
     return place(progress, again, nowNanos);
   }
 
@@ -274,29 +263,13 @@
     if (progress.arrivals() > 1 || outcome.mayHaveRun()) {
       progress.dropSource();
     }
-    if (mayTryAgain(progress, outcome, nowNanos)) {
+    boolean hasCandidate = !selector.runCandidates(progress, nowNanos).isEmpty();
+    if (retries.mayRunAgain(progress, outcome, hasCandidate, nowNanos)) {
       return place(progress, false, nowNanos);
     }
     return giveUp(progress, outcome);
   }
 
-  private boolean mayTryAgain(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
-    Route route = progress.envelope().route();
-    if (outcome.mayHaveRun() && !route.repeatable()) {
-      return false;
-    }
-    if (progress.possibleRuns() >= route.maxAttempts()
-        || progress.arrivals() >= route.maxAttempts() + MAX_ARRIVALS_BEYOND_RUNS) {
-      return false;
-    }
-    if (progress.envelope().remainingNanos(nowNanos) < MIN_TIME_FOR_ATTEMPT.toNanos()) {
-      return false;
-    }
-    boolean free = outcome == AttemptOutcome.NOT_SENT;
-    return !selector.runCandidates(progress, nowNanos).isEmpty()
-        && (free || takeRepeat(progress, nowNanos));
-  }
-
   private Decision giveUp(RequestProgress progress, AttemptOutcome outcome) {
     if (outcome == AttemptOutcome.ANSWERED_FAILURE) {
       return new Decision.PassFailure();
@@ -434,12 +407,4 @@
     progress.engine().ifPresent(engine -> selector.load(engine).remove(progress.chargedTokens()));
     progress.endAttempt(mayHaveRun);
   }
-
-  private boolean takeRepeat(RequestProgress progress, long nowNanos) {
-    return budget(progress).tryTake(nodeCount, nowNanos);
-  }
-
-  private RetryBudget budget(RequestProgress progress) {
-    return budgets.computeIfAbsent(progress.service(), name -> new RetryBudget(parameters));
-  }
 }
