--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -8,6 +8,7 @@
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.dispatch.RequestProgress;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
@@ -66,6 +67,13 @@
     line(LogEvent.STARTED).addKeyValue("node", node).log();
   }
 
+  void metricsRefused(NetworkAddress address, Exception failure) {
+    line(LogEvent.METRICS_REFUSED)
+        .addKeyValue("address", address)
+        .addKeyValue("failure", failure.toString())
+        .log();
+  }
+
   void stopping(int inFlight) {
     line(LogEvent.STOPPING).addKeyValue("inFlight", inFlight).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -190,7 +190,16 @@
     if (settings.metricsPort() > 0) {
       NetworkAddress address =
           new NetworkAddress(settings.readiness().host(), settings.metricsPort());
+      openMetrics(address);
+    }
+  }
+
+  /** A gateway whose figures cannot be served still serves its callers. */
+  private void openMetrics(NetworkAddress address) {
+    try {
       metricsListener = MetricsPort.open(address, metrics);
+    } catch (Exception e) {
+      log.metricsRefused(address, e);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -4,6 +4,8 @@
 public enum LogEvent {
   /** The process began to serve its ports. */
   STARTED,
+  /** The figures cannot be served at their address. */
+  METRICS_REFUSED,
   /** A planned stop began. */
   STOPPING,
   /** The process ends. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -104,6 +104,15 @@
 
   /** Makes a gateway that callers can connect to already, and that has not been started. */
   public GatewayServer newGateway(NetworkAddress... seeds) throws Exception {
+    return newGateway(0, seeds);
+  }
+
+  /**
+   * Makes a gateway that has not been started.
+   *
+   * @param metricsPort where it serves its figures; 0 for nowhere
+   */
+  public GatewayServer newGateway(int metricsPort, NetworkAddress... seeds) throws Exception {
     StringBuilder seedText = new StringBuilder();
     for (NetworkAddress seed : seeds) {
       seedText.append(seedText.length() == 0 ? "" : ",").append(seed);
@@ -119,6 +128,7 @@
             readiness = "127.0.0.1:0"
             peers = "127.0.0.1:0"
             seeds = "%s"
+            metrics_port = %d
 
             [store]
             address = "%s"
@@ -130,6 +140,7 @@
             """,
             gateways.size() + 1,
             seedText,
+            metricsPort,
             store.address());
     GatewaySettings settings =
         GatewaySettings.from(GatewaySettings.reader().toml("emulated", text).values());
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -400,4 +402,15 @@
       }
     }
   }
+
+  @Test
+  void gatewayWhosePortForFiguresIsTakenServesItsCallers() throws Exception {
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      GatewayServer other = platform.newGateway(taken.getLocalPort());
+      other.start();
+      await().atMost(LONGEST).until(other::ready);
+      Answer answer = client.call(other.callersAddress(), EmulatedPlatform.STREAM, SHORT_PROMPT);
+      assertThat(answer.status()).isEqualTo(200);
+    }
+  }
 }
