--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -154,6 +154,7 @@
   private void applyLimits(WatchedConnector connector, RequestLimits limits) {
     http.setRequestHeaderSize(limits.maxHeaderBytes());
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
+    connector.setHeadTimeout(limits.headerTimeout());
   }
 
   /**
@@ -189,7 +190,16 @@
     if (settings.metricsPort() > 0) {
       NetworkAddress address =
           new NetworkAddress(settings.readiness().host(), settings.metricsPort());
+      openMetrics(address);
+    }
+  }
+
+  /** A gateway whose figures cannot be served still serves its callers. */
+  private void openMetrics(NetworkAddress address) {
+    try {
       metricsListener = MetricsPort.open(address, metrics);
+    } catch (Exception e) {
+      log.metricsRefused(address, e);
     }
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -378,4 +380,37 @@
       assertThat(caller.readUntil("\r\n")).startsWith("HTTP/1.1 200");
     }
   }
+
+  @Test
+  void callerWhoseHeadDoesNotEndIsToldThatNothingRan() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.sendPart("GET /stream/x HTTP/1.1\r\nHost: ");
+      assertThat(caller.readToEnd()).startsWith("HTTP/1.1 408 ");
+    }
+  }
+
+  @Test
+  void requestsOnAKeptConnectionMayComeFurtherApartThanAHeadMayTake() throws Exception {
+    try (RawCaller caller = new RawCaller(address)) {
+      for (String id : List.of("first", "second")) {
+        caller.send(id, EmulatedPlatform.STREAM, "");
+        assertThat(caller.readUntil("\r\n0\r\n\r\n")).startsWith("HTTP/1.1 200");
+        await()
+            .pollDelay(RouteText.HEADER_TIMEOUT.multipliedBy(2))
+            .atMost(LONGEST)
+            .until(() -> gateway.inFlight() == 0);
+      }
+    }
+  }
+
+  @Test
+  void gatewayWhosePortForFiguresIsTakenServesItsCallers() throws Exception {
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      GatewayServer other = platform.newGateway(taken.getLocalPort());
+      other.start();
+      await().atMost(LONGEST).until(other::ready);
+      Answer answer = client.call(other.callersAddress(), EmulatedPlatform.STREAM, SHORT_PROMPT);
+      assertThat(answer.status()).isEqualTo(200);
+    }
+  }
 }
