Fill a stage up again that engines left

Change: StagePlanner fills a stage up that has been below its least share for 3 s, whatever the load. Test: StagePlannerTest.stageThatEnginesLeftIsFilledUpAgainWhateverTheLoad, red first.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.fallturn.core.routing.EngineStage;
@@ -13,10 +14,10 @@
  * free make a decode engine read prompts; streams that crowd while prefill engines have nothing to
  * do make one decode again.
  *
- * <p>Invariants: each stage keeps its least share of the engines, and never less than one; only a
- * bounded part of the engines changes at once; a change is not undone within {@link
- * #REVERSAL_NANOS}. Load is smoothed, so that one long prompt moves nothing. One thread calls,
- * about every 100 ms.
+ * <p>Invariants: no change takes a stage below its least share of the engines, and never below one;
+ * a stage that has fallen below it, since engines left, is filled up first; only a bounded part of
+ * the engines changes at once; a change by load is not undone within {@link #REVERSAL_NANOS}. Load
+ * is smoothed, so that one long prompt moves nothing. One thread calls, about every 100 ms.
  */
 public final class StagePlanner {
 
@@ -40,6 +41,9 @@
   /** Between two changes the effect of the first must show. */
   private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
 
+  /** So long a stage is below its least share before it is filled up. */
+  private static final long MISSED_NANOS = TimeUnit.SECONDS.toNanos(3);
+
   static final long REVERSAL_NANOS = TimeUnit.SECONDS.toNanos(8);
 
   /** One of so many engines may be away at once, and always one. */
@@ -54,6 +58,7 @@
   private double peakOccupancy;
   private EngineStage lastStage = EngineStage.NONE;
   private long lastChangeNanos;
+  private OptionalLong missedSinceNanos = OptionalLong.empty();
 
   /**
    * A planner that has seen nothing.
@@ -105,8 +110,7 @@
     if (lastStage != EngineStage.NONE && nowNanos - lastChangeNanos < PAUSE_NANOS) {
       return Optional.empty();
     }
-    Optional<EngineStage> stage = wantedStage(engines).filter(next -> !undoes(next, nowNanos));
-    return stage.flatMap(next -> leastMissed(engines, next));
+    return wantedStage(engines, nowNanos).flatMap(next -> leastMissed(engines, next));
   }
 
   private static boolean changes(StageView view) {
@@ -118,10 +122,19 @@
     return reverses && nowNanos - lastChangeNanos < REVERSAL_NANOS;
   }
 
-  private Optional<EngineStage> wantedStage(List<StageView> engines) {
+  private Optional<EngineStage> wantedStage(List<StageView> engines, long nowNanos) {
     int prefill = count(engines, EngineStage.PREFILL);
     int decode = count(engines, EngineStage.DECODE);
     int least = Math.max(1, (int) Math.ceil(leastShare * (prefill + decode)));
+    Optional<EngineStage> missed = belowFloor(prefill, decode, least);
+    if (missed.isPresent()) {
+      return missed.filter(stage -> lasts(nowNanos));
+    }
+    missedSinceNanos = OptionalLong.empty();
+    return wantedByLoad(prefill, decode, least).filter(next -> !undoes(next, nowNanos));
+  }
+
+  private Optional<EngineStage> wantedByLoad(int prefill, int decode, int least) {
     if (decode > least && shortOfPrefill(decode)) {
       return Optional.of(EngineStage.PREFILL);
     }
@@ -131,6 +144,25 @@
     return Optional.empty();
   }
 
+  /** Engines crash and leave: a stage may have fallen below its least share without any order. */
+  private static Optional<EngineStage> belowFloor(int prefill, int decode, int least) {
+    if (decode < least && prefill > least) {
+      return Optional.of(EngineStage.DECODE);
+    }
+    if (prefill < least && decode > least) {
+      return Optional.of(EngineStage.PREFILL);
+    }
+    return Optional.empty();
+  }
+
+  /** Not while engines are still being listed, at a start or when the store is back. */
+  private boolean lasts(long nowNanos) {
+    if (missedSinceNanos.isEmpty()) {
+      missedSinceNanos = OptionalLong.of(nowNanos);
+    }
+    return nowNanos - missedSinceNanos.getAsLong() >= MISSED_NANOS;
+  }
+
   private boolean shortOfPrefill(int decode) {
     double occupancyAfter = peakOccupancy * decode / (decode - 1);
     return prefillWaitMillis > LONG_WAIT_MILLIS
--- a/fallturn-core/src/test/java/org/fallturn/core/stages/StagePlannerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/stages/StagePlannerTest.java
@@ -115,4 +115,27 @@
     views.add(view("extra-3", EngineStage.DECODE, 5, 0));
     assertThat(after(views, 3).orElseThrow().engine().zone()).isEqualTo("3");
   }
+
+  /** Three engines were ordered to read, and then three of those that decode left. */
+  @Test
+  void stageThatEnginesLeftIsFilledUpAgainWhateverTheLoad() {
+    planner.onOrdered(EngineStage.PREFILL, now);
+    assertThat(afterAsking(fleet(9, 2, 200, 1), 2)).as("it may be listed again").isEmpty();
+    StageChange change = afterAsking(fleet(9, 2, 200, 1), 2).orElseThrow();
+    assertThat(change.stage()).isEqualTo(EngineStage.DECODE);
+    assertThat(afterAsking(fleet(6, 6, 0, 1), 2)).isEmpty();
+    StageChange back = afterAsking(fleet(2, 9, 0, 1), 4).orElseThrow();
+    assertThat(back.stage()).isEqualTo(EngineStage.PREFILL);
+  }
+
+  /** As the node does: asks what is wanted at each tick. */
+  private Optional<StageChange> afterAsking(List<StageView> views, int seconds) {
+    Optional<StageChange> wanted = Optional.empty();
+    for (int tick = 0; tick < 10 * seconds; tick++) {
+      now += TICK;
+      planner.observe(views, now);
+      wanted = planner.wanted(views, now);
+    }
+    return wanted;
+  }
 }
