Accept callers before the other ports are opened

Cause: a start opened readiness, the peers' port and the figures before callers were accepted; each is a server whose start takes processor time that waiting callers wait for. Change: callers are accepted as soon as routes and engines are known. Checked: GatewayOnEmulatorTest, PlatformQuickstartTest, StageOrdersTest, CacheKnowledgeTest.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -159,7 +159,8 @@
 
   /**
    * Starts everything. Callers are accepted once routes and engines are known; when they do not
-   * become known soon, since the store does not answer, callers are accepted and told so.
+   * become known soon, since the store does not answer, callers are accepted and told so. Callers
+   * come first: every port takes processor time that those who wait would wait for.
    */
   public void start() throws Exception {
     dispatch.start();
@@ -168,12 +169,12 @@
     routingFollower.start();
     engineFollower.start();
     server.start();
-    peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
-    readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
-    openMetrics();
     state.awaitReady(LONGEST_WAIT_TO_ACCEPT);
     server.addConnector(callers);
     callers.start();
+    readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
+    peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
+    openMetrics();
     log.started(settings.nodeName());
   }
 
