--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNode.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/HollowNode.java
@@ -57,7 +57,7 @@
 
   private static NodeServer startServer(
       NodeSettings settings, Supplier<Set<NetworkAddress>> blocked) throws Exception {
-    NodeServer node = new NodeServer(settings, GatedTransport.opener(blocked));
+    NodeServer node = new NodeServer(settings, FilteredTransport.blocking(blocked));
     node.start();
     return node;
   }
