--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipExperiment.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipExperiment.java
@@ -92,7 +92,8 @@
     for (int index = 0; index < size; index++) {
       String name = "member-" + index;
       members.add(
-          new HollowMember(name, "region", "zone", codec, FilteredTransport.losing(() -> lossRate)));
+          new HollowMember(
+              name, "region", "zone", codec, FilteredTransport.losing(() -> lossRate)));
     }
     List<Machine> machines = members.stream().map(HollowMember::machine).toList();
     members.forEach(member -> member.gossip().machineList(new MachineList(1, machines)));
