Take every send past a request's first from the retry budget, in one place

Cause: after a failed prefill the run that followed (and a prefill that was rejected) reached the service without being taken from the budget, and a starting node, or one that heard nobody, used a share of the slack that it could not know to be its own.

Change: RequestProgress knows whether the next send is a repeat (one run and the one prefill that served it are not), RetryRules.takeSend is the only way to send again.

Ruled out: the ratio part forgotten at a restart (its requests are forgotten with it).

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
@@ -175,8 +176,12 @@
     return taken;
   }
 
-  /** Takes the number of nodes that share the retry budget, this one included. */
-  public void setNodeCount(int count) {
+  /**
+   * Takes the number of nodes that share the retry budget, this one included.
+   *
+   * @param count empty while it is not known
+   */
+  public void setNodeCount(OptionalInt count) {
     retries.setNodeCount(count);
   }
 
@@ -211,6 +216,9 @@
     boolean wasPrefill = progress.prefilling();
     progress.engine().ifPresent(engine -> onFailedEngine(progress, engine, outcome, nowNanos));
     release(progress, outcome.mayHaveRun());
+    if (outcome == AttemptOutcome.NOT_SENT) {
+      progress.takeBackSend();
+    }
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
     }
@@ -254,8 +262,15 @@
   }
 
   private Decision afterFailedPrefill(RequestProgress progress, long nowNanos) {
-    boolean hasCandidate = !selector.prefillCandidates(progress, nowNanos).isEmpty();
-    boolean again = retries.mayPrefillAgain(progress, hasCandidate, nowNanos);
+    boolean again =
+        retries.prefillsLeft(progress) && !selector.prefillCandidates(progress, nowNanos).isEmpty();
+    if (!again && selector.runCandidates(progress, nowNanos).isEmpty()) {
+      return nowhere(progress);
+    }
+    if (!retries.takeSend(progress, nowNanos)) {
+      return notRun(
+          ErrorKind.NO_CAPACITY, "the retry budget of " + progress.service() + " is spent");
+    }
     return place(progress, again, nowNanos);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerBook.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerBook.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.domain.NetworkAddress;
 
@@ -24,6 +25,8 @@
   private final Map<NetworkAddress, Long> heardAt = new HashMap<>();
   private final Map<NetworkAddress, Long> toldAt = new HashMap<>();
   private int turn;
+  private int toldCount;
+  private long toldCountAtNanos;
 
   /** A book that knows only the seeds. */
   public PeerBook(NetworkAddress self, Collection<NetworkAddress> seeds) {
@@ -55,10 +58,32 @@
         .toList();
   }
 
-  /** Nodes of the last minute, this one included: a cautious count for what is divided by it. */
-  public synchronized int cautiousNodeCount(long nowNanos) {
+  /**
+   * Nodes of the last minute, this one included, as far as this node or those that it heard know: a
+   * cautious count for what is divided by it. Empty while there are other nodes and none was heard.
+   */
+  public synchronized OptionalInt cautiousNodeCount(long nowNanos) {
+    heardAt.values().removeIf(at -> nowNanos - at >= COUNT_NANOS);
+    if (heardAt.isEmpty()) {
+      return seeds.isEmpty() ? OptionalInt.of(1) : OptionalInt.empty();
+    }
+    int known = 1 + Math.max(heardAt.size(), seeds.size());
+    boolean countHolds = nowNanos - toldCountAtNanos < COUNT_NANOS;
+    return OptionalInt.of(countHolds ? Math.max(known, toldCount) : known);
+  }
+
+  /** A peer said how many nodes it has heard itself, with it. */
+  public synchronized void onCountTold(int count, long nowNanos) {
+    if (count >= toldCount || nowNanos - toldCountAtNanos >= COUNT_NANOS) {
+      toldCount = count;
+      toldCountAtNanos = nowNanos;
+    }
+  }
+
+  /** Nodes that this node has heard itself within the last minute, with it. */
+  public synchronized int heardCount(long nowNanos) {
     heardAt.values().removeIf(at -> nowNanos - at >= COUNT_NANOS);
-    return 1 + Math.max(heardAt.size(), seeds.size());
+    return 1 + heardAt.size();
   }
 
   /** The next peers to speak to: all of them when they are few, else in turn. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -16,6 +16,8 @@
   private int arrivals;
   private int possibleRuns;
   private int prefillAttempts;
+  private int sends;
+  private boolean prefilled;
   private ServingEngine engine;
   private boolean prefilling;
   private int chargedTokens;
@@ -63,6 +65,19 @@
     return prefillAttempts;
   }
 
+  /**
+   * Whether the next send is one more arrival at the service than a request needs: a run, and one
+   * prefill that its engine carried out.
+   */
+  boolean nextSendIsRepeat() {
+    return sends > (prefilled ? 1 : 0);
+  }
+
+  /** Whether an answer that begins now comes after the time in which it is worth most. */
+  boolean late(long nowNanos) {
+    return nowNanos - envelope.arrivedNanos() > envelope.route().targetLatency().toNanos();
+  }
+
   /** A KV cache that waits to be fetched. */
   public Optional<CacheSource> source() {
     return Optional.ofNullable(source);
@@ -101,6 +116,7 @@
     engine = chosen;
     prefilling = true;
     chargedTokens = tokens;
+    sends++;
     prefillAttempts++;
     triedEngines.add(chosen.id());
   }
@@ -109,6 +125,7 @@
     engine = chosen;
     prefilling = false;
     chargedTokens = tokens;
+    sends++;
     arrivals++;
     possibleRuns++;
     triedEngines.add(chosen.id());
@@ -124,7 +141,14 @@
     chargedTokens = 0;
   }
 
+  /** No byte of the present attempt reached an engine. */
+  void takeBackSend() {
+    sends--;
+  }
+
+  /** The prompt was read; its KV cache waits at its engine. */
   void keepSource(CacheSource kept) {
+    prefilled = true;
     source = kept;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -3,16 +3,23 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.fallturn.core.routing.Route;
 
 /**
  * Says whether a request whose attempt failed may be sent again. Rules of correctness come first:
  * what may have run is repeated only where its route allows it, on no more engines than its route
- * allows. Then the time that is left, and last the budget that all nodes share. One thread calls.
+ * allows. Then the time that is left, and last the budget that all nodes share.
+ *
+ * <p>Invariant: every send beyond a request's first run and the one prefill that served it is taken
+ * from the budget here, whatever it is for. One thread calls.
  */
 final class RetryRules {
 
-  /** Divides the slack before the other nodes have been heard. */
+  /**
+   * Least divisor of the slack, so that a node that hears only some others takes no large share.
+   */
   private static final int MIN_NODE_COUNT = 6;
 
   private static final int MAX_PREFILL_ATTEMPTS = 2;
@@ -21,7 +28,8 @@
 
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private DispatchParameters parameters;
-  private int nodeCount = MIN_NODE_COUNT;
+  private OptionalInt nodeCount = OptionalInt.empty();
+  private OptionalLong startedNanos = OptionalLong.empty();
 
   RetryRules(DispatchParameters parameters) {
     this.parameters = parameters;
@@ -33,13 +41,23 @@
     budgets.values().forEach(budget -> budget.setBounds(changed));
   }
 
-  /** Takes the number of nodes that share the budget, this one included. */
-  void setNodeCount(int count) {
-    nodeCount = Math.max(MIN_NODE_COUNT, count);
+  /**
+   * Takes the number of nodes that share the budget, this one included.
+   *
+   * @param count empty while no other node has been heard, so that the number is not known
+   */
+  void setNodeCount(OptionalInt count) {
+    nodeCount =
+        count.isPresent()
+            ? OptionalInt.of(Math.max(MIN_NODE_COUNT, count.getAsInt()))
+            : OptionalInt.empty();
   }
 
   /** A request for a service came, which widens its budget. */
   void onRequest(String service, long nowNanos) {
+    if (startedNanos.isEmpty()) {
+      startedNanos = OptionalLong.of(nowNanos);
+    }
     budget(service).onRequest(nowNanos);
   }
 
@@ -61,19 +79,25 @@
     if (progress.envelope().remainingNanos(nowNanos) < MIN_TIME_FOR_ATTEMPT.toNanos()) {
       return false;
     }
-    boolean free = outcome == AttemptOutcome.NOT_SENT;
-    return hasCandidate && (free || takeRepeat(progress.service(), nowNanos));
+    return hasCandidate && takeSend(progress, nowNanos);
+  }
+
+  /** Whether one more engine may be asked to read the prompt ahead. */
+  boolean prefillsLeft(RequestProgress progress) {
+    return progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS;
   }
 
-  /** Whether another engine may read the prompt ahead after one failed to. */
-  boolean mayPrefillAgain(RequestProgress progress, boolean hasCandidate, long nowNanos) {
-    return progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS
-        && hasCandidate
-        && takeRepeat(progress.service(), nowNanos);
+  /** Whether the request may be sent once more; takes the send from the budget when it counts. */
+  boolean takeSend(RequestProgress progress, long nowNanos) {
+    if (!progress.nextSendIsRepeat()) {
+      return true;
+    }
+    return budget(progress.service())
+        .tryTake(nodeCount, progress.late(nowNanos), uptime(nowNanos), nowNanos);
   }
 
-  private boolean takeRepeat(String service, long nowNanos) {
-    return budget(service).tryTake(nodeCount, nowNanos);
+  private long uptime(long nowNanos) {
+    return startedNanos.isPresent() ? nowNanos - startedNanos.getAsLong() : 0;
   }
 
   private RetryBudget budget(String service) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/PeerBookTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/PeerBookTest.java
@@ -40,8 +40,29 @@
     PeerBook book = new PeerBook(node(1), List.of());
     book.onHeard(node(2), List.of(), 0);
     book.onHeard(node(3), List.of(), 0);
-    assertThat(book.cautiousNodeCount(seconds(50))).isEqualTo(3);
-    assertThat(book.cautiousNodeCount(seconds(61))).isEqualTo(1);
+    assertThat(book.cautiousNodeCount(seconds(50))).hasValue(3);
+    assertThat(book.cautiousNodeCount(seconds(61))).hasValue(1);
+  }
+
+  @Test
+  void countIsNotKnownBeforeAnyOtherNodeWasHeard() {
+    PeerBook book = new PeerBook(node(1), List.of(node(2)));
+    assertThat(book.cautiousNodeCount(0)).isEmpty();
+    book.onHeard(node(2), List.of(), 0);
+    assertThat(book.cautiousNodeCount(seconds(1))).hasValue(2);
+  }
+
+  @Test
+  void countsNodesThatOnlyOthersHave() {
+    PeerBook book = new PeerBook(node(1), List.of(node(2)));
+    book.onHeard(node(2), List.of(), 0);
+    book.onCountTold(40, 0);
+    book.onCountTold(12, seconds(1));
+    assertThat(book.cautiousNodeCount(seconds(2))).hasValue(40);
+    assertThat(book.heardCount(seconds(2))).isEqualTo(2);
+    assertThat(book.cautiousNodeCount(seconds(59))).hasValue(40);
+    book.onHeard(node(2), List.of(), seconds(59));
+    assertThat(book.cautiousNodeCount(seconds(60))).hasValue(2);
   }
 
   @Test
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
@@ -46,6 +47,7 @@
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
                 STAGES));
+    dispatcher.setNodeCount(OptionalInt.of(6));
     EngineProfile profile =
         new EngineProfile(
             8, 400_000, 163_840, 1_900_000, Duration.ofSeconds(5), Duration.ofMillis(800));
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -48,7 +49,7 @@
       if (random.nextInt(3) > 0) {
         budget.onRequest(now);
         requests.add(now);
-      } else if (budget.tryTake(nodes, now)) {
+      } else if (budget.tryTake(OptionalInt.of(nodes), false, now, now)) {
         repeats.add(now);
       }
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -268,8 +269,9 @@
     if (now - lastDigestNanos >= DIGEST_NANOS) {
       lastDigestNanos = now;
       log.droppedLines();
-      survey.onTick(now, loadSender.cautiousNodeCount());
-      dispatcher.setNodeCount(loadSender.cautiousNodeCount());
+      OptionalInt nodes = loadSender.cautiousNodeCount();
+      survey.onTick(now, nodes.orElse(1));
+      dispatcher.setNodeCount(nodes);
       dispatcher.wantedStageChange(now).ifPresent(stageChanges);
       loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -185,7 +185,7 @@
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("caches_known", survey::answered);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
-    metrics.gauge("nodes", peers::cautiousNodeCount);
+    metrics.gauge("nodes", () -> peers.cautiousNodeCount().orElse(1));
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
     if (settings.metricsPort() > 0) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
@@ -75,7 +76,7 @@
   }
 
   @Override
-  public int cautiousNodeCount() {
+  public OptionalInt cautiousNodeCount() {
     return book.cautiousNodeCount(System.nanoTime());
   }
 
@@ -92,7 +93,7 @@
         new LoadDigest(node, incarnation, ++sequence, busiest(engines), shortened(newPrompts));
     List<NetworkAddress> heard = book.heardLately(now);
     List<NetworkAddress> told = heard.subList(0, Math.min(MAX_PEERS, heard.size()));
-    byte[] datagram = codec.encode(new PeerMessage(digest, told));
+    byte[] datagram = codec.encode(new PeerMessage(digest, told, book.heardCount(now)));
     book.nextTargets(FAN_OUT, now).forEach(peer -> socket.send(datagram, peer));
   }
 
@@ -127,7 +128,9 @@
   private void receive(byte[] datagram, NetworkAddress from) {
     try {
       PeerMessage message = codec.decode(datagram, PeerMessage.class);
-      book.onHeard(from, message.peers(), System.nanoTime());
+      long now = System.nanoTime();
+      book.onHeard(from, message.peers(), now);
+      book.onCountTold(message.nodes(), now);
       events.accept(new DispatchEvent.DigestHeard(message.load()));
     } catch (MalformedMessageException e) {
       LOG.warn("peers: A datagram from {} is not readable: {}.", from, e.getMessage());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessage.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessage.java
@@ -9,5 +9,6 @@
  *
  * @param load the sender's load
  * @param peers whom the sender has heard lately
+ * @param nodes how many nodes the sender has heard within a minute, with itself
  */
-record PeerMessage(LoadDigest load, List<NetworkAddress> peers) {}
+record PeerMessage(LoadDigest load, List<NetworkAddress> peers, int nodes) {}
