Let prompts wait only for prompts that go before them

Cause: the expected time to the first token counted every prompt token that waits at an engine, also those of requests that are late already and go behind.

Change: backlogs are kept, and told to the other nodes, by urgency; a request that can be in time behind its equals goes among them, else behind them and is expected behind all. Only requests that do not go behind others teach the reading speed and say that an engine has gone silent.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -10,6 +10,7 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
+import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServiceDefinition;
 import org.fallturn.core.routing.ServingEngine;
@@ -27,7 +28,6 @@
   /** Shorter prompts are not worth a message to the other nodes. */
   private static final int MIN_TOLD_TOKENS = 2_000;
 
-  private static final int LEAST_URGENT = 9;
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
 
@@ -104,7 +104,7 @@
               if (suspended || changing || !load.idle()) {
                 digests.put(
                     id,
-                    new EngineDigest(load.running(), load.prefillTokens(), suspended, changing));
+                    new EngineDigest(load.running(), load.backlog().toList(), suspended, changing));
               }
             });
     return digests;
@@ -195,9 +195,14 @@
   /** The prompt was read; its KV cache waits under the handle. */
   public Decision onPrefilled(RequestProgress progress, String handle, long nowNanos) {
     ServingEngine engine = progress.engine().orElseThrow();
-    selector.load(engine).health().onGood();
-    double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
-    speed(progress.service()).observe(progress.aheadTokens() + progress.chargedTokens(), millis);
+    EngineLoad load = selector.load(engine);
+    load.onSignOfLife(nowNanos);
+    load.health().onGood();
+    load.promptRead(progress);
+    if (!progress.goesBehind()) {
+      double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
+      speed(progress.service()).observe(progress.aheadTokens() + progress.chargedTokens(), millis);
+    }
     release(progress, false);
     progress.keepSource(new CacheSource(engine, handle));
     return place(progress, false, nowNanos);
@@ -205,9 +210,7 @@
 
   /** The first part of the answer came, so that the prompt has been read. */
   public void onBegan(RequestProgress progress) {
-    progress
-        .engine()
-        .ifPresent(engine -> selector.load(engine).promptRead(progress.chargedTokens()));
+    progress.engine().ifPresent(engine -> selector.load(engine).promptRead(progress));
     progress.promptRead();
   }
 
@@ -307,7 +310,7 @@
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
-          .map(engine -> run(progress, engine, Optional.empty(), Expectation.NONE, nowNanos))
+          .map(engine -> runApplication(progress, engine, nowNanos))
           .orElseGet(() -> nowhere(progress));
     }
     PromptShape prompt = progress.envelope().prompt().get();
@@ -330,19 +333,15 @@
     ServingEngine engine = plan.engine();
     remember(progress, engine, prompt, plan.millis(), nowNanos);
     if (!plan.prefill()) {
-      return run(progress, engine, plan.fetchFrom(), plan.expectation(), nowNanos);
+      return run(progress, engine, plan.fetchFrom(), plan.expectation(), plan.urgency(), nowNanos);
     }
     AttemptPatience patienceForIt =
         patience.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
     long silence = patience.beforeSilence(plan.millis());
-    selector.load(engine).add(plan.readTokens(), silence, nowNanos);
-    progress.beginPrefill(engine, plan.readTokens(), plan.aheadTokens(), nowNanos);
+    progress.beginPrefill(engine, plan.expectation(), plan.urgency(), nowNanos);
+    selector.load(engine).add(progress, silence, nowNanos);
     return new Decision.Prefill(
-        engine,
-        plan.fetchFrom(),
-        urgency(progress, plan.expectation(), nowNanos),
-        plan.expectation(),
-        patienceForIt);
+        engine, plan.fetchFrom(), plan.urgency(), plan.expectation(), patienceForIt);
   }
 
   private void remember(
@@ -360,39 +359,27 @@
     }
   }
 
+  private Decision runApplication(RequestProgress progress, ServingEngine engine, long nowNanos) {
+    Route route = progress.envelope().route();
+    int urgency = progress.late(nowNanos) ? Urgency.late(route) : Urgency.inTime(route);
+    return run(progress, engine, Optional.empty(), Expectation.NONE, urgency, nowNanos);
+  }
+
   private Decision run(
       RequestProgress progress,
       ServingEngine engine,
       Optional<ServingEngine> fetchFrom,
       Expectation expectation,
+      int urgency,
       long nowNanos) {
     long silence = patience.beforeSilence(expectation.millis());
-    selector.load(engine).add(expectation.readTokens(), silence, nowNanos);
-    progress.beginRun(engine, expectation.readTokens());
+    progress.beginRun(engine, expectation, urgency, nowNanos);
+    selector.load(engine).add(progress, silence, nowNanos);
     AttemptPatience patienceForIt =
         patience.forRun(
             progress, expectation.millis(), progress.envelope().remainingNanos(nowNanos));
     return new Decision.Run(
-        engine,
-        progress.source(),
-        fetchFrom,
-        urgency(progress, expectation, nowNanos),
-        expectation,
-        patienceForIt);
-  }
-
-  /**
-   * The route's priority, and within it those first that can still be answered in time: a request
-   * that cannot only makes others late when it goes ahead of them. Once its prompt has been read it
-   * needs only a slot and a move, and what was read is lost when its caller leaves.
-   */
-  private static int urgency(RequestProgress progress, Expectation expectation, long nowNanos) {
-    RequestEnvelope envelope = progress.envelope();
-    long target = envelope.route().targetLatency().toNanos();
-    double expected = nowNanos - envelope.arrivedNanos() + expectation.millis() * NANOS_PER_MILLI;
-    boolean read = progress.source().isPresent();
-    int late = !read && expected > target ? 1 : 0;
-    return Math.min(LEAST_URGENT, 2 * envelope.route().priority() + late);
+        engine, progress.source(), fetchFrom, urgency, expectation, patienceForIt);
   }
 
   private Decision nowhere(RequestProgress progress) {
@@ -419,7 +406,7 @@
   }
 
   private void release(RequestProgress progress, boolean mayHaveRun) {
-    progress.engine().ifPresent(engine -> selector.load(engine).remove(progress.chargedTokens()));
+    progress.engine().ifPresent(engine -> selector.load(engine).remove(progress));
     progress.endAttempt(mayHaveRun);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -1,18 +1,22 @@
 package org.fallturn.core.dispatch;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
-/**
- * What this node has at one engine, and what the other nodes say they have there. One thread calls.
- */
+/** What this node has at one engine. One thread calls. */
 final class EngineLoad {
 
   private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   private final EngineHealth health = new EngineHealth();
+  private final PromptBacklog backlog = new PromptBacklog();
+  private final List<RequestProgress> unread = new ArrayList<>();
   private int running;
-  private long prefillTokens;
+  private int awaited;
   private long silentUntilNanos;
+  private long heardNanos;
+  private boolean heard;
 
   EngineHealth health() {
     return health;
@@ -24,48 +28,78 @@
   }
 
   /** Prompt tokens that this node has sent there to be read and that are not read yet. */
-  long prefillTokens() {
-    return prefillTokens;
+  PromptBacklog backlog() {
+    return backlog;
   }
 
   /**
-   * A request goes there.
+   * A request goes there; its progress tells the tokens and the urgency it brings.
    *
-   * @param tokens prompt tokens it brings
    * @param expectedNanos how long the first part of its answer may take at the most
    */
-  void add(int tokens, long expectedNanos, long nowNanos) {
-    if (running == 0) {
-      silentUntilNanos = nowNanos + expectedNanos;
-    } else if (nowNanos + expectedNanos - silentUntilNanos > 0) {
-      silentUntilNanos = nowNanos + expectedNanos;
-    }
+  void add(RequestProgress progress, long expectedNanos, long nowNanos) {
     running++;
-    prefillTokens += tokens;
+    if (!progress.goesBehind()) {
+      expectSign(expectedNanos, nowNanos);
+    }
+    if (progress.chargedTokens() > 0) {
+      backlog.add(progress.urgency(), progress.chargedTokens());
+      unread.add(progress);
+    }
     health.onSent();
   }
 
+  /** How long one that goes behind others waits says nothing about the engine. */
+  private void expectSign(long expectedNanos, long nowNanos) {
+    if (awaited == 0 || nowNanos + expectedNanos - silentUntilNanos > 0) {
+      silentUntilNanos = nowNanos + expectedNanos;
+    }
+    awaited++;
+  }
+
   /** Any part of an answer came. */
   void onSignOfLife(long nowNanos) {
+    heard = true;
+    heardNanos = nowNanos;
     silentUntilNanos = Math.max(silentUntilNanos, nowNanos + LONGEST_PAUSE_NANOS);
     health.onSignOfLife();
   }
 
+  /** Whether any part of an answer came after a time. */
+  boolean heardSince(long nanos) {
+    return heard && heardNanos - nanos > 0;
+  }
+
   /** Suspends the engine when requests wait there and nothing comes. */
   void checkSilence(long nowNanos) {
-    if (running > 0 && nowNanos - silentUntilNanos > 0) {
+    if (awaited > 0 && nowNanos - silentUntilNanos > 0) {
       health.onSilence(nowNanos);
     }
   }
 
-  void remove(int tokens) {
+  /** The prompt of a request was read, ahead of those sent before that are no less urgent. */
+  void promptRead(RequestProgress read) {
+    forgetPrompt(read);
+    for (RequestProgress other : unread) {
+      if (other.sentNanos() - read.sentNanos() < 0 && other.urgency() <= read.urgency()) {
+        other.overtaken();
+      }
+    }
+  }
+
+  /** The request is no longer there. */
+  void remove(RequestProgress progress) {
     running--;
-    prefillTokens -= tokens;
+    if (!progress.goesBehind()) {
+      awaited--;
+    }
+    forgetPrompt(progress);
   }
 
-  /** So many tokens were read; the request still runs. */
-  void promptRead(int tokens) {
-    prefillTokens -= tokens;
+  private void forgetPrompt(RequestProgress progress) {
+    if (unread.remove(progress)) {
+      backlog.add(progress.urgency(), -progress.chargedTokens());
+    }
   }
 
   boolean idle() {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -149,7 +149,13 @@
 
   /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
   long backlogTokens(ServingEngine engine, long nowNanos) {
-    return load(engine).prefillTokens() + peerLoads.prefillTokens(engine.id(), nowNanos);
+    return backlogTokens(engine, Urgency.LEVELS - 1, nowNanos);
+  }
+
+  /** Those of them that go before a request of an urgency. */
+  long backlogTokens(ServingEngine engine, int urgency, long nowNanos) {
+    return load(engine).backlog().upTo(urgency)
+        + peerLoads.backlog(engine.id(), nowNanos).upTo(urgency);
   }
 
   /** Tokens of the prompt that the engine would have to read. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -65,8 +65,8 @@
   }
 
   /** Prompt tokens that the other nodes have waiting at an engine. */
-  long prefillTokens(String engineId, long nowNanos) {
-    return sum(engineId, nowNanos).prefillTokens;
+  PromptBacklog backlog(String engineId, long nowNanos) {
+    return sum(engineId, nowNanos).backlog;
   }
 
   private long lifetimeNanos() {
@@ -103,13 +103,13 @@
   private static final class Sum {
 
     private int running;
-    private long prefillTokens;
+    private final PromptBacklog backlog = new PromptBacklog();
     private int suspecting;
     private int changing;
 
     void add(EngineDigest engine) {
       running += engine.running();
-      prefillTokens += engine.prefillTokens();
+      backlog.addAll(engine.waitingTokens());
       suspecting += engine.suspended() ? 1 : 0;
       changing += engine.changing() ? 1 : 0;
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.LongToDoubleFunction;
 import org.fallturn.core.routing.EngineProfile;
+import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
 
 /**
@@ -48,6 +50,7 @@
    * @param fetchFrom engine whose cached parts are copied first
    * @param readTokens tokens it has to read
    * @param aheadTokens tokens that wait there before
+   * @param urgency order among the engine's requests
    * @param millis expected time to the first token
    * @param cost the time and what else it costs, in ms
    */
@@ -57,6 +60,7 @@
       Optional<ServingEngine> fetchFrom,
       int readTokens,
       long aheadTokens,
+      int urgency,
       double millis,
       double cost) {
 
@@ -72,7 +76,21 @@
       ReadingSpeed speed,
       Optional<EngineProfile> profile,
       PartHolders holders,
-      long nowNanos) {}
+      long nowNanos) {
+
+    Route route() {
+      return progress.envelope().route();
+    }
+
+    /** Whether an answer that begins so many ms from now begins in time. */
+    boolean inTime(double millis) {
+      double age = (nowNanos - progress.envelope().arrivedNanos()) / NANOS_PER_MILLI;
+      return age + millis <= route().targetLatency().toNanos() / NANOS_PER_MILLI;
+    }
+  }
+
+  /** What goes before a request at an engine, and how long it takes with that. */
+  private record Wait(int urgency, long aheadTokens, double millis) {}
 
   /** How an engine comes by the beginning of a prompt. */
   private record Reading(
@@ -107,14 +125,38 @@
 
   private Plan prefillPlan(Question question, ServingEngine engine) {
     Reading reading = bestReading(question, engine, question.speed()::prefillMillis);
-    long backlog = selector.backlogTokens(engine, question.nowNanos());
-    double millis =
-        question.speed().prefillMillis(backlog + reading.readTokens())
-            + reading.fetchMillis()
+    double besides =
+        reading.fetchMillis()
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
             + commonMillis(engine, zone);
-    return plan(engine, true, reading, backlog, millis, 0);
+    Wait wait =
+        waitFor(
+            question,
+            engine,
+            ahead -> question.speed().prefillMillis(ahead + reading.readTokens()) + besides);
+    return plan(engine, true, reading, wait, 0);
+  }
+
+  /**
+   * Among those that can be answered in time when it can be so itself, else behind them.
+   *
+   * @param millis time to the first token by the tokens that go before
+   */
+  private Wait waitFor(Question question, ServingEngine engine, LongToDoubleFunction millis) {
+    int inTime = Urgency.inTime(question.route());
+    Wait first = wait(question, engine, millis, inTime);
+    boolean read = question.progress().source().isPresent();
+    if (read || question.inTime(first.millis())) {
+      return first;
+    }
+    return wait(question, engine, millis, Urgency.late(question.route()));
+  }
+
+  private Wait wait(
+      Question question, ServingEngine engine, LongToDoubleFunction millis, int urgency) {
+    long ahead = selector.backlogTokens(engine, urgency, question.nowNanos());
+    return new Wait(urgency, ahead, millis.applyAsDouble(ahead));
   }
 
   private Plan runPlan(Question question, ServingEngine engine) {
@@ -124,16 +166,20 @@
         source.isPresent()
             ? handedOver(question, engine, source.get())
             : bestReading(question, engine, question.speed()::decodeMillis);
-    long backlog = selector.backlogTokens(engine, question.nowNanos());
     int running = selector.running(engine, question.nowNanos());
-    double millis =
-        question.speed().decodeMillis(backlog + reading.readTokens())
-            + reading.fetchMillis()
+    double besides =
+        reading.fetchMillis()
             + RUNNING_MILLIS * running
             + crowdedMillis(engine, running)
             + commonMillis(engine, near);
+    Wait wait =
+        waitFor(
+            question,
+            engine,
+            ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
+    long backlog = selector.backlogTokens(engine, question.nowNanos());
     double delay = reading.readTokens() == 0 ? 0 : delayMillis(question, backlog, reading);
-    return plan(engine, false, reading, backlog, millis, DELAY_FACTOR * delay);
+    return plan(engine, false, reading, wait, DELAY_FACTOR * delay);
   }
 
   /**
@@ -150,15 +196,17 @@
   }
 
   private static Plan plan(
-      ServingEngine engine,
-      boolean prefill,
-      Reading reading,
-      long backlog,
-      double millis,
-      double harm) {
-    double cost = millis + READ_AGAIN_MILLIS * reading.readAgain() + harm;
+      ServingEngine engine, boolean prefill, Reading reading, Wait wait, double harm) {
+    double cost = wait.millis() + READ_AGAIN_MILLIS * reading.readAgain() + harm;
     return new Plan(
-        engine, prefill, reading.fetchFrom(), reading.readTokens(), backlog, millis, cost);
+        engine,
+        prefill,
+        reading.fetchFrom(),
+        reading.readTokens(),
+        wait.aheadTokens(),
+        wait.urgency(),
+        wait.millis(),
+        cost);
   }
 
   private static Reading handedOver(Question question, ServingEngine engine, CacheSource source) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -23,6 +23,8 @@
   private int chargedTokens;
   private long aheadTokens;
   private long sentNanos;
+  private int urgency;
+  private int overtakenBy;
   private CacheSource source;
 
   /** A request that has just arrived. */
@@ -91,16 +93,36 @@
     return chargedTokens;
   }
 
-  /** Tokens that waited before it at the prefill engine. */
+  /** Tokens that waited before it at the engine. */
   long aheadTokens() {
     return aheadTokens;
   }
 
-  /** When the present prefill was sent. */
+  /** When the present attempt was sent. */
   long sentNanos() {
     return sentNanos;
   }
 
+  /** Its order among the requests of the engine that has it. */
+  int urgency() {
+    return urgency;
+  }
+
+  /** Whether the engine was told to let those go first that can be answered in time. */
+  boolean goesBehind() {
+    return urgency != Urgency.inTime(envelope.route());
+  }
+
+  /** A prompt that was sent to the engine later, and is no more urgent, has been read before it. */
+  void overtaken() {
+    overtakenBy++;
+  }
+
+  /** How many have overtaken the present attempt. */
+  int overtakenBy() {
+    return overtakenBy;
+  }
+
   /** The prompt has been read. */
   void promptRead() {
     chargedTokens = 0;
@@ -110,24 +132,27 @@
     service = name;
   }
 
-  void beginPrefill(ServingEngine chosen, int tokens, long ahead, long nowNanos) {
-    aheadTokens = ahead;
-    sentNanos = nowNanos;
-    engine = chosen;
+  void beginPrefill(ServingEngine chosen, Expectation expectation, int order, long nowNanos) {
+    begin(chosen, expectation, order, nowNanos);
     prefilling = true;
-    chargedTokens = tokens;
-    sends++;
     prefillAttempts++;
-    triedEngines.add(chosen.id());
   }
 
-  void beginRun(ServingEngine chosen, int tokens) {
-    engine = chosen;
+  void beginRun(ServingEngine chosen, Expectation expectation, int order, long nowNanos) {
+    begin(chosen, expectation, order, nowNanos);
     prefilling = false;
-    chargedTokens = tokens;
-    sends++;
     arrivals++;
     possibleRuns++;
+  }
+
+  private void begin(ServingEngine chosen, Expectation expectation, int order, long nowNanos) {
+    engine = chosen;
+    aheadTokens = expectation.aheadTokens();
+    chargedTokens = expectation.readTokens();
+    urgency = order;
+    overtakenBy = 0;
+    sentNanos = nowNanos;
+    sends++;
     triedEngines.add(chosen.id());
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -263,7 +263,7 @@
   @Test
   void suspicionOfTwoNodesCountsAndOfOneDoesNot() {
     Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
-    Map<String, EngineDigest> suspects = Map.of("a-1", new EngineDigest(0, 0, true, false));
+    Map<String, EngineDigest> suspects = Map.of("a-1", new EngineDigest(0, List.of(), true, false));
     dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of()), START);
     Set<String> used = new HashSet<>();
     for (int request = 0; request < 20; request++) {
