End an attempt that is out of patience only when it is stuck

Change: an attempt whose patience is over is ended when its engine has said nothing since it was sent, is suspended, or has read three prompts that were sent later and are no more urgent. Otherwise it waits on until its time is over.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -28,6 +28,9 @@
   /** Shorter prompts are not worth a message to the other nodes. */
   private static final int MIN_TOLD_TOKENS = 2_000;
 
+  /** Prompts sent later that are read first: engines read in order, but not strictly so. */
+  private static final int OVERTAKEN_WHEN_LOST = 3;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
 
@@ -214,6 +217,21 @@
     progress.promptRead();
   }
 
+  /**
+   * Whether an attempt that has gone without a sign for the length of its patience had better be
+   * ended. Not while its prompt merely waits behind others: its engine answers, and has not read
+   * what was sent after it.
+   */
+  public boolean isStuck(RequestProgress progress) {
+    if (progress.envelope().prompt().isEmpty() || progress.engine().isEmpty()) {
+      return true;
+    }
+    EngineLoad load = selector.load(progress.engine().get());
+    return load.health().suspended()
+        || !load.heardSince(progress.sentNanos())
+        || progress.overtakenBy() >= OVERTAKEN_WHEN_LOST;
+  }
+
   /** An attempt ended without a whole, good answer. */
   public Decision onFailure(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
     boolean wasPrefill = progress.prefilling();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -4,8 +4,8 @@
 import org.fallturn.core.routing.Route;
 
 /**
- * How long an attempt may go without a sign of an answer before another engine is tried. A request
- * that could not be sent again is waited for until its time is over. Immutable.
+ * How long an attempt may go without a sign of an answer before it is asked whether it is stuck. A
+ * request that could not be sent again is waited for until its time is over. Immutable.
  */
 final class Patience {
 
@@ -24,7 +24,7 @@
   AttemptPatience forPrefill(double expectedMillis, long remainingNanos) {
     long wanted =
         PREFILL_BASE_NANOS + Duration.ofMillis((long) (PREFILL_FACTOR * expectedMillis)).toNanos();
-    return within(wanted, remainingNanos / 2);
+    return within(wanted, remainingNanos);
   }
 
   private static AttemptPatience within(long wantedNanos, long mostNanos) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -322,4 +322,52 @@
         ? read.expectation().readTokens()
         : ((Decision.Run) decision).expectation().readTokens();
   }
+
+  @Test
+  void promptThatWaitsBehindOthersAtAnEngineThatAnswersIsNotStuck() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress first = Requests.prompt(false, 0, 4_000);
+    RequestProgress second = Requests.prompt(false, 0, 4_000);
+    dispatcher.start(first, START);
+    dispatcher.start(second, after(1));
+    assertThat(dispatcher.isStuck(second)).as("nothing was heard since").isTrue();
+    dispatcher.onPrefilled(first, "h", after(400));
+    assertThat(dispatcher.isStuck(second)).isFalse();
+  }
+
+  @Test
+  void promptThatWasOvertakenByLaterOnesIsStuck() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress lost = Requests.prompt(false, 0, 4_000);
+    dispatcher.start(lost, START);
+    for (int request = 1; request <= 3; request++) {
+      RequestProgress later = Requests.prompt(false, 0, 4_000);
+      dispatcher.start(later, after(request));
+      assertThat(later.engine()).isEqualTo(lost.engine());
+      dispatcher.onPrefilled(later, "h", after(80L * request));
+    }
+    assertThat(dispatcher.isStuck(lost)).isTrue();
+  }
+
+  @Test
+  void requestThatCanBeInTimeDoesNotWaitForThoseThatGoBehind() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    RequestProgress late = Requests.prompt(false, 0, 40_000);
+    dispatcher.start(late, START);
+    Decision.Prefill next =
+        (Decision.Prefill) dispatcher.start(Requests.prompt(false, 0, 8_000), after(1));
+    assertThat(next.expectation().aheadTokens()).isZero();
+    assertThat(next.urgency()).isEqualTo(2);
+  }
+
+  @Test
+  void whatOtherNodesHaveWaitingCountsByItsUrgency() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
+    Map<String, EngineDigest> loads =
+        Map.of("p-1", new EngineDigest(9, List.of(0L, 0L, 5_000L, 90_000L), false, false));
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of()), START);
+    Decision.Prefill next =
+        (Decision.Prefill) dispatcher.start(Requests.prompt(false, 0, 8_000), after(30));
+    assertThat(next.expectation().aheadTokens()).isEqualTo(5_000);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -302,6 +302,9 @@
     if (attempt == null || !attempt.outOfPatience(now)) {
       return;
     }
+    if (!dispatcher.isStuck(exchange.progress())) {
+      return;
+    }
     if (attempt.cancel("no answer in time")) {
       AttemptOutcome outcome =
           attempt.maybeSent() ? attempt.whenOutOfPatience() : AttemptOutcome.NOT_SENT;
