Learn the reading speed as an overhead and a time a token, and tell it to nodes that start

Cause: one figure of tokens a ms, smoothed from an assumed 40 at a tenth an observation, was eight times off on engines that read 307, for seconds after each start; and since each prompt has an overhead, a figure that was learned in calm was far too slow under a backlog.

Change: ReadingSpeed is a decaying linear fit (DecayingLinearFit moves to core.estimate and serves both uses). The configured guess weighs less than one observation; digests carry what a node has learned, and a node that has seen little takes it.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -78,6 +78,7 @@
   public void onDigest(LoadDigest digest, long nowNanos) {
     peerLoads.onDigest(digest, nowNanos);
     digest.prompts().forEach(prompt -> record(prompt, nowNanos));
+    digest.speeds().forEach((service, learned) -> speed(service).onTold(learned));
   }
 
   /**
@@ -113,6 +114,14 @@
     return digests;
   }
 
+  /** How fast engines read, by service, as far as this node has learned it itself. */
+  public Map<String, LearnedSpeed> ownSpeeds() {
+    Map<String, LearnedSpeed> learned = new HashMap<>();
+    speeds.forEach(
+        (service, speed) -> speed.learned().ifPresent(known -> learned.put(service, known)));
+    return learned;
+  }
+
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
     selector.checkSilence(nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/CostModel.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/CostModel.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.placement;
 
+import org.fallturn.core.estimate.DecayingLinearFit;
 import org.fallturn.core.roles.EngineRates;
 
 /**
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -213,7 +213,7 @@
     RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
     PromptPart shared = progress.envelope().prompt().orElseThrow().parts().get(0);
     PlacedPrompt placed = new PlacedPrompt("p-1", 100, List.of(shared));
-    dispatcher.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(placed)), START);
+    dispatcher.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(placed), Map.of()), START);
     Decision.Prefill decision = (Decision.Prefill) dispatcher.start(progress, after(200));
     assertThat(decision.expectation().readTokens()).isEqualTo(4_000);
   }
@@ -264,14 +264,14 @@
   void suspicionOfTwoNodesCountsAndOfOneDoesNot() {
     Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
     Map<String, EngineDigest> suspects = Map.of("a-1", new EngineDigest(0, List.of(), true, false));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of()), START);
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), START);
     Set<String> used = new HashSet<>();
     for (int request = 0; request < 20; request++) {
       RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
       used.add(runEngine(dispatcher.start(progress, after(1))).id());
     }
     assertThat(used).contains("a-1");
-    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of()), START);
+    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), START);
     for (int request = 0; request < 20; request++) {
       RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
       assertThat(runEngine(dispatcher.start(progress, after(40))).id()).isEqualTo("a-2");
@@ -365,9 +365,29 @@
     Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
     Map<String, EngineDigest> loads =
         Map.of("p-1", new EngineDigest(9, List.of(0L, 0L, 5_000L, 90_000L), false, false));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of()), START);
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     Decision.Prefill next =
         (Decision.Prefill) dispatcher.start(Requests.prompt(false, 0, 8_000), after(30));
     assertThat(next.expectation().aheadTokens()).isEqualTo(5_000);
   }
+
+  @Test
+  void nodeThatHasJustStartedTakesTheReadingSpeedThatAnotherLearned() {
+    Dispatcher learned = Requests.dispatcher(prefill, decode);
+    assertThat(learned.ownSpeeds()).isEmpty();
+    for (int request = 0; request < 30; request++) {
+      RequestProgress progress = Requests.prompt(false, 0, 3_000 + 100 * request);
+      learned.start(progress, START);
+      learned.onPrefilled(progress, "h", after(10));
+      learned.onFinished(progress);
+    }
+    Dispatcher started = Requests.dispatcher(prefill, decode);
+    started.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(), learned.ownSpeeds()), START);
+    Decision.Prefill told =
+        (Decision.Prefill) started.start(Requests.prompt(false, 0, 30_000), START);
+    Decision.Prefill guessed =
+        (Decision.Prefill)
+            Requests.dispatcher(prefill, decode).start(Requests.prompt(false, 0, 30_000), START);
+    assertThat(told.expectation().millis()).isLessThan(guessed.expectation().millis() / 3);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -88,7 +88,7 @@
       engines.setServices(changed.image());
     } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
       dispatcher.onStageChangeBegun(begun.change(), now);
-      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+      tellLoad();
     } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
       dispatcher.onStageChangeAbandoned(abandoned.change());
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
@@ -250,7 +250,7 @@
   @Override
   public void onBatchEnd() {
     if (dispatcher.hasNewPrompts()) {
-      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+      tellLoad();
     }
   }
 
@@ -273,10 +273,14 @@
       survey.onTick(now, nodes.orElse(1));
       dispatcher.setNodeCount(nodes);
       dispatcher.wantedStageChange(now).ifPresent(stageChanges);
-      loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts());
+      tellLoad();
     }
   }
 
+  private void tellLoad() {
+    loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts(), dispatcher.ownSpeeds());
+  }
+
   private void checkEngines(long now) {
     for (Exchange exchange : active) {
       if (exchange.attempt().filter(EngineAttempt::takeSignOfLife).isPresent()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.LearnedSpeed;
 import org.fallturn.core.dispatch.PlacedPrompt;
 
 /** Tells this node's load to the other nodes. Called on the dispatch thread; must not block. */
@@ -13,5 +14,8 @@
   OptionalInt cautiousNodeCount();
 
   /** Tells it; best effort. */
-  void send(Map<String, EngineDigest> engines, List<PlacedPrompt> newPrompts);
+  void send(
+      Map<String, EngineDigest> engines,
+      List<PlacedPrompt> newPrompts,
+      Map<String, LearnedSpeed> speeds);
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.LearnedSpeed;
 import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.dispatch.PeerBook;
 import org.fallturn.core.dispatch.PlacedPrompt;
@@ -81,7 +82,10 @@
   }
 
   @Override
-  public void send(Map<String, EngineDigest> engines, List<PlacedPrompt> newPrompts) {
+  public void send(
+      Map<String, EngineDigest> engines,
+      List<PlacedPrompt> newPrompts,
+      Map<String, LearnedSpeed> speeds) {
     long now = System.nanoTime();
     boolean silent = newPrompts.isEmpty() && engines.equals(lastSent);
     if (silent && now - lastSentNanos < HEARTBEAT_NANOS) {
@@ -90,7 +94,8 @@
     lastSent = engines;
     lastSentNanos = now;
     LoadDigest digest =
-        new LoadDigest(node, incarnation, ++sequence, busiest(engines), shortened(newPrompts));
+        new LoadDigest(
+            node, incarnation, ++sequence, busiest(engines), shortened(newPrompts), speeds);
     List<NetworkAddress> heard = book.heardLately(now);
     List<NetworkAddress> told = heard.subList(0, Math.min(MAX_PEERS, heard.size()));
     byte[] datagram = codec.encode(new PeerMessage(digest, told, book.heardCount(now)));
