Price placements by what reading costs here instead of by figures of slower engines

Cause: prices of 20 ms for a part's home, 0.02 ms a token read again, 0.3 ms a running request and 300 ms for failures were measured where engines read 61 tokens a ms and a target is 500 ms; others read 307 and have 200.

Change: the same prices as tokens' reading times and as a part of the route's target (1,200 tokens, 1.2 readings, 18 tokens, 0.6 targets), scaled by the learned speed.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -22,14 +22,20 @@
 
   private static final double OTHER_ZONE_MILLIS = 3;
 
-  /** Nodes that have not heard of each other's placements yet read a new part at one engine. */
-  private static final double HOME_MILLIS = 20;
+  /**
+   * Nodes that have not heard of each other's placements yet read a new part at one engine, unless
+   * more tokens wait there than this, over those of another.
+   */
+  private static final double HOME_TOKENS = 1_200;
 
-  private static final double FAILURE_MILLIS = 300;
-  private static final double RUNNING_MILLIS = 0.3;
+  /** An engine of which every answer fails costs so many times the route's target. */
+  private static final double FAILURE_TARGETS = 0.6;
 
-  /** Price of reading a token again that an engine keeps, beside the time it takes. */
-  private static final double READ_AGAIN_MILLIS = 0.02;
+  /** A request that runs holds up a new one for as long as so many tokens take to be read. */
+  private static final double RUNNING_TOKENS = 18;
+
+  /** Price of reading a token again that an engine keeps, beside the time it takes, as its part. */
+  private static final double READ_AGAIN_PART = 1.2;
 
   private final EngineSelector selector;
   private final String zone;
@@ -133,13 +139,13 @@
         reading.fetchMillis()
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
-            + commonMillis(engine, zone);
+            + commonMillis(question, engine, zone);
     Wait wait =
         waitFor(
             question,
             engine,
             ahead -> question.speed().prefillMillis(ahead + reading.readTokens()) + besides);
-    return plan(engine, true, reading, wait, 0);
+    return plan(question, engine, true, reading, wait, 0);
   }
 
   /**
@@ -172,9 +178,9 @@
     int running = selector.running(engine, question.nowNanos());
     double besides =
         reading.fetchMillis()
-            + RUNNING_MILLIS * running
+            + RUNNING_TOKENS * question.speed().tokenMillis() * running
             + crowdedMillis(engine, running)
-            + commonMillis(engine, near);
+            + commonMillis(question, engine, near);
     Wait wait =
         waitFor(
             question,
@@ -182,7 +188,7 @@
             ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
     double delay = reading.readTokens() == 0 ? 0 : delayMillis(question, backlog, reading);
-    return plan(engine, false, reading, wait, DELAY_FACTOR * delay);
+    return plan(question, engine, false, reading, wait, DELAY_FACTOR * delay);
   }
 
   /**
@@ -199,8 +205,13 @@
   }
 
   private static Plan plan(
-      ServingEngine engine, boolean prefill, Reading reading, Wait wait, double harm) {
-    double cost = wait.millis() + READ_AGAIN_MILLIS * reading.readAgain() + harm;
+      Question question,
+      ServingEngine engine,
+      boolean prefill,
+      Reading reading,
+      Wait wait,
+      double harm) {
+    double cost = wait.millis() + readAgainMillis(question, reading.readAgain()) + harm;
     return new Plan(
         engine,
         prefill,
@@ -236,12 +247,16 @@
       return new Reading(Optional.empty(), own, 0, again);
     }
     double copyMillis = CacheFetch.copyMillis(copied, from, engine, question.profile());
-    if (copyMillis < readMillis.apply((long) copied) + READ_AGAIN_MILLIS * copied) {
+    if (copyMillis < readMillis.apply((long) copied) + readAgainMillis(question, copied)) {
       return new Reading(Optional.of(from), afterCopy, copyMillis, 0);
     }
     return new Reading(Optional.empty(), own, 0, again);
   }
 
+  private static double readAgainMillis(Question question, int tokens) {
+    return READ_AGAIN_PART * question.speed().tokenMillis() * tokens;
+  }
+
   /** Of the tokens to be read, those that another engine keeps or is about to have read. */
   private static int readAgain(Question question, int own) {
     int newTokens = question.prompt().promptTokens() - question.holders().soonTokens();
@@ -254,14 +269,15 @@
     return over * SECOND_CALL_MILLIS;
   }
 
-  private double commonMillis(ServingEngine engine, String near) {
+  private double commonMillis(Question question, ServingEngine engine, String near) {
+    double target = question.route().targetLatency().toNanos() / NANOS_PER_MILLI;
     return (engine.zone().equals(near) ? 0 : OTHER_ZONE_MILLIS)
-        + FAILURE_MILLIS * selector.load(engine).health().failureShare();
+        + FAILURE_TARGETS * target * selector.load(engine).health().failureShare();
   }
 
-  private static double preference(Plan plan, Optional<ServingEngine> home) {
+  private static double preference(Question question, Plan plan, Optional<ServingEngine> home) {
     boolean isHome = home.filter(first -> first.id().equals(plan.engine().id())).isPresent();
-    return isHome ? HOME_MILLIS : 0;
+    return isHome ? HOME_TOKENS * question.speed().tokenMillis() : 0;
   }
 
   private static Optional<Plan> cheapest(
@@ -271,7 +287,7 @@
       Optional<ServingEngine> home) {
     return EngineSelector.cheapest(
         engines.stream().map(planFor),
-        plan -> plan.cost() - preference(plan, home),
+        plan -> plan.cost() - preference(question, plan, home),
         Plan::engine,
         question.progress());
   }
