Weigh the streams that a prompt would hold up at a decode engine by their number

Change: nodes tell how many answers have begun at each engine; a prompt that is read between their tokens is charged for as many of them (three at most), where it was charged for three always.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -107,7 +107,12 @@
               if (suspended || changing || !load.idle()) {
                 digests.put(
                     id,
-                    new EngineDigest(load.running(), load.backlog().toList(), suspended, changing));
+                    new EngineDigest(
+                        load.running(),
+                        load.streams(),
+                        load.backlog().toList(),
+                        suspended,
+                        changing));
               }
             });
     return digests;
@@ -221,7 +226,7 @@
 
   /** The first part of the answer came, so that the prompt has been read. */
   public void onBegan(RequestProgress progress) {
-    progress.engine().ifPresent(engine -> selector.load(engine).promptRead(progress));
+    progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
     progress.promptRead();
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
@@ -6,13 +6,14 @@
  * What one node has at one engine.
  *
  * @param running requests
+ * @param streams those of them whose answer has begun
  * @param waitingTokens prompt tokens that are not read yet, by the level of urgency of their
  *     requests; zeros at the end are left out
  * @param suspended whether the node has suspended it
  * @param changing whether the node has ordered it, or is about to order it, to take another stage
  */
 public record EngineDigest(
-    int running, List<Long> waitingTokens, boolean suspended, boolean changing) {
+    int running, int streams, List<Long> waitingTokens, boolean suspended, boolean changing) {
 
   /** A private copy of the list. */
   public EngineDigest {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -13,6 +13,7 @@
   private final PromptBacklog backlog = new PromptBacklog();
   private final List<RequestProgress> unread = new ArrayList<>();
   private int running;
+  private int streams;
   private int awaited;
   private long silentUntilNanos;
   private long heardNanos;
@@ -27,6 +28,19 @@
     return running;
   }
 
+  /** Those of them whose answer has begun. */
+  int streams() {
+    return streams;
+  }
+
+  /** The answer to a request begins. */
+  void onBegan(RequestProgress progress) {
+    promptRead(progress);
+    if (progress.begin()) {
+      streams++;
+    }
+  }
+
   /** Prompt tokens that this node has sent there to be read and that are not read yet. */
   PromptBacklog backlog() {
     return backlog;
@@ -90,6 +104,9 @@
   /** The request is no longer there. */
   void remove(RequestProgress progress) {
     running--;
+    if (progress.begun()) {
+      streams--;
+    }
     if (!progress.goesBehind()) {
       awaited--;
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -88,6 +88,11 @@
     return load(engine).running() + peerLoads.running(engine.id(), nowNanos);
   }
 
+  /** Streams that all nodes have at an engine. */
+  int streams(ServingEngine engine, long nowNanos) {
+    return load(engine).streams() + peerLoads.streams(engine.id(), nowNanos);
+  }
+
   /** The stage an engine changes to by this node's order or another's; NONE otherwise. */
   EngineStage changingTo(ServingEngine engine, long nowNanos) {
     EngineStage own = changing.stageOf(engine.id());
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -64,6 +64,11 @@
     return sum(engineId, nowNanos).running;
   }
 
+  /** Those of them whose answer has begun. */
+  int streams(String engineId, long nowNanos) {
+    return sum(engineId, nowNanos).streams;
+  }
+
   /** Prompt tokens that the other nodes have waiting at an engine. */
   PromptBacklog backlog(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).backlog;
@@ -103,12 +108,14 @@
   private static final class Sum {
 
     private int running;
+    private int streams;
     private final PromptBacklog backlog = new PromptBacklog();
     private int suspecting;
     private int changing;
 
     void add(EngineDigest engine) {
       running += engine.running();
+      streams += engine.streams();
       backlog.addAll(engine.waitingTokens());
       suspecting += engine.suspended() ? 1 : 0;
       changing += engine.changing() ? 1 : 0;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -43,8 +43,8 @@
   /** Part of the longest pause between events that reading may take up; steps need the rest. */
   private static final double READING_SHARE_OF_PAUSE = 0.5;
 
-  /** Every stream of the engine suffers a delay, so that it weighs more than this request's own. */
-  private static final double DELAY_FACTOR = 3;
+  /** Most streams of the engine whose delay weighs as much as this request's own. */
+  private static final int MOST_DELAYED_STREAMS = 3;
 
   /** Nine of ten prompts are read within this many times what is expected, under a backlog. */
   private static final double IN_TIME_MARGIN = 1.2;
@@ -187,8 +187,9 @@
             engine,
             ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
     long backlog = selector.backlogTokens(engine, question.nowNanos());
+    int delayed = Math.min(MOST_DELAYED_STREAMS, selector.streams(engine, question.nowNanos()));
     double delay = reading.readTokens() == 0 ? 0 : delayMillis(question, backlog, reading);
-    return plan(question, engine, false, reading, wait, DELAY_FACTOR * delay);
+    return plan(question, engine, false, reading, wait, delayed * delay);
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -25,6 +25,7 @@
   private long sentNanos;
   private Urgency urgency = Urgency.IN_TIME;
   private int overtakenBy;
+  private boolean begun;
   private CacheSource source;
 
   /** A request that has just arrived. */
@@ -118,6 +119,18 @@
     overtakenBy++;
   }
 
+  /** The answer of the present attempt begins; false when it had begun before. */
+  boolean begin() {
+    boolean first = !begun;
+    begun = true;
+    return first;
+  }
+
+  /** Whether the answer of the present attempt has begun. */
+  boolean begun() {
+    return begun;
+  }
+
   /** How many have overtaken the present attempt. */
   int overtakenBy() {
     return overtakenBy;
@@ -151,6 +164,7 @@
     chargedTokens = expectation.readTokens();
     urgency = order;
     overtakenBy = 0;
+    begun = false;
     sentNanos = nowNanos;
     sends++;
     triedEngines.add(chosen.id());
