Let long answers run together, and charge prompts for each stream they slow

Change: a prompt is charged for every stream at a decode engine (a fifth of its reading time, and what would stretch a pause too far); a long answer prefers the engine with most streams.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -43,8 +43,14 @@
   /** Part of the longest pause between events that reading may take up; steps need the rest. */
   private static final double READING_SHARE_OF_PAUSE = 0.5;
 
-  /** Most streams of the engine whose delay weighs as much as this request's own. */
-  private static final int MOST_DELAYED_STREAMS = 3;
+  /** Of the time that a prompt is read at a decode engine, what it costs each stream there. */
+  private static final double SLOWED_PART = 0.2;
+
+  /** An answer of so many tokens is as long as any. */
+  private static final double LONG_ANSWER_TOKENS = 64;
+
+  /** What each stream of an engine is worth to a long answer that might run beside it. */
+  private static final double PACKED_MILLIS = 0.5;
 
   /** Nine of ten prompts are read within this many times what is expected, under a backlog. */
   private static final double IN_TIME_MARGIN = 1.2;
@@ -186,10 +192,28 @@
             question,
             engine,
             ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
+    int streams = selector.streams(engine, question.nowNanos());
+    double harm = streams * slowedMillis(question, engine, reading);
+    return plan(question, engine, false, reading, wait, harm - packedMillis(question, streams));
+  }
+
+  /** What reading the prompt here costs each stream of the engine. */
+  private double slowedMillis(Question question, ServingEngine engine, Reading reading) {
+    if (reading.readTokens() == 0) {
+      return 0;
+    }
     long backlog = selector.backlogTokens(engine, question.nowNanos());
-    int delayed = Math.min(MOST_DELAYED_STREAMS, selector.streams(engine, question.nowNanos()));
-    double delay = reading.readTokens() == 0 ? 0 : delayMillis(question, backlog, reading);
-    return plan(question, engine, false, reading, wait, delayed * delay);
+    return SLOWED_PART * question.speed().decodeMillis(reading.readTokens())
+        + delayMillis(question, backlog, reading);
+  }
+
+  /**
+   * Long answers go where others run already, so that other engines can read prompts between the
+   * tokens of few.
+   */
+  private static double packedMillis(Question question, int streams) {
+    double length = Math.min(1, question.prompt().maxOutputTokens() / LONG_ANSWER_TOKENS);
+    return PACKED_MILLIS * length * streams;
   }
 
   /**
