--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerBook.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerBook.java
@@ -86,6 +86,11 @@
     return 1 + heardAt.size();
   }
 
+  /** How many peers there are to speak to. */
+  public synchronized int reachableCount(long nowNanos) {
+    return reachable(nowNanos).size();
+  }
+
   /** The next peers to speak to: all of them when they are few, else in turn. */
   public synchronized List<NetworkAddress> nextTargets(int most, long nowNanos) {
     List<NetworkAddress> all = reachable(nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -236,10 +236,13 @@
     engines.send(exchange, attempt);
   }
 
-  /** Prompts are told at once, so that no other node reads the same parts elsewhere. */
+  /**
+   * Prompts are told at once where all can hear, so that no other node reads the same parts
+   * elsewhere; in a large fleet with the next digest.
+   */
   @Override
   public void onBatchEnd() {
-    if (dispatcher.hasNewPrompts()) {
+    if (dispatcher.hasNewPrompts() && loadSender.reachesAll()) {
       tellLoad();
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LoadSender.java
@@ -13,6 +13,9 @@
   /** Nodes that share a bound, this one included; a cautious count, empty when it is not known. */
   OptionalInt cautiousNodeCount();
 
+  /** Whether one message reaches every node, so that news is worth one of its own. */
+  boolean reachesAll();
+
   /** Tells it; best effort. */
   void send(
       Map<String, EngineDigest> engines,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -81,6 +81,12 @@
     return book.cautiousNodeCount(System.nanoTime());
   }
 
+  /** Else every message costs each node as much and reaches only some. */
+  @Override
+  public boolean reachesAll() {
+    return book.reachableCount(System.nanoTime()) <= FAN_OUT;
+  }
+
   @Override
   public void send(
       Map<String, EngineDigest> engines,
