Tell a request that would wait for more than half of its caller's time to come back

Change: OverloadPolicy refuses such a request at once, as not run, with a time within what callers wait for (0.3 of theirs); never one that has been sent before, nor by a guessed reading speed.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.dispatch;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -375,10 +376,21 @@
             nowNanos);
     return prompts
         .choose(question, mayPrefill)
-        .map(plan -> carryOut(progress, plan, nowNanos))
+        .map(plan -> refuseOrCarryOut(question, plan))
         .orElseGet(() -> nowhere(progress));
   }
 
+  private Decision refuseOrCarryOut(PromptPlacement.Question question, PromptPlacement.Plan plan) {
+    Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan);
+    if (comeBack.isPresent()) {
+      return new Decision.Refuse(
+          ErrorKind.NO_CAPACITY,
+          "it would wait " + Math.round(plan.millis()) + " ms for its first token",
+          comeBack);
+    }
+    return carryOut(question.progress(), plan, question.nowNanos());
+  }
+
   private Decision carryOut(RequestProgress progress, PromptPlacement.Plan plan, long nowNanos) {
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
     ServingEngine engine = plan.engine();
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
@@ -0,0 +1,47 @@
+package org.fallturn.core.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.fallturn.core.routing.Route;
+
+/**
+ * Says which requests are refused at once since they would wait too long: told when to come back, a
+ * caller finds room once the worst is over, where it would else have waited behind all that can be
+ * in time. Who has come back is not refused again: it has little time left, and waits. Pure.
+ */
+final class OverloadPolicy {
+
+  /** A request that must wait for more than this part of its caller's time had better come back. */
+  private static final double LONGEST_WAIT_PART = 0.5;
+
+  /**
+   * Of its caller's time, when a request is told to come back: callers do not wait for longer than
+   * a third of it.
+   */
+  private static final double RETURN_PART = 0.3;
+
+  /** Less of its route's time is left to a request that was sent before. */
+  private static final double FIRST_TRY_PART = 0.9;
+
+  private OverloadPolicy() {}
+
+  /** When to come back, for a request that should not be placed now. */
+  static Optional<Duration> refusal(PromptPlacement.Question question, PromptPlacement.Plan plan) {
+    RequestProgress progress = question.progress();
+    long remaining = progress.envelope().remainingNanos(question.nowNanos());
+    boolean waits =
+        plan.urgency() == Urgency.LATE
+            && plan.aheadTokens() > 0
+            && plan.millis() > LONGEST_WAIT_PART * Duration.ofNanos(remaining).toMillis();
+    if (!waits || !question.speed().isKnown() || !firstTry(progress, remaining)) {
+      return Optional.empty();
+    }
+    return Optional.of(Duration.ofNanos((long) (RETURN_PART * remaining)));
+  }
+
+  private static boolean firstTry(RequestProgress progress, long remainingNanos) {
+    Route route = progress.envelope().route();
+    boolean neverSent = progress.arrivals() == 0 && progress.prefillAttempts() == 0;
+    return neverSent && remainingNanos >= FIRST_TRY_PART * route.timeout().toNanos();
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ReadingSpeed.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ReadingSpeed.java
@@ -54,6 +54,11 @@
         : Optional.empty();
   }
 
+  /** Whether it is more than a guess. */
+  boolean isKnown() {
+    return told || fit.samples() >= ENOUGH_SAMPLES;
+  }
+
   /** Takes what another node has learned, unless this node has seen or heard enough. */
   void onTold(LearnedSpeed learned) {
     if (told || fit.samples() >= ENOUGH_SAMPLES) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -446,4 +446,24 @@
     assertThat(dispatcher.onFailure(progress, AttemptOutcome.LOST, after(900)))
         .isInstanceOf(Decision.Refuse.class);
   }
+
+  @Test
+  void promptThatWouldWaitTooLongIsRefusedOnceAndNeverByAGuessedSpeed() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill);
+    Map<String, EngineDigest> loads =
+        Map.of("p-1", new EngineDigest(40, 0, List.of(0L, 0L, 0L, 0L, 900_000L), false, false));
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
+    assertThat(dispatcher.start(Requests.prompt(false, 0, 4_000), START))
+        .as("the speed is a guess")
+        .isInstanceOf(Decision.Prefill.class);
+    Map<String, LearnedSpeed> speeds = Map.of(Requests.MODEL, new LearnedSpeed(5, 0.004));
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 2, loads, List.of(), speeds), START);
+    RequestProgress first = Requests.prompt(false, 0, 4_000);
+    Decision.Refuse refusal = (Decision.Refuse) dispatcher.start(first, after(30));
+    assertThat(refusal.kind().outcome()).isEqualTo(Outcome.NOT_RUN);
+    assertThat(refusal.retryAfter()).hasValueSatisfying(back -> assertThat(back).isPositive());
+    assertThat(dispatcher.start(Requests.prompt(false, 0, 4_000), after(1_500)))
+        .as("little of its time is left: it has come back")
+        .isInstanceOf(Decision.Prefill.class);
+  }
 }
