--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -31,7 +31,6 @@
    * @param engine the engine
    * @param source where it fetches the prompt's KV cache; empty when it reads the prompt itself
    * @param fetchFrom engine whose cached parts it copies first
-   * @param backup engine that it sends a copy of its KV cache to as it grows
    * @param urgency order among the engine's requests; 0 is first
    * @param expectation what it was decided from
    * @param patience how long to wait for the head of its answer
@@ -40,7 +39,6 @@
       ServingEngine engine,
       Optional<CacheSource> source,
       Optional<ServingEngine> fetchFrom,
-      Optional<ServingEngine> backup,
       int urgency,
       Expectation expectation,
       AttemptPatience patience)
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -38,7 +38,6 @@
   private final PeerLoads peerLoads = new PeerLoads();
   private final EngineSelector selector;
   private final PromptPlacement prompts;
-  private final BackupPlanner backups;
   private final StageControl stages;
   private final Patience patience = new Patience();
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
@@ -54,7 +53,6 @@
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
     this.prompts = new PromptPlacement(selector, parameters.zone());
-    this.backups = new BackupPlanner(selector);
     this.stages =
         new StageControl(selector, peerLoads, this::speed, parameters.node(), parameters.stages());
   }
@@ -312,10 +310,6 @@
   }
 
   private Decision afterFailedRun(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
-    Optional<ServingEngine> copy = copyAfter(progress, outcome, nowNanos);
-    if (copy.isPresent() && retries.mayGoOn(progress, nowNanos)) {
-      return goOn(progress, copy.get(), nowNanos);
-    }
     if (progress.arrivals() > 1 || outcome.mayHaveRun()) {
       progress.dropSource();
     }
@@ -326,20 +320,6 @@
     return giveUp(progress, outcome);
   }
 
-  /** Who can go on with a stream that broke off; its engine has ended with the connection. */
-  private Optional<ServingEngine> copyAfter(
-      RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
-    return outcome == AttemptOutcome.BROKEN_MIDWAY
-        ? backups.usable(progress, nowNanos)
-        : Optional.empty();
-  }
-
-  /** The same run goes on from its copy, which bears the request's id. */
-  private Decision goOn(RequestProgress progress, ServingEngine copy, long nowNanos) {
-    progress.keepCopy(new CacheSource(copy, progress.envelope().requestId()));
-    return run(progress, copy, Optional.empty(), Expectation.NONE, Urgency.READ, nowNanos);
-  }
-
   private Decision giveUp(RequestProgress progress, AttemptOutcome outcome) {
     if (outcome == AttemptOutcome.ANSWERED_FAILURE) {
       return new Decision.PassFailure();
@@ -440,15 +420,8 @@
     AttemptPatience patienceForIt =
         patience.forRun(
             progress, expectation.millis(), progress.envelope().remainingNanos(nowNanos));
-    progress.setBackup(backups.choose(progress, engine, nowNanos));
     return new Decision.Run(
-        engine,
-        progress.source(),
-        fetchFrom,
-        progress.backup(),
-        progress.level(),
-        expectation,
-        patienceForIt);
+        engine, progress.source(), fetchFrom, progress.level(), expectation, patienceForIt);
   }
 
   private Decision nowhere(RequestProgress progress) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -27,7 +27,6 @@
   private int overtakenBy;
   private boolean begun;
   private CacheSource source;
-  private ServingEngine backup;
 
   /** A request that has just arrived. */
   public RequestProgress(RequestEnvelope envelope) {
@@ -192,20 +191,6 @@
     source = kept;
   }
 
-  /** The run goes on from its copy at another engine. */
-  void keepCopy(CacheSource copy) {
-    source = copy;
-  }
-
-  /** The engine that keeps a copy of the run's KV cache as it grows. */
-  Optional<ServingEngine> backup() {
-    return Optional.ofNullable(backup);
-  }
-
-  void setBackup(Optional<ServingEngine> chosen) {
-    backup = chosen.orElse(null);
-  }
-
   void dropSource() {
     source = null;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -82,12 +82,6 @@
     return hasCandidate && takeSend(progress, nowNanos);
   }
 
-  /** Whether a run that broke off may go on from its copy, which makes it no second run. */
-  boolean mayGoOn(RequestProgress progress, long nowNanos) {
-    return progress.envelope().remainingNanos(nowNanos) >= MIN_TIME_FOR_ATTEMPT.toNanos()
-        && takeSend(progress, nowNanos);
-  }
-
   /** Whether one more engine may be asked to read the prompt ahead. */
   boolean prefillsLeft(RequestProgress progress) {
     return progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -209,7 +209,6 @@
           .addKeyValue("stage", "run")
           .addKeyValue("fetchFrom", run.fetchFrom().map(ServingEngine::id).orElse(""))
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
-          .addKeyValue("backup", run.backup().map(ServingEngine::id).orElse(""))
           .log();
     } else if (decision instanceof Decision.Refuse refuse) {
       line(LogEvent.REFUSED, exchange, refuse.kind().name())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -15,6 +15,7 @@
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
 
@@ -190,9 +191,24 @@
   private void carryOut(Exchange exchange, Decision decision, long now) {
     log.decided(exchange, decision);
     if (decision instanceof Decision.Prefill prefill) {
-      send(exchange, prefillCall(exchange, prefill, now), prefill.patience(), now);
+      send(
+          exchange,
+          call(
+              exchange,
+              prefill.engine(),
+              true,
+              Optional.empty(),
+              prefill.fetchFrom(),
+              prefill.urgency(),
+              now),
+          prefill.patience(),
+          now);
     } else if (decision instanceof Decision.Run run) {
-      send(exchange, runCall(exchange, run, now), run.patience(), now);
+      send(
+          exchange,
+          call(exchange, run.engine(), false, run.source(), run.fetchFrom(), run.urgency(), now),
+          run.patience(),
+          now);
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       exchange.refuse(refuse.kind(), refuse.retryAfter());
@@ -202,27 +218,21 @@
     }
   }
 
-  private static EngineCall prefillCall(Exchange exchange, Decision.Prefill prefill, long now) {
+  private static EngineCall call(
+      Exchange exchange,
+      ServingEngine engine,
+      boolean prefillOnly,
+      Optional<CacheSource> source,
+      Optional<ServingEngine> fetchFrom,
+      int urgency,
+      long now) {
     return new EngineCall(
-        prefill.engine(),
-        true,
-        Optional.empty(),
-        prefill.fetchFrom(),
-        Optional.empty(),
+        engine,
+        prefillOnly,
+        source,
+        fetchFrom,
         left(exchange, now),
-        prefill.urgency(),
-        Optional.empty());
-  }
-
-  private static EngineCall runCall(Exchange exchange, Decision.Run run, long now) {
-    return new EngineCall(
-        run.engine(),
-        false,
-        run.source(),
-        run.fetchFrom(),
-        run.backup(),
-        left(exchange, now),
-        run.urgency(),
+        urgency,
         exchange.lastEventId());
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineCall.java
@@ -12,7 +12,6 @@
  * @param prefillOnly the engine reads the prompt and keeps its KV cache for another engine
  * @param source where the engine fetches the KV cache
  * @param fetchFrom engine whose cached parts of the prompt it copies first
- * @param backup engine that gets a copy of the run's KV cache as it grows
  * @param timeLeft how long the caller waits still
  * @param priority urgency among the engine's requests; 0 is first
  * @param lastEventId the event after which a stream goes on; empty from its beginning
@@ -22,7 +21,6 @@
     boolean prefillOnly,
     Optional<CacheSource> source,
     Optional<ServingEngine> fetchFrom,
-    Optional<ServingEngine> backup,
     Duration timeLeft,
     int priority,
     Optional<String> lastEventId) {}
