--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -200,12 +200,12 @@
 
   void decided(Exchange exchange, Decision decision) {
     if (decision instanceof Decision.Prefill prefill) {
-      placed(exchange, prefill.engine(), prefill.expectation())
+      placed(exchange, prefill.engine(), prefill.expectation(), prefill.urgency())
           .addKeyValue("stage", "prefill")
           .addKeyValue("fetchFrom", prefill.fetchFrom().map(ServingEngine::id).orElse(""))
           .log();
     } else if (decision instanceof Decision.Run run) {
-      placed(exchange, run.engine(), run.expectation())
+      placed(exchange, run.engine(), run.expectation(), run.urgency())
           .addKeyValue("stage", "run")
           .addKeyValue("fetchFrom", run.fetchFrom().map(ServingEngine::id).orElse(""))
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
@@ -222,7 +222,7 @@
   }
 
   private LoggingEventBuilder placed(
-      Exchange exchange, ServingEngine engine, Expectation expectation) {
+      Exchange exchange, ServingEngine engine, Expectation expectation, int urgency) {
     return line(LogEvent.PLACED, exchange)
         .addKeyValue("engine", engine.id())
         .addKeyValue("address", engine.address())
@@ -230,6 +230,7 @@
         .addKeyValue("expectedMs", Math.round(expectation.millis()))
         .addKeyValue("readTokens", expectation.readTokens())
         .addKeyValue("aheadTokens", expectation.aheadTokens())
+        .addKeyValue("urgency", urgency)
         .addKeyValue("sharedPart", sharedPart(exchange))
         .addKeyValue("routingVersion", routingVersion)
         .addKeyValue("directoryRevision", directoryRevision);
