--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -11,7 +11,6 @@
 import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
-import org.fallturn.rehearsal.scale.HollowNodesCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
@@ -22,7 +21,6 @@
           new EngineCommandLine(),
           new ApplicationCommand(),
           new FaultsCommand(),
-          new HollowNodesCommand(),
           new LoadCommand(),
           new QuickstartCommand(),
           new CheckInvariantsCommand(),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/experiment/ExperimentCommand.java
@@ -12,9 +12,7 @@
 import org.fallturn.rehearsal.faultload.FaultExperimentCommand;
 import org.fallturn.rehearsal.limits.IsolationExperiment;
 import org.fallturn.rehearsal.limits.LimitsExperiment;
-import org.fallturn.rehearsal.scale.MembershipCommand;
-import org.fallturn.rehearsal.scale.ScaleCommand;
-import org.fallturn.rehearsal.scale.ScaleTablesCommand;
+import org.fallturn.rehearsal.membership.MembershipCommand;
 
 /** Sub-command {@code experiment}; each experiment is one entry of the list. */
 public final class ExperimentCommand implements Command {
@@ -27,12 +25,7 @@
           new LimitsExperiment(),
           new IsolationExperiment());
   private static final List<Command> WITH_OWN_OPTIONS =
-      List.of(
-          new OverheadExperiment(),
-          new MembershipCommand(),
-          new ScaleCommand(),
-          new ScaleTablesCommand(),
-          new FaultExperimentCommand());
+      List.of(new OverheadExperiment(), new MembershipCommand(), new FaultExperimentCommand());
   private static final String CHOSEN = "experiment";
   private static final int DEFAULT_SEEDS = 20;
   private static final int DEFAULT_THREADS = 4;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/membership/MembershipCommand.java
@@ -1,4 +1,4 @@
-package org.fallturn.rehearsal.scale;
+package org.fallturn.rehearsal.membership;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipPlan.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/membership/MembershipPlan.java
@@ -1,4 +1,4 @@
-package org.fallturn.rehearsal.scale;
+package org.fallturn.rehearsal.membership;
 
 import java.util.List;
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/MembershipSample.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/membership/MembershipSample.java
@@ -1,4 +1,4 @@
-package org.fallturn.rehearsal.scale;
+package org.fallturn.rehearsal.membership;
 
 /**
  * What gossip cost the members of a zone.
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/ThreadGroupCpu.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/membership/ThreadGroupCpu.java
@@ -1,4 +1,4 @@
-package org.fallturn.rehearsal.scale;
+package org.fallturn.rehearsal.membership;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/scale/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Many hollow nodes in few processes: what control costs a node as the fleet grows. */
-package org.fallturn.rehearsal.scale;
