Start stand-in processes by an entry point of their own

Cause: fleets of processes started RehearsalMain, which knows the experiments, which know the fleets: a circle through three packages.

Change: StandInMain holds the platform, engine and application stand-ins; RehearsalMain offers them too. Same commands, same output.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -1,30 +1,28 @@
 package org.fallturn.rehearsal;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.fallturn.node.command.Command;
 import org.fallturn.node.command.CommandLine;
-import org.fallturn.rehearsal.application.ApplicationCommand;
-import org.fallturn.rehearsal.engine.EngineCommandLine;
 import org.fallturn.rehearsal.experiment.ExperimentCommand;
 import org.fallturn.rehearsal.faults.FaultsCommand;
 import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
-import org.fallturn.rehearsal.platform.PlatformCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
 public final class RehearsalMain {
 
   private static final List<Command> COMMANDS =
-      List.of(
-          new PlatformCommand(),
-          new EngineCommandLine(),
-          new ApplicationCommand(),
-          new FaultsCommand(),
-          new LoadCommand(),
-          new QuickstartCommand(),
-          new CheckInvariantsCommand(),
-          new ExperimentCommand());
+      Stream.concat(
+              StandInMain.COMMANDS.stream(),
+              Stream.of(
+                  new FaultsCommand(),
+                  new LoadCommand(),
+                  new QuickstartCommand(),
+                  new CheckInvariantsCommand(),
+                  new ExperimentCommand()))
+          .toList();
 
   private RehearsalMain() {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ProcessFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ProcessFleet.java
@@ -11,7 +11,7 @@
 import org.fallturn.core.port.machines.Machine;
 import org.fallturn.core.port.machines.MachineList;
 import org.fallturn.node.FallturnMain;
-import org.fallturn.rehearsal.RehearsalMain;
+import org.fallturn.rehearsal.StandInMain;
 import org.fallturn.rehearsal.faults.FaultProxy;
 import org.fallturn.rehearsal.faults.LinkFaults;
 
@@ -102,7 +102,7 @@
   }
 
   private ManagedProcess rehearsal(String name, List<String> arguments) throws IOException {
-    return ManagedProcess.start(name, directory, RehearsalMain.class, arguments);
+    return ManagedProcess.start(name, directory, StandInMain.class, arguments);
   }
 
   private String launchEngine(String role) throws IOException {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/overhead/OverheadFleet.java
@@ -16,7 +16,7 @@
 import org.fallturn.node.http.JsonHttpClient;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.table.HttpTableService;
-import org.fallturn.rehearsal.RehearsalMain;
+import org.fallturn.rehearsal.StandInMain;
 import org.fallturn.rehearsal.fleet.FleetConfiguration;
 import org.fallturn.rehearsal.fleet.FleetMachines;
 import org.fallturn.rehearsal.fleet.ManagedProcess;
@@ -86,7 +86,7 @@
             platform.address().toString(),
             "--time-scale",
             String.format(Locale.ROOT, "%f", timeScale));
-    engines.add(ManagedProcess.start(id, directory, ENGINE_JVM, RehearsalMain.class, arguments));
+    engines.add(ManagedProcess.start(id, directory, ENGINE_JVM, StandInMain.class, arguments));
   }
 
   private void startNode() throws IOException {
