Add a fault soak of gateway processes in front of the emulated platform

Six checks on what callers and engines saw; each is shown by a test to find what a broken gateway or engine would leave.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -64,6 +64,7 @@
   private final ConcurrentLinkedDeque<EngineFault> nextFaults = new ConcurrentLinkedDeque<>();
   private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<HttpFields> heads = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
   private final Set<String> handles = ConcurrentHashMap.newKeySet();
   private final Map<String, String> keptParts = new ConcurrentHashMap<>();
   private final AtomicInteger handleNumber = new AtomicInteger();
@@ -82,6 +83,27 @@
     this.server = new EmulatedServer(new EngineHandler());
   }
 
+  /**
+   * A request that reached it, whatever became of it.
+   *
+   * @param nanos when, by the steady clock
+   * @param prefill whether its prompt was only to be read
+   */
+  public record Arrival(String requestId, long nanos, boolean prefill) {}
+
+  /** The events of a whole stream. */
+  public static String wholeStream() {
+    StringBuilder events = new StringBuilder();
+    for (int event = 1; event <= EVENTS; event++) {
+      events.append(event(event));
+    }
+    return events.toString();
+  }
+
+  private static String event(int number) {
+    return "id: " + number + "\ndata: piece-" + number + "\n\n";
+  }
+
   /** Its id. */
   public String id() {
     return id;
@@ -119,6 +141,11 @@
     return List.copyOf(runs);
   }
 
+  /** The requests that reached it, in order. */
+  public List<Arrival> arrivals() {
+    return List.copyOf(arrivals);
+  }
+
   /** Heads of the requests that reached it, in order. */
   public List<HttpFields> heads() {
     return List.copyOf(heads);
@@ -174,12 +201,18 @@
         return true;
       }
       heads.add(request.getHeaders().asImmutable());
+      arrivals.add(arrival(request.getHeaders()));
       Content.Source.consumeAll(request);
       EngineFault queued = nextFaults.poll();
       serve(request, response, callback, queued == null ? standingFault : queued);
       return true;
     }
 
+    private static Arrival arrival(HttpFields headers) {
+      return new Arrival(
+          headers.get(REQUEST_ID), System.nanoTime(), headers.contains(STAGE_HEADER));
+    }
+
     private void order(Request request, Response response, Callback callback) throws Exception {
       String expected = request.getHeaders().get(EXPECT_INSTANCE);
       if (!id.equals(expected)) {
@@ -313,7 +346,7 @@
           close(request, callback);
           return;
         }
-        part(response, "id: " + event + "\ndata: piece-" + event + "\n\n");
+        part(response, event(event));
         TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
       }
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -0,0 +1,145 @@
+package org.fallturn.rehearsal.soak;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
+
+/** A promise, checked on what callers and engines saw. Pure. */
+enum SoakCheck {
+  /** An answer that looks whole is the whole answer of an engine. */
+  WHOLE_ANSWERS {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.calls().stream()
+          .filter(call -> call.whole() && call.status() == HTTP_OK && !isWhole(call))
+          .map(call -> call.requestId() + " got as whole: " + call.body())
+          .toList();
+    }
+  },
+  /** What may not be repeated runs at most once. */
+  AT_MOST_ONCE {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.calls().stream()
+          .filter(call -> !call.kind().repeatable() && runs(record, call) > 1)
+          .map(call -> call.requestId() + " ran " + runs(record, call) + " times")
+          .toList();
+    }
+  },
+  /** A request that is called not run was not run. */
+  NOT_RUN_IS_TRUE {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.calls().stream()
+          .filter(call -> NOT_RUN.contains(call.status()))
+          .filter(call -> !call.kind().repeatable() && runs(record, call) > 0)
+          .map(call -> call.requestId() + " was called not run (" + call.status() + ") and ran")
+          .toList();
+    }
+  },
+  /** An engine that leaves gets nothing new once the bound has passed. */
+  LEAVING_GETS_NOTHING {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      for (SoakRecord.Drain drain : record.drains()) {
+        long from = drain.fromNanos() + DRAIN_BOUND.toNanos();
+        record.arrivals().stream()
+            .filter(arrival -> arrival.engineId().equals(drain.engineId()))
+            .filter(arrival -> arrival.nanos() > from && arrival.nanos() < drain.toNanos())
+            .forEach(arrival -> found.add(arrival.requestId() + " reached " + drain.engineId()));
+      }
+      return found;
+    }
+  },
+  /** In every window, what is sent again stays within the bound of the fleet. */
+  RETRY_BUDGET {
+    @Override
+    List<String> violations(SoakRecord record) {
+      Map<String, SoakRecord.Kind> kinds = new HashMap<>();
+      record.calls().forEach(call -> kinds.put(call.requestId(), call.kind()));
+      List<String> found = new ArrayList<>();
+      for (boolean model : new boolean[] {true, false}) {
+        List<Long> repeats = repeats(record, kinds, model);
+        for (long end : repeats) {
+          long begin = end - SoakFleet.RETRY_WINDOW.toNanos();
+          long repeated = repeats.stream().filter(at -> at > begin && at <= end).count();
+          long asked =
+              record.calls().stream()
+                  .filter(call -> call.kind().model() == model)
+                  .filter(call -> call.sentNanos() > begin && call.sentNanos() <= end)
+                  .count();
+          double allowed = SoakFleet.RETRY_RATIO * asked + SoakFleet.RETRY_SLACK;
+          if (repeated > allowed) {
+            found.add(repeated + " arrivals past the first in a window, allowed " + allowed);
+          }
+        }
+      }
+      return found;
+    }
+  },
+  /** Once the faults are over, callers are served. */
+  RECOVERS {
+    @Override
+    List<String> violations(SoakRecord record) {
+      long from = record.calmFromNanos() + RECOVERY.toNanos();
+      List<SoakRecord.Call> calm =
+          record.calls().stream().filter(call -> call.sentNanos() > from).toList();
+      long served = calm.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
+      return served < SERVED_WHEN_CALM * calm.size() || calm.isEmpty()
+          ? List.of(served + " of " + calm.size() + " served after the last fault")
+          : List.of();
+    }
+  };
+
+  private static final int HTTP_OK = 200;
+
+  /** Statuses that promise that a request was not run and never will be. */
+  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
+
+  /** The drain bound of the settings, and half a second on the way. */
+  private static final Duration DRAIN_BOUND = SoakFleet.DRAIN.plusMillis(500);
+
+  /** A start of a process and a suspension of an engine are over by then. */
+  private static final Duration RECOVERY = Duration.ofSeconds(6);
+
+  private static final double SERVED_WHEN_CALM = 0.95;
+
+  /** What broke the promise, one line each. */
+  abstract List<String> violations(SoakRecord record);
+
+  private static boolean isWhole(SoakRecord.Call call) {
+    return call.kind().model()
+        ? call.body().equals(EmulatedEngine.wholeStream())
+        : call.body().startsWith("answer of a-");
+  }
+
+  private static int runs(SoakRecord record, SoakRecord.Call call) {
+    return record.runs().getOrDefault(call.requestId(), 0);
+  }
+
+  /** When a request arrived that had arrived before; one prefill a request is no arrival. */
+  private static List<Long> repeats(
+      SoakRecord record, Map<String, SoakRecord.Kind> kinds, boolean model) {
+    Set<String> prefilled = new HashSet<>();
+    Set<String> arrived = new HashSet<>();
+    List<Long> repeats = new ArrayList<>();
+    record.arrivals().stream()
+        .sorted((left, right) -> Long.compare(left.nanos(), right.nanos()))
+        .filter(arrival -> kinds.containsKey(arrival.requestId()))
+        .filter(arrival -> kinds.get(arrival.requestId()).model() == model)
+        .forEach(
+            arrival -> {
+              boolean free = arrival.prefill() && prefilled.add(arrival.requestId());
+              if (!free && !arrived.add(arrival.requestId())) {
+                repeats.add(arrival.nanos());
+              }
+            });
+    return repeats;
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -0,0 +1,128 @@
+package org.fallturn.rehearsal.soak;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.faults.FaultProxy;
+import org.fallturn.rehearsal.faults.LinkFaults;
+
+/**
+ * The platform in this process, gateways as processes, and a link of the fault-injecting proxy
+ * between each gateway and the store. One thread begins and ends faults.
+ */
+final class SoakFleet implements AutoCloseable {
+
+  /** Bounds that the gateways are given; small, so that a run of minutes meets them. */
+  static final Duration DRAIN = Duration.ofSeconds(2);
+
+  static final double RETRY_RATIO = 0.2;
+  static final double RETRY_SLACK = 12;
+  static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
+
+  private static final String LOOPBACK = "127.0.0.1";
+  private static final int GATEWAYS = 3;
+
+  private final EmulatedPlatform platform;
+  private final FaultProxy proxy;
+  private final List<EmulatedEngine> engines = new ArrayList<>();
+  private final List<SoakGateway> gateways = new ArrayList<>();
+  private final List<SoakRecord.Drain> drains = new CopyOnWriteArrayList<>();
+  private final Map<String, Long> drainingSince = new HashMap<>();
+
+  SoakFleet(long seed, Path directory) throws Exception {
+    platform = new EmulatedPlatform();
+    proxy = new FaultProxy(seed);
+    addEngines("p", EmulatedPlatform.MODEL_SERVICE, "prefill", 2);
+    addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 3);
+    addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
+    List<NetworkAddress> peers = new ArrayList<>();
+    for (int index = 0; index < GATEWAYS; index++) {
+      peers.add(freeAddress());
+    }
+    for (int index = 0; index < GATEWAYS; index++) {
+      NetworkAddress store =
+          proxy.openTcp(
+              storeLink(index), new NetworkAddress(LOOPBACK, 0), platform.store().address());
+      gateways.add(
+          new SoakGateway(
+              "gateway-" + index, directory, freeAddress(), peers.get(index), store, peers));
+    }
+    for (SoakGateway gateway : gateways) {
+      gateway.start();
+    }
+  }
+
+  private void addEngines(String prefix, String service, String stage, int count) throws Exception {
+    for (int index = 1; index <= count; index++) {
+      engines.add(platform.addEngine(prefix + "-" + index, service, stage));
+    }
+  }
+
+  private static NetworkAddress freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new NetworkAddress(LOOPBACK, socket.getLocalPort());
+    }
+  }
+
+  private static String storeLink(int gateway) {
+    return "store-" + gateway;
+  }
+
+  EmulatedPlatform platform() {
+    return platform;
+  }
+
+  SoakGateway gateway(int target) {
+    return gateways.get(Math.floorMod(target, gateways.size()));
+  }
+
+  List<SoakGateway> gateways() {
+    return gateways;
+  }
+
+  EmulatedEngine engine(int target) {
+    return engines.get(Math.floorMod(target, engines.size()));
+  }
+
+  List<EmulatedEngine> engines() {
+    return engines;
+  }
+
+  void setStoreLink(int target, LinkFaults faults) {
+    proxy.set(storeLink(Math.floorMod(target, gateways.size())), faults);
+  }
+
+  void drain(int target) {
+    EmulatedEngine engine = engine(target);
+    platform.list(engine, true);
+    drainingSince.put(engine.id(), System.nanoTime());
+  }
+
+  /** The engine's answer is noted before it is listed as ready again. */
+  void endDrain(int target) {
+    EmulatedEngine engine = engine(target);
+    long from = drainingSince.remove(engine.id());
+    drains.add(new SoakRecord.Drain(engine.id(), from, System.nanoTime()));
+    platform.list(engine, false);
+  }
+
+  List<SoakRecord.Drain> drains() {
+    return List.copyOf(drains);
+  }
+
+  @Override
+  public void close() throws Exception {
+    gateways.forEach(SoakGateway::close);
+    proxy.close();
+    platform.close();
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -0,0 +1,107 @@
+package org.fallturn.rehearsal.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.platform.PlatformMain;
+import org.fallturn.rehearsal.fleet.ManagedProcess;
+
+/** One gateway: a process of the real program that is started again at the same addresses. */
+final class SoakGateway implements AutoCloseable {
+
+  private final String name;
+  private final Path directory;
+  private final NetworkAddress callers;
+  private final Path settings;
+  private ManagedProcess process;
+
+  /**
+   * A gateway that is not started.
+   *
+   * @param store where it reaches the store
+   * @param seeds where it reaches some other gateways
+   */
+  SoakGateway(
+      String name,
+      Path directory,
+      NetworkAddress callers,
+      NetworkAddress peers,
+      NetworkAddress store,
+      List<NetworkAddress> seeds)
+      throws IOException {
+    this.name = name;
+    this.directory = directory;
+    this.callers = callers;
+    this.settings = directory.resolve(name + ".toml");
+    Files.writeString(settings, text(peers, store, seeds));
+  }
+
+  private String text(NetworkAddress peers, NetworkAddress store, List<NetworkAddress> seeds) {
+    String seedText = String.join(",", seeds.stream().map(NetworkAddress::toString).toList());
+    return String.format(
+        Locale.ROOT,
+        """
+        [gateway]
+        node_name = "%s"
+        zone = "zone-1"
+        callers = "%s"
+        readiness = "127.0.0.1:0"
+        peers = "%s"
+        seeds = "%s"
+        [store]
+        address = "%s"
+        [bounds]
+        drain = "%dms"
+        grace = "5s"
+        stop_linger = "400ms"
+        retry_ratio = %s
+        retry_slack = %s
+        retry_window = "%ds"
+        """,
+        name,
+        callers,
+        peers,
+        seedText,
+        store,
+        SoakFleet.DRAIN.toMillis(),
+        SoakFleet.RETRY_RATIO,
+        SoakFleet.RETRY_SLACK,
+        SoakFleet.RETRY_WINDOW.toSeconds());
+  }
+
+  NetworkAddress callers() {
+    return callers;
+  }
+
+  /** Each start appends to the same log file. */
+  void start() throws IOException {
+    process =
+        ManagedProcess.start(name, directory, PlatformMain.class, List.of(settings.toString()));
+  }
+
+  void kill() throws InterruptedException {
+    process.kill();
+  }
+
+  void terminate() {
+    process.terminate();
+  }
+
+  void pause() throws IOException, InterruptedException {
+    process.pause();
+  }
+
+  void resume() throws IOException, InterruptedException {
+    process.resume();
+  }
+
+  @Override
+  public void close() {
+    if (process != null) {
+      process.close();
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -0,0 +1,63 @@
+package org.fallturn.rehearsal.soak;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * All that callers and engines saw in one run, for the checks. Times are nanoseconds of one steady
+ * clock. Immutable.
+ *
+ * @param calls what callers asked and were answered
+ * @param arrivals what reached engines, in order by engine
+ * @param runs how often each request was run, by its id
+ * @param drains when engines were listed as leaving
+ * @param calmFromNanos when the last fault had ended
+ */
+record SoakRecord(
+    List<Call> calls,
+    List<Arrival> arrivals,
+    Map<String, Integer> runs,
+    List<Drain> drains,
+    long calmFromNanos) {
+
+  /** What a request is, as far as the checks care. */
+  enum Kind {
+    STREAM(false, true),
+    RESUMABLE_STREAM(true, true),
+    IDEMPOTENT(true, false),
+    ONCE(false, false);
+
+    private final boolean repeatable;
+    private final boolean model;
+
+    Kind(boolean repeatable, boolean model) {
+      this.repeatable = repeatable;
+      this.model = model;
+    }
+
+    boolean repeatable() {
+      return repeatable;
+    }
+
+    /** Whether a model engine serves it; an application otherwise. */
+    boolean model() {
+      return model;
+    }
+  }
+
+  /**
+   * One caller's request.
+   *
+   * @param status HTTP status; 0 when no whole head came
+   * @param body the body as far as it came
+   * @param whole whether the answer looked whole
+   */
+  record Call(
+      String requestId, Kind kind, long sentNanos, int status, String body, boolean whole) {}
+
+  /** A request that reached an engine. */
+  record Arrival(String engineId, String requestId, long nanos, boolean prefill) {}
+
+  /** An engine was leaving from one time to another. */
+  record Drain(String engineId, long fromNanos, long toNanos) {}
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -0,0 +1,127 @@
+package org.fallturn.rehearsal.soak;
+
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
+
+/** Plays one schedule and reports what its checks found. One thread uses it. */
+final class SoakRun {
+
+  private static final Duration START = Duration.ofSeconds(5);
+  private static final int MAX_REPORTED = 5;
+
+  private final SoakSchedule schedule;
+  private final Path directory;
+  private final PrintStream out;
+
+  SoakRun(SoakSchedule schedule, Path directory, PrintStream out) {
+    this.schedule = schedule;
+    this.directory = directory;
+    this.out = out;
+  }
+
+  /** A fault that begins or ends at a time. */
+  private record Step(Duration at, SoakSchedule.Entry entry, boolean begins) {}
+
+  /** Plays it; whether every promise was kept. */
+  boolean play() throws Exception {
+    Files.createDirectories(directory);
+    out.printf("seed %d, %d faults, logs in %s%n", schedule.seed(), faults(), directory);
+    schedule.faults().forEach(entry -> out.println("  " + entry));
+    return report(record());
+  }
+
+  private int faults() {
+    return schedule.faults().size();
+  }
+
+  private SoakRecord record() throws Exception {
+    try (SoakFleet fleet = new SoakFleet(schedule.seed(), directory)) {
+      TimeUnit.MILLISECONDS.sleep(START.toMillis());
+      try (SoakLoad load = new SoakLoad(fleet, schedule.seed())) {
+        long calmFrom = inject(fleet);
+        List<SoakRecord.Call> calls = load.finish();
+        return new SoakRecord(calls, arrivals(fleet), runs(fleet), fleet.drains(), calmFrom);
+      }
+    }
+  }
+
+  private long inject(SoakFleet fleet) throws Exception {
+    long begun = System.nanoTime();
+    for (Step step : steps()) {
+      sleepUntil(begun + step.at().toNanos());
+      SoakSchedule.Entry entry = step.entry();
+      if (step.begins()) {
+        entry.fault().begin(fleet, entry.target());
+      } else {
+        entry.fault().end(fleet, entry.target());
+      }
+    }
+    long calmFrom = System.nanoTime();
+    sleepUntil(begun + schedule.length().toNanos());
+    return calmFrom;
+  }
+
+  private List<Step> steps() {
+    List<Step> steps = new ArrayList<>();
+    for (SoakSchedule.Entry entry : schedule.faults()) {
+      steps.add(new Step(entry.begin(), entry, true));
+      steps.add(new Step(entry.end(), entry, false));
+    }
+    steps.sort((left, right) -> left.at().compareTo(right.at()));
+    return steps;
+  }
+
+  private static void sleepUntil(long nanos) throws InterruptedException {
+    TimeUnit.NANOSECONDS.sleep(Math.max(0, nanos - System.nanoTime()));
+  }
+
+  private static List<SoakRecord.Arrival> arrivals(SoakFleet fleet) {
+    List<SoakRecord.Arrival> all = new ArrayList<>();
+    for (EmulatedEngine engine : fleet.engines()) {
+      engine
+          .arrivals()
+          .forEach(
+              one ->
+                  all.add(
+                      new SoakRecord.Arrival(
+                          engine.id(), one.requestId(), one.nanos(), one.prefill())));
+    }
+    return all;
+  }
+
+  private static Map<String, Integer> runs(SoakFleet fleet) {
+    Map<String, Integer> runs = new HashMap<>();
+    fleet.engines().forEach(engine -> engine.runs().forEach(id -> runs.merge(id, 1, Integer::sum)));
+    return runs;
+  }
+
+  private boolean report(SoakRecord record) {
+    Map<Integer, Long> statuses =
+        record.calls().stream()
+            .collect(
+                Collectors.groupingBy(
+                    SoakRecord.Call::status, TreeMap::new, Collectors.counting()));
+    out.printf(
+        "%d requests, %d arrivals at engines, by status %s%n",
+        record.calls().size(), record.arrivals().size(), statuses);
+    boolean kept = true;
+    for (SoakCheck check : SoakCheck.values()) {
+      List<String> violations = check.violations(record);
+      out.printf("  %-22s %s%n", check, violations.isEmpty() ? "kept" : violations.size());
+      violations.stream().limit(MAX_REPORTED).forEach(line -> out.println("    " + line));
+      kept &= violations.isEmpty();
+    }
+    out.println(kept ? "GOOD" : "NOT GOOD: fallturn explain " + directory + "/*.log --request ID");
+    return kept;
+  }
+}
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -7,7 +7,6 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
-import java.util.stream.IntStream;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 import org.fallturn.rehearsal.emulator.EmulatedClient.Answer;
@@ -66,19 +65,12 @@
     appTwo.misbehave(fault);
   }
 
-  private static String wholeStream() {
-    StringBuilder events = new StringBuilder();
-    IntStream.rangeClosed(1, EmulatedEngine.EVENTS)
-        .forEach(event -> events.append("id: " + event + "\ndata: piece-" + event + "\n\n"));
-    return events.toString();
-  }
-
   @Test
   void servesEachKindOnce() throws Exception {
     for (String path : List.of(EmulatedPlatform.RESUMABLE, EmulatedPlatform.STREAM)) {
       Answer answer = client.call(address, path, SHORT_PROMPT);
       assertThat(answer.status()).isEqualTo(200);
-      assertThat(answer.body()).isEqualTo(wholeStream());
+      assertThat(answer.body()).isEqualTo(EmulatedEngine.wholeStream());
       assertThat(answer.headers().get("X-Fallturn-Response-Stamp")).startsWith("stamp-d-");
       assertThat(runsOf(answer.requestId())).isEqualTo(1);
     }
@@ -93,7 +85,7 @@
   @Test
   void longPromptIsReadAheadAndItsCacheFetchedOnce() throws Exception {
     Answer answer = client.call(address, EmulatedPlatform.STREAM, LONG_PROMPT);
-    assertThat(answer.body()).isEqualTo(wholeStream());
+    assertThat(answer.body()).isEqualTo(EmulatedEngine.wholeStream());
     assertThat(prefill.heads()).hasSize(1);
     assertThat(prefill.runs()).isEmpty();
     assertThat(prefill.waitingHandles()).isEmpty();
@@ -190,7 +182,7 @@
     EmulatedEngine first = firstToBreak();
     Answer answer = client.call(address, EmulatedPlatform.RESUMABLE, SHORT_PROMPT);
     assertThat(answer.whole()).isTrue();
-    assertThat(answer.body()).isEqualTo(wholeStream());
+    assertThat(answer.body()).isEqualTo(EmulatedEngine.wholeStream());
     assertThat(answer.headers().get("X-Fallturn-Response-Stamp")).isNotNull();
     assertThat(first.runs().size()).isLessThanOrEqualTo(1);
   }
@@ -210,7 +202,7 @@
     Answer answer = client.call(address, EmulatedPlatform.STREAM, SHORT_PROMPT);
     assertThat(answer.whole()).isFalse();
     assertThat(runsOf(answer.requestId())).isEqualTo(1);
-    assertThat(wholeStream()).startsWith(answer.body());
+    assertThat(EmulatedEngine.wholeStream()).startsWith(answer.body());
   }
 
   @Test
--- /dev/null
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -0,0 +1,129 @@
+package org.fallturn.rehearsal.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Each check finds what a broken gateway or engine would leave behind, and nothing else. */
+class SoakCheckTest {
+
+  private static final long CALM = seconds(10);
+  private static final String WHOLE = EmulatedEngine.wholeStream();
+
+  private static long seconds(double seconds) {
+    return (long) (seconds * 1e9);
+  }
+
+  private static SoakRecord.Call call(String id, SoakRecord.Kind kind, int status, String body) {
+    return new SoakRecord.Call(id, kind, seconds(20), status, body, status != 0);
+  }
+
+  private static SoakRecord record(
+      List<SoakRecord.Call> calls,
+      List<SoakRecord.Arrival> arrivals,
+      Map<String, Integer> runs,
+      List<SoakRecord.Drain> drains) {
+    return new SoakRecord(calls, arrivals, runs, drains, CALM);
+  }
+
+  private static List<SoakCheck> broken(SoakRecord record) {
+    return Arrays.stream(SoakCheck.values())
+        .filter(check -> !check.violations(record).isEmpty())
+        .toList();
+  }
+
+  private static SoakRecord oneCall(SoakRecord.Call call, int runs) {
+    SoakRecord.Call good = call("good", SoakRecord.Kind.STREAM, 200, WHOLE);
+    List<SoakRecord.Call> calls = new ArrayList<>(List.of(call));
+    for (int index = 0; index < 30; index++) {
+      calls.add(good);
+    }
+    return record(calls, List.of(), Map.of(call.requestId(), runs), List.of());
+  }
+
+  @ParameterizedTest
+  @EnumSource(SoakRecord.Kind.class)
+  void whatIsServedWholeAndOnceBreaksNothing(SoakRecord.Kind kind) {
+    String body = kind.model() ? WHOLE : "answer of a-1";
+    assertThat(broken(oneCall(call("one", kind, 200, body), 1))).isEmpty();
+  }
+
+  @Test
+  void answerThatLacksItsEndAndLooksWholeIsFound() {
+    SoakRecord.Call cut =
+        call("cut", SoakRecord.Kind.STREAM, 200, WHOLE.substring(0, WHOLE.length() / 2));
+    assertThat(broken(oneCall(cut, 1))).containsExactly(SoakCheck.WHOLE_ANSWERS);
+    SoakRecord.Call foreign = call("foreign", SoakRecord.Kind.ONCE, 200, "of another request");
+    assertThat(broken(oneCall(foreign, 1))).containsExactly(SoakCheck.WHOLE_ANSWERS);
+  }
+
+  @Test
+  void secondRunOfWhatMayNotBeRepeatedIsFound() {
+    assertThat(broken(oneCall(call("twice", SoakRecord.Kind.ONCE, 200, "answer of a-1"), 2)))
+        .containsExactly(SoakCheck.AT_MOST_ONCE);
+    assertThat(broken(oneCall(call("again", SoakRecord.Kind.IDEMPOTENT, 200, "answer of a-1"), 2)))
+        .isEmpty();
+  }
+
+  @Test
+  void requestThatRanAndIsCalledNotRunIsFound() {
+    assertThat(broken(oneCall(call("ran", SoakRecord.Kind.ONCE, 503, ""), 1)))
+        .containsExactly(SoakCheck.NOT_RUN_IS_TRUE);
+    assertThat(broken(oneCall(call("unknown", SoakRecord.Kind.ONCE, 502, ""), 1))).isEmpty();
+  }
+
+  @Test
+  void requestThatReachesALeavingEngineLateIsFound() {
+    SoakRecord.Drain drain = new SoakRecord.Drain("d-1", seconds(1), seconds(9));
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.STREAM, 200, WHOLE), 1);
+    List<SoakRecord.Arrival> soon =
+        List.of(new SoakRecord.Arrival("d-1", "one", seconds(2.9), false));
+    List<SoakRecord.Arrival> late =
+        List.of(new SoakRecord.Arrival("d-1", "one", seconds(3.6), false));
+    assertThat(broken(record(good.calls(), soon, good.runs(), List.of(drain)))).isEmpty();
+    assertThat(broken(record(good.calls(), late, good.runs(), List.of(drain))))
+        .containsExactly(SoakCheck.LEAVING_GETS_NOTHING);
+  }
+
+  @Test
+  void sendsBeyondTheRetryBudgetAreFound() {
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.IDEMPOTENT, 200, "answer of a-1"), 1);
+    List<SoakRecord.Arrival> arrivals = new ArrayList<>();
+    for (int send = 0; send < SoakFleet.RETRY_SLACK + 2; send++) {
+      arrivals.add(new SoakRecord.Arrival("a-1", "one", seconds(21), false));
+    }
+    assertThat(broken(record(good.calls(), arrivals, good.runs(), List.of())))
+        .containsExactly(SoakCheck.RETRY_BUDGET);
+    List<SoakRecord.Arrival> fewer = arrivals.subList(0, (int) SoakFleet.RETRY_SLACK);
+    assertThat(broken(record(good.calls(), fewer, good.runs(), List.of()))).isEmpty();
+  }
+
+  @Test
+  void fleetThatDoesNotServeAgainIsFound() {
+    List<SoakRecord.Call> refused = new ArrayList<>();
+    for (int index = 0; index < 20; index++) {
+      refused.add(call("r-" + index, SoakRecord.Kind.IDEMPOTENT, 503, ""));
+    }
+    assertThat(broken(record(refused, List.of(), Map.of(), List.of())))
+        .containsExactly(SoakCheck.RECOVERS);
+  }
+
+  @Test
+  void scheduleIsDrawnFromItsSeedAndEndsCalm() {
+    Duration length = Duration.ofMinutes(1);
+    SoakSchedule schedule = SoakSchedule.draw(7, length);
+    assertThat(schedule).isEqualTo(SoakSchedule.draw(7, length));
+    assertThat(schedule).isNotEqualTo(SoakSchedule.draw(8, length));
+    assertThat(schedule.faults()).isNotEmpty();
+    assertThat(schedule.faults())
+        .allSatisfy(entry -> assertThat(entry.end()).isLessThan(length.minus(SoakSchedule.CALM)));
+  }
+}
