Believe cached parts kept while they are looked at again, smooth the reading speed again, count long answers only

The fit of the reading speed took the overhead of a call as a reason against reading ahead, and remembered for a hundred samples what a starting node had timed late.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -15,6 +15,9 @@
  */
 final class CachedParts {
 
+  private static final float LOAD_FACTOR = 0.75f;
+  private static final int INITIAL_CAPACITY = 64;
+
   /** Part of an engine's memory that is believed to keep parts; the rest holds running requests. */
   private static final double KEPT_SHARE = 0.9;
 
@@ -116,16 +119,17 @@
   /** Parts of one engine, least recently used first. */
   private static final class EngineParts {
 
-    private final LinkedHashMap<String, Kept> parts = new LinkedHashMap<>();
+    private final LinkedHashMap<String, Kept> parts =
+        new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true);
     private long total;
 
-    /** Makes the part the most recently used one; merely looking at parts does not. */
     void touch(PromptPart part, long readyAtNanos) {
-      Kept before = parts.remove(part.id());
-      boolean grows = before == null || before.tokens < part.tokens();
-      Kept now = grows ? new Kept(part.tokens(), readyAtNanos) : before;
-      parts.put(part.id(), now);
-      total += now.tokens - (before == null ? 0 : before.tokens);
+      Kept before = parts.get(part.id());
+      int keptTokens = before == null ? 0 : before.tokens;
+      if (before == null || keptTokens < part.tokens()) {
+        parts.put(part.id(), new Kept(part.tokens(), readyAtNanos));
+        total += part.tokens() - keptTokens;
+      }
     }
 
     void forgetUnread(String partId, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
@@ -6,7 +6,7 @@
  * What one node has at one engine.
  *
  * @param running requests
- * @param streams those of them whose answer has begun
+ * @param streams long answers among them that have begun
  * @param waitingTokens prompt tokens that are not read yet, by the level of urgency of their
  *     requests; zeros at the end are left out
  * @param suspended whether the node has suspended it
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -28,7 +28,7 @@
     return running;
   }
 
-  /** Those of them whose answer has begun. */
+  /** Long answers among them that have begun. */
   int streams() {
     return streams;
   }
@@ -36,7 +36,7 @@
   /** The answer to a request begins. */
   void onBegan(RequestProgress progress) {
     promptRead(progress);
-    if (progress.begin()) {
+    if (progress.begin() && progress.longAnswer()) {
       streams++;
     }
   }
@@ -104,7 +104,7 @@
   /** The request is no longer there. */
   void remove(RequestProgress progress) {
     running--;
-    if (progress.begun()) {
+    if (progress.begun() && progress.longAnswer()) {
       streams--;
     }
     if (!progress.goesBehind()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -88,7 +88,7 @@
     return load(engine).running() + peerLoads.running(engine.id(), nowNanos);
   }
 
-  /** Streams that all nodes have at an engine. */
+  /** Long answers that have begun at an engine, of all nodes. */
   int streams(ServingEngine engine, long nowNanos) {
     return load(engine).streams() + peerLoads.streams(engine.id(), nowNanos);
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -64,7 +64,7 @@
     return sum(engineId, nowNanos).running;
   }
 
-  /** Those of them whose answer has begun. */
+  /** Long answers among them that have begun. */
   int streams(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).streams;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -60,8 +60,12 @@
    */
   private static final double SLOWED_PART = 0.2;
 
-  /** An answer of so many tokens is as long as any; well above those that end within some steps. */
-  private static final double LONG_ANSWER_TOKENS = 64;
+  /**
+   * Streams that are taken to run at a decode engine at least, since short answers are not counted
+   * one by one. With them the days of short prompts were served best (round 10 of
+   * docs/experiments/platform.md).
+   */
+  private static final int LEAST_STREAMS = 3;
 
   /**
    * What each stream of an engine is worth to a long answer that might run beside it, in ms: ten
@@ -213,18 +217,19 @@
             engine,
             ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
     int streams = selector.streams(engine, question.nowNanos());
-    double harm = streams * slowedMillis(question, engine, reading);
+    double harm = harmMillis(question, engine, reading, streams);
     return plan(question, engine, false, reading, wait, harm - packedMillis(question, streams));
   }
 
-  /** What reading the prompt here costs each stream of the engine. */
-  private double slowedMillis(Question question, ServingEngine engine, Reading reading) {
+  /** What reading the prompt here costs the streams of the engine. */
+  private double harmMillis(Question question, ServingEngine engine, Reading reading, int streams) {
     if (reading.readTokens() == 0) {
       return 0;
     }
     long backlog = selector.backlogTokens(engine, question.nowNanos());
-    return SLOWED_PART * question.speed().decodeMillis(reading.readTokens())
-        + delayMillis(question, backlog, reading);
+    double slowed = SLOWED_PART * question.speed().decodeMillis(reading.readTokens());
+    double delayed = delayMillis(question, backlog, reading);
+    return streams * slowed + Math.max(LEAST_STREAMS, streams) * delayed;
   }
 
   /**
@@ -232,8 +237,7 @@
    * tokens of few.
    */
   private static double packedMillis(Question question, int streams) {
-    double length = Math.min(1, question.prompt().maxOutputTokens() / LONG_ANSWER_TOKENS);
-    return PACKED_MILLIS * length * streams;
+    return question.prompt().longAnswer() ? PACKED_MILLIS * streams : 0;
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptShape.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptShape.java
@@ -15,11 +15,19 @@
 public record PromptShape(
     String model, int promptTokens, int maxOutputTokens, List<PromptPart> parts) {
 
+  /** Shorter answers end within some steps of their engine, whatever it does beside. */
+  private static final int LONG_ANSWER_TOKENS = 32;
+
   /** A private copy of the parts. */
   public PromptShape {
     parts = List.copyOf(parts);
   }
 
+  /** Whether its answer may run for long, so that it matters what its engine does beside. */
+  public boolean longAnswer() {
+    return maxOutputTokens >= LONG_ANSWER_TOKENS;
+  }
+
   /** The parts that other requests share. */
   public List<PromptPart> sharedParts() {
     return parts.isEmpty() ? List.of() : parts.subList(0, parts.size() - 1);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -126,6 +126,11 @@
     return first;
   }
 
+  /** Whether its answer may run for long. */
+  boolean longAnswer() {
+    return envelope.prompt().filter(PromptShape::longAnswer).isPresent();
+  }
+
   /** Whether the answer of the present attempt has begun. */
   boolean begun() {
     return begun;
--- a/fallturn-core/src/main/java/org/fallturn/core/estimate/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Estimators that learn from a stream of observations. Pure; one thread calls each instance. */
-package org.fallturn.core.estimate;
--- a/fallturn-core/src/main/java/org/fallturn/core/placement/CostModel.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/CostModel.java
@@ -1,6 +1,5 @@
 package org.fallturn.core.placement;
 
-import org.fallturn.core.estimate.DecayingLinearFit;
 import org.fallturn.core.roles.EngineRates;
 
 /**
--- a/fallturn-core/src/main/java/org/fallturn/core/estimate/DecayingLinearFit.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/placement/DecayingLinearFit.java
@@ -1,11 +1,11 @@
-package org.fallturn.core.estimate;
+package org.fallturn.core.placement;
 
 /**
  * Fits {@code y = intercept + slope * x} to a stream of samples in which old ones fade. Intercept
  * and slope never fall below zero; a sample far from the fit is clipped, so that one stalled engine
- * moves it little. One thread calls.
+ * moves it little.
  */
-public final class DecayingLinearFit {
+final class DecayingLinearFit {
   private static final double DECAY = 0.99;
   private static final double CLIP = 5;
   private static final double PRIOR_WEIGHT = 10;
@@ -20,25 +20,14 @@
   private double slope;
   private long samples;
 
-  /** Starts from the line through two points, each of which weighs as much as ten samples. */
-  public DecayingLinearFit(double firstX, double firstY, double secondX, double secondY) {
-    this(firstX, firstY, secondX, secondY, PRIOR_WEIGHT);
-  }
-
-  /**
-   * Starts from the line through two points.
-   *
-   * @param pointWeight what each point weighs; a sample weighs 1
-   */
-  public DecayingLinearFit(
-      double firstX, double firstY, double secondX, double secondY, double pointWeight) {
-    insert(firstX, firstY, pointWeight);
-    insert(secondX, secondY, pointWeight);
+  /** Starts from the line through two points. */
+  DecayingLinearFit(double firstX, double firstY, double secondX, double secondY) {
+    insert(firstX, firstY, PRIOR_WEIGHT);
+    insert(secondX, secondY, PRIOR_WEIGHT);
     solve();
   }
 
-  /** Takes a sample; one that is not positive and finite is dropped. */
-  public void add(double x, double y) {
+  void add(double x, double y) {
     if (!(x >= 0) || !(y > 0) || Double.isInfinite(y)) {
       return;
     }
@@ -54,18 +43,11 @@
     samples++;
   }
 
-  /** The fitted value. */
-  public double predict(double x) {
+  double predict(double x) {
     return intercept + slope * x;
   }
 
-  /** By how much the value rises with each unit of x. */
-  public double slope() {
-    return slope;
-  }
-
-  /** Samples taken so far. */
-  public long samples() {
+  long samples() {
     return samples;
   }
 
