--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineDirectory;
@@ -100,7 +101,7 @@
   }
 
   /** What this node has at each engine, for the other nodes. */
-  public Map<String, EngineDigest> ownLoads() {
+  public Map<String, EngineDigest> ownLoads(long nowNanos) {
     Map<String, EngineDigest> digests = new HashMap<>();
     selector
         .loads()
@@ -115,13 +116,21 @@
                         load.running(),
                         load.streams(),
                         load.backlog().toList(),
-                        suspended,
-                        changing));
+                        suspended ? 1 : 0,
+                        changing ? 1 : 0,
+                        heardAgoMillis(load, nowNanos)));
               }
             });
     return digests;
   }
 
+  private static int heardAgoMillis(EngineLoad load, long nowNanos) {
+    OptionalLong heard = load.heardNanos();
+    return heard.isEmpty()
+        ? EngineDigest.NOT_HEARD
+        : (int) TimeUnit.NANOSECONDS.toMillis(nowNanos - heard.getAsLong());
+  }
+
   /** How fast engines read, by service, as far as this node has learned it itself. */
   public Map<String, LearnedSpeed> ownSpeeds() {
     Map<String, LearnedSpeed> learned = new HashMap<>();
@@ -236,16 +245,18 @@
 
   /**
    * Whether an attempt that has gone without a sign for the length of its patience had better be
-   * ended. Not while its prompt merely waits behind others: its engine answers, and has not read
-   * what was sent after it.
+   * ended. Not while its prompt merely waits behind others: its engine has answered something
+   * within that time, and has not read what was sent after it.
+   *
+   * @param patience of the attempt
    */
-  public boolean isStuck(RequestProgress progress) {
+  public boolean isStuck(RequestProgress progress, Duration patience, long nowNanos) {
     if (progress.envelope().prompt().isEmpty() || progress.engine().isEmpty()) {
       return true;
     }
-    EngineLoad load = selector.load(progress.engine().get());
-    return load.health().suspended()
-        || !load.heardSince(progress.sentNanos())
+    ServingEngine engine = progress.engine().get();
+    return selector.suspected(engine, nowNanos)
+        || selector.load(engine).silentFor(patience.toNanos(), progress.sentNanos(), nowNanos)
         || progress.overtakenBy() >= OVERTAKEN_WHEN_LOST;
   }
 
@@ -383,7 +394,7 @@
     }
     AttemptPatience patienceForIt =
         patience.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
-    long silence = patience.beforeSilence(plan.millis());
+    long silence = patience.beforeSilence(progress, plan.millis(), plan.urgency());
     progress.beginPrefill(engine, plan.expectation(), plan.urgency(), nowNanos);
     selector.load(engine).add(progress, silence, nowNanos);
     return new Decision.Prefill(
@@ -417,7 +428,7 @@
       Expectation expectation,
       Urgency urgency,
       long nowNanos) {
-    long silence = patience.beforeSilence(expectation.millis());
+    long silence = patience.beforeSilence(progress, expectation.millis(), urgency);
     progress.beginRun(engine, expectation, urgency, nowNanos);
     selector.load(engine).add(progress, silence, nowNanos);
     AttemptPatience patienceForIt =
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /** What this node has at one engine. One thread calls. */
@@ -16,6 +17,9 @@
   private int streams;
   private int awaited;
   private long silentUntilNanos;
+  private int behind;
+  private long longestGapNanos;
+  private long lastBehindNanos;
   private long heardNanos;
   private boolean heard;
 
@@ -49,12 +53,15 @@
   /**
    * A request goes there; its progress tells the tokens and the urgency it brings.
    *
-   * @param expectedNanos how long the first part of its answer may take at the most
+   * @param silenceNanos how long the engine may say nothing: for one that goes behind others, to
+   *     any node; else, to this node
    */
-  void add(RequestProgress progress, long expectedNanos, long nowNanos) {
+  void add(RequestProgress progress, long silenceNanos, long nowNanos) {
     running++;
-    if (!progress.goesBehind()) {
-      expectSign(expectedNanos, nowNanos);
+    if (progress.goesBehind()) {
+      expectSignToAny(silenceNanos, nowNanos);
+    } else {
+      expectSign(silenceNanos, nowNanos);
     }
     if (progress.chargedTokens() > 0) {
       backlog.add(progress.level(), progress.chargedTokens());
@@ -63,7 +70,13 @@
     health.onSent();
   }
 
-  /** How long one that goes behind others waits says nothing about the engine. */
+  /** How long one that goes behind others waits says nothing, but whether others are answered. */
+  private void expectSignToAny(long gapNanos, long nowNanos) {
+    longestGapNanos = behind == 0 ? gapNanos : Math.max(longestGapNanos, gapNanos);
+    lastBehindNanos = nowNanos;
+    behind++;
+  }
+
   private void expectSign(long expectedNanos, long nowNanos) {
     if (awaited == 0 || nowNanos + expectedNanos - silentUntilNanos > 0) {
       silentUntilNanos = nowNanos + expectedNanos;
@@ -79,18 +92,40 @@
     health.onSignOfLife();
   }
 
-  /** Whether any part of an answer came after a time. */
-  boolean heardSince(long nanos) {
-    return heard && heardNanos - nanos > 0;
+  /** When any part of an answer came last. */
+  OptionalLong heardNanos() {
+    return heard ? OptionalLong.of(heardNanos) : OptionalLong.empty();
+  }
+
+  /** Whether nothing has come within a time that ends now, neither before nor after a send. */
+  boolean silentFor(long nanos, long sentNanos, long nowNanos) {
+    return nowNanos - lastSign(sentNanos, heardNanos()) >= nanos;
+  }
+
+  private static long lastSign(long beginNanos, OptionalLong heardNanos) {
+    if (heardNanos.isEmpty() || heardNanos.getAsLong() - beginNanos < 0) {
+      return beginNanos;
+    }
+    return heardNanos.getAsLong();
   }
 
-  /** Suspends the engine when requests wait there and nothing comes. */
-  void checkSilence(long nowNanos) {
-    if (awaited > 0 && nowNanos - silentUntilNanos > 0) {
+  /**
+   * Suspends the engine when requests wait there and nothing comes.
+   *
+   * @param peersHeardNanos when another node last had a sign of life from it
+   */
+  void checkSilence(OptionalLong peersHeardNanos, long nowNanos) {
+    boolean silent = awaited > 0 && nowNanos - silentUntilNanos > 0;
+    if (silent || behind > 0 && silentToAll(peersHeardNanos, nowNanos)) {
       health.onSilence(nowNanos);
     }
   }
 
+  private boolean silentToAll(OptionalLong peersHeardNanos, long nowNanos) {
+    long own = lastSign(lastBehindNanos, heardNanos());
+    return nowNanos - lastSign(own, peersHeardNanos) > longestGapNanos;
+  }
+
   /** The prompt of a request was read, ahead of those sent before that are no less urgent. */
   void promptRead(RequestProgress read) {
     forgetPrompt(read);
@@ -107,7 +142,9 @@
     if (progress.begun() && progress.longAnswer()) {
       streams--;
     }
-    if (!progress.goesBehind()) {
+    if (progress.goesBehind()) {
+      behind--;
+    } else {
       awaited--;
     }
     forgetPrompt(progress);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -131,7 +131,7 @@
 
   /** Suspends engines that have been silent for longer than their requests should take. */
   void checkSilence(long nowNanos) {
-    loads.values().forEach(load -> load.checkSilence(nowNanos));
+    loads.forEach((id, load) -> load.checkSilence(peerLoads.heardNanos(id, nowNanos), nowNanos));
   }
 
   Map<String, EngineLoad> loads() {
@@ -189,8 +189,13 @@
     return PartHolders.of(holders, soonTokens);
   }
 
+  /** Whether this node or several others have suspended the engine. */
+  boolean suspected(ServingEngine engine, long nowNanos) {
+    return load(engine).health().suspended() || peerLoads.suspects(engine.id(), nowNanos);
+  }
+
   private boolean usableSource(ServingEngine holder, long nowNanos) {
-    return !load(holder).health().suspended() && !peerLoads.suspects(holder.id(), nowNanos);
+    return !suspected(holder, nowNanos);
   }
 
   /** All nodes agree on the first engine to read a shared part, so that it is read once. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Patience.java
@@ -32,10 +32,15 @@
     return new AttemptPatience(Duration.ofNanos(Math.min(wantedNanos, most)), wantedNanos <= most);
   }
 
-  /** How long an engine may say nothing after a request that should take so long. */
-  long beforeSilence(double expectedMillis) {
-    return SILENCE_BASE_NANOS
-        + Duration.ofMillis((long) (SILENCE_FACTOR * expectedMillis)).toNanos();
+  /**
+   * How long an engine may say nothing after a request that should take so long. Where the request
+   * goes behind others they are answered first; an engine that answers nobody for twice the latency
+   * target reads nothing, since prompts are read within the target where nothing waits.
+   */
+  long beforeSilence(RequestProgress progress, double expectedMillis, Urgency urgency) {
+    double target = progress.envelope().route().targetLatency().toMillis();
+    double gap = urgency == Urgency.LATE ? Math.min(target, expectedMillis) : expectedMillis;
+    return SILENCE_BASE_NANOS + Duration.ofMillis((long) (SILENCE_FACTOR * gap)).toNanos();
   }
 
   /** For a request that runs. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -59,6 +60,12 @@
         .noneMatch(heard -> heard.getKey().compareTo(node) < 0);
   }
 
+  /** When another node last had a sign of life from an engine, as far as it is known. */
+  OptionalLong heardNanos(String engineId, long nowNanos) {
+    Sum sum = sum(engineId, nowNanos);
+    return sum.heard ? OptionalLong.of(sum.heardNanos) : OptionalLong.empty();
+  }
+
   /** Requests that the other nodes have at an engine. */
   int running(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).running;
@@ -92,7 +99,7 @@
     heardByNode.values().removeIf(heard -> nowNanos - heard.atNanos >= lifetime);
     sums = new HashMap<>();
     for (Heard heard : heardByNode.values()) {
-      heard.digest.engines().forEach((id, engine) -> sumOf(id).add(engine));
+      heard.digest.engines().forEach((id, engine) -> sumOf(id).add(engine, heard.atNanos));
     }
     sumsAtNanos = nowNanos;
     sumsStale = false;
@@ -112,13 +119,23 @@
     private final PromptBacklog backlog = new PromptBacklog();
     private int suspecting;
     private int changing;
+    private boolean heard;
+    private long heardNanos;
 
-    void add(EngineDigest engine) {
+    void add(EngineDigest engine, long toldNanos) {
       running += engine.running();
       streams += engine.streams();
       backlog.addAll(engine.waitingTokens());
-      suspecting += engine.suspended() ? 1 : 0;
-      changing += engine.changing() ? 1 : 0;
+      suspecting += engine.suspecting();
+      changing += engine.changing();
+      if (engine.heardAgoMillis() != EngineDigest.NOT_HEARD) {
+        onHeard(toldNanos - TimeUnit.MILLISECONDS.toNanos(engine.heardAgoMillis()));
+      }
+    }
+
+    private void onHeard(long nanos) {
+      heardNanos = heard ? Math.max(heardNanos, nanos) : nanos;
+      heard = true;
     }
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -22,6 +22,8 @@
 
 class DispatcherTest {
 
+  private static final Duration PATIENCE = Duration.ofMillis(500);
+
   private final ServingEngine appOne = Requests.engine("a-1", APPLICATION, EngineStage.NONE);
   private final ServingEngine appTwo = Requests.engine("a-2", APPLICATION, EngineStage.NONE);
   private final ServingEngine appThree = Requests.engine("a-3", APPLICATION, EngineStage.NONE);
@@ -264,7 +266,7 @@
   void suspicionOfTwoNodesCountsAndOfOneDoesNot() {
     Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
     Map<String, EngineDigest> suspects =
-        Map.of("a-1", new EngineDigest(0, 0, List.of(), true, false));
+        Map.of("a-1", new EngineDigest(0, 0, List.of(), 1, 0, EngineDigest.NOT_HEARD));
     dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), START);
     Set<String> used = new HashSet<>();
     for (int request = 0; request < 20; request++) {
@@ -292,7 +294,7 @@
     dispatcher.start(failed, START);
     dispatcher.onBegan(failed);
     dispatcher.onFailure(failed, AttemptOutcome.BROKEN_MIDWAY, after(10));
-    assertThat(dispatcher.ownLoads()).isEmpty();
+    assertThat(dispatcher.ownLoads(START)).isEmpty();
   }
 
   /** An engine that restarted under a new id keeps its old entry for some seconds. */
@@ -331,9 +333,38 @@
     RequestProgress second = Requests.prompt(false, 0, 4_000);
     dispatcher.start(first, START);
     dispatcher.start(second, after(1));
-    assertThat(dispatcher.isStuck(second)).as("nothing was heard since").isTrue();
-    dispatcher.onPrefilled(first, "h", after(400));
-    assertThat(dispatcher.isStuck(second)).isFalse();
+    assertThat(dispatcher.isStuck(second, PATIENCE, after(501)))
+        .as("nothing was heard since")
+        .isTrue();
+    dispatcher.onPrefilled(first, "h", after(510));
+    assertThat(dispatcher.isStuck(second, PATIENCE, after(520))).isFalse();
+  }
+
+  @Test
+  void promptAtAnEngineThatAnsweredLongAgoIsStuck() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill);
+    RequestProgress first = Requests.prompt(false, 0, 4_000);
+    RequestProgress second = Requests.prompt(false, 0, 4_000);
+    dispatcher.start(first, START);
+    dispatcher.start(second, after(1));
+    dispatcher.onPrefilled(first, "h", after(100));
+    assertThat(dispatcher.isStuck(second, PATIENCE, after(501))).isFalse();
+    assertThat(dispatcher.isStuck(second, PATIENCE, after(601))).isTrue();
+  }
+
+  @Test
+  void promptAtAnEngineThatOtherNodesSuspectIsStuck() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill);
+    RequestProgress first = Requests.prompt(false, 0, 4_000);
+    RequestProgress second = Requests.prompt(false, 0, 4_000);
+    dispatcher.start(first, START);
+    dispatcher.start(second, after(1));
+    dispatcher.onPrefilled(first, "h", after(100));
+    Map<String, EngineDigest> suspects =
+        Map.of("p-1", new EngineDigest(1, 0, List.of(), 1, 0, EngineDigest.NOT_HEARD));
+    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), after(110));
+    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), after(110));
+    assertThat(dispatcher.isStuck(second, PATIENCE, after(200))).isTrue();
   }
 
   @Test
@@ -347,7 +378,7 @@
       assertThat(later.engine()).isEqualTo(lost.engine());
       dispatcher.onPrefilled(later, "h", after(80L * request));
     }
-    assertThat(dispatcher.isStuck(lost)).isTrue();
+    assertThat(dispatcher.isStuck(lost, PATIENCE, after(250))).isTrue();
   }
 
   @Test
@@ -366,7 +397,9 @@
     Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
     Map<String, EngineDigest> loads =
         Map.of(
-            "p-1", new EngineDigest(9, 0, List.of(0L, 0L, 0L, 0L, 5_000L, 90_000L), false, false));
+            "p-1",
+            new EngineDigest(
+                9, 0, List.of(0L, 0L, 0L, 0L, 5_000L, 90_000L), 0, 0, EngineDigest.NOT_HEARD));
     dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     Decision.Prefill next =
         (Decision.Prefill) dispatcher.start(Requests.prompt(false, 0, 8_000), after(30));
@@ -401,7 +434,9 @@
   private int promptsReadBy(ServingEngine engine, int streams) {
     Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
     Map<String, EngineDigest> loads =
-        Map.of(engine.id(), new EngineDigest(streams, streams, List.of(), false, false));
+        Map.of(
+            engine.id(),
+            new EngineDigest(streams, streams, List.of(), 0, 0, EngineDigest.NOT_HEARD));
     dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     int read = 0;
     for (int request = 0; request < 20; request++) {
@@ -417,7 +452,10 @@
   void promptThatWouldWaitTooLongIsRefusedOnceAndNeverByAGuessedSpeed() {
     Dispatcher dispatcher = Requests.dispatcher(prefill);
     Map<String, EngineDigest> loads =
-        Map.of("p-1", new EngineDigest(40, 0, List.of(0L, 0L, 0L, 0L, 900_000L), false, false));
+        Map.of(
+            "p-1",
+            new EngineDigest(
+                40, 0, List.of(0L, 0L, 0L, 0L, 900_000L), 0, 0, EngineDigest.NOT_HEARD));
     dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     assertThat(dispatcher.start(Requests.prompt(false, 0, 4_000), START))
         .as("the speed is a guess")
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -281,7 +281,10 @@
   }
 
   private void tellLoad() {
-    loadSender.send(dispatcher.ownLoads(), dispatcher.takeNewPrompts(), dispatcher.ownSpeeds());
+    loadSender.send(
+        dispatcher.ownLoads(System.nanoTime()),
+        dispatcher.takeNewPrompts(),
+        dispatcher.ownSpeeds());
   }
 
   private void checkEngines(long now) {
@@ -309,7 +312,7 @@
     if (attempt == null || !attempt.outOfPatience(now)) {
       return;
     }
-    if (!dispatcher.isStuck(exchange.progress())) {
+    if (!dispatcher.isStuck(exchange.progress(), attempt.patience(), now)) {
       return;
     }
     if (attempt.cancel("no answer in time")) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -96,6 +96,11 @@
     return state.get() == State.WAITING && nowNanos - patienceUntilNanos >= 0;
   }
 
+  /** How long it may go without a sign of an answer. */
+  Duration patience() {
+    return patience.duration();
+  }
+
   /** How it failed when nothing came within the patience. */
   AttemptOutcome whenOutOfPatience() {
     return patience.whenOver();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -121,7 +121,7 @@
   }
 
   private static boolean avoided(Map.Entry<String, EngineDigest> entry) {
-    return entry.getValue().suspended() || entry.getValue().changing();
+    return entry.getValue().suspecting() > 0 || entry.getValue().changing() > 0;
   }
 
   private static List<PlacedPrompt> shortened(List<PlacedPrompt> prompts) {
