--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -127,14 +127,16 @@
             platform.routingFeed().create(engines.client()),
             snapshots.feed(ROUTING),
             listener(this::onRoutingRows),
-            log);
+            log,
+            settings.bounds().contact());
     this.engineFollower =
         new RowFollower(
             ENGINES,
             platform.engineFeed().create(engines.client()),
             snapshots.feed(ENGINES),
             listener(this::onEngineRows),
-            log);
+            log,
+            settings.bounds().contact());
   }
 
   private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -14,8 +14,12 @@
  */
 final class RowFollower implements AutoCloseable {
 
-  /** Bounds how long a watch that has gone silent is trusted. */
-  private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
+  /**
+   * After a change, before the next is asked for: rows that come in a burst, as when all engines
+   * start, are read together. Well within the bounds on how soon a change is in force, which are
+   * seconds.
+   */
+  private static final long GATHER_MILLIS = 250;
 
   private static final long PAUSE_AFTER_FAILURE_MILLIS = 100;
   private static final long LONGEST_PAUSE_MILLIS = 800;
@@ -30,12 +34,21 @@
   private final RowFeed fallback;
   private final Listener listener;
   private final DecisionLog log;
+  private final Duration longestWait;
+  private final Pause pause;
   private final FeedTracker tracker = new FeedTracker();
   private final Thread thread;
   private long pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
   private volatile boolean closed;
   private boolean reachable = true;
 
+  /** How the follower's thread waits. */
+  interface Pause {
+
+    /** Returns after so many ms. */
+    void await(long millis) throws InterruptedException;
+  }
+
   /** Hears on the follower's thread of what is believed now. */
   interface Listener {
 
@@ -50,8 +63,28 @@
    * A follower that has not begun.
    *
    * @param fallback who is asked while nothing is known and the store does not answer
+   * @param longestWait bounds how long a watch that has gone silent is trusted
    */
-  RowFollower(String name, RowFeed feed, RowFeed fallback, Listener listener, DecisionLog log) {
+  RowFollower(
+      String name,
+      RowFeed feed,
+      RowFeed fallback,
+      Listener listener,
+      DecisionLog log,
+      Duration longestWait) {
+    this(name, feed, fallback, listener, log, longestWait, TimeUnit.MILLISECONDS::sleep);
+  }
+
+  RowFollower(
+      String name,
+      RowFeed feed,
+      RowFeed fallback,
+      Listener listener,
+      DecisionLog log,
+      Duration longestWait,
+      Pause pause) {
+    this.longestWait = longestWait;
+    this.pause = pause;
     this.name = name;
     this.feed = feed;
     this.fallback = fallback;
@@ -84,11 +117,12 @@
       readWhole();
       return;
     }
-    Duration wait = Duration.ofNanos(tracker.waitNanos(now, LONGEST_WAIT.toNanos()));
+    Duration wait = Duration.ofNanos(tracker.waitNanos(now, longestWait.toNanos()));
     try {
       FeedAnswer answer = feed.changesAfter(tracker.position(), wait);
       if (tracker.onChanges(answer)) {
         listener.onRows(tracker);
+        pause.await(GATHER_MILLIS);
       }
     } catch (HistoryLostException e) {
       log.historyLost(name, tracker.position());
@@ -103,7 +137,7 @@
       listener.onRows(tracker);
     }
     if (stale) {
-      TimeUnit.MILLISECONDS.sleep(PAUSE_WHEN_STALE_MILLIS);
+      pause.await(PAUSE_WHEN_STALE_MILLIS);
     }
   }
 
@@ -127,7 +161,7 @@
       askOthers();
     }
     try {
-      TimeUnit.MILLISECONDS.sleep(pauseMillis);
+      pause.await(pauseMillis);
     } catch (InterruptedException e) {
       closed = true;
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -6,6 +6,7 @@
 /**
  * Bounds that the platform sets for a gateway process.
  *
+ * @param contact how soon after trouble a node has to be in touch with the store again
  * @param drain how long after an engine began to leave it may still be sent requests
  * @param grace from SIGTERM to SIGKILL
  * @param stopMargin how long before that the process has ended by itself
@@ -15,6 +16,7 @@
  * @param retryWindow window of both
  */
 public record GatewayBounds(
+    Duration contact,
     Duration drain,
     Duration grace,
     Duration stopMargin,
@@ -23,6 +25,14 @@
     double retrySlack,
     Duration retryWindow) {
 
+  private static final SettingDefinition<Duration> CONTACT =
+      SettingDefinition.duration(
+          "bounds.contact",
+          Duration.ofSeconds(3),
+          Duration.ofMillis(100),
+          Duration.ofSeconds(30),
+          "How soon after trouble a node has to be in touch with the store again.");
+
   private static final SettingDefinition<Duration> DRAIN =
       SettingDefinition.duration(
           "bounds.drain",
@@ -72,10 +82,12 @@
           "Window of the retry budget.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(DRAIN, GRACE, STOP_MARGIN, STOP_LINGER, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
+      List.of(
+          CONTACT, DRAIN, GRACE, STOP_MARGIN, STOP_LINGER, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
+        values.get(CONTACT),
         values.get(DRAIN),
         values.get(GRACE),
         values.get(STOP_MARGIN),
