--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/CachedParts.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -72,9 +73,10 @@
    * The engine said what it keeps, which replaces what was believed but for parts that it may have
    * read since; those that were not known count as the least recently used.
    *
+   * @param leastTokens smaller parts were left out
    * @param askedAtNanos when it was asked
    */
-  void replace(String engineId, List<PromptPart> listed, long askedAtNanos) {
+  void replace(String engineId, List<PromptPart> listed, int leastTokens, long askedAtNanos) {
     EngineParts before = engines.computeIfAbsent(engineId, id -> new EngineParts());
     EngineParts now = new EngineParts();
     Map<String, Integer> listedTokens = new HashMap<>();
@@ -89,13 +91,31 @@
           Integer tokens = listedTokens.get(id);
           if (tokens != null) {
             now.touch(new PromptPart(id, tokens), kept.readyAtNanos);
-          } else if (kept.readyAtNanos - askedAtNanos > -LIST_LAG_NANOS) {
+          } else if (kept.tokens < leastTokens
+              || kept.readyAtNanos - askedAtNanos > -LIST_LAG_NANOS) {
             now.touch(new PromptPart(id, kept.tokens), kept.readyAtNanos);
           }
         });
     engines.put(engineId, now);
   }
 
+  /** What is believed of each engine that is known to keep any. */
+  List<CacheListing> listings(long nowNanos) {
+    List<CacheListing> listings = new ArrayList<>();
+    engines.forEach(
+        (id, engine) -> {
+          List<PromptPart> ready = new ArrayList<>();
+          engine.parts.forEach(
+              (part, kept) -> {
+                if (kept.readyAtNanos - nowNanos <= 0) {
+                  ready.add(new PromptPart(part, kept.tokens));
+                }
+              });
+          listings.add(CacheListing.of(id, 0, ready));
+        });
+    return listings;
+  }
+
   /** The engine did not read these parts after all; those that it had read before stay. */
   void forgetUnread(String engineId, List<PromptPart> parts, long nowNanos) {
     EngineParts engine = engines.get(engineId);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -78,9 +78,13 @@
     routing = Optional.of(image);
   }
 
-  /** Takes what another node says of its load. */
-  public void onDigest(LoadDigest digest, long nowNanos) {
-    peerLoads.onDigest(digest, nowNanos);
+  /** What the other nodes have at the engines; whoever hears them tells it. */
+  public PeerLoads peerLoads() {
+    return peerLoads;
+  }
+
+  /** Takes what another node says of prompts that were placed, and of how fast they are read. */
+  public void onTold(LoadDigest digest, long nowNanos) {
     digest.prompts().forEach(prompt -> record(prompt, nowNanos));
     digest.speeds().forEach((service, learned) -> speed(service).onTold(learned));
   }
@@ -91,7 +95,20 @@
    * @param askedAtNanos when it was asked
    */
   public void onCacheListed(PlacedPrompt listed, long askedAtNanos) {
-    selector.cachedParts().replace(listed.engineId(), listed.parts(), askedAtNanos);
+    selector.cachedParts().replace(listed.engineId(), listed.parts(), 0, askedAtNanos);
+  }
+
+  /** Takes what an engine told another node that it keeps. */
+  public void onCacheTold(CacheListing listing, long nowNanos) {
+    long askedAt = nowNanos - TimeUnit.MILLISECONDS.toNanos(listing.ageMillis());
+    selector
+        .cachedParts()
+        .replace(listing.engineId(), listing.parts(), listing.leastTokens(), askedAt);
+  }
+
+  /** What is believed of what each engine keeps, for a node that knows nothing yet. */
+  public List<CacheListing> cacheListings(long nowNanos) {
+    return selector.cachedParts().listings(nowNanos);
   }
 
   private void record(PlacedPrompt prompt, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/LoadDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/LoadDigest.java
@@ -4,11 +4,13 @@
 import java.util.Map;
 
 /**
- * One node's load, told to the other nodes. Immutable.
+ * The load of a node, or of a group of nodes that it speaks for, told to other nodes. Immutable.
  *
- * @param node name of the node
+ * @param node name of the node that speaks
  * @param incarnation rises with each start of the node's process
  * @param sequence rises with each digest of a process
+ * @param nodes how many nodes it speaks for
+ * @param firstNode the first of their names
  * @param engines what it has where, by engine id; engines it has nothing at are left out
  * @param prompts prompts it placed since the digest before
  * @param speeds how fast engines read, by service, as far as it has learned it
@@ -17,6 +19,8 @@
     String node,
     long incarnation,
     long sequence,
+    int nodes,
+    String firstNode,
     Map<String, EngineDigest> engines,
     List<PlacedPrompt> prompts,
     Map<String, LearnedSpeed> speeds) {
@@ -28,6 +32,23 @@
     speeds = Map.copyOf(speeds);
   }
 
+  /** What a node says that speaks only for itself. */
+  public LoadDigest(
+      String node,
+      long incarnation,
+      long sequence,
+      Map<String, EngineDigest> engines,
+      List<PlacedPrompt> prompts,
+      Map<String, LearnedSpeed> speeds) {
+    this(node, incarnation, sequence, 1, node, engines, prompts, speeds);
+  }
+
+  /** The same speaker and news with the load of another group. */
+  LoadDigest withGroup(int newNodes, String newFirst, Map<String, EngineDigest> newEngines) {
+    return new LoadDigest(
+        node, incarnation, sequence, newNodes, newFirst, newEngines, prompts, speeds);
+  }
+
   /** Whether this was said after the other, by a later process or later in the same one. */
   public boolean isNewerThan(LoadDigest other) {
     return incarnation != other.incarnation
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -1,23 +1,35 @@
 package org.fallturn.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
 
 /**
  * What the other nodes last said they have at each engine. A node that has said nothing for a while
  * counts as having nothing, so that the loss of a node does not leave load behind. Sums by engine
  * are kept, and made anew at most every few ms, so that a decision costs no more when there are
- * many nodes. One thread calls.
+ * many nodes.
+ *
+ * <p>Invariant: while a view of the whole fleet is fresh, what relays say is left out of the sums,
+ * since the view holds it. One thread calls.
  */
 public final class PeerLoads {
 
-  /** At least this long, and long enough for every node to have had its turn. */
-  private static final long MIN_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /** How long a message is believed: five heartbeats of 300 ms. */
+  private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-  private static final int NODES_A_TURN = 4;
+  /** Views come every 100 ms. */
+  private static final long VIEW_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /**
+   * A node reports every 300 ms at least, every 100 ms while it has requests; one that is not heard
+   * for longer is told nothing either, so that it finds another relay.
+   */
+  private static final long MEMBER_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
   private static final long SUMS_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -31,14 +43,54 @@
   private long sumsAtNanos;
   private boolean sumsStale = true;
 
-  /** Takes a digest; one that is older than the last from the same process is dropped. */
-  public void onDigest(LoadDigest digest, long nowNanos) {
+  /** Whom a message speaks for. */
+  public enum Source {
+    /** A node that reports to this one, and those that report to it. */
+    MEMBER(MEMBER_LIFETIME_NANOS) {
+      @Override
+      boolean counts(boolean viewKnown) {
+        return true;
+      }
+    },
+    /** A relay and those that report to it. */
+    RELAY(LIFETIME_NANOS) {
+      @Override
+      boolean counts(boolean viewKnown) {
+        return !viewKnown;
+      }
+    },
+    /** All nodes but this one and those that report to it. */
+    VIEW(VIEW_LIFETIME_NANOS) {
+      @Override
+      boolean counts(boolean viewKnown) {
+        return true;
+      }
+    };
+
+    private final long lifetimeNanos;
+
+    Source(long lifetimeNanos) {
+      this.lifetimeNanos = lifetimeNanos;
+    }
+
+    /** Whether it is part of the sums. */
+    abstract boolean counts(boolean viewKnown);
+  }
+
+  /**
+   * Takes a digest; one that is older than the last from the same process is dropped.
+   *
+   * @param speaker where it came from
+   */
+  public void onDigest(LoadDigest digest, Source source, NetworkAddress speaker, long nowNanos) {
     Heard before = heardByNode.get(digest.node());
-    boolean outdated = before != null && before.digest.isNewerThan(digest);
-    if (outdated && nowNanos - before.atNanos < lifetimeNanos()) {
+    if (before != null && before.digest.isNewerThan(digest) && before.fresh(nowNanos)) {
       return;
     }
-    heardByNode.put(digest.node(), new Heard(digest, nowNanos));
+    if (source == Source.VIEW) {
+      heardByNode.values().removeIf(heard -> heard.source == Source.VIEW);
+    }
+    heardByNode.put(digest.node(), new Heard(digest, source, speaker, nowNanos));
     sumsStale = true;
   }
 
@@ -52,12 +104,10 @@
     return sum(engineId, nowNanos).changing > 0;
   }
 
-  /** Whether no other node that was heard lately has a name before this one's. */
+  /** Whether no other node that was heard of lately has a name before this one's. */
   boolean isFirst(String node, long nowNanos) {
-    long lifetime = lifetimeNanos();
-    return heardByNode.entrySet().stream()
-        .filter(heard -> nowNanos - heard.getValue().atNanos < lifetime)
-        .noneMatch(heard -> heard.getKey().compareTo(node) < 0);
+    return counted(nowNanos).stream()
+        .noneMatch(heard -> heard.digest.firstNode().compareTo(node) < 0);
   }
 
   /** When another node last had a sign of life from an engine, as far as it is known. */
@@ -81,37 +131,118 @@
     return sum(engineId, nowNanos).backlog;
   }
 
-  private long lifetimeNanos() {
-    long turns = heardByNode.size() / NODES_A_TURN;
-    return Math.max(MIN_LIFETIME_NANOS, turns * TURN_NANOS);
+  /** How many nodes there are, this one included. */
+  public int nodeCount(long nowNanos) {
+    return 1 + counted(nowNanos).stream().mapToInt(heard -> heard.digest.nodes()).sum();
+  }
+
+  /** Whether any node reports to this one. */
+  public boolean hasMembers(long nowNanos) {
+    return heardByNode.values().stream()
+        .anyMatch(heard -> heard.source == Source.MEMBER && heard.fresh(nowNanos));
+  }
+
+  /** Whether a view of the fleet came within a time. */
+  public boolean viewHeardWithin(long nanos, long nowNanos) {
+    return heardByNode.values().stream()
+        .anyMatch(heard -> heard.source == Source.VIEW && nowNanos - heard.atNanos < nanos);
+  }
+
+  /** Where messages of a kind came from lately. */
+  public List<NetworkAddress> speakers(Source source, long nowNanos) {
+    return heardByNode.values().stream()
+        .filter(heard -> heard.source == source && heard.fresh(nowNanos))
+        .map(heard -> heard.speaker)
+        .toList();
+  }
+
+  /** What this node and those that report to it have together. */
+  public LoadDigest group(LoadDigest own, long nowNanos) {
+    List<Heard> members =
+        heardByNode.values().stream()
+            .filter(heard -> heard.source == Source.MEMBER && heard.fresh(nowNanos))
+            .toList();
+    return together(own, members, nowNanos);
+  }
+
+  /** What all nodes have, as far as this one knows. */
+  public LoadDigest everything(LoadDigest own, long nowNanos) {
+    return together(own, counted(nowNanos), nowNanos);
+  }
+
+  private static LoadDigest together(LoadDigest own, List<Heard> others, long nowNanos) {
+    Map<String, Sum> all = new HashMap<>();
+    addTo(all, own, nowNanos);
+    int nodes = own.nodes();
+    String first = own.firstNode();
+    for (Heard other : others) {
+      addTo(all, other.digest, other.atNanos);
+      nodes += other.digest.nodes();
+      first = first.compareTo(other.digest.firstNode()) < 0 ? first : other.digest.firstNode();
+    }
+    return own.withGroup(nodes, first, digests(all, nowNanos));
+  }
+
+  /** What each node that reports to this one is told: what all have but those it speaks for. */
+  public Map<NetworkAddress, LoadDigest> views(LoadDigest own, long nowNanos) {
+    List<Heard> counted = counted(nowNanos);
+    Map<NetworkAddress, LoadDigest> views = new HashMap<>();
+    for (Heard member : counted) {
+      if (member.source == Source.MEMBER) {
+        List<Heard> others = counted.stream().filter(heard -> heard != member).toList();
+        views.put(member.speaker, together(own, others, nowNanos));
+      }
+    }
+    return views;
+  }
+
+  private static void addTo(Map<String, Sum> all, LoadDigest digest, long toldNanos) {
+    digest
+        .engines()
+        .forEach((id, engine) -> all.computeIfAbsent(id, key -> new Sum()).add(engine, toldNanos));
+  }
+
+  private static Map<String, EngineDigest> digests(Map<String, Sum> all, long nowNanos) {
+    Map<String, EngineDigest> digests = new HashMap<>();
+    all.forEach((id, sum) -> digests.put(id, sum.toDigest(nowNanos)));
+    return digests;
   }
 
   private Sum sum(String engineId, long nowNanos) {
     boolean old = nowNanos - sumsAtNanos >= SUMS_LIFETIME_NANOS;
-    if (sumsStale && old || nowNanos - sumsAtNanos >= MIN_LIFETIME_NANOS) {
+    if (sumsStale && old || nowNanos - sumsAtNanos >= VIEW_LIFETIME_NANOS) {
       addUp(nowNanos);
     }
     return sums.getOrDefault(engineId, NOTHING);
   }
 
   private void addUp(long nowNanos) {
-    long lifetime = lifetimeNanos();
-    heardByNode.values().removeIf(heard -> nowNanos - heard.atNanos >= lifetime);
+    heardByNode.values().removeIf(heard -> !heard.fresh(nowNanos));
     sums = new HashMap<>();
-    for (Heard heard : heardByNode.values()) {
-      heard.digest.engines().forEach((id, engine) -> sumOf(id).add(engine, heard.atNanos));
-    }
+    counted(nowNanos).forEach(heard -> addTo(sums, heard.digest, heard.atNanos));
     sumsAtNanos = nowNanos;
     sumsStale = false;
   }
 
-  private Sum sumOf(String engineId) {
-    return sums.computeIfAbsent(engineId, id -> new Sum());
+  private List<Heard> counted(long nowNanos) {
+    boolean viewKnown = viewHeardWithin(VIEW_LIFETIME_NANOS, nowNanos);
+    List<Heard> counted = new ArrayList<>();
+    for (Heard heard : heardByNode.values()) {
+      if (heard.fresh(nowNanos) && heard.source.counts(viewKnown)) {
+        counted.add(heard);
+      }
+    }
+    return counted;
   }
 
-  private record Heard(LoadDigest digest, long atNanos) {}
+  private record Heard(LoadDigest digest, Source source, NetworkAddress speaker, long atNanos) {
 
-  /** What all other nodes have at one engine. */
+    boolean fresh(long nowNanos) {
+      return nowNanos - atNanos < source.lifetimeNanos;
+    }
+  }
+
+  /** What several nodes have at one engine. */
   private static final class Sum {
 
     private int running;
@@ -137,5 +268,13 @@
       heardNanos = heard ? Math.max(heardNanos, nanos) : nanos;
       heard = true;
     }
+
+    EngineDigest toDigest(long nowNanos) {
+      int heardAgo =
+          heard
+              ? (int) Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - heardNanos))
+              : EngineDigest.NOT_HEARD;
+      return new EngineDigest(running, streams, backlog.toList(), suspecting, changing, heardAgo);
+    }
   }
 }
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -0,0 +1,441 @@
+package org.fallturn.core.peers;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.dispatch.PeerLoads;
+import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.membership.RendezvousHash;
+
+/**
+ * Says what this node tells whom, and takes what others tell. A node reports to one relay, which
+ * tells it what all others have; relays tell each other what they and those that report to them
+ * have. Where there are few nodes all are relays.
+ *
+ * <p>Invariants: what a node has is told on by the one relay that it reports to, so that no sum
+ * holds it twice for longer than {@link PeerLoads} believes a message; a report goes only to a node
+ * that ranks before its sender, so that no sum comes back to whom it is from; what a relay tells a
+ * node leaves out what that node reported. Only the dispatch thread calls.
+ */
+public final class FleetKnowledge {
+
+  /** A turn: how often what has changed is told. */
+  private static final long TURN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Three messages of a relay may be lost before it is left. */
+  private static final long RELAY_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+
+  /** A pause of this node's own says nothing about the silence of others. */
+  private static final long OWN_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** A node with nothing to tell tells so, as a fifth of how long it is believed. */
+  private static final long HEARTBEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** News goes at once from a node that speaks only for itself, else gathered for a while. */
+  private static final long NEWS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
+  private static final long GATHERED_NEWS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  private static final long TELL_RELAYS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Greetings heal a fleet that was cut into parts, and let a node be found that all forgot. */
+  private static final long GREET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  private static final long GREET_ALONE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** A node that asked for listings is sent them again at most this often. */
+  private static final long LISTINGS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Longer than a message of a node that has gone to another relay is believed. */
+  private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private static final long COUNT_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  private final PeerInfo self;
+  private final String node;
+  private final long incarnation;
+  private final List<NetworkAddress> seeds;
+  private final PeerLoads loads;
+  private final PeerDirectory directory;
+  private final News groupNews = new News();
+  private final News viewNews = new News();
+  private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
+  private final Set<NetworkAddress> listingRequests = new LinkedHashSet<>();
+  private final Set<NetworkAddress> welcome = new LinkedHashSet<>();
+  private volatile RelayRanking ranking;
+  private Optional<PeerInfo> relay = Optional.empty();
+  private long relaySinceNanos;
+  private boolean busyLastTurn;
+  private boolean begun;
+  private boolean wantsListings;
+  private long lastCallNanos;
+  private long lastTurnNanos;
+  private long lastSentNanos;
+  private long lastUpwardNanos;
+  private long lastRelaysNanos;
+  private long lastGreetingNanos;
+  private long sequence;
+  private int settled;
+  private int leastCount = Integer.MAX_VALUE;
+  private long countingSinceNanos;
+  private volatile int highestCount;
+  private long highestCountNanos;
+  private volatile List<NetworkAddress> askable = List.of();
+
+  /**
+   * Knowledge of a node that knows only its seeds.
+   *
+   * @param incarnation rises with each start of the node's process
+   * @param beganNanos now
+   * @param loads takes what other nodes have at the engines
+   */
+  public FleetKnowledge(
+      PeerInfo self,
+      String node,
+      long incarnation,
+      Collection<NetworkAddress> seeds,
+      PeerLoads loads,
+      long beganNanos) {
+    this.self = self;
+    this.node = node;
+    this.incarnation = incarnation;
+    this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).distinct().toList();
+    this.loads = loads;
+    this.directory = new PeerDirectory(self);
+    this.ranking = new RelayRanking(self, List.of(), 1);
+    this.countingSinceNanos = beganNanos;
+  }
+
+  /** Takes a message. The caller passes on what it says of prompts, speeds and listings. */
+  public void onMessage(PeerMessage message, long nowNanos) {
+    PeerInfo sender = message.sender();
+    if (message.kind() != MessageKind.GREETING) {
+      directory.onHeard(sender, nowNanos);
+    }
+    message.relays().forEach(told -> directory.onTold(told, nowNanos));
+    if (message.wantsListings()) {
+      onListingsWanted(sender.address(), nowNanos);
+    }
+    takeLoad(message, nowNanos);
+    takeNews(message, nowNanos);
+  }
+
+  private void takeLoad(PeerMessage message, long nowNanos) {
+    NetworkAddress speaker = message.sender().address();
+    if (message.kind() == MessageKind.GREETING) {
+      welcome.add(speaker);
+    } else if (message.kind() == MessageKind.WELCOME) {
+      onCountTold(message.load().nodes(), nowNanos);
+    }
+    boolean strangersView = message.kind() == MessageKind.VIEW && !isRelay(message.sender());
+    if (!strangersView) {
+      message
+          .kind()
+          .source()
+          .ifPresent(source -> loads.onDigest(message.load(), source, speaker, nowNanos));
+    }
+  }
+
+  private boolean isRelay(PeerInfo sender) {
+    return relay.isPresent() && relay.get().address().equals(sender.address());
+  }
+
+  /** What a node told a relay goes on to the other relays; what relays told, to members only. */
+  private void takeNews(PeerMessage message, long nowNanos) {
+    if (message.kind() == MessageKind.WELCOME) {
+      return;
+    }
+    if (message.kind() == MessageKind.REPORT) {
+      groupNews.addPrompts(message.load().prompts());
+      groupNews.addListings(message.listings(), nowNanos);
+    }
+    viewNews.addPrompts(message.load().prompts());
+    viewNews.addListings(message.listings(), nowNanos);
+  }
+
+  private void onListingsWanted(NetworkAddress asker, long nowNanos) {
+    toldListingsAt.values().removeIf(at -> nowNanos - at >= LISTINGS_PAUSE_NANOS);
+    if (!toldListingsAt.containsKey(asker)) {
+      listingRequests.add(asker);
+    }
+  }
+
+  /** Prompts that this node placed. */
+  public void addPrompts(Collection<PlacedPrompt> placed) {
+    groupNews.addPrompts(placed);
+    viewNews.addPrompts(placed);
+  }
+
+  /** What an engine told this node. */
+  public void addListing(CacheListing listing, long nowNanos) {
+    groupNews.addListings(List.of(listing), nowNanos);
+    viewNews.addListings(List.of(listing), nowNanos);
+  }
+
+  /** Whether this node asks others for all that they know of what engines keep. */
+  public void setWantsListings(boolean wanted) {
+    wantsListings = wanted;
+  }
+
+  /** Whether a node has asked for all listings; the answer is {@link #answerListings}. */
+  public boolean hasListingRequests() {
+    return !listingRequests.isEmpty();
+  }
+
+  /** The messages that answer the nodes that asked for all listings. */
+  public List<Outgoing> answerListings(Collection<CacheListing> all, long nowNanos) {
+    News news = new News();
+    news.addListings(all, nowNanos);
+    List<Outgoing> answers = new ArrayList<>();
+    while (!news.isEmpty()) {
+      PeerMessage message =
+          new PeerMessage(
+              MessageKind.WELCOME,
+              self,
+              digest(new OwnLoad(Map.of(), Map.of()), List.of()),
+              news.takeListings(nowNanos),
+              List.of(),
+              false);
+      listingRequests.forEach(asker -> answers.add(new Outgoing(asker, message)));
+    }
+    listingRequests.forEach(asker -> toldListingsAt.put(asker, nowNanos));
+    listingRequests.clear();
+    return answers;
+  }
+
+  /** Whether this node is the one that asks an engine what it keeps, as far as it knows. */
+  public boolean asks(String engineId, long nowNanos) {
+    if (!ranking.isRelay() || directory.heard(nowNanos).isEmpty() && !seeds.isEmpty()) {
+      return false;
+    }
+    long own = RendezvousHash.weight(engineId, self.address().toString());
+    return ranking.relays().stream()
+        .map(peer -> RendezvousHash.weight(engineId, peer.address().toString()))
+        .noneMatch(weight -> Long.compareUnsigned(weight, own) > 0);
+  }
+
+  /** Nodes of the last minute, this one included; empty while none of several was heard. */
+  public OptionalInt cautiousNodeCount(long nowNanos) {
+    onCountTold(settledCount(nowNanos), nowNanos);
+    if (highestCount <= 1) {
+      return seeds.isEmpty() ? OptionalInt.of(1) : OptionalInt.empty();
+    }
+    return OptionalInt.of(Math.max(highestCount, 1 + seeds.size()));
+  }
+
+  private void onCountTold(int count, long nowNanos) {
+    if (count >= highestCount || nowNanos - highestCountNanos >= COUNT_NANOS) {
+      highestCount = count;
+      highestCountNanos = nowNanos;
+    }
+  }
+
+  /**
+   * The least count of the last whole period, since a node that goes from one relay to another may
+   * count twice for a while; the present one before the first period is over.
+   */
+  private int settledCount(long nowNanos) {
+    int count = loads.nodeCount(nowNanos);
+    if (nowNanos - countingSinceNanos >= SETTLE_NANOS) {
+      settled = leastCount;
+      leastCount = count;
+      countingSinceNanos = nowNanos;
+    }
+    leastCount = Math.min(leastCount, count);
+    return settled == 0 ? count : settled;
+  }
+
+  /** Some nodes heard lately, else the seeds; any thread may call. */
+  public List<NetworkAddress> askable() {
+    List<NetworkAddress> heard = askable;
+    return heard.isEmpty() ? seeds : heard;
+  }
+
+  /** Whether this node relays, as far as it knows; any thread may call. */
+  public boolean isRelay() {
+    return ranking.isRelay();
+  }
+
+  /** The count of nodes that was given last, 1 before; any thread may call. */
+  public int nodeCount() {
+    return Math.max(1, highestCount);
+  }
+
+  /** What is to be told now; called about every 10 ms, and when there is news. */
+  public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
+    boolean turn = !begun || nowNanos - lastTurnNanos >= TURN_NANOS;
+    if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
+      relaySinceNanos = nowNanos;
+    }
+    lastCallNanos = nowNanos;
+    List<Outgoing> messages = new ArrayList<>();
+    if (turn) {
+      begun = true;
+      lastTurnNanos = nowNanos;
+      rank(nowNanos);
+      greet(messages, nowNanos);
+    }
+    if (turn || newsIsDue(nowNanos)) {
+      tell(own.get(), turn, messages, nowNanos);
+    }
+    return messages;
+  }
+
+  private boolean newsIsDue(long nowNanos) {
+    boolean alone = !loads.hasMembers(nowNanos);
+    if (groupNews.isEmpty() && (alone || viewNews.isEmpty())) {
+      return false;
+    }
+    return nowNanos - lastSentNanos >= (alone ? NEWS_PAUSE_NANOS : GATHERED_NEWS_PAUSE_NANOS);
+  }
+
+  private void rank(long nowNanos) {
+    leaveSilentRelay(nowNanos);
+    int nodes = loads.nodeCount(nowNanos);
+    ranking = new RelayRanking(self, directory.known(nowNanos), nodes);
+    Optional<PeerInfo> chosen = ranking.relayOfThisNode();
+    boolean stays = relay.isPresent() && ranking.relays().contains(relay.get());
+    if (chosen.isEmpty() || !stays) {
+      if (!chosen.equals(relay)) {
+        relaySinceNanos = nowNanos;
+      }
+      relay = chosen;
+    }
+    askable = directory.heard(nowNanos);
+  }
+
+  private void leaveSilentRelay(long nowNanos) {
+    if (relay.isEmpty() || nowNanos - relaySinceNanos < RELAY_SILENCE_NANOS) {
+      return;
+    }
+    if (!loads.viewHeardWithin(RELAY_SILENCE_NANOS, nowNanos)) {
+      directory.avoid(relay.get().address(), nowNanos);
+      relay = Optional.empty();
+    }
+  }
+
+  private void greet(List<Outgoing> messages, long nowNanos) {
+    boolean alone = directory.heard(nowNanos).isEmpty();
+    long pause = alone ? GREET_ALONE_NANOS : GREET_NANOS;
+    if (lastGreetingNanos == 0 || nowNanos - lastGreetingNanos >= pause) {
+      lastGreetingNanos = nowNanos;
+      if (alone) {
+        seeds.forEach(seed -> messages.add(greeting(MessageKind.GREETING, seed)));
+      }
+      directory
+          .nextToGreet(seeds, nowNanos)
+          .ifPresent(peer -> messages.add(greeting(MessageKind.GREETING, peer)));
+    }
+    welcome.forEach(peer -> messages.add(greeting(MessageKind.WELCOME, peer)));
+    welcome.clear();
+  }
+
+  /** Says who the relays are, but nothing of load, since its target may not rank before this. */
+  private Outgoing greeting(MessageKind kind, NetworkAddress peer) {
+    LoadDigest countOnly =
+        new LoadDigest(
+            node, incarnation, ++sequence, highestCount, node, Map.of(), List.of(), Map.of());
+    return new Outgoing(
+        peer, new PeerMessage(kind, self, countOnly, List.of(), ranking.relays(), false));
+  }
+
+  private void tell(OwnLoad own, boolean turn, List<Outgoing> messages, long nowNanos) {
+    boolean tellRelays = nowNanos - lastRelaysNanos >= TELL_RELAYS_NANOS;
+    List<PeerInfo> relays = tellRelays ? relaysHeard(nowNanos) : List.of();
+    if (tellRelays) {
+      lastRelaysNanos = nowNanos;
+    }
+    boolean busy = !own.engines().isEmpty() || loads.hasMembers(nowNanos);
+    boolean upward =
+        !groupNews.isEmpty()
+            || turn && (busy || busyLastTurn)
+            || nowNanos - lastUpwardNanos >= HEARTBEAT_NANOS;
+    if (turn) {
+      busyLastTurn = busy;
+    }
+    if (upward) {
+      tellUpward(own, relays, messages, nowNanos);
+    }
+    tellMembers(own, turn, relays, messages, nowNanos);
+  }
+
+  private List<PeerInfo> relaysHeard(long nowNanos) {
+    return ranking.relays().stream()
+        .filter(peer -> peer.equals(self) || directory.heardLately(peer.address(), nowNanos))
+        .toList();
+  }
+
+  /** To the relay of this node, or as a relay to the others. */
+  private void tellUpward(
+      OwnLoad own, List<PeerInfo> relays, List<Outgoing> messages, long nowNanos) {
+    lastUpwardNanos = nowNanos;
+    lastSentNanos = nowNanos;
+    LoadDigest group = loads.group(digest(own, groupNews.takePrompts()), nowNanos);
+    List<CacheListing> listings = groupNews.takeListings(nowNanos);
+    if (relay.isPresent()) {
+      PeerMessage report =
+          new PeerMessage(MessageKind.REPORT, self, group, listings, List.of(), wantsListings);
+      messages.add(new Outgoing(relay.get().address(), report));
+      return;
+    }
+    boolean asked = !wantsListings;
+    if (directory.heard(nowNanos).isEmpty()) {
+      // Whoever hears nobody cannot be heard to relay: the others would report to it in vain.
+      return;
+    }
+    for (NetworkAddress target : relayTargets(nowNanos)) {
+      boolean asks = !asked && directory.heardLately(target, nowNanos);
+      asked |= asks;
+      messages.add(
+          new Outgoing(
+              target, new PeerMessage(MessageKind.GROUP, self, group, listings, relays, asks)));
+    }
+  }
+
+  /** The relays that are known, and whoever takes itself for one and tells this node so. */
+  private Set<NetworkAddress> relayTargets(long nowNanos) {
+    Set<NetworkAddress> targets = new LinkedHashSet<>();
+    ranking.relays().stream()
+        .filter(peer -> !peer.equals(self))
+        .forEach(peer -> targets.add(peer.address()));
+    targets.addAll(loads.speakers(PeerLoads.Source.RELAY, nowNanos));
+    return targets;
+  }
+
+  private void tellMembers(
+      OwnLoad own, boolean turn, List<PeerInfo> relays, List<Outgoing> messages, long nowNanos) {
+    if (!loads.hasMembers(nowNanos)) {
+      viewNews.clear();
+      return;
+    }
+    if (!turn && viewNews.isEmpty()) {
+      return;
+    }
+    lastSentNanos = nowNanos;
+    LoadDigest told = digest(own, viewNews.takePrompts());
+    List<CacheListing> listings = viewNews.takeListings(nowNanos);
+    loads
+        .views(told, nowNanos)
+        .forEach(
+            (member, view) ->
+                messages.add(
+                    new Outgoing(
+                        member,
+                        new PeerMessage(MessageKind.VIEW, self, view, listings, relays, false))));
+  }
+
+  private LoadDigest digest(OwnLoad own, List<PlacedPrompt> prompts) {
+    return new LoadDigest(node, incarnation, ++sequence, own.engines(), prompts, own.speeds());
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/Outgoing.java
@@ -0,0 +1,11 @@
+package org.fallturn.core.peers;
+
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * A message and where it goes.
+ *
+ * @param target address of the node that should hear it
+ * @param message the message
+ */
+public record Outgoing(NetworkAddress target, PeerMessage message) {}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -0,0 +1,30 @@
+package org.fallturn.core.peers;
+
+import java.util.List;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.LoadDigest;
+
+/**
+ * One message between nodes. Immutable.
+ *
+ * @param kind what it is for
+ * @param sender who sends it
+ * @param load what those that it speaks for have, and prompts that were placed
+ * @param listings what engines said that they keep
+ * @param relays relays that the sender has heard itself; empty in most messages
+ * @param wantsListings whether the sender asks for all that is known of what engines keep
+ */
+public record PeerMessage(
+    MessageKind kind,
+    PeerInfo sender,
+    LoadDigest load,
+    List<CacheListing> listings,
+    List<PeerInfo> relays,
+    boolean wantsListings) {
+
+  /** Private copies. */
+  public PeerMessage {
+    listings = List.copyOf(listings);
+    relays = List.copyOf(relays);
+  }
+}
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -0,0 +1,90 @@
+package org.fallturn.core.peers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.fallturn.core.membership.RendezvousHash;
+
+/**
+ * Which nodes relay: the strongest of each zone, and none that is weak beside the strongest of all.
+ * Whoever knows the same nodes ranks them alike; who knows others may take itself for a relay,
+ * which costs messages and nothing else. Immutable.
+ */
+final class RelayRanking {
+
+  /**
+   * Relays of a fleet at least, so that a fleet of up to so many nodes needs none in between:
+   * twelve targets a turn is what a node was measured to afford (docs/experiments/platform.md).
+   */
+  private static final int LEAST_RELAYS = 12;
+
+  /** A relay can carry at least this part of what the strongest node can. */
+  private static final double LEAST_CAPACITY_PART = 0.5;
+
+  private static final Comparator<PeerInfo> STRONGEST_FIRST =
+      (left, right) -> left.equals(right) ? 0 : left.ranksBefore(right) ? -1 : 1;
+
+  private final PeerInfo self;
+  private final List<PeerInfo> relays;
+
+  /**
+   * Ranks the nodes that are known.
+   *
+   * @param known the other nodes
+   * @param nodeCount how many nodes there are, known or not
+   */
+  RelayRanking(PeerInfo self, List<PeerInfo> known, int nodeCount) {
+    this.self = self;
+    List<PeerInfo> all = new ArrayList<>(known);
+    all.add(self);
+    all.sort(STRONGEST_FIRST);
+    double least = LEAST_CAPACITY_PART * all.get(0).capacity();
+    List<PeerInfo> strong = all.stream().filter(peer -> peer.capacity() >= least).toList();
+    int quota = relaysAZone(strong, nodeCount);
+    List<PeerInfo> chosen = new ArrayList<>();
+    for (PeerInfo peer : strong) {
+      long before = chosen.stream().filter(relay -> relay.zone().equals(peer.zone())).count();
+      if (before < quota) {
+        chosen.add(peer);
+      }
+    }
+    relays = List.copyOf(chosen);
+  }
+
+  /** Relays tell each other and those that report to them: the sum is least at the square root. */
+  private static int relaysAZone(List<PeerInfo> strong, int nodeCount) {
+    double wanted = Math.max(LEAST_RELAYS, Math.sqrt(nodeCount));
+    long zones = strong.stream().map(PeerInfo::zone).distinct().count();
+    return (int) Math.ceil(wanted / zones);
+  }
+
+  /** The relays, this node perhaps among them. */
+  List<PeerInfo> relays() {
+    return relays;
+  }
+
+  /** Whether this node is one. */
+  boolean isRelay() {
+    return relays.contains(self);
+  }
+
+  /**
+   * The relay that this node reports to; empty when it is one itself. Only to one that ranks before
+   * it, so that reports never go round in a circle.
+   */
+  Optional<PeerInfo> relayOfThisNode() {
+    if (isRelay()) {
+      return Optional.empty();
+    }
+    Comparator<PeerInfo> nearFirst =
+        Comparator.comparing((PeerInfo relay) -> !relay.zone().equals(self.zone()));
+    return relays.stream()
+        .filter(relay -> relay.ranksBefore(self))
+        .min(nearFirst.thenComparing(this::weight, Comparator.reverseOrder()));
+  }
+
+  private long weight(PeerInfo relay) {
+    return RendezvousHash.weight(self.address().toString(), relay.address().toString());
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CachedPartsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CachedPartsTest.java
@@ -48,7 +48,7 @@
     parts.record("e", CAPACITY, List.of(part("gone", 10)), 0);
     parts.record("e", CAPACITY, List.of(part("kept", 20)), 0);
     parts.record("e", CAPACITY, List.of(part("being read", 30)), asked);
-    parts.replace("e", List.of(part("kept", 20), part("unknown", 40)), asked);
+    parts.replace("e", List.of(part("kept", 20), part("unknown", 40)), 0, asked);
     assertThat(parts.cachedTokens("e", List.of(part("gone", 10)))).isZero();
     assertThat(parts.cachedTokens("e", List.of(part("kept", 20)))).isEqualTo(20);
     assertThat(parts.cachedTokens("e", List.of(part("being read", 30)))).isEqualTo(30);
@@ -58,7 +58,7 @@
   @Test
   void partThatOnlyTheListToldGivesWayFirst() {
     parts.record("e", CAPACITY, List.of(part("used", 400)), 0);
-    parts.replace("e", List.of(part("used", 400), part("listed", 400)), 1);
+    parts.replace("e", List.of(part("used", 400), part("listed", 400)), 0, 1);
     parts.record("e", CAPACITY, List.of(part("new", 400)), 2);
     assertThat(parts.cachedTokens("e", List.of(part("listed", 400)))).isZero();
     assertThat(parts.cachedTokens("e", List.of(part("used", 400)))).isEqualTo(400);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -215,7 +215,8 @@
     RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
     PromptPart shared = progress.envelope().prompt().orElseThrow().parts().get(0);
     PlacedPrompt placed = new PlacedPrompt("p-1", 100, List.of(shared));
-    dispatcher.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(placed), Map.of()), START);
+    Requests.hear(
+        dispatcher, new LoadDigest("n", 1, 1, Map.of(), List.of(placed), Map.of()), START);
     Decision.Prefill decision = (Decision.Prefill) dispatcher.start(progress, after(200));
     assertThat(decision.expectation().readTokens()).isEqualTo(4_000);
   }
@@ -267,14 +268,14 @@
     Dispatcher dispatcher = Requests.dispatcher(appOne, appTwo);
     Map<String, EngineDigest> suspects =
         Map.of("a-1", new EngineDigest(0, 0, List.of(), 1, 0, EngineDigest.NOT_HEARD));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), START);
+    Requests.hear(dispatcher, new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), START);
     Set<String> used = new HashSet<>();
     for (int request = 0; request < 20; request++) {
       RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
       used.add(runEngine(dispatcher.start(progress, after(1))).id());
     }
     assertThat(used).contains("a-1");
-    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), START);
+    Requests.hear(dispatcher, new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), START);
     for (int request = 0; request < 20; request++) {
       RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 1);
       assertThat(runEngine(dispatcher.start(progress, after(40))).id()).isEqualTo("a-2");
@@ -362,8 +363,10 @@
     dispatcher.onPrefilled(first, "h", after(100));
     Map<String, EngineDigest> suspects =
         Map.of("p-1", new EngineDigest(1, 0, List.of(), 1, 0, EngineDigest.NOT_HEARD));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), after(110));
-    dispatcher.onDigest(new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), after(110));
+    Requests.hear(
+        dispatcher, new LoadDigest("n-1", 1, 1, suspects, List.of(), Map.of()), after(110));
+    Requests.hear(
+        dispatcher, new LoadDigest("n-2", 1, 1, suspects, List.of(), Map.of()), after(110));
     assertThat(dispatcher.isStuck(second, PATIENCE, after(200))).isTrue();
   }
 
@@ -400,7 +403,7 @@
             "p-1",
             new EngineDigest(
                 9, 0, List.of(0L, 0L, 0L, 0L, 5_000L, 90_000L), 0, 0, EngineDigest.NOT_HEARD));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
+    Requests.hear(dispatcher, new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     Decision.Prefill next =
         (Decision.Prefill) dispatcher.start(Requests.prompt(false, 0, 8_000), after(30));
     assertThat(next.expectation().aheadTokens()).isEqualTo(5_000);
@@ -417,7 +420,8 @@
       learned.onFinished(progress);
     }
     Dispatcher started = Requests.dispatcher(prefill, decode);
-    started.onDigest(new LoadDigest("n", 1, 1, Map.of(), List.of(), learned.ownSpeeds()), START);
+    Requests.hear(
+        started, new LoadDigest("n", 1, 1, Map.of(), List.of(), learned.ownSpeeds()), START);
     Decision.Prefill told =
         (Decision.Prefill) started.start(Requests.prompt(false, 0, 30_000), START);
     Decision.Prefill guessed =
@@ -437,7 +441,7 @@
         Map.of(
             engine.id(),
             new EngineDigest(streams, streams, List.of(), 0, 0, EngineDigest.NOT_HEARD));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
+    Requests.hear(dispatcher, new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     int read = 0;
     for (int request = 0; request < 20; request++) {
       Decision decision = dispatcher.start(Requests.prompt(true, 0, 3_000), after(30));
@@ -456,12 +460,12 @@
             "p-1",
             new EngineDigest(
                 40, 0, List.of(0L, 0L, 0L, 0L, 900_000L), 0, 0, EngineDigest.NOT_HEARD));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
+    Requests.hear(dispatcher, new LoadDigest("n-1", 1, 1, loads, List.of(), Map.of()), START);
     assertThat(dispatcher.start(Requests.prompt(false, 0, 4_000), START))
         .as("the speed is a guess")
         .isInstanceOf(Decision.Prefill.class);
     Map<String, LearnedSpeed> speeds = Map.of(Requests.MODEL, new LearnedSpeed(0.004));
-    dispatcher.onDigest(new LoadDigest("n-1", 1, 2, loads, List.of(), speeds), START);
+    Requests.hear(dispatcher, new LoadDigest("n-1", 1, 2, loads, List.of(), speeds), START);
     RequestProgress first = Requests.prompt(false, 0, 4_000);
     Decision.Refuse refusal = (Decision.Refuse) dispatcher.start(first, after(30));
     assertThat(refusal.kind().outcome()).isEqualTo(Outcome.NOT_RUN);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineSilenceTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineSilenceTest.java
@@ -44,7 +44,7 @@
     Map<String, EngineDigest> engines =
         Map.of("p-1", new EngineDigest(1, 0, List.of(), 0, 0, agoMillis));
     LoadDigest digest = new LoadDigest("n-1", 1, sequence, engines, List.of(), Map.of());
-    dispatcher.onDigest(digest, after(millis));
+    Requests.hear(dispatcher, digest, after(millis));
   }
 
   @Test
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -62,6 +62,14 @@
     return dispatcher;
   }
 
+  /** Another node tells of its load. */
+  static void hear(Dispatcher dispatcher, LoadDigest digest, long nowNanos) {
+    NetworkAddress speaker =
+        new NetworkAddress("10.0.0.2", 1 + Math.floorMod(digest.node().hashCode(), 60_000));
+    dispatcher.peerLoads().onDigest(digest, PeerLoads.Source.RELAY, speaker, nowNanos);
+    dispatcher.onTold(digest, nowNanos);
+  }
+
   static ServingEngine engine(String id, String service, EngineStage stage) {
     return new ServingEngine(
         id, service, new NetworkAddress("10.0.0.1", 1 + number++), "zone-1", 8, false, stage);
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/FleetKnowledgeTest.java
@@ -0,0 +1,250 @@
+package org.fallturn.core.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.peers.SimulatedFleet.Node;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What nodes know of each other, in fleets of 1 to 338 nodes whose nodes are killed and cut off.
+ */
+class FleetKnowledgeTest {
+
+  private static final int STRONG = 8_000;
+  private static final int WEAK = 800;
+
+  /** Within which every node knows what all others have. */
+  private static final int SETTLED_MILLIS = 3_000;
+
+  private static SimulatedFleet fleet(long seed, int nodes, int zones) {
+    SimulatedFleet fleet = new SimulatedFleet(seed);
+    for (int number = 0; number < nodes; number++) {
+      boolean strong = number % 5 == 0;
+      fleet.add(number, "zone-" + number % zones, strong ? STRONG : WEAK);
+    }
+    return fleet;
+  }
+
+  private static void assertAllKnowAll(SimulatedFleet fleet, int others) {
+    for (Node node : fleet.nodes()) {
+      assertThat(fleet.believed(node)).as(node.info.toString()).isEqualTo(others);
+      assertThat(node.loads.nodeCount(fleet.nowNanos())).isEqualTo(others + 1);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 8, 13, 30, 66, 95, 338})
+  void everyNodeKnowsWhatAllOthersHaveAndNothingTwice(int nodes) {
+    SimulatedFleet fleet = fleet(nodes, nodes, 6);
+    fleet.run(SETTLED_MILLIS);
+    assertAllKnowAll(fleet, nodes - 1);
+    fleet.run(1_000);
+    assertAllKnowAll(fleet, nodes - 1);
+  }
+
+  @Test
+  void messagesANodeHardlyDependOnTheNumberOfNodes() {
+    double few = mostMessagesASecond(8);
+    double many = mostMessagesASecond(95);
+    assertThat(few).isBetween(60.0, 80.0);
+    assertThat(many).isLessThanOrEqualTo(4 * few);
+    assertThat(meanMessagesASecond(95)).isLessThanOrEqualTo(few);
+  }
+
+  private static double mostMessagesASecond(int nodes) {
+    SimulatedFleet fleet = measured(nodes);
+    return fleet.nodes().stream()
+            .mapToInt(node -> Math.max(node.sent, node.received))
+            .max()
+            .getAsInt()
+        / 2.0;
+  }
+
+  private static double meanMessagesASecond(int nodes) {
+    SimulatedFleet fleet = measured(nodes);
+    return fleet.nodes().stream().mapToInt(node -> node.sent).average().getAsDouble() / 2.0;
+  }
+
+  private static SimulatedFleet measured(int nodes) {
+    SimulatedFleet fleet = new SimulatedFleet(3);
+    for (int number = 0; number < nodes; number++) {
+      fleet.add(number, "zone-" + number % 6, STRONG);
+    }
+    fleet.run(SETTLED_MILLIS);
+    fleet.nodes().forEach(node -> node.sent = node.received = 0);
+    fleet.run(2_000);
+    return fleet;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {8, 95})
+  void placedPromptIsKnownWithinAHundredMillisInTheMedian(int nodes) {
+    SimulatedFleet fleet = fleet(4, nodes, 6);
+    fleet.run(SETTLED_MILLIS);
+    Random random = new Random(5);
+    List<Node> all = new ArrayList<>(fleet.nodes());
+    List<Long> delays = new ArrayList<>();
+    for (int prompt = 0; prompt < 20; prompt++) {
+      String part = "part-" + prompt;
+      fleet.place(all.get(random.nextInt(all.size())), part);
+      long placed = fleet.millis();
+      fleet.run(300 + 5 * random.nextInt(20));
+      for (Node node : all) {
+        assertThat(node.heardOfPrompt).as("told to all").containsKey(part);
+        delays.add(node.heardOfPrompt.get(part) - placed);
+      }
+    }
+    delays.sort(null);
+    assertThat(delays.get(delays.size() / 2)).isLessThanOrEqualTo(100);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void nodesThatAreKilledAreLeftAndForgotten(long seed) {
+    SimulatedFleet fleet = fleet(seed, 40, 3);
+    fleet.run(SETTLED_MILLIS);
+    List<Node> relays = fleet.nodes().stream().filter(node -> node.knowledge.isRelay()).toList();
+    Node victim = relays.get((int) (seed % relays.size()));
+    fleet.kill(victim);
+    int withoutView = 0;
+    for (int passed = 0; passed < 2_000; passed += 50) {
+      fleet.run(50);
+      for (Node node : fleet.nodes()) {
+        if (node != victim && fleet.believed(node) < 20) {
+          withoutView += 50;
+        }
+      }
+    }
+    assertThat(withoutView / fleet.nodes().size()).as("ms blind, a node").isLessThan(500);
+    fleet.run(SETTLED_MILLIS);
+    for (Node node : fleet.nodes()) {
+      if (node != victim) {
+        assertThat(fleet.believed(node)).isEqualTo(38);
+      }
+    }
+  }
+
+  @Test
+  void allThatAreKilledAtOnceKnowEachOtherAgainWithinASecond() {
+    SimulatedFleet fleet = fleet(6, 95, 6);
+    fleet.run(SETTLED_MILLIS);
+    List.copyOf(fleet.nodes()).forEach(fleet::restart);
+    fleet.run(1_000);
+    for (Node node : fleet.nodes()) {
+      assertThat(fleet.believed(node)).isEqualTo(94);
+    }
+  }
+
+  @Test
+  void relayThatHearsNothingIsLeft() {
+    SimulatedFleet fleet = fleet(7, 60, 3);
+    fleet.run(SETTLED_MILLIS);
+    Node relay =
+        fleet.nodes().stream().filter(node -> node.knowledge.isRelay()).findFirst().orElseThrow();
+    fleet.deafen(relay);
+    fleet.run(SETTLED_MILLIS);
+    for (Node node : fleet.nodes()) {
+      if (node != relay) {
+        assertThat(fleet.believed(node)).isBetween(58, 59);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void lostMessagesCostNoKnowledgeForLong(long seed) {
+    SimulatedFleet fleet = fleet(seed, 95, 6);
+    fleet.setLoss(0.05);
+    fleet.run(SETTLED_MILLIS);
+    int wrong = 0;
+    for (int passed = 0; passed < 5_000; passed += 100) {
+      fleet.run(100);
+      for (Node node : fleet.nodes()) {
+        int believed = fleet.believed(node);
+        wrong += believed < 85 || believed > 104 ? 1 : 0;
+      }
+    }
+    assertThat(wrong / (50.0 * 95)).as("part of the time far from the truth").isLessThan(0.02);
+  }
+
+  @Test
+  void weakNodesDoNotRelayWhileStrongOnesDo() {
+    SimulatedFleet fleet = fleet(8, 95, 6);
+    fleet.run(SETTLED_MILLIS);
+    for (Node node : fleet.nodes()) {
+      if (node.info.capacity() == WEAK) {
+        assertThat(node.knowledge.isRelay()).isFalse();
+      }
+    }
+    List<Node> strong =
+        fleet.nodes().stream().filter(node -> node.info.capacity() == STRONG).toList();
+    strong.forEach(fleet::kill);
+    fleet.run(2 * SETTLED_MILLIS);
+    for (Node node : fleet.nodes()) {
+      if (!strong.contains(node)) {
+        assertThat(fleet.believed(node)).isEqualTo(95 - strong.size() - 1);
+      }
+    }
+  }
+
+  @Test
+  void countOfNodesIsEmptyBeforeAnyIsHeardAndDoesNotGrowWhenRelaysChange() {
+    SimulatedFleet fleet = fleet(9, 40, 3);
+    Node first = fleet.nodes().iterator().next();
+    assertThat(first.knowledge.cautiousNodeCount(fleet.nowNanos())).isEmpty();
+    countWhileRunning(fleet, SETTLED_MILLIS);
+    Node relay =
+        fleet.nodes().stream().filter(node -> node.knowledge.isRelay()).findFirst().orElseThrow();
+    fleet.kill(relay);
+    countWhileRunning(fleet, 3 * SETTLED_MILLIS);
+    for (Node node : fleet.nodes()) {
+      if (node != relay) {
+        assertThat(node.knowledge.cautiousNodeCount(fleet.nowNanos()).orElseThrow())
+            .isBetween(40, 44);
+      }
+    }
+  }
+
+  private static void countWhileRunning(SimulatedFleet fleet, int forMillis) {
+    for (int passed = 0; passed < forMillis; passed += 100) {
+      fleet.run(100);
+      fleet.nodes().forEach(node -> node.knowledge.cautiousNodeCount(fleet.nowNanos()));
+    }
+  }
+
+  @Test
+  void listingOfOneEngineIsToldToAllAndOneNodeAsks() {
+    SimulatedFleet fleet = fleet(10, 95, 6);
+    fleet.run(SETTLED_MILLIS);
+    List<Node> asking =
+        fleet.nodes().stream()
+            .filter(node -> node.knowledge.asks(SimulatedFleet.ENGINE, fleet.nowNanos()))
+            .toList();
+    assertThat(asking).hasSize(1);
+    CacheListing listing =
+        CacheListing.of(SimulatedFleet.ENGINE, 0, List.of(new PromptPart("aa", 9_000)));
+    asking.get(0).knowledge.addListing(listing, fleet.nowNanos());
+    fleet.run(500);
+    for (Node node : fleet.nodes()) {
+      assertThat(node.listed.contains(SimulatedFleet.ENGINE) || node == asking.get(0)).isTrue();
+    }
+  }
+
+  @Test
+  void nodeThatKnowsNothingAsksOneOtherForAllListings() {
+    SimulatedFleet fleet = fleet(11, 30, 3);
+    fleet.run(SETTLED_MILLIS);
+    Node started = fleet.restart(fleet.nodes().iterator().next());
+    started.knowledge.setWantsListings(true);
+    fleet.run(400);
+    long asked = fleet.nodes().stream().filter(node -> node.knowledge.hasListingRequests()).count();
+    assertThat(asked).isBetween(1L, 2L);
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
@@ -1,13 +1,15 @@
 package org.fallturn.node.gateway;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.routing.EngineDirectory;
@@ -15,32 +17,36 @@
 import org.fallturn.core.routing.ServingEngine;
 
 /**
- * Asks each model engine which prompt parts it keeps: as soon as it appears in the list, and again
- * every few seconds. After a start this node would otherwise have every shared part read again
- * although the engines still keep them, and later its belief would drift away from the truth. An
- * answer holds up the engine's work for a moment, so that few are asked at once. Only the dispatch
- * thread calls; answers come back to it as events.
+ * Asks model engines which prompt parts they keep, since what is believed drifts away from the
+ * truth. One node asks an engine every few seconds and tells the others. A node that has just
+ * started asks the others for all that they know; what none of them tells it asks itself. An answer
+ * holds up the engine's work for a moment, so that few are asked at once. Only the dispatch thread
+ * calls; answers come back to it as events.
  */
 final class CacheSurvey {
 
   private static final int MAX_ASKED_AT_ONCE = 6;
 
-  private static final long MIN_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final long PAUSE_A_NODE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  /** How often an engine is asked by the fleet. */
+  private static final long PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  /** After which a node asks although another should have: three rounds were missed. */
+  private static final long LONGEST_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(15);
+
+  /** How long a node that has just started waits for what the others know. */
+  private static final long WAIT_FOR_PEERS_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
   /** A prompt that waits longer for what engines keep gains less than it loses. */
   private static final long LONGEST_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private final CacheLister lister;
   private final Consumer<DispatchEvent> events;
-  private final Deque<ServingEngine> waiting = new ArrayDeque<>();
-  private final Set<String> heard = new HashSet<>();
-  private Set<String> listed = new HashSet<>();
+  private final Predicate<String> asks;
+  private final boolean firstStart;
+  private final Map<String, Surveyed> engines = new HashMap<>();
   private int asked;
   private boolean begun;
   private long begunNanos;
-  private long lastRoundNanos;
-  private EngineDirectory directory = EngineDirectory.empty();
   private volatile int answered;
 
   /** Way to an engine's list. */
@@ -54,89 +60,139 @@
     void listCache(ServingEngine engine, Consumer<Optional<List<PromptPart>>> answer);
   }
 
+  /** One engine. */
+  private static final class Surveyed {
+    private ServingEngine engine;
+    private boolean known;
+    private long lastNanos;
+    private boolean asking;
+
+    Surveyed(ServingEngine engine, boolean known, long nowNanos) {
+      this.engine = engine;
+      this.known = known;
+      this.lastNanos = nowNanos;
+    }
+  }
+
   /**
    * A survey that has asked nobody.
    *
    * @param events told of each answer, with {@link DispatchEvent.CacheListed}
+   * @param asks whether this node is the one that asks an engine, by id
+   * @param firstStart whether the whole system starts for the first time, so that engines keep
+   *     nothing yet
    */
-  CacheSurvey(CacheLister lister, Consumer<DispatchEvent> events) {
+  CacheSurvey(
+      CacheLister lister,
+      Consumer<DispatchEvent> events,
+      Predicate<String> asks,
+      boolean firstStart) {
     this.lister = lister;
     this.events = events;
+    this.asks = asks;
+    this.firstStart = firstStart;
   }
 
   /**
-   * Whether prompts that share much with others had better wait: just after the start, while
-   * engines are still being asked.
+   * Whether prompts that share much with others had better wait: just after the start, while what
+   * engines keep is not known.
    */
   boolean wantsPatience(long nowNanos) {
-    boolean asking = asked > 0 || !waiting.isEmpty();
-    return asking && nowNanos - begunNanos < LONGEST_PATIENCE_NANOS;
+    return nowNanos - begunNanos < LONGEST_PATIENCE_NANOS && someUnknown();
+  }
+
+  /** Whether the other nodes should be asked for what they know. */
+  boolean wantsListings(long nowNanos) {
+    return begun && nowNanos - begunNanos < WAIT_FOR_PEERS_NANOS && someUnknown();
+  }
+
+  private boolean someUnknown() {
+    return engines.values().stream().anyMatch(surveyed -> !surveyed.known);
   }
 
-  /** Takes a newer list of engines. */
+  /** Takes a newer list of engines. Engines that come later have just begun and keep nothing. */
   void onDirectory(EngineDirectory newDirectory, long nowNanos) {
+    boolean areNew = begun || firstStart;
     if (!begun) {
       begun = true;
       begunNanos = nowNanos;
-      lastRoundNanos = nowNanos;
     }
     Set<String> present = new HashSet<>();
     for (ServingEngine engine : newDirectory.all()) {
-      present.add(engine.id());
-      if (!listed.contains(engine.id())) {
-        add(engine);
+      if (engine.stage() != EngineStage.NONE) {
+        present.add(engine.id());
+        engines.computeIfAbsent(engine.id(), id -> new Surveyed(engine, areNew, nowNanos)).engine =
+            engine;
       }
     }
-    listed = present;
-    directory = newDirectory;
-    heard.retainAll(present);
-    askNext();
+    engines.keySet().retainAll(present);
+    answered = (int) engines.values().stream().filter(surveyed -> surveyed.known).count();
+  }
+
+  /** Another node told what an engine keeps. */
+  void onTold(String engineId, long nowNanos) {
+    Surveyed surveyed = engines.get(engineId);
+    if (surveyed != null) {
+      onKnown(surveyed, nowNanos);
+    }
   }
 
-  /** Engines that read prompts ahead keep most shared parts and are asked first. */
-  private void add(ServingEngine engine) {
-    if (engine.stage() == EngineStage.PREFILL) {
-      waiting.addFirst(engine);
-    } else if (engine.stage() == EngineStage.DECODE) {
-      waiting.addLast(engine);
+  private void onKnown(Surveyed surveyed, long nowNanos) {
+    surveyed.lastNanos = nowNanos;
+    if (!surveyed.known) {
+      surveyed.known = true;
+      answered++;
     }
   }
 
   /** An engine answered, or did not. */
-  void onAnswer(DispatchEvent.CacheListed answer) {
+  void onAnswer(DispatchEvent.CacheListed answer, long nowNanos) {
     asked--;
-    if (answer.parts().isPresent()) {
-      heard.add(answer.engineId());
-      answered = heard.size();
+    Surveyed surveyed = engines.get(answer.engineId());
+    if (surveyed != null) {
+      surveyed.asking = false;
+      surveyed.lastNanos = nowNanos;
+      if (answer.parts().isPresent()) {
+        onKnown(surveyed, nowNanos);
+      }
     }
-    askNext();
+    onTick(nowNanos);
   }
 
-  /**
-   * Asks all engines again when it is time: what is believed of their caches drifts away from what
-   * they keep. The more nodes ask, the less often each does.
-   */
-  void onTick(long nowNanos, int nodes) {
-    long pause = Math.max(MIN_PAUSE_NANOS, nodes * PAUSE_A_NODE_NANOS);
-    if (asked == 0 && waiting.isEmpty() && nowNanos - lastRoundNanos >= pause) {
-      lastRoundNanos = nowNanos;
-      directory.all().forEach(this::add);
-      askNext();
+  /** Asks the engines that are due; those that read prompts ahead keep most and go first. */
+  void onTick(long nowNanos) {
+    List<Surveyed> due =
+        engines.values().stream()
+            .filter(surveyed -> !surveyed.asking && isDue(surveyed, nowNanos))
+            .sorted(
+                Comparator.comparing(surveyed -> surveyed.engine.stage() != EngineStage.PREFILL))
+            .toList();
+    for (Surveyed surveyed : due) {
+      if (asked < MAX_ASKED_AT_ONCE) {
+        ask(surveyed, nowNanos);
+      }
     }
   }
 
-  /** How many engines have said what they keep; any thread may call. */
-  int answered() {
-    return answered;
+  private boolean isDue(Surveyed surveyed, long nowNanos) {
+    long since = nowNanos - surveyed.lastNanos;
+    boolean own = asks.test(surveyed.engine.id());
+    if (!surveyed.known) {
+      return own || since >= WAIT_FOR_PEERS_NANOS;
+    }
+    return since >= (own ? PAUSE_NANOS : LONGEST_PAUSE_NANOS);
   }
 
-  private void askNext() {
-    while (asked < MAX_ASKED_AT_ONCE && !waiting.isEmpty()) {
-      ServingEngine engine = waiting.poll();
-      asked++;
-      long now = System.nanoTime();
-      lister.listCache(engine, parts -> events.accept(event(engine, now, parts)));
-    }
+  private void ask(Surveyed surveyed, long nowNanos) {
+    surveyed.asking = true;
+    asked++;
+    ServingEngine engine = surveyed.engine;
+    lister.listCache(engine, parts -> events.accept(event(engine, nowNanos, parts)));
+  }
+
+  /** Of how many engines it is known what they keep; any thread may call. */
+  int answered() {
+    return answered;
   }
 
   private static DispatchEvent event(
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -29,29 +28,30 @@
   /** A prompt that shares less is read sooner than it is waited for. */
   private static final int MIN_SHARED_TOKENS_TO_WAIT = 2_000;
 
-  private static final long DIGEST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  /** How often it is asked whether an engine should change its stage. */
+  private static final long STAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   private final Dispatcher dispatcher;
   private final EngineClient engines;
   private final DecisionLog log;
-  private final LoadSender loadSender;
+  private final PeerTalk peers;
   private final Set<Exchange> active = new HashSet<>();
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
-  private long lastDigestNanos;
+  private long lastStageNanos;
 
   DispatchDuty(
       Dispatcher dispatcher,
       EngineClient engines,
       DecisionLog log,
-      LoadSender loadSender,
+      PeerTalk peers,
       CacheSurvey survey,
       Consumer<StageChange> stageChanges) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
-    this.loadSender = loadSender;
+    this.peers = peers;
     this.survey = survey;
     this.stageChanges = stageChanges;
   }
@@ -81,22 +81,23 @@
     } else if (event instanceof DispatchEvent.CacheListed answer) {
       log.cacheListed(answer);
       answer.parts().ifPresent(parts -> dispatcher.onCacheListed(parts, answer.askedAtNanos()));
-      survey.onAnswer(answer);
+      survey.onAnswer(answer, now);
+      peers.onListed(answer, now);
       endWaiting(now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       engines.setServices(changed.image());
     } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
       dispatcher.onStageChangeBegun(begun.change(), now);
-      tellLoad();
     } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
       dispatcher.onStageChangeAbandoned(abandoned.change());
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.onStageOrderUnanswered(unanswered.change(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
-    } else if (event instanceof DispatchEvent.DigestHeard heard) {
-      dispatcher.onDigest(heard.digest(), now);
+    } else if (event instanceof DispatchEvent.PeerHeard heard) {
+      peers.onHeard(heard.message(), now);
+      endWaiting(now);
     }
   }
 
@@ -246,14 +247,11 @@
     engines.send(exchange, attempt);
   }
 
-  /**
-   * Prompts are told at once where all can hear, so that no other node reads the same parts
-   * elsewhere; in a large fleet with the next digest.
-   */
+  /** Prompts are told at once, so that no other node reads the same parts elsewhere. */
   @Override
   public void onBatchEnd() {
-    if (dispatcher.hasNewPrompts() && loadSender.reachesAll()) {
-      tellLoad();
+    if (dispatcher.hasNewPrompts()) {
+      peers.tell(System.nanoTime());
     }
   }
 
@@ -269,24 +267,14 @@
     }
     endWaiting(now);
     checkEngines(now);
-    if (now - lastDigestNanos >= DIGEST_NANOS) {
-      lastDigestNanos = now;
+    peers.onTick(now);
+    if (now - lastStageNanos >= STAGE_NANOS) {
+      lastStageNanos = now;
       log.droppedLines();
-      OptionalInt nodes = loadSender.cautiousNodeCount();
-      survey.onTick(now, nodes.orElse(1));
-      dispatcher.setNodeCount(nodes);
       dispatcher.wantedStageChange(now).ifPresent(stageChanges);
-      tellLoad();
     }
   }
 
-  private void tellLoad() {
-    loadSender.send(
-        dispatcher.ownLoads(System.nanoTime()),
-        dispatcher.takeNewPrompts(),
-        dispatcher.ownSpeeds());
-  }
-
   private void checkEngines(long now) {
     for (Exchange exchange : active) {
       if (exchange.attempt().filter(EngineAttempt::takeSignOfLife).isPresent()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.DispatchParameters;
-import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.stages.StageChange;
@@ -55,5 +55,5 @@
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
   /** Another node told its load. */
-  record DigestHeard(LoadDigest digest) implements DispatchEvent {}
+  record PeerHeard(PeerMessage message) implements DispatchEvent {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -16,8 +16,8 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.Dispatcher;
-import org.fallturn.core.dispatch.PeerBook;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.FleetKnowledge;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
 import org.fallturn.core.routing.EngineDirectory;
@@ -64,6 +64,7 @@
   private final EngineClient engines;
   private final PeerPorts peerPorts;
   private final PeerExchange peers;
+  private final FleetKnowledge knowledge;
   private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
@@ -96,14 +97,7 @@
     this.server = new Server(threads);
     this.engines = new EngineClient(platform.engines(), threads);
     this.peerPorts = PeerPorts.bind(settings.peers());
-    this.peers =
-        new PeerExchange(
-            settings.nodeName(),
-            System.currentTimeMillis(),
-            peerPorts.datagrams(),
-            new PeerBook(peerPorts.address(), settings.seedPeers()),
-            this::tell);
-    this.survey = new CacheSurvey(engines, this::tell);
+    this.peers = new PeerExchange(peerPorts.datagrams(), this::tell);
     DispatchParameters parameters = settings.dispatchParameters();
     this.stages =
         new StageDuty(
@@ -116,8 +110,23 @@
             settings.nodeName(),
             this::tell,
             log);
-    DispatchDuty duty =
-        new DispatchDuty(new Dispatcher(parameters), engines, log, peers, survey, stages::offer);
+    Dispatcher dispatcher = new Dispatcher(parameters);
+    this.knowledge =
+        new FleetKnowledge(
+            settings.peerInfo(peerPorts.address()),
+            settings.nodeName(),
+            System.currentTimeMillis(),
+            settings.seedPeers(),
+            dispatcher.peerLoads(),
+            System.nanoTime());
+    this.survey =
+        new CacheSurvey(
+            engines,
+            this::tell,
+            engine -> knowledge.asks(engine, System.nanoTime()),
+            settings.firstStart());
+    PeerTalk talk = new PeerTalk(knowledge, dispatcher, survey, peers::send);
+    DispatchDuty duty = new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(engines.client(), this::peersToAsk);
@@ -187,7 +196,9 @@
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("caches_known", survey::answered);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
-    metrics.gauge("nodes", () -> peers.cautiousNodeCount().orElse(1));
+    metrics.gauge("nodes", knowledge::nodeCount);
+    metrics.gauge("relay", () -> knowledge.isRelay() ? 1 : 0);
+    peers.addTo(metrics);
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
     if (settings.metricsPort() > 0) {
@@ -280,7 +291,7 @@
 
   /** Every node answers the others at the same port number, over TCP beside the datagrams. */
   private List<NetworkAddress> peersToAsk() {
-    return peers.askable();
+    return knowledge.askable();
   }
 
   private RowFollower.Listener listener(Consumer<FeedTracker> onRows) {
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -0,0 +1,304 @@
+package org.fallturn.node.gateway;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.StringJoiner;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.LearnedSpeed;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.MessageKind;
+import org.fallturn.core.peers.PeerInfo;
+import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.node.json.MalformedMessageException;
+
+/**
+ * Messages between nodes as JSON with short keys, since every node of a fleet hears ten a second. A
+ * message:
+ *
+ * <pre>
+ * {"k":"VIEW","a":"10.1.0.35:7660","z":"zone-1","c":8000,      kind; address, zone, capacity
+ *  "n":"edge-1","i":17,"s":5,"m":95,"f":"edge-1",     node, incarnation, sequence, nodes, first node
+ *  "e":{"i-7f":"2,0,1,0,120,0,0,500"},     running, streams, suspecting, changing, heard ago, tokens
+ *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
+ *  "v":{"llm":0.02},                       time a token in ms, by service
+ *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
+ *  "r":["10.1.0.36:7660 zone-1 8000"],     relays
+ *  "w":true}                               listings are wanted
+ * </pre>
+ *
+ * <p>What is empty or false is left out; unknown keys are passed over. Thread-safe.
+ */
+final class PeerCodec {
+
+  private static final int TYPICAL_BYTES = 2_048;
+  private static final int FIXED_DIGEST_FIELDS = 5;
+  private static final int FIXED_PROMPT_FIELDS = 2;
+  private static final int FIXED_LISTING_FIELDS = 3;
+
+  private final JsonFactory json = new JsonFactory();
+
+  byte[] encode(PeerMessage message) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(TYPICAL_BYTES);
+    try (JsonGenerator out = json.createGenerator(bytes)) {
+      write(out, message);
+    } catch (IOException e) {
+      throw new IllegalStateException("cannot write a message to memory", e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static void write(JsonGenerator out, PeerMessage message) throws IOException {
+    LoadDigest load = message.load();
+    out.writeStartObject();
+    out.writeStringField("k", message.kind().name());
+    out.writeStringField("a", message.sender().address().toString());
+    out.writeStringField("z", message.sender().zone());
+    out.writeNumberField("c", message.sender().capacity());
+    out.writeStringField("n", load.node());
+    out.writeNumberField("i", load.incarnation());
+    out.writeNumberField("s", load.sequence());
+    out.writeNumberField("m", load.nodes());
+    out.writeStringField("f", load.firstNode());
+    writeEngines(out, load.engines());
+    writeSpeeds(out, load.speeds());
+    writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
+    writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
+    writeTexts(out, "r", message.relays().stream().map(PeerCodec::text).toList());
+    if (message.wantsListings()) {
+      out.writeBooleanField("w", true);
+    }
+    out.writeEndObject();
+  }
+
+  private static void writeEngines(JsonGenerator out, Map<String, EngineDigest> engines)
+      throws IOException {
+    if (engines.isEmpty()) {
+      return;
+    }
+    out.writeObjectFieldStart("e");
+    for (Map.Entry<String, EngineDigest> engine : engines.entrySet()) {
+      out.writeStringField(engine.getKey(), text(engine.getValue()));
+    }
+    out.writeEndObject();
+  }
+
+  private static void writeSpeeds(JsonGenerator out, Map<String, LearnedSpeed> speeds)
+      throws IOException {
+    if (speeds.isEmpty()) {
+      return;
+    }
+    out.writeObjectFieldStart("v");
+    for (Map.Entry<String, LearnedSpeed> speed : speeds.entrySet()) {
+      out.writeNumberField(speed.getKey(), speed.getValue().tokenMillis());
+    }
+    out.writeEndObject();
+  }
+
+  private static void writeTexts(JsonGenerator out, String key, List<String> texts)
+      throws IOException {
+    if (texts.isEmpty()) {
+      return;
+    }
+    out.writeArrayFieldStart(key);
+    for (String text : texts) {
+      out.writeString(text);
+    }
+    out.writeEndArray();
+  }
+
+  private static String text(EngineDigest engine) {
+    StringBuilder text = new StringBuilder();
+    text.append(engine.running()).append(',').append(engine.streams()).append(',');
+    text.append(engine.suspecting()).append(',').append(engine.changing()).append(',');
+    text.append(engine.heardAgoMillis());
+    engine.waitingTokens().forEach(tokens -> text.append(',').append(tokens));
+    return text.toString();
+  }
+
+  private static String text(PlacedPrompt prompt) {
+    return prompt.engineId() + ' ' + prompt.readyInMillis() + text(prompt.parts());
+  }
+
+  private static String text(CacheListing listing) {
+    return listing.engineId()
+        + ' '
+        + listing.ageMillis()
+        + ' '
+        + listing.leastTokens()
+        + text(listing.parts());
+  }
+
+  private static String text(PeerInfo peer) {
+    return peer.address() + " " + peer.zone() + " " + peer.capacity();
+  }
+
+  private static String text(List<PromptPart> parts) {
+    StringJoiner text = new StringJoiner(" ", parts.isEmpty() ? "" : " ", "");
+    parts.forEach(part -> text.add(part.id() + ':' + part.tokens()));
+    return text.toString();
+  }
+
+  PeerMessage decode(byte[] bytes) throws MalformedMessageException {
+    Fields fields = new Fields();
+    try (JsonParser in = json.createParser(bytes)) {
+      fields.read(in);
+      return fields.message();
+    } catch (IOException | IllegalArgumentException | IndexOutOfBoundsException e) {
+      throw new MalformedMessageException("not a message between nodes: " + e.getMessage(), e);
+    }
+  }
+
+  /** What has been read of a message. */
+  private static final class Fields {
+
+    private final Map<String, String> single = new HashMap<>();
+    private final Map<String, EngineDigest> engines = new HashMap<>();
+    private final Map<String, LearnedSpeed> speeds = new HashMap<>();
+    private final List<PlacedPrompt> prompts = new ArrayList<>();
+    private final List<CacheListing> listings = new ArrayList<>();
+    private final List<PeerInfo> relays = new ArrayList<>();
+
+    void read(JsonParser in) throws IOException {
+      if (in.nextToken() != JsonToken.START_OBJECT) {
+        throw new IllegalArgumentException("no object");
+      }
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String key = in.currentName();
+        in.nextToken();
+        readField(key, in);
+      }
+      if (in.currentToken() != JsonToken.END_OBJECT) {
+        throw new IllegalArgumentException("cut short");
+      }
+    }
+
+    private void readField(String key, JsonParser in) throws IOException {
+      switch (key) {
+        case "e" -> readEngines(in);
+        case "v" -> readSpeeds(in);
+        case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
+        case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
+        case "r" -> texts(in).forEach(text -> relays.add(peer(text)));
+        default -> {
+          if (in.currentToken().isScalarValue()) {
+            single.put(key, in.getText());
+          } else {
+            in.skipChildren();
+          }
+        }
+      }
+    }
+
+    private void readEngines(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String id = in.currentName();
+        in.nextToken();
+        engines.put(id, digest(in.getText().split(",")));
+      }
+    }
+
+    private void readSpeeds(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String service = in.currentName();
+        in.nextToken();
+        speeds.put(service, new LearnedSpeed(in.getDoubleValue()));
+      }
+    }
+
+    private static List<String> texts(JsonParser in) throws IOException {
+      List<String> texts = new ArrayList<>();
+      while (in.nextToken() != JsonToken.END_ARRAY) {
+        if (in.currentToken() == null) {
+          throw new IllegalArgumentException("cut short");
+        }
+        texts.add(in.getText());
+      }
+      return texts;
+    }
+
+    private static EngineDigest digest(String[] fields) {
+      List<Long> waiting = new ArrayList<>();
+      for (int field = FIXED_DIGEST_FIELDS; field < fields.length; field++) {
+        waiting.add(Long.parseLong(fields[field]));
+      }
+      return new EngineDigest(
+          Integer.parseInt(fields[0]),
+          Integer.parseInt(fields[1]),
+          waiting,
+          Integer.parseInt(fields[2]),
+          Integer.parseInt(fields[3]),
+          Integer.parseInt(fields[4]));
+    }
+
+    private static PlacedPrompt prompt(String text) {
+      String[] words = text.split(" ");
+      return new PlacedPrompt(
+          words[0], Integer.parseInt(words[1]), parts(words, FIXED_PROMPT_FIELDS));
+    }
+
+    private static CacheListing listing(String text) {
+      String[] words = text.split(" ");
+      return new CacheListing(
+          words[0],
+          Long.parseLong(words[1]),
+          Integer.parseInt(words[2]),
+          parts(words, FIXED_LISTING_FIELDS));
+    }
+
+    private static List<PromptPart> parts(String[] words, int from) {
+      List<PromptPart> parts = new ArrayList<>(words.length - from);
+      for (int word = from; word < words.length; word++) {
+        int colon = words[word].lastIndexOf(':');
+        parts.add(
+            new PromptPart(
+                words[word].substring(0, colon),
+                Integer.parseInt(words[word].substring(colon + 1))));
+      }
+      return parts;
+    }
+
+    private static PeerInfo peer(String text) {
+      String[] words = text.split(" ");
+      return new PeerInfo(NetworkAddress.parse(words[0]), words[1], Integer.parseInt(words[2]));
+    }
+
+    PeerMessage message() {
+      PeerInfo sender =
+          new PeerInfo(
+              NetworkAddress.parse(needed("a")), needed("z"), Integer.parseInt(needed("c")));
+      LoadDigest load =
+          new LoadDigest(
+              needed("n"),
+              Long.parseLong(needed("i")),
+              Long.parseLong(needed("s")),
+              Integer.parseInt(needed("m")),
+              needed("f"),
+              engines,
+              prompts,
+              speeds);
+      MessageKind kind = MessageKind.valueOf(needed("k"));
+      boolean wantsListings = Boolean.parseBoolean(single.get("w"));
+      return new PeerMessage(kind, sender, load, listings, relays, wantsListings);
+    }
+
+    private String needed(String key) {
+      String value = single.get(key);
+      if (value == null) {
+        throw new IllegalArgumentException("no " + key);
+      }
+      return value;
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -0,0 +1,84 @@
+package org.fallturn.node.gateway;
+
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.peers.FleetKnowledge;
+import org.fallturn.core.peers.Outgoing;
+import org.fallturn.core.peers.OwnLoad;
+import org.fallturn.core.peers.PeerMessage;
+
+/**
+ * The dispatch duty's part in what nodes tell each other: passes on what is heard to whoever
+ * believes it, and sends what is due. Only the dispatch thread calls.
+ */
+final class PeerTalk {
+
+  private static final long COUNT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private final FleetKnowledge knowledge;
+  private final Dispatcher dispatcher;
+  private final CacheSurvey survey;
+  private final Consumer<List<Outgoing>> sender;
+  private long countedNanos;
+
+  PeerTalk(
+      FleetKnowledge knowledge,
+      Dispatcher dispatcher,
+      CacheSurvey survey,
+      Consumer<List<Outgoing>> sender) {
+    this.knowledge = knowledge;
+    this.dispatcher = dispatcher;
+    this.survey = survey;
+    this.sender = sender;
+  }
+
+  /** Another node spoke. */
+  void onHeard(PeerMessage message, long nowNanos) {
+    knowledge.onMessage(message, nowNanos);
+    dispatcher.onTold(message.load(), nowNanos);
+    for (CacheListing listing : message.listings()) {
+      dispatcher.onCacheTold(listing, nowNanos);
+      survey.onTold(listing.engineId(), nowNanos);
+    }
+    if (knowledge.hasListingRequests()) {
+      sender.accept(knowledge.answerListings(dispatcher.cacheListings(nowNanos), nowNanos));
+    }
+  }
+
+  /** An engine told this node what it keeps. */
+  void onListed(DispatchEvent.CacheListed answer, long nowNanos) {
+    answer
+        .parts()
+        .ifPresent(
+            kept -> {
+              long age = TimeUnit.NANOSECONDS.toMillis(nowNanos - answer.askedAtNanos());
+              knowledge.addListing(CacheListing.of(answer.engineId(), age, kept.parts()), nowNanos);
+            });
+  }
+
+  /** Sends what is due; called several times a second, and when prompts may have been placed. */
+  void tell(long nowNanos) {
+    if (dispatcher.hasNewPrompts()) {
+      knowledge.addPrompts(dispatcher.takeNewPrompts());
+    }
+    sender.accept(
+        knowledge.due(
+            () -> new OwnLoad(dispatcher.ownLoads(nowNanos), dispatcher.ownSpeeds()), nowNanos));
+  }
+
+  /** Takes the number of nodes, and asks engines what they keep. */
+  void onTick(long nowNanos) {
+    if (nowNanos - countedNanos >= COUNT_NANOS) {
+      countedNanos = nowNanos;
+      OptionalInt nodes = knowledge.cautiousNodeCount(nowNanos);
+      dispatcher.setNodeCount(nodes);
+      survey.onTick(nowNanos);
+      knowledge.setWantsListings(survey.wantsListings(nowNanos));
+    }
+    tell(nowNanos);
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
@@ -19,7 +19,11 @@
 public final class UdpSocket implements GossipTransport {
 
   private static final Logger LOG = LoggerFactory.getLogger(UdpSocket.class);
-  private static final int MAX_DATAGRAM_BYTES = 2048;
+
+  /**
+   * The longest datagram that IPv4 carries; a buffer that cut one short would make it unreadable.
+   */
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
 
   private final DatagramChannel channel;
   private final NetworkAddress address;
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.stream.Stream;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.PeerInfo;
 
 /**
  * Every setting of a gateway process: a node whose routes, engines and lasting state come from the
@@ -17,6 +18,8 @@
  * @param peers UDP address at which other nodes tell their load
  * @param seeds addresses of some other nodes, by any of their ports
  * @param metricsPort port of the metrics on the same host; 0 for none
+ * @param firstStart whether the whole system starts for the first time
+ * @param machine the machine that the process runs on
  * @param store address of the store
  * @param bounds what the operators of the platform promise and ask for
  * @param dispatch constants of the dispatcher
@@ -31,6 +34,8 @@
     NetworkAddress peers,
     List<NetworkAddress> seeds,
     int metricsPort,
+    boolean firstStart,
+    MachineSettings machine,
     NetworkAddress store,
     GatewayBounds bounds,
     DispatchSettings dispatch,
@@ -68,12 +73,28 @@
       SettingDefinition.integer(
           "gateway.metrics_port", 0, 0, MAX_PORT, "Port of the metrics; 0 for none.");
 
+  private static final SettingDefinition<Boolean> FIRST_START =
+      SettingDefinition.flag(
+          "gateway.first_start",
+          false,
+          "Whether the whole system starts for the first time, so that engines keep nothing.");
+
   private static final SettingDefinition<NetworkAddress> STORE =
       SettingDefinition.address("store.address", "127.0.0.1:7000", "Address of the store.");
 
   private static final List<SettingDefinition<?>> DEFINITIONS =
       Stream.of(
-              List.of(NODE_NAME, ZONE, CALLERS, READINESS, PEERS, SEEDS, METRICS_PORT, STORE),
+              List.of(
+                  NODE_NAME,
+                  ZONE,
+                  CALLERS,
+                  READINESS,
+                  PEERS,
+                  SEEDS,
+                  METRICS_PORT,
+                  FIRST_START,
+                  STORE),
+              MachineSettings.DEFINITIONS,
               GatewayBounds.DEFINITIONS,
               DispatchSettings.DEFINITIONS,
               StageSettings.DEFINITIONS,
@@ -102,6 +123,8 @@
         values.get(PEERS),
         addresses(values.get(SEEDS)),
         values.get(METRICS_PORT),
+        values.get(FIRST_START),
+        MachineSettings.from(values),
         values.get(STORE),
         GatewayBounds.from(values),
         DispatchSettings.from(values),
@@ -128,6 +151,15 @@
     return seeds.stream().map(seed -> new NetworkAddress(seed.host(), peers.port())).toList();
   }
 
+  /**
+   * This node as the others know it.
+   *
+   * @param bound where it hears of load, with the real port
+   */
+  public PeerInfo peerInfo(NetworkAddress bound) {
+    return new PeerInfo(bound, zone, PeerInfo.capacityOf(machine.processor(), machine.linkMbps()));
+  }
+
   /** What the dispatcher is made with. */
   public DispatchParameters dispatchParameters() {
     return new DispatchParameters(
