--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -0,0 +1,98 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.fallturn.core.dispatch.CacheListing;
+import org.fallturn.core.dispatch.EngineDigest;
+import org.fallturn.core.dispatch.LearnedSpeed;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.MessageKind;
+import org.fallturn.core.peers.PeerInfo;
+import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.node.json.MalformedMessageException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PeerCodecTest {
+
+  private final PeerCodec codec = new PeerCodec();
+
+  private static PeerInfo peer(int number) {
+    return new PeerInfo(new NetworkAddress("10.0.0." + number, 7660), "zone-1", 800 + number);
+  }
+
+  private static PeerMessage message(Map<String, EngineDigest> engines) {
+    List<PromptPart> parts = List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410));
+    LoadDigest load =
+        new LoadDigest(
+            "edge-1",
+            17,
+            5,
+            95,
+            "edge-0",
+            engines,
+            List.of(new PlacedPrompt("i-7f", 12, parts), new PlacedPrompt("i-80", 0, List.of())),
+            Map.of("llm", new LearnedSpeed(0.02)));
+    return new PeerMessage(
+        MessageKind.VIEW,
+        peer(1),
+        load,
+        List.of(new CacheListing("i-7f", 40, 500, parts)),
+        List.of(peer(2), peer(3)),
+        true);
+  }
+
+  @Test
+  void whatIsWrittenIsReadAgain() throws Exception {
+    Map<String, EngineDigest> engines =
+        Map.of(
+            "i-7f", new EngineDigest(2, 1, List.of(0L, 500L), 1, 3, 120),
+            "i-80", new EngineDigest(0, 0, List.of(), 0, 0, EngineDigest.NOT_HEARD));
+    PeerMessage message = message(engines);
+    assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+  }
+
+  @Test
+  void messageAboutAllEnginesOfALargeFleetStaysWithinAFewKilobytes() {
+    Map<String, EngineDigest> engines = new HashMap<>();
+    for (int engine = 0; engine < 60; engine++) {
+      List<Long> waiting = List.of(0L, 0L, 0L, 12_000L + engine, 90_000L);
+      engines.put("i-7f3a91c2" + engine, new EngineDigest(16, 9, waiting, 0, 0, 120));
+    }
+    assertThat(codec.encode(message(engines))).hasSizeLessThan(4_096);
+  }
+
+  @Test
+  void unknownKeysArePassedOver() throws Exception {
+    String text = new String(codec.encode(message(Map.of())), StandardCharsets.UTF_8);
+    String longer = text.replaceFirst("\\{", "{\"x\":{\"y\":[1]},\"z9\":7,");
+    assertThat(codec.decode(longer.getBytes(StandardCharsets.UTF_8))).isEqualTo(message(Map.of()));
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "",
+        "[]",
+        "{}",
+        "{\"k\":\"VIEW\"",
+        "{\"k\":\"NOTHING\",\"a\":\"h:1\",\"z\":\"z\",\"c\":1,\"n\":\"n\",\"i\":1,\"s\":1,\"m\":1,"
+            + "\"f\":\"n\"}",
+        "{\"p\":[\"i-7f 12 no-tokens\"]}",
+        "{\"p\":[\"i-7f\"]}",
+        "{\"e\":{\"i-7f\":\"1,2\"}}"
+      })
+  void whatIsNotAMessageIsRefused(String text) {
+    assertThatThrownBy(() -> codec.decode(text.getBytes(StandardCharsets.UTF_8)))
+        .isInstanceOf(MalformedMessageException.class);
+  }
+}
