--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -35,6 +35,12 @@
    */
   private static final int OVERTAKEN_WHEN_LOST = 3;
 
+  /**
+   * Patiences after which an attempt that goes before others counts as lost although its engine
+   * answers: its connection may have gone silent. Judged, not measured.
+   */
+  private static final int PATIENCES_WHEN_LOST = 3;
+
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
 
@@ -262,8 +268,8 @@
 
   /**
    * Whether an attempt that has gone without a sign for the length of its patience had better be
-   * ended. Not while its prompt merely waits behind others: its engine has answered something
-   * within that time, and has not read what was sent after it.
+   * ended. Not while its prompt merely waits behind others: its engine has answered somebody within
+   * that time, and has not read what was sent after it.
    *
    * @param patience of the attempt
    */
@@ -272,8 +278,14 @@
       return true;
     }
     ServingEngine engine = progress.engine().get();
-    return selector.suspected(engine, nowNanos)
-        || selector.load(engine).silentFor(patience.toNanos(), progress.sentNanos(), nowNanos)
+    long silent = selector.silentNanos(engine, progress.sentNanos(), nowNanos);
+    boolean suspected =
+        selector.suspected(engine, nowNanos) && silent >= EngineLoad.LONGEST_PAUSE_NANOS;
+    long waited = nowNanos - progress.sentNanos();
+    boolean lost = !progress.goesBehind() && waited >= PATIENCES_WHEN_LOST * patience.toNanos();
+    return suspected
+        || lost
+        || silent >= patience.toNanos()
         || progress.overtakenBy() >= OVERTAKEN_WHEN_LOST;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -8,7 +8,8 @@
 /** What this node has at one engine. One thread calls. */
 final class EngineLoad {
 
-  private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+  /** An engine that works gives somebody a sign more often. */
+  static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   private final EngineHealth health = new EngineHealth();
   private final PromptBacklog backlog = new PromptBacklog();
@@ -97,35 +98,31 @@
     return heard ? OptionalLong.of(heardNanos) : OptionalLong.empty();
   }
 
-  /** Whether nothing has come within a time that ends now, neither before nor after a send. */
-  boolean silentFor(long nanos, long sentNanos, long nowNanos) {
-    return nowNanos - lastSign(sentNanos, heardNanos()) >= nanos;
+  /** The last sign of life to this node or another, or the beginning where none came since. */
+  long lastSign(long beginNanos, OptionalLong peersHeardNanos) {
+    return later(later(beginNanos, heardNanos()), peersHeardNanos);
   }
 
-  private static long lastSign(long beginNanos, OptionalLong heardNanos) {
-    if (heardNanos.isEmpty() || heardNanos.getAsLong() - beginNanos < 0) {
-      return beginNanos;
-    }
-    return heardNanos.getAsLong();
+  private static long later(long nanos, OptionalLong other) {
+    return other.isPresent() && other.getAsLong() - nanos > 0 ? other.getAsLong() : nanos;
   }
 
   /**
-   * Suspends the engine when requests wait there and nothing comes.
+   * Suspends the engine when requests wait there and nothing comes, to this node or another: an
+   * engine that answers anybody works, and merely has much to do.
    *
    * @param peersHeardNanos when another node last had a sign of life from it
    */
   void checkSilence(OptionalLong peersHeardNanos, long nowNanos) {
-    boolean silent = awaited > 0 && nowNanos - silentUntilNanos > 0;
-    if (silent || behind > 0 && silentToAll(peersHeardNanos, nowNanos)) {
+    boolean overdue = awaited > 0 && nowNanos - silentUntilNanos > 0;
+    boolean behindOnly = awaited == 0 && behind > 0;
+    long gap = behindOnly ? longestGapNanos : LONGEST_PAUSE_NANOS;
+    long begin = behindOnly ? lastBehindNanos : silentUntilNanos - LONGEST_PAUSE_NANOS;
+    if ((overdue || behindOnly) && nowNanos - lastSign(begin, peersHeardNanos) > gap) {
       health.onSilence(nowNanos);
     }
   }
 
-  private boolean silentToAll(OptionalLong peersHeardNanos, long nowNanos) {
-    long own = lastSign(lastBehindNanos, heardNanos());
-    return nowNanos - lastSign(own, peersHeardNanos) > longestGapNanos;
-  }
-
   /** The prompt of a request was read, ahead of those sent before that are no less urgent. */
   void promptRead(RequestProgress read) {
     forgetPrompt(read);
