--- a/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/metrics/LogSetup.java
@@ -8,7 +8,9 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.Appender;
 import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.FileAppender;
 import ch.qos.logback.core.encoder.Encoder;
+import java.nio.file.Path;
 import java.util.concurrent.atomic.AtomicReference;
 import org.fallturn.node.settings.LogFormat;
 import org.fallturn.node.settings.LogLevel;
@@ -20,7 +22,7 @@
  */
 public final class LogSetup {
 
-  private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%thread] %msg%n%ex";
+  private static final String PATTERN = "%d{HH:mm:ss.SSS} %-5level [%thread] %msg %kvp{NONE}%n%ex";
 
   private static final int QUEUE_SIZE = 2_048;
   private static final AtomicReference<LogQueue> QUEUE = new AtomicReference<>();
@@ -33,6 +35,17 @@
     install(context, level, console(context, "System.err", format));
   }
 
+  /** Replaces the present set-up: lines of text in a file, written by whoever logs. */
+  public static void applyFile(Path file, LogLevel level) {
+    LoggerContext context = emptyContext();
+    FileAppender<ILoggingEvent> appender = new FileAppender<>();
+    appender.setContext(context);
+    appender.setFile(file.toString());
+    appender.setEncoder(encoder(context, LogFormat.TEXT));
+    appender.start();
+    install(context, level, appender);
+  }
+
   /**
    * One JSON object a line on standard output, written by a thread of its own. A reader that does
    * not read costs lines, never time: what the bounded queue cannot take is dropped.
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PlatformQuickstart.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PlatformQuickstart.java
@@ -2,9 +2,7 @@
 
 import java.io.PrintStream;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 
@@ -17,7 +15,13 @@
   private static final int GATEWAYS = 2;
   private static final int SHORT_PROMPT = 300;
   private static final int LONG_PROMPT = 17_000;
-  private static final int HTTP_OK = 200;
+  private static final List<String> PATHS =
+      List.of(
+          EmulatedPlatform.STREAM,
+          EmulatedPlatform.RESUMABLE,
+          EmulatedPlatform.IDEMPOTENT,
+          EmulatedPlatform.NON_IDEMPOTENT);
+  private static final List<Integer> TOKENS = List.of(LONG_PROMPT, SHORT_PROMPT, 0, 0);
   private static final int IN_FLIGHT = 16;
 
   private final PrintStream out;
@@ -38,16 +42,15 @@
         EmulatedClient client = new EmulatedClient()) {
       List<EmulatedEngine> engines = addEngines(platform);
       List<NetworkAddress> doors = addGateways(platform);
-      int good = 0;
-      Set<String> once = new HashSet<>();
+      QuickstartReport report = new QuickstartReport();
       for (int begun = 0; begun < requests; begun += IN_FLIGHT) {
         if (begun > requests / 2 && begun <= requests / 2 + IN_FLIGHT) {
           platform.list(engines.get(engines.size() - 1), true);
           platform.configure(RouteText.defaults());
         }
-        good += batch(client, doors, begun, Math.min(IN_FLIGHT, requests - begun), once);
+        batch(client, doors, begun, Math.min(IN_FLIGHT, requests - begun), report);
       }
-      return report(engines, requests, good, once);
+      return report.print(out, engines);
     }
   }
 
@@ -72,53 +75,27 @@
     return doors;
   }
 
-  private static int batch(
-      EmulatedClient client, List<NetworkAddress> doors, int first, int count, Set<String> once)
-      throws Exception {
-    List<EmulatedClient.Call> calls = new ArrayList<>();
+  private static void batch(
+      EmulatedClient client,
+      List<NetworkAddress> doors,
+      int first,
+      int count,
+      QuickstartReport report) {
+    List<QuickstartReport.Played> calls = new ArrayList<>();
     for (int index = 0; index < count; index++) {
       NetworkAddress door = doors.get((first + index) % doors.size());
-      calls.add(send(client, door, first + index, once));
+      calls.add(send(client, door, first + index));
     }
-    int good = 0;
-    for (EmulatedClient.Call call : calls) {
-      EmulatedClient.Answer answer = call.await();
-      boolean stream = answer.body().startsWith("id: 1\n");
-      boolean application = answer.body().startsWith("answer of ");
-      if (answer.whole() && answer.status() == HTTP_OK && (stream || application)) {
-        good++;
-      }
-    }
-    return good;
+    calls.forEach(report::add);
   }
 
-  private static EmulatedClient.Call send(
-      EmulatedClient client, NetworkAddress door, int number, Set<String> once) {
-    return switch (number % 4) {
-      case 0 -> client.send(door, EmulatedPlatform.STREAM, LONG_PROMPT, EmulatedClient.LONGEST);
-      case 1 -> client.send(door, EmulatedPlatform.RESUMABLE, SHORT_PROMPT, EmulatedClient.LONGEST);
-      case 2 -> client.send(door, EmulatedPlatform.IDEMPOTENT, 0, EmulatedClient.LONGEST);
-      default -> {
-        EmulatedClient.Call call =
-            client.send(door, EmulatedPlatform.NON_IDEMPOTENT, 0, EmulatedClient.LONGEST);
-        once.add(call.requestId());
-        yield call;
-      }
-    };
-  }
-
-  private boolean report(List<EmulatedEngine> engines, int requests, int good, Set<String> once) {
-    int doubled = 0;
-    Set<String> seen = new HashSet<>();
-    for (EmulatedEngine engine : engines) {
-      out.printf("%-4s ran %d requests%n", engine.id(), engine.runs().size());
-      for (String run : engine.runs()) {
-        doubled += once.contains(run) && !seen.add(run) ? 1 : 0;
-      }
-    }
-    out.printf("whole and right %d of %d, doubled %d%n", good, requests, doubled);
-    boolean all = good == requests && doubled == 0;
-    out.println(all ? "GOOD: every answer was whole and right" : "NOT GOOD");
-    return all;
+  private static QuickstartReport.Played send(
+      EmulatedClient client, NetworkAddress door, int number) {
+    String path = PATHS.get(number % PATHS.size());
+    int tokens = TOKENS.get(number % TOKENS.size());
+    long begun = System.nanoTime();
+    EmulatedClient.Call call = client.send(door, path, tokens, EmulatedClient.LONGEST);
+    return new QuickstartReport.Played(
+        path, door, call, call.answer().thenApply(answer -> System.nanoTime() - begun));
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/quickstart/QuickstartCommand.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
@@ -12,7 +14,9 @@
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.command.Command;
+import org.fallturn.node.metrics.LogSetup;
 import org.fallturn.node.server.NodeServer;
+import org.fallturn.node.settings.LogLevel;
 import org.fallturn.rehearsal.application.ApplicationStandIn;
 import org.fallturn.rehearsal.emulator.PlatformQuickstart;
 import org.fallturn.rehearsal.engine.EngineStandIn;
@@ -59,6 +63,9 @@
 
   @Override
   public int run(Namespace arguments) throws Exception {
+    Path logs = Files.createTempFile("fallturn-quickstart-", ".log");
+    LogSetup.applyFile(logs, LogLevel.INFO);
+    System.out.println("logs are written to " + logs);
     if (arguments.getBoolean("platform")) {
       boolean good = new PlatformQuickstart(System.out).play(arguments.getInt("requests"));
       return good ? 0 : 1;
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/PlatformQuickstartTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/PlatformQuickstartTest.java
@@ -16,5 +16,9 @@
     assertThat(new PlatformQuickstart(out).play(64))
         .as(report.toString(StandardCharsets.UTF_8))
         .isTrue();
+    assertThat(report.toString(StandardCharsets.UTF_8))
+        .contains("all   64 asked,   64 served")
+        .contains("path " + EmulatedPlatform.STREAM)
+        .contains("engine d-1");
   }
 }
