--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -49,6 +49,9 @@
 
   private static final long TELL_RELAYS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** Only a node that has just started asks, and the store does not answer. */
+  private static final long LIST_ASKABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** Greetings heal a fleet that was cut into parts, and let a node be found that all forgot. */
   private static final long GREET_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
@@ -73,6 +76,9 @@
   private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
   private final Set<NetworkAddress> listingRequests = new LinkedHashSet<>();
   private final Set<NetworkAddress> welcome = new LinkedHashSet<>();
+  private Set<PeerInfo> ranked = Set.of();
+  private int rankedNodes = 1;
+  private long listedAskableNanos;
   private volatile RelayRanking ranking;
   private Optional<PeerInfo> relay = Optional.empty();
   private long relaySinceNanos;
@@ -216,7 +222,7 @@
 
   /** Whether this node is the one that asks an engine what it keeps, as far as it knows. */
   public boolean asks(String engineId, long nowNanos) {
-    if (!ranking.isRelay() || directory.heard(nowNanos).isEmpty() && !seeds.isEmpty()) {
+    if (!ranking.isRelay() || !directory.anyHeard(nowNanos) && !seeds.isEmpty()) {
       return false;
     }
     long own = RendezvousHash.weight(engineId, self.address().toString());
@@ -293,8 +299,11 @@
   }
 
   private boolean newsIsDue(long nowNanos) {
+    if (groupNews.isEmpty() && viewNews.isEmpty()) {
+      return false;
+    }
     boolean alone = !loads.hasMembers(nowNanos);
-    if (groupNews.isEmpty() && (alone || viewNews.isEmpty())) {
+    if (groupNews.isEmpty() && alone) {
       return false;
     }
     return nowNanos - lastSentNanos >= (alone ? NEWS_PAUSE_NANOS : GATHERED_NEWS_PAUSE_NANOS);
@@ -302,8 +311,7 @@
 
   private void rank(long nowNanos) {
     leaveSilentRelay(nowNanos);
-    int nodes = loads.nodeCount(nowNanos);
-    ranking = new RelayRanking(self, directory.known(nowNanos), nodes);
+    rankAnewWhenNodesChanged(nowNanos);
     Optional<PeerInfo> chosen = ranking.relayOfThisNode();
     boolean stays = relay.isPresent() && ranking.relays().contains(relay.get());
     if (chosen.isEmpty() || !stays) {
@@ -312,7 +320,20 @@
       }
       relay = chosen;
     }
-    askable = directory.heard(nowNanos);
+    if (nowNanos - listedAskableNanos >= LIST_ASKABLE_NANOS) {
+      listedAskableNanos = nowNanos;
+      askable = directory.heard(nowNanos);
+    }
+  }
+
+  private void rankAnewWhenNodesChanged(long nowNanos) {
+    Set<PeerInfo> known = Set.copyOf(directory.known(nowNanos));
+    int nodes = loads.nodeCount(nowNanos);
+    if (nodes != rankedNodes || !known.equals(ranked)) {
+      ranked = known;
+      rankedNodes = nodes;
+      ranking = new RelayRanking(self, List.copyOf(known), nodes);
+    }
   }
 
   private void leaveSilentRelay(long nowNanos) {
@@ -326,7 +347,7 @@
   }
 
   private void greet(List<Outgoing> messages, long nowNanos) {
-    boolean alone = directory.heard(nowNanos).isEmpty();
+    boolean alone = !directory.anyHeard(nowNanos);
     long pause = alone ? GREET_ALONE_NANOS : GREET_NANOS;
     if (lastGreetingNanos == 0 || nowNanos - lastGreetingNanos >= pause) {
       lastGreetingNanos = nowNanos;
@@ -390,7 +411,7 @@
       return;
     }
     boolean asked = !wantsListings;
-    if (directory.heard(nowNanos).isEmpty()) {
+    if (!directory.anyHeard(nowNanos)) {
       // Whoever hears nobody cannot be heard to relay: the others would report to it in vain.
       return;
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerDirectory.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerDirectory.java
@@ -87,6 +87,12 @@
     return known;
   }
 
+  /** Whether any node was heard lately. */
+  boolean anyHeard(long nowNanos) {
+    return entries.values().stream()
+        .anyMatch(entry -> within(entry.heardNanos, LIFETIME_NANOS, nowNanos));
+  }
+
   /** Nodes heard directly and lately. */
   List<NetworkAddress> heard(long nowNanos) {
     return entries.values().stream()
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -28,6 +28,9 @@
   /** A prompt that shares less is read sooner than it is waited for. */
   private static final int MIN_SHARED_TOKENS_TO_WAIT = 2_000;
 
+  /** How often engines are checked for silence, whose bounds are some hundred ms. */
+  private static final long HEALTH_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
   /** How often it is asked whether an engine should change its stage. */
   private static final long STAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -39,6 +42,7 @@
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
+  private long lastHealthNanos;
   private long lastStageNanos;
 
   DispatchDuty(
@@ -266,8 +270,13 @@
       }
     }
     endWaiting(now);
-    checkEngines(now);
+    takeSignsOfLife(now);
     peers.onTick(now);
+    if (now - lastHealthNanos >= HEALTH_NANOS) {
+      lastHealthNanos = now;
+      dispatcher.onTick(now);
+      dispatcher.takeHealthChanges().forEach(log::engineHealth);
+    }
     if (now - lastStageNanos >= STAGE_NANOS) {
       lastStageNanos = now;
       log.droppedLines();
@@ -275,14 +284,12 @@
     }
   }
 
-  private void checkEngines(long now) {
+  private void takeSignsOfLife(long now) {
     for (Exchange exchange : active) {
       if (exchange.attempt().filter(EngineAttempt::takeSignOfLife).isPresent()) {
         dispatcher.onSignOfLife(exchange.progress(), now);
       }
     }
-    dispatcher.onTick(now);
-    dispatcher.takeHealthChanges().forEach(log::engineHealth);
   }
 
   private void onTimeOver(Exchange exchange, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -40,7 +40,13 @@
   private static final int MAX_THREADS = 24;
   private static final int MIN_THREADS = 4;
   private static final int RING_SIZE = 4_096;
-  private static final Duration TICK = Duration.ofMillis(10);
+
+  /**
+   * How often deadlines and patience are checked. At 10 ms the ticks took most of the dispatch
+   * thread's time on a node of 95 (docs/experiments/large.md).
+   */
+  private static final Duration TICK = Duration.ofMillis(25);
+
   private static final long RING_FULL_PAUSE_NANOS = 100_000;
   private static final long MAX_BODY_BYTES_IN_FLIGHT = 48L << 20;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
