--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -23,7 +23,7 @@
   private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
   /** Views come every 100 ms. */
-  private static final long VIEW_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+  public static final long VIEW_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
   /**
    * A node reports every 300 ms at least, every 100 ms while it has requests; one that is not heard
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -71,6 +71,7 @@
   private final List<NetworkAddress> seeds;
   private final PeerLoads loads;
   private final PeerDirectory directory;
+  private final TableVersions tables = new TableVersions();
   private final News groupNews = new News();
   private final News viewNews = new News();
   private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
@@ -95,6 +96,8 @@
   private int settled;
   private int leastCount = Integer.MAX_VALUE;
   private long countingSinceNanos;
+  private volatile long viewedNanos;
+  private volatile boolean viewed;
   private volatile int highestCount;
   private long highestCountNanos;
   private volatile List<NetworkAddress> askable = List.of();
@@ -130,6 +133,7 @@
       directory.onHeard(sender, nowNanos);
     }
     message.relays().forEach(told -> directory.onTold(told, nowNanos));
+    message.tables().forEach(tables::onSeen);
     if (message.wantsListings()) {
       onListingsWanted(sender.address(), nowNanos);
     }
@@ -145,6 +149,10 @@
       onCountTold(message.load().nodes(), nowNanos);
     }
     boolean strangersView = message.kind() == MessageKind.VIEW && !isRelay(message.sender());
+    if (message.kind() == MessageKind.VIEW && !strangersView) {
+      viewed = true;
+      viewedNanos = nowNanos;
+    }
     if (!strangersView) {
       message
           .kind()
@@ -212,6 +220,7 @@
               digest(new OwnLoad(Map.of(), Map.of()), List.of()),
               news.takeListings(nowNanos),
               List.of(),
+              tables.all(),
               false);
       listingRequests.forEach(asker -> answers.add(new Outgoing(asker, message)));
     }
@@ -262,6 +271,19 @@
     return settled == 0 ? count : settled;
   }
 
+  /** The newest changes that any node has seen; any thread may use it. */
+  public TableVersions tables() {
+    return tables;
+  }
+
+  /**
+   * Whether this node would hear of it soon when another sees a change of a table: its relay, and
+   * through it all others, spoke lately. Any thread may call.
+   */
+  public boolean hearsOfChanges(long nowNanos) {
+    return viewed && nowNanos - viewedNanos < PeerLoads.VIEW_LIFETIME_NANOS;
+  }
+
   /** Some nodes heard lately, else the seeds; any thread may call. */
   public List<NetworkAddress> askable() {
     List<NetworkAddress> heard = askable;
@@ -368,7 +390,8 @@
         new LoadDigest(
             node, incarnation, ++sequence, highestCount, node, Map.of(), List.of(), Map.of());
     return new Outgoing(
-        peer, new PeerMessage(kind, self, countOnly, List.of(), ranking.relays(), false));
+        peer,
+        new PeerMessage(kind, self, countOnly, List.of(), ranking.relays(), tables.all(), false));
   }
 
   private void tell(OwnLoad own, boolean turn, List<Outgoing> messages, long nowNanos) {
@@ -406,7 +429,8 @@
     List<CacheListing> listings = groupNews.takeListings(nowNanos);
     if (relay.isPresent()) {
       PeerMessage report =
-          new PeerMessage(MessageKind.REPORT, self, group, listings, List.of(), wantsListings);
+          new PeerMessage(
+              MessageKind.REPORT, self, group, listings, List.of(), tables.all(), wantsListings);
       messages.add(new Outgoing(relay.get().address(), report));
       return;
     }
@@ -420,7 +444,9 @@
       asked |= asks;
       messages.add(
           new Outgoing(
-              target, new PeerMessage(MessageKind.GROUP, self, group, listings, relays, asks)));
+              target,
+              new PeerMessage(
+                  MessageKind.GROUP, self, group, listings, relays, tables.all(), asks)));
     }
   }
 
@@ -453,7 +479,8 @@
                 messages.add(
                     new Outgoing(
                         member,
-                        new PeerMessage(MessageKind.VIEW, self, view, listings, relays, false))));
+                        new PeerMessage(
+                            MessageKind.VIEW, self, view, listings, relays, tables.all(), false))));
   }
 
   private LoadDigest digest(OwnLoad own, List<PlacedPrompt> prompts) {
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.fallturn.core.peers;
 
 import java.util.List;
+import java.util.Map;
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.LoadDigest;
 
@@ -12,6 +13,7 @@
  * @param load what those that it speaks for have, and prompts that were placed
  * @param listings what engines said that they keep
  * @param relays relays that the sender has heard itself; empty in most messages
+ * @param tables the newest change of each followed table that the sender knows to have been seen
  * @param wantsListings whether the sender asks for all that is known of what engines keep
  */
 public record PeerMessage(
@@ -20,11 +22,13 @@
     LoadDigest load,
     List<CacheListing> listings,
     List<PeerInfo> relays,
+    Map<String, Long> tables,
     boolean wantsListings) {
 
   /** Private copies. */
   public PeerMessage {
     listings = List.copyOf(listings);
     relays = List.copyOf(relays);
+    tables = Map.copyOf(tables);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
@@ -22,23 +22,38 @@
   private static final long[] CONFIRM_AFTER_MILLIS = {300, 1_000, 2_000, 4_000, 7_000, 10_000};
   private static final long PERIODIC_NANOS = TimeUnit.SECONDS.toNanos(10);
 
+  /** While other nodes tell which changes they have seen, a whole reading finds little. */
+  private static final long PERIODIC_WHEN_TOLD_NANOS = TimeUnit.SECONDS.toNanos(60);
+
   private final Map<String, FeedRow> rows = new HashMap<>();
   private final Deque<Long> confirmAtNanos = new ArrayDeque<>();
   private long position;
   private boolean known;
   private boolean readWhole = true;
   private long lastWholeNanos;
+  private long newestChange;
+  private long periodNanos = PERIODIC_NANOS;
+
+  /** Whether other nodes tell which changes they have seen. */
+  public void setToldByOthers(boolean told) {
+    periodNanos = told ? PERIODIC_WHEN_TOLD_NANOS : PERIODIC_NANOS;
+  }
+
+  /** The newest change of a row that was seen, dropped rows among them. */
+  public long newestChange() {
+    return newestChange;
+  }
 
   /** Whether the table should be read whole now, rather than followed. */
   public boolean shouldReadWhole(long nowNanos) {
     return readWhole
-        || nowNanos - lastWholeNanos >= PERIODIC_NANOS
+        || nowNanos - lastWholeNanos >= periodNanos
         || !confirmAtNanos.isEmpty() && nowNanos - confirmAtNanos.peekFirst() >= 0;
   }
 
   /** Longest time to wait for a change, so that the next whole reading is not late. */
   public long waitNanos(long nowNanos, long mostNanos) {
-    long next = lastWholeNanos + PERIODIC_NANOS;
+    long next = lastWholeNanos + periodNanos;
     if (!confirmAtNanos.isEmpty()) {
       next = Math.min(next, confirmAtNanos.peekFirst());
     }
@@ -79,9 +94,14 @@
     position = answer.version();
     rows.clear();
     answer.rows().forEach(row -> rows.put(row.key(), row));
+    answer.rows().forEach(this::onSeen);
     return changed;
   }
 
+  private void onSeen(FeedRow row) {
+    newestChange = Math.max(newestChange, row.version());
+  }
+
   private boolean differs(List<FeedRow> read) {
     return read.size() != rows.size()
         || read.stream()
@@ -98,6 +118,7 @@
   public boolean onChanges(FeedAnswer answer) {
     boolean changed = false;
     for (FeedRow row : answer.rows()) {
+      onSeen(row);
       FeedRow before = rows.get(row.key());
       if (before != null && before.version() >= row.version()) {
         continue;
--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/RowFeed.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/RowFeed.java
@@ -1,6 +1,7 @@
 package org.fallturn.core.port.feed;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import org.fallturn.core.port.table.StoreException;
 
 /**
@@ -17,7 +18,9 @@
    *
    * @param after the position reached so far
    * @param wait how long to wait for a change; an empty answer follows when none came
+   * @param stillWanted asked now and then; an empty answer follows soon after it says no
    * @throws HistoryLostException when the store no longer has them
    */
-  FeedAnswer changesAfter(long after, Duration wait) throws StoreException, HistoryLostException;
+  FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
+      throws StoreException, HistoryLostException;
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -143,6 +143,7 @@
             snapshots.feed(ROUTING),
             listener(this::onRoutingRows),
             log,
+            others(ROUTING),
             settings.bounds().contact());
     this.engineFollower =
         new RowFollower(
@@ -151,6 +152,7 @@
             snapshots.feed(ENGINES),
             listener(this::onEngineRows),
             log,
+            others(ENGINES),
             settings.bounds().contact());
   }
 
@@ -314,8 +316,23 @@
     };
   }
 
+  private RowFollower.Others others(String table) {
+    return new RowFollower.Others() {
+      @Override
+      public long newestChange() {
+        return knowledge.tables().newest(table);
+      }
+
+      @Override
+      public boolean tell() {
+        return knowledge.hearsOfChanges(System.nanoTime());
+      }
+    };
+  }
+
   private void onRoutingRows(FeedTracker tracker) {
     snapshots.keep(ROUTING, tracker);
+    knowledge.tables().onSeen(ROUTING, tracker.newestChange());
     for (FeedRow row : tracker.rows()) {
       if (platform.isRouting().test(row)) {
         takeRouting(row);
@@ -340,6 +357,7 @@
 
   private void onEngineRows(FeedTracker tracker) {
     snapshots.keep(ENGINES, tracker);
+    knowledge.tables().onSeen(ENGINES, tracker.newestChange());
     List<ServingEngine> listed = new ArrayList<>();
     for (FeedRow row : tracker.rows()) {
       try {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -35,6 +35,7 @@
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
  *  "r":["10.1.0.36:7660 zone-1 8000"],     relays
+ *  "t":{"routing":57},                     newest change seen, by table
  *  "w":true}                               listings are wanted
  * </pre>
  *
@@ -76,6 +77,7 @@
     writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
     writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
     writeTexts(out, "r", message.relays().stream().map(PeerCodec::text).toList());
+    writeTables(out, message.tables());
     if (message.wantsListings()) {
       out.writeBooleanField("w", true);
     }
@@ -106,6 +108,17 @@
     out.writeEndObject();
   }
 
+  private static void writeTables(JsonGenerator out, Map<String, Long> tables) throws IOException {
+    if (tables.isEmpty()) {
+      return;
+    }
+    out.writeObjectFieldStart("t");
+    for (Map.Entry<String, Long> table : tables.entrySet()) {
+      out.writeNumberField(table.getKey(), table.getValue());
+    }
+    out.writeEndObject();
+  }
+
   private static void writeTexts(JsonGenerator out, String key, List<String> texts)
       throws IOException {
     if (texts.isEmpty()) {
@@ -169,6 +182,7 @@
     private final List<PlacedPrompt> prompts = new ArrayList<>();
     private final List<CacheListing> listings = new ArrayList<>();
     private final List<PeerInfo> relays = new ArrayList<>();
+    private final Map<String, Long> tables = new HashMap<>();
 
     void read(JsonParser in) throws IOException {
       if (in.nextToken() != JsonToken.START_OBJECT) {
@@ -188,6 +202,7 @@
       switch (key) {
         case "e" -> readEngines(in);
         case "v" -> readSpeeds(in);
+        case "t" -> readTables(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
         case "r" -> texts(in).forEach(text -> relays.add(peer(text)));
@@ -217,6 +232,14 @@
       }
     }
 
+    private void readTables(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String table = in.currentName();
+        in.nextToken();
+        tables.put(table, in.getLongValue());
+      }
+    }
+
     private static List<String> texts(JsonParser in) throws IOException {
       List<String> texts = new ArrayList<>();
       while (in.nextToken() != JsonToken.END_ARRAY) {
@@ -290,7 +313,7 @@
               speeds);
       MessageKind kind = MessageKind.valueOf(needed("k"));
       boolean wantsListings = Boolean.parseBoolean(single.get("w"));
-      return new PeerMessage(kind, sender, load, listings, relays, wantsListings);
+      return new PeerMessage(kind, sender, load, listings, relays, tables, wantsListings);
     }
 
     private String needed(String key) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
@@ -120,7 +121,8 @@
     }
 
     @Override
-    public FeedAnswer changesAfter(long after, Duration wait) throws StoreException {
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
+        throws StoreException {
       throw new StoreException("other nodes are asked for whole tables only", false, null);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -29,19 +29,39 @@
 
   private static final long PAUSE_WHEN_STALE_MILLIS = 200;
 
+  /** The longest that the store holds a watch. */
+  private static final Duration WAIT_WHEN_TOLD = Duration.ofSeconds(30);
+
+  /** How long a watch may be behind what other nodes have seen: the store answers in some ms. */
+  private static final long BEHIND_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private final String name;
   private final RowFeed feed;
   private final RowFeed fallback;
   private final Listener listener;
   private final DecisionLog log;
+  private final Others others;
   private final Duration longestWait;
   private final Pause pause;
   private final FeedTracker tracker = new FeedTracker();
   private final Thread thread;
+  private long lookedAfter;
+  private long behindSinceNanos;
+  private boolean behind;
   private long pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
   private volatile boolean closed;
   private boolean reachable = true;
 
+  /** What other nodes tell of the table. Thread-safe. */
+  interface Others {
+
+    /** The newest change that any of them has seen; 0 when none has. */
+    long newestChange();
+
+    /** Whether this node would hear of it soon when another sees a change. */
+    boolean tell();
+  }
+
   /** How the follower's thread waits. */
   interface Pause {
 
@@ -63,7 +83,8 @@
    * A follower that has not begun.
    *
    * @param fallback who is asked while nothing is known and the store does not answer
-   * @param longestWait bounds how long a watch that has gone silent is trusted
+   * @param others what other nodes tell of the table
+   * @param longestWait bounds how long a watch that has gone silent is trusted while they do not
    */
   RowFollower(
       String name,
@@ -71,8 +92,9 @@
       RowFeed fallback,
       Listener listener,
       DecisionLog log,
+      Others others,
       Duration longestWait) {
-    this(name, feed, fallback, listener, log, longestWait, TimeUnit.MILLISECONDS::sleep);
+    this(name, feed, fallback, listener, log, others, longestWait, TimeUnit.MILLISECONDS::sleep);
   }
 
   RowFollower(
@@ -81,8 +103,10 @@
       RowFeed fallback,
       Listener listener,
       DecisionLog log,
+      Others others,
       Duration longestWait,
       Pause pause) {
+    this.others = others;
     this.longestWait = longestWait;
     this.pause = pause;
     this.name = name;
@@ -113,13 +137,21 @@
 
   private void step() throws StoreException, InterruptedException {
     long now = System.nanoTime();
+    tracker.setToldByOthers(others.tell());
     if (tracker.shouldReadWhole(now)) {
       readWhole();
       return;
     }
-    Duration wait = Duration.ofNanos(tracker.waitNanos(now, longestWait.toNanos()));
+    boolean told = others.tell();
+    Duration longest = told ? WAIT_WHEN_TOLD : longestWait;
+    Duration wait = Duration.ofNanos(tracker.waitNanos(now, longest.toNanos()));
     try {
-      FeedAnswer answer = feed.changesAfter(tracker.position(), wait);
+      FeedAnswer answer =
+          feed.changesAfter(tracker.position(), wait, () -> isTrusted(System.nanoTime() - now));
+      if (isBehind()) {
+        lookedAfter = others.newestChange();
+        tracker.onOutage();
+      }
       if (tracker.onChanges(answer)) {
         listener.onRows(tracker);
         pause.await(GATHER_MILLIS);
@@ -130,6 +162,25 @@
     }
   }
 
+  /** Whether the present watch can be relied on, though the store may have gone silent. */
+  private boolean isTrusted(long heldNanos) {
+    return !isBehind() && (heldNanos < longestWait.toNanos() || others.tell());
+  }
+
+  /** Whether others saw a change some time ago that the watch has not brought. */
+  private boolean isBehind() {
+    long newest = others.newestChange();
+    if (newest <= Math.max(tracker.position(), lookedAfter)) {
+      behind = false;
+      return false;
+    }
+    if (!behind) {
+      behind = true;
+      behindSinceNanos = System.nanoTime();
+    }
+    return System.nanoTime() - behindSinceNanos >= BEHIND_NANOS;
+  }
+
   private void readWhole() throws StoreException, InterruptedException {
     FeedAnswer answer = feed.snapshot();
     boolean stale = answer.version() < tracker.position();
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -48,6 +48,7 @@
         load,
         List.of(new CacheListing("i-7f", 40, 500, parts)),
         List.of(peer(2), peer(3)),
+        Map.of("routing", 57L, "engines", 9_000_000_000L),
         true);
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import org.fallturn.core.port.feed.FeedAnswer;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
@@ -32,7 +34,7 @@
     }
 
     @Override
-    public FeedAnswer changesAfter(long after, Duration wait) {
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
       calls++;
       if (calls > SCRIPT_LENGTH) {
         awaitForever();
@@ -75,6 +77,7 @@
             feed,
             deaf(),
             log,
+            new ToldChanges(),
             Duration.ofSeconds(5),
             millis -> steps.add("pause of " + millis))) {
       follower.start();
@@ -90,4 +93,98 @@
             "pause of 250",
             "changes within 5");
   }
+
+  /** What other nodes tell. */
+  private static final class ToldChanges implements RowFollower.Others {
+    private final AtomicLong newest = new AtomicLong();
+    private volatile boolean told;
+
+    @Override
+    public long newestChange() {
+      return newest.get();
+    }
+
+    @Override
+    public boolean tell() {
+      return told;
+    }
+  }
+
+  /** A table whose watch went silent, so that only a whole reading shows its change. */
+  private final class SilentFeed implements RowFeed {
+    private final ToldChanges others;
+    private volatile long version = 1;
+
+    SilentFeed(ToldChanges others) {
+      this.others = others;
+    }
+
+    @Override
+    public FeedAnswer snapshot() {
+      steps.add("whole " + version);
+      if (version == 2) {
+        done.countDown();
+      }
+      return new FeedAnswer(List.of(new FeedRow("a", version, "", false)), version);
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
+      steps.add("watch for " + wait.toSeconds());
+      version = 2;
+      others.newest.set(2);
+      while (stillWanted.getAsBoolean()) {
+        Thread.onSpinWait();
+      }
+      return new FeedAnswer(List.of(), after);
+    }
+  }
+
+  @Test
+  void watchThatMissesAChangeThatOthersSawIsEndedAndTheTableReadWhole() throws Exception {
+    ToldChanges others = new ToldChanges();
+    others.told = true;
+    RowFeed feed = new SilentFeed(others);
+    DecisionLog log = new DecisionLog(new GatewayMetrics());
+    try (RowFollower follower =
+        new RowFollower("t", feed, feed, deaf(), log, others, Duration.ofSeconds(5))) {
+      follower.start();
+      assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+    assertThat(List.copyOf(steps).subList(0, 3))
+        .containsExactly("whole 1", "watch for 30", "whole 2");
+  }
+
+  @Test
+  void watchIsTrustedForItsOwnTimeOnlyOnceNobodyTellsOfChanges() throws Exception {
+    ToldChanges others = new ToldChanges();
+    others.told = true;
+    RowFeed feed =
+        new RowFeed() {
+          @Override
+          public FeedAnswer snapshot() {
+            steps.add("whole");
+            return new FeedAnswer(List.of(), 1);
+          }
+
+          @Override
+          public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
+            steps.add("watch");
+            assertThat(stillWanted.getAsBoolean()).isTrue();
+            others.told = false;
+            while (stillWanted.getAsBoolean()) {
+              Thread.onSpinWait();
+            }
+            done.countDown();
+            return new FeedAnswer(List.of(), after);
+          }
+        };
+    DecisionLog log = new DecisionLog(new GatewayMetrics());
+    try (RowFollower follower =
+        new RowFollower("t", feed, feed, deaf(), log, others, Duration.ofMillis(50))) {
+      follower.start();
+      assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+    assertThat(List.copyOf(steps).subList(0, 2)).containsExactly("whole", "watch");
+  }
 }
