--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -34,6 +34,7 @@
     this.dispatcher = dispatcher;
     this.survey = survey;
     this.sender = sender;
+    dispatcher.setNodeCount(knowledge.cautiousNodeCount(System.nanoTime()));
   }
 
   /** Another node spoke. */
