--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -84,6 +84,11 @@
     return !engine.leaving() && healthy(engine, nowNanos);
   }
 
+  /** How long it takes until what another node does is known here. */
+  double lagMillis(long nowNanos) {
+    return peerLoads.lagMillis(nowNanos);
+  }
+
   /** Requests that all nodes have at an engine. */
   int running(ServingEngine engine, long nowNanos) {
     return load(engine).running() + peerLoads.running(engine.id(), nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -31,6 +31,12 @@
    */
   private static final long MEMBER_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** A tenth of a turn of 100 ms and the way, at which news is told between all nodes. */
+  private static final double DIRECT_LAG_MILLIS = 15;
+
+  /** The median from placing a prompt to knowing of it in FleetKnowledgeTest at 95 nodes: 60 ms. */
+  private static final double LAG_THROUGH_RELAYS_MILLIS = 60;
+
   private static final long SUMS_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   /** One node alone may merely have lost its own way to the engine. */
@@ -131,6 +137,17 @@
     return sum(engineId, nowNanos).backlog;
   }
 
+  /**
+   * How long it takes until what another node does is known here: what nodes wait before they tell
+   * it, once where all speak to each other, three times where relays gather it.
+   */
+  double lagMillis(long nowNanos) {
+    if (viewHeardWithin(VIEW_LIFETIME_NANOS, nowNanos)) {
+      return LAG_THROUGH_RELAYS_MILLIS;
+    }
+    return heardByNode.isEmpty() ? 0 : DIRECT_LAG_MILLIS;
+  }
+
   /** How many nodes there are, this one included. */
   public int nodeCount(long nowNanos) {
     return 1 + counted(nowNanos).stream().mapToInt(heard -> heard.digest.nodes()).sum();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.LongToDoubleFunction;
+import org.fallturn.core.membership.RendezvousHash;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
@@ -47,6 +48,14 @@
    */
   private static final double READ_AGAIN_PART = 1.2;
 
+  /** Shorter shared parts are read again sooner than they are copied. */
+  private static final int MIN_ORDERED_TOKENS = 1_000;
+
+  /** Bits of a hash beyond those that a double holds. */
+  private static final int UNUSED_BITS = 11;
+
+  private static final double RANGE = 0x1p53;
+
   private final EngineSelector selector;
   private final String zone;
 
@@ -330,15 +339,43 @@
     return isHome ? HOME_TOKENS * question.speed().tokenMillis() : 0;
   }
 
-  private static Optional<Plan> cheapest(
+  private Optional<Plan> cheapest(
       Question question,
       List<ServingEngine> engines,
       Function<ServingEngine, Plan> planFor,
       Optional<ServingEngine> home) {
+    List<Plan> plans = engines.stream().map(planFor).toList();
+    double spread = spreadMillis(question, plans);
     return EngineSelector.cheapest(
-        engines.stream().map(planFor),
-        plan -> plan.cost() - preference(question, plan, home),
+        plans.stream(),
+        plan ->
+            plan.cost()
+                - preference(question, plan, home)
+                + spread * place(question, plan.engine()),
         Plan::engine,
         question.progress());
   }
+
+  /**
+   * By how much plans are told apart that differ by less than what is not known yet: else all nodes
+   * take the engine that was the least loaded a moment ago. What others place before it is known
+   * here keeps an engine busy for the lag at the most, where engines are busy at all.
+   */
+  private double spreadMillis(Question question, List<Plan> plans) {
+    long busy = plans.stream().filter(plan -> plan.aheadTokens() > 0).count();
+    return plans.isEmpty() ? 0 : selector.lagMillis(question.nowNanos()) * busy / plans.size();
+  }
+
+  /**
+   * The place of an engine in a prompt's own order of engines, from 0 to 1. Prompts with the same
+   * long shared part have the same order at all nodes, so that the part is read at few engines.
+   */
+  private static double place(Question question, ServingEngine engine) {
+    PromptShape prompt = question.prompt();
+    String key =
+        prompt.sharedTokens() >= MIN_ORDERED_TOKENS
+            ? prompt.lastSharedPart().map(PromptPart::id).orElseThrow()
+            : question.progress().envelope().requestId();
+    return (RendezvousHash.weight(key, engine.id()) >>> UNUSED_BITS) / RANGE;
+  }
 }
