--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -19,8 +19,11 @@
  */
 public final class PeerLoads {
 
-  /** How long a message is believed: five heartbeats of 300 ms. */
-  private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  /**
+   * How long a relay's message is believed: three heartbeats. Those that reported to one that is
+   * lost find another sooner and count twice until then.
+   */
+  private static final long LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
   /** Views come every 100 ms. */
   public static final long VIEW_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
@@ -31,9 +34,6 @@
    */
   private static final long MEMBER_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-  /** A tenth of a turn of 100 ms and the way, at which news is told between all nodes. */
-  private static final double DIRECT_LAG_MILLIS = 15;
-
   /** The median from placing a prompt to knowing of it in FleetKnowledgeTest at 95 nodes: 60 ms. */
   private static final double LAG_THROUGH_RELAYS_MILLIS = 60;
 
@@ -138,14 +138,14 @@
   }
 
   /**
-   * How long it takes until what another node does is known here: what nodes wait before they tell
-   * it, once where all speak to each other, three times where relays gather it.
+   * How long it takes until what another node does is known here; nothing worth counting where all
+   * speak to each other, since prompts are told at once.
    */
   double lagMillis(long nowNanos) {
     if (viewHeardWithin(VIEW_LIFETIME_NANOS, nowNanos)) {
       return LAG_THROUGH_RELAYS_MILLIS;
     }
-    return heardByNode.isEmpty() ? 0 : DIRECT_LAG_MILLIS;
+    return 0;
   }
 
   /** How many nodes there are, this one included. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -47,6 +48,9 @@
 
   private static final long GATHERED_NEWS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
+  /** Longer than it takes until relays have told whom they hear. */
+  private static final long PROMOTION_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
   private static final long TELL_RELAYS_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** Only a node that has just started asks, and the store does not answer. */
@@ -63,6 +67,11 @@
   /** Longer than a message of a node that has gone to another relay is believed. */
   private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  /** Relays that keep to short watches of the store: one may be cut off while another restarts. */
+  private static final int WATCHERS = 3;
+
+  private static final String WATCH = "watch";
+
   private static final long COUNT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   private final PeerInfo self;
@@ -77,6 +86,9 @@
   private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
   private final Set<NetworkAddress> listingRequests = new LinkedHashSet<>();
   private final Set<NetworkAddress> welcome = new LinkedHashSet<>();
+  private volatile boolean relaying = true;
+  private boolean ranksAsRelay;
+  private long ranksAsRelaySinceNanos;
   private Set<PeerInfo> ranked = Set.of();
   private int rankedNodes = 1;
   private long listedAskableNanos;
@@ -96,8 +108,8 @@
   private int settled;
   private int leastCount = Integer.MAX_VALUE;
   private long countingSinceNanos;
-  private volatile long viewedNanos;
-  private volatile boolean viewed;
+  private volatile long toldOfChangesNanos;
+  private volatile boolean toldOfChanges;
   private volatile int highestCount;
   private long highestCountNanos;
   private volatile List<NetworkAddress> askable = List.of();
@@ -150,8 +162,7 @@
     }
     boolean strangersView = message.kind() == MessageKind.VIEW && !isRelay(message.sender());
     if (message.kind() == MessageKind.VIEW && !strangersView) {
-      viewed = true;
-      viewedNanos = nowNanos;
+      onToldOfChanges(nowNanos);
     }
     if (!strangersView) {
       message
@@ -231,7 +242,7 @@
 
   /** Whether this node is the one that asks an engine what it keeps, as far as it knows. */
   public boolean asks(String engineId, long nowNanos) {
-    if (!ranking.isRelay() || !directory.anyHeard(nowNanos) && !seeds.isEmpty()) {
+    if (!relaying || !directory.anyHeard(nowNanos) && !seeds.isEmpty()) {
       return false;
     }
     long own = RendezvousHash.weight(engineId, self.address().toString());
@@ -277,11 +288,33 @@
   }
 
   /**
-   * Whether this node would hear of it soon when another sees a change of a table: its relay, and
-   * through it all others, spoke lately. Any thread may call.
+   * Whether this node would hear of it soon when another sees a change of a table, so that its own
+   * watch may be a long one: its relay spoke lately, or it is a relay itself and others keep to
+   * short watches. Any thread may call.
    */
   public boolean hearsOfChanges(long nowNanos) {
-    return viewed && nowNanos - viewedNanos < PeerLoads.VIEW_LIFETIME_NANOS;
+    return toldOfChanges && nowNanos - toldOfChangesNanos < PeerLoads.VIEW_LIFETIME_NANOS;
+  }
+
+  private void onToldOfChanges(long nowNanos) {
+    toldOfChangesNanos = nowNanos;
+    toldOfChanges = true;
+  }
+
+  /** Some relays keep to short watches, so that a store that went silent is found by somebody. */
+  private void checkWatchers(long nowNanos) {
+    List<PeerInfo> watchers =
+        heardLately(ranking.relays(), nowNanos).stream()
+            .sorted(Comparator.comparing(FleetKnowledge::watchRank, Long::compareUnsigned))
+            .limit(WATCHERS)
+            .toList();
+    if (relaying && !watchers.contains(self)) {
+      onToldOfChanges(nowNanos);
+    }
+  }
+
+  private static long watchRank(PeerInfo relay) {
+    return RendezvousHash.weight(WATCH, relay.address().toString());
   }
 
   /** Some nodes heard lately, else the seeds; any thread may call. */
@@ -292,7 +325,7 @@
 
   /** Whether this node relays, as far as it knows; any thread may call. */
   public boolean isRelay() {
-    return ranking.isRelay();
+    return relaying;
   }
 
   /** The count of nodes that was given last, 1 before; any thread may call. */
@@ -334,7 +367,9 @@
   private void rank(long nowNanos) {
     leaveSilentRelay(nowNanos);
     rankAnewWhenNodesChanged(nowNanos);
-    Optional<PeerInfo> chosen = ranking.relayOfThisNode();
+    checkWatchers(nowNanos);
+    relaying = mayRelay(nowNanos);
+    Optional<PeerInfo> chosen = relaying ? Optional.empty() : ranking.relayOfThisNode();
     boolean stays = relay.isPresent() && ranking.relays().contains(relay.get());
     if (chosen.isEmpty() || !stays) {
       if (!chosen.equals(relay)) {
@@ -348,6 +383,24 @@
     }
   }
 
+  /**
+   * Whether this node relays now. One that did not waits until it has ranked so for a while, since
+   * it may merely have ceased to hear of others; at once where there is no other.
+   */
+  private boolean mayRelay(long nowNanos) {
+    if (!ranking.isRelay()) {
+      ranksAsRelay = false;
+      return false;
+    }
+    if (!ranksAsRelay) {
+      ranksAsRelay = true;
+      ranksAsRelaySinceNanos = nowNanos;
+    }
+    return relaying
+        || nowNanos - ranksAsRelaySinceNanos >= PROMOTION_NANOS
+        || ranking.relayOfThisNode().isEmpty();
+  }
+
   private void rankAnewWhenNodesChanged(long nowNanos) {
     Set<PeerInfo> known = Set.copyOf(directory.known(nowNanos));
     int nodes = loads.nodeCount(nowNanos);
@@ -374,29 +427,30 @@
     if (lastGreetingNanos == 0 || nowNanos - lastGreetingNanos >= pause) {
       lastGreetingNanos = nowNanos;
       if (alone) {
-        seeds.forEach(seed -> messages.add(greeting(MessageKind.GREETING, seed)));
+        seeds.forEach(seed -> messages.add(greeting(MessageKind.GREETING, seed, nowNanos)));
       }
       directory
           .nextToGreet(seeds, nowNanos)
-          .ifPresent(peer -> messages.add(greeting(MessageKind.GREETING, peer)));
+          .ifPresent(peer -> messages.add(greeting(MessageKind.GREETING, peer, nowNanos)));
     }
-    welcome.forEach(peer -> messages.add(greeting(MessageKind.WELCOME, peer)));
+    welcome.forEach(peer -> messages.add(greeting(MessageKind.WELCOME, peer, nowNanos)));
     welcome.clear();
   }
 
   /** Says who the relays are, but nothing of load, since its target may not rank before this. */
-  private Outgoing greeting(MessageKind kind, NetworkAddress peer) {
+  private Outgoing greeting(MessageKind kind, NetworkAddress peer, long nowNanos) {
     LoadDigest countOnly =
         new LoadDigest(
             node, incarnation, ++sequence, highestCount, node, Map.of(), List.of(), Map.of());
     return new Outgoing(
         peer,
-        new PeerMessage(kind, self, countOnly, List.of(), ranking.relays(), tables.all(), false));
+        new PeerMessage(
+            kind, self, countOnly, List.of(), candidates(nowNanos), tables.all(), false));
   }
 
   private void tell(OwnLoad own, boolean turn, List<Outgoing> messages, long nowNanos) {
     boolean tellRelays = nowNanos - lastRelaysNanos >= TELL_RELAYS_NANOS;
-    List<PeerInfo> relays = tellRelays ? relaysHeard(nowNanos) : List.of();
+    List<KnownPeer> relays = tellRelays ? candidates(nowNanos) : List.of();
     if (tellRelays) {
       lastRelaysNanos = nowNanos;
     }
@@ -414,15 +468,19 @@
     tellMembers(own, turn, relays, messages, nowNanos);
   }
 
-  private List<PeerInfo> relaysHeard(long nowNanos) {
-    return ranking.relays().stream()
+  private List<KnownPeer> candidates(long nowNanos) {
+    return directory.withAges(ranking.candidates(), nowNanos);
+  }
+
+  private List<PeerInfo> heardLately(List<PeerInfo> peers, long nowNanos) {
+    return peers.stream()
         .filter(peer -> peer.equals(self) || directory.heardLately(peer.address(), nowNanos))
         .toList();
   }
 
   /** To the relay of this node, or as a relay to the others. */
   private void tellUpward(
-      OwnLoad own, List<PeerInfo> relays, List<Outgoing> messages, long nowNanos) {
+      OwnLoad own, List<KnownPeer> relays, List<Outgoing> messages, long nowNanos) {
     lastUpwardNanos = nowNanos;
     lastSentNanos = nowNanos;
     LoadDigest group = loads.group(digest(own, groupNews.takePrompts()), nowNanos);
@@ -461,7 +519,7 @@
   }
 
   private void tellMembers(
-      OwnLoad own, boolean turn, List<PeerInfo> relays, List<Outgoing> messages, long nowNanos) {
+      OwnLoad own, boolean turn, List<KnownPeer> relays, List<Outgoing> messages, long nowNanos) {
     if (!loads.hasMembers(nowNanos)) {
       viewNews.clear();
       return;
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -12,7 +12,7 @@
  * @param sender who sends it
  * @param load what those that it speaks for have, and prompts that were placed
  * @param listings what engines said that they keep
- * @param relays relays that the sender has heard itself; empty in most messages
+ * @param relays relays and who is next in line, in some messages
  * @param tables the newest change of each followed table that the sender knows to have been seen
  * @param wantsListings whether the sender asks for all that is known of what engines keep
  */
@@ -21,7 +21,7 @@
     PeerInfo sender,
     LoadDigest load,
     List<CacheListing> listings,
-    List<PeerInfo> relays,
+    List<KnownPeer> relays,
     Map<String, Long> tables,
     boolean wantsListings) {
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -22,11 +22,17 @@
   /** A relay can carry at least this part of what the strongest node can. */
   private static final double LEAST_CAPACITY_PART = 0.5;
 
+  /**
+   * Of each zone, nodes beside the relays that all are told of, so that all choose the same next.
+   */
+  private static final int SPARE = 2;
+
   private static final Comparator<PeerInfo> STRONGEST_FIRST =
       (left, right) -> left.equals(right) ? 0 : left.ranksBefore(right) ? -1 : 1;
 
   private final PeerInfo self;
   private final List<PeerInfo> relays;
+  private final List<PeerInfo> candidates;
 
   /**
    * Ranks the nodes that are known.
@@ -42,14 +48,19 @@
     double least = LEAST_CAPACITY_PART * all.get(0).capacity();
     List<PeerInfo> strong = all.stream().filter(peer -> peer.capacity() >= least).toList();
     int quota = relaysAZone(strong, nodeCount);
+    relays = strongestOfEachZone(strong, quota);
+    candidates = strongestOfEachZone(strong, quota + SPARE);
+  }
+
+  private static List<PeerInfo> strongestOfEachZone(List<PeerInfo> strongestFirst, int count) {
     List<PeerInfo> chosen = new ArrayList<>();
-    for (PeerInfo peer : strong) {
+    for (PeerInfo peer : strongestFirst) {
       long before = chosen.stream().filter(relay -> relay.zone().equals(peer.zone())).count();
-      if (before < quota) {
+      if (before < count) {
         chosen.add(peer);
       }
     }
-    relays = List.copyOf(chosen);
+    return List.copyOf(chosen);
   }
 
   /** Relays tell each other and those that report to them: the sum is least at the square root. */
@@ -64,19 +75,21 @@
     return relays;
   }
 
+  /** The relays, and those who take their places when they are lost. */
+  List<PeerInfo> candidates() {
+    return candidates;
+  }
+
   /** Whether this node is one. */
   boolean isRelay() {
     return relays.contains(self);
   }
 
   /**
-   * The relay that this node reports to; empty when it is one itself. Only to one that ranks before
-   * it, so that reports never go round in a circle.
+   * The relay that this node reports to when it does not relay itself; empty when there is none.
+   * Only one that ranks before it, so that reports never go round in a circle.
    */
   Optional<PeerInfo> relayOfThisNode() {
-    if (isRelay()) {
-      return Optional.empty();
-    }
     Comparator<PeerInfo> nearFirst =
         Comparator.comparing((PeerInfo relay) -> !relay.zone().equals(self.zone()));
     return relays.stream()
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/FleetKnowledgeTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/FleetKnowledgeTest.java
@@ -23,6 +23,15 @@
   /** Within which every node knows what all others have. */
   private static final int SETTLED_MILLIS = 3_000;
 
+  /** Nodes that report to one relay of twelve among 95 equal nodes, at the most. */
+  private static final int MEMBERS_A_RELAY = 12;
+
+  /**
+   * For so long those that reported to a lost relay may count twice; later those of a relay whose
+   * place another takes.
+   */
+  private static final int COUNTED_TWICE_MILLIS = 1_500;
+
   private static SimulatedFleet fleet(long seed, int nodes, int zones) {
     SimulatedFleet fleet = new SimulatedFleet(seed);
     for (int number = 0; number < nodes; number++) {
@@ -105,6 +114,41 @@
     assertThat(delays.get(delays.size() / 2)).isLessThanOrEqualTo(100);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void fleetOfEqualNodesStaysSettledWhenRelaysAreKilled(long seed) {
+    SimulatedFleet fleet = new SimulatedFleet(seed);
+    for (int number = 0; number < 95; number++) {
+      fleet.add(number, "zone-" + number % 3, STRONG);
+    }
+    fleet.run(SETTLED_MILLIS);
+    Random random = new Random(seed);
+    List<Node> relays =
+        new ArrayList<>(fleet.nodes().stream().filter(node -> node.knowledge.isRelay()).toList());
+    List<Node> killed = new ArrayList<>();
+    for (int victim = 0; victim < 3; victim++) {
+      Node node = relays.remove(random.nextInt(relays.size()));
+      fleet.kill(node);
+      killed.add(node);
+    }
+    for (int passed = 0; passed < 2 * SETTLED_MILLIS; passed += 100) {
+      fleet.run(100);
+      List<Node> alive = fleet.nodes().stream().filter(node -> !killed.contains(node)).toList();
+      assertThat(alive.stream().filter(node -> node.knowledge.isRelay()).count())
+          .as("relays after %d ms", passed)
+          .isBetween(9L, 20L);
+      int most = 95 + MEMBERS_A_RELAY * (passed < COUNTED_TWICE_MILLIS ? 3 : 2);
+      for (Node node : alive) {
+        assertThat(fleet.believed(node)).as("after %d ms", passed).isLessThanOrEqualTo(most);
+      }
+    }
+    for (Node node : fleet.nodes()) {
+      if (!killed.contains(node)) {
+        assertThat(fleet.believed(node)).isEqualTo(91);
+      }
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
   void nodesThatAreKilledAreLeftAndForgotten(long seed) {
@@ -247,4 +291,38 @@
     long asked = fleet.nodes().stream().filter(node -> node.knowledge.hasListingRequests()).count();
     assertThat(asked).isBetween(1L, 2L);
   }
+
+  private static List<Node> watchers(SimulatedFleet fleet) {
+    return fleet.nodes().stream()
+        .filter(node -> !node.knowledge.hearsOfChanges(fleet.nowNanos()))
+        .toList();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 3, 8, 95})
+  void threeRelaysKeepToShortWatchesAndOthersTakeTheirPlace(int nodes) {
+    SimulatedFleet fleet = new SimulatedFleet(12);
+    for (int number = 0; number < nodes; number++) {
+      fleet.add(number, "zone-" + number % 3, STRONG);
+    }
+    fleet.run(SETTLED_MILLIS);
+    List<Node> first = watchers(fleet);
+    assertThat(first).hasSize(Math.min(3, nodes));
+    first.forEach(fleet::kill);
+    fleet.run(SETTLED_MILLIS);
+    List<Node> second = new ArrayList<>(watchers(fleet));
+    second.removeAll(first);
+    assertThat(second).hasSizeBetween(Math.min(3, nodes - first.size()), 5);
+  }
+
+  @Test
+  void changeThatOneNodeSawIsKnownToAll() {
+    SimulatedFleet fleet = fleet(13, 95, 6);
+    fleet.run(SETTLED_MILLIS);
+    fleet.nodes().iterator().next().knowledge.tables().onSeen("engines", 57);
+    fleet.run(500);
+    for (Node node : fleet.nodes()) {
+      assertThat(node.knowledge.tables().newest("engines")).isEqualTo(57);
+    }
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -18,6 +18,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.KnownPeer;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
@@ -34,7 +35,7 @@
  *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
- *  "r":["10.1.0.36:7660 zone-1 8000"],     relays
+ *  "r":["10.1.0.36:7660 zone-1 8000 90"],  relays, heard so many ms ago
  *  "t":{"routing":57},                     newest change seen, by table
  *  "w":true}                               listings are wanted
  * </pre>
@@ -153,8 +154,9 @@
         + text(listing.parts());
   }
 
-  private static String text(PeerInfo peer) {
-    return peer.address() + " " + peer.zone() + " " + peer.capacity();
+  private static String text(KnownPeer peer) {
+    PeerInfo info = peer.info();
+    return info.address() + " " + info.zone() + " " + info.capacity() + " " + peer.ageMillis();
   }
 
   private static String text(List<PromptPart> parts) {
@@ -181,7 +183,7 @@
     private final Map<String, LearnedSpeed> speeds = new HashMap<>();
     private final List<PlacedPrompt> prompts = new ArrayList<>();
     private final List<CacheListing> listings = new ArrayList<>();
-    private final List<PeerInfo> relays = new ArrayList<>();
+    private final List<KnownPeer> relays = new ArrayList<>();
     private final Map<String, Long> tables = new HashMap<>();
 
     void read(JsonParser in) throws IOException {
@@ -292,9 +294,11 @@
       return parts;
     }
 
-    private static PeerInfo peer(String text) {
+    private static KnownPeer peer(String text) {
       String[] words = text.split(" ");
-      return new PeerInfo(NetworkAddress.parse(words[0]), words[1], Integer.parseInt(words[2]));
+      PeerInfo info =
+          new PeerInfo(NetworkAddress.parse(words[0]), words[1], Integer.parseInt(words[2]));
+      return new KnownPeer(info, Long.parseLong(words[3]));
     }
 
     PeerMessage message() {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.KnownPeer;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
@@ -47,7 +48,7 @@
         peer(1),
         load,
         List.of(new CacheListing("i-7f", 40, 500, parts)),
-        List.of(peer(2), peer(3)),
+        List.of(new KnownPeer(peer(2), 90), new KnownPeer(peer(3), 0)),
         Map.of("routing", 57L, "engines", 9_000_000_000L),
         true);
   }
