--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -97,6 +97,7 @@
   private long relaySinceNanos;
   private boolean busyLastTurn;
   private boolean begun;
+  private boolean urgent;
   private boolean wantsListings;
   private long lastCallNanos;
   private long lastTurnNanos;
@@ -208,6 +209,11 @@
     viewNews.addListings(List.of(listing), nowNanos);
   }
 
+  /** Something has changed that others should know at once, not only by the next turn. */
+  public void onUrgentChange() {
+    urgent = true;
+  }
+
   /** Whether this node asks others for all that they know of what engines keep. */
   public void setWantsListings(boolean wanted) {
     wantsListings = wanted;
@@ -335,7 +341,7 @@
 
   /** What is to be told now; called about every 10 ms, and when there is news. */
   public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
-    boolean turn = !begun || nowNanos - lastTurnNanos >= TURN_NANOS;
+    boolean turn = !begun || urgent || nowNanos - lastTurnNanos >= TURN_NANOS;
     if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
       relaySinceNanos = nowNanos;
     }
@@ -343,6 +349,7 @@
     List<Outgoing> messages = new ArrayList<>();
     if (turn) {
       begun = true;
+      urgent = false;
       lastTurnNanos = nowNanos;
       rank(nowNanos);
       greet(messages, nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -93,6 +93,7 @@
       engines.setServices(changed.image());
     } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
       dispatcher.onStageChangeBegun(begun.change(), now);
+      peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
       dispatcher.onStageChangeAbandoned(abandoned.change());
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -71,6 +71,12 @@
             () -> new OwnLoad(dispatcher.ownLoads(nowNanos), dispatcher.ownSpeeds()), nowNanos));
   }
 
+  /** Tells the others at once. */
+  void tellNow(long nowNanos) {
+    knowledge.onUrgentChange();
+    tell(nowNanos);
+  }
+
   /** Takes the number of nodes, and asks engines what they keep. */
   void onTick(long nowNanos) {
     if (nowNanos - countedNanos >= COUNT_NANOS) {
