--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -339,7 +339,7 @@
     return Math.max(1, highestCount);
   }
 
-  /** What is to be told now; called about every 10 ms, and when there is news. */
+  /** What is to be told now; called at each tick, and when there is news. */
   public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
     boolean turn = !begun || urgent || nowNanos - lastTurnNanos >= TURN_NANOS;
     if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
@@ -499,22 +499,25 @@
       messages.add(new Outgoing(relay.get().address(), report));
       return;
     }
-    boolean asked = !wantsListings;
     if (!directory.anyHeard(nowNanos)) {
       // Whoever hears nobody cannot be heard to relay: the others would report to it in vain.
       return;
     }
+    PeerMessage toOthers =
+        new PeerMessage(MessageKind.GROUP, self, group, listings, relays, tables.all(), false);
+    Optional<NetworkAddress> asked = wantsListings ? firstHeard(nowNanos) : Optional.empty();
     for (NetworkAddress target : relayTargets(nowNanos)) {
-      boolean asks = !asked && directory.heardLately(target, nowNanos);
-      asked |= asks;
-      messages.add(
-          new Outgoing(
-              target,
-              new PeerMessage(
-                  MessageKind.GROUP, self, group, listings, relays, tables.all(), asks)));
+      boolean asks = asked.filter(target::equals).isPresent();
+      messages.add(new Outgoing(target, asks ? toOthers.askingForListings() : toOthers));
     }
   }
 
+  private Optional<NetworkAddress> firstHeard(long nowNanos) {
+    return relayTargets(nowNanos).stream()
+        .filter(target -> directory.heardLately(target, nowNanos))
+        .findFirst();
+  }
+
   /** The relays that are known, and whoever takes itself for one and tells this node so. */
   private Set<NetworkAddress> relayTargets(long nowNanos) {
     Set<NetworkAddress> targets = new LinkedHashSet<>();
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerInfo.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerInfo.java
@@ -24,8 +24,8 @@
   private static final double MESSAGES_A_MBPS = 40;
 
   /** Capacity of a machine with such a processor and link. */
-  public static int capacityOf(double cores, double linkMbps) {
-    return (int) Math.max(1, Math.min(cores * MESSAGES_A_CORE, linkMbps * MESSAGES_A_MBPS));
+  public static int capacityOf(double cores, double bandwidthMbps) {
+    return (int) Math.max(1, Math.min(cores * MESSAGES_A_CORE, bandwidthMbps * MESSAGES_A_MBPS));
   }
 
   /** A total order on which all nodes agree: by capacity, then by a hash of the address. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -25,6 +25,11 @@
     Map<String, Long> tables,
     boolean wantsListings) {
 
+  /** The same message, which also asks for all listings. */
+  PeerMessage askingForListings() {
+    return new PeerMessage(kind, sender, load, listings, relays, tables, true);
+  }
+
   /** Private copies. */
   public PeerMessage {
     listings = List.copyOf(listings);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -61,7 +61,7 @@
             });
   }
 
-  /** Sends what is due; called several times a second, and when prompts may have been placed. */
+  /** Sends what is due; called at each tick, and when prompts may have been placed. */
   void tell(long nowNanos) {
     if (dispatcher.hasNewPrompts()) {
       knowledge.addPrompts(dispatcher.takeNewPrompts());
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -157,7 +157,8 @@
    * @param bound where it hears of load, with the real port
    */
   public PeerInfo peerInfo(NetworkAddress bound) {
-    return new PeerInfo(bound, zone, PeerInfo.capacityOf(machine.processor(), machine.linkMbps()));
+    return new PeerInfo(
+        bound, zone, PeerInfo.capacityOf(machine.processor(), machine.bandwidthMbps()));
   }
 
   /** What the dispatcher is made with. */
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/MachineSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/MachineSettings.java
@@ -8,9 +8,9 @@
  *
  * @param cpuShare part of each core
  * @param cores number of cores
- * @param linkMbps bandwidth of its link, in Mbit/s
+ * @param bandwidthMbps bandwidth of its link, in Mbit/s
  */
-public record MachineSettings(double cpuShare, double cores, double linkMbps) {
+public record MachineSettings(double cpuShare, double cores, double bandwidthMbps) {
 
   private static final double MOST = 1e6;
 
@@ -21,14 +21,18 @@
   private static final SettingDefinition<Double> CORES =
       SettingDefinition.decimal("machine.cores", 1, 0.001, MOST, "Cores of the machine.");
 
-  private static final SettingDefinition<Double> LINK =
+  private static final SettingDefinition<Double> BANDWIDTH =
       SettingDefinition.decimal(
-          "machine.link_mbps", 1_000, 0.001, MOST, "Bandwidth of the machine's link, in Mbit/s.");
+          "machine.bandwidth_mbps",
+          1_000,
+          0.001,
+          MOST,
+          "Bandwidth of the machine's link, in Mbit/s.");
 
-  static final List<SettingDefinition<?>> DEFINITIONS = List.of(CPU_SHARE, CORES, LINK);
+  static final List<SettingDefinition<?>> DEFINITIONS = List.of(CPU_SHARE, CORES, BANDWIDTH);
 
   static MachineSettings from(SettingValues values) {
-    return new MachineSettings(values.get(CPU_SHARE), values.get(CORES), values.get(LINK));
+    return new MachineSettings(values.get(CPU_SHARE), values.get(CORES), values.get(BANDWIDTH));
   }
 
   /** Processor time a second, in cores. */
