--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -29,7 +29,7 @@
   private static final double FAILURE_RUN_COST = 1.0;
 
   /** Shorter shared parts are read again sooner than they are copied. */
-  private static final int MIN_COPIED_TOKENS = 1_000;
+  static final int MIN_COPIED_TOKENS = 1_000;
 
   private final String zone;
   private final Map<String, EngineLoad> loads = new HashMap<>();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -34,7 +34,11 @@
    */
   private static final long MEMBER_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-  /** The median from placing a prompt to knowing of it in FleetKnowledgeTest at 95 nodes: 60 ms. */
+  /**
+   * From placing a prompt to knowing of it through relays: 40 ms in the median and 65 ms in nine of
+   * ten cases in the simulated fleet of 95 nodes (docs/design/knowledge.md). Other figures were not
+   * tried.
+   */
   private static final double LAG_THROUGH_RELAYS_MILLIS = 60;
 
   private static final long SUMS_LIFETIME_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -48,8 +48,11 @@
    */
   private static final double READ_AGAIN_PART = 1.2;
 
-  /** Shorter shared parts are read again sooner than they are copied. */
-  private static final int MIN_ORDERED_TOKENS = 1_000;
+  /**
+   * Prompts whose shared parts are shorter are spread by request, since reading the part twice
+   * costs little: the length below which parts are not copied either.
+   */
+  private static final int MIN_ORDERED_TOKENS = EngineSelector.MIN_COPIED_TOKENS;
 
   /** Bits of a hash beyond those that a double holds. */
   private static final int UNUSED_BITS = 11;
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -14,8 +14,8 @@
 final class RelayRanking {
 
   /**
-   * Relays of a fleet at least, so that a fleet of up to so many nodes needs none in between:
-   * twelve targets a turn is what a node was measured to afford (docs/experiments/platform.md).
+   * Relays of a fleet at least, so that a fleet of up to so many nodes needs none in between: the
+   * number of peers that a node told each turn before there were relays. Others were not tried.
    */
   private static final int LEAST_RELAYS = 12;
 
