--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/QuickstartReport.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/QuickstartReport.java
@@ -94,9 +94,9 @@
    * @return whether every answer was whole and right and nothing that may not be repeated ran twice
    */
   boolean print(PrintStream out, List<EmulatedEngine> engines) {
-    byPath.forEach((path, counts) -> out.printf("path %-12s %s%n", path, counts.text()));
+    byPath.forEach((path, counts) -> out.printf("path    %-18s %s%n", path, counts.text()));
     byGateway.forEach(
-        (gateway, counts) -> out.printf("gateway %-15s %s%n", gateway, counts.text()));
+        (gateway, counts) -> out.printf("gateway %-18s %s%n", gateway, counts.text()));
     int doubled = 0;
     Set<String> seen = new HashSet<>();
     for (EmulatedEngine engine : engines) {
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/PlatformQuickstartTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/PlatformQuickstartTest.java
@@ -18,7 +18,7 @@
         .isTrue();
     assertThat(report.toString(StandardCharsets.UTF_8))
         .contains("all   64 asked,   64 served")
-        .contains("path " + EmulatedPlatform.STREAM)
+        .contains("path    " + EmulatedPlatform.STREAM)
         .contains("engine d-1");
   }
 }
