Log which content an attempt carried that may have crashed its engine

Cause: the record of the incident shows broken attempts by request id only, and an id changes when the same content comes again; a request that crashes engines cannot be told from one that merely runs there. No change of what is decided.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
@@ -30,6 +30,11 @@
     return mayHaveRun;
   }
 
+  /** Whether it is what a crash of the engine looks like, among other things. */
+  public boolean mayBeCrash() {
+    return this == LOST || this == BROKEN_MIDWAY;
+  }
+
   /** Whether it speaks against the engine or the way to it. */
   public boolean blamesEngine() {
     return switch (this) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
 
@@ -13,6 +14,7 @@
 public final class RequestProgress {
 
   private final RequestEnvelope envelope;
+  private final RequestContent content;
   private final Set<String> triedEngines = new HashSet<>();
   private String service = "";
   private int arrivals;
@@ -32,8 +34,9 @@
   private CacheSource source;
 
   /** A request that has just arrived. */
-  public RequestProgress(RequestEnvelope envelope) {
+  public RequestProgress(RequestEnvelope envelope, RequestContent content) {
     this.envelope = envelope;
+    this.content = content;
   }
 
   /** What is decided on. */
@@ -41,6 +44,11 @@
     return envelope;
   }
 
+  /** What it is known by when it comes again under another id. */
+  public RequestContent content() {
+    return content;
+  }
+
   /** The service it goes to; empty before the first decision. */
   public String service() {
     return service;
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/RequestContent.java
@@ -0,0 +1,76 @@
+package org.fallturn.core.quarantine;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.HexFormat;
+
+/**
+ * What a caller asks for, apart from the id and the headers of one attempt: target, caller and
+ * body. Its fingerprint is computed when it is first asked for, which for most requests is never.
+ * One thread calls.
+ */
+public final class RequestContent {
+
+  private static final String ALGORITHM = "SHA-256";
+
+  /** Of the hash, 96 bits are kept: too many for two contents of a fleet ever to share them. */
+  private static final int DIGEST_BYTES = 12;
+
+  private static final int SKETCH_FACTOR = 31;
+
+  private final String target;
+  private final String caller;
+  private final byte[] body;
+  private RequestFingerprint fingerprint;
+
+  /**
+   * The content of one request.
+   *
+   * @param target method, host, path and query
+   * @param caller who sends it, as far as the request says; empty when it does not
+   * @param body the whole body; not copied
+   */
+  public RequestContent(String target, String caller, byte[] body) {
+    this.target = target;
+    this.caller = caller;
+    this.body = body;
+  }
+
+  /** Costs no look at the body; equal for equal contents. */
+  public int sketch() {
+    return SKETCH_FACTOR * target.hashCode() + body.length;
+  }
+
+  /** Equal for equal contents only. */
+  public RequestFingerprint fingerprint() {
+    if (fingerprint == null) {
+      fingerprint = new RequestFingerprint(sketch(), digest());
+    }
+    return fingerprint;
+  }
+
+  private String digest() {
+    MessageDigest hash = newHash();
+    add(hash, target.getBytes(StandardCharsets.UTF_8));
+    add(hash, caller.getBytes(StandardCharsets.UTF_8));
+    add(hash, body);
+    return HexFormat.of().formatHex(Arrays.copyOf(hash.digest(), DIGEST_BYTES));
+  }
+
+  /** Lengths go first, so that no two lists of fields give the same bytes. */
+  private static void add(MessageDigest hash, byte[] field) {
+    hash.update(ByteBuffer.allocate(Integer.BYTES).putInt(field.length).flip());
+    hash.update(field);
+  }
+
+  private static MessageDigest newHash() {
+    try {
+      return MessageDigest.getInstance(ALGORITHM);
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has " + ALGORITHM, e);
+    }
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -1,10 +1,12 @@
 package org.fallturn.core.dispatch;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
@@ -147,6 +149,7 @@
       Route route, Optional<PromptShape> prompt, long nowNanos) {
     String id = "request-" + number++;
     return new RequestProgress(
-        new RequestEnvelope(id, route, prompt, nowNanos, nowNanos + route.timeout().toNanos()));
+        new RequestEnvelope(id, route, prompt, nowNanos, nowNanos + route.timeout().toNanos()),
+        new RequestContent("POST host/", "", id.getBytes(StandardCharsets.UTF_8)));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -15,8 +15,10 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.fallturn.core.dispatch.RequestEnvelope;
+import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.error.FallturnException;
+import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 
@@ -121,10 +123,17 @@
         head.deadline().filter(d -> d.compareTo(route.timeout()) < 0).orElse(route.timeout());
     RequestEnvelope envelope =
         new RequestEnvelope(head.requestId(), route, head.prompt(), now, now + patience.toNanos());
-    Exchange exchange = new Exchange(caller, head, envelope, body, events, gateway);
+    RequestContent content =
+        new RequestContent(target(caller.request(), head), head.caller(), body);
+    RequestProgress progress = new RequestProgress(envelope, content);
+    Exchange exchange = new Exchange(caller, head, progress, body, events, gateway);
     events.accept(new DispatchEvent.Arrived(exchange));
   }
 
+  private static String target(Request request, CallerHead head) {
+    return request.getMethod() + " " + head.host() + request.getHttpURI().getPathQuery();
+  }
+
   /** Reads one body by asynchronous demand, so that a slow caller holds no thread. */
   private final class BodyCollector implements Runnable {
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -272,11 +272,15 @@
 
   void attemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome) {
     EngineAnswerHead head = attempt.head();
-    line(LogEvent.ATTEMPT_FAILED, exchange, outcome.name())
-        .addKeyValue("engine", attempt.call().engine().id())
-        .addKeyValue("outcome", outcome)
-        .addKeyValue("status", head == null ? 0 : head.status())
-        .log();
+    LoggingEventBuilder line =
+        line(LogEvent.ATTEMPT_FAILED, exchange, outcome.name())
+            .addKeyValue("engine", attempt.call().engine().id())
+            .addKeyValue("outcome", outcome)
+            .addKeyValue("status", head == null ? 0 : head.status());
+    if (outcome.mayBeCrash()) {
+      line = line.addKeyValue("content", exchange.progress().content().fingerprint());
+    }
+    line.log();
   }
 
   /** The attempt is about to be given up; the line of its failure follows. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -30,7 +30,6 @@
   private final Response response;
   private final Callback callback;
   private final CallerHead head;
-  private final RequestEnvelope envelope;
   private final RequestProgress progress;
   private final byte[] body;
   private final Consumer<DispatchEvent> events;
@@ -44,7 +43,7 @@
   Exchange(
       CallerTriple caller,
       CallerHead head,
-      RequestEnvelope envelope,
+      RequestProgress progress,
       byte[] body,
       Consumer<DispatchEvent> events,
       GatewayState gateway) {
@@ -53,8 +52,7 @@
     this.writer = new OrderedWriter(response::write);
     this.callback = caller.callback();
     this.head = head;
-    this.envelope = envelope;
-    this.progress = new RequestProgress(envelope);
+    this.progress = progress;
     this.body = body;
     this.events = events;
     this.gateway = gateway;
@@ -65,7 +63,7 @@
   }
 
   RequestEnvelope envelope() {
-    return envelope;
+    return progress.envelope();
   }
 
   RequestProgress progress() {
