Show that a content which crashes engines is sent on under each new id

Cause (of the fault shown): RequestProgress and RetryRules know one attempt of a caller; nothing outlives it, and no other node is told.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -68,7 +68,13 @@
    * @param deadline how long it says that it waits
    */
   public Call send(NetworkAddress gateway, String path, int promptTokens, Duration deadline) {
-    return send(gateway, path, promptTokens, deadline, "body of the request".getBytes(UTF_8));
+    byte[] body = ("body of the call " + number.get() + " of " + this).getBytes(UTF_8);
+    return send(gateway, path, promptTokens, deadline, body);
+  }
+
+  /** Sends a request with a body that others may bear too. */
+  public Call sendContent(NetworkAddress gateway, String path, int promptTokens, String body) {
+    return send(gateway, path, promptTokens, LONGEST, body.getBytes(UTF_8));
   }
 
   /** Sends an application request with a body of some size. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -18,6 +19,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.Lock;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -73,6 +75,7 @@
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final AtomicInteger abandoned = new AtomicInteger();
   private final Lock reading = new ReentrantLock(true);
+  private volatile Optional<Poison> poison = Optional.empty();
   private volatile EngineFault standingFault = EngineFault.NONE;
   private volatile double pace = Double.POSITIVE_INFINITY;
 
@@ -82,12 +85,34 @@
    * @param stage prefill, decode, or empty for an application
    */
   public EmulatedEngine(String id, String service, String stage) throws Exception {
+    this(id, service, stage, 0);
+  }
+
+  private EmulatedEngine(String id, String service, String stage, int port) throws Exception {
     this.id = id;
     this.service = service;
     this.stage = stage;
-    this.server = new EmulatedServer(new EngineHandler());
+    this.server = new EmulatedServer(new EngineHandler(), port);
+  }
+
+  /** Another process under the address of this one, which has ended. */
+  EmulatedEngine successor(String newId) throws Exception {
+    return new EmulatedEngine(newId, service, stage, address().port());
   }
 
+  /**
+   * Crashes on a content.
+   *
+   * @param body the content's body
+   * @param when at which moment
+   * @param crashed hears of it, and is to close this engine
+   */
+  void crashOn(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {
+    poison = Optional.of(new Poison(body, when, crashed));
+  }
+
+  private record Poison(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {}
+
   /**
    * A request that reached it, whatever became of it.
    *
@@ -212,12 +237,35 @@
       }
       heads.add(request.getHeaders().asImmutable());
       arrivals.add(arrival(request.getHeaders()));
-      Content.Source.consumeAll(request);
+      String body = Content.Source.asString(request, StandardCharsets.UTF_8);
+      if (crashes(body, request, response, callback)) {
+        return true;
+      }
       EngineFault queued = nextFaults.poll();
       serve(request, response, callback, queued == null ? standingFault : queued);
       return true;
     }
 
+    /** Whether this engine has crashed on the request; it says no more then. */
+    private boolean crashes(String body, Request request, Response response, Callback callback)
+        throws Exception {
+      Optional<Poison> crash = poison.filter(known -> known.body().equals(body));
+      boolean onlyReads = request.getHeaders().contains(STAGE_HEADER);
+      if (crash.isEmpty() || onlyReads && crash.get().when() != EngineCrash.WHILE_READING) {
+        return false;
+      }
+      if (crash.get().when() == EngineCrash.MIDWAY) {
+        response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
+        response.getHeaders().put(STAMP, "stamp-" + id);
+        part(response, event(1));
+      }
+      TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+      close(request, callback);
+      Runnable end = () -> crash.get().crashed().accept(EmulatedEngine.this);
+      new Thread(end, "crash-" + id).start();
+      return true;
+    }
+
     private static Arrival arrival(HttpFields headers) {
       return new Arrival(
           headers.get(REQUEST_ID), System.nanoTime(), headers.contains(STAGE_HEADER));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 import org.fallturn.node.settings.GatewaySettings;
@@ -11,7 +12,7 @@
 
 /**
  * A store, an operator's configuration, engines of both stages, application back ends and gateways,
- * all in this process. One thread uses it.
+ * all in this process. One thread uses it; engines that crash are replaced on threads of theirs.
  */
 public final class EmulatedPlatform implements AutoCloseable {
 
@@ -44,7 +45,9 @@
 
   private final EmulatedStore store;
   private final List<EmulatedEngine> engines = new ArrayList<>();
+  private final List<EmulatedEngine> crashed = new ArrayList<>();
   private final List<GatewayServer> gateways = new ArrayList<>();
+  private Consumer<EmulatedEngine> crashing = engine -> {};
   private int version = 1;
 
   /** Starts the store with the default configuration. */
@@ -72,6 +75,44 @@
     return engine;
   }
 
+  /**
+   * Lets every model engine crash on a content from now on; another starts under its address at
+   * once, and its row takes the place of the former.
+   */
+  public synchronized void crashOn(String body, EngineCrash when) {
+    crashing = engine -> engine.crashOn(body, when, this::replaceCrashed);
+    engines.stream().filter(engine -> !engine.stage().isEmpty()).forEach(crashing);
+  }
+
+  /** How many engines have crashed. */
+  public synchronized int crashes() {
+    return crashed.size();
+  }
+
+  /** Every engine that has served, also those that have crashed. */
+  public synchronized List<EmulatedEngine> allEngines() {
+    List<EmulatedEngine> all = new ArrayList<>(engines);
+    all.addAll(crashed);
+    return all;
+  }
+
+  private synchronized void replaceCrashed(EmulatedEngine engine) {
+    if (!engines.remove(engine)) {
+      return;
+    }
+    crashed.add(engine);
+    try {
+      engine.close();
+      EmulatedEngine successor = engine.successor(engine.id() + "+");
+      engines.add(successor);
+      crashing.accept(successor);
+      unlist(engine);
+      list(successor, false);
+    } catch (Exception e) {
+      throw new IllegalStateException("no engine takes the place of " + engine.id(), e);
+    }
+  }
+
   /** Writes an engine's row. */
   public void list(EmulatedEngine engine, boolean draining) {
     store.put(ENGINE_TABLE, engine.id(), engine.row(draining));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedServer.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedServer.java
@@ -15,21 +15,34 @@
   private static final String LOOPBACK = "127.0.0.1";
 
   private final Server server;
-  private final ServerConnector connector;
+  private final NetworkAddress address;
 
   EmulatedServer(Handler handler) throws Exception {
+    this(handler, 0);
+  }
+
+  /**
+   * A server on one port.
+   *
+   * @param port 0 for any free one
+   */
+  EmulatedServer(Handler handler, int port) throws Exception {
     server = new Server(new QueuedThreadPool(THREADS));
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
-    connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    ServerConnector connector =
+        new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
     connector.setHost(LOOPBACK);
+    connector.setPort(port);
     server.addConnector(connector);
     server.setHandler(handler);
     server.start();
+    address = new NetworkAddress(LOOPBACK, connector.getLocalPort());
   }
 
+  /** Where it listens, or listened before it was closed. */
   NetworkAddress address() {
-    return new NetworkAddress(LOOPBACK, connector.getLocalPort());
+    return address;
   }
 
   @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -71,6 +71,11 @@
     notifyAll();
   }
 
+  /** Whether a table holds any row. */
+  public synchronized boolean holds(String table) {
+    return rows.values().stream().anyMatch(row -> row.table().equals(table));
+  }
+
   /** Drops the history so far: whoever is behind must read tables whole. */
   public synchronized void loseHistory() {
     history.clear();
