Hold back contents under which three engines have crashed, at every node

Cause: what was known of a failed request ended with one attempt of its caller at one node; the same content under another id was sent on as new, twice an attempt. Change: core.quarantine, a room of its own: content by fingerprint (target, caller, body), crashes by engine, standing clear, suspected, in quarantine. The dispatcher asks before each send and tells how attempts end; nodes tell each other at once, through every kind of message; a row of the store for each content in quarantine, read once after a start. A crash is void when the engine is heard later or when a content in quarantine explains it; one good answer releases. A suspected content goes to the engine with the fewest requests, without a read ahead. Refused as not run where it has not run, without a time to come back. KV caches that wait for a refused request are freed.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -10,6 +10,8 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.quarantine.Quarantine;
+import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.RoutingImage;
@@ -47,12 +49,14 @@
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
   private final List<PlacedPrompt> newPrompts = new ArrayList<>();
+  private final Quarantine quarantine;
   private Optional<RoutingImage> routing = Optional.empty();
 
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
     this.retries = new RetryRules(parameters);
+    this.quarantine = new Quarantine(parameters.node());
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
     this.prompts = new PromptPlacement(selector, parameters.zone());
@@ -83,6 +87,11 @@
     return peerLoads;
   }
 
+  /** Contents that crash engines; whoever hears the other nodes or the store tells it. */
+  public Quarantine quarantine() {
+    return quarantine;
+  }
+
   /** Takes what another node says of prompts that were placed, and of how fast they are read. */
   public void onTold(LoadDigest digest, long nowNanos) {
     digest.prompts().forEach(prompt -> record(prompt, nowNanos));
@@ -163,6 +172,16 @@
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
     silence.check(nowNanos);
+    quarantine.onTick(this::lastHeard, nowNanos);
+  }
+
+  private OptionalLong lastHeard(String engineId) {
+    OptionalLong others = peerLoads.heardNanos(engineId);
+    EngineLoad own = selector.loads().get(engineId);
+    if (own == null || own.heardNanos().isEmpty()) {
+      return others;
+    }
+    return OptionalLong.of(own.lastSign(own.heardNanos().getAsLong(), others));
   }
 
   /**
@@ -297,6 +316,11 @@
     if (outcome == AttemptOutcome.NOT_SENT) {
       progress.takeBackSend();
     }
+    if (!quarantine.standing(progress.content(), nowNanos).sendable()) {
+      return outcome == AttemptOutcome.ANSWERED_FAILURE
+          ? new Decision.PassFailure()
+          : refuseQuarantined(progress);
+    }
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
     }
@@ -306,6 +330,9 @@
   private void onFailedEngine(
       RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
     selector.load(engine).health().onFailure(outcome, nowNanos);
+    if (outcome.mayBeCrash()) {
+      quarantine.onCrash(progress.content(), engine.id(), nowNanos);
+    }
     if (outcome == AttemptOutcome.MISDIRECTED) {
       selector.cachedParts().forget(engine.id());
     } else {
@@ -324,6 +351,7 @@
   /** The answer was passed on whole. */
   public void onFinished(RequestProgress progress, long nowNanos) {
     progress.engine().ifPresent(engine -> selector.load(engine).health().onGood(nowNanos));
+    quarantine.onGood(progress.content(), nowNanos);
     release(progress, true);
   }
 
@@ -381,7 +409,27 @@
     return place(progress, true, nowNanos);
   }
 
+  /**
+   * The one way to an engine. A content that has crashed several is stopped here before each send:
+   * sent on under every new id, it ends all that runs beside it, 20 engines in 14 s.
+   */
   private Decision place(RequestProgress progress, boolean mayPrefill, long nowNanos) {
+    Standing standing = quarantine.standing(progress.content(), nowNanos);
+    if (!standing.sendable()) {
+      return refuseQuarantined(progress);
+    }
+    progress.isolate(standing == Standing.SUSPECTED);
+    return placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
+  }
+
+  private Decision refuseQuarantined(RequestProgress progress) {
+    String reason = "engines crash under " + progress.content().fingerprint();
+    return progress.possibleRuns() == 0
+        ? new Decision.Refuse(ErrorKind.QUARANTINED, reason, Optional.empty())
+        : new Decision.Refuse(ErrorKind.OUTCOME_UNKNOWN, reason, Optional.empty());
+  }
+
+  private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -150,7 +150,13 @@
 
   /** Engines that may run a request. */
   List<ServingEngine> runCandidates(RequestProgress progress, long nowNanos) {
-    return candidates(progress, engine -> !prefills(engine), nowNanos);
+    List<ServingEngine> fit = candidates(progress, engine -> !prefills(engine), nowNanos);
+    return progress.isolated() ? leastRunning(fit, nowNanos) : fit;
+  }
+
+  private List<ServingEngine> leastRunning(List<ServingEngine> engines, long nowNanos) {
+    int least = engines.stream().mapToInt(engine -> running(engine, nowNanos)).min().orElse(0);
+    return engines.stream().filter(engine -> running(engine, nowNanos) == least).toList();
   }
 
   /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -31,6 +31,7 @@
   private OptionalLong engineHeardNanos = OptionalLong.empty();
   private int overtakenBy;
   private boolean begun;
+  private boolean isolated;
   private CacheSource source;
 
   /** A request that has just arrived. */
@@ -49,6 +50,15 @@
     return content;
   }
 
+  /** Whether it goes where few others run, as an engine may crash under it. */
+  boolean isolated() {
+    return isolated;
+  }
+
+  void isolate(boolean apart) {
+    isolated = apart;
+  }
+
   /** The service it goes to; empty before the first decision. */
   public String service() {
     return service;
--- a/fallturn-core/src/main/java/org/fallturn/core/error/ErrorKind.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/error/ErrorKind.java
@@ -22,6 +22,8 @@
   DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, true),
   /** No engine or back end can take the request now. */
   NO_CAPACITY(503, Outcome.NOT_RUN, true),
+  /** The same content has crashed several engines and is not sent any more; coming back is vain. */
+  QUARANTINED(503, Outcome.NOT_RUN, false),
   /** This node is stopping and takes no new work. */
   STOPPING(503, Outcome.NOT_RUN, true),
   /** The platform's store cannot be reached and the request needs it. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -225,9 +225,10 @@
           new PeerMessage(
               MessageKind.WELCOME,
               self,
-              digest(new OwnLoad(Map.of(), Map.of(), true), List.of()),
+              digest(new OwnLoad(Map.of(), Map.of(), List.of(), true), List.of()),
               news.takeListings(nowNanos),
               List.of(),
+              List.of(),
               tables.all(),
               false);
       listingRequests.forEach(asker -> answers.add(new Outgoing(asker, message)));
@@ -421,7 +422,14 @@
     return new Outgoing(
         peer,
         new PeerMessage(
-            kind, self, countOnly, List.of(), candidates(nowNanos), tables.all(), false));
+            kind,
+            self,
+            countOnly,
+            List.of(),
+            List.of(),
+            candidates(nowNanos),
+            tables.all(),
+            false));
   }
 
   private void tell(OwnLoad own, boolean turn, List<Outgoing> messages, long nowNanos) {
@@ -430,7 +438,8 @@
     if (tellRelays) {
       lastRelaysNanos = nowNanos;
     }
-    boolean busy = !own.engines().isEmpty() || loads.hasMembers(nowNanos);
+    boolean busy =
+        !own.engines().isEmpty() || !own.crashes().isEmpty() || loads.hasMembers(nowNanos);
     boolean upward =
         !groupNews.isEmpty()
             || turn && (busy || busyLastTurn)
@@ -464,7 +473,14 @@
     if (relay.isPresent()) {
       PeerMessage report =
           new PeerMessage(
-              MessageKind.REPORT, self, group, listings, List.of(), tables.all(), wantsListings);
+              MessageKind.REPORT,
+              self,
+              group,
+              listings,
+              own.crashes(),
+              List.of(),
+              tables.all(),
+              wantsListings);
       messages.add(new Outgoing(relay.get().address(), report));
       return;
     }
@@ -473,7 +489,8 @@
       return;
     }
     PeerMessage toOthers =
-        new PeerMessage(MessageKind.GROUP, self, group, listings, relays, tables.all(), false);
+        new PeerMessage(
+            MessageKind.GROUP, self, group, listings, own.crashes(), relays, tables.all(), false);
     Optional<NetworkAddress> asked = wantsListings ? firstHeard(nowNanos) : Optional.empty();
     for (NetworkAddress target : relayTargets(nowNanos)) {
       boolean asks = asked.filter(target::equals).isPresent();
@@ -503,7 +520,7 @@
       viewNews.clear();
       return;
     }
-    if (!turn && viewNews.isEmpty()) {
+    if (!turn && viewNews.isEmpty() && own.crashes().isEmpty()) {
       return;
     }
     lastSentNanos = nowNanos;
@@ -517,7 +534,14 @@
                     new Outgoing(
                         member,
                         new PeerMessage(
-                            MessageKind.VIEW, self, view, listings, relays, tables.all(), false))));
+                            MessageKind.VIEW,
+                            self,
+                            view,
+                            listings,
+                            own.crashes(),
+                            relays,
+                            tables.all(),
+                            false))));
   }
 
   private LoadDigest digest(OwnLoad own, List<PlacedPrompt> prompts) {
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
@@ -1,15 +1,21 @@
 package org.fallturn.core.peers;
 
+import java.util.List;
 import java.util.Map;
 import org.fallturn.core.dispatch.EngineDigest;
 import org.fallturn.core.dispatch.LearnedSpeed;
+import org.fallturn.core.quarantine.CrashReport;
 
 /**
  * What this node itself can tell.
  *
  * @param engines what it has where, by engine id
  * @param speeds how fast engines read, by service, as far as it has learned it
+ * @param crashes contents that may crash engines, as far as others should hear of them now
  * @param mayOrder whether it may order changes of stage when its name is the first
  */
 public record OwnLoad(
-    Map<String, EngineDigest> engines, Map<String, LearnedSpeed> speeds, boolean mayOrder) {}
+    Map<String, EngineDigest> engines,
+    Map<String, LearnedSpeed> speeds,
+    List<CrashReport> crashes,
+    boolean mayOrder) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.quarantine.CrashReport;
 
 /**
  * One message between nodes. Immutable.
@@ -12,6 +13,7 @@
  * @param sender who sends it
  * @param load what those that it speaks for have, and prompts that were placed
  * @param listings what engines said that they keep
+ * @param crashes contents that may crash engines
  * @param relays relays and who is next in line, in some messages
  * @param tables the newest change of each followed table that the sender knows to have been seen
  * @param wantsListings whether the sender asks for all that is known of what engines keep
@@ -21,18 +23,20 @@
     PeerInfo sender,
     LoadDigest load,
     List<CacheListing> listings,
+    List<CrashReport> crashes,
     List<KnownPeer> relays,
     Map<String, Long> tables,
     boolean wantsListings) {
 
   /** The same message, which also asks for all listings. */
   PeerMessage askingForListings() {
-    return new PeerMessage(kind, sender, load, listings, relays, tables, true);
+    return new PeerMessage(kind, sender, load, listings, crashes, relays, tables, true);
   }
 
   /** Private copies. */
   public PeerMessage {
     listings = List.copyOf(listings);
+    crashes = List.copyOf(crashes);
     relays = List.copyOf(relays);
     tables = Map.copyOf(tables);
   }
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -0,0 +1,305 @@
+package org.fallturn.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.fallturn.core.membership.RendezvousHash;
+
+/**
+ * Contents under which engines have crashed, as this node and the others have seen it, and which of
+ * them are not sent any more.
+ *
+ * <p>A content is clear until two engines have crashed under it, then suspected, and in quarantine
+ * from the third. It is released by one good answer, by signs of life of engines that only seemed
+ * to crash, or once nobody has asked for it for {@link #LIFETIME}. A crash also ends whatever else
+ * ran at the engine: what a content in quarantine explains is held against no other that has fewer
+ * crashes.
+ *
+ * <p>Invariant: no more than {@link #MAX_SUSPECTS} contents are kept, and those with most crashes
+ * stay. Pure; one thread calls.
+ */
+public final class Quarantine {
+
+  /**
+   * How long a content is remembered that nobody asks for: the operators' engines are replaced by
+   * newer versions, which may bear it, in the course of hours, and callers' retries take seconds.
+   */
+  public static final long LIFETIME_MILLIS = TimeUnit.MINUTES.toMillis(30);
+
+  /** Some 300 bytes each; one crash brings as many as the engine has requests, 48 at most. */
+  static final int MAX_SUSPECTS = 1_024;
+
+  /** Contents in one message, some 100 bytes each, so that it stays within a few KB. */
+  private static final int MAX_REPORTS = 24;
+
+  /** A change is told for so long, in each turn of 100 ms, as messages may be lost. */
+  private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** How often those in quarantine are told to nodes that may have missed it or just started. */
+  private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** The node that saw the last crash writes at once, one of the others when it did not. */
+  private static final long OTHERS_STORE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private static final long STORE_SPREAD_MILLIS = 2_000;
+  private static final long STORE_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final String node;
+  private final Map<RequestFingerprint, Suspect> suspects = new LinkedHashMap<>();
+  private final Map<Integer, Integer> sketches = new HashMap<>();
+  private final List<StandingChange> changes = new ArrayList<>();
+  private final List<RequestFingerprint> released = new ArrayList<>();
+  private boolean news;
+
+  /**
+   * Knows of nothing yet.
+   *
+   * @param node name of this node
+   */
+  public Quarantine(String node) {
+    this.node = node;
+  }
+
+  /** What is thought of a content that is about to be sent. */
+  public Standing standing(RequestContent content, long nowNanos) {
+    Suspect suspect = find(content);
+    if (suspect == null) {
+      return Standing.CLEAR;
+    }
+    suspect.onAsked(nowNanos);
+    return suspect.standing();
+  }
+
+  /** Costs nothing where no content with the same sketch is known. */
+  private Suspect find(RequestContent content) {
+    return sketches.containsKey(content.sketch()) ? suspects.get(content.fingerprint()) : null;
+  }
+
+  /** An engine seems to have crashed while it had the content. */
+  public void onCrash(RequestContent content, String engineId, long nowNanos) {
+    Suspect suspect = suspect(content.fingerprint(), nowNanos, nowNanos);
+    suspect.onAsked(nowNanos);
+    if (!explained(suspect, engineId) && suspect.onCrash(engineId, nowNanos, nowNanos)) {
+      news = true;
+      notice(suspect);
+      suspect.storeAtOnce(nowNanos);
+    }
+    dropWhenEmpty(suspect);
+  }
+
+  private boolean explained(Suspect suspect, String engineId) {
+    return suspects.values().stream()
+        .anyMatch(
+            other ->
+                other != suspect
+                    && other.standing() == Standing.QUARANTINED
+                    && other.crashed(engineId)
+                    && other.crashCount() > suspect.crashCount());
+  }
+
+  /** The content was answered well. */
+  public void onGood(RequestContent content, long nowNanos) {
+    Suspect suspect = find(content);
+    if (suspect != null && suspect.onGood(nowNanos, nowNanos)) {
+      news = true;
+      notice(suspect);
+      release(suspect);
+    }
+  }
+
+  private void release(Suspect suspect) {
+    if (suspect.stored() && suspect.standing() != Standing.QUARANTINED) {
+      suspect.onRemovedFromStore();
+      released.add(suspect.content());
+    }
+  }
+
+  /** Another node tells of a content. */
+  public void onTold(CrashReport report, long nowNanos) {
+    if (report.askedAgoMillis() > LIFETIME_MILLIS) {
+      return;
+    }
+    long askedNanos = at(report.askedAgoMillis(), nowNanos);
+    Suspect suspect = suspect(report.content(), askedNanos, nowNanos);
+    suspect.onAsked(askedNanos);
+    boolean learned = false;
+    if (report.goodAgoMillis() != CrashReport.NEVER) {
+      learned = suspect.onGood(at(report.goodAgoMillis(), nowNanos), nowNanos);
+    }
+    for (Map.Entry<String, Long> crash : report.crashAgesMillis().entrySet()) {
+      if (!explained(suspect, crash.getKey())) {
+        learned |= suspect.onCrash(crash.getKey(), at(crash.getValue(), nowNanos), nowNanos);
+      }
+    }
+    if (report.confirmedAgoMillis() != CrashReport.NEVER) {
+      learned |= suspect.confirm(at(report.confirmedAgoMillis(), nowNanos), nowNanos);
+    }
+    if (report.stored() && !suspect.stored()) {
+      suspect.onStored(nowNanos);
+    }
+    news |= learned;
+    notice(suspect);
+    dropWhenEmpty(suspect);
+  }
+
+  private static long at(long agoMillis, long nowNanos) {
+    return nowNanos - TimeUnit.MILLISECONDS.toNanos(agoMillis);
+  }
+
+  /**
+   * The store holds it, from before this process began.
+   *
+   * @param ageMillis how long ago it was written
+   */
+  public void onRecalled(RequestFingerprint content, long ageMillis, long nowNanos) {
+    long writtenNanos = at(ageMillis, nowNanos);
+    Suspect suspect = suspect(content, writtenNanos, nowNanos);
+    if (suspect.confirm(writtenNanos, nowNanos)) {
+      suspect.onStored(writtenNanos);
+    }
+    notice(suspect);
+    dropWhenEmpty(suspect);
+  }
+
+  /** The store has taken it. */
+  public void onStored(RequestFingerprint content, long nowNanos) {
+    Suspect suspect = suspects.get(content);
+    if (suspect != null) {
+      suspect.onStored(nowNanos);
+    }
+  }
+
+  /**
+   * Lets time pass; called several times a second.
+   *
+   * @param lastHeard when an engine was heard last by any node
+   */
+  public void onTick(Function<String, OptionalLong> lastHeard, long nowNanos) {
+    if (suspects.isEmpty()) {
+      return;
+    }
+    for (Suspect suspect : suspects.values()) {
+      suspect.forgive(lastHeard);
+    }
+    for (Suspect culprit : inQuarantine()) {
+      suspects.values().stream()
+          .filter(suspect -> suspect != culprit)
+          .forEach(suspect -> suspect.explain(culprit));
+    }
+    long lifetime = TimeUnit.MILLISECONDS.toNanos(LIFETIME_MILLIS);
+    for (Suspect suspect : List.copyOf(suspects.values())) {
+      suspect.confirmWhenSettled(nowNanos);
+      if (nowNanos - suspect.askedNanos() > lifetime) {
+        suspect.lapse();
+      }
+      notice(suspect);
+      release(suspect);
+      dropWhenEmpty(suspect);
+    }
+  }
+
+  private List<Suspect> inQuarantine() {
+    return suspects.values().stream()
+        .filter(suspect -> suspect.standing() == Standing.QUARANTINED)
+        .toList();
+  }
+
+  private Suspect suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
+    Suspect known = suspects.get(content);
+    if (known != null) {
+      return known;
+    }
+    if (suspects.size() >= MAX_SUSPECTS) {
+      suspects.values().stream()
+          .min(
+              Comparator.comparing(Suspect::standing)
+                  .thenComparing(Suspect::crashCount)
+                  .thenComparing(Suspect::askedNanos))
+          .ifPresent(this::drop);
+    }
+    Suspect added = new Suspect(content, askedNanos, nowNanos);
+    suspects.put(content, added);
+    sketches.merge(content.sketch(), 1, Integer::sum);
+    return added;
+  }
+
+  private void dropWhenEmpty(Suspect suspect) {
+    if (!suspect.says()) {
+      drop(suspect);
+    }
+  }
+
+  private void drop(Suspect suspect) {
+    if (suspects.remove(suspect.content()) != null) {
+      sketches.computeIfPresent(
+          suspect.content().sketch(), (sketch, count) -> count == 1 ? null : count - 1);
+    }
+  }
+
+  private void notice(Suspect suspect) {
+    if (suspect.takeChange()) {
+      changes.add(new StandingChange(suspect.content(), suspect.standing(), suspect.engines()));
+    }
+  }
+
+  /** Changes of what is thought of contents, since the last call. */
+  public List<StandingChange> takeChanges() {
+    List<StandingChange> taken = List.copyOf(changes);
+    changes.clear();
+    return taken;
+  }
+
+  /** Whether anything was learned since the last call that the others should hear at once. */
+  public boolean takeNews() {
+    boolean taken = news;
+    news = false;
+    return taken;
+  }
+
+  /** What is due to be told to the other nodes, those in quarantine first. */
+  public List<CrashReport> takeReports(long nowNanos) {
+    if (suspects.isEmpty()) {
+      return List.of();
+    }
+    return suspects.values().stream()
+        .sorted(
+            Comparator.comparing(Suspect::standing).reversed().thenComparing(Suspect::toldNanos))
+        .filter(suspect -> suspect.takeTellDue(TELL_NANOS, REPEAT_NANOS, nowNanos))
+        .limit(MAX_REPORTS)
+        .map(suspect -> suspect.report(nowNanos))
+        .toList();
+  }
+
+  /** Contents in quarantine that the store should hold, as far as this node is to see to it. */
+  public List<RequestFingerprint> takeUnstored(long nowNanos) {
+    return suspects.values().stream()
+        .filter(suspect -> suspect.takeStoreDue(othersPause(suspect), STORE_AGAIN_NANOS, nowNanos))
+        .map(Suspect::content)
+        .toList();
+  }
+
+  /** A different one for each node, so that one writes and the others hear of it. */
+  private long othersPause(Suspect suspect) {
+    long rank = RendezvousHash.weight(suspect.content().digest(), node);
+    long spread = Long.remainderUnsigned(rank, STORE_SPREAD_MILLIS);
+    return OTHERS_STORE_NANOS + TimeUnit.MILLISECONDS.toNanos(spread);
+  }
+
+  /** Contents that were released and that the store need not hold any more. */
+  public List<RequestFingerprint> takeReleased() {
+    List<RequestFingerprint> taken = List.copyOf(released);
+    released.clear();
+    return taken;
+  }
+
+  /** How many contents are in quarantine. */
+  public int quarantined() {
+    return inQuarantine().size();
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
@@ -57,7 +57,8 @@
 
     OwnLoad own() {
       EngineDigest digest = new EngineDigest(running, 0, List.of(), 0, 0, EngineDigest.NOT_HEARD);
-      return new OwnLoad(running == 0 ? Map.of() : Map.of(ENGINE, digest), Map.of(), true);
+      return new OwnLoad(
+          running == 0 ? Map.of() : Map.of(ENGINE, digest), Map.of(), List.of(), true);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -11,6 +11,8 @@
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.quarantine.StandingChange;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
@@ -167,6 +169,22 @@
         .log();
   }
 
+  void standingChanged(StandingChange change) {
+    line(LogEvent.STANDING_CHANGED, change.standing().name())
+        .addKeyValue("content", change.content())
+        .addKeyValue("standing", change.standing())
+        .addKeyValue("engines", change.engines())
+        .log();
+  }
+
+  void quarantineStored(RequestFingerprint content, boolean held, String outcome) {
+    line(LogEvent.QUARANTINE_STORED)
+        .addKeyValue("content", content)
+        .addKeyValue("held", held)
+        .addKeyValue("outcome", outcome)
+        .log();
+  }
+
   void stageOrdered(StageChange change, StageOrder order, int status) {
     line(LogEvent.STAGE_ORDERED)
         .addKeyValue("engine", change.engine().id())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -15,6 +15,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
@@ -45,6 +46,7 @@
   private final Set<Exchange> active = new HashSet<>();
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
+  private final QuarantineDuty quarantineDuty;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
   private long lastHealthNanos;
   private long lastStageNanos;
@@ -56,13 +58,15 @@
       DecisionLog log,
       PeerTalk peers,
       CacheSurvey survey,
-      Consumer<StageChange> stageChanges) {
+      Consumer<StageChange> stageChanges,
+      QuarantineDuty quarantineDuty) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
     this.peers = peers;
     this.survey = survey;
     this.stageChanges = stageChanges;
+    this.quarantineDuty = quarantineDuty;
   }
 
   @Override
@@ -106,6 +110,10 @@
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.onStageOrderUnanswered(unanswered.change(), now);
+    } else if (event instanceof DispatchEvent.QuarantineRecalled recalled) {
+      dispatcher.quarantine().onRecalled(recalled.content(), recalled.ageMillis(), now);
+    } else if (event instanceof DispatchEvent.QuarantineStored stored) {
+      dispatcher.quarantine().onStored(stored.content(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
     } else if (event instanceof DispatchEvent.PeerHeard heard) {
@@ -194,14 +202,19 @@
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
     if (!running) {
-      exchange
-          .progress()
-          .source()
-          .ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
+      freeSource(exchange);
     }
     dispatcher.onAbandoned(exchange.progress(), now);
   }
 
+  /** Nobody will fetch the KV cache that waits for the request, if any does. */
+  private void freeSource(Exchange exchange) {
+    exchange
+        .progress()
+        .source()
+        .ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
+  }
+
   private void carryOut(Exchange exchange, Decision decision, long now) {
     log.decided(exchange, decision);
     if (decision instanceof Decision.Prefill prefill) {
@@ -223,6 +236,7 @@
           run.patience());
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
+      freeSource(exchange);
       exchange.refuse(refuse.kind(), refuse.retryAfter());
     } else if (decision instanceof Decision.PassFailure) {
       active.remove(exchange);
@@ -258,14 +272,28 @@
     engines.send(exchange, attempt);
   }
 
-  /** Prompts are told at once, so that no other node reads the same parts elsewhere. */
+  /**
+   * Prompts are told at once, so that no other node reads the same parts elsewhere; crashes too, so
+   * that no other node sends on what has crashed engines.
+   */
   @Override
   public void onBatchEnd() {
-    if (dispatcher.hasNewPrompts()) {
-      peers.tell(System.nanoTime());
+    long now = System.nanoTime();
+    if (dispatcher.quarantine().takeNews()) {
+      peers.tellNow(now);
+      keepQuarantine(now);
+    } else if (dispatcher.hasNewPrompts()) {
+      peers.tell(now);
     }
   }
 
+  private void keepQuarantine(long now) {
+    Quarantine quarantine = dispatcher.quarantine();
+    quarantine.takeChanges().forEach(log::standingChanged);
+    quarantine.takeUnstored(now).forEach(quarantineDuty::put);
+    quarantine.takeReleased().forEach(quarantineDuty::remove);
+  }
+
   @Override
   public void onTick() {
     long now = System.nanoTime();
@@ -283,6 +311,7 @@
       lastHealthNanos = now;
       dispatcher.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
+      keepQuarantine(now);
     }
     if (now - lastStageNanos >= STAGE_NANOS) {
       lastStageNanos = now;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -5,6 +5,7 @@
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.stages.StageChange;
@@ -54,6 +55,12 @@
   /** The order was sent and got no answer. */
   record StageOrderUnanswered(StageChange change) implements DispatchEvent {}
 
+  /** The store holds a content in quarantine, written so many ms ago. */
+  record QuarantineRecalled(RequestFingerprint content, long ageMillis) implements DispatchEvent {}
+
+  /** The store has taken a content in quarantine. */
+  record QuarantineStored(RequestFingerprint content) implements DispatchEvent {}
+
   /** The settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -4,6 +4,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.OrderLeaseStore;
@@ -19,6 +20,7 @@
  * @param engineFeed the table in which engines keep themselves
  * @param engineDecoder reads one of its rows
  * @param orderLease the row that says who may give orders to engines
+ * @param quarantine the contents in quarantine that outlast every process
  * @param readinessPath path at which the platform asks for readiness
  */
 public record GatewayPlatform(
@@ -30,6 +32,7 @@
     FeedFactory engineFeed,
     RowDecoder<ServingEngine> engineDecoder,
     LeaseFactory orderLease,
+    QuarantineFactory quarantine,
     String readinessPath) {
 
   /** Makes the way to the row of the lease on orders. */
@@ -40,6 +43,14 @@
     OrderLeaseStore create(HttpClient client);
   }
 
+  /** Makes the way to the contents in quarantine. */
+  @FunctionalInterface
+  public interface QuarantineFactory {
+
+    /** A way that calls by a client that has been started. */
+    QuarantineStore create(HttpClient client);
+  }
+
   /** Makes the feed of a table; the process has one HTTP client, since each costs its start. */
   @FunctionalInterface
   public interface FeedFactory {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -78,6 +78,7 @@
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
   private final StageDuty stages;
+  private final QuarantineDuty quarantine;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
   private HttpListener readiness;
@@ -135,7 +136,10 @@
             engine -> knowledge.asks(engine, System.nanoTime()),
             settings.firstStart());
     PeerTalk talk = new PeerTalk(knowledge, dispatcher, survey, peers::send);
-    DispatchDuty duty = new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer);
+    this.quarantine =
+        new QuarantineDuty(platform.quarantine().create(engines.client()), this::tell, log);
+    DispatchDuty duty =
+        new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer, quarantine);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(engines.client(), knowledge::askable);
@@ -190,6 +194,7 @@
     dispatch.start();
     peers.start();
     stages.start();
+    quarantine.start();
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -416,6 +421,7 @@
       settingsWatch.close();
     }
     stages.close();
+    quarantine.close();
     routingFollower.close();
     engineFollower.close();
     server.stop();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -36,6 +36,10 @@
   ENGINE_SUSPENDED,
   /** This node uses an engine again. */
   ENGINE_RESUMED,
+  /** Engines have crashed under a content, or nothing speaks against it any more. */
+  STANDING_CHANGED,
+  /** A content in quarantine was written to the store, or taken from it, or could not be. */
+  QUARANTINE_STORED,
   /** An engine was ordered to take another stage. */
   STAGE_ORDERED,
   /** An engine was not ordered to take another stage after all. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -22,6 +22,7 @@
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.quarantine.CrashReport;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -35,6 +36,8 @@
  *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
+ *  "q":["1f0a9c4e-77 0 300 -1 true i-7f:1200"],  contents that may crash engines: fingerprint; ms
+ *                                     since asked for, confirmed, answered well; stored; crashes
  *  "r":["10.1.0.36:7660 zone-1 8000 90"],  relays, heard so many ms ago
  *  "t":{"routing":57},                     newest change seen, by table
  *  "w":true}                               listings are wanted
@@ -77,6 +80,7 @@
     writeSpeeds(out, load.speeds());
     writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
     writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
+    writeTexts(out, "q", message.crashes().stream().map(CrashReportText::write).toList());
     writeTexts(out, "r", message.relays().stream().map(PeerCodec::text).toList());
     writeTables(out, message.tables());
     if (message.wantsListings()) {
@@ -183,6 +187,7 @@
     private final Map<String, LearnedSpeed> speeds = new HashMap<>();
     private final List<PlacedPrompt> prompts = new ArrayList<>();
     private final List<CacheListing> listings = new ArrayList<>();
+    private final List<CrashReport> crashes = new ArrayList<>();
     private final List<KnownPeer> relays = new ArrayList<>();
     private final Map<String, Long> tables = new HashMap<>();
 
@@ -207,6 +212,7 @@
         case "t" -> readTables(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
+        case "q" -> texts(in).forEach(text -> crashes.add(CrashReportText.read(text)));
         case "r" -> texts(in).forEach(text -> relays.add(peer(text)));
         default -> {
           if (in.currentToken().isScalarValue()) {
@@ -317,7 +323,7 @@
               speeds);
       MessageKind kind = MessageKind.valueOf(needed("k"));
       boolean wantsListings = Boolean.parseBoolean(single.get("w"));
-      return new PeerMessage(kind, sender, load, listings, relays, tables, wantsListings);
+      return new PeerMessage(kind, sender, load, listings, crashes, relays, tables, wantsListings);
     }
 
     private String needed(String key) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -41,6 +41,7 @@
   void onHeard(PeerMessage message, long nowNanos) {
     knowledge.onMessage(message, nowNanos);
     dispatcher.onTold(message.load(), nowNanos);
+    message.crashes().forEach(report -> dispatcher.quarantine().onTold(report, nowNanos));
     for (CacheListing listing : message.listings()) {
       dispatcher.onCacheTold(listing, nowNanos);
       survey.onTold(listing.engineId(), nowNanos);
@@ -72,6 +73,7 @@
                 new OwnLoad(
                     dispatcher.ownLoads(nowNanos),
                     dispatcher.ownSpeeds(),
+                    dispatcher.quarantine().takeReports(nowNanos),
                     dispatcher.mayOrderStages(nowNanos)),
             nowNanos));
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -18,6 +18,8 @@
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.quarantine.CrashReport;
+import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.node.json.MalformedMessageException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -31,6 +33,14 @@
     return new PeerInfo(new NetworkAddress("10.0.0." + number, 7660), "zone-1", 800 + number);
   }
 
+  private static List<CrashReport> crashes() {
+    Map<String, Long> ages = Map.of("i-7f", 1_200L, "i-80", 0L);
+    return List.of(
+        new CrashReport(new RequestFingerprint(-7, "9c4e"), 40, true, 12, CrashReport.NEVER, ages),
+        new CrashReport(
+            new RequestFingerprint(7, "9c4f"), CrashReport.NEVER, false, 0, 3, Map.of()));
+  }
+
   private static PeerMessage message(Map<String, EngineDigest> engines) {
     List<PromptPart> parts = List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410));
     LoadDigest load =
@@ -48,6 +58,7 @@
         peer(1),
         load,
         List.of(new CacheListing("i-7f", 40, 500, parts)),
+        crashes(),
         List.of(new KnownPeer(peer(2), 90), new KnownPeer(peer(3), 0)),
         Map.of("routing", 57L, "engines", 9_000_000_000L),
         true);
@@ -91,6 +102,8 @@
             + "\"f\":\"n\"}",
         "{\"p\":[\"i-7f 12 no-tokens\"]}",
         "{\"p\":[\"i-7f\"]}",
+        "{\"q\":[\"no-fingerprint 0 0 0 true\"]}",
+        "{\"q\":[\"00000007-9c4f 0\"]}",
         "{\"e\":{\"i-7f\":\"1,2\"}}"
       })
   void whatIsNotAMessageIsRefused(String text) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -58,6 +58,10 @@
   private static final String PREFIX_HASH = "X-Fallturn-Prefix-Hash";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
   private static final long EVENT_MILLIS = 5;
+
+  /** From the beginning of a run to the crash; 20 to 120 ms have been seen. */
+  private static final long CRASH_MILLIS = 30;
+
   private static final double MICROS_PER_MILLI = 1_000;
   private static final long GONE_CHECK_MILLIS = 10;
 
@@ -259,7 +263,7 @@
         response.getHeaders().put(STAMP, "stamp-" + id);
         part(response, event(1));
       }
-      TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+      TimeUnit.MILLISECONDS.sleep(CRASH_MILLIS);
       close(request, callback);
       Runnable end = () -> crash.get().crashed().accept(EmulatedEngine.this);
       new Thread(end, "crash-" + id).start();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -142,6 +142,10 @@
       String text = new String(value, StandardCharsets.UTF_8);
       record(new EmulatedRow(put.path("table").asText(), put.path("key").asText(), text, version));
     }
+    for (JsonNode removed : call.path("remove")) {
+      String table = removed.path("table").asText();
+      record(new EmulatedRow(table, removed.path("key").asText(), null, version));
+    }
     return body(List.of(), version);
   }
 
