Weigh crashes by what explains them, whichever content is seen first

Change: crashes stay on record, and which of them count is found at ticks, from the content with most crashes down; the standing of each is kept. QuarantineTest: 16 cases.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -55,6 +55,8 @@
   private final Map<Integer, Integer> sketches = new HashMap<>();
   private final List<StandingChange> changes = new ArrayList<>();
   private final List<RequestFingerprint> released = new ArrayList<>();
+  private final List<Suspect> culprits = new ArrayList<>();
+  private boolean explainedAll = true;
   private boolean news;
 
   /**
@@ -85,22 +87,34 @@
   public void onCrash(RequestContent content, String engineId, long nowNanos) {
     Suspect suspect = suspect(content.fingerprint(), nowNanos, nowNanos);
     suspect.onAsked(nowNanos);
-    if (!explained(suspect, engineId) && suspect.onCrash(engineId, nowNanos, nowNanos)) {
-      news = true;
+    if (suspect.onCrash(engineId, nowNanos, nowNanos)) {
+      onLearned(suspect);
       notice(suspect);
       suspect.storeAtOnce(nowNanos);
     }
     dropWhenEmpty(suspect);
   }
 
-  private boolean explained(Suspect suspect, String engineId) {
-    return suspects.values().stream()
-        .anyMatch(
-            other ->
-                other != suspect
-                    && other.standing() == Standing.QUARANTINED
-                    && other.crashed(engineId)
-                    && other.crashCount() > suspect.crashCount());
+  private void onLearned(Suspect suspect) {
+    news = true;
+    explainedAll = false;
+    suspect.setCulprits(culprits);
+  }
+
+  /**
+   * Finds anew which crashes are explained, from the content with most crashes to the least. Done
+   * at ticks only, since a crash ends many requests at once.
+   */
+  private void explainAll() {
+    List<Suspect> ordered = new ArrayList<>(suspects.values());
+    ordered.sort(Comparator.comparing(Suspect::crashCount).reversed());
+    culprits.clear();
+    for (Suspect suspect : ordered) {
+      suspect.setCulprits(culprits);
+      if (suspect.standing() == Standing.QUARANTINED) {
+        culprits.add(suspect);
+      }
+    }
   }
 
   /** The content was answered well. */
@@ -133,9 +147,7 @@
       learned = suspect.onGood(at(report.goodAgoMillis(), nowNanos), nowNanos);
     }
     for (Map.Entry<String, Long> crash : report.crashAgesMillis().entrySet()) {
-      if (!explained(suspect, crash.getKey())) {
-        learned |= suspect.onCrash(crash.getKey(), at(crash.getValue(), nowNanos), nowNanos);
-      }
+      learned |= suspect.onCrash(crash.getKey(), at(crash.getValue(), nowNanos), nowNanos);
     }
     if (report.confirmedAgoMillis() != CrashReport.NEVER) {
       learned |= suspect.confirm(at(report.confirmedAgoMillis(), nowNanos), nowNanos);
@@ -143,7 +155,9 @@
     if (report.stored() && !suspect.stored()) {
       suspect.onStored(nowNanos);
     }
-    news |= learned;
+    if (learned) {
+      onLearned(suspect);
+    }
     notice(suspect);
     dropWhenEmpty(suspect);
   }
@@ -185,12 +199,13 @@
       return;
     }
     for (Suspect suspect : suspects.values()) {
-      suspect.forgive(lastHeard);
+      if (suspect.forgive(lastHeard)) {
+        explainedAll = false;
+      }
     }
-    for (Suspect culprit : inQuarantine()) {
-      suspects.values().stream()
-          .filter(suspect -> suspect != culprit)
-          .forEach(suspect -> suspect.explain(culprit));
+    if (!explainedAll) {
+      explainedAll = true;
+      explainAll();
     }
     long lifetime = TimeUnit.MILLISECONDS.toNanos(LIFETIME_MILLIS);
     for (Suspect suspect : List.copyOf(suspects.values())) {
@@ -204,12 +219,6 @@
     }
   }
 
-  private List<Suspect> inQuarantine() {
-    return suspects.values().stream()
-        .filter(suspect -> suspect.standing() == Standing.QUARANTINED)
-        .toList();
-  }
-
   private Suspect suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
     Suspect known = suspects.get(content);
     if (known != null) {
@@ -237,6 +246,7 @@
 
   private void drop(Suspect suspect) {
     if (suspects.remove(suspect.content()) != null) {
+      explainedAll = false;
       sketches.computeIfPresent(
           suspect.content().sketch(), (sketch, count) -> count == 1 ? null : count - 1);
     }
@@ -300,6 +310,9 @@
 
   /** How many contents are in quarantine. */
   public int quarantined() {
-    return inQuarantine().size();
+    return (int)
+        suspects.values().stream()
+            .filter(suspect -> suspect.standing() == Standing.QUARANTINED)
+            .count();
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -1,9 +1,11 @@
 package org.fallturn.core.quarantine;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -42,6 +44,7 @@
 
   private final RequestFingerprint content;
   private final Map<String, Long> crashes = new HashMap<>();
+  private final Set<String> explained = new HashSet<>();
   private OptionalLong goodNanos = OptionalLong.empty();
   private OptionalLong confirmedNanos = OptionalLong.empty();
   private OptionalLong storedNanos = OptionalLong.empty();
@@ -49,6 +52,7 @@
   private long askedNanos;
   private long changedNanos;
   private long toldNanos;
+  private Standing standing = Standing.CLEAR;
   private Standing noticed = Standing.CLEAR;
 
   Suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
@@ -63,22 +67,40 @@
   }
 
   Standing standing() {
-    if (confirmed() || crashes.size() >= CRASHES_TO_QUARANTINE && apart()) {
+    return standing;
+  }
+
+  /** To be called after each change of what speaks for or against it. */
+  private void weigh() {
+    standing = weighed();
+  }
+
+  private Standing weighed() {
+    if (confirmed()) {
+      return Standing.QUARANTINED;
+    }
+    List<Long> counted =
+        crashes.entrySet().stream()
+            .filter(crash -> !explained.contains(crash.getKey()))
+            .map(Map.Entry::getValue)
+            .toList();
+    if (counted.size() >= CRASHES_TO_QUARANTINE && apart(counted)) {
       return Standing.QUARANTINED;
     }
-    return crashes.size() >= CRASHES_TO_SUSPECT ? Standing.SUSPECTED : Standing.CLEAR;
+    return counted.size() >= CRASHES_TO_SUSPECT ? Standing.SUSPECTED : Standing.CLEAR;
   }
 
   private boolean confirmed() {
     return confirmedNanos.isPresent();
   }
 
-  private boolean apart() {
-    long least = Long.MAX_VALUE;
-    long most = Long.MIN_VALUE;
-    for (long at : crashes.values()) {
-      least = Math.min(least, at);
-      most = Math.max(most, at);
+  private static boolean apart(List<Long> times) {
+    long first = times.get(0);
+    long least = 0;
+    long most = 0;
+    for (long at : times) {
+      least = Math.min(least, at - first);
+      most = Math.max(most, at - first);
     }
     return most - least >= ONE_CAUSE_NANOS;
   }
@@ -91,10 +113,6 @@
     return crashes.size();
   }
 
-  boolean crashed(String engineId) {
-    return crashes.containsKey(engineId);
-  }
-
   /** Whether anything is known that others should hear. */
   boolean says() {
     return confirmed() || goodNanos.isPresent() || !crashes.isEmpty();
@@ -115,6 +133,7 @@
     }
     crashes.put(engineId, atNanos);
     changedNanos = nowNanos;
+    weigh();
     return true;
   }
 
@@ -135,6 +154,7 @@
     }
     if (voids) {
       changedNanos = nowNanos;
+      weigh();
     }
     return voids;
   }
@@ -153,6 +173,7 @@
     }
     confirmedNanos = OptionalLong.of(atNanos);
     changedNanos = nowNanos;
+    weigh();
     return true;
   }
 
@@ -161,6 +182,7 @@
     crashes.clear();
     confirmedNanos = OptionalLong.empty();
     goodNanos = OptionalLong.empty();
+    weigh();
   }
 
   /** The store holds it. */
@@ -173,24 +195,32 @@
     storedNanos = OptionalLong.empty();
   }
 
-  /** Takes away the crashes of engines that were heard later. */
-  void forgive(Function<String, OptionalLong> lastHeard) {
-    if (!confirmed()) {
-      crashes
-          .entrySet()
-          .removeIf(
-              crash -> {
-                OptionalLong heard = lastHeard.apply(crash.getKey());
-                return heard.isPresent() && heard.getAsLong() - crash.getValue() > ALIVE_NANOS;
-              });
+  /** Takes away the crashes of engines that were heard later; whether there were any. */
+  boolean forgive(Function<String, OptionalLong> lastHeard) {
+    boolean forgiven =
+        !confirmed()
+            && crashes
+                .entrySet()
+                .removeIf(crash -> livesAfter(lastHeard.apply(crash.getKey()), crash.getValue()));
+    if (forgiven) {
+      weigh();
     }
+    return forgiven;
   }
 
-  /** Takes away the crashes that another content explains better. */
-  void explain(Suspect culprit) {
-    if (!confirmed() && culprit.crashes.size() > crashes.size()) {
-      crashes.keySet().removeAll(culprit.crashes.keySet());
+  private static boolean livesAfter(OptionalLong heardNanos, long crashNanos) {
+    return heardNanos.isPresent() && heardNanos.getAsLong() - crashNanos > ALIVE_NANOS;
+  }
+
+  /** Crashes that a content in quarantine with more crashes explains do not count here. */
+  void setCulprits(List<Suspect> culprits) {
+    explained.clear();
+    for (Suspect culprit : culprits) {
+      if (culprit.crashCount() > crashCount()) {
+        explained.addAll(culprit.crashes.keySet());
+      }
     }
+    weigh();
   }
 
   void confirmWhenSettled(long nowNanos) {
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -0,0 +1,197 @@
+package org.fallturn.core.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+
+/** What speaks for and against a content, as one node sees it and as others tell it. */
+class QuarantineTest {
+
+  private static final long START = TimeUnit.SECONDS.toNanos(1_000);
+  private static final Function<String, OptionalLong> NOT_HEARD = engine -> OptionalLong.empty();
+  private static final RequestContent CULPRIT = content("culprit");
+  private static final RequestContent BYSTANDER = content("bystander");
+
+  private final Quarantine quarantine = new Quarantine("node-1");
+  private final Quarantine other = new Quarantine("node-2");
+
+  private static RequestContent content(String body) {
+    return new RequestContent("POST host/a", "", body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static long at(long millis) {
+    return START + TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  private static void crash(Quarantine seenBy, RequestContent content, int engines) {
+    for (int engine = 1; engine <= engines; engine++) {
+      seenBy.onCrash(content, "e-" + engine, at(100L * engine));
+    }
+  }
+
+  private Standing standing(RequestContent content, long millis) {
+    return quarantine.standing(content, at(millis));
+  }
+
+  private static void tell(Quarantine from, Quarantine to, long millis) {
+    from.takeReports(at(millis)).forEach(report -> to.onTold(report, at(millis)));
+  }
+
+  @Test
+  void contentIsClearThenSuspectedThenInQuarantine() {
+    crash(quarantine, CULPRIT, 1);
+    assertThat(standing(CULPRIT, 110)).isEqualTo(Standing.CLEAR);
+    crash(quarantine, CULPRIT, 2);
+    assertThat(standing(CULPRIT, 210)).isEqualTo(Standing.SUSPECTED);
+    crash(quarantine, CULPRIT, 3);
+    assertThat(standing(CULPRIT, 310)).isEqualTo(Standing.QUARANTINED);
+    assertThat(standing(BYSTANDER, 310)).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void copiesUnderOnePowerCutAreNotHeldBack() {
+    for (String engine : new String[] {"e-1", "e-2", "e-3", "e-4"}) {
+      quarantine.onCrash(CULPRIT, engine, at(5));
+    }
+    assertThat(standing(CULPRIT, 10)).isEqualTo(Standing.SUSPECTED);
+  }
+
+  @Test
+  void engineThatIsHeardLaterHasNotCrashed() {
+    crash(quarantine, CULPRIT, 3);
+    quarantine.onTick(
+        engine -> engine.equals("e-2") ? OptionalLong.of(at(900)) : OptionalLong.empty(), at(900));
+    assertThat(standing(CULPRIT, 910)).isEqualTo(Standing.SUSPECTED);
+  }
+
+  @Test
+  void whatAnEngineSaidRightBeforeItsCrashMayComeLate() {
+    crash(quarantine, CULPRIT, 3);
+    quarantine.onTick(engine -> OptionalLong.of(at(500)), at(500));
+    assertThat(standing(CULPRIT, 510)).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void bystandersAreClearedByTheContentThatExplainsTheirCrashes() {
+    crash(quarantine, CULPRIT, 4);
+    for (String engine : new String[] {"e-1", "e-2", "e-3"}) {
+      quarantine.onCrash(BYSTANDER, engine, at(450));
+    }
+    quarantine.onTick(NOT_HEARD, at(455));
+    assertThat(standing(BYSTANDER, 460)).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void bystandersThatWereSeenFirstAreClearedToo() {
+    crash(quarantine, BYSTANDER, 3);
+    crash(quarantine, CULPRIT, 4);
+    quarantine.onTick(NOT_HEARD, at(450));
+    assertThat(standing(CULPRIT, 460)).isEqualTo(Standing.QUARANTINED);
+    assertThat(standing(BYSTANDER, 460)).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void oneGoodAnswerReleasesItAtEveryNode() {
+    crash(quarantine, CULPRIT, 3);
+    tell(quarantine, other, 310);
+    quarantine.onTick(NOT_HEARD, at(2_000));
+    other.onTick(NOT_HEARD, at(2_000));
+    other.onGood(CULPRIT, at(2_100));
+    tell(other, quarantine, 2_110);
+    tell(quarantine, other, 2_120);
+    assertThat(standing(CULPRIT, 2_130)).isEqualTo(Standing.CLEAR);
+    assertThat(other.standing(CULPRIT, at(2_130))).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void verdictThatHasSettledStandsWhateverIsHeardLater() {
+    crash(quarantine, CULPRIT, 3);
+    quarantine.onTick(NOT_HEARD, at(1_400));
+    quarantine.onTick(engine -> OptionalLong.of(at(1_500)), at(1_500));
+    assertThat(standing(CULPRIT, 1_510)).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void crashesSeenByDifferentNodesAddUp() {
+    quarantine.onCrash(CULPRIT, "e-1", at(0));
+    quarantine.onCrash(CULPRIT, "e-2", at(100));
+    other.onCrash(CULPRIT, "e-3", at(200));
+    tell(quarantine, other, 210);
+    assertThat(other.standing(CULPRIT, at(220))).isEqualTo(Standing.QUARANTINED);
+    assertThat(other.takeNews()).isTrue();
+    tell(other, quarantine, 220);
+    assertThat(standing(CULPRIT, 230)).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void nodeThatMissedEveryMessageIsToldAgain() {
+    crash(quarantine, CULPRIT, 3);
+    quarantine.takeReports(at(310));
+    quarantine.onTick(NOT_HEARD, at(5_000));
+    tell(quarantine, other, 5_000);
+    assertThat(other.standing(CULPRIT, at(5_010))).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void contentThatNobodyAsksForLapsesAlthoughNodesTellEachOther() {
+    crash(quarantine, CULPRIT, 3);
+    long millis = 400;
+    for (; millis < 2 * Quarantine.LIFETIME_MILLIS; millis += 10_000) {
+      quarantine.onTick(NOT_HEARD, at(millis));
+      other.onTick(NOT_HEARD, at(millis));
+      tell(quarantine, other, millis);
+      tell(other, quarantine, millis);
+    }
+    assertThat(standing(CULPRIT, millis)).isEqualTo(Standing.CLEAR);
+    assertThat(other.standing(CULPRIT, at(millis))).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void floodOfOthersDoesNotPushOutWhatIsInQuarantine() {
+    crash(quarantine, CULPRIT, 3);
+    for (int number = 0; number < 3 * Quarantine.MAX_SUSPECTS; number++) {
+      quarantine.onCrash(content("flood-" + number), "f-" + number, at(500));
+    }
+    assertThat(standing(CULPRIT, 510)).isEqualTo(Standing.QUARANTINED);
+    assertThat(standing(content("flood-0"), 510)).isEqualTo(Standing.CLEAR);
+  }
+
+  @Test
+  void nodeThatSawTheLastCrashAsksTheStoreAtOnceAndOthersOnlyWhenItDoesNotHoldIt() {
+    crash(quarantine, CULPRIT, 3);
+    tell(quarantine, other, 310);
+    assertThat(quarantine.takeUnstored(at(310))).containsExactly(CULPRIT.fingerprint());
+    assertThat(other.takeUnstored(at(310))).isEmpty();
+    quarantine.onStored(CULPRIT.fingerprint(), at(320));
+    tell(quarantine, other, 330);
+    assertThat(other.takeUnstored(at(20_000))).isEmpty();
+  }
+
+  @Test
+  void anotherNodeAsksTheStoreWhenTheFirstCouldNot() {
+    crash(quarantine, CULPRIT, 3);
+    tell(quarantine, other, 310);
+    other.takeUnstored(at(310));
+    assertThat(other.takeUnstored(at(20_000))).containsExactly(CULPRIT.fingerprint());
+  }
+
+  @Test
+  void whatTheStoreHoldsIsHeldBackFromTheStartAndRenewedWhileItIsAskedFor() {
+    quarantine.onRecalled(CULPRIT.fingerprint(), Quarantine.LIFETIME_MILLIS / 2, at(0));
+    assertThat(standing(CULPRIT, 10)).isEqualTo(Standing.QUARANTINED);
+    quarantine.takeUnstored(at(20));
+    assertThat(quarantine.takeUnstored(at(20_000))).containsExactly(CULPRIT.fingerprint());
+  }
+
+  @Test
+  void releasedContentIsTakenFromTheStore() {
+    quarantine.onRecalled(CULPRIT.fingerprint(), 1_000, at(0));
+    quarantine.onGood(CULPRIT, at(100));
+    assertThat(quarantine.takeReleased()).containsExactly(CULPRIT.fingerprint());
+    assertThat(quarantine.takeReleased()).isEmpty();
+  }
+}
