Let a node that has just started wait behind prompts it was never told of

Cause (known red, SlowReadingTest): the bound on an engine's silence follows from the longest prompt that this node knows of; one that has just started knows only its own, and in its first tenths of a second not even how much waits there. Change: until a route's time has passed since a node first knew of engines, what others have at an engine counts as if it were one prompt; while no other node was heard yet, no model engine is taken for silent in that time. After it nothing changes.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -74,6 +74,7 @@
   /** Takes a newer list of engines. */
   public void setDirectory(EngineDirectory directory, long nowNanos) {
     selector.setDirectory(directory, nowNanos);
+    silence.onDirectory(nowNanos);
   }
 
   /** Takes a newer set of services. */
@@ -267,6 +268,7 @@
    */
   public void setNodeCount(OptionalInt count) {
     retries.setNodeCount(count);
+    silence.setOthersKnown(count.isPresent());
   }
 
   /** First decision for a request. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSilence.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSilence.java
@@ -46,6 +46,8 @@
   private final PeerLoads peerLoads;
   private final Function<String, ReadingSpeed> speeds;
   private final Function<String, Optional<EngineProfile>> profiles;
+  private OptionalLong beganNanos = OptionalLong.empty();
+  private boolean othersKnown;
 
   EngineSilence(
       EngineSelector selector,
@@ -58,6 +60,29 @@
     this.profiles = profiles;
   }
 
+  /**
+   * This node learns of engines; the first time is when it begins to hear what others send them.
+   */
+  void onDirectory(long nowNanos) {
+    if (beganNanos.isEmpty()) {
+      beganNanos = OptionalLong.of(nowNanos);
+    }
+  }
+
+  /** Whether any of the other nodes was heard, or there is none. */
+  void setOthersKnown(boolean known) {
+    othersKnown = known;
+  }
+
+  /**
+   * Whether prompts may wait at engines that were sent before this node began and that it was never
+   * told of; they have been read, or given up, once a route's time has passed.
+   */
+  private boolean mayMissPrompts(RequestProgress progress, long nowNanos) {
+    long routeTime = progress.envelope().route().timeout().toNanos();
+    return beganNanos.isPresent() && nowNanos - beganNanos.getAsLong() < routeTime;
+  }
+
   /**
    * Suspends the engines at which requests of this node wait and that have gone silent, and takes
    * back those that have answered another node since.
@@ -76,7 +101,11 @@
   /** Whether the engine of a request has said nothing for too long since it was sent. */
   private boolean isSilent(RequestProgress progress, long nowNanos) {
     ServingEngine engine = progress.engine().orElseThrow();
-    return silentNanos(engine, progress, nowNanos) > boundNanos(engine, nowNanos);
+    boolean mayMiss = mayMissPrompts(progress, nowNanos);
+    if (mayMiss && !othersKnown && engine.stage() != EngineStage.NONE) {
+      return false;
+    }
+    return silentNanos(engine, progress, nowNanos) > boundNanos(engine, mayMiss, nowNanos);
   }
 
   private void noteSign(RequestProgress progress, ServingEngine engine, long nowNanos) {
@@ -91,12 +120,16 @@
     return nowNanos - selector.load(engine).lastSign(progress.sentNanos(), peersHeard);
   }
 
-  /** How long the engine may say nothing while it works. */
-  private long boundNanos(ServingEngine engine, long nowNanos) {
+  /**
+   * How long the engine may say nothing while it works.
+   *
+   * @param mayMiss whether prompts may wait there that this node does not know
+   */
+  private long boundNanos(ServingEngine engine, boolean mayMiss, long nowNanos) {
     if (engine.stage() == EngineStage.NONE) {
       return BASE_NANOS;
     }
-    long tokens = longestTokens(engine, nowNanos);
+    long tokens = longestTokens(engine, mayMiss, nowNanos);
     double read = speeds.apply(engine.service()).readMillis(engine.stage(), tokens);
     double move = CacheFetch.moveMillis(tokens, profiles.apply(engine.service()));
     return BASE_NANOS + (long) (SLOWNESS * (read + move) * TimeUnit.MILLISECONDS.toNanos(1));
@@ -104,11 +137,16 @@
 
   /**
    * The longest prompt that may be read there now: no longer than what waits, or than any lately.
+   * What others have there may be one prompt that this node was never told of.
    */
-  private long longestTokens(ServingEngine engine, long nowNanos) {
+  private long longestTokens(ServingEngine engine, boolean mayMiss, long nowNanos) {
     long backlog = selector.backlogTokens(engine, nowNanos);
     long lately = selector.sizes(engine.service()).longest(nowNanos);
-    return lately == 0 ? backlog : Math.min(backlog, lately);
+    if (lately == 0) {
+      return backlog;
+    }
+    long missed = mayMiss ? peerLoads.backlog(engine.id(), nowNanos).upTo(Urgency.LEVELS - 1) : 0;
+    return Math.min(backlog, Math.max(lately, missed));
   }
 
   /**
