Tell callers and people on call why a content is not sent

Change: the answer says why, without a time to come back; explain tells what every node logged of a request's content under other ids; a gauge counts contents in quarantine.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -425,7 +425,10 @@
   }
 
   private Decision refuseQuarantined(RequestProgress progress) {
-    String reason = "engines crash under " + progress.content().fingerprint();
+    String reason =
+        "Not sent: engines have crashed under this request, whatever its id (content "
+            + progress.content().fingerprint()
+            + ").";
     return progress.possibleRuns() == 0
         ? new Decision.Refuse(ErrorKind.QUARANTINED, reason, Optional.empty())
         : new Decision.Refuse(ErrorKind.OUTCOME_UNKNOWN, reason, Optional.empty());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -253,16 +253,23 @@
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
           .log();
     } else if (decision instanceof Decision.Refuse refuse) {
-      line(LogEvent.REFUSED, exchange, refuse.kind().name())
-          .addKeyValue("kind", refuse.kind())
-          .addKeyValue("reason", refuse.reason())
-          .addKeyValue("directoryRevision", directoryRevision)
-          .log();
+      refused(exchange, refuse).log();
     } else {
       line(LogEvent.FAILURE_PASSED, exchange).log();
     }
   }
 
+  private LoggingEventBuilder refused(Exchange exchange, Decision.Refuse refuse) {
+    LoggingEventBuilder line =
+        line(LogEvent.REFUSED, exchange, refuse.kind().name())
+            .addKeyValue("kind", refuse.kind())
+            .addKeyValue("reason", refuse.reason())
+            .addKeyValue("directoryRevision", directoryRevision);
+    return refuse.kind() == ErrorKind.QUARANTINED
+        ? line.addKeyValue("content", exchange.progress().content().fingerprint())
+        : line;
+  }
+
   private LoggingEventBuilder placed(
       Exchange exchange, ServingEngine engine, Expectation expectation, int urgency) {
     return line(LogEvent.PLACED, exchange)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -53,6 +53,7 @@
   private long lastHealthNanos;
   private long lastStageNanos;
   private long lastOutlookNanos;
+  private volatile int quarantined;
 
   DispatchDuty(
       Dispatcher dispatcher,
@@ -239,7 +240,8 @@
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       freeSource(exchange);
-      exchange.refuse(refuse.kind(), refuse.retryAfter());
+      boolean says = refuse.kind() == ErrorKind.QUARANTINED;
+      exchange.refuse(refuse.kind(), refuse.retryAfter(), says ? refuse.reason() : "");
     } else if (decision instanceof Decision.PassFailure) {
       active.remove(exchange);
       exchange.passFailure(exchange.attempt().orElseThrow(), engines.protocol());
@@ -299,6 +301,12 @@
     }
     quarantine.takeUnstored(now).forEach(quarantineDuty::put);
     quarantine.takeReleased().forEach(quarantineDuty::remove);
+    quarantined = quarantine.quarantined();
+  }
+
+  /** How many contents are in quarantine; any thread may call. */
+  int quarantined() {
+    return quarantined;
   }
 
   /** Copies that still run elsewhere would crash their engines too. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -9,6 +10,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MimeTypes;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
@@ -172,14 +174,26 @@
 
   /** Answers with an error of this node; on the dispatch thread. */
   void refuse(ErrorKind kind, Optional<Duration> retryAfter) {
+    refuse(kind, retryAfter, "");
+  }
+
+  /**
+   * Answers with an error of this node; on the dispatch thread.
+   *
+   * @param reason text for whoever reads the answer; empty for none
+   */
+  void refuse(ErrorKind kind, Optional<Duration> retryAfter, String reason) {
     if (begun) {
       breakOff();
       return;
     }
     HttpFields.Mutable headers = HttpFields.build();
     gateway.callerProtocol().writeOwnAnswer(headers, head.requestId(), retryAfter);
+    if (!reason.isEmpty()) {
+      headers.put(HttpHeader.CONTENT_TYPE, MimeTypes.Type.TEXT_PLAIN_UTF_8.asString());
+    }
     beginAnswer(kind.httpStatus(), headers);
-    finish(BufferUtil.EMPTY_BUFFER);
+    finish(BufferUtil.toBuffer(reason, StandardCharsets.UTF_8));
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -18,7 +19,8 @@
 /**
  * Reads log lines of gateways and tells what happened to one request, in time order, with what each
  * process that touched it believed when it first did: the last change of routes and engines before,
- * and each lost or regained dependency. What stands before the object in a line is taken as the
+ * and each lost or regained dependency. Where its content is suspected of crashes, what is logged
+ * of the content under any id is told too. What stands before the object in a line is taken as the
  * name of the process, or else the file's name.
  */
 public final class LogStory {
@@ -35,6 +37,7 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String EVENT = "event";
   private static final String REQUEST = "request";
+  private static final String CONTENT = "content";
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private LogStory() {}
@@ -79,11 +82,23 @@
     long end = own.get(own.size() - 1).timeNanos();
     Set<String> processes = own.stream().map(Line::process).collect(Collectors.toSet());
     List<Line> story = new ArrayList<>(own);
+    story.addAll(ofSameContent(lines, own));
     story.addAll(beliefs(lines, processes, begin, end));
     story.sort(Comparator.comparingLong(Line::timeNanos));
     return story.stream().map(line -> line.text(begin)).toList();
   }
 
+  private static List<Line> ofSameContent(List<Line> lines, List<Line> own) {
+    Set<String> contents =
+        own.stream()
+            .map(line -> line.fields().get(CONTENT))
+            .filter(Objects::nonNull)
+            .collect(Collectors.toSet());
+    return lines.stream()
+        .filter(line -> contents.contains(line.fields().get(CONTENT)) && !own.contains(line))
+        .toList();
+  }
+
   /** The last line of each kind before the request, and all while it was served. */
   private static List<Line> beliefs(List<Line> lines, Set<String> processes, long begin, long end) {
     List<Line> kept = new ArrayList<>();
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/LogStoryTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/LogStoryTest.java
@@ -53,6 +53,25 @@
     assertThat(story.get(4)).contains("+40.0 ms", "two.log", "kind=STOPPING");
   }
 
+  @Test
+  void tellsWhatEnginesTheSameContentCrashedUnderOtherIds() throws Exception {
+    Path one =
+        log(
+            "one.log",
+            line(10, "event", "ATTEMPT_FAILED", "request", "a", "content", "c1", "engine", "e-1"),
+            line(20, "event", "ATTEMPT_FAILED", "request", "b", "content", "c2", "engine", "e-2"),
+            line(30, "event", "STANDING_CHANGED", "content", "c1", "standing", "QUARANTINED"));
+    Path two =
+        log(
+            "two.log",
+            line(90, "event", "REFUSED", "request", "r", "content", "c1", "kind", "QUARANTINED"));
+    List<String> story = LogStory.of(List.of(one, two), "r");
+    assertThat(story).hasSize(3);
+    assertThat(story.get(0)).contains("-80.0 ms", "one.log", "engine=e-1");
+    assertThat(story.get(1)).contains("standing=QUARANTINED");
+    assertThat(story.get(2)).contains("two.log", "kind=QUARANTINED");
+  }
+
   @Test
   void takesTheProcessFromWhatStandsBeforeTheObject() throws Exception {
     Path all = log("all", "  1.5 node-7 " + line(1, "event", "PLACED", "request", "r"));
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
@@ -110,6 +110,17 @@
     assertThat(arrivalsOfFurtherSends()).isLessThanOrEqualTo(TOLERATED_SENDS);
   }
 
+  @Test
+  void callerIsToldWhyAndNotToComeBack() throws Exception {
+    crashThreeEngines(EngineCrash.MIDWAY);
+    await().atMost(LONGEST).until(() -> sendPoison(0).await().status() == 503);
+    Answer refused = sendPoison(0).await();
+    assertThat(refused.status()).isEqualTo(503);
+    assertThat(refused.body()).contains("engines have crashed under this request");
+    assertThat(refused.headers().contains("Retry-After")).isFalse();
+    assertThat(arrivals(Set.of(refused.requestId()))).isZero();
+  }
+
   @Test
   void othersOfTheSameRouteAreServedAfterwards() throws Exception {
     crashThreeEngines(EngineCrash.MIDWAY);
