Keep the answers of requests that no engine answers in one class, and a follower's times in one record

Change: Refusals (core.dispatch), RowFollower.Times; no change of behaviour. Measured: the tests of both, green.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -48,6 +48,7 @@
   private final Map<String, ReadingSpeed> speeds = new HashMap<>();
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
+  private final Refusals refusals;
   private final List<PlacedPrompt> newPrompts = new ArrayList<>();
   private final Quarantine quarantine;
   private Optional<RoutingImage> routing = Optional.empty();
@@ -56,6 +57,7 @@
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
     this.retries = new RetryRules(parameters);
+    this.refusals = new Refusals(parameters);
     this.quarantine = new Quarantine(parameters.node());
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, parameters.lastResort().toNanos());
@@ -69,6 +71,7 @@
   public void setParameters(DispatchParameters changed) {
     parameters = changed;
     retries.setParameters(changed);
+    refusals.setParameters(changed);
   }
 
   /** Takes a newer list of engines. */
@@ -320,8 +323,8 @@
     }
     if (!quarantine.standing(progress.content(), nowNanos).sendable()) {
       return outcome == AttemptOutcome.ANSWERED_FAILURE
-          ? new Decision.PassFailure()
-          : refuseQuarantined(progress);
+          ? refusals.after(progress, outcome)
+          : refusals.quarantined(progress);
     }
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
@@ -373,10 +376,10 @@
     boolean again =
         retries.prefillsLeft(progress) && !selector.prefillCandidates(progress, nowNanos).isEmpty();
     if (!again && selector.runCandidates(progress, nowNanos).isEmpty()) {
-      return nowhere(progress);
+      return refusals.nowhere(progress);
     }
     if (!retries.takeSend(progress, nowNanos)) {
-      return notRun(
+      return refusals.notRun(
           ErrorKind.NO_CAPACITY, "the retry budget of " + progress.service() + " is spent");
     }
     return place(progress, again, nowNanos);
@@ -390,23 +393,13 @@
     if (retries.mayRunAgain(progress, outcome, hasCandidate, nowNanos)) {
       return place(progress, false, nowNanos);
     }
-    return giveUp(progress, outcome);
-  }
-
-  private Decision giveUp(RequestProgress progress, AttemptOutcome outcome) {
-    if (outcome == AttemptOutcome.ANSWERED_FAILURE) {
-      return new Decision.PassFailure();
-    }
-    if (progress.possibleRuns() == 0) {
-      return notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " took it");
-    }
-    return new Decision.Refuse(
-        ErrorKind.OUTCOME_UNKNOWN, "an engine may have run it: " + outcome, Optional.empty());
+    return refusals.after(progress, outcome);
   }
 
   private Decision place(RequestProgress progress, long nowNanos) {
     if (progress.envelope().remainingNanos(nowNanos) <= 0) {
-      return notRun(ErrorKind.DEADLINE_UNREACHABLE, "its time was over when it had been read");
+      return refusals.notRun(
+          ErrorKind.DEADLINE_UNREACHABLE, "its time was over when it had been read");
     }
     return place(progress, true, nowNanos);
   }
@@ -418,28 +411,18 @@
   private Decision place(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     Standing standing = quarantine.standing(progress.content(), nowNanos);
     if (!standing.sendable()) {
-      return refuseQuarantined(progress);
+      return refusals.quarantined(progress);
     }
     progress.isolate(standing == Standing.SUSPECTED);
     return placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
   }
 
-  private Decision refuseQuarantined(RequestProgress progress) {
-    String reason =
-        "Not sent: engines have crashed under this request, whatever its id (content "
-            + progress.content().fingerprint()
-            + ").";
-    return progress.possibleRuns() == 0
-        ? new Decision.Refuse(ErrorKind.QUARANTINED, reason, Optional.empty())
-        : new Decision.Refuse(ErrorKind.OUTCOME_UNKNOWN, reason, Optional.empty());
-  }
-
   private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
           .map(engine -> runApplication(progress, engine, nowNanos))
-          .orElseGet(() -> nowhere(progress));
+          .orElseGet(() -> refusals.nowhere(progress));
     }
     PromptShape prompt = progress.envelope().prompt().get();
     PromptPlacement.Question question =
@@ -453,7 +436,7 @@
     return prompts
         .choose(question, mayPrefill)
         .map(plan -> refuseOrCarryOut(question, plan))
-        .orElseGet(() -> nowhere(progress));
+        .orElseGet(() -> refusals.nowhere(progress));
   }
 
   private Decision refuseOrCarryOut(PromptPlacement.Question question, PromptPlacement.Plan plan) {
@@ -522,12 +505,6 @@
         engine, progress.source(), fetchFrom, progress.level(), expectation, patienceForIt);
   }
 
-  private Decision nowhere(RequestProgress progress) {
-    return progress.possibleRuns() == 0
-        ? notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " is there")
-        : giveUp(progress, AttemptOutcome.LOST);
-  }
-
   private ReadingSpeed speed(String service) {
     return speeds.computeIfAbsent(
         service, name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
@@ -541,10 +518,6 @@
     return profile(service).map(EngineProfile::cacheTokens).orElse(DEFAULT_CACHE_TOKENS);
   }
 
-  private Decision notRun(ErrorKind kind, String reason) {
-    return new Decision.Refuse(kind, reason, Optional.of(parameters.minRetryAfter()));
-  }
-
   private void release(RequestProgress progress, boolean mayHaveRun) {
     progress.engine().ifPresent(engine -> selector.load(engine).remove(progress));
     progress.endAttempt(mayHaveRun);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -151,8 +151,7 @@
             listener(this::onRoutingRows),
             log,
             others(ROUTING),
-            Duration.ZERO,
-            settings.bounds().contact());
+            new RowFollower.Times(Duration.ZERO, settings.bounds().contact()));
     this.engineFollower =
         new RowFollower(
             ENGINES,
@@ -161,8 +160,8 @@
             listener(this::onEngineRows),
             log,
             others(ENGINES),
-            settings.bounds().drain().dividedBy(GATHER_PARTS),
-            settings.bounds().contact());
+            new RowFollower.Times(
+                settings.bounds().drain().dividedBy(GATHER_PARTS), settings.bounds().contact()));
   }
 
   private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -44,9 +44,7 @@
   private final Listener listener;
   private final DecisionLog log;
   private final Others others;
-  private final Duration longestGather;
-  private final Duration longestWait;
-  private final Pause pause;
+  private final Times times;
   private final FeedTracker tracker = new FeedTracker();
   private final Thread thread;
   private long gatherMillis;
@@ -85,34 +83,27 @@
   }
 
   /**
-   * A follower that has not begun.
+   * How long the follower's thread waits for what.
    *
-   * @param fallback who is asked while nothing is known and the store does not answer
-   * @param others what other nodes tell of the table
    * @param longestGather bounds how long a change may wait to be read together with others
-   * @param longestWait bounds how long a watch that has gone silent is trusted while they do not
+   * @param longestWait bounds how long a watch that has gone silent is trusted while other nodes do
+   *     not tell which changes they have seen
+   * @param pause how the thread waits
    */
-  RowFollower(
-      String name,
-      RowFeed feed,
-      RowFeed fallback,
-      Listener listener,
-      DecisionLog log,
-      Others others,
-      Duration longestGather,
-      Duration longestWait) {
-    this(
-        name,
-        feed,
-        fallback,
-        listener,
-        log,
-        others,
-        longestGather,
-        longestWait,
-        TimeUnit.MILLISECONDS::sleep);
+  record Times(Duration longestGather, Duration longestWait, Pause pause) {
+
+    /** A thread that sleeps while it waits. */
+    Times(Duration longestGather, Duration longestWait) {
+      this(longestGather, longestWait, TimeUnit.MILLISECONDS::sleep);
+    }
   }
 
+  /**
+   * A follower that has not begun.
+   *
+   * @param fallback who is asked while nothing is known and the store does not answer
+   * @param others what other nodes tell of the table
+   */
   RowFollower(
       String name,
       RowFeed feed,
@@ -120,18 +111,14 @@
       Listener listener,
       DecisionLog log,
       Others others,
-      Duration longestGather,
-      Duration longestWait,
-      Pause pause) {
-    this.others = others;
-    this.longestGather = longestGather;
-    this.longestWait = longestWait;
-    this.pause = pause;
+      Times times) {
     this.name = name;
     this.feed = feed;
     this.fallback = fallback;
     this.listener = listener;
     this.log = log;
+    this.others = others;
+    this.times = times;
     this.thread = new Thread(this::follow, "follow-" + name);
     thread.setDaemon(true);
   }
@@ -161,7 +148,7 @@
       return;
     }
     boolean told = others.tell();
-    Duration longest = told ? WAIT_WHEN_TOLD : longestWait;
+    Duration longest = told ? WAIT_WHEN_TOLD : times.longestWait();
     Duration wait = Duration.ofNanos(tracker.waitNanos(now, longest.toNanos()));
     try {
       FeedAnswer answer =
@@ -182,14 +169,15 @@
 
   private void gather(long answeredWithinNanos) throws InterruptedException {
     boolean goesOn = answeredWithinNanos < WAS_THERE_NANOS && gatherMillis > 0;
-    long longer = Math.min(2 * gatherMillis, Math.max(GATHER_MILLIS, longestGather.toMillis()));
+    long longer =
+        Math.min(2 * gatherMillis, Math.max(GATHER_MILLIS, times.longestGather().toMillis()));
     gatherMillis = goesOn ? longer : GATHER_MILLIS;
-    pause.await(gatherMillis);
+    times.pause().await(gatherMillis);
   }
 
   /** Whether the present watch can be relied on, though the store may have gone silent. */
   private boolean isTrusted(long heldNanos) {
-    return !isBehind() && (heldNanos < longestWait.toNanos() || others.tell());
+    return !isBehind() && (heldNanos < times.longestWait().toNanos() || others.tell());
   }
 
   /** Whether others saw a change some time ago that the watch has not brought. */
@@ -213,7 +201,7 @@
       listener.onRows(tracker);
     }
     if (stale) {
-      pause.await(PAUSE_WHEN_STALE_MILLIS);
+      times.pause().await(PAUSE_WHEN_STALE_MILLIS);
     }
   }
 
@@ -237,7 +225,7 @@
       askOthers();
     }
     try {
-      pause.await(pauseMillis);
+      times.pause().await(pauseMillis);
     } catch (InterruptedException e) {
       closed = true;
     }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
@@ -66,6 +66,10 @@
     };
   }
 
+  private static RowFollower.Times times(Duration longestWait) {
+    return new RowFollower.Times(Duration.ZERO, longestWait);
+  }
+
   @Test
   void rowsThatComeInABurstAreReadTogetherAfterAPause() throws Exception {
     RowFeed feed = new ScriptedFeed();
@@ -78,9 +82,10 @@
             deaf(),
             log,
             new ToldChanges(),
-            Duration.ofSeconds(1),
-            Duration.ofSeconds(5),
-            millis -> steps.add("pause of " + millis))) {
+            new RowFollower.Times(
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(5),
+                millis -> steps.add("pause of " + millis)))) {
       follower.start();
       assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
     }
@@ -148,8 +153,7 @@
     RowFeed feed = new SilentFeed(others);
     DecisionLog log = new DecisionLog(new GatewayMetrics());
     try (RowFollower follower =
-        new RowFollower(
-            "t", feed, feed, deaf(), log, others, Duration.ZERO, Duration.ofSeconds(5))) {
+        new RowFollower("t", feed, feed, deaf(), log, others, times(Duration.ofSeconds(5)))) {
       follower.start();
       assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
     }
@@ -183,8 +187,7 @@
         };
     DecisionLog log = new DecisionLog(new GatewayMetrics());
     try (RowFollower follower =
-        new RowFollower(
-            "t", feed, feed, deaf(), log, others, Duration.ZERO, Duration.ofMillis(50))) {
+        new RowFollower("t", feed, feed, deaf(), log, others, times(Duration.ofMillis(50)))) {
       follower.start();
       assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
     }
