Take a broken connection for a crash only once the engine is found to be gone

Change: a crash counts once its engine is gone: the list of engines has it no more, or a probe (its report, addressed to it) finds nobody listening or another engine there. Probed by the node that saw it, from the second engine of a content on. One broken connection is told in the next turn only, and passed on by relays only. QuarantineKeeper and EngineProbe out of DispatchDuty.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -78,6 +78,7 @@
   public void setDirectory(EngineDirectory directory, long nowNanos) {
     selector.setDirectory(directory, nowNanos);
     silence.onDirectory(nowNanos);
+    quarantine.onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
   }
 
   /** Takes a newer set of services. */
@@ -91,6 +92,11 @@
     return peerLoads;
   }
 
+  /** A listed engine. */
+  public Optional<ServingEngine> engine(String engineId) {
+    return selector.find(engineId);
+  }
+
   /** Contents that crash engines; whoever hears the other nodes or the store tells it. */
   public Quarantine quarantine() {
     return quarantine;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -126,6 +126,11 @@
     return changing.stageOf(engineId) != EngineStage.NONE;
   }
 
+  /** A listed engine. */
+  Optional<ServingEngine> find(String engineId) {
+    return directory.find(engineId);
+  }
+
   /** Service of a listed engine; empty for any other. */
   String serviceOf(String engineId) {
     return directory.find(engineId).map(ServingEngine::service).orElse("");
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -293,6 +293,11 @@
     return RendezvousHash.weight(WATCH, relay.address().toString());
   }
 
+  /** Whether other nodes hear of the fleet only from this one. */
+  public boolean hasMembers(long nowNanos) {
+    return loads.hasMembers(nowNanos);
+  }
+
   /** Some nodes heard lately, else the seeds; any thread may call. */
   public List<NetworkAddress> askable() {
     List<NetworkAddress> heard = askable;
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/CrashReport.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/CrashReport.java
@@ -1,6 +1,6 @@
 package org.fallturn.core.quarantine;
 
-import java.util.Map;
+import java.util.List;
 
 /**
  * What one node tells another of a content that may crash engines. Immutable.
@@ -11,7 +11,7 @@
  * @param stored whether the store holds it
  * @param askedAgoMillis how long ago anybody sent it, or an engine crashed under it
  * @param goodAgoMillis how long ago it was answered well; {@link #NEVER} when it was not
- * @param crashAgesMillis how long ago each engine crashed under it, by engine id
+ * @param crashes engines that seemed to crash under it
  */
 public record CrashReport(
     RequestFingerprint content,
@@ -19,13 +19,13 @@
     boolean stored,
     long askedAgoMillis,
     long goodAgoMillis,
-    Map<String, Long> crashAgesMillis) {
+    List<SeenCrash> crashes) {
 
   /** Instead of an age. */
   public static final long NEVER = -1;
 
-  /** Private copies. */
+  /** A private copy. */
   public CrashReport {
-    crashAgesMillis = Map.copyOf(crashAgesMillis);
+    crashes = List.copyOf(crashes);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -3,12 +3,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.fallturn.core.membership.RendezvousHash;
 
 /**
@@ -16,9 +19,10 @@
  * them are not sent any more.
  *
  * <p>A content is clear until two engines have crashed under it, then suspected, and in quarantine
- * from the third. It is released by one good answer, by signs of life of engines that only seemed
- * to crash, or once nobody has asked for it for {@link #LIFETIME}. A crash also ends whatever else
- * ran at the engine: what a content in quarantine explains is held against no other that has fewer
+ * from the third. A broken connection is taken for a crash only once the engine is found to be
+ * gone. A content is released by one good answer, by signs of life of engines that only seemed to
+ * crash, or once nobody has asked for it for {@link #LIFETIME}. A crash also ends whatever else ran
+ * at the engine: what a content in quarantine explains is held against no other that has fewer
  * crashes.
  *
  * <p>Invariant: no more than {@link #MAX_SUSPECTS} contents are kept, and those with most crashes
@@ -38,7 +42,10 @@
   /** Contents in one message, some 100 bytes each, so that it stays within a few KB. */
   private static final int MAX_REPORTS = 24;
 
-  /** A change is told for so long, in each turn of 100 ms, as messages may be lost. */
+  /**
+   * A change is told for so long, in each turn of 100 ms, as messages may be lost. At once only
+   * what is more than one broken connection.
+   */
   private static final long TELL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** How often those in quarantine are told to nodes that may have missed it or just started. */
@@ -83,20 +90,50 @@
     return sketches.containsKey(content.sketch()) ? suspects.get(content.fingerprint()) : null;
   }
 
-  /** An engine seems to have crashed while it had the content. */
+  /** An engine seems to have crashed while it had the content: its connection broke. */
   public void onCrash(RequestContent content, String engineId, long nowNanos) {
     Suspect suspect = suspect(content.fingerprint(), nowNanos, nowNanos);
     suspect.onAsked(nowNanos);
-    if (suspect.onCrash(engineId, nowNanos, nowNanos)) {
+    if (suspect.onCrash(engineId, nowNanos, true, false, nowNanos)) {
       onLearned(suspect);
-      notice(suspect);
-      suspect.storeAtOnce(nowNanos);
     }
     dropWhenEmpty(suspect);
   }
 
+  /** An engine is found to be gone: whatever it seemed to crash under, it did crash under. */
+  public void onEngineGone(String engineId, long nowNanos) {
+    for (Suspect suspect : suspects.values()) {
+      if (suspect.onGone(engineId, nowNanos)) {
+        onLearned(suspect);
+        notice(suspect);
+        suspect.storeAtOnce(nowNanos);
+      }
+    }
+  }
+
+  /**
+   * The list of engines has changed.
+   *
+   * @param listed whether an engine is in it
+   */
+  public void onDirectory(Predicate<String> listed, long nowNanos) {
+    suspects.values().stream()
+        .flatMap(suspect -> suspect.unsure().stream())
+        .filter(listed.negate())
+        .distinct()
+        .toList()
+        .forEach(engineId -> onEngineGone(engineId, nowNanos));
+  }
+
+  /** Engines that should be asked now whether they live. */
+  public Set<String> takeProbes(long nowNanos) {
+    Set<String> due = new HashSet<>();
+    suspects.values().forEach(suspect -> due.addAll(suspect.takeProbes(nowNanos)));
+    return due;
+  }
+
   private void onLearned(Suspect suspect) {
-    news = true;
+    news |= suspect.matters();
     explainedAll = false;
     suspect.setCulprits(culprits);
   }
@@ -120,7 +157,12 @@
   /** The content was answered well. */
   public void onGood(RequestContent content, long nowNanos) {
     Suspect suspect = find(content);
-    if (suspect != null && suspect.onGood(nowNanos, nowNanos)) {
+    if (suspect == null) {
+      return;
+    }
+    if (!suspect.matters()) {
+      drop(suspect);
+    } else if (suspect.onGood(nowNanos, nowNanos)) {
       news = true;
       notice(suspect);
       release(suspect);
@@ -146,8 +188,9 @@
     if (report.goodAgoMillis() != CrashReport.NEVER) {
       learned = suspect.onGood(at(report.goodAgoMillis(), nowNanos), nowNanos);
     }
-    for (Map.Entry<String, Long> crash : report.crashAgesMillis().entrySet()) {
-      learned |= suspect.onCrash(crash.getKey(), at(crash.getValue(), nowNanos), nowNanos);
+    for (SeenCrash crash : report.crashes()) {
+      long crashedNanos = at(crash.ageMillis(), nowNanos);
+      learned |= suspect.onCrash(crash.engineId(), crashedNanos, false, crash.sure(), nowNanos);
     }
     if (report.confirmedAgoMillis() != CrashReport.NEVER) {
       learned |= suspect.confirm(at(report.confirmedAgoMillis(), nowNanos), nowNanos);
@@ -272,15 +315,19 @@
     return taken;
   }
 
-  /** What is due to be told to the other nodes, those in quarantine first. */
-  public List<CrashReport> takeReports(long nowNanos) {
+  /**
+   * What is due to be told to the other nodes, those in quarantine first.
+   *
+   * @param passesOn whether others hear what this node was told only from it
+   */
+  public List<CrashReport> takeReports(boolean passesOn, long nowNanos) {
     if (suspects.isEmpty()) {
       return List.of();
     }
     return suspects.values().stream()
         .sorted(
             Comparator.comparing(Suspect::standing).reversed().thenComparing(Suspect::toldNanos))
-        .filter(suspect -> suspect.takeTellDue(TELL_NANOS, REPEAT_NANOS, nowNanos))
+        .filter(suspect -> suspect.takeTellDue(TELL_NANOS, REPEAT_NANOS, passesOn, nowNanos))
         .limit(MAX_REPORTS)
         .map(suspect -> suspect.report(nowNanos))
         .toList();
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/SeenCrash.java
@@ -0,0 +1,10 @@
+package org.fallturn.core.quarantine;
+
+/**
+ * An engine that seemed to crash under a content, told to other nodes.
+ *
+ * @param engineId the engine
+ * @param ageMillis how long ago
+ * @param sure whether the engine was found to be gone since
+ */
+public record SeenCrash(String engineId, long ageMillis, boolean sure) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.quarantine;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Stream;
 
 /**
  * What speaks for and against one content.
@@ -42,8 +44,14 @@
   private static final long RENEW_NANOS =
       TimeUnit.MILLISECONDS.toNanos(Quarantine.LIFETIME_MILLIS / 3);
 
+  /** A probe that says nothing is repeated after so long, some round trips to an engine. */
+  private static final long PROBE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  /** Longer than any change is told. */
+  private static final long LONG_AGO_NANOS = TimeUnit.HOURS.toNanos(1);
+
   private final RequestFingerprint content;
-  private final Map<String, Long> crashes = new HashMap<>();
+  private final Map<String, Crash> crashes = new HashMap<>();
   private final Set<String> explained = new HashSet<>();
   private OptionalLong goodNanos = OptionalLong.empty();
   private OptionalLong confirmedNanos = OptionalLong.empty();
@@ -51,14 +59,42 @@
   private OptionalLong storeDueNanos = OptionalLong.empty();
   private long askedNanos;
   private long changedNanos;
+  private long seenHereNanos;
   private long toldNanos;
   private Standing standing = Standing.CLEAR;
+  private boolean matters;
   private Standing noticed = Standing.CLEAR;
 
+  /** An engine that seemed to crash, and whether this node saw it. */
+  private static final class Crash {
+
+    private final long atNanos;
+    private final boolean own;
+    private boolean sure;
+    private OptionalLong probedNanos = OptionalLong.empty();
+
+    Crash(long atNanos, boolean own, boolean sure) {
+      this.atNanos = atNanos;
+      this.own = own;
+      this.sure = sure;
+    }
+
+    boolean takeProbeDue(long nowNanos) {
+      boolean due =
+          !sure
+              && (probedNanos.isEmpty() || nowNanos - probedNanos.getAsLong() >= PROBE_PAUSE_NANOS);
+      if (due) {
+        probedNanos = OptionalLong.of(nowNanos);
+      }
+      return due;
+    }
+  }
+
   Suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
     this.content = content;
     this.askedNanos = askedNanos;
     this.changedNanos = nowNanos;
+    this.seenHereNanos = nowNanos - LONG_AGO_NANOS;
     this.toldNanos = nowNanos;
   }
 
@@ -73,6 +109,7 @@
   /** To be called after each change of what speaks for or against it. */
   private void weigh() {
     standing = weighed();
+    matters |= crashes.size() >= CRASHES_TO_SUSPECT || confirmed();
   }
 
   private Standing weighed() {
@@ -81,8 +118,8 @@
     }
     List<Long> counted =
         crashes.entrySet().stream()
-            .filter(crash -> !explained.contains(crash.getKey()))
-            .map(Map.Entry::getValue)
+            .filter(crash -> crash.getValue().sure && !explained.contains(crash.getKey()))
+            .map(crash -> crash.getValue().atNanos)
             .toList();
     if (counted.size() >= CRASHES_TO_QUARANTINE && apart(counted)) {
       return Standing.QUARANTINED;
@@ -105,12 +142,17 @@
     return most - least >= ONE_CAUSE_NANOS;
   }
 
+  /** Engines that are gone since they seemed to crash under it. */
   List<String> engines() {
-    return List.copyOf(crashes.keySet());
+    return sureCrashes().map(Map.Entry::getKey).toList();
+  }
+
+  private Stream<Map.Entry<String, Crash>> sureCrashes() {
+    return crashes.entrySet().stream().filter(crash -> crash.getValue().sure);
   }
 
   int crashCount() {
-    return crashes.size();
+    return (int) sureCrashes().count();
   }
 
   /** Whether anything is known that others should hear. */
@@ -127,16 +169,52 @@
   }
 
   /** Whether this was news. */
-  boolean onCrash(String engineId, long atNanos, long nowNanos) {
-    if (crashes.containsKey(engineId) || goodSince(atNanos)) {
+  boolean onCrash(String engineId, long atNanos, boolean own, boolean sure, long nowNanos) {
+    Crash known = crashes.get(engineId);
+    if (known == null ? goodSince(atNanos) : known.sure || !sure) {
       return false;
     }
-    crashes.put(engineId, atNanos);
+    if (known == null) {
+      crashes.put(engineId, new Crash(atNanos, own, sure));
+    } else {
+      known.sure = true;
+    }
     changedNanos = nowNanos;
+    if (own) {
+      seenHereNanos = nowNanos;
+    }
     weigh();
     return true;
   }
 
+  /** The engine is gone. Whether this was news. */
+  boolean onGone(String engineId, long nowNanos) {
+    Crash known = crashes.get(engineId);
+    return known != null && onCrash(engineId, known.atNanos, known.own, true, nowNanos);
+  }
+
+  /** Engines that only seem to have crashed, as far as is known. */
+  List<String> unsure() {
+    return crashes.entrySet().stream()
+        .filter(crash -> !crash.getValue().sure)
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
+  /**
+   * Engines that should be asked now whether they live. One broken connection is not worth a
+   * question; with two engines it is, to the node that saw one of them.
+   */
+  List<String> takeProbes(long nowNanos) {
+    if (crashes.size() < CRASHES_TO_SUSPECT || crashes.values().stream().noneMatch(c -> c.own)) {
+      return List.of();
+    }
+    return crashes.entrySet().stream()
+        .filter(crash -> crash.getValue().takeProbeDue(nowNanos))
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   private boolean goodSince(long nanos) {
     return goodNanos.isPresent() && goodNanos.getAsLong() - nanos >= 0;
   }
@@ -147,7 +225,7 @@
       return false;
     }
     goodNanos = OptionalLong.of(atNanos);
-    boolean voids = crashes.values().removeIf(this::goodSince);
+    boolean voids = crashes.values().removeIf(crash -> goodSince(crash.atNanos));
     if (confirmed() && goodSince(confirmedNanos.getAsLong())) {
       confirmedNanos = OptionalLong.empty();
       voids = true;
@@ -201,7 +279,8 @@
         !confirmed()
             && crashes
                 .entrySet()
-                .removeIf(crash -> livesAfter(lastHeard.apply(crash.getKey()), crash.getValue()));
+                .removeIf(
+                    crash -> livesAfter(lastHeard.apply(crash.getKey()), crash.getValue().atNanos));
     if (forgiven) {
       weigh();
     }
@@ -217,7 +296,7 @@
     explained.clear();
     for (Suspect culprit : culprits) {
       if (culprit.crashCount() > crashCount()) {
-        explained.addAll(culprit.crashes.keySet());
+        explained.addAll(culprit.engines());
       }
     }
     weigh();
@@ -233,7 +312,10 @@
   }
 
   private long newestCrash() {
-    return crashes.values().stream().reduce((a, b) -> a - b > 0 ? a : b).orElseThrow();
+    return sureCrashes()
+        .map(crash -> crash.getValue().atNanos)
+        .reduce((a, b) -> a - b > 0 ? a : b)
+        .orElseThrow();
   }
 
   /** What is thought of it, when that has changed since the last call. */
@@ -274,9 +356,21 @@
     return askedNanos - written <= 0 || nowNanos - written < RENEW_NANOS;
   }
 
-  /** Whether others should hear of it now: for a while after each change, else now and then. */
-  boolean takeTellDue(long whileNanos, long pauseNanos, long nowNanos) {
-    boolean fresh = nowNanos - changedNanos < whileNanos;
+  /**
+   * Whether it is, or was, more than one broken connection, of which a fleet sees many a second.
+   */
+  boolean matters() {
+    return matters;
+  }
+
+  /**
+   * Whether others should hear of it now: for a while after each change, else now and then.
+   *
+   * @param passesOn whether others hear what this node was told only from it
+   */
+  boolean takeTellDue(long whileNanos, long pauseNanos, boolean passesOn, long nowNanos) {
+    long sinceNanos = matters() || passesOn ? changedNanos : seenHereNanos;
+    boolean fresh = nowNanos - sinceNanos < whileNanos;
     boolean again = standing() == Standing.QUARANTINED && nowNanos - toldNanos >= pauseNanos;
     if (fresh || again) {
       toldNanos = nowNanos;
@@ -290,15 +384,17 @@
   }
 
   CrashReport report(long nowNanos) {
-    Map<String, Long> ages = new HashMap<>();
-    crashes.forEach((engine, at) -> ages.put(engine, millis(nowNanos - at)));
+    List<SeenCrash> seen = new ArrayList<>();
+    crashes.forEach(
+        (engine, crash) ->
+            seen.add(new SeenCrash(engine, millis(nowNanos - crash.atNanos), crash.sure)));
     return new CrashReport(
         content,
         age(confirmedNanos, nowNanos),
         stored(),
         millis(nowNanos - askedNanos),
         age(goodNanos, nowNanos),
-        ages);
+        seen);
   }
 
   private static long age(OptionalLong nanos, long nowNanos) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CrashReportText.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CrashReportText.java
@@ -1,15 +1,16 @@
 package org.fallturn.node.gateway;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.StringJoiner;
 import org.fallturn.core.quarantine.CrashReport;
 import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.quarantine.SeenCrash;
 
 /**
  * A crash report as a line of a message between nodes: fingerprint, ms since it was asked for,
- * confirmed and answered well, whether the store holds it, then an engine and the ms since its
- * crash, for each crash.
+ * confirmed and answered well, whether the store holds it, then, for each crash, the engine, the ms
+ * since, and whether the engine is gone.
  */
 final class CrashReportText {
 
@@ -24,10 +25,14 @@
     text.add(Long.toString(report.confirmedAgoMillis()));
     text.add(Long.toString(report.goodAgoMillis()));
     text.add(Boolean.toString(report.stored()));
-    report.crashAgesMillis().forEach((engine, age) -> text.add(engine + ':' + age));
+    report.crashes().forEach(crash -> text.add(write(crash)));
     return text.toString();
   }
 
+  private static String write(SeenCrash crash) {
+    return crash.engineId() + ':' + crash.ageMillis() + ':' + crash.sure();
+  }
+
   /**
    * Reads what {@link #write} wrote.
    *
@@ -36,11 +41,11 @@
    */
   static CrashReport read(String text) {
     String[] words = text.split(" ");
-    Map<String, Long> crashes = new HashMap<>();
+    List<SeenCrash> crashes = new ArrayList<>();
     for (int word = FIXED_WORDS; word < words.length; word++) {
-      int colon = words[word].lastIndexOf(':');
-      crashes.put(
-          words[word].substring(0, colon), Long.parseLong(words[word].substring(colon + 1)));
+      String[] fields = words[word].split(":");
+      crashes.add(
+          new SeenCrash(fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2])));
     }
     return new CrashReport(
         RequestFingerprint.parse(words[0]),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -169,6 +169,10 @@
         .log();
   }
 
+  void engineGone(String engineId) {
+    line(LogEvent.ENGINE_GONE).addKeyValue("engine", engineId).log();
+  }
+
   void standingChanged(StandingChange change) {
     line(LogEvent.STANDING_CHANGED, change.standing().name())
         .addKeyValue("content", change.content())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -15,9 +15,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.error.ErrorKind;
-import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.RequestFingerprint;
-import org.fallturn.core.quarantine.StandingChange;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
@@ -48,12 +46,11 @@
   private final Set<Exchange> active = new HashSet<>();
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
-  private final QuarantineDuty quarantineDuty;
+  private final QuarantineKeeper keeper;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
   private long lastHealthNanos;
   private long lastStageNanos;
   private long lastOutlookNanos;
-  private volatile int quarantined;
 
   DispatchDuty(
       Dispatcher dispatcher,
@@ -62,14 +59,14 @@
       PeerTalk peers,
       CacheSurvey survey,
       Consumer<StageChange> stageChanges,
-      QuarantineDuty quarantineDuty) {
+      QuarantineKeeper keeper) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
     this.peers = peers;
     this.survey = survey;
     this.stageChanges = stageChanges;
-    this.quarantineDuty = quarantineDuty;
+    this.keeper = keeper;
   }
 
   @Override
@@ -113,6 +110,8 @@
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.onStageOrderUnanswered(unanswered.change(), now);
+    } else if (event instanceof DispatchEvent.EngineGone gone) {
+      keeper.onEngineGone(gone.engineId(), now);
     } else if (event instanceof DispatchEvent.QuarantineRecalled recalled) {
       dispatcher.quarantine().onRecalled(recalled.content(), recalled.ageMillis(), now);
     } else if (event instanceof DispatchEvent.QuarantineStored stored) {
@@ -292,21 +291,7 @@
   }
 
   private void keepQuarantine(long now) {
-    Quarantine quarantine = dispatcher.quarantine();
-    for (StandingChange change : quarantine.takeChanges()) {
-      log.standingChanged(change);
-      if (!change.standing().sendable()) {
-        takeBackCopies(change.content(), now);
-      }
-    }
-    quarantine.takeUnstored(now).forEach(quarantineDuty::put);
-    quarantine.takeReleased().forEach(quarantineDuty::remove);
-    quarantined = quarantine.quarantined();
-  }
-
-  /** How many contents are in quarantine; any thread may call. */
-  int quarantined() {
-    return quarantined;
+    keeper.keep(now).forEach(content -> takeBackCopies(content, now));
   }
 
   /** Copies that still run elsewhere would crash their engines too. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -55,6 +55,9 @@
   /** The order was sent and got no answer. */
   record StageOrderUnanswered(StageChange change) implements DispatchEvent {}
 
+  /** An engine that seemed to crash does not listen any more, or another has its address. */
+  record EngineGone(String engineId) implements DispatchEvent {}
+
   /** The store holds a content in quarantine, written so many ms ago. */
   record QuarantineRecalled(RequestFingerprint content, long ageMillis) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineOrders.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineOrders.java
@@ -52,7 +52,7 @@
     Request request =
         engines
             .newRequest(engine, HttpMethod.POST.asString(), protocol.orderPath())
-            .headers(headers -> headers.add(protocol.orderHeaders(engine)))
+            .headers(headers -> headers.add(protocol.addresseeHeaders(engine)))
             .body(new BytesRequestContent("application/json", protocol.orderBody(order)))
             .timeout(ORDER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     try {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -40,8 +40,8 @@
   /** Path of the call (method POST) that gives an engine an order. */
   String orderPath();
 
-  /** Headers of an order that only the engine that is meant may take. */
-  HttpFields orderHeaders(ServingEngine engine);
+  /** Headers of a call that only the engine that is meant may take. */
+  HttpFields addresseeHeaders(ServingEngine engine);
 
   /** Body of an order. */
   byte[] orderBody(StageOrder order);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -79,7 +79,7 @@
   private final DutyThread<DispatchEvent> dispatch;
   private final StageDuty stages;
   private final QuarantineDuty quarantine;
-  private final DispatchDuty duty;
+  private final QuarantineKeeper keeper;
   private final RowFollower routingFollower;
   private final RowFollower engineFollower;
   private HttpListener readiness;
@@ -139,7 +139,10 @@
     PeerTalk talk = new PeerTalk(knowledge, dispatcher, survey, peers::send);
     this.quarantine =
         new QuarantineDuty(platform.quarantine().create(engines.client()), this::tell, log);
-    this.duty = new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer, quarantine);
+    this.keeper =
+        new QuarantineKeeper(dispatcher, new EngineProbe(engines, this::tell), quarantine, log);
+    DispatchDuty duty =
+        new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer, keeper);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(engines.client(), knowledge::askable);
@@ -212,7 +215,7 @@
     metrics.gauge("engines", this::engineCount);
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("caches_known", survey::answered);
-    metrics.gauge("contents_in_quarantine", duty::quarantined);
+    metrics.gauge("contents_in_quarantine", keeper::quarantined);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
     metrics.gauge("nodes", this::nodeCount);
     metrics.gauge("relay", () -> knowledge.isRelay() ? 1 : 0);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -36,6 +36,8 @@
   ENGINE_SUSPENDED,
   /** This node uses an engine again. */
   ENGINE_RESUMED,
+  /** An engine that seemed to crash was asked, and is gone. */
+  ENGINE_GONE,
   /** Engines have crashed under a content, or nothing speaks against it any more. */
   STANDING_CHANGED,
   /** A content in quarantine was written to the store, or taken from it, or could not be. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -36,7 +36,7 @@
  *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
- *  "q":["1f0a9c4e-77 0 300 -1 true i-7f:1200"],  contents that may crash engines: fingerprint; ms
+ *  "q":["1f0a9c4e-77 0 300 -1 true i-7f:12:true"], contents that may crash engines: fingerprint; ms
  *                                     since asked for, confirmed, answered well; stored; crashes
  *  "r":["10.1.0.36:7660 zone-1 8000 90"],  relays, heard so many ms ago
  *  "t":{"routing":57},                     newest change seen, by table
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -73,7 +73,7 @@
                 new OwnLoad(
                     dispatcher.ownLoads(nowNanos),
                     dispatcher.ownSpeeds(),
-                    dispatcher.quarantine().takeReports(nowNanos),
+                    dispatcher.quarantine().takeReports(knowledge.hasMembers(nowNanos), nowNanos),
                     dispatcher.mayOrderStages(nowNanos)),
             nowNanos));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -231,6 +231,11 @@
         write(response, callback, cacheList());
         return true;
       }
+      String expected = request.getHeaders().get(EXPECT_INSTANCE);
+      if (path.equals(REPORT_PATH) && expected != null && !expected.equals(id)) {
+        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+        return true;
+      }
       if (path.equals(REPORT_PATH)) {
         write(response, callback, orders.report(stage));
         return true;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -81,7 +81,30 @@
    */
   public synchronized void crashOn(String body, EngineCrash when) {
     crashing = engine -> engine.crashOn(body, when, this::replaceCrashed);
-    engines.stream().filter(engine -> !engine.stage().isEmpty()).forEach(crashing);
+    modelEngines().forEach(crashing);
+  }
+
+  /** The same, but nothing takes an engine's place, and its row stays. */
+  public synchronized void crashForGoodOn(String body, EngineCrash when) {
+    modelEngines().forEach(engine -> engine.crashOn(body, when, this::endCrashed));
+  }
+
+  private List<EmulatedEngine> modelEngines() {
+    return engines.stream().filter(engine -> !engine.stage().isEmpty()).toList();
+  }
+
+  /** Whether it had not ended before. */
+  private synchronized boolean endCrashed(EmulatedEngine engine) {
+    if (!engines.remove(engine)) {
+      return false;
+    }
+    crashed.add(engine);
+    try {
+      engine.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(engine.id() + " does not end", e);
+    }
+    return true;
   }
 
   /** How many engines have crashed. */
@@ -97,12 +120,10 @@
   }
 
   private synchronized void replaceCrashed(EmulatedEngine engine) {
-    if (!engines.remove(engine)) {
+    if (!endCrashed(engine)) {
       return;
     }
-    crashed.add(engine);
     try {
-      engine.close();
       EmulatedEngine successor = engine.successor(engine.id() + "+");
       engines.add(successor);
       crashing.accept(successor);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
@@ -83,6 +83,10 @@
   /** Callers try until the content has crashed three engines. */
   private void crashThreeEngines(EngineCrash when) throws Exception {
     platform.crashOn(POISON, when);
+    callUntilThreeEnginesHaveCrashed();
+  }
+
+  private void callUntilThreeEnginesHaveCrashed() throws Exception {
     for (int number = 0; platform.crashes() < TOLERATED_CRASHES; number++) {
       assertThat(sendPoison(number).await().body()).isNotEqualTo(EmulatedEngine.wholeStream());
     }
@@ -110,6 +114,15 @@
     assertThat(arrivalsOfFurtherSends()).isLessThanOrEqualTo(TOLERATED_SENDS);
   }
 
+  /** Rows of engines that crash stay for seconds; a refused connection tells it at once. */
+  @Test
+  void contentIsHeldBackWhileTheRowsOfItsEnginesAreStillThere() throws Exception {
+    platform.crashForGoodOn(POISON, EngineCrash.MIDWAY);
+    callUntilThreeEnginesHaveCrashed();
+    assertThat(arrivalsOfFurtherSends()).isLessThanOrEqualTo(TOLERATED_SENDS);
+    assertThat(platform.crashes()).isLessThan(ENGINES);
+  }
+
   @Test
   void callerIsToldWhyAndNotToComeBack() throws Exception {
     crashThreeEngines(EngineCrash.MIDWAY);
