Probe an engine that seemed to crash three times at most

Cause: an engine that lives but is idle is never heard, and would have been asked five times a second for half an hour. Change: a crash has three probes. Measured: the case in QuarantineTest.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -44,6 +44,9 @@
   private static final long RENEW_NANOS =
       TimeUnit.MILLISECONDS.toNanos(Quarantine.LIFETIME_MILLIS / 3);
 
+  /** An engine that answers its first probes is there; its connection broke for another reason. */
+  private static final int MAX_PROBES = 3;
+
   /** A probe that says nothing is repeated after so long, some round trips to an engine. */
   private static final long PROBE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
@@ -71,7 +74,8 @@
     private final long atNanos;
     private final boolean own;
     private boolean sure;
-    private OptionalLong probedNanos = OptionalLong.empty();
+    private int probes;
+    private long probedNanos;
 
     Crash(long atNanos, boolean own, boolean sure) {
       this.atNanos = atNanos;
@@ -82,9 +86,11 @@
     boolean takeProbeDue(long nowNanos) {
       boolean due =
           !sure
-              && (probedNanos.isEmpty() || nowNanos - probedNanos.getAsLong() >= PROBE_PAUSE_NANOS);
+              && probes < MAX_PROBES
+              && (probes == 0 || nowNanos - probedNanos >= PROBE_PAUSE_NANOS);
       if (due) {
-        probedNanos = OptionalLong.of(nowNanos);
+        probes++;
+        probedNanos = nowNanos;
       }
       return due;
     }
--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -81,6 +81,8 @@
     assertThat(other.takeProbes(at(220))).isEmpty();
     quarantine.onEngineGone("e-1", at(230));
     assertThat(quarantine.takeProbes(at(600))).containsExactly("e-2");
+    assertThat(quarantine.takeProbes(at(900))).containsExactly("e-2");
+    assertThat(quarantine.takeProbes(at(1_200))).isEmpty();
   }
 
   @Test
