Let the soak send contents that crash engines; read the quarantine after callers are served

Cause: no soak had an engine that ends under a request; and a start is charged in full, so that what callers do not wait for comes after them. Change: POISON_COMES and the check POISON_HELD_BACK (shown to find four late sends); engines of the emulator are followed by their successors in place; the store's rows of the quarantine are read once callers are accepted. Measured: SoakCheckTest; the soak itself comes next.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -196,7 +196,6 @@
     dispatch.start();
     peers.start();
     stages.start();
-    quarantine.start();
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -206,6 +205,7 @@
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
     openMetrics();
+    quarantine.start();
     log.started(settings.nodeName());
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.Lock;
@@ -79,7 +80,7 @@
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final AtomicInteger abandoned = new AtomicInteger();
   private final Lock reading = new ReentrantLock(true);
-  private volatile Optional<Poison> poison = Optional.empty();
+  private final List<Poison> poisons = new CopyOnWriteArrayList<>();
   private volatile EngineFault standingFault = EngineFault.NONE;
   private volatile double pace = Double.POSITIVE_INFINITY;
 
@@ -112,7 +113,7 @@
    * @param crashed hears of it, and is to close this engine
    */
   void crashOn(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {
-    poison = Optional.of(new Poison(body, when, crashed));
+    poisons.add(new Poison(body, when, crashed));
   }
 
   private record Poison(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {}
@@ -258,7 +259,8 @@
     /** Whether this engine has crashed on the request; it says no more then. */
     private boolean crashes(String body, Request request, Response response, Callback callback)
         throws Exception {
-      Optional<Poison> crash = poison.filter(known -> known.body().equals(body));
+      Optional<Poison> crash =
+          poisons.stream().filter(known -> known.body().equals(body)).findFirst();
       boolean onlyReads = request.getHeaders().contains(STAGE_HEADER);
       if (crash.isEmpty() || onlyReads && crash.get().when() != EngineCrash.WHILE_READING) {
         return false;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -1,8 +1,10 @@
 package org.fallturn.rehearsal.emulator;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fallturn.core.domain.NetworkAddress;
@@ -46,6 +48,7 @@
   private final EmulatedStore store;
   private final List<EmulatedEngine> engines = new ArrayList<>();
   private final List<EmulatedEngine> crashed = new ArrayList<>();
+  private final Map<String, List<Long>> crashTimes = new HashMap<>();
   private final List<GatewayServer> gateways = new ArrayList<>();
   private Consumer<EmulatedEngine> crashing = engine -> {};
   private int version = 1;
@@ -80,10 +83,17 @@
    * once, and its row takes the place of the former.
    */
   public synchronized void crashOn(String body, EngineCrash when) {
-    crashing = engine -> engine.crashOn(body, when, this::replaceCrashed);
+    Consumer<EmulatedEngine> before = crashing;
+    crashing =
+        before.andThen(engine -> engine.crashOn(body, when, crashed -> replace(crashed, body)));
     modelEngines().forEach(crashing);
   }
 
+  /** When engines crashed on a content, by the steady clock. */
+  public synchronized List<Long> crashNanos(String body) {
+    return List.copyOf(crashTimes.getOrDefault(body, List.of()));
+  }
+
   /** The same, but nothing takes an engine's place, and its row stays. */
   public synchronized void crashForGoodOn(String body, EngineCrash when) {
     modelEngines().forEach(engine -> engine.crashOn(body, when, this::endCrashed));
@@ -107,6 +117,11 @@
     return true;
   }
 
+  /** The engines that serve now; one that has crashed is followed by its successor. */
+  public synchronized List<EmulatedEngine> engines() {
+    return List.copyOf(engines);
+  }
+
   /** How many engines have crashed. */
   public synchronized int crashes() {
     return crashed.size();
@@ -119,13 +134,16 @@
     return all;
   }
 
-  private synchronized void replaceCrashed(EmulatedEngine engine) {
+  /** The successor has the place of the engine in every list. */
+  private synchronized void replace(EmulatedEngine engine, String body) {
+    int place = engines.indexOf(engine);
     if (!endCrashed(engine)) {
       return;
     }
+    crashTimes.computeIfAbsent(body, known -> new ArrayList<>()).add(System.nanoTime());
     try {
       EmulatedEngine successor = engine.successor(engine.id() + "+");
-      engines.add(successor);
+      engines.add(place, successor);
       crashing.accept(successor);
       unlist(engine);
       list(successor, false);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -83,6 +83,25 @@
       return found;
     }
   },
+  /** A content under which three engines have crashed is held back once all have to know. */
+  POISON_HELD_BACK {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      for (SoakRecord.Poison poison : record.poisons()) {
+        if (poison.crashNanos().size() < CRASHES_TOLERATED) {
+          continue;
+        }
+        long bound = poison.crashNanos().get(CRASHES_TOLERATED - 1) + SoakFleet.CONTACT.toNanos();
+        List<SoakRecord.Arrival> late =
+            poison.sends().stream().filter(send -> send.nanos() > bound).toList();
+        if (late.size() > SENDS_TOLERATED) {
+          found.add(poison.body() + ": " + late.size() + " late sends, " + late.get(0).requestId());
+        }
+      }
+      return found;
+    }
+  },
   /** Once the faults are over, callers are served. */
   RECOVERS {
     @Override
@@ -98,6 +117,8 @@
   };
 
   private static final int HTTP_OK = 200;
+  private static final int CRASHES_TOLERATED = 3;
+  private static final int SENDS_TOLERATED = 3;
 
   /** Statuses that promise that a request was not run and never will be. */
   private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -18,6 +18,11 @@
     void end(SoakFleet fleet, int target) throws Exception {
       fleet.gateway(target).start();
     }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return gateway == SoakFleet.gatewayIndex(target);
+    }
   },
   GATEWAY_STOPPED(Lane.FLEET) {
     @Override
@@ -30,6 +35,11 @@
       fleet.gateway(target).kill();
       fleet.gateway(target).start();
     }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return gateway == SoakFleet.gatewayIndex(target);
+    }
   },
   GATEWAY_PAUSED(Lane.FLEET) {
     @Override
@@ -41,6 +51,11 @@
     void end(SoakFleet fleet, int target) throws Exception {
       fleet.gateway(target).resume();
     }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return gateway == SoakFleet.gatewayIndex(target);
+    }
   },
   STORE_DOWN(StoreFault.DOWN),
   STORE_THROTTLED(StoreFault.THROTTLED),
@@ -56,6 +71,11 @@
     void end(SoakFleet fleet, int target) {
       fleet.setStoreLink(target, LinkFaults.NONE);
     }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return gateway == SoakFleet.gatewayIndex(target);
+    }
   },
   ENGINE_DRAINS(Lane.FLEET) {
     @Override
@@ -67,6 +87,27 @@
     void end(SoakFleet fleet, int target) {
       fleet.endDrain(target);
     }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return false;
+    }
+  },
+  POISON_COMES(Lane.FLEET) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.addPoison(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      // it comes until the end of the run
+    }
+
+    @Override
+    boolean touches(int gateway, int target) {
+      return false;
+    }
   },
   ENGINE_REJECTS(EngineFault.REJECT),
   ENGINE_FAILS(EngineFault.FAIL),
@@ -110,6 +151,11 @@
     return Arrays.stream(values()).filter(fault -> fault.lane == lane).toList();
   }
 
+  /** Whether a gateway is out of touch, with the others or the store, while it lasts. */
+  boolean touches(int gateway, int target) {
+    return lane == Lane.FLEET;
+  }
+
   void begin(SoakFleet fleet, int target) throws Exception {
     set(fleet, target, engineFault, storeFault);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -12,6 +12,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.EngineCrash;
 import org.fallturn.rehearsal.faults.FaultProxy;
 import org.fallturn.rehearsal.faults.LinkFaults;
 
@@ -24,6 +25,8 @@
   /** Bounds that the gateways are given; small, so that a run of minutes meets them. */
   static final Duration DRAIN = Duration.ofSeconds(2);
 
+  static final Duration CONTACT = Duration.ofSeconds(3);
+
   static final double RETRY_RATIO = 0.2;
   static final double RETRY_SLACK = 12;
   static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
@@ -33,10 +36,13 @@
 
   private final EmulatedPlatform platform;
   private final FaultProxy proxy;
-  private final List<EmulatedEngine> engines = new ArrayList<>();
   private final List<SoakGateway> gateways = new ArrayList<>();
+  private final List<String> poisons = new CopyOnWriteArrayList<>();
   private final List<SoakRecord.Drain> drains = new CopyOnWriteArrayList<>();
-  private final Map<String, Long> drainingSince = new HashMap<>();
+  private final Map<Integer, Draining> draining = new HashMap<>();
+
+  /** An engine that is listed as leaving since a time. */
+  private record Draining(EmulatedEngine engine, long fromNanos) {}
 
   SoakFleet(long seed, Path directory) throws Exception {
     platform = new EmulatedPlatform();
@@ -63,7 +69,7 @@
 
   private void addEngines(String prefix, String service, String stage, int count) throws Exception {
     for (int index = 1; index <= count; index++) {
-      engines.add(platform.addEngine(prefix + "-" + index, service, stage));
+      platform.addEngine(prefix + "-" + index, service, stage);
     }
   }
 
@@ -82,7 +88,11 @@
   }
 
   SoakGateway gateway(int target) {
-    return gateways.get(Math.floorMod(target, gateways.size()));
+    return gateways.get(gatewayIndex(target));
+  }
+
+  static int gatewayIndex(int target) {
+    return Math.floorMod(target, GATEWAYS);
   }
 
   List<SoakGateway> gateways() {
@@ -90,11 +100,21 @@
   }
 
   EmulatedEngine engine(int target) {
+    List<EmulatedEngine> engines = platform.engines();
     return engines.get(Math.floorMod(target, engines.size()));
   }
 
-  List<EmulatedEngine> engines() {
-    return engines;
+  /** From now on callers send a content that crashes every model engine. */
+  void addPoison(int target) {
+    EngineCrash when = EngineCrash.values()[Math.floorMod(target, EngineCrash.values().length)];
+    String body = "poison " + poisons.size();
+    platform.crashOn(body, when);
+    poisons.add(body);
+  }
+
+  /** The contents that crash model engines. */
+  List<String> poisons() {
+    return List.copyOf(poisons);
   }
 
   void setStoreLink(int target, LinkFaults faults) {
@@ -104,15 +124,17 @@
   void drain(int target) {
     EmulatedEngine engine = engine(target);
     platform.list(engine, true);
-    drainingSince.put(engine.id(), System.nanoTime());
+    draining.put(target, new Draining(engine, System.nanoTime()));
   }
 
-  /** The time is noted before the engine is listed as ready again. */
+  /** The time is noted before the engine is listed as ready again; one that has crashed is not. */
   void endDrain(int target) {
-    EmulatedEngine engine = engine(target);
-    long from = drainingSince.remove(engine.id());
-    drains.add(new SoakRecord.Drain(engine.id(), from, System.nanoTime()));
-    platform.list(engine, false);
+    Draining drained = draining.remove(target);
+    EmulatedEngine engine = drained.engine();
+    drains.add(new SoakRecord.Drain(engine.id(), drained.fromNanos(), System.nanoTime()));
+    if (platform.engines().contains(engine)) {
+      platform.list(engine, false);
+    }
   }
 
   List<SoakRecord.Drain> drains() {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -22,9 +22,13 @@
   /** Some 200 requests a second of all callers together, when answers come at once. */
   private static final int PAUSE_MILLIS = 30;
 
+  /** Some six copies a second, of all such contents together. */
+  private static final int POISON_PAUSE_MILLIS = 300;
+
   private final EmulatedClient client = new EmulatedClient();
   private final Queue<SoakRecord.Call> calls = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
+  private final Queue<SoakRecord.PoisonSend> poisonSends = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private volatile boolean stopped;
 
@@ -32,10 +36,45 @@
     this.fleet = fleet;
     for (int caller = 0; caller < CALLERS; caller++) {
       Random random = new Random(seed + caller);
-      Thread thread = new Thread(() -> ask(random), "caller-" + caller);
-      thread.start();
-      threads.add(thread);
+      start("caller-" + caller, () -> ask(random));
     }
+    Random random = new Random(seed - 1);
+    start("poisoner", () -> sendPoisons(random));
+  }
+
+  private void start(String name, Runnable task) {
+    Thread thread = new Thread(task, name);
+    thread.start();
+    threads.add(thread);
+  }
+
+  private void sendPoisons(Random random) {
+    while (!stopped) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(POISON_PAUSE_MILLIS));
+        List<String> poisons = fleet.poisons();
+        if (!poisons.isEmpty()) {
+          sendPoison(poisons.get(random.nextInt(poisons.size())), random);
+        }
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** Its answer is not waited for, so that several copies come at once. */
+  private void sendPoison(String body, Random random) {
+    int target = random.nextInt(Integer.MAX_VALUE);
+    EmulatedClient.Call call =
+        client.sendContent(
+            fleet.gateway(target).callers(), EmulatedPlatform.RESUMABLE, SHORT_PROMPT, body);
+    poisonSends.add(
+        new SoakRecord.PoisonSend(call.requestId(), body, SoakFleet.gatewayIndex(target)));
+  }
+
+  /** The contents that crash engines, as they were sent. */
+  List<SoakRecord.PoisonSend> poisonSends() {
+    return List.copyOf(poisonSends);
   }
 
   private void ask(Random random) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -11,6 +11,7 @@
  * @param arrivals what reached engines, in order by engine
  * @param runs how often each request was run, by its id
  * @param drains when engines were listed as leaving
+ * @param poisons contents that crash engines
  * @param calmFromNanos when the last fault had ended
  */
 record SoakRecord(
@@ -18,6 +19,7 @@
     List<Arrival> arrivals,
     Map<String, Integer> runs,
     List<Drain> drains,
+    List<Poison> poisons,
     long calmFromNanos) {
 
   /** What a request is, as far as the checks care. */
@@ -58,6 +60,17 @@
   /** A request that reached an engine. */
   record Arrival(String engineId, String requestId, long nanos, boolean prefill) {}
 
+  /** A content that crashes engines, sent once more to a gateway. */
+  record PoisonSend(String requestId, String body, int gateway) {}
+
+  /**
+   * A content that crashes engines.
+   *
+   * @param crashNanos when engines crashed under it
+   * @param sends what reached engines while its gateway was in touch with the others and the store
+   */
+  record Poison(String body, List<Long> crashNanos, List<Arrival> sends) {}
+
   /** An engine was leaving from one time to another. */
   record Drain(String engineId, long fromNanos, long toNanos) {}
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -22,6 +22,7 @@
   private final SoakSchedule schedule;
   private final Path directory;
   private final PrintStream out;
+  private long begunNanos;
 
   SoakRun(SoakSchedule schedule, Path directory, PrintStream out) {
     this.schedule = schedule;
@@ -50,13 +51,16 @@
       try (SoakLoad load = new SoakLoad(fleet, schedule.seed())) {
         long calmFrom = inject(fleet);
         List<SoakRecord.Call> calls = load.finish();
-        return new SoakRecord(calls, arrivals(fleet), runs(fleet), fleet.drains(), calmFrom);
+        List<SoakRecord.Arrival> arrivals = arrivals(fleet);
+        List<SoakRecord.Poison> poisons = poisons(fleet, load.poisonSends(), arrivals);
+        return new SoakRecord(calls, arrivals, runs(fleet), fleet.drains(), poisons, calmFrom);
       }
     }
   }
 
   private long inject(SoakFleet fleet) throws Exception {
-    long begun = System.nanoTime();
+    begunNanos = System.nanoTime();
+    long begun = begunNanos;
     for (Step step : steps()) {
       sleepUntil(begun + step.at().toNanos());
       SoakSchedule.Entry entry = step.entry();
@@ -87,7 +91,7 @@
 
   private static List<SoakRecord.Arrival> arrivals(SoakFleet fleet) {
     List<SoakRecord.Arrival> all = new ArrayList<>();
-    for (EmulatedEngine engine : fleet.engines()) {
+    for (EmulatedEngine engine : fleet.platform().allEngines()) {
       engine
           .arrivals()
           .forEach(
@@ -101,10 +105,41 @@
 
   private static Map<String, Integer> runs(SoakFleet fleet) {
     Map<String, Integer> runs = new HashMap<>();
-    fleet.engines().forEach(engine -> engine.runs().forEach(id -> runs.merge(id, 1, Integer::sum)));
+    fleet
+        .platform()
+        .allEngines()
+        .forEach(engine -> engine.runs().forEach(id -> runs.merge(id, 1, Integer::sum)));
     return runs;
   }
 
+  private List<SoakRecord.Poison> poisons(
+      SoakFleet fleet, List<SoakRecord.PoisonSend> sends, List<SoakRecord.Arrival> arrivals) {
+    List<SoakRecord.Poison> poisons = new ArrayList<>();
+    for (String body : fleet.poisons()) {
+      Map<String, Integer> gateways = new HashMap<>();
+      sends.stream()
+          .filter(send -> send.body().equals(body))
+          .forEach(send -> gateways.put(send.requestId(), send.gateway()));
+      List<SoakRecord.Arrival> inTouch =
+          arrivals.stream()
+              .filter(arrival -> gateways.containsKey(arrival.requestId()))
+              .filter(arrival -> inTouch(gateways.get(arrival.requestId()), arrival.nanos()))
+              .toList();
+      poisons.add(new SoakRecord.Poison(body, fleet.platform().crashNanos(body), inTouch));
+    }
+    return poisons;
+  }
+
+  /** Whether no trouble of a gateway has lasted to within the bound on being in touch. */
+  private boolean inTouch(int gateway, long nanos) {
+    return schedule.faults().stream()
+        .filter(entry -> entry.fault().touches(gateway, entry.target()))
+        .noneMatch(
+            entry ->
+                nanos >= begunNanos + entry.begin().toNanos()
+                    && nanos < begunNanos + entry.end().plus(SoakFleet.CONTACT).toNanos());
+  }
+
   private boolean report(SoakRecord record) {
     Map<Integer, Long> statuses =
         record.calls().stream()
@@ -114,6 +149,13 @@
     out.printf(
         "%d requests, %d arrivals at engines, by status %s%n",
         record.calls().size(), record.arrivals().size(), statuses);
+    record
+        .poisons()
+        .forEach(
+            poison ->
+                out.printf(
+                    "  %s crashed %d engines, %d arrivals%n",
+                    poison.body(), poison.crashNanos().size(), poison.sends().size()));
     boolean kept = true;
     for (SoakCheck check : SoakCheck.values()) {
       List<String> violations = check.violations(record);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
@@ -31,7 +32,7 @@
       List<SoakRecord.Arrival> arrivals,
       Map<String, Integer> runs,
       List<SoakRecord.Drain> drains) {
-    return new SoakRecord(calls, arrivals, runs, drains, CALM);
+    return new SoakRecord(calls, arrivals, runs, drains, List.of(), CALM);
   }
 
   private static List<SoakCheck> broken(SoakRecord record) {
@@ -106,6 +107,27 @@
     assertThat(broken(record(good.calls(), fewer, good.runs(), List.of()))).isEmpty();
   }
 
+  @Test
+  void contentThatCrashesEnginesAndIsSentOnIsFound() {
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.STREAM, 200, WHOLE), 1);
+    List<Long> crashes = List.of(seconds(1), seconds(2), seconds(3));
+    double bound = 3 + SoakFleet.CONTACT.toMillis() / 1e3;
+    assertThat(broken(withPoison(good, crashes, 4, bound + 0.1)))
+        .containsExactly(SoakCheck.POISON_HELD_BACK);
+    assertThat(broken(withPoison(good, crashes, 3, bound + 0.1))).isEmpty();
+    assertThat(broken(withPoison(good, crashes, 4, bound - 0.1))).isEmpty();
+    assertThat(broken(withPoison(good, crashes.subList(0, 2), 4, bound + 0.1))).isEmpty();
+  }
+
+  private static SoakRecord withPoison(
+      SoakRecord good, List<Long> crashes, int sends, double atSeconds) {
+    SoakRecord.Arrival send = new SoakRecord.Arrival("d-1", "p", seconds(atSeconds), false);
+    SoakRecord.Poison poison =
+        new SoakRecord.Poison("poison", crashes, Collections.nCopies(sends, send));
+    return new SoakRecord(
+        good.calls(), good.arrivals(), good.runs(), good.drains(), List.of(poison), CALM);
+  }
+
   @Test
   void fleetThatDoesNotServeAgainIsFound() {
     List<SoakRecord.Call> refused = new ArrayList<>();
