--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -93,7 +93,7 @@
       return false;
     }
   },
-  POISON_COMES(Lane.FLEET) {
+  POISON_COMES(Lane.REQUESTS) {
     @Override
     void begin(SoakFleet fleet, int target) {
       fleet.addPoison(target);
@@ -103,11 +103,6 @@
     void end(SoakFleet fleet, int target) {
       // it comes until the end of the run
     }
-
-    @Override
-    boolean touches(int gateway, int target) {
-      return false;
-    }
   },
   ENGINE_REJECTS(EngineFault.REJECT),
   ENGINE_FAILS(EngineFault.FAIL),
@@ -119,10 +114,11 @@
   ENGINE_FORGETS_MARK(EngineFault.UNSIGNED),
   ENGINE_LIES_UNAVAILABLE(EngineFault.UNAVAILABLE_BUT_RAN);
 
-  /** Faults of one lane follow each other; those of two lanes meet. */
+  /** Faults of one lane follow each other; those of different lanes meet. */
   enum Lane {
     FLEET,
-    ENGINE
+    ENGINE,
+    REQUESTS
   }
 
   private final Lane lane;
