Let the soak's gateways hear each other, and keep what they log

The logs of a second play showed each gateway finding out by itself what another had told: all shared one host with different peer ports, while a node looks for its seeds at its own port. ManagedProcess dropped what a process writes to standard output. Change: a host of its own on loopback for each gateway; standard output goes to the log file.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -1,8 +1,10 @@
 package org.fallturn.rehearsal.fleet;
 
 import java.io.BufferedReader;
+import java.io.FileWriter;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintWriter;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -86,10 +88,16 @@
 
   private void readOutput() {
     try (BufferedReader lines =
-        new BufferedReader(
-            new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            new BufferedReader(
+                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        PrintWriter log =
+            new PrintWriter(new FileWriter(logFile.toFile(), StandardCharsets.UTF_8, true), true)) {
       for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-        readLine(line);
+        if (line.startsWith(LISTENING)) {
+          readAddress(line);
+        } else {
+          log.println(line);
+        }
       }
     } catch (IOException e) {
       // The stream ends with the process.
@@ -103,10 +111,7 @@
     notifyAll();
   }
 
-  private synchronized void readLine(String line) {
-    if (!line.startsWith(LISTENING)) {
-      return;
-    }
+  private synchronized void readAddress(String line) {
     String[] words = line.split(" ");
     String port = words.length == 2 ? ONLY_PORT : words[1];
     ports.put(port, NetworkAddress.parse(words[words.length - 1]));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -34,6 +34,11 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final int GATEWAYS = 3;
 
+  /** Gateways find each other at one port of all hosts, so that each has a host of its own. */
+  private static final String HOSTS = "127.0.0.";
+
+  private static final int FIRST_HOST = 2;
+
   private final EmulatedPlatform platform;
   private final FaultProxy proxy;
   private final List<SoakGateway> gateways = new ArrayList<>();
@@ -51,8 +56,9 @@
     addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 3);
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
     List<NetworkAddress> peers = new ArrayList<>();
+    int peerPort = freeAddress().port();
     for (int index = 0; index < GATEWAYS; index++) {
-      peers.add(freeAddress());
+      peers.add(new NetworkAddress(HOSTS + (index + FIRST_HOST), peerPort));
     }
     for (int index = 0; index < GATEWAYS; index++) {
       NetworkAddress store =
