--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/BrokenStreamTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/BrokenStreamTest.java
@@ -1,7 +1,9 @@
 package org.fallturn.rehearsal.emulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
+import java.time.Duration;
 import org.fallturn.node.gateway.GatewayServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -29,8 +31,12 @@
   }
 
   private String answer(String path, String extraHeaders) throws Exception {
+    return answer("request-1", path, extraHeaders);
+  }
+
+  private String answer(String requestId, String path, String extraHeaders) throws Exception {
     try (RawCaller caller = new RawCaller(gateway.callersAddress())) {
-      caller.send("request-1", path, extraHeaders);
+      caller.send(requestId, path, extraHeaders);
       return caller.readToEnd();
     }
   }
@@ -47,4 +53,22 @@
     String answer = answer(EmulatedPlatform.STREAM, "Connection: close\r\n");
     assertThat(answer).contains("Transfer-Encoding: chunked", "piece-1").doesNotEndWith(LAST_CHUNK);
   }
+
+  /**
+   * A stream of two events ended with the body of a failure, as if it were whole: its first engine
+   * had ended, and the engine that was to go on with it answered 500, whose body was written behind
+   * the events. "request-4431 got as whole: id: 1 data: piece-1 id: 2 data: piece-2 failed".
+   */
+  @Test
+  void brokenStreamThatAnotherEngineFailsToGoOnWithDoesNotLookWhole() throws Exception {
+    EmulatedEngine other = platform.addEngine("d-2", EmulatedPlatform.MODEL_SERVICE, "decode");
+    await().atMost(Duration.ofSeconds(15)).until(() -> gateway.engineCount() == 2);
+    engine.misbehave(EngineFault.BREAK_MIDWAY);
+    other.misbehave(EngineFault.FAIL);
+    String answer = "";
+    for (int number = 0; number < 20 && !answer.contains("piece-1"); number++) {
+      answer = answer("request-" + number, EmulatedPlatform.RESUMABLE, "Connection: close\r\n");
+    }
+    assertThat(answer).contains("piece-1").doesNotContain("failed").doesNotEndWith(LAST_CHUNK);
+  }
 }
