Break a stream off when the engine that was to go on with it fails

Cause: Exchange.passFailure wrote the failure's body into an answer that had begun, and ended it. Change: such an answer is broken off.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -166,8 +166,15 @@
     tell(new DispatchEvent.Finished(this, by));
   }
 
-  /** Passes on the failure that an engine answered with; on the dispatch thread. */
+  /**
+   * Passes on the failure that an engine answered with; on the dispatch thread. Behind the events
+   * of a stream that broke off it would make the stream look whole.
+   */
   void passFailure(EngineAttempt from, EngineProtocol protocol) {
+    if (begun) {
+      breakOff();
+      return;
+    }
     beginAnswer(from.head().status(), protocol.answerHeaders(from.headers()));
     finish(ByteBuffer.wrap(from.wholeBody()));
   }
