Show that keys of tenants are neither checked nor kept from engines

Where the configuration names tenants, each request breaks a rule: the caller's key reaches engines, no tenant is named to them, and keys that nobody holds are served.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -24,6 +24,7 @@
 
   private final HttpClient client = new HttpClient();
   private final AtomicLong number = new AtomicLong();
+  private volatile HttpFields ownHeaders = HttpFields.EMPTY;
 
   /** Starts it. */
   public EmulatedClient() throws Exception {
@@ -56,6 +57,11 @@
     }
   }
 
+  /** Sends these headers with each request from now on, beside those that every request has. */
+  public void setHeaders(HttpFields headers) {
+    ownHeaders = headers.asImmutable();
+  }
+
   /** Sends a request and waits for its answer. */
   public Answer call(NetworkAddress gateway, String path, int promptTokens) throws Exception {
     return send(gateway, path, promptTokens, LONGEST).await();
@@ -92,7 +98,11 @@
             .path(path)
             .timeout(LONGEST.toSeconds(), TimeUnit.SECONDS)
             .body(new BytesRequestContent(body))
-            .headers(headers -> write(headers, requestId, promptTokens, deadline));
+            .headers(
+                headers -> {
+                  write(headers, requestId, promptTokens, deadline);
+                  headers.add(ownHeaders);
+                });
     CompletableFuture<Answer> answer = new CompletableFuture<>();
     request.send(
         new BufferingResponseListener() {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -70,6 +70,18 @@
     store.put(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
   }
 
+  /** Puts the default routes in force for callers that bear a key of one of these tenants. */
+  public void configureTenants(String... tenants) {
+    configure(RouteText.defaults(), tenants);
+  }
+
+  /** Puts these routes in force for callers that bear a key of one of these tenants. */
+  public void configure(List<String> routes, String... tenants) {
+    version += 2;
+    String text = RouteText.configuration(version, routes, List.of(tenants));
+    store.put(OPERATOR_TABLE, CONFIGURATION_KEY, text);
+  }
+
   /** Starts an engine and lists it. */
   public EmulatedEngine addEngine(String id, String service, String stage) throws Exception {
     EmulatedEngine engine = new EmulatedEngine(id, service, stage);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
+import java.util.OptionalInt;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Routes and configurations as an operator of the platform writes them. */
 public final class RouteText {
@@ -32,6 +35,30 @@
         resumable);
   }
 
+  /** The same route for callers without a key too. */
+  public static String openToAll(String route) {
+    return route.replace("\"sticky\":true", "\"allowAnonymous\":true,\"sticky\":true");
+  }
+
+  /**
+   * A tenant of a configuration.
+   *
+   * @param priority its rank; empty where the ranks of the routes hold
+   */
+  public static String tenant(String name, OptionalInt priority, String... keys) {
+    String rank = priority.isPresent() ? ",\"priority\":" + priority.getAsInt() : "";
+    String quoted =
+        Stream.of(keys).map(key -> '"' + key + '"').collect(Collectors.joining(",", "[", "]"));
+    return "{\"name\":\"" + name + "\",\"apiKeys\":" + quoted + rank + "}";
+  }
+
+  /** A whole configuration in which requests need a key of one of these tenants. */
+  public static String configuration(long version, List<String> routes, List<String> tenants) {
+    String open = configuration(version, routes);
+    String withoutEnd = open.substring(0, open.length() - 1);
+    return withoutEnd + ",\"tenants\":[" + String.join(",", tenants) + "]}";
+  }
+
   /** A route for each kind of request. */
   public static List<String> defaults() {
     int timeout = 4_000;
