Show that engines which start again under their ids pass for having lived on

Red: a content that crashes engines is sent on without end when they keep their ids, since a probe finds the same id; an entry without a service or with an unknown state is taken for an engine; an engine that leaves is used again for an entry that came late. The emulator learns such engines.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -11,6 +11,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -68,6 +69,7 @@
 
   private final String id;
   private final String service;
+  private final OptionalLong bornMillis;
   private final EngineOrderBook orders = new EngineOrderBook();
   private volatile String stage;
   private final EmulatedServer server;
@@ -94,17 +96,44 @@
   }
 
   private EmulatedEngine(String id, String service, String stage, int port) throws Exception {
+    this(id, service, stage, port, OptionalLong.empty());
+  }
+
+  private EmulatedEngine(String id, String service, String stage, int port, OptionalLong bornMillis)
+      throws Exception {
     this.id = id;
     this.service = service;
     this.stage = stage;
+    this.bornMillis = bornMillis;
     this.server = new EmulatedServer(new EngineHandler(), port);
   }
 
+  /** Starts on any free port, and tells when it started. */
+  static EmulatedEngine bornAt(long bornMillis, String id, String service, String stage)
+      throws Exception {
+    return new EmulatedEngine(id, service, stage, 0, OptionalLong.of(bornMillis));
+  }
+
   /** Another process under the address of this one, which has ended. */
   EmulatedEngine successor(String newId) throws Exception {
     return new EmulatedEngine(newId, service, stage, address().port());
   }
 
+  /** The same engine once it has ended and started again: it holds nothing of before. */
+  EmulatedEngine restarted() throws Exception {
+    OptionalLong later = OptionalLong.of(bornMillis.orElseThrow() + 1);
+    return new EmulatedEngine(id, service, stage, address().port(), later);
+  }
+
+  /** Whether it tells when it started, so that a restart shows though its id stays. */
+  boolean tellsItsStart() {
+    return bornMillis.isPresent();
+  }
+
+  private String born() {
+    return bornMillis.isPresent() ? ",\"born\":" + bornMillis.getAsLong() : "";
+  }
+
   /**
    * Crashes on a content.
    *
@@ -154,11 +183,12 @@
     return String.format(
         Locale.ROOT,
         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"slots\":8,"
-            + "\"state\":\"%s\",\"stage\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
+            + "\"state\":\"%s\",\"stage\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1%s}",
         service,
         address(),
         draining ? "draining" : "ready",
-        stage);
+        stage,
+        born());
   }
 
   /** Misbehaves with the next requests, one fault each. */
@@ -238,7 +268,7 @@
         return true;
       }
       if (path.equals(REPORT_PATH)) {
-        write(response, callback, orders.report(stage));
+        write(response, callback, orders.report(stage, born()));
         return true;
       }
       if (path.equals(ORDER_PATH)) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -52,6 +52,7 @@
   private final List<GatewayServer> gateways = new ArrayList<>();
   private Consumer<EmulatedEngine> crashing = engine -> {};
   private int version = 1;
+  private boolean idsStay;
 
   /** Starts the store with the default configuration. */
   public EmulatedPlatform() throws Exception {
@@ -82,9 +83,22 @@
     store.put(OPERATOR_TABLE, CONFIGURATION_KEY, text);
   }
 
+  /** From now on engines tell when they started, and start again under the ids that they had. */
+  public void keepIdsAcrossRestarts() {
+    idsStay = true;
+  }
+
+  /** Writes an entry into the list of engines, whatever it says. */
+  public void listStrange(String id, String row) {
+    store.put(ENGINE_TABLE, id, row);
+  }
+
   /** Starts an engine and lists it. */
   public EmulatedEngine addEngine(String id, String service, String stage) throws Exception {
-    EmulatedEngine engine = new EmulatedEngine(id, service, stage);
+    EmulatedEngine engine =
+        idsStay
+            ? EmulatedEngine.bornAt(System.currentTimeMillis(), id, service, stage)
+            : new EmulatedEngine(id, service, stage);
     engines.add(engine);
     list(engine, false);
     return engine;
@@ -154,10 +168,13 @@
     }
     crashTimes.computeIfAbsent(body, known -> new ArrayList<>()).add(System.nanoTime());
     try {
-      EmulatedEngine successor = engine.successor(engine.id() + "+");
+      EmulatedEngine successor =
+          engine.tellsItsStart() ? engine.restarted() : engine.successor(engine.id() + "+");
       engines.add(place, successor);
       crashing.accept(successor);
-      unlist(engine);
+      if (!engine.tellsItsStart()) {
+        unlist(engine);
+      }
       list(successor, false);
     } catch (Exception e) {
       throw new IllegalStateException("no engine takes the place of " + engine.id(), e);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineOrderBook.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineOrderBook.java
@@ -26,13 +26,18 @@
    */
   record Answer(int status, String stage) {}
 
-  /** The body of a report. */
-  synchronized String report(String stage) {
+  /**
+   * The body of a report.
+   *
+   * @param further more fields of it, each after a comma
+   */
+  synchronized String report(String stage, String further) {
     return String.format(
         Locale.ROOT,
-        "{\"stage\":\"%s\",\"models\":[],\"busy\":false,\"sequence\":%d,\"queued\":0}",
+        "{\"stage\":\"%s\",\"models\":[],\"busy\":false,\"sequence\":%d,\"queued\":0%s}",
         stage,
-        taken.size());
+        taken.size(),
+        further);
   }
 
   /** Takes or refuses an order. */
