Check the keys of tenants, and tell the starts of an engine apart

Cause: the gateway knew no tenants, passed keys on, and kept all that it believes of an engine by an id that may now outlast a restart. Any entry of the list was taken for an engine.

Change: keys of the configuration in force (hashes only) decide at the door who sends a request; the tenant's name goes to the engine, its key does not, its rank goes before the route's. A key or route that a newer configuration may hold is answered with 503, not 401 or 404, while other nodes know one that this node is still to read; a node that the store turns away reads it from them. Where keys fail closed they are believed only for so long after the configuration was last confirmed. What is believed of an engine is kept by listed id and start; a probe that meets another start finds the engine gone. Rows are decoded once for each write, with each field's type and state checked.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Departures.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Departures.java
@@ -17,7 +17,7 @@
   private final long lifetimeNanos;
   private final Map<String, Departure> byId = new HashMap<>();
 
-  private record Departure(ServingEngine engine, long atNanos) {}
+  private record Departure(ServingEngine engine, long untilNanos) {}
 
   Departures(long lifetimeNanos) {
     this.lifetimeNanos = lifetimeNanos;
@@ -25,16 +25,25 @@
 
   /** Compares two lists. */
   void onChange(EngineDirectory before, EngineDirectory after, long nowNanos) {
-    byId.values().removeIf(departure -> nowNanos - departure.atNanos() >= lifetimeNanos);
+    byId.values().removeIf(departure -> nowNanos - departure.untilNanos() >= 0);
     for (ServingEngine engine : before.all()) {
       boolean stays = after.find(engine.id()).filter(now -> !now.leaving()).isPresent();
       if (!engine.leaving() && !stays) {
-        byId.put(engine.id(), new Departure(engine, nowNanos));
+        long usable = after.find(engine.id()).map(this::usableNanos).orElse(lifetimeNanos);
+        byId.put(engine.id(), new Departure(engine, nowNanos + usable));
       }
     }
     after.all().stream().filter(engine -> !engine.leaving()).forEach(e -> byId.remove(e.id()));
   }
 
+  /** One that says when it ends is not used up to its end. */
+  private long usableNanos(ServingEngine leaving) {
+    return leaving
+        .leavesIn()
+        .map(left -> Math.min(lifetimeNanos, left.toNanos() / 2))
+        .orElse(lifetimeNanos);
+  }
+
   /** Engines that left a short while ago. */
   Set<String> ids() {
     return byId.keySet();
@@ -43,7 +52,7 @@
   /** Engines of a service that may still be used. */
   List<ServingEngine> lately(String service, long nowNanos) {
     return byId.values().stream()
-        .filter(departure -> nowNanos - departure.atNanos() < lifetimeNanos)
+        .filter(departure -> nowNanos - departure.untilNanos() < 0)
         .map(Departure::engine)
         .filter(engine -> engine.service().equals(service))
         .toList();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -1,6 +1,7 @@
 package org.fallturn.core.dispatch;
 
 import java.util.Optional;
+import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.Route;
 
 /**
@@ -8,6 +9,7 @@
  *
  * @param requestId the caller's id of this attempt
  * @param route the route it came on
+ * @param caller on whose behalf it runs
  * @param prompt shape of its prompt; empty for an application request
  * @param arrivedNanos when it was read whole
  * @param answerByNanos when the caller or the operator stops waiting, whichever is first
@@ -15,10 +17,26 @@
 public record RequestEnvelope(
     String requestId,
     Route route,
+    Caller caller,
     Optional<PromptShape> prompt,
     long arrivedNanos,
     long answerByNanos) {
 
+  /** A request whose sender is not checked. */
+  public RequestEnvelope(
+      String requestId,
+      Route route,
+      Optional<PromptShape> prompt,
+      long arrivedNanos,
+      long answerByNanos) {
+    this(requestId, route, Caller.UNCHECKED, prompt, arrivedNanos, answerByNanos);
+  }
+
+  /** Its rank among all requests; 0 is the most urgent. */
+  public int priority() {
+    return caller.priority(route);
+  }
+
   /** Time left to begin the answer before the caller leaves; negative when it has passed. */
   public long remainingToBeginNanos(long nowNanos) {
     long patience = arrivedNanos + route.beginPatience().toNanos() - nowNanos;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -142,7 +142,7 @@
 
   /** Its level among the requests of the engine that has it. */
   int level() {
-    return urgency.level(envelope.route());
+    return urgency.level(envelope.priority());
   }
 
   /** Whether the engine was told to let those go first that can be answered in time. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Urgency.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Urgency.java
@@ -1,9 +1,7 @@
 package org.fallturn.core.dispatch;
 
-import org.fallturn.core.routing.Route;
-
 /**
- * The order among the requests of one engine; 0 goes first. A route's priority decides. Within it
+ * The order among the requests of one engine; 0 goes first. A request's priority decides. Within it
  * those go first whose prompt has been read: they need only a slot and a move, and what was read is
  * lost when their caller leaves. Then come those that can still be answered in time: one that
  * cannot only makes others late when it goes ahead of them.
@@ -21,8 +19,12 @@
 
   private static final int LEVELS_A_PRIORITY = values().length;
 
-  /** The level that an engine is told. */
-  int level(Route route) {
-    return Math.min(LEVELS - 1, LEVELS_A_PRIORITY * route.priority() + ordinal());
+  /**
+   * The level that an engine is told.
+   *
+   * @param priority of the request, which its tenant or its route sets
+   */
+  int level(int priority) {
+    return Math.min(LEVELS - 1, LEVELS_A_PRIORITY * priority + ordinal());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/EngineDirectory.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/EngineDirectory.java
@@ -41,6 +41,19 @@
     return new EngineDirectory(revision, engines);
   }
 
+  /**
+   * The whole list as read next. An engine that has said that it leaves never takes that back: an
+   * entry that says otherwise was written before and came late.
+   */
+  public EngineDirectory next(long nextRevision, Collection<ServingEngine> listed) {
+    return of(nextRevision, listed.stream().map(this::stillLeaving).toList());
+  }
+
+  private ServingEngine stillLeaving(ServingEngine listed) {
+    boolean left = find(listed.id()).filter(ServingEngine::leaving).isPresent();
+    return left && !listed.leaving() ? listed.asLeaving() : listed;
+  }
+
   /** Position in the store's history. */
   public long revision() {
     return revision;
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/Route.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/Route.java
@@ -19,6 +19,7 @@
  * @param priority 0 is the most urgent
  * @param maxAttempts the most engines that may run one request
  * @param services where the requests go, by weight; at least one
+ * @param openToAll whether callers without a key are served where tenants are configured
  */
 public record Route(
     String name,
@@ -32,13 +33,44 @@
     Duration beginPatience,
     int priority,
     int maxAttempts,
-    List<WeightedService> services) {
+    List<WeightedService> services,
+    boolean openToAll) {
 
   /** A private copy of the services. */
   public Route {
     services = List.copyOf(services);
   }
 
+  /** A route whose callers need a key where tenants are configured. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      RequestKind kind,
+      boolean resumable,
+      Duration timeout,
+      Duration targetLatency,
+      Duration eventGapTarget,
+      Duration beginPatience,
+      int priority,
+      int maxAttempts,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        kind,
+        resumable,
+        timeout,
+        targetLatency,
+        eventGapTarget,
+        beginPatience,
+        priority,
+        maxAttempts,
+        services,
+        false);
+  }
+
   /** Whether the same request may run on a second engine after the first may have run it. */
   public boolean repeatable() {
     return kind == RequestKind.IDEMPOTENT || kind == RequestKind.STREAMING && resumable;
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
@@ -23,23 +23,37 @@
   private final Map<String, List<Route>> routesByHost;
   private final Map<String, ServiceDefinition> services;
   private final RequestLimits limits;
+  private final TenantKeys keys;
   private final Set<String> routeNames;
 
+  /** An image without tenants. */
+  public RoutingImage(
+      long revision,
+      long version,
+      List<Route> routes,
+      List<ServiceDefinition> services,
+      RequestLimits limits) {
+    this(revision, version, routes, services, limits, TenantKeys.none());
+  }
+
   /**
    * An image.
    *
    * @param revision position in the store's history
    * @param version the operator's own number
+   * @param keys the keys that callers may bear
    */
   public RoutingImage(
       long revision,
       long version,
       List<Route> routes,
       List<ServiceDefinition> services,
-      RequestLimits limits) {
+      RequestLimits limits,
+      TenantKeys keys) {
     this.revision = revision;
     this.version = version;
     this.limits = limits;
+    this.keys = keys;
     this.routeNames = routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
     this.routesByHost = byHost(routes);
     Map<String, ServiceDefinition> byName = new HashMap<>();
@@ -74,6 +88,11 @@
     return limits;
   }
 
+  /** The keys that callers may bear. */
+  public TenantKeys keys() {
+    return keys;
+  }
+
   /** How many routes there are. */
   public int routeCount() {
     return routeNames.size();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -19,8 +19,10 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.error.FallturnException;
 import org.fallturn.core.quarantine.RequestContent;
+import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.Tenant;
 
 /**
  * The door for callers: finds the route, reads the body whole within the operator's limits and
@@ -33,6 +35,9 @@
   /** While the store does not answer, only time helps; callers cap it by the time they have. */
   private static final Duration OUTAGE_RETRY_AFTER = Duration.ofSeconds(2);
 
+  /** How callers authenticate themselves. */
+  private static final String BEARER = "Bearer";
+
   private final GatewayState gateway;
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
@@ -83,17 +88,34 @@
 
   private void accept(CallerTriple caller, RoutingImage routing) throws FallturnException {
     CallerHead head = gateway.callerProtocol().readHead(caller.request());
-    Optional<Route> route = routing.match(head.host(), head.path());
-    if (route.isEmpty()) {
-      refuse(caller, head.requestId(), ErrorKind.NOT_FOUND, "no route");
-      return;
+    try {
+      admit(caller, head, routing).run();
+    } catch (FallturnException e) {
+      refuse(caller, head.requestId(), kindNow(e.kind()), e.getMessage());
+    }
+  }
+
+  /** What a newer configuration may hold is not denied, while this node is still to read it. */
+  private ErrorKind kindNow(ErrorKind kind) {
+    boolean denied = kind == ErrorKind.NOT_FOUND || kind == ErrorKind.UNAUTHENTICATED;
+    return denied && gateway.routingIsBehind() ? ErrorKind.STORE_UNAVAILABLE : kind;
+  }
+
+  private BodyCollector admit(CallerTriple caller, CallerHead head, RoutingImage routing)
+      throws FallturnException {
+    Route route =
+        routing
+            .match(head.host(), head.path())
+            .orElseThrow(() -> new FallturnException(ErrorKind.NOT_FOUND, "no route"));
+    Caller sender = routing.keys().authenticate(route, head.key());
+    if (sender.tenant().isPresent() && !gateway.keysAreBelieved(System.nanoTime())) {
+      throw new FallturnException(ErrorKind.STORE_UNAVAILABLE, "keys were not confirmed lately");
     }
     int maxBody = routing.limits().maxBodyBytes();
     if (caller.request().getLength() > maxBody) {
-      refuse(caller, head.requestId(), ErrorKind.TOO_LARGE, "body over " + maxBody + " bytes");
-      return;
+      throw new FallturnException(ErrorKind.TOO_LARGE, "body over " + maxBody + " bytes");
     }
-    new BodyCollector(caller, head, route.get(), maxBody).run();
+    return new BodyCollector(caller, head, route, sender, maxBody);
   }
 
   private void refuse(CallerTriple caller, String requestId, ErrorKind kind, String reason) {
@@ -107,13 +129,17 @@
     gateway.callerProtocol().writeOwnAnswer(headers, requestId, retryAfter);
     caller.response().setStatus(kind.httpStatus());
     caller.response().getHeaders().add(headers);
+    if (kind == ErrorKind.UNAUTHENTICATED) {
+      caller.response().getHeaders().put(HttpHeader.WWW_AUTHENTICATE, BEARER);
+    }
     if (gateway.stopping()) {
       caller.response().getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
     }
     caller.response().write(true, BufferUtil.EMPTY_BUFFER, caller.callback());
   }
 
-  private void handOver(CallerTriple caller, CallerHead head, Route route, byte[] body) {
+  private void handOver(
+      CallerTriple caller, CallerHead head, Route route, Caller sender, byte[] body) {
     if (!gateway.tryBegin(body.length)) {
       refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, "too many bytes in flight");
       return;
@@ -122,14 +148,20 @@
     Duration patience =
         head.deadline().filter(d -> d.compareTo(route.timeout()) < 0).orElse(route.timeout());
     RequestEnvelope envelope =
-        new RequestEnvelope(head.requestId(), route, head.prompt(), now, now + patience.toNanos());
+        new RequestEnvelope(
+            head.requestId(), route, sender, head.prompt(), now, now + patience.toNanos());
     RequestContent content =
-        new RequestContent(target(caller.request(), head), head.caller(), body);
+        new RequestContent(target(caller.request(), head), senderName(sender, head), body);
     RequestProgress progress = new RequestProgress(envelope, content);
     Exchange exchange = new Exchange(caller, head, progress, body, events, gateway);
     events.accept(new DispatchEvent.Arrived(exchange));
   }
 
+  /** A tenant is the same whichever of its keys it uses. */
+  private static String senderName(Caller sender, CallerHead head) {
+    return sender.tenant().map(Tenant::name).orElse(sender.keyHidden() ? "" : head.credentials());
+  }
+
   private static String target(Request request, CallerHead head) {
     return request.getMethod() + " " + head.host() + request.getHttpURI().getPathQuery();
   }
@@ -140,13 +172,15 @@
     private final CallerTriple caller;
     private final CallerHead head;
     private final Route route;
+    private final Caller sender;
     private final int maxBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-    BodyCollector(CallerTriple caller, CallerHead head, Route route, int maxBytes) {
+    BodyCollector(CallerTriple caller, CallerHead head, Route route, Caller sender, int maxBytes) {
       this.caller = caller;
       this.head = head;
       this.route = route;
+      this.sender = sender;
       this.maxBytes = maxBytes;
     }
 
@@ -171,7 +205,7 @@
           return;
         }
         if (last) {
-          handOver(caller, head, route, body.toByteArray());
+          handOver(caller, head, route, sender, body.toByteArray());
           return;
         }
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerHead.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerHead.java
@@ -10,7 +10,8 @@
  * @param requestId the caller's id of this attempt
  * @param host host it names
  * @param path path without query
- * @param caller who sends it, as far as the head says; empty when it does not
+ * @param credentials what the head says of the sender; empty when nothing. Never logged
+ * @param key the key of a tenant that it bears, or what stands in its place; empty for none
  * @param deadline how long the caller waits; empty when it does not say
  * @param prompt shape of the prompt; empty for an application request
  */
@@ -18,6 +19,14 @@
     String requestId,
     String host,
     String path,
-    String caller,
+    String credentials,
+    Optional<String> key,
     Optional<Duration> deadline,
-    Optional<PromptShape> prompt) {}
+    Optional<PromptShape> prompt) {
+
+  /** Without the key, as it may be logged. */
+  @Override
+  public String toString() {
+    return requestId + " for " + host + path;
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -147,6 +147,7 @@
         .addKeyValue("version", image.version())
         .addKeyValue("revision", image.revision())
         .addKeyValue("routes", image.routeCount())
+        .addKeyValue("keys", image.keys().size())
         .log();
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -260,6 +260,7 @@
         prefillOnly,
         source,
         fetchFrom,
+        exchange.envelope().caller(),
         left(exchange, now),
         urgency,
         exchange.lastEventId());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -3,17 +3,24 @@
 import java.net.ConnectException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.json.MalformedMessageException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Asks an engine whose connection broke whether it still lives. Only a refused connection, or the
- * answer of another engine at its address, says that it is gone; silence says nothing. Thread-safe.
+ * answer of another engine at its address or of a later start of it, says that it is gone; silence
+ * says nothing. Thread-safe.
  */
 final class EngineProbe {
 
+  private static final Logger LOG = LoggerFactory.getLogger(EngineProbe.class);
+
   private static final long TIMEOUT_MILLIS = 500;
 
   private final EngineClient engines;
@@ -32,16 +39,34 @@
         .headers(headers -> headers.add(protocol.addresseeHeaders(engine)))
         .timeout(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .send(
-            result -> {
-              if (isGone(result)) {
-                events.accept(new DispatchEvent.EngineGone(engine.id()));
+            new BufferingResponseListener() {
+              @Override
+              public void onComplete(Result result) {
+                if (isGone(engine, result, getContent())) {
+                  events.accept(new DispatchEvent.EngineGone(engine.id()));
+                }
               }
             });
   }
 
-  private static boolean isGone(Result result) {
-    return result.isFailed()
-        ? result.getFailure() instanceof ConnectException
-        : result.getResponse().getStatus() == HttpStatus.MISDIRECTED_REQUEST_421;
+  private boolean isGone(ServingEngine engine, Result result, byte[] body) {
+    if (result.isFailed()) {
+      return result.getFailure() instanceof ConnectException;
+    }
+    return switch (result.getResponse().getStatus()) {
+      case HttpStatus.MISDIRECTED_REQUEST_421 -> true;
+      case HttpStatus.OK_200 -> hasStartedAgain(engine, body);
+      default -> false;
+    };
+  }
+
+  /** An engine that starts again under its id answers as itself, but for the time of its start. */
+  private boolean hasStartedAgain(ServingEngine engine, byte[] body) {
+    try {
+      return engine.isNot(engines.protocol().readReport(body).bornMillis());
+    } catch (MalformedMessageException e) {
+      LOG.warn("engines: The report of {} is not readable: {}.", engine.id(), e.getMessage());
+      return false;
+    }
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineReport.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineReport.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.util.OptionalLong;
 import org.fallturn.core.routing.EngineStage;
 
 /**
@@ -8,5 +9,7 @@
  * @param stage its present stage
  * @param busy whether it is carrying out an order
  * @param sequence orders it has taken since its start
+ * @param bornMillis the Unix time of its start, where it tells
  */
-public record EngineReport(EngineStage stage, boolean busy, long sequence) {}
+public record EngineReport(
+    EngineStage stage, boolean busy, long sequence, OptionalLong bornMillis) {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -4,8 +4,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -81,6 +79,7 @@
   private final QuarantineDuty quarantine;
   private final QuarantineKeeper keeper;
   private final RowFollower routingFollower;
+  private final DecodedRows<ServingEngine> engineRows;
   private final RowFollower engineFollower;
   private HttpListener readiness;
   private HttpListener peerListener;
@@ -103,7 +102,9 @@
       throws Exception {
     this.settings = settings;
     this.platform = platform;
-    this.state = new GatewayState(platform.callers(), MAX_BODY_BYTES_IN_FLIGHT);
+    this.state =
+        new GatewayState(
+            platform.callers(), MAX_BODY_BYTES_IN_FLIGHT, settings.bounds().keyLifetime());
     threads.setName("gateway");
     this.server = new Server(threads);
     this.engines = new EngineClient(platform.engines(), threads);
@@ -145,26 +146,33 @@
         new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer, keeper);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
-    this.snapshots = new PeerSnapshots(engines.client(), knowledge::askable);
+    this.snapshots =
+        new PeerSnapshots(engines.client(), knowledge::askable, knowledge.tables()::newest);
     this.routingFollower =
-        new RowFollower(
-            ROUTING,
-            platform.routingFeed().create(engines.client()),
-            snapshots.feed(ROUTING),
-            listener(this::onRoutingRows),
-            log,
-            others(ROUTING),
-            new RowFollower.Times(Duration.ZERO, settings.bounds().contact()));
+        newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
+    state.setRouting(routingFollower);
+    this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
     this.engineFollower =
-        new RowFollower(
+        newFollower(
             ENGINES,
-            platform.engineFeed().create(engines.client()),
-            snapshots.feed(ENGINES),
-            listener(this::onEngineRows),
-            log,
-            others(ENGINES),
-            new RowFollower.Times(
-                settings.bounds().drain().dividedBy(GATHER_PARTS), settings.bounds().contact()));
+            platform.engineFeed(),
+            this::onEngineRows,
+            settings.bounds().drain().dividedBy(GATHER_PARTS));
+  }
+
+  private RowFollower newFollower(
+      String table,
+      GatewayPlatform.FeedFactory feed,
+      Consumer<FeedTracker> onRows,
+      Duration longestGather) {
+    return new RowFollower(
+        table,
+        feed.create(engines.client()),
+        snapshots.feed(table),
+        listener(onRows),
+        log,
+        others(table),
+        new RowFollower.Times(longestGather, settings.bounds().contact()));
   }
 
   private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
@@ -371,15 +379,7 @@
   private void onEngineRows(FeedTracker tracker) {
     snapshots.keep(ENGINES, tracker);
     knowledge.tables().onSeen(ENGINES, tracker.newestChange());
-    List<ServingEngine> listed = new ArrayList<>();
-    for (FeedRow row : tracker.rows()) {
-      try {
-        listed.add(platform.engineDecoder().decode(row));
-      } catch (MalformedMessageException e) {
-        log.rowRefused("engines", row.key(), e.getMessage());
-      }
-    }
-    directory = EngineDirectory.of(tracker.position(), listed);
+    directory = directory.next(tracker.position(), engineRows.read(tracker.rows()));
     tell(new DispatchEvent.DirectoryChanged(directory));
     state.setEnginesKnown();
     log.enginesChanged(directory);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,6 +17,8 @@
 
   private final CallerProtocol callerProtocol;
   private final long maxBodyBytesInFlight;
+  private final Optional<Duration> keyLifetime;
+  private volatile RowFollower routingFollower;
   private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong bodyBytes = new AtomicLong();
@@ -25,8 +28,10 @@
   private volatile boolean enginesKnown;
   private volatile boolean storeLost;
 
-  GatewayState(CallerProtocol callerProtocol, long maxBodyBytesInFlight) {
+  GatewayState(
+      CallerProtocol callerProtocol, long maxBodyBytesInFlight, Optional<Duration> keyLifetime) {
     this.callerProtocol = callerProtocol;
+    this.keyLifetime = keyLifetime;
     this.maxBodyBytesInFlight = maxBodyBytesInFlight;
   }
 
@@ -39,6 +44,28 @@
     return routing.get();
   }
 
+  /** Takes whoever follows the routes. */
+  void setRouting(RowFollower follower) {
+    routingFollower = follower;
+  }
+
+  /** Whether other nodes know newer routes and keys than those in force here. */
+  boolean routingIsBehind() {
+    RowFollower follower = routingFollower;
+    return follower != null && follower.knowsOfNewer();
+  }
+
+  /**
+   * Whether keys are to be believed: where they fail closed, not when it is too long ago that
+   * nothing newer was known to be there, since a key may have been taken away since.
+   */
+  boolean keysAreBelieved(long nowNanos) {
+    RowFollower follower = routingFollower;
+    return keyLifetime.isEmpty()
+        || follower == null
+        || follower.unconfirmedNanos(nowNanos) < keyLifetime.get().toNanos();
+  }
+
   /** Takes an image if it is newer than the one in force. */
   boolean offerRouting(RoutingImage image) {
     RoutingImage before =
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -1,14 +1,17 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpStatus;
@@ -26,28 +29,38 @@
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
- * What the nodes can tell a process that has just started: the followed tables, for when the store
- * cannot be reached. A reading of a table bears the position of the store's history that it holds
- * at, so it can never put back what is known. Thread-safe.
+ * What the nodes can tell a process that cannot reach the store, because it has just started or is
+ * turned away: the followed tables. A reading of a table bears the position of the store's history
+ * that it holds at, so it can never put back what is known. Thread-safe.
  */
 final class PeerSnapshots extends Handler.Abstract.NonBlocking {
 
   private static final String PATH_PREFIX = "/tables/";
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
+  /** Of a third of the nodes that a store may turn away at once, rarely all of four are asked. */
+  private static final int PEERS_A_READING = 4;
+
   private final Map<String, FeedAnswer> known = new ConcurrentHashMap<>();
   private final JsonCodec codec = new JsonCodec();
   private final HttpClient client;
   private final Supplier<List<NetworkAddress>> peers;
+  private final ToLongFunction<String> newestChange;
+  private final AtomicInteger turn = new AtomicInteger();
 
   /**
    * Snapshots of this node, and a way to those of others.
    *
-   * @param peers where the other nodes answer, newest knowledge first
+   * @param peers where the other nodes answer
+   * @param newestChange the newest change of a table that any node has seen
    */
-  PeerSnapshots(HttpClient client, Supplier<List<NetworkAddress>> peers) {
+  PeerSnapshots(
+      HttpClient client,
+      Supplier<List<NetworkAddress>> peers,
+      ToLongFunction<String> newestChange) {
     this.client = client;
     this.peers = peers;
+    this.newestChange = newestChange;
   }
 
   private <T> T call(NetworkAddress peer, String path, Class<T> type) throws StoreException {
@@ -98,7 +111,10 @@
     response.write(true, BufferUtil.toBuffer(codec.encode(message)), callback);
   }
 
-  /** Reads one table from the first peer that knows it. */
+  /**
+   * Reads one table from the peers in turn, until one knows its newest change: the next peer may be
+   * turned away by the store as well. Of those asked, the newest reading counts.
+   */
   private final class PeerFeed implements RowFeed {
 
     private final String table;
@@ -110,14 +126,32 @@
     @Override
     public FeedAnswer snapshot() throws StoreException {
       StoreException last = new StoreException("no other node is known", false, null);
-      for (NetworkAddress peer : peers.get()) {
+      FeedAnswer newest = null;
+      for (NetworkAddress peer : nextPeers()) {
         try {
-          return call(peer, PATH_PREFIX + table, FeedAnswer.class);
+          FeedAnswer answer = call(peer, PATH_PREFIX + table, FeedAnswer.class);
+          newest = newest == null || answer.version() > newest.version() ? answer : newest;
+          if (answer.version() >= newestChange.applyAsLong(table)) {
+            break;
+          }
         } catch (StoreException e) {
           last = e;
         }
       }
-      throw last;
+      if (newest == null) {
+        throw last;
+      }
+      return newest;
+    }
+
+    private List<NetworkAddress> nextPeers() {
+      List<NetworkAddress> known = peers.get();
+      List<NetworkAddress> next = new ArrayList<>();
+      int first = turn.getAndAdd(PEERS_A_READING);
+      for (int step = 0; step < Math.min(PEERS_A_READING, known.size()); step++) {
+        next.add(known.get(Math.floorMod(first + step, known.size())));
+      }
+      return next;
     }
 
     @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -10,7 +10,8 @@
 
 /**
  * The duty that follows one table of the store on a thread of its own. While the store cannot be
- * reached, what was believed last stays in force.
+ * reached, what was believed last stays in force, unless another node knows a newer state: a store
+ * may turn one node away and serve the others.
  */
 final class RowFollower implements AutoCloseable {
 
@@ -53,7 +54,9 @@
   private boolean behind;
   private long pauseMillis = PAUSE_AFTER_FAILURE_MILLIS;
   private volatile boolean closed;
-  private boolean reachable = true;
+  private volatile boolean reachable = true;
+  private volatile long confirmedNanos;
+  private volatile long position;
 
   /** What other nodes tell of the table. Thread-safe. */
   interface Others {
@@ -132,6 +135,7 @@
       try {
         step();
         onReached();
+        confirmedNanos = System.nanoTime();
       } catch (StoreException | RuntimeException e) {
         onFailed(e);
       } catch (InterruptedException e) {
@@ -157,7 +161,9 @@
         lookedAfter = others.newestChange();
         tracker.onOutage();
       }
-      if (tracker.onChanges(answer)) {
+      boolean changed = tracker.onChanges(answer);
+      position = tracker.position();
+      if (changed) {
         listener.onRows(tracker);
         gather(System.nanoTime() - now);
       }
@@ -175,6 +181,20 @@
     times.pause().await(gatherMillis);
   }
 
+  /** Whether other nodes have seen a change that this one does not know; any thread may call. */
+  boolean knowsOfNewer() {
+    return others.newestChange() > position;
+  }
+
+  /**
+   * How long ago it was certain that nothing newer is there, in ns; any thread may call. While the
+   * store answers and other nodes would tell of a change, a watch without an answer is certain too.
+   */
+  long unconfirmedNanos(long nowNanos) {
+    boolean certain = reachable && others.tell() && !knowsOfNewer();
+    return certain ? 0 : nowNanos - confirmedNanos;
+  }
+
   /** Whether the present watch can be relied on, though the store may have gone silent. */
   private boolean isTrusted(long heldNanos) {
     return !isBehind() && (heldNanos < times.longestWait().toNanos() || others.tell());
@@ -197,7 +217,9 @@
   private void readWhole() throws StoreException, InterruptedException {
     FeedAnswer answer = feed.snapshot();
     boolean stale = answer.version() < tracker.position();
-    if (tracker.onWhole(answer, System.nanoTime())) {
+    boolean changed = tracker.onWhole(answer, System.nanoTime());
+    position = tracker.position();
+    if (changed) {
       listener.onRows(tracker);
     }
     if (stale) {
@@ -221,7 +243,7 @@
       log.dependencyLost(name, failure);
     }
     tracker.onOutage();
-    if (!tracker.known()) {
+    if (!tracker.known() || others.newestChange() > tracker.position()) {
       askOthers();
     }
     try {
@@ -236,7 +258,9 @@
   private void askOthers() {
     try {
       FeedAnswer answer = fallback.snapshot();
-      if (tracker.onWhole(answer, System.nanoTime())) {
+      boolean changed = tracker.onWhole(answer, System.nanoTime());
+      position = tracker.position();
+      if (changed) {
         log.learnedFromPeer(name, answer.version());
         listener.onRows(tracker);
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
@@ -94,7 +94,8 @@
     Optional<EngineReport> report =
         orders
             .report(change.engine())
-            .filter(state -> !state.busy() && state.stage() != change.stage());
+            .filter(state -> !state.busy() && state.stage() != change.stage())
+            .filter(state -> !change.engine().isNot(state.bornMillis()));
     if (report.isEmpty() || !lease.held()) {
       abandon(change, report.isEmpty() ? "the engine is not fit" : "the lease has ended");
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Bounds that the platform sets for a gateway process.
@@ -14,6 +15,9 @@
  * @param retryRatio repeats a request that the fleet may send to a service
  * @param retrySlack repeats beyond the ratio
  * @param retryWindow window of both
+ * @param revoke how soon a key that was taken away serves nobody, where keys fail closed
+ * @param revokeFailClosed whether keys are believed only while the store, or a node that reaches
+ *     it, can tell that none was taken away
  */
 public record GatewayBounds(
     Duration contact,
@@ -23,7 +27,12 @@
     Duration stopLinger,
     double retryRatio,
     double retrySlack,
-    Duration retryWindow) {
+    Duration retryWindow,
+    Duration revoke,
+    boolean revokeFailClosed) {
+
+  /** Of the bound on keys, what a refusal needs on its way. */
+  private static final Duration REVOKE_MARGIN = Duration.ofMillis(500);
 
   private static final SettingDefinition<Duration> CONTACT =
       SettingDefinition.duration(
@@ -81,9 +90,32 @@
           Duration.ofMinutes(10),
           "Window of the retry budget.");
 
+  private static final SettingDefinition<Duration> REVOKE =
+      SettingDefinition.duration(
+          "bounds.revoke",
+          Duration.ofSeconds(5),
+          Duration.ofSeconds(1),
+          Duration.ofMinutes(10),
+          "How soon a key that was taken away serves nobody, where keys fail closed.");
+
+  private static final SettingDefinition<Boolean> REVOKE_FAIL_CLOSED =
+      SettingDefinition.flag(
+          "bounds.revoke_fail_closed",
+          false,
+          "Whether keys are believed only while it is known that none was taken away.");
+
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(
-          CONTACT, DRAIN, GRACE, STOP_MARGIN, STOP_LINGER, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW);
+          CONTACT,
+          DRAIN,
+          GRACE,
+          STOP_MARGIN,
+          STOP_LINGER,
+          RETRY_RATIO,
+          RETRY_SLACK,
+          RETRY_WINDOW,
+          REVOKE,
+          REVOKE_FAIL_CLOSED);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
@@ -94,6 +126,13 @@
         values.get(STOP_LINGER),
         values.get(RETRY_RATIO),
         values.get(RETRY_SLACK),
-        values.get(RETRY_WINDOW));
+        values.get(RETRY_WINDOW),
+        values.get(REVOKE),
+        values.get(REVOKE_FAIL_CLOSED));
+  }
+
+  /** How long keys are believed without word of the newest configuration; empty for ever. */
+  public Optional<Duration> keyLifetime() {
+    return revokeFailClosed ? Optional.of(revoke.minus(REVOKE_MARGIN)) : Optional.empty();
   }
 }
