Report the usage of tenants, one node for all, under the lease of orders

Cause: no node counted what began to run or told the platform; every window was missed.

Change: each node counts by tenant and window of true time, and tells its sums each second to three of the relays; the one of these that leads fixes a window's counts in the store under a condition, and sends just these under the lease that orders have, so that no two reports of a window differ. The lease serves all duties with one token and is good for several calls of its term. Only collectors lead; where the store has turned all of them away, each tries and the lease decides. A tenant's priority goes before the route's as the first part of a rank, no longer in its place: with two priorities of tenants, the order of routes would have been lost. The test of that had checked the place of one tenant only, and now compares a patient request of one with an urgent one of the other.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -207,6 +207,16 @@
     return stages.mayOrder(nowNanos);
   }
 
+  /** Says whether this node is one of the few that may order and report for all. */
+  public void setCandidate(boolean isCandidate) {
+    stages.setCandidate(isCandidate);
+  }
+
+  /** Whether this node is the one that orders and reports for all, as far as it knows. */
+  public boolean leads(long nowNanos) {
+    return stages.orders(nowNanos);
+  }
+
   /** The store did not give this node the lease that orders need. */
   public void onNoStageLease(long nowNanos) {
     stages.onNoLease(nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -134,6 +134,11 @@
         .allMatch(heard -> first(node, heard.digest.firstNode()).equals(node));
   }
 
+  /** Whether no other node that was heard of lately may order stages. */
+  boolean nobodyMayOrder(long nowNanos) {
+    return counted(nowNanos).stream().allMatch(heard -> heard.digest.firstNode().isEmpty());
+  }
+
   /** The first of two names; an empty one is none. */
   private static String first(String left, String right) {
     if (left.isEmpty() || right.isEmpty()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -206,7 +206,7 @@
 
   private Wait wait(
       Question question, ServingEngine engine, LongToDoubleFunction millis, Urgency urgency) {
-    int level = urgency.level(question.progress().envelope().priority());
+    int level = urgency.level(question.progress().envelope().rank());
     long ahead = selector.aheadTokens(engine, level, question.nowNanos());
     return new Wait(urgency, ahead, millis.applyAsDouble(ahead));
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.fallturn.core.routing.Caller;
+import org.fallturn.core.routing.Rank;
 import org.fallturn.core.routing.Route;
 
 /**
@@ -10,6 +11,7 @@
  * @param requestId the caller's id of this attempt
  * @param route the route it came on
  * @param caller on whose behalf it runs
+ * @param rank its place among the requests of its service
  * @param prompt shape of its prompt; empty for an application request
  * @param arrivedNanos when it was read whole
  * @param answerByNanos when the caller or the operator stops waiting, whichever is first
@@ -18,6 +20,7 @@
     String requestId,
     Route route,
     Caller caller,
+    Rank rank,
     Optional<PromptShape> prompt,
     long arrivedNanos,
     long answerByNanos) {
@@ -29,12 +32,7 @@
       Optional<PromptShape> prompt,
       long arrivedNanos,
       long answerByNanos) {
-    this(requestId, route, Caller.UNCHECKED, prompt, arrivedNanos, answerByNanos);
-  }
-
-  /** Its rank among all requests; 0 is the most urgent. */
-  public int priority() {
-    return caller.priority(route);
+    this(requestId, route, Caller.UNCHECKED, Rank.of(route), prompt, arrivedNanos, answerByNanos);
   }
 
   /** Time left to begin the answer before the caller leaves; negative when it has passed. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -126,8 +126,8 @@
     return aheadTokens;
   }
 
-  /** When the present attempt was sent. */
-  long sentNanos() {
+  /** When the present attempt, or the last one, was sent. */
+  public long sentNanos() {
     return sentNanos;
   }
 
@@ -142,7 +142,7 @@
 
   /** Its level among the requests of the engine that has it. */
   int level() {
-    return urgency.level(envelope.priority());
+    return urgency.level(envelope.rank());
   }
 
   /** Whether the engine was told to let those go first that can be answered in time. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -23,9 +23,9 @@
 
 /**
  * Watches the load of every model service and says which engine should take another stage. All
- * nodes watch; the one whose name is first among those that are heard and that the store serves
- * acts, and the lease in the store keeps two that both believe they are first from ordering. Only
- * the dispatch thread calls.
+ * nodes watch; the one whose name is first among the candidates that are heard and that the store
+ * serves acts, and the lease in the store keeps two that both believe they are first from ordering.
+ * Only the dispatch thread calls.
  */
 public final class StageControl {
 
@@ -48,6 +48,7 @@
   private final StageParameters parameters;
   private final Map<String, StagePlanner> planners = new HashMap<>();
   private OptionalLong noLeaseNanos = OptionalLong.empty();
+  private boolean candidate = true;
 
   StageControl(
       EngineSelector selector,
@@ -94,12 +95,30 @@
     return outlooks;
   }
 
-  private boolean orders(long nowNanos) {
-    return mayOrder(nowNanos) && peerLoads.isFirst(node, nowNanos);
+  /**
+   * Whether this node is the one that orders. Where the store has turned all candidates away, each
+   * of them tries again, and the lease decides.
+   */
+  boolean orders(long nowNanos) {
+    if (!candidate) {
+      return false;
+    }
+    return mayOrder(nowNanos)
+        ? peerLoads.isFirst(node, nowNanos)
+        : peerLoads.nobodyMayOrder(nowNanos);
+  }
+
+  /** Says whether this node is one of the few that may order at all. */
+  void setCandidate(boolean isCandidate) {
+    candidate = isCandidate;
   }
 
   /** Whether nothing is known that keeps this node from ordering. */
   boolean mayOrder(long nowNanos) {
+    return candidate && isServed(nowNanos);
+  }
+
+  private boolean isServed(long nowNanos) {
     return noLeaseNanos.isEmpty() || nowNanos - noLeaseNanos.getAsLong() >= NO_LEASE_PAUSE_NANOS;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,6 +17,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.usage.UsageNews;
 
 /**
  * Says what this node tells whom, and takes what others tell. A node reports to one relay, which
@@ -67,7 +67,11 @@
   /** Relays that keep to short watches of the store: one may be cut off while another restarts. */
   private static final int WATCHERS = 3;
 
+  /** Nodes that are told what all count: a store may turn a third of the nodes away at once. */
+  private static final int COLLECTORS = 3;
+
   private static final String WATCH = "watch";
+  private static final String COLLECT = "collect";
 
   private final PeerInfo self;
   private final String node;
@@ -132,6 +136,9 @@
 
   /** Takes a message. The caller passes on what it says of prompts, speeds and listings. */
   public void onMessage(PeerMessage message, long nowNanos) {
+    if (message.kind() == MessageKind.USAGE) {
+      return;
+    }
     PeerInfo sender = message.sender();
     if (message.kind() != MessageKind.GREETING) {
       directory.onHeard(sender, nowNanos);
@@ -280,17 +287,46 @@
   /** Some relays keep to short watches, so that a store that went silent is found by somebody. */
   private void checkWatchers(long nowNanos) {
     List<PeerInfo> watchers =
-        heardLately(ranking.relays(), nowNanos).stream()
-            .sorted(Comparator.comparing(FleetKnowledge::watchRank, Long::compareUnsigned))
-            .limit(WATCHERS)
-            .toList();
+        heardLately(ranking.relaysFor(WATCH), nowNanos).stream().limit(WATCHERS).toList();
     if (relaying && !watchers.contains(self)) {
       onToldOfChanges(nowNanos);
     }
   }
 
-  private static long watchRank(PeerInfo relay) {
-    return RendezvousHash.weight(WATCH, relay.address().toString());
+  /** Whether other nodes tell this one what they count, so that it may report it for all. */
+  public boolean collects() {
+    return collectors().contains(self);
+  }
+
+  /** Few of the relays, by rank: whoever knows the same nodes tells the same. */
+  private List<PeerInfo> collectors() {
+    return ranking.relaysFor(COLLECT).stream().limit(COLLECTORS).toList();
+  }
+
+  /** The messages by which this node tells what it has counted. */
+  public List<Outgoing> tellUsage(UsageNews news) {
+    LoadDigest nothing =
+        new LoadDigest(node, incarnation, ++sequence, 1, "", Map.of(), List.of(), Map.of());
+    PeerMessage message =
+        new PeerMessage(
+            MessageKind.USAGE,
+            self,
+            nothing,
+            List.of(),
+            List.of(),
+            List.of(),
+            Map.of(),
+            Optional.of(news),
+            false);
+    return collectors().stream()
+        .filter(collector -> !collector.equals(self))
+        .map(collector -> new Outgoing(collector.address(), message))
+        .toList();
+  }
+
+  /** Rises with each start of this node's process. */
+  public long incarnation() {
+    return incarnation;
   }
 
   /** Whether other nodes hear of the fleet only from this one. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/MessageKind.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/MessageKind.java
@@ -14,7 +14,9 @@
   /** What a relay and those that report to it have, to the other relays. */
   GROUP(PeerLoads.Source.RELAY),
   /** What all other nodes have, from a relay to a node that reports to it. */
-  VIEW(PeerLoads.Source.VIEW);
+  VIEW(PeerLoads.Source.VIEW),
+  /** What a node has counted, to the nodes that collect it; says nothing else. */
+  USAGE(null);
 
   private final PeerLoads.Source source;
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -75,6 +75,15 @@
     return relays;
   }
 
+  /** The relays in an order that all nodes give them alike, another for each purpose. */
+  List<PeerInfo> relaysFor(String purpose) {
+    Comparator<PeerInfo> byWeight =
+        Comparator.comparing(
+            (PeerInfo relay) -> RendezvousHash.weight(purpose, relay.address().toString()),
+            Long::compareUnsigned);
+    return relays.stream().sorted(byWeight).toList();
+  }
+
   /** The relays, and those who take their places when they are lost. */
   List<PeerInfo> candidates() {
     return candidates;
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/Caller.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/Caller.java
@@ -22,9 +22,4 @@
   public static Caller of(Tenant tenant) {
     return new Caller(Optional.of(tenant), true);
   }
-
-  /** Its rank; 0 is the most urgent. */
-  public int priority(Route route) {
-    return tenant.isPresent() ? tenant.get().priority().orElse(route.priority()) : route.priority();
-  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
@@ -24,6 +24,7 @@
   private final Map<String, ServiceDefinition> services;
   private final RequestLimits limits;
   private final TenantKeys keys;
+  private final Ranking ranking;
   private final Set<String> routeNames;
 
   /** An image without tenants. */
@@ -54,6 +55,7 @@
     this.version = version;
     this.limits = limits;
     this.keys = keys;
+    this.ranking = new Ranking(routes, keys.priorities());
     this.routeNames = routes.stream().map(Route::name).collect(Collectors.toUnmodifiableSet());
     this.routesByHost = byHost(routes);
     Map<String, ServiceDefinition> byName = new HashMap<>();
@@ -93,6 +95,11 @@
     return keys;
   }
 
+  /** The place of a caller's request among those of its service. */
+  public Rank rank(Route route, Caller caller) {
+    return ranking.of(route, caller);
+  }
+
   /** How many routes there are. */
   public int routeCount() {
     return routeNames.size();
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/TenantKeys.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/TenantKeys.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.codec.digest.Blake3;
@@ -81,6 +82,15 @@
     return Caller.ANONYMOUS;
   }
 
+  /** The priorities that tenants have, the most urgent first. */
+  List<Integer> priorities() {
+    return byDigest.values().stream()
+        .flatMap(tenant -> tenant.priority().stream().boxed())
+        .distinct()
+        .sorted()
+        .toList();
+  }
+
   /** How many keys there are. */
   public int size() {
     return byDigest.size();
--- a/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
@@ -7,13 +7,16 @@
 import org.fallturn.core.port.table.StoreException;
 
 /**
- * The right of one node to give orders to engines, kept by a conditional write in the store.
+ * The right of one node to give orders to engines and to make the calls to the platform that are
+ * one node's at a time, kept by a conditional write in the store. One lease and one fencing token
+ * serve all of them.
  *
  * <p>Invariants: at any moment at most one node may order; the fencing token of each taking is
  * above all earlier ones; between the last order of a node and the first of another lies at least
  * the quiet time. The term runs on the store's clock for everybody else and on this node's own for
  * itself, counted from before it asked for the store's clock, so that the node's view ends first.
- * Nothing is renewed: whoever wants to order again takes the lease again. One thread calls.
+ * Nothing is renewed: whoever wants to order again takes the lease again. Thread-safe; a taking
+ * blocks the others that want it.
  */
 public final class OrderLease {
 
@@ -44,12 +47,16 @@
   }
 
   /**
-   * Takes the lease unless another node has it, or had it until a short while ago.
+   * Takes the lease unless another node has it, or had it until a short while ago. One that this
+   * node has for at least half of its term still is good enough, which saves two calls.
    *
    * @return whether this node may order now
    * @throws StoreException when the store gave no usable answer; the lease is not held
    */
-  public boolean take() throws StoreException {
+  public synchronized boolean take() throws StoreException {
+    if (held() && validUntilNanos - nanoClock.getAsLong() >= term.toNanos() / 2) {
+      return true;
+    }
     drop();
     long askedNanos = nanoClock.getAsLong();
     OrderLeaseReading reading = store.read();
@@ -77,17 +84,17 @@
   }
 
   /** Whether this node may order; asked right before each order is sent. */
-  public boolean held() {
+  public synchronized boolean held() {
     return token != 0 && nanoClock.getAsLong() - validUntilNanos < 0;
   }
 
   /** Number that goes with each order: engines refuse one that is lower than they have seen. */
-  public long token() {
+  public synchronized long token() {
     return token;
   }
 
   /** Gives no order by this lease any more. */
-  public void drop() {
+  public synchronized void drop() {
     token = 0;
   }
 }
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/usage/UsageScheduleTest.java
@@ -0,0 +1,41 @@
+package org.fallturn.core.usage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class UsageScheduleTest {
+
+  private static final UsageWindows WINDOWS =
+      new UsageWindows(Duration.ofSeconds(5), Duration.ofSeconds(10));
+  private static final long START = 1_790_000_001_000L;
+  private static final long FIRST = WINDOWS.at(START);
+
+  @Test
+  void aWindowIsDueAWhileAfterItsEndAndOnlyOnce() {
+    UsageSchedule schedule = new UsageSchedule(WINDOWS, true, START);
+    long end = WINDOWS.endMillis(FIRST);
+    assertThat(schedule.due(end + 1_000)).isEmpty();
+    assertThat(schedule.due(end + 3_000)).hasValue(FIRST);
+    assertThat(schedule.due(end + 4_000)).hasValue(FIRST);
+    schedule.onDone(FIRST);
+    assertThat(schedule.due(end + 4_000)).isEmpty();
+    assertThat(schedule.due(end + 8_000)).hasValue(FIRST + 1);
+  }
+
+  @Test
+  void aProcessThatStartsAgainLooksAtTheWindowsThatMayStillBeReported() {
+    UsageSchedule schedule = new UsageSchedule(WINDOWS, false, START);
+    long window = schedule.due(START).orElseThrow();
+    assertThat(WINDOWS.dueMillis(window) + WINDOWS.length().toMillis()).isGreaterThan(START);
+    assertThat(window).isLessThan(FIRST);
+  }
+
+  @Test
+  void aWindowThatIsLongOverdueIsLeftOut() {
+    UsageSchedule schedule = new UsageSchedule(WINDOWS, true, START);
+    long later = WINDOWS.dueMillis(FIRST) + 60_000;
+    assertThat(schedule.due(later).orElseThrow()).isGreaterThan(FIRST + 9);
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -20,6 +20,7 @@
 import org.fallturn.core.error.FallturnException;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Caller;
+import org.fallturn.core.routing.Rank;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.Tenant;
@@ -108,6 +109,7 @@
             .match(head.host(), head.path())
             .orElseThrow(() -> new FallturnException(ErrorKind.NOT_FOUND, "no route"));
     Caller sender = routing.keys().authenticate(route, head.key());
+    Rank rank = routing.rank(route, sender);
     if (sender.tenant().isPresent() && !gateway.keysAreBelieved(System.nanoTime())) {
       throw new FallturnException(ErrorKind.STORE_UNAVAILABLE, "keys were not confirmed lately");
     }
@@ -115,7 +117,7 @@
     if (caller.request().getLength() > maxBody) {
       throw new FallturnException(ErrorKind.TOO_LARGE, "body over " + maxBody + " bytes");
     }
-    return new BodyCollector(caller, head, route, sender, maxBody);
+    return new BodyCollector(caller, head, new Admitted(route, sender, rank), maxBody);
   }
 
   private void refuse(CallerTriple caller, String requestId, ErrorKind kind, String reason) {
@@ -138,20 +140,27 @@
     caller.response().write(true, BufferUtil.EMPTY_BUFFER, caller.callback());
   }
 
-  private void handOver(
-      CallerTriple caller, CallerHead head, Route route, Caller sender, byte[] body) {
+  private void handOver(CallerTriple caller, CallerHead head, Admitted admitted, byte[] body) {
     if (!gateway.tryBegin(body.length)) {
       refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, "too many bytes in flight");
       return;
     }
     long now = System.nanoTime();
+    Route route = admitted.route();
     Duration patience =
         head.deadline().filter(d -> d.compareTo(route.timeout()) < 0).orElse(route.timeout());
     RequestEnvelope envelope =
         new RequestEnvelope(
-            head.requestId(), route, sender, head.prompt(), now, now + patience.toNanos());
+            head.requestId(),
+            route,
+            admitted.sender(),
+            admitted.rank(),
+            head.prompt(),
+            now,
+            now + patience.toNanos());
     RequestContent content =
-        new RequestContent(target(caller.request(), head), senderName(sender, head), body);
+        new RequestContent(
+            target(caller.request(), head), senderName(admitted.sender(), head), body);
     RequestProgress progress = new RequestProgress(envelope, content);
     Exchange exchange = new Exchange(caller, head, progress, body, events, gateway);
     events.accept(new DispatchEvent.Arrived(exchange));
@@ -166,21 +175,22 @@
     return request.getMethod() + " " + head.host() + request.getHttpURI().getPathQuery();
   }
 
+  /** What the configuration in force says of a request. */
+  private record Admitted(Route route, Caller sender, Rank rank) {}
+
   /** Reads one body by asynchronous demand, so that a slow caller holds no thread. */
   private final class BodyCollector implements Runnable {
 
     private final CallerTriple caller;
     private final CallerHead head;
-    private final Route route;
-    private final Caller sender;
+    private final Admitted admitted;
     private final int maxBytes;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-    BodyCollector(CallerTriple caller, CallerHead head, Route route, Caller sender, int maxBytes) {
+    BodyCollector(CallerTriple caller, CallerHead head, Admitted admitted, int maxBytes) {
       this.caller = caller;
       this.head = head;
-      this.route = route;
-      this.sender = sender;
+      this.admitted = admitted;
       this.maxBytes = maxBytes;
     }
 
@@ -205,7 +215,7 @@
           return;
         }
         if (last) {
-          handOver(caller, head, route, sender, body.toByteArray());
+          handOver(caller, head, admitted, body.toByteArray());
           return;
         }
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -18,6 +18,8 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.core.stages.StageOutlook;
+import org.fallturn.core.usage.DutyOutcome;
+import org.fallturn.core.usage.UsageReport;
 import org.fallturn.node.metrics.LogSetup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -224,6 +226,23 @@
         .log();
   }
 
+  void usageReported(UsageReport report, long fencingToken, DutyOutcome outcome) {
+    line(LogEvent.USAGE_REPORTED, outcome.name())
+        .addKeyValue("window", report.window())
+        .addKeyValue("tenants", report.counts().size())
+        .addKeyValue("requests", report.counts().values().stream().mapToLong(one -> one).sum())
+        .addKeyValue("fencingToken", fencingToken)
+        .addKeyValue("outcome", outcome)
+        .log();
+  }
+
+  void usageNotReported(UsageReport report, String reason) {
+    line(LogEvent.USAGE_NOT_REPORTED)
+        .addKeyValue("window", report.window())
+        .addKeyValue("reason", reason)
+        .log();
+  }
+
   private static long percent(double share) {
     return Math.round(PERCENT * share);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -47,6 +47,7 @@
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final QuarantineKeeper keeper;
+  private final RunCounter runs;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
   private long lastHealthNanos;
   private long lastStageNanos;
@@ -59,7 +60,8 @@
       PeerTalk peers,
       CacheSurvey survey,
       Consumer<StageChange> stageChanges,
-      QuarantineKeeper keeper) {
+      QuarantineKeeper keeper,
+      RunCounter runs) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
@@ -67,6 +69,7 @@
     this.survey = survey;
     this.stageChanges = stageChanges;
     this.keeper = keeper;
+    this.runs = runs;
   }
 
   @Override
@@ -79,6 +82,7 @@
     } else if (event instanceof DispatchEvent.Began began) {
       if (isPresent(began.exchange(), began.attempt())) {
         log.began(began.exchange(), now);
+        runs.onBegan(began.exchange());
         dispatcher.onBegan(began.exchange().progress());
         dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
@@ -118,7 +122,10 @@
       dispatcher.quarantine().onStored(stored.content(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
+    } else if (event instanceof DispatchEvent.UsageReported reported) {
+      runs.onReported(reported.window());
     } else if (event instanceof DispatchEvent.PeerHeard heard) {
+      heard.message().usage().ifPresent(runs::onTold);
       peers.onHeard(heard.message(), now);
       endWaiting(now);
     }
@@ -172,6 +179,7 @@
       return;
     }
     log.attemptFailed(exchange, event.attempt(), event.outcome());
+    runs.onFailed(exchange, event.outcome(), now);
     Optional<CacheSource> source = exchange.progress().source();
     Decision next = dispatcher.onFailure(exchange.progress(), event.outcome(), now);
     if (event.outcome() != AttemptOutcome.NOT_SENT && exchange.progress().source().isEmpty()) {
@@ -187,6 +195,7 @@
   private void onFinished(Exchange exchange, long now) {
     if (active.remove(exchange)) {
       log.finished(exchange, now);
+      runs.onEnded(exchange, now);
       dispatcher.onFinished(exchange.progress(), now);
     }
   }
@@ -201,6 +210,7 @@
   }
 
   private void abandon(Exchange exchange, String why, long now) {
+    runs.onEnded(exchange, now);
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
     if (!running) {
@@ -321,6 +331,7 @@
     endWaiting(now);
     takeSignsOfLife(now);
     peers.onTick(now);
+    runs.onTick(now);
     if (now - lastHealthNanos >= HEALTH_NANOS) {
       lastHealthNanos = now;
       dispatcher.onTick(now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -49,9 +49,12 @@
   /** The order was not given, or the engine refused it. */
   record StageChangeAbandoned(StageChange change) implements DispatchEvent {}
 
-  /** The store did not give this node the lease that orders need, though it may serve others. */
+  /** This node cannot carry out the duties of the one that leads, though another may. */
   record NoStageLease() implements DispatchEvent {}
 
+  /** The usage of a window was reported. */
+  record UsageReported(long window) implements DispatchEvent {}
+
   /** The order was sent and got no answer. */
   record StageOrderUnanswered(StageChange change) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -41,6 +41,7 @@
   private volatile boolean begun;
   private volatile String lastEventId = "";
   private EngineAttempt attempt;
+  private boolean counted;
 
   Exchange(
       CallerTriple caller,
@@ -94,6 +95,13 @@
     attempt = present;
   }
 
+  /** Whether its run is to be counted now: true once; on the dispatch thread. */
+  boolean countOnce() {
+    boolean first = !counted;
+    counted = true;
+    return first;
+  }
+
   /** Tells the dispatch duty. */
   void tell(DispatchEvent event) {
     events.accept(event);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -2,12 +2,15 @@
 
 import java.util.function.Predicate;
 import org.eclipse.jetty.client.HttpClient;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.OrderLeaseStore;
+import org.fallturn.core.usage.UsageApi;
+import org.fallturn.core.usage.UsageStore;
 
 /**
  * Everything that a gateway takes from the platform it runs on.
@@ -21,6 +24,8 @@
  * @param engineDecoder reads one of its rows
  * @param orderLease the row that says who may give orders to engines
  * @param quarantine the contents in quarantine that outlast every process
+ * @param usage the counts of requests that the fleet has agreed to report
+ * @param usageApi where they are reported
  * @param readinessPath path at which the platform asks for readiness
  */
 public record GatewayPlatform(
@@ -33,6 +38,8 @@
     RowDecoder<ServingEngine> engineDecoder,
     LeaseFactory orderLease,
     QuarantineFactory quarantine,
+    UsageStoreFactory usage,
+    UsageApiFactory usageApi,
     String readinessPath) {
 
   /** Makes the way to the row of the lease on orders. */
@@ -51,6 +58,26 @@
     QuarantineStore create(HttpClient client);
   }
 
+  /** Makes the way to the counts that are to be reported. */
+  @FunctionalInterface
+  public interface UsageStoreFactory {
+
+    /** A way that calls by a client that has been started. */
+    UsageStore create(HttpClient client);
+  }
+
+  /** Makes the way to the platform's API. */
+  @FunctionalInterface
+  public interface UsageApiFactory {
+
+    /**
+     * A way that calls by a client that has been started.
+     *
+     * @param address where the API listens
+     */
+    UsageApi create(HttpClient client, NetworkAddress address);
+  }
+
   /** Makes the feed of a table; the process has one HTTP client, since each costs its start. */
   @FunctionalInterface
   public interface FeedFactory {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -4,6 +4,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -12,6 +13,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.fallturn.core.clock.WallClock;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.domain.NetworkAddress;
@@ -76,6 +78,7 @@
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
   private final StageDuty stages;
+  private final Optional<UsageDuty> usage;
   private final QuarantineDuty quarantine;
   private final QuarantineKeeper keeper;
   private final RowFollower routingFollower;
@@ -111,17 +114,14 @@
     this.peerPorts = PeerPorts.bind(settings.peers());
     this.peers = new PeerExchange(peerPorts.datagrams(), this::tell);
     DispatchParameters parameters = settings.dispatchParameters();
-    this.stages =
-        new StageDuty(
-            new OrderLease(
-                platform.orderLease().create(engines.client()),
-                settings.nodeName(),
-                parameters.stages(),
-                System::nanoTime),
-            new EngineOrders(engines),
+    OrderLease lease =
+        new OrderLease(
+            platform.orderLease().create(engines.client()),
             settings.nodeName(),
-            this::tell,
-            log);
+            parameters.stages(),
+            System::nanoTime);
+    this.stages =
+        new StageDuty(lease, new EngineOrders(engines), settings.nodeName(), this::tell, log);
     Dispatcher dispatcher = new Dispatcher(parameters);
     this.knowledge =
         new FleetKnowledge(
@@ -142,8 +142,17 @@
         new QuarantineDuty(platform.quarantine().create(engines.client()), this::tell, log);
     this.keeper =
         new QuarantineKeeper(dispatcher, new EngineProbe(engines, this::tell), quarantine, log);
+    this.usage = settings.duties().usage().map(windows -> newUsageDuty(lease));
     DispatchDuty duty =
-        new DispatchDuty(dispatcher, engines, log, talk, survey, stages::offer, keeper);
+        new DispatchDuty(
+            dispatcher,
+            engines,
+            log,
+            talk,
+            survey,
+            stages::offer,
+            keeper,
+            runCounter(dispatcher, talk));
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots =
@@ -160,6 +169,28 @@
             settings.bounds().drain().dividedBy(GATHER_PARTS));
   }
 
+  private UsageDuty newUsageDuty(OrderLease lease) {
+    return new UsageDuty(
+        lease,
+        platform.usage().create(engines.client()),
+        platform.usageApi().create(engines.client(), settings.duties().api().orElseThrow()),
+        settings.nodeName(),
+        this::tell,
+        log);
+  }
+
+  private RunCounter runCounter(Dispatcher dispatcher, PeerTalk talk) {
+    if (usage.isEmpty()) {
+      return RunCounter.NONE;
+    }
+    return new UsageTally(
+        settings.duties().usage().orElseThrow(),
+        new WallClock(System::nanoTime, System::currentTimeMillis),
+        settings.firstStart(),
+        new UsageFleet(knowledge, dispatcher, talk, settings.nodeName()),
+        usage.get()::offer);
+  }
+
   private RowFollower newFollower(
       String table,
       GatewayPlatform.FeedFactory feed,
@@ -204,6 +235,7 @@
     dispatch.start();
     peers.start();
     stages.start();
+    usage.ifPresent(UsageDuty::start);
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -394,6 +426,7 @@
     long begun = System.nanoTime();
     state.beginStop();
     stages.close();
+    usage.ifPresent(UsageDuty::close);
     log.stopping(state.inFlight());
     long lingerUntil = begun + settings.bounds().stopLinger().toNanos();
     long endBy = begun + settings.stopWithin().toNanos();
@@ -424,6 +457,7 @@
       settingsWatch.close();
     }
     stages.close();
+    usage.ifPresent(UsageDuty::close);
     quarantine.close();
     routingFollower.close();
     engineFollower.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -46,6 +46,10 @@
   STAGE_ORDERED,
   /** An engine was not ordered to take another stage after all. */
   STAGE_CHANGE_ABANDONED,
+  /** The usage of a window was reported to the platform. */
+  USAGE_REPORTED,
+  /** The usage of a window could not be reported yet. */
+  USAGE_NOT_REPORTED,
   /** What this node, which orders the stages, goes by. */
   STAGE_OUTLOOK,
   /** A row of the store could not be read and is left out. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.StringJoiner;
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.EngineDigest;
@@ -23,6 +24,7 @@
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.quarantine.CrashReport;
+import org.fallturn.core.usage.UsageNews;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -40,6 +42,7 @@
  *                                     since asked for, confirmed, answered well; stored; crashes
  *  "r":["10.1.0.36:7660 zone-1 8000 90"],  relays, heard so many ms ago
  *  "t":{"routing":57},                     newest change seen, by table
+ *  "u":{"353445120":{"bakery":4}},         requests that began to run, by window and tenant
  *  "w":true}                               listings are wanted
  * </pre>
  *
@@ -83,6 +86,9 @@
     writeTexts(out, "q", message.crashes().stream().map(CrashReportText::write).toList());
     writeTexts(out, "r", message.relays().stream().map(PeerCodec::text).toList());
     writeTables(out, message.tables());
+    if (message.usage().isPresent()) {
+      writeUsage(out, message.usage().get());
+    }
     if (message.wantsListings()) {
       out.writeBooleanField("w", true);
     }
@@ -124,6 +130,18 @@
     out.writeEndObject();
   }
 
+  private static void writeUsage(JsonGenerator out, UsageNews usage) throws IOException {
+    out.writeObjectFieldStart("u");
+    for (Map.Entry<Long, Map<String, Integer>> window : usage.counts().entrySet()) {
+      out.writeObjectFieldStart(window.getKey().toString());
+      for (Map.Entry<String, Integer> count : window.getValue().entrySet()) {
+        out.writeNumberField(count.getKey(), count.getValue());
+      }
+      out.writeEndObject();
+    }
+    out.writeEndObject();
+  }
+
   private static void writeTexts(JsonGenerator out, String key, List<String> texts)
       throws IOException {
     if (texts.isEmpty()) {
@@ -190,6 +208,7 @@
     private final List<CrashReport> crashes = new ArrayList<>();
     private final List<KnownPeer> relays = new ArrayList<>();
     private final Map<String, Long> tables = new HashMap<>();
+    private final Map<Long, Map<String, Integer>> usage = new HashMap<>();
 
     void read(JsonParser in) throws IOException {
       if (in.nextToken() != JsonToken.START_OBJECT) {
@@ -210,6 +229,7 @@
         case "e" -> readEngines(in);
         case "v" -> readSpeeds(in);
         case "t" -> readTables(in);
+        case "u" -> readUsage(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
         case "q" -> texts(in).forEach(text -> crashes.add(CrashReportText.read(text)));
@@ -248,6 +268,19 @@
       }
     }
 
+    private void readUsage(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        Map<String, Integer> counts = new HashMap<>();
+        usage.put(Long.parseLong(in.currentName()), counts);
+        in.nextToken();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+          String tenant = in.currentName();
+          in.nextToken();
+          counts.put(tenant, in.getIntValue());
+        }
+      }
+    }
+
     private static List<String> texts(JsonParser in) throws IOException {
       List<String> texts = new ArrayList<>();
       while (in.nextToken() != JsonToken.END_ARRAY) {
@@ -323,7 +356,18 @@
               speeds);
       MessageKind kind = MessageKind.valueOf(needed("k"));
       boolean wantsListings = Boolean.parseBoolean(single.get("w"));
-      return new PeerMessage(kind, sender, load, listings, crashes, relays, tables, wantsListings);
+      return new PeerMessage(
+          kind,
+          sender,
+          load,
+          listings,
+          crashes,
+          relays,
+          tables,
+          kind == MessageKind.USAGE
+              ? Optional.of(new UsageNews(load.node(), load.incarnation(), usage))
+              : Optional.empty(),
+          wantsListings);
     }
 
     private String needed(String key) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -10,6 +10,7 @@
 import org.fallturn.core.peers.Outgoing;
 import org.fallturn.core.peers.OwnLoad;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.usage.UsageNews;
 
 /**
  * The dispatch duty's part in what nodes tell each other: passes on what is heard to whoever
@@ -84,12 +85,18 @@
     tell(nowNanos);
   }
 
+  /** Tells the nodes that collect what this one has counted. */
+  void tellUsage(UsageNews news) {
+    sender.accept(knowledge.tellUsage(news));
+  }
+
   /** Takes the number of nodes, and asks engines what they keep. */
   void onTick(long nowNanos) {
     if (nowNanos - countedNanos >= COUNT_NANOS) {
       countedNanos = nowNanos;
       OptionalInt nodes = knowledge.cautiousNodeCount(nowNanos);
       dispatcher.setNodeCount(nodes);
+      dispatcher.setCandidate(knowledge.collects());
       survey.onTick(nowNanos);
       knowledge.setWantsListings(survey.wantsListings(nowNanos));
     }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -0,0 +1,152 @@
+package org.fallturn.node.gateway;
+
+import java.util.Optional;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fallturn.core.port.table.StoreException;
+import org.fallturn.core.stages.OrderLease;
+import org.fallturn.core.usage.DutyOutcome;
+import org.fallturn.core.usage.UsageApi;
+import org.fallturn.core.usage.UsageReport;
+import org.fallturn.core.usage.UsageStore;
+
+/**
+ * The duty that reports usage, one window at a time, on a thread of its own: takes the lease, fixes
+ * the counts in the store, and tells the platform.
+ *
+ * <p>Invariants: a report is sent only while the lease is held, which is asked right before, and
+ * only with the counts that the store holds for its window, so that no two reports of a window
+ * differ, whoever sends them and however late they are carried out.
+ */
+final class UsageDuty implements AutoCloseable {
+
+  /** Calls have their price, and a report has some 7 s. */
+  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** So long one node tries in vain before it lets another: half of what a report has. */
+  private static final long STEP_ASIDE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+  private final OrderLease lease;
+  private final UsageStore store;
+  private final UsageApi api;
+  private final String node;
+  private final Consumer<DispatchEvent> events;
+  private final DecisionLog log;
+  private final BlockingQueue<UsageReport> next = new ArrayBlockingQueue<>(1);
+  private final Thread thread = new Thread(this::work, "usage");
+  private volatile boolean working;
+  private volatile long notBeforeNanos = System.nanoTime();
+  private long failingSinceNanos;
+  private boolean failing;
+
+  /**
+   * A duty that has not begun.
+   *
+   * @param node name of this node
+   * @param events told of each report that was taken, and when another node had better report
+   */
+  UsageDuty(
+      OrderLease lease,
+      UsageStore store,
+      UsageApi api,
+      String node,
+      Consumer<DispatchEvent> events,
+      DecisionLog log) {
+    this.lease = lease;
+    this.store = store;
+    this.api = api;
+    this.node = node;
+    this.events = events;
+    this.log = log;
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  /** Hands a report over; dropped while another is under way or right after a failure. */
+  void offer(UsageReport report) {
+    if (!working && System.nanoTime() - notBeforeNanos >= 0) {
+      next.offer(report);
+    }
+  }
+
+  private void work() {
+    try {
+      while (true) {
+        UsageReport report = next.take();
+        working = true;
+        carryOut(report);
+        working = false;
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void carryOut(UsageReport proposed) throws InterruptedException {
+    try {
+      if (!lease.take()) {
+        failed(proposed, "another node has the lease");
+        return;
+      }
+      Optional<UsageReport> fixed = store.fix(proposed);
+      if (fixed.isEmpty()) {
+        done(proposed, DutyOutcome.FENCED);
+      } else if (lease.held()) {
+        settle(fixed.get(), api.report(fixed.get(), node, lease.token()));
+      } else {
+        failed(proposed, "the lease has ended");
+      }
+    } catch (StoreException e) {
+      failed(proposed, "no lease or no counts: " + e.getMessage());
+      events.accept(new DispatchEvent.NoStageLease());
+    }
+  }
+
+  private void settle(UsageReport report, DutyOutcome outcome) {
+    switch (outcome) {
+      case TAKEN -> done(report, outcome);
+      case FENCED -> {
+        lease.drop();
+        failed(report, "another node has reported since");
+        events.accept(new DispatchEvent.NoStageLease());
+      }
+      default -> {
+        failed(report, "the platform: " + outcome);
+        stepAsideWhenInVain();
+      }
+    }
+  }
+
+  private void done(UsageReport report, DutyOutcome outcome) {
+    failing = false;
+    log.usageReported(report, lease.token(), outcome);
+    events.accept(new DispatchEvent.UsageReported(report.window()));
+  }
+
+  private void failed(UsageReport report, String reason) {
+    if (!failing) {
+      failing = true;
+      failingSinceNanos = System.nanoTime();
+    }
+    log.usageNotReported(report, reason);
+    notBeforeNanos = System.nanoTime() + PAUSE_AFTER_FAILURE_NANOS;
+  }
+
+  /** The platform may answer other nodes. */
+  private void stepAsideWhenInVain() {
+    if (System.nanoTime() - failingSinceNanos >= STEP_ASIDE_NANOS) {
+      failing = false;
+      events.accept(new DispatchEvent.NoStageLease());
+    }
+  }
+
+  @Override
+  public void close() {
+    thread.interrupt();
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageFleet.java
@@ -0,0 +1,34 @@
+package org.fallturn.node.gateway;
+
+import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.peers.FleetKnowledge;
+import org.fallturn.core.usage.UsageNews;
+
+/**
+ * The fleet as the tally of requests sees it. Only the dispatch thread calls.
+ *
+ * @param node name of this node
+ */
+record UsageFleet(FleetKnowledge knowledge, Dispatcher dispatcher, PeerTalk talk, String node)
+    implements UsageTally.Fleet {
+
+  @Override
+  public long incarnation() {
+    return knowledge.incarnation();
+  }
+
+  @Override
+  public boolean collects() {
+    return knowledge.collects();
+  }
+
+  @Override
+  public boolean leads(long nowNanos) {
+    return dispatcher.leads(nowNanos);
+  }
+
+  @Override
+  public void tell(UsageNews news) {
+    talk.tellUsage(news);
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param bounds what the operators of the platform promise and ask for
  * @param dispatch constants of the dispatcher
  * @param stages when engines change their stage
+ * @param duties calls to the platform that one node makes for all
  * @param log the log on standard output
  */
 public record GatewaySettings(
@@ -40,6 +41,7 @@
     GatewayBounds bounds,
     DispatchSettings dispatch,
     StageSettings stages,
+    DutySettings duties,
     LogSettings log) {
 
   /** Part of the drain bound in which a leaving engine is a last resort. */
@@ -98,6 +100,7 @@
               GatewayBounds.DEFINITIONS,
               DispatchSettings.DEFINITIONS,
               StageSettings.DEFINITIONS,
+              DutySettings.DEFINITIONS,
               LogSettings.DEFINITIONS)
           .flatMap(List::stream)
           .<SettingDefinition<?>>map(definition -> definition)
@@ -129,6 +132,7 @@
         GatewayBounds.from(values),
         DispatchSettings.from(values),
         StageSettings.from(values),
+        DutySettings.from(values),
         LogSettings.from(values));
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.emulator;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -46,6 +47,7 @@
   private static final String ENGINE_TABLE = "servers";
 
   private final EmulatedStore store;
+  private final EmulatedApi api;
   private final List<EmulatedEngine> engines = new ArrayList<>();
   private final List<EmulatedEngine> crashed = new ArrayList<>();
   private final Map<String, List<Long>> crashTimes = new HashMap<>();
@@ -53,10 +55,12 @@
   private Consumer<EmulatedEngine> crashing = engine -> {};
   private int version = 1;
   private boolean idsStay;
+  private Duration usageWindow = Duration.ZERO;
 
   /** Starts the store with the default configuration. */
   public EmulatedPlatform() throws Exception {
     store = new EmulatedStore();
+    api = new EmulatedApi();
     configure(RouteText.defaults());
   }
 
@@ -65,6 +69,16 @@
     return store;
   }
 
+  /** The API for calls that one node makes for all. */
+  public EmulatedApi api() {
+    return api;
+  }
+
+  /** Gateways that are made from now on report usage for windows of this length. */
+  public void reportUsage(Duration window) {
+    usageWindow = window;
+  }
+
   /** Puts a configuration with these routes in force. */
   public void configure(List<String> routes) {
     version += 2;
@@ -246,11 +260,18 @@
             grace = "5s"
             stop_linger = "400ms"
             retry_slack = 100
+
+            [duties]
+            api = "%s"
+            usage_window = "%dms"
+            usage_late = "20s"
             """,
             gateways.size() + 1,
             seedText,
             metricsPort,
-            store.address());
+            store.address(),
+            api.address(),
+            usageWindow.toMillis());
     GatewaySettings settings =
         GatewaySettings.from(GatewaySettings.reader().toml("emulated", text).values());
     GatewayServer gateway = new GatewayServer(settings, PlatformMain.platform(settings));
@@ -266,6 +287,7 @@
     for (EmulatedEngine engine : engines) {
       engine.close();
     }
+    api.close();
     store.close();
   }
 }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/TenantKeysOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/TenantKeysOnEmulatorTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
 import org.eclipse.jetty.http.HttpFields;
@@ -99,14 +100,29 @@
 
   @Test
   void theRankOfATenantGoesBeforeThatOfTheRoute() throws Exception {
-    assertThat(callWithKey("key-b").status()).isEqualTo(200);
-    long before = gateway.routingVersion();
-    platform.configureTenants(RouteText.tenant("bakery", OptionalInt.of(0), "key-b"));
-    await().atMost(LONGEST).until(() -> gateway.routingVersion() > before);
-    assertThat(callWithKey("key-b").status()).isEqualTo(200);
-    List<String> ranks =
-        engine.heads().stream().map(head -> head.get("X-Fallturn-Request-Priority")).toList();
-    assertThat(Integer.parseInt(ranks.get(1))).isLessThan(Integer.parseInt(ranks.get(0)));
+    List<String> routes = new ArrayList<>(RouteText.defaults());
+    routes.replaceAll(
+        route ->
+            route.contains("/idempotent/")
+                ? route.replace("\"priority\":1", "\"priority\":5")
+                : route);
+    platform.configure(
+        routes,
+        RouteText.tenant("bakery", OptionalInt.of(0), "key-b"),
+        RouteText.tenant("mill", OptionalInt.of(1), "key-m"));
+    await().atMost(LONGEST).until(() -> callWithKey("key-m").status() == 200);
+    String patientOfBakery = callWithKey("key-b").requestId();
+    client.setHeaders(HttpFields.build().add("Authorization", "Bearer key-m"));
+    String urgentOfMill = client.call(address, EmulatedPlatform.NON_IDEMPOTENT, 0).requestId();
+    assertThat(level(patientOfBakery)).isLessThan(level(urgentOfMill));
+  }
+
+  private int level(String requestId) {
+    return engine.heads().stream()
+        .filter(head -> head.get("X-Fallturn-Request-Id").equals(requestId))
+        .mapToInt(head -> Integer.parseInt(head.get("X-Fallturn-Request-Priority")))
+        .findFirst()
+        .orElseThrow();
   }
 
   @Test
