Replace engines by engines on loan, spread over the zones

Change: core.scaling plans the numbers by zone: loans are ordered first, own engines given up a zone at a time once the fleet is as large as before and both stages have their share; a zone that is taken away is made good in the others, one that has none is left alone for a while. The numbers before any order are fixed in the store. Only the leader orders, under the same lease, from a list of engines that was confirmed lately. Stages are filled up faster while nothing runs. The threads of the three duties share JobThread.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -16,8 +16,9 @@
  *
  * <p>Invariants: no change takes a stage below its least share of the engines, and never below one;
  * a stage that has fallen below it, since engines left, is filled up first; only a bounded part of
- * the engines changes at once; a change by load is not undone within {@link #REVERSAL_NANOS}. Load
- * is smoothed, so that one long prompt moves nothing. One thread calls, about every 100 ms.
+ * the engines changes at once, a larger one while nothing runs; a change by load is not undone
+ * within {@link #REVERSAL_NANOS}. Load is smoothed, so that one long prompt moves nothing. One
+ * thread calls, about every 100 ms.
  */
 public final class StagePlanner {
 
@@ -52,6 +53,15 @@
   /** One of so many engines may be away at once, and always one. */
   private static final int ENGINES_PER_CHANGE = 16;
 
+  /**
+   * The same while hardly anything runs, as before the first callers come, when engines on loan
+   * start in one stage and a third of them has to take the other within some ten seconds.
+   */
+  private static final int ENGINES_PER_CHANGE_WHEN_IDLE = 4;
+
+  /** Share of the decode slots below which an engine that is away is not missed. */
+  private static final double IDLE_OCCUPANCY = 0.02;
+
   private final double leastShare;
   private boolean observed;
   private long observedNanos;
@@ -107,7 +117,9 @@
   /** The change to be ordered next, if any; the same until {@link #onOrdered}. */
   public Optional<StageChange> wanted(List<StageView> engines, long nowNanos) {
     int changing = (int) engines.stream().filter(StagePlanner::changes).count();
-    int atOnce = Math.max(1, engines.size() / ENGINES_PER_CHANGE);
+    boolean idle = peakOccupancy < IDLE_OCCUPANCY;
+    int perChange = idle ? ENGINES_PER_CHANGE_WHEN_IDLE : ENGINES_PER_CHANGE;
+    int atOnce = Math.max(1, engines.size() / perChange);
     if (changing >= atOnce) {
       return Optional.empty();
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -16,6 +16,7 @@
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.scaling.ScaleOrder;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.core.stages.StageOutlook;
 import org.fallturn.core.usage.DutyOutcome;
@@ -243,6 +244,17 @@
         .log();
   }
 
+  void scaleOrdered(ScaleOrder order, long fencingToken, DutyOutcome outcome) {
+    line(LogEvent.SCALE_ORDERED, outcome.name())
+        .addKeyValue("service", order.service())
+        .addKeyValue("zone", order.zone())
+        .addKeyValue("count", order.count())
+        .addKeyValue("loan", order.loan())
+        .addKeyValue("fencingToken", fencingToken)
+        .addKeyValue("outcome", outcome)
+        .log();
+  }
+
   private static long percent(double share) {
     return Math.round(PERCENT * share);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -48,6 +48,7 @@
   private final Consumer<StageChange> stageChanges;
   private final QuarantineKeeper keeper;
   private final RunCounter runs;
+  private final Scaling scaling;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
   private long lastHealthNanos;
   private long lastStageNanos;
@@ -61,7 +62,8 @@
       CacheSurvey survey,
       Consumer<StageChange> stageChanges,
       QuarantineKeeper keeper,
-      RunCounter runs) {
+      RunCounter runs,
+      Scaling scaling) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
@@ -70,6 +72,7 @@
     this.stageChanges = stageChanges;
     this.keeper = keeper;
     this.runs = runs;
+    this.scaling = scaling;
   }
 
   @Override
@@ -94,6 +97,7 @@
       onCallerGone(gone.exchange(), now);
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
       dispatcher.setDirectory(changed.directory(), now);
+      scaling.setDirectory(changed.directory());
       survey.onDirectory(changed.directory(), now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
       log.cacheListed(answer);
@@ -103,6 +107,7 @@
       endWaiting(now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
+      scaling.setServices(changed.image().services());
       engines.setServices(changed.image());
     } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
       dispatcher.onStageChangeBegun(begun.change(), now);
@@ -124,6 +129,10 @@
       dispatcher.setParameters(changed.parameters());
     } else if (event instanceof DispatchEvent.UsageReported reported) {
       runs.onReported(reported.window());
+    } else if (event instanceof DispatchEvent.StandingKnown known) {
+      scaling.onStanding(known.service(), known.byZone());
+    } else if (event instanceof DispatchEvent.ScaleAnswered answered) {
+      scaling.onAnswer(answered.order(), answered.outcome(), now);
     } else if (event instanceof DispatchEvent.PeerHeard heard) {
       heard.message().usage().ifPresent(runs::onTold);
       peers.onHeard(heard.message(), now);
@@ -342,6 +351,7 @@
       lastStageNanos = now;
       log.droppedLines();
       dispatcher.wantedStageChange(now).ifPresent(stageChanges);
+      scaling.onTick(dispatcher.leads(now), now);
     }
     if (now - lastOutlookNanos >= OUTLOOK_NANOS) {
       lastOutlookNanos = now;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.util.Map;
 import java.util.Optional;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.DispatchParameters;
@@ -8,7 +9,9 @@
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.scaling.ScaleOrder;
 import org.fallturn.core.stages.StageChange;
+import org.fallturn.core.usage.DutyOutcome;
 
 /** What the dispatch duty is told. */
 sealed interface DispatchEvent {
@@ -55,6 +58,12 @@
   /** The usage of a window was reported. */
   record UsageReported(long window) implements DispatchEvent {}
 
+  /** How many engines a service had by zone before any was ordered. */
+  record StandingKnown(String service, Map<String, Integer> byZone) implements DispatchEvent {}
+
+  /** An order for engines was answered, or not. */
+  record ScaleAnswered(ScaleOrder order, DutyOutcome outcome) implements DispatchEvent {}
+
   /** The order was sent and got no answer. */
   record StageOrderUnanswered(StageChange change) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -8,6 +8,8 @@
 import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.scaling.ScaleApi;
+import org.fallturn.core.scaling.StandingStore;
 import org.fallturn.core.stages.OrderLeaseStore;
 import org.fallturn.core.usage.UsageApi;
 import org.fallturn.core.usage.UsageStore;
@@ -26,6 +28,8 @@
  * @param quarantine the contents in quarantine that outlast every process
  * @param usage the counts of requests that the fleet has agreed to report
  * @param usageApi where they are reported
+ * @param standing how many engines services had before any was ordered
+ * @param scaleApi where engines are ordered
  * @param readinessPath path at which the platform asks for readiness
  */
 public record GatewayPlatform(
@@ -40,6 +44,8 @@
     QuarantineFactory quarantine,
     UsageStoreFactory usage,
     UsageApiFactory usageApi,
+    StandingStoreFactory standing,
+    ScaleApiFactory scaleApi,
     String readinessPath) {
 
   /** Makes the way to the row of the lease on orders. */
@@ -66,7 +72,27 @@
     UsageStore create(HttpClient client);
   }
 
-  /** Makes the way to the platform's API. */
+  /** Makes the way to the numbers of engines before any order. */
+  @FunctionalInterface
+  public interface StandingStoreFactory {
+
+    /** A way that calls by a client that has been started. */
+    StandingStore create(HttpClient client);
+  }
+
+  /** Makes the way to the platform's API for orders of engines. */
+  @FunctionalInterface
+  public interface ScaleApiFactory {
+
+    /**
+     * A way that calls by a client that has been started.
+     *
+     * @param address where the API listens
+     */
+    ScaleApi create(HttpClient client, NetworkAddress address);
+  }
+
+  /** Makes the way to the platform's API for usage reports. */
   @FunctionalInterface
   public interface UsageApiFactory {
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -24,6 +24,7 @@
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.scaling.ScaleControl;
 import org.fallturn.core.stages.OrderLease;
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
@@ -79,6 +80,7 @@
   private final DutyThread<DispatchEvent> dispatch;
   private final StageDuty stages;
   private final Optional<UsageDuty> usage;
+  private final Optional<ScaleDuty> scaling;
   private final QuarantineDuty quarantine;
   private final QuarantineKeeper keeper;
   private final RowFollower routingFollower;
@@ -142,6 +144,7 @@
         new QuarantineDuty(platform.quarantine().create(engines.client()), this::tell, log);
     this.keeper =
         new QuarantineKeeper(dispatcher, new EngineProbe(engines, this::tell), quarantine, log);
+    this.scaling = settings.duties().api().map(address -> newScaleDuty(lease, address));
     this.usage = settings.duties().usage().map(windows -> newUsageDuty(lease));
     DispatchDuty duty =
         new DispatchDuty(
@@ -152,7 +155,8 @@
             survey,
             stages::offer,
             keeper,
-            runCounter(dispatcher, talk));
+            runCounter(dispatcher, talk),
+            newScaling());
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots =
@@ -179,6 +183,29 @@
         log);
   }
 
+  private ScaleDuty newScaleDuty(OrderLease lease, NetworkAddress api) {
+    return new ScaleDuty(
+        lease,
+        platform.standing().create(engines.client()),
+        platform.scaleApi().create(engines.client(), api),
+        settings.nodeName(),
+        this::tell,
+        log);
+  }
+
+  private Scaling newScaling() {
+    return new Scaling(
+        new ScaleControl(settings.scaleParameters()),
+        this::engineListIsNew,
+        wish -> scaling.ifPresent(duty -> duty.offer(wish)));
+  }
+
+  /** No engine is ordered on a view that may be older than the time to be in touch again. */
+  private boolean engineListIsNew() {
+    return engineFollower.unconfirmedNanos(System.nanoTime())
+        < settings.bounds().contact().toNanos();
+  }
+
   private RunCounter runCounter(Dispatcher dispatcher, PeerTalk talk) {
     if (usage.isEmpty()) {
       return RunCounter.NONE;
@@ -236,6 +263,7 @@
     peers.start();
     stages.start();
     usage.ifPresent(UsageDuty::start);
+    scaling.ifPresent(ScaleDuty::start);
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -425,8 +453,7 @@
   public void stopAsPlanned() throws InterruptedException {
     long begun = System.nanoTime();
     state.beginStop();
-    stages.close();
-    usage.ifPresent(UsageDuty::close);
+    closeDuties();
     log.stopping(state.inFlight());
     long lingerUntil = begun + settings.bounds().stopLinger().toNanos();
     long endBy = begun + settings.stopWithin().toNanos();
@@ -442,6 +469,13 @@
     log.stopped(state.inFlight());
   }
 
+  /** From now on this node orders and reports nothing for all. */
+  private void closeDuties() {
+    stages.close();
+    usage.ifPresent(UsageDuty::close);
+    scaling.ifPresent(ScaleDuty::close);
+  }
+
   /** New connections are not accepted; a request on a kept one is refused as not run. */
   private void refuseNewRequests() {
     if (state.takesRequests()) {
@@ -456,8 +490,7 @@
     if (settingsWatch != null) {
       settingsWatch.close();
     }
-    stages.close();
-    usage.ifPresent(UsageDuty::close);
+    closeDuties();
     quarantine.close();
     routingFollower.close();
     engineFollower.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -50,6 +50,8 @@
   USAGE_REPORTED,
   /** The usage of a window could not be reported yet. */
   USAGE_NOT_REPORTED,
+  /** Engines were ordered from the platform. */
+  SCALE_ORDERED,
   /** What this node, which orders the stages, goes by. */
   STAGE_OUTLOOK,
   /** A row of the store could not be read and is left out. */
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
@@ -0,0 +1,92 @@
+package org.fallturn.node.gateway;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fallturn.core.port.table.StoreException;
+import org.fallturn.core.scaling.ScaleApi;
+import org.fallturn.core.scaling.ScaleOrder;
+import org.fallturn.core.scaling.ScaleWish;
+import org.fallturn.core.scaling.StandingStore;
+import org.fallturn.core.stages.OrderLease;
+import org.fallturn.core.usage.DutyOutcome;
+
+/**
+ * The duty that orders engines from the platform, one order at a time, on a thread of its own.
+ *
+ * <p>Invariant: an order is sent only while the lease is held, which is asked right before. The
+ * dispatch duty is told what became of it.
+ */
+final class ScaleDuty implements AutoCloseable {
+
+  /** Calls have their price, and an engine takes seconds to start. */
+  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final OrderLease lease;
+  private final StandingStore standing;
+  private final ScaleApi api;
+  private final String node;
+  private final Consumer<DispatchEvent> events;
+  private final DecisionLog log;
+  private final JobThread<ScaleWish> jobs = new JobThread<>("scaling", this::carryOut);
+
+  /**
+   * A duty that has not begun.
+   *
+   * @param node name of this node
+   * @param events told of each answer
+   */
+  ScaleDuty(
+      OrderLease lease,
+      StandingStore standing,
+      ScaleApi api,
+      String node,
+      Consumer<DispatchEvent> events,
+      DecisionLog log) {
+    this.lease = lease;
+    this.standing = standing;
+    this.api = api;
+    this.node = node;
+    this.events = events;
+    this.log = log;
+  }
+
+  void start() {
+    jobs.start();
+  }
+
+  /** Hands a wish over; dropped while another is under way or right after a failure. */
+  void offer(ScaleWish wish) {
+    jobs.offer(wish);
+  }
+
+  private void carryOut(ScaleWish wish) throws InterruptedException {
+    try {
+      if (wish instanceof ScaleWish.FixStanding fix) {
+        Map<String, Integer> fixed = standing.fix(fix.service(), fix.observed());
+        events.accept(new DispatchEvent.StandingKnown(fix.service(), fixed));
+      } else if (wish instanceof ScaleWish.Give give) {
+        give(give.order());
+      }
+    } catch (StoreException e) {
+      log.dependencyLost("scaling", e);
+      jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
+      events.accept(new DispatchEvent.NoStageLease());
+    }
+  }
+
+  private void give(ScaleOrder order) throws StoreException, InterruptedException {
+    if (!lease.take() || !lease.held()) {
+      jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
+      return;
+    }
+    DutyOutcome outcome = api.scale(order, node, lease.token());
+    log.scaleOrdered(order, lease.token(), outcome);
+    events.accept(new DispatchEvent.ScaleAnswered(order, outcome));
+  }
+
+  @Override
+  public void close() {
+    jobs.close();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
@@ -2,8 +2,6 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -34,11 +32,8 @@
   private final String node;
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
-  private final BlockingQueue<StageChange> next = new ArrayBlockingQueue<>(1);
-  private final Thread thread = new Thread(this::work, "stages");
+  private final JobThread<StageChange> jobs = new JobThread<>("stages", this::carryOut);
   private final AtomicInteger abandoned = new AtomicInteger();
-  private volatile boolean working;
-  private volatile long notBeforeNanos = System.nanoTime();
 
   /**
    * A duty that has not begun.
@@ -57,36 +52,20 @@
     this.node = node;
     this.events = events;
     this.log = log;
-    thread.setDaemon(true);
   }
 
   void start() {
-    thread.start();
+    jobs.start();
   }
 
   /** Hands a change over; dropped while another is under way or right after a failure. */
   void offer(StageChange change) {
-    if (!working && System.nanoTime() - notBeforeNanos >= 0) {
-      next.offer(change);
-    }
-  }
-
-  private void work() {
-    try {
-      while (true) {
-        StageChange change = next.take();
-        working = true;
-        carryOut(change);
-        working = false;
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    jobs.offer(change);
   }
 
   private void carryOut(StageChange change) throws InterruptedException {
     if (!takeLease(change)) {
-      pause(PAUSE_AFTER_FAILURE_NANOS);
+      jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
       return;
     }
     events.accept(new DispatchEvent.StageChangeBegun(change));
@@ -139,9 +118,9 @@
       }
       case HttpStatus.PRECONDITION_FAILED_412 -> {
         lease.drop();
-        pause(PAUSE_AFTER_FENCED_NANOS);
+        jobs.pause(PAUSE_AFTER_FENCED_NANOS);
       }
-      default -> pause(PAUSE_AFTER_FAILURE_NANOS);
+      default -> jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
     }
     events.accept(new DispatchEvent.StageChangeAbandoned(change));
   }
@@ -149,15 +128,11 @@
   private void abandon(StageChange change, String reason) {
     giveUp(change, reason);
     events.accept(new DispatchEvent.StageChangeAbandoned(change));
-    pause(PAUSE_AFTER_FAILURE_NANOS);
-  }
-
-  private void pause(long nanos) {
-    notBeforeNanos = System.nanoTime() + nanos;
+    jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
   }
 
   @Override
   public void close() {
-    thread.interrupt();
+    jobs.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -1,8 +1,6 @@
 package org.fallturn.node.gateway;
 
 import java.util.Optional;
-import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fallturn.core.port.table.StoreException;
@@ -34,10 +32,7 @@
   private final String node;
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
-  private final BlockingQueue<UsageReport> next = new ArrayBlockingQueue<>(1);
-  private final Thread thread = new Thread(this::work, "usage");
-  private volatile boolean working;
-  private volatile long notBeforeNanos = System.nanoTime();
+  private final JobThread<UsageReport> jobs = new JobThread<>("usage", this::carryOut);
   private long failingSinceNanos;
   private boolean failing;
 
@@ -60,31 +55,15 @@
     this.node = node;
     this.events = events;
     this.log = log;
-    thread.setDaemon(true);
   }
 
   void start() {
-    thread.start();
+    jobs.start();
   }
 
   /** Hands a report over; dropped while another is under way or right after a failure. */
   void offer(UsageReport report) {
-    if (!working && System.nanoTime() - notBeforeNanos >= 0) {
-      next.offer(report);
-    }
-  }
-
-  private void work() {
-    try {
-      while (true) {
-        UsageReport report = next.take();
-        working = true;
-        carryOut(report);
-        working = false;
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    jobs.offer(report);
   }
 
   private void carryOut(UsageReport proposed) throws InterruptedException {
@@ -134,7 +113,7 @@
       failingSinceNanos = System.nanoTime();
     }
     log.usageNotReported(report, reason);
-    notBeforeNanos = System.nanoTime() + PAUSE_AFTER_FAILURE_NANOS;
+    jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
   }
 
   /** The platform may answer other nodes. */
@@ -147,6 +126,6 @@
 
   @Override
   public void close() {
-    thread.interrupt();
+    jobs.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.peers.PeerInfo;
+import org.fallturn.core.scaling.ScaleParameters;
 
 /**
  * Every setting of a gateway process: a node whose routes, engines and lasting state come from the
@@ -25,6 +26,7 @@
  * @param dispatch constants of the dispatcher
  * @param stages when engines change their stage
  * @param duties calls to the platform that one node makes for all
+ * @param scaling whether and how engines are ordered
  * @param log the log on standard output
  */
 public record GatewaySettings(
@@ -42,6 +44,7 @@
     DispatchSettings dispatch,
     StageSettings stages,
     DutySettings duties,
+    ScaleSettings scaling,
     LogSettings log) {
 
   /** Part of the drain bound in which a leaving engine is a last resort. */
@@ -101,6 +104,7 @@
               DispatchSettings.DEFINITIONS,
               StageSettings.DEFINITIONS,
               DutySettings.DEFINITIONS,
+              ScaleSettings.DEFINITIONS,
               LogSettings.DEFINITIONS)
           .flatMap(List::stream)
           .<SettingDefinition<?>>map(definition -> definition)
@@ -133,6 +137,7 @@
         DispatchSettings.from(values),
         StageSettings.from(values),
         DutySettings.from(values),
+        ScaleSettings.from(values),
         LogSettings.from(values));
   }
 
@@ -179,6 +184,11 @@
         stages.parameters());
   }
 
+  /** What orders of engines go by. */
+  public ScaleParameters scaleParameters() {
+    return scaling.parameters(stages.leastShare());
+  }
+
   /** Longest time a planned stop may take, with a margin before the platform kills the process. */
   public Duration stopWithin() {
     return bounds.grace().minus(bounds.stopMargin());
