--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -214,7 +214,7 @@
 
   /** Whether this node is the one that orders and reports for all, as far as it knows. */
   public boolean leads(long nowNanos) {
-    return stages.orders(nowNanos);
+    return stages.leads(nowNanos);
   }
 
   /** The store did not give this node the lease that orders need. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -95,17 +95,17 @@
     return outlooks;
   }
 
+  private boolean orders(long nowNanos) {
+    return mayOrder(nowNanos) && peerLoads.isFirst(node, nowNanos);
+  }
+
   /**
-   * Whether this node is the one that orders. Where the store has turned all candidates away, each
-   * of them tries again, and the lease decides.
+   * Whether this node is the one that acts for all. Where all candidates have failed to, each of
+   * them tries again and the lease decides: a report that is late is worse than a call in vain.
    */
-  boolean orders(long nowNanos) {
-    if (!candidate) {
-      return false;
-    }
-    return mayOrder(nowNanos)
-        ? peerLoads.isFirst(node, nowNanos)
-        : peerLoads.nobodyMayOrder(nowNanos);
+  boolean leads(long nowNanos) {
+    return orders(nowNanos)
+        || candidate && !isServed(nowNanos) && peerLoads.nobodyMayOrder(nowNanos);
   }
 
   /** Says whether this node is one of the few that may order at all. */
