--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -92,6 +92,7 @@
   private int rankedNodes = 1;
   private long listedAskableNanos;
   private volatile RelayRanking ranking;
+  private List<PeerInfo> collectors = List.of();
   private Optional<PeerInfo> relay = Optional.empty();
   private long relaySinceNanos;
   private boolean busyLastTurn;
@@ -130,7 +131,7 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).distinct().toList();
     this.loads = loads;
     this.directory = new PeerDirectory(self);
-    this.ranking = new RelayRanking(self, List.of(), 1);
+    rankAs(new RelayRanking(self, List.of(), 1));
     this.count = new NodeCount(beganNanos);
   }
 
@@ -295,12 +296,13 @@
 
   /** Whether other nodes tell this one what they count, so that it may report it for all. */
   public boolean collects() {
-    return collectors().contains(self);
+    return collectors.contains(self);
   }
 
-  /** Few of the relays, by rank: whoever knows the same nodes tells the same. */
-  private List<PeerInfo> collectors() {
-    return ranking.relaysFor(COLLECT).stream().limit(COLLECTORS).toList();
+  /** Few of the relays collect: whoever knows the same nodes tells the same. */
+  private void rankAs(RelayRanking newRanking) {
+    ranking = newRanking;
+    collectors = newRanking.relaysFor(COLLECT).stream().limit(COLLECTORS).toList();
   }
 
   /** The messages by which this node tells what it has counted. */
@@ -318,7 +320,7 @@
             Map.of(),
             Optional.of(news),
             false);
-    return collectors().stream()
+    return collectors.stream()
         .filter(collector -> !collector.equals(self))
         .map(collector -> new Outgoing(collector.address(), message))
         .toList();
@@ -425,7 +427,7 @@
     if (nodes != rankedNodes || !known.equals(ranked)) {
       ranked = known;
       rankedNodes = nodes;
-      ranking = new RelayRanking(self, List.copyOf(known), nodes);
+      rankAs(new RelayRanking(self, List.copyOf(known), nodes));
     }
   }
 
