--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -218,7 +218,7 @@
   }
 
   /** The store did not give this node the lease that orders need. */
-  public void onNoStageLease(long nowNanos) {
+  public void onCannotLead(long nowNanos) {
     stages.onNoLease(nowNanos);
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
@@ -65,7 +65,7 @@
   @Test
   void nodeThatGetsNoLeaseLeavesTheOrdersToAnotherForSomeTime() {
     assertThat(wantedWhileOtherSays("", 4)).isPresent();
-    dispatcher.onNoStageLease(now());
+    dispatcher.onCannotLead(now());
     assertThat(dispatcher.mayOrderStages(now())).isFalse();
     assertThat(wantedWhileOtherSays("", 15)).isEmpty();
     assertThat(wantedWhileOtherSays("", 10)).isPresent();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -114,8 +114,8 @@
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
       dispatcher.onStageChangeAbandoned(abandoned.change());
-    } else if (event instanceof DispatchEvent.NoStageLease) {
-      dispatcher.onNoStageLease(now);
+    } else if (event instanceof DispatchEvent.CannotLead) {
+      dispatcher.onCannotLead(now);
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.onStageOrderUnanswered(unanswered.change(), now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -53,7 +53,7 @@
   record StageChangeAbandoned(StageChange change) implements DispatchEvent {}
 
   /** This node cannot carry out the duties of the one that leads, though another may. */
-  record NoStageLease() implements DispatchEvent {}
+  record CannotLead() implements DispatchEvent {}
 
   /** The usage of a window was reported. */
   record UsageReported(long window) implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayPlatform.java
@@ -35,80 +35,45 @@
 public record GatewayPlatform(
     CallerProtocol callers,
     EngineProtocol engines,
-    FeedFactory routingFeed,
+    ClientFactory<RowFeed> routingFeed,
     Predicate<FeedRow> isRouting,
     RowDecoder<RoutingImage> routingDecoder,
-    FeedFactory engineFeed,
+    ClientFactory<RowFeed> engineFeed,
     RowDecoder<ServingEngine> engineDecoder,
-    LeaseFactory orderLease,
-    QuarantineFactory quarantine,
-    UsageStoreFactory usage,
-    UsageApiFactory usageApi,
-    StandingStoreFactory standing,
-    ScaleApiFactory scaleApi,
+    ClientFactory<OrderLeaseStore> orderLease,
+    ClientFactory<QuarantineStore> quarantine,
+    ClientFactory<UsageStore> usage,
+    ApiFactory<UsageApi> usageApi,
+    ClientFactory<StandingStore> standing,
+    ApiFactory<ScaleApi> scaleApi,
     String readinessPath) {
 
-  /** Makes the way to the row of the lease on orders. */
+  /**
+   * Makes a way to the store, or to a part of it; the process has one HTTP client, since each costs
+   * its start.
+   *
+   * @param <T> what is spoken there
+   */
   @FunctionalInterface
-  public interface LeaseFactory {
+  public interface ClientFactory<T> {
 
     /** A way that calls by a client that has been started. */
-    OrderLeaseStore create(HttpClient client);
+    T create(HttpClient client);
   }
 
-  /** Makes the way to the contents in quarantine. */
+  /**
+   * Makes a way to the platform's API.
+   *
+   * @param <T> what is spoken there
+   */
   @FunctionalInterface
-  public interface QuarantineFactory {
-
-    /** A way that calls by a client that has been started. */
-    QuarantineStore create(HttpClient client);
-  }
-
-  /** Makes the way to the counts that are to be reported. */
-  @FunctionalInterface
-  public interface UsageStoreFactory {
-
-    /** A way that calls by a client that has been started. */
-    UsageStore create(HttpClient client);
-  }
-
-  /** Makes the way to the numbers of engines before any order. */
-  @FunctionalInterface
-  public interface StandingStoreFactory {
-
-    /** A way that calls by a client that has been started. */
-    StandingStore create(HttpClient client);
-  }
-
-  /** Makes the way to the platform's API for orders of engines. */
-  @FunctionalInterface
-  public interface ScaleApiFactory {
-
-    /**
-     * A way that calls by a client that has been started.
-     *
-     * @param address where the API listens
-     */
-    ScaleApi create(HttpClient client, NetworkAddress address);
-  }
-
-  /** Makes the way to the platform's API for usage reports. */
-  @FunctionalInterface
-  public interface UsageApiFactory {
+  public interface ApiFactory<T> {
 
     /**
      * A way that calls by a client that has been started.
      *
      * @param address where the API listens
      */
-    UsageApi create(HttpClient client, NetworkAddress address);
-  }
-
-  /** Makes the feed of a table; the process has one HTTP client, since each costs its start. */
-  @FunctionalInterface
-  public interface FeedFactory {
-
-    /** A feed that calls by a client that has been started. */
-    RowFeed create(HttpClient client);
+    T create(HttpClient client, NetworkAddress address);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -20,6 +20,7 @@
 import org.fallturn.core.peers.FleetKnowledge;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
@@ -122,8 +123,8 @@
             settings.nodeName(),
             parameters.stages(),
             System::nanoTime);
-    this.stages =
-        new StageDuty(lease, new EngineOrders(engines), settings.nodeName(), this::tell, log);
+    DutyContext duties = new DutyContext(lease, settings.nodeName(), this::tell, log);
+    this.stages = new StageDuty(duties, new EngineOrders(engines));
     Dispatcher dispatcher = new Dispatcher(parameters);
     this.knowledge =
         new FleetKnowledge(
@@ -144,8 +145,8 @@
         new QuarantineDuty(platform.quarantine().create(engines.client()), this::tell, log);
     this.keeper =
         new QuarantineKeeper(dispatcher, new EngineProbe(engines, this::tell), quarantine, log);
-    this.scaling = settings.duties().api().map(address -> newScaleDuty(lease, address));
-    this.usage = settings.duties().usage().map(windows -> newUsageDuty(lease));
+    this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
+    this.usage = settings.duties().usage().map(windows -> newUsageDuty(duties));
     DispatchDuty duty =
         new DispatchDuty(
             dispatcher,
@@ -173,24 +174,18 @@
             settings.bounds().drain().dividedBy(GATHER_PARTS));
   }
 
-  private UsageDuty newUsageDuty(OrderLease lease) {
+  private UsageDuty newUsageDuty(DutyContext duties) {
     return new UsageDuty(
-        lease,
+        duties,
         platform.usage().create(engines.client()),
-        platform.usageApi().create(engines.client(), settings.duties().api().orElseThrow()),
-        settings.nodeName(),
-        this::tell,
-        log);
+        platform.usageApi().create(engines.client(), settings.duties().api().orElseThrow()));
   }
 
-  private ScaleDuty newScaleDuty(OrderLease lease, NetworkAddress api) {
+  private ScaleDuty newScaleDuty(DutyContext duties, NetworkAddress api) {
     return new ScaleDuty(
-        lease,
+        duties,
         platform.standing().create(engines.client()),
-        platform.scaleApi().create(engines.client(), api),
-        settings.nodeName(),
-        this::tell,
-        log);
+        platform.scaleApi().create(engines.client(), api));
   }
 
   private Scaling newScaling() {
@@ -220,7 +215,7 @@
 
   private RowFollower newFollower(
       String table,
-      GatewayPlatform.FeedFactory feed,
+      GatewayPlatform.ClientFactory<RowFeed> feed,
       Consumer<FeedTracker> onRows,
       Duration longestGather) {
     return new RowFollower(
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/JobThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/JobThread.java
@@ -2,6 +2,9 @@
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Carries out jobs on a thread of its own, one at a time, with a pause after one that failed. A job
@@ -11,6 +14,11 @@
  */
 final class JobThread<T> implements AutoCloseable {
 
+  private static final Logger LOG = LoggerFactory.getLogger(JobThread.class);
+
+  /** A fault that comes again at once would fill the log. */
+  private static final long PAUSE_AFTER_FAULT_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final Job<T> job;
   private final BlockingQueue<T> next = new ArrayBlockingQueue<>(1);
   private final Thread thread;
@@ -53,7 +61,7 @@
       while (true) {
         T subject = next.take();
         working = true;
-        job.carryOut(subject);
+        carryOut(subject);
         working = false;
       }
     } catch (InterruptedException e) {
@@ -61,6 +69,16 @@
     }
   }
 
+  /** A fault of one job does not end the duty. */
+  private void carryOut(T subject) throws InterruptedException {
+    try {
+      job.carryOut(subject);
+    } catch (RuntimeException e) {
+      LOG.error("duties: {} failed with {}.", thread.getName(), subject, e);
+      pause(PAUSE_AFTER_FAULT_NANOS);
+    }
+  }
+
   @Override
   public void close() {
     thread.interrupt();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
@@ -2,13 +2,11 @@
 
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.core.scaling.ScaleApi;
 import org.fallturn.core.scaling.ScaleOrder;
 import org.fallturn.core.scaling.ScaleWish;
 import org.fallturn.core.scaling.StandingStore;
-import org.fallturn.core.stages.OrderLease;
 import org.fallturn.core.usage.DutyOutcome;
 
 /**
@@ -22,33 +20,16 @@
   /** Calls have their price, and an engine takes seconds to start. */
   private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  private final OrderLease lease;
+  private final DutyContext duty;
   private final StandingStore standing;
   private final ScaleApi api;
-  private final String node;
-  private final Consumer<DispatchEvent> events;
-  private final DecisionLog log;
   private final JobThread<ScaleWish> jobs = new JobThread<>("scaling", this::carryOut);
 
-  /**
-   * A duty that has not begun.
-   *
-   * @param node name of this node
-   * @param events told of each answer
-   */
-  ScaleDuty(
-      OrderLease lease,
-      StandingStore standing,
-      ScaleApi api,
-      String node,
-      Consumer<DispatchEvent> events,
-      DecisionLog log) {
-    this.lease = lease;
+  /** A duty that has not begun. */
+  ScaleDuty(DutyContext duty, StandingStore standing, ScaleApi api) {
+    this.duty = duty;
     this.standing = standing;
     this.api = api;
-    this.node = node;
-    this.events = events;
-    this.log = log;
   }
 
   void start() {
@@ -64,25 +45,25 @@
     try {
       if (wish instanceof ScaleWish.FixStanding fix) {
         Map<String, Integer> fixed = standing.fix(fix.service(), fix.observed());
-        events.accept(new DispatchEvent.StandingKnown(fix.service(), fixed));
+        duty.events().accept(new DispatchEvent.StandingKnown(fix.service(), fixed));
       } else if (wish instanceof ScaleWish.Give give) {
         give(give.order());
       }
     } catch (StoreException e) {
-      log.dependencyLost("scaling", e);
+      duty.log().dependencyLost("scaling", e);
       jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
-      events.accept(new DispatchEvent.NoStageLease());
+      duty.events().accept(new DispatchEvent.CannotLead());
     }
   }
 
   private void give(ScaleOrder order) throws StoreException, InterruptedException {
-    if (!lease.take() || !lease.held()) {
+    if (!duty.lease().take() || !duty.lease().held()) {
       jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
       return;
     }
-    DutyOutcome outcome = api.scale(order, node, lease.token());
-    log.scaleOrdered(order, lease.token(), outcome);
-    events.accept(new DispatchEvent.ScaleAnswered(order, outcome));
+    DutyOutcome outcome = api.scale(order, duty.node(), duty.lease().token());
+    duty.log().scaleOrdered(order, duty.lease().token(), outcome);
+    duty.events().accept(new DispatchEvent.ScaleAnswered(order, outcome));
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
@@ -4,10 +4,8 @@
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.port.table.StoreException;
-import org.fallturn.core.stages.OrderLease;
 import org.fallturn.core.stages.StageChange;
 
 /**
@@ -27,31 +25,15 @@
   /** Another node has ordered with a higher number: it goes on, and this one keeps still. */
   private static final long PAUSE_AFTER_FENCED_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-  private final OrderLease lease;
+  private final DutyContext duty;
   private final EngineOrders orders;
-  private final String node;
-  private final Consumer<DispatchEvent> events;
-  private final DecisionLog log;
   private final JobThread<StageChange> jobs = new JobThread<>("stages", this::carryOut);
   private final AtomicInteger abandoned = new AtomicInteger();
 
-  /**
-   * A duty that has not begun.
-   *
-   * @param node name of this node
-   * @param events told of each step
-   */
-  StageDuty(
-      OrderLease lease,
-      EngineOrders orders,
-      String node,
-      Consumer<DispatchEvent> events,
-      DecisionLog log) {
-    this.lease = lease;
+  /** A duty that has not begun. */
+  StageDuty(DutyContext duty, EngineOrders orders) {
+    this.duty = duty;
     this.orders = orders;
-    this.node = node;
-    this.events = events;
-    this.log = log;
   }
 
   void start() {
@@ -68,37 +50,38 @@
       jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
       return;
     }
-    events.accept(new DispatchEvent.StageChangeBegun(change));
+    duty.events().accept(new DispatchEvent.StageChangeBegun(change));
     TimeUnit.MILLISECONDS.sleep(TELL_PEERS_MILLIS);
     Optional<EngineReport> report =
         orders
             .report(change.engine())
             .filter(state -> !state.busy() && state.stage() != change.stage())
             .filter(state -> !change.engine().isNot(state.bornMillis()));
-    if (report.isEmpty() || !lease.held()) {
+    if (report.isEmpty() || !duty.lease().held()) {
       abandon(change, report.isEmpty() ? "the engine is not fit" : "the lease has ended");
       return;
     }
-    StageOrder order = new StageOrder(change.stage(), node, lease.token(), report.get().sequence());
+    StageOrder order =
+        new StageOrder(change.stage(), duty.node(), duty.lease().token(), report.get().sequence());
     settle(change, order, orders.send(change.engine(), order));
   }
 
   private boolean takeLease(StageChange change) {
     try {
-      if (lease.take()) {
+      if (duty.lease().take()) {
         return true;
       }
       giveUp(change, "another node has the lease");
     } catch (StoreException e) {
       giveUp(change, "no lease: " + e.getMessage());
-      events.accept(new DispatchEvent.NoStageLease());
+      duty.events().accept(new DispatchEvent.CannotLead());
     }
     return false;
   }
 
   private void giveUp(StageChange change, String reason) {
     abandoned.incrementAndGet();
-    log.stageChangeAbandoned(change, reason);
+    duty.log().stageChangeAbandoned(change, reason);
   }
 
   /** How many changes were given up before their order was sent; any thread may call. */
@@ -107,9 +90,9 @@
   }
 
   private void settle(StageChange change, StageOrder order, OptionalInt status) {
-    log.stageOrdered(change, order, status.orElse(0));
+    duty.log().stageOrdered(change, order, status.orElse(0));
     if (status.isEmpty()) {
-      events.accept(new DispatchEvent.StageOrderUnanswered(change));
+      duty.events().accept(new DispatchEvent.StageOrderUnanswered(change));
       return;
     }
     switch (status.getAsInt()) {
@@ -117,17 +100,17 @@
         return;
       }
       case HttpStatus.PRECONDITION_FAILED_412 -> {
-        lease.drop();
+        duty.lease().drop();
         jobs.pause(PAUSE_AFTER_FENCED_NANOS);
       }
       default -> jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
     }
-    events.accept(new DispatchEvent.StageChangeAbandoned(change));
+    duty.events().accept(new DispatchEvent.StageChangeAbandoned(change));
   }
 
   private void abandon(StageChange change, String reason) {
     giveUp(change, reason);
-    events.accept(new DispatchEvent.StageChangeAbandoned(change));
+    duty.events().accept(new DispatchEvent.StageChangeAbandoned(change));
     jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -2,9 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.fallturn.core.port.table.StoreException;
-import org.fallturn.core.stages.OrderLease;
 import org.fallturn.core.usage.DutyOutcome;
 import org.fallturn.core.usage.UsageApi;
 import org.fallturn.core.usage.UsageReport;
@@ -26,35 +24,18 @@
   /** So long one node tries in vain before it lets another: half of what a report has. */
   private static final long STEP_ASIDE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
-  private final OrderLease lease;
+  private final DutyContext duty;
   private final UsageStore store;
   private final UsageApi api;
-  private final String node;
-  private final Consumer<DispatchEvent> events;
-  private final DecisionLog log;
   private final JobThread<UsageReport> jobs = new JobThread<>("usage", this::carryOut);
   private long failingSinceNanos;
   private boolean failing;
 
-  /**
-   * A duty that has not begun.
-   *
-   * @param node name of this node
-   * @param events told of each report that was taken, and when another node had better report
-   */
-  UsageDuty(
-      OrderLease lease,
-      UsageStore store,
-      UsageApi api,
-      String node,
-      Consumer<DispatchEvent> events,
-      DecisionLog log) {
-    this.lease = lease;
+  /** A duty that has not begun. */
+  UsageDuty(DutyContext duty, UsageStore store, UsageApi api) {
+    this.duty = duty;
     this.store = store;
     this.api = api;
-    this.node = node;
-    this.events = events;
-    this.log = log;
   }
 
   void start() {
@@ -68,21 +49,21 @@
 
   private void carryOut(UsageReport proposed) throws InterruptedException {
     try {
-      if (!lease.take()) {
+      if (!duty.lease().take()) {
         failed(proposed, "another node has the lease");
         return;
       }
       Optional<UsageReport> fixed = store.fix(proposed);
       if (fixed.isEmpty()) {
         done(proposed, DutyOutcome.FENCED);
-      } else if (lease.held()) {
-        settle(fixed.get(), api.report(fixed.get(), node, lease.token()));
+      } else if (duty.lease().held()) {
+        settle(fixed.get(), api.report(fixed.get(), duty.node(), duty.lease().token()));
       } else {
         failed(proposed, "the lease has ended");
       }
     } catch (StoreException e) {
       failed(proposed, "no lease or no counts: " + e.getMessage());
-      events.accept(new DispatchEvent.NoStageLease());
+      duty.events().accept(new DispatchEvent.CannotLead());
     }
   }
 
@@ -90,9 +71,9 @@
     switch (outcome) {
       case TAKEN -> done(report, outcome);
       case FENCED -> {
-        lease.drop();
+        duty.lease().drop();
         failed(report, "another node has reported since");
-        events.accept(new DispatchEvent.NoStageLease());
+        duty.events().accept(new DispatchEvent.CannotLead());
       }
       default -> {
         failed(report, "the platform: " + outcome);
@@ -103,8 +84,8 @@
 
   private void done(UsageReport report, DutyOutcome outcome) {
     failing = false;
-    log.usageReported(report, lease.token(), outcome);
-    events.accept(new DispatchEvent.UsageReported(report.window()));
+    duty.log().usageReported(report, duty.lease().token(), outcome);
+    duty.events().accept(new DispatchEvent.UsageReported(report.window()));
   }
 
   private void failed(UsageReport report, String reason) {
@@ -112,7 +93,7 @@
       failing = true;
       failingSinceNanos = System.nanoTime();
     }
-    log.usageNotReported(report, reason);
+    duty.log().usageNotReported(report, reason);
     jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
   }
 
@@ -120,7 +101,7 @@
   private void stepAsideWhenInVain() {
     if (System.nanoTime() - failingSinceNanos >= STEP_ASIDE_NANOS) {
       failing = false;
-      events.accept(new DispatchEvent.NoStageLease());
+      duty.events().accept(new DispatchEvent.CannotLead());
     }
   }
 
