Know within two seconds whether answers are short; give own engines up without a pause between zones

An estimate that begins with its first answers knows after 15. What was ordered to go counts as gone, so that zones follow each other at once.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
@@ -15,15 +15,19 @@
   /** Weight of one prompt in the means: some hundred of them are remembered. */
   private static final double SMOOTHING = 0.01;
 
-  /** Of a service that answers in a few tokens; a node knows it after some 150 prompts. Judged. */
+  /** Of a service that answers in a few tokens. Judged. */
   private static final double FEW_LONG_ANSWERS = 0.2;
 
+  /** Placed by a node in some two seconds, so that it knows before the first burst ends. */
+  private static final int ENOUGH_ANSWERS = 15;
+
   private long beganNanos;
   private long longest;
   private long longestBefore;
   private double meanRead;
   private double meanSquareRead;
-  private double longAnswers = 1;
+  private double longAnswers;
+  private int answers;
 
   /** A prompt of so many tokens was placed, by this node or another. */
   void onPrompt(long tokens, long nowNanos) {
@@ -33,12 +37,13 @@
 
   /** A prompt was placed by this node whose answer may be long, or not. */
   void onAnswer(boolean mayBeLong) {
-    longAnswers += SMOOTHING * ((mayBeLong ? 1 : 0) - longAnswers);
+    answers++;
+    longAnswers += Math.max(SMOOTHING, 1.0 / answers) * ((mayBeLong ? 1 : 0) - longAnswers);
   }
 
   /** Whether answers that run for long are met now and then, or it is not known yet. */
   boolean someAnswersAreLong() {
-    return longAnswers > FEW_LONG_ANSWERS;
+    return answers < ENOUGH_ANSWERS || longAnswers > FEW_LONG_ANSWERS;
   }
 
   /** So many tokens of a prompt have to be read, since no part of the others is kept. */
--- a/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
@@ -37,20 +37,16 @@
   /** Where none were to be had, they are asked for again after a while; each call has its price. */
   private static final long REFUSED_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Until the list shows what an order to give up engines did, no other zone gives up any. */
-  private static final long GIVE_UP_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
-
   private final String service;
   private final ScaleParameters parameters;
   private final Map<String, Ordered> orderedLoans = new HashMap<>();
+  private final Map<String, Ordered> orderedOwn = new HashMap<>();
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private Map<String, Integer> standing = Map.of();
   private Map<String, Integer> lastSeen = Map.of();
   private long lastSeenNanos;
-  private long givenUpNanos;
-  private boolean givenUp;
 
-  /** Loans that a zone will have once they have started. */
+  /** Engines of a kind that a zone will have once an order is carried out and known. */
   private record Ordered(int count, long untilNanos) {}
 
   /** A planner that has seen nothing. */
@@ -118,7 +114,7 @@
     Map<String, Integer> own = counts(staying, false);
     Map<String, Integer> loans = withOrdered(counts(staying, true), nowNanos);
     Map<String, Integer> wanted = new TreeMap<>(loans);
-    int missing = loanTarget() - loans.values().stream().mapToInt(count -> count).sum();
+    int missing = loanTarget() - sum(loans);
     while (missing > 0) {
       Optional<String> zone = emptiestZone(terms, own, wanted, nowNanos);
       if (zone.isEmpty()) {
@@ -159,14 +155,15 @@
             });
   }
 
-  /** Gives own engines up, a zone at a time, as far as the fleet stays as large as it is to be. */
+  /** Gives own engines up, as far as the fleet stays as large as it is to be. */
   private Optional<ScaleOrder> wantedOwn(List<ServingEngine> staying, long nowNanos) {
-    int toSpare = staying.size() - fleetTarget();
-    boolean pauses = givenUp && nowNanos - givenUpNanos < GIVE_UP_PAUSE_NANOS;
-    if (pauses || toSpare <= 0 || !stagesHaveTheirShare(staying)) {
+    Map<String, Integer> listed = counts(staying, false);
+    Map<String, Integer> own = withGivenUp(listed, nowNanos);
+    int goingSoon = sum(listed) - sum(own);
+    int toSpare = staying.size() - goingSoon - fleetTarget();
+    if (toSpare <= 0 || !stagesHaveTheirShare(staying)) {
       return Optional.empty();
     }
-    Map<String, Integer> own = counts(staying, false);
     return own.keySet().stream()
         .filter(zone -> standing.containsKey(zone) && own.get(zone) > ownTarget(zone))
         .filter(zone -> orderedLoans.isEmpty() || own.get(zone) - ownTarget(zone) <= toSpare)
@@ -178,6 +175,20 @@
             });
   }
 
+  private static int sum(Map<String, Integer> counts) {
+    return counts.values().stream().mapToInt(count -> count).sum();
+  }
+
+  /** Own engines that stay once the orders so far are carried out. */
+  private Map<String, Integer> withGivenUp(Map<String, Integer> listed, long nowNanos) {
+    orderedOwn.values().removeIf(ordered -> nowNanos - ordered.untilNanos() >= 0);
+    Map<String, Integer> own = new TreeMap<>(listed);
+    orderedOwn.forEach(
+        (zone, ordered) ->
+            own.computeIfPresent(zone, (z, count) -> Math.min(count, ordered.count())));
+    return own;
+  }
+
   private int fleetTarget() {
     return loanTarget() + standing.keySet().stream().mapToInt(this::ownTarget).sum();
   }
@@ -193,8 +204,7 @@
   public void onAnswer(ScaleOrder order, ScalingTerms terms, DutyOutcome outcome, long nowNanos) {
     boolean mayBeCarriedOut = outcome == DutyOutcome.TAKEN || outcome == DutyOutcome.UNANSWERED;
     if (!order.loan()) {
-      givenUp = true;
-      givenUpNanos = nowNanos;
+      orderedOwn.put(order.zone(), new Ordered(order.count(), nowNanos + NEWS.toNanos()));
     } else if (mayBeCarriedOut) {
       long until = nowNanos + terms.boot().plus(NEWS).toNanos();
       orderedLoans.put(order.zone(), new Ordered(order.count(), until));
