Revert reading in place where answers are short: answers are not as short as they seemed

A log of what long prompts are decided from shows why: the answers count up to 476 tokens, nine events of fourteen tokens each. A decode engine that reads in pieces of 512 stretches an event to some 280 ms, where 150 are in time, so that the standing price is right.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -495,7 +495,6 @@
         .cachedParts()
         .record(engine.id(), cacheTokens(progress.service()), prompt.parts(), readyAt);
     selector.sizes(progress.service()).onPrompt(prompt.promptTokens(), nowNanos);
-    selector.sizes(progress.service()).onAnswer(prompt.longAnswer());
     if (prompt.promptTokens() >= MIN_TOLD_TOKENS) {
       newPrompts.add(new PlacedPrompt(engine.id(), (int) millis, prompt.parts()));
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -75,8 +75,7 @@
   /**
    * Streams that are taken to run at a decode engine at least, since short answers are not counted
    * one by one: the factor with which round 10 of docs/experiments/platform.md was measured; others
-   * were not tried. Where hardly any answer is long, no more than there are requests: two thirds of
-   * the engines would else stay idle while prompts wait at the others.
+   * were not tried.
    */
   private static final int LEAST_STREAMS = 3;
 
@@ -231,22 +230,19 @@
             engine,
             ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
     int streams = selector.streams(engine, question.nowNanos());
-    double harm = harmMillis(question, engine, reading, running, streams);
+    double harm = harmMillis(question, engine, reading, streams);
     return plan(question, engine, false, reading, wait, harm - packedMillis(question, streams));
   }
 
   /** What reading the prompt here costs the streams of the engine. */
-  private double harmMillis(
-      Question question, ServingEngine engine, Reading reading, int running, int streams) {
+  private double harmMillis(Question question, ServingEngine engine, Reading reading, int streams) {
     if (reading.readTokens() == 0) {
       return 0;
     }
     long backlog = selector.backlogTokens(engine, question.nowNanos());
     double slowed = SLOWED_PART * question.speed().decodeMillis(reading.readTokens());
     double delayed = delayMillis(question, backlog, reading);
-    boolean someLong = selector.sizes(engine.service()).someAnswersAreLong();
-    int least = someLong ? LEAST_STREAMS : Math.min(LEAST_STREAMS, running);
-    return streams * slowed + Math.max(least, streams) * delayed;
+    return streams * slowed + Math.max(LEAST_STREAMS, streams) * delayed;
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How long the prompts of one service are, and whether its answers are, as this node sees them. An
- * engine reads a prompt to its end before it takes the next, so that the lengths say how long it
- * may be busy with one. One thread calls.
+ * How long the prompts of one service are, as this node sees them. An engine reads a prompt to its
+ * end before it takes the next, so that the lengths say how long it may be busy with one. One
+ * thread calls.
  */
 final class PromptSizes {
 
@@ -15,19 +15,11 @@
   /** Weight of one prompt in the means: some hundred of them are remembered. */
   private static final double SMOOTHING = 0.01;
 
-  /** Of a service that answers in a few tokens. Judged. */
-  private static final double FEW_LONG_ANSWERS = 0.2;
-
-  /** Placed by a node in some two seconds, so that it knows before the first burst ends. */
-  private static final int ENOUGH_ANSWERS = 15;
-
   private long beganNanos;
   private long longest;
   private long longestBefore;
   private double meanRead;
   private double meanSquareRead;
-  private double longAnswers;
-  private int answers;
 
   /** A prompt of so many tokens was placed, by this node or another. */
   void onPrompt(long tokens, long nowNanos) {
@@ -35,17 +27,6 @@
     longest = Math.max(longest, tokens);
   }
 
-  /** A prompt was placed by this node whose answer may be long, or not. */
-  void onAnswer(boolean mayBeLong) {
-    answers++;
-    longAnswers += Math.max(SMOOTHING, 1.0 / answers) * ((mayBeLong ? 1 : 0) - longAnswers);
-  }
-
-  /** Whether answers that run for long are met now and then, or it is not known yet. */
-  boolean someAnswersAreLong() {
-    return answers < ENOUGH_ANSWERS || longAnswers > FEW_LONG_ANSWERS;
-  }
-
   /** So many tokens of a prompt have to be read, since no part of the others is kept. */
   void onRead(long tokens) {
     double weight = meanRead == 0 ? 1 : SMOOTHING;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -396,26 +396,6 @@
     return read;
   }
 
-  /**
-   * Answers of three to nine tokens: of fifty engines the seventeen that read ahead had prompts of
-   * 17,000 tokens waiting for up to 2.4 s while the other thirty-three ran nothing, since each was
-   * taken to have three streams that reading would hold up.
-   */
-  @Test
-  void idleDecodeEngineReadsALongPromptWhereAnswersAreShort() {
-    Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
-    long now = START;
-    for (int request = 0; request < 20; request++) {
-      RequestProgress shortAnswer = Requests.promptAt(now, 300);
-      dispatcher.start(shortAnswer, now);
-      dispatcher.onFinished(shortAnswer, now);
-    }
-    assertThat(dispatcher.start(Requests.promptAt(now, 12_000), now))
-        .isInstanceOf(Decision.Prefill.class);
-    assertThat(dispatcher.start(Requests.promptAt(now, 6_000), now))
-        .isInstanceOf(Decision.Run.class);
-  }
-
   @Test
   void promptThatWouldWaitTooLongIsRefusedOnceAndNeverByAGuessedSpeed() {
     Dispatcher dispatcher = Requests.dispatcher(prefill);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
@@ -25,6 +25,9 @@
   /** Of the counts of a node that is killed, those since it last told are lost. */
   private static final long TELL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** As often as the clock is to be looked at; each look costs two calls of the system. */
+  private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** A node that has just begun to collect has been told by all within two such times. */
   private static final long COLLECT_NANOS = 2 * TELL_NANOS + TELL_NANOS / 2;
 
@@ -37,6 +40,7 @@
   private boolean collects;
   private long collectsSinceNanos;
   private long toldNanos;
+  private long lookedNanos;
 
   /** What the tally asks of the fleet. */
   interface Fleet {
@@ -139,6 +143,10 @@
 
   @Override
   public void onTick(long nowNanos) {
+    if (nowNanos - lookedNanos < LOOK_NANOS) {
+      return;
+    }
+    lookedNanos = nowNanos;
     long unixMillis = clock.unixMillis();
     if (collects != fleet.collects()) {
       collects = !collects;
