--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DecodedRowsTest.java
@@ -0,0 +1,44 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.node.json.MalformedMessageException;
+import org.junit.jupiter.api.Test;
+
+class DecodedRowsTest {
+
+  private final List<String> decoded = new ArrayList<>();
+  private final DecodedRows<String> rows =
+      new DecodedRows<>("engines", this::decode, new DecisionLog(new GatewayMetrics()));
+
+  private String decode(FeedRow row) throws MalformedMessageException {
+    decoded.add(row.key() + row.version());
+    if (row.value().isEmpty()) {
+      throw new MalformedMessageException("empty", null);
+    }
+    return row.value();
+  }
+
+  private static FeedRow row(String key, long version, String value) {
+    return new FeedRow(key, version, value, false);
+  }
+
+  @Test
+  void aRowIsReadOnceForEachTimeItWasWritten() {
+    assertThat(rows.read(List.of(row("a", 1, "x"), row("b", 2, "")))).containsExactly("x");
+    assertThat(rows.read(List.of(row("a", 1, "x"), row("b", 2, "")))).containsExactly("x");
+    assertThat(rows.read(List.of(row("a", 3, "y"), row("b", 2, "")))).containsExactly("y");
+    assertThat(decoded).containsExactly("a1", "b2", "a3");
+  }
+
+  @Test
+  void aRowThatWasGoneIsReadAnew() {
+    rows.read(List.of(row("a", 1, "x")));
+    assertThat(rows.read(List.of())).isEmpty();
+    assertThat(rows.read(List.of(row("a", 1, "x")))).containsExactly("x");
+    assertThat(decoded).containsExactly("a1", "a1");
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/TurnedAwayNodeTest.java
@@ -0,0 +1,147 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.port.table.StoreException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A store turned a third of the nodes away for nine seconds and served the operator and the other
+ * nodes: keys were taken away meanwhile, and the nodes that were turned away went on serving them,
+ * since they asked others only while they knew nothing at all.
+ */
+class TurnedAwayNodeTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(10);
+  private static final Duration KEY_LIFETIME = Duration.ofMillis(300);
+
+  private final AtomicBoolean turnedAway = new AtomicBoolean();
+  private final AtomicBoolean othersTell = new AtomicBoolean(true);
+  private final AtomicLong newestChange = new AtomicLong(1);
+  private final AtomicLong believed = new AtomicLong();
+  private final DecisionLog log = new DecisionLog(new GatewayMetrics());
+  private final RowFollower follower =
+      new RowFollower(
+          "routing",
+          new Store(),
+          new Peer(),
+          new Believer(),
+          log,
+          new Others(),
+          new RowFollower.Times(Duration.ZERO, Duration.ofMillis(50)));
+
+  private static FeedAnswer table(long version) {
+    return new FeedAnswer(List.of(new FeedRow("config", version, "", false)), version);
+  }
+
+  private final class Store implements RowFeed {
+
+    @Override
+    public FeedAnswer snapshot() throws StoreException {
+      refuseWhenTurnedAway();
+      return table(1);
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
+        throws StoreException {
+      refuseWhenTurnedAway();
+      return new FeedAnswer(List.of(), after);
+    }
+
+    private void refuseWhenTurnedAway() throws StoreException {
+      if (turnedAway.get()) {
+        throw new StoreException("busy", false, null);
+      }
+    }
+  }
+
+  /** A node that the store serves. */
+  private final class Peer implements RowFeed {
+
+    @Override
+    public FeedAnswer snapshot() {
+      return table(newestChange.get());
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
+        throws StoreException {
+      throw new StoreException("whole tables only", false, null);
+    }
+  }
+
+  private final class Believer implements RowFollower.Listener {
+
+    @Override
+    public void onRows(FeedTracker tracker) {
+      believed.set(tracker.position());
+    }
+
+    @Override
+    public void onReachable(boolean reachable) {}
+  }
+
+  private final class Others implements RowFollower.Others {
+
+    @Override
+    public long newestChange() {
+      return newestChange.get();
+    }
+
+    @Override
+    public boolean tell() {
+      return othersTell.get();
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    follower.close();
+  }
+
+  @Test
+  void learnsFromAnotherNodeWhatTheStoreKeepsFromIt() {
+    follower.start();
+    await().atMost(LONGEST).until(() -> believed.get() == 1);
+    turnedAway.set(true);
+    newestChange.set(7);
+    await().atMost(LONGEST).until(() -> believed.get() == 7);
+    assertThat(follower.knowsOfNewer()).isFalse();
+  }
+
+  @Test
+  void keysThatFailClosedAreNotBelievedOnceNobodyCanConfirmThem() {
+    GatewayState state = new GatewayState(null, 0, Optional.of(KEY_LIFETIME));
+    state.setRouting(follower);
+    follower.start();
+    await().atMost(LONGEST).until(() -> believed.get() == 1);
+    await().atMost(LONGEST).until(() -> state.keysAreBelieved(System.nanoTime()));
+    turnedAway.set(true);
+    othersTell.set(false);
+    await().atMost(LONGEST).until(() -> !state.keysAreBelieved(System.nanoTime()));
+    turnedAway.set(false);
+    await().atMost(LONGEST).until(() -> state.keysAreBelieved(System.nanoTime()));
+  }
+
+  @Test
+  void keysThatFailOpenStayBelieved() {
+    GatewayState state = new GatewayState(null, 0, Optional.empty());
+    state.setRouting(follower);
+    long muchLater = System.nanoTime() + TimeUnit.HOURS.toNanos(1);
+    assertThat(state.keysAreBelieved(muchLater)).isTrue();
+  }
+}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PlatformQuickstart.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PlatformQuickstart.java
@@ -3,12 +3,16 @@
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 
 /**
- * Plays a small load through real gateways on the emulated platform: requests of every kind, an
- * engine that drains and a configuration that changes on the way. One thread uses it.
+ * Plays a small load of one tenant through real gateways on the emulated platform: requests of
+ * every kind, an engine that drains and a configuration that changes on the way. One thread uses
+ * it.
  */
 public final class PlatformQuickstart {
 
@@ -23,6 +27,8 @@
           EmulatedPlatform.NON_IDEMPOTENT);
   private static final List<Integer> TOKENS = List.of(LONG_PROMPT, SHORT_PROMPT, 0, 0);
   private static final int IN_FLIGHT = 16;
+  private static final String KEY = "key-of-the-bakery";
+  private static final String TENANT = RouteText.tenant("bakery", OptionalInt.of(0), KEY);
 
   private final PrintStream out;
 
@@ -40,13 +46,15 @@
   public boolean play(int requests) throws Exception {
     try (EmulatedPlatform platform = new EmulatedPlatform();
         EmulatedClient client = new EmulatedClient()) {
+      platform.configureTenants(TENANT);
+      client.setHeaders(HttpFields.build().add(HttpHeader.AUTHORIZATION, "Bearer " + KEY));
       List<EmulatedEngine> engines = addEngines(platform);
       List<NetworkAddress> doors = addGateways(platform);
       QuickstartReport report = new QuickstartReport();
       for (int begun = 0; begun < requests; begun += IN_FLIGHT) {
         if (begun > requests / 2 && begun <= requests / 2 + IN_FLIGHT) {
           platform.list(engines.get(engines.size() - 1), true);
-          platform.configure(RouteText.defaults());
+          platform.configureTenants(TENANT);
         }
         batch(client, doors, begun, Math.min(IN_FLIGHT, requests - begun), report);
       }
