--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -104,6 +104,11 @@
     return found;
   }
 
+  /** Limits of engines that were named, changed or ended since the last call. */
+  public List<LimitChange> takeLimitChanges() {
+    return notices.limits().takeFound();
+  }
+
   /** Takes a newer set of services. */
   public void setRouting(RoutingImage image) {
     split.retain(image.routeNames());
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
@@ -11,8 +11,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What engines have said of themselves: that they leave, and until when they want nothing from this
- * node. Kept by the id of one start of an engine, so that a later start begins with nothing.
+ * What engines have said of themselves: that they leave, until when they want nothing from this
+ * node, and how many requests they take from all. Kept by the id of one start of an engine, so that
+ * a later start begins with nothing.
  *
  * <p>Invariants: an engine that leaves never takes that back, whatever older news come later; a
  * rest lasts until the latest of the times that were said. Thread-safe: answers are read on client
@@ -25,11 +26,12 @@
    * store is away, for 13 s when it was seen, and may come back. Judged: long enough for any such
    * time, short enough that what is kept stays small.
    */
-  private static final long KEPT_UNLISTED_NANOS = TimeUnit.MINUTES.toNanos(10);
+  static final long KEPT_UNLISTED_NANOS = TimeUnit.MINUTES.toNanos(10);
 
   private final long lastResortNanos;
   private final Map<String, Long> leavingSince = new ConcurrentHashMap<>();
   private final Map<String, Long> restEnds = new ConcurrentHashMap<>();
+  private final EngineLimits limits = new EngineLimits();
   private final Queue<LeavingNotice> found = new ConcurrentLinkedQueue<>();
 
   /**
@@ -42,6 +44,11 @@
     this.lastResortNanos = lastResortNanos;
   }
 
+  /** How many requests engines take, as they say it. */
+  public EngineLimits limits() {
+    return limits;
+  }
+
   /** An engine is found to leave; nothing changes where that is known. */
   public void onLeaving(String engineId, NoticeSource source, long nowNanos) {
     if (leavingSince.putIfAbsent(engineId, nowNanos) == null) {
@@ -95,6 +102,7 @@
 
   /** Forgets engines that are listed no more, once their entries can't merely have lapsed. */
   void retain(Set<String> listed, long nowNanos) {
+    limits.retain(listed, nowNanos);
     leavingSince
         .entrySet()
         .removeIf(
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -7,6 +7,7 @@
 import org.fallturn.core.dispatch.Expectation;
 import org.fallturn.core.dispatch.HealthChange;
 import org.fallturn.core.dispatch.LeavingNotice;
+import org.fallturn.core.dispatch.LimitChange;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.dispatch.RequestProgress;
@@ -193,6 +194,17 @@
         .log();
   }
 
+  void engineLimit(LimitChange change) {
+    LogEvent event =
+        change.perSecond().isPresent() ? LogEvent.ENGINE_LIMITED : LogEvent.ENGINE_LIMIT_ENDED;
+    LoggingEventBuilder line =
+        line(event, change.source().name())
+            .addKeyValue("engine", change.engineId())
+            .addKeyValue("source", change.source());
+    change.perSecond().ifPresent(limit -> line.addKeyValue("perSecond", limit));
+    line.log();
+  }
+
   void noticeRefused(String engineId, String text) {
     line(LogEvent.NOTICE_REFUSED)
         .addKeyValue("engine", engineId)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -80,7 +80,7 @@
   @Override
   public void onEvent(DispatchEvent event) {
     long now = System.nanoTime();
-    takeLeaving(now);
+    takeNotices(now);
     if (event instanceof DispatchEvent.Arrived arrived) {
       onArrived(arrived.exchange(), now);
     } else if (event instanceof DispatchEvent.Prefilled prefilled) {
@@ -143,6 +143,11 @@
     }
   }
 
+  private void takeNotices(long now) {
+    takeLeaving(now);
+    dispatcher.takeLimitChanges().forEach(log::engineLimit);
+  }
+
   /**
    * Before anything is decided: an engine that has said that it leaves in an answer was used for
    * another 12 s while the store was away.
@@ -348,7 +353,7 @@
   @Override
   public void onTick() {
     long now = System.nanoTime();
-    takeLeaving(now);
+    takeNotices(now);
     for (Exchange exchange : Set.copyOf(active)) {
       if (exchange.envelope().remainingNanos(now) <= 0) {
         onTimeOver(exchange, now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -181,13 +181,14 @@
   private Request newRequest(ServingEngine engine, String method, String path, String requestId) {
     NetworkAddress address = engine.address();
     serviceByAddress.put(address, engine.service());
-    return client
-        .newRequest(address.host(), address.port())
-        .method(method)
-        .path(path)
-        .onRequestBegin(begun -> reader.onBegin(engine, !requestId.isEmpty(), begun))
-        .onResponseHeaders(answer -> reader.onHead(engine, requestId, answer))
-        .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+    Request request =
+        client
+            .newRequest(address.host(), address.port())
+            .method(method)
+            .path(path)
+            .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+    reader.watch(request, engine, requestId);
+    return request;
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -281,6 +281,7 @@
     metrics.gauge("engines", this::engineCount);
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("engines_resting", this::restingCount);
+    metrics.gauge("engines_limited", this::limitedCount);
     metrics.gauge("caches_known", survey::answered);
     metrics.gauge("contents_in_quarantine", keeper::quarantined);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
@@ -338,6 +339,11 @@
     return directory.all().stream().filter(engine -> notices.rests(engine.id(), now)).count();
   }
 
+  /** Listed engines that take only so many requests a second from all nodes together. */
+  public long limitedCount() {
+    return directory.all().stream().filter(engine -> notices.limits().limited(engine.id())).count();
+  }
+
   /** Engines that have said which prompt parts they keep. */
   public int cachesKnown() {
     return survey.answered();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -40,7 +40,11 @@
   ENGINE_LEAVES,
   /** An engine wants nothing from this node for a time. */
   ENGINE_RESTS,
-  /** What an engine said of its rest is no time and is passed over. */
+  /** An engine takes only so many requests a second from all nodes together. */
+  ENGINE_LIMITED,
+  /** An engine that took only so many requests takes any number again. */
+  ENGINE_LIMIT_ENDED,
+  /** What an engine said of its rest or its limit is no number and is passed over. */
   NOTICE_REFUSED,
   /** An engine that seemed to crash was asked, and is gone. */
   ENGINE_GONE,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
@@ -31,6 +31,8 @@
           LogEvent.ENGINES_CHANGED.name(),
           LogEvent.ENGINE_LEAVES.name(),
           LogEvent.ENGINE_RESTS.name(),
+          LogEvent.ENGINE_LIMITED.name(),
+          LogEvent.ENGINE_LIMIT_ENDED.name(),
           LogEvent.DEPENDENCY_LOST.name(),
           LogEvent.DEPENDENCY_REGAINED.name(),
           LogEvent.STOPPING.name(),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -1,6 +1,9 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.fallturn.core.dispatch.EngineNotices;
@@ -13,9 +16,13 @@
  */
 final class NoticeReader {
 
+  /** Engines of which it is remembered what was not readable, so that it is logged once. */
+  private static final int MAX_REFUSED = 1_000;
+
   private final EngineProtocol protocol;
   private final EngineNotices notices;
   private final DecisionLog log;
+  private final Map<String, String> refused = new ConcurrentHashMap<>();
 
   NoticeReader(EngineProtocol protocol, EngineNotices notices, DecisionLog log) {
     this.protocol = protocol;
@@ -24,29 +31,23 @@
   }
 
   /**
-   * An engine answers. An answer to another request, which came late on the same connection, says
-   * nothing: who gave it is not known.
+   * Reads the answer to a call, and stops its sending where its engine has said something since the
+   * call was decided.
    *
-   * @param requestId of the request that was sent; empty for a call of this node's own
+   * @param requestId of the caller's request; empty for a call of this node's own
    */
-  void onHead(ServingEngine engine, String requestId, Response response) {
-    EngineNotice notice = protocol.readNotice(response.getStatus(), response.getHeaders());
-    if (notice == EngineNotice.NONE) {
-      return;
-    }
-    EngineAnswerHead head = protocol.readHead(response.getStatus(), response.getHeaders());
-    if (head.belongsTo(requestId)) {
-      take(engine, notice);
-    }
+  void watch(Request request, ServingEngine engine, String requestId) {
+    AtomicLong sentNanos = new AtomicLong(System.nanoTime());
+    request.onRequestBegin(
+        begun -> {
+          sentNanos.set(System.nanoTime());
+          onBegin(engine, !requestId.isEmpty(), begun);
+        });
+    request.onResponseHeaders(answer -> onHead(engine, requestId, sentNanos.get(), answer));
   }
 
-  /**
-   * The sending of a call begins. What was decided before its engine said anything, and has waited
-   * for a connection since, is stopped here.
-   *
-   * @param ofCaller whether it is a caller's request; an engine that leaves answers other calls
-   */
-  void onBegin(ServingEngine engine, boolean ofCaller, Request request) {
+  /** An engine that leaves answers calls of this node's own still. */
+  private void onBegin(ServingEngine engine, boolean ofCaller, Request request) {
     long now = System.nanoTime();
     boolean taken =
         ofCaller ? notices.takesRequests(engine.id(), now) : !notices.rests(engine.id(), now);
@@ -55,14 +56,43 @@
     }
   }
 
-  private void take(ServingEngine engine, EngineNotice notice) {
+  /**
+   * An answer to another request, which came late on the same connection, says nothing: who gave it
+   * is not known.
+   */
+  private void onHead(ServingEngine engine, String requestId, long sentNanos, Response response) {
+    EngineNotice notice = protocol.readNotice(response.getStatus(), response.getHeaders());
+    if (notice.equals(EngineNotice.NONE)) {
+      return;
+    }
+    EngineAnswerHead head = protocol.readHead(response.getStatus(), response.getHeaders());
+    if (head.belongsTo(requestId)) {
+      take(engine, notice, !requestId.isEmpty(), sentNanos);
+    }
+  }
+
+  private void take(ServingEngine engine, EngineNotice notice, boolean ofCaller, long sentNanos) {
     long now = System.nanoTime();
     if (notice.leaving()) {
       notices.onLeaving(engine.id(), NoticeSource.ANSWER, now);
     }
     notice.rest().ifPresent(rest -> onRest(engine, rest, now));
-    if (!notice.unreadable().isEmpty()) {
-      log.noticeRefused(engine.id(), notice.unreadable());
+    notice
+        .perSecond()
+        .ifPresent(limit -> notices.limits().onNamed(engine.id(), limit, sentNanos, now));
+    if (notice.unlimited() && ofCaller) {
+      notices.limits().onNoneNamed(engine.id(), sentNanos);
+    }
+    notice.unreadable().forEach(text -> refuse(engine, text));
+  }
+
+  /** An engine may send the same in each of its answers. */
+  private void refuse(ServingEngine engine, String text) {
+    if (refused.size() >= MAX_REFUSED) {
+      refused.clear();
+    }
+    if (!text.equals(refused.put(engine.id(), text))) {
+      log.noticeRefused(engine.id(), text);
     }
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -68,6 +68,9 @@
   /** Says that an engine leaves. */
   static final String LEAVING = "Server-Leaving";
 
+  /** Says how many requests a second an engine takes from all nodes together. */
+  private static final String LIMIT = "Server-Limit";
+
   private static final long EVENT_MILLIS = 5;
 
   /** From the beginning of a run to the crash; 20 to 120 ms have been seen. */
@@ -96,6 +99,7 @@
   private volatile double pace = Double.POSITIVE_INFINITY;
   private volatile boolean leaving;
   private volatile String rest = "";
+  private volatile String limit = "";
 
   /**
    * Starts on any free port.
@@ -227,6 +231,15 @@
     leaving = true;
   }
 
+  /**
+   * Names in every answer from now on how many requests a second it takes; it serves any number.
+   *
+   * @param perSecond as it says it; empty to say nothing of it
+   */
+  public void nameLimit(String perSecond) {
+    limit = perSecond;
+  }
+
   /**
    * Turns every request away from now on.
    *
@@ -285,6 +298,9 @@
       if (leaving) {
         response.getHeaders().put(LEAVING, "1");
       }
+      if (!limit.isEmpty()) {
+        response.getHeaders().put(LIMIT, limit);
+      }
       if (path.startsWith(HANDLE_PATH)) {
         boolean waited = handles.remove(path.substring(HANDLE_PATH.length()));
         response.setStatus(waited ? HttpStatus.OK_200 : HttpStatus.NOT_FOUND_404);
