--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -1,8 +1,10 @@
 package org.fallturn.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -30,6 +32,12 @@
   private static final int TELL_MILLIS = 100;
   private static final int CALLERS_TRIES = 2;
 
+  /** Where ids begin depends on the seed alone: equal costs are decided by them. */
+  private static final int IDS = 10_000;
+
+  /** Of the operators: within which every node knows what concerns all, from its start on. */
+  static final long SETTLING_MILLIS = 3_000;
+
   private final Random random;
   private final double lossShare;
   private final List<Dispatcher> nodes = new ArrayList<>();
@@ -38,6 +46,8 @@
   private final List<Later> later = new ArrayList<>();
   private final Set<RequestFingerprint> stored = new HashSet<>();
   private final List<Long> poisonSends = new ArrayList<>();
+  private final List<Long> settledPoisonSends = new ArrayList<>();
+  private final Map<Integer, Long> startedAt = new HashMap<>();
   private final List<Long> poisonCrashes = new ArrayList<>();
   private int engineNumber;
   private int innocents;
@@ -55,6 +65,7 @@
   private record Later(long atMillis, Runnable action) {}
 
   CrashingFleet(long seed, int nodeCount, int engineCount) {
+    Requests.numberFrom(Math.floorMod(seed, IDS));
     random = new Random(seed);
     lossShare = random.nextInt(3) * 0.1;
     for (int engine = 0; engine < engineCount; engine++) {
@@ -88,6 +99,15 @@
     return poisonSends;
   }
 
+  /** When it was sent by a node that had been running for as long as knowing may take, in ms. */
+  List<Long> settledPoisonSends() {
+    return settledPoisonSends;
+  }
+
+  private boolean settled(int node) {
+    return !startedAt.containsKey(node) || millis - startedAt.get(node) >= SETTLING_MILLIS;
+  }
+
   /** When engines crashed under the poison, in ms. */
   List<Long> poisonCrashes() {
     return poisonCrashes;
@@ -132,6 +152,9 @@
       boolean poison = body.equals(POISON);
       if (poison) {
         poisonSends.add(millis);
+        if (settled(node)) {
+          settledPoisonSends.add(millis);
+        }
       }
       long lasts = poison ? 20 + random.nextInt(100) : 30 + random.nextInt(200);
       runs.add(new Run(node, progress, run, body, tries, millis + lasts));
@@ -170,6 +193,7 @@
   void restart(int node) {
     runs.removeIf(run -> run.node == node);
     nodes.set(node, newNode());
+    startedAt.put(node, millis);
   }
 
   void restartAll() {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -32,6 +32,11 @@
 
   private Requests() {}
 
+  /** Ids of requests and addresses of engines go on from a number, whatever tests ran before. */
+  static void numberFrom(int first) {
+    number = first;
+  }
+
   static Dispatcher dispatcher(ServingEngine... engines) {
     return dispatcher(1_000, engines);
   }
