--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -101,6 +101,30 @@
       return found;
     }
   },
+  /** An engine that names a limit gets no more than that from all gateways together. */
+  LIMIT_KEPT {
+    @Override
+    List<String> violations(SoakRecord record) {
+      Map<String, Integer> gateways = new HashMap<>();
+      record.calls().forEach(call -> gateways.put(call.requestId(), call.gateway()));
+      List<String> found = new ArrayList<>();
+      for (SoakRecord.Limit limit : record.limits()) {
+        List<Long> counted = counted(record, limit, gateways);
+        double allowed =
+            LIMIT_TIMES_TOLERATED * limit.perSecond() * LIMIT_WINDOW.toSeconds()
+                + REQUESTS_TOLERATED;
+        long worst =
+            counted.stream()
+                .mapToLong(begin -> within(counted, begin, begin + LIMIT_WINDOW.toNanos()))
+                .max()
+                .orElse(0);
+        if (worst > allowed) {
+          found.add(limit.engineId() + " got " + worst + " in a window, allowed " + allowed);
+        }
+      }
+      return found;
+    }
+  },
   /** In every window, what is sent again stays within the bound of the fleet. */
   RETRY_BUDGET {
     @Override
@@ -164,6 +188,12 @@
   private static final int CRASHES_TOLERATED = 3;
   private static final int REQUESTS_IN_REST_TOLERATED = 2;
 
+  /** What engines that name a limit are promised, by window. */
+  private static final Duration LIMIT_WINDOW = Duration.ofSeconds(4);
+
+  private static final double LIMIT_TIMES_TOLERATED = 1.5;
+  private static final int REQUESTS_TOLERATED = 5;
+
   /** What was under way when an engine asked for rest may reach it for so long. */
   private static final Duration UNDER_WAY = Duration.ofMillis(500);
 
@@ -200,6 +230,35 @@
         .count();
   }
 
+  /** Arrivals that count: from the bound on knowing on, of gateways that had no trouble lately. */
+  private static List<Long> counted(
+      SoakRecord record, SoakRecord.Limit limit, Map<String, Integer> gateways) {
+    List<SoakRecord.Arrival> there =
+        record.arrivals().stream()
+            .filter(arrival -> arrival.engineId().equals(limit.engineId()))
+            .filter(arrival -> gateways.containsKey(arrival.requestId()))
+            .filter(arrival -> arrival.nanos() >= limit.fromNanos())
+            .filter(arrival -> arrival.nanos() < limit.toNanos())
+            .toList();
+    if (there.isEmpty()) {
+      return List.of();
+    }
+    long contact = SoakFleet.CONTACT.toNanos();
+    long from = there.get(0).nanos() + contact;
+    return there.stream()
+        .filter(arrival -> arrival.nanos() >= from)
+        .filter(
+            arrival ->
+                !record.troubled(
+                    gateways.get(arrival.requestId()), arrival.nanos() - contact, arrival.nanos()))
+        .map(SoakRecord.Arrival::nanos)
+        .toList();
+  }
+
+  private static long within(List<Long> times, long from, long to) {
+    return times.stream().filter(at -> at >= from && at < to).count();
+  }
+
   private static boolean isWhole(SoakRecord.Call call) {
     return call.kind().model()
         ? call.body().equals(EmulatedEngine.wholeStream())
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -115,6 +115,28 @@
       fleet.endRest(target);
     }
   },
+  ENGINE_NAMES_A_LIMIT(Lane.LIMITS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.nameLimit(target, List.of(fleet.engine(target)));
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.endLimit(target);
+    }
+  },
+  ENGINES_OF_A_SERVICE_NAME_LIMITS(Lane.LIMITS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.nameLimit(target, fleet.sameServiceAs(fleet.engine(target)));
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.endLimit(target);
+    }
+  },
   POISON_COMES(Lane.REQUESTS) {
     @Override
     void begin(SoakFleet fleet, int target) {
@@ -138,9 +160,22 @@
 
   /** Faults of one lane follow each other; those of different lanes meet. */
   enum Lane {
-    FLEET,
-    ENGINE,
-    REQUESTS
+    FLEET(1),
+    ENGINE(1),
+    REQUESTS(1),
+    /** Longer than a window in which requests are counted, and what comes before it. */
+    LIMITS(3);
+
+    private final int times;
+
+    Lane(int times) {
+      this.times = times;
+    }
+
+    /** How many times as long its faults last. */
+    int times() {
+      return times;
+    }
   }
 
   private final Lane lane;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -31,6 +31,9 @@
   static final double RETRY_SLACK = 12;
   static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
 
+  /** What engines name as the requests a second that they take from all gateways together. */
+  private static final List<String> LIMITS = List.of("0", "0.5", "2.2", "6");
+
   /** What an engine asks for that turns requests away. */
   static final Duration REST = Duration.ofSeconds(2);
 
@@ -51,8 +54,10 @@
   private final List<SoakRecord.Rest> rests = new CopyOnWriteArrayList<>();
   private final Map<Integer, Draining> resting = new HashMap<>();
   private final Map<Integer, EmulatedEngine> leaving = new HashMap<>();
+  private final List<SoakRecord.Limit> limits = new CopyOnWriteArrayList<>();
+  private final Map<Integer, List<Draining>> limited = new HashMap<>();
 
-  /** An engine that leaves, or wants rest, since a time. */
+  /** An engine that leaves, wants rest or names a limit, since a time. */
   private record Draining(EmulatedEngine engine, long fromNanos) {}
 
   /**
@@ -186,6 +191,38 @@
     rests.add(new SoakRecord.Rest(rested.engine().id(), rested.fromNanos(), System.nanoTime()));
   }
 
+  /** The engines that serve with an engine, itself included. */
+  List<EmulatedEngine> sameServiceAs(EmulatedEngine engine) {
+    return platform.engines().stream()
+        .filter(other -> other.service().equals(engine.service()))
+        .toList();
+  }
+
+  private static String limit(int target) {
+    return LIMITS.get(Math.floorMod(target / LIMITS.size(), LIMITS.size()));
+  }
+
+  /** Engines name a limit in their answers; they serve any number. */
+  void nameLimit(int target, List<EmulatedEngine> engines) {
+    long now = System.nanoTime();
+    limited.put(target, engines.stream().map(engine -> new Draining(engine, now)).toList());
+    engines.forEach(engine -> engine.nameLimit(limit(target)));
+  }
+
+  void endLimit(int target) {
+    double perSecond = Double.parseDouble(limit(target));
+    for (Draining named : limited.remove(target)) {
+      EmulatedEngine engine = named.engine();
+      limits.add(
+          new SoakRecord.Limit(engine.id(), perSecond, named.fromNanos(), System.nanoTime()));
+      engine.nameLimit("");
+    }
+  }
+
+  List<SoakRecord.Limit> limits() {
+    return List.copyOf(limits);
+  }
+
   List<SoakRecord.Rest> rests() {
     return List.copyOf(rests);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -13,6 +13,7 @@
  * @param runs how often each request was run, by its id
  * @param drains when engines were listed as leaving
  * @param rests when engines turned requests away and asked for rest
+ * @param limits when engines named how many requests a second they take
  * @param troubles when gateways were killed, stopped, paused or cut off
  * @param poisons contents that crash engines
  * @param calmFromNanos when the last fault had ended
@@ -23,6 +24,7 @@
     Map<String, Integer> runs,
     List<Drain> drains,
     List<Rest> rests,
+    List<Limit> limits,
     List<Trouble> troubles,
     List<Poison> poisons,
     long calmFromNanos) {
@@ -90,6 +92,9 @@
   /** An engine turned everything away from one time to another, and asked for rest each time. */
   record Rest(String engineId, long fromNanos, long toNanos) {}
 
+  /** An engine named in its answers from one time to another how many requests it takes. */
+  record Limit(String engineId, double perSecond, long fromNanos, long toNanos) {}
+
   /** A gateway was in trouble from one time to another. */
   record Trouble(int gateway, long fromNanos, long toNanos) {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -66,6 +66,7 @@
             runs(fleet),
             fleet.drains(),
             fleet.rests(),
+            fleet.limits(),
             troubles(fleet),
             poisons,
             calmFrom);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakSchedule.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakSchedule.java
@@ -7,8 +7,8 @@
 import java.util.Random;
 
 /**
- * The faults of one run, drawn from its seed: two lanes of faults that follow each other with
- * pauses, so that at most two hold at once. The last seconds are calm. Immutable.
+ * The faults of one run, drawn from its seed: lanes of faults that follow each other with pauses,
+ * so that as many hold at once as there are lanes. The last seconds are calm. Immutable.
  *
  * @param seed what it was drawn from
  * @param faults in order of their begin
@@ -43,17 +43,19 @@
     Random random = new Random(seed);
     List<Entry> entries = new ArrayList<>();
     for (SoakFault.Lane lane : SoakFault.Lane.values()) {
-      addLane(entries, SoakFault.of(lane), random, length.minus(CALM).toMillis());
+      addLane(entries, lane, random, length.minus(CALM).toMillis());
     }
     entries.sort(Comparator.comparing(Entry::begin));
     return new SoakSchedule(seed, List.copyOf(entries), length);
   }
 
   private static void addLane(
-      List<Entry> entries, List<SoakFault> kinds, Random random, long untilMillis) {
+      List<Entry> entries, SoakFault.Lane lane, Random random, long untilMillis) {
+    List<SoakFault> kinds = SoakFault.of(lane);
     long begin = PAUSE_MILLIS + random.nextInt(PAUSE_MILLIS);
     while (true) {
-      long end = begin + SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
+      int lasts = SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
+      long end = begin + (long) lane.times() * lasts;
       if (end > untilMillis) {
         return;
       }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -34,7 +34,8 @@
       List<SoakRecord.Arrival> arrivals,
       Map<String, Integer> runs,
       List<SoakRecord.Drain> drains) {
-    return new SoakRecord(calls, arrivals, runs, drains, List.of(), List.of(), List.of(), CALM);
+    return new SoakRecord(
+        calls, arrivals, runs, drains, List.of(), List.of(), List.of(), List.of(), CALM);
   }
 
   private static List<SoakCheck> broken(SoakRecord record) {
@@ -133,6 +134,7 @@
         good.drains(),
         List.of(),
         List.of(),
+        List.of(),
         List.of(poison),
         CALM);
   }
@@ -169,7 +171,15 @@
     SoakRecord.Arrival arrival =
         new SoakRecord.Arrival("a-1", "late", seconds(laterAt + 0.1), false);
     return new SoakRecord(
-        calls, List.of(arrival), Map.of(), List.of(), List.of(), troubles, List.of(), CALM);
+        calls,
+        List.of(arrival),
+        Map.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        troubles,
+        List.of(),
+        CALM);
   }
 
   private static SoakRecord.Call at(String id, double atSeconds, Optional<String> leaving) {
@@ -210,7 +220,7 @@
     }
     SoakRecord.Rest rest = new SoakRecord.Rest("a-1", seconds(20), seconds(20.4));
     return new SoakRecord(
-        calls, arrivals, Map.of(), List.of(), List.of(rest), List.of(), List.of(), CALM);
+        calls, arrivals, Map.of(), List.of(), List.of(rest), List.of(), List.of(), List.of(), CALM);
   }
 
   @Test
@@ -219,4 +229,35 @@
     assertThat(broken(inRest(0.1, 0.7, 1.2, 2.2))).isEmpty();
     assertThat(broken(inRest(0.1, 0.7, 1.2, 1.9))).containsExactly(SoakCheck.RESTING_GETS_NOTHING);
   }
+
+  /** An engine takes one request a second from all, and gets some in a second, for ten seconds. */
+  private static SoakRecord atALimit(int inASecond, SoakRecord.Trouble... troubles) {
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.IDEMPOTENT, 200, "answer of a-1"), 1);
+    List<SoakRecord.Call> calls = new ArrayList<>(good.calls());
+    List<SoakRecord.Arrival> arrivals = new ArrayList<>();
+    for (int index = 0; index < 10 * inASecond; index++) {
+      double at = 20 + (double) index / inASecond;
+      calls.add(at("r-" + index, at, Optional.empty()));
+      arrivals.add(new SoakRecord.Arrival("a-1", "r-" + index, seconds(at), false));
+    }
+    SoakRecord.Limit limit = new SoakRecord.Limit("a-1", 1, seconds(20), seconds(30));
+    return new SoakRecord(
+        calls,
+        arrivals,
+        Map.of(),
+        List.of(),
+        List.of(),
+        List.of(limit),
+        List.of(troubles),
+        List.of(),
+        CALM);
+  }
+
+  @Test
+  void requestsBeyondTheLimitOfAnEngineAreFound() {
+    assertThat(broken(atALimit(2))).isEmpty();
+    assertThat(broken(atALimit(3))).containsExactly(SoakCheck.LIMIT_KEPT);
+    SoakRecord.Trouble restart = new SoakRecord.Trouble(0, seconds(22), seconds(25));
+    assertThat(broken(atALimit(3, restart))).isEmpty();
+  }
 }
