Read no prompt ahead while no engine has room to run it

Where all engines that decode name limits of which this node has nothing left, or rest, a prompt was still read ahead and its caller refused after that. Found when reading the mend; the test got a prefill before and is refused at once now, with the time when there is room.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -498,6 +498,7 @@
             nowNanos);
     return prompts
         .choose(question, mayPrefill)
+        .filter(plan -> !plan.prefill() || untilFirstOpens(progress, nowNanos).isEmpty())
         .map(plan -> refuseOrCarryOut(question, plan))
         .orElseGet(() -> nowhere(progress, nowNanos));
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
@@ -90,6 +90,21 @@
         .isBetween(Duration.ofMillis(200), Duration.ofSeconds(5));
   }
 
+  /** What is read ahead would be read in vain, and the caller would be refused later. */
+  @Test
+  void nothingIsReadAheadWhileNoEngineHasRoomToRunIt() {
+    ServingEngine reads = Requests.engine("p-1", Requests.MODEL, EngineStage.PREFILL);
+    ServingEngine runs = Requests.engine("d-1", Requests.MODEL, EngineStage.DECODE);
+    Dispatcher dispatcher = Requests.dispatcher(reads, runs);
+    RequestProgress before = Requests.prompt(false, 10_000, 5_000);
+    assertThat(dispatcher.start(before, Requests.START)).isInstanceOf(Decision.Prefill.class);
+    names(dispatcher, runs, 0);
+    RequestProgress progress = Requests.prompt(false, 10_000, 5_000);
+    Decision decision = dispatcher.start(progress, Requests.START);
+    assertThat(((Decision.Refuse) decision).kind()).isEqualTo(ErrorKind.NO_CAPACITY);
+    assertThat(progress.prefillAttempts()).isZero();
+  }
+
   @Test
   void whatWasDecidedBeforeTheLimitWasNamedIsStoppedAndGoesElsewhere() {
     Dispatcher dispatcher = Requests.dispatcher(limited, other);
