Log once each header of an engine's answer that nobody has decided about

What HTTP and the platform's pages name is known; any other name is logged once a process (HEADER_UNKNOWN, 100 names at the most) and passed on as before.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -205,13 +205,24 @@
     line.log();
   }
 
+  void headerUnknown(String engineId, String name) {
+    line(LogEvent.HEADER_UNKNOWN)
+        .addKeyValue("engine", engineId)
+        .addKeyValue("header", shortened(name))
+        .log();
+  }
+
   void noticeRefused(String engineId, String text) {
     line(LogEvent.NOTICE_REFUSED)
         .addKeyValue("engine", engineId)
-        .addKeyValue("text", text.substring(0, Math.min(text.length(), LONGEST_FOREIGN_TEXT)))
+        .addKeyValue("text", shortened(text))
         .log();
   }
 
+  private static String shortened(String text) {
+    return text.substring(0, Math.min(text.length(), LONGEST_FOREIGN_TEXT));
+  }
+
   void engineGone(String engineId) {
     line(LogEvent.ENGINE_GONE).addKeyValue("engine", engineId).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -18,6 +18,9 @@
   /** Reads what an engine says of itself in the head of any of its answers. */
   EngineNotice readNotice(int status, HttpFields headers);
 
+  /** Names of headers in an engine's answer that nobody here has decided about. */
+  List<String> unknownHeaders(HttpFields headers);
+
   /** Headers of an engine's answer that are passed on to the caller. */
   HttpFields.Mutable answerHeaders(HttpFields engineHeaders);
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -46,6 +46,8 @@
   ENGINE_LIMIT_ENDED,
   /** What an engine said of its rest or its limit is no number and is passed over. */
   NOTICE_REFUSED,
+  /** An engine's answer bears a header that this build does not know; once a name. */
+  HEADER_UNKNOWN,
   /** An engine that seemed to crash was asked, and is gone. */
   ENGINE_GONE,
   /** Engines have crashed under a content, or nothing speaks against it any more. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.client.Request;
@@ -19,10 +20,14 @@
   /** Engines of which it is remembered what was not readable, so that it is logged once. */
   private static final int MAX_REFUSED = 1_000;
 
+  /** Names of unknown headers that are logged; whatever applications send beyond is not. */
+  private static final int MAX_UNKNOWN = 100;
+
   private final EngineProtocol protocol;
   private final EngineNotices notices;
   private final DecisionLog log;
   private final Map<String, String> refused = new ConcurrentHashMap<>();
+  private final Set<String> unknown = ConcurrentHashMap.newKeySet();
 
   NoticeReader(EngineProtocol protocol, EngineNotices notices, DecisionLog log) {
     this.protocol = protocol;
@@ -72,6 +77,7 @@
    * is not known.
    */
   private void onHead(ServingEngine engine, String requestId, long sentNanos, Response response) {
+    protocol.unknownHeaders(response.getHeaders()).forEach(name -> onUnknown(engine, name));
     EngineNotice notice = protocol.readNotice(response.getStatus(), response.getHeaders());
     if (notice.equals(EngineNotice.NONE)) {
       return;
@@ -97,6 +103,13 @@
     notice.unreadable().forEach(text -> refuse(engine, text));
   }
 
+  /** What engines begin to say must not go unnoticed until it is found to have been a request. */
+  private void onUnknown(ServingEngine engine, String name) {
+    if (unknown.size() < MAX_UNKNOWN && unknown.add(name)) {
+      log.headerUnknown(engine.id(), name);
+    }
+  }
+
   /** An engine may send the same in each of its answers. */
   private void refuse(ServingEngine engine, String text) {
     if (refused.size() >= MAX_REFUSED) {
