Move what nodes tell each other out of the dispatcher

FleetView holds what this node hears from the others of engines and prompts and what it tells them; ReadingSpeeds the speeds by service. EngineLoad takes a sign of life and the request that it answers in one call, as both always came together. No change of behaviour; tests call the view where they called the dispatcher.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -2,13 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
@@ -29,9 +27,6 @@
  */
 public final class Dispatcher {
 
-  /** Shorter prompts are not worth a message to the other nodes. */
-  private static final int MIN_TOLD_TOKENS = 2_000;
-
   private static final double NANOS_PER_MILLI = 1e6;
   private static final long DEFAULT_CACHE_TOKENS = 400_000;
 
@@ -40,19 +35,17 @@
   private final EngineNotices notices;
   private final EngineSelector selector;
   private final PromptPlacement prompts;
-  private final OwnDigests ownDigests;
   private final StageControl stages;
   private final EngineSilence silence;
   private final Patience patience = new Patience();
-  private final Map<String, ReadingSpeed> speeds = new HashMap<>();
+  private final ReadingSpeeds speeds;
+  private final FleetView fleet;
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
   private final Refusals refusals;
-  private final List<PlacedPrompt> newPrompts = new ArrayList<>();
   private final Quarantine quarantine;
   private Optional<RoutingImage> routing = Optional.empty();
   private EngineDirectory listed = EngineDirectory.empty();
-  private OptionalInt nodeCount = OptionalInt.empty();
 
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
@@ -63,11 +56,12 @@
     long lastResortNanos = parameters.lastResort().toNanos();
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
     this.selector = new EngineSelector(parameters.zone(), peerLoads, notices, lastResortNanos);
-    this.ownDigests = new OwnDigests(selector, notices);
+    this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
+    this.fleet = new FleetView(selector, peerLoads, notices, speeds, this::cacheTokens);
     this.prompts = new PromptPlacement(selector, parameters.zone());
-    this.silence = new EngineSilence(selector, peerLoads, this::speed, this::profile);
+    this.silence = new EngineSilence(selector, peerLoads, speeds::of, this::profile);
     this.stages =
-        new StageControl(selector, peerLoads, this::speed, parameters.node(), parameters.stages());
+        new StageControl(selector, peerLoads, speeds::of, parameters.node(), parameters.stages());
   }
 
   /** Takes changed bounds and constants; this node's zone and the windows stay. */
@@ -80,6 +74,7 @@
   /** Takes a newer list of engines; {@link #directory} is what is believed with it. */
   public void setDirectory(EngineDirectory directory, long nowNanos) {
     listed = directory;
+    fleet.setListed(directory);
     directory.all().stream()
         .filter(ServingEngine::leaving)
         .forEach(engine -> notices.onLeaving(engine.id(), NoticeSource.LIST, nowNanos));
@@ -126,6 +121,11 @@
     return notices;
   }
 
+  /** What this node hears from the others of the engines, and tells them. */
+  public FleetView fleet() {
+    return fleet;
+  }
+
   /** A listed engine. */
   public Optional<ServingEngine> engine(String engineId) {
     return selector.find(engineId);
@@ -136,71 +136,6 @@
     return quarantine;
   }
 
-  /** Takes what another node says of prompts that were placed, and of how fast they are read. */
-  public void onTold(LoadDigest digest, long nowNanos) {
-    digest.prompts().forEach(prompt -> record(prompt, nowNanos));
-    digest.speeds().forEach((service, learned) -> speed(service).onTold(learned));
-    digest
-        .engines()
-        .forEach(
-            (id, engine) -> {
-              if (engine.leaving() > 0) {
-                notices.onLeaving(id, NoticeSource.PEER, nowNanos);
-              }
-              notices.limits().onTold(id, engine.limit().word(), nowNanos);
-            });
-    shareLimits(nowNanos);
-  }
-
-  private void shareLimits(long nowNanos) {
-    notices.limits().setOthers(id -> peerLoads.limit(id, nowNanos).rate(), nodeCount);
-  }
-
-  /**
-   * Takes what an engine says that it keeps.
-   *
-   * @param askedAtNanos when it was asked
-   */
-  public void onCacheListed(PlacedPrompt listed, long askedAtNanos) {
-    selector.cachedParts().replace(listed.engineId(), listed.parts(), 0, askedAtNanos);
-  }
-
-  /** Takes what an engine told another node that it keeps. */
-  public void onCacheTold(CacheListing listing, long nowNanos) {
-    long askedAt = nowNanos - TimeUnit.MILLISECONDS.toNanos(listing.ageMillis());
-    selector
-        .cachedParts()
-        .replace(listing.engineId(), listing.parts(), listing.leastTokens(), askedAt);
-  }
-
-  /** What is believed of what each engine keeps, for a node that knows nothing yet. */
-  public List<CacheListing> cacheListings(long nowNanos) {
-    return selector.cachedParts().listings(nowNanos);
-  }
-
-  private void record(PlacedPrompt prompt, long nowNanos) {
-    long readyAt = nowNanos + TimeUnit.MILLISECONDS.toNanos(prompt.readyInMillis());
-    String service = selector.serviceOf(prompt.engineId());
-    long capacity = cacheTokens(service);
-    long tokens = prompt.parts().stream().mapToLong(PromptPart::tokens).sum();
-    selector.sizes(service).onPrompt(tokens, nowNanos);
-    selector.cachedParts().record(prompt.engineId(), capacity, prompt.parts(), readyAt);
-  }
-
-  /** What this node has at each engine, for the other nodes. */
-  public Map<String, EngineDigest> ownLoads(long nowNanos) {
-    shareLimits(nowNanos);
-    return ownDigests.all(listed, nowNanos);
-  }
-
-  /** How fast engines read, by service, as far as this node has learned it itself. */
-  public Map<String, LearnedSpeed> ownSpeeds() {
-    Map<String, LearnedSpeed> learned = new HashMap<>();
-    speeds.forEach(
-        (service, speed) -> speed.learned().ifPresent(known -> learned.put(service, known)));
-    return learned;
-  }
-
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
     silence.check(nowNanos);
@@ -287,26 +222,7 @@
 
   /** Some of an answer came from the engine that has the request. */
   public void onSignOfLife(RequestProgress progress, long nowNanos) {
-    progress
-        .engine()
-        .map(selector::load)
-        .ifPresent(
-            load -> {
-              load.onSignOfLife(nowNanos);
-              load.onAnswered(progress);
-            });
-  }
-
-  /** Whether prompts were placed since they were last taken. */
-  public boolean hasNewPrompts() {
-    return !newPrompts.isEmpty();
-  }
-
-  /** Prompts placed since the last call. */
-  public List<PlacedPrompt> takeNewPrompts() {
-    List<PlacedPrompt> taken = List.copyOf(newPrompts);
-    newPrompts.clear();
-    return taken;
+    progress.engine().map(selector::load).ifPresent(load -> load.onSignOfLife(progress, nowNanos));
   }
 
   /**
@@ -315,7 +231,7 @@
    * @param count empty while it is not known
    */
   public void setNodeCount(OptionalInt count) {
-    nodeCount = count;
+    fleet.setNodeCount(count);
     retries.setNodeCount(count);
     silence.setOthersKnown(count.isPresent());
   }
@@ -331,13 +247,13 @@
   public Decision onPrefilled(RequestProgress progress, String handle, long nowNanos) {
     ServingEngine engine = progress.engine().orElseThrow();
     EngineLoad load = selector.load(engine);
-    speed(progress.service())
+    speeds
+        .of(progress.service())
         .observe(
             progress.aheadTokens(),
             progress.chargedTokens(),
             (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI);
-    load.onSignOfLife(nowNanos);
-    load.onAnswered(progress);
+    load.onSignOfLife(progress, nowNanos);
     load.health().onGood(nowNanos);
     load.promptRead(progress);
     release(progress, false);
@@ -492,7 +408,7 @@
         new PromptPlacement.Question(
             progress,
             prompt,
-            speed(progress.service()),
+            speeds.of(progress.service()),
             profile(progress.service()),
             selector.holders(progress, prompt, nowNanos),
             nowNanos);
@@ -517,7 +433,7 @@
   private Decision carryOut(RequestProgress progress, PromptPlacement.Plan plan, long nowNanos) {
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
     ServingEngine engine = plan.engine();
-    remember(progress, engine, prompt, plan.millis(), nowNanos);
+    fleet.onPlaced(engine, prompt, plan.millis(), nowNanos);
     if (plan.readTokens() > 0) {
       selector.sizes(progress.service()).onRead(plan.readTokens());
     }
@@ -532,22 +448,6 @@
         engine, plan.fetchFrom(), progress.level(), plan.expectation(), patienceForIt);
   }
 
-  private void remember(
-      RequestProgress progress,
-      ServingEngine engine,
-      PromptShape prompt,
-      double millis,
-      long nowNanos) {
-    long readyAt = nowNanos + (long) (millis * NANOS_PER_MILLI);
-    selector
-        .cachedParts()
-        .record(engine.id(), cacheTokens(progress.service()), prompt.parts(), readyAt);
-    selector.sizes(progress.service()).onPrompt(prompt.promptTokens(), nowNanos);
-    if (prompt.promptTokens() >= MIN_TOLD_TOKENS) {
-      newPrompts.add(new PlacedPrompt(engine.id(), (int) millis, prompt.parts()));
-    }
-  }
-
   private Decision runApplication(RequestProgress progress, ServingEngine engine, long nowNanos) {
     Urgency urgency = progress.late(nowNanos) ? Urgency.LATE : Urgency.IN_TIME;
     return run(progress, engine, Optional.empty(), Expectation.NONE, urgency, nowNanos);
@@ -569,11 +469,6 @@
         engine, progress.source(), fetchFrom, progress.level(), expectation, patienceForIt);
   }
 
-  private ReadingSpeed speed(String service) {
-    return speeds.computeIfAbsent(
-        service, name -> new ReadingSpeed(parameters.prefillTokensPerMilli()));
-  }
-
   private Optional<EngineProfile> profile(String service) {
     return routing.flatMap(image -> image.service(service)).flatMap(ServiceDefinition::engine);
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -62,11 +62,12 @@
     health.onSent();
   }
 
-  /** Any part of an answer came. */
-  void onSignOfLife(long nowNanos) {
+  /** Any part of the answer to a request came. */
+  void onSignOfLife(RequestProgress progress, long nowNanos) {
     heard = true;
     heardNanos = nowNanos;
     health.onSignOfLife();
+    onAnswered(progress);
   }
 
   /** The engine takes a request: a part of its answer came, or its prompt was read. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -309,7 +309,12 @@
     List<CrashReport> reports = dispatcher.quarantine().takeReports(false, now());
     LoadDigest load =
         new LoadDigest(
-            "n-" + node, 1, millis, dispatcher.ownLoads(now()), List.of(), dispatcher.ownSpeeds());
+            "n-" + node,
+            1,
+            millis,
+            dispatcher.fleet().ownLoads(now()),
+            List.of(),
+            dispatcher.fleet().ownSpeeds());
     for (int other = 0; other < nodes.size(); other++) {
       if (other != node && random.nextDouble() >= lossShare) {
         int target = other;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -224,7 +224,7 @@
     Dispatcher started = Requests.dispatcher(prefill, decode);
     RequestProgress progress = Requests.prompt(false, 13_000, 4_000);
     List<PromptPart> shared = progress.envelope().prompt().orElseThrow().sharedParts();
-    started.onCacheListed(new PlacedPrompt("p-1", 0, shared), after(1_000));
+    started.fleet().onCacheListed(new PlacedPrompt("p-1", 0, shared), after(1_000));
     Decision.Prefill decision = (Decision.Prefill) started.start(progress, after(1_010));
     assertThat(decision.engine()).isEqualTo(prefill);
     assertThat(decision.expectation().readTokens()).isEqualTo(4_000);
@@ -293,7 +293,7 @@
     dispatcher.start(failed, START);
     dispatcher.onBegan(failed);
     dispatcher.onFailure(failed, AttemptOutcome.BROKEN_MIDWAY, after(10));
-    assertThat(dispatcher.ownLoads(START)).isEmpty();
+    assertThat(dispatcher.fleet().ownLoads(START)).isEmpty();
   }
 
   /** An engine that restarted under a new id keeps its old entry for some seconds. */
@@ -356,7 +356,7 @@
   @Test
   void nodeThatHasJustStartedTakesTheReadingSpeedThatAnotherLearned() {
     Dispatcher learned = Requests.dispatcher(prefill, decode);
-    assertThat(learned.ownSpeeds()).isEmpty();
+    assertThat(learned.fleet().ownSpeeds()).isEmpty();
     for (int request = 0; request < 30; request++) {
       RequestProgress progress = Requests.prompt(false, 0, 3_000 + 100 * request);
       learned.start(progress, after(20 * request));
@@ -365,7 +365,9 @@
     }
     Dispatcher started = Requests.dispatcher(prefill, decode);
     Requests.hear(
-        started, new LoadDigest("n", 1, 1, Map.of(), List.of(), learned.ownSpeeds()), START);
+        started,
+        new LoadDigest("n", 1, 1, Map.of(), List.of(), learned.fleet().ownSpeeds()),
+        START);
     Decision.Prefill told =
         (Decision.Prefill) started.start(Requests.prompt(false, 0, 30_000), START);
     Decision.Prefill guessed =
@@ -468,6 +470,7 @@
       dispatcher.onPrefilled(first, "h", after(1_000 * pair + 160));
       dispatcher.onPrefilled(second, "h", after(1_000 * pair + 161));
     }
-    assertThat(dispatcher.ownSpeeds().get(Requests.MODEL).tokenMillis()).isBetween(0.02, 0.06);
+    assertThat(dispatcher.fleet().ownSpeeds().get(Requests.MODEL).tokenMillis())
+        .isBetween(0.02, 0.06);
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
@@ -49,7 +49,7 @@
         sent += run.engine().equals(engine) ? 1 : 0;
         dispatcher.onFinished(progress, now);
       }
-      dispatcher.ownLoads(now);
+      dispatcher.fleet().ownLoads(now);
     }
     return sent;
   }
@@ -144,7 +144,7 @@
     assertThat(dispatcher.takeLimitChanges())
         .containsExactly(
             new LimitChange(limited.id(), OptionalDouble.of(LIMIT), NoticeSource.PEER));
-    LimitDigest own = dispatcher.ownLoads(after(150)).get(limited.id()).limit();
+    LimitDigest own = dispatcher.fleet().ownLoads(after(150)).get(limited.id()).limit();
     assertThat(own.rate().nodes()).isEqualTo(1);
     assertThat(own.word()).isEqualTo(new LimitWord(LIMIT, 70, LimitWord.NEVER));
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineNoticesTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineNoticesTest.java
@@ -218,13 +218,13 @@
     assertThat(dispatcher.takeLeaving(after(11)))
         .containsExactly(new LeavingNotice(used, NoticeSource.PEER));
     assertThat(engineOf(dispatcher.start(request(), after(12)))).isNotEqualTo(used);
-    assertThat(dispatcher.ownLoads(after(12)).get(used).leaving()).isEqualTo(1);
+    assertThat(dispatcher.fleet().ownLoads(after(12)).get(used).leaving()).isEqualTo(1);
     List<ServingEngine> entries =
         Stream.of(appOne, appTwo)
             .map(engine -> engine.id().equals(used) ? engine.asLeaving() : engine)
             .toList();
     dispatcher.setDirectory(EngineDirectory.of(2, entries), after(20));
-    assertThat(dispatcher.ownLoads(after(21)).get(used).leaving()).isZero();
+    assertThat(dispatcher.fleet().ownLoads(after(21)).get(used).leaving()).isZero();
   }
 
   @Test
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineSilenceTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineSilenceTest.java
@@ -36,7 +36,7 @@
 
   private static boolean suspended(Dispatcher dispatcher, int millis) {
     dispatcher.onTick(after(millis));
-    EngineDigest digest = dispatcher.ownLoads(after(millis)).get("p-1");
+    EngineDigest digest = dispatcher.fleet().ownLoads(after(millis)).get("p-1");
     return digest != null && digest.suspecting() > 0;
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingFleet.java
@@ -97,7 +97,7 @@
   /** How many nodes warn the others of an engine. */
   long warningsOf(String engineId) {
     return nodes.stream()
-        .map(node -> node.ownLoads(now()).get(engineId))
+        .map(node -> node.fleet().ownLoads(now()).get(engineId))
         .filter(digest -> digest != null && digest.suspecting() > 0)
         .count();
   }
@@ -228,9 +228,9 @@
               "n-" + node,
               1,
               millis,
-              dispatcher.ownLoads(now()),
-              dispatcher.takeNewPrompts(),
-              dispatcher.ownSpeeds()));
+              dispatcher.fleet().ownLoads(now()),
+              dispatcher.fleet().takeNewPrompts(),
+              dispatcher.fleet().ownSpeeds()));
     }
     for (int node = 0; node < nodes.size(); node++) {
       for (int other = 0; other < nodes.size(); other++) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -104,7 +104,9 @@
       survey.onDirectory(changed.directory(), now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
       log.cacheListed(answer);
-      answer.parts().ifPresent(parts -> dispatcher.onCacheListed(parts, answer.askedAtNanos()));
+      answer
+          .parts()
+          .ifPresent(parts -> dispatcher.fleet().onCacheListed(parts, answer.askedAtNanos()));
       survey.onAnswer(answer, now);
       peers.onListed(answer, now);
       endWaiting(now);
@@ -328,7 +330,7 @@
     if (dispatcher.quarantine().takeNews()) {
       peers.tellNow(now);
       keepQuarantine(now);
-    } else if (dispatcher.hasNewPrompts()) {
+    } else if (dispatcher.fleet().hasNewPrompts()) {
       peers.tell(now);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -41,14 +41,14 @@
   /** Another node spoke. */
   void onHeard(PeerMessage message, long nowNanos) {
     knowledge.onMessage(message, nowNanos);
-    dispatcher.onTold(message.load(), nowNanos);
+    dispatcher.fleet().onTold(message.load(), nowNanos);
     message.crashes().forEach(report -> dispatcher.quarantine().onTold(report, nowNanos));
     for (CacheListing listing : message.listings()) {
-      dispatcher.onCacheTold(listing, nowNanos);
+      dispatcher.fleet().onCacheTold(listing, nowNanos);
       survey.onTold(listing.engineId(), nowNanos);
     }
     if (knowledge.hasListingRequests()) {
-      sender.accept(knowledge.answerListings(dispatcher.cacheListings(nowNanos), nowNanos));
+      sender.accept(knowledge.answerListings(dispatcher.fleet().cacheListings(nowNanos), nowNanos));
     }
   }
 
@@ -65,15 +65,15 @@
 
   /** Sends what is due; called at each tick, and when prompts may have been placed. */
   void tell(long nowNanos) {
-    if (dispatcher.hasNewPrompts()) {
-      knowledge.addPrompts(dispatcher.takeNewPrompts());
+    if (dispatcher.fleet().hasNewPrompts()) {
+      knowledge.addPrompts(dispatcher.fleet().takeNewPrompts());
     }
     sender.accept(
         knowledge.due(
             () ->
                 new OwnLoad(
-                    dispatcher.ownLoads(nowNanos),
-                    dispatcher.ownSpeeds(),
+                    dispatcher.fleet().ownLoads(nowNanos),
+                    dispatcher.fleet().ownSpeeds(),
                     dispatcher.quarantine().takeReports(knowledge.hasMembers(nowNanos), nowNanos),
                     dispatcher.mayOrderStages(nowNanos)),
             nowNanos));
