Keep the part of a node that has demand while it holds a permit; let it keep another

Now demand is told as it is, and a node with demand may keep a second permit while few are ready over the fleet.

--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
@@ -70,8 +70,6 @@
   private long accruedNanos;
   private boolean filling;
   private long fillingSinceNanos;
-  private boolean full;
-  private long needingSinceNanos;
 
   /**
    * A node that has sent nothing.
@@ -156,9 +154,8 @@
     return asked.sum(DEMAND_TENTHS, leftOutTenths, nowNanos);
   }
 
-  /** Nothing while it has all that it may have, so that the others get what it does not need. */
   private int weight(int requests) {
-    return full ? 0 : ASKED_WEIGHT * requests + (filling ? 1 : 0);
+    return ASKED_WEIGHT * requests + (filling ? 1 : 0);
   }
 
   private int ready() {
@@ -169,19 +166,21 @@
     return 1 + READY_SECONDS * perSecond;
   }
 
+  private double mostReady() {
+    return MOST_READY_TIMES * keptReady();
+  }
+
   private void accrue(long nowNanos) {
     if (!begun) {
       begun = true;
       accruedNanos = nowNanos;
-      needingSinceNanos = nowNanos;
     }
     long step = Math.max(0, Math.min(nowNanos - accruedNanos, LONGEST_STEP_NANOS));
     accruedNanos = nowNanos;
     keepReady(nowNanos);
     double rate = rate(nowNanos);
-    double most = 1 + rate * BURST_SECONDS;
+    double most = (mayKeepAnother(nowNanos) ? 2 : 1) + rate * BURST_SECONDS;
     credit = Math.max(credit, Math.min(most, credit + rate * step / NANOS_PER_SECOND));
-    setFull(credit >= most, nowNanos);
     giveUpWhatNobodyAsksFor(step, nowNanos);
   }
 
@@ -194,11 +193,9 @@
     filling = fills;
   }
 
-  private void setFull(boolean isFull, long nowNanos) {
-    if (full && !isFull) {
-      needingSinceNanos = nowNanos;
-    }
-    full = isFull;
+  /** Requests come unevenly: what accrues between two of them is not lost. */
+  private boolean mayKeepAnother(long nowNanos) {
+    return wanted(0, nowNanos) > 0 && others.held() + ready() < mostReady();
   }
 
   /** Requests a second that this node may send. */
@@ -214,7 +211,7 @@
   private double part(long nowNanos) {
     int now = weight(wanted(0, nowNanos));
     if (now == 0) {
-      return full ? 1.0 / (1 + others.nodes()) : 0;
+      return 0;
     }
     int settled = settledWeight(nowNanos);
     return settled > 0 ? (double) settled / (others.weight() + now) : 1.0 / (1 + others.nodes());
@@ -222,9 +219,6 @@
 
   /** What this node wants and has told for long enough. */
   private int settledWeight(long nowNanos) {
-    if (nowNanos - needingSinceNanos < SETTLING_NANOS) {
-      return 0;
-    }
     int requests = Math.min(wanted(0, nowNanos), wanted(SETTLING_TENTHS, nowNanos));
     boolean settled = filling && nowNanos - fillingSinceNanos >= SETTLING_NANOS;
     return ASKED_WEIGHT * requests + (settled ? 1 : 0);
@@ -233,11 +227,10 @@
   /** Where more is kept ready than may be used at once, each node gives its own up by chance. */
   private void giveUpWhatNobodyAsksFor(long step, long nowNanos) {
     int all = others.held() + ready();
-    double most = MOST_READY_TIMES * keptReady();
-    if (ready() == 0 || all <= most || wanted(0, nowNanos) > 0) {
+    if (ready() == 0 || all <= mostReady() || wanted(0, nowNanos) > 0) {
       return;
     }
-    if (random.nextDouble() < (1 - most / all) * step / SETTLING_NANOS) {
+    if (random.nextDouble() < (1 - mostReady() / all) * step / SETTLING_NANOS) {
       credit = random.nextDouble();
     }
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
@@ -103,6 +103,15 @@
     assertThat(worst(fleet)).isLessThanOrEqualTo(RateFleet.allowed(limit));
   }
 
+  /** A limit that is above what comes costs callers next to nothing. */
+  @ParameterizedTest
+  @CsvSource({"1,20", "8,20", "63,20", "8,100"})
+  void nodeWhoseDemandIsWithinTheLimitIsServed(int nodes, double limit) {
+    RateFleet fleet = new RateFleet(nodes, limit, RateFleet::byDemand, LOST, 7);
+    fleet.play(40, (node, seconds) -> node == 0 ? 0.8 * limit : 0, RateFleet.NONE);
+    assertThat(fleet.sent(10, 40) / (30 * 0.8 * limit)).isGreaterThan(0.9);
+  }
+
   @ParameterizedTest
   @CsvSource({"8,7.1", "8,20", "9,20"})
   void nodesThatAllHaveDemandUseNearlyAll(int nodes, double limit) {
