--- a/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
@@ -11,13 +11,16 @@
   /** Nothing is told. */
   public static final LimitDigest NONE = new LimitDigest(RateDigest.NONE, LimitWord.NONE);
 
-  /** What both tell together. */
+  /** What both tell together; for most engines that is nothing, and costs nothing. */
   public LimitDigest and(LimitDigest other) {
+    if (equals(NONE) || other.equals(NONE)) {
+      return equals(NONE) ? other : this;
+    }
     return new LimitDigest(rate.plus(other.rate), word.and(other.word));
   }
 
   /** The same, told so many ms later. */
   public LimitDigest aged(int millis) {
-    return new LimitDigest(rate, word.aged(millis));
+    return equals(NONE) ? NONE : new LimitDigest(rate, word.aged(millis));
   }
 }
