--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.fallturn.core.limits.LimitDigest;
 import org.fallturn.core.routing.EngineDirectory;
 
 /**
@@ -60,7 +59,7 @@
 
   private static boolean saysAnything(EngineDigest digest, EngineLoad load, long nowNanos) {
     return digest.suspecting() + digest.changing() + digest.leaving() > 0
-        || !digest.limit().equals(LimitDigest.NONE)
+        || !digest.limit().saysNothing()
         || load.heardWithin(TOLD_SIGN_NANOS, nowNanos)
         || !load.idle();
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
@@ -11,16 +11,24 @@
   /** Nothing is told. */
   public static final LimitDigest NONE = new LimitDigest(RateDigest.NONE, LimitWord.NONE);
 
+  /**
+   * Whether nothing is told. Asked for each engine by each process that starts: without the
+   * equality of records, whose first use costs a start some tenth of a second.
+   */
+  public boolean saysNothing() {
+    return rate.nodes() == 0 && !word.named() && !word.ended();
+  }
+
   /** What both tell together; for most engines that is nothing, and costs nothing. */
   public LimitDigest and(LimitDigest other) {
-    if (equals(NONE) || other.equals(NONE)) {
-      return equals(NONE) ? other : this;
+    if (saysNothing() || other.saysNothing()) {
+      return saysNothing() ? other : this;
     }
     return new LimitDigest(rate.plus(other.rate), word.and(other.word));
   }
 
   /** The same, told so many ms later. */
   public LimitDigest aged(int millis) {
-    return equals(NONE) ? NONE : new LimitDigest(rate, word.aged(millis));
+    return saysNothing() ? NONE : new LimitDigest(rate, word.aged(millis));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -79,7 +79,7 @@
   private void onHead(ServingEngine engine, String requestId, long sentNanos, Response response) {
     protocol.unknownHeaders(response.getHeaders()).forEach(name -> onUnknown(engine, name));
     EngineNotice notice = protocol.readNotice(response.getStatus(), response.getHeaders());
-    if (notice.equals(EngineNotice.NONE)) {
+    if (notice == EngineNotice.NONE) {
       return;
     }
     EngineAnswerHead head = protocol.readHead(response.getStatus(), response.getHeaders());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -130,12 +130,12 @@
 
   private static void writeLimits(JsonGenerator out, Map<String, EngineDigest> engines)
       throws IOException {
-    if (engines.values().stream().allMatch(engine -> engine.limit().equals(LimitDigest.NONE))) {
+    if (engines.values().stream().allMatch(engine -> engine.limit().saysNothing())) {
       return;
     }
     out.writeObjectFieldStart("b");
     for (Map.Entry<String, EngineDigest> engine : engines.entrySet()) {
-      if (!engine.getValue().limit().equals(LimitDigest.NONE)) {
+      if (!engine.getValue().limit().saysNothing()) {
         out.writeStringField(engine.getKey(), text(engine.getValue().limit()));
       }
     }
