Show what limits of engines come to and what is sent within them; bound limits beyond reason

Gauges engine_limits_per_second and engine_limits_sent. A limit of any size is kept as said, and counted as a million a second at the most, so that sums over nodes stay within their range.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
@@ -115,6 +115,20 @@
     return inForce(engineId, engine -> true, false);
   }
 
+  /** What engines whose limits are in force take a second together. */
+  public double perSecond() {
+    return engines.keySet().stream()
+        .mapToDouble(id -> inForce(id, engine -> engine.limit.perSecond().getAsDouble(), 0.0))
+        .sum();
+  }
+
+  /** What this node has sent to engines whose limits are in force, within their window. */
+  public int sent(long nowNanos) {
+    return engines.keySet().stream()
+        .mapToInt(id -> inForce(id, engine -> engine.rate.sent(nowNanos), 0))
+        .sum();
+  }
+
   /**
    * Takes what the other nodes tell of their parts.
    *
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/LimitDigest.java
@@ -12,8 +12,8 @@
   public static final LimitDigest NONE = new LimitDigest(RateDigest.NONE, LimitWord.NONE);
 
   /**
-   * Whether nothing is told. Asked for each engine by each process that starts: without the
-   * equality of records, whose first use costs a start some tenth of a second.
+   * Whether nothing is told. Asked for each engine by each process that starts, and so by fields:
+   * the equality of records is linked on first use, which holds a start up.
    */
   public boolean saysNothing() {
     return rate.nodes() == 0 && !word.named() && !word.ended();
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
@@ -56,6 +56,9 @@
   /** A limit of zero is tried so often, since only an answer tells that it has ended. */
   private static final double LEAST_PER_SECOND = 0.2;
 
+  /** More than any fleet sends; keeps sums over nodes within their range. */
+  private static final double MOST_PER_SECOND = 1e6;
+
   private static final Duration LONGEST_WAIT = Duration.ofSeconds(5);
   private static final double NANOS_PER_SECOND = 1e9;
 
@@ -83,7 +86,7 @@
 
   /** Takes the rate that holds over all nodes together. */
   public void setPerSecond(double limit) {
-    perSecond = Math.max(limit, LEAST_PER_SECOND);
+    perSecond = Math.max(LEAST_PER_SECOND, Math.min(limit, MOST_PER_SECOND));
   }
 
   /**
@@ -135,6 +138,11 @@
     sent.add(nowNanos);
   }
 
+  /** What this node has sent within the last window. */
+  public int sent(long nowNanos) {
+    return sent.sum(nowNanos);
+  }
+
   /** What this node tells the others. */
   public RateDigest digest(long nowNanos) {
     accrue(nowNanos);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineLimitsTest.java
@@ -63,6 +63,23 @@
     assertThat(sentTo(other, dispatcher, 20)).isGreaterThan(900);
   }
 
+  @Test
+  void limitBeyondReasonChangesNothing() {
+    Dispatcher dispatcher = Requests.dispatcher(limited);
+    dispatcher.setNodeCount(OptionalInt.of(338));
+    names(dispatcher, limited, 1e30);
+    dispatcher.fleet().ownLoads(after(0));
+    dispatcher.fleet().ownLoads(after(100));
+    int sent = 0;
+    for (long millis = 2_000; millis < 4_000; millis += 20) {
+      dispatcher.fleet().ownLoads(after(millis));
+      RequestProgress progress = Requests.applicationAt(after(millis), RequestKind.IDEMPOTENT, 3);
+      sent += dispatcher.start(progress, after(millis)) instanceof Decision.Run ? 1 : 0;
+    }
+    assertThat(sent).isGreaterThan(98);
+    assertThat(dispatcher.notices().limits().perSecond()).isEqualTo(1e30);
+  }
+
   @Test
   void nodeThatHearsNoneOfTheOthersSendsItsPart() {
     Dispatcher dispatcher = Requests.dispatcher(limited, other);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -282,6 +282,8 @@
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("engines_resting", this::restingCount);
     metrics.gauge("engines_limited", this::limitedCount);
+    metrics.gauge("engine_limits_per_second", () -> (long) notices.limits().perSecond());
+    metrics.gauge("engine_limits_sent", () -> notices.limits().sent(System.nanoTime()));
     metrics.gauge("caches_known", survey::answered);
     metrics.gauge("contents_in_quarantine", keeper::quarantined);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
