Let the late end of a request not end the serving of the next

Cause: the server reads the next request before it tells of the end of the last, so that the late end made a body count as a head that takes too long, until the next head. Each request now ends its own serving only.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerDoor.java
@@ -74,8 +74,8 @@
   private static void watchHeads(Request request) {
     if (request.getConnectionMetaData().getConnection().getEndPoint()
         instanceof WatchedEndPoint caller) {
-      caller.beginServing();
-      Request.addCompletionListener(request, failure -> caller.endServing());
+      Runnable end = caller.beginServing();
+      Request.addCompletionListener(request, failure -> end.run());
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -25,6 +25,7 @@
   private ByteBuffer side = BufferUtil.EMPTY_BUFFER;
   private boolean endOfInput;
   private Runnable onGone;
+  private long servedRequest;
   private boolean serving;
   private long headSinceNanos;
 
@@ -81,18 +82,25 @@
     }
   }
 
-  /** The head of a request has been read; what comes now is its body. */
-  void beginServing() {
+  /**
+   * The head of a request has been read; what comes now is its body.
+   *
+   * @return what says that the request was answered, so that what comes then is the head of the
+   *     next; nothing where the next is being served already, since the server may have read it
+   *     before it tells of the end of this one
+   */
+  Runnable beginServing() {
     synchronized (lock) {
       serving = true;
       headSinceNanos = 0;
+      long request = ++servedRequest;
+      return () -> endServing(request);
     }
   }
 
-  /** The request was answered; what comes now is the head of the next. */
-  void endServing() {
+  private void endServing(long request) {
     synchronized (lock) {
-      serving = false;
+      serving = serving && request != servedRequest;
     }
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedEndPointTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedEndPointTest.java
@@ -92,9 +92,9 @@
   /** The server has begun with a request before it says that the last one was over. */
   private void readBodyAfterTheEndOfTheLastRequest(WatchedEndPoint watched, Request request)
       throws Exception {
+    Runnable endOfTheLast = watched.beginServing();
     watched.beginServing();
-    watched.beginServing();
-    watched.endServing();
+    endOfTheLast.run();
     headRead.countDown();
     Content.Source.asString(request);
     takenForAHead = watched.headTakesLongerThan(0);
