--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
@@ -183,8 +183,9 @@
       begun = true;
       accruedNanos = nowNanos;
     }
-    long step = Math.max(0, Math.min(nowNanos - accruedNanos, LONGEST_STEP_NANOS));
-    accruedNanos = nowNanos;
+    long passed = Math.max(0, nowNanos - accruedNanos);
+    long step = Math.min(passed, LONGEST_STEP_NANOS);
+    accruedNanos += passed;
     keepReady(nowNanos);
     double rate = rate(nowNanos);
     double most = (mayKeepAnother(nowNanos) ? 2 : 1) + rate * BURST_SECONDS;
--- a/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
@@ -170,6 +170,21 @@
     assertThat(taken).isLessThanOrEqualTo(6);
   }
 
+  /** Decisions are made on one thread and sends begin on others, each with its own reading. */
+  @Test
+  void readingsOfTheClockThatComeInAnotherOrderGiveNothing() {
+    SharedRate rate = new SharedRate(new SplittableRandom(9));
+    rate.setPerSecond(20);
+    rate.setOthers(RateDigest.NONE, OptionalInt.of(1));
+    int taken = 0;
+    for (long millis = 1_000; millis < 3_000; millis += 5) {
+      rate.onAsked(TimeUnit.MILLISECONDS.toNanos(millis - 40));
+      rate.mayTake(TimeUnit.MILLISECONDS.toNanos(millis - 40));
+      taken += rate.tryTake(TimeUnit.MILLISECONDS.toNanos(millis)) ? 1 : 0;
+    }
+    assertThat(taken).isLessThanOrEqualTo(2 * 20 + 7);
+  }
+
   @Test
   void callsThatNeedNoPermitTakeOneAllTheSame() {
     SharedRate rate = new SharedRate(new SplittableRandom(8));
