--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EngineLimitsOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EngineLimitsOnEmulatorTest.java
@@ -147,6 +147,24 @@
         .allMatch(answer -> answer.status() == 200 && answer.whole());
   }
 
+  @Test
+  void callersAreServedOrToldWhenToComeWhereAllEnginesNameLimits() {
+    List<EmulatedEngine> limited = engines("a");
+    limited.forEach(engine -> engine.nameLimit("2.2"));
+    sendFor(CONTACT.plus(WINDOW).plusSeconds(1), EmulatedPlatform.NON_IDEMPOTENT, 0, 1);
+    for (EmulatedEngine engine : limited) {
+      assertThat(worstWindow(engine, arrivals(engine).get(0) + CONTACT.toNanos()))
+          .as(engine.id())
+          .isBetween(1L, allowed(2.2));
+    }
+    assertThat(answers)
+        .allMatch(
+            answer ->
+                answer.status() == 200 && answer.whole()
+                    || answer.status() == 503 && answer.headers().contains("Retry-After"));
+    assertThat(answers).anyMatch(answer -> answer.status() == 503);
+  }
+
   @Test
   void othersLearnOfALimitAndOfItsEndFromTheOneThatIsTold() throws Exception {
     EmulatedEngine limited = engines("a").get(0);
