--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EngineLimitsOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EngineLimitsOnEmulatorTest.java
@@ -147,6 +147,21 @@
         .allMatch(answer -> answer.status() == 200 && answer.whole());
   }
 
+  /**
+   * An engine whose answers broke off within their first bytes got 344 requests in a window where
+   * 41 are allowed: each head that named no limit ended the one that other answers had named.
+   */
+  @Test
+  void answersThatBreakOffDoNotEndALimit() {
+    EmulatedEngine limited = engines("a").get(0);
+    engines("a").forEach(engine -> engine.nameLimit("2.2"));
+    sendFor(Duration.ofMillis(200), EmulatedPlatform.IDEMPOTENT, 0, 2);
+    long named = arrivals(limited).get(0);
+    limited.misbehave(EngineFault.RESET_WITHOUT_LENGTH);
+    sendFor(CONTACT.plus(WINDOW), EmulatedPlatform.IDEMPOTENT, 0, 2);
+    assertThat(worstWindow(limited, named + CONTACT.toNanos())).isLessThanOrEqualTo(allowed(2.2));
+  }
+
   @Test
   void callersAreServedOrToldWhenToComeWhereAllEnginesNameLimits() {
     List<EmulatedEngine> limited = engines("a");
