--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
@@ -61,7 +61,7 @@
     }
   }
 
-  /** A good answer to a request that was sent at a moment names none. */
+  /** A good and whole answer to a request that was sent at a moment names none. */
   public void onNoneNamed(String engineId, long sentNanos) {
     Limited engine = engines.get(engineId);
     if (engine == null) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -49,6 +49,7 @@
           onBegin(engine, !requestId.isEmpty(), begun);
         });
     request.onResponseHeaders(answer -> onHead(engine, requestId, sentNanos.get(), answer));
+    request.onResponseSuccess(answer -> onWhole(engine, requestId, sentNanos.get(), answer));
   }
 
   /** An engine that leaves answers calls of this node's own still. */
@@ -84,11 +85,26 @@
     }
     EngineAnswerHead head = protocol.readHead(response.getStatus(), response.getHeaders());
     if (head.belongsTo(requestId)) {
-      take(engine, notice, !requestId.isEmpty(), sentNanos);
+      take(engine, notice, sentNanos);
     }
   }
 
-  private void take(ServingEngine engine, EngineNotice notice, boolean ofCaller, long sentNanos) {
+  /**
+   * The answer is whole. Only now is it known that it names no limit: one that breaks off within
+   * its first bytes may not have come to say so.
+   */
+  private void onWhole(ServingEngine engine, String requestId, long sentNanos, Response response) {
+    if (requestId.isEmpty() || !notices.limits().limited(engine.id())) {
+      return;
+    }
+    EngineAnswerHead head = protocol.readHead(response.getStatus(), response.getHeaders());
+    if (head.belongsTo(requestId)
+        && protocol.readNotice(response.getStatus(), response.getHeaders()).unlimited()) {
+      notices.limits().onNoneNamed(engine.id(), sentNanos);
+    }
+  }
+
+  private void take(ServingEngine engine, EngineNotice notice, long sentNanos) {
     long now = System.nanoTime();
     if (notice.leaving()) {
       notices.onLeaving(engine.id(), NoticeSource.ANSWER, now);
@@ -97,9 +113,6 @@
     notice
         .perSecond()
         .ifPresent(limit -> notices.limits().onNamed(engine.id(), limit, sentNanos, now));
-    if (notice.unlimited() && ofCaller) {
-      notices.limits().onNoneNamed(engine.id(), sentNanos);
-    }
     notice.unreadable().forEach(text -> refuse(engine, text));
   }
 
