Drop what the simulated fleet of rates no longer uses

A policy of one owner, restarts and a count of requests were left from a comparison that was not kept; nobody called them.

--- a/fallturn-core/src/test/java/org/fallturn/core/limits/RateFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/RateFleet.java
@@ -12,7 +12,7 @@
 /**
  * Nodes that keep to one rate together, in steps of 10 ms of simulated time: requests come at
  * random, each node tells its digest every 100 ms, what is told comes late and at times not at all,
- * and nodes are cut off, paused and started again. Counts what is sent by sliding window.
+ * and nodes are cut off and paused. Counts what is sent by sliding window.
  */
 final class RateFleet {
 
@@ -89,37 +89,6 @@
     };
   }
 
-  /**
-   * Permits of one owner, whom each request asks: here without the time of the trip, and whatever
-   * becomes of the owner.
-   */
-  static Policy owner() {
-    double[] credit = {1};
-    long[] at = {0};
-    return (perSecond, random) ->
-        new Part() {
-          @Override
-          public RateDigest digest(long nowNanos) {
-            return RateDigest.NONE;
-          }
-
-          @Override
-          public void hear(RateDigest others, OptionalInt nodes) {}
-
-          @Override
-          public boolean request(long nowNanos) {
-            credit[0] =
-                Math.min(1 + 0.25 * perSecond, credit[0] + perSecond * (nowNanos - at[0]) / 1e9);
-            at[0] = nowNanos;
-            if (credit[0] < 1) {
-              return false;
-            }
-            credit[0]--;
-            return true;
-          }
-        };
-  }
-
   /** Makes a node's part. */
   interface Policy {
     Part part(double perSecond, Random random);
@@ -139,21 +108,16 @@
   static final Trouble NONE = (node, seconds) -> 0;
 
   private final int nodes;
-  private final Policy policy;
-  private final double perSecond;
   private final Random random;
   private final List<Part> parts = new ArrayList<>();
   private final List<Deque<Told>> told = new ArrayList<>();
   private final double lost;
   private final List<Long> sentAt = new ArrayList<>();
-  private long wanted;
 
   private record Told(long atNanos, RateDigest digest, int group) {}
 
   RateFleet(int nodes, double perSecond, Policy policy, double lost, long seed) {
     this.nodes = nodes;
-    this.perSecond = perSecond;
-    this.policy = policy;
     this.lost = lost;
     this.random = new Random(seed);
     for (int node = 0; node < nodes; node++) {
@@ -162,11 +126,6 @@
     }
   }
 
-  /** A process is started again and knows nothing of before. */
-  void restart(int node) {
-    parts.set(node, policy.part(perSecond, random));
-  }
-
   void play(double seconds, Demand demand, Trouble trouble) {
     for (int millis = 0; millis < seconds * 1_000; millis += STEP_MILLIS) {
       long now = TimeUnit.MILLISECONDS.toNanos(millis) + 1;
@@ -197,7 +156,6 @@
     double expected = rate * STEP_MILLIS / 1_000;
     int come = (int) expected + (random.nextDouble() < expected % 1 ? 1 : 0);
     for (int request = 0; request < come; request++) {
-      wanted++;
       if (parts.get(node).request(now)) {
         sentAt.add(now);
       }
