Give placement a source of the pace of each engine

Placement priced work by one speed a service, so an engine that is slower by nature or for a moment was the same to it. The interface EnginePace is what the learning of pace, the waiting of requests and the planning of capacity are built against; it says EVEN everywhere for now, so that nothing is decided otherwise.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.pace.EnginePace;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.routing.EngineDirectory;
@@ -55,7 +56,8 @@
     this.quarantine = new Quarantine(parameters.node());
     long lastResortNanos = parameters.lastResort().toNanos();
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
-    this.selector = new EngineSelector(parameters.zone(), peerLoads, notices, lastResortNanos);
+    this.selector =
+        new EngineSelector(parameters.zone(), peerLoads, notices, EnginePace.EVEN, lastResortNanos);
     this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
     this.fleet = new FleetView(selector, peerLoads, notices, speeds, this::cacheTokens);
     this.prompts = new PromptPlacement(selector, parameters.zone());
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -16,6 +16,8 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.pace.EnginePace;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
@@ -38,6 +40,7 @@
   private final Map<String, PromptSizes> sizes = new HashMap<>();
   private final PeerLoads peerLoads;
   private final EngineNotices notices;
+  private final EnginePace pace;
   private final Departures departures;
   private final ChangingEngines changing = new ChangingEngines();
   private EngineDirectory directory = EngineDirectory.empty();
@@ -45,13 +48,20 @@
   /**
    * A selector that knows no engine.
    *
+   * @param pace how fast each engine works
    * @param lastResortNanos how long an engine that leaves, or whose entry is gone, may still be
    *     used when its service has no other
    */
-  EngineSelector(String zone, PeerLoads peerLoads, EngineNotices notices, long lastResortNanos) {
+  EngineSelector(
+      String zone,
+      PeerLoads peerLoads,
+      EngineNotices notices,
+      EnginePace pace,
+      long lastResortNanos) {
     this.zone = zone;
     this.peerLoads = peerLoads;
     this.notices = notices;
+    this.pace = pace;
     this.departures = new Departures(lastResortNanos);
   }
 
@@ -94,6 +104,11 @@
     return peerLoads.lagMillis(nowNanos);
   }
 
+  /** Factor by which work takes longer at an engine than is usual for its service. */
+  double slowness(ServingEngine engine, WorkKind kind, long nowNanos) {
+    return pace.slowness(engine.id(), kind, nowNanos);
+  }
+
   /** Requests that all nodes have at an engine. */
   int running(ServingEngine engine, long nowNanos) {
     return load(engine).running() + peerLoads.running(engine.id(), nowNanos);
@@ -259,7 +274,9 @@
         engine -> {
           EngineLoad load = load(engine);
           double running = running(engine, nowNanos);
-          return (running + 1) / Math.max(1, engine.slots())
+          return (running + 1)
+                  * slowness(engine, WorkKind.APPLICATION, nowNanos)
+                  / Math.max(1, engine.slots())
               + FAILURE_RUN_COST * load.health().failureShare(nowNanos)
               + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
         },
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import java.util.function.LongToDoubleFunction;
 import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
@@ -177,7 +178,9 @@
   }
 
   private Plan prefillPlan(Question question, ServingEngine engine) {
-    Reading reading = bestReading(question, engine, question.speed()::prefillMillis);
+    Function<Long, Double> readMillis =
+        tokens -> slowness(question, engine) * question.speed().prefillMillis(tokens);
+    Reading reading = bestReading(question, engine, readMillis);
     double besides =
         reading.fetchMillis()
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
@@ -185,9 +188,7 @@
             + commonMillis(question, engine, zone);
     Wait wait =
         waitFor(
-            question,
-            engine,
-            ahead -> question.speed().prefillMillis(ahead + reading.readTokens()) + besides);
+            question, engine, ahead -> readMillis.apply(ahead + reading.readTokens()) + besides);
     return plan(question, engine, true, reading, wait, 0);
   }
 
@@ -214,10 +215,12 @@
   private Plan runPlan(Question question, ServingEngine engine) {
     Optional<CacheSource> source = question.progress().source();
     String near = source.map(from -> from.engine().zone()).orElse(zone);
+    Function<Long, Double> readMillis =
+        tokens -> slowness(question, engine) * question.speed().decodeMillis(tokens);
     Reading reading =
         source.isPresent()
             ? handedOver(question, engine, source.get())
-            : bestReading(question, engine, question.speed()::decodeMillis);
+            : bestReading(question, engine, readMillis);
     int running = selector.running(engine, question.nowNanos());
     double besides =
         reading.fetchMillis()
@@ -226,14 +229,16 @@
             + commonMillis(question, engine, near);
     Wait wait =
         waitFor(
-            question,
-            engine,
-            ahead -> question.speed().decodeMillis(ahead + reading.readTokens()) + besides);
+            question, engine, ahead -> readMillis.apply(ahead + reading.readTokens()) + besides);
     int streams = selector.streams(engine, question.nowNanos());
     double harm = harmMillis(question, engine, reading, streams);
     return plan(question, engine, false, reading, wait, harm - packedMillis(question, streams));
   }
 
+  private double slowness(Question question, ServingEngine engine) {
+    return selector.slowness(engine, WorkKind.READING, question.nowNanos());
+  }
+
   /** What reading the prompt here costs the streams of the engine. */
   private double harmMillis(Question question, ServingEngine engine, Reading reading, int streams) {
     if (reading.readTokens() == 0) {
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/package-info.java
@@ -0,0 +1,2 @@
+/** How fast each engine works now against what is usual for its service. */
+package org.fallturn.core.pace;
