Let a duty's thread outlive every Throwable, and say what follows one

Cause: DutyThread caught exceptions only. The Disruptor's own handler turns any other Throwable into a RuntimeException that ends the thread and tells java.util.logging of it, which nobody reads; the ring then fills up, and whoever offers events waits for room.

A DutyThread whose handler cannot go on still empties its ring: events go to onLateEvent.

--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
@@ -8,7 +8,7 @@
  */
 public interface DutyHandler<E> {
 
-  /** Handles one event. An exception is logged and the next event follows. */
+  /** Handles one event. A fault is logged, and the next event follows unless the duty must end. */
   void onEvent(E event) throws Exception;
 
   /** Called about every tick, also when no event comes. */
@@ -18,4 +18,14 @@
   default void onBatchEnd() throws Exception {
     // Most duties act on each event by itself.
   }
+
+  /** The duty cannot go on, and its state may be unknown: what it holds is to be given up. */
+  default void onEnd() throws Exception {
+    // Most duties hold nothing that somebody waits for.
+  }
+
+  /** An event that came after the end, or that the duty failed on. */
+  default void onLateEvent(E event) throws Exception {
+    // Most events need no answer.
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.duty;
 
 import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.ExceptionHandler;
 import com.lmax.disruptor.RingBuffer;
 import com.lmax.disruptor.TimeoutException;
 import com.lmax.disruptor.dsl.Disruptor;
@@ -15,6 +16,10 @@
  * the duty's thread alone. When the ring is full, {@link #offer} says so at once and the caller
  * decides what to drop. A duty that has had no event for a second is called less often on its tick.
  *
+ * <p>The thread outlives every fault, since a ring that nobody empties holds its producers up: the
+ * Disruptor by itself ends its thread at the first Throwable. A duty that cannot go on has its
+ * events handed to {@link DutyHandler#onLateEvent} from then on.
+ *
  * @param <E> type of the events
  */
 public final class DutyThread<E> implements AutoCloseable {
@@ -29,7 +34,10 @@
   private final long tickNanos;
   private final Disruptor<Slot<E>> disruptor;
   private final RingBuffer<Slot<E>> ring;
+  private DutyGuard guard;
   private long lastTickNanos;
+  private volatile boolean ending;
+  private boolean ended;
 
   /**
    * A duty that is not started yet.
@@ -51,6 +59,7 @@
             task -> daemon(name, task),
             ProducerType.MULTI,
             new TickWaitStrategy(tickNanos, idleTickNanos(tickNanos)));
+    disruptor.setDefaultExceptionHandler(new LastGuard());
     disruptor.handleEventsWith(new SlotHandler());
     this.ring = disruptor.getRingBuffer();
   }
@@ -66,8 +75,18 @@
     return thread;
   }
 
-  /** Starts the thread. */
+  /** Starts the thread; faults are logged only. */
   public DutyThread<E> start() {
+    return start(DutyState.LEARNED_AGAIN, FaultListener.LOGGED);
+  }
+
+  /**
+   * Starts the thread.
+   *
+   * @param faults hears of what the handler does not catch
+   */
+  public DutyThread<E> start(DutyState state, FaultListener faults) {
+    guard = new DutyGuard(name, state, faults);
     lastTickNanos = System.nanoTime();
     disruptor.start();
     return this;
@@ -78,6 +97,11 @@
     return ring.tryPublishEvent((slot, sequence) -> slot.event = event);
   }
 
+  /** The handler's work is over, though the thread goes on; any thread may call. */
+  public void end() {
+    ending = true;
+  }
+
   /** Handles what is in the ring, then ends the thread. */
   @Override
   public void close() {
@@ -91,14 +115,43 @@
 
   private void tickWhenDue() {
     long now = System.nanoTime();
-    if (now - lastTickNanos < tickNanos) {
+    if (hasEnded() || now - lastTickNanos < tickNanos) {
       return;
     }
     lastTickNanos = now;
     try {
       handler.onTick();
-    } catch (Exception e) {
-      LOG.error("duty: {} failed in its tick.", name, e);
+      guard.onTickDone();
+    } catch (Throwable fault) {
+      follow(guard.onTickFault(fault));
+    }
+  }
+
+  /** No pause where the duty goes on: its next events would wait for nothing. */
+  private void follow(FaultAnswer answer) {
+    if (!answer.goesOn()) {
+      end();
+    }
+  }
+
+  /** Whether the handler's work is over; tells it so once. */
+  private boolean hasEnded() {
+    if (ending && !ended) {
+      ended = true;
+      try {
+        handler.onEnd();
+      } catch (Throwable fault) {
+        guard.onFault(fault);
+      }
+    }
+    return ended;
+  }
+
+  private void handOver(E event) {
+    try {
+      handler.onLateEvent(event);
+    } catch (Throwable fault) {
+      guard.onFault(fault);
     }
   }
 
@@ -114,22 +167,33 @@
     public void onEvent(Slot<E> slot, long sequence, boolean endOfBatch) {
       E event = slot.event;
       slot.event = null;
-      try {
-        handler.onEvent(event);
-      } catch (Exception e) {
-        LOG.error("duty: {} failed on an event.", name, e);
-      }
-      if (endOfBatch) {
+      handle(event);
+      if (endOfBatch && !hasEnded()) {
         endBatch();
       }
       tickWhenDue();
     }
 
+    /** The event that the duty failed on is left undone, and so is late too. */
+    private void handle(E event) {
+      if (!hasEnded()) {
+        try {
+          handler.onEvent(event);
+          return;
+        } catch (Throwable fault) {
+          follow(guard.onFault(fault));
+        }
+      }
+      if (hasEnded()) {
+        handOver(event);
+      }
+    }
+
     private void endBatch() {
       try {
         handler.onBatchEnd();
-      } catch (Exception e) {
-        LOG.error("duty: {} failed at the end of a batch.", name, e);
+      } catch (Throwable fault) {
+        follow(guard.onFault(fault));
       }
     }
 
@@ -138,4 +202,23 @@
       tickWhenDue();
     }
   }
+
+  /** What fails outside the handler, as while waiting; the Disruptor then goes on. */
+  private final class LastGuard implements ExceptionHandler<Slot<E>> {
+
+    @Override
+    public void handleEventException(Throwable fault, long sequence, Slot<E> slot) {
+      follow(guard.onFault(fault));
+    }
+
+    @Override
+    public void handleOnStartException(Throwable fault) {
+      follow(guard.onFault(fault));
+    }
+
+    @Override
+    public void handleOnShutdownException(Throwable fault) {
+      follow(guard.onFault(fault));
+    }
+  }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/FaultAnswer.java
@@ -0,0 +1,13 @@
+package org.fallturn.node.duty;
+
+/**
+ * What follows a fault of a duty.
+ *
+ * @param goesOn whether the duty may go on; if not, its process is to end
+ * @param pauseNanos how long it waits before
+ */
+public record FaultAnswer(boolean goesOn, long pauseNanos) {
+
+  /** The duty cannot go on. */
+  public static final FaultAnswer END = new FaultAnswer(false, 0);
+}
