End a node whose dispatch duty cannot go on, and answer what it holds

Callers saw: after an Error on the thread "dispatch" (a class that could not be loaded) every request was held to its deadline, new ones were taken and held too, and the node called itself ready.

Change: NodeEnd hears of each fault of the duties, logs it with its stack (DUTY_FAILED, counted by duty) and, where one cannot go on, makes the node unready, refuses what comes, has what is held given up, waits within the bound of a planned stop for answers that were begun, and ends the process with code 3 by a ProcessEnd, which only PlatformMain makes a real end. HeldRequests answers without the dispatcher, whose state is unknown: STOPPING (not run) when no engine can have run the request, else OUTCOME_UNKNOWN; what an engine still refuses as not run counts as not run. An attempt whose send failed before it had a request can be cancelled now; a write that throws no longer leaves a request counted as in flight.

What must be done first needs no memory or thread.

Before: DispatchFaultTest fails after 30 s with no answer when the threads catch what they caught.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -24,6 +24,7 @@
 import org.fallturn.core.stages.StageOutlook;
 import org.fallturn.core.usage.DutyOutcome;
 import org.fallturn.core.usage.UsageReport;
+import org.fallturn.node.duty.FaultAnswer;
 import org.fallturn.node.metrics.LogSetup;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -97,6 +98,26 @@
     line(LogEvent.STOPPED).addKeyValue("inFlight", inFlight).log();
   }
 
+  /** A sentence of its own, with the stack, for whoever reads only what is wrong. */
+  void dutyFailed(String duty, Throwable fault, FaultAnswer answer) {
+    metrics.count(LogEvent.DUTY_FAILED, duty);
+    LOG.atError()
+        .setMessage(
+            answer.goesOn()
+                ? "duties: A duty failed and goes on."
+                : "duties: A duty failed and ends the node.")
+        .addKeyValue("event", LogEvent.DUTY_FAILED)
+        .addKeyValue("duty", duty)
+        .addKeyValue("goesOn", answer.goesOn())
+        .addKeyValue("pauseMs", TimeUnit.NANOSECONDS.toMillis(answer.pauseNanos()))
+        .setCause(fault)
+        .log();
+  }
+
+  void givenUp(Exchange exchange, ErrorKind kind) {
+    line(LogEvent.GIVEN_UP, exchange, kind.name()).addKeyValue("kind", kind).log();
+  }
+
   void settingsReloaded() {
     line(LogEvent.SETTINGS_RELOADED).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -46,6 +46,7 @@
   private final DecisionLog log;
   private final PeerTalk peers;
   private final Set<Exchange> active = new HashSet<>();
+  private final HeldRequests held;
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final QuarantineKeeper keeper;
@@ -69,6 +70,7 @@
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
+    this.held = new HeldRequests(engines, log);
     this.peers = peers;
     this.survey = survey;
     this.stageChanges = stageChanges;
@@ -385,6 +387,16 @@
     }
   }
 
+  @Override
+  public void onEnd() {
+    held.giveUp(active);
+  }
+
+  @Override
+  public void onLateEvent(DispatchEvent event) {
+    held.onLate(event);
+  }
+
   private void takeSignsOfLife(long now) {
     for (Exchange exchange : active) {
       if (exchange.attempt().filter(EngineAttempt::takeSignOfLife).isPresent()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -49,6 +49,7 @@
   private volatile HttpFields headers;
   private volatile boolean streamed;
   private volatile boolean signOfLife;
+  private boolean cancelled;
   private boolean told;
 
   EngineAttempt(
@@ -105,13 +106,24 @@
     return state.get() == State.ENDED;
   }
 
+  /**
+   * Whether it was ended by {@link #cancel}, so that it tells of no end; on the dispatch thread.
+   */
+  boolean cancelled() {
+    return cancelled;
+  }
+
   /** Ends it and its connection; false when it had ended already. */
   boolean cancel(String why) {
     State before = state.getAndSet(State.ENDED);
     if (before == State.ENDED) {
       return false;
     }
-    request.abort(new CancellationException(why));
+    cancelled = true;
+    Request sent = request;
+    if (sent != null) {
+      sent.abort(new CancellationException(why));
+    }
     return true;
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -120,6 +120,11 @@
     return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
+  /** Whether the answer has ended, or was broken off. */
+  boolean over() {
+    return completed.get();
+  }
+
   /** Whether any of an answer was written; a later engine's answer goes on within it. */
   boolean begun() {
     return begun;
@@ -227,8 +232,11 @@
   private void finish(ByteBuffer last) {
     if (completed.compareAndSet(false, true)) {
       unwatch();
-      writer.write(true, last, callback);
-      gateway.onCompleted(body.length);
+      try {
+        writer.write(true, last, callback);
+      } finally {
+        gateway.onCompleted(body.length);
+      }
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -28,6 +28,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.scaling.ScaleControl;
 import org.fallturn.core.stages.OrderLease;
+import org.fallturn.node.duty.DutyState;
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.json.MalformedMessageException;
@@ -81,6 +82,7 @@
   private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
   private final DutyThread<DispatchEvent> dispatch;
+  private final NodeEnd faults;
   private final StageDuty stages;
   private final Optional<UsageDuty> usage;
   private final Optional<ScaleDuty> scaling;
@@ -95,24 +97,32 @@
   private SettingsWatch settingsWatch;
   private volatile EngineDirectory directory = EngineDirectory.empty();
 
-  /** A gateway that serves nothing yet; callers may already connect and wait to be accepted. */
+  /**
+   * A gateway that serves nothing yet; callers may already connect and wait to be accepted. A duty
+   * that cannot go on ends the serving, not the process.
+   */
   public GatewayServer(GatewaySettings settings, GatewayPlatform platform) throws Exception {
-    this(settings, platform, CallerSocket.bind(settings.callers()));
+    this(settings, platform, CallerSocket.bind(settings.callers()), code -> {});
   }
 
   /**
    * A gateway that serves nothing yet.
    *
    * @param callerSocket the bound socket of {@link CallerSocket}; the gateway closes it
+   * @param processEnd called at last when a duty cannot go on
    */
   public GatewayServer(
-      GatewaySettings settings, GatewayPlatform platform, ServerSocketChannel callerSocket)
+      GatewaySettings settings,
+      GatewayPlatform platform,
+      ServerSocketChannel callerSocket,
+      ProcessEnd processEnd)
       throws Exception {
     this.settings = settings;
     this.platform = platform;
     this.state =
         new GatewayState(
             platform.callers(), MAX_BODY_BYTES_IN_FLIGHT, settings.bounds().keyLifetime());
+    this.faults = new NodeEnd(state, log, processEnd, new EndWork());
     threads.setName("gateway");
     this.server = new Server(threads);
     DispatchParameters parameters = settings.dispatchParameters();
@@ -257,11 +267,11 @@
    * come first: every port takes processor time that those who wait would wait for.
    */
   public void start() throws Exception {
-    dispatch.start();
+    dispatch.start(DutyState.HELD_ALONE, faults);
     peers.start();
     stages.start();
-    usage.ifPresent(UsageDuty::start);
-    scaling.ifPresent(ScaleDuty::start);
+    usage.ifPresent(duty -> duty.start());
+    scaling.ifPresent(duty -> duty.start());
     routingFollower.start();
     engineFollower.start();
     server.start();
@@ -483,6 +493,28 @@
     log.stopped(state.inFlight());
   }
 
+  /** What is left to do where a duty cannot go on. */
+  private final class EndWork implements NodeEnd.Work {
+
+    @Override
+    public void giveUp() {
+      dispatch.end();
+      closeDuties();
+    }
+
+    /** The platform sees that the node is not ready, and answers that were begun come to an end. */
+    @Override
+    public void awaitAnswers() throws InterruptedException {
+      long begun = System.nanoTime();
+      long lingerUntil = begun + settings.bounds().stopLinger().toNanos();
+      long endBy = begun + settings.stopWithin().toNanos();
+      while (System.nanoTime() - endBy < 0
+          && (state.inFlight() > 0 || System.nanoTime() - lingerUntil < 0)) {
+        TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
+      }
+    }
+  }
+
   /** From now on this node orders and reports nothing for all. */
   private void closeDuties() {
     stages.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -10,6 +10,10 @@
   STOPPING,
   /** The process ends. */
   STOPPED,
+  /** A duty failed, and goes on or ends the node; which duty is the detail. */
+  DUTY_FAILED,
+  /** A request is given up, since a duty of this node cannot go on. */
+  GIVEN_UP,
   /** The settings were read again. */
   SETTINGS_RELOADED,
   /** The settings could not be read again; the old ones stay. */
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NodeEnd.java
@@ -0,0 +1,75 @@
+package org.fallturn.node.gateway;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fallturn.node.duty.FaultAnswer;
+import org.fallturn.node.duty.FaultListener;
+
+/**
+ * Hears of each fault of the gateway's duties, and ends the node once one of them cannot go on.
+ * Thread-safe. What is done first needs no memory: the node is no longer ready and takes nothing
+ * more.
+ */
+final class NodeEnd implements FaultListener {
+
+  private final GatewayState state;
+  private final DecisionLog log;
+  private final ProcessEnd process;
+  private final Work work;
+  private final AtomicBoolean begun = new AtomicBoolean();
+
+  /** Made early, since a process without memory may not be able to. */
+  private final Thread thread = new Thread(this::run, "node-end");
+
+  /** What is done before the process ends. */
+  interface Work {
+
+    /** Gives up what is held; must not wait. */
+    void giveUp();
+
+    /** Waits, within a bound, until the answers have reached their callers. */
+    void awaitAnswers() throws InterruptedException;
+  }
+
+  NodeEnd(GatewayState state, DecisionLog log, ProcessEnd process, Work work) {
+    this.state = state;
+    this.log = log;
+    this.process = process;
+    this.work = work;
+    thread.setDaemon(true);
+  }
+
+  @Override
+  public void onFault(String duty, Throwable fault, FaultAnswer answer) {
+    try {
+      if (!answer.goesOn()) {
+        state.beginStop();
+        state.refuseRequests();
+      }
+      log.dutyFailed(duty, fault, answer);
+    } finally {
+      if (!answer.goesOn() && begun.compareAndSet(false, true)) {
+        begin();
+      }
+    }
+  }
+
+  private void begin() {
+    try {
+      work.giveUp();
+      thread.start();
+    } catch (Throwable noThread) {
+      process.end(ProcessEnd.DUTY_FAILED);
+    }
+  }
+
+  private void run() {
+    try {
+      work.awaitAnswers();
+      log.stopped(state.inFlight());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } finally {
+      process.end(ProcessEnd.DUTY_FAILED);
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DispatchFaultTest.java
@@ -0,0 +1,235 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.quarantine.QuarantineStore;
+import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
+import org.fallturn.core.routing.RequestLimits;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServiceDefinition;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.routing.WeightedService;
+import org.fallturn.node.settings.GatewaySettings;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A class that could not be loaded once ended the thread "dispatch" without a line in the log. The
+ * node went on calling itself ready, took requests, and held each to its deadline. It is to answer
+ * them truthfully, take no more, and end.
+ */
+class DispatchFaultTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(30);
+
+  /** Longer than any wait of the test, so that no answer is due to it. */
+  private static final Duration DEADLINE = Duration.ofSeconds(300);
+
+  private static final String FAULT_HEADER = "X-Fault";
+
+  private static final String SETTINGS =
+      """
+      [gateway]
+      node_name = "gateway-1"
+      zone = "zone-1"
+      callers = "127.0.0.1:0"
+      readiness = "127.0.0.1:0"
+      peers = "127.0.0.1:0"
+
+      [bounds]
+      stop_linger = "1s"
+
+      [store]
+      address = "127.0.0.1:1"
+      """;
+
+  private final CompletableFuture<Integer> exit = new CompletableFuture<>();
+  private final HttpClient client = HttpClient.newHttpClient();
+
+  /** A table with one row that does not change. */
+  private static final class OneRow implements RowFeed {
+
+    @Override
+    public FeedAnswer snapshot() {
+      return new FeedAnswer(List.of(new FeedRow("a", 1, "", false)), 1);
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
+      try {
+        new CountDownLatch(1).await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return new FeedAnswer(List.of(), after);
+    }
+  }
+
+  /** A store that holds nothing in quarantine. */
+  private static final class EmptyQuarantine implements QuarantineStore {
+
+    @Override
+    public List<Held> read() {
+      return List.of();
+    }
+
+    @Override
+    public void put(RequestFingerprint content) {}
+
+    @Override
+    public void remove(RequestFingerprint content) {}
+  }
+
+  private static RoutingImage routing() {
+    Route route =
+        new Route(
+            "route",
+            "host",
+            "/",
+            RequestKind.NON_IDEMPOTENT,
+            false,
+            DEADLINE,
+            DEADLINE,
+            Duration.ZERO,
+            DEADLINE,
+            0,
+            1,
+            List.of(new WeightedService("app", 1)));
+    return new RoutingImage(
+        1,
+        1,
+        List.of(route),
+        List.of(new ServiceDefinition("app", 100, Optional.empty())),
+        RequestLimits.defaults());
+  }
+
+  private static CallerProtocol callers() {
+    return new CallerProtocol() {
+      @Override
+      public CallerHead readHead(Request request) {
+        return new CallerHead(
+            "r-1", "host", "/x", "", Optional.empty(), Optional.empty(), Optional.empty());
+      }
+
+      @Override
+      public void writeOwnAnswer(
+          HttpFields.Mutable headers, String requestId, Optional<Duration> retryAfter) {}
+    };
+  }
+
+  /** Fails on the dispatch thread where a request says so. */
+  private static EngineProtocol engines() {
+    return (EngineProtocol)
+        Proxy.newProxyInstance(
+            EngineProtocol.class.getClassLoader(),
+            new Class<?>[] {EngineProtocol.class},
+            (self, method, arguments) ->
+                switch (method.getName()) {
+                  case "requestHeaders" -> headersOrFault((HttpFields) arguments[0]);
+                  case "readNotice" -> EngineNotice.NONE;
+                  default -> null;
+                });
+  }
+
+  private static HttpFields.Mutable headersOrFault(HttpFields caller) {
+    if (caller.contains(FAULT_HEADER)) {
+      throw new NoClassDefFoundError("a/B");
+    }
+    return HttpFields.build();
+  }
+
+  private static GatewayPlatform platform(NetworkAddress engine) {
+    ServingEngine serving =
+        new ServingEngine("e-1", "app", engine, "zone-1", 8, false, EngineStage.NONE);
+    return new GatewayPlatform(
+        callers(),
+        engines(),
+        http -> new OneRow(),
+        row -> true,
+        row -> routing(),
+        http -> new OneRow(),
+        row -> serving,
+        http -> null,
+        http -> new EmptyQuarantine(),
+        http -> null,
+        (http, address) -> null,
+        http -> null,
+        (http, address) -> null,
+        "/ready");
+  }
+
+  private CompletableFuture<Integer> ask(GatewayServer gateway, boolean fault) {
+    URI uri = URI.create("http://" + gateway.callersAddress() + "/x");
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(uri).POST(HttpRequest.BodyPublishers.ofString("body"));
+    if (fault) {
+      request.header(FAULT_HEADER, "yes");
+    }
+    return client
+        .sendAsync(request.build(), HttpResponse.BodyHandlers.discarding())
+        .thenApply(HttpResponse::statusCode);
+  }
+
+  private static int within(CompletableFuture<Integer> answer) throws Exception {
+    return answer.get(LONGEST.toSeconds(), TimeUnit.SECONDS);
+  }
+
+  /** Waits until the engine has got the head of a request, which it never answers. */
+  private static Socket takeRequest(ServerSocket engine) throws IOException {
+    Socket connection = engine.accept();
+    assertThat(connection.getInputStream().read()).isPositive();
+    return connection;
+  }
+
+  @Test
+  void everyRequestIsAnsweredTruthfullyAndTheNodeEnds() throws Exception {
+    GatewaySettings settings =
+        GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
+    try (ServerSocket engine = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        GatewayServer gateway =
+            new GatewayServer(
+                settings,
+                platform(new NetworkAddress("127.0.0.1", engine.getLocalPort())),
+                CallerSocket.bind(settings.callers()),
+                exit::complete)) {
+      gateway.start();
+      await().atMost(LONGEST).until(gateway::ready);
+      CompletableFuture<Integer> running = ask(gateway, false);
+      try (Socket taken = takeRequest(engine)) {
+        CompletableFuture<Integer> never = ask(gateway, true);
+        assertThat(within(never)).as("no engine has seen it").isEqualTo(503);
+        assertThat(within(running)).as("an engine may have run it").isEqualTo(502);
+        assertThat(taken.isConnected()).isTrue();
+      }
+      assertThat(gateway.ready()).isFalse();
+      assertThat(within(ask(gateway, false))).as("nothing more is taken").isEqualTo(503);
+      assertThat(within(exit)).isEqualTo(ProcessEnd.DUTY_FAILED);
+      assertThat(gateway.inFlight()).isZero();
+    }
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/NodeEndTest.java
@@ -0,0 +1,70 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.fallturn.node.duty.FaultAnswer;
+import org.junit.jupiter.api.Test;
+
+class NodeEndTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(30);
+  private static final Error FAULT = new NoClassDefFoundError("a/B");
+
+  private final List<String> steps = new CopyOnWriteArrayList<>();
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final GatewayState state = new GatewayState(null, 0, Optional.empty());
+  private boolean giveUpFails;
+
+  private final NodeEnd end =
+      new NodeEnd(
+          state,
+          new DecisionLog(metrics),
+          code -> steps.add("exit " + code),
+          new NodeEnd.Work() {
+            @Override
+            public void giveUp() {
+              steps.add("give up");
+              if (giveUpFails) {
+                throw new OutOfMemoryError("thrown by a test");
+              }
+            }
+
+            @Override
+            public void awaitAnswers() {
+              steps.add("await answers");
+            }
+          });
+
+  @Test
+  void dutyThatGoesOnIsCountedAndTheNodeServes() {
+    end.onFault("peers", FAULT, new FaultAnswer(true, 0));
+    end.onFault("peers", FAULT, new FaultAnswer(true, 0));
+    assertThat(metrics.text())
+        .contains("fallturn_gateway_events_total{event=\"DUTY_FAILED\",detail=\"peers\"} 2");
+    assertThat(state.takesRequests()).isTrue();
+    assertThat(state.stopping()).isFalse();
+    assertThat(steps).isEmpty();
+  }
+
+  @Test
+  void dutyThatCannotGoOnEndsTheNodeOnce() {
+    end.onFault("dispatch", FAULT, FaultAnswer.END);
+    end.onFault("dispatch", FAULT, FaultAnswer.END);
+    assertThat(state.takesRequests()).isFalse();
+    assertThat(state.stopping()).isTrue();
+    await().atMost(LONGEST).until(() -> steps.contains("exit 3"));
+    assertThat(steps).containsExactly("give up", "await answers", "exit 3");
+  }
+
+  @Test
+  void processEndsAtOnceWhenNothingElseCanBeDone() {
+    giveUpFails = true;
+    end.onFault("usage", FAULT, FaultAnswer.END);
+    assertThat(steps).containsExactly("give up", "exit 3");
+  }
+}
