--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -268,12 +268,12 @@
    */
   public void start() throws Exception {
     dispatch.start(DutyState.HELD_ALONE, faults);
-    peers.start();
-    stages.start();
-    usage.ifPresent(duty -> duty.start());
-    scaling.ifPresent(duty -> duty.start());
-    routingFollower.start();
-    engineFollower.start();
+    peers.start(faults);
+    stages.start(faults);
+    usage.ifPresent(duty -> duty.start(faults));
+    scaling.ifPresent(duty -> duty.start(faults));
+    routingFollower.start(faults);
+    engineFollower.start(faults);
     server.start();
     state.awaitReady(LONGEST_WAIT_TO_ACCEPT);
     server.addConnector(callers);
@@ -281,7 +281,7 @@
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
     peerListener = new HttpListener("peers", peerPorts.questions(), PEER_THREADS, snapshots);
     openMetrics();
-    quarantine.start();
+    quarantine.start(faults);
     log.started(settings.nodeName());
   }
 
@@ -392,7 +392,7 @@
    */
   public void watchSettings(Path file) {
     settingsWatch = new SettingsWatch(file, this::onSettings, log);
-    settingsWatch.start();
+    settingsWatch.start(faults);
   }
 
   private void onSettings(GatewaySettings changed) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/JobThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/JobThread.java
@@ -2,9 +2,8 @@
 
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import org.fallturn.node.duty.DutyLoop;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * Carries out jobs on a thread of its own, one at a time, with a pause after one that failed. A job
@@ -14,14 +13,9 @@
  */
 final class JobThread<T> implements AutoCloseable {
 
-  private static final Logger LOG = LoggerFactory.getLogger(JobThread.class);
-
-  /** A fault that comes again at once would fill the log. */
-  private static final long PAUSE_AFTER_FAULT_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final Job<T> job;
   private final BlockingQueue<T> next = new ArrayBlockingQueue<>(1);
-  private final Thread thread;
+  private final DutyLoop loop;
   private volatile boolean working;
   private volatile long notBeforeNanos = System.nanoTime();
 
@@ -36,12 +30,16 @@
   /** A thread that has not begun. */
   JobThread(String name, Job<T> job) {
     this.job = job;
-    this.thread = new Thread(this::work, name);
-    thread.setDaemon(true);
+    this.loop = new DutyLoop(name, this::work);
   }
 
-  void start() {
-    thread.start();
+  /**
+   * Begins.
+   *
+   * @param faults hears of jobs that failed
+   */
+  void start(FaultListener faults) {
+    loop.start(faults);
   }
 
   /** Hands a job over; dropped while another is under way or during a pause. */
@@ -56,31 +54,19 @@
     notBeforeNanos = System.nanoTime() + nanos;
   }
 
-  private void work() {
-    try {
-      while (true) {
-        T subject = next.take();
-        working = true;
-        carryOut(subject);
-        working = false;
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
-  /** A fault of one job does not end the duty. */
-  private void carryOut(T subject) throws InterruptedException {
-    try {
+  /** Begun anew after a job that failed, until when it counts as under way. */
+  private void work() throws InterruptedException {
+    working = false;
+    while (true) {
+      T subject = next.take();
+      working = true;
       job.carryOut(subject);
-    } catch (RuntimeException e) {
-      LOG.error("duties: {} failed with {}.", thread.getName(), subject, e);
-      pause(PAUSE_AFTER_FAULT_NANOS);
+      working = false;
     }
   }
 
   @Override
   public void close() {
-    thread.interrupt();
+    loop.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerExchange.java
@@ -12,6 +12,7 @@
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.Outgoing;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.node.duty.FaultListener;
 import org.fallturn.node.gossip.UdpSocket;
 import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
@@ -60,8 +61,13 @@
     return socket.address();
   }
 
-  void start() {
-    socket.start();
+  /**
+   * Begins to receive.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    socket.start(faults);
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
@@ -8,6 +8,8 @@
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.node.duty.DutyLoop;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that keeps contents in quarantine in the store, on a thread of its own: reads them once
@@ -27,7 +29,8 @@
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
   private final BlockingQueue<Write> writes = new ArrayBlockingQueue<>(QUEUE_SIZE);
-  private final Thread thread = new Thread(this::work, "quarantine");
+  private final DutyLoop loop = new DutyLoop("quarantine", this::work);
+  private boolean recalled;
   private long pauseMillis = PAUSE_MILLIS;
 
   /** A content that the store is to hold, or no longer. */
@@ -49,11 +52,15 @@
     this.store = store;
     this.events = events;
     this.log = log;
-    thread.setDaemon(true);
   }
 
-  void start() {
-    thread.start();
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    loop.start(faults);
   }
 
   /** The store is to hold a content. */
@@ -72,15 +79,15 @@
     }
   }
 
-  private void work() {
-    try {
+  /** Begun anew after a fault; the write that failed is handed over again later. */
+  private void work() throws InterruptedException {
+    if (!recalled) {
       untilDone("quarantine", this::recall);
-      while (true) {
-        Write write = writes.take();
-        untilDone("quarantine", () -> carryOut(write));
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      recalled = true;
+    }
+    while (true) {
+      Write write = writes.take();
+      untilDone("quarantine", () -> carryOut(write));
     }
   }
 
@@ -128,6 +135,6 @@
 
   @Override
   public void close() {
-    thread.interrupt();
+    loop.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -7,6 +7,8 @@
 import org.fallturn.core.port.feed.HistoryLostException;
 import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.port.table.StoreException;
+import org.fallturn.node.duty.DutyLoop;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that follows one table of the store on a thread of its own. While the store cannot be
@@ -47,7 +49,8 @@
   private final Others others;
   private final Times times;
   private final FeedTracker tracker = new FeedTracker();
-  private final Thread thread;
+  private final DutyLoop loop;
+  private volatile boolean owesRows;
   private long gatherMillis;
   private long lookedAfter;
   private long behindSinceNanos;
@@ -122,12 +125,21 @@
     this.log = log;
     this.others = others;
     this.times = times;
-    this.thread = new Thread(this::follow, "follow-" + name);
-    thread.setDaemon(true);
+    this.loop = new DutyLoop("follow-" + name, this::follow);
   }
 
+  /** Begins; faults are logged only. */
   void start() {
-    thread.start();
+    start(FaultListener.LOGGED);
+  }
+
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    loop.start(faults);
   }
 
   private void follow() {
@@ -136,7 +148,10 @@
         step();
         onReached();
         confirmedNanos = System.nanoTime();
-      } catch (StoreException | RuntimeException e) {
+      } catch (StoreException e) {
+        onFailed(e);
+      } catch (RuntimeException e) {
+        loop.onCaught(e);
         onFailed(e);
       } catch (InterruptedException e) {
         return;
@@ -145,6 +160,9 @@
   }
 
   private void step() throws StoreException, InterruptedException {
+    if (owesRows) {
+      deliver();
+    }
     long now = System.nanoTime();
     tracker.setToldByOthers(others.tell());
     if (tracker.shouldReadWhole(now)) {
@@ -164,7 +182,7 @@
       boolean changed = tracker.onChanges(answer);
       position = tracker.position();
       if (changed) {
-        listener.onRows(tracker);
+        deliver();
         gather(System.nanoTime() - now);
       }
     } catch (HistoryLostException e) {
@@ -173,6 +191,17 @@
     }
   }
 
+  /** Rows that the listener failed on are handed over again, and nothing is certain until then. */
+  private void deliver() {
+    boolean delivered = false;
+    try {
+      listener.onRows(tracker);
+      delivered = true;
+    } finally {
+      owesRows = !delivered;
+    }
+  }
+
   private void gather(long answeredWithinNanos) throws InterruptedException {
     boolean goesOn = answeredWithinNanos < WAS_THERE_NANOS && gatherMillis > 0;
     long longer =
@@ -191,7 +220,7 @@
    * store answers and other nodes would tell of a change, a watch without an answer is certain too.
    */
   long unconfirmedNanos(long nowNanos) {
-    boolean certain = reachable && others.tell() && !knowsOfNewer();
+    boolean certain = reachable && !owesRows && others.tell() && !knowsOfNewer();
     return certain ? 0 : nowNanos - confirmedNanos;
   }
 
@@ -220,7 +249,7 @@
     boolean changed = tracker.onWhole(answer, System.nanoTime());
     position = tracker.position();
     if (changed) {
-      listener.onRows(tracker);
+      deliver();
     }
     if (stale) {
       times.pause().await(PAUSE_WHEN_STALE_MILLIS);
@@ -262,7 +291,7 @@
       position = tracker.position();
       if (changed) {
         log.learnedFromPeer(name, answer.version());
-        listener.onRows(tracker);
+        deliver();
       }
       tracker.onOutage();
     } catch (StoreException e) {
@@ -273,6 +302,6 @@
   @Override
   public void close() {
     closed = true;
-    thread.interrupt();
+    loop.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
@@ -8,6 +8,7 @@
 import org.fallturn.core.scaling.ScaleWish;
 import org.fallturn.core.scaling.StandingStore;
 import org.fallturn.core.usage.DutyOutcome;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that orders engines from the platform, one order at a time, on a thread of its own.
@@ -32,8 +33,13 @@
     this.api = api;
   }
 
-  void start() {
-    jobs.start();
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    jobs.start(faults);
   }
 
   /** Hands a wish over; dropped while another is under way or right after a failure. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.fallturn.node.duty.DutyLoop;
+import org.fallturn.node.duty.FaultListener;
 import org.fallturn.node.settings.GatewaySettings;
 import org.fallturn.node.settings.SettingsException;
 
@@ -21,7 +23,7 @@
   private final Consumer<GatewaySettings> changed;
   private final DecisionLog log;
   private final Semaphore wishes = new Semaphore(0);
-  private final Thread thread = new Thread(this::watch, "settings");
+  private final DutyLoop loop = new DutyLoop("settings", this::watch);
   private String lastText = "";
 
   /**
@@ -33,28 +35,29 @@
     this.file = file;
     this.changed = changed;
     this.log = log;
-    thread.setDaemon(true);
   }
 
-  void start() {
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
     lastText = text();
     ReloadSignal.onSignal(wishes::release);
-    thread.start();
+    loop.start(faults);
   }
 
-  private void watch() {
-    try {
-      while (true) {
-        boolean asked = wishes.tryAcquire(CHECK_SECONDS, TimeUnit.SECONDS);
-        wishes.drainPermits();
-        String text = text();
-        if (asked || !text.equals(lastText)) {
-          lastText = text;
-          reload(text);
-        }
+  /** Begun anew after a fault; settings that were not taken then still count as changed. */
+  private void watch() throws InterruptedException {
+    while (true) {
+      boolean asked = wishes.tryAcquire(CHECK_SECONDS, TimeUnit.SECONDS);
+      wishes.drainPermits();
+      String text = text();
+      if (asked || !text.equals(lastText)) {
+        reload(text);
+        lastText = text;
       }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
     }
   }
 
@@ -80,6 +83,6 @@
 
   @Override
   public void close() {
-    thread.interrupt();
+    loop.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StageDuty.java
@@ -7,6 +7,7 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.core.stages.StageChange;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that orders engines to change their stage, one at a time, on a thread of its own: takes
@@ -36,8 +37,13 @@
     this.orders = orders;
   }
 
-  void start() {
-    jobs.start();
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    jobs.start(faults);
   }
 
   /** Hands a change over; dropped while another is under way or right after a failure. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -7,6 +7,7 @@
 import org.fallturn.core.usage.UsageApi;
 import org.fallturn.core.usage.UsageReport;
 import org.fallturn.core.usage.UsageStore;
+import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that reports usage, one window at a time, on a thread of its own: takes the lease, fixes
@@ -38,8 +39,13 @@
     this.api = api;
   }
 
-  void start() {
-    jobs.start();
+  /**
+   * Begins.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  void start(FaultListener faults) {
+    jobs.start(faults);
   }
 
   /** Hands a report over; dropped while another is under way or right after a failure. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gossip/UdpSocket.java
@@ -9,6 +9,8 @@
 import java.nio.channels.DatagramChannel;
 import java.util.function.BiConsumer;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.duty.DutyLoop;
+import org.fallturn.node.duty.FaultListener;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,7 +29,7 @@
 
   private final DatagramChannel channel;
   private final NetworkAddress address;
-  private final Thread receiver;
+  private final DutyLoop receiver;
 
   /**
    * Binds the port.
@@ -49,8 +51,7 @@
     this.channel = channel;
     InetSocketAddress bound = (InetSocketAddress) channel.getLocalAddress();
     address = new NetworkAddress(bound.getAddress().getHostAddress(), bound.getPort());
-    receiver = new Thread(() -> receiveUntilClosed(receive), name);
-    receiver.setDaemon(true);
+    receiver = new DutyLoop(name, () -> receiveUntilClosed(receive));
   }
 
   private static DatagramChannel bind(NetworkAddress listen) throws IOException {
@@ -66,7 +67,16 @@
 
   @Override
   public void start() {
-    receiver.start();
+    start(FaultListener.LOGGED);
+  }
+
+  /**
+   * Begins to receive.
+   *
+   * @param faults hears of what the duty does not catch
+   */
+  public void start(FaultListener faults) {
+    receiver.start(faults);
   }
 
   @Override
@@ -96,8 +106,10 @@
             datagram, new NetworkAddress(source.getAddress().getHostAddress(), source.getPort()));
       } catch (ClosedChannelException e) {
         return;
-      } catch (IOException | RuntimeException e) {
+      } catch (IOException e) {
         LOG.warn("gossip: Could not receive: {}.", e.toString());
+      } catch (RuntimeException e) {
+        receiver.onCaught(e);
       }
     }
   }
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
@@ -0,0 +1,272 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.DatagramChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.peers.MessageKind;
+import org.fallturn.core.peers.PeerInfo;
+import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.port.table.StoreException;
+import org.fallturn.core.quarantine.QuarantineStore;
+import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.scaling.ScaleWish;
+import org.fallturn.core.stages.OrderLease;
+import org.fallturn.core.stages.OrderLeaseReading;
+import org.fallturn.core.stages.OrderLeaseRow;
+import org.fallturn.core.stages.OrderLeaseStore;
+import org.fallturn.core.stages.StageChange;
+import org.fallturn.core.usage.UsageReport;
+import org.fallturn.node.duty.FaultListener;
+import org.fallturn.node.settings.GatewaySettings;
+import org.fallturn.node.settings.SettingsException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * An Error in a duty's work, as when a class could not be loaded, once ended its thread without a
+ * line in the log: stages were ordered no more, peers not heard, tables not followed, while the
+ * node called itself ready. Each duty is to tell of it and to go on with what comes next.
+ */
+class DutyFaultsTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(30);
+  private static final String SETTINGS =
+      """
+      [gateway]
+      node_name = "gateway-1"
+      zone = "zone-1"
+      callers = "127.0.0.1:0"
+      readiness = "127.0.0.1:0"
+      peers = "127.0.0.1:0"
+
+      [store]
+      address = "127.0.0.1:1"
+      """;
+
+  private static final RequestFingerprint CONTENT = new RequestFingerprint(1, "ab");
+
+  private final AtomicInteger calls = new AtomicInteger();
+  private final List<String> faults = new CopyOnWriteArrayList<>();
+  private final FaultListener listener = (duty, fault, answer) -> faults.add(duty);
+  private final DecisionLog log = new DecisionLog(new GatewayMetrics());
+
+  /** Fails the first time. */
+  private void work() {
+    if (calls.incrementAndGet() == 1) {
+      throw new NoClassDefFoundError("a/B");
+    }
+  }
+
+  private void awaitGoesOn(String duty, Runnable again) {
+    await()
+        .atMost(LONGEST)
+        .until(
+            () -> {
+              again.run();
+              return calls.get() > 1;
+            });
+    assertThat(faults).containsExactly(duty);
+  }
+
+  /** A lease whose first reading fails. */
+  private DutyContext context() {
+    OrderLeaseStore store =
+        new OrderLeaseStore() {
+          @Override
+          public OrderLeaseReading read() throws StoreException {
+            work();
+            throw new StoreException("not reachable", false, null);
+          }
+
+          @Override
+          public OptionalLong write(OrderLeaseRow row, long expectedVersion) {
+            return OptionalLong.empty();
+          }
+        };
+    OrderLease lease =
+        new OrderLease(store, "node-1", settings().dispatchParameters().stages(), System::nanoTime);
+    return new DutyContext(lease, "node-1", event -> {}, log);
+  }
+
+  private static GatewaySettings settings() {
+    try {
+      return GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
+    } catch (SettingsException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  @Test
+  void stages() {
+    ServingEngine engine =
+        new ServingEngine(
+            "e", "s", new NetworkAddress("127.0.0.1", 1), "z", 8, false, EngineStage.DECODE);
+    try (StageDuty duty = new StageDuty(context(), null)) {
+      duty.start(listener);
+      awaitGoesOn("stages", () -> duty.offer(new StageChange(engine, EngineStage.PREFILL)));
+    }
+  }
+
+  @Test
+  void usage() {
+    try (UsageDuty duty = new UsageDuty(context(), null, null)) {
+      duty.start(listener);
+      awaitGoesOn("usage", () -> duty.offer(new UsageReport(1, Map.of())));
+    }
+  }
+
+  @Test
+  void scaling() {
+    try (ScaleDuty duty = new ScaleDuty(context(), this::fix, null)) {
+      duty.start(listener);
+      awaitGoesOn("scaling", () -> duty.offer(new ScaleWish.FixStanding("s", Map.of())));
+    }
+  }
+
+  private Map<String, Integer> fix(String service, Map<String, Integer> observed) {
+    work();
+    return observed;
+  }
+
+  @Test
+  void quarantine() {
+    QuarantineStore store =
+        new QuarantineStore() {
+          @Override
+          public List<Held> read() {
+            return List.of();
+          }
+
+          @Override
+          public void put(RequestFingerprint content) {
+            work();
+          }
+
+          @Override
+          public void remove(RequestFingerprint content) {}
+        };
+    try (QuarantineDuty duty = new QuarantineDuty(store, event -> {}, log)) {
+      duty.start(listener);
+      awaitGoesOn("quarantine", () -> duty.put(CONTENT));
+    }
+  }
+
+  @Test
+  void settingsThatWereNotTakenAreTakenLater(@TempDir Path directory) throws Exception {
+    Path file = directory.resolve("settings.toml");
+    Files.writeString(file, SETTINGS);
+    Consumer<GatewaySettings> taken = settings -> work();
+    try (SettingsWatch watch = new SettingsWatch(file, taken, log)) {
+      watch.start(listener);
+      Files.writeString(file, SETTINGS + "\n");
+      awaitGoesOn("settings", () -> {});
+    }
+  }
+
+  @Test
+  void peers() throws Exception {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    byte[] datagram = new PeerCodec().encode(message());
+    DatagramChannel channel = DatagramChannel.open().bind(any);
+    try (PeerExchange exchange = new PeerExchange(channel, event -> work());
+        DatagramChannel sender = DatagramChannel.open().bind(any)) {
+      exchange.start(listener);
+      InetSocketAddress target = (InetSocketAddress) channel.getLocalAddress();
+      awaitGoesOn("peers", () -> send(sender, datagram, target));
+    }
+  }
+
+  private static void send(DatagramChannel sender, byte[] datagram, InetSocketAddress target) {
+    try {
+      sender.send(ByteBuffer.wrap(datagram), target);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static PeerMessage message() {
+    PeerInfo peer = new PeerInfo(new NetworkAddress("127.0.0.1", 1), "zone-1", 1);
+    LoadDigest load = new LoadDigest("edge-1", 1, 1, 1, "edge-1", Map.of(), List.of(), Map.of());
+    return new PeerMessage(
+        MessageKind.VIEW, peer, load, List.of(), List.of(), List.of(), Map.of(), true);
+  }
+
+  /** A table with one row that does not change. */
+  private static final class OneRow implements RowFeed {
+
+    @Override
+    public FeedAnswer snapshot() {
+      return new FeedAnswer(List.of(new FeedRow("a", 1, "", false)), 1);
+    }
+
+    @Override
+    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
+      awaitInterrupt();
+      return new FeedAnswer(List.of(), after);
+    }
+
+    private static void awaitInterrupt() {
+      try {
+        new CountDownLatch(1).await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
+  @Test
+  void followerHandsRowsOverAgain() throws Exception {
+    RowFollower.Listener rows =
+        new RowFollower.Listener() {
+          @Override
+          public void onRows(FeedTracker tracker) {
+            work();
+          }
+
+          @Override
+          public void onReachable(boolean reachable) {}
+        };
+    RowFollower.Others others =
+        new RowFollower.Others() {
+          @Override
+          public long newestChange() {
+            return 0;
+          }
+
+          @Override
+          public boolean tell() {
+            return true;
+          }
+        };
+    RowFeed feed = new OneRow();
+    RowFollower.Times times = new RowFollower.Times(Duration.ZERO, Duration.ofSeconds(5));
+    try (RowFollower follower = new RowFollower("t", feed, feed, rows, log, others, times)) {
+      follower.start(listener);
+      awaitGoesOn("follow-t", () -> {});
+    }
+  }
+}
