Leave the permits of an engine's limit to requests

Callers went on being refused after an engine had ceased to name a limit of zero: only an answer to a request tells that it has ended, and this node's own call for the engine's list, every five seconds, took the one permit that accrues in that time.

Calls that need no permit use up none now. They count in the window as before, which is what bounds what an engine gets, so requests still wait for them there.

ownCallsDoNotKeepALimitOfZeroFromBeingTried was red and is green; the random fleets of SharedRateTest are unchanged and green; a fleet whose first node makes own calls stays within the bound and still sends requests (new test, red before for a lone node).

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLimits.java
@@ -24,8 +24,9 @@
  * later start begins without.
  *
  * <p>Invariant: a request of a caller is sent to an engine that names a limit only with a permit,
- * taken when its sending begins; calls of this node's own take one too, and need none. Thread-safe:
- * answers are read and sends begin on client threads, decisions are made on the dispatch thread.
+ * taken when its sending begins; calls of this node's own need none, and take room in the window
+ * only. Thread-safe: answers are read and sends begin on client threads, decisions are made on the
+ * dispatch thread.
  */
 public final class EngineLimits {
 
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
@@ -128,13 +128,16 @@
     if (!mayTake(nowNanos)) {
       return false;
     }
-    onSent(nowNanos);
+    credit--;
+    sent.add(nowNanos);
     return true;
   }
 
-  /** A request is sent now that needs no permit; later ones wait for it. */
+  /**
+   * A request is sent now that needs no permit. It takes room in the window alone: one that comes
+   * as often as a permit accrues would else take all, and no other request would ever be sent.
+   */
   public void onSent(long nowNanos) {
-    credit = Math.max(credit - 1, -1);
     sent.add(nowNanos);
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/limits/RateFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/RateFleet.java
@@ -33,6 +33,9 @@
 
     /** A request comes; whether it is sent. */
     boolean request(long nowNanos);
+
+    /** It sends a call of its own, which needs no permit. */
+    default void ownCall(long nowNanos) {}
   }
 
   /** By what all want. */
@@ -55,6 +58,11 @@
         rate.onAsked(nowNanos);
         return rate.tryTake(nowNanos);
       }
+
+      @Override
+      public void ownCall(long nowNanos) {
+        rate.onSent(nowNanos);
+      }
     };
   }
 
@@ -113,6 +121,8 @@
   private final List<Deque<Told>> told = new ArrayList<>();
   private final double lost;
   private final List<Long> sentAt = new ArrayList<>();
+  private int ownCallMillis = Integer.MAX_VALUE;
+  private int ownCalls;
 
   private record Told(long atNanos, RateDigest digest, int group) {}
 
@@ -126,6 +136,16 @@
     }
   }
 
+  /** From now on the first node sends a call of its own every so many ms. */
+  void callEvery(int millis) {
+    ownCallMillis = millis;
+  }
+
+  /** How many calls of its own the first node has sent. */
+  int ownCalls() {
+    return ownCalls;
+  }
+
   void play(double seconds, Demand demand, Trouble trouble) {
     for (int millis = 0; millis < seconds * 1_000; millis += STEP_MILLIS) {
       long now = TimeUnit.MILLISECONDS.toNanos(millis) + 1;
@@ -139,6 +159,11 @@
         }
         requests(node, demand.perSecond(node, time), now);
       }
+      if (millis % ownCallMillis == 0 && millis > 0) {
+        parts.get(0).ownCall(now);
+        sentAt.add(now);
+        ownCalls++;
+      }
       if (millis % (2 * STEP_MILLIS) == 0) {
         hearAll(trouble, time, now);
       }
--- a/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
@@ -207,6 +207,17 @@
     assertThat(taken).isGreaterThan(3);
   }
 
+  /** Nor does it in a fleet, and the calls still count in the bound. */
+  @ParameterizedTest
+  @CsvSource({"1,0", "3,0", "8,0", "63,0", "3,0.3", "3,2.2", "8,7.1"})
+  void ownCallsLeaveRoomForRequestsAndStayWithinTheBound(int nodes, double limit) {
+    RateFleet fleet = new RateFleet(nodes, limit, RateFleet::byDemand, LOST, 11);
+    fleet.callEvery(5_000);
+    fleet.play(100, (node, seconds) -> 1 + limit, RateFleet.NONE);
+    assertThat(worst(fleet)).isLessThanOrEqualTo(RateFleet.allowed(limit));
+    assertThat(fleet.sent(0, 100) - fleet.ownCalls()).isGreaterThanOrEqualTo(10);
+  }
+
   @Test
   void callsThatNeedNoPermitTakeOneAllTheSame() {
     SharedRate rate = new SharedRate(new SplittableRandom(8));
