Show that a node may remove the row of a content that another holds back

Red: the row of a content in quarantine is taken from the store by a node that was told of it and has not held the content back itself. Callers' copies of it are sent again once all nodes have been started anew.

--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -220,6 +220,25 @@
     assertThat(quarantine.takeUnstored(at(20_000))).containsExactly(CULPRIT.fingerprint());
   }
 
+  /**
+   * A content's row vanished from the store 50 ms after it had been written, and all nodes that
+   * started anew sent the content again. Another node had been told of the crashes by messages that
+   * took different times, so that they lay too close together there to count, and it took the row,
+   * which it was told of too, for one of a content that had been released.
+   */
+  @Test
+  void nodeThatHasNotHeldAContentBackLeavesItsRowInTheStore() {
+    crashOne(quarantine, CULPRIT, "e-1", 0);
+    quarantine.takeReports(false, at(0)).forEach(report -> other.onTold(report, at(40)));
+    crashOne(quarantine, CULPRIT, "e-2", 50);
+    crashOne(quarantine, CULPRIT, "e-3", 60);
+    quarantine.onStored(CULPRIT.fingerprint(), at(70));
+    tell(quarantine, other, 70);
+    other.onTick(NOT_HEARD, at(80));
+    assertThat(other.standing(CULPRIT, at(90))).isEqualTo(Standing.SUSPECTED);
+    assertThat(other.takeReleased()).isEmpty();
+  }
+
   @Test
   void releasedContentIsTakenFromTheStore() {
     quarantine.onRecalled(CULPRIT.fingerprint(), 1_000, at(0));
