Take a content's row from the store only where it was held back

Copies of a content that crashes engines were sent again after all nodes had been started anew: a node that was told that the store holds the content, and of crashes that lay too close together by the time they were told, took it for released and removed the row; no node writes it again for ten minutes.

A node removes the row once it has held the content back itself, or nothing speaks against it any more. nodeThatHasNotHeldAContentBackLeavesItsRowInTheStore was red and is green; the fleet properties are green.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -188,7 +188,7 @@
   }
 
   private void release(Suspect suspect) {
-    if (suspect.stored() && suspect.standing() != Standing.QUARANTINED) {
+    if (suspect.storedInVain()) {
       suspect.onRemovedFromStore();
       released.add(suspect.content());
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -66,6 +66,7 @@
   private long toldNanos;
   private Standing standing = Standing.CLEAR;
   private boolean matters;
+  private boolean heldBack;
   private Standing noticed = Standing.CLEAR;
 
   /** An engine that seemed to crash, and whether this node saw it. */
@@ -115,6 +116,7 @@
   /** To be called after each change of what speaks for or against it. */
   private void weigh() {
     standing = weighed();
+    heldBack |= standing == Standing.QUARANTINED;
     matters |= crashes.size() >= CRASHES_TO_SUSPECT || confirmed();
   }
 
@@ -282,6 +284,16 @@
 
   void onRemovedFromStore() {
     storedNanos = OptionalLong.empty();
+    heldBack = false;
+  }
+
+  /**
+   * Whether the store holds what no longer speaks against it. A node that has only been told of the
+   * row, and not yet of enough else to hold it back, leaves it there.
+   */
+  boolean storedInVain() {
+    boolean released = standing() == Standing.CLEAR || heldBack;
+    return stored() && released && standing() != Standing.QUARANTINED;
   }
 
   /** Takes away the crashes of engines that were heard later; whether there were any. */
