Keep what is suspected in the store, and send it one copy at a time

Callers' copies of a content that crashes engines were sent on by a lone node that had been started anew: what it had counted was written only once the content was in quarantine, so that the crashes counted from none; and until the third was known for sure, copies were sent beside each other and at once after each break, each of which ends an engine.

A content under suspicion has a row in the store, written once by the node that saw its last crash; its key is one that earlier builds skip. Nothing is written for what one engine crashed under, and no send waits for the store. While engines seem to have crashed under a content, a node sends one copy of it at a time, and under suspicion none for up to half a second after another break, until it is known whether that engine is gone. So a node that starts from nothing sends it no more than three times, but for copies that were under way before the first break.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -392,7 +392,11 @@
       return refusals.quarantined(progress);
     }
     progress.isolate(standing == Standing.SUSPECTED);
-    return placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
+    Decision decision = placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
+    if (!(decision instanceof Decision.Refuse)) {
+      quarantine.onSent(progress.content(), progress.envelope().requestId());
+    }
+    return decision;
   }
 
   private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
@@ -479,6 +483,7 @@
 
   private void release(RequestProgress progress, boolean mayHaveRun) {
     progress.engine().ifPresent(engine -> selector.load(engine).remove(progress));
+    quarantine.onEnded(progress.envelope().requestId());
     progress.endAttempt(mayHaveRun);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -73,6 +73,12 @@
   private final Set<Suspect> active = new LinkedHashSet<>();
 
   private final Map<Integer, Integer> sketches = new HashMap<>();
+
+  /**
+   * What this node has sent and has not ended, by request: copies of one content are found here.
+   */
+  private final Map<String, RequestContent> sent = new HashMap<>();
+
   private final List<StandingChange> changes = new ArrayList<>();
   private final List<RequestFingerprint> released = new ArrayList<>();
   private final List<Suspect> culprits = new ArrayList<>();
@@ -96,7 +102,8 @@
       return Standing.CLEAR;
     }
     suspect.onAsked(nowNanos);
-    return suspect.standing();
+    boolean underWay = sent.values().stream().anyMatch(copy -> copy.is(suspect.content()));
+    return suspect.standingAt(underWay, nowNanos);
   }
 
   /** Costs nothing where no content with the same sketch is known. */
@@ -104,6 +111,16 @@
     return sketches.containsKey(content.sketch()) ? suspects.get(content.fingerprint()) : null;
   }
 
+  /** A content is sent to an engine under a request's id. */
+  public void onSent(RequestContent content, String requestId) {
+    sent.put(requestId, content);
+  }
+
+  /** What was sent under a request's id has ended, however it did. */
+  public void onEnded(String requestId) {
+    sent.remove(requestId);
+  }
+
   /** An engine seems to have crashed while it had the content: its connection broke. */
   public void onCrash(RequestContent content, String engineId, long nowNanos) {
     Suspect suspect = suspect(content.fingerprint(), nowNanos, nowNanos);
@@ -243,6 +260,26 @@
     dropWhenEmpty(suspect);
   }
 
+  /** The store holds it, from before this process began, in quarantine or under suspicion. */
+  public void onRecalled(QuarantineStore.Held held, long nowNanos) {
+    if (held.engines().isEmpty()) {
+      onRecalled(held.content(), held.ageMillis(), nowNanos);
+      return;
+    }
+    long writtenNanos = at(held.ageMillis(), nowNanos);
+    Suspect suspect = suspect(held.content(), writtenNanos, nowNanos);
+    boolean learned = false;
+    for (String engineId : held.engines()) {
+      learned |= suspect.onCrash(engineId, writtenNanos, false, true, nowNanos);
+    }
+    if (learned) {
+      suspect.onSuspicionStored(held.engines());
+      onLearned(suspect);
+    }
+    notice(suspect);
+    dropWhenEmpty(suspect);
+  }
+
   /** The store has taken it. */
   public void onStored(RequestFingerprint content, long nowNanos) {
     Suspect suspect = suspects.get(content);
@@ -376,6 +413,19 @@
         .toList();
   }
 
+  /**
+   * Contents that have come under suspicion, with the engines that crashed under each, which the
+   * store should hold as far as this node is to see to it: a process that ends would else take what
+   * it has counted with it. What one engine crashed under is left out, as that is most.
+   */
+  public Map<RequestFingerprint, Set<String>> takeUnstoredSuspects() {
+    Map<RequestFingerprint, Set<String>> due = new HashMap<>();
+    for (Suspect suspect : active) {
+      suspect.takeSuspicionDue().ifPresent(engines -> due.put(suspect.content(), engines));
+    }
+    return due;
+  }
+
   /** A different one for each node, so that one writes and the others hear of it. */
   private long othersPause(Suspect suspect) {
     long rank = RendezvousHash.weight(suspect.content().digest(), node);
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -5,10 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -60,6 +62,7 @@
   private OptionalLong confirmedNanos = OptionalLong.empty();
   private OptionalLong storedNanos = OptionalLong.empty();
   private OptionalLong storeDueNanos = OptionalLong.empty();
+  private Set<String> storedEngines = Set.of();
   private long askedNanos;
   private long changedNanos;
   private long seenHereNanos;
@@ -113,6 +116,28 @@
     return standing;
   }
 
+  /**
+   * What is thought of it when it is to be sent now. While engines seem to have crashed under it,
+   * one copy at a time is sent from here; and under suspicion none until it is known whether the
+   * last one ended its engine. With others under way it would crash more engines than are
+   * tolerated.
+   *
+   * @param underWay whether this node has sent a copy that has not ended
+   */
+  Standing standingAt(boolean underWay, long nowNanos) {
+    long undecided = undecided(nowNanos);
+    boolean besideAnother = underWay && countedCrashes().count() + undecided >= CRASHES_TO_SUSPECT;
+    boolean waits = besideAnother || standing == Standing.SUSPECTED && undecided > 0;
+    return waits ? Standing.QUARANTINED : standing;
+  }
+
+  /** Connections that broke just now, of engines that may live. */
+  private long undecided(long nowNanos) {
+    return crashes.values().stream()
+        .filter(crash -> !crash.sure && nowNanos - crash.atNanos < ALIVE_NANOS)
+        .count();
+  }
+
   /** To be called after each change of what speaks for or against it. */
   private void weigh() {
     standing = weighed();
@@ -124,17 +149,17 @@
     if (confirmed()) {
       return Standing.QUARANTINED;
     }
-    List<Long> counted =
-        crashes.entrySet().stream()
-            .filter(crash -> crash.getValue().sure && !explained.contains(crash.getKey()))
-            .map(crash -> crash.getValue().atNanos)
-            .toList();
+    List<Long> counted = countedCrashes().map(crash -> crash.getValue().atNanos).toList();
     if (counted.size() >= CRASHES_TO_QUARANTINE && apart(counted)) {
       return Standing.QUARANTINED;
     }
     return counted.size() >= CRASHES_TO_SUSPECT ? Standing.SUSPECTED : Standing.CLEAR;
   }
 
+  private Stream<Map.Entry<String, Crash>> countedCrashes() {
+    return sureCrashes().filter(crash -> !explained.contains(crash.getKey()));
+  }
+
   private boolean confirmed() {
     return confirmedNanos.isPresent();
   }
@@ -285,6 +310,12 @@
   void onRemovedFromStore() {
     storedNanos = OptionalLong.empty();
     heldBack = false;
+    storedEngines = Set.of();
+  }
+
+  /** The store holds it as under suspicion. */
+  void onSuspicionStored(Set<String> engines) {
+    storedEngines = Set.copyOf(engines);
   }
 
   /**
@@ -292,8 +323,30 @@
    * row, and not yet of enough else to hold it back, leaves it there.
    */
   boolean storedInVain() {
-    boolean released = standing() == Standing.CLEAR || heldBack;
-    return stored() && released && standing() != Standing.QUARANTINED;
+    if (standing() == Standing.CLEAR) {
+      return stored() || !storedEngines.isEmpty();
+    }
+    return stored() && heldBack && standing() != Standing.QUARANTINED;
+  }
+
+  /**
+   * Engines that crashed under it while it is under suspicion and that the store should hold, where
+   * this node saw the last of them; then not again until there are others.
+   */
+  Optional<Set<String>> takeSuspicionDue() {
+    if (standing() != Standing.SUSPECTED || seenHereNanos != changedNanos) {
+      return Optional.empty();
+    }
+    Set<String> engines = countedEngines();
+    if (storedEngines.containsAll(engines)) {
+      return Optional.empty();
+    }
+    storedEngines = engines;
+    return Optional.of(engines);
+  }
+
+  private Set<String> countedEngines() {
+    return countedCrashes().map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
   }
 
   /** Takes away the crashes of engines that were heard later; whether there were any. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.CrashReport;
+import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.quarantine.StandingChange;
@@ -45,6 +46,7 @@
   private final List<Run> runs = new ArrayList<>();
   private final List<Later> later = new ArrayList<>();
   private final Set<RequestFingerprint> stored = new HashSet<>();
+  private final Map<RequestFingerprint, Set<String>> storedSuspects = new HashMap<>();
   private final List<Long> poisonSends = new ArrayList<>();
   private final List<Long> settledPoisonSends = new ArrayList<>();
   private final Map<Integer, Long> startedAt = new HashMap<>();
@@ -82,6 +84,9 @@
 
   private Dispatcher newNode() {
     Dispatcher node = Requests.dispatcher(engines.toArray(ServingEngine[]::new));
+    storedSuspects.forEach(
+        (content, crashed) ->
+            node.quarantine().onRecalled(new QuarantineStore.Held(content, 0, crashed), now()));
     stored.forEach(content -> node.quarantine().onRecalled(content, 0, now()));
     return node;
   }
@@ -249,6 +254,8 @@
     if (millis % TICK_MILLIS == 0) {
       dispatcher.onTick(now());
       dispatcher.quarantine().takeUnstored(now()).forEach(content -> store(dispatcher, content));
+      storedSuspects.putAll(dispatcher.quarantine().takeUnstoredSuspects());
+      dispatcher.quarantine().takeReleased().forEach(this::removeFromStore);
     }
     for (String engineId : dispatcher.quarantine().takeProbes(now())) {
       in(STEP_MILLIS * (1 + random.nextInt(2)), () -> probe(dispatcher, engineId));
@@ -285,6 +292,11 @@
     dispatcher.quarantine().onStored(content, now());
   }
 
+  private void removeFromStore(RequestFingerprint content) {
+    stored.remove(content);
+    storedSuspects.remove(content);
+  }
+
   private void end(Run run) {
     Optional<ServingEngine> engine =
         engines.stream().filter(one -> one.id().equals(engineOf(run))).findFirst();
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/QuarantineFleetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/QuarantineFleetTest.java
@@ -88,7 +88,8 @@
         -8049774261499875565L,
         -4413492368339739610L,
         2805720589411083473L,
-        4017895286629994207L
+        4017895286629994207L,
+        -2289818681269534918L
       })
   void loneNodeThatIsRestartedHoldsThePoisonBack(long seed) {
     CrashingFleet fleet = new CrashingFleet(seed, 1, 13);
--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
@@ -239,6 +241,50 @@
     assertThat(other.takeReleased()).isEmpty();
   }
 
+  @Test
+  void whatANodeSuspectsOutlastsItsProcess() {
+    crash(quarantine, CULPRIT, 2);
+    tell(quarantine, other, 210);
+    assertThat(other.takeUnstoredSuspects()).isEmpty();
+    Map<RequestFingerprint, Set<String>> stored = quarantine.takeUnstoredSuspects();
+    assertThat(stored).containsExactly(Map.entry(CULPRIT.fingerprint(), Set.of("e-1", "e-2")));
+    assertThat(quarantine.takeUnstoredSuspects()).isEmpty();
+    Quarantine later = new Quarantine("node-1");
+    stored.forEach(
+        (content, engines) ->
+            later.onRecalled(new QuarantineStore.Held(content, 100, engines), at(1_000)));
+    assertThat(later.standing(CULPRIT, at(1_010))).isEqualTo(Standing.SUSPECTED);
+    crashOne(later, CULPRIT, "e-3", 1_100);
+    assertThat(later.standing(CULPRIT, at(1_110))).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void suspicionThatHasEndedIsTakenFromTheStore() {
+    crash(quarantine, CULPRIT, 2);
+    quarantine.takeUnstoredSuspects();
+    quarantine.onGood(CULPRIT, at(300));
+    assertThat(quarantine.takeReleased()).containsExactly(CULPRIT.fingerprint());
+  }
+
+  /** While one copy ran, others of the same content were sent and crashed an engine each. */
+  @Test
+  void contentUnderSuspicionIsSentOnceAtATime() {
+    quarantine.onSent(CULPRIT, "request-1");
+    crash(quarantine, CULPRIT, 2);
+    assertThat(standing(CULPRIT, 1_000)).isEqualTo(Standing.QUARANTINED);
+    quarantine.onEnded("request-1");
+    assertThat(standing(CULPRIT, 1_010)).isEqualTo(Standing.SUSPECTED);
+  }
+
+  @Test
+  void contentUnderSuspicionWaitsUntilItIsKnownWhetherAnotherEngineCrashed() {
+    crash(quarantine, CULPRIT, 2);
+    quarantine.onCrash(CULPRIT, "e-3", at(300));
+    assertThat(standing(CULPRIT, 310)).isEqualTo(Standing.QUARANTINED);
+    assertThat(standing(CULPRIT, 900)).isEqualTo(Standing.SUSPECTED);
+    assertThat(quarantine.takeUnstored(at(910))).isEmpty();
+  }
+
   @Test
   void releasedContentIsTakenFromTheStore() {
     quarantine.onRecalled(CULPRIT.fingerprint(), 1_000, at(0));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -127,7 +127,7 @@
     } else if (event instanceof DispatchEvent.EngineGone gone) {
       keeper.onEngineGone(gone.engineId(), now);
     } else if (event instanceof DispatchEvent.QuarantineRecalled recalled) {
-      dispatcher.quarantine().onRecalled(recalled.content(), recalled.ageMillis(), now);
+      dispatcher.quarantine().onRecalled(recalled.held(), now);
     } else if (event instanceof DispatchEvent.QuarantineStored stored) {
       dispatcher.quarantine().onStored(stored.content(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -6,6 +6,7 @@
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.peers.PeerMessage;
+import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.RoutingImage;
@@ -70,8 +71,8 @@
   /** An engine that seemed to crash does not listen any more, or another has its address. */
   record EngineGone(String engineId) implements DispatchEvent {}
 
-  /** The store holds a content in quarantine, written so many ms ago. */
-  record QuarantineRecalled(RequestFingerprint content, long ageMillis) implements DispatchEvent {}
+  /** The store holds a content in quarantine or under suspicion. */
+  record QuarantineRecalled(QuarantineStore.Held held) implements DispatchEvent {}
 
   /** The store has taken a content in quarantine. */
   record QuarantineStored(RequestFingerprint content) implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
@@ -1,5 +1,7 @@
 package org.fallturn.node.gateway;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -10,9 +12,11 @@
 import org.fallturn.core.quarantine.RequestFingerprint;
 
 /**
- * The duty that keeps contents in quarantine in the store, on a thread of its own: reads them once
- * after the start, and writes what the dispatch duty hands over. What the store does not take is
- * tried again; what does not fit into the queue is handed over again later.
+ * The duty that keeps contents in quarantine, and those under suspicion, in the store, on a thread
+ * of its own: reads them once after the start, and writes what the dispatch duty hands over. No
+ * send waits for it: a store that is away would else stop requests, and what is lost with a process
+ * that ends meanwhile is what it alone had counted. What the store does not take is tried again;
+ * what does not fit into the queue is handed over again later, where it is in quarantine.
  */
 final class QuarantineDuty implements AutoCloseable {
 
@@ -30,8 +34,8 @@
   private final Thread thread = new Thread(this::work, "quarantine");
   private long pauseMillis = PAUSE_MILLIS;
 
-  /** A content that the store is to hold, or no longer. */
-  private record Write(RequestFingerprint content, boolean held) {}
+  /** A content that the store is to hold, or no longer; with engines, as under suspicion. */
+  private record Write(RequestFingerprint content, boolean held, Set<String> engines) {}
 
   /** One call to the store. */
   @FunctionalInterface
@@ -56,18 +60,27 @@
     thread.start();
   }
 
-  /** The store is to hold a content. */
+  /** The store is to hold a content in quarantine. */
   void put(RequestFingerprint content) {
-    offer(new Write(content, true));
+    offer(new Write(content, true, Set.of()));
+  }
+
+  /** The store is to hold a content under suspicion. */
+  void putSuspect(RequestFingerprint content, Set<String> engines) {
+    offer(new Write(content, true, engines));
   }
 
   /** The store is to hold a content no longer. */
   void remove(RequestFingerprint content) {
-    offer(new Write(content, false));
+    offer(new Write(content, false, Set.of()));
   }
 
   private void offer(Write write) {
-    if (!writes.contains(write) && !writes.offer(write)) {
+    if (writes.contains(write)) {
+      return;
+    }
+    writes.removeIf(earlier -> earlier.content().equals(write.content()));
+    if (!writes.offer(write)) {
       log.quarantineStored(write.content(), write.held(), "too many wait");
     }
   }
@@ -105,25 +118,36 @@
     }
   }
 
-  /** Rows that nobody has renewed for a lifetime are removed by whoever starts next. */
+  /**
+   * Rows that nobody has renewed for a lifetime are removed by whoever starts next. A content may
+   * have one of each kind; both go at once.
+   */
   private void recall() throws StoreException {
+    Set<RequestFingerprint> live = new HashSet<>();
+    Set<RequestFingerprint> lapsed = new HashSet<>();
     for (QuarantineStore.Held held : store.read()) {
       if (held.ageMillis() > Quarantine.LIFETIME_MILLIS) {
-        remove(held.content());
+        lapsed.add(held.content());
       } else {
-        events.accept(new DispatchEvent.QuarantineRecalled(held.content(), held.ageMillis()));
+        live.add(held.content());
+        events.accept(new DispatchEvent.QuarantineRecalled(held));
       }
     }
+    lapsed.removeAll(live);
+    lapsed.forEach(this::remove);
   }
 
   private void carryOut(Write write) throws StoreException {
-    if (write.held()) {
+    if (!write.held()) {
+      store.remove(write.content());
+    } else if (write.engines().isEmpty()) {
       store.put(write.content());
       events.accept(new DispatchEvent.QuarantineStored(write.content()));
     } else {
-      store.remove(write.content());
+      store.putSuspect(write.content(), write.engines());
     }
-    log.quarantineStored(write.content(), write.held(), "done");
+    String outcome = write.engines().isEmpty() ? "done" : "done, under suspicion";
+    log.quarantineStored(write.content(), write.held(), outcome);
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineKeeper.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineKeeper.java
@@ -34,6 +34,7 @@
       dispatcher.engine(engineId).ifPresent(probe::ask);
     }
     quarantine.takeUnstored(nowNanos).forEach(store::put);
+    quarantine.takeUnstoredSuspects().forEach(store::putSuspect);
     quarantine.takeReleased().forEach(store::remove);
     quarantined = quarantine.quarantined();
     List<RequestFingerprint> added = new ArrayList<>();
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
@@ -1,6 +1,8 @@
 package org.fallturn.rehearsal.emulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.tuple;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,6 +11,7 @@
 import java.util.Base64;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.eclipse.jetty.client.HttpClient;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.stages.OrderLeaseReading;
@@ -98,6 +101,22 @@
     assertThat(stored("quarantine").fieldNames()).toIterable().containsExactly("writtenMs");
   }
 
+  /** An earlier build skips keys that are no fingerprint, and holds back all others. */
+  @Test
+  void contentsUnderSuspicionAreNoneInQuarantineToAnEarlierBuild() throws Exception {
+    QuarantineTable quarantine = new QuarantineTable(client, store.address());
+    RequestFingerprint earlier = quarantine.read().get(0).content();
+    RequestFingerprint content = new RequestFingerprint(1, "01");
+    quarantine.putSuspect(content, Set.of("e-1", "e-2"));
+    assertThat(quarantine.read())
+        .extracting("content", "engines")
+        .containsExactlyInAnyOrder(tuple(earlier, Set.of()), tuple(content, Set.of("e-1", "e-2")));
+    assertThatThrownBy(() -> RequestFingerprint.parse("suspect-" + content))
+        .isInstanceOf(IllegalArgumentException.class);
+    quarantine.remove(content);
+    assertThat(quarantine.read()).extracting("content").containsExactly(earlier);
+  }
+
   @Test
   void theStandingNumbersOfAnEarlierBuildCount() throws Exception {
     StandingTable standing = new StandingTable(client, store.address());
