Show that a process that stood still may count it as its caller's time

Red: a caller whose head began to come in before the process stood still, for longer than a head may take and less than a second, gets 408 at the first check after that. The test lets the checks come by hand; for this their interval is visible in the package.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
@@ -20,7 +20,7 @@
  */
 final class WatchedConnector extends ServerConnector {
 
-  private static final long CHECK_MILLIS = 250;
+  static final long CHECK_MILLIS = 250;
 
   /** After a longer pause between two checks this process stood still, not its callers. */
   private static final long STOOD_STILL_NANOS = TimeUnit.SECONDS.toNanos(1);
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
@@ -0,0 +1,120 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.component.AbstractLifeCycle;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A caller was told by 408 that the head of its request took too long, once in some 600,000
+ * requests beside much other work, though it had sent the whole head at once. Where the process
+ * stands still between reading a head's first bytes and serving it, for longer than a head may take
+ * but not for a second, the first check after that counted the time as the caller's.
+ */
+class WatchedConnectorTest {
+
+  private static final Duration HEAD_TIMEOUT = Duration.ofMillis(300);
+
+  private final Queue<Runnable> checks = new ConcurrentLinkedQueue<>();
+  private Server server;
+  private WatchedConnector connector;
+
+  /** Time stands still for the checks until the test lets one come. */
+  private final class HeldScheduler extends AbstractLifeCycle implements Scheduler {
+
+    @Override
+    public Task schedule(Runnable task, long delay, TimeUnit units) {
+      if (units == TimeUnit.MILLISECONDS && delay == WatchedConnector.CHECK_MILLIS) {
+        checks.add(task);
+      }
+      return () -> false;
+    }
+  }
+
+  /** Answers once the head is whole. */
+  private static final class Answering extends Handler.Abstract {
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      Content.Source.asString(request);
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+      return true;
+    }
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    server = new Server(null, new HeldScheduler(), null);
+    connector = new WatchedConnector(server, new HttpConnectionFactory(new HttpConfiguration()));
+    connector.setHost(InetAddress.getLoopbackAddress().getHostAddress());
+    connector.setHeadTimeout(HEAD_TIMEOUT);
+    server.addConnector(connector);
+    server.setHandler(new Answering());
+    server.start();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    server.stop();
+  }
+
+  private void check() {
+    checks.remove().run();
+  }
+
+  private Socket callerWhoseHeadHasBegun() throws Exception {
+    Socket caller = new Socket(InetAddress.getLoopbackAddress(), connector.getLocalPort());
+    caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: ".getBytes(StandardCharsets.US_ASCII));
+    while (connector.getConnectedEndPoints().stream()
+        .noneMatch(e -> ((WatchedEndPoint) e).headTakesLongerThan(HEAD_TIMEOUT.toNanos()))) {
+      Thread.onSpinWait();
+    }
+    return caller;
+  }
+
+  private static String readLine(Socket caller) throws Exception {
+    return new BufferedReader(
+            new InputStreamReader(caller.getInputStream(), StandardCharsets.US_ASCII))
+        .readLine();
+  }
+
+  @Test
+  void timeInWhichTheProcessStoodStillIsNotTheCallers() throws Exception {
+    try (Socket caller = callerWhoseHeadHasBegun()) {
+      check();
+      caller.getOutputStream().write("fleet\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      assertThat(readLine(caller)).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
+  @Test
+  void headThatIsStillComingInAtEveryCheckIsEnded() throws Exception {
+    try (Socket caller = callerWhoseHeadHasBegun()) {
+      while (caller.getInputStream().available() == 0) {
+        check();
+      }
+      assertThat(readLine(caller)).startsWith("HTTP/1.1 408 ");
+    }
+  }
+}
