Do not count time in which the process stood still as a caller's

A caller that had sent the whole head of its request got 408: where the process stood still for longer than a head may take, but not for a second, the first check after that found a head that had begun before, though only its reading had stood still.

A head is ended only once it was found coming in at as many checks as fit into the time that it may take, which a process that stands still does not make; and a pause of two checks' interval, instead of a second, makes all heads count anew. A caller that is slow is ended no later than before, within one interval.

timeInWhichTheProcessStoodStillIsNotTheCallers was red and is green; all unit tests of the node are.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
@@ -23,7 +23,7 @@
   static final long CHECK_MILLIS = 250;
 
   /** After a longer pause between two checks this process stood still, not its callers. */
-  private static final long STOOD_STILL_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long STOOD_STILL_NANOS = TimeUnit.MILLISECONDS.toNanos(2 * CHECK_MILLIS);
 
   private static final byte[] HEAD_TOO_SLOW =
       "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
@@ -70,11 +70,17 @@
   private void check(WatchedEndPoint caller, boolean stoodStill) {
     if (stoodStill) {
       caller.restartHead();
-    } else if (caller.headTakesLongerThan(headTimeoutNanos)) {
+    } else if (caller.checkHead(headTimeoutNanos, checksWithin(headTimeoutNanos))) {
       caller.write(Callback.from(caller::close), ByteBuffer.wrap(HEAD_TOO_SLOW));
     }
   }
 
+  /** So many checks come in a time, rounded up, unless this process stands still. */
+  private static long checksWithin(long nanos) {
+    long interval = TimeUnit.MILLISECONDS.toNanos(CHECK_MILLIS);
+    return nanos / interval + (nanos % interval == 0 ? 0 : 1);
+  }
+
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -28,6 +28,7 @@
   private long servedRequest;
   private boolean serving;
   private long headSinceNanos;
+  private long headChecks;
 
   WatchedEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
@@ -78,6 +79,7 @@
     synchronized (lock) {
       if (!serving && headSinceNanos == 0) {
         headSinceNanos = System.nanoTime();
+        headChecks = 0;
       }
     }
   }
@@ -108,6 +110,18 @@
   void restartHead() {
     synchronized (lock) {
       headSinceNanos = headSinceNanos == 0 ? 0 : System.nanoTime();
+      headChecks = 0;
+    }
+  }
+
+  /**
+   * Whether the head of a request has been coming in for longer than a time, and at as many checks
+   * as come in it: where this process stood still, it may only not have read what was there.
+   */
+  boolean checkHead(long nanos, long checks) {
+    synchronized (lock) {
+      headChecks++;
+      return headChecks >= checks && headTakesLongerThan(nanos);
     }
   }
 
