--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
@@ -220,6 +222,69 @@
     assertThat(quarantine.takeUnstored(at(20_000))).containsExactly(CULPRIT.fingerprint());
   }
 
+  /**
+   * A content's row vanished from the store 50 ms after it had been written, and all nodes that
+   * started anew sent the content again. Another node had been told of the crashes by messages that
+   * took different times, so that they lay too close together there to count, and it took the row,
+   * which it was told of too, for one of a content that had been released.
+   */
+  @Test
+  void nodeThatHasNotHeldAContentBackLeavesItsRowInTheStore() {
+    crashOne(quarantine, CULPRIT, "e-1", 0);
+    quarantine.takeReports(false, at(0)).forEach(report -> other.onTold(report, at(40)));
+    crashOne(quarantine, CULPRIT, "e-2", 50);
+    crashOne(quarantine, CULPRIT, "e-3", 60);
+    quarantine.onStored(CULPRIT.fingerprint(), at(70));
+    tell(quarantine, other, 70);
+    other.onTick(NOT_HEARD, at(80));
+    assertThat(other.standing(CULPRIT, at(90))).isEqualTo(Standing.SUSPECTED);
+    assertThat(other.takeReleased()).isEmpty();
+  }
+
+  @Test
+  void whatANodeSuspectsOutlastsItsProcess() {
+    crash(quarantine, CULPRIT, 2);
+    tell(quarantine, other, 210);
+    assertThat(other.takeUnstoredSuspects()).isEmpty();
+    Map<RequestFingerprint, Set<String>> stored = quarantine.takeUnstoredSuspects();
+    assertThat(stored).containsExactly(Map.entry(CULPRIT.fingerprint(), Set.of("e-1", "e-2")));
+    assertThat(quarantine.takeUnstoredSuspects()).isEmpty();
+    Quarantine later = new Quarantine("node-1");
+    stored.forEach(
+        (content, engines) ->
+            later.onRecalled(new QuarantineStore.Held(content, 100, engines), at(1_000)));
+    assertThat(later.standing(CULPRIT, at(1_010))).isEqualTo(Standing.SUSPECTED);
+    crashOne(later, CULPRIT, "e-3", 1_100);
+    assertThat(later.standing(CULPRIT, at(1_110))).isEqualTo(Standing.QUARANTINED);
+  }
+
+  @Test
+  void suspicionThatHasEndedIsTakenFromTheStore() {
+    crash(quarantine, CULPRIT, 2);
+    quarantine.takeUnstoredSuspects();
+    quarantine.onGood(CULPRIT, at(300));
+    assertThat(quarantine.takeReleased()).containsExactly(CULPRIT.fingerprint());
+  }
+
+  /** While one copy ran, others of the same content were sent and crashed an engine each. */
+  @Test
+  void contentUnderSuspicionIsSentOnceAtATime() {
+    quarantine.onSent(CULPRIT, "request-1");
+    crash(quarantine, CULPRIT, 2);
+    assertThat(standing(CULPRIT, 1_000)).isEqualTo(Standing.QUARANTINED);
+    quarantine.onEnded("request-1");
+    assertThat(standing(CULPRIT, 1_010)).isEqualTo(Standing.SUSPECTED);
+  }
+
+  @Test
+  void contentUnderSuspicionWaitsUntilItIsKnownWhetherAnotherEngineCrashed() {
+    crash(quarantine, CULPRIT, 2);
+    quarantine.onCrash(CULPRIT, "e-3", at(300));
+    assertThat(standing(CULPRIT, 310)).isEqualTo(Standing.QUARANTINED);
+    assertThat(standing(CULPRIT, 900)).isEqualTo(Standing.SUSPECTED);
+    assertThat(quarantine.takeUnstored(at(910))).isEmpty();
+  }
+
   @Test
   void releasedContentIsTakenFromTheStore() {
     quarantine.onRecalled(CULPRIT.fingerprint(), 1_000, at(0));
