--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/DispatchFaultTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DispatchFaultTest.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -101,6 +102,9 @@
     @Override
     public void put(RequestFingerprint content) {}
 
+    @Override
+    public void putSuspect(RequestFingerprint content, Set<String> engines) {}
+
     @Override
     public void remove(RequestFingerprint content) {}
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -166,6 +167,9 @@
             work();
           }
 
+          @Override
+          public void putSuspect(RequestFingerprint content, Set<String> engines) {}
+
           @Override
           public void remove(RequestFingerprint content) {}
         };
