Plan stages by uneven waits, and let half of the engines read before load was seen

Long prompts waited 0.1 to 1 s at engines that read while engines that decode had 1 to 30 ms of prompts and a quarter of their slots taken: a third of the engines had to decode whatever came, one changed at a time, and none came back while anything at all waited to be read.

Now an engine reads when prompts wait twice as long there, decodes again when they wait longer at decode engines, each stage keeps a fifth (stages.least_share), several change at once while decode slots are spare, and before any load was seen each stage has half.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -11,8 +11,9 @@
 
 /**
  * Decides when an engine of one service changes its stage. Prompts that wait while decode slots are
- * free make a decode engine read prompts; streams that crowd while prefill engines have nothing to
- * do make one decode again.
+ * free make a decode engine read prompts; streams that crowd, or prompts that wait longer at decode
+ * engines than at prefill engines, make one decode again. It answers a mix of prompts and answers
+ * that moves within tens of seconds; what turns sooner than an engine changes is left to placement.
  *
  * <p>Invariants: no change takes a stage below its least share of the engines, and never below one;
  * a stage that has fallen below it, since engines left, is filled up first; only a bounded part of
@@ -28,6 +29,13 @@
   /** Prompts that wait less than this on average have prefill engines to spare. */
   private static final double SHORT_WAIT_MILLIS = 15;
 
+  /**
+   * Prompts wait so many times as long at prefill engines as at the others before one more reads:
+   * placement evens out less, since it chooses between the two for each prompt. The other way a
+   * longer wait is enough, as it holds up streams too.
+   */
+  private static final double UNEVEN_WAITS = 2;
+
   /** Share of the decode slots that may be taken after a decode engine is given away. */
   private static final double ROOMY_OCCUPANCY = 0.4;
 
@@ -53,12 +61,28 @@
   /** One of so many engines may be away at once, and always one. */
   private static final int ENGINES_PER_CHANGE = 16;
 
+  /**
+   * The same while decode engines have far more slots than they need, so that a shortage of prefill
+   * engines ends within a few changes and not after a minute of them.
+   */
+  private static final int ENGINES_PER_CHANGE_WHEN_ROOMY = 8;
+
+  /** Share of the decode slots below which several engines may be away. */
+  private static final double SPARE_OCCUPANCY = 0.25;
+
   /**
    * The same while hardly anything runs, as before the first callers come, when engines on loan
    * start in one stage and a third of them has to take the other within some ten seconds.
    */
   private static final int ENGINES_PER_CHANGE_WHEN_IDLE = 4;
 
+  /**
+   * Share of the engines that each stage has before any load was seen: engines that keep nothing
+   * yet read every prompt whole, so that the first callers need more of them than those that
+   * follow.
+   */
+  private static final double SHARE_BEFORE_LOAD = 0.5;
+
   /** Share of the decode slots below which an engine that is away is not missed. */
   private static final double IDLE_OCCUPANCY = 0.02;
 
@@ -69,6 +93,7 @@
   private double decodeWaitMillis;
   private double occupancy;
   private double peakOccupancy;
+  private boolean loadSeen;
   private EngineStage lastStage = EngineStage.NONE;
   private long lastChangeNanos;
   private OptionalLong missedSinceNanos = OptionalLong.empty();
@@ -92,6 +117,7 @@
     decodeWaitMillis += share * (meanWait(engines, EngineStage.DECODE) - decodeWaitMillis);
     occupancy += share * (occupancy(engines) - occupancy);
     peakOccupancy = Math.max(occupancy, peakOccupancy * decay);
+    loadSeen |= engines.stream().anyMatch(view -> view.running() > 0);
   }
 
   private static double meanWait(List<StageView> engines, EngineStage stage) {
@@ -117,9 +143,7 @@
   /** The change to be ordered next, if any; the same until {@link #onOrdered}. */
   public Optional<StageChange> wanted(List<StageView> engines, long nowNanos) {
     int changing = (int) engines.stream().filter(StagePlanner::changes).count();
-    boolean idle = peakOccupancy < IDLE_OCCUPANCY;
-    int perChange = idle ? ENGINES_PER_CHANGE_WHEN_IDLE : ENGINES_PER_CHANGE;
-    int atOnce = Math.max(1, engines.size() / perChange);
+    int atOnce = Math.max(1, engines.size() / enginesPerChange());
     if (changing >= atOnce) {
       return Optional.empty();
     }
@@ -129,6 +153,13 @@
     return wantedStage(engines, nowNanos).flatMap(next -> leastMissed(engines, next));
   }
 
+  private int enginesPerChange() {
+    if (peakOccupancy < IDLE_OCCUPANCY) {
+      return ENGINES_PER_CHANGE_WHEN_IDLE;
+    }
+    return peakOccupancy < SPARE_OCCUPANCY ? ENGINES_PER_CHANGE_WHEN_ROOMY : ENGINES_PER_CHANGE;
+  }
+
   /** What the next decision goes by. */
   public StageOutlook outlook(List<StageView> engines, long nowNanos) {
     return new StageOutlook(
@@ -160,7 +191,8 @@
   private Optional<EngineStage> wantedStage(List<StageView> engines, long nowNanos) {
     int prefill = count(engines, EngineStage.PREFILL);
     int decode = count(engines, EngineStage.DECODE);
-    int least = Math.max(1, (int) Math.ceil(leastShare * (prefill + decode)));
+    double share = loadSeen ? leastShare : Math.max(leastShare, SHARE_BEFORE_LOAD);
+    int least = Math.max(1, (int) Math.ceil(share * (prefill + decode)));
     Optional<EngineStage> missed = belowFloor(prefill, decode, least);
     if (missed.isPresent()) {
       return missed.filter(stage -> lasts(nowNanos));
@@ -202,12 +234,14 @@
     double occupancyAfter = peakOccupancy * decode / (decode - 1);
     return prefillWaitMillis > LONG_WAIT_MILLIS
         && occupancyAfter < ROOMY_OCCUPANCY
-        && decodeWaitMillis < prefillWaitMillis;
+        && UNEVEN_WAITS * decodeWaitMillis < prefillWaitMillis;
   }
 
   private boolean shortOfDecode() {
     boolean crowded = occupancy > CROWDED_OCCUPANCY || decodeWaitMillis > LONG_WAIT_MILLIS;
-    return crowded && prefillWaitMillis < SHORT_WAIT_MILLIS;
+    boolean waitMoreToDecode =
+        decodeWaitMillis > LONG_WAIT_MILLIS && decodeWaitMillis > prefillWaitMillis;
+    return waitMoreToDecode || crowded && prefillWaitMillis < SHORT_WAIT_MILLIS;
   }
 
   private static int count(List<StageView> engines, EngineStage stage) {
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/StageSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/StageSettings.java
@@ -24,7 +24,7 @@
 
   private static final SettingDefinition<Double> LEAST_SHARE =
       SettingDefinition.decimal(
-          "stages.least_share", 0.35, 0, 0.5, "Share of the engines that each stage keeps.");
+          "stages.least_share", 0.2, 0, 0.5, "Share of the engines that each stage keeps.");
 
   private static final SettingDefinition<Duration> LEASE_TERM =
       SettingDefinition.duration(
