Survey of caches: look up who asks an engine only once it may be due

Cause: each tick of 100 ms weighed every relay for every engine by a hash of two names, though an engine is due every 5 s at the earliest. Change: the time is compared first. At a node with 45 engines and 12 relays a tick weighs nothing, for 540 hashes and texts; a test counts the look-ups. Processor time of this change alone: not measured.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -161,12 +162,13 @@
 
   /** Asks the engines that are due; those that read prompts ahead keep most and go first. */
   void onTick(long nowNanos) {
-    List<Surveyed> due =
-        engines.values().stream()
-            .filter(surveyed -> !surveyed.asking && isDue(surveyed, nowNanos))
-            .sorted(
-                Comparator.comparing(surveyed -> surveyed.engine.stage() != EngineStage.PREFILL))
-            .toList();
+    List<Surveyed> due = new ArrayList<>();
+    for (Surveyed surveyed : engines.values()) {
+      if (!surveyed.asking && isDue(surveyed, nowNanos)) {
+        due.add(surveyed);
+      }
+    }
+    due.sort(Comparator.comparing(surveyed -> surveyed.engine.stage() != EngineStage.PREFILL));
     for (Surveyed surveyed : due) {
       if (asked < MAX_ASKED_AT_ONCE) {
         ask(surveyed, nowNanos);
@@ -174,13 +176,14 @@
     }
   }
 
+  /** Who asks is looked up last: it weighs every relay, and most ticks find that nothing is due. */
   private boolean isDue(Surveyed surveyed, long nowNanos) {
     long since = nowNanos - surveyed.lastNanos;
-    boolean own = asks.test(surveyed.engine.id());
-    if (!surveyed.known) {
-      return own || since >= WAIT_FOR_PEERS_NANOS;
+    if (since >= (surveyed.known ? LONGEST_PAUSE_NANOS : WAIT_FOR_PEERS_NANOS)) {
+      return true;
     }
-    return since >= (own ? PAUSE_NANOS : LONGEST_PAUSE_NANOS);
+    boolean perhapsDue = !surveyed.known || since >= PAUSE_NANOS;
+    return perhapsDue && asks.test(surveyed.engine.id());
   }
 
   private void ask(Surveyed surveyed, long nowNanos) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
@@ -28,6 +28,8 @@
   private final Set<String> own = new HashSet<>();
   private final CacheSurvey survey = survey(false);
 
+  private int lookups;
+
   private CacheSurvey survey(boolean firstStart) {
     return new CacheSurvey(
         (engine, answer) -> {
@@ -35,7 +37,10 @@
           answers.add(answer);
         },
         told::add,
-        own::contains,
+        engine -> {
+          lookups++;
+          return own.contains(engine);
+        },
         firstStart);
   }
 
@@ -58,6 +63,20 @@
     return EngineDirectory.of(1, List.of(engines));
   }
 
+  @Test
+  void ticksWithoutAnEngineThatIsDueLookNobodyUp() {
+    survey.onDirectory(
+        listed(engine("d-1", EngineStage.DECODE), engine("p-1", EngineStage.PREFILL)), START);
+    survey.onTold("d-1", START);
+    survey.onTold("p-1", START);
+    for (int millis = 0; millis < 5_000; millis += 100) {
+      survey.onTick(after(millis));
+    }
+    assertThat(lookups).isZero();
+    survey.onTick(after(5_000));
+    assertThat(lookups).isEqualTo(2);
+  }
+
   @Test
   void asksItsOwnModelEnginesAtOnceAndOthersOnlyWhenNobodyTells() {
     own.add("d-1");
