Telling peers: sort relays once for each ranking, compare nodes without method handles

Cause: each turn of 100 ms sorted the relays by a hash of texts made anew, and copied the set of known nodes to compare it; equality of addresses and nodes went through method handles, which the archive of classes cannot hold and each start makes anew (three records, some 25 classes). Change: the order is kept with the ranking, the set is compared in place, the three records compare by plain code; a sum of a sliding count makes no stream. Processor time of this change alone: not measured.

--- a/fallturn-core/src/main/java/org/fallturn/core/domain/NetworkAddress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/domain/NetworkAddress.java
@@ -42,4 +42,15 @@
   public String toString() {
     return host + ":" + port;
   }
+
+  /** As a record would, without the method handles whose making each start would pay. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof NetworkAddress that && port == that.port && host.equals(that.host);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * host.hashCode() + port;
+  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingCount.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingCount.java
@@ -1,6 +1,5 @@
 package org.fallturn.core.limits;
 
-import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,7 +37,11 @@
   /** How often it happened within the window. */
   public int sum(long nowNanos) {
     moveTo(nowNanos);
-    return Arrays.stream(counts).sum();
+    int sum = 0;
+    for (int count : counts) {
+      sum += count;
+    }
+    return sum;
   }
 
   /** How often it happened within so many buckets, the newest of which are left out. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -422,12 +422,13 @@
   }
 
   private void rankAnewWhenNodesChanged(long nowNanos) {
-    Set<PeerInfo> known = Set.copyOf(directory.known(nowNanos));
+    List<PeerInfo> known = directory.known(nowNanos);
     int nodes = loads.nodeCount(nowNanos);
-    if (nodes != rankedNodes || !known.equals(ranked)) {
-      ranked = known;
+    boolean same = known.size() == ranked.size() && ranked.containsAll(known);
+    if (nodes != rankedNodes || !same) {
+      ranked = Set.copyOf(known);
       rankedNodes = nodes;
-      rankAs(new RelayRanking(self, List.copyOf(known), nodes));
+      rankAs(new RelayRanking(self, known, nodes));
     }
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerInfo.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerInfo.java
@@ -40,4 +40,18 @@
   private long rank() {
     return RendezvousHash.weight(RANK, address.toString());
   }
+
+  /** As a record would, without the method handles whose making each start would pay. */
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof PeerInfo that
+        && capacity == that.capacity
+        && address.equals(that.address)
+        && zone.equals(that.zone);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * address.hashCode() + capacity;
+  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -3,13 +3,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.fallturn.core.membership.RendezvousHash;
 
 /**
  * Which nodes relay: the strongest of each zone, and none that is weak beside the strongest of all.
  * Whoever knows the same nodes ranks them alike; who knows others may take itself for a relay,
- * which costs messages and nothing else. Immutable.
+ * which costs messages and nothing else. Thread-safe.
  */
 final class RelayRanking {
 
@@ -34,6 +36,9 @@
   private final List<PeerInfo> relays;
   private final List<PeerInfo> candidates;
 
+  /** Nodes ask at each turn, and the order changes only with the ranking. */
+  private final Map<String, List<PeerInfo>> byPurpose = new ConcurrentHashMap<>();
+
   /**
    * Ranks the nodes that are known.
    *
@@ -77,6 +82,10 @@
 
   /** The relays in an order that all nodes give them alike, another for each purpose. */
   List<PeerInfo> relaysFor(String purpose) {
+    return byPurpose.computeIfAbsent(purpose, this::inOrder);
+  }
+
+  private List<PeerInfo> inOrder(String purpose) {
     Comparator<PeerInfo> byWeight =
         Comparator.comparing(
             (PeerInfo relay) -> RendezvousHash.weight(purpose, relay.address().toString()),
--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageLedger.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageLedger.java
@@ -19,7 +19,20 @@
   private final UsageWindows windows;
   private final Map<Long, Map<Process, Map<String, Integer>>> counts = new HashMap<>();
 
-  private record Process(String node, long incarnation) {}
+  private record Process(String node, long incarnation) {
+    /** As a record would, without the method handles whose making each start would pay. */
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Process that
+          && incarnation == that.incarnation
+          && node.equals(that.node);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * node.hashCode() + Long.hashCode(incarnation);
+    }
+  }
 
   /** A ledger without counts. */
   public UsageLedger(UsageWindows windows) {
