Engines: resolve addresses on the calling thread

Change: IPv4 addresses are read in place; names go to the resolver as before. Processor time of this change alone: not measured.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -20,11 +20,15 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.http.LiteralAddressResolver;
 import org.fallturn.node.http.PlainClientConnector;
 import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
@@ -49,6 +53,7 @@
   /** A report needs no slot, so that one which takes longer comes from an engine that is stuck. */
   private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
+  private static final String TIMER = "engines-timer";
   private static final int MAX_LIST_BYTES = 2 << 20;
   private static final int BUFFER_BYTES = 8 * 1024;
 
@@ -70,6 +75,12 @@
         destination -> new DuplexConnectionPool(destination, maxConnections(destination)));
     client = new HttpClient(transport);
     client.setExecutor(executor);
+    Scheduler timer = new ScheduledExecutorScheduler(TIMER, true);
+    client.setScheduler(timer);
+    client.setSocketAddressResolver(
+        new LiteralAddressResolver(
+            new SocketAddressResolver.Async(
+                executor, timer, client.getAddressResolutionTimeout())));
     client.setUserAgentField(null);
     client.setFollowRedirects(false);
     client.setDefaultRequestContentType(null);
