Telling peers: build digests only of engines with news, no sum for a node without members

Cause: each turn built a digest with its list of tokens for every engine the node had ever used, most of them to be dropped, and a node that nobody reports to summed its own digest into a new map. Processor time of this change alone: not measured.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
@@ -37,9 +37,8 @@
         .loads()
         .forEach(
             (id, load) -> {
-              EngineDigest digest = digest(id, load, listed, nowNanos);
-              if (saysAnything(digest, load, nowNanos)) {
-                digests.put(id, digest);
+              if (hasNews(id, load, listed, nowNanos)) {
+                digests.put(id, digest(id, load, listed, nowNanos));
               }
             });
     return digests;
@@ -57,11 +56,14 @@
         notices.limits().digest(id, nowNanos));
   }
 
-  private static boolean saysAnything(EngineDigest digest, EngineLoad load, long nowNanos) {
-    return digest.suspecting() + digest.changing() + digest.leaving() > 0
-        || !digest.limit().saysNothing()
+  /** Asked of all engines at each turn, most of which this node does not use just now. */
+  private boolean hasNews(String id, EngineLoad load, EngineDirectory listed, long nowNanos) {
+    return !load.idle()
         || load.heardWithin(TOLD_SIGN_NANOS, nowNanos)
-        || !load.idle();
+        || load.health().warnsOthers(nowNanos)
+        || selector.changes(id)
+        || leavesUnlisted(id, listed)
+        || !notices.limits().digest(id, nowNanos).saysNothing();
   }
 
   /** Whether an engine leaves without saying so in its entry: others may not know it yet. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -208,7 +208,8 @@
 
   /** What this node and those that report to it have together. */
   public LoadDigest group(LoadDigest own, long nowNanos) {
-    return together(own, fresh(Source.MEMBER, nowNanos).toList(), nowNanos);
+    List<Heard> members = fresh(Source.MEMBER, nowNanos).toList();
+    return members.isEmpty() ? own : together(own, members, nowNanos);
   }
 
   private Stream<Heard> fresh(Source source, long nowNanos) {
