Divide application requests evenly when nodes know the same old word

Callers saw application requests come late or be refused in bursts while other engines had room. Cause: every node took the engine with the fewest requests by digests some 100 ms old, so that all took the same one until the next digest. Now the number that the fleet sends within that time, by Little's law, is divided over the engines up to one level, and each node draws by the request's id with those parts.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.fallturn.core.stages.StageParameters;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Constants of the dispatcher; see the settings of section {@code dispatch} for their bounds.
@@ -15,6 +16,7 @@
  * @param lastResort how long a leaving engine may be used when its service has no other
  * @param minRetryAfter shortest advice on when to come back
  * @param stages when engines change their stage
+ * @param waiting what is decided on requests that compete for room
  */
 public record DispatchParameters(
     String node,
@@ -25,4 +27,5 @@
     Duration retryWindow,
     Duration lastResort,
     Duration minRetryAfter,
-    StageParameters stages) {}
+    StageParameters stages,
+    WaitingParameters waiting) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -328,6 +328,10 @@
               load.health().onGood(nowNanos);
               load.onAnswered(progress);
             });
+    if (progress.envelope().prompt().isEmpty()) {
+      double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
+      selector.stays().observe(progress.service(), millis);
+    }
     quarantine.onGood(progress.content(), nowNanos);
     release(progress, true);
   }
@@ -401,7 +405,7 @@
     selector.onAsked(progress.service(), nowNanos);
     if (progress.envelope().prompt().isEmpty()) {
       return selector
-          .leastLoaded(progress, nowNanos)
+          .evenly(progress, parameters.waiting(), nowNanos)
           .map(engine -> runApplication(progress, engine, nowNanos))
           .orElseGet(() -> nowhere(progress, nowNanos));
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -21,6 +21,9 @@
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.waiting.EvenFill;
+import org.fallturn.core.waiting.StayLengths;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Picks engines by cost: load as this node and its peers count it, health from outcomes, distance,
@@ -31,6 +34,9 @@
   private static final double OTHER_ZONE_RUN_COST = 0.03;
   private static final double FAILURE_RUN_COST = 1.0;
 
+  /** Nodes that speak to each other tell what they have ten times a second. */
+  private static final double HALF_TURN_MILLIS = 50;
+
   /** Shorter shared parts are read again sooner than they are copied. */
   static final int MIN_COPIED_TOKENS = 1_000;
 
@@ -42,6 +48,7 @@
   private final EngineNotices notices;
   private final EnginePace pace;
   private final Departures departures;
+  private final StayLengths stays = new StayLengths();
   private final ChangingEngines changing = new ChangingEngines();
   private EngineDirectory directory = EngineDirectory.empty();
 
@@ -267,21 +274,37 @@
                                 RendezvousHash.weight(part.id(), right.id()))));
   }
 
-  /** The engine of an application service that is least loaded for its size. */
-  Optional<ServingEngine> leastLoaded(RequestProgress progress, long nowNanos) {
-    return cheapest(
-        runCandidates(progress, nowNanos).stream(),
-        engine -> {
-          EngineLoad load = load(engine);
-          double running = running(engine, nowNanos);
-          return (running + 1)
-                  * slowness(engine, WorkKind.APPLICATION, nowNanos)
-                  / Math.max(1, engine.slots())
-              + FAILURE_RUN_COST * load.health().failureShare(nowNanos)
-              + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
-        },
-        Function.identity(),
-        progress);
+  /** Of how long application requests stay at the engines; whoever sees them end tells it. */
+  StayLengths stays() {
+    return stays;
+  }
+
+  /**
+   * The engine for an application request: with those that the fleet sends before this node hears
+   * of them, requests fill all engines up to one level. Without others it is the emptiest.
+   */
+  Optional<ServingEngine> evenly(
+      RequestProgress progress, WaitingParameters waiting, long nowNanos) {
+    List<ServingEngine> engines = runCandidates(progress, nowNanos);
+    if (engines.isEmpty()) {
+      return Optional.empty();
+    }
+    List<EvenFill.Vessel> vessels =
+        engines.stream().map(engine -> vessel(engine, nowNanos)).toList();
+    int ofPeers = engines.stream().mapToInt(e -> peerLoads.running(e.id(), nowNanos)).sum();
+    double lag = Math.max(HALF_TURN_MILLIS, lagMillis(nowNanos));
+    double unseen = waiting.evenFill() ? stays.sentWithin(progress.service(), ofPeers, lag) : 0;
+    double draw = RendezvousHash.draw(progress.envelope().requestId(), progress.service());
+    return Optional.of(engines.get(EvenFill.choose(vessels, unseen, draw)));
+  }
+
+  private EvenFill.Vessel vessel(ServingEngine engine, long nowNanos) {
+    double capacity =
+        Math.max(1, engine.slots()) / slowness(engine, WorkKind.APPLICATION, nowNanos);
+    double besides =
+        FAILURE_RUN_COST * load(engine).health().failureShare(nowNanos)
+            + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
+    return new EvenFill.Vessel(running(engine, nowNanos) / capacity + besides, capacity);
   }
 
   private static boolean prefills(ServingEngine engine) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -55,11 +55,6 @@
    */
   private static final int MIN_ORDERED_TOKENS = EngineSelector.MIN_COPIED_TOKENS;
 
-  /** Bits of a hash beyond those that a double holds. */
-  private static final int UNUSED_BITS = 11;
-
-  private static final double RANGE = 0x1p53;
-
   private final EngineSelector selector;
   private final String zone;
 
@@ -386,6 +381,6 @@
         prompt.sharedTokens() >= MIN_ORDERED_TOKENS
             ? prompt.lastSharedPart().map(PromptPart::id).orElseThrow()
             : question.progress().envelope().requestId();
-    return (RendezvousHash.weight(key, engine.id()) >>> UNUSED_BITS) / RANGE;
+    return RendezvousHash.draw(key, engine.id());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/membership/RendezvousHash.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/membership/RendezvousHash.java
@@ -14,6 +14,11 @@
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
+  /** Bits of a hash beyond those that a double holds. */
+  private static final int UNUSED_BITS = 11;
+
+  private static final double RANGE = 0x1p53;
+
   private RendezvousHash() {}
 
   /** The nodes with the highest weights for a duty, highest first. */
@@ -44,6 +49,11 @@
     return hash ^ (hash >>> 33);
   }
 
+  /** The weight as a part, from 0 to below 1. */
+  public static double draw(String duty, String candidate) {
+    return (weight(duty, candidate) >>> UNUSED_BITS) / RANGE;
+  }
+
   private static long mix(long seed, String text) {
     long hash = seed;
     for (int index = 0; index < text.length(); index++) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -18,6 +18,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.routing.WeightedService;
 import org.fallturn.core.stages.StageParameters;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /** Requests, engines and dispatchers for tests. */
 final class Requests {
@@ -53,7 +54,8 @@
                 Duration.ofSeconds(10),
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
-                STAGES));
+                STAGES,
+                WaitingParameters.ALL));
     dispatcher.setNodeCount(OptionalInt.of(6));
     EngineProfile profile =
         new EngineProfile(
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.fallturn.core.waiting.WaitingParameters;
 
 class RetryBudgetTest {
 
@@ -28,7 +29,8 @@
             Duration.ofNanos(WINDOW),
             Duration.ZERO,
             Duration.ZERO,
-            Requests.STAGES));
+            Requests.STAGES,
+            WaitingParameters.ALL));
   }
 
   /** In no window do the repeats of all nodes pass the fleet's bound, however requests come. */
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -2,14 +2,17 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Constants of the dispatcher of a gateway process.
  *
  * @param prefillTokensPerMilli reading speed that is assumed
  * @param minRetryAfter shortest advice on when to come back
+ * @param waiting what is decided on requests that compete for room
  */
-public record DispatchSettings(double prefillTokensPerMilli, Duration minRetryAfter) {
+public record DispatchSettings(
+    double prefillTokensPerMilli, Duration minRetryAfter, WaitingParameters waiting) {
 
   private static final SettingDefinition<Double> PREFILL_SPEED =
       SettingDefinition.decimal(
@@ -23,9 +26,21 @@
           Duration.ofMinutes(1),
           "Shortest advice on when to come back.");
 
-  static final List<SettingDefinition<?>> DEFINITIONS = List.of(PREFILL_SPEED, MIN_RETRY_AFTER);
+  private static final SettingDefinition<Boolean> EVEN_FILL =
+      SettingDefinition.flag(
+          "dispatch.even_fill",
+          true,
+          "Whether nodes that know the same divide application requests over the engines.");
+
+  static final List<SettingDefinition<?>> DEFINITIONS =
+      List.of(PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL);
 
   static DispatchSettings from(SettingValues values) {
-    return new DispatchSettings(values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER));
+    return new DispatchSettings(
+        values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER), waiting(values));
+  }
+
+  private static WaitingParameters waiting(SettingValues values) {
+    return new WaitingParameters(values.get(EVEN_FILL));
   }
 }
