Let application requests wait at their node while engines have no room

Callers saw application requests late or turned away in bursts, also those that could have been in time: full engines work off what they have in the order in which it came. Now a request is given to an engine only while the engines of its service have room by the target of its routes and by what they turned away before; else it waits at its node in the order of rank, of what can be in time, of who has waited before, and of the deadline. What cannot be served is refused at once as not run, with a Retry-After from the forecast. What waits is bounded in memory.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -53,6 +53,14 @@
    */
   record Refuse(ErrorKind kind, String reason, Optional<Duration> retryAfter) implements Decision {}
 
+  /**
+   * Keep the request at this node until an engine has room for it.
+   *
+   * @param forecastMillis in about how many ms that will be
+   * @param ahead requests of its service that wait here already
+   */
+  record Wait(double forecastMillis, int ahead) implements Decision {}
+
   /** Pass on the failure that the last engine answered with. */
   record PassFailure() implements Decision {}
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.core.stages.StageOutlook;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Decides where each request runs and what follows when an attempt fails.
@@ -44,6 +45,8 @@
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
   private final Refusals refusals;
+  private final ApplicationRoom room;
+  private final List<Ended> shed = new ArrayList<>();
   private final Quarantine quarantine;
   private Optional<RoutingImage> routing = Optional.empty();
   private EngineDirectory listed = EngineDirectory.empty();
@@ -58,6 +61,7 @@
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, notices, EnginePace.EVEN, lastResortNanos);
+    this.room = new ApplicationRoom(selector);
     this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
     this.fleet = new FleetView(selector, peerLoads, notices, speeds, this::cacheTokens);
     this.prompts = new PromptPlacement(selector, parameters.zone());
@@ -81,6 +85,7 @@
         .filter(ServingEngine::leaving)
         .forEach(engine -> notices.onLeaving(engine.id(), NoticeSource.LIST, nowNanos));
     selector.setDirectory(directory(), nowNanos);
+    room.retain(selector.knownIds());
     silence.onDirectory(nowNanos);
     quarantine.onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
   }
@@ -235,6 +240,7 @@
   public void setNodeCount(OptionalInt count) {
     fleet.setNodeCount(count);
     retries.setNodeCount(count);
+    room.setNodeCount(count);
     silence.setOthersKnown(count.isPresent());
   }
 
@@ -300,6 +306,9 @@
   private void onFailedEngine(
       RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
     selector.load(engine).health().onFailure(outcome, nowNanos);
+    if (outcome == AttemptOutcome.NOT_EXECUTED && progress.envelope().prompt().isEmpty()) {
+      room.onTurnedAway(engine, nowNanos);
+    }
     if (outcome.mayBeCrash()) {
       quarantine.onCrash(progress.content(), engine.id(), nowNanos);
     }
@@ -329,15 +338,23 @@
               load.onAnswered(progress);
             });
     if (progress.envelope().prompt().isEmpty()) {
-      double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
-      selector.stays().observe(progress.service(), millis);
+      observeStay(progress, nowNanos);
     }
     quarantine.onGood(progress.content(), nowNanos);
     release(progress, true);
   }
 
+  private void observeStay(RequestProgress progress, long nowNanos) {
+    double millis = (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI;
+    boolean crowded =
+        progress.engine().stream()
+            .anyMatch(engine -> selector.running(engine, nowNanos) > engine.slots());
+    selector.stays().observe(progress.service(), millis, crowded);
+  }
+
   /** The caller left or its time is over; says nothing about the engine. */
   public void onAbandoned(RequestProgress progress, long nowNanos) {
+    room.waiting().remove(progress);
     progress
         .engine()
         .ifPresent(
@@ -404,10 +421,7 @@
   private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     selector.onAsked(progress.service(), nowNanos);
     if (progress.envelope().prompt().isEmpty()) {
-      return selector
-          .evenly(progress, parameters.waiting(), nowNanos)
-          .map(engine -> runApplication(progress, engine, nowNanos))
-          .orElseGet(() -> nowhere(progress, nowNanos));
+      return placeApplication(progress, nowNanos);
     }
     PromptShape prompt = progress.envelope().prompt().get();
     PromptPlacement.Question question =
@@ -425,6 +439,82 @@
         .orElseGet(() -> nowhere(progress, nowNanos));
   }
 
+  private Decision placeApplication(RequestProgress progress, long nowNanos) {
+    List<ServingEngine> engines = selector.runCandidates(progress, nowNanos);
+    if (engines.isEmpty()) {
+      return nowhere(progress, nowNanos);
+    }
+    WaitingParameters waiting = parameters.waiting();
+    if (waiting.waitForRoom() && room.mustWait(progress, engines, nowNanos)) {
+      return waitForRoom(progress, engines, nowNanos);
+    }
+    ServingEngine engine = selector.evenly(progress, engines, waiting, nowNanos);
+    return runApplication(progress, engine, nowNanos);
+  }
+
+  private Decision waitForRoom(
+      RequestProgress progress, List<ServingEngine> engines, long nowNanos) {
+    double forecast = room.forecastMillis(progress.service(), engines);
+    if (room.hopeless(progress, engines, nowNanos)) {
+      return refusals.noRoom(progress, forecast, "there is no room in its time", nowNanos);
+    }
+    int ahead = room.waiting().size(progress.service());
+    Decision decision = new Decision.Wait(forecast, ahead);
+    for (RequestProgress left :
+        room.add(progress, parameters.waiting().maxWaitingBytes(), nowNanos)) {
+      Decision refusal =
+          refusals.noRoom(left, forecast, "what waits here has filled its memory", nowNanos);
+      if (left == progress) {
+        decision = refusal;
+      } else {
+        shed.add(new Ended(left, refusal));
+      }
+    }
+    return decision;
+  }
+
+  /** A request that no longer waits, and what is next for it. */
+  public record Ended(RequestProgress progress, Decision decision) {}
+
+  /** Requests whose wait for an engine is over; called at each tick and when anything happened. */
+  public List<Ended> takeEndedWaits(long nowNanos) {
+    if (room.waiting().size() == 0 && shed.isEmpty()) {
+      return List.of();
+    }
+    List<Ended> ended = new ArrayList<>(shed);
+    shed.clear();
+    for (RequestProgress late : room.takeEnded(nowNanos)) {
+      ended.add(
+          new Ended(
+              late,
+              refusals.notRun(
+                  ErrorKind.DEADLINE_UNREACHABLE, "no engine had room for it in its time")));
+    }
+    for (String service : room.waiting().services()) {
+      Optional<RequestProgress> next = room.takeNext(service, nowNanos);
+      while (next.isPresent()) {
+        ended.add(new Ended(next.get(), place(next.get(), false, nowNanos)));
+        next = room.takeNext(service, nowNanos);
+      }
+    }
+    return ended;
+  }
+
+  /** This node stops: nothing waits here from now on. */
+  public List<Ended> closeWaits() {
+    return room.close().stream().map(one -> new Ended(one, refusals.stopping())).toList();
+  }
+
+  /** How many requests wait at this node for room at an engine. */
+  public int waitingCount() {
+    return room.waiting().size();
+  }
+
+  /** Memory that their bodies take. */
+  public long waitingBytes() {
+    return room.waiting().bytes();
+  }
+
   private Decision refuseOrCarryOut(PromptPlacement.Question question, PromptPlacement.Plan plan) {
     Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan);
     if (comeBack.isPresent()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -111,6 +111,11 @@
     return peerLoads.lagMillis(nowNanos);
   }
 
+  /** How often what the other nodes have at the engines is renewed here, and its age then. */
+  double renewMillis(long nowNanos) {
+    return HALF_TURN_MILLIS + lagMillis(nowNanos);
+  }
+
   /** Factor by which work takes longer at an engine than is usual for its service. */
   double slowness(ServingEngine engine, WorkKind kind, long nowNanos) {
     return pace.slowness(engine.id(), kind, nowNanos);
@@ -158,6 +163,13 @@
     return directory.find(engineId);
   }
 
+  /** The engines that are listed, or were until a short while ago. */
+  Set<String> knownIds() {
+    Set<String> ids = new HashSet<>(departures.ids());
+    directory.all().forEach(engine -> ids.add(engine.id()));
+    return ids;
+  }
+
   /** Service of a listed engine; empty for any other. */
   String serviceOf(String engineId) {
     return directory.find(engineId).map(ServingEngine::service).orElse("");
@@ -282,20 +294,21 @@
   /**
    * The engine for an application request: with those that the fleet sends before this node hears
    * of them, requests fill all engines up to one level. Without others it is the emptiest.
+   *
+   * @param engines those that may run it; at least one
    */
-  Optional<ServingEngine> evenly(
-      RequestProgress progress, WaitingParameters waiting, long nowNanos) {
-    List<ServingEngine> engines = runCandidates(progress, nowNanos);
-    if (engines.isEmpty()) {
-      return Optional.empty();
-    }
+  ServingEngine evenly(
+      RequestProgress progress,
+      List<ServingEngine> engines,
+      WaitingParameters waiting,
+      long nowNanos) {
     List<EvenFill.Vessel> vessels =
         engines.stream().map(engine -> vessel(engine, nowNanos)).toList();
     int ofPeers = engines.stream().mapToInt(e -> peerLoads.running(e.id(), nowNanos)).sum();
     double lag = Math.max(HALF_TURN_MILLIS, lagMillis(nowNanos));
     double unseen = waiting.evenFill() ? stays.sentWithin(progress.service(), ofPeers, lag) : 0;
     double draw = RendezvousHash.draw(progress.envelope().requestId(), progress.service());
-    return Optional.of(engines.get(EvenFill.choose(vessels, unseen, draw)));
+    return engines.get(EvenFill.choose(vessels, unseen, draw));
   }
 
   private EvenFill.Vessel vessel(ServingEngine engine, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.membership.RendezvousHash;
 
 /**
  * How a request is answered that no engine answers.
@@ -17,6 +18,14 @@
    */
   private static final Duration RETURN_STEP = Duration.ofMillis(100);
 
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  /** Callers do not wait for longer than a third of the time that they have left. */
+  private static final double RETURN_PART = 0.3;
+
+  /** Callers that are told the same come back within the second half of the time. */
+  private static final double LEAST_SPREAD = 0.5;
+
   private Duration minRetryAfter;
 
   Refusals(DispatchParameters parameters) {
@@ -78,6 +87,29 @@
         ErrorKind.OUTCOME_UNKNOWN, "an engine may have run it: " + outcome, Optional.empty());
   }
 
+  /**
+   * It would not be served in the time it has left, or has to go for more urgent ones. Callers come
+   * back after a part of their time at the longest, and not all at once.
+   *
+   * @param forecastMillis in about how many ms there is room
+   */
+  Decision noRoom(RequestProgress progress, double forecastMillis, String reason, long nowNanos) {
+    double left = progress.envelope().remainingNanos(nowNanos) / NANOS_PER_MILLI;
+    double draw = RendezvousHash.draw(progress.envelope().requestId(), reason);
+    double spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * draw;
+    double millis = Math.min(forecastMillis, RETURN_PART * left) * spread;
+    Duration comeBack = Duration.ofNanos((long) (Math.max(0, millis) * NANOS_PER_MILLI));
+    return new Decision.Refuse(
+        ErrorKind.NO_CAPACITY,
+        reason,
+        Optional.of(comeBack.compareTo(minRetryAfter) > 0 ? comeBack : minRetryAfter));
+  }
+
+  /** This node stops and lets nothing wait any longer. */
+  Decision stopping() {
+    return notRun(ErrorKind.STOPPING, "this node stops while it waits for an engine");
+  }
+
   /** Engines crash under it; coming back is vain. */
   Decision quarantined(RequestProgress progress) {
     String reason =
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/RequestContent.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/RequestContent.java
@@ -35,6 +35,11 @@
     this.body = body;
   }
 
+  /** Memory that the body takes. */
+  public int bytes() {
+    return body.length;
+  }
+
   /** Costs no look at the body; equal for equal contents. */
   public int sketch() {
     return SKETCH_FACTOR * target.hashCode() + body.length;
--- a/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
@@ -5,9 +5,13 @@
  *
  * @param evenFill whether application requests are divided over the engines together with those
  *     that the fleet sends unheard; else each goes to the engine that seems emptiest
+ * @param waitForRoom whether application requests wait at this node while engines have no room
+ * @param maxWaitingBytes memory for the bodies of what waits
  */
-public record WaitingParameters(boolean evenFill) {
+public record WaitingParameters(boolean evenFill, boolean waitForRoom, long maxWaitingBytes) {
+
+  private static final long SOME_BYTES = 1 << 20;
 
   /** All decisions are made. */
-  public static final WaitingParameters ALL = new WaitingParameters(true);
+  public static final WaitingParameters ALL = new WaitingParameters(true, true, SOME_BYTES);
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -46,6 +46,8 @@
   private final GatewayMetrics metrics;
   private volatile long routingVersion;
   private volatile long directoryRevision;
+  private volatile long waitingCount;
+  private volatile long waitingBytes;
 
   DecisionLog(GatewayMetrics metrics) {
     this.metrics = metrics;
@@ -338,6 +340,12 @@
           .addKeyValue("fetchFrom", run.fetchFrom().map(ServingEngine::id).orElse(""))
           .addKeyValue("source", run.source().map(from -> from.engine().id()).orElse(""))
           .log();
+    } else if (decision instanceof Decision.Wait wait) {
+      line(LogEvent.WAITING, exchange, exchange.progress().service())
+          .addKeyValue("forecastMs", Math.round(wait.forecastMillis()))
+          .addKeyValue("ahead", wait.ahead())
+          .addKeyValue("directoryRevision", directoryRevision)
+          .log();
     } else if (decision instanceof Decision.Refuse refuse) {
       refused(exchange, refuse).log();
     } else {
@@ -345,11 +353,34 @@
     }
   }
 
+  /** How much waits at this node now for room at an engine. */
+  void waiting(int count, long bytes) {
+    waitingCount = count;
+    waitingBytes = bytes;
+  }
+
+  long waitingCount() {
+    return waitingCount;
+  }
+
+  long waitingBytes() {
+    return waitingBytes;
+  }
+
+  void waited(Exchange exchange, long nowNanos) {
+    metrics.waited(nowNanos - exchange.waitingSinceNanos());
+    line(LogEvent.WAITED, exchange)
+        .addKeyValue(
+            "waitedMs", TimeUnit.NANOSECONDS.toMillis(nowNanos - exchange.waitingSinceNanos()))
+        .log();
+  }
+
   private LoggingEventBuilder refused(Exchange exchange, Decision.Refuse refuse) {
     LoggingEventBuilder line =
         line(LogEvent.REFUSED, exchange, refuse.kind().name())
             .addKeyValue("kind", refuse.kind())
             .addKeyValue("reason", refuse.reason())
+            .addKeyValue("retryAfterMs", refuse.retryAfter().map(Duration::toMillis).orElse(0L))
             .addKeyValue("directoryRevision", directoryRevision);
     return refuse.kind() == ErrorKind.QUARANTINED
         ? line.addKeyValue("content", exchange.progress().content().fingerprint())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptPatience;
@@ -15,6 +18,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.NoticeSource;
+import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.RequestFingerprint;
@@ -52,6 +56,8 @@
   private final RunCounter runs;
   private final Scaling scaling;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
+  private final Map<RequestProgress, Exchange> waitingForRoom = new HashMap<>();
+  private final BooleanSupplier stopping;
   private long lastHealthNanos;
   private long lastStageNanos;
   private long lastOutlookNanos;
@@ -65,7 +71,8 @@
       Consumer<StageChange> stageChanges,
       QuarantineKeeper keeper,
       RunCounter runs,
-      Scaling scaling) {
+      Scaling scaling,
+      BooleanSupplier stopping) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
@@ -75,6 +82,7 @@
     this.keeper = keeper;
     this.runs = runs;
     this.scaling = scaling;
+    this.stopping = stopping;
   }
 
   @Override
@@ -244,6 +252,7 @@
   }
 
   private void abandon(Exchange exchange, String why, long now) {
+    waitingForRoom.remove(exchange.progress());
     runs.onEnded(exchange, now);
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
@@ -280,6 +289,9 @@
           exchange,
           call(exchange, run.engine(), false, run.source(), run.fetchFrom(), run.urgency(), now),
           run.patience());
+    } else if (decision instanceof Decision.Wait) {
+      exchange.beginWait(now);
+      waitingForRoom.put(exchange.progress(), exchange);
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       freeSource(exchange);
@@ -291,6 +303,25 @@
     }
   }
 
+  /** Goes on with what need not wait for an engine any longer, or may not. */
+  private void endWaits(long now) {
+    if (stopping.getAsBoolean()) {
+      endWaits(dispatcher.closeWaits(), now);
+    }
+    endWaits(dispatcher.takeEndedWaits(now), now);
+    log.waiting(dispatcher.waitingCount(), dispatcher.waitingBytes());
+  }
+
+  private void endWaits(List<Dispatcher.Ended> ended, long now) {
+    for (Dispatcher.Ended end : ended) {
+      Exchange exchange = waitingForRoom.remove(end.progress());
+      if (exchange != null) {
+        log.waited(exchange, now);
+        carryOut(exchange, end.decision(), now);
+      }
+    }
+  }
+
   private static EngineCall call(
       Exchange exchange,
       ServingEngine engine,
@@ -327,6 +358,7 @@
   @Override
   public void onBatchEnd() {
     long now = System.nanoTime();
+    endWaits(now);
     if (dispatcher.quarantine().takeNews()) {
       peers.tellNow(now);
       keepQuarantine(now);
@@ -364,6 +396,7 @@
       }
     }
     endWaiting(now);
+    endWaits(now);
     takeSignsOfLife(now);
     peers.onTick(now);
     runs.onTick(now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -42,6 +42,7 @@
   private volatile String lastEventId = "";
   private EngineAttempt attempt;
   private boolean counted;
+  private long waitingSinceNanos;
 
   Exchange(
       CallerTriple caller,
@@ -95,6 +96,17 @@
     attempt = present;
   }
 
+  /** It has no attempt from now on, and waits for an engine; on the dispatch thread. */
+  void beginWait(long nowNanos) {
+    attempt = null;
+    waitingSinceNanos = nowNanos;
+  }
+
+  /** Since when it waited last; on the dispatch thread. */
+  long waitingSinceNanos() {
+    return waitingSinceNanos;
+  }
+
   /** Whether its run is to be counted now: true once; on the dispatch thread. */
   boolean countOnce() {
     boolean first = !counted;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
@@ -16,12 +16,14 @@
   private static final String EVENTS = "fallturn_gateway_events_total";
   private static final String FIRST_PART = "fallturn_gateway_first_part_ms";
   private static final String WHOLE = "fallturn_gateway_whole_ms";
+  private static final String WAITED = "fallturn_gateway_waited_ms";
   private static final String GAUGE_PREFIX = "fallturn_gateway_";
 
   private final Map<String, LongAdder> events = new ConcurrentHashMap<>();
   private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
   private final LatencyHistogram firstPart = new LatencyHistogram();
   private final LatencyHistogram whole = new LatencyHistogram();
+  private final LatencyHistogram waited = new LatencyHistogram();
 
   /**
    * Counts an event.
@@ -43,6 +45,11 @@
     whole.record(nanos);
   }
 
+  /** Time that a request waited at this node for room at an engine. */
+  void waited(long nanos) {
+    waited.record(nanos);
+  }
+
   /** Adds a figure that is read when it is asked for. */
   void gauge(String name, LongSupplier value) {
     gauges.put(GAUGE_PREFIX + name, value);
@@ -69,6 +76,7 @@
             });
     firstPart.write(FIRST_PART, text);
     whole.write(WHOLE, text);
+    waited.write(WAITED, text);
     return text.toString();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -160,7 +160,8 @@
             stages::offer,
             keeper,
             runCounter(dispatcher, talk),
-            newScaling());
+            newScaling(),
+            state::stopping);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots =
@@ -279,6 +280,8 @@
     metrics.gauge("in_flight", state::inFlight);
     metrics.gauge("routing_version", this::routingVersion);
     metrics.gauge("engines", this::engineCount);
+    metrics.gauge("waiting_requests", log::waitingCount);
+    metrics.gauge("waiting_bytes", log::waitingBytes);
     metrics.gauge("engines_leaving", this::leavingCount);
     metrics.gauge("engines_resting", this::restingCount);
     metrics.gauge("engines_limited", this::limitedCount);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -70,6 +70,10 @@
   ROW_REFUSED,
   /** A request was refused before it reached the dispatcher. */
   REFUSED_AT_DOOR,
+  /** A request waits at this node until an engine has room for it. */
+  WAITING,
+  /** A request need not wait any longer, or may not; the next line says what is next for it. */
+  WAITED,
   /** A request is sent to an engine. */
   PLACED,
   /** A request is answered with an error of this node. */
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -32,8 +32,22 @@
           true,
           "Whether nodes that know the same divide application requests over the engines.");
 
+  private static final SettingDefinition<Boolean> WAIT_FOR_ROOM =
+      SettingDefinition.flag(
+          "dispatch.wait_for_room",
+          true,
+          "Whether application requests wait at this node while engines have no room.");
+
+  private static final SettingDefinition<DataSize> MAX_WAITING =
+      SettingDefinition.dataSize(
+          "dispatch.max_waiting",
+          DataSize.ofMebibytes(9),
+          DataSize.ofKibibytes(1),
+          DataSize.ofMebibytes(1024),
+          "Memory for the bodies of what waits; beyond it the least urgent are refused.");
+
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL);
+      List.of(PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL, WAIT_FOR_ROOM, MAX_WAITING);
 
   static DispatchSettings from(SettingValues values) {
     return new DispatchSettings(
@@ -41,6 +55,7 @@
   }
 
   private static WaitingParameters waiting(SettingValues values) {
-    return new WaitingParameters(values.get(EVEN_FILL));
+    return new WaitingParameters(
+        values.get(EVEN_FILL), values.get(WAIT_FOR_ROOM), values.get(MAX_WAITING).bytes());
   }
 }
