Foresee the wait for a decode slot, and refuse prompts that are foreseen to be too late

Callers with long prompts waited to their deadline and were told nothing. Causes: a read prompt was handed to a decode engine whose slots were all taken as if a slot came free every 8 ms, and all nodes chose the same one; and a prompt that had come back, or whose engine had failed, was placed however little time was left. Now the wait for a slot follows from how long requests run there, crowded decode engines count as busy where choices are spread, and a prompt whose first token is foreseen for well after its caller leaves is refused at once as not run. Retry-After follows the forecast and is spread; who comes back goes before what is new and late.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ApplicationRoom.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ApplicationRoom.java
@@ -27,9 +27,6 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
-  /** A request with less of its route's time left has waited through a refusal. */
-  private static final double FIRST_TRY_PART = 0.9;
-
   /** Of the mean time that requests take, what a short one takes. */
   private static final double SHORT_WORK_PART = 0.5;
 
@@ -153,7 +150,7 @@
             progress,
             progress.service(),
             envelope.rank().place(),
-            hasReturned(envelope),
+            envelope.hasReturned(envelope.arrivedNanos()),
             envelope.arrivedNanos() + envelope.route().targetLatency().toNanos(),
             envelope.answerByNanos(),
             nowNanos,
@@ -161,11 +158,6 @@
     return waiting.add(entry, maxBytes).stream().map(Waiting::request).toList();
   }
 
-  private static boolean hasReturned(RequestEnvelope envelope) {
-    double whole = envelope.route().timeout().toNanos();
-    return envelope.remainingNanos(envelope.arrivedNanos()) < FIRST_TRY_PART * whole;
-  }
-
   /** Requests that end their wait now: those that have room, or no time left to be served. */
   List<RequestProgress> takeEnded(long nowNanos) {
     List<RequestProgress> ended = new ArrayList<>();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -337,9 +337,7 @@
               load.health().onGood(nowNanos);
               load.onAnswered(progress);
             });
-    if (progress.envelope().prompt().isEmpty()) {
-      observeStay(progress, nowNanos);
-    }
+    observeStay(progress, nowNanos);
     quarantine.onGood(progress.content(), nowNanos);
     release(progress, true);
   }
@@ -431,6 +429,7 @@
             speeds.of(progress.service()),
             profile(progress.service()),
             selector.holders(progress, prompt, nowNanos),
+            parameters.waiting().refuseForeseen(),
             nowNanos);
     return prompts
         .choose(question, mayPrefill)
@@ -516,12 +515,12 @@
   }
 
   private Decision refuseOrCarryOut(PromptPlacement.Question question, PromptPlacement.Plan plan) {
-    Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan);
+    Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan, question.foresees());
     if (comeBack.isPresent()) {
       return new Decision.Refuse(
           ErrorKind.NO_CAPACITY,
           "it would wait " + Math.round(plan.millis()) + " ms for its first token",
-          comeBack);
+          comeBack.map(refusals::atLeastMin));
     }
     return carryOut(question.progress(), plan, question.nowNanos());
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -117,13 +117,19 @@
     }
   }
 
-  /** What one choice is made from. */
+  /**
+   * What one choice is made from.
+   *
+   * @param foresees whether what is foreseen to be too late is refused, and goes first when it
+   *     comes back
+   */
   record Question(
       RequestProgress progress,
       PromptShape prompt,
       ReadingSpeed speed,
       Optional<EngineProfile> profile,
       PartHolders holders,
+      boolean foresees,
       long nowNanos) {
 
     Route route() {
@@ -188,7 +194,8 @@
   }
 
   /**
-   * Among those that can be answered in time when it can be so itself, else behind them.
+   * Among those that can be answered in time when it can be so itself, else behind them. One that
+   * has waited through a refusal goes before those that are new and late.
    *
    * @param millis time to the first token by the tokens that go before
    */
@@ -197,7 +204,11 @@
       return wait(question, engine, millis, Urgency.READ);
     }
     Wait inTime = wait(question, engine, millis, Urgency.IN_TIME);
-    return question.inTime(inTime.millis()) ? inTime : wait(question, engine, millis, Urgency.LATE);
+    RequestEnvelope envelope = question.progress().envelope();
+    boolean returned = question.foresees() && envelope.hasReturned(envelope.arrivedNanos());
+    return returned || question.inTime(inTime.millis())
+        ? inTime
+        : wait(question, engine, millis, Urgency.LATE);
   }
 
   private Wait wait(
@@ -220,7 +231,7 @@
     double besides =
         reading.fetchMillis()
             + RUNNING_TOKENS * question.speed().tokenMillis() * running
-            + crowdedMillis(engine, running)
+            + crowdedMillis(question, engine, running)
             + commonMillis(question, engine, near);
     Wait wait =
         waitFor(
@@ -325,10 +336,25 @@
     return Math.max(0, own - Math.max(0, newTokens));
   }
 
-  /** Past its slots a request waits for another to end. */
-  private static double crowdedMillis(ServingEngine engine, int running) {
+  /**
+   * Past its slots a request waits for others to end: one does each time in which a request runs,
+   * divided by the slots.
+   */
+  private double crowdedMillis(Question question, ServingEngine engine, int running) {
     int over = Math.max(0, running + 1 - engine.slots());
-    return over * SECOND_CALL_MILLIS;
+    if (over == 0) {
+      return 0;
+    }
+    double stay = selector.stays().workMillis(question.progress().service()).orElse(0);
+    double slowness = selector.slowness(engine, WorkKind.DECODING, question.nowNanos());
+    return over * Math.max(SECOND_CALL_MILLIS, slowness * stay / Math.max(1, engine.slots()));
+  }
+
+  private boolean waits(Question question, Plan plan) {
+    ServingEngine engine = plan.engine();
+    boolean crowded =
+        !plan.prefill() && selector.running(engine, question.nowNanos()) >= engine.slots();
+    return crowded || plan.aheadTokens() > 0;
   }
 
   private double commonMillis(Question question, ServingEngine engine, String near) {
@@ -367,7 +393,7 @@
    * here keeps an engine busy for the lag at the most, where engines are busy at all.
    */
   private double spreadMillis(Question question, List<Plan> plans) {
-    long busy = plans.stream().filter(plan -> plan.aheadTokens() > 0).count();
+    long busy = plans.stream().filter(plan -> waits(question, plan)).count();
     return plans.isEmpty() ? 0 : selector.lagMillis(question.nowNanos()) * busy / plans.size();
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -65,7 +65,7 @@
             + " rests or has no room within its limit, the first for "
             + closed.toMillis()
             + " ms",
-        Optional.of(comeBack.compareTo(minRetryAfter) > 0 ? comeBack : minRetryAfter));
+        Optional.of(atLeastMin(comeBack)));
   }
 
   /**
@@ -99,10 +99,12 @@
     double spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * draw;
     double millis = Math.min(forecastMillis, RETURN_PART * left) * spread;
     Duration comeBack = Duration.ofNanos((long) (Math.max(0, millis) * NANOS_PER_MILLI));
-    return new Decision.Refuse(
-        ErrorKind.NO_CAPACITY,
-        reason,
-        Optional.of(comeBack.compareTo(minRetryAfter) > 0 ? comeBack : minRetryAfter));
+    return new Decision.Refuse(ErrorKind.NO_CAPACITY, reason, Optional.of(atLeastMin(comeBack)));
+  }
+
+  /** Nobody is told to come back sooner than the least time. */
+  Duration atLeastMin(Duration comeBack) {
+    return comeBack.compareTo(minRetryAfter) > 0 ? comeBack : minRetryAfter;
   }
 
   /** This node stops and lets nothing wait any longer. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -25,6 +25,9 @@
     long arrivedNanos,
     long answerByNanos) {
 
+  /** Less of its route's time is left to a request that was sent before. */
+  private static final double FIRST_TRY_PART = 0.9;
+
   /** A request whose sender is not checked. */
   public RequestEnvelope(
       String requestId,
@@ -41,6 +44,11 @@
     return Math.min(patience, remainingNanos(nowNanos));
   }
 
+  /** Whether its caller has spent some of its time before, and comes back with the rest. */
+  boolean hasReturned(long nowNanos) {
+    return remainingNanos(nowNanos) < FIRST_TRY_PART * route.timeout().toNanos();
+  }
+
   /** Time left to answer; negative when it has passed. */
   public long remainingNanos(long nowNanos) {
     return answerByNanos - nowNanos;
--- a/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
@@ -6,12 +6,15 @@
  * @param evenFill whether application requests are divided over the engines together with those
  *     that the fleet sends unheard; else each goes to the engine that seems emptiest
  * @param waitForRoom whether application requests wait at this node while engines have no room
+ * @param refuseForeseen whether prompts that are foreseen to begin after their caller has left are
+ *     refused at once
  * @param maxWaitingBytes memory for the bodies of what waits
  */
-public record WaitingParameters(boolean evenFill, boolean waitForRoom, long maxWaitingBytes) {
+public record WaitingParameters(
+    boolean evenFill, boolean waitForRoom, boolean refuseForeseen, long maxWaitingBytes) {
 
   private static final long SOME_BYTES = 1 << 20;
 
   /** All decisions are made. */
-  public static final WaitingParameters ALL = new WaitingParameters(true, true, SOME_BYTES);
+  public static final WaitingParameters ALL = new WaitingParameters(true, true, true, SOME_BYTES);
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -44,7 +44,7 @@
 
   /** One that gives each request to an engine at once, however many are there. */
   static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
-    return dispatcher(1_000, new WaitingParameters(true, false, 0), engines);
+    return dispatcher(1_000, new WaitingParameters(true, false, true, 0), engines);
   }
 
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
@@ -155,6 +155,21 @@
     return progress(route(RequestKind.STREAMING, false, MODEL, 1), Optional.of(shape), nowNanos);
   }
 
+  /** A stream whose caller has spent a third of its time before. */
+  static RequestProgress returned(long nowNanos, int tokens) {
+    PromptShape shape = new PromptShape("m", tokens, 8, List.of());
+    Route route = route(RequestKind.STREAMING, false, MODEL, 1);
+    String id = "request-" + number++;
+    RequestEnvelope envelope =
+        new RequestEnvelope(
+            id,
+            route,
+            Optional.of(shape),
+            nowNanos,
+            nowNanos + route.timeout().multipliedBy(2).dividedBy(3).toNanos());
+    return new RequestProgress(envelope, content(id));
+  }
+
   /** A stream whose caller leaves when it has not begun after a time. */
   static RequestProgress impatientPrompt(Duration beginPatience, long nowNanos, int tokens) {
     PromptShape shape = new PromptShape("m", tokens, 8, List.of());
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -38,6 +38,12 @@
           true,
           "Whether application requests wait at this node while engines have no room.");
 
+  private static final SettingDefinition<Boolean> REFUSE_FORESEEN =
+      SettingDefinition.flag(
+          "dispatch.refuse_foreseen",
+          true,
+          "Whether prompts that are foreseen to begin too late for their callers are refused.");
+
   private static final SettingDefinition<DataSize> MAX_WAITING =
       SettingDefinition.dataSize(
           "dispatch.max_waiting",
@@ -47,7 +53,8 @@
           "Memory for the bodies of what waits; beyond it the least urgent are refused.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
-      List.of(PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL, WAIT_FOR_ROOM, MAX_WAITING);
+      List.of(
+          PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL, WAIT_FOR_ROOM, REFUSE_FORESEEN, MAX_WAITING);
 
   static DispatchSettings from(SettingValues values) {
     return new DispatchSettings(
@@ -56,6 +63,9 @@
 
   private static WaitingParameters waiting(SettingValues values) {
     return new WaitingParameters(
-        values.get(EVEN_FILL), values.get(WAIT_FOR_ROOM), values.get(MAX_WAITING).bytes());
+        values.get(EVEN_FILL),
+        values.get(WAIT_FOR_ROOM),
+        values.get(REFUSE_FORESEEN),
+        values.get(MAX_WAITING).bytes());
   }
 }
