Count the room in engines' KV caches when prompts are placed

Engines evicted what they had begun and read it anew, since placement did not know how much of their cache what runs there holds. Now a prompt's foreseen time holds the wait until as much has ended as would be too much, from the prompts and answers of this node's requests and the mean for each of another node's.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -429,7 +429,7 @@
             speeds.of(progress.service()),
             profile(progress.service()),
             selector.holders(progress, prompt, nowNanos),
-            parameters.waiting().refuseForeseen(),
+            parameters.waiting(),
             nowNanos);
     return prompts
         .choose(question, mayPrefill)
@@ -515,7 +515,7 @@
   }
 
   private Decision refuseOrCarryOut(PromptPlacement.Question question, PromptPlacement.Plan plan) {
-    Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan, question.foresees());
+    Optional<Duration> comeBack = OverloadPolicy.refusal(question, plan);
     if (comeBack.isPresent()) {
       return new Decision.Refuse(
           ErrorKind.NO_CAPACITY,
@@ -529,6 +529,7 @@
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
     ServingEngine engine = plan.engine();
     fleet.onPlaced(engine, prompt, plan.millis(), nowNanos);
+    selector.sizes(progress.service()).onCache(progress.cacheTokens());
     if (plan.readTokens() > 0) {
       selector.sizes(progress.service()).onRead(plan.readTokens());
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -15,6 +15,7 @@
   private final List<RequestProgress> unread = new ArrayList<>();
   private final Set<RequestProgress> present = new LinkedHashSet<>();
   private int streams;
+  private long cacheTokens;
   private long heardNanos;
   private boolean heard;
   private long answeredSentNanos;
@@ -34,6 +35,11 @@
     return present.stream().findFirst();
   }
 
+  /** Tokens of KV cache that they hold when they run. */
+  long cacheTokens() {
+    return cacheTokens;
+  }
+
   /** Long answers among them that have begun. */
   int streams() {
     return streams;
@@ -55,6 +61,7 @@
   /** A request goes there; its progress tells the tokens and the urgency it brings. */
   void add(RequestProgress progress) {
     present.add(progress);
+    cacheTokens += progress.cacheTokens();
     if (progress.chargedTokens() > 0) {
       backlog.add(progress.level(), progress.chargedTokens());
       unread.add(progress);
@@ -117,7 +124,9 @@
 
   /** The request is no longer there. */
   void remove(RequestProgress progress) {
-    present.remove(progress);
+    if (present.remove(progress)) {
+      cacheTokens -= progress.cacheTokens();
+    }
     if (progress.begun() && progress.longAnswer()) {
       streams--;
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -210,6 +210,15 @@
     return engines.stream().filter(engine -> running(engine, nowNanos) == least).toList();
   }
 
+  /**
+   * Tokens of KV cache that the requests at an engine hold when they run: those of this node, and
+   * for each of another as many as is usual here.
+   */
+  double cacheTokens(ServingEngine engine, long nowNanos) {
+    return load(engine).cacheTokens()
+        + peerLoads.running(engine.id(), nowNanos) * sizes(engine.service()).meanCache();
+  }
+
   /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
   long backlogTokens(ServingEngine engine, long nowNanos) {
     return backlogTokens(engine, Urgency.LEVELS - 1, nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
@@ -42,13 +42,8 @@
 
   private OverloadPolicy() {}
 
-  /**
-   * When to come back, for a request that should not be placed now.
-   *
-   * @param foresees whether those are refused that are foreseen to be too late behind others
-   */
-  static Optional<Duration> refusal(
-      PromptPlacement.Question question, PromptPlacement.Plan plan, boolean foresees) {
+  /** When to come back, for a request that should not be placed now. */
+  static Optional<Duration> refusal(PromptPlacement.Question question, PromptPlacement.Plan plan) {
     RequestProgress progress = question.progress();
     long remaining = progress.envelope().remainingNanos(question.nowNanos());
     boolean read = progress.source().isPresent();
@@ -57,7 +52,7 @@
     }
     boolean refused =
         readTooLate(question, plan)
-            || foresees && beginsTooLate(question, plan)
+            || question.waiting().refuseForeseen() && beginsTooLate(question, plan)
             || waits(plan, remaining) && firstTry(progress, question.nowNanos());
     return refused ? Optional.of(comeBack(question, plan, remaining)) : Optional.empty();
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -9,6 +9,8 @@
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.waiting.CacheRoom;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Chooses how a prompt is read: by a prefill engine whose KV cache a decode engine fetches, or by
@@ -120,8 +122,7 @@
   /**
    * What one choice is made from.
    *
-   * @param foresees whether what is foreseen to be too late is refused, and goes first when it
-   *     comes back
+   * @param waiting which decisions on competing requests are made
    */
   record Question(
       RequestProgress progress,
@@ -129,7 +130,7 @@
       ReadingSpeed speed,
       Optional<EngineProfile> profile,
       PartHolders holders,
-      boolean foresees,
+      WaitingParameters waiting,
       long nowNanos) {
 
     Route route() {
@@ -186,6 +187,7 @@
         reading.fetchMillis()
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
+            + cacheWaitMillis(question, engine, selector.running(engine, question.nowNanos()))
             + commonMillis(question, engine, zone);
     Wait wait =
         waitFor(
@@ -205,7 +207,8 @@
     }
     Wait inTime = wait(question, engine, millis, Urgency.IN_TIME);
     RequestEnvelope envelope = question.progress().envelope();
-    boolean returned = question.foresees() && envelope.hasReturned(envelope.arrivedNanos());
+    boolean returned =
+        question.waiting().refuseForeseen() && envelope.hasReturned(envelope.arrivedNanos());
     return returned || question.inTime(inTime.millis())
         ? inTime
         : wait(question, engine, millis, Urgency.LATE);
@@ -232,6 +235,7 @@
         reading.fetchMillis()
             + RUNNING_TOKENS * question.speed().tokenMillis() * running
             + crowdedMillis(question, engine, running)
+            + cacheWaitMillis(question, engine, running)
             + commonMillis(question, engine, near);
     Wait wait =
         waitFor(
@@ -350,6 +354,20 @@
     return over * Math.max(SECOND_CALL_MILLIS, slowness * stay / Math.max(1, engine.slots()));
   }
 
+  /** Beyond the KV cache a request waits too, or evicts what is less urgent. */
+  private double cacheWaitMillis(Question question, ServingEngine engine, int running) {
+    if (question.profile().isEmpty() || !question.waiting().cacheRoom()) {
+      return 0;
+    }
+    return CacheRoom.waitMillis(
+        running,
+        selector.cacheTokens(engine, question.nowNanos()),
+        engine.slots(),
+        question.progress().cacheTokens(),
+        question.profile().get().cacheTokens(),
+        selector.stays().workMillis(question.progress().service()).orElse(0));
+  }
+
   private boolean waits(Question question, Plan plan) {
     ServingEngine engine = plan.engine();
     boolean crowded =
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptSizes.java
@@ -20,6 +20,7 @@
   private long longestBefore;
   private double meanRead;
   private double meanSquareRead;
+  private double meanCache;
 
   /** A prompt of so many tokens was placed, by this node or another. */
   void onPrompt(long tokens, long nowNanos) {
@@ -27,6 +28,16 @@
     longest = Math.max(longest, tokens);
   }
 
+  /** A request that was placed holds so many tokens of KV cache when it runs. */
+  void onCache(long tokens) {
+    meanCache += (meanCache == 0 ? 1 : SMOOTHING) * (tokens - meanCache);
+  }
+
+  /** Tokens that one request holds, on average. */
+  double meanCache() {
+    return meanCache;
+  }
+
   /** So many tokens of a prompt have to be read, since no part of the others is kept. */
   void onRead(long tokens) {
     double weight = meanRead == 0 ? 1 : SMOOTHING;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -162,6 +162,14 @@
     return first;
   }
 
+  /** Tokens of KV cache that it holds when it runs: its prompt and the longest answer. */
+  long cacheTokens() {
+    return envelope
+        .prompt()
+        .map(prompt -> (long) prompt.promptTokens() + prompt.maxOutputTokens())
+        .orElse(0L);
+  }
+
   /** Whether its answer may run for long. */
   boolean longAnswer() {
     return envelope.prompt().filter(PromptShape::longAnswer).isPresent();
--- a/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
@@ -8,13 +8,19 @@
  * @param waitForRoom whether application requests wait at this node while engines have no room
  * @param refuseForeseen whether prompts that are foreseen to begin after their caller has left are
  *     refused at once
+ * @param cacheRoom whether room in the engines' KV caches is counted
  * @param maxWaitingBytes memory for the bodies of what waits
  */
 public record WaitingParameters(
-    boolean evenFill, boolean waitForRoom, boolean refuseForeseen, long maxWaitingBytes) {
+    boolean evenFill,
+    boolean waitForRoom,
+    boolean refuseForeseen,
+    boolean cacheRoom,
+    long maxWaitingBytes) {
 
   private static final long SOME_BYTES = 1 << 20;
 
   /** All decisions are made. */
-  public static final WaitingParameters ALL = new WaitingParameters(true, true, true, SOME_BYTES);
+  public static final WaitingParameters ALL =
+      new WaitingParameters(true, true, true, true, SOME_BYTES);
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.fallturn.core.error.Outcome;
+import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.junit.jupiter.api.Test;
@@ -121,6 +122,25 @@
         .isGreaterThan(1_000);
   }
 
+  /** Engines evicted what they had begun, and read it anew, since others had room for it. */
+  @Test
+  void promptThatWouldOverfillACacheGoesToAnEngineFurtherAway() {
+    Dispatcher dispatcher = Requests.dispatcher(decode);
+    learnStay(dispatcher);
+    for (int prompt = 0; prompt < 5; prompt++) {
+      RequestProgress large = Requests.promptAt(START, 75_000);
+      dispatcher.start(large, START);
+      dispatcher.onBegan(large);
+    }
+    ServingEngine far =
+        new ServingEngine("d-3", MODEL, decode.address(), "zone-2", 8, false, EngineStage.DECODE);
+    dispatcher.setDirectory(EngineDirectory.of(2, List.of(decode, far)), after(1));
+    Decision small = dispatcher.start(Requests.promptAt(after(2), 400), after(2));
+    Decision large = dispatcher.start(Requests.promptAt(after(2), 40_000), after(2));
+    assertThat(((Decision.Run) small).engine()).isEqualTo(decode);
+    assertThat(((Decision.Run) large).engine()).isEqualTo(far);
+  }
+
   private static void learnStay(Dispatcher dispatcher) {
     RequestProgress stays = Requests.promptAt(after(-1_000), 100);
     dispatcher.start(stays, after(-1_000));
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -44,7 +44,7 @@
 
   /** One that gives each request to an engine at once, however many are there. */
   static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
-    return dispatcher(1_000, new WaitingParameters(true, false, true, 0), engines);
+    return dispatcher(1_000, new WaitingParameters(true, false, true, true, 0), engines);
   }
 
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -44,6 +44,12 @@
           true,
           "Whether prompts that are foreseen to begin too late for their callers are refused.");
 
+  private static final SettingDefinition<Boolean> CACHE_ROOM =
+      SettingDefinition.flag(
+          "dispatch.cache_room",
+          true,
+          "Whether prompts are placed by the room that is left in the engines' KV caches.");
+
   private static final SettingDefinition<DataSize> MAX_WAITING =
       SettingDefinition.dataSize(
           "dispatch.max_waiting",
@@ -54,7 +60,13 @@
 
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(
-          PREFILL_SPEED, MIN_RETRY_AFTER, EVEN_FILL, WAIT_FOR_ROOM, REFUSE_FORESEEN, MAX_WAITING);
+          PREFILL_SPEED,
+          MIN_RETRY_AFTER,
+          EVEN_FILL,
+          WAIT_FOR_ROOM,
+          REFUSE_FORESEEN,
+          CACHE_ROOM,
+          MAX_WAITING);
 
   static DispatchSettings from(SettingValues values) {
     return new DispatchSettings(
@@ -66,6 +78,7 @@
         values.get(EVEN_FILL),
         values.get(WAIT_FOR_ROOM),
         values.get(REFUSE_FORESEEN),
+        values.get(CACHE_ROOM),
         values.get(MAX_WAITING).bytes());
   }
 }
