Let late prompts with time to spare go behind those that can be in time

Long prompts came late behind urgent short ones that were late already and lost nothing by waiting. A prompt that cannot be in time, and would begin within half of its caller's time behind all others, now has the last level whatever its rank; one with less time keeps its place.

DispatcherTest#readPromptsGoFirst... took a late prompt with four seconds to spare for its level; it now asks the same of one without, and the last level for one with.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
@@ -82,7 +82,7 @@
   }
 
   private static boolean waits(PromptPlacement.Plan plan, long remainingNanos) {
-    return plan.urgency() == Urgency.LATE
+    return plan.urgency().late()
         && plan.aheadTokens() > 0
         && plan.millis() > LONGEST_WAIT_PART * Duration.ofNanos(remainingNanos).toMillis();
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -90,6 +90,12 @@
    */
   private static final double IN_TIME_MARGIN = 1.2;
 
+  /**
+   * What is late goes behind all others only while that would leave it half of its caller's time:
+   * more that go before it may come.
+   */
+  private static final double YIELDING_MARGIN = 2;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /**
@@ -211,7 +217,19 @@
         question.waiting().refuseForeseen() && envelope.hasReturned(envelope.arrivedNanos());
     return returned || question.inTime(inTime.millis())
         ? inTime
-        : wait(question, engine, millis, Urgency.LATE);
+        : waitLate(question, engine, millis);
+  }
+
+  private Wait waitLate(Question question, ServingEngine engine, LongToDoubleFunction millis) {
+    RequestEnvelope envelope = question.progress().envelope();
+    if (question.waiting().lateYields() && Urgency.canYield(envelope.rank())) {
+      Wait yielding = wait(question, engine, millis, Urgency.YIELDING);
+      double left = envelope.remainingToBeginNanos(question.nowNanos()) / NANOS_PER_MILLI;
+      if (YIELDING_MARGIN * yielding.millis() <= left) {
+        return yielding;
+      }
+    }
+    return wait(question, engine, millis, Urgency.LATE);
   }
 
   private Wait wait(
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -147,7 +147,7 @@
 
   /** Whether the engine was told to let those go first that can be answered in time. */
   boolean goesBehind() {
-    return urgency == Urgency.LATE;
+    return urgency.late();
   }
 
   /** A prompt that was sent to the engine later, and is no more urgent, has been read before it. */
--- a/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/waiting/WaitingParameters.java
@@ -9,6 +9,8 @@
  * @param refuseForeseen whether prompts that are foreseen to begin after their caller has left are
  *     refused at once
  * @param cacheRoom whether room in the engines' KV caches is counted
+ * @param lateYields whether prompts that cannot be in time go behind those of lower ranks that can,
+ *     while they have time to spare
  * @param maxWaitingBytes memory for the bodies of what waits
  */
 public record WaitingParameters(
@@ -16,11 +18,12 @@
     boolean waitForRoom,
     boolean refuseForeseen,
     boolean cacheRoom,
+    boolean lateYields,
     long maxWaitingBytes) {
 
   private static final long SOME_BYTES = 1 << 20;
 
   /** All decisions are made. */
   public static final WaitingParameters ALL =
-      new WaitingParameters(true, true, true, true, SOME_BYTES);
+      new WaitingParameters(true, true, true, true, true, SOME_BYTES);
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -146,8 +146,13 @@
     Dispatcher dispatcher = Requests.dispatcher(prefill, decode);
     RequestProgress inTime = Requests.prompt(false, 0, 4_000);
     assertThat(((Decision.Prefill) dispatcher.start(inTime, START)).urgency()).isEqualTo(4);
-    RequestProgress late = Requests.prompt(false, 0, 40_000);
+    RequestProgress late = Requests.prompt(false, 0, 130_000);
     assertThat(((Decision.Prefill) dispatcher.start(late, START)).urgency()).isEqualTo(5);
+    RequestProgress patient = Requests.prompt(false, 0, 40_000);
+    Dispatcher idle = Requests.dispatcher(prefill, decode);
+    assertThat(((Decision.Prefill) idle.start(patient, START)).urgency())
+        .as("late, and half of its time is left when it goes behind all others")
+        .isEqualTo(9);
     Decision.Run run = (Decision.Run) dispatcher.onPrefilled(late, "h", after(1_500));
     assertThat(run.urgency()).isEqualTo(3);
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
@@ -12,6 +12,7 @@
 import org.fallturn.core.error.Outcome;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.Rank;
 import org.fallturn.core.routing.ServingEngine;
 import org.junit.jupiter.api.Test;
 
@@ -141,6 +142,25 @@
     assertThat(((Decision.Run) large).engine()).isEqualTo(far);
   }
 
+  /**
+   * Urgent prompts that were late already went before long ones that could still be in time, and
+   * made them late too.
+   */
+  @Test
+  void urgentPromptThatIsLateLetsOthersPassOnlyWhileItIsServedAllTheSame() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill);
+    int late = urgency(dispatcher, 0, 40_000);
+    int inTime = urgency(Requests.dispatcher(prefill), 2, 4_000);
+    assertThat(late).isGreaterThan(inTime);
+    int pressed = urgency(Requests.dispatcher(prefill), 0, 130_000);
+    assertThat(pressed).isLessThan(inTime);
+  }
+
+  private static int urgency(Dispatcher dispatcher, int place, int tokens) {
+    RequestProgress progress = Requests.ranked(new Rank(place, 3), tokens);
+    return ((Decision.Prefill) dispatcher.start(progress, START)).urgency();
+  }
+
   private static void learnStay(Dispatcher dispatcher) {
     RequestProgress stays = Requests.promptAt(after(-1_000), 100);
     dispatcher.start(stays, after(-1_000));
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -7,9 +7,11 @@
 import java.util.OptionalInt;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.quarantine.RequestContent;
+import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.Rank;
 import org.fallturn.core.routing.RequestKind;
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.Route;
@@ -44,7 +46,7 @@
 
   /** One that gives each request to an engine at once, however many are there. */
   static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
-    return dispatcher(1_000, new WaitingParameters(true, false, true, true, 0), engines);
+    return dispatcher(1_000, new WaitingParameters(true, false, true, true, true, 0), engines);
   }
 
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
@@ -155,6 +157,23 @@
     return progress(route(RequestKind.STREAMING, false, MODEL, 1), Optional.of(shape), nowNanos);
   }
 
+  /** A stream with a place in the order of its service. */
+  static RequestProgress ranked(Rank rank, int tokens) {
+    PromptShape shape = new PromptShape("m", tokens, 8, List.of());
+    Route route = route(RequestKind.STREAMING, false, MODEL, 1);
+    String id = "request-" + number++;
+    RequestEnvelope envelope =
+        new RequestEnvelope(
+            id,
+            route,
+            Caller.UNCHECKED,
+            rank,
+            Optional.of(shape),
+            START,
+            START + route.timeout().toNanos());
+    return new RequestProgress(envelope, content(id));
+  }
+
   /** A stream whose caller has spent a third of its time before. */
   static RequestProgress returned(long nowNanos, int tokens) {
     PromptShape shape = new PromptShape("m", tokens, 8, List.of());
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -50,6 +50,12 @@
           true,
           "Whether prompts are placed by the room that is left in the engines' KV caches.");
 
+  private static final SettingDefinition<Boolean> LATE_YIELDS =
+      SettingDefinition.flag(
+          "dispatch.late_yields",
+          true,
+          "Whether late prompts with time to spare go behind less urgent ones that can be in time.");
+
   private static final SettingDefinition<DataSize> MAX_WAITING =
       SettingDefinition.dataSize(
           "dispatch.max_waiting",
@@ -66,6 +72,7 @@
           WAIT_FOR_ROOM,
           REFUSE_FORESEEN,
           CACHE_ROOM,
+          LATE_YIELDS,
           MAX_WAITING);
 
   static DispatchSettings from(SettingValues values) {
@@ -79,6 +86,7 @@
         values.get(WAIT_FOR_ROOM),
         values.get(REFUSE_FORESEEN),
         values.get(CACHE_ROOM),
+        values.get(LATE_YIELDS),
         values.get(MAX_WAITING).bytes());
   }
 }
