--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -21,6 +21,9 @@
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.waiting.EvenFill;
+import org.fallturn.core.waiting.StayLengths;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Picks engines by cost: load as this node and its peers count it, health from outcomes, distance,
@@ -31,6 +34,9 @@
   private static final double OTHER_ZONE_RUN_COST = 0.03;
   private static final double FAILURE_RUN_COST = 1.0;
 
+  /** Nodes that speak to each other tell what they have ten times a second. */
+  private static final double HALF_TURN_MILLIS = 50;
+
   /** Shorter shared parts are read again sooner than they are copied. */
   static final int MIN_COPIED_TOKENS = 1_000;
 
@@ -42,6 +48,7 @@
   private final EngineNotices notices;
   private final EnginePace pace;
   private final Departures departures;
+  private final StayLengths stays = new StayLengths();
   private final ChangingEngines changing = new ChangingEngines();
   private EngineDirectory directory = EngineDirectory.empty();
 
@@ -104,6 +111,11 @@
     return peerLoads.lagMillis(nowNanos);
   }
 
+  /** How often what the other nodes have at the engines is renewed here, and its age then. */
+  double renewMillis(long nowNanos) {
+    return HALF_TURN_MILLIS + lagMillis(nowNanos);
+  }
+
   /** Factor by which work takes longer at an engine than is usual for its service. */
   double slowness(ServingEngine engine, WorkKind kind, long nowNanos) {
     return pace.slowness(engine.id(), kind, nowNanos);
@@ -151,6 +163,13 @@
     return directory.find(engineId);
   }
 
+  /** The engines that are listed, or were until a short while ago. */
+  Set<String> knownIds() {
+    Set<String> ids = new HashSet<>(departures.ids());
+    directory.all().forEach(engine -> ids.add(engine.id()));
+    return ids;
+  }
+
   /** Service of a listed engine; empty for any other. */
   String serviceOf(String engineId) {
     return directory.find(engineId).map(ServingEngine::service).orElse("");
@@ -191,6 +210,15 @@
     return engines.stream().filter(engine -> running(engine, nowNanos) == least).toList();
   }
 
+  /**
+   * Tokens of KV cache that the requests at an engine hold when they run: those of this node, and
+   * for each of another as many as is usual here.
+   */
+  double cacheTokens(ServingEngine engine, long nowNanos) {
+    return load(engine).cacheTokens()
+        + peerLoads.running(engine.id(), nowNanos) * sizes(engine.service()).meanCache();
+  }
+
   /** Prompt tokens that wait to be read at the engine, as far as they are known here. */
   long backlogTokens(ServingEngine engine, long nowNanos) {
     return backlogTokens(engine, Urgency.LEVELS - 1, nowNanos);
@@ -267,21 +295,38 @@
                                 RendezvousHash.weight(part.id(), right.id()))));
   }
 
-  /** The engine of an application service that is least loaded for its size. */
-  Optional<ServingEngine> leastLoaded(RequestProgress progress, long nowNanos) {
-    return cheapest(
-        runCandidates(progress, nowNanos).stream(),
-        engine -> {
-          EngineLoad load = load(engine);
-          double running = running(engine, nowNanos);
-          return (running + 1)
-                  * slowness(engine, WorkKind.APPLICATION, nowNanos)
-                  / Math.max(1, engine.slots())
-              + FAILURE_RUN_COST * load.health().failureShare(nowNanos)
-              + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
-        },
-        Function.identity(),
-        progress);
+  /** Of how long application requests stay at the engines; whoever sees them end tells it. */
+  StayLengths stays() {
+    return stays;
+  }
+
+  /**
+   * The engine for an application request: with those that the fleet sends before this node hears
+   * of them, requests fill all engines up to one level. Without others it is the emptiest.
+   *
+   * @param engines those that may run it; at least one
+   */
+  ServingEngine evenly(
+      RequestProgress progress,
+      List<ServingEngine> engines,
+      WaitingParameters waiting,
+      long nowNanos) {
+    List<EvenFill.Vessel> vessels =
+        engines.stream().map(engine -> vessel(engine, nowNanos)).toList();
+    int ofPeers = engines.stream().mapToInt(e -> peerLoads.running(e.id(), nowNanos)).sum();
+    double lag = Math.max(HALF_TURN_MILLIS, lagMillis(nowNanos));
+    double unseen = waiting.evenFill() ? stays.sentWithin(progress.service(), ofPeers, lag) : 0;
+    double draw = RendezvousHash.draw(progress.envelope().requestId(), progress.service());
+    return engines.get(EvenFill.choose(vessels, unseen, draw));
+  }
+
+  private EvenFill.Vessel vessel(ServingEngine engine, long nowNanos) {
+    double capacity =
+        Math.max(1, engine.slots()) / slowness(engine, WorkKind.APPLICATION, nowNanos);
+    double besides =
+        FAILURE_RUN_COST * load(engine).health().failureShare(nowNanos)
+            + (engine.zone().equals(zone) ? 0 : OTHER_ZONE_RUN_COST);
+    return new EvenFill.Vessel(running(engine, nowNanos) / capacity + besides, capacity);
   }
 
   private static boolean prefills(ServingEngine engine) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -9,6 +9,8 @@
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.waiting.CacheRoom;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Chooses how a prompt is read: by a prefill engine whose KV cache a decode engine fetches, or by
@@ -55,11 +57,6 @@
    */
   private static final int MIN_ORDERED_TOKENS = EngineSelector.MIN_COPIED_TOKENS;
 
-  /** Bits of a hash beyond those that a double holds. */
-  private static final int UNUSED_BITS = 11;
-
-  private static final double RANGE = 0x1p53;
-
   private final EngineSelector selector;
   private final String zone;
 
@@ -93,6 +90,12 @@
    */
   private static final double IN_TIME_MARGIN = 1.2;
 
+  /**
+   * What is late goes behind all others only while that would leave it half of its caller's time:
+   * more that go before it may come.
+   */
+  private static final double YIELDING_MARGIN = 2;
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   /**
@@ -122,13 +125,18 @@
     }
   }
 
-  /** What one choice is made from. */
+  /**
+   * What one choice is made from.
+   *
+   * @param waiting which decisions on competing requests are made
+   */
   record Question(
       RequestProgress progress,
       PromptShape prompt,
       ReadingSpeed speed,
       Optional<EngineProfile> profile,
       PartHolders holders,
+      WaitingParameters waiting,
       long nowNanos) {
 
     Route route() {
@@ -185,6 +193,7 @@
         reading.fetchMillis()
             + CacheFetch.moveMillis(question.prompt().promptTokens(), question.profile())
             + SECOND_CALL_MILLIS
+            + cacheWaitMillis(question, engine, selector.running(engine, question.nowNanos()))
             + commonMillis(question, engine, zone);
     Wait wait =
         waitFor(
@@ -193,7 +202,8 @@
   }
 
   /**
-   * Among those that can be answered in time when it can be so itself, else behind them.
+   * Among those that can be answered in time when it can be so itself, else behind them. One that
+   * has waited through a refusal goes before those that are new and late.
    *
    * @param millis time to the first token by the tokens that go before
    */
@@ -202,7 +212,24 @@
       return wait(question, engine, millis, Urgency.READ);
     }
     Wait inTime = wait(question, engine, millis, Urgency.IN_TIME);
-    return question.inTime(inTime.millis()) ? inTime : wait(question, engine, millis, Urgency.LATE);
+    RequestEnvelope envelope = question.progress().envelope();
+    boolean returned =
+        question.waiting().refuseForeseen() && envelope.hasReturned(envelope.arrivedNanos());
+    return returned || question.inTime(inTime.millis())
+        ? inTime
+        : waitLate(question, engine, millis);
+  }
+
+  private Wait waitLate(Question question, ServingEngine engine, LongToDoubleFunction millis) {
+    RequestEnvelope envelope = question.progress().envelope();
+    if (question.waiting().lateYields() && Urgency.canYield(envelope.rank())) {
+      Wait yielding = wait(question, engine, millis, Urgency.YIELDING);
+      double left = envelope.remainingToBeginNanos(question.nowNanos()) / NANOS_PER_MILLI;
+      if (YIELDING_MARGIN * yielding.millis() <= left) {
+        return yielding;
+      }
+    }
+    return wait(question, engine, millis, Urgency.LATE);
   }
 
   private Wait wait(
@@ -225,7 +252,8 @@
     double besides =
         reading.fetchMillis()
             + RUNNING_TOKENS * question.speed().tokenMillis() * running
-            + crowdedMillis(engine, running)
+            + crowdedMillis(question, engine, running)
+            + cacheWaitMillis(question, engine, running)
             + commonMillis(question, engine, near);
     Wait wait =
         waitFor(
@@ -330,10 +358,39 @@
     return Math.max(0, own - Math.max(0, newTokens));
   }
 
-  /** Past its slots a request waits for another to end. */
-  private static double crowdedMillis(ServingEngine engine, int running) {
+  /**
+   * Past its slots a request waits for others to end: one does each time in which a request runs,
+   * divided by the slots.
+   */
+  private double crowdedMillis(Question question, ServingEngine engine, int running) {
     int over = Math.max(0, running + 1 - engine.slots());
-    return over * SECOND_CALL_MILLIS;
+    if (over == 0) {
+      return 0;
+    }
+    double stay = selector.stays().workMillis(question.progress().service()).orElse(0);
+    double slowness = selector.slowness(engine, WorkKind.DECODING, question.nowNanos());
+    return over * Math.max(SECOND_CALL_MILLIS, slowness * stay / Math.max(1, engine.slots()));
+  }
+
+  /** Beyond the KV cache a request waits too, or evicts what is less urgent. */
+  private double cacheWaitMillis(Question question, ServingEngine engine, int running) {
+    if (question.profile().isEmpty() || !question.waiting().cacheRoom()) {
+      return 0;
+    }
+    return CacheRoom.waitMillis(
+        running,
+        selector.cacheTokens(engine, question.nowNanos()),
+        engine.slots(),
+        question.progress().cacheTokens(),
+        question.profile().get().cacheTokens(),
+        selector.stays().workMillis(question.progress().service()).orElse(0));
+  }
+
+  private boolean waits(Question question, Plan plan) {
+    ServingEngine engine = plan.engine();
+    boolean crowded =
+        !plan.prefill() && selector.running(engine, question.nowNanos()) >= engine.slots();
+    return crowded || plan.aheadTokens() > 0;
   }
 
   private double commonMillis(Question question, ServingEngine engine, String near) {
@@ -372,7 +429,7 @@
    * here keeps an engine busy for the lag at the most, where engines are busy at all.
    */
   private double spreadMillis(Question question, List<Plan> plans) {
-    long busy = plans.stream().filter(plan -> plan.aheadTokens() > 0).count();
+    long busy = plans.stream().filter(plan -> waits(question, plan)).count();
     return plans.isEmpty() ? 0 : selector.lagMillis(question.nowNanos()) * busy / plans.size();
   }
 
@@ -386,6 +443,6 @@
         prompt.sharedTokens() >= MIN_ORDERED_TOKENS
             ? prompt.lastSharedPart().map(PromptPart::id).orElseThrow()
             : question.progress().envelope().requestId();
-    return (RendezvousHash.weight(key, engine.id()) >>> UNUSED_BITS) / RANGE;
+    return RendezvousHash.draw(key, engine.id());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -147,7 +147,7 @@
 
   /** Whether the engine was told to let those go first that can be answered in time. */
   boolean goesBehind() {
-    return urgency == Urgency.LATE;
+    return urgency.late();
   }
 
   /** A prompt that was sent to the engine later, and is no more urgent, has been read before it. */
@@ -162,6 +162,14 @@
     return first;
   }
 
+  /** Tokens of KV cache that it holds when it runs: its prompt and the longest answer. */
+  long cacheTokens() {
+    return envelope
+        .prompt()
+        .map(prompt -> (long) prompt.promptTokens() + prompt.maxOutputTokens())
+        .orElse(0L);
+  }
+
   /** Whether its answer may run for long. */
   boolean longAnswer() {
     return envelope.prompt().filter(PromptShape::longAnswer).isPresent();
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -7,9 +7,11 @@
 import java.util.OptionalInt;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.quarantine.RequestContent;
+import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.Rank;
 import org.fallturn.core.routing.RequestKind;
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.Route;
@@ -18,6 +20,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.routing.WeightedService;
 import org.fallturn.core.stages.StageParameters;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /** Requests, engines and dispatchers for tests. */
 final class Requests {
@@ -41,7 +44,17 @@
     return dispatcher(1_000, engines);
   }
 
+  /** One that gives each request to an engine at once, however many are there. */
+  static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
+    return dispatcher(1_000, new WaitingParameters(true, false, true, true, true, 0), engines);
+  }
+
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
+    return dispatcher(slack, WaitingParameters.ALL, engines);
+  }
+
+  private static Dispatcher dispatcher(
+      double slack, WaitingParameters waiting, ServingEngine... engines) {
     Dispatcher dispatcher =
         new Dispatcher(
             new DispatchParameters(
@@ -53,7 +66,8 @@
                 Duration.ofSeconds(10),
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
-                STAGES));
+                STAGES,
+                waiting));
     dispatcher.setNodeCount(OptionalInt.of(6));
     EngineProfile profile =
         new EngineProfile(
@@ -143,6 +157,38 @@
     return progress(route(RequestKind.STREAMING, false, MODEL, 1), Optional.of(shape), nowNanos);
   }
 
+  /** A stream with a place in the order of its service. */
+  static RequestProgress ranked(Rank rank, int tokens) {
+    PromptShape shape = new PromptShape("m", tokens, 8, List.of());
+    Route route = route(RequestKind.STREAMING, false, MODEL, 1);
+    String id = "request-" + number++;
+    RequestEnvelope envelope =
+        new RequestEnvelope(
+            id,
+            route,
+            Caller.UNCHECKED,
+            rank,
+            Optional.of(shape),
+            START,
+            START + route.timeout().toNanos());
+    return new RequestProgress(envelope, content(id));
+  }
+
+  /** A stream whose caller has spent a third of its time before. */
+  static RequestProgress returned(long nowNanos, int tokens) {
+    PromptShape shape = new PromptShape("m", tokens, 8, List.of());
+    Route route = route(RequestKind.STREAMING, false, MODEL, 1);
+    String id = "request-" + number++;
+    RequestEnvelope envelope =
+        new RequestEnvelope(
+            id,
+            route,
+            Optional.of(shape),
+            nowNanos,
+            nowNanos + route.timeout().multipliedBy(2).dividedBy(3).toNanos());
+    return new RequestProgress(envelope, content(id));
+  }
+
   /** A stream whose caller leaves when it has not begun after a time. */
   static RequestProgress impatientPrompt(Duration beginPatience, long nowNanos, int tokens) {
     PromptShape shape = new PromptShape("m", tokens, 8, List.of());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptPatience;
@@ -15,6 +18,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.NoticeSource;
+import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.RequestFingerprint;
@@ -53,6 +57,8 @@
   private final RunCounter runs;
   private final Scaling scaling;
   private final List<Exchange> waitingForSurvey = new ArrayList<>();
+  private final Map<RequestProgress, Exchange> waitingForRoom = new HashMap<>();
+  private final BooleanSupplier stopping;
   private long lastHealthNanos;
   private long lastStageNanos;
   private long lastOutlookNanos;
@@ -66,7 +72,8 @@
       Consumer<StageChange> stageChanges,
       QuarantineKeeper keeper,
       RunCounter runs,
-      Scaling scaling) {
+      Scaling scaling,
+      BooleanSupplier stopping) {
     this.dispatcher = dispatcher;
     this.engines = engines;
     this.log = log;
@@ -77,6 +84,7 @@
     this.keeper = keeper;
     this.runs = runs;
     this.scaling = scaling;
+    this.stopping = stopping;
   }
 
   @Override
@@ -246,6 +254,7 @@
   }
 
   private void abandon(Exchange exchange, String why, long now) {
+    waitingForRoom.remove(exchange.progress());
     runs.onEnded(exchange, now);
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
@@ -282,6 +291,9 @@
           exchange,
           call(exchange, run.engine(), false, run.source(), run.fetchFrom(), run.urgency(), now),
           run.patience());
+    } else if (decision instanceof Decision.Wait) {
+      exchange.beginWait(now);
+      waitingForRoom.put(exchange.progress(), exchange);
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       freeSource(exchange);
@@ -293,6 +305,25 @@
     }
   }
 
+  /** Goes on with what need not wait for an engine any longer, or may not. */
+  private void endWaits(long now) {
+    if (stopping.getAsBoolean()) {
+      endWaits(dispatcher.closeWaits(), now);
+    }
+    endWaits(dispatcher.takeEndedWaits(now), now);
+    log.waiting(dispatcher.waitingCount(), dispatcher.waitingBytes());
+  }
+
+  private void endWaits(List<Dispatcher.Ended> ended, long now) {
+    for (Dispatcher.Ended end : ended) {
+      Exchange exchange = waitingForRoom.remove(end.progress());
+      if (exchange != null) {
+        log.waited(exchange, now);
+        carryOut(exchange, end.decision(), now);
+      }
+    }
+  }
+
   private static EngineCall call(
       Exchange exchange,
       ServingEngine engine,
@@ -329,6 +360,7 @@
   @Override
   public void onBatchEnd() {
     long now = System.nanoTime();
+    endWaits(now);
     if (dispatcher.quarantine().takeNews()) {
       peers.tellNow(now);
       keepQuarantine(now);
@@ -366,6 +398,7 @@
       }
     }
     endWaiting(now);
+    endWaits(now);
     takeSignsOfLife(now);
     peers.onTick(now);
     runs.onTick(now);
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -2,14 +2,17 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.fallturn.core.waiting.WaitingParameters;
 
 /**
  * Constants of the dispatcher of a gateway process.
  *
  * @param prefillTokensPerMilli reading speed that is assumed
  * @param minRetryAfter shortest advice on when to come back
+ * @param waiting what is decided on requests that compete for room
  */
-public record DispatchSettings(double prefillTokensPerMilli, Duration minRetryAfter) {
+public record DispatchSettings(
+    double prefillTokensPerMilli, Duration minRetryAfter, WaitingParameters waiting) {
 
   private static final SettingDefinition<Double> PREFILL_SPEED =
       SettingDefinition.decimal(
@@ -23,9 +26,67 @@
           Duration.ofMinutes(1),
           "Shortest advice on when to come back.");
 
-  static final List<SettingDefinition<?>> DEFINITIONS = List.of(PREFILL_SPEED, MIN_RETRY_AFTER);
+  private static final SettingDefinition<Boolean> EVEN_FILL =
+      SettingDefinition.flag(
+          "dispatch.even_fill",
+          true,
+          "Whether nodes that know the same divide application requests over the engines.");
+
+  private static final SettingDefinition<Boolean> WAIT_FOR_ROOM =
+      SettingDefinition.flag(
+          "dispatch.wait_for_room",
+          true,
+          "Whether application requests wait at this node while engines have no room.");
+
+  private static final SettingDefinition<Boolean> REFUSE_FORESEEN =
+      SettingDefinition.flag(
+          "dispatch.refuse_foreseen",
+          true,
+          "Whether prompts that are foreseen to begin too late for their callers are refused.");
+
+  private static final SettingDefinition<Boolean> CACHE_ROOM =
+      SettingDefinition.flag(
+          "dispatch.cache_room",
+          true,
+          "Whether prompts are placed by the room that is left in the engines' KV caches.");
+
+  private static final SettingDefinition<Boolean> LATE_YIELDS =
+      SettingDefinition.flag(
+          "dispatch.late_yields",
+          true,
+          "Whether late prompts with time to spare go behind less urgent ones that can be in time.");
+
+  private static final SettingDefinition<DataSize> MAX_WAITING =
+      SettingDefinition.dataSize(
+          "dispatch.max_waiting",
+          DataSize.ofMebibytes(9),
+          DataSize.ofKibibytes(1),
+          DataSize.ofMebibytes(1024),
+          "Memory for the bodies of what waits; beyond it the least urgent are refused.");
+
+  static final List<SettingDefinition<?>> DEFINITIONS =
+      List.of(
+          PREFILL_SPEED,
+          MIN_RETRY_AFTER,
+          EVEN_FILL,
+          WAIT_FOR_ROOM,
+          REFUSE_FORESEEN,
+          CACHE_ROOM,
+          LATE_YIELDS,
+          MAX_WAITING);
 
   static DispatchSettings from(SettingValues values) {
-    return new DispatchSettings(values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER));
+    return new DispatchSettings(
+        values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER), waiting(values));
+  }
+
+  private static WaitingParameters waiting(SettingValues values) {
+    return new WaitingParameters(
+        values.get(EVEN_FILL),
+        values.get(WAIT_FOR_ROOM),
+        values.get(REFUSE_FORESEEN),
+        values.get(CACHE_ROOM),
+        values.get(LATE_YIELDS),
+        values.get(MAX_WAITING).bytes());
   }
 }
