Learn the pace of each engine from its finished work

Cause: one reading speed a service is learned; engines that differ for good or for moments are the same to every decision.

--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/PaceWord.java
@@ -0,0 +1,77 @@
+package org.fallturn.core.pace;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What work that ended lately says of the pace of one engine. Samples fade, so that the words that
+ * are told again and again until they have faded count each sample about once. Immutable.
+ *
+ * @param sum of the natural logarithms of the factors by which work took longer than usual
+ * @param samples how many there were, as far as they have not faded
+ */
+public record PaceWord(double sum, double samples) {
+
+  /** Nothing ended lately. */
+  public static final PaceWord NONE = new PaceWord(0, 0);
+
+  /** Nodes tell each other every 100 ms, and one message of three may be lost. */
+  static final long FADE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  /** What is left of a sample when it is not worth a place in a message any more. */
+  private static final double LEAST_SAMPLES = 0.3;
+
+  /** Factors nearer to 1 than this are not told: natural logarithm of a tenth. */
+  private static final double LEAST_DIFFERENCE = Math.log(1.1);
+
+  private static final double PERCENT = 100;
+  private static final double TENTHS = 10;
+
+  /** A word as it was told. */
+  public static PaceWord of(int percent, int tenthsOfSamples) {
+    double samples = Math.max(0, tenthsOfSamples) / TENTHS;
+    return new PaceWord(samples * PaceBounds.log(percent / PERCENT), samples);
+  }
+
+  /** The mean factor in percent; 100 as usual. */
+  public int percent() {
+    return (int) Math.round(PERCENT * Math.exp(mean()));
+  }
+
+  /** Tenths of samples. */
+  public int tenthsOfSamples() {
+    return (int) Math.round(TENTHS * samples);
+  }
+
+  /** Mean of the logarithms. */
+  double mean() {
+    return samples > 0 ? sum / samples : 0;
+  }
+
+  /** Whether it is not worth telling. */
+  public boolean saysNothing() {
+    return samples < LEAST_SAMPLES || Math.abs(mean()) < LEAST_DIFFERENCE;
+  }
+
+  /** The same, or none where it is not worth telling. */
+  public PaceWord worthTelling() {
+    return saysNothing() ? NONE : this;
+  }
+
+  /** Both together. */
+  public PaceWord and(PaceWord other) {
+    return other.samples == 0 ? this : new PaceWord(sum + other.sum, samples + other.samples);
+  }
+
+  /** The same so much later. */
+  public PaceWord aged(long nanos) {
+    if (samples == 0 || nanos <= 0) {
+      return this;
+    }
+    double left = Math.exp(-(double) nanos / FADE_NANOS);
+    return new PaceWord(sum * left, samples * left);
+  }
+
+  PaceWord with(double log) {
+    return new PaceWord(sum + log, samples + 1);
+  }
+}
