Feed the learned pace and tell it to the other nodes

Change: placements of prompts and of application requests are compared with what they should have taken; words of a node's recent work go with the load of engines under a key that the build of before passes over. dispatch.learn_pace switches it.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -15,6 +15,7 @@
  * @param lastResort how long a leaving engine may be used when its service has no other
  * @param minRetryAfter shortest advice on when to come back
  * @param stages when engines change their stage
+ * @param learnsPace whether the pace of each engine is learned and gone by
  */
 public record DispatchParameters(
     String node,
@@ -25,4 +26,5 @@
     Duration retryWindow,
     Duration lastResort,
     Duration minRetryAfter,
-    StageParameters stages) {}
+    StageParameters stages,
+    boolean learnsPace) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -8,7 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
-import org.fallturn.core.pace.EnginePace;
+import org.fallturn.core.pace.PaceChange;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.routing.EngineDirectory;
@@ -40,6 +40,7 @@
   private final EngineSilence silence;
   private final Patience patience = new Patience();
   private final ReadingSpeeds speeds;
+  private final PaceFeed pace;
   private final FleetView fleet;
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
@@ -56,10 +57,11 @@
     this.quarantine = new Quarantine(parameters.node());
     long lastResortNanos = parameters.lastResort().toNanos();
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
-    this.selector =
-        new EngineSelector(parameters.zone(), peerLoads, notices, EnginePace.EVEN, lastResortNanos);
     this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
-    this.fleet = new FleetView(selector, peerLoads, notices, speeds, this::cacheTokens);
+    this.pace = new PaceFeed(peerLoads, speeds::of, parameters.learnsPace());
+    this.selector =
+        new EngineSelector(parameters.zone(), peerLoads, notices, pace.pace(), lastResortNanos);
+    this.fleet = new FleetView(selector, peerLoads, notices, speeds, pace, this::cacheTokens);
     this.prompts = new PromptPlacement(selector, parameters.zone());
     this.silence = new EngineSilence(selector, peerLoads, speeds::of, this::profile);
     this.stages =
@@ -82,6 +84,7 @@
         .forEach(engine -> notices.onLeaving(engine.id(), NoticeSource.LIST, nowNanos));
     selector.setDirectory(directory(), nowNanos);
     silence.onDirectory(nowNanos);
+    pace.onDirectory(directory());
     quarantine.onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
   }
 
@@ -140,6 +143,7 @@
 
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
+    pace.onTick(nowNanos);
     silence.check(nowNanos);
     quarantine.onTick(this::lastHeard, nowNanos);
   }
@@ -222,6 +226,11 @@
     return changes;
   }
 
+  /** Engines found to be slower or faster than others, or no more, since the last call. */
+  public List<PaceChange> takePaceChanges(long nowNanos) {
+    return pace.takeChanges(nowNanos);
+  }
+
   /** Some of an answer came from the engine that has the request. */
   public void onSignOfLife(RequestProgress progress, long nowNanos) {
     progress.engine().map(selector::load).ifPresent(load -> load.onSignOfLife(progress, nowNanos));
@@ -255,6 +264,7 @@
             progress.aheadTokens(),
             progress.chargedTokens(),
             (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI);
+    pace.onDone(progress, nowNanos);
     load.onSignOfLife(progress, nowNanos);
     load.health().onGood(nowNanos);
     load.promptRead(progress);
@@ -264,7 +274,8 @@
   }
 
   /** The first part of the answer came, so that the prompt has been read. */
-  public void onBegan(RequestProgress progress) {
+  public void onBegan(RequestProgress progress, long nowNanos) {
+    pace.onDone(progress, nowNanos);
     progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
     progress.promptRead();
   }
@@ -320,6 +331,7 @@
 
   /** The answer was passed on whole. */
   public void onFinished(RequestProgress progress, long nowNanos) {
+    pace.onDone(progress, nowNanos);
     progress
         .engine()
         .map(selector::load)
@@ -436,6 +448,7 @@
     PromptShape prompt = progress.envelope().prompt().orElseThrow();
     ServingEngine engine = plan.engine();
     fleet.onPlaced(engine, prompt, plan.millis(), nowNanos);
+    pace.onPlaced(progress, plan, nowNanos);
     if (plan.readTokens() > 0) {
       selector.sizes(progress.service()).onRead(plan.readTokens());
     }
@@ -452,6 +465,7 @@
 
   private Decision runApplication(RequestProgress progress, ServingEngine engine, long nowNanos) {
     Urgency urgency = progress.late(nowNanos) ? Urgency.LATE : Urgency.IN_TIME;
+    pace.onPlaced(progress, engine, selector.running(engine, nowNanos), nowNanos);
     return run(progress, engine, Optional.empty(), Expectation.NONE, urgency, nowNanos);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.fallturn.core.limits.LimitDigest;
+import org.fallturn.core.pace.PaceWord;
 
 /**
  * What one node, or a group of nodes together, has at one engine. Immutable.
@@ -16,6 +17,7 @@
  *     when none had
  * @param leaving nodes that know that it leaves, where its entry does not say so
  * @param limit what they know of a limit that it names, and their parts of it
+ * @param pace what their work there lately says of its pace, where it is not as usual
  */
 public record EngineDigest(
     int running,
@@ -25,7 +27,8 @@
     int changing,
     int heardAgoMillis,
     int leaving,
-    LimitDigest limit) {
+    LimitDigest limit,
+    PaceWord pace) {
 
   /** Nobody had a sign of life from the engine. */
   public static final int NOT_HEARD = -1;
@@ -39,19 +42,41 @@
       int changing,
       int heardAgoMillis) {
     this(
-        running, streams, waitingTokens, suspecting, changing, heardAgoMillis, 0, LimitDigest.NONE);
+        running,
+        streams,
+        waitingTokens,
+        suspecting,
+        changing,
+        heardAgoMillis,
+        0,
+        LimitDigest.NONE,
+        PaceWord.NONE);
   }
 
   /** The same, said by so many nodes that know that it leaves. */
   public EngineDigest withLeaving(int nodes) {
     return new EngineDigest(
-        running, streams, waitingTokens, suspecting, changing, heardAgoMillis, nodes, limit);
+        running, streams, waitingTokens, suspecting, changing, heardAgoMillis, nodes, limit, pace);
   }
 
   /** The same, with what is known of its limit. */
   public EngineDigest withLimit(LimitDigest told) {
     return new EngineDigest(
-        running, streams, waitingTokens, suspecting, changing, heardAgoMillis, leaving, told);
+        running, streams, waitingTokens, suspecting, changing, heardAgoMillis, leaving, told, pace);
+  }
+
+  /** The same, with what is told of its pace. */
+  public EngineDigest withPace(PaceWord told) {
+    return new EngineDigest(
+        running,
+        streams,
+        waitingTokens,
+        suspecting,
+        changing,
+        heardAgoMillis,
+        leaving,
+        limit,
+        told);
   }
 
   /** A private copy of the list. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/FleetView.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/FleetView.java
@@ -40,13 +40,14 @@
       PeerLoads peerLoads,
       EngineNotices notices,
       ReadingSpeeds speeds,
+      PaceFeed pace,
       ToLongFunction<String> cacheTokens) {
     this.selector = selector;
     this.peerLoads = peerLoads;
     this.notices = notices;
     this.speeds = speeds;
     this.cacheTokens = cacheTokens;
-    this.ownDigests = new OwnDigests(selector, notices);
+    this.ownDigests = new OwnDigests(selector, notices, pace);
   }
 
   /** Takes the engines as their entries tell them. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
@@ -17,10 +17,12 @@
 
   private final EngineSelector selector;
   private final EngineNotices notices;
+  private final PaceFeed pace;
 
-  OwnDigests(EngineSelector selector, EngineNotices notices) {
+  OwnDigests(EngineSelector selector, EngineNotices notices, PaceFeed pace) {
     this.selector = selector;
     this.notices = notices;
+    this.pace = pace;
   }
 
   /**
@@ -54,12 +56,14 @@
         selector.changes(id) ? 1 : 0,
         heardAgoMillis(load, nowNanos),
         leavesUnlisted(id, listed) ? 1 : 0,
-        notices.limits().digest(id, nowNanos));
+        notices.limits().digest(id, nowNanos),
+        pace.lately(id, nowNanos));
   }
 
   private static boolean saysAnything(EngineDigest digest, EngineLoad load, long nowNanos) {
     return digest.suspecting() + digest.changing() + digest.leaving() > 0
         || !digest.limit().saysNothing()
+        || !digest.pace().saysNothing()
         || load.heardWithin(TOLD_SIGN_NANOS, nowNanos)
         || !load.idle();
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -9,6 +9,7 @@
 import java.util.stream.Stream;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.limits.LimitDigest;
+import org.fallturn.core.pace.PaceWord;
 
 /**
  * What the other nodes last said they have at each engine. A node that has said nothing for a while
@@ -164,6 +165,12 @@
     return sum(engineId, nowNanos).limit;
   }
 
+  /** What the other nodes' work at an engine lately says of its pace. */
+  PaceWord pace(String engineId, long nowNanos) {
+    Sum sum = sum(engineId, nowNanos);
+    return sum.pace.aged(nowNanos - sumsAtNanos);
+  }
+
   /** Long answers among them that have begun. */
   int streams(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).streams;
@@ -302,6 +309,7 @@
     private int changing;
     private int leaving;
     private LimitDigest limit = LimitDigest.NONE;
+    private PaceWord pace = PaceWord.NONE;
     private boolean heard;
     private long heardNanos;
 
@@ -314,6 +322,7 @@
       leaving += engine.leaving();
       int age = (int) TimeUnit.NANOSECONDS.toMillis(nowNanos - toldNanos);
       limit = limit.and(engine.limit().aged(age));
+      pace = pace.and(engine.pace().aged(nowNanos - toldNanos));
       if (engine.heardAgoMillis() != EngineDigest.NOT_HEARD) {
         onHeard(toldNanos - TimeUnit.MILLISECONDS.toNanos(engine.heardAgoMillis()));
       }
@@ -330,7 +339,15 @@
               ? (int) Math.max(0, TimeUnit.NANOSECONDS.toMillis(nowNanos - heardNanos))
               : EngineDigest.NOT_HEARD;
       return new EngineDigest(
-          running, streams, backlog.toList(), suspecting, changing, heardAgo, leaving, limit);
+          running,
+          streams,
+          backlog.toList(),
+          suspecting,
+          changing,
+          heardAgo,
+          leaving,
+          limit,
+          pace.worthTelling());
     }
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -33,6 +33,7 @@
   private boolean begun;
   private boolean isolated;
   private CacheSource source;
+  private ExpectedWork expected;
 
   /** A request that has just arrived. */
   public RequestProgress(RequestEnvelope envelope, RequestContent content) {
@@ -212,8 +213,21 @@
     triedEngines.add(chosen.id());
   }
 
+  /** What the next attempt should take. */
+  void expect(ExpectedWork work) {
+    expected = work;
+  }
+
+  /** What the present attempt should have taken; empty where it is not known, or was taken. */
+  Optional<ExpectedWork> takeExpected() {
+    Optional<ExpectedWork> taken = Optional.ofNullable(expected);
+    expected = null;
+    return taken;
+  }
+
   /** The present attempt is over. */
   void endAttempt(boolean mayHaveRun) {
+    expected = null;
     if (!prefilling && !mayHaveRun) {
       possibleRuns--;
     }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -299,7 +299,7 @@
       innocentsAnswered++;
       Dispatcher dispatcher = nodes.get(run.node);
       dispatcher.onSignOfLife(run.progress, now());
-      dispatcher.onBegan(run.progress);
+      dispatcher.onBegan(run.progress, now());
       dispatcher.onFinished(run.progress, now());
     }
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/DispatcherTest.java
@@ -291,7 +291,7 @@
     dispatcher.onAbandoned(abandoned, START);
     RequestProgress failed = Requests.prompt(false, 0, 300);
     dispatcher.start(failed, START);
-    dispatcher.onBegan(failed);
+    dispatcher.onBegan(failed, START);
     dispatcher.onFailure(failed, AttemptOutcome.BROKEN_MIDWAY, after(10));
     assertThat(dispatcher.fleet().ownLoads(START)).isEmpty();
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingFleet.java
@@ -181,7 +181,7 @@
       return;
     }
     answered++;
-    dispatcher.onBegan(job.progress);
+    dispatcher.onBegan(job.progress, now());
     dispatcher.onSignOfLife(job.progress, now());
     dispatcher.onFinished(job.progress, now());
     active.get(job.node).remove(job.progress);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -53,7 +53,8 @@
                 Duration.ofSeconds(10),
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
-                STAGES));
+                STAGES,
+                true));
     dispatcher.setNodeCount(OptionalInt.of(6));
     EngineProfile profile =
         new EngineProfile(
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetFleetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetFleetTest.java
@@ -108,7 +108,7 @@
       } else if (prefill) {
         decision = dispatcher.onPrefilled(progress, "handle", now);
       } else {
-        dispatcher.onBegan(progress);
+        dispatcher.onBegan(progress, now);
         dispatcher.onFinished(progress, now);
         return;
       }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -28,7 +28,8 @@
             Duration.ofNanos(WINDOW),
             Duration.ZERO,
             Duration.ZERO,
-            Requests.STAGES));
+            Requests.STAGES,
+            true));
   }
 
   /** In no window do the repeats of all nodes pass the fleet's bound, however requests come. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -89,7 +89,7 @@
       if (isPresent(began.exchange(), began.attempt())) {
         log.began(began.exchange(), now);
         runs.onBegan(began.exchange());
-        dispatcher.onBegan(began.exchange().progress());
+        dispatcher.onBegan(began.exchange().progress(), now);
         dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -22,6 +22,7 @@
 import org.fallturn.core.limits.LimitDigest;
 import org.fallturn.core.limits.LimitWord;
 import org.fallturn.core.limits.RateDigest;
+import org.fallturn.core.pace.PaceWord;
 import org.fallturn.core.peers.KnownPeer;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
@@ -40,6 +41,7 @@
  *  "e":{"i-7f":"2,0,1,0,120,0,0,500"},     running, streams, suspecting, changing, heard ago, tokens
  *  "d":{"i-7f":2},                         engines that leave unlisted: nodes that know it
  *  "b":{"i-7f":"1,32,0,8,2.2,40,-1"},      limits: nodes, weight, held, sent; a second, named ago, ended ago
+ *  "g":{"i-7f":"131,24"},                  paces: time in percent of the usual, tenths of samples
  *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
@@ -87,6 +89,7 @@
     writeEngines(out, load.engines());
     writeLeaving(out, load.engines());
     writeLimits(out, load.engines());
+    writePaces(out, load.engines());
     writeSpeeds(out, load.speeds());
     writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
     writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
@@ -142,6 +145,21 @@
     out.writeEndObject();
   }
 
+  private static void writePaces(JsonGenerator out, Map<String, EngineDigest> engines)
+      throws IOException {
+    if (engines.values().stream().allMatch(engine -> engine.pace().saysNothing())) {
+      return;
+    }
+    out.writeObjectFieldStart("g");
+    for (Map.Entry<String, EngineDigest> engine : engines.entrySet()) {
+      PaceWord pace = engine.getValue().pace();
+      if (!pace.saysNothing()) {
+        out.writeStringField(engine.getKey(), pace.percent() + "," + pace.tenthsOfSamples());
+      }
+    }
+    out.writeEndObject();
+  }
+
   private static void writeSpeeds(JsonGenerator out, Map<String, LearnedSpeed> speeds)
       throws IOException {
     if (speeds.isEmpty()) {
@@ -251,6 +269,7 @@
     private final Map<String, EngineDigest> engines = new HashMap<>();
     private final Map<String, Integer> leaving = new HashMap<>();
     private final Map<String, LimitDigest> limits = new HashMap<>();
+    private final Map<String, PaceWord> paces = new HashMap<>();
     private final Map<String, LearnedSpeed> speeds = new HashMap<>();
     private final List<PlacedPrompt> prompts = new ArrayList<>();
     private final List<CacheListing> listings = new ArrayList<>();
@@ -278,6 +297,7 @@
         case "e" -> readEngines(in);
         case "d" -> readLeaving(in);
         case "b" -> readLimits(in);
+        case "g" -> readPaces(in);
         case "v" -> readSpeeds(in);
         case "t" -> readTables(in);
         case "u" -> readUsage(in);
@@ -319,6 +339,15 @@
       }
     }
 
+    private void readPaces(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String id = in.currentName();
+        in.nextToken();
+        String[] fields = in.getText().split(",");
+        paces.put(id, PaceWord.of(Integer.parseInt(fields[0]), Integer.parseInt(fields[1])));
+      }
+    }
+
     private void readSpeeds(JsonParser in) throws IOException {
       while (in.nextToken() == JsonToken.FIELD_NAME) {
         String service = in.currentName();
@@ -427,6 +456,7 @@
           (id, nodes) -> engines.computeIfPresent(id, (key, told) -> told.withLeaving(nodes)));
       limits.forEach(
           (id, limit) -> engines.computeIfPresent(id, (key, told) -> told.withLimit(limit)));
+      paces.forEach((id, pace) -> engines.computeIfPresent(id, (key, told) -> told.withPace(pace)));
       PeerInfo sender =
           new PeerInfo(
               NetworkAddress.parse(needed("a")), needed("z"), Integer.parseInt(needed("c")));
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -8,8 +8,10 @@
  *
  * @param prefillTokensPerMilli reading speed that is assumed
  * @param minRetryAfter shortest advice on when to come back
+ * @param learnsPace whether the pace of each engine is learned and gone by
  */
-public record DispatchSettings(double prefillTokensPerMilli, Duration minRetryAfter) {
+public record DispatchSettings(
+    double prefillTokensPerMilli, Duration minRetryAfter, boolean learnsPace) {
 
   private static final SettingDefinition<Double> PREFILL_SPEED =
       SettingDefinition.decimal(
@@ -23,9 +25,15 @@
           Duration.ofMinutes(1),
           "Shortest advice on when to come back.");
 
-  static final List<SettingDefinition<?>> DEFINITIONS = List.of(PREFILL_SPEED, MIN_RETRY_AFTER);
+  private static final SettingDefinition<Boolean> LEARN_PACE =
+      SettingDefinition.flag(
+          "dispatch.learn_pace", true, "Learn how fast each engine works, and go by it.");
+
+  static final List<SettingDefinition<?>> DEFINITIONS =
+      List.of(PREFILL_SPEED, MIN_RETRY_AFTER, LEARN_PACE);
 
   static DispatchSettings from(SettingValues values) {
-    return new DispatchSettings(values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER));
+    return new DispatchSettings(
+        values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER), values.get(LEARN_PACE));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -181,7 +181,8 @@
         bounds.retryWindow(),
         bounds.drain().multipliedBy(LAST_RESORT_PERCENT).dividedBy(PERCENT),
         dispatch.minRetryAfter(),
-        stages.parameters());
+        stages.parameters(),
+        dispatch.learnsPace());
   }
 
   /** What orders of engines go by. */
