Read what engines say of their load, and go by the pace they name

Cause: X-Fallturn-Server-Load was passed over. Malformed values are told once in the log and dropped. ENGINE_PACE says when an engine's state changes. Measured: unit tests; neither site sends the header.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -143,6 +143,7 @@
 
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
+    notices.loadWords().takeAll(pace::onSaid);
     pace.onTick(nowNanos);
     silence.check(nowNanos);
     quarantine.onTick(this::lastHeard, nowNanos);
@@ -411,6 +412,7 @@
 
   private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     selector.onAsked(progress.service(), nowNanos);
+    notices.loadWords().takeAll(pace::onSaid);
     if (progress.envelope().prompt().isEmpty()) {
       return selector
           .leastLoaded(progress, nowNanos)
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
@@ -32,6 +32,7 @@
   private final Map<String, Long> leavingSince = new ConcurrentHashMap<>();
   private final Map<String, Long> restEnds = new ConcurrentHashMap<>();
   private final EngineLimits limits;
+  private final LoadWords loadWords = new LoadWords();
   private final Queue<LeavingNotice> found = new ConcurrentLinkedQueue<>();
 
   /**
@@ -51,6 +52,11 @@
     return limits;
   }
 
+  /** What engines say of their load. */
+  public LoadWords loadWords() {
+    return loadWords;
+  }
+
   /** An engine is found to leave; nothing changes where that is known. */
   public void onLeaving(String engineId, NoticeSource source, long nowNanos) {
     if (leavingSince.putIfAbsent(engineId, nowNanos) == null) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
@@ -10,6 +10,7 @@
 import org.fallturn.core.pace.PaceForecast;
 import org.fallturn.core.pace.PaceSample;
 import org.fallturn.core.pace.PaceWord;
+import org.fallturn.core.pace.ServerLoad;
 import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
@@ -23,6 +24,7 @@
 final class PaceFeed {
 
   private static final double NANOS_PER_MILLI = 1e6;
+  private static final double PERCENT = 100;
 
   /** Shorter prompts take as long as the ways and the steps, and are compared with each other. */
   private static final int SHORT_TOKENS = 1_000;
@@ -66,10 +68,10 @@
     }
   }
 
-  /** Takes what an engine says of itself. */
-  void onOwnWord(String engineId, double factor, long saidNanos) {
-    if (kinds.containsKey(engineId)) {
-      learned.onOwnWord(engineId, factor, saidNanos);
+  /** Takes what a listed engine says of itself. */
+  void onSaid(String engineId, ServerLoad load, long saidNanos) {
+    if (kinds.containsKey(engineId) && load.pacePercent().isPresent()) {
+      learned.onOwnWord(engineId, load.pacePercent().getAsInt() / PERCENT, saidNanos);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.pace.PaceChange;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.quarantine.StandingChange;
 import org.fallturn.core.routing.EngineDirectory;
@@ -205,6 +206,15 @@
     line.log();
   }
 
+  void enginePace(PaceChange change) {
+    line(LogEvent.ENGINE_PACE, change.state().name())
+        .addKeyValue("engine", change.engineId())
+        .addKeyValue("state", change.state())
+        .addKeyValue("work", change.kind())
+        .addKeyValue("percent", Math.round(PERCENT * change.slowness()))
+        .log();
+  }
+
   void headerUnknown(String engineId, String name) {
     line(LogEvent.HEADER_UNKNOWN)
         .addKeyValue("engine", engineId)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -371,6 +371,7 @@
       lastHealthNanos = now;
       dispatcher.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
+      dispatcher.takePaceChanges(now).forEach(log::enginePace);
       keepQuarantine(now);
     }
     if (now - lastStageNanos >= STAGE_NANOS) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -44,7 +44,9 @@
   ENGINE_LIMITED,
   /** An engine that took only so many requests takes any number again. */
   ENGINE_LIMIT_ENDED,
-  /** What an engine said of its rest or its limit is no number and is passed over. */
+  /** An engine is slower or faster than the others of its service, or no more; the detail. */
+  ENGINE_PACE,
+  /** What an engine said of its rest, limit or load is no number and is passed over. */
   NOTICE_REFUSED,
   /** An engine's answer bears a header that this build does not know; once a name. */
   HEADER_UNKNOWN,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogStory.java
@@ -33,6 +33,7 @@
           LogEvent.ENGINE_RESTS.name(),
           LogEvent.ENGINE_LIMITED.name(),
           LogEvent.ENGINE_LIMIT_ENDED.name(),
+          LogEvent.ENGINE_PACE.name(),
           LogEvent.DEPENDENCY_LOST.name(),
           LogEvent.DEPENDENCY_REGAINED.name(),
           LogEvent.STOPPING.name(),
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EarlierBuildsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EarlierBuildsTest.java
@@ -15,6 +15,7 @@
 import org.fallturn.core.limits.LimitDigest;
 import org.fallturn.core.limits.LimitWord;
 import org.fallturn.core.limits.RateDigest;
+import org.fallturn.core.pace.PaceWord;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.port.feed.FeedAnswer;
@@ -78,7 +79,8 @@
     PeerMessage message = codec.decode(bytes);
     Map<String, EngineDigest> engines = new HashMap<>(message.load().engines());
     LimitDigest limit = new LimitDigest(new RateDigest(3, 33, 1, 9), new LimitWord(2.2, 40, 700));
-    engines.replaceAll((id, digest) -> digest.withLeaving(2).withLimit(limit));
+    PaceWord pace = PaceWord.of(130, 24);
+    engines.replaceAll((id, digest) -> digest.withLeaving(2).withLimit(limit).withPace(pace));
     LoadDigest load = message.load();
     PeerMessage later =
         new PeerMessage(
@@ -100,7 +102,7 @@
             message.wantsListings());
     assertThat(codec.decode(codec.encode(later))).isEqualTo(later);
     JsonNode said = json.readTree(codec.encode(later));
-    ((ObjectNode) said).remove(List.of("d", "b"));
+    ((ObjectNode) said).remove(List.of("d", "b", "g"));
     assertThat(said).isEqualTo(json.readTree(bytes));
   }
 
