Tell lasting pace from noise and from load, and use it beyond placement

Cause: with the first form of the estimate all nodes took the engine that seemed a little faster at the same moment; a burst made all engines seem slow. Change: the load common to all engines is taken off; how far an engine's mean is believed follows from how much engines differ against how much single times vary; samples count by how much of their time was their own; nobody is preferred for being fast, only passed over for being slow. Silence, early refusal and the order of stages go by the factor too. dispatch.learn_pace is off until it is shown to pay.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.pace.PaceChange;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.routing.EngineDirectory;
@@ -227,6 +228,11 @@
     return changes;
   }
 
+  /** Factor by which reading takes longer at an engine than usual. */
+  double slowness(String engineId, long nowNanos) {
+    return pace.pace().slowness(engineId, WorkKind.READING, nowNanos);
+  }
+
   /** Engines found to be slower or faster than others, or no more, since the last call. */
   public List<PaceChange> takePaceChanges(long nowNanos) {
     return pace.takeChanges(nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSilence.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSilence.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
@@ -15,8 +16,9 @@
  * follows from its pace and from the prompts that wait there: as long as the longest of them takes.
  *
  * <p>Invariant: an engine that reads no more than {@link #SLOWNESS} times slower than the learned
- * speed is not taken for silent while it works, whatever the length of the prompts, as far as what
- * other nodes have there is known. One thread calls.
+ * speed, or than its learned pace where that is slower, is not taken for silent while it works,
+ * whatever the length of the prompts, as far as what other nodes have there is known. One thread
+ * calls.
  */
 final class EngineSilence {
 
@@ -27,7 +29,7 @@
    */
   private static final long BASE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-  /** Engines of one service differ by up to 1.3 in speed on the sites known so far. */
+  /** By how much engines of one service may differ before it is learned. */
   private static final double SLOWNESS = 1.3;
 
   /**
@@ -132,7 +134,13 @@
     long tokens = longestTokens(engine, mayMiss, nowNanos);
     double read = speeds.apply(engine.service()).readMillis(engine.stage(), tokens);
     double move = CacheFetch.moveMillis(tokens, profiles.apply(engine.service()));
-    return BASE_NANOS + (long) (SLOWNESS * (read + move) * TimeUnit.MILLISECONDS.toNanos(1));
+    return BASE_NANOS
+        + (long) (slowness(engine, nowNanos) * (read + move) * TimeUnit.MILLISECONDS.toNanos(1));
+  }
+
+  /** The learned factor counts where it is higher: a slow engine is not a dead one. */
+  private double slowness(ServingEngine engine, long nowNanos) {
+    return Math.max(SLOWNESS, selector.slowness(engine, WorkKind.READING, nowNanos));
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ExpectedWork.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ExpectedWork.java
@@ -10,6 +10,8 @@
  * @param kind of work
  * @param work what is compared with each other
  * @param millis the time, up to a factor that is the same for all of the work
+ * @param weight what a comparison says, as a part of what work that waits for none says
  * @param forecast what was believed of its engine
  */
-record ExpectedWork(WorkKind kind, String work, double millis, PaceForecast forecast) {}
+record ExpectedWork(
+    WorkKind kind, String work, double millis, double weight, PaceForecast forecast) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OverloadPolicy.java
@@ -48,7 +48,8 @@
 
   private static boolean readTooLate(PromptPlacement.Question question, PromptPlacement.Plan plan) {
     long left = question.progress().envelope().remainingToBeginNanos(question.nowNanos());
-    double reading = question.speed().readMillis(plan.engine().stage(), plan.readTokens());
+    double reading =
+        plan.slowness() * question.speed().readMillis(plan.engine().stage(), plan.readTokens());
     return reading > Duration.ofNanos(left).toMillis();
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -106,6 +106,7 @@
    * @param urgency order among the engine's requests
    * @param millis expected time to the first token
    * @param cost the time and what else it costs, in ms
+   * @param slowness factor by which reading takes longer there than usual
    */
   record Plan(
       ServingEngine engine,
@@ -115,7 +116,8 @@
       long aheadTokens,
       Urgency urgency,
       double millis,
-      double cost) {
+      double cost,
+      double slowness) {
 
     Expectation expectation() {
       return new Expectation(millis, readTokens, aheadTokens);
@@ -271,7 +273,7 @@
     return Math.max(0, stretch - READING_SHARE_OF_PAUSE * longest / NANOS_PER_MILLI);
   }
 
-  private static Plan plan(
+  private Plan plan(
       Question question,
       ServingEngine engine,
       boolean prefill,
@@ -287,7 +289,8 @@
         wait.aheadTokens(),
         wait.urgency(),
         wait.millis(),
-        cost);
+        cost,
+        slowness(question, engine));
   }
 
   private static Reading handedOver(Question question, ServingEngine engine, CacheSource source) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServiceDefinition;
@@ -146,7 +147,9 @@
 
   private StageView view(ServingEngine engine, long nowNanos) {
     long backlog = selector.backlogTokens(engine, nowNanos);
-    double wait = speeds.apply(engine.service()).readMillis(engine.stage(), backlog);
+    double wait =
+        selector.slowness(engine, WorkKind.READING, nowNanos)
+            * speeds.apply(engine.service()).readMillis(engine.stage(), backlog);
     return new StageView(
         engine,
         selector.takesRequests(engine, nowNanos),
--- a/fallturn-core/src/main/java/org/fallturn/core/pace/EngineEstimate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/EngineEstimate.java
@@ -13,28 +13,46 @@
     return own;
   }
 
+  LastingPace lasting() {
+    return lasting;
+  }
+
   /** This node's samples that have not faded. */
   PaceWord lately(long nowNanos) {
     return lately.aged(nowNanos - latelyNanos);
   }
 
-  PaceForecast forecast(PaceWord told, double momentWeight, long nowNanos) {
-    double mean = lasting.log(nowNanos);
+  /**
+   * What is believed of it.
+   *
+   * @param told by others
+   * @param kind what is known of all engines
+   */
+  PaceForecast forecast(PaceWord told, KindPace kind, long nowNanos) {
+    double mean = lasting.log(kind.usualSamples(), nowNanos);
     PaceWord all = lately(nowNanos).and(told);
-    double moment = (all.sum() - all.samples() * mean) / (all.samples() + 1);
-    double estimate = mean + momentWeight * moment;
+    double moment = (all.sum() - all.samples() * (mean + kind.common())) / (all.samples() + 1);
+    double estimate = mean + kind.momentWeight().get() * moment;
     double weight = own.weight(nowNanos);
     double together =
         own.log().isPresent()
             ? weight * own.log().getAsDouble() + (1 - weight) * estimate
             : estimate;
-    return new PaceForecast(mean, moment, own.log(), PaceBounds.bounded(together));
+    return new PaceForecast(mean, moment, own.log(), PaceBounds.worthGoingBy(together));
   }
 
-  void onSample(double log, PaceForecast forecast, long nowNanos) {
-    forecast.own().ifPresent(word -> own.onOutcome(word, lasting.log(nowNanos), log));
-    lasting.add(log, 1, nowNanos);
-    lately = lately(nowNanos).with(log);
+  /**
+   * Takes a sample of this node.
+   *
+   * @param log against what is usual
+   * @param common part of it that is the same at all engines now
+   */
+  void onSample(double log, double common, PaceSample sample, long nowNanos) {
+    double apart = log - common;
+    sample.forecast().own().ifPresent(word -> own.onOutcome(word, lasting.mean(), apart));
+    double difference = apart - lasting.mean();
+    lasting.add(apart, sample.weight(), difference * difference, nowNanos);
+    lately = lately(nowNanos).with(log, sample.weight());
     latelyNanos = nowNanos;
   }
 
@@ -42,21 +60,19 @@
    * Other nodes' samples are told until they have faded: of each, the part that has passed since
    * the last turn is taken.
    */
-  void onTold(PaceWord told, long passedNanos, long nowNanos) {
+  void onTold(PaceWord told, double common, long passedNanos, long nowNanos) {
     double weight = told.samples() * Math.min(1, (double) passedNanos / PaceWord.FADE_NANOS);
     if (weight > 0) {
-      lasting.add(told.mean(), weight, nowNanos);
+      double apart = told.mean() - common;
+      double difference = apart - lasting.mean();
+      lasting.add(apart, weight, told.samples() * difference * difference, nowNanos);
     }
   }
 
-  double lastingLog(long nowNanos) {
-    return lasting.log(nowNanos);
-  }
-
   /** Whether its state changed since the last call. */
-  boolean takeChange(long nowNanos) {
+  boolean takeChange(double usualSamples, long nowNanos) {
     PaceState before = state;
-    state = before.next(Math.exp(lasting.log(nowNanos)));
+    state = before.next(Math.exp(lasting.log(usualSamples, nowNanos)));
     return state != before;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/pace/LearnedPace.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/LearnedPace.java
@@ -27,9 +27,7 @@
 
   private final PeerWords peers;
   private final Map<String, UsualPace> usual = new HashMap<>();
-  private final Map<WorkKind, Map<String, EngineEstimate>> estimates =
-      new EnumMap<>(WorkKind.class);
-  private final Map<WorkKind, MomentWeight> momentWeights = new EnumMap<>(WorkKind.class);
+  private final Map<WorkKind, KindPace> kinds = new EnumMap<>(WorkKind.class);
   private long toldNanos;
   private boolean told;
 
@@ -37,8 +35,7 @@
   public LearnedPace(PeerWords peers) {
     this.peers = peers;
     for (WorkKind kind : WorkKind.values()) {
-      estimates.put(kind, new HashMap<>());
-      momentWeights.put(kind, new MomentWeight());
+      kinds.put(kind, new KindPace());
     }
   }
 
@@ -49,15 +46,11 @@
 
   /** What is believed of an engine, to be given back with the sample that comes of it. */
   public PaceForecast forecast(String engineId, WorkKind kind, long nowNanos) {
-    EngineEstimate estimate = estimates.get(kind).get(engineId);
-    PaceWord word = peers.of(engineId, nowNanos);
-    if (estimate == null) {
-      if (word.samples() == 0) {
-        return PaceForecast.NONE;
-      }
-      estimate = new EngineEstimate();
-    }
-    return estimate.forecast(word, momentWeights.get(kind).get(), nowNanos);
+    KindPace known = kinds.get(kind);
+    EngineEstimate estimate = known.engines().get(engineId);
+    return estimate == null
+        ? PaceForecast.NONE
+        : estimate.forecast(peers.of(engineId, nowNanos), known, nowNanos);
   }
 
   /** Work has been done. */
@@ -70,73 +63,79 @@
     }
     UsualPace usualOfWork = usual.computeIfAbsent(sample.work(), work -> new UsualPace());
     if (usualOfWork.isKnown()) {
-      double log = usualOfWork.deviation(sample.log());
-      PaceForecast forecast = sample.forecast();
-      momentWeights.get(sample.kind()).onOutcome(forecast.moment(), log - forecast.lasting());
-      estimate(sample.engineId(), sample.kind()).onSample(log, forecast, nowNanos);
+      learn(usualOfWork.deviation(sample.log()), sample, nowNanos);
     }
     usualOfWork.add(sample.log());
   }
 
+  private void learn(double log, PaceSample sample, long nowNanos) {
+    KindPace kind = kinds.get(sample.kind());
+    PaceForecast forecast = sample.forecast();
+    double came = log - kind.common() - forecast.lasting();
+    kind.momentWeight().onOutcome(forecast.moment(), came, sample.weight());
+    kind.engine(sample.engineId()).onSample(log, kind.common(), sample, nowNanos);
+  }
+
   /**
    * An engine says how long work takes there.
    *
    * @param factor 1 as usual
    */
   public void onOwnWord(String engineId, double factor, long saidNanos) {
-    for (WorkKind kind : WorkKind.values()) {
-      estimate(engineId, kind).own().say(PaceBounds.log(factor), saidNanos);
-    }
+    kinds
+        .values()
+        .forEach(kind -> kind.engine(engineId).own().say(PaceBounds.log(factor), saidNanos));
   }
 
   /** What this node's work says of an engine lately, for the other nodes. */
   public PaceWord lately(String engineId, WorkKind kind, long nowNanos) {
-    EngineEstimate estimate = estimates.get(kind).get(engineId);
+    EngineEstimate estimate = kinds.get(kind).engines().get(engineId);
     return estimate == null ? PaceWord.NONE : estimate.lately(nowNanos);
   }
 
   /**
-   * Takes what the other nodes have told since the last call; called some times a second.
+   * Takes what the other nodes have told since the last call, and compares the engines with each
+   * other; called some times a second.
    *
-   * @param kinds of which each engine is told, by its id
+   * @param kindsByEngine of which work each engine is told
    */
-  public void takeTold(Map<String, WorkKind> kinds, long nowNanos) {
-    if (told) {
-      long passed = nowNanos - toldNanos;
-      kinds.forEach((engineId, kind) -> takeTold(engineId, kind, passed, nowNanos));
-    }
+  public void onTick(Map<String, WorkKind> kindsByEngine, long nowNanos) {
+    long passed = told ? nowNanos - toldNanos : 0;
     told = true;
     toldNanos = nowNanos;
+    kindsByEngine.forEach((id, kind) -> takeTold(id, kinds.get(kind), passed, nowNanos));
+    kinds.values().forEach(kind -> kind.compare(peers, nowNanos));
   }
 
-  private void takeTold(String engineId, WorkKind kind, long passedNanos, long nowNanos) {
+  private void takeTold(String engineId, KindPace kind, long passedNanos, long nowNanos) {
     PaceWord word = peers.of(engineId, nowNanos);
     if (word.samples() > 0) {
-      estimate(engineId, kind).onTold(word, passedNanos, nowNanos);
+      kind.engine(engineId).onTold(word, kind.common(), passedNanos, nowNanos);
     }
   }
 
   /** Forgets the engines that are gone; a later start begins anew. */
   public void retain(Predicate<String> present) {
-    estimates.values().forEach(byEngine -> byEngine.keySet().removeIf(id -> !present.test(id)));
+    kinds.values().forEach(kind -> kind.retain(present));
   }
 
   /** Engines whose state has changed since the last call. */
   public List<PaceChange> takeChanges(long nowNanos) {
     List<PaceChange> changes = new ArrayList<>();
-    estimates.forEach(
-        (kind, byEngine) ->
-            byEngine.forEach(
-                (id, estimate) -> {
-                  if (estimate.takeChange(nowNanos)) {
-                    double slowness = Math.exp(estimate.lastingLog(nowNanos));
-                    changes.add(new PaceChange(id, kind, estimate.state(), slowness));
-                  }
-                }));
+    kinds.forEach(
+        (kind, known) ->
+            known
+                .engines()
+                .forEach((id, engine) -> addChange(id, kind, engine, nowNanos, changes)));
     return changes;
   }
 
-  private EngineEstimate estimate(String engineId, WorkKind kind) {
-    return estimates.get(kind).computeIfAbsent(engineId, id -> new EngineEstimate());
+  private void addChange(
+      String id, WorkKind kind, EngineEstimate engine, long nowNanos, List<PaceChange> changes) {
+    double usualSamples = kinds.get(kind).usualSamples();
+    if (engine.takeChange(usualSamples, nowNanos)) {
+      double slowness = Math.exp(engine.lasting().log(usualSamples, nowNanos));
+      changes.add(new PaceChange(id, kind, engine.state(), slowness));
+    }
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/pace/MomentWeight.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/MomentWeight.java
@@ -7,11 +7,11 @@
  */
 final class MomentWeight {
 
-  /** Half is believed until enough was seen. */
-  private static final double FIRST_WEIGHT = 0.5;
+  /** A part is believed until enough was seen. */
+  private static final double FIRST_WEIGHT = 0.25;
 
   /** Squares of differences that speak for the first weight: some samples of a doubled time. */
-  private static final double FIRST_EVIDENCE = 2;
+  private static final double FIRST_EVIDENCE = 1;
 
   /** Of the evidence, what is left after a sample: it is that of some hundred. */
   private static final double KEPT = 0.99;
@@ -24,11 +24,12 @@
    *
    * @param seen difference from the engine's mean, as a logarithm
    * @param came the same of the work that was sent on it
+   * @param weight of that
    */
-  void onOutcome(double seen, double came) {
+  void onOutcome(double seen, double came, double weight) {
     if (seen != 0) {
-      products = KEPT * products + seen * came;
-      squares = KEPT * squares + seen * seen;
+      products = KEPT * products + weight * seen * came;
+      squares = KEPT * squares + weight * seen * seen;
     }
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/pace/PaceWord.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/pace/PaceWord.java
@@ -20,8 +20,8 @@
   /** What is left of a sample when it is not worth a place in a message any more. */
   private static final double LEAST_SAMPLES = 0.3;
 
-  /** Factors nearer to 1 than this are not told: natural logarithm of a tenth. */
-  private static final double LEAST_DIFFERENCE = Math.log(1.1);
+  /** Factors nearer to 1 than this are not told. */
+  private static final double LEAST_DIFFERENCE = PaceBounds.LEAST;
 
   private static final double PERCENT = 100;
   private static final double TENTHS = 10;
@@ -71,7 +71,7 @@
     return new PaceWord(sum * left, samples * left);
   }
 
-  PaceWord with(double log) {
-    return new PaceWord(sum + log, samples + 1);
+  PaceWord with(double log, double weight) {
+    return new PaceWord(sum + weight * log, samples + weight);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -27,7 +27,7 @@
 
   private static final SettingDefinition<Boolean> LEARN_PACE =
       SettingDefinition.flag(
-          "dispatch.learn_pace", true, "Learn how fast each engine works, and go by it.");
+          "dispatch.learn_pace", false, "Learn how fast each engine works, and go by it.");
 
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(PREFILL_SPEED, MIN_RETRY_AFTER, LEARN_PACE);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.pace.PaceWord;
 import org.fallturn.core.peers.KnownPeer;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
@@ -24,6 +25,7 @@
 import org.fallturn.node.json.MalformedMessageException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class PeerCodecTest {
@@ -86,6 +88,24 @@
     assertThat(codec.encode(message(engines))).hasSizeLessThan(4_096);
   }
 
+  /** Only engines that differ are told, so that most messages don't grow at all. */
+  @ParameterizedTest
+  @CsvSource({"71,63", "112,40"})
+  void wordsOfThePaceOfEnginesCostLittle(int nodes, int engineCount) throws Exception {
+    Map<String, EngineDigest> engines = new HashMap<>();
+    Map<String, EngineDigest> uneven = new HashMap<>();
+    for (int engine = 0; engine < engineCount; engine++) {
+      EngineDigest digest = new EngineDigest(16, 9, List.of(0L, 12_000L + engine), 0, 0, 120);
+      String id = "i-7f3a91c2" + engine;
+      engines.put(id, digest.withPace(PaceWord.of(104, nodes)));
+      uneven.put(id, engine % 3 == 0 ? digest.withPace(PaceWord.of(130, nodes)) : digest);
+    }
+    int plain = codec.encode(message(engines)).length;
+    int longer = codec.encode(message(uneven)).length - plain;
+    assertThat(longer).isPositive().isLessThan(plain / 4);
+    assertThat(codec.decode(codec.encode(message(uneven)))).isEqualTo(message(uneven));
+  }
+
   @Test
   void unknownKeysArePassedOver() throws Exception {
     String text = new String(codec.encode(message(Map.of())), StandardCharsets.UTF_8);
