--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -17,6 +17,7 @@
  * @param minRetryAfter shortest advice on when to come back
  * @param stages when engines change their stage
  * @param waiting what is decided on requests that compete for room
+ * @param learnsPace whether the pace of each engine is learned and gone by
  */
 public record DispatchParameters(
     String node,
@@ -28,4 +29,5 @@
     Duration lastResort,
     Duration minRetryAfter,
     StageParameters stages,
-    WaitingParameters waiting) {}
+    WaitingParameters waiting,
+    boolean learnsPace) {}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
-import org.fallturn.core.pace.EnginePace;
+import org.fallturn.core.pace.PaceChange;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
 import org.fallturn.core.routing.EngineDirectory;
@@ -17,7 +17,6 @@
 import org.fallturn.core.routing.ServiceDefinition;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
-import org.fallturn.core.stages.StageOutlook;
 import org.fallturn.core.waiting.WaitingParameters;
 
 /**
@@ -41,6 +40,7 @@
   private final EngineSilence silence;
   private final Patience patience = new Patience();
   private final ReadingSpeeds speeds;
+  private final PaceFeed pace;
   private final FleetView fleet;
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
@@ -59,11 +59,12 @@
     this.quarantine = new Quarantine(parameters.node());
     long lastResortNanos = parameters.lastResort().toNanos();
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
+    this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
+    this.pace = new PaceFeed(peerLoads, speeds::of, parameters.learnsPace());
     this.selector =
-        new EngineSelector(parameters.zone(), peerLoads, notices, EnginePace.EVEN, lastResortNanos);
+        new EngineSelector(parameters.zone(), peerLoads, notices, pace.pace(), lastResortNanos);
     this.room = new ApplicationRoom(selector);
-    this.speeds = new ReadingSpeeds(() -> this.parameters.prefillTokensPerMilli());
-    this.fleet = new FleetView(selector, peerLoads, notices, speeds, this::cacheTokens);
+    this.fleet = new FleetView(selector, peerLoads, notices, speeds, pace, this::cacheTokens);
     this.prompts = new PromptPlacement(selector, parameters.zone());
     this.silence = new EngineSilence(selector, peerLoads, speeds::of, this::profile);
     this.stages =
@@ -87,6 +88,7 @@
     selector.setDirectory(directory(), nowNanos);
     room.retain(selector.knownIds());
     silence.onDirectory(nowNanos);
+    pace.onDirectory(directory());
     quarantine.onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
   }
 
@@ -145,6 +147,8 @@
 
   /** Suspends engines that have gone silent; called several times a second. */
   public void onTick(long nowNanos) {
+    notices.loadWords().takeAll(pace::onSaid);
+    pace.onTick(nowNanos);
     silence.check(nowNanos);
     quarantine.onTick(this::lastHeard, nowNanos);
   }
@@ -166,29 +170,9 @@
     return routing.flatMap(image -> stages.onTick(image.services(), nowNanos));
   }
 
-  /** Whether this node may order changes of stage when its name is the first. */
-  public boolean mayOrderStages(long nowNanos) {
-    return stages.mayOrder(nowNanos);
-  }
-
-  /** Says whether this node is one of the few that may order and report for all. */
-  public void setCandidate(boolean isCandidate) {
-    stages.setCandidate(isCandidate);
-  }
-
-  /** Whether this node is the one that orders and reports for all, as far as it knows. */
-  public boolean leads(long nowNanos) {
-    return stages.leads(nowNanos);
-  }
-
-  /** The store did not give this node the lease that orders need. */
-  public void onCannotLead(long nowNanos) {
-    stages.onCannotLead(nowNanos);
-  }
-
-  /** What changes of stage are decided by, by service; empty at a node that orders none. */
-  public Map<String, StageOutlook> stageOutlooks(long nowNanos) {
-    return stages.outlooks(nowNanos);
+  /** Which engines take which stage, and whether this node orders it. */
+  public StageControl stages() {
+    return stages;
   }
 
   /** The change is about to be ordered: its engine gets no new requests. */
@@ -196,16 +180,6 @@
     stages.begin(change, profile(change.engine().service()), nowNanos);
   }
 
-  /** The order was not given, or the engine refused it. */
-  public void onStageChangeAbandoned(StageChange change) {
-    stages.abandon(change);
-  }
-
-  /** The order was sent and got no answer. */
-  public void onStageOrderUnanswered(StageChange change, long nowNanos) {
-    stages.onUnanswered(change, nowNanos);
-  }
-
   /** Engines that this node began or ceased to avoid since the last call. */
   public List<HealthChange> takeHealthChanges(long nowNanos) {
     List<HealthChange> changes = new ArrayList<>();
@@ -227,6 +201,16 @@
     return changes;
   }
 
+  /** Factor by which reading takes longer at an engine than usual. */
+  double slowness(String engineId, long nowNanos) {
+    return pace.pace().slowness(engineId, WorkKind.READING, nowNanos);
+  }
+
+  /** Engines found to be slower or faster than others, or no more, since the last call. */
+  public List<PaceChange> takePaceChanges(long nowNanos) {
+    return pace.takeChanges(nowNanos);
+  }
+
   /** Some of an answer came from the engine that has the request. */
   public void onSignOfLife(RequestProgress progress, long nowNanos) {
     progress.engine().map(selector::load).ifPresent(load -> load.onSignOfLife(progress, nowNanos));
@@ -261,6 +245,7 @@
             progress.aheadTokens(),
             progress.chargedTokens(),
             (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI);
+    pace.onDone(progress, nowNanos);
     load.onSignOfLife(progress, nowNanos);
     load.health().onGood(nowNanos);
     load.promptRead(progress);
@@ -270,7 +255,8 @@
   }
 
   /** The first part of the answer came, so that the prompt has been read. */
-  public void onBegan(RequestProgress progress) {
+  public void onBegan(RequestProgress progress, long nowNanos) {
+    pace.onDone(progress, nowNanos);
     progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
     progress.promptRead();
   }
@@ -329,6 +315,7 @@
 
   /** The answer was passed on whole. */
   public void onFinished(RequestProgress progress, long nowNanos) {
+    pace.onDone(progress, nowNanos);
     progress
         .engine()
         .map(selector::load)
@@ -422,6 +409,7 @@
 
   private Decision placeByCost(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     selector.onAsked(progress.service(), nowNanos);
+    notices.loadWords().takeAll(pace::onSaid);
     if (progress.envelope().prompt().isEmpty()) {
       return placeApplication(progress, nowNanos);
     }
@@ -534,6 +522,7 @@
     ServingEngine engine = plan.engine();
     fleet.onPlaced(engine, prompt, plan.millis(), nowNanos);
     selector.sizes(progress.service()).onCache(progress.cacheTokens());
+    pace.onPlaced(progress, plan, nowNanos);
     if (plan.readTokens() > 0) {
       selector.sizes(progress.service()).onRead(plan.readTokens());
     }
@@ -550,6 +539,7 @@
 
   private Decision runApplication(RequestProgress progress, ServingEngine engine, long nowNanos) {
     Urgency urgency = progress.late(nowNanos) ? Urgency.LATE : Urgency.IN_TIME;
+    pace.onPlaced(progress, engine, selector.running(engine, nowNanos), nowNanos);
     return run(progress, engine, Optional.empty(), Expectation.NONE, urgency, nowNanos);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/OwnDigests.java
@@ -17,10 +17,12 @@
 
   private final EngineSelector selector;
   private final EngineNotices notices;
+  private final PaceFeed pace;
 
-  OwnDigests(EngineSelector selector, EngineNotices notices) {
+  OwnDigests(EngineSelector selector, EngineNotices notices, PaceFeed pace) {
     this.selector = selector;
     this.notices = notices;
+    this.pace = pace;
   }
 
   /**
@@ -53,7 +55,8 @@
         selector.changes(id) ? 1 : 0,
         heardAgoMillis(load, nowNanos),
         leavesUnlisted(id, listed) ? 1 : 0,
-        notices.limits().digest(id, nowNanos));
+        notices.limits().digest(id, nowNanos),
+        pace.lately(id, nowNanos));
   }
 
   /** Asked of all engines at each turn, most of which this node does not use just now. */
@@ -63,7 +66,8 @@
         || load.health().warnsOthers(nowNanos)
         || selector.changes(id)
         || leavesUnlisted(id, listed)
-        || !notices.limits().digest(id, nowNanos).saysNothing();
+        || !notices.limits().digest(id, nowNanos).saysNothing()
+        || !pace.lately(id, nowNanos).saysNothing();
   }
 
   /** Whether an engine leaves without saying so in its entry: others may not know it yet. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -109,6 +109,7 @@
    * @param urgency order among the engine's requests
    * @param millis expected time to the first token
    * @param cost the time and what else it costs, in ms
+   * @param slowness factor by which reading takes longer there than usual
    */
   record Plan(
       ServingEngine engine,
@@ -118,7 +119,8 @@
       long aheadTokens,
       Urgency urgency,
       double millis,
-      double cost) {
+      double cost,
+      double slowness) {
 
     Expectation expectation() {
       return new Expectation(millis, readTokens, aheadTokens);
@@ -299,7 +301,7 @@
     return Math.max(0, stretch - READING_SHARE_OF_PAUSE * longest / NANOS_PER_MILLI);
   }
 
-  private static Plan plan(
+  private Plan plan(
       Question question,
       ServingEngine engine,
       boolean prefill,
@@ -315,7 +317,8 @@
         wait.aheadTokens(),
         wait.urgency(),
         wait.millis(),
-        cost);
+        cost,
+        slowness(question, engine));
   }
 
   private static Reading handedOver(Question question, ServingEngine engine, CacheSource source) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServiceDefinition;
@@ -88,7 +89,7 @@
   }
 
   /** What the planners go by, by service; empty at a node that orders nothing. */
-  Map<String, StageOutlook> outlooks(long nowNanos) {
+  public Map<String, StageOutlook> outlooks(long nowNanos) {
     Map<String, StageOutlook> outlooks = new TreeMap<>();
     if (orders(nowNanos)) {
       planners.forEach(
@@ -106,18 +107,18 @@
    * Whether this node is the one that acts for all. Where all candidates have failed to, each of
    * them tries again and the lease decides: a report that is late is worse than a call in vain.
    */
-  boolean leads(long nowNanos) {
+  public boolean leads(long nowNanos) {
     return orders(nowNanos)
         || candidate && !isServed(nowNanos) && peerLoads.nobodyMayOrder(nowNanos);
   }
 
   /** Says whether this node is one of the few that may order at all. */
-  void setCandidate(boolean isCandidate) {
+  public void setCandidate(boolean isCandidate) {
     candidate = isCandidate;
   }
 
   /** Whether nothing is known that keeps this node from ordering. */
-  boolean mayOrder(long nowNanos) {
+  public boolean mayOrder(long nowNanos) {
     return candidate && isServed(nowNanos);
   }
 
@@ -126,7 +127,7 @@
   }
 
   /** The store did not give this node the lease, though it may serve others. */
-  void onCannotLead(long nowNanos) {
+  public void onCannotLead(long nowNanos) {
     noLeaseNanos = OptionalLong.of(nowNanos);
   }
 
@@ -146,7 +147,9 @@
 
   private StageView view(ServingEngine engine, long nowNanos) {
     long backlog = selector.backlogTokens(engine, nowNanos);
-    double wait = speeds.apply(engine.service()).readMillis(engine.stage(), backlog);
+    double wait =
+        selector.slowness(engine, WorkKind.READING, nowNanos)
+            * speeds.apply(engine.service()).readMillis(engine.stage(), backlog);
     return new StageView(
         engine,
         selector.takesRequests(engine, nowNanos),
@@ -167,12 +170,12 @@
   }
 
   /** The order was not given, or refused. */
-  void abandon(StageChange change) {
+  public void abandon(StageChange change) {
     selector.endChange(change.engine());
   }
 
   /** The order got no answer: whether and when the engine changes is not known for some time. */
-  void onUnanswered(StageChange change, long nowNanos) {
+  public void onUnanswered(StageChange change, long nowNanos) {
     selector.beginChange(change.engine(), change.stage(), nowNanos + UNANSWERED.toNanos());
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
@@ -131,7 +131,7 @@
     for (int prompt = 0; prompt < 5; prompt++) {
       RequestProgress large = Requests.promptAt(START, 75_000);
       dispatcher.start(large, START);
-      dispatcher.onBegan(large);
+      dispatcher.onBegan(large, START);
     }
     ServingEngine far =
         new ServingEngine("d-3", MODEL, decode.address(), "zone-2", 8, false, EngineStage.DECODE);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -46,15 +46,20 @@
 
   /** One that gives each request to an engine at once, however many are there. */
   static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
-    return dispatcher(1_000, new WaitingParameters(true, false, true, true, true, 0), engines);
+    return dispatcher(
+        1_000, new WaitingParameters(true, false, true, true, true, 0), true, engines);
   }
 
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
-    return dispatcher(slack, WaitingParameters.ALL, engines);
+    return dispatcher(slack, WaitingParameters.ALL, true, engines);
+  }
+
+  static Dispatcher dispatcher(double slack, boolean learnsPace, ServingEngine... engines) {
+    return dispatcher(slack, WaitingParameters.ALL, learnsPace, engines);
   }
 
   private static Dispatcher dispatcher(
-      double slack, WaitingParameters waiting, ServingEngine... engines) {
+      double slack, WaitingParameters waiting, boolean learnsPace, ServingEngine... engines) {
     Dispatcher dispatcher =
         new Dispatcher(
             new DispatchParameters(
@@ -67,7 +72,8 @@
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
                 STAGES,
-                waiting));
+                waiting,
+                learnsPace));
     dispatcher.setNodeCount(OptionalInt.of(6));
     EngineProfile profile =
         new EngineProfile(
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -30,7 +30,8 @@
             Duration.ZERO,
             Duration.ZERO,
             Requests.STAGES,
-            WaitingParameters.ALL));
+            WaitingParameters.ALL,
+            true));
   }
 
   /** In no window do the repeats of all nodes pass the fleet's bound, however requests come. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
@@ -65,8 +65,8 @@
   @Test
   void nodeThatGetsNoLeaseLeavesTheOrdersToAnotherForSomeTime() {
     assertThat(wantedWhileOtherSays("", 4)).isPresent();
-    dispatcher.onCannotLead(now());
-    assertThat(dispatcher.mayOrderStages(now())).isFalse();
+    dispatcher.stages().onCannotLead(now());
+    assertThat(dispatcher.stages().mayOrder(now())).isFalse();
     assertThat(wantedWhileOtherSays("", 15)).isEmpty();
     assertThat(wantedWhileOtherSays("", 10)).isPresent();
   }
@@ -74,7 +74,7 @@
   @Test
   void nodeThatOrdersTellsWhatItGoesBy() {
     assertThat(wantedWhileOtherSays("", 4)).isPresent();
-    assertThat(dispatcher.stageOutlooks(now()).get(MODEL))
+    assertThat(dispatcher.stages().outlooks(now()).get(MODEL))
         .satisfies(
             outlook -> {
               assertThat(outlook.prefillServing()).isEqualTo(3);
@@ -83,7 +83,7 @@
               assertThat(outlook.wanted()).isEqualTo(EngineStage.PREFILL);
             });
     assertThat(wantedWhileOtherSays(OTHER, 1)).isEmpty();
-    assertThat(dispatcher.stageOutlooks(now())).isEmpty();
+    assertThat(dispatcher.stages().outlooks(now())).isEmpty();
   }
 
   /**
@@ -96,7 +96,7 @@
       dispatcher.notices().onRest(engine.id(), Duration.ofSeconds(3).toNanos(), now());
     }
     assertThat(wantedWhileOtherSays("", 2)).isEmpty();
-    assertThat(dispatcher.stageOutlooks(now()).get(MODEL).decodeServing()).isEqualTo(5);
+    assertThat(dispatcher.stages().outlooks(now()).get(MODEL).decodeServing()).isEqualTo(5);
     assertThat(wantedWhileOtherSays("", 2).orElseThrow().engine().id()).isEqualTo(wanted);
   }
 
@@ -107,6 +107,6 @@
     assertThat(dispatcher.takeLeaving(now())).hasSize(1);
     assertThat(wantedWhileOtherSays("", 1))
         .hasValueSatisfying(change -> assertThat(change.engine().id()).isNotEqualTo(wanted));
-    assertThat(dispatcher.stageOutlooks(now()).get(MODEL).decodeServing()).isEqualTo(4);
+    assertThat(dispatcher.stages().outlooks(now()).get(MODEL).decodeServing()).isEqualTo(4);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -99,7 +99,7 @@
       if (isPresent(began.exchange(), began.attempt())) {
         log.began(began.exchange(), now);
         runs.onBegan(began.exchange());
-        dispatcher.onBegan(began.exchange().progress());
+        dispatcher.onBegan(began.exchange().progress(), now);
         dispatcher.onSignOfLife(began.exchange().progress(), now);
       }
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
@@ -128,12 +128,12 @@
       dispatcher.onStageChangeBegun(begun.change(), now);
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageChangeAbandoned abandoned) {
-      dispatcher.onStageChangeAbandoned(abandoned.change());
+      dispatcher.stages().abandon(abandoned.change());
     } else if (event instanceof DispatchEvent.CannotLead) {
-      dispatcher.onCannotLead(now);
+      dispatcher.stages().onCannotLead(now);
       peers.tellNow(now);
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
-      dispatcher.onStageOrderUnanswered(unanswered.change(), now);
+      dispatcher.stages().onUnanswered(unanswered.change(), now);
     } else if (event instanceof DispatchEvent.EngineGone gone) {
       keeper.onEngineGone(gone.engineId(), now);
     } else if (event instanceof DispatchEvent.QuarantineRecalled recalled) {
@@ -406,17 +406,18 @@
       lastHealthNanos = now;
       dispatcher.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
+      dispatcher.takePaceChanges(now).forEach(log::enginePace);
       keepQuarantine(now);
     }
     if (now - lastStageNanos >= STAGE_NANOS) {
       lastStageNanos = now;
       log.droppedLines();
       dispatcher.wantedStageChange(now).ifPresent(stageChanges);
-      scaling.onTick(dispatcher.leads(now), now);
+      scaling.onTick(dispatcher.stages().leads(now), now);
     }
     if (now - lastOutlookNanos >= OUTLOOK_NANOS) {
       lastOutlookNanos = now;
-      dispatcher.stageOutlooks(now).forEach(log::stageOutlook);
+      dispatcher.stages().outlooks(now).forEach(log::stageOutlook);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -131,13 +131,8 @@
     this.engines = new EngineClient(platform.engines(), notices, log, threads);
     this.peerPorts = PeerPorts.bind(settings.peers());
     this.peers = new PeerExchange(peerPorts.datagrams(), this::tell);
-    OrderLease lease =
-        new OrderLease(
-            platform.orderLease().create(engines.client()),
-            settings.nodeName(),
-            parameters.stages(),
-            System::nanoTime);
-    DutyContext duties = new DutyContext(lease, settings.nodeName(), this::tell, log);
+    DutyContext duties =
+        new DutyContext(newOrderLease(parameters), settings.nodeName(), this::tell, log);
     this.stages = new StageDuty(duties, new EngineOrders(engines));
     this.knowledge =
         new FleetKnowledge(
@@ -188,6 +183,14 @@
             settings.bounds().drain().dividedBy(GATHER_PARTS));
   }
 
+  private OrderLease newOrderLease(DispatchParameters parameters) {
+    return new OrderLease(
+        platform.orderLease().create(engines.client()),
+        settings.nodeName(),
+        parameters.stages(),
+        System::nanoTime);
+  }
+
   private UsageDuty newUsageDuty(DutyContext duties) {
     return new UsageDuty(
         duties,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -75,7 +75,7 @@
                     dispatcher.fleet().ownLoads(nowNanos),
                     dispatcher.fleet().ownSpeeds(),
                     dispatcher.quarantine().takeReports(knowledge.hasMembers(nowNanos), nowNanos),
-                    dispatcher.mayOrderStages(nowNanos)),
+                    dispatcher.stages().mayOrder(nowNanos)),
             nowNanos));
   }
 
@@ -96,7 +96,7 @@
       countedNanos = nowNanos;
       OptionalInt nodes = knowledge.cautiousNodeCount(nowNanos);
       dispatcher.setNodeCount(nodes);
-      dispatcher.setCandidate(knowledge.collects());
+      dispatcher.stages().setCandidate(knowledge.collects());
       survey.onTick(nowNanos);
       knowledge.setWantsListings(survey.wantsListings(nowNanos));
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageFleet.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageFleet.java
@@ -24,7 +24,7 @@
 
   @Override
   public boolean leads(long nowNanos) {
-    return dispatcher.leads(nowNanos);
+    return dispatcher.stages().leads(nowNanos);
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -10,9 +10,13 @@
  * @param prefillTokensPerMilli reading speed that is assumed
  * @param minRetryAfter shortest advice on when to come back
  * @param waiting what is decided on requests that compete for room
+ * @param learnsPace whether the pace of each engine is learned and gone by
  */
 public record DispatchSettings(
-    double prefillTokensPerMilli, Duration minRetryAfter, WaitingParameters waiting) {
+    double prefillTokensPerMilli,
+    Duration minRetryAfter,
+    WaitingParameters waiting,
+    boolean learnsPace) {
 
   private static final SettingDefinition<Double> PREFILL_SPEED =
       SettingDefinition.decimal(
@@ -64,6 +68,10 @@
           DataSize.ofMebibytes(1024),
           "Memory for the bodies of what waits; beyond it the least urgent are refused.");
 
+  private static final SettingDefinition<Boolean> LEARN_PACE =
+      SettingDefinition.flag(
+          "dispatch.learn_pace", false, "Learn how fast each engine works, and go by it.");
+
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(
           PREFILL_SPEED,
@@ -73,11 +81,15 @@
           REFUSE_FORESEEN,
           CACHE_ROOM,
           LATE_YIELDS,
-          MAX_WAITING);
+          MAX_WAITING,
+          LEARN_PACE);
 
   static DispatchSettings from(SettingValues values) {
     return new DispatchSettings(
-        values.get(PREFILL_SPEED), values.get(MIN_RETRY_AFTER), waiting(values));
+        values.get(PREFILL_SPEED),
+        values.get(MIN_RETRY_AFTER),
+        waiting(values),
+        values.get(LEARN_PACE));
   }
 
   private static WaitingParameters waiting(SettingValues values) {
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -182,7 +182,8 @@
         bounds.drain().multipliedBy(LAST_RESORT_PERCENT).dividedBy(PERCENT),
         dispatch.minRetryAfter(),
         stages.parameters(),
-        dispatch.waiting());
+        dispatch.waiting(),
+        dispatch.learnsPace());
   }
 
   /** What orders of engines go by. */
