Let nodes ask each other for rows that a few of them watch

Cause: every node watched both tables itself, so that each change of a row ended the watch of each node, and a store that was down or turned nodes away was called by all of them at their own pace.

Change: FollowPlan (core) decides whom to ask. Two relays watch; the first confirms three times a bound that there is nothing newer, by the store's own clock. All others listen, and ask their relay, then those that watch, for the rows of a change that they are told of. Whoever is not told for the trusted time asks the store itself, in the order of the ranks. A change that no node knows is looked for in the store. Failing nodes call the store the more seldom the more nodes there are, while they hear others.

Messages carry the confirmed times as further names among the tables, which builds of before pass on unread.

--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -16,6 +16,7 @@
 import org.fallturn.core.dispatch.PeerLoads;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.membership.RendezvousHash;
 import org.fallturn.core.usage.UsageNews;
 
@@ -64,13 +65,9 @@
   /** A node that asked for listings is sent them again at most this often. */
   private static final long LISTINGS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Relays that keep to short watches of the store: one may be cut off while another restarts. */
-  private static final int WATCHERS = 3;
-
   /** Nodes that are told what all count: a store may turn a third of the nodes away at once. */
   private static final int COLLECTORS = 3;
 
-  private static final String WATCH = "watch";
   private static final String COLLECT = "collect";
 
   private final PeerInfo self;
@@ -107,8 +104,8 @@
   private long lastGreetingNanos;
   private long sequence;
   private final NodeCount count;
-  private volatile long toldOfChangesNanos;
-  private volatile boolean toldOfChanges;
+  private boolean tableNews;
+  private volatile WatchOrder watchOrder;
   private volatile List<NetworkAddress> askable = List.of();
 
   /**
@@ -132,6 +129,7 @@
     this.loads = loads;
     this.directory = new PeerDirectory(self);
     rankAs(new RelayRanking(self, List.of(), 1));
+    this.watchOrder = WatchOrder.ofOne(!this.seeds.isEmpty());
     this.count = new NodeCount(beganNanos);
   }
 
@@ -145,7 +143,7 @@
       directory.onHeard(sender, nowNanos);
     }
     message.relays().forEach(told -> directory.onTold(told, nowNanos));
-    message.tables().forEach(tables::onSeen);
+    tableNews |= tables.onTold(message.tables(), nowNanos) && relaying;
     if (message.wantsListings()) {
       onListingsWanted(sender.address(), nowNanos);
     }
@@ -161,9 +159,6 @@
       count.onTold(message.load().nodes(), nowNanos);
     }
     boolean strangersView = message.kind() == MessageKind.VIEW && !isRelay(message.sender());
-    if (message.kind() == MessageKind.VIEW && !strangersView) {
-      onToldOfChanges(nowNanos);
-    }
     if (!strangersView) {
       message
           .kind()
@@ -271,27 +266,15 @@
     return tables;
   }
 
-  /**
-   * Whether this node would hear of it soon when another sees a change of a table, so that its own
-   * watch may be a long one: its relay spoke lately, or it is a relay itself and others keep to
-   * short watches. Any thread may call.
-   */
-  public boolean hearsOfChanges(long nowNanos) {
-    return toldOfChanges && nowNanos - toldOfChangesNanos < PeerLoads.VIEW_LIFETIME_NANOS;
-  }
-
-  private void onToldOfChanges(long nowNanos) {
-    toldOfChangesNanos = nowNanos;
-    toldOfChanges = true;
+  /** This node's place among those that watch the store; any thread may call. */
+  public WatchOrder watchOrder() {
+    return watchOrder;
   }
 
-  /** Some relays keep to short watches, so that a store that went silent is found by somebody. */
-  private void checkWatchers(long nowNanos) {
-    List<PeerInfo> watchers =
-        heardLately(ranking.relaysFor(WATCH), nowNanos).stream().limit(WATCHERS).toList();
-    if (relaying && !watchers.contains(self)) {
-      onToldOfChanges(nowNanos);
-    }
+  private WatchOrder orderWatchers(long nowNanos) {
+    return directory.anyHeard(nowNanos)
+        ? ranking.watchOrder(relay, Math.max(count.highest(), loads.nodeCount(nowNanos)))
+        : WatchOrder.ofOne(!seeds.isEmpty());
   }
 
   /** Whether other nodes tell this one what they count, so that it may report it for all. */
@@ -354,7 +337,8 @@
 
   /** What is to be told now; called at each tick, and when there is news. */
   public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
-    boolean turn = !begun || urgent || nowNanos - lastTurnNanos >= TURN_NANOS;
+    tableNews |= tables.takeNews();
+    boolean turn = !begun || urgent || tableNews || nowNanos - lastTurnNanos >= TURN_NANOS;
     if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
       relaySinceNanos = nowNanos;
     }
@@ -369,6 +353,7 @@
     }
     if (turn || newsIsDue(nowNanos)) {
       tell(own.get(), turn, messages, nowNanos);
+      tableNews = false;
     }
     return messages;
   }
@@ -387,7 +372,6 @@
   private void rank(long nowNanos) {
     leaveSilentRelay(nowNanos);
     rankAnewWhenNodesChanged(nowNanos);
-    checkWatchers(nowNanos);
     relaying = mayRelay(nowNanos);
     Optional<PeerInfo> chosen = relaying ? Optional.empty() : ranking.relayOfThisNode();
     boolean stays = relay.isPresent() && ranking.relays().contains(relay.get());
@@ -397,6 +381,7 @@
       }
       relay = chosen;
     }
+    watchOrder = orderWatchers(nowNanos);
     if (nowNanos - listedAskableNanos >= LIST_ASKABLE_NANOS) {
       listedAskableNanos = nowNanos;
       askable = directory.heard(nowNanos);
@@ -485,7 +470,7 @@
         !own.engines().isEmpty() || !own.crashes().isEmpty() || loads.hasMembers(nowNanos);
     boolean upward =
         !groupNews.isEmpty()
-            || turn && (busy || busyLastTurn)
+            || turn && (busy || busyLastTurn || tableNews)
             || nowNanos - lastUpwardNanos >= HEARTBEAT_NANOS;
     if (turn) {
       busyLastTurn = busy;
@@ -500,12 +485,6 @@
     return directory.withAges(ranking.candidates(), nowNanos);
   }
 
-  private List<PeerInfo> heardLately(List<PeerInfo> peers, long nowNanos) {
-    return peers.stream()
-        .filter(peer -> peer.equals(self) || directory.heardLately(peer.address(), nowNanos))
-        .toList();
-  }
-
   /** To the relay of this node, or as a relay to the others. */
   private void tellUpward(
       OwnLoad own, List<KnownPeer> relays, List<Outgoing> messages, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayRanking.java
@@ -4,6 +4,8 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.membership.RendezvousHash;
 
 /**
@@ -27,12 +29,18 @@
    */
   private static final int SPARE = 2;
 
+  /** Nodes that are asked for rows: one may be cut off while another restarts. */
+  private static final int ROW_TELLERS = 3;
+
+  private static final String WATCH = "watch";
+
   private static final Comparator<PeerInfo> STRONGEST_FIRST =
       (left, right) -> left.equals(right) ? 0 : left.ranksBefore(right) ? -1 : 1;
 
   private final PeerInfo self;
   private final List<PeerInfo> relays;
   private final List<PeerInfo> candidates;
+  private final List<PeerInfo> watchers;
 
   /**
    * Ranks the nodes that are known.
@@ -50,6 +58,7 @@
     int quota = relaysAZone(strong, nodeCount);
     relays = strongestOfEachZone(strong, quota);
     candidates = strongestOfEachZone(strong, quota + SPARE);
+    watchers = relaysFor(WATCH);
   }
 
   private static List<PeerInfo> strongestOfEachZone(List<PeerInfo> strongestFirst, int count) {
@@ -84,6 +93,33 @@
     return relays.stream().sorted(byWeight).toList();
   }
 
+  /**
+   * This node's place among those that watch the store: the relays in an order of its own, so that
+   * the strongest need not do everything, and then all others.
+   *
+   * @param relay the relay that this node reports to
+   * @param nodes how many nodes there are
+   */
+  WatchOrder watchOrder(Optional<PeerInfo> relay, int nodes) {
+    int own = watchers.indexOf(self);
+    int rank = own < 0 ? watchers.size() : own;
+    return new WatchOrder(rank, nodes, false, true, rowTellers(relay));
+  }
+
+  /**
+   * Its relay twice, which is near and tells of a change before it has the rows; then those that
+   * watch, which have them first.
+   */
+  private List<NetworkAddress> rowTellers(Optional<PeerInfo> relay) {
+    List<NetworkAddress> tellers = new ArrayList<>();
+    relay.ifPresent(nearest -> tellers.addAll(List.of(nearest.address(), nearest.address())));
+    watchers.stream()
+        .filter(peer -> !peer.equals(self))
+        .limit(ROW_TELLERS)
+        .forEach(peer -> tellers.add(peer.address()));
+    return tellers;
+  }
+
   /** The relays, and those who take their places when they are lost. */
   List<PeerInfo> candidates() {
     return candidates;
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
@@ -1,19 +1,78 @@
 package org.fallturn.core.peers;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
- * The newest change of each followed table that any node has seen. A node whose own position is
- * before it has missed a change. Thread-safe; a version never goes back.
+ * The newest change of each followed table that any node has seen, and the latest time of the
+ * store's clock at which any node knew that there was no newer one. A node whose own position is
+ * before the newest change has missed one; a table whose time stands still is watched by nobody.
+ *
+ * <p>Invariant: neither a version nor a time goes back, so that nodes may repeat what they have
+ * heard. Thread-safe.
  */
 public final class TableVersions {
 
+  /** Builds that know no confirmations pass them on as versions of a table of this name. */
+  private static final String CONFIRMED_SUFFIX = "@";
+
   private final Map<String, Long> newest = new ConcurrentHashMap<>();
+  private final Map<String, Long> toldAtNanos = new ConcurrentHashMap<>();
+  private final AtomicBoolean hasNews = new AtomicBoolean();
+  private volatile Runnable onNews = () -> {};
+
+  /** Calls back after each newer change or time that is learned, on the thread that learns it. */
+  public void setOnNews(Runnable callback) {
+    onNews = callback;
+  }
 
-  /** A node has seen a change. */
+  /** This node has seen a change. */
   public void onSeen(String table, long version) {
-    newest.merge(table, version, Math::max);
+    if (raise(table, version)) {
+      hasNews.set(true);
+    }
+  }
+
+  /** The store answered this node, when its clock showed this time. */
+  public void onConfirmed(String table, long storeMillis) {
+    if (raise(table + CONFIRMED_SUFFIX, storeMillis)) {
+      hasNews.set(true);
+    }
+  }
+
+  /**
+   * Another node told.
+   *
+   * @return whether anything of it was new
+   */
+  boolean onTold(Map<String, Long> told, long nowNanos) {
+    boolean news = false;
+    for (Map.Entry<String, Long> entry : told.entrySet()) {
+      if (raise(entry.getKey(), entry.getValue())) {
+        toldAtNanos.put(entry.getKey(), nowNanos);
+        news = true;
+      }
+    }
+    if (news) {
+      onNews.run();
+    }
+    return news;
+  }
+
+  private boolean raise(String name, long value) {
+    Long before = newest.get(name);
+    if (before != null && before >= value) {
+      return false;
+    }
+    newest.merge(name, value, Math::max);
+    return true;
+  }
+
+  /** Whether this node has learned something of the store since the last call. */
+  boolean takeNews() {
+    return hasNews.getAndSet(false);
   }
 
   /** The newest change of a table that was seen by any node; 0 when none was. */
@@ -21,8 +80,14 @@
     return newest.getOrDefault(table, 0L);
   }
 
-  /** All tables. */
+  /** Time since another node told that the store had answered; the greatest value for never. */
+  public long sinceConfirmedByOthers(String table, long nowNanos) {
+    Long at = toldAtNanos.get(table + CONFIRMED_SUFFIX);
+    return at == null ? Long.MAX_VALUE : Math.max(0, nowNanos - at);
+  }
+
+  /** All tables, with what is confirmed of them. */
   Map<String, Long> all() {
-    return Map.copyOf(newest);
+    return new HashMap<>(newest);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedAnswer.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedAnswer.java
@@ -7,11 +7,18 @@
  *
  * @param rows the rows of a whole table, or those that changed, in the order of the changes
  * @param version the position
+ * @param storeMillis the store's steady clock at the answer; 0 when the store did not answer
  */
-public record FeedAnswer(List<FeedRow> rows, long version) {
+public record FeedAnswer(List<FeedRow> rows, long version, Long storeMillis) {
 
-  /** A private copy of the rows. */
+  /** A private copy of the rows; a missing time is none. */
   public FeedAnswer {
     rows = List.copyOf(rows);
+    storeMillis = storeMillis == null ? 0 : storeMillis;
+  }
+
+  /** Rows that do not come from the store now. */
+  public FeedAnswer(List<FeedRow> rows, long version) {
+    this(rows, version, 0L);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
@@ -7,7 +7,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * What is believed of one table, and whether to read it whole or to follow its changes next.
@@ -90,6 +92,9 @@
     }
     readWhole = false;
     boolean changed = !known || differs(answer.rows());
+    if (known && dropsAny(answer.rows())) {
+      newestChange = Math.max(newestChange, answer.version());
+    }
     known = true;
     position = answer.version();
     rows.clear();
@@ -102,6 +107,12 @@
     newestChange = Math.max(newestChange, row.version());
   }
 
+  /** A whole reading does not say when a row was dropped; others must hear of it all the same. */
+  private boolean dropsAny(List<FeedRow> read) {
+    Set<String> kept = read.stream().map(FeedRow::key).collect(Collectors.toSet());
+    return !kept.containsAll(rows.keySet());
+  }
+
   private boolean differs(List<FeedRow> read) {
     return read.size() != rows.size()
         || read.stream()
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/following/FollowPlanTest.java
@@ -0,0 +1,191 @@
+package org.fallturn.core.following;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.FollowStep.Kind;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class FollowPlanTest {
+
+  private static final FollowBounds BOUNDS =
+      FollowBounds.of(Duration.ofSeconds(3), Duration.ofSeconds(4));
+  private static final long NEVER = Long.MAX_VALUE;
+  private static final long NOW = TimeUnit.SECONDS.toNanos(100);
+  private static final NetworkAddress RELAY = new NetworkAddress("10.0.0.1", 7660);
+  private static final int MEMBER = 12;
+
+  private final FollowPlan plan = new FollowPlan(BOUNDS);
+
+  private static long millis(long count) {
+    return TimeUnit.MILLISECONDS.toNanos(count);
+  }
+
+  private static WatchOrder order(int rank) {
+    return new WatchOrder(rank, 71, false, true, List.of(RELAY, RELAY));
+  }
+
+  private static FollowSight sight(
+      WatchOrder order, long newest, long sinceOwnNanos, long sinceOthersNanos) {
+    return new FollowSight(true, false, 10, newest, sinceOwnNanos, sinceOthersNanos, order);
+  }
+
+  private FollowStep next(WatchOrder order, long newest, long sinceOwn, long sinceOthers) {
+    return plan.next(sight(order, newest, sinceOwn, sinceOthers), NOW);
+  }
+
+  @Test
+  void nodeThatIsToldThatThereIsNothingNewerListens() {
+    assertThat(next(order(MEMBER), 10, NEVER, 0).kind()).isEqualTo(Kind.LISTEN);
+  }
+
+  @Test
+  void firstNodeConfirmsAndTheSecondHoldsALongWatch() {
+    FollowStep first = next(order(0), 10, 0, 0);
+    assertThat(first.kind()).isEqualTo(Kind.WATCH);
+    assertThat(first.nanos()).isEqualTo(BOUNDS.confirmNanos());
+    FollowStep second = next(order(1), 10, 0, 0);
+    assertThat(second.kind()).isEqualTo(Kind.WATCH);
+    assertThat(second.nanos()).isEqualTo(TimeUnit.SECONDS.toNanos(30));
+  }
+
+  @Test
+  void relayThatIsLostIsNotWaitedForLongerThanTheTrustedTime() {
+    long trust = BOUNDS.trustNanos();
+    assertThat(next(order(MEMBER), 10, NEVER, trust - 1).kind()).isEqualTo(Kind.LISTEN);
+    FollowStep step = next(order(MEMBER), 10, NEVER, trust);
+    assertThat(step).isEqualTo(FollowStep.watch(0));
+  }
+
+  @Test
+  void nodesTakeOverOneAfterTheOther() {
+    long first = BOUNDS.takeOverNanos(order(0));
+    long second = BOUNDS.takeOverNanos(order(1));
+    assertThat(first).isLessThan(second);
+    assertThat(second).isLessThan(BOUNDS.takeOverNanos(order(2)));
+    assertThat(BOUNDS.takeOverNanos(order(MEMBER))).isEqualTo(BOUNDS.trustNanos());
+  }
+
+  /** A confirmation repeated from memory is none, so a node that nobody confirms takes over. */
+  @Test
+  void nodeThatTookOverGoesOnWhileNobodyElseConfirms() {
+    long settled = BOUNDS.confirmNanos() / 2;
+    assertThat(next(order(MEMBER), 10, 0, NEVER).kind()).isEqualTo(Kind.LISTEN);
+    FollowStep step = next(order(MEMBER), 10, settled, NEVER);
+    assertThat(step).isEqualTo(FollowStep.watch(BOUNDS.confirmNanos() - settled));
+    assertThat(next(order(MEMBER), 10, settled, 0).kind()).isEqualTo(Kind.LISTEN);
+  }
+
+  @Test
+  void relayThatIsBehindIsAskedAgainAndThenTheStore() {
+    assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.ask(0, millis(20)));
+    plan.onAsked(false);
+    assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.ask(1, millis(60)));
+    plan.onAsked(false);
+    assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.watch(0));
+  }
+
+  /** A change that is told and is not there costs the node one call, not one a moment. */
+  @Test
+  void changeThatTheStoreDoesNotHaveIsNotLookedForAgain() {
+    plan.onAsked(false);
+    plan.onAsked(false);
+    assertThat(next(order(MEMBER), 99, NEVER, 0).kind()).isEqualTo(Kind.WATCH);
+    plan.onAnswered();
+    plan.onLooked(99, 14, NOW);
+    assertThat(next(order(MEMBER), 99, 0, 0).kind()).isEqualTo(Kind.LISTEN);
+    assertThat(next(order(MEMBER), 100, 0, 0).kind()).isEqualTo(Kind.ASK);
+    FollowSight told = sight(order(MEMBER), 99, 0, 0);
+    assertThat(plan.next(told, NOW + BOUNDS.longestWaitNanos()).kind()).isEqualTo(Kind.ASK);
+  }
+
+  @Test
+  void nodeThatHearsNobodyWatchesTheStoreItself() {
+    WatchOrder alone = WatchOrder.ofOne(false);
+    assertThat(next(alone, 10, 0, NEVER)).isEqualTo(FollowStep.watch(BOUNDS.longestWaitNanos()));
+  }
+
+  /** Had each begun a watch before it hears the others, the first change would end them all. */
+  @Test
+  void nodesThatStartAtOnceWaitToHearEachOther() {
+    WatchOrder alone = WatchOrder.ofOne(true);
+    assertThat(next(alone, 10, 0, NEVER).kind()).isEqualTo(Kind.LISTEN);
+    FollowStep later =
+        plan.next(sight(alone, 10, millis(600), NEVER), NOW + BOUNDS.confirmNanos() / 2);
+    assertThat(later.kind()).isEqualTo(Kind.WATCH);
+  }
+
+  @Test
+  void nodeThatOnceHeardOthersDoesNotWaitForThemAgain() {
+    assertThat(next(order(MEMBER), 10, 0, 0).kind()).isEqualTo(Kind.LISTEN);
+    assertThat(next(WatchOrder.ofOne(true), 10, 0, 0).kind()).isEqualTo(Kind.WATCH);
+  }
+
+  @Test
+  void nodeThatTheStoreTurnsAwayAsksOthersAndCallsSeldom() {
+    FollowSight behind = sight(order(1), 12, NEVER, 0);
+    plan.onFailed(behind, NOW);
+    assertThat(plan.next(behind, NOW)).isEqualTo(FollowStep.askAny());
+    plan.onAsked(true);
+    FollowStep step = plan.next(sight(order(1), 10, NEVER, 0), NOW);
+    assertThat(step).isEqualTo(FollowStep.listen(BOUNDS.longestWaitNanos()));
+  }
+
+  @Test
+  void nodeThatKnowsNothingTriesAgainSoon() {
+    FollowSight unknowing = new FollowSight(false, true, 0, 0, NEVER, 0, order(MEMBER));
+    assertThat(plan.next(unknowing, NOW).kind()).isEqualTo(Kind.READ_WHOLE);
+    plan.onFailed(unknowing, NOW);
+    assertThat(plan.next(unknowing, NOW)).isEqualTo(FollowStep.askAny());
+    plan.onAsked(false);
+    assertThat(plan.next(unknowing, NOW)).isEqualTo(FollowStep.listen(millis(100)));
+    assertThat(plan.next(unknowing, NOW + millis(100)).kind()).isEqualTo(Kind.READ_WHOLE);
+  }
+
+  @Test
+  void silentWatchIsEndedOnceNobodyConfirms() {
+    long trust = BOUNDS.trustNanos();
+    assertThat(plan.trusts(sight(order(1), 10, NEVER, 0), 10 * trust)).isTrue();
+    assertThat(plan.trusts(sight(order(1), 10, NEVER, trust), trust)).isFalse();
+  }
+
+  /** Counts what all nodes together call, each with its own plan and told without delay. */
+  @ParameterizedTest
+  @ValueSource(ints = {8, 71, 112})
+  void changeCostsAsManyCallsAsThereAreWatchers(int nodes) {
+    int calls = 0;
+    for (int node = 0; node < nodes; node++) {
+      FollowPlan own = new FollowPlan(BOUNDS);
+      WatchOrder order = new WatchOrder(node, nodes, false, true, List.of(RELAY, RELAY));
+      FollowStep before = own.next(sight(order, 10, 0, 0), NOW);
+      FollowStep told = own.next(sight(order, 11, 0, 0), NOW);
+      calls += before.kind() == Kind.WATCH ? 1 : 0;
+      assertThat(told.kind()).isEqualTo(before.kind() == Kind.WATCH ? Kind.WATCH : Kind.ASK);
+    }
+    assertThat(calls).isEqualTo(BOUNDS.watchers());
+  }
+
+  /** A store that serves nobody for eight seconds was called by each node ten times a table. */
+  @ParameterizedTest
+  @ValueSource(ints = {71, 112})
+  void storeThatIsDownIsCalledSeldom(int nodes) {
+    int calls = 0;
+    for (int node = 0; node < nodes; node++) {
+      FollowPlan own = new FollowPlan(BOUNDS);
+      WatchOrder order = new WatchOrder(node, nodes, false, true, List.of(RELAY, RELAY));
+      for (long now = 0; now < TimeUnit.SECONDS.toNanos(8); now += millis(10)) {
+        FollowSight seen = sight(order, 10, now, now);
+        if (own.next(seen, now).kind().source() == FollowStep.Source.STORE) {
+          calls++;
+          own.onFailed(seen, now);
+        }
+      }
+    }
+    assertThat(calls).isLessThan(3 * nodes);
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
@@ -70,6 +70,10 @@
     return TimeUnit.MILLISECONDS.toNanos(millis);
   }
 
+  String zoneOf(NetworkAddress address) {
+    return nodes.get(address).info.zone();
+  }
+
   Node add(int number, String zone, int capacity) {
     NetworkAddress address = new NetworkAddress("10.0." + number / 200 + "." + number % 200, 7660);
     if (seeds.size() < 3) {
--- a/fallturn-core/src/test/java/org/fallturn/core/port/feed/FeedTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/port/feed/FeedTrackerTest.java
@@ -74,4 +74,13 @@
     tracker.onWhole(answer(9, row("a", 9)), 0);
     assertThat(tracker.onWhole(answer(10, row("a", 9)), 1)).isFalse();
   }
+
+  /** Nodes that ask each other for rows would otherwise never hear that one was dropped. */
+  @Test
+  void rowThatAWholeReadingLacksIsAChangeThatOthersHearOf() {
+    tracker.onWhole(answer(9, row("a", 3), row("b", 4)), 0);
+    assertThat(tracker.newestChange()).isEqualTo(4);
+    tracker.onWhole(answer(12, row("a", 3)), 1);
+    assertThat(tracker.newestChange()).isEqualTo(12);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.following.FollowStep;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.quarantine.StandingChange;
 import org.fallturn.core.routing.EngineDirectory;
@@ -116,6 +117,14 @@
     line(LogEvent.DEPENDENCY_REGAINED).addKeyValue("dependency", name).log();
   }
 
+  void sourceChanged(String table, FollowStep.Source source, long position) {
+    line(LogEvent.SOURCE_CHANGED)
+        .addKeyValue("table", table)
+        .addKeyValue("source", source)
+        .addKeyValue("position", position)
+        .log();
+  }
+
   void learnedFromPeer(String table, long position) {
     line(LogEvent.LEARNED_FROM_PEER)
         .addKeyValue("table", table)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -4,7 +4,9 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -18,6 +20,8 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.FollowBounds;
+import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.peers.FleetKnowledge;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
@@ -80,6 +84,8 @@
   private final FleetKnowledge knowledge;
   private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
+  private final FollowCounts followCounts = new FollowCounts();
+  private final List<NewsBell> bells = new CopyOnWriteArrayList<>();
   private final DutyThread<DispatchEvent> dispatch;
   private final StageDuty stages;
   private final Optional<UsageDuty> usage;
@@ -221,14 +227,18 @@
       GatewayPlatform.ClientFactory<RowFeed> feed,
       Consumer<FeedTracker> onRows,
       Duration longestGather) {
+    Duration change = settings.bounds().drain();
+    NewsBell bell = new NewsBell();
+    bells.add(bell);
     return new RowFollower(
         table,
-        feed.create(engines.client()),
-        snapshots.feed(table),
+        new RowFollower.Sources(
+            feed.create(engines.client()), snapshots.rows(table), others(table)),
         listener(onRows),
         log,
-        others(table),
-        new RowFollower.Times(longestGather, settings.bounds().contact()));
+        followCounts,
+        new RowFollower.Times(
+            longestGather, FollowBounds.of(change, settings.bounds().contact()), bell));
   }
 
   private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
@@ -257,6 +267,7 @@
    * come first: every port takes processor time that those who wait would wait for.
    */
   public void start() throws Exception {
+    knowledge.tables().setOnNews(() -> bells.forEach(NewsBell::ring));
     dispatch.start();
     peers.start();
     stages.start();
@@ -290,6 +301,7 @@
     metrics.gauge("nodes", this::nodeCount);
     metrics.gauge("relay", () -> knowledge.isRelay() ? 1 : 0);
     peers.addTo(metrics);
+    followCounts.addTo(metrics);
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
     if (settings.metricsPort() > 0) {
@@ -419,8 +431,18 @@
       }
 
       @Override
-      public boolean tell() {
-        return knowledge.hearsOfChanges(System.nanoTime());
+      public long sinceConfirmedNanos() {
+        return knowledge.tables().sinceConfirmedByOthers(table, System.nanoTime());
+      }
+
+      @Override
+      public WatchOrder order() {
+        return knowledge.watchOrder();
+      }
+
+      @Override
+      public void onConfirmed(long storeMillis) {
+        knowledge.tables().onConfirmed(table, storeMillis);
       }
     };
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -20,11 +20,13 @@
   DEPENDENCY_REGAINED,
   /** The store does not answer. */
   DEPENDENCY_LOST,
-  /** A table was learned from another node while the store did not answer. */
+  /** The rows of a table come from other nodes, or from the store, from now on. */
+  SOURCE_CHANGED,
+  /** A table was learned from another node. */
   LEARNED_FROM_PEER,
   /** An engine said which parts it keeps, or did not answer. */
   CACHE_LISTED,
-  /** No other node could tell a table while the store did not answer. */
+  /** No other node could tell a table. */
   NO_PEER_KNOWS,
   /** The store has dropped changes that were not read yet. */
   HISTORY_LOST,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.eclipse.jetty.client.ContentResponse;
@@ -24,7 +23,6 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedAnswer;
 import org.fallturn.core.port.feed.FeedTracker;
-import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.json.MalformedMessageException;
@@ -94,8 +92,8 @@
   }
 
   /** A table as some other node knows it. */
-  RowFeed feed(String table) {
-    return new PeerFeed(table);
+  PeerRows rows(String table) {
+    return new Table(table);
   }
 
   @Override
@@ -133,16 +131,16 @@
    * Reads one table from the peers in turn, until one knows its newest change: the next peer may be
    * turned away by the store as well. Of those asked, the newest reading counts.
    */
-  private final class PeerFeed implements RowFeed {
+  private final class Table implements PeerRows {
 
     private final String table;
 
-    PeerFeed(String table) {
+    Table(String table) {
       this.table = table;
     }
 
     @Override
-    public FeedAnswer snapshot() throws StoreException {
+    public FeedAnswer askAny() throws StoreException {
       StoreException last = new StoreException("no other node is known", false, null);
       FeedAnswer newest = null;
       for (NetworkAddress peer : nextPeers()) {
@@ -166,7 +164,8 @@
      * A node that the store turns away asks up to four others at each failed call, mostly for what
      * it knows: whole tables made up 0.77 GB between zones on a day of 63 nodes.
      */
-    private FeedAnswer ask(NetworkAddress peer) throws StoreException {
+    @Override
+    public FeedAnswer ask(NetworkAddress peer) throws StoreException {
       FeedAnswer own = known.get(table);
       if (own == null) {
         return whole(peer);
@@ -190,11 +189,5 @@
       }
       return next;
     }
-
-    @Override
-    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
-        throws StoreException {
-      throw new StoreException("other nodes are asked for whole tables only", false, null);
-    }
   }
 }
