Keep nodes that confirm at the same moments from hiding each other

Callers saw nothing; the store saw a call a second and table of every node of a large fleet. Cause: a node took another's confirmation for one only where it was later than its own, so that nodes that called in the same millisecond went on for ever. And a relay that the store turned away asked only others that it turned away as well, and stayed behind until it was served again.

Change: confirmations bear a mark of the node that gave them, what others confirm is held apart from the node's own, and nodes that take over call at different times. Whoever finds nobody that knows an announced change goes on to ask whom it has heard. A watch that brings nothing of an announced change asks others before the store.

--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
@@ -20,6 +20,7 @@
   private static final int WATCHERS = 2;
 
   private static final int CONFIRMATIONS_A_BOUND = 3;
+  private static final int MOST_SHIFTS = 4;
   private static final int STAGGERS_A_BOUND = 20;
 
   /** The rest of the bound is left for a lost datagram, the call and what follows from it. */
@@ -53,6 +54,11 @@
     return order.nodes() <= watchers ? longestWaitNanos : confirmNanos;
   }
 
+  /** Two nodes that confirm at the same moments would hide from each other. */
+  long ownConfirmNanos(WatchOrder order) {
+    return confirmNanos(order) + Math.min(order.rank(), MOST_SHIFTS) * staggerNanos / MOST_SHIFTS;
+  }
+
   /** How long a watch is trusted that brings nothing while nobody confirms. */
   long silenceNanos(WatchOrder order) {
     return order.nodes() <= watchers ? longestWaitNanos : trustNanos;
--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
@@ -76,9 +76,17 @@
     }
   }
 
+  /** While the store keeps a change from this node, the others are asked until one knows it. */
   private FollowStep untilRetry(FollowSight sight, long nowNanos) {
-    boolean asks = sight.known() && isBehind(sight, nowNanos) && !askedAll(sight);
-    return asks ? askNext() : FollowStep.listen(retryAtNanos - nowNanos);
+    long left = retryAtNanos - nowNanos;
+    if (!sight.known() || !isBehind(sight, nowNanos)) {
+      return FollowStep.listen(left);
+    }
+    if (!askedAll(sight)) {
+      return askNext(sight);
+    }
+    askedInVain = 0;
+    return FollowStep.listen(Math.min(left, FIRST_PAUSE_NANOS));
   }
 
   /** Whether other nodes tell this one all that it must know. */
@@ -110,7 +118,7 @@
 
   private FollowStep fromPeers(FollowSight sight, long nowNanos) {
     if (isBehind(sight, nowNanos) && !askedAll(sight)) {
-      return askNext();
+      return askNext(sight);
     }
     long left =
         othersConfirm(sight)
@@ -119,13 +127,17 @@
     return FollowStep.listen(Math.min(left, bounds.confirmNanos() / 2));
   }
 
-  private FollowStep askNext() {
+  /** Those who should know first, and then whoever was heard, since the store may fail them all. */
+  private FollowStep askNext(FollowSight sight) {
+    if (askedInVain >= sight.order().askable().size()) {
+      return FollowStep.askAny();
+    }
     long after = askedInVain < ASK_AFTER_NANOS.length ? ASK_AFTER_NANOS[askedInVain] : 0;
     return FollowStep.ask(askedInVain, after);
   }
 
   private boolean askedAll(FollowSight sight) {
-    return askedInVain >= sight.order().askable().size();
+    return askedInVain > sight.order().askable().size();
   }
 
   private boolean watches(WatchOrder order) {
@@ -154,7 +166,7 @@
     if (order.rank() > 0 && othersConfirm(sight)) {
       return LONGEST_WATCH_NANOS;
     }
-    return Math.max(0, bounds.confirmNanos(order) - sight.sinceOwnNanos());
+    return Math.max(0, bounds.ownConfirmNanos(order) - sight.sinceOwnNanos());
   }
 
   /**
@@ -188,6 +200,11 @@
     askedInVain = 0;
   }
 
+  /** A watch brought nothing of a change that others have seen: they are asked before the store. */
+  public void onSilent() {
+    askFirst = true;
+  }
+
   /** The store did not answer this node. */
   public void onFailed(FollowSight sight, long nowNanos) {
     failing = true;
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -76,7 +76,7 @@
   private final List<NetworkAddress> seeds;
   private final PeerLoads loads;
   private final PeerDirectory directory;
-  private final TableVersions tables = new TableVersions();
+  private final TableVersions tables;
   private final News groupNews = new News();
   private final News viewNews = new News();
   private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
@@ -128,6 +128,7 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).distinct().toList();
     this.loads = loads;
     this.directory = new PeerDirectory(self);
+    this.tables = new TableVersions(node);
     rankAs(new RelayRanking(self, List.of(), 1));
     this.watchOrder = WatchOrder.ofOne(!this.seeds.isEmpty());
     this.count = new NodeCount(beganNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
@@ -18,11 +18,25 @@
   /** Builds that know no confirmations pass them on as versions of a table of this name. */
   private static final String CONFIRMED_SUFFIX = "@";
 
+  /** Tells confirmations of several nodes at the same time apart, and those of its own. */
+  private static final int TAGS = 1 << 10;
+
   private final Map<String, Long> newest = new ConcurrentHashMap<>();
+  private final Map<String, Long> newestTold = new ConcurrentHashMap<>();
   private final Map<String, Long> toldAtNanos = new ConcurrentHashMap<>();
   private final AtomicBoolean hasNews = new AtomicBoolean();
+  private final int tag;
   private volatile Runnable onNews = () -> {};
 
+  /**
+   * What a node knows that has heard nothing.
+   *
+   * @param node its name
+   */
+  public TableVersions(String node) {
+    this.tag = Math.floorMod(node.hashCode(), TAGS);
+  }
+
   /** Calls back after each newer change or time that is learned, on the thread that learns it. */
   public void setOnNews(Runnable callback) {
     onNews = callback;
@@ -30,14 +44,14 @@
 
   /** This node has seen a change. */
   public void onSeen(String table, long version) {
-    if (raise(table, version)) {
+    if (raise(newest, table, version)) {
       hasNews.set(true);
     }
   }
 
   /** The store answered this node, when its clock showed this time. */
   public void onConfirmed(String table, long storeMillis) {
-    if (raise(table + CONFIRMED_SUFFIX, storeMillis)) {
+    if (raise(newest, table + CONFIRMED_SUFFIX, storeMillis * TAGS + tag)) {
       hasNews.set(true);
     }
   }
@@ -50,9 +64,9 @@
   boolean onTold(Map<String, Long> told, long nowNanos) {
     boolean news = false;
     for (Map.Entry<String, Long> entry : told.entrySet()) {
-      if (raise(entry.getKey(), entry.getValue())) {
+      news |= raise(newest, entry.getKey(), entry.getValue());
+      if (!isOwn(entry) && raise(newestTold, entry.getKey(), entry.getValue())) {
         toldAtNanos.put(entry.getKey(), nowNanos);
-        news = true;
       }
     }
     if (news) {
@@ -61,12 +75,17 @@
     return news;
   }
 
-  private boolean raise(String name, long value) {
-    Long before = newest.get(name);
+  /** What this node confirmed comes back from others, which does not make it theirs. */
+  private boolean isOwn(Map.Entry<String, Long> told) {
+    return told.getKey().endsWith(CONFIRMED_SUFFIX) && Math.floorMod(told.getValue(), TAGS) == tag;
+  }
+
+  private static boolean raise(Map<String, Long> values, String name, long value) {
+    Long before = values.get(name);
     if (before != null && before >= value) {
       return false;
     }
-    newest.merge(name, value, Math::max);
+    values.merge(name, value, Math::max);
     return true;
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/following/FollowPlanTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/following/FollowPlanTest.java
@@ -77,7 +77,7 @@
     long settled = BOUNDS.confirmNanos() / 2;
     assertThat(next(order(MEMBER), 10, 0, NEVER).kind()).isEqualTo(Kind.LISTEN);
     FollowStep step = next(order(MEMBER), 10, settled, NEVER);
-    assertThat(step).isEqualTo(FollowStep.watch(BOUNDS.confirmNanos() - settled));
+    assertThat(step).isEqualTo(FollowStep.watch(BOUNDS.ownConfirmNanos(order(MEMBER)) - settled));
     assertThat(next(order(MEMBER), 10, settled, 0).kind()).isEqualTo(Kind.LISTEN);
   }
 
@@ -87,12 +87,15 @@
     plan.onAsked(false);
     assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.ask(1, millis(60)));
     plan.onAsked(false);
+    assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.askAny());
+    plan.onAsked(false);
     assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.watch(0));
   }
 
   /** A change that is told and is not there costs the node one call, not one a moment. */
   @Test
   void changeThatTheStoreDoesNotHaveIsNotLookedForAgain() {
+    plan.onAsked(false);
     plan.onAsked(false);
     plan.onAsked(false);
     assertThat(next(order(MEMBER), 99, NEVER, 0).kind()).isEqualTo(Kind.WATCH);
@@ -147,6 +150,20 @@
     assertThat(plan.next(unknowing, NOW + millis(100)).kind()).isEqualTo(Kind.READ_WHOLE);
   }
 
+  /** Had it gone on to wait for the store, it would have stood still at what it knew. */
+  @Test
+  void nodeThatTheStoreTurnsAwayAsksUntilSomebodyKnows() {
+    FollowSight behind = sight(order(1), 12, NEVER, 0);
+    plan.onFailed(behind, NOW);
+    for (int round = 0; round < 2; round++) {
+      for (int asked = 0; asked < 3; asked++) {
+        assertThat(plan.next(behind, NOW).kind()).isEqualTo(Kind.ASK);
+        plan.onAsked(false);
+      }
+      assertThat(plan.next(behind, NOW)).isEqualTo(FollowStep.listen(millis(100)));
+    }
+  }
+
   @Test
   void silentWatchIsEndedOnceNobodyConfirms() {
     long trust = BOUNDS.trustNanos();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -266,6 +266,7 @@
   private void onEnded() {
     if (behind) {
       tracker.onOutage();
+      plan.onSilent();
     }
   }
 
