Tell what is known of the tables when it is new, not in every message

Cause: two confirmations and two versions in each message, and relays that told relays on what relays had told them, were a good part of what went between zones.

Change: TableTeller puts them into a direction's messages at once when they are new, and again every 250 ms for lost datagrams; what a GROUP brought goes on to members only.

--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -105,6 +105,9 @@
   private long sequence;
   private final NodeCount count;
   private boolean tableNews;
+  private boolean memberTableNews;
+  private final TableTeller upwardTeller;
+  private final TableTeller memberTeller;
   private volatile WatchOrder watchOrder;
   private volatile List<NetworkAddress> askable = List.of();
 
@@ -129,6 +132,8 @@
     this.loads = loads;
     this.directory = new PeerDirectory(self);
     this.tables = new TableVersions(node);
+    this.upwardTeller = new TableTeller(tables);
+    this.memberTeller = new TableTeller(tables);
     rankAs(new RelayRanking(self, List.of(), 1));
     this.watchOrder = WatchOrder.ofOne(!this.seeds.isEmpty());
     this.count = new NodeCount(beganNanos);
@@ -144,7 +149,9 @@
       directory.onHeard(sender, nowNanos);
     }
     message.relays().forEach(told -> directory.onTold(told, nowNanos));
-    tableNews |= tables.onTold(message.tables(), nowNanos) && relaying;
+    boolean news = tables.onTold(message.tables(), nowNanos) && relaying;
+    memberTableNews |= news;
+    tableNews |= news && message.kind() != MessageKind.GROUP;
     if (message.wantsListings()) {
       onListingsWanted(sender.address(), nowNanos);
     }
@@ -280,7 +287,7 @@
 
   /** Whether a change of a table was learned that others should hear of at once. */
   public boolean hasTableNews() {
-    return tableNews;
+    return tableNews || memberTableNews;
   }
 
   /** Whether other nodes tell this one what they count, so that it may report it for all. */
@@ -344,6 +351,7 @@
   /** What is to be told now; called at each tick, and when there is news. */
   public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
     tableNews |= tables.takeNews();
+    memberTableNews |= tableNews;
     boolean turn = !begun || urgent || tableNews || nowNanos - lastTurnNanos >= TURN_NANOS;
     if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
       relaySinceNanos = nowNanos;
@@ -357,9 +365,10 @@
       rank(nowNanos);
       greet(messages, nowNanos);
     }
-    if (turn || newsIsDue(nowNanos)) {
+    if (turn || memberTableNews || newsIsDue(nowNanos)) {
       tell(own.get(), turn, messages, nowNanos);
       tableNews = false;
+      memberTableNews = false;
     }
     return messages;
   }
@@ -498,6 +507,7 @@
     lastSentNanos = nowNanos;
     LoadDigest group = loads.group(digest(own, groupNews.takePrompts()), nowNanos);
     List<CacheListing> listings = groupNews.takeListings(nowNanos);
+    Map<String, Long> versions = upwardTeller.next(tableNews, nowNanos);
     if (relay.isPresent()) {
       PeerMessage report =
           new PeerMessage(
@@ -507,7 +517,7 @@
               listings,
               own.crashes(),
               List.of(),
-              tables.all(),
+              versions,
               wantsListings);
       messages.add(new Outgoing(relay.get().address(), report));
       return;
@@ -518,7 +528,7 @@
     }
     PeerMessage toOthers =
         new PeerMessage(
-            MessageKind.GROUP, self, group, listings, own.crashes(), relays, tables.all(), false);
+            MessageKind.GROUP, self, group, listings, own.crashes(), relays, versions, false);
     Optional<NetworkAddress> asked = wantsListings ? firstHeard(nowNanos) : Optional.empty();
     for (NetworkAddress target : relayTargets(nowNanos)) {
       boolean asks = asked.filter(target::equals).isPresent();
@@ -548,11 +558,12 @@
       viewNews.clear();
       return;
     }
-    if (!turn && viewNews.isEmpty() && own.crashes().isEmpty()) {
+    if (!turn && !memberTableNews && viewNews.isEmpty() && own.crashes().isEmpty()) {
       return;
     }
     lastSentNanos = nowNanos;
     LoadDigest told = digest(own, viewNews.takePrompts());
+    Map<String, Long> versions = memberTeller.next(memberTableNews, nowNanos);
     List<CacheListing> listings = viewNews.takeListings(nowNanos);
     loads
         .views(told, nowNanos)
@@ -568,7 +579,7 @@
                             listings,
                             own.crashes(),
                             relays,
-                            tables.all(),
+                            versions,
                             false))));
   }
 
