--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -16,6 +16,7 @@
 import org.fallturn.core.dispatch.PeerLoads;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.membership.RendezvousHash;
 import org.fallturn.core.usage.UsageNews;
 
@@ -64,13 +65,9 @@
   /** A node that asked for listings is sent them again at most this often. */
   private static final long LISTINGS_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Relays that keep to short watches of the store: one may be cut off while another restarts. */
-  private static final int WATCHERS = 3;
-
   /** Nodes that are told what all count: a store may turn a third of the nodes away at once. */
   private static final int COLLECTORS = 3;
 
-  private static final String WATCH = "watch";
   private static final String COLLECT = "collect";
 
   private final PeerInfo self;
@@ -79,7 +76,7 @@
   private final List<NetworkAddress> seeds;
   private final PeerLoads loads;
   private final PeerDirectory directory;
-  private final TableVersions tables = new TableVersions();
+  private final TableVersions tables;
   private final News groupNews = new News();
   private final News viewNews = new News();
   private final Map<NetworkAddress, Long> toldListingsAt = new HashMap<>();
@@ -107,8 +104,11 @@
   private long lastGreetingNanos;
   private long sequence;
   private final NodeCount count;
-  private volatile long toldOfChangesNanos;
-  private volatile boolean toldOfChanges;
+  private boolean tableNews;
+  private boolean memberTableNews;
+  private final TableTeller upwardTeller;
+  private final TableTeller memberTeller;
+  private volatile WatchOrder watchOrder;
   private volatile List<NetworkAddress> askable = List.of();
 
   /**
@@ -131,7 +131,11 @@
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).distinct().toList();
     this.loads = loads;
     this.directory = new PeerDirectory(self);
+    this.tables = new TableVersions(node);
+    this.upwardTeller = new TableTeller(tables);
+    this.memberTeller = new TableTeller(tables);
     rankAs(new RelayRanking(self, List.of(), 1));
+    this.watchOrder = WatchOrder.ofOne(!this.seeds.isEmpty());
     this.count = new NodeCount(beganNanos);
   }
 
@@ -145,7 +149,9 @@
       directory.onHeard(sender, nowNanos);
     }
     message.relays().forEach(told -> directory.onTold(told, nowNanos));
-    message.tables().forEach(tables::onSeen);
+    boolean news = tables.onTold(message.tables(), nowNanos) && relaying;
+    memberTableNews |= news;
+    tableNews |= news && message.kind() != MessageKind.GROUP;
     if (message.wantsListings()) {
       onListingsWanted(sender.address(), nowNanos);
     }
@@ -161,9 +167,6 @@
       count.onTold(message.load().nodes(), nowNanos);
     }
     boolean strangersView = message.kind() == MessageKind.VIEW && !isRelay(message.sender());
-    if (message.kind() == MessageKind.VIEW && !strangersView) {
-      onToldOfChanges(nowNanos);
-    }
     if (!strangersView) {
       message
           .kind()
@@ -271,27 +274,20 @@
     return tables;
   }
 
-  /**
-   * Whether this node would hear of it soon when another sees a change of a table, so that its own
-   * watch may be a long one: its relay spoke lately, or it is a relay itself and others keep to
-   * short watches. Any thread may call.
-   */
-  public boolean hearsOfChanges(long nowNanos) {
-    return toldOfChanges && nowNanos - toldOfChangesNanos < PeerLoads.VIEW_LIFETIME_NANOS;
+  /** This node's place among those that watch the store; any thread may call. */
+  public WatchOrder watchOrder() {
+    return watchOrder;
   }
 
-  private void onToldOfChanges(long nowNanos) {
-    toldOfChangesNanos = nowNanos;
-    toldOfChanges = true;
+  private WatchOrder orderWatchers(long nowNanos) {
+    return directory.anyHeard(nowNanos)
+        ? ranking.watchOrder(relay, Math.max(count.highest(), loads.nodeCount(nowNanos)))
+        : WatchOrder.ofOne(!seeds.isEmpty());
   }
 
-  /** Some relays keep to short watches, so that a store that went silent is found by somebody. */
-  private void checkWatchers(long nowNanos) {
-    List<PeerInfo> watchers =
-        heardLately(ranking.relaysFor(WATCH), nowNanos).stream().limit(WATCHERS).toList();
-    if (relaying && !watchers.contains(self)) {
-      onToldOfChanges(nowNanos);
-    }
+  /** Whether a change of a table was learned that others should hear of at once. */
+  public boolean hasTableNews() {
+    return tableNews || memberTableNews;
   }
 
   /** Whether other nodes tell this one what they count, so that it may report it for all. */
@@ -354,7 +350,9 @@
 
   /** What is to be told now; called at each tick, and when there is news. */
   public List<Outgoing> due(Supplier<OwnLoad> own, long nowNanos) {
-    boolean turn = !begun || urgent || nowNanos - lastTurnNanos >= TURN_NANOS;
+    tableNews |= tables.takeNews();
+    memberTableNews |= tableNews;
+    boolean turn = !begun || urgent || tableNews || nowNanos - lastTurnNanos >= TURN_NANOS;
     if (begun && nowNanos - lastCallNanos >= OWN_PAUSE_NANOS) {
       relaySinceNanos = nowNanos;
     }
@@ -367,8 +365,10 @@
       rank(nowNanos);
       greet(messages, nowNanos);
     }
-    if (turn || newsIsDue(nowNanos)) {
+    if (turn || memberTableNews || newsIsDue(nowNanos)) {
       tell(own.get(), turn, messages, nowNanos);
+      tableNews = false;
+      memberTableNews = false;
     }
     return messages;
   }
@@ -387,7 +387,6 @@
   private void rank(long nowNanos) {
     leaveSilentRelay(nowNanos);
     rankAnewWhenNodesChanged(nowNanos);
-    checkWatchers(nowNanos);
     relaying = mayRelay(nowNanos);
     Optional<PeerInfo> chosen = relaying ? Optional.empty() : ranking.relayOfThisNode();
     boolean stays = relay.isPresent() && ranking.relays().contains(relay.get());
@@ -397,6 +396,7 @@
       }
       relay = chosen;
     }
+    watchOrder = orderWatchers(nowNanos);
     if (nowNanos - listedAskableNanos >= LIST_ASKABLE_NANOS) {
       listedAskableNanos = nowNanos;
       askable = directory.heard(nowNanos);
@@ -486,7 +486,7 @@
         !own.engines().isEmpty() || !own.crashes().isEmpty() || loads.hasMembers(nowNanos);
     boolean upward =
         !groupNews.isEmpty()
-            || turn && (busy || busyLastTurn)
+            || turn && (busy || busyLastTurn || tableNews)
             || nowNanos - lastUpwardNanos >= HEARTBEAT_NANOS;
     if (turn) {
       busyLastTurn = busy;
@@ -501,12 +501,6 @@
     return directory.withAges(ranking.candidates(), nowNanos);
   }
 
-  private List<PeerInfo> heardLately(List<PeerInfo> peers, long nowNanos) {
-    return peers.stream()
-        .filter(peer -> peer.equals(self) || directory.heardLately(peer.address(), nowNanos))
-        .toList();
-  }
-
   /** To the relay of this node, or as a relay to the others. */
   private void tellUpward(
       OwnLoad own, List<KnownPeer> relays, List<Outgoing> messages, long nowNanos) {
@@ -514,6 +508,7 @@
     lastSentNanos = nowNanos;
     LoadDigest group = loads.group(digest(own, groupNews.takePrompts()), nowNanos);
     List<CacheListing> listings = groupNews.takeListings(nowNanos);
+    Map<String, Long> versions = upwardTeller.next(tableNews, nowNanos);
     if (relay.isPresent()) {
       PeerMessage report =
           new PeerMessage(
@@ -523,7 +518,7 @@
               listings,
               own.crashes(),
               List.of(),
-              tables.all(),
+              versions,
               wantsListings);
       messages.add(new Outgoing(relay.get().address(), report));
       return;
@@ -534,7 +529,7 @@
     }
     PeerMessage toOthers =
         new PeerMessage(
-            MessageKind.GROUP, self, group, listings, own.crashes(), relays, tables.all(), false);
+            MessageKind.GROUP, self, group, listings, own.crashes(), relays, versions, false);
     Optional<NetworkAddress> asked = wantsListings ? firstHeard(nowNanos) : Optional.empty();
     for (NetworkAddress target : relayTargets(nowNanos)) {
       boolean asks = asked.filter(target::equals).isPresent();
@@ -564,11 +559,12 @@
       viewNews.clear();
       return;
     }
-    if (!turn && viewNews.isEmpty() && own.crashes().isEmpty()) {
+    if (!turn && !memberTableNews && viewNews.isEmpty() && own.crashes().isEmpty()) {
       return;
     }
     lastSentNanos = nowNanos;
     LoadDigest told = digest(own, viewNews.takePrompts());
+    Map<String, Long> versions = memberTeller.next(memberTableNews, nowNanos);
     List<CacheListing> listings = viewNews.takeListings(nowNanos);
     loads
         .views(told, nowNanos)
@@ -584,7 +580,7 @@
                             listings,
                             own.crashes(),
                             relays,
-                            tables.all(),
+                            versions,
                             false))));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -1,16 +1,17 @@
 package org.fallturn.node.gateway;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToLongFunction;
 import org.eclipse.jetty.client.ContentResponse;
@@ -24,7 +25,6 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedAnswer;
 import org.fallturn.core.port.feed.FeedTracker;
-import org.fallturn.core.port.feed.RowFeed;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.json.MalformedMessageException;
@@ -41,18 +41,48 @@
   /** Names the position that the asker knows, so that only what is newer is told. */
   private static final String AFTER = "after=";
 
+  /** Names how long an answer the asker wants at the most; builds of before pass it over. */
+  private static final String MOST_BYTES = "Fallturn-Most-Bytes";
+
+  /**
+   * The store has a far better link than a node, over which all that ask would draw the same rows,
+   * and bytes between zones have a price, above so many a higher one than a call to the store.
+   */
+  private static final int MOST_BYTES_OF_NEWS = 16 * 1024;
+
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
   /** Of a third of the nodes that a store may turn away at once, rarely all of four are asked. */
   private static final int PEERS_A_READING = 4;
 
   private final Map<String, FeedAnswer> known = new ConcurrentHashMap<>();
+  private final Map<String, Encoded> lastEncoded = new ConcurrentHashMap<>();
   private final JsonCodec codec = new JsonCodec();
   private final HttpClient client;
   private final Supplier<List<NetworkAddress>> peers;
   private final ToLongFunction<String> newestChange;
   private final AtomicInteger turn = new AtomicInteger();
 
+  /** What was answered to a question about a table. */
+  private record Encoded(FeedAnswer table, String query, TableNews news, Lazy<byte[]> bytes) {}
+
+  /** A value that is made when it is first asked for, since what is too large is never sent. */
+  private static final class Lazy<T> {
+    private final Supplier<T> maker;
+    private T value;
+
+    Lazy(Supplier<T> maker) {
+      this.maker = maker;
+    }
+
+    synchronized T get() {
+      if (value == null) {
+        value = maker.get();
+      }
+      return value;
+    }
+  }
+
   /**
    * Snapshots of this node, and a way to those of others.
    *
@@ -68,14 +98,18 @@
     this.newestChange = newestChange;
   }
 
-  private TableNews call(NetworkAddress peer, String path) throws StoreException {
+  private TableNews call(NetworkAddress peer, String path, int mostBytes) throws StoreException {
     try {
       ContentResponse response =
           client
               .newRequest(peer.host(), peer.port())
               .path(path)
+              .headers(headers -> headers.put(MOST_BYTES, Integer.toString(mostBytes)))
               .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
               .send();
+      if (response.getStatus() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
+        throw new TableTooLargeException(peer + " has more to tell of " + path);
+      }
       if (response.getStatus() != HttpStatus.OK_200) {
         throw new StoreException(peer + " does not know " + path, false, null);
       }
@@ -94,8 +128,8 @@
   }
 
   /** A table as some other node knows it. */
-  RowFeed feed(String table) {
-    return new PeerFeed(table);
+  PeerRows rows(String table) {
+    return new Table(table);
   }
 
   @Override
@@ -108,13 +142,31 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
       return true;
     }
-    answer(response, callback, news(request, answer));
+    Encoded news = encoded(path, request.getHttpURI().getQuery(), answer);
+    long most = request.getHeaders().getLongField(MOST_BYTES);
+    if (most >= 0 && news.news().leastBytes() > most) {
+      response.setStatus(HttpStatus.PAYLOAD_TOO_LARGE_413);
+      response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+      return true;
+    }
+    response.write(true, ByteBuffer.wrap(news.bytes().get()), callback);
     return true;
   }
 
+  /** Nodes that were told of a change at the same moment ask for the same. */
+  private Encoded encoded(String path, String query, FeedAnswer table) {
+    Encoded last = lastEncoded.get(path);
+    if (last != null && last.table() == table && Objects.equals(last.query(), query)) {
+      return last;
+    }
+    TableNews news = news(query, table);
+    Encoded encoded = new Encoded(table, query, news, new Lazy<>(() -> codec.encode(news)));
+    lastEncoded.put(path, encoded);
+    return encoded;
+  }
+
   /** A position that is no number is none that anybody knows. */
-  private static TableNews news(Request request, FeedAnswer table) {
-    String query = request.getHttpURI().getQuery();
+  private static TableNews news(String query, FeedAnswer table) {
     if (query == null || !query.startsWith(AFTER)) {
       return TableNews.whole(table);
     }
@@ -125,29 +177,25 @@
     }
   }
 
-  private void answer(Response response, Callback callback, Object message) {
-    response.write(true, BufferUtil.toBuffer(codec.encode(message)), callback);
-  }
-
   /**
    * Reads one table from the peers in turn, until one knows its newest change: the next peer may be
    * turned away by the store as well. Of those asked, the newest reading counts.
    */
-  private final class PeerFeed implements RowFeed {
+  private final class Table implements PeerRows {
 
     private final String table;
 
-    PeerFeed(String table) {
+    Table(String table) {
       this.table = table;
     }
 
     @Override
-    public FeedAnswer snapshot() throws StoreException {
+    public FeedAnswer askAny() throws StoreException {
       StoreException last = new StoreException("no other node is known", false, null);
       FeedAnswer newest = null;
       for (NetworkAddress peer : nextPeers()) {
         try {
-          FeedAnswer answer = ask(peer);
+          FeedAnswer answer = ask(peer, Integer.MAX_VALUE);
           newest = newest == null || answer.version() > newest.version() ? answer : newest;
           if (answer.version() >= newestChange.applyAsLong(table)) {
             break;
@@ -162,22 +210,24 @@
       return newest;
     }
 
-    /**
-     * A node that the store turns away asks up to four others at each failed call, mostly for what
-     * it knows: whole tables made up 0.77 GB between zones on a day of 63 nodes.
-     */
-    private FeedAnswer ask(NetworkAddress peer) throws StoreException {
+    @Override
+    public FeedAnswer ask(NetworkAddress peer) throws StoreException {
+      return ask(peer, MOST_BYTES_OF_NEWS);
+    }
+
+    /** Nodes mostly ask for what they know, so that only what is newer should be told. */
+    private FeedAnswer ask(NetworkAddress peer, int mostBytes) throws StoreException {
       FeedAnswer own = known.get(table);
       if (own == null) {
-        return whole(peer);
+        return whole(peer, mostBytes);
       }
-      TableNews news = call(peer, PATH_PREFIX + table + "?" + AFTER + own.version());
-      Optional<FeedAnswer> applied = news.appliedTo(own);
-      return applied.isPresent() ? applied.get() : whole(peer);
+      String path = PATH_PREFIX + table + "?" + AFTER + own.version();
+      Optional<FeedAnswer> applied = call(peer, path, mostBytes).appliedTo(own);
+      return applied.isPresent() ? applied.get() : whole(peer, mostBytes);
     }
 
-    private FeedAnswer whole(NetworkAddress peer) throws StoreException {
-      TableNews news = call(peer, PATH_PREFIX + table);
+    private FeedAnswer whole(NetworkAddress peer, int mostBytes) throws StoreException {
+      TableNews news = call(peer, PATH_PREFIX + table, mostBytes);
       return new FeedAnswer(news.rows(), news.version());
     }
 
@@ -190,11 +240,5 @@
       }
       return next;
     }
-
-    @Override
-    public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted)
-        throws StoreException {
-      throw new StoreException("other nodes are asked for whole tables only", false, null);
-    }
   }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
@@ -22,6 +22,8 @@
 import java.util.function.Consumer;
 import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.following.FollowBounds;
+import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
@@ -262,13 +264,36 @@
           }
 
           @Override
-          public boolean tell() {
-            return true;
+          public long sinceConfirmedNanos() {
+            return Long.MAX_VALUE;
+          }
+
+          @Override
+          public WatchOrder order() {
+            return WatchOrder.ofOne(false);
+          }
+
+          @Override
+          public void onConfirmed(long storeMillis) {}
+        };
+    PeerRows nobody =
+        new PeerRows() {
+          @Override
+          public FeedAnswer askAny() throws StoreException {
+            throw new StoreException("nobody knows", false, null);
+          }
+
+          @Override
+          public FeedAnswer ask(NetworkAddress peer) throws StoreException {
+            return askAny();
           }
         };
-    RowFeed feed = new OneRow();
-    RowFollower.Times times = new RowFollower.Times(Duration.ZERO, Duration.ofSeconds(5));
-    try (RowFollower follower = new RowFollower("t", feed, feed, rows, log, others, times)) {
+    RowFollower.Sources sources = new RowFollower.Sources(new OneRow(), nobody, others);
+    Duration bound = Duration.ofSeconds(5);
+    RowFollower.Times times =
+        new RowFollower.Times(Duration.ZERO, FollowBounds.of(bound, bound), new NewsBell());
+    try (RowFollower follower =
+        new RowFollower("t", sources, rows, log, new FollowCounts(), times)) {
       follower.start(listener);
       awaitGoesOn("follow-t", () -> {});
     }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -95,7 +96,7 @@
   void theAskersTableBecomesTheOther() throws Exception {
     told.keep(TABLE, tracker(changed()));
     asking.keep(TABLE, tracker(new FeedAnswer(rows(ROWS), ROWS)));
-    FeedAnswer learned = asking.feed(TABLE).snapshot();
+    FeedAnswer learned = asking.rows(TABLE).askAny();
     assertThat(learned.version()).isEqualTo(ROWS + 3);
     assertThat(learned.rows()).containsExactlyInAnyOrderElementsOf(changed().rows());
   }
@@ -104,7 +105,7 @@
   void nodeThatIsBehindChangesNothing() throws Exception {
     told.keep(TABLE, tracker(new FeedAnswer(rows(3), 3)));
     asking.keep(TABLE, tracker(changed()));
-    FeedAnswer learned = asking.feed(TABLE).snapshot();
+    FeedAnswer learned = asking.rows(TABLE).askAny();
     assertThat(learned.version()).isEqualTo(ROWS + 3);
     assertThat(learned.rows()).containsExactlyInAnyOrderElementsOf(changed().rows());
   }
@@ -112,7 +113,7 @@
   @Test
   void nodeThatKnowsNothingLearnsTheWholeTable() throws Exception {
     told.keep(TABLE, tracker(changed()));
-    FeedAnswer learned = asking.feed(TABLE).snapshot();
+    FeedAnswer learned = asking.rows(TABLE).askAny();
     assertThat(learned.rows()).containsExactlyInAnyOrderElementsOf(changed().rows());
   }
 
@@ -121,7 +122,7 @@
   void tableWithAGapIsReadWhole() throws Exception {
     told.keep(TABLE, tracker(changed()));
     asking.keep(TABLE, tracker(new FeedAnswer(rows(ROWS - 2), ROWS)));
-    FeedAnswer learned = asking.feed(TABLE).snapshot();
+    FeedAnswer learned = asking.rows(TABLE).askAny();
     assertThat(learned.rows()).containsExactlyInAnyOrderElementsOf(changed().rows());
   }
 
@@ -145,4 +146,18 @@
       assertThat(answer.rows()).hasSize(ROWS);
     }
   }
+
+  /**
+   * A configuration of a thousand routes was drawn by all nodes over the thin link of the one that
+   * watched: the last had it six seconds after the first, beyond every bound.
+   */
+  @Test
+  void whatIsTooLargeForTheLinksOfNodesIsNotTold() throws Exception {
+    FeedRow large = new FeedRow("e-1", ROWS + 1, "x".repeat(20_000), false);
+    told.keep(TABLE, tracker(new FeedAnswer(List.of(large), ROWS + 1)));
+    asking.keep(TABLE, tracker(new FeedAnswer(rows(1), 1)));
+    assertThatThrownBy(() -> asking.rows(TABLE).ask(peers.get(0)))
+        .isInstanceOf(TableTooLargeException.class);
+    assertThat(asking.rows(TABLE).askAny().rows()).containsExactly(large);
+  }
 }
