Count refusals by cause

Figures told refusals by error kind only, so that a request refused since it is foreseen to be too late looked like one that found no engine. Each refusal now bears a cause of a closed list, in its line and in fallturn_gateway_refusals_total.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -48,10 +48,12 @@
    * End the request with an error of this node.
    *
    * @param kind entry of the closed list
+   * @param cause why, for figures
    * @param reason for people
    * @param retryAfter when to come back, for a request that was not run
    */
-  record Refuse(ErrorKind kind, String reason, Optional<Duration> retryAfter) implements Decision {}
+  record Refuse(ErrorKind kind, RefusalCause cause, String reason, Optional<Duration> retryAfter)
+      implements Decision {}
 
   /**
    * Keep the request at this node until an engine has room for it.
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -371,7 +371,9 @@
     }
     if (!retries.takeSend(progress, nowNanos)) {
       return refusals.notRun(
-          ErrorKind.NO_CAPACITY, "the retry budget of " + progress.service() + " is spent");
+          ErrorKind.NO_CAPACITY,
+          RefusalCause.RETRY_BUDGET,
+          "the retry budget of " + progress.service() + " is spent");
     }
     return place(progress, again, nowNanos);
   }
@@ -398,7 +400,9 @@
   private Decision place(RequestProgress progress, long nowNanos) {
     if (progress.envelope().remainingNanos(nowNanos) <= 0) {
       return refusals.notRun(
-          ErrorKind.DEADLINE_UNREACHABLE, "its time was over when it had been read");
+          ErrorKind.DEADLINE_UNREACHABLE,
+          RefusalCause.TIME_OVER,
+          "its time was over when it had been read");
     }
     return place(progress, true, nowNanos);
   }
@@ -455,14 +459,20 @@
       RequestProgress progress, List<ServingEngine> engines, long nowNanos) {
     double forecast = room.forecastMillis(progress.service(), engines);
     if (room.hopeless(progress, engines, nowNanos)) {
-      return refusals.noRoom(progress, forecast, "there is no room in its time", nowNanos);
+      return refusals.noRoom(
+          progress, RefusalCause.NO_ROOM, forecast, "there is no room in its time", nowNanos);
     }
     int ahead = room.waiting().size(progress.service());
     Decision decision = new Decision.Wait(forecast, ahead);
     for (RequestProgress left :
         room.add(progress, parameters.waiting().maxWaitingBytes(), nowNanos)) {
       Decision refusal =
-          refusals.noRoom(left, forecast, "what waits here has filled its memory", nowNanos);
+          refusals.noRoom(
+              left,
+              RefusalCause.MEMORY_FULL,
+              forecast,
+              "what waits here has filled its memory",
+              nowNanos);
       if (left == progress) {
         decision = refusal;
       } else {
@@ -487,7 +497,9 @@
           new Ended(
               late,
               refusals.notRun(
-                  ErrorKind.DEADLINE_UNREACHABLE, "no engine had room for it in its time")));
+                  ErrorKind.DEADLINE_UNREACHABLE,
+                  RefusalCause.TIME_OVER,
+                  "no engine had room for it in its time")));
     }
     for (String service : room.waiting().services()) {
       Optional<RequestProgress> next = room.takeNext(service, nowNanos);
@@ -519,6 +531,7 @@
     if (comeBack.isPresent()) {
       return new Decision.Refuse(
           ErrorKind.NO_CAPACITY,
+          RefusalCause.FORESEEN,
           "it would wait " + Math.round(plan.millis()) + " ms for its first token",
           comeBack.map(refusals::atLeastMin));
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -37,8 +37,8 @@
   }
 
   /** No engine has run it, and it may come back. */
-  Decision notRun(ErrorKind kind, String reason) {
-    return new Decision.Refuse(kind, reason, Optional.of(minRetryAfter));
+  Decision notRun(ErrorKind kind, RefusalCause cause, String reason) {
+    return new Decision.Refuse(kind, cause, reason, Optional.of(minRetryAfter));
   }
 
   /**
@@ -52,7 +52,10 @@
     }
     return closed.isPresent()
         ? whileNoneIsOpen(progress, closed.get())
-        : notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " is there");
+        : notRun(
+            ErrorKind.NO_CAPACITY,
+            RefusalCause.NO_ENGINE,
+            "no engine of " + progress.service() + " is there");
   }
 
   /** Who comes back sooner is refused again, at the cost of a try; the more urgent return first. */
@@ -60,6 +63,7 @@
     Duration comeBack = closed.plus(RETURN_STEP.multipliedBy(progress.envelope().rank().place()));
     return new Decision.Refuse(
         ErrorKind.NO_CAPACITY,
+        RefusalCause.CLOSED,
         "every engine of "
             + progress.service()
             + " rests or has no room within its limit, the first for "
@@ -81,10 +85,16 @@
       return whileNoneIsOpen(progress, closed.get());
     }
     if (progress.possibleRuns() == 0) {
-      return notRun(ErrorKind.NO_CAPACITY, "no engine of " + progress.service() + " took it");
+      return notRun(
+          ErrorKind.NO_CAPACITY,
+          RefusalCause.TURNED_AWAY,
+          "no engine of " + progress.service() + " took it");
     }
     return new Decision.Refuse(
-        ErrorKind.OUTCOME_UNKNOWN, "an engine may have run it: " + outcome, Optional.empty());
+        ErrorKind.OUTCOME_UNKNOWN,
+        RefusalCause.OUTCOME_UNKNOWN,
+        "an engine may have run it: " + outcome,
+        Optional.empty());
   }
 
   /**
@@ -93,13 +103,19 @@
    *
    * @param forecastMillis in about how many ms there is room
    */
-  Decision noRoom(RequestProgress progress, double forecastMillis, String reason, long nowNanos) {
+  Decision noRoom(
+      RequestProgress progress,
+      RefusalCause cause,
+      double forecastMillis,
+      String reason,
+      long nowNanos) {
     double left = progress.envelope().remainingNanos(nowNanos) / NANOS_PER_MILLI;
     double draw = RendezvousHash.draw(progress.envelope().requestId(), reason);
     double spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * draw;
     double millis = Math.min(forecastMillis, RETURN_PART * left) * spread;
     Duration comeBack = Duration.ofNanos((long) (Math.max(0, millis) * NANOS_PER_MILLI));
-    return new Decision.Refuse(ErrorKind.NO_CAPACITY, reason, Optional.of(atLeastMin(comeBack)));
+    return new Decision.Refuse(
+        ErrorKind.NO_CAPACITY, cause, reason, Optional.of(atLeastMin(comeBack)));
   }
 
   /** Nobody is told to come back sooner than the least time. */
@@ -109,7 +125,8 @@
 
   /** This node stops and lets nothing wait any longer. */
   Decision stopping() {
-    return notRun(ErrorKind.STOPPING, "this node stops while it waits for an engine");
+    return notRun(
+        ErrorKind.STOPPING, RefusalCause.STOPPING, "this node stops while it waits for an engine");
   }
 
   /** Engines crash under it; coming back is vain. */
@@ -120,6 +137,6 @@
             + ").";
     ErrorKind kind =
         progress.possibleRuns() == 0 ? ErrorKind.QUARANTINED : ErrorKind.OUTCOME_UNKNOWN;
-    return new Decision.Refuse(kind, reason, Optional.empty());
+    return new Decision.Refuse(kind, RefusalCause.QUARANTINED, reason, Optional.empty());
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -376,9 +376,11 @@
   }
 
   private LoggingEventBuilder refused(Exchange exchange, Decision.Refuse refuse) {
+    metrics.refused(refuse.cause());
     LoggingEventBuilder line =
         line(LogEvent.REFUSED, exchange, refuse.kind().name())
             .addKeyValue("kind", refuse.kind())
+            .addKeyValue("cause", refuse.cause())
             .addKeyValue("reason", refuse.reason())
             .addKeyValue("retryAfterMs", refuse.retryAfter().map(Duration::toMillis).orElse(0L))
             .addKeyValue("directoryRevision", directoryRevision);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.LongSupplier;
+import org.fallturn.core.dispatch.RefusalCause;
 
 /**
  * Figures of a gateway as Prometheus text: the decisions of the log by event and detail, latencies,
@@ -14,12 +15,14 @@
 final class GatewayMetrics {
 
   private static final String EVENTS = "fallturn_gateway_events_total";
+  private static final String REFUSALS = "fallturn_gateway_refusals_total";
   private static final String FIRST_PART = "fallturn_gateway_first_part_ms";
   private static final String WHOLE = "fallturn_gateway_whole_ms";
   private static final String WAITED = "fallturn_gateway_waited_ms";
   private static final String GAUGE_PREFIX = "fallturn_gateway_";
 
   private final Map<String, LongAdder> events = new ConcurrentHashMap<>();
+  private final Map<RefusalCause, LongAdder> refusals = new ConcurrentHashMap<>();
   private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
   private final LatencyHistogram firstPart = new LatencyHistogram();
   private final LatencyHistogram whole = new LatencyHistogram();
@@ -35,6 +38,11 @@
     events.computeIfAbsent(labels, key -> new LongAdder()).increment();
   }
 
+  /** Counts a request that was answered with an error of this node. */
+  void refused(RefusalCause cause) {
+    refusals.computeIfAbsent(cause, key -> new LongAdder()).increment();
+  }
+
   /** Time from a whole request to the first part of its answer. */
   void firstPart(long nanos) {
     firstPart.record(nanos);
@@ -68,6 +76,16 @@
                     .append("} ")
                     .append(count.sum())
                     .append('\n'));
+    text.append("# TYPE ").append(REFUSALS).append(" counter\n");
+    new TreeMap<>(refusals)
+        .forEach(
+            (cause, count) ->
+                text.append(REFUSALS)
+                    .append("{cause=\"")
+                    .append(cause)
+                    .append("\"} ")
+                    .append(count.sum())
+                    .append('\n'));
     new TreeMap<>(gauges)
         .forEach(
             (name, value) -> {
