--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -95,6 +95,8 @@
 
   private static final double NANOS_PER_MILLI = 1e6;
 
+  private static final double PERCENT = 100;
+
   /**
    * An engine and what is to be done there.
    *
@@ -120,7 +122,7 @@
       double slowness) {
 
     Expectation expectation() {
-      return new Expectation(millis, readTokens, aheadTokens);
+      return new Expectation(millis, readTokens, aheadTokens, (int) Math.round(PERCENT * slowness));
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -375,6 +375,7 @@
         .addKeyValue("expectedMs", Math.round(expectation.millis()))
         .addKeyValue("readTokens", expectation.readTokens())
         .addKeyValue("aheadTokens", expectation.aheadTokens())
+        .addKeyValue("pacePercent", expectation.pacePercent())
         .addKeyValue("urgency", urgency)
         .addKeyValue("sharedPart", sharedPart(exchange))
         .addKeyValue("routingVersion", routingVersion)
