--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
@@ -70,7 +70,7 @@
 
   /** Takes what a listed engine says of itself. */
   void onSaid(String engineId, ServerLoad load, long saidNanos) {
-    if (kinds.containsKey(engineId) && load.pacePercent().isPresent()) {
+    if (enabled && kinds.containsKey(engineId) && load.pacePercent().isPresent()) {
       learned.onOwnWord(engineId, load.pacePercent().getAsInt() / PERCENT, saidNanos);
     }
   }
@@ -114,6 +114,9 @@
    * @param running requests of all nodes at the engine, this one not yet
    */
   void onPlaced(RequestProgress progress, ServingEngine engine, int running, long nowNanos) {
+    if (!enabled) {
+      return;
+    }
     PaceForecast forecast = learned.forecast(engine.id(), WorkKind.APPLICATION, nowNanos);
     String work = engine.service() + ' ' + progress.envelope().route().name();
     double rounds = Math.max(1, (running + 1.0) / Math.max(1, engine.slots()));
