Leave the price for decode slots, and let only surely late prompts yield

A late prompt now goes behind all others only when it would be late in six tenths of the expected time too, since expected times come out shorter as well.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -90,6 +90,9 @@
    */
   private static final double IN_TIME_MARGIN = 1.2;
 
+  /** Real times may be so much of those expected; in doubt a prompt keeps its place. */
+  private static final double SURELY_LATE_PART = 0.6;
+
   /**
    * What is late goes behind all others only while that would leave it half of its caller's time:
    * more that go before it may come.
@@ -145,9 +148,20 @@
 
     /** Whether an answer that begins so many ms from now begins in time. */
     boolean inTime(double millis) {
-      double age = (nowNanos - progress.envelope().arrivedNanos()) / NANOS_PER_MILLI;
-      double target = route().targetLatency().toNanos() / NANOS_PER_MILLI;
-      return age + IN_TIME_MARGIN * millis <= target;
+      return age() + IN_TIME_MARGIN * millis <= target();
+    }
+
+    /** Whether it begins too late also when it takes much less time than expected. */
+    boolean surelyLate(double millis) {
+      return age() + SURELY_LATE_PART * millis > target();
+    }
+
+    private double age() {
+      return (nowNanos - progress.envelope().arrivedNanos()) / NANOS_PER_MILLI;
+    }
+
+    private double target() {
+      return route().targetLatency().toNanos() / NANOS_PER_MILLI;
     }
   }
 
@@ -222,14 +236,17 @@
 
   private Wait waitLate(Question question, ServingEngine engine, LongToDoubleFunction millis) {
     RequestEnvelope envelope = question.progress().envelope();
-    if (question.waiting().lateYields() && Urgency.canYield(envelope.rank())) {
+    Wait late = wait(question, engine, millis, Urgency.LATE);
+    if (question.waiting().lateYields()
+        && Urgency.canYield(envelope.rank())
+        && question.surelyLate(late.millis())) {
       Wait yielding = wait(question, engine, millis, Urgency.YIELDING);
       double left = envelope.remainingToBeginNanos(question.nowNanos()) / NANOS_PER_MILLI;
       if (YIELDING_MARGIN * yielding.millis() <= left) {
         return yielding;
       }
     }
-    return wait(question, engine, millis, Urgency.LATE);
+    return late;
   }
 
   private Wait wait(
@@ -252,7 +269,7 @@
     double besides =
         reading.fetchMillis()
             + RUNNING_TOKENS * question.speed().tokenMillis() * running
-            + crowdedMillis(question, engine, running)
+            + crowdedMillis(engine, running)
             + cacheWaitMillis(question, engine, running)
             + commonMillis(question, engine, near);
     Wait wait =
@@ -358,18 +375,10 @@
     return Math.max(0, own - Math.max(0, newTokens));
   }
 
-  /**
-   * Past its slots a request waits for others to end: one does each time in which a request runs,
-   * divided by the slots.
-   */
-  private double crowdedMillis(Question question, ServingEngine engine, int running) {
+  /** Past its slots a request waits for another to end. */
+  private static double crowdedMillis(ServingEngine engine, int running) {
     int over = Math.max(0, running + 1 - engine.slots());
-    if (over == 0) {
-      return 0;
-    }
-    double stay = selector.stays().workMillis(question.progress().service()).orElse(0);
-    double slowness = selector.slowness(engine, WorkKind.DECODING, question.nowNanos());
-    return over * Math.max(SECOND_CALL_MILLIS, slowness * stay / Math.max(1, engine.slots()));
+    return over * SECOND_CALL_MILLIS;
   }
 
   /** Beyond the KV cache a request waits too, or evicts what is less urgent. */
@@ -386,13 +395,6 @@
         selector.stays().workMillis(question.progress().service()).orElse(0));
   }
 
-  private boolean waits(Question question, Plan plan) {
-    ServingEngine engine = plan.engine();
-    boolean crowded =
-        !plan.prefill() && selector.running(engine, question.nowNanos()) >= engine.slots();
-    return crowded || plan.aheadTokens() > 0;
-  }
-
   private double commonMillis(Question question, ServingEngine engine, String near) {
     double target = question.route().targetLatency().toNanos() / NANOS_PER_MILLI;
     return (engine.zone().equals(near) ? 0 : OTHER_ZONE_MILLIS)
@@ -429,7 +431,7 @@
    * here keeps an engine busy for the lag at the most, where engines are busy at all.
    */
   private double spreadMillis(Question question, List<Plan> plans) {
-    long busy = plans.stream().filter(plan -> waits(question, plan)).count();
+    long busy = plans.stream().filter(plan -> plan.aheadTokens() > 0).count();
     return plans.isEmpty() ? 0 : selector.lagMillis(question.nowNanos()) * busy / plans.size();
   }
 
