--- a/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -11,9 +11,9 @@
 
 /**
  * Decides when an engine of one service changes its stage. Prompts that wait while decode slots are
- * free make a decode engine read prompts; streams that crowd, or prompts that wait longer at decode
- * engines than at prefill engines, make one decode again. It answers a mix of prompts and answers
- * that moves within tens of seconds; what turns sooner than an engine changes is left to placement.
+ * free make a decode engine read prompts; streams that crowd while prefill engines have nothing to
+ * do make one decode again. It answers a mix of prompts and answers that moves within tens of
+ * seconds; what turns sooner than an engine changes is left to placement.
  *
  * <p>Invariants: no change takes a stage below its least share of the engines, and never below one;
  * a stage that has fallen below it, since engines left, is filled up first; only a bounded part of
@@ -29,13 +29,6 @@
   /** Prompts that wait less than this on average have prefill engines to spare. */
   private static final double SHORT_WAIT_MILLIS = 15;
 
-  /**
-   * Prompts wait so many times as long at prefill engines as at the others before one more reads:
-   * placement evens out less, since it chooses between the two for each prompt. The other way a
-   * longer wait is enough, as it holds up streams too.
-   */
-  private static final double UNEVEN_WAITS = 2;
-
   /** Share of the decode slots that may be taken after a decode engine is given away. */
   private static final double ROOMY_OCCUPANCY = 0.4;
 
@@ -61,15 +54,6 @@
   /** One of so many engines may be away at once, and always one. */
   private static final int ENGINES_PER_CHANGE = 16;
 
-  /**
-   * The same while decode engines have far more slots than they need, so that a shortage of prefill
-   * engines ends within a few changes and not after a minute of them.
-   */
-  private static final int ENGINES_PER_CHANGE_WHEN_ROOMY = 8;
-
-  /** Share of the decode slots below which several engines may be away. */
-  private static final double SPARE_OCCUPANCY = 0.25;
-
   /**
    * The same while hardly anything runs, as before the first callers come, when engines on loan
    * start in one stage and a third of them has to take the other within some ten seconds.
@@ -143,7 +127,9 @@
   /** The change to be ordered next, if any; the same until {@link #onOrdered}. */
   public Optional<StageChange> wanted(List<StageView> engines, long nowNanos) {
     int changing = (int) engines.stream().filter(StagePlanner::changes).count();
-    int atOnce = Math.max(1, engines.size() / enginesPerChange());
+    boolean idle = peakOccupancy < IDLE_OCCUPANCY;
+    int perChange = idle ? ENGINES_PER_CHANGE_WHEN_IDLE : ENGINES_PER_CHANGE;
+    int atOnce = Math.max(1, engines.size() / perChange);
     if (changing >= atOnce) {
       return Optional.empty();
     }
@@ -153,13 +139,6 @@
     return wantedStage(engines, nowNanos).flatMap(next -> leastMissed(engines, next));
   }
 
-  private int enginesPerChange() {
-    if (peakOccupancy < IDLE_OCCUPANCY) {
-      return ENGINES_PER_CHANGE_WHEN_IDLE;
-    }
-    return peakOccupancy < SPARE_OCCUPANCY ? ENGINES_PER_CHANGE_WHEN_ROOMY : ENGINES_PER_CHANGE;
-  }
-
   /** What the next decision goes by. */
   public StageOutlook outlook(List<StageView> engines, long nowNanos) {
     return new StageOutlook(
@@ -234,14 +213,12 @@
     double occupancyAfter = peakOccupancy * decode / (decode - 1);
     return prefillWaitMillis > LONG_WAIT_MILLIS
         && occupancyAfter < ROOMY_OCCUPANCY
-        && UNEVEN_WAITS * decodeWaitMillis < prefillWaitMillis;
+        && decodeWaitMillis < prefillWaitMillis;
   }
 
   private boolean shortOfDecode() {
     boolean crowded = occupancy > CROWDED_OCCUPANCY || decodeWaitMillis > LONG_WAIT_MILLIS;
-    boolean waitMoreToDecode =
-        decodeWaitMillis > LONG_WAIT_MILLIS && decodeWaitMillis > prefillWaitMillis;
-    return waitMoreToDecode || crowded && prefillWaitMillis < SHORT_WAIT_MILLIS;
+    return crowded && prefillWaitMillis < SHORT_WAIT_MILLIS;
   }
 
   private static int count(List<StageView> engines, EngineStage stage) {
