Foresee the wait for a decode slot where a prompt has been read

Prompts that had been read were handed to decode engines whose slots were all taken, and began one or two seconds later, or not before their callers left. A request that waits there for a slot now costs as long as it takes until one comes free. Only read prompts are priced so: they have no other kind of engine to go to.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptPlacement.java
@@ -269,7 +269,7 @@
     double besides =
         reading.fetchMillis()
             + RUNNING_TOKENS * question.speed().tokenMillis() * running
-            + crowdedMillis(engine, running)
+            + crowdedMillis(question, engine, running)
             + cacheWaitMillis(question, engine, running)
             + commonMillis(question, engine, near);
     Wait wait =
@@ -375,10 +375,20 @@
     return Math.max(0, own - Math.max(0, newTokens));
   }
 
-  /** Past its slots a request waits for another to end. */
-  private static double crowdedMillis(ServingEngine engine, int running) {
+  /**
+   * Past its slots a request waits for another to end. One whose prompt has been read can only go
+   * to an engine of this kind, and goes where slots come free soonest: one does each time in which
+   * a request runs, divided by the slots. That price for others would send them to be read ahead,
+   * to engines that may be the shorter ones.
+   */
+  private double crowdedMillis(Question question, ServingEngine engine, int running) {
     int over = Math.max(0, running + 1 - engine.slots());
-    return over * SECOND_CALL_MILLIS;
+    if (over == 0 || question.progress().source().isEmpty()) {
+      return over * SECOND_CALL_MILLIS;
+    }
+    double stay = selector.stays().workMillis(question.progress().service()).orElse(0);
+    double slowness = selector.slowness(engine, WorkKind.DECODING, question.nowNanos());
+    return over * Math.max(SECOND_CALL_MILLIS, slowness * stay / Math.max(1, engine.slots()));
   }
 
   /** Beyond the KV cache a request waits too, or evicts what is less urgent. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ForeseenRefusalTest.java
@@ -27,6 +27,11 @@
   private final ServingEngine prefill = Requests.engine("p-1", MODEL, EngineStage.PREFILL);
   private final ServingEngine other = Requests.engine("p-2", MODEL, EngineStage.PREFILL);
   private final ServingEngine decode = Requests.engine("d-1", MODEL, EngineStage.DECODE);
+  private final ServingEngine otherDecode = Requests.engine("d-2", MODEL, EngineStage.DECODE);
+
+  private static EngineDigest running(int requests) {
+    return new EngineDigest(requests, 0, List.of(), 0, 0, EngineDigest.NOT_HEARD);
+  }
 
   private static long after(long millis) {
     return START + Duration.ofMillis(millis).toNanos();
@@ -100,6 +105,24 @@
     assertThat(backLevel).isLessThan(newLevel);
   }
 
+  /**
+   * Read prompts were handed to a decode engine whose slots were all taken, since a request that
+   * waits there for a slot seemed to cost next to nothing: they began one or two seconds later.
+   */
+  @Test
+  void waitForASlotIsForeseenForAPromptThatHasBeenRead() {
+    Dispatcher dispatcher = Requests.dispatcher(prefill, decode, otherDecode);
+    learnStay(dispatcher);
+    hear(dispatcher, Map.of("d-1", running(20), "d-2", running(16)), START);
+    RequestProgress read = Requests.prompt(false, 0, 4_000);
+    dispatcher.start(read, START);
+    Decision.Run run = (Decision.Run) dispatcher.onPrefilled(read, "h", after(90));
+    assertThat(run.engine()).isEqualTo(otherDecode);
+    assertThat(run.expectation().millis())
+        .as("nine ends of a second in eight slots")
+        .isGreaterThan(1_000);
+  }
+
   /** Engines evicted what they had begun, and read it anew, since others had room for it. */
   @Test
   void promptThatWouldOverfillACacheGoesToAnEngineFurtherAway() {
