Share the retry budget by demand over the whole fleet

SharedBudget (core.limits): each node brings in its part, keeps what it wants itself, leaves the rest to those that want it for a whole window, and tells what it keeps; what nobody keeps and nobody has taken is divided by wants. Nobody takes more than others have left of all, of its own neither. Told with the load of engines (key "o"), by nobody while nobody wants anything; a node that hears nobody has its part as before, and so have nodes of earlier builds.

A process takes a fifth of the ratio in its first window, not four fifths: a restart of all nodes could pass the bound, since the processes before may have used the rest.

RetryBudgetTest calls the changed methods; its checks are as they were.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.pace.EnginePace;
 import org.fallturn.core.quarantine.Quarantine;
 import org.fallturn.core.quarantine.Standing;
@@ -51,7 +52,7 @@
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
-    this.retries = new RetryRules(parameters);
+    this.retries = new RetryRules(parameters, peerLoads);
     this.refusals = new Refusals(parameters);
     this.quarantine = new Quarantine(parameters.node());
     long lastResortNanos = parameters.lastResort().toNanos();
@@ -118,6 +119,11 @@
     return peerLoads;
   }
 
+  /** What this node tells the others of the retry budgets, by service. */
+  public Map<String, BudgetDigest> ownBudgets(long nowNanos) {
+    return retries.digests(nowNanos);
+  }
+
   /** What engines say of themselves; whoever reads their answers tells it. */
   public EngineNotices notices() {
     return notices;
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PeerLoads.java
@@ -5,10 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.limits.LimitDigest;
+import org.fallturn.core.limits.SharedBudget;
 
 /**
  * What the other nodes last said they have at each engine. A node that has said nothing for a while
@@ -56,6 +59,7 @@
   private final Map<String, Heard> heardByNode = new HashMap<>();
   private final Map<String, Long> signs = new HashMap<>();
   private Map<String, Sum> sums = new HashMap<>();
+  private Map<String, BudgetDigest> budgets = new HashMap<>();
   private long sumsAtNanos;
   private boolean sumsStale = true;
 
@@ -164,6 +168,18 @@
     return sum(engineId, nowNanos).limit;
   }
 
+  /** What the other nodes tell of the retry budget of a service. */
+  BudgetDigest budget(String service, long nowNanos) {
+    refresh(nowNanos);
+    return budgets.getOrDefault(service, BudgetDigest.NONE);
+  }
+
+  /** Services of whose retry budgets other nodes tell something. */
+  Set<String> budgetedServices(long nowNanos) {
+    refresh(nowNanos);
+    return Set.copyOf(budgets.keySet());
+  }
+
   /** Long answers among them that have begun. */
   int streams(String engineId, long nowNanos) {
     return sum(engineId, nowNanos).streams;
@@ -226,7 +242,9 @@
       nodes += other.digest.nodes();
       first = first(first, other.digest.firstNode());
     }
-    return own.withGroup(nodes, first, digests(all, nowNanos));
+    Map<String, BudgetDigest> budgets = new HashMap<>(own.budgets());
+    others.forEach(other -> addBudgets(budgets, other, nowNanos));
+    return own.withGroup(nodes, first, digests(all, nowNanos), budgets);
   }
 
   /** What each node that reports to this one is told: what all have but those it speaks for. */
@@ -251,6 +269,15 @@
                 all.computeIfAbsent(id, key -> new Sum()).add(engine, toldNanos, nowNanos));
   }
 
+  private static void addBudgets(Map<String, BudgetDigest> all, Heard heard, long nowNanos) {
+    if (nowNanos - heard.atNanos < SharedBudget.TOLD_LIFETIME_NANOS) {
+      heard
+          .digest
+          .budgets()
+          .forEach((service, told) -> all.merge(service, told, BudgetDigest::plus));
+    }
+  }
+
   private static Map<String, EngineDigest> digests(Map<String, Sum> all, long nowNanos) {
     Map<String, EngineDigest> digests = new HashMap<>();
     all.forEach((id, sum) -> digests.put(id, sum.toDigest(nowNanos)));
@@ -258,18 +285,28 @@
   }
 
   private Sum sum(String engineId, long nowNanos) {
+    refresh(nowNanos);
+    return sums.getOrDefault(engineId, NOTHING);
+  }
+
+  private void refresh(long nowNanos) {
     boolean old = nowNanos - sumsAtNanos >= SUMS_LIFETIME_NANOS;
-    if (sumsStale && old || nowNanos - sumsAtNanos >= VIEW_LIFETIME_NANOS) {
+    if (sumsStale && old || nowNanos - sumsAtNanos >= SharedBudget.TOLD_LIFETIME_NANOS) {
       addUp(nowNanos);
     }
-    return sums.getOrDefault(engineId, NOTHING);
   }
 
   private void addUp(long nowNanos) {
     heardByNode.values().removeIf(heard -> !heard.fresh(nowNanos));
     signs.values().removeIf(heardNanos -> nowNanos - heardNanos > SIGN_LIFETIME_NANOS);
     sums = new HashMap<>();
-    counted(nowNanos).forEach(heard -> addTo(sums, heard.digest, heard.atNanos, nowNanos));
+    budgets = new HashMap<>();
+    counted(nowNanos)
+        .forEach(
+            heard -> {
+              addTo(sums, heard.digest, heard.atNanos, nowNanos);
+              addBudgets(budgets, heard, nowNanos);
+            });
     sumsAtNanos = nowNanos;
     sumsStale = false;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
@@ -1,22 +1,24 @@
 package org.fallturn.core.dispatch;
 
 import java.util.OptionalInt;
-import org.fallturn.core.limits.SlidingCount;
+import org.fallturn.core.limits.BudgetDigest;
+import org.fallturn.core.limits.SharedBudget;
 
 /**
  * Bounds what this node sends again to one service within a sliding window: a ratio of the requests
- * it received for that service, and its share of a fixed slack. The sum over nodes then keeps the
- * fleet's bound without any message: each node's ratio is of its own requests, and the slack is
- * divided by the number of nodes. A process forgets what the one before it sent again, so that it
- * begins with the part of its share that no process with a longer uptime touches. One thread calls.
+ * that all nodes received for that service, and a fixed slack, shared by {@link SharedBudget} with
+ * the nodes that have something to send again. It answers failures that some nodes have and others
+ * have not. A process forgets what the one before it sent again, so that it begins with the part of
+ * its share that no process with a longer uptime touches. One thread calls.
  */
 final class RetryBudget {
 
-  private static final int BUCKETS = 20;
-
   /** Part of the ratio that is used, so that sends that arrive a window later stay within. */
   private static final double RATIO_PART = 0.8;
 
+  /** Part that a process uses within its first window: the one before may have used the other. */
+  private static final double STARTING_RATIO_PART = 1 - RATIO_PART;
+
   /** Part of this node's share of the slack that a process uses within its first window. */
   private static final double STARTING_PART = 0.3;
 
@@ -32,14 +34,12 @@
   private double ratio;
   private double slack;
   private final long windowNanos;
-  private final SlidingCount requests;
-  private final SlidingCount repeats;
+  private final SharedBudget budget;
 
   RetryBudget(DispatchParameters parameters) {
     setBounds(parameters);
     this.windowNanos = parameters.retryWindow().toNanos();
-    this.requests = new SlidingCount(windowNanos, BUCKETS);
-    this.repeats = new SlidingCount(windowNanos, BUCKETS);
+    this.budget = new SharedBudget(parameters.retryWindow());
   }
 
   /** Takes changed bounds; the window stays. */
@@ -49,24 +49,36 @@
   }
 
   void onRequest(long nowNanos) {
-    requests.add(nowNanos);
+    budget.onRequest(nowNanos);
+  }
+
+  /**
+   * Takes what is known of the others.
+   *
+   * @param told what they tell
+   * @param nodes nodes that share the slack; none of it is used while their number is not known
+   * @param uptimeNanos since when this process serves requests
+   */
+  void setOthers(BudgetDigest told, OptionalInt nodes, long uptimeNanos) {
+    boolean steady = uptimeNanos >= windowNanos;
+    budget.setBounds(
+        (steady ? RATIO_PART : STARTING_RATIO_PART) * ratio,
+        (steady ? STEADY_PART : STARTING_PART) * slack);
+    budget.setSharing(steady);
+    budget.setOthers(told, nodes);
   }
 
   /**
    * Takes one repeat when the bound allows it.
    *
-   * @param nodes nodes that share the slack; none is used while their number is not known
    * @param late whether the request's best time is over; what can still be in time goes first
-   * @param uptimeNanos since when this process serves requests
    */
-  boolean tryTake(OptionalInt nodes, boolean late, long uptimeNanos, long nowNanos) {
-    double slackPart = uptimeNanos < windowNanos ? STARTING_PART : STEADY_PART;
-    double slackShare = nodes.isPresent() ? slackPart * slack / nodes.getAsInt() : 0;
-    double allowed = RATIO_PART * ratio * requests.sum(nowNanos) + slackShare;
-    if (repeats.sum(nowNanos) + 1 > (late ? LATE_PART : 1) * allowed) {
-      return false;
-    }
-    repeats.add(nowNanos);
-    return true;
+  boolean tryTake(boolean late, long nowNanos) {
+    return budget.tryTake(late ? LATE_PART : 1, nowNanos);
+  }
+
+  /** What this node tells the others. */
+  BudgetDigest digest(long nowNanos) {
+    return budget.digest(nowNanos);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.routing.Route;
 
 /**
@@ -27,12 +28,14 @@
   private static final Duration MIN_TIME_FOR_ATTEMPT = Duration.ofMillis(10);
 
   private final Map<String, RetryBudget> budgets = new HashMap<>();
+  private final PeerLoads peerLoads;
   private DispatchParameters parameters;
   private OptionalInt nodeCount = OptionalInt.empty();
   private OptionalLong startedNanos = OptionalLong.empty();
 
-  RetryRules(DispatchParameters parameters) {
+  RetryRules(DispatchParameters parameters, PeerLoads peerLoads) {
     this.parameters = parameters;
+    this.peerLoads = peerLoads;
   }
 
   /** Takes changed bounds; the windows stay. */
@@ -55,10 +58,28 @@
 
   /** A request for a service came, which widens its budget. */
   void onRequest(String service, long nowNanos) {
+    begin(nowNanos);
+    budget(service).onRequest(nowNanos);
+  }
+
+  private void begin(long nowNanos) {
     if (startedNanos.isEmpty()) {
       startedNanos = OptionalLong.of(nowNanos);
     }
-    budget(service).onRequest(nowNanos);
+  }
+
+  /** What this node tells the others of the budgets, by service; of most there is nothing. */
+  Map<String, BudgetDigest> digests(long nowNanos) {
+    begin(nowNanos);
+    peerLoads.budgetedServices(nowNanos).forEach(this::budget);
+    Map<String, BudgetDigest> digests = new HashMap<>();
+    for (String service : budgets.keySet()) {
+      BudgetDigest digest = current(service, nowNanos).digest(nowNanos);
+      if (digest.nodes() > 0) {
+        digests.put(service, digest);
+      }
+    }
+    return digests;
   }
 
   /**
@@ -92,14 +113,20 @@
     if (!progress.nextSendIsRepeat()) {
       return true;
     }
-    return budget(progress.service())
-        .tryTake(nodeCount, progress.late(nowNanos), uptime(nowNanos), nowNanos);
+    return current(progress.service(), nowNanos).tryTake(progress.late(nowNanos), nowNanos);
   }
 
   private long uptime(long nowNanos) {
     return startedNanos.isPresent() ? nowNanos - startedNanos.getAsLong() : 0;
   }
 
+  /** The budget with what is known of the others now. */
+  private RetryBudget current(String service, long nowNanos) {
+    RetryBudget budget = budget(service);
+    budget.setOthers(peerLoads.budget(service, nowNanos), nodeCount, uptime(nowNanos));
+    return budget;
+  }
+
   private RetryBudget budget(String service) {
     return budgets.computeIfAbsent(service, name -> new RetryBudget(parameters));
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/FleetKnowledge.java
@@ -590,6 +590,7 @@
   private LoadDigest digest(OwnLoad own, List<PlacedPrompt> prompts) {
     String first = own.mayOrder() ? node : "";
     return new LoadDigest(
-        node, incarnation, ++sequence, 1, first, own.engines(), prompts, own.speeds());
+            node, incarnation, ++sequence, 1, first, own.engines(), prompts, own.speeds())
+        .withBudgets(own.budgets());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.fallturn.core.dispatch.EngineDigest;
 import org.fallturn.core.dispatch.LearnedSpeed;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.quarantine.CrashReport;
 
 /**
@@ -13,9 +14,21 @@
  * @param speeds how fast engines read, by service, as far as it has learned it
  * @param crashes contents that may crash engines, as far as others should hear of them now
  * @param mayOrder whether it may order changes of stage when its name is the first
+ * @param budgets its parts of retry budgets, by service
  */
 public record OwnLoad(
     Map<String, EngineDigest> engines,
     Map<String, LearnedSpeed> speeds,
     List<CrashReport> crashes,
-    boolean mayOrder) {}
+    boolean mayOrder,
+    Map<String, BudgetDigest> budgets) {
+
+  /** Of a node that says nothing of retry budgets. */
+  public OwnLoad(
+      Map<String, EngineDigest> engines,
+      Map<String, LearnedSpeed> speeds,
+      List<CrashReport> crashes,
+      boolean mayOrder) {
+    this(engines, speeds, crashes, mayOrder, Map.of());
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -10,14 +10,15 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.fallturn.core.limits.BudgetDigest;
 
 class RetryBudgetTest {
 
-  private static final double RATIO = 0.2;
-  private static final double SLACK = 54;
-  private static final long WINDOW = Duration.ofSeconds(10).toNanos();
+  static final double RATIO = 0.2;
+  static final double SLACK = 54;
+  static final long WINDOW = Duration.ofSeconds(10).toNanos();
 
-  private static RetryBudget budget() {
+  static RetryBudget budget() {
     return new RetryBudget(
         new DispatchParameters(
             "n",
@@ -49,8 +50,11 @@
       if (random.nextInt(3) > 0) {
         budget.onRequest(now);
         requests.add(now);
-      } else if (budget.tryTake(OptionalInt.of(nodes), false, now, now)) {
-        repeats.add(now);
+      } else {
+        budget.setOthers(BudgetDigest.NONE, OptionalInt.of(nodes), now);
+        if (budget.tryTake(false, now)) {
+          repeats.add(now);
+        }
       }
     }
     for (long end : repeats) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -19,6 +19,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.limits.LimitDigest;
 import org.fallturn.core.limits.LimitWord;
 import org.fallturn.core.limits.RateDigest;
@@ -40,6 +41,7 @@
  *  "e":{"i-7f":"2,0,1,0,120,0,0,500"},     running, streams, suspecting, changing, heard ago, tokens
  *  "d":{"i-7f":2},                         engines that leave unlisted: nodes that know it
  *  "b":{"i-7f":"1,32,0,8,2.2,40,-1"},      limits: nodes, weight, held, sent; a second, named ago, ended ago
+ *  "o":{"llm":"3,350,9,4,140"},            retry budgets: nodes, requests, used, wanted, kept
  *  "p":["i-7f 12 5c1e:800 91bd:410"],      prompts: engine, ready in ms, parts and their tokens
  *  "v":{"llm":0.02},                       time a token in ms, by service
  *  "l":["i-7f 40 500 5c1e:800"],           listings: engine, age in ms, least tokens, parts
@@ -87,6 +89,7 @@
     writeEngines(out, load.engines());
     writeLeaving(out, load.engines());
     writeLimits(out, load.engines());
+    writeBudgets(out, load.budgets());
     writeSpeeds(out, load.speeds());
     writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
     writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
@@ -142,6 +145,18 @@
     out.writeEndObject();
   }
 
+  private static void writeBudgets(JsonGenerator out, Map<String, BudgetDigest> budgets)
+      throws IOException {
+    if (budgets.isEmpty()) {
+      return;
+    }
+    out.writeObjectFieldStart("o");
+    for (Map.Entry<String, BudgetDigest> budget : budgets.entrySet()) {
+      out.writeStringField(budget.getKey(), text(budget.getValue()));
+    }
+    out.writeEndObject();
+  }
+
   private static void writeSpeeds(JsonGenerator out, Map<String, LearnedSpeed> speeds)
       throws IOException {
     if (speeds.isEmpty()) {
@@ -210,6 +225,14 @@
     return text.toString();
   }
 
+  private static String text(BudgetDigest budget) {
+    StringJoiner text = new StringJoiner(",");
+    text.add(Integer.toString(budget.nodes())).add(Integer.toString(budget.requests()));
+    text.add(Integer.toString(budget.used())).add(Integer.toString(budget.wanted()));
+    text.add(Integer.toString(budget.kept()));
+    return text.toString();
+  }
+
   private static String text(PlacedPrompt prompt) {
     return prompt.engineId() + ' ' + prompt.readyInMillis() + text(prompt.parts());
   }
@@ -251,6 +274,7 @@
     private final Map<String, EngineDigest> engines = new HashMap<>();
     private final Map<String, Integer> leaving = new HashMap<>();
     private final Map<String, LimitDigest> limits = new HashMap<>();
+    private final Map<String, BudgetDigest> budgets = new HashMap<>();
     private final Map<String, LearnedSpeed> speeds = new HashMap<>();
     private final List<PlacedPrompt> prompts = new ArrayList<>();
     private final List<CacheListing> listings = new ArrayList<>();
@@ -278,6 +302,7 @@
         case "e" -> readEngines(in);
         case "d" -> readLeaving(in);
         case "b" -> readLimits(in);
+        case "o" -> readBudgets(in);
         case "v" -> readSpeeds(in);
         case "t" -> readTables(in);
         case "u" -> readUsage(in);
@@ -319,6 +344,14 @@
       }
     }
 
+    private void readBudgets(JsonParser in) throws IOException {
+      while (in.nextToken() == JsonToken.FIELD_NAME) {
+        String service = in.currentName();
+        in.nextToken();
+        budgets.put(service, budget(in.getText().split(",")));
+      }
+    }
+
     private void readSpeeds(JsonParser in) throws IOException {
       while (in.nextToken() == JsonToken.FIELD_NAME) {
         String service = in.currentName();
@@ -388,6 +421,15 @@
       return new LimitDigest(rate, word);
     }
 
+    private static BudgetDigest budget(String[] fields) {
+      return new BudgetDigest(
+          Integer.parseInt(fields[0]),
+          Integer.parseInt(fields[1]),
+          Integer.parseInt(fields[2]),
+          Integer.parseInt(fields[3]),
+          Integer.parseInt(fields[4]));
+    }
+
     private static PlacedPrompt prompt(String text) {
       String[] words = text.split(" ");
       return new PlacedPrompt(
@@ -439,7 +481,8 @@
               needed("f"),
               engines,
               prompts,
-              speeds);
+              speeds,
+              budgets);
       MessageKind kind = MessageKind.valueOf(needed("k"));
       boolean wantsListings = Boolean.parseBoolean(single.get("w"));
       return new PeerMessage(
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -75,7 +75,8 @@
                     dispatcher.fleet().ownLoads(nowNanos),
                     dispatcher.fleet().ownSpeeds(),
                     dispatcher.quarantine().takeReports(knowledge.hasMembers(nowNanos), nowNanos),
-                    dispatcher.mayOrderStages(nowNanos)),
+                    dispatcher.mayOrderStages(nowNanos),
+                    dispatcher.ownBudgets(nowNanos)),
             nowNanos));
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EarlierBuildsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EarlierBuildsTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import org.fallturn.core.dispatch.EngineDigest;
 import org.fallturn.core.dispatch.LoadDigest;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.limits.LimitDigest;
 import org.fallturn.core.limits.LimitWord;
 import org.fallturn.core.limits.RateDigest;
@@ -92,7 +93,8 @@
                 load.firstNode(),
                 engines,
                 load.prompts(),
-                load.speeds()),
+                load.speeds(),
+                Map.of("llm", new BudgetDigest(3, 350, 9, 4, 140))),
             message.listings(),
             message.crashes(),
             message.relays(),
@@ -100,7 +102,7 @@
             message.wantsListings());
     assertThat(codec.decode(codec.encode(later))).isEqualTo(later);
     JsonNode said = json.readTree(codec.encode(later));
-    ((ObjectNode) said).remove(List.of("d", "b"));
+    ((ObjectNode) said).remove(List.of("d", "b", "o"));
     assertThat(said).isEqualTo(json.readTree(bytes));
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -14,6 +14,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.peers.KnownPeer;
 import org.fallturn.core.peers.MessageKind;
 import org.fallturn.core.peers.PeerInfo;
@@ -54,7 +55,8 @@
             "edge-0",
             engines,
             List.of(new PlacedPrompt("i-7f", 12, parts), new PlacedPrompt("i-80", 0, List.of())),
-            Map.of("llm", new LearnedSpeed(0.02)));
+            Map.of("llm", new LearnedSpeed(0.02)),
+            Map.of("llm", new BudgetDigest(3, 350, 9, 4, 140)));
     return new PeerMessage(
         MessageKind.VIEW,
         peer(1),
@@ -107,7 +109,8 @@
         "{\"q\":[\"no-fingerprint 0 0 0 true\"]}",
         "{\"q\":[\"00000007-9c4f 0\"]}",
         "{\"q\":[\"00000007-9c4f 0 0 0 true i-7f:12\"]}",
-        "{\"e\":{\"i-7f\":\"1,2\"}}"
+        "{\"e\":{\"i-7f\":\"1,2\"}}",
+        "{\"o\":{\"llm\":\"1,2\"}}"
       })
   void whatIsNotAMessageIsRefused(String text) {
     assertThatThrownBy(() -> codec.decode(text.getBytes(StandardCharsets.UTF_8)))
