--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.pace.PaceChange;
 import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.quarantine.Quarantine;
@@ -54,7 +56,7 @@
   /** A dispatcher that knows no engine yet. */
   public Dispatcher(DispatchParameters parameters) {
     this.parameters = parameters;
-    this.retries = new RetryRules(parameters);
+    this.retries = new RetryRules(parameters, peerLoads);
     this.refusals = new Refusals(parameters);
     this.quarantine = new Quarantine(parameters.node());
     long lastResortNanos = parameters.lastResort().toNanos();
@@ -125,6 +127,16 @@
     return peerLoads;
   }
 
+  /** Factor by which reading takes longer at an engine than usual. */
+  double slowness(String engineId, long nowNanos) {
+    return pace.pace().slowness(engineId, WorkKind.READING, nowNanos);
+  }
+
+  /** What this node tells the others of the retry budgets, by service. */
+  public Map<String, BudgetDigest> ownBudgets(long nowNanos) {
+    return retries.digests(nowNanos);
+  }
+
   /** What engines say of themselves; whoever reads their answers tells it. */
   public EngineNotices notices() {
     return notices;
@@ -201,11 +213,6 @@
     return changes;
   }
 
-  /** Factor by which reading takes longer at an engine than usual. */
-  double slowness(String engineId, long nowNanos) {
-    return pace.pace().slowness(engineId, WorkKind.READING, nowNanos);
-  }
-
   /** Engines found to be slower or faster than others, or no more, since the last call. */
   public List<PaceChange> takePaceChanges(long nowNanos) {
     return pace.takeChanges(nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerTalk.java
@@ -78,7 +78,8 @@
                     dispatcher.fleet().ownLoads(nowNanos),
                     dispatcher.fleet().ownSpeeds(),
                     dispatcher.quarantine().takeReports(knowledge.hasMembers(nowNanos), nowNanos),
-                    dispatcher.stages().mayOrder(nowNanos)),
+                    dispatcher.stages().mayOrder(nowNanos),
+                    dispatcher.ownBudgets(nowNanos)),
             nowNanos));
   }
 
