--- a/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/DispatchSettings.java
@@ -51,7 +51,7 @@
   private static final SettingDefinition<Boolean> CACHE_ROOM =
       SettingDefinition.flag(
           "dispatch.cache_room",
-          true,
+          false,
           "Whether prompts are placed by the room that is left in the engines' KV caches.");
 
   private static final SettingDefinition<Boolean> LATE_YIELDS =
