--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingPaceTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ReadingPaceTest.java
@@ -100,6 +100,24 @@
       @ForAll @IntRange(min = 2, max = 60) int longPercent,
       @ForAll long seed) {
     begin(tokensPerMilli, loadPercent, longPercent, seed);
+    leaveDarkEngine(tokensPerMilli);
+  }
+
+  /**
+   * With this seed a prompt still waits at an engine that went dark when it should long have been
+   * left. Why is not traced.
+   */
+  @Property(tries = 30, seed = "177")
+  void engineThatGoesDarkIsLeftSoonWithAnotherSeed(
+      @ForAll @IntRange(min = 30, max = 400) int tokensPerMilli,
+      @ForAll @IntRange(min = 10, max = 130) int loadPercent,
+      @ForAll @IntRange(min = 2, max = 60) int longPercent,
+      @ForAll long seed) {
+    begin(tokensPerMilli, loadPercent, longPercent, seed);
+    leaveDarkEngine(tokensPerMilli);
+  }
+
+  private void leaveDarkEngine(int tokensPerMilli) {
     int darkAt = 2_000 + random.nextInt(2_000);
     int leftWithin = LEFT_WITHIN_MILLIS + 2 * LONGEST_PROMPT / tokensPerMilli;
     for (int millis = 0; millis < PLAYED_MILLIS; millis += STEP_MILLIS) {
