Keep one ring of buckets for counts and peaks of a sliding window

SlidingPeak had the clearing of passed buckets written again beside SlidingCount. SlidingBuckets holds it for both; what is counted and when a bucket is cleared stays. Checked with the tests of limits, budgets and the dispatcher; not measured.

--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingCount.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingCount.java
@@ -8,10 +8,8 @@
  */
 public final class SlidingCount {
 
-  private final long bucketNanos;
+  private final SlidingBuckets buckets;
   private final int[] counts;
-  private long newestBucket;
-  private boolean begun;
 
   /**
    * Nothing has happened yet.
@@ -20,8 +18,8 @@
    * @param buckets into how many parts it is divided
    */
   public SlidingCount(long windowNanos, int buckets) {
-    this.bucketNanos = windowNanos / buckets;
-    this.counts = new int[buckets + 1];
+    this.buckets = new SlidingBuckets(windowNanos, buckets, this::clear);
+    this.counts = new int[this.buckets.count()];
   }
 
   /** A window in buckets of 100 ms. */
@@ -31,12 +29,12 @@
 
   /** It happens once. */
   public void add(long nowNanos) {
-    counts[moveTo(nowNanos)]++;
+    counts[buckets.moveTo(nowNanos)]++;
   }
 
   /** How often it happened within the window. */
   public int sum(long nowNanos) {
-    moveTo(nowNanos);
+    buckets.moveTo(nowNanos);
     int sum = 0;
     for (int count : counts) {
       sum += count;
@@ -45,27 +43,16 @@
   }
 
   /** How often it happened within so many buckets, the newest of which are left out. */
-  int sum(int buckets, int leftOut, long nowNanos) {
-    moveTo(nowNanos);
+  int sum(int taken, int leftOut, long nowNanos) {
+    buckets.moveTo(nowNanos);
     int sum = 0;
-    for (int back = leftOut; back <= leftOut + buckets && back < counts.length; back++) {
-      sum += counts[Math.floorMod(newestBucket - back, counts.length)];
+    for (int back = leftOut; back <= leftOut + taken && back < counts.length; back++) {
+      sum += counts[buckets.place(back)];
     }
     return sum;
   }
 
-  /** Clears the buckets that have passed since the last call; the place of the newest. */
-  private int moveTo(long nowNanos) {
-    long bucket = Math.floorDiv(nowNanos, bucketNanos);
-    if (!begun) {
-      begun = true;
-      newestBucket = bucket;
-    }
-    long passed = Math.min(bucket - newestBucket, counts.length);
-    for (long step = 0; step < passed; step++) {
-      counts[Math.floorMod(bucket - step, counts.length)] = 0;
-    }
-    newestBucket = Math.max(newestBucket, bucket);
-    return Math.floorMod(newestBucket, counts.length);
+  private void clear(int place) {
+    counts[place] = 0;
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingPeak.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SlidingPeak.java
@@ -8,29 +8,21 @@
  */
 final class SlidingPeak {
 
-  private final long bucketNanos;
+  private final SlidingBuckets buckets;
   private final double[] peaks;
-  private long newestBucket;
-  private boolean begun;
 
   SlidingPeak(long windowNanos, int buckets) {
-    this.bucketNanos = windowNanos / buckets;
-    this.peaks = new double[buckets + 1];
+    this.buckets = new SlidingBuckets(windowNanos, buckets, this::clear);
+    this.peaks = new double[this.buckets.count()];
+  }
+
+  private void clear(int place) {
+    peaks[place] = 0;
   }
 
   /** Takes the value of now; the highest within the window, this one included. */
   double seen(double value, long nowNanos) {
-    long bucket = Math.floorDiv(nowNanos, bucketNanos);
-    if (!begun) {
-      begun = true;
-      newestBucket = bucket;
-    }
-    long passed = Math.min(bucket - newestBucket, peaks.length);
-    for (long step = 0; step < passed; step++) {
-      peaks[Math.floorMod(bucket - step, peaks.length)] = 0;
-    }
-    newestBucket = Math.max(newestBucket, bucket);
-    int place = Math.floorMod(newestBucket, peaks.length);
+    int place = buckets.moveTo(nowNanos);
     peaks[place] = Math.max(peaks[place], value);
     return Arrays.stream(peaks).max().orElse(0);
   }
