Forecast no pace for prompts where pace is switched off

Each prompt that was placed made a forecast, a text and an expectation that nobody took while dispatch.learn_pace was off, its default; the twin for application requests already asked first. What is decided and told stays. Also a comment of ApplicationRoom that promised more than its method does.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ApplicationRoom.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ApplicationRoom.java
@@ -158,7 +158,7 @@
     return waiting.add(entry, maxBytes).stream().map(Waiting::request).toList();
   }
 
-  /** Requests that end their wait now: those that have room, or no time left to be served. */
+  /** Requests that end their wait now, since they have no time left to be served. */
   List<RequestProgress> takeEnded(long nowNanos) {
     List<RequestProgress> ended = new ArrayList<>();
     for (String service : waiting.services()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PaceFeed.java
@@ -93,7 +93,10 @@
    * that lets others go first nothing of how long it takes.
    */
   void onPlaced(RequestProgress progress, PromptPlacement.Plan plan, long nowNanos) {
-    if (plan.readTokens() == 0 || progress.source().isPresent() || plan.urgency().late()) {
+    if (!enabled
+        || plan.readTokens() == 0
+        || progress.source().isPresent()
+        || plan.urgency().late()) {
       return;
     }
     ServingEngine engine = plan.engine();
