Ask the store for an announced change once peers take too long

What callers saw: requests went to engines 4.2 to 4.6 s after these had announced that they leave (4 s are allowed), and some then waited at an engine that was gone until their deadline passed.

Cause: a node that lacked an announced change asked all its peers in turn before the store. Each peer that is down or overloaded costs a timeout of 400 ms, the last round over four of them 1.6 s. After a failed call to the store it waited 100 ms for each node of the fleet, whether or not a peer had the change.

--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
@@ -63,6 +63,11 @@
     return order.nodes() <= watchers ? longestWaitNanos : confirmNanos;
   }
 
+  /** Returns how long a node asks its peers for an announced change before it asks the store. */
+  long maxAskingNanos() {
+    return confirmNanos;
+  }
+
   /**
    * Returns how often this node confirms. The interval grows with the rank: nodes that confirmed at
    * the same moments would not notice each other.
--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
@@ -14,9 +14,9 @@
  *
  * <p>Invariants: a node asks the store itself once no node has confirmed for the trusted time that
  * the store answered, so that no node depends on its peers to keep its copy current. A node looks
- * in the store for an announced change that no peer can supply, and then not again for a while. A
- * confirmation counts only when it is newer than all before it, so that a node that repeats an old
- * one does not keep others from asking the store.
+ * in the store for an announced change that no peer supplies in time, and then not again for a
+ * while. A confirmation counts only when it is newer than all before it, so that a node that
+ * repeats an old one does not keep others from asking the store.
  *
  * <p>Not thread-safe: only the thread that follows the table calls it.
  */
@@ -45,7 +45,10 @@
   private boolean failing;
   private boolean askPeersFirst;
   private long retryAtNanos;
+  private long soonRetryAtNanos;
   private int failedAsks;
+  private long askingSinceNanos;
+  private boolean peersFailed;
   private boolean tooLarge;
   private long missingChange;
   private long missingSinceNanos;
@@ -94,17 +97,22 @@
 
   /**
    * Returns the step while the store does not answer this node: when an announced change is
-   * missing, the node asks its peers in turn until one has it.
+   * missing, the node asks its peers in turn until one has it. If none has, it also tries the store
+   * again soon.
    */
   private FollowStep untilRetry(FollowState state, long nowNanos) {
     long left = retryAtNanos - nowNanos;
     if (!state.known() || !isBehind(state, nowNanos)) {
       return FollowStep.listen(left);
     }
-    if (!askedAll(state)) {
-      return askNext(state);
+    if (!askedAll(state) && !peersTakeTooLong(nowNanos)) {
+      return askNext(state, nowNanos);
     }
     failedAsks = 0;
+    peersFailed = true;
+    if (soonRetryAtNanos - retryAtNanos < 0) {
+      retryAtNanos = soonRetryAtNanos;
+    }
     return FollowStep.listen(Math.min(left, FIRST_PAUSE_NANOS));
   }
 
@@ -115,7 +123,7 @@
       return mayHearSoon(state, nowNanos);
     }
     if (isBehind(state, nowNanos)) {
-      return !tooLarge && !askedAll(state);
+      return !tooLarge && !peersFailed && !askedAll(state) && !peersTakeTooLong(nowNanos);
     }
     boolean confirmed = othersConfirm(state) || state.sinceOwnNanos() < settleNanos();
     return confirmed && !watches(order);
@@ -144,7 +152,7 @@
 
   private FollowStep fromPeers(FollowState state, long nowNanos) {
     if (isBehind(state, nowNanos) && !askedAll(state)) {
-      return askNext(state);
+      return askNext(state, nowNanos);
     }
     long left =
         othersConfirm(state)
@@ -157,7 +165,10 @@
    * Asks the nodes that should have the change first, then any node that was heard, since the store
    * may answer none of the former.
    */
-  private FollowStep askNext(FollowState state) {
+  private FollowStep askNext(FollowState state, long nowNanos) {
+    if (failedAsks == 0) {
+      askingSinceNanos = nowNanos;
+    }
     if (tooLarge || failedAsks >= state.order().askable().size()) {
       return FollowStep.askAny();
     }
@@ -173,6 +184,15 @@
     return twice ? ASK_RELAY_NANOS : 0;
   }
 
+  /**
+   * Returns whether peers have been asked in vain for so long that the node should go to the store.
+   * Each peer that does not answer costs a timeout, and asking all of them in turn may take longer
+   * than the time within which a change must take effect.
+   */
+  private boolean peersTakeTooLong(long nowNanos) {
+    return failedAsks > 0 && nowNanos - askingSinceNanos >= bounds.maxAskingNanos();
+  }
+
   private boolean askedAll(FollowState state) {
     return failedAsks > state.order().askable().size();
   }
@@ -225,6 +245,7 @@
   /** Records that the store answered this node. */
   public void onAnswered() {
     failing = false;
+    peersFailed = false;
     pauseNanos = FIRST_PAUSE_NANOS;
   }
 
@@ -259,6 +280,9 @@
     failing = true;
     askPeersFirst = !state.known() || isBehind(state, nowNanos);
     failedAsks = 0;
+    askingSinceNanos = nowNanos;
+    peersFailed = false;
+    soonRetryAtNanos = nowNanos + pauseNanos;
     retryAtNanos = nowNanos + (state.known() ? pauseNanos(state) : PAUSE_WITHOUT_TABLE_NANOS);
     pauseNanos = Math.min(2 * pauseNanos, LONGEST_PAUSE_NANOS);
   }
@@ -291,5 +315,6 @@
   public void onAsked(boolean caughtUp) {
     tooLarge = false;
     failedAsks = caughtUp ? 0 : failedAsks + 1;
+    peersFailed &= !caughtUp;
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/following/FollowPlanTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/following/FollowPlanTest.java
@@ -97,6 +97,49 @@
     assertThat(next(order(MEMBER), 12, NEVER, 0)).isEqualTo(FollowStep.watch(0));
   }
 
+  /**
+   * Peers that did not answer within 400 ms each kept a node from a store that did answer, so that
+   * it sent requests to engines for 4.6 s after their leaving had been announced.
+   */
+  @Test
+  void peersThatDoNotAnswerKeepNoNodeFromTheStore() {
+    NetworkAddress first = new NetworkAddress("10.0.0.2", 7660);
+    NetworkAddress second = new NetworkAddress("10.0.0.3", 7660);
+    List<NetworkAddress> askable = List.of(RELAY, RELAY, first, second);
+    WatchOrder order = new WatchOrder(MEMBER, 71, false, true, askable);
+    FollowState announced = state(order, 12, NEVER, 0);
+    long now = NOW;
+    FollowStep step = plan.next(announced, now);
+    while (step.kind() == Kind.ASK) {
+      now += millis(step.equals(FollowStep.askAny()) ? 4 * 400 : 400);
+      plan.onAsked(false);
+      step = plan.next(announced, now);
+    }
+    assertThat(step).isEqualTo(FollowStep.watch(0));
+    assertThat(now - NOW).isLessThan(BOUNDS.confirmNanos() + millis(400));
+  }
+
+  /**
+   * The call to the store failed, and no peer has the change. In a fleet of 71 nodes the node
+   * waited four seconds before it called the store again, and kept its stale copy meanwhile.
+   */
+  @Test
+  void nodeThatGetsAChangeFromNobodyTriesTheStoreAgainSoon() {
+    FollowState announced = state(order(MEMBER), 12, NEVER, 0);
+    plan.onFailed(announced, NOW);
+    long now = NOW;
+    FollowStep step = plan.next(announced, now);
+    while (step.kind().source() == FollowStep.Source.PEERS) {
+      now += step.kind() == Kind.ASK ? millis(400) : Math.max(millis(1), step.nanos());
+      if (step.kind() == Kind.ASK) {
+        plan.onAsked(false);
+      }
+      step = plan.next(announced, now);
+    }
+    assertThat(step).isEqualTo(FollowStep.watch(0));
+    assertThat(now - NOW).isLessThan(BOUNDS.confirmNanos() + millis(400) + millis(100));
+  }
+
   /** Nodes that ask fetch the change over the same link: sixteen of them once took five seconds. */
   @Test
   void changeTooLargeForPeersIsReadFromTheStore() {
