Report engines that leave also when the own directory says so

What callers saw: requests went to engines that were leaving, at nodes whose copy of the directory was older than that of the others.

Cause: a node reported a leaving engine only until its own copy of the directory said so. Nodes that could not read the change then heard of it no more, although ten messages a second passed between them and nodes that knew.

Change: a leaving engine is reported for as long as it is listed. Some 50 bytes for each engine that leaves, in messages of the nodes that know.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineNotices.java
@@ -87,6 +87,11 @@
     return restNanos > 0 && (before == null || end - before > 0);
   }
 
+  /** Returns the ids of the engines that are leaving. */
+  Set<String> leaving() {
+    return Set.copyOf(leavingSince.keySet());
+  }
+
   /** Returns whether an engine is leaving. */
   public boolean isLeaving(String engineId) {
     return leavingSince.containsKey(engineId);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/LocalDigests.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/LocalDigests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.fallturn.core.routing.EngineDirectory;
 
 /**
@@ -35,7 +36,7 @@
    */
   Map<String, EngineDigest> all(EngineDirectory listed, long nowNanos) {
     Map<String, EngineDigest> digests = new HashMap<>();
-    notices.limits().known().stream()
+    Stream.concat(notices.limits().known().stream(), notices.leaving().stream())
         .flatMap(id -> listed.find(id).stream())
         .forEach(selector::load);
     selector
@@ -58,7 +59,7 @@
         load.health().warnsOthers(nowNanos) ? 1 : 0,
         selector.isChangingStage(id) ? 1 : 0,
         heardAgoMillis(load, nowNanos),
-        leavesUnannounced(id, listed) ? 1 : 0,
+        isListedAndLeaving(id, listed) ? 1 : 0,
         notices.limits().digest(id, nowNanos),
         pace.recentPace(id, nowNanos));
   }
@@ -73,17 +74,18 @@
         || load.heardWithin(REPORTED_SIGN_NANOS, nowNanos)
         || load.health().warnsOthers(nowNanos)
         || selector.isChangingStage(id)
-        || leavesUnannounced(id, listed)
+        || isListedAndLeaving(id, listed)
         || !notices.limits().digest(id, nowNanos).isNegligible()
         || !pace.recentPace(id, nowNanos).isNegligible();
   }
 
   /**
-   * Returns whether an engine is leaving although its directory entry does not say so: other nodes
-   * may not know it yet.
+   * Returns whether an engine is leaving and its entry has not gone. It is reported even if the
+   * entry says so: other nodes may have an older copy of the directory, and this report reaches
+   * them sooner than the rows do.
    */
-  private boolean leavesUnannounced(String id, EngineDirectory listed) {
-    return notices.isLeaving(id) && listed.find(id).filter(engine -> !engine.leaving()).isPresent();
+  private boolean isListedAndLeaving(String id, EngineDirectory listed) {
+    return notices.isLeaving(id) && listed.find(id).isPresent();
   }
 
   private static int heardAgoMillis(EngineLoad load, long nowNanos) {
