Scale the permits kept ready by the part of the fleet that is heard

What callers saw: nothing; an engine that names a limit got more than it allows (127 of 125 in 4 s, 6 of 5, 51 of 47), after which it may reject or rest.

Cause: all nodes together keep a few permits ready, as all may be used at once. Each group of a fleet that is cut filled up to the number for the whole fleet.

Evidence: the failing samples, sends in tenths of a second: all have a burst at all nodes during a cut into 3 or 4 groups; in the first one 26, 19 and 8 sends in the first 300 ms of the burst at 20 a second, then some 20 a second.

Change: the target is multiplied by the fraction of the nodes that are heard, like the rate.

--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedRate.java
@@ -188,8 +188,9 @@
     return (int) Math.max(0, permits);
   }
 
+  /** The number of permits that this node and the nodes it hears keep ready together. */
   private double targetReady() {
-    return 1 + READY_SECONDS * perSecond;
+    return heardFraction() * (1 + READY_SECONDS * perSecond);
   }
 
   private double maxReady() {
@@ -230,11 +231,16 @@
 
   /** The rate, in requests per second, at which this node may send. */
   private double rate(long nowNanos) {
-    if (nodes.isEmpty()) {
-      return 0;
-    }
-    double heardFraction = Math.min(1, (1.0 + others.nodes()) / nodes.getAsInt());
-    return perSecond * heardFraction * share(nowNanos);
+    return perSecond * heardFraction() * share(nowNanos);
+  }
+
+  /**
+   * The fraction of all nodes that this node knows to apply the limit, itself included; 0 while
+   * nobody knows how many there are. Nodes that are cut off from each other each count the permits
+   * of their own group only, so that a group may use or keep no more than its part.
+   */
+  private double heardFraction() {
+    return nodes.isEmpty() ? 0 : Math.min(1, (1.0 + others.nodes()) / nodes.getAsInt());
   }
 
   /**
--- a/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/limits/SharedRateTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against nodes that share a rate without asking each other and together exceed the bound,
@@ -74,6 +75,29 @@
         .isLessThanOrEqualTo(RateFleet.allowed(limit));
   }
 
+  /**
+   * Samples in which a burst reached all nodes while the fleet was cut into groups. Each group had
+   * filled up to the permits that the whole fleet may keep ready: 127 requests came within 4 s
+   * where 125 are allowed, 6 where 5 are, and 51 where 47 are.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {-16611, 8594234, 1609})
+  void burstAtAFleetThatIsCutIntoGroupsStaysWithinTheBound(long seed) {
+    windowsStayWithinTheBoundWhateverHappens(seed);
+  }
+
+  /** However many parts the fleet is cut into, all parts together keep few permits ready. */
+  @ParameterizedTest
+  @CsvSource({"63,20,2", "63,20,4", "63,20,9", "63,7.1,9", "9,0,3", "9,0,9", "338,20,12"})
+  void groupsThatDoNotHearEachOtherKeepFewPermitsTogether(int nodes, double limit, int groups) {
+    RateFleet fleet = new RateFleet(nodes, limit, RateFleet::demandShare, LOSS_RATE, 12);
+    fleet.run(
+        30,
+        (node, seconds) -> (seconds < 20 ? 0.2 * limit : 40 * limit + 40) / nodes,
+        (node, seconds) -> seconds < 5 ? 0 : node % groups);
+    assertThat(worst(fleet)).isLessThanOrEqualTo(RateFleet.allowed(limit));
+  }
+
   @ParameterizedTest
   @CsvSource({"2.2", "7.1", "20"})
   void burstAtAllNodesAfterAnIdleTimeStaysWithinTheBound(double limit) {
