Name the longest waiting prompt once per message

What is decided by it is bounded by the longest recent prompt of the service anyway, so that one length for all engines of a message serves as well.

PeerCodecTest: a message keeps the longest; each engine gets at most what waits there.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineDigest.java
@@ -71,13 +71,17 @@
     return longestPrompt < sum(waitingTokens);
   }
 
-  /** Returns the same digest with the length of the longest waiting prompt. */
+  /**
+   * Returns the same digest with another length of the longest waiting prompt.
+   *
+   * @param tokens the length, or an upper bound of it; no more than all waiting tokens counts
+   */
   public EngineDigest withLongestPrompt(long tokens) {
     return new EngineDigest(
         running,
         streams,
         waitingTokens,
-        tokens,
+        Math.min(tokens, sum(waitingTokens)),
         suspecting,
         changing,
         heardAgoMillis,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -42,8 +42,8 @@
  *                                          first node that may order stage changes
  *  "e":{"i-7f":"2,0,1,0,120,0,0,500"},     engines: running, streams, suspecting, changing, ms
  *                                          since the last sign of life, waiting tokens by urgency
- *  "h":{"i-7f":300},                       longest waiting prompts in tokens; one that is left out is
- *                                          all that waits there
+ *  "h":300,                                tokens of the longest waiting prompt; left out if no
+ *                                          engine has more than one
  *  "d":{"i-7f":2},                         leaving engines: number of nodes that know
  *  "b":{"i-7f":"1,32,0,8,2.2,40,-1"},      limits: nodes, weight, held, sent; requests per second,
  *                                          ms since announced, ms since ended
@@ -95,7 +95,7 @@
     out.writeNumberField("m", load.nodes());
     out.writeStringField("f", load.firstNode());
     writeEngines(out, load.engines());
-    writeLongestPrompts(out, load.engines());
+    writeLongestPrompt(out, load.engines());
     writeLeaving(out, load.engines());
     writeLimits(out, load.engines());
     writePaces(out, load.engines());
@@ -127,18 +127,14 @@
     out.writeEndObject();
   }
 
-  private static void writeLongestPrompts(JsonGenerator out, Map<String, EngineDigest> engines)
+  /** One length for all engines, since a length for each would make messages a fifth longer. */
+  private static void writeLongestPrompt(JsonGenerator out, Map<String, EngineDigest> engines)
       throws IOException {
-    if (engines.values().stream().noneMatch(EngineDigest::hasSeveralPrompts)) {
-      return;
-    }
-    out.writeObjectFieldStart("h");
-    for (Map.Entry<String, EngineDigest> engine : engines.entrySet()) {
-      if (engine.getValue().hasSeveralPrompts()) {
-        out.writeNumberField(engine.getKey(), engine.getValue().longestPrompt());
-      }
+    if (engines.values().stream().anyMatch(EngineDigest::hasSeveralPrompts)) {
+      long longest =
+          engines.values().stream().mapToLong(EngineDigest::longestPrompt).max().orElse(0);
+      out.writeNumberField("h", longest);
     }
-    out.writeEndObject();
   }
 
   private static void writeLeaving(JsonGenerator out, Map<String, EngineDigest> engines)
@@ -316,7 +312,6 @@
 
     private final Map<String, String> scalars = new HashMap<>();
     private final Map<String, EngineDigest> engines = new HashMap<>();
-    private final Map<String, Long> longestPrompts = new HashMap<>();
     private final Map<String, Integer> leaving = new HashMap<>();
     private final Map<String, LimitDigest> limits = new HashMap<>();
     private final Map<String, RecentPace> paces = new HashMap<>();
@@ -346,13 +341,12 @@
     private void readField(String key, JsonParser in) throws IOException {
       switch (key) {
         case "e" -> readEngines(in);
-        case "h" -> readNumbers(in, longestPrompts);
         case "d" -> readLeaving(in);
         case "b" -> readLimits(in);
         case "g" -> readPaces(in);
         case "o" -> readBudgets(in);
         case "v" -> readSpeeds(in);
-        case "t" -> readNumbers(in, tables);
+        case "t" -> readTables(in);
         case "u" -> readUsage(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
@@ -417,11 +411,11 @@
       }
     }
 
-    private static void readNumbers(JsonParser in, Map<String, Long> numbers) throws IOException {
+    private void readTables(JsonParser in) throws IOException {
       while (in.nextToken() == JsonToken.FIELD_NAME) {
-        String name = in.currentName();
+        String table = in.currentName();
         in.nextToken();
-        numbers.put(name, in.getLongValue());
+        tables.put(table, in.getLongValue());
       }
     }
 
@@ -522,9 +516,10 @@
     }
 
     PeerMessage message() {
-      longestPrompts.forEach(
-          (id, tokens) ->
-              engines.computeIfPresent(id, (key, digest) -> digest.withLongestPrompt(tokens)));
+      if (scalars.containsKey("h")) {
+        long longest = Long.parseLong(scalars.get("h"));
+        engines.replaceAll((id, digest) -> digest.withLongestPrompt(longest));
+      }
       leaving.forEach(
           (id, nodes) -> engines.computeIfPresent(id, (key, digest) -> digest.withLeaving(nodes)));
       limits.forEach(
