Listen for other nodes before acting for all of them

What callers saw: nothing directly; the wrong node held the lease of the orders of stage after a start, and the right one could order nothing until it lapsed.

Cause: a node that had heard no other yet took itself for the first by name, three seconds after its start, when stages are evened before any load.

Evidence: traced when the entry was made (order from gateway-2, no load reported); the unit test shows the same: an order at 3 s where the node count is unknown.

Change: a node with seeds that has heard nobody listens for 5 s first. After that it acts, so that a lone survivor is not held up.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -229,6 +229,7 @@
     retries.setNodeCount(count);
     queue.setNodeCount(count);
     silence.setPeersKnown(count.isPresent());
+    stages.setPeersKnown(count.isPresent());
   }
 
   /** Makes the first decision for a request. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -49,6 +49,12 @@
    */
   private static final long LEADER_DUTY_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
+  /**
+   * How long a node that has heard no other waits before it acts for all nodes. Until it has heard
+   * them, it considers itself first, and takes the lease from the node that is.
+   */
+  private static final long LISTENING_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   private final EngineSelector selector;
   private final PeerLoads peerLoads;
   private final Function<String, PrefillSpeed> speeds;
@@ -56,6 +62,8 @@
   private final StageParameters parameters;
   private final Map<String, StagePlanner> planners = new HashMap<>();
   private OptionalLong leaderDutyFailedNanos = OptionalLong.empty();
+  private OptionalLong startedNanos = OptionalLong.empty();
+  private boolean peersKnown;
   private boolean candidate = true;
 
   StageControl(
@@ -74,6 +82,9 @@
   /** Returns the change that this node should order now, if any. */
   Optional<StageChange> onTick(Collection<ServiceDefinition> services, long nowNanos) {
     selector.pruneChanging(nowNanos);
+    if (startedNanos.isEmpty()) {
+      startedNanos = OptionalLong.of(nowNanos);
+    }
     if (!parameters.enabled() || !candidate) {
       return Optional.empty();
     }
@@ -123,17 +134,27 @@
         || candidate && !isServed(nowNanos) && peerLoads.noPeerMayOrder(nowNanos);
   }
 
+  /** Sets whether any other node has been heard or there is none. */
+  void setPeersKnown(boolean known) {
+    peersKnown = known;
+  }
+
   /** Sets whether this node is one of the few that may order changes at all. */
   public void setCandidate(boolean isCandidate) {
     candidate = isCandidate;
   }
 
   /**
-   * Returns whether this node may order changes as far as is known: it is a candidate, and it has
-   * not recently failed to act for all nodes.
+   * Returns whether this node may order changes as far as is known: it is a candidate, it has heard
+   * other nodes or listened for long enough, and it has not recently failed to act for all nodes.
    */
   public boolean mayOrder(long nowNanos) {
-    return candidate && isServed(nowNanos);
+    return candidate && hasListened(nowNanos) && isServed(nowNanos);
+  }
+
+  private boolean hasListened(long nowNanos) {
+    return peersKnown
+        || startedNanos.isPresent() && nowNanos - startedNanos.getAsLong() >= LISTENING_NANOS;
   }
 
   private boolean isServed(long nowNanos) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StageControlTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
@@ -91,6 +92,25 @@
     assertThat(wantedWhileOtherReports(OTHER, 1)).isEmpty();
   }
 
+  /**
+   * A node that had not heard the others yet took itself for the first, three seconds after its
+   * start, and got the lease before the node that is first.
+   */
+  @Test
+  void nodeThatHasHeardNoOtherYetListensBeforeItOrders() {
+    dispatcher.setNodeCount(OptionalInt.empty());
+    assertThat(wantedWhileOtherReports("", 4)).isEmpty();
+    assertThat(dispatcher.stages().mayOrder(now())).isFalse();
+    dispatcher.setNodeCount(OptionalInt.of(2));
+    assertThat(wantedWhileOtherReports("", 1)).isPresent();
+  }
+
+  @Test
+  void nodeThatHearsNoOtherOrdersInTheEnd() {
+    dispatcher.setNodeCount(OptionalInt.empty());
+    assertThat(wantedWhileOtherReports("", 6)).isPresent();
+  }
+
   @Test
   void nodeThatFailsInTheLeaderDutyLeavesOrdersToAnotherNodeForSomeTime() {
     assertThat(wantedWhileOtherReports("", 4)).isPresent();
