Leave a request at a silent engine while no other can take it

What callers saw: 502 after 400 ms for an idempotent request with 20 s left, while one of two engines asked for rest and the other one was slow for a moment.

Cause: an attempt was ended for the silence of its engine whether or not another engine could take the request. Nothing was left then but an error.

Change: before its timeout an attempt ends for silence only where there is another engine. The engine is suspended all the same, and the request moves once one is there.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/SilenceDetector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/SilenceDetector.java
@@ -182,8 +182,8 @@
    * Returns why an attempt without a sign of life should be ended; empty if it should go on
    * waiting.
    *
-   * <p>Before its timeout, an attempt ends only if its engine has gone silent and the request may
-   * go to another engine. After the timeout, it waits on while its prompt merely waits behind
+   * <p>Before its timeout, an attempt ends only if its engine has gone silent and another engine
+   * can take the request. After the timeout, it waits on while its prompt merely waits behind
    * others: the engine has answered some node recently and has not read prompts that were sent
    * later.
    *
@@ -228,9 +228,19 @@
         .map(engine -> selector.load(engine).health())
         .filter(health -> health.suspended() && health.silent() && progress.mayGoElsewhere())
         .filter(health -> isSilent(progress, nowNanos))
+        .filter(health -> hasAlternative(progress, nowNanos))
         .isPresent();
   }
 
+  /**
+   * Returns whether another engine can take a request. While none can, its caller is better off
+   * with an answer that may still come than with an error now.
+   */
+  private boolean hasAlternative(RequestProgress progress, long nowNanos) {
+    return !selector.runCandidates(progress, nowNanos).isEmpty()
+        || progress.prefilling() && !selector.prefillCandidates(progress, nowNanos).isEmpty();
+  }
+
   /**
    * Returns whether a request that has priority over others is unanswered although its engine has
    * read another prompt since, and has then had time for all prompts that were expected to be read
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StuckAttemptTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StuckAttemptTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
 import org.fallturn.core.routing.ServingEngine;
 import org.junit.jupiter.api.Test;
 
@@ -93,4 +94,26 @@
     }
     assertThat(dispatcher.stuck(lost, Duration.ofMillis(200), after(250))).isPresent();
   }
+
+  /**
+   * One engine rests, and the other is silent for longer than a request takes, as when its machine
+   * stalls. The request was taken from it though there was no other engine, and its caller got an
+   * error at once where the answer came a moment later.
+   */
+  @Test
+  void requestIsNotTakenFromASilentEngineWhileNoOtherCanTakeIt() {
+    ServingEngine one = Requests.engine("a-1", Requests.APPLICATION, EngineStage.NONE);
+    ServingEngine other = Requests.engine("a-2", Requests.APPLICATION, EngineStage.NONE);
+    Dispatcher applications = Requests.dispatcher(one, other);
+    applications.notices().onRest("a-1", Duration.ofSeconds(2).toNanos(), START);
+    RequestProgress request = Requests.application(RequestKind.IDEMPOTENT, 3);
+    applications.start(request, START);
+    assertThat(request.engine()).contains(other);
+    Duration timeout = Duration.ofSeconds(5);
+    applications.onTick(after(1_000));
+    assertThat(applications.stuck(request, timeout, after(1_000))).isEmpty();
+    applications.onTick(after(2_100));
+    assertThat(applications.stuck(request, timeout, after(2_100)))
+        .contains(StuckReason.ENGINE_SILENT);
+  }
 }
