Do not use an engine in whose place another answers as a last resort

What callers saw: 503 after three futile sends each, while all engines of a service had ended and others had their addresses; an engine that wanted rest was sent 256 requests that were meant for the one before it.

Cause: when every engine of a service is suspended, all of them are candidates. That holds for engines that fail, not for one that has ended: 421 says that another engine has its address.

Change: while an engine is suspended for that reason it is no candidate. Then one request probes it, as an engine that changes its stage answers 421 too.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -34,6 +34,7 @@
   private double failureShare;
   private long failureShareAtNanos;
   private boolean silent;
+  private boolean misdirected;
   private boolean reportedSuspended;
 
   /** Returns whether the engine was suspended or resumed since the last call. */
@@ -56,6 +57,14 @@
     return !probing && nowNanos - suspendedUntilNanos >= 0;
   }
 
+  /**
+   * Returns whether the engine is suspended because another engine answered in its place. Unlike
+   * one that merely fails, it cannot serve a request even if all others of its service fail.
+   */
+  boolean isReplaced(long nowNanos) {
+    return misdirected && !usable(nowNanos);
+  }
+
   /**
    * Returns whether other nodes should send nothing to the engine: while it is suspended, and while
    * a request probes it. It is false once the engine may be probed, since nodes that warn each
@@ -114,6 +123,7 @@
   /** Ends a suspension because some bytes of an answer arrived. */
   void onSignOfLife() {
     failuresInRow = 0;
+    misdirected = false;
     suspended = false;
     probing = false;
     suspensionNanos = FIRST_SUSPENSION_NANOS;
@@ -129,6 +139,7 @@
     updateFailureShare(1, nowNanos);
     if (outcome == AttemptOutcome.MISDIRECTED) {
       silent = false;
+      misdirected = true;
       suspensionNanos = MAX_SUSPENSION_NANOS;
       suspend(nowNanos);
       return;
@@ -139,6 +150,7 @@
     failuresInRow++;
     if (suspended ? probed : failuresInRow >= FAILURES_TO_SUSPEND) {
       silent = outcome == AttemptOutcome.SILENT;
+      misdirected = false;
       suspend(nowNanos);
     }
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -392,8 +392,10 @@
 
   /**
    * Returns the engines that the request may be sent to, without those that it was sent to before.
-   * Healthy engines are preferred. If there is none, all engines that are not leaving are returned;
-   * if every engine is leaving, rests or has reached its limit, those that began to leave recently.
+   * Healthy engines are preferred. If there is none, all engines that are not leaving are returned,
+   * except those in whose place another engine answers: when all engines of a service had ended and
+   * others had their addresses, each request was sent to all of them in vain. If every engine is
+   * leaving, rests or has reached its limit, those that began to leave recently.
    *
    * <p>Engines that rest are never included: a node once sent 4 requests within 3 s to an engine
    * that rejected them all, because it had the least load. Engines whose limit currently leaves
@@ -414,7 +416,10 @@
       return preferred;
     }
     if (!allowed.isEmpty()) {
-      return allowed.stream().filter(engine -> !progress.hasTried(engine)).toList();
+      return allowed.stream()
+          .filter(engine -> !progress.hasTried(engine))
+          .filter(engine -> !load(engine).health().isReplaced(nowNanos))
+          .toList();
     }
     return departures.recentlyLeft(progress.service(), nowNanos).stream()
         .filter(engine -> fits.test(engine) && allowsRequests(engine, nowNanos))
