Answer 408 only while the server waits for bytes of the head

What callers saw: 408 for a request whose head they had sent at once, twice in some 600,000 beside heavy load.

Cause: the time of a head counts from its first byte until it is served. Where the thread that has read it, or the selector that is to read the rest, does not get to run for 600 ms, the checks on the scheduler's thread still do, and blame the caller.

Evidence: the new test holds up only the thread that serves: 408 without the change. Nothing tells whether the two that were seen came about so, as a 408 was not logged.

Change: a 408 is given only if the connection is registered for reading and has no unread bytes; else the time starts anew. Both are logged.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
@@ -13,6 +13,8 @@
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Server connector whose connections can be watched for a disconnect while a request is served. It
@@ -21,6 +23,8 @@
  */
 final class WatchedConnector extends ServerConnector {
 
+  private static final Logger LOG = LoggerFactory.getLogger(WatchedConnector.class);
+
   static final long CHECK_MILLIS = 250;
 
   /** A longer pause between two checks means that this process was stalled, not its callers. */
@@ -72,7 +76,14 @@
     if (stalled) {
       caller.restartHeadTimer();
     } else if (caller.checkHeadTimeout(headTimeoutNanos, checksWithin(headTimeoutNanos))) {
-      caller.write(Callback.from(caller::close), ByteBuffer.wrap(HEAD_TOO_SLOW));
+      if (caller.awaitsBytes()) {
+        LOG.info(
+            "callers: The head of a request from {} is late.", caller.getRemoteSocketAddress());
+        caller.write(Callback.from(caller::close), ByteBuffer.wrap(HEAD_TOO_SLOW));
+      } else {
+        LOG.info("callers: A head has come and is not served yet; this process is slow.");
+        caller.restartHeadTimer();
+      }
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -132,6 +132,19 @@
     }
   }
 
+  /**
+   * Whether the server has used all bytes that came and waits for more. Otherwise a head takes long
+   * because threads of this process do not get to run, although the caller has sent it.
+   */
+  boolean awaitsBytes() {
+    try {
+      return getFillInterest().isInterested()
+          && getChannel().socket().getInputStream().available() == 0;
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
   /** Whether the head of a request has been arriving for longer than a time, in ns. */
   boolean headTakesLongerThan(long nanos) {
     synchronized (lock) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -37,6 +38,8 @@
   private static final Duration HEAD_TIMEOUT = Duration.ofMillis(300);
 
   private final Queue<Runnable> checks = new ConcurrentLinkedQueue<>();
+  private final CountDownLatch handling = new CountDownLatch(1);
+  private volatile CountDownLatch served = new CountDownLatch(0);
   private Server server;
   private WatchedConnector connector;
 
@@ -53,10 +56,12 @@
   }
 
   /** Answers a request when its head is complete. */
-  private static final class Answering extends Handler.Abstract {
+  private final class Answering extends Handler.Abstract {
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      handling.countDown();
+      served.await();
       Content.Source.asString(request);
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
       return true;
@@ -83,6 +88,10 @@
     checks.remove().run();
   }
 
+  private void restartHeadTimers() {
+    connector.getConnectedEndPoints().forEach(e -> ((WatchedEndPoint) e).restartHeadTimer());
+  }
+
   private Socket callerWhoseHeadHasBegun() throws Exception {
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), connector.getLocalPort());
     caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: ".getBytes(StandardCharsets.US_ASCII));
@@ -108,6 +117,23 @@
     }
   }
 
+  /** Only the thread that read the head does not get to run; the checks go on. */
+  @Test
+  void headThatCameAndIsNotServedYetIsNotAnsweredWith408() throws Exception {
+    served = new CountDownLatch(1);
+    try (Socket caller = callerWhoseHeadHasBegun()) {
+      caller.getOutputStream().write("fleet\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      handling.await();
+      restartHeadTimers();
+      long until = System.nanoTime() + 3 * HEAD_TIMEOUT.toNanos();
+      while (System.nanoTime() - until < 0) {
+        check();
+      }
+      served.countDown();
+      assertThat(readLine(caller)).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   @Test
   void headThatIsStillArrivingAtEveryCheckIsAnsweredWith408() throws Exception {
     try (Socket caller = callerWhoseHeadHasBegun()) {
