Let calls of a node that is behind take as long as a slow link needs

Cause: a node that lacks an announced change calls the store, and the call was ended after 250 to 500 ms because the node lacked the change. Calls to peers had 400 ms, however often none had answered. An ended call closes its connection. On a link that is full nothing comes within that time, so that no call ever succeeded.

Change: a call that waits for no change has its timeout of 1 s only. The timeout for peers doubles with each call in a row that gets no answer, twice at the most.

Tests: callOfANodeThatIsBehindIsNotEndedBeforeItsAnswer and nodeOnASlowLinkGetsAnAnswerInTheEnd fail without the change.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -55,6 +55,12 @@
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
+  /**
+   * How often the timeout doubles at most, once for each call in a row without an answer. A node
+   * whose link is full gets no answer within the first timeout, whomever it asks.
+   */
+  private static final int MAX_DOUBLINGS = 2;
+
   /**
    * How many peers a read asks at most. The store may reject a third of the nodes at once; four
    * peers are rarely all among them.
@@ -68,6 +74,7 @@
   private final Supplier<List<NetworkAddress>> peers;
   private final ToLongFunction<String> newestChange;
   private final AtomicInteger nextPeerIndex = new AtomicInteger();
+  private final AtomicInteger unansweredInRow = new AtomicInteger();
 
   /** The answer to the last request for a table, reused for equal requests. */
   private record Reply(FeedAnswer table, String query, TableUpdate update, Lazy<byte[]> bytes) {}
@@ -112,8 +119,9 @@
               .newRequest(peer.host(), peer.port())
               .path(path)
               .headers(headers -> headers.put(MAX_BYTES_HEADER, Integer.toString(maxBytes)))
-              .timeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+              .timeout(timeout().toMillis(), TimeUnit.MILLISECONDS)
               .send();
+      unansweredInRow.set(0);
       if (response.getStatus() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
         throw new TableTooLargeException(peer + " has too large an update of " + path);
       }
@@ -125,10 +133,15 @@
       Thread.currentThread().interrupt();
       throw new StoreException("interrupted", false, e);
     } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
+      unansweredInRow.incrementAndGet();
       throw new StoreException("no answer from " + peer, false, e);
     }
   }
 
+  private Duration timeout() {
+    return CALL_TIMEOUT.multipliedBy(1L << Math.min(unansweredInRow.get(), MAX_DOUBLINGS));
+  }
+
   /** Stores this node's current copy of a table, which other nodes may read from now on. */
   void update(String table, FeedTracker tracker) {
     ownTables.put(table, new FeedAnswer(List.copyOf(tracker.rows()), tracker.position()));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -274,13 +274,18 @@
     }
   }
 
+  /**
+   * Asks the store for changes, and ends a watch that can no longer be relied on. A call that waits
+   * for no change is not ended, since it has a timeout: a node that is behind makes it, and on a
+   * slow link would never get an answer if being behind ended it.
+   */
   private void watch(FollowStep step, FollowState sight)
       throws StoreException, InterruptedException {
     long begun = System.nanoTime();
     boolean[] ended = new boolean[1];
     BooleanSupplier wanted =
         () -> {
-          ended[0] |= !isTrusted(System.nanoTime() - begun);
+          ended[0] |= step.nanos() > 0 && !isTrusted(System.nanoTime() - begun);
           return !ended[0];
         };
     try {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
@@ -3,16 +3,24 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.awaitility.Awaitility.await;
 
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedAnswer;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
+import org.fallturn.core.port.table.StoreException;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.json.JsonCodec;
 import org.junit.jupiter.api.AfterEach;
@@ -162,4 +170,29 @@
         .isInstanceOf(TableTooLargeException.class);
     assertThat(asking.rows(TABLE).askAny().rows()).containsExactly(large);
   }
+
+  /**
+   * Every answer takes longer than the first timeout, as over a full link. The node asked one peer
+   * after the other with the same timeout for twelve seconds and never got an answer.
+   */
+  @Test
+  void nodeOnASlowLinkGetsAnAnswerInTheEnd() throws Exception {
+    Handler slow =
+        new Handler.Abstract() {
+          @Override
+          public boolean handle(Request request, Response response, Callback callback)
+              throws Exception {
+            TimeUnit.MILLISECONDS.sleep(600);
+            return serving.handle(request, response, callback);
+          }
+        };
+    serving.update(TABLE, tracker(changed()));
+    try (HttpListener distant =
+        new HttpListener("distant", new NetworkAddress("127.0.0.1", 0), 4, slow)) {
+      await()
+          .atMost(Duration.ofSeconds(20))
+          .ignoreExceptionsInstanceOf(StoreException.class)
+          .until(() -> asking.rows(TABLE).ask(distant.address()).version() == ROWS + 3);
+    }
+  }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RowFollowerTest.java
@@ -306,4 +306,41 @@
           .until(() -> watches.get() == 2);
     }
   }
+
+  /**
+   * The store answers within its timeout, but later than a watch may be behind. Each call of a node
+   * that lacked a change was ended before its answer came, because the node lacked the change.
+   */
+  @Test
+  void callOfANodeThatIsBehindIsNotEndedBeforeItsAnswer() throws Exception {
+    StubReports reports = new StubReports(ranked(5));
+    reports.confirmed = true;
+    RowFeed feed =
+        new RowFeed() {
+          @Override
+          public FeedAnswer snapshot() {
+            reports.newest.set(9);
+            return new FeedAnswer(List.of(), 1, 1L);
+          }
+
+          @Override
+          public FeedAnswer changesAfter(long after, Duration wait, BooleanSupplier stillWanted) {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(600);
+            while (System.nanoTime() - until < 0) {
+              if (!stillWanted.getAsBoolean()) {
+                steps.add("ended");
+                return new FeedAnswer(List.of(), after);
+              }
+            }
+            done.countDown();
+            return new FeedAnswer(List.of(new FeedRow("a", 9, "", false)), 9, 2L);
+          }
+        };
+    try (RowFollower follower =
+        follower(feed, new PeersWithoutTheTable(), reports, Duration.ofSeconds(5))) {
+      follower.start();
+      assertThat(done.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+    assertThat(steps).doesNotContain("ended");
+  }
 }
