Give calls to the store and to other nodes connections that may come late

Cause: store, peers and engines shared one HTTP client, whose connections had 600 ms to come up. Engines need that, since a request moves to another engine then. A call to the store or a peer has nowhere to go: over a full link each attempt began anew.

Change: these calls have a client of their own, with 3 s to connect. A call still ends at its timeout; the connection that comes later serves the next one. No test of its own: connecting cannot be slowed down on loopback without tools from outside.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -15,21 +15,14 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.SocketAddressResolver;
-import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
-import org.fallturn.node.http.LiteralAddressResolver;
-import org.fallturn.node.http.PlainClientConnector;
 import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,19 +36,14 @@
   private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
-  private static final Duration IDLE_CONNECTION = Duration.ofMillis(2_500);
   private static final Duration BUSY_CONNECTION = Duration.ofSeconds(60);
-  private static final int DEFAULT_CONNECTIONS = 16;
-  private static final int MAX_QUEUED = 4_096;
   private static final int ASSUMED_NODES = 8;
   private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
   /** An engine reports without waiting for a slot, so one that takes longer is stuck. */
   private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
-  private static final String TIMER_THREAD = "engines-timer";
   private static final int MAX_LIST_BYTES = 2 << 20;
-  private static final int BUFFER_BYTES = 8 * 1024;
 
   private final HttpClient client;
   private final EngineProtocol protocol;
@@ -67,37 +55,11 @@
       throws Exception {
     this.protocol = protocol;
     this.noticeReader = new NoticeReader(protocol, notices, log);
-    ClientConnector connector = new PlainClientConnector();
-    connector.setSelectors(1);
-    connector.setExecutor(executor);
-    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
-    transport.setConnectionPoolFactory(
-        destination -> new DuplexConnectionPool(destination, maxConnections(destination)));
-    client = new HttpClient(transport);
-    client.setExecutor(executor);
-    Scheduler timer = new ScheduledExecutorScheduler(TIMER_THREAD, true);
-    client.setScheduler(timer);
-    client.setSocketAddressResolver(
-        new LiteralAddressResolver(
-            new SocketAddressResolver.Async(
-                executor, timer, client.getAddressResolutionTimeout())));
-    client.setUserAgentField(null);
-    client.setFollowRedirects(false);
-    client.setDefaultRequestContentType(null);
-    client.setConnectBlocking(false);
-    client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
-    client.setIdleTimeout(IDLE_CONNECTION.toMillis());
-    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
-    client.setRequestBufferSize(BUFFER_BYTES);
-    client.setResponseBufferSize(BUFFER_BYTES);
-    client.start();
-    client.getContentDecoderFactories().clear();
-    client.getProtocolHandlers().clear();
-  }
-
-  /** The underlying HTTP client, also used for calls to other nodes and to the store. */
-  HttpClient client() {
-    return client;
+    client =
+        PlainHttpClients.start(
+            executor,
+            CONNECT_TIMEOUT,
+            destination -> new DuplexConnectionPool(destination, maxConnections(destination)));
   }
 
   EngineProtocol protocol() {
@@ -124,7 +86,7 @@
             destination.getOrigin().getAddress().getHost(),
             destination.getOrigin().getAddress().getPort());
     String service = serviceByAddress.getOrDefault(address, "");
-    return connectionsByService.getOrDefault(service, DEFAULT_CONNECTIONS);
+    return connectionsByService.getOrDefault(service, PlainHttpClients.DEFAULT_CONNECTIONS);
   }
 
   /** Sends the request of an attempt; the attempt receives the outcome. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -83,6 +84,7 @@
   private final WatchedConnector callers;
   private final EngineNotices notices;
   private final EngineClient engines;
+  private final HttpClient control;
   private final PeerPorts peerPorts;
   private final PeerExchange peers;
   private final RelayOverlay overlay;
@@ -140,6 +142,7 @@
     Dispatcher dispatcher = new Dispatcher(parameters);
     this.notices = dispatcher.notices();
     this.engines = new EngineClient(platform.engines(), notices, log, threads);
+    this.control = PlainHttpClients.startForControl(threads);
     this.peerPorts = PeerPorts.bind(settings.peers());
     this.peers = new PeerExchange(peerPorts.datagrams(), this::post);
     DutyContext duties =
@@ -160,8 +163,7 @@
             engine -> overlay.pollsEngine(engine, System.nanoTime()),
             settings.firstStart());
     PeerMessenger messenger = new PeerMessenger(overlay, dispatcher, survey, peers::send);
-    this.quarantine =
-        new QuarantineDuty(platform.quarantine().create(engines.client()), this::post, log);
+    this.quarantine = new QuarantineDuty(platform.quarantine().create(control), this::post, log);
     this.quarantineActions =
         new QuarantineActions(dispatcher, new EngineProbe(engines, this::post), quarantine, log);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
@@ -180,8 +182,7 @@
             state::stopping);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
-    this.snapshots =
-        new PeerSnapshots(engines.client(), overlay::askable, overlay.tables()::newest);
+    this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
     state.setRouting(routingFollower);
@@ -196,7 +197,7 @@
 
   private OrderLease newOrderLease(DispatchParameters parameters) {
     return new OrderLease(
-        platform.orderLease().create(engines.client()),
+        platform.orderLease().create(control),
         settings.nodeName(),
         parameters.stages(),
         System::nanoTime);
@@ -205,15 +206,13 @@
   private UsageDuty newUsageDuty(DutyContext duties) {
     return new UsageDuty(
         duties,
-        platform.usage().create(engines.client()),
-        platform.usageApi().create(engines.client(), settings.duties().api().orElseThrow()));
+        platform.usage().create(control),
+        platform.usageApi().create(control, settings.duties().api().orElseThrow()));
   }
 
   private ScaleDuty newScaleDuty(DutyContext duties, NetworkAddress api) {
     return new ScaleDuty(
-        duties,
-        platform.initialCounts().create(engines.client()),
-        platform.scaleApi().create(engines.client(), api));
+        duties, platform.initialCounts().create(control), platform.scaleApi().create(control, api));
   }
 
   private Scaling newScaling() {
@@ -250,8 +249,7 @@
     changeSignals.add(changeSignal);
     return new RowFollower(
         table,
-        new RowFollower.Sources(
-            feed.create(engines.client()), snapshots.rows(table), others(table)),
+        new RowFollower.Sources(feed.create(control), snapshots.rows(table), others(table)),
         listener(onRows),
         log,
         followCounts,
@@ -588,6 +586,7 @@
     }
     peers.close();
     engines.close();
+    control.stop();
     dispatch.close();
   }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -0,0 +1,81 @@
+package org.fallturn.node.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.client.ConnectionPool;
+import org.eclipse.jetty.client.DuplexConnectionPool;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.fallturn.node.http.LiteralAddressResolver;
+import org.fallturn.node.http.PlainClientConnector;
+
+/**
+ * Starts HTTP clients with pooled connections that leave requests and answers as they are: they add
+ * no headers, decode no content and follow no redirects.
+ */
+final class PlainHttpClients {
+
+  /** Maximum number of connections to an address that has no bound of its own. */
+  static final int DEFAULT_CONNECTIONS = 16;
+
+  /**
+   * Time to connect to the store, the platform or another node. The timeout of the call ends the
+   * wait much sooner, but not the connecting: over a full link a connection may take longer than
+   * one call, and the next call finds it.
+   */
+  private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofSeconds(3);
+
+  private static final Duration IDLE_CONNECTION = Duration.ofMillis(2_500);
+  private static final int MAX_QUEUED = 4_096;
+  private static final int BUFFER_BYTES = 8 * 1024;
+  private static final String TIMER_THREAD = "calls-timer";
+
+  private PlainHttpClients() {}
+
+  /** Starts the client for calls to the store, the platform and other nodes. */
+  static HttpClient startForControl(Executor executor) throws Exception {
+    return start(
+        executor,
+        CONTROL_CONNECT_TIMEOUT,
+        destination -> new DuplexConnectionPool(destination, DEFAULT_CONNECTIONS));
+  }
+
+  /**
+   * Starts a client.
+   *
+   * @param pools creates the connection pool of each destination
+   */
+  static HttpClient start(Executor executor, Duration connectTimeout, ConnectionPool.Factory pools)
+      throws Exception {
+    ClientConnector connector = new PlainClientConnector();
+    connector.setSelectors(1);
+    connector.setExecutor(executor);
+    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+    transport.setConnectionPoolFactory(pools);
+    HttpClient client = new HttpClient(transport);
+    client.setExecutor(executor);
+    Scheduler timer = new ScheduledExecutorScheduler(TIMER_THREAD, true);
+    client.setScheduler(timer);
+    client.setSocketAddressResolver(
+        new LiteralAddressResolver(
+            new SocketAddressResolver.Async(
+                executor, timer, client.getAddressResolutionTimeout())));
+    client.setUserAgentField(null);
+    client.setFollowRedirects(false);
+    client.setDefaultRequestContentType(null);
+    client.setConnectBlocking(false);
+    client.setConnectTimeout(connectTimeout.toMillis());
+    client.setIdleTimeout(IDLE_CONNECTION.toMillis());
+    client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
+    client.setRequestBufferSize(BUFFER_BYTES);
+    client.setResponseBufferSize(BUFFER_BYTES);
+    client.start();
+    client.getContentDecoderFactories().clear();
+    client.getProtocolHandlers().clear();
+    return client;
+  }
+}
