Do not stop the shared thread pool with the client of the control calls

Jetty stops an executor that is a thread pool with its client, and the pool waits 5 s for the selector thread of the other client.

Change: that client gets the executor as a function, which it cannot stop, and is stopped first.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -585,8 +585,8 @@
       peerListener.close();
     }
     peers.close();
-    engines.close();
     control.stop();
+    engines.close();
     dispatch.close();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -36,10 +36,14 @@
 
   private PlainHttpClients() {}
 
-  /** Starts the client for calls to the store, the platform and other nodes. */
+  /**
+   * Starts the client for calls to the store, the platform and other nodes. The executor is passed
+   * on as a function, since a client stops an executor that is a thread pool, and this one is
+   * shared: the pool would wait five seconds for the threads of whoever is still using it.
+   */
   static HttpClient startForControl(Executor executor) throws Exception {
     return start(
-        executor,
+        executor::execute,
         CONTROL_CONNECT_TIMEOUT,
         destination -> new DuplexConnectionPool(destination, DEFAULT_CONNECTIONS));
   }
