Count and log whole readings that are older than what the node knows

Late configuration was traced to spans in which nodes read whole tables again and again; metrics counted the readings, but neither told which were too old to use nor where a node stands in the history of the store. Added: follow_store_stale, routing_position, engines_position, and the events STORE_BEHIND and STORE_CAUGHT_UP, once for each such span. No logic has changed.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -188,6 +188,21 @@
     line(LogEvent.HISTORY_LOST).addKeyValue("table", table).addKeyValue("position", position).log();
   }
 
+  void storeBehind(String table, long known, long answered) {
+    line(LogEvent.STORE_BEHIND)
+        .addKeyValue("table", table)
+        .addKeyValue("position", known)
+        .addKeyValue("answered", answered)
+        .log();
+  }
+
+  void storeCaughtUp(String table, long position) {
+    line(LogEvent.STORE_CAUGHT_UP)
+        .addKeyValue("table", table)
+        .addKeyValue("position", position)
+        .log();
+  }
+
   void routingChanged(RoutingImage image) {
     routingVersion = image.version();
     line(LogEvent.ROUTING_CHANGED)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/FollowCounts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/FollowCounts.java
@@ -15,6 +15,8 @@
   enum Kind {
     /** This node asked the store for a whole table. */
     STORE_WHOLE,
+    /** A whole table from the store was older than the one that this node has. */
+    STORE_STALE,
     /** A watch of the store returned rows. */
     STORE_WATCH_ROWS,
     /** A watch of the store returned no rows. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -306,7 +306,9 @@
   private void openMetrics() throws Exception {
     metrics.gauge("in_flight", state::inFlight);
     metrics.gauge("routing_version", this::routingVersion);
+    metrics.gauge("routing_position", routingFollower::position);
     metrics.gauge("engines", this::engineCount);
+    metrics.gauge("engines_position", engineFollower::position);
     metrics.gauge("waiting_requests", log::waitingCount);
     metrics.gauge("waiting_bytes", log::waitingBytes);
     metrics.gauge("engines_leaving", this::leavingCount);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -37,6 +37,10 @@
   NO_PEER_KNOWS,
   /** The store has dropped changes of a table that this node had not read yet. */
   HISTORY_LOST,
+  /** The store answers with an older state of a table than this node has already read. */
+  STORE_BEHIND,
+  /** The store's state of a table has reached what this node had read before. */
+  STORE_CAUGHT_UP,
   /** A version of the routes and services came into force at this node. */
   ROUTING_CHANGED,
   /** The list of engines changed. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -61,6 +61,7 @@
   private long batchPauseMillis;
   private long behindSinceNanos;
   private boolean behind;
+  private boolean storeBehind;
   private volatile boolean closed;
   private volatile boolean reachable = true;
   private volatile boolean confirmed;
@@ -356,6 +357,11 @@
     return peerReports.newestChange() > position;
   }
 
+  /** The position in the store's history that this node's rows have; any thread may call. */
+  long position() {
+    return position;
+  }
+
   /**
    * Time in ns since this node last was certain that its rows are the newest; any thread may call.
    * Reports of other nodes count as much as answers of the store.
@@ -395,6 +401,7 @@
     counts.count(FollowCounts.Kind.STORE_WHOLE);
     FeedAnswer answer = feed.snapshot();
     boolean stale = answer.version() < tracker.position();
+    onWholeRead(stale, answer.version());
     boolean changed = tracker.onWhole(answer, System.nanoTime());
     position = tracker.position();
     if (changed) {
@@ -407,6 +414,19 @@
     }
   }
 
+  /** Counts whole reads that are too old to use, and logs the first and the end of such a run. */
+  private void onWholeRead(boolean stale, long answered) {
+    if (stale) {
+      counts.count(FollowCounts.Kind.STORE_STALE);
+    }
+    if (stale && !storeBehind) {
+      log.storeBehind(name, tracker.position(), answered);
+    } else if (!stale && storeBehind) {
+      log.storeCaughtUp(name, answered);
+    }
+    storeBehind = stale;
+  }
+
   /**
    * The store answered. The listener gets the rows first, and through it other nodes learn of the
    * changes: a confirmation states that there are no more.
