Play a store restored from a copy; gateways pass over what is written after it

The emulated store can be restored from a copy: its counter goes back, versions are issued again, Store-Era rises in all answers, a version that does not exist gets 410, and operator and engines write their rows again.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -52,6 +52,7 @@
   private final List<EmulatedEngine> crashed = new ArrayList<>();
   private final Map<String, List<Long>> crashTimes = new HashMap<>();
   private final List<GatewayServer> gateways = new ArrayList<>();
+  private final Map<String, Map<String, String>> lost = new HashMap<>();
   private Consumer<EmulatedEngine> crashing = engine -> {};
   private int version = 1;
   private boolean idsStay;
@@ -208,6 +209,31 @@
     store.remove(ENGINE_TABLE, engine.id());
   }
 
+  /**
+   * Restores the store from a copy. What the operator and the engines wrote since is missing until
+   * {@link #writeAgain()}.
+   */
+  public synchronized void restoreStore(StoreCopy copy) {
+    for (String table : List.of(OPERATOR_TABLE, ENGINE_TABLE)) {
+      lost.putIfAbsent(table, store.values(table));
+    }
+    store.restore(copy);
+  }
+
+  /** Writes the rows of operator and engines as they were before the store was restored. */
+  public synchronized void writeAgain() {
+    lost.forEach(this::writeAgain);
+    lost.clear();
+  }
+
+  private void writeAgain(String table, Map<String, String> before) {
+    Map<String, String> copied = store.values(table);
+    before.forEach((key, value) -> store.put(table, key, value));
+    copied.keySet().stream()
+        .filter(key -> !before.containsKey(key))
+        .forEach(key -> store.remove(table, key));
+  }
+
   /** Starts a gateway and waits until it is ready. */
   public GatewayServer addGateway(NetworkAddress... seeds) throws Exception {
     GatewayServer gateway = startGateway(seeds);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedRow.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedRow.java
@@ -8,4 +8,4 @@
  * @param value its text; null when it was removed
  * @param version when it was last written
  */
-record EmulatedRow(String table, String key, String value, long version) {}
+public record EmulatedRow(String table, String key, String value, long version) {}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -23,11 +24,13 @@
 
 /**
  * The platform's metadata store: rows with one rising counter, whole readings and a feed of changes
- * that can be made to lose its history. Thread-safe.
+ * that can be made to lose its history. It can be restored from an older copy, which begins another
+ * era: the counter goes back, and its versions are issued again. Thread-safe.
  */
 public final class EmulatedStore implements AutoCloseable {
 
   private static final long LONGEST_WAIT_MILLIS = 30_000;
+  private static final String ERA_HEADER = "Store-Era";
 
   private final ObjectMapper json = new ObjectMapper();
   private final Map<String, EmulatedRow> rows = new HashMap<>();
@@ -37,6 +40,7 @@
   private long staleVersion;
   private long version;
   private long historyFrom;
+  private long era = 1;
   private StoreFault fault = StoreFault.NONE;
 
   /** Starts on any free port. */
@@ -83,6 +87,36 @@
     notifyAll();
   }
 
+  /** Returns a copy of the present rows. */
+  public synchronized StoreCopy copy() {
+    return new StoreCopy(rows, version);
+  }
+
+  /** Replaces everything by a copy; all that was written since is lost. */
+  public synchronized void restore(StoreCopy copy) {
+    rows.clear();
+    rows.putAll(copy.rows());
+    version = copy.version();
+    history.removeIf(row -> row.version() > version);
+    historyFrom = Math.min(historyFrom, version);
+    staleRows = copy.rows();
+    staleVersion = version;
+    era++;
+    notifyAll();
+  }
+
+  /** Returns the rows of a table by key. */
+  public synchronized Map<String, String> values(String table) {
+    return rows.values().stream()
+        .filter(row -> row.table().equals(table))
+        .collect(Collectors.toMap(EmulatedRow::key, EmulatedRow::value));
+  }
+
+  /** Returns the number of times that the store was restored, plus one. */
+  public synchronized long era() {
+    return era;
+  }
+
   /** Begins or ends misbehaving. */
   public synchronized void misbehave(StoreFault newFault) {
     if (newFault == StoreFault.STALE_READS) {
@@ -107,12 +141,12 @@
     return body(found, stale ? staleVersion : version);
   }
 
-  /** Null when the history is gone. */
+  /** Null when the history is gone, or when there is no such version. */
   private synchronized byte[] changes(String table, long after, long waitMillis)
       throws InterruptedException {
     long until = System.nanoTime() + Math.min(waitMillis, LONGEST_WAIT_MILLIS) * 1_000_000;
     while (true) {
-      if (after < historyFrom) {
+      if (after < historyFrom || after > version) {
         return null;
       }
       List<EmulatedRow> found =
@@ -211,6 +245,7 @@
 
     private void answer(Response response, Callback callback, int status, byte[] body) {
       response.setStatus(status);
+      response.getHeaders().put(ERA_HEADER, era());
       response.write(
           true, body == null ? BufferUtil.EMPTY_BUFFER : ByteBuffer.wrap(body), callback);
     }
