Write again what a restored store has lost of the nodes' own rows

Cause: quarantined contents and the engine counts from before any order are written once, and a store restored from a copy has lost what was written since. A node that starts later would send a content again that crashes engines, or take the counts of after some orders for those of before.

Change: when the era rises, relays (a dozen nodes at the most) write the contents in quarantine again, and the leader records the counts again that it knows, before it orders anything. Neither may be lost by a node that overwrites a newer row: a content is in quarantine or is not, and counts are written only where there is no row.

Tests: ScalePlannerTest#countsThatARestoredStoreMayHaveLostAreRecordedAgain, QuarantineTest#storedContentsAreKnownForARestoredStore; both cover new behaviour.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -465,6 +465,16 @@
     return due;
   }
 
+  /**
+   * The quarantined contents that the store has held; a store restored from a copy may lack them.
+   */
+  public List<RequestFingerprint> stored() {
+    return active.stream()
+        .filter(suspect -> suspect.status() == QuarantineStatus.QUARANTINED && suspect.stored())
+        .map(Suspect::content)
+        .toList();
+  }
+
   /** A delay that differs from node to node, so that one node writes and the others hear of it. */
   private long backupStoreDelay(Suspect suspect) {
     long rank = RendezvousHash.weight(suspect.content().digest(), node);
--- a/fallturn-core/src/main/java/org/fallturn/core/scaling/ScaleControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/scaling/ScaleControl.java
@@ -61,6 +61,11 @@
     planner(service).onInitialCounts(byZone);
   }
 
+  /** Handles that the store was restored from a copy: recorded counts are recorded again. */
+  public void onStoreRestored() {
+    planners.values().forEach(ScalePlanner::onStoreRestored);
+  }
+
   /** Handles the answer to an order, or its absence. */
   public void onAnswer(ScaleOrder order, DutyOutcome outcome, long nowNanos) {
     services.stream()
--- a/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
@@ -52,6 +52,7 @@
   private final Map<String, Ordered> orderedOwn = new HashMap<>();
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private Map<String, Integer> initialCounts = Map.of();
+  private boolean mayBeLost;
   private Map<String, Integer> lastCounts = Map.of();
   private long lastChangeNanos;
 
@@ -70,6 +71,12 @@
   /** Takes the counts from before any order, as the store holds them. */
   public void onInitialCounts(Map<String, Integer> byZone) {
     initialCounts = new TreeMap<>(byZone);
+    mayBeLost = false;
+  }
+
+  /** Handles that the store was restored from a copy, which may be older than the counts. */
+  void onStoreRestored() {
+    mayBeLost = true;
   }
 
   /** Returns the next action, if any. It is offered again until it has been answered. */
@@ -85,6 +92,9 @@
     if (initialCounts.isEmpty()) {
       return Optional.of(new ScaleAction.RecordInitialCounts(service, lastCounts));
     }
+    if (mayBeLost) {
+      return Optional.of(new ScaleAction.RecordInitialCounts(service, initialCounts));
+    }
     if (!loansPay(terms)) {
       return Optional.empty();
     }
--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -209,6 +209,15 @@
     assertThat(other.takeUnstored(at(20_000))).isEmpty();
   }
 
+  /** A store restored from a copy lacks contents, which nodes that start later would send again. */
+  @Test
+  void storedContentsAreKnownForARestoredStore() {
+    crash(quarantine, CULPRIT, 3);
+    assertThat(quarantine.stored()).isEmpty();
+    quarantine.onStored(CULPRIT.fingerprint(), at(320));
+    assertThat(quarantine.stored()).containsExactly(CULPRIT.fingerprint());
+  }
+
   @Test
   void anotherNodeStoresWhenTheFirstCouldNot() {
     crash(quarantine, CULPRIT, 3);
--- a/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
@@ -170,4 +170,18 @@
       assertThat(planner.wanted(noLoans, engines, now)).isEmpty();
     }
   }
+
+  /** Counts of after some orders would be recorded as those of before any. */
+  @Test
+  void countsThatARestoredStoreMayHaveLostAreRecordedAgain() {
+    startFleet();
+    simulate(20_000);
+    planner.onStoreRestored();
+    Optional<ScaleAction> action =
+        planner.wanted(TERMS, engines, TimeUnit.MILLISECONDS.toNanos(millis));
+    assertThat(action)
+        .contains(
+            new ScaleAction.RecordInitialCounts(
+                SERVICE, Map.of("a", 12, "b", 12, "c", 12, "d", 12)));
+  }
 }
--- a/fallturn-it/src/test/java/org/fallturn/it/SoakIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/SoakIT.java
@@ -20,7 +20,17 @@
   void allPromisesAreKeptUnderOverlappingFaults() throws Exception {
     Namespace arguments =
         new Namespace(
-            Map.of("minutes", 1, "seed", SEED, "other_build", "", "out", "target/soak-logs"));
+            Map.of(
+                "minutes",
+                1,
+                "seed",
+                SEED,
+                "gateways",
+                3,
+                "other_build",
+                "",
+                "out",
+                "target/soak-logs"));
     assertThat(new SoakCommand().run(arguments)).as("exit status").isZero();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -93,6 +93,24 @@
     this.stopping = stopping;
   }
 
+  private void onCacheListed(DispatchEvent.CacheListed answer, long now) {
+    log.cacheListed(answer);
+    answer
+        .parts()
+        .ifPresent(parts -> dispatcher.fleet().onEngineCacheListing(parts, answer.askedAtNanos()));
+    survey.onAnswer(answer, now);
+    peers.onCacheListed(answer, now);
+    startDelayed(now);
+  }
+
+  /** Relays write again what all nodes know, since each write has its price. */
+  private void onStoreRestored() {
+    scaling.onStoreRestored();
+    if (peers.isRelay()) {
+      quarantineActions.storeAgain();
+    }
+  }
+
   @Override
   public void onEvent(DispatchEvent event) {
     long now = System.nanoTime();
@@ -120,19 +138,14 @@
       survey.onDirectory(changed.directory(), now);
       peers.sendDue(now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
-      log.cacheListed(answer);
-      answer
-          .parts()
-          .ifPresent(
-              parts -> dispatcher.fleet().onEngineCacheListing(parts, answer.askedAtNanos()));
-      survey.onAnswer(answer, now);
-      peers.onCacheListed(answer, now);
-      startDelayed(now);
+      onCacheListed(answer, now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
       dispatcher.setRouting(changed.image());
       scaling.setServices(changed.image().services());
       engines.setServices(changed.image());
       peers.sendDue(now);
+    } else if (event instanceof DispatchEvent.StoreRestored) {
+      onStoreRestored();
     } else if (event instanceof DispatchEvent.StageChangeBegun begun) {
       dispatcher.onStageChangeBegun(begun.change(), now);
       peers.sendNow(now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -68,6 +68,9 @@
   /** The number of engines by zone that a service had before any was ordered became known. */
   record InitialCountsKnown(String service, Map<String, Integer> byZone) implements DispatchEvent {}
 
+  /** The store was restored from a copy and may lack rows that nodes have written. */
+  record StoreRestored() implements DispatchEvent {}
+
   /** An order for engines ended: it was answered, or no answer came. */
   record ScaleOrderAnswered(ScaleOrder order, DutyOutcome outcome) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.HttpClient;
@@ -99,6 +100,7 @@
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
   private final OrderLease lease;
+  private final AtomicLong storeEra = new AtomicLong();
   private final RowFollower routingFollower;
   private final DecodedRows<ServingEngine> engineRows;
   private final RowFollower engineFollower;
@@ -433,11 +435,20 @@
     }
   }
 
+  /** Followers of both tables call, each with the era of its rows. */
+  private void onStoreEra(long era) {
+    lease.onEra(era);
+    long before = storeEra.getAndAccumulate(era, Math::max);
+    if (before > 0 && era > before) {
+      post(new DispatchEvent.StoreRestored());
+    }
+  }
+
   private RowFollower.Listener listener(Consumer<FeedTracker> onRows) {
     return new RowFollower.Listener() {
       @Override
       public void onRows(FeedTracker tracker) {
-        lease.onEra(tracker.position().era());
+        onStoreEra(tracker.position().era());
         onRows.accept(tracker);
       }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
@@ -39,6 +39,11 @@
     dispatcher.setNodeCount(overlay.conservativeNodeCount(System.nanoTime()));
   }
 
+  /** Whether this node is one of the few that forward messages and act for the others. */
+  boolean isRelay() {
+    return overlay.isRelay();
+  }
+
   /** Takes a message of another node. */
   void onMessage(PeerMessage message, long nowNanos) {
     overlay.onMessage(message, nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
@@ -51,6 +51,11 @@
     return added;
   }
 
+  /** Writes again what a store that was restored from a copy may have lost. */
+  void storeAgain() {
+    dispatcher.quarantine().stored().forEach(storeDuty::put);
+  }
+
   /** Logs that a probe found an engine to be gone, and records it in the quarantine. */
   void onEngineGone(String engineId, long nowNanos) {
     log.engineGone(engineId);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Scaling.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Scaling.java
@@ -51,6 +51,10 @@
     control.onInitialCounts(service, byZone);
   }
 
+  void onStoreRestored() {
+    control.onStoreRestored();
+  }
+
   void onAnswer(ScaleOrder order, DutyOutcome outcome, long nowNanos) {
     control.onAnswer(order, outcome, nowNanos);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -83,7 +83,7 @@
   /** Puts a configuration with these routes in force. */
   public void configure(List<String> routes) {
     version += 2;
-    store.put(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
+    write(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
   }
 
   /** Puts the default routes in force for callers that bear a key of one of these tenants. */
@@ -95,7 +95,7 @@
   public void configure(List<String> routes, String... tenants) {
     version += 2;
     String text = RouteText.configuration(version, routes, List.of(tenants));
-    store.put(OPERATOR_TABLE, CONFIGURATION_KEY, text);
+    write(OPERATOR_TABLE, CONFIGURATION_KEY, text);
   }
 
   /** From now on engines tell when they started, and start again under the ids that they had. */
@@ -105,7 +105,7 @@
 
   /** Writes an entry into the list of engines, whatever it says. */
   public void listStrange(String id, String row) {
-    store.put(ENGINE_TABLE, id, row);
+    write(ENGINE_TABLE, id, row);
   }
 
   /** Starts an engine and lists it; a model engine crashes on the same contents as the others. */
@@ -201,12 +201,12 @@
 
   /** Writes an engine's row. */
   public void list(EmulatedEngine engine, boolean draining) {
-    store.put(ENGINE_TABLE, engine.id(), engine.row(draining));
+    write(ENGINE_TABLE, engine.id(), engine.row(draining));
   }
 
   /** Takes an engine's row away. */
   public void unlist(EmulatedEngine engine) {
-    store.remove(ENGINE_TABLE, engine.id());
+    remove(ENGINE_TABLE, engine.id());
   }
 
   /**
@@ -215,11 +215,25 @@
    */
   public synchronized void restoreStore(StoreCopy copy) {
     for (String table : List.of(OPERATOR_TABLE, ENGINE_TABLE)) {
-      lost.putIfAbsent(table, store.values(table));
+      lost.putIfAbsent(table, new HashMap<>(store.values(table)));
     }
     store.restore(copy);
   }
 
+  private synchronized void write(String table, String key, String value) {
+    store.put(table, key, value);
+    if (lost.containsKey(table)) {
+      lost.get(table).put(key, value);
+    }
+  }
+
+  private synchronized void remove(String table, String key) {
+    store.remove(table, key);
+    if (lost.containsKey(table)) {
+      lost.get(table).remove(key);
+    }
+  }
+
   /** Writes the rows of operator and engines as they were before the store was restored. */
   public synchronized void writeAgain() {
     lost.forEach(this::writeAgain);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -170,6 +170,46 @@
       return found;
     }
   },
+  /** A route is served once the bound has passed after it was added, and not after its removal. */
+  CONFIGURATION_IN_FORCE {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.control().probes().stream()
+          .filter(SoakCheck::isOfAnOlderConfiguration)
+          .map(
+              probe ->
+                  probe.route().name()
+                      + " was answered "
+                      + probe.status()
+                      + " by gateway "
+                      + probe.gateway())
+          .toList();
+    }
+  },
+  /** The fencing tokens of the orders that an engine takes rise from one holder to the next. */
+  ORDERS_ARE_FENCED {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      Map<Long, String> holders = new HashMap<>();
+      record
+          .control()
+          .orders()
+          .forEach(
+              (engine, orders) -> {
+                long highest = 0;
+                for (SoakRecord.StageOrder order : orders) {
+                  String holder = holders.putIfAbsent(order.fencingToken(), order.holder());
+                  boolean shared = holder != null && !holder.equals(order.holder());
+                  if (order.fencingToken() < highest || shared) {
+                    found.add(engine + " took " + order);
+                  }
+                  highest = Math.max(highest, order.fencingToken());
+                }
+              });
+      return found;
+    }
+  },
   /** Once the faults are over, callers are served. */
   RECOVERS {
     @Override
@@ -185,6 +225,7 @@
   };
 
   private static final int HTTP_OK = 200;
+  private static final int NOT_FOUND = 404;
   private static final int CRASHES_TOLERATED = 3;
   private static final int REQUESTS_IN_REST_TOLERATED = 2;
 
@@ -210,6 +251,20 @@
 
   private static final double SERVED_WHEN_CALM = 0.95;
 
+  private static boolean isOfAnOlderConfiguration(SoakRecord.Probe probe) {
+    long addedInForce = probe.route().addedNanos() + DRAIN_BOUND.toNanos();
+    boolean removed = probe.route().removedNanos() != Long.MAX_VALUE;
+    boolean lacksIt =
+        probe.status() == NOT_FOUND
+            && probe.sentNanos() > addedInForce
+            && (!removed || probe.sentNanos() < probe.route().removedNanos());
+    boolean stillHasIt =
+        probe.status() == HTTP_OK
+            && removed
+            && probe.sentNanos() > probe.route().removedNanos() + DRAIN_BOUND.toNanos();
+    return lacksIt || stillHasIt;
+  }
+
   /** What broke the promise, one line each. */
   abstract List<String> violations(SoakRecord record);
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCommand.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.fallturn.node.command.Command;
@@ -21,6 +22,8 @@
 
   private static final Duration ROUND = Duration.ofMinutes(1);
   private static final int DEFAULT_MINUTES = 5;
+  private static final int DEFAULT_GATEWAYS = 3;
+  private static final int MAX_GATEWAYS = 200;
 
   @Override
   public String name() {
@@ -47,6 +50,12 @@
         .addArgument("--other-build")
         .setDefault("")
         .help("class path of another build, which every second start of a gateway runs");
+    parser
+        .addArgument("--gateways")
+        .type(Integer.class)
+        .setDefault(DEFAULT_GATEWAYS)
+        .choices(Arguments.range(1, MAX_GATEWAYS))
+        .help("number of gateway processes, some 150 MB each");
     parser.addArgument("--out").setDefault("soak-logs").help("folder for logs");
   }
 
@@ -54,6 +63,7 @@
   public int run(Namespace arguments) throws Exception {
     Long given = arguments.getLong("seed");
     long first = given == null ? new Random().nextInt(Integer.MAX_VALUE) : given;
+    int gateways = arguments.getInt("gateways");
     String otherBuild = arguments.getString("other_build");
     Path out = Path.of(arguments.getString("out"));
     List<Long> broken = new ArrayList<>();
@@ -61,7 +71,7 @@
       long seed = first + round;
       SoakSchedule schedule = SoakSchedule.draw(seed, ROUND);
       Path logs = out.resolve("seed-" + seed);
-      if (!new SoakRun(schedule, logs, otherBuild, System.out).play()) {
+      if (!new SoakRun(schedule, gateways, logs, otherBuild, System.out).play()) {
         broken.add(seed);
       }
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -20,8 +20,8 @@
     }
 
     @Override
-    boolean touches(int gateway, int target) {
-      return gateway == SoakFleet.gatewayIndex(target);
+    boolean touches(int gateway, int target, int gateways) {
+      return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
   GATEWAY_STOPPED(Lane.FLEET) {
@@ -37,8 +37,8 @@
     }
 
     @Override
-    boolean touches(int gateway, int target) {
-      return gateway == SoakFleet.gatewayIndex(target);
+    boolean touches(int gateway, int target, int gateways) {
+      return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
   GATEWAY_PAUSED(Lane.FLEET) {
@@ -53,8 +53,8 @@
     }
 
     @Override
-    boolean touches(int gateway, int target) {
-      return gateway == SoakFleet.gatewayIndex(target);
+    boolean touches(int gateway, int target, int gateways) {
+      return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
   STORE_DOWN(StoreFault.DOWN),
@@ -73,8 +73,8 @@
     }
 
     @Override
-    boolean touches(int gateway, int target) {
-      return gateway == SoakFleet.gatewayIndex(target);
+    boolean touches(int gateway, int target, int gateways) {
+      return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
   ENGINE_DRAINS(Lane.FLEET) {
@@ -89,7 +89,7 @@
     }
 
     @Override
-    boolean touches(int gateway, int target) {
+    boolean touches(int gateway, int target, int gateways) {
       return false;
     }
   },
@@ -148,6 +148,28 @@
       // it comes until the end of the run
     }
   },
+  STORE_RESTORED(Lane.STORE) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.loseStore(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) throws Exception {
+      fleet.restoreStore();
+    }
+  },
+  ROUTE_ADDED(Lane.OPERATOR) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.addRoute();
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.removeRoute();
+    }
+  },
   ENGINE_REJECTS(EngineFault.REJECT),
   ENGINE_FAILS(EngineFault.FAIL),
   ENGINE_LOSES_ANSWERS(EngineFault.LOSE_ANSWER),
@@ -164,7 +186,10 @@
     ENGINE(1),
     REQUESTS(1),
     /** Longer than a window in which requests are counted, and what comes before it. */
-    LIMITS(3);
+    LIMITS(3),
+    /** The store comes back from a copy, while faults of the fleet go on. */
+    STORE(1),
+    OPERATOR(1);
 
     private final int times;
 
@@ -205,8 +230,8 @@
   }
 
   /** Whether a gateway is out of touch, with the others or the store, while it lasts. */
-  boolean touches(int gateway, int target) {
-    return lane == Lane.FLEET;
+  boolean touches(int gateway, int target, int gateways) {
+    return lane == Lane.FLEET || lane == Lane.STORE;
   }
 
   /** Whether a gateway forgets or misses what it was told. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -4,15 +4,22 @@
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineCrash;
+import org.fallturn.rehearsal.emulator.RouteText;
+import org.fallturn.rehearsal.emulator.StoreCopy;
+import org.fallturn.rehearsal.emulator.StoreFault;
 import org.fallturn.rehearsal.faults.FaultProxy;
 import org.fallturn.rehearsal.faults.LinkFaults;
 
@@ -38,7 +45,21 @@
   static final Duration REST = Duration.ofSeconds(2);
 
   private static final String LOOPBACK = "127.0.0.1";
-  private static final int GATEWAYS = 3;
+
+  /** A node is told no more addresses of others than the platform names. */
+  private static final int MAX_SEEDS = 3;
+
+  /** Twenty writes a second raise the store's counter, as heartbeats of some 25 engines would. */
+  private static final int BEAT_MILLIS = 50;
+
+  /** Number of beats between two copies of the store. */
+  private static final int BEATS_PER_COPY = 10;
+
+  /** Copies that are kept, of the last six seconds. */
+  private static final int COPIES = 12;
+
+  /** Time until operator and engines have written their rows again. */
+  private static final int WRITTEN_AGAIN_MILLIS = 300;
 
   /** Gateways find each other at one port of all hosts, so that each has a host of its own. */
   private static final String HOSTS = "127.0.0.";
@@ -46,6 +67,10 @@
   private static final int FIRST_HOST = 2;
 
   private final EmulatedPlatform platform;
+  private final Deque<StoreCopy> copies = new ArrayDeque<>();
+  private final List<SoakRecord.AddedRoute> routes = new CopyOnWriteArrayList<>();
+  private final Thread heart = new Thread(this::beat, "heart");
+  private StoreCopy restoredFrom;
   private final FaultProxy proxy;
   private final List<SoakGateway> gateways = new ArrayList<>();
   private final List<String> poisons = new CopyOnWriteArrayList<>();
@@ -63,9 +88,10 @@
   /**
    * Starts everything.
    *
+   * @param size number of gateways
    * @param otherBuild class path of another build of the gateways; empty for none
    */
-  SoakFleet(long seed, Path directory, String otherBuild) throws Exception {
+  SoakFleet(long seed, int size, Path directory, String otherBuild) throws Exception {
     platform = new EmulatedPlatform();
     proxy = new FaultProxy(seed);
     addEngines("p", EmulatedPlatform.MODEL_SERVICE, "prefill", 2);
@@ -73,10 +99,10 @@
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
     List<NetworkAddress> peers = new ArrayList<>();
     int peerPort = freeAddress().port();
-    for (int index = 0; index < GATEWAYS; index++) {
+    for (int index = 0; index < size; index++) {
       peers.add(new NetworkAddress(HOSTS + (index + FIRST_HOST), peerPort));
     }
-    for (int index = 0; index < GATEWAYS; index++) {
+    for (int index = 0; index < size; index++) {
       NetworkAddress store =
           proxy.openTcp(
               storeLink(index), new NetworkAddress(LOOPBACK, 0), platform.store().address());
@@ -87,12 +113,74 @@
               freeAddress(),
               peers.get(index),
               store,
-              peers,
+              peers.subList(0, Math.min(MAX_SEEDS, size)),
               SoakBuilds.of(otherBuild, index)));
     }
     for (SoakGateway gateway : gateways) {
       gateway.start();
     }
+    heart.setDaemon(true);
+    heart.start();
+  }
+
+  private void beat() {
+    for (long beat = 0; !Thread.currentThread().isInterrupted(); beat++) {
+      platform.store().put("beats", "beat", Long.toString(beat));
+      if (beat % BEATS_PER_COPY == 0) {
+        keepCopy(platform.store().copy());
+      }
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(BEAT_MILLIS));
+    }
+  }
+
+  private synchronized void keepCopy(StoreCopy copy) {
+    copies.addFirst(copy);
+    if (copies.size() > COPIES) {
+      copies.removeLast();
+    }
+  }
+
+  /** The store is away, to come back from a copy that is up to six seconds old now. */
+  synchronized void loseStore(int target) {
+    List<StoreCopy> known = List.copyOf(copies);
+    restoredFrom = known.get(Math.floorMod(target, known.size()));
+    platform.store().misbehave(StoreFault.DOWN);
+  }
+
+  /** Operator and engines write again a moment after the store has come back. */
+  synchronized void restoreStore() throws InterruptedException {
+    platform.restoreStore(restoredFrom);
+    copies.clear();
+    copies.add(platform.store().copy());
+    platform.store().misbehave(StoreFault.NONE);
+    TimeUnit.MILLISECONDS.sleep(WRITTEN_AGAIN_MILLIS);
+    platform.writeAgain();
+  }
+
+  /** The operator adds a route that no gateway has had. */
+  void addRoute() {
+    String name = "added-" + routes.size();
+    configure(name);
+    routes.add(new SoakRecord.AddedRoute(name, System.nanoTime(), Long.MAX_VALUE));
+  }
+
+  /** The operator removes the route that was added last. */
+  void removeRoute() {
+    platform.configure(RouteText.defaults());
+    int last = routes.size() - 1;
+    routes.set(last, routes.get(last).removedAt(System.nanoTime()));
+  }
+
+  private void configure(String added) {
+    List<String> all = new ArrayList<>(RouteText.defaults());
+    all.add(
+        RouteText.route(added, "idempotent", false, EmulatedPlatform.APPLICATION_SERVICE, 4_000));
+    platform.configure(all);
+  }
+
+  /** The routes that were added so far, removed ones among them. */
+  List<SoakRecord.AddedRoute> routes() {
+    return List.copyOf(routes);
   }
 
   private void addEngines(String prefix, String service, String stage, int count) throws Exception {
@@ -116,11 +204,16 @@
   }
 
   SoakGateway gateway(int target) {
-    return gateways.get(gatewayIndex(target));
+    return gateways.get(indexOf(target));
+  }
+
+  /** The index of the gateway that is meant by a target. */
+  int indexOf(int target) {
+    return gatewayIndex(target, gateways.size());
   }
 
-  static int gatewayIndex(int target) {
-    return Math.floorMod(target, GATEWAYS);
+  static int gatewayIndex(int target, int gateways) {
+    return Math.floorMod(target, gateways);
   }
 
   List<SoakGateway> gateways() {
@@ -233,6 +326,7 @@
 
   @Override
   public void close() throws Exception {
+    heart.interrupt();
     gateways.forEach(SoakGateway::close);
     proxy.close();
     platform.close();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 
@@ -29,9 +30,13 @@
   private final Queue<SoakRecord.Call> calls = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private final Queue<SoakRecord.PoisonSend> poisonSends = new ConcurrentLinkedQueue<>();
+  private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private volatile boolean stopped;
 
+  /** A request on the route with an index among the added ones. */
+  private record SentProbe(int route, int gateway, long sentNanos, int status) {}
+
   SoakLoad(SoakFleet fleet, long seed) throws Exception {
     this.fleet = fleet;
     for (int caller = 0; caller < CALLERS; caller++) {
@@ -40,6 +45,8 @@
     }
     Random random = new Random(seed - 1);
     start("poisoner", () -> sendPoisons(random));
+    Random probing = new Random(seed - 2);
+    start("prober", () -> sendProbes(probing));
   }
 
   private void start(String name, Runnable task) {
@@ -48,6 +55,49 @@
     threads.add(thread);
   }
 
+  /** Asks for the newest route that was added, or for one before it. */
+  private void sendProbes(Random random) {
+    while (!stopped) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(PAUSE_MILLIS));
+        int newest = fleet.routes().size() - 1;
+        if (newest >= 0) {
+          sendProbe(Math.max(0, newest - random.nextInt(2)), random.nextInt(Integer.MAX_VALUE));
+        }
+      } catch (InterruptedException e) {
+        return;
+      } catch (ExecutionException e) {
+        throw new IllegalStateException("a call must end with an answer", e);
+      }
+    }
+  }
+
+  private void sendProbe(int route, int target) throws InterruptedException, ExecutionException {
+    String path = "/" + fleet.routes().get(route).name() + "/x";
+    long sent = System.nanoTime();
+    EmulatedClient.Answer answer =
+        client.send(fleet.gateway(target).callers(), path, 0, DEADLINE).await();
+    probes.add(new SentProbe(route, fleet.indexOf(target), sent, answer.status()));
+  }
+
+  /**
+   * The requests on added routes.
+   *
+   * @param counts whether what a gateway answered to a request of a time counts
+   */
+  List<SoakRecord.Probe> probes(BiPredicate<Integer, Long> counts) {
+    return probes.stream()
+        .filter(probe -> counts.test(probe.gateway(), probe.sentNanos()))
+        .map(
+            probe ->
+                new SoakRecord.Probe(
+                    fleet.routes().get(probe.route()),
+                    probe.gateway(),
+                    probe.sentNanos(),
+                    probe.status()))
+        .toList();
+  }
+
   private void sendPoisons(Random random) {
     while (!stopped) {
       try {
@@ -68,8 +118,7 @@
     EmulatedClient.Call call =
         client.sendContent(
             fleet.gateway(target).callers(), EmulatedPlatform.RESUMABLE, SHORT_PROMPT, body);
-    poisonSends.add(
-        new SoakRecord.PoisonSend(call.requestId(), body, SoakFleet.gatewayIndex(target)));
+    poisonSends.add(new SoakRecord.PoisonSend(call.requestId(), body, fleet.indexOf(target)));
   }
 
   /** The contents that crash engines, as they were sent. */
@@ -103,7 +152,7 @@
         new SoakRecord.Call(
             answer.requestId(),
             kind,
-            SoakFleet.gatewayIndex(target),
+            fleet.indexOf(target),
             sent,
             System.nanoTime(),
             answer.leavingEngine(),
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -16,6 +16,7 @@
  * @param limits when engines named how many requests a second they take
  * @param troubles when gateways were killed, stopped, paused or cut off
  * @param poisons contents that crash engines
+ * @param control what operator and gateways did to control the fleet, and what came of it
  * @param calmFromNanos when the last fault had ended
  */
 record SoakRecord(
@@ -27,6 +28,7 @@
     List<Limit> limits,
     List<Trouble> troubles,
     List<Poison> poisons,
+    Control control,
     long calmFromNanos) {
 
   /** What a request is, as far as the checks care. */
@@ -95,6 +97,34 @@
   /** An engine named in its answers from one time to another how many requests it takes. */
   record Limit(String engineId, double perSecond, long fromNanos, long toNanos) {}
 
+  /**
+   * What operator and gateways did to control the fleet, and what came of it.
+   *
+   * @param probes requests on routes that the operator added
+   * @param orders the orders that each engine took, by its id
+   */
+  record Control(List<Probe> probes, Map<String, List<StageOrder>> orders) {
+
+    /** Nothing was done. */
+    static Control none() {
+      return new Control(List.of(), Map.of());
+    }
+  }
+
+  /** A route that the operator added, and removed again; never, if the time is the greatest. */
+  record AddedRoute(String name, long addedNanos, long removedNanos) {
+
+    AddedRoute removedAt(long nanos) {
+      return new AddedRoute(name, addedNanos, nanos);
+    }
+  }
+
+  /** A request on an added route to a gateway that was in touch, and the status of its answer. */
+  record Probe(AddedRoute route, int gateway, long sentNanos, int status) {}
+
+  /** An order that an engine took. */
+  record StageOrder(String holder, long fencingToken) {}
+
   /** A gateway was in trouble from one time to another. */
   record Trouble(int gateway, long fromNanos, long toNanos) {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -1,5 +1,8 @@
 package org.fallturn.rehearsal.soak;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -21,6 +24,7 @@
 
   private final SoakSchedule schedule;
   private final Path directory;
+  private final int gateways;
   private final String otherBuild;
   private final PrintStream out;
   private long begunNanos;
@@ -28,10 +32,12 @@
   /**
    * A round that has not begun.
    *
+   * @param gateways number of gateways
    * @param otherBuild class path of another build of the gateways; empty for none
    */
-  SoakRun(SoakSchedule schedule, Path directory, String otherBuild, PrintStream out) {
+  SoakRun(SoakSchedule schedule, int gateways, Path directory, String otherBuild, PrintStream out) {
     this.schedule = schedule;
+    this.gateways = gateways;
     this.directory = directory;
     this.otherBuild = otherBuild;
     this.out = out;
@@ -53,7 +59,7 @@
   }
 
   private SoakRecord record() throws Exception {
-    try (SoakFleet fleet = new SoakFleet(schedule.seed(), directory, otherBuild)) {
+    try (SoakFleet fleet = new SoakFleet(schedule.seed(), gateways, directory, otherBuild)) {
       TimeUnit.MILLISECONDS.sleep(START.toMillis());
       try (SoakLoad load = new SoakLoad(fleet, schedule.seed())) {
         long calmFrom = inject(fleet);
@@ -64,11 +70,12 @@
             calls,
             arrivals,
             runs(fleet),
-            fleet.drains(),
+            drains(fleet),
             fleet.rests(),
             fleet.limits(),
             troubles(fleet),
             poisons,
+            new SoakRecord.Control(load.probes(this::inTouch), orders(fleet)),
             calmFrom);
       }
     }
@@ -128,6 +135,49 @@
     return runs;
   }
 
+  /**
+   * When engines were leaving. A notice that came while the store was away, or shortly before,
+   * counts from when all gateways are in touch with the restored store.
+   */
+  private List<SoakRecord.Drain> drains(SoakFleet fleet) {
+    return fleet.drains().stream()
+        .map(
+            drain ->
+                new SoakRecord.Drain(
+                    drain.engineId(), knownFromNanos(drain.fromNanos()), drain.toNanos()))
+        .toList();
+  }
+
+  private long knownFromNanos(long toldNanos) {
+    long known = toldNanos;
+    for (SoakSchedule.Entry entry : schedule.faults()) {
+      long begin = begunNanos + entry.begin().toNanos();
+      long inTouch = begunNanos + entry.end().plus(SoakFleet.CONTACT).toNanos();
+      boolean whileAway = known + SoakFleet.DRAIN.toNanos() > begin && known < inTouch;
+      if (entry.fault() == SoakFault.STORE_RESTORED && whileAway) {
+        known = inTouch;
+      }
+    }
+    return known;
+  }
+
+  private static Map<String, List<SoakRecord.StageOrder>> orders(SoakFleet fleet)
+      throws IOException {
+    ObjectMapper json = new ObjectMapper();
+    Map<String, List<SoakRecord.StageOrder>> orders = new HashMap<>();
+    for (EmulatedEngine engine : fleet.platform().allEngines()) {
+      List<SoakRecord.StageOrder> taken = new ArrayList<>();
+      for (String body : engine.takenOrders()) {
+        JsonNode order = json.readTree(body);
+        taken.add(
+            new SoakRecord.StageOrder(
+                order.path("holder").asText(), order.path("fencingToken").asLong()));
+      }
+      orders.put(engine.id(), taken);
+    }
+    return orders;
+  }
+
   private List<SoakRecord.Poison> poisons(
       SoakFleet fleet, List<SoakRecord.PoisonSend> sends, List<SoakRecord.Arrival> arrivals) {
     List<SoakRecord.Poison> poisons = new ArrayList<>();
@@ -150,7 +200,8 @@
     List<SoakRecord.Trouble> troubles = new ArrayList<>();
     for (int gateway = 0; gateway < fleet.gateways().size(); gateway++) {
       for (SoakSchedule.Entry entry : schedule.faults()) {
-        if (entry.fault().stopsGateway() && entry.fault().touches(gateway, entry.target())) {
+        if (entry.fault().stopsGateway()
+            && entry.fault().touches(gateway, entry.target(), gateways)) {
           troubles.add(
               new SoakRecord.Trouble(
                   gateway,
@@ -174,7 +225,8 @@
     boolean other = SoakBuilds.beginsWithOther(gateway);
     long from = Long.MIN_VALUE;
     for (SoakSchedule.Entry entry : schedule.faults()) {
-      if (entry.fault().restartsGateway() && entry.fault().touches(gateway, entry.target())) {
+      if (entry.fault().restartsGateway()
+          && entry.fault().touches(gateway, entry.target(), gateways)) {
         long restarted = begunNanos + entry.end().toNanos();
         if (other) {
           times.add(new SoakRecord.Trouble(gateway, from, restarted));
@@ -192,7 +244,7 @@
   /** Whether no trouble of a gateway has lasted to within the bound on being in touch. */
   private boolean inTouch(int gateway, long nanos) {
     return schedule.faults().stream()
-        .filter(entry -> entry.fault().touches(gateway, entry.target()))
+        .filter(entry -> entry.fault().touches(gateway, entry.target(), gateways))
         .noneMatch(
             entry ->
                 nanos >= begunNanos + entry.begin().toNanos()
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -35,7 +35,16 @@
       Map<String, Integer> runs,
       List<SoakRecord.Drain> drains) {
     return new SoakRecord(
-        calls, arrivals, runs, drains, List.of(), List.of(), List.of(), List.of(), CALM);
+        calls,
+        arrivals,
+        runs,
+        drains,
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        SoakRecord.Control.none(),
+        CALM);
   }
 
   private static List<SoakCheck> broken(SoakRecord record) {
@@ -136,6 +145,7 @@
         List.of(),
         List.of(),
         List.of(poison),
+        SoakRecord.Control.none(),
         CALM);
   }
 
@@ -179,6 +189,7 @@
         List.of(),
         troubles,
         List.of(),
+        SoakRecord.Control.none(),
         CALM);
   }
 
@@ -220,7 +231,16 @@
     }
     SoakRecord.Rest rest = new SoakRecord.Rest("a-1", seconds(20), seconds(20.4));
     return new SoakRecord(
-        calls, arrivals, Map.of(), List.of(), List.of(rest), List.of(), List.of(), List.of(), CALM);
+        calls,
+        arrivals,
+        Map.of(),
+        List.of(),
+        List.of(rest),
+        List.of(),
+        List.of(),
+        List.of(),
+        SoakRecord.Control.none(),
+        CALM);
   }
 
   @Test
@@ -250,6 +270,7 @@
         List.of(limit),
         List.of(troubles),
         List.of(),
+        SoakRecord.Control.none(),
         CALM);
   }
 
@@ -260,4 +281,50 @@
     SoakRecord.Trouble restart = new SoakRecord.Trouble(0, seconds(22), seconds(25));
     assertThat(broken(atALimit(3, restart))).isEmpty();
   }
+
+  private static SoakRecord withControl(SoakRecord.Control control) {
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.STREAM, 200, WHOLE), 1);
+    return new SoakRecord(
+        good.calls(),
+        good.arrivals(),
+        good.runs(),
+        good.drains(),
+        good.rests(),
+        good.limits(),
+        good.troubles(),
+        good.poisons(),
+        control,
+        CALM);
+  }
+
+  private static SoakRecord probed(double atSeconds, int status) {
+    SoakRecord.AddedRoute route = new SoakRecord.AddedRoute("added-0", seconds(1), seconds(9));
+    SoakRecord.Probe probe = new SoakRecord.Probe(route, 0, seconds(atSeconds), status);
+    return withControl(new SoakRecord.Control(List.of(probe), Map.of()));
+  }
+
+  /** The store's return from a copy hid configurations from gateways for seconds. */
+  @Test
+  void routeOfAnOlderConfigurationIsFound() {
+    assertThat(broken(probed(3.4, 404))).isEmpty();
+    assertThat(broken(probed(3.6, 404))).containsExactly(SoakCheck.CONFIGURATION_IN_FORCE);
+    assertThat(broken(probed(8, 200))).isEmpty();
+    assertThat(broken(probed(11.4, 200))).isEmpty();
+    assertThat(broken(probed(11.6, 200))).containsExactly(SoakCheck.CONFIGURATION_IN_FORCE);
+    assertThat(broken(probed(11.6, 404))).isEmpty();
+  }
+
+  private static SoakRecord ordered(SoakRecord.StageOrder... orders) {
+    return withControl(new SoakRecord.Control(List.of(), Map.of("d-1", List.of(orders))));
+  }
+
+  @Test
+  void ordersOfTwoHoldersOfOneLeaseAreFound() {
+    SoakRecord.StageOrder first = new SoakRecord.StageOrder("a", 7);
+    assertThat(broken(ordered(first, first, new SoakRecord.StageOrder("b", 8)))).isEmpty();
+    assertThat(broken(ordered(first, new SoakRecord.StageOrder("b", 7))))
+        .containsExactly(SoakCheck.ORDERS_ARE_FENCED);
+    assertThat(broken(ordered(first, new SoakRecord.StageOrder("b", 6))))
+        .containsExactly(SoakCheck.ORDERS_ARE_FENCED);
+  }
 }
