--- a/fallturn-core/src/test/java/org/fallturn/core/peers/FollowedFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/FollowedFleet.java
@@ -31,7 +31,7 @@
 
   final SimulatedFleet fleet;
   final Map<NetworkAddress, Follower> followers = new HashMap<>();
-  long storeVersion = 1;
+  StorePosition store = at(1);
   int calls;
 
   /** How the store treats a node. */
@@ -64,7 +64,7 @@
    * @return the time until then in ms; {@code mostMillis} when some node does not know it by then
    */
   int millisUntilChangeIsKnown(int mostMillis) {
-    storeVersion++;
+    store = store.atVersion(store.version() + 1);
     for (int passed = 0; passed < mostMillis; passed += STEP_MILLIS) {
       if (behind().isEmpty()) {
         return passed;
@@ -74,9 +74,14 @@
     return mostMillis;
   }
 
+  /** Restores the store from a copy that is some changes old. */
+  void restoreStore(int lostChanges) {
+    store = new StorePosition(store.era() + 1, store.version() - lostChanges);
+  }
+
   List<Follower> behind() {
     return followers.values().stream()
-        .filter(follower -> !follower.killed && follower.position < storeVersion)
+        .filter(follower -> !follower.killed && store.isAfter(follower.position))
         .toList();
   }
 
@@ -99,7 +104,7 @@
     private final FollowPlan plan = new FollowPlan(BOUNDS);
     Access access = Access.SERVED;
     boolean killed;
-    long position;
+    StorePosition position = StorePosition.NONE;
     private FollowStep step;
     private FollowState sight;
     private long stepStartNanos;
@@ -122,9 +127,9 @@
 
     private FollowState currentSight(long now) {
       return new FollowState(
-          position > 0,
-          position == 0,
-          at(position),
+          !position.equals(StorePosition.NONE),
+          position.equals(StorePosition.NONE),
+          position,
           node.overlay.tables().newest(TABLE),
           answeredNanos < 0 ? Long.MAX_VALUE : now - answeredNanos,
           node.overlay.tables().sinceConfirmedByOthers(TABLE, now),
@@ -160,9 +165,9 @@
     private boolean askNodes() {
       for (NetworkAddress address : nodesToAsk()) {
         Follower peer = followers.get(address);
-        position = peer.killed ? position : Math.max(position, peer.position);
+        position = peer.killed ? position : StorePosition.max(position, peer.position);
       }
-      plan.onAsked(!sight.newest().isAfter(at(position)));
+      plan.onAsked(!sight.newest().isAfter(position));
       return true;
     }
 
@@ -183,18 +188,18 @@
       if (access == Access.SILENT) {
         return waitForSilentStore(now);
       }
-      if (!timeIsUp && storeVersion == position) {
+      if (!timeIsUp && store.equals(position)) {
         return !plan.trusts(currentSight(now), now - stepStartNanos);
       }
-      if (storeVersion > position) {
+      if (store.isAfter(position)) {
         idleUntilNanos = now + TimeUnit.MILLISECONDS.toNanos(PAUSE_AFTER_CHANGE_MILLIS);
-        node.overlay.tables().onSeen(TABLE, at(storeVersion));
+        node.overlay.tables().onSeen(TABLE, store);
       }
-      position = storeVersion;
+      position = store;
       answeredNanos = now;
-      node.overlay.tables().onConfirmed(TABLE, at(position), fleet.millis());
+      node.overlay.tables().onConfirmed(TABLE, position, fleet.millis());
       plan.onAnswered();
-      plan.onChangeChecked(sight.newest(), at(position), now);
+      plan.onChangeChecked(sight.newest(), position, now);
       return true;
     }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/FollowedFleetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/FollowedFleetTest.java
@@ -129,6 +129,38 @@
     assertThat(fleet.millisUntilChangeIsKnown(BOUND_MILLIS)).isLessThan(BOUND_MILLIS);
   }
 
+  /**
+   * All nodes kept their copies until the store's counter had passed the version that they had
+   * read, since lower versions counted as older ones.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 9, 100})
+  void changeOfARestoredStoreIsKnownInTimeAndCostsFewCalls(int nodes) {
+    FollowedFleet fleet = settled(11, nodes, 0);
+    for (int change = 0; change < 20; change++) {
+      assertThat(fleet.millisUntilChangeIsKnown(BOUND_MILLIS)).isLessThan(BOUND_MILLIS);
+    }
+    fleet.restoreStore(15);
+    int calls =
+        fleet.callsWhile(
+            () ->
+                assertThat(fleet.millisUntilChangeIsKnown(BOUND_MILLIS)).isLessThan(BOUND_MILLIS));
+    assertThat(calls).isLessThan(10 + nodes / 2);
+    assertThat(fleet.millisUntilChangeIsKnown(BOUND_MILLIS)).isLessThan(500);
+  }
+
+  /** Two restores in a row, and a store that refuses a third of the nodes meanwhile. */
+  @Test
+  void nodesThatOnlyHearOthersLearnOfTheRestoreFromThem() {
+    FollowedFleet fleet = settled(12, NODES, 0);
+    fleet.millisUntilChangeIsKnown(BOUND_MILLIS);
+    fleet.firstWatchers(NODES / 3).forEach(follower -> follower.access = Access.REFUSED);
+    fleet.restoreStore(1);
+    fleet.run(200);
+    fleet.restoreStore(0);
+    assertThat(fleet.millisUntilChangeIsKnown(BOUND_MILLIS)).isLessThan(BOUND_MILLIS);
+  }
+
   @Test
   void nodeThatHearsNoOtherFollowsTheStore() {
     FollowedFleet fleet = settled(10, NODES, 0);
