Keep rows in use that go right after the store was restored

What is suspected: the store drops the rows of engines that could not renew them while it was away; taken at once, each loses what nodes know of its cache, though the users' pages say that such rows are back within about two seconds.

Change: a row that goes within 1.5 s of the first reading of the restored store stays in use until that time, unless it is written before. An engine that really left then gets nothing two seconds after its row went, since the row cannot go before the store is back.

--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
@@ -5,10 +5,8 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -135,9 +133,9 @@
 
   /** A whole reading does not say when a row was dropped; others must hear of it all the same. */
   private void onMissing(FeedAnswer answer, long nowNanos) {
-    Set<String> dropped = new HashSet<>(rows.keySet());
+    Map<String, FeedRow> dropped = new HashMap<>(rows);
     answer.rows().forEach(row -> dropped.remove(row.key()));
-    dropped.forEach(key -> restored.onRemoved(key, nowNanos));
+    dropped.values().forEach(row -> restored.onRemoved(row, nowNanos));
     if (!dropped.isEmpty()) {
       newestChange = StorePosition.max(newestChange, answer.position());
     }
@@ -166,8 +164,10 @@
         continue;
       }
       if (row.gone()) {
-        restored.onRemoved(row.key(), nowNanos);
         changed |= rows.remove(row.key()) != null;
+        if (before != null) {
+          restored.onRemoved(before, nowNanos);
+        }
       } else {
         rows.put(row.key(), row);
         restored.onPresent(row);
--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/RestoredRows.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/RestoredRows.java
@@ -10,10 +10,11 @@
  * Corrects the rows of a store that was restored from a copy until its clients have written theirs
  * again.
  *
- * <p>Invariants: a row that the copy lacks stays for {@link #KEPT_NANOS} unless it is written or
- * removed before. A row that the copy has and that had been removed before the restore is left out
- * for {@link #LEFT_OUT_NANOS} unless it is written again before. Not thread-safe: only the thread
- * that follows the table calls it.
+ * <p>Invariants: a row that the copy lacks, or that goes right after the restore, stays for {@link
+ * #KEPT_NANOS} unless it is written before: the store drops rows that nobody could renew while it
+ * was away, and their clients write them again. A row that the copy has and that had been removed
+ * before the restore is left out for {@link #LEFT_OUT_NANOS} unless it is written again before. Not
+ * thread-safe: only the thread that follows the table calls it.
  */
 final class RestoredRows {
 
@@ -32,13 +33,17 @@
   private final Map<String, Long> removedAtNanos = new HashMap<>();
   private final Map<String, FeedRow> kept = new HashMap<>();
   private final Map<String, FeedRow> leftOut = new HashMap<>();
+  private boolean restored;
   private long restoredNanos;
 
-  /** Handles a row that the store no longer has. */
-  void onRemoved(String key, long nowNanos) {
-    kept.remove(key);
-    leftOut.remove(key);
-    removedAtNanos.put(key, nowNanos);
+  /** Handles that the store no longer has a row. */
+  void onRemoved(FeedRow row, long nowNanos) {
+    boolean keeps = restored && nowNanos - restoredNanos < KEPT_NANOS;
+    if (keeps && !row.equals(leftOut.get(row.key()))) {
+      kept.put(row.key(), row);
+    }
+    leftOut.remove(row.key());
+    removedAtNanos.put(row.key(), nowNanos);
   }
 
   /** Handles a row that the store has, as it was last written. */
@@ -60,6 +65,7 @@
   void onRestored(Collection<FeedRow> believed, Collection<FeedRow> copied, long nowNanos) {
     kept.clear();
     leftOut.clear();
+    restored = true;
     restoredNanos = nowNanos;
     removedAtNanos.values().removeIf(at -> nowNanos - at >= REMEMBERED_NANOS);
     believed.forEach(row -> kept.put(row.key(), row));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -220,6 +220,13 @@
     store.restore(copy);
   }
 
+  /**
+   * Drops the rows of all engines from a restored store, as of engines that could not renew them.
+   */
+  public synchronized void lapseEngines() {
+    store.values(ENGINE_TABLE).keySet().forEach(key -> store.remove(ENGINE_TABLE, key));
+  }
+
   private synchronized void write(String table, String key, String value) {
     store.put(table, key, value);
     if (lost.containsKey(table)) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -71,6 +71,7 @@
   private final List<SoakRecord.AddedRoute> routes = new CopyOnWriteArrayList<>();
   private final Thread heart = new Thread(this::beat, "heart");
   private StoreCopy restoredFrom;
+  private boolean rowsLapse;
   private final FaultProxy proxy;
   private final List<SoakGateway> gateways = new ArrayList<>();
   private final List<String> poisons = new CopyOnWriteArrayList<>();
@@ -144,6 +145,7 @@
   synchronized void loseStore(int target) {
     List<StoreCopy> known = List.copyOf(copies);
     restoredFrom = known.get(Math.floorMod(target, known.size()));
+    rowsLapse = Math.floorMod(target / COPIES, 2) == 0;
     platform.store().misbehave(StoreFault.DOWN);
   }
 
@@ -152,6 +154,9 @@
     platform.restoreStore(restoredFrom);
     copies.clear();
     copies.add(platform.store().copy());
+    if (rowsLapse) {
+      platform.lapseEngines();
+    }
     platform.store().misbehave(StoreFault.NONE);
     TimeUnit.MILLISECONDS.sleep(WRITTEN_AGAIN_MILLIS);
     platform.writeAgain();
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RestoredStoreTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RestoredStoreTest.java
@@ -81,6 +81,16 @@
     awaitLeaving(1);
   }
 
+  @Test
+  void enginesWhoseRowsLapseWhileTheStoreIsAwayAreInServiceOnceTheyHaveWrittenAgain()
+      throws Exception {
+    platform.restoreStore(copyThatGrowsOld());
+    platform.lapseEngines();
+    configureAndAwait();
+    platform.writeAgain();
+    await().atMost(LONGEST).until(() -> first.engineCount() == 3 && second.engineCount() == 3);
+  }
+
   /** The lost and the new configuration have the same version of the store. */
   @Test
   void configurationWithAVersionThatIsIssuedAgainComesIntoForce() {
