--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -182,24 +182,33 @@
 
   /** Faults of one lane follow each other; those of different lanes meet. */
   enum Lane {
-    FLEET(1),
-    ENGINE(1),
-    REQUESTS(1),
+    FLEET(1, Integer.MAX_VALUE),
+    ENGINE(1, Integer.MAX_VALUE),
+    REQUESTS(1, Integer.MAX_VALUE),
     /** Longer than a window in which requests are counted, and what comes before it. */
-    LIMITS(3),
-    /** The store comes back from a copy, while faults of the fleet go on. */
-    STORE(1),
-    OPERATOR(1);
+    LIMITS(3, Integer.MAX_VALUE),
+    /**
+     * The store is away for a moment, while faults of the fleet go on. In a long time away its
+     * counter would catch up before the checks count again.
+     */
+    STORE(1, 1_000),
+    OPERATOR(1, Integer.MAX_VALUE);
 
     private final int times;
+    private final int mostMillis;
 
-    Lane(int times) {
+    Lane(int times, int mostMillis) {
       this.times = times;
+      this.mostMillis = mostMillis;
     }
 
-    /** How many times as long its faults last. */
-    int times() {
-      return times;
+    /**
+     * Returns how long a fault of this lane lasts.
+     *
+     * @param drawnMillis the time that was drawn for it
+     */
+    long lastsMillis(int drawnMillis) {
+      return Math.min(mostMillis, (long) times * drawnMillis);
     }
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -58,6 +58,9 @@
   /** Copies that are kept, of the last six seconds. */
   private static final int COPIES = 12;
 
+  /** The newest copy, in order of age, from which the store is restored. */
+  private static final int NEWEST_COPY = 4;
+
   /** Time until operator and engines have written their rows again. */
   private static final int WRITTEN_AGAIN_MILLIS = 300;
 
@@ -141,10 +144,11 @@
     }
   }
 
-  /** The store is away, to come back from a copy that is up to six seconds old now. */
+  /** The store is away, to come back from a copy that is two to six seconds old if there is one. */
   synchronized void loseStore(int target) {
     List<StoreCopy> known = List.copyOf(copies);
-    restoredFrom = known.get(Math.floorMod(target, known.size()));
+    int newest = Math.min(NEWEST_COPY, known.size() - 1);
+    restoredFrom = known.get(newest + Math.floorMod(target, known.size() - newest));
     rowsLapse = Math.floorMod(target / COPIES, 2) == 0;
     platform.store().misbehave(StoreFault.DOWN);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakSchedule.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakSchedule.java
@@ -55,7 +55,7 @@
     long begin = PAUSE_MILLIS + random.nextInt(PAUSE_MILLIS);
     while (true) {
       int lasts = SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
-      long end = begin + (long) lane.times() * lasts;
+      long end = begin + lane.lastsMillis(lasts);
       if (end > untilMillis) {
         return;
       }
