Take the first era of a store for 0 where nodes remember eras

Both remember now that no era is known by a number below all. Found by reading; the emulator begins with era 0 too.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
@@ -47,14 +47,18 @@
   private final Duration quiet;
   private final boolean firstStart;
   private final LongSupplier nanoClock;
-  private final AtomicReference<KnownEra> knownEra = new AtomicReference<>(new KnownEra(0, 0));
+  private final AtomicReference<KnownEra> knownEra = new AtomicReference<>(KnownEra.NONE);
   private StorePosition earlierRow = StorePosition.NONE;
   private long earlierRowSinceNanos;
   private long token;
   private long validUntilNanos;
 
-  /** The latest era that this node has seen, and since when; era 0 for none. */
-  private record KnownEra(long era, long sinceNanos) {}
+  /** The latest era that this node has seen, and since when. */
+  private record KnownEra(long era, long sinceNanos) {
+
+    /** Lower than every era, since the first one of a store may be 0. */
+    static final KnownEra NONE = new KnownEra(-1, 0);
+  }
 
   /**
    * Creates a lease that is not held.
@@ -124,7 +128,7 @@
     long endedNanos = nowNanos - term.plus(quiet).toNanos();
     knownEra.getAndUpdate(
         known -> {
-          boolean nothingBefore = firstStart && known.era() == 0;
+          boolean nothingBefore = firstStart && known == KnownEra.NONE;
           return era > known.era()
               ? new KnownEra(era, nothingBefore ? endedNanos : nowNanos)
               : known;
@@ -136,7 +140,7 @@
       return lostLeasesHaveEnded(reading.position().era(), knownEra.get().sinceNanos());
     }
     OrderLeaseRow row = reading.row().get();
-    return isFree(row, reading.storeMillis())
+    return hasEnded(row, reading.storeMillis())
         && (row.era() == reading.position().era()
             || lostLeasesHaveEnded(reading.position().era(), firstSeenNanos(reading.position())));
   }
@@ -150,7 +154,7 @@
     return earlierRowSinceNanos;
   }
 
-  private boolean isFree(OrderLeaseRow row, long storeMillis) {
+  private boolean hasEnded(OrderLeaseRow row, long storeMillis) {
     return row.holder().equals(node) || storeMillis >= row.untilMillis() + quiet.toMillis();
   }
 
--- a/fallturn-core/src/test/java/org/fallturn/core/stages/OrderLeaseTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/stages/OrderLeaseTest.java
@@ -14,6 +14,8 @@
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.port.table.StoreException;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests that two nodes never give orders at the same time or within the quiet time of each other,
@@ -128,9 +130,18 @@
     assertThat(lease("a").take()).isFalse();
     OrderLease fresh = new OrderLease(store, "a", PARAMETERS, true, store::nanos);
     assertThat(fresh.take()).isTrue();
+  }
+
+  /** The first era may be 0, which is also what a store that names none is taken for. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1})
+  void leaseMayHaveBeenLostByTheFirstRestoreAfterTheFirstStart(long era) throws StoreException {
+    store.era = era;
+    OrderLease fresh = new OrderLease(store, "a", PARAMETERS, true, store::nanos);
+    fresh.onEra(era);
     store.copy();
     store.restore.run();
-    fresh.onEra(2);
+    fresh.onEra(era + 1);
     assertThat(fresh.take()).isFalse();
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -46,6 +46,9 @@
  */
 public final class GatewayServer implements AutoCloseable {
 
+  /** Lower than every era of the store, the first of which may be 0. */
+  private static final long NO_ERA = -1;
+
   private static final int MAX_THREADS = 24;
   private static final int MIN_THREADS = 4;
   private static final int RING_SIZE = 4_096;
@@ -100,7 +103,7 @@
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
   private final OrderLease lease;
-  private final AtomicLong storeEra = new AtomicLong();
+  private final AtomicLong storeEra = new AtomicLong(NO_ERA);
   private final RowFollower routingFollower;
   private final DecodedRows<ServingEngine> engineRows;
   private final RowFollower engineFollower;
@@ -439,7 +442,7 @@
   private void onStoreEra(long era) {
     lease.onEra(era);
     long before = storeEra.getAndAccumulate(era, Math::max);
-    if (before > 0 && era > before) {
+    if (before != NO_ERA && era > before) {
       post(new DispatchEvent.StoreRestored());
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -85,7 +85,7 @@
 
   /** The answer to the last request for a table, reused for equal requests. */
   private record Reply(
-      FeedAnswer table, Position position, TableUpdate update, Lazy<byte[]> bytes) {}
+      FeedAnswer table, RequesterCopy copy, TableUpdate update, Lazy<byte[]> bytes) {}
 
   /**
    * What a requester says that it has.
@@ -93,11 +93,11 @@
    * @param query the query of the request; null for none
    * @param era the era that the request names; empty for none
    */
-  private record Position(String query, OptionalLong era) {
+  private record RequesterCopy(String query, OptionalLong era) {
 
-    static Position of(Request request) {
+    static RequesterCopy of(Request request) {
       long era = request.getHeaders().getLongField(ERA_HEADER);
-      return new Position(
+      return new RequesterCopy(
           request.getHttpURI().getQuery(), era < 0 ? OptionalLong.empty() : OptionalLong.of(era));
     }
 
@@ -194,7 +194,7 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
       return true;
     }
-    Reply reply = replyTo(path, Position.of(request), answer);
+    Reply reply = replyTo(path, RequesterCopy.of(request), answer);
     long most = request.getHeaders().getLongField(MAX_BYTES_HEADER);
     if (most >= 0 && reply.update().minBytes() > most) {
       response.setStatus(HttpStatus.PAYLOAD_TOO_LARGE_413);
@@ -209,13 +209,13 @@
    * Returns the answer to a request. The last answer is cached, since all nodes that learn of a
    * change at the same moment send the same request.
    */
-  private Reply replyTo(String path, Position position, FeedAnswer table) {
+  private Reply replyTo(String path, RequesterCopy copy, FeedAnswer table) {
     Reply last = lastReplies.get(path);
-    if (last != null && last.table() == table && last.position().equals(position)) {
+    if (last != null && last.table() == table && last.copy().equals(copy)) {
       return last;
     }
-    TableUpdate update = updateFor(position, table);
-    Reply reply = new Reply(table, position, update, new Lazy<>(() -> codec.encode(update)));
+    TableUpdate update = updateFor(copy, table);
+    Reply reply = new Reply(table, copy, update, new Lazy<>(() -> codec.encode(update)));
     lastReplies.put(path, reply);
     return reply;
   }
@@ -224,10 +224,10 @@
    * Returns the changes since the position that the requester has; the whole table when it names
    * none, one that is not a number, or one of another era.
    */
-  private static TableUpdate updateFor(Position position, FeedAnswer table) {
-    String query = position.query();
+  private static TableUpdate updateFor(RequesterCopy copy, FeedAnswer table) {
+    String query = copy.query();
     boolean named = query != null && query.startsWith(AFTER_PARAMETER);
-    if (!named || !position.isOfEra(table.position().era())) {
+    if (!named || !copy.isOfEra(table.position().era())) {
       return TableUpdate.whole(table);
     }
     try {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedStore.java
@@ -40,7 +40,7 @@
   private long staleVersion;
   private long version;
   private long historyFrom;
-  private long era = 1;
+  private long era;
   private StoreFault fault = StoreFault.NONE;
 
   /** Starts on any free port. */
@@ -112,7 +112,7 @@
         .collect(Collectors.toMap(EmulatedRow::key, EmulatedRow::value));
   }
 
-  /** Returns the number of times that the store was restored, plus one. */
+  /** Returns the number of times that the store was restored. */
   public synchronized long era() {
     return era;
   }
