--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowPlan.java
@@ -212,8 +212,8 @@
    */
   public boolean isBehind(FollowState state, long nowNanos) {
     boolean stillMissing = nowNanos - missingSinceNanos < bounds.longestWaitNanos();
-    return state.newest().isAfter(state.position())
-        && !(stillMissing && !state.newest().isAfter(missingChange));
+    boolean checked = stillMissing && !state.newest().isAfter(missingChange);
+    return !checked && state.newest().isAfter(state.position());
   }
 
   private long watchNanos(FollowState state, long nowNanos) {
