Emulated gateways do not take each start for the first of the system

The setting had been added for the lease on orders while the emulator began with era 1; it begins with 0 now, and nothing is waited for. The five classes that depend on it are green (21 tests).

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -302,7 +302,6 @@
             peers = "127.0.0.1:0"
             seeds = "%s"
             metrics_port = %d
-            first_start = true
 
             [store]
             address = "%s"
