Do not take a connection for idle while a request on it waits to be read or served

What callers saw: requests sent over keep-alive connections to a process that stood still for longer than the idle timeout ended without an answer once it ran on: 17 of the first 22 of 32 that the failed check lists. The timer found the timeout passed before the selector had read the bytes that had come in time. Change: the timeout counts only while the server waits for bytes and none have come, or while a write is blocked; between requests the registration for reading is taken atomically, so that bytes that just came win.

--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -12,11 +12,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.stream.IntStream;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.platform.PlatformMain;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
+import org.fallturn.rehearsal.emulator.EmulatedClient.Call;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineFault;
@@ -36,6 +39,9 @@
 
   private static final int MOST_STARTS = 5;
 
+  private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(1);
+  private static final int CONNECTIONS = 32;
+
   private EmulatedPlatform platform;
   private EmulatedEngine application;
   private EmulatedClient client;
@@ -213,6 +219,41 @@
     return Files.exists(here.resolve("platform")) ? here : here.getParent();
   }
 
+  /**
+   * Guards against a request that is cut because the process stood still: the idle timeout of its
+   * connection ran out meanwhile, and was acted upon before the bytes that had come were read.
+   */
+  @Test
+  void requestsThatArriveWhileTheProcessIsSuspendedAreServed() throws Exception {
+    process.destroyForcibly().waitFor();
+    platform.configureIdleTimeout(IDLE_TIMEOUT);
+    startProcess();
+    assertThat(statuses(sendAtOnce())).containsOnly(200);
+    signal("STOP");
+    List<Call> sent = sendAtOnce();
+    await().pollDelay(IDLE_TIMEOUT.multipliedBy(2)).until(() -> true);
+    signal("CONT");
+    List<Integer> statuses = statuses(sent);
+    assertThat(Files.readAllLines(log())).noneMatch(line -> line.contains("CONNECTION_CUT"));
+    assertThat(statuses).containsOnly(200);
+  }
+
+  private List<Call> sendAtOnce() {
+    return IntStream.range(0, CONNECTIONS)
+        .mapToObj(
+            call ->
+                client.send(callers, EmulatedPlatform.NON_IDEMPOTENT, 0, EmulatedClient.LONGEST))
+        .toList();
+  }
+
+  private static List<Integer> statuses(List<Call> calls) throws Exception {
+    List<Integer> statuses = new ArrayList<>();
+    for (Call call : calls) {
+      statuses.add(call.await().status());
+    }
+    return statuses;
+  }
+
   @Test
   void terminationEndsTheProcessWithItsRequestsServed() throws Exception {
     signal("TERM");
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -74,20 +74,44 @@
 
   /** Closes the connection because an answer cannot be completed. */
   void abort() {
-    synchronized (lock) {
-      closeCause = ConnectionCut.Cause.ANSWER_ABORTED;
-    }
+    setCloseCause(ConnectionCut.Cause.ANSWER_ABORTED);
     close();
   }
 
+  /**
+   * Ends what waits for the caller: the connection, the body of a request, or a blocked write. A
+   * process that stood still finds the timeout passed before it has read the request that the
+   * caller sent in time, or while it begins to serve it; the connection is not idle then.
+   */
   @Override
   protected void onIdleExpired(TimeoutException timeout) {
+    if (isServing()) {
+      if (awaitsBytes() || getWriteFlusher().isPending()) {
+        closeAsIdle(() -> super.onIdleExpired(timeout));
+      }
+    } else if (awaitsBytes()) {
+      // Takes the registration unless the selector has taken it for bytes that just came.
+      closeAsIdle(() -> getFillInterest().onFail(timeout));
+    }
+  }
+
+  private boolean isServing() {
     synchronized (lock) {
-      closeCause = ConnectionCut.Cause.IDLE;
+      return serving;
     }
-    super.onIdleExpired(timeout);
+  }
+
+  private void closeAsIdle(Runnable close) {
+    setCloseCause(ConnectionCut.Cause.IDLE);
+    close.run();
+    if (isOpen()) {
+      setCloseCause(ConnectionCut.Cause.SERVER);
+    }
+  }
+
+  private void setCloseCause(ConnectionCut.Cause cause) {
     synchronized (lock) {
-      closeCause = isOpen() ? ConnectionCut.Cause.SERVER : closeCause;
+      closeCause = cause;
     }
   }
 
@@ -234,11 +258,14 @@
    * because threads of this process do not get to run, although the caller has sent it.
    */
   boolean awaitsBytes() {
+    return getFillInterest().isInterested() && !hasUnreadBytes();
+  }
+
+  private boolean hasUnreadBytes() {
     try {
-      return getFillInterest().isInterested()
-          && getChannel().socket().getInputStream().available() == 0;
+      return getChannel().socket().getInputStream().available() > 0;
     } catch (IOException e) {
-      return true;
+      return false;
     }
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -86,6 +86,13 @@
     write(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
   }
 
+  /** Puts the default routes in force with a limit on how long a connection may be idle. */
+  public void configureIdleTimeout(Duration timeout) {
+    version += 2;
+    String text = RouteText.configuration(version, RouteText.defaults());
+    write(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.withIdleTimeout(text, timeout));
+  }
+
   /** Puts the default routes in force for callers that bear a key of one of these tenants. */
   public void configureTenants(String... tenants) {
     configure(RouteText.defaults(), tenants);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -13,6 +13,9 @@
   /** How long the head of a request may take. */
   public static final Duration HEADER_TIMEOUT = Duration.ofMillis(600);
 
+  /** How long a connection may be idle. */
+  public static final Duration IDLE_TIMEOUT = Duration.ofSeconds(15);
+
   private static final int MODEL_ATTEMPTS = 2;
 
   private RouteText() {}
@@ -71,6 +74,15 @@
         route("once", "non_idempotent", false, application, timeout));
   }
 
+  /** The same configuration with another limit on how long a connection may be idle. */
+  public static String withIdleTimeout(String configuration, Duration timeout) {
+    return configuration.replace(idleTimeout(IDLE_TIMEOUT), idleTimeout(timeout));
+  }
+
+  private static String idleTimeout(Duration timeout) {
+    return "\"idleTimeoutMs\":" + timeout.toMillis();
+  }
+
   /** A whole configuration. */
   public static String configuration(long version, List<String> routes) {
     return String.format(
@@ -81,9 +93,10 @@
             + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}},"
             + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":100}],"
             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,"
-            + "\"headerTimeoutMs\":%d,\"idleTimeoutMs\":15000}}",
+            + "\"headerTimeoutMs\":%d,%s}}",
         version,
         String.join(",", routes),
-        HEADER_TIMEOUT.toMillis());
+        HEADER_TIMEOUT.toMillis(),
+        idleTimeout(IDLE_TIMEOUT));
   }
 }
