Read nothing more of a request that is answered 408

What callers saw: a request whose head was late got 408, which promises that it was not run, and was served as well. Found while looking for what closes connections; the rest of the head came between the check and the answer, which the scheduler's thread writes while the server goes on reading. Change: WatchedEndPoint.refuseHead decides under the lock that guards reading, and only while the server's registration is there, so that no thread is using bytes; from then on the server reads nothing. The check of bytes that have come is as it was.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
@@ -85,10 +85,9 @@
     if (stalled) {
       caller.restartHeadTimer();
     } else if (caller.checkHeadTimeout(headTimeoutNanos, checksWithin(headTimeoutNanos))) {
-      if (caller.awaitsBytes()) {
+      if (caller.refuseHead()) {
         LOG.info(
             "callers: The head of a request from {} is late.", caller.getRemoteSocketAddress());
-        caller.expectClose();
         caller.write(Callback.from(caller::close), ByteBuffer.wrap(HEAD_TOO_SLOW));
       } else {
         LOG.info("callers: A head has come and is not served yet; this process is slow.");
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -35,6 +35,7 @@
   private boolean serving;
   private long headSinceNanos;
   private long headChecks;
+  private boolean refused;
   private boolean closeExpected;
   private ConnectionCut.Cause closeCause = ConnectionCut.Cause.SERVER;
   private String requestId = "";
@@ -183,6 +184,9 @@
 
   private int fillFromEither(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
+      if (refused) {
+        return 0;
+      }
       if (sideBuffer.hasRemaining()) {
         return BufferUtil.append(buffer, sideBuffer);
       }
@@ -254,10 +258,33 @@
   }
 
   /**
-   * Whether the server has used all bytes that came and waits for more. Otherwise a head takes long
-   * because threads of this process do not get to run, although the caller has sent it.
+   * Refuses the request whose head is arriving, unless the server has bytes of it to use: a head
+   * that has come takes long only because threads of this process do not get to run. From then on
+   * the server reads nothing more, so that the refused request is certainly not served.
+   *
+   * @return whether the request is refused; the caller of this method answers it and closes
    */
-  boolean awaitsBytes() {
+  boolean refuseHead() {
+    synchronized (lock) {
+      refused = !serving && headSinceNanos != 0 && awaitsBytes();
+      closeExpected |= refused;
+      return refused;
+    }
+  }
+
+  /** The server would read nothing, and be told again at once that there are bytes. */
+  @Override
+  protected void needsFillInterest() {
+    synchronized (lock) {
+      if (refused) {
+        return;
+      }
+    }
+    super.needsFillInterest();
+  }
+
+  /** Whether the server has used all bytes that came and waits for more. */
+  private boolean awaitsBytes() {
     return getFillInterest().isInterested() && !hasUnreadBytes();
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
@@ -8,7 +8,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -37,6 +41,11 @@
 
   private static final Duration HEAD_TIMEOUT = Duration.ofMillis(300);
 
+  private static final Duration SHORT_TIMEOUT = Duration.ofMillis(20);
+  private static final int TRIES = 100;
+  private static final int CALLERS = 8;
+
+  private final Set<String> requests = ConcurrentHashMap.newKeySet();
   private final Queue<Runnable> checks = new ConcurrentLinkedQueue<>();
   private final CountDownLatch handling = new CountDownLatch(1);
   private volatile CountDownLatch served = new CountDownLatch(0);
@@ -60,6 +69,7 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
+      requests.add(request.getHttpURI().getPath());
       handling.countDown();
       served.await();
       Content.Source.asString(request);
@@ -93,14 +103,30 @@
     connector.getConnectedEndPoints().forEach(e -> ((WatchedEndPoint) e).restartHeadTimer());
   }
 
-  private Socket callerWhoseHeadHasBegun() throws Exception {
+  private Socket callerThatBegins(String path) throws Exception {
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), connector.getLocalPort());
-    caller.getOutputStream().write("GET / HTTP/1.1\r\nHost: ".getBytes(StandardCharsets.US_ASCII));
+    String begin = "GET " + path + " HTTP/1.1\r\nHost: ";
+    caller.getOutputStream().write(begin.getBytes(StandardCharsets.US_ASCII));
+    return caller;
+  }
+
+  private Socket callerWhoseHeadHasBegun() throws Exception {
+    Socket caller = callerThatBegins("/");
+    awaitLateHeads(1, HEAD_TIMEOUT);
+    return caller;
+  }
+
+  private void awaitLateHeads(int count, Duration timeout) {
     while (connector.getConnectedEndPoints().stream()
-        .noneMatch(e -> ((WatchedEndPoint) e).headTakesLongerThan(HEAD_TIMEOUT.toNanos()))) {
+            .filter(e -> ((WatchedEndPoint) e).headTakesLongerThan(timeout.toNanos()))
+            .count()
+        < count) {
       Thread.onSpinWait();
     }
-    return caller;
+  }
+
+  private static void sendRestOfHead(Socket caller) throws Exception {
+    caller.getOutputStream().write("fleet\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
   }
 
   private static String readLine(Socket caller) throws Exception {
@@ -113,7 +139,7 @@
   void timeInWhichProcessStalledIsNotCountedAgainstCaller() throws Exception {
     try (Socket caller = callerWhoseHeadHasBegun()) {
       check();
-      caller.getOutputStream().write("fleet\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      sendRestOfHead(caller);
       assertThat(readLine(caller)).startsWith("HTTP/1.1 200 ");
     }
   }
@@ -123,7 +149,7 @@
   void headThatCameAndIsNotServedYetIsNotAnsweredWith408() throws Exception {
     served = new CountDownLatch(1);
     try (Socket caller = callerWhoseHeadHasBegun()) {
-      caller.getOutputStream().write("fleet\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      sendRestOfHead(caller);
       handling.await();
       restartHeadTimers();
       long until = System.nanoTime() + 3 * HEAD_TIMEOUT.toNanos();
@@ -144,4 +170,33 @@
       assertThat(readLine(caller)).startsWith("HTTP/1.1 408 ");
     }
   }
+
+  /**
+   * A 408 answer says that the request was not run. The rest of a head may arrive just when the
+   * answer is decided on, and the request was then served as well.
+   */
+  @Test
+  void requestWhoseHeadIsAnsweredWith408IsNotServed() throws Exception {
+    connector.setHeadTimeout(SHORT_TIMEOUT);
+    for (int attempt = 0; attempt < TRIES; attempt++) {
+      List<Socket> callers = new ArrayList<>();
+      for (int caller = 0; caller < CALLERS; caller++) {
+        callers.add(callerThatBegins("/" + attempt + "/" + caller));
+      }
+      awaitLateHeads(CALLERS, SHORT_TIMEOUT);
+      Thread checking = new Thread(this::check);
+      checking.start();
+      for (Socket caller : callers) {
+        sendRestOfHead(caller);
+      }
+      checking.join();
+      for (int caller = 0; caller < CALLERS; caller++) {
+        try (Socket socket = callers.get(caller)) {
+          if (readLine(socket).startsWith("HTTP/1.1 408 ")) {
+            assertThat(requests).doesNotContain("/" + attempt + "/" + caller);
+          }
+        }
+      }
+    }
+  }
 }
