Stop only when the answers have been written, not when they were handed to the server

What callers saw: a planned stop ended the process while a caller still read its answer, since a request counted as ended when its last part was handed to the HTTP server. Requests whose body was being read, and refusals, did not count at all. Cause by reading; shown by GatewayOnEmulatorTest#plannedStopWaitsForTheAnswersThatAreBeingWritten: a caller that does not read fills the buffers on its way, and the gateway had nothing in flight. Change: a request is in flight from its head until the server reports it complete. The bytes of its body are released as before. The stop is bounded by the grace period as it was.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -77,22 +77,31 @@
   }
 
   /**
-   * Marks the connection as serving this request until the request is completed: the head of the
-   * next request is expected only then, unless the answer ends the connection.
+   * Counts the request as in flight and marks its connection as serving it until the last byte of
+   * its answer has been written: the head of the next request is expected only then, unless the
+   * answer ends the connection.
    */
-  private static void beginServing(Request request, Response response) {
+  private void beginServing(Request request, Response response) {
+    gateway.beginRequest();
+    Runnable end = () -> {};
     if (request.getConnectionMetaData().getConnection().getEndPoint()
         instanceof WatchedEndPoint endPoint) {
-      Runnable end = endPoint.beginServing();
-      Request.addCompletionListener(
-          request,
-          failure -> {
+      Runnable endOnConnection = endPoint.beginServing();
+      end =
+          () -> {
             if (isLast(request, response)) {
               endPoint.expectClose();
             }
-            end.run();
-          });
+            endOnConnection.run();
+          };
     }
+    Runnable endServing = end;
+    Request.addCompletionListener(
+        request,
+        failure -> {
+          endServing.run();
+          gateway.endRequest();
+        });
   }
 
   /** Whether the caller knows that the connection ends with this answer. */
@@ -169,7 +178,7 @@
 
   private void dispatch(
       HandlerArguments caller, CallerRequestHead head, Admitted admitted, byte[] body) {
-    if (!gateway.tryBegin(body.length)) {
+    if (!gateway.tryReserveBody(body.length)) {
       refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, "too many bytes in flight");
       return;
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -245,7 +245,7 @@
       unwatch();
       closeConnection();
       callback.failed(new EofException("the answer broke off"));
-      gateway.onCompleted(body.length);
+      gateway.releaseBody(body.length);
     }
   }
 
@@ -263,7 +263,7 @@
       try {
         writer.write(true, last, callback);
       } finally {
-        gateway.onCompleted(body.length);
+        gateway.releaseBody(body.length);
       }
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -124,26 +124,35 @@
     stopping = true;
   }
 
+  /** Counts a request as in flight, from its head until {@link #endRequest}. */
+  void beginRequest() {
+    inFlight.incrementAndGet();
+  }
+
+  /** Ends a request: the last byte of its answer has been written, or never will be. */
+  void endRequest() {
+    inFlight.decrementAndGet();
+  }
+
   /**
-   * Counts a request as in flight; false when its body would exceed the bound on the bytes of all
-   * bodies in flight.
+   * Reserves room for the body of a request; false when it would exceed the bound on the bytes of
+   * all bodies in flight.
    *
    * @param length bytes of the body
    */
-  boolean tryBegin(int length) {
+  boolean tryReserveBody(int length) {
     if (bodyBytes.addAndGet(length) > maxBodyBytesInFlight) {
       bodyBytes.addAndGet(-length);
       return false;
     }
-    inFlight.incrementAndGet();
     return true;
   }
 
-  void onCompleted(int length) {
+  void releaseBody(int length) {
     bodyBytes.addAndGet(-length);
-    inFlight.decrementAndGet();
   }
 
+  /** Number of requests that are being read, served or answered. */
   int inFlight() {
     return inFlight.get();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -99,6 +99,7 @@
   private volatile double pace = Double.POSITIVE_INFINITY;
   private volatile boolean leaving;
   private volatile String rest = "";
+  private volatile String padding = "";
   private volatile String limit = "";
 
   /**
@@ -240,6 +241,11 @@
     limit = perSecond;
   }
 
+  /** Application answers are longer by so many bytes from now on. */
+  public void padAnswers(int bytes) {
+    padding = ".".repeat(bytes);
+  }
+
   /**
    * Turns every request away from now on.
    *
@@ -515,7 +521,7 @@
 
     private void answerWhole(
         Request request, Response response, Callback callback, boolean breakOff) throws Exception {
-      String body = "answer of " + id;
+      String body = "answer of " + id + padding;
       if (!breakOff) {
         write(response, callback, body);
         return;
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 import org.fallturn.rehearsal.emulator.EmulatedClient.Answer;
@@ -19,6 +20,16 @@
 /** A real gateway between the emulated clients, engines and store of the platform. */
 class GatewayOnEmulatorTest {
 
+  private static final int PIPELINED = 100;
+
+  /** All of them are more than the buffers between the gateway and a caller take. */
+  private static final int ANSWERS = 100;
+
+  private static final String WHOLE_PADDING = ".".repeat(200_000);
+
+  /** No request takes so long unless the caller does not read. */
+  private static final Duration BLOCKED = Duration.ofMillis(500);
+
   private static final int SHORT_PROMPT = 300;
   private static final int LONG_PROMPT = 17_000;
   private static final Duration LONGEST = Duration.ofSeconds(15);
@@ -216,6 +227,24 @@
     await().atMost(LONGEST).until(() -> gateway.inFlight() == 0);
   }
 
+  /**
+   * Guards against requests that get lost when a caller sends many without waiting, so that its
+   * connection falls silent until it is closed: what was read ahead while one of them was served
+   * was overwritten while the next one was, or was not noticed once the server waited for more.
+   */
+  @Test
+  void manyRequestsSentWithoutWaitingAreAllAnswered() throws Exception {
+    List<String> sent = IntStream.range(0, PIPELINED).mapToObj(number -> "many-" + number).toList();
+    try (RawCaller caller = new RawCaller(address)) {
+      for (String id : sent) {
+        caller.send(id, EmulatedPlatform.IDEMPOTENT, "");
+      }
+      for (String id : sent) {
+        assertThat(caller.readUntil("answer of")).contains("HTTP/1.1 200", id + "\r\n");
+      }
+    }
+  }
+
   /** The second request arrives while the first is served, into the watch's side buffer. */
   @Test
   void requestsSentWithoutWaitingAreAnsweredInTheirOrder() throws Exception {
@@ -355,6 +384,46 @@
     }
   }
 
+  /**
+   * Guards against answers that are cut by a planned stop while the caller still reads them: the
+   * request counted as ended when its last part was handed to the server, and the process went. The
+   * caller reads nothing at first, so that the answers fill the buffers on the way to it.
+   */
+  @Test
+  void plannedStopWaitsForTheAnswersThatAreBeingWritten() throws Exception {
+    appOne.padAnswers(WHOLE_PADDING.length());
+    appTwo.padAnswers(WHOLE_PADDING.length());
+    try (RawCaller caller = new RawCaller(address)) {
+      int sent = 0;
+      do {
+        assertThat(sent).as("answers that fit into the buffers").isLessThan(ANSWERS);
+        String id = "slow-" + sent++;
+        caller.send(id, EmulatedPlatform.IDEMPOTENT, "");
+        await().atMost(LONGEST).until(() -> runsOf(id) == 1);
+      } while (!answerIsBlocked());
+      Thread stopping = new Thread(this::stopAsPlanned);
+      stopping.start();
+      await().atMost(LONGEST).until(() -> !gateway.takesRequests());
+      assertThat(gateway.inFlight()).isEqualTo(1);
+      for (int answer = 0; answer < sent; answer++) {
+        caller.readUntil(WHOLE_PADDING);
+      }
+      stopping.join();
+    }
+  }
+
+  /** Whether the last request stays in flight, since its caller does not read. */
+  private boolean answerIsBlocked() {
+    long until = System.nanoTime() + BLOCKED.toNanos();
+    while (gateway.inFlight() > 0) {
+      if (System.nanoTime() - until > 0) {
+        return true;
+      }
+      Thread.onSpinWait();
+    }
+    return false;
+  }
+
   private void stopAsPlanned() {
     try {
       gateway.stopAsPlanned();
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RawCaller.java
@@ -1,8 +1,10 @@
 package org.fallturn.rehearsal.emulator;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -14,10 +16,12 @@
   private static final Duration LONGEST = Duration.ofSeconds(15);
 
   private final Socket socket;
+  private final InputStream in;
 
   RawCaller(NetworkAddress gateway) throws IOException {
     socket = new Socket(gateway.host(), gateway.port());
     socket.setSoTimeout((int) LONGEST.toMillis());
+    in = new BufferedInputStream(socket.getInputStream());
   }
 
   /** Sends the head of a request without a body; extra headers end in CRLF each. */
@@ -43,22 +47,22 @@
 
   /** What comes up to the first occurrence of a text; fails when the connection ends before. */
   String readUntil(String end) throws IOException {
-    ByteArrayOutputStream read = new ByteArrayOutputStream();
-    while (!read.toString(StandardCharsets.US_ASCII).contains(end)) {
-      int next = socket.getInputStream().read();
+    StringBuilder read = new StringBuilder();
+    while (read.indexOf(end, Math.max(0, read.length() - end.length())) < 0) {
+      int next = in.read();
       if (next < 0) {
         throw new EOFException("the connection ended before \"" + end + "\"");
       }
-      read.write(next);
+      read.append((char) next);
     }
-    return read.toString(StandardCharsets.US_ASCII);
+    return read.toString();
   }
 
   /** Everything until the connection ends, in whatever way. */
   String readToEnd() {
     ByteArrayOutputStream read = new ByteArrayOutputStream();
     try {
-      socket.getInputStream().transferTo(read);
+      in.transferTo(read);
     } catch (IOException e) {
       return read.toString(StandardCharsets.US_ASCII);
     }
