Read the rest of a body after refusing its request, instead of closing the connection

What callers saw: a request refused before its body had come (no route, key, store or stopping) got its answer, and then the connection was closed without announcement: 'EOF' on the next request. Closing with unread bytes resets the connection, so that the answer itself can be lost. Cause: the HTTP server closes a connection whose request completes with its body unread. Change: the refusal is sent at once, the rest of the body is read and dropped, within the limit on bodies, and the request completes then. Where the body is not to be read (too large, Expect: 100-continue), the answer announces the close. Test: GatewayOnEmulatorTest#refusalKeepsTheConnectionThoughTheBodyComesAfterIt, EOF before, green after.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -21,6 +21,7 @@
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.Rank;
+import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.Tenant;
@@ -170,10 +171,26 @@
     if (kind == ErrorKind.UNAUTHENTICATED) {
       caller.response().getHeaders().put(HttpHeader.WWW_AUTHENTICATE, BEARER);
     }
-    if (gateway.stopping()) {
+    boolean bodyIsSkipped = kind == ErrorKind.TOO_LARGE || expectsContinue(caller.request());
+    if (gateway.stopping() || bodyIsSkipped) {
       caller.response().getHeaders().put(HttpHeader.CONNECTION, CLOSE);
     }
-    caller.response().write(true, BufferUtil.EMPTY_BUFFER, caller.callback());
+    Callback written =
+        bodyIsSkipped
+            ? caller.callback()
+            : Callback.from(
+                new BodyDiscarder(caller, maxBodyBytes())::run, caller.callback()::failed);
+    caller.response().write(true, BufferUtil.EMPTY_BUFFER, written);
+  }
+
+  /** Whether the caller sends its body only when told to, and otherwise never. */
+  private static boolean expectsContinue(Request request) {
+    return request.getHeaders().contains(HttpHeader.EXPECT, HttpHeaderValue.CONTINUE.asString());
+  }
+
+  private long maxBodyBytes() {
+    RoutingImage routing = gateway.routing();
+    return (routing == null ? RequestLimits.defaults() : routing.limits()).maxBodyBytes();
   }
 
   private void dispatch(
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/GatewayOnEmulatorTest.java
@@ -21,6 +21,7 @@
 class GatewayOnEmulatorTest {
 
   private static final int PIPELINED = 100;
+  private static final int BODY_BYTES = 60_000;
 
   /** All of them are more than the buffers between the gateway and a caller take. */
   private static final int ANSWERS = 100;
@@ -424,6 +425,26 @@
     return false;
   }
 
+  /**
+   * Guards against a refusal that a caller cannot rely on since its connection is closed: a request
+   * was refused before its body had come, and the connection was closed with the body unread.
+   */
+  @Test
+  void refusalKeepsTheConnectionThoughTheBodyComesAfterIt() throws Exception {
+    String body = "x".repeat(BODY_BYTES);
+    try (RawCaller caller = new RawCaller(address)) {
+      caller.sendPart("POST /nowhere/x HTTP/1.1\r\nHost: " + EmulatedPlatform.HOST + "\r\n");
+      caller.sendPart("X-Fallturn-Request-Id: refused\r\nX-Fallturn-Deadline-Ms: 4000\r\n");
+      caller.sendPart("Content-Length: " + body.length() + "\r\n\r\n");
+      assertThat(caller.readUntil("\r\n\r\n"))
+          .startsWith("HTTP/1.1 404 ")
+          .doesNotContain("Connection: close");
+      caller.sendPart(body);
+      caller.send("next", EmulatedPlatform.IDEMPOTENT, "");
+      assertThat(caller.readUntil("answer of")).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   private void stopAsPlanned() {
     try {
       gateway.stopAsPlanned();
