Give each emulated engine an id of its own

Suspected cause, now shown possible by a test: an engine that leaves and serves on is replaced by one with a '+' more, and when it crashes its successor gets the same id, so that two engines answer under one id. An engine's successor now gets an id that no engine has had.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.gateway.GatewayServer;
 import org.fallturn.node.settings.GatewaySettings;
@@ -129,6 +131,21 @@
     return engine;
   }
 
+  /** Starts an engine of the same kind under an id that no engine has had. */
+  public synchronized EmulatedEngine addSuccessor(EmulatedEngine engine) throws Exception {
+    return addEngine(unusedId(engine.id()), engine.service(), engine.stage());
+  }
+
+  /** Two engines of one id would be taken for one: what one says of itself would hold for both. */
+  private String unusedId(String id) {
+    Set<String> used = allEngines().stream().map(EmulatedEngine::id).collect(Collectors.toSet());
+    String unused = id + "+";
+    while (used.contains(unused)) {
+      unused += "+";
+    }
+    return unused;
+  }
+
   /**
    * Lets every model engine crash on a content from now on; another starts under its address at
    * once, and its row takes the place of the former.
@@ -194,7 +211,7 @@
     crashTimes.computeIfAbsent(body, known -> new ArrayList<>()).add(System.nanoTime());
     try {
       EmulatedEngine successor =
-          engine.tellsItsStart() ? engine.restarted() : engine.successor(engine.id() + "+");
+          engine.tellsItsStart() ? engine.restarted() : engine.successor(unusedId(engine.id()));
       engines.add(place, successor);
       crashing.accept(successor);
       if (!engine.tellsItsStart()) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -277,7 +277,7 @@
   /** Its entry goes and another engine comes; it serves on. */
   void replaceLeaving(int target) throws Exception {
     EmulatedEngine engine = leaving.remove(target);
-    platform.addEngine(engine.id() + "+", engine.service(), engine.stage());
+    platform.addSuccessor(engine);
     platform.unlist(engine);
   }
 
