Soak: reserve the gateways' ports while they run

Cause: the port was chosen free on 127.0.0.1, where outgoing connections and other soaks take theirs, and was free for anybody while the gateway was down. Change: gateways listen for callers at hosts of their own, as they do for each other, and both ports are held on 127.0.0.1 until the soak ends.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -1,6 +1,7 @@
 package org.fallturn.rehearsal.soak;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -76,6 +77,7 @@
   private StoreCopy restoredFrom;
   private boolean rowsLapse;
   private final FaultProxy proxy;
+  private final List<ServerSocket> reservedPorts = new ArrayList<>();
   private final List<SoakGateway> gateways = new ArrayList<>();
   private final List<String> poisons = new CopyOnWriteArrayList<>();
   private final List<SoakRecord.Drain> drains = new CopyOnWriteArrayList<>();
@@ -102,7 +104,8 @@
     addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 3);
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
     List<NetworkAddress> peers = new ArrayList<>();
-    int peerPort = freeAddress().port();
+    int peerPort = reservePort();
+    int callerPort = reservePort();
     for (int index = 0; index < size; index++) {
       peers.add(new NetworkAddress(HOSTS + (index + FIRST_HOST), peerPort));
     }
@@ -114,7 +117,7 @@
           new SoakGateway(
               "gateway-" + index,
               directory,
-              freeAddress(),
+              new NetworkAddress(peers.get(index).host(), callerPort),
               peers.get(index),
               store,
               peers.subList(0, Math.min(MAX_SEEDS, size)),
@@ -198,10 +201,15 @@
     }
   }
 
-  private static NetworkAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new NetworkAddress(LOOPBACK, socket.getLocalPort());
-    }
+  /**
+   * Reserves a port of the gateways' hosts until the fleet is closed. It is held on the host that
+   * outgoing connections come from, so that neither these nor another fleet can take it while a
+   * gateway is down.
+   */
+  private int reservePort() throws IOException {
+    ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK));
+    reservedPorts.add(reserved);
+    return reserved.getLocalPort();
   }
 
   private static String storeLink(int gateway) {
@@ -339,5 +347,8 @@
     gateways.forEach(SoakGateway::close);
     proxy.close();
     platform.close();
+    for (ServerSocket reserved : reservedPorts) {
+      reserved.close();
+    }
   }
 }
