Soak: check that connections are not closed without an answer; signals that overlap

The soak could not see a cut connection: requests without an answer broke no check. ANSWERED finds those whose gateway was not killed meanwhile, and not stopping where it had not passed the request on. SoakCheckTest shows what the new check finds and what it excuses.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -211,9 +211,14 @@
     signal("-CONT");
   }
 
+  /** Lets it read its settings again. */
+  public void reload() throws IOException, InterruptedException {
+    signal("-HUP");
+  }
+
   private void signal(String signal) throws IOException, InterruptedException {
     Process kill = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
-    if (kill.waitFor() != 0) {
+    if (kill.waitFor() != 0 && process.isAlive()) {
       throw new IOException("cannot send " + signal + " to " + name);
     }
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -21,6 +21,27 @@
           .toList();
     }
   },
+  /**
+   * A connection is not closed without an answer, unless its gateway is killed meanwhile, or stops
+   * and had not passed the request on.
+   */
+  ANSWERED {
+    @Override
+    List<String> violations(SoakRecord record) {
+      SoakRecord.GatewayEnds ends = record.control().ends();
+      return record.calls().stream()
+          .filter(call -> call.status() == 0)
+          .filter(
+              call -> {
+                boolean ran = runs(record, call) > 0;
+                List<SoakRecord.Trouble> excuses = ran ? ends.killed() : ends.absent();
+                return !SoakRecord.meets(
+                    excuses, call.gateway(), call.sentNanos(), call.answeredNanos());
+              })
+          .map(call -> call.requestId() + " got no answer of gateway " + call.gateway())
+          .toList();
+    }
+  },
   /** What may not be repeated runs at most once. */
   AT_MOST_ONCE {
     @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -170,6 +170,33 @@
       fleet.removeRoute();
     }
   },
+  GATEWAY_RELOADED(Lane.SIGNALS) {
+    @Override
+    void begin(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).reload();
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).reload();
+    }
+  },
+  GATEWAY_FROZEN(Lane.SIGNALS) {
+    @Override
+    void begin(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).pause();
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).resume();
+    }
+
+    @Override
+    boolean touches(int gateway, int target, int gateways) {
+      return gateway == SoakFleet.gatewayIndex(target, gateways);
+    }
+  },
   ENGINE_REJECTS(EngineFault.REJECT),
   ENGINE_FAILS(EngineFault.FAIL),
   ENGINE_LOSES_ANSWERS(EngineFault.LOSE_ANSWER),
@@ -192,7 +219,9 @@
      * counter would catch up before the checks count again.
      */
     STORE(1, 1_000),
-    OPERATOR(1, Integer.MAX_VALUE);
+    OPERATOR(1, Integer.MAX_VALUE),
+    /** Signals to gateways that may be stopping, starting or cut off by the other lanes. */
+    SIGNALS(1, Integer.MAX_VALUE);
 
     private final int times;
     private final int mostMillis;
@@ -245,7 +274,7 @@
 
   /** Whether a gateway forgets or misses what it was told. */
   boolean stopsGateway() {
-    return restartsGateway() || this == GATEWAY_PAUSED;
+    return restartsGateway() || this == GATEWAY_PAUSED || this == GATEWAY_FROZEN;
   }
 
   /** Whether another process takes a gateway's place when it ends. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -92,12 +92,25 @@
     process.terminate();
   }
 
+  /** Suspends the process; one that has ended is left alone. */
   void pause() throws IOException, InterruptedException {
-    process.pause();
+    if (process.isAlive()) {
+      process.pause();
+    }
   }
 
+  /** Resumes the process; one that has ended is left alone. */
   void resume() throws IOException, InterruptedException {
-    process.resume();
+    if (process.isAlive()) {
+      process.resume();
+    }
+  }
+
+  /** Lets the process read its settings again; one that has ended is left alone. */
+  void reload() throws IOException, InterruptedException {
+    if (process.isAlive()) {
+      process.reload();
+    }
   }
 
   @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -102,15 +102,24 @@
    *
    * @param probes requests on routes that the operator added
    * @param orders the orders that each engine took, by its id
+   * @param ends when gateways were ended
    */
-  record Control(List<Probe> probes, Map<String, List<StageOrder>> orders) {
+  record Control(List<Probe> probes, Map<String, List<StageOrder>> orders, GatewayEnds ends) {
 
     /** Nothing was done. */
     static Control none() {
-      return new Control(List.of(), Map.of());
+      return new Control(List.of(), Map.of(), new GatewayEnds(List.of(), List.of()));
     }
   }
 
+  /**
+   * When gateways were ended; each time lasts until the gateway has started again.
+   *
+   * @param killed from when it was killed, also while it stopped as planned
+   * @param absent from when it was killed or asked to stop
+   */
+  record GatewayEnds(List<Trouble> killed, List<Trouble> absent) {}
+
   /** A route that the operator added, and removed again; never, if the time is the greatest. */
   record AddedRoute(String name, long addedNanos, long removedNanos) {
 
@@ -130,6 +139,11 @@
 
   /** Whether a gateway was in trouble at any moment between two times. */
   boolean troubled(int gateway, long fromNanos, long toNanos) {
+    return meets(troubles, gateway, fromNanos, toNanos);
+  }
+
+  /** Whether any of these troubles of a gateway holds at any moment between two times. */
+  static boolean meets(List<Trouble> troubles, int gateway, long fromNanos, long toNanos) {
     return troubles.stream()
         .filter(trouble -> trouble.gateway() == gateway)
         .anyMatch(trouble -> trouble.fromNanos() < toNanos && trouble.toNanos() > fromNanos);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -75,7 +75,7 @@
             fleet.limits(),
             troubles(fleet),
             poisons,
-            new SoakRecord.Control(load.probes(this::inTouch), orders(fleet)),
+            new SoakRecord.Control(load.probes(this::inTouch), orders(fleet), ends(fleet)),
             calmFrom);
       }
     }
@@ -216,6 +216,23 @@
     return troubles;
   }
 
+  private SoakRecord.GatewayEnds ends(SoakFleet fleet) {
+    List<SoakRecord.Trouble> killed = new ArrayList<>();
+    List<SoakRecord.Trouble> absent = new ArrayList<>();
+    for (SoakSchedule.Entry entry : schedule.faults()) {
+      if (entry.fault().restartsGateway()) {
+        int gateway = fleet.indexOf(entry.target());
+        long begin = begunNanos + entry.begin().toNanos();
+        long end = begunNanos + entry.end().toNanos();
+        long started = end + START.toNanos();
+        boolean atOnce = entry.fault() == SoakFault.GATEWAY_KILLED;
+        killed.add(new SoakRecord.Trouble(gateway, atOnce ? begin : end, started));
+        absent.add(new SoakRecord.Trouble(gateway, begin, started));
+      }
+    }
+    return new SoakRecord.GatewayEnds(killed, absent);
+  }
+
   /**
    * When a gateway ran the other build, which may know nothing of what engines say of themselves:
    * the landed one sent on 1,627 requests in a minute to an engine that had said it leaves.
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -20,6 +20,8 @@
   private static final long CALM = seconds(10);
   private static final String WHOLE = EmulatedEngine.wholeStream();
 
+  private static final SoakRecord.GatewayEnds NO_ENDS = SoakRecord.Control.none().ends();
+
   private static long seconds(double seconds) {
     return (long) (seconds * 1e9);
   }
@@ -297,10 +299,54 @@
         CALM);
   }
 
+  /** A call that got no answer, and was run so often, of a gateway that was ended meanwhile. */
+  private static SoakRecord unanswered(int runs, SoakRecord.GatewayEnds ends) {
+    SoakRecord.Call cut =
+        new SoakRecord.Call(
+            "cut",
+            SoakRecord.Kind.ONCE,
+            0,
+            seconds(20),
+            seconds(21),
+            Optional.empty(),
+            0,
+            "",
+            false);
+    SoakRecord record = oneCall(cut, runs);
+    return new SoakRecord(
+        record.calls(),
+        List.of(),
+        record.runs(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        List.of(),
+        new SoakRecord.Control(List.of(), Map.of(), ends),
+        CALM);
+  }
+
+  @Test
+  void connectionThatIsClosedWithoutAnswerIsFound() {
+    SoakRecord.Trouble before = new SoakRecord.Trouble(0, seconds(18), seconds(19.5));
+    SoakRecord.Trouble meanwhile = new SoakRecord.Trouble(0, seconds(20.5), seconds(23));
+    SoakRecord.Trouble ofAnother = new SoakRecord.Trouble(1, seconds(20.5), seconds(23));
+    List<SoakRecord.Trouble> others = List.of(before, ofAnother);
+    SoakRecord.GatewayEnds stops = new SoakRecord.GatewayEnds(others, List.of(meanwhile));
+    SoakRecord.GatewayEnds kills =
+        new SoakRecord.GatewayEnds(List.of(meanwhile), List.of(meanwhile));
+    assertThat(broken(unanswered(0, NO_ENDS))).containsExactly(SoakCheck.ANSWERED);
+    assertThat(broken(unanswered(0, new SoakRecord.GatewayEnds(others, others))))
+        .containsExactly(SoakCheck.ANSWERED);
+    assertThat(broken(unanswered(1, stops))).containsExactly(SoakCheck.ANSWERED);
+    assertThat(broken(unanswered(0, stops))).isEmpty();
+    assertThat(broken(unanswered(1, kills))).isEmpty();
+  }
+
   private static SoakRecord probed(double atSeconds, int status) {
     SoakRecord.AddedRoute route = new SoakRecord.AddedRoute("added-0", seconds(1), seconds(9));
     SoakRecord.Probe probe = new SoakRecord.Probe(route, 0, seconds(atSeconds), status);
-    return withControl(new SoakRecord.Control(List.of(probe), Map.of()));
+    return withControl(new SoakRecord.Control(List.of(probe), Map.of(), NO_ENDS));
   }
 
   /** The store's return from a copy hid configurations from gateways for seconds. */
@@ -315,7 +361,7 @@
   }
 
   private static SoakRecord ordered(SoakRecord.StageOrder... orders) {
-    return withControl(new SoakRecord.Control(List.of(), Map.of("d-1", List.of(orders))));
+    return withControl(new SoakRecord.Control(List.of(), Map.of("d-1", List.of(orders)), NO_ENDS));
   }
 
   @Test
