Keep a refused request refused at the checks that follow

Found on reading the change again: a second check, while the 408 answer was still being written, decided anew, and the server could go on reading the refused request. refuseHead refuses once. Test: WatchedConnectorTest#refusedRequestStaysRefused (not run against the earlier form).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -267,13 +267,16 @@
    * that has come takes long only because threads of this process do not get to run. From then on
    * the server reads nothing more, so that the refused request is certainly not served.
    *
-   * @return whether the request is refused; the caller of this method answers it and closes
+   * @return whether the request is refused now; the caller of this method answers it and closes
    */
   boolean refuseHead() {
     synchronized (lock) {
-      refused = !serving && headSinceNanos != 0 && awaitsBytes();
-      closeExpected |= refused;
-      return refused;
+      if (refused || serving || headSinceNanos == 0 || !awaitsBytes()) {
+        return false;
+      }
+      refused = true;
+      closeExpected = true;
+      return true;
     }
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/WatchedConnectorTest.java
@@ -199,4 +199,20 @@
       }
     }
   }
+
+  /** A later check, while the answer is still being written, must not let the server read again. */
+  @Test
+  void refusedRequestStaysRefused() throws Exception {
+    try (Socket caller = callerWhoseHeadHasBegun()) {
+      WatchedEndPoint endPoint =
+          (WatchedEndPoint) connector.getConnectedEndPoints().iterator().next();
+      assertThat(endPoint.refuseHead()).isTrue();
+      sendRestOfHead(caller);
+      while (endPoint.getChannel().socket().getInputStream().available() == 0) {
+        Thread.onSpinWait();
+      }
+      assertThat(endPoint.refuseHead()).isFalse();
+      assertThat(endPoint.fill(BufferUtil.allocate(1))).isZero();
+    }
+  }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -218,6 +218,7 @@
 
   private void signal(String signal) throws IOException, InterruptedException {
     Process kill = new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+    // A process that has just ended takes no signal.
     if (kill.waitFor() != 0 && process.isAlive()) {
       throw new IOException("cannot send " + signal + " to " + name);
     }
