Do not report the close of an idle connection as a cut

The server closes an idle connection in two steps: its output at the timeout, the rest when the caller has closed its side. The cause stays IDLE once the output is closed. Test: KeepAliveConnectionTest#idleConnectionIsClosedWithoutAReport, red before, green after.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -107,10 +107,11 @@
     }
   }
 
+  /** The server closes its output first, and the rest when the caller has closed its side too. */
   private void closeAsIdle(Runnable close) {
     setCloseCause(ConnectionCut.Cause.IDLE);
     close.run();
-    if (isOpen()) {
+    if (!isOutputShutdown()) {
       setCloseCause(ConnectionCut.Cause.SERVER);
     }
   }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/node/gateway/KeepAliveConnectionTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/node/gateway/KeepAliveConnectionTest.java
@@ -1,11 +1,13 @@
 package org.fallturn.node.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.AppenderBase;
+import java.time.Duration;
 import java.util.List;
 import java.util.Queue;
 import java.util.Random;
@@ -22,6 +24,7 @@
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.slf4j.LoggerFactory;
@@ -37,6 +40,8 @@
  */
 class KeepAliveConnectionTest {
 
+  private static final Duration IDLE_TIMEOUT = Duration.ofMillis(300);
+  private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final int CALLERS = 8;
   private static final int MAX_SPINS = 1_000;
 
@@ -114,6 +119,18 @@
     }
   }
 
+  /** An idle connection is closed in two steps; neither is a cut. */
+  @Test
+  void idleConnectionIsClosedWithoutAReport() throws Exception {
+    platform.configureIdleTimeout(IDLE_TIMEOUT);
+    await().atMost(LONGEST).until(() -> gateway.routingVersion() == 5);
+    try (EmulatedClient client = new EmulatedClient()) {
+      client.call(gateway.callersAddress(), EmulatedPlatform.IDEMPOTENT, 0);
+      await().atMost(LONGEST).until(() -> gateway.callerConnections().isEmpty());
+    }
+    assertThat(cut).isEmpty();
+  }
+
   @ParameterizedTest
   @CsvSource({"/once/x,0,2500", "/idempotent/x,0,2500", "/stream/x,300,250"})
   void everyRequestIsServedHoweverOftenConnectionsBecomeReadable(
