Hold a signal to reload that comes while the process starts

Cause: SIGHUP 0.15 s and 1.7 s after the process was started again. The handler was installed only when the settings were watched, after settings, server and duties had been set up; until then the Java runtime ends the process. The time in which the Java runtime itself starts remains.

--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -6,11 +6,13 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -69,20 +71,23 @@
     callers = new NetworkAddress("127.0.0.1", freePort());
     metricsPort = freePort();
     writeSettings("grace = \"4s\"");
-    process =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                PlatformMain.class.getName(),
-                settings().toString())
-            .redirectErrorStream(true)
-            .redirectOutput(log().toFile())
-            .start();
+    process = newProcess();
     await().atMost(LONGEST).until(() -> served() == 200);
   }
 
+  private Process newProcess() throws IOException {
+    return new ProcessBuilder(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("java.class.path"),
+            PlatformMain.class.getName(),
+            settings().toString())
+        .redirectErrorStream(true)
+        .redirectOutput(log().toFile())
+        .start();
+  }
+
   @AfterEach
   void stop() throws Exception {
     process.destroyForcibly().waitFor();
@@ -165,6 +170,28 @@
     }
   }
 
+  /**
+   * Guards against a signal to reload that ends a process which is starting. The settings come
+   * through a pipe here, so that the process waits for them while the signal is sent; a file takes
+   * the pipe's place before they come.
+   */
+  @Test
+  void hangUpSignalDuringTheStartDoesNotEndTheProcess() throws Exception {
+    process.destroyForcibly().waitFor();
+    Path file = Files.copy(settings(), folder.resolve("copy.toml"));
+    Files.delete(settings());
+    assertThat(new ProcessBuilder("mkfifo", settings().toString()).start().waitFor()).isZero();
+    process = newProcess();
+    try (OutputStream pipe = Files.newOutputStream(settings())) {
+      signal("HUP");
+      byte[] text = Files.readAllBytes(file);
+      Files.move(file, settings(), StandardCopyOption.REPLACE_EXISTING);
+      pipe.write(text);
+    }
+    await().atMost(LONGEST).until(() -> served() == 200);
+    assertThat(process.isAlive()).isTrue();
+  }
+
   /** The commands of docs/operations/failed-requests.md find the cause of each kind. */
   @Test
   void failedRequestsAreExplainedByTheCommandsOfThePage() throws Exception {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ReloadSignal.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReloadSignal.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Method;
 import java.lang.reflect.Proxy;
+import java.util.concurrent.Semaphore;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -11,15 +12,31 @@
  * process. The signal classes are supported by the runtime but not part of the Java platform, so
  * this class calls them by reflection.
  */
-final class ReloadSignal {
+public final class ReloadSignal {
 
   private static final Logger LOG = LoggerFactory.getLogger(ReloadSignal.class);
   private static final String SIGNAL_CLASS = "sun.misc.Signal";
   private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
   private static final String SIGNAL_NAME = "HUP";
 
+  /** A permit for each signal that came before the settings were watched. */
+  private static final Semaphore HELD = new Semaphore(0);
+
   private ReloadSignal() {}
 
+  /**
+   * Holds signals until the settings are watched. Call first in a process: a signal that comes
+   * before the handler is installed ends it.
+   */
+  public static void hold() {
+    onSignal(HELD::release);
+  }
+
+  /** Returns the number of signals held since the last call. */
+  static int takeHeld() {
+    return HELD.drainPermits();
+  }
+
   /**
    * Installs the handler.
    *
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
@@ -45,6 +45,7 @@
   void start(FaultListener faults) {
     lastText = text();
     ReloadSignal.onSignal(reloadRequests::release);
+    reloadRequests.release(ReloadSignal.takeHeld());
     loop.start(faults);
   }
 
