--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/fleet/ManagedProcess.java
@@ -190,9 +190,12 @@
     process.waitFor(KILL_SECONDS, TimeUnit.SECONDS);
   }
 
-  /** Asks for a planned stop. */
+  /**
+   * Asks for a planned stop. Goes through the handle: {@link Process#destroy} would also close the
+   * process's output, and with it lose the log of the stop.
+   */
   public void terminate() {
-    process.destroy();
+    process.toHandle().destroy();
   }
 
   /** Its exit code once it has ended within the time. */
