Wait for the count of a finished request in the test of the figures

Cause: the dispatch thread counts both after the answer has been written, FINISHED last, and the text is composed in the other order; the caller may ask in between. The test asks again until all three figures are there, and wants them as before.

--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -158,15 +158,23 @@
     assertThat(served()).isEqualTo(200);
   }
 
+  /** A request is counted as finished a moment after its caller has the answer. */
   @Test
-  void figuresAreServedAsText() throws Exception {
+  void figuresAreServedAsText() {
+    await()
+        .atMost(LONGEST)
+        .untilAsserted(
+            () ->
+                assertThat(figures())
+                    .contains("fallturn_gateway_events_total{event=\"FINISHED\",detail=\"\"}")
+                    .contains("fallturn_gateway_whole_ms_count ")
+                    .contains("fallturn_gateway_engines 1\n"));
+  }
+
+  private String figures() throws IOException {
     URL address = new URL("http://127.0.0.1:" + metricsPort + "/metrics");
     try (InputStream body = address.openStream()) {
-      String text = new String(body.readAllBytes(), StandardCharsets.UTF_8);
-      assertThat(text)
-          .contains("fallturn_gateway_events_total{event=\"FINISHED\",detail=\"\"}")
-          .contains("fallturn_gateway_whole_ms_count ")
-          .contains("fallturn_gateway_engines 1\n");
+      return new String(body.readAllBytes(), StandardCharsets.UTF_8);
     }
   }
 
