Let the slack of a new process grow over its first window

Each new process took three tenths of its node's share of the slack at once, and the share that holds after the first window leaves room for one such start only. A node that was killed again and again within a window took more: 8 nodes, restarted every 2 s with 1 request a second, 29 repeats beyond the bound; every second with 3 requests a second, 106 beyond it.

The starting share grows from none over the window, so that any number of starts within a window use three tenths together. The part by requests needs no change, since each request counts in one process.

Test: windowsStayWithinTheBoundWhenProcessesRestartAgainAndAgain, two of seven cases red before (figures above), all green now.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalInt;
 import org.fallturn.core.limits.BudgetDigest;
+import org.fallturn.core.limits.BudgetState;
 import org.fallturn.core.limits.SharedBudget;
 
 /**
@@ -26,13 +27,15 @@
    */
   private static final double STARTING_RATIO_FRACTION = 1 - RATIO_FRACTION;
 
-  /** Fraction of this node's share of the slack that a process uses in its first window. */
+  /**
+   * Fraction of this node's share of the slack that a process uses in its first window. It grows
+   * from none over that window, so that any number of starts within a window use no more together.
+   */
   private static final double STARTING_SLACK_FRACTION = 0.3;
 
   /**
    * Fraction of this node's share of the slack that a process uses after its first window. It adds
-   * up to 1 with {@link #STARTING_SLACK_FRACTION}, so one restart per window stays within the
-   * bound.
+   * up to 1 with {@link #STARTING_SLACK_FRACTION}, so restarts stay within the bound.
    */
   private static final double STEADY_SLACK_FRACTION = 1 - STARTING_SLACK_FRACTION;
 
@@ -73,9 +76,10 @@
    */
   void setOthers(BudgetDigest reported, OptionalInt nodes, long uptimeNanos) {
     boolean steady = uptimeNanos >= windowNanos;
+    double startingSlackFraction = STARTING_SLACK_FRACTION * uptimeNanos / windowNanos;
     budget.setBounds(
         (steady ? RATIO_FRACTION : STARTING_RATIO_FRACTION) * ratio,
-        (steady ? STEADY_SLACK_FRACTION : STARTING_SLACK_FRACTION) * slack);
+        (steady ? STEADY_SLACK_FRACTION : startingSlackFraction) * slack);
     budget.setSharing(steady);
     budget.setOthers(reported, nodes);
   }
@@ -90,6 +94,11 @@
     return budget.tryTake(late ? LATE_FRACTION : 1, nowNanos);
   }
 
+  /** What this node knows of the budget now. */
+  BudgetState state(long nowNanos) {
+    return budget.state(nowNanos);
+  }
+
   /** What this node reports to the others. */
   BudgetDigest digest(long nowNanos) {
     return budget.digest(nowNanos);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/PeerBudgetsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/PeerBudgetsTest.java
@@ -107,6 +107,7 @@
             Requests.engine("e-2", Requests.MODEL, EngineStage.DECODE));
     dispatcher.setNodeCount(OptionalInt.of(4), countSettled);
     RequestProgress progress = Requests.prompt(true, 100, 3_000);
+    dispatcher.ownBudgets(Requests.START - Duration.ofSeconds(9).toNanos());
     dispatcher.start(progress, Requests.START);
     return dispatcher.onFailure(progress, AttemptOutcome.LOST, Requests.START);
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -44,8 +44,14 @@
     number = first;
   }
 
+  /** Creates the dispatcher of a process that has run for half a window of its retry budget. */
   static Dispatcher dispatcher(ServingEngine... engines) {
-    return dispatcher(1_000, engines);
+    return startedEarlier(dispatcher(1_000, engines));
+  }
+
+  private static Dispatcher startedEarlier(Dispatcher dispatcher) {
+    dispatcher.ownBudgets(START - Duration.ofSeconds(5).toNanos());
+    return dispatcher;
   }
 
   /**
@@ -53,8 +59,8 @@
    * whatever the load.
    */
   static Dispatcher dispatcherWithoutWaits(ServingEngine... engines) {
-    return dispatcher(
-        1_000, new WaitingParameters(true, false, true, true, true, 0), true, engines);
+    return startedEarlier(
+        dispatcher(1_000, new WaitingParameters(true, false, true, true, true, 0), true, engines));
   }
 
   static Dispatcher dispatcher(double slack, ServingEngine... engines) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/SharedRetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/SharedRetryBudgetTest.java
@@ -89,6 +89,34 @@
         .isGreaterThanOrEqualTo(0);
   }
 
+  /**
+   * Processes are killed again and again, some of them within a second of their start. Each new
+   * process took three tenths of its node's share of the slack at once, so that the fourth within a
+   * window took what the bound leaves to none.
+   */
+  @ParameterizedTest
+  @CsvSource({"1,10,3", "8,1,2", "8,3,1", "8,10,3", "8,60,2", "66,10,3", "66,60,1"})
+  void windowsStayWithinTheBoundWhenProcessesRestartAgainAndAgain(
+      int nodes, double all, double pauseSeconds) {
+    BudgetFleet.Faults kills =
+        new BudgetFleet.Faults() {
+          @Override
+          public int group(int node, double seconds) {
+            return 0;
+          }
+
+          @Override
+          public boolean restarts(int node, double seconds) {
+            double sinceKill = (seconds + 0.01 * (node % 20)) % pauseSeconds;
+            return seconds > 15 && seconds < 30 && sinceKill < 0.009;
+          }
+        };
+    BudgetFleet fleet = new BudgetFleet(nodes, true, LOST, 4);
+    double failures = 2 * BudgetFleet.SLACK / nodes;
+    fleet.simulate(40, (node, seconds) -> all / nodes, (node, seconds) -> failures, kills);
+    assertThat(fleet.leastMargin()).isGreaterThanOrEqualTo(0);
+  }
+
   /** A node that alone has failures uses nine tenths of what all nodes together may repeat. */
   @ParameterizedTest
   @CsvSource({"8,60", "30,60", "71,60", "112,400", "338,400"})
