Log what a node knew of the retry budget at each repeat

No line told by which figures a node granted or denied itself a repeat, so that the sum over a fleet could not be worked out from its logs. RETRY_BUDGET names reserve, pool, used, known of others, limit and nodes counted, one line for each repeat that a failed request wanted.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -35,6 +35,7 @@
   private boolean isolated;
   private CacheSource source;
   private ExpectedWork expected;
+  private RetryBudgetUse budgetUse;
 
   /** Creates the state of a request that has just arrived. */
   public RequestProgress(RequestEnvelope envelope, RequestContent content) {
@@ -255,6 +256,17 @@
     return taken;
   }
 
+  void setBudgetUse(RetryBudgetUse use) {
+    budgetUse = use;
+  }
+
+  /** Returns and clears the last use of the retry budget for this request, if any. */
+  public Optional<RetryBudgetUse> takeBudgetUse() {
+    Optional<RetryBudgetUse> use = Optional.ofNullable(budgetUse);
+    budgetUse = null;
+    return use;
+  }
+
   /**
    * Ends the current attempt.
    *
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -6,6 +6,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.limits.BudgetDigest;
+import org.fallturn.core.limits.BudgetState;
 import org.fallturn.core.routing.Route;
 
 /**
@@ -128,7 +129,12 @@
     if (!progress.nextSendIsRepeat()) {
       return true;
     }
-    return updatedBudget(progress.service(), nowNanos).tryTake(progress.late(nowNanos), nowNanos);
+    RetryBudget budget = updatedBudget(progress.service(), nowNanos);
+    boolean late = progress.late(nowNanos);
+    BudgetState before = budget.state(nowNanos);
+    boolean granted = budget.tryTake(late, nowNanos);
+    progress.setBudgetUse(new RetryBudgetUse(granted, late, before));
+    return granted;
   }
 
   private long uptimeNanos(long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/limits/SharedBudget.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/limits/SharedBudget.java
@@ -166,6 +166,20 @@
     return new BudgetDigest(1, requests.sum(nowNanos), taken, wanted, hundredths);
   }
 
+  /** What this node knows of the budget now. */
+  public BudgetState state(long nowNanos) {
+    double usedByOthers = usedByOtherNodes(nowNanos);
+    return new BudgetState(
+        reserve(nowNanos),
+        poolAllowance(nowNanos),
+        used.sum(nowNanos),
+        usedByOthers,
+        notUsedByOthers(nowNanos) + (sharing && nodes.isPresent() ? usedByOthers : 0),
+        1 + others.nodes(),
+        nodes.orElse(0),
+        sharing);
+  }
+
   /** Units that this node may take within a window, whatever the others take. */
   private double reserve(long nowNanos) {
     return (1 - lentFraction(nowNanos)) * ownContribution(nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -11,10 +11,12 @@
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.dispatch.RequestProgress;
+import org.fallturn.core.dispatch.RetryBudgetUse;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.following.FollowStep;
+import org.fallturn.core.limits.BudgetState;
 import org.fallturn.core.pace.PaceChange;
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.quarantine.QuarantineStatusChange;
@@ -505,6 +507,22 @@
     line.log();
   }
 
+  void retryBudget(Exchange exchange, RetryBudgetUse use) {
+    BudgetState budget = use.budget();
+    line(LogEvent.RETRY_BUDGET, exchange, use.granted() ? "granted" : "denied")
+        .addKeyValue("granted", use.granted())
+        .addKeyValue("late", use.late())
+        .addKeyValue("used", budget.used())
+        .addKeyValue("reserve", Math.round(budget.reserve()))
+        .addKeyValue("pool", Math.round(budget.pool()))
+        .addKeyValue("usedByOthers", Math.round(budget.usedByOthers()))
+        .addKeyValue("limit", Math.round(budget.limit()))
+        .addKeyValue("nodesHeard", budget.nodesHeard())
+        .addKeyValue("nodes", budget.nodes())
+        .addKeyValue("sharing", budget.sharing())
+        .log();
+  }
+
   /** Logs that an attempt is about to be abandoned; the line of its failure follows. */
   void stuck(Exchange exchange, EngineAttempt attempt, StuckReason reason) {
     line(LogEvent.STUCK, exchange, reason.name())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -249,6 +249,7 @@
     runs.onFailed(exchange, event.outcome(), now);
     Optional<CacheSource> source = exchange.progress().source();
     Decision next = dispatcher.onFailure(exchange.progress(), event.outcome(), now);
+    exchange.progress().takeBudgetUse().ifPresent(use -> log.retryBudget(exchange, use));
     if (event.outcome().mayHaveReached() && exchange.progress().source().isEmpty()) {
       source.ifPresent(from -> engines.freeHandle(from.engine(), from.handle()));
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -109,6 +109,11 @@
   STUCK,
   /** An attempt at an engine failed. */
   ATTEMPT_FAILED,
+  /**
+   * A failed request wanted to be sent again: this node's part of the retry budget allows it or
+   * not.
+   */
+  RETRY_BUDGET,
   /** This node forwards an engine's failure to the caller. */
   FAILURE_PASSED,
   /** This node forwarded a whole answer to the caller. */
