--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -40,6 +40,7 @@
   private final PeerLoads peerLoads = new PeerLoads();
   private final EngineNotices notices;
   private final EngineSelector selector;
+  private final EnginePaths paths;
   private final PromptPlacement promptPlacement;
   private final StageControl stages;
   private final SilenceDetector silence;
@@ -68,6 +69,7 @@
     this.pace = new PaceObserver(peerLoads, speeds::of, parameters.learnsPace());
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, notices, pace.pace(), lastResortNanos);
+    this.paths = new EnginePaths(selector, peerLoads);
     this.queue = new ApplicationQueue(selector);
     this.fleet = new FleetView(selector, peerLoads, notices, speeds, pace, this::cacheTokens);
     this.promptPlacement = new PromptPlacement(selector, parameters.zone());
@@ -161,6 +163,7 @@
   public void onTick(long nowNanos) {
     notices.reportedLoads().takeAll(pace::onLoadReported);
     pace.onTick(nowNanos);
+    paths.onTick(nowNanos);
     silence.check(nowNanos);
     quarantine.onTick(this::lastHeard, nowNanos);
   }
@@ -194,23 +197,12 @@
 
   /** Engines that this node began or ceased to avoid since the last call. */
   public List<HealthChange> takeHealthChanges(long nowNanos) {
-    List<HealthChange> changes = new ArrayList<>();
-    selector
-        .loads()
-        .forEach(
-            (id, load) -> {
-              EngineHealth health = load.health();
-              if (health.takeChange()) {
-                changes.add(
-                    new HealthChange(
-                        id,
-                        health.suspended(),
-                        health.silent(),
-                        health.failureShare(nowNanos),
-                        load.running()));
-              }
-            });
-    return changes;
+    return selector.takeHealthChanges(nowNanos);
+  }
+
+  /** The ways by which this node reaches the engines. */
+  public EnginePaths paths() {
+    return paths;
   }
 
   /** Engines found to be slower or faster than others, or no longer so, since the last call. */
@@ -252,7 +244,7 @@
             (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI);
     pace.onDone(progress, nowNanos);
     load.onSignOfLife(progress, nowNanos);
-    load.health().onSuccess(nowNanos);
+    load.onSuccess(progress, nowNanos);
     load.promptRead(progress);
     release(progress, false);
     progress.keepSource(new CacheSource(engine, handle));
@@ -292,7 +284,11 @@
 
   private void onFailedEngine(
       RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
-    selector.load(engine).health().onFailure(outcome, nowNanos);
+    if (progress.forwarder().isPresent()) {
+      paths.onForwardedFailure(progress, engine, outcome, nowNanos);
+    } else {
+      selector.load(engine).health().onFailure(outcome, nowNanos);
+    }
     if (outcome == AttemptOutcome.NOT_EXECUTED && progress.envelope().prompt().isEmpty()) {
       queue.onRejection(engine, nowNanos);
     }
@@ -322,7 +318,7 @@
         .map(selector::load)
         .ifPresent(
             load -> {
-              load.health().onSuccess(nowNanos);
+              load.onSuccess(progress, nowNanos);
               load.onAnswered(progress);
             });
     observeResponseTime(progress, nowNanos);
@@ -550,6 +546,7 @@
     AttemptTimeout attemptTimeout =
         timeouts.forPrefill(plan.millis(), progress.envelope().remainingNanos(nowNanos));
     progress.beginPrefill(engine, plan.estimate(), plan.urgency(), nowNanos);
+    progress.sendThrough(paths.forwarderFor(engine, nowNanos));
     selector.load(engine).add(progress);
     return new Decision.Prefill(
         engine, plan.fetchFrom(), progress.level(), plan.estimate(), attemptTimeout);
@@ -569,6 +566,7 @@
       Urgency urgency,
       long nowNanos) {
     progress.beginRun(engine, estimate, urgency, nowNanos);
+    progress.sendThrough(paths.forwarderFor(engine, nowNanos));
     selector.load(engine).add(progress);
     AttemptTimeout attemptTimeout =
         timeouts.forRun(progress, estimate.millis(), progress.envelope().remainingNanos(nowNanos));
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -7,14 +7,20 @@
  *
  * <p>Failures in a row, or silence while requests wait at the engine, suspend it. Each further
  * suspension is longer, up to a maximum. After a suspension one request at a time probes the
- * engine. A sign of life that another node receives ends a suspension for silence. If another
- * engine answers in the engine's place, the engine is suspended for the longest time at once. A
- * share of failed attempts makes an engine less attractive without suspending it. Confined to one
- * thread.
+ * engine. If another engine answers in the engine's place, the engine is suspended for the longest
+ * time at once. A share of failed attempts makes an engine less attractive without suspending it.
+ *
+ * <p>A sign of life that another node receives shows that only the link of this node is at fault,
+ * if the engine is suspended for silence or because no connection could be opened. It is then used
+ * through other nodes or, if none can forward requests, again directly. Confined to one thread.
  */
 final class EngineHealth {
 
   private static final int FAILURES_TO_SUSPEND = 2;
+
+  /** Failures in a row through other nodes after which the engine itself counts as faulty. */
+  private static final int FORWARDED_FAILURES_TO_SUSPEND = 3;
+
   private static final long FIRST_SUSPENSION_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long MAX_SUSPENSION_NANOS = TimeUnit.SECONDS.toNanos(4);
   private static final double FAILURE_SHARE_WEIGHT = 0.15;
@@ -35,12 +41,17 @@
   private long failureShareAtNanos;
   private boolean silent;
   private boolean misdirected;
+  private boolean linkSuspect;
+  private boolean throughPeers;
+  private int forwardedFailuresInRow;
   private boolean reportedSuspended;
+  private boolean reportedThroughPeers;
 
   /** Returns whether the engine was suspended or resumed since the last call. */
   boolean takeChange() {
-    boolean changed = reportedSuspended != suspended;
+    boolean changed = reportedSuspended != suspended || reportedThroughPeers != throughPeers;
     reportedSuspended = suspended;
+    reportedThroughPeers = throughPeers;
     return changed;
   }
 
@@ -51,7 +62,7 @@
 
   /** Returns whether a request may be sent to the engine now. */
   boolean usable(long nowNanos) {
-    if (!suspended) {
+    if (!suspended || throughPeers) {
       return true;
     }
     return !probing && nowNanos - suspendedUntilNanos >= 0;
@@ -71,23 +82,67 @@
    * other would otherwise never use it again.
    */
   boolean warnsOthers(long nowNanos) {
-    return suspended && (probing || nowNanos - suspendedUntilNanos < 0);
+    return suspended && !throughPeers && (probing || nowNanos - suspendedUntilNanos < 0);
   }
 
   /**
-   * Ends a suspension for silence if another node has received a sign of life after it began.
+   * Handles a sign of life that another node has received.
    *
    * @param heardNanos time at which the other node received it
+   * @param canForward whether other nodes can forward requests of this one
    */
-  void onPeerSignOfLife(long heardNanos) {
-    if (suspended && silent && heardNanos - suspendedAtNanos > 0) {
+  void onPeerSignOfLife(long heardNanos, boolean canForward) {
+    if (!suspended || !linkSuspect || heardNanos - suspendedAtNanos <= 0) {
+      return;
+    }
+    if (canForward) {
+      throughPeers = true;
+    } else if (silent) {
       onSignOfLife();
     }
   }
 
-  /** Returns whether the engine is suspended, or is being probed after a suspension. */
+  /**
+   * Returns whether the engine is suspended, or is being probed after a suspension. An engine that
+   * is used through other nodes is not.
+   */
   boolean suspended() {
-    return suspended;
+    return suspended && !throughPeers;
+  }
+
+  /** Returns whether requests are sent to the engine through other nodes. */
+  boolean throughPeers() {
+    return throughPeers;
+  }
+
+  /** Records that this node reaches the engine by its own link. */
+  void onPathWorks() {
+    if (throughPeers) {
+      onSignOfLife();
+    }
+  }
+
+  /** Records that this node does not reach the engine while others do. */
+  void onPathLost(long nowNanos) {
+    silent = true;
+    linkSuspect = true;
+    misdirected = false;
+    suspend(nowNanos);
+    throughPeers = true;
+    forwardedFailuresInRow = 0;
+  }
+
+  /** Records that a request that was sent through another node was answered. */
+  void onForwardedSuccess() {
+    forwardedFailuresInRow = 0;
+  }
+
+  /** Records that a request that was sent through another node failed on its way or there. */
+  void onForwardedFailure(long nowNanos) {
+    forwardedFailuresInRow++;
+    if (throughPeers && forwardedFailuresInRow >= FORWARDED_FAILURES_TO_SUSPEND) {
+      suspend(nowNanos);
+    }
   }
 
   /**
@@ -104,7 +159,7 @@
   }
 
   void onSent() {
-    if (suspended) {
+    if (suspended()) {
       probing = true;
     }
   }
@@ -125,7 +180,9 @@
     failuresInRow = 0;
     misdirected = false;
     suspended = false;
+    throughPeers = false;
     probing = false;
+    forwardedFailuresInRow = 0;
     suspensionNanos = FIRST_SUSPENSION_NANOS;
   }
 
@@ -139,6 +196,7 @@
     updateFailureShare(1, nowNanos);
     if (outcome == AttemptOutcome.MISDIRECTED) {
       silent = false;
+      linkSuspect = false;
       misdirected = true;
       suspensionNanos = MAX_SUSPENSION_NANOS;
       suspend(nowNanos);
@@ -150,6 +208,7 @@
     failuresInRow++;
     if (suspended ? probed : failuresInRow >= FAILURES_TO_SUSPEND) {
       silent = outcome == AttemptOutcome.SILENT;
+      linkSuspect = silent || outcome == AttemptOutcome.NOT_SENT;
       misdirected = false;
       suspend(nowNanos);
     }
@@ -162,6 +221,7 @@
   void onSilence(long nowNanos) {
     if (!suspended) {
       silent = true;
+      linkSuspect = true;
       suspend(nowNanos);
     }
   }
@@ -182,6 +242,7 @@
       suspensionNanos = Math.min(2 * suspensionNanos, MAX_SUSPENSION_NANOS);
     }
     suspended = true;
+    throughPeers = false;
     suspendedAtNanos = nowNanos;
     suspendedUntilNanos = nowNanos + suspensionNanos;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineLoad.java
@@ -86,10 +86,23 @@
   void onSignOfLife(RequestProgress progress, long nowNanos) {
     everHeard = true;
     heardNanos = nowNanos;
-    health.onSignOfLife();
+    if (progress.forwarder().isEmpty()) {
+      health.onSignOfLife();
+    } else {
+      health.onForwardedSuccess();
+    }
     onAnswered(progress);
   }
 
+  /** Records that a request was answered with success, and by which way. */
+  void onSuccess(RequestProgress progress, long nowNanos) {
+    if (progress.forwarder().isEmpty()) {
+      health.onSuccess(nowNanos);
+    } else {
+      health.onForwardedSuccess();
+    }
+  }
+
   /**
    * Records that the engine has taken a request: a part of its answer arrived, or its prompt was
    * read.
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -0,0 +1,165 @@
+package org.fallturn.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Decides by which way this node sends requests to each engine: directly or, while its own link to
+ * the engine does not work, through another node. An engine that this node does not reach although
+ * others hear it is not faulty, and callers must not suffer from a link of this node alone.
+ *
+ * <p>Invariant: requests go through another node only to engines that another node has heard since
+ * this one failed to reach them, over one hop. Probes by calls of this node find out whether a link
+ * works, so that no caller's request is risked for that. Confined to one thread.
+ */
+public final class EnginePaths {
+
+  /**
+   * How long an engine may give no sign of life to this node, while its requests wait there and
+   * others hear it, before its link is probed.
+   */
+  private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
+  /** The least time between two probes of one link. */
+  private static final long PROBE_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** An engine heard within this time is not probed when the link to another one is lost. */
+  private static final long RECENT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private final EngineSelector selector;
+  private final PeerLoads peerLoads;
+  private final ForwardingPeers peers = new ForwardingPeers();
+  private final Map<String, Long> probedNanos = new HashMap<>();
+  private final Set<String> dueProbes = new HashSet<>();
+  private Set<String> throughPeers = Set.of();
+
+  EnginePaths(EngineSelector selector, PeerLoads peerLoads) {
+    this.selector = selector;
+    this.peerLoads = peerLoads;
+  }
+
+  /** Sets the nodes that can forward requests. */
+  public void setPeers(List<NetworkAddress> heard) {
+    peers.set(heard);
+  }
+
+  /** The ids of the engines that this node reaches only through others. */
+  public Set<String> engineIdsThroughPeers() {
+    return throughPeers;
+  }
+
+  /** The node to send a request through; empty to send it to the engine directly. */
+  Optional<NetworkAddress> forwarderFor(ServingEngine engine, long nowNanos) {
+    return selector.load(engine).health().throughPeers()
+        ? peers.choose(nowNanos)
+        : Optional.empty();
+  }
+
+  /** Handles the failure of an attempt that was sent through another node. */
+  void onForwardedFailure(
+      RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
+    EngineHealth health = selector.load(engine).health();
+    switch (outcome) {
+      case NOT_SENT -> {
+        progress.forwarder().ifPresent(peer -> peers.avoid(peer, nowNanos));
+        progress.allowAgain(engine);
+        health.onForwardedFailure(nowNanos);
+      }
+      case LOST, SILENT, BROKEN_MIDWAY -> {
+        progress.forwarder().ifPresent(peer -> peers.avoid(peer, nowNanos));
+        health.onForwardedFailure(nowNanos);
+      }
+      case MISDIRECTED -> health.onFailure(outcome, nowNanos);
+      default -> {}
+    }
+  }
+
+  /** Updates the ways to the engines; called several times a second. */
+  void onTick(long nowNanos) {
+    Set<String> before = throughPeers;
+    Set<String> now = new HashSet<>();
+    selector.loads().forEach((id, load) -> check(id, load, now, nowNanos));
+    throughPeers = Set.copyOf(now);
+    if (!before.containsAll(now)) {
+      probeAllQuiet(nowNanos);
+    }
+  }
+
+  private void check(String engineId, EngineLoad load, Set<String> through, long nowNanos) {
+    OptionalLong heard = peerLoads.heardNanos(engineId);
+    heard.ifPresent(nanos -> load.health().onPeerSignOfLife(nanos, !peers.isEmpty()));
+    if (load.health().throughPeers()) {
+      through.add(engineId);
+      dueProbes.add(engineId);
+    } else if (heard.isPresent() && isQuietHereAlone(load, heard.getAsLong(), nowNanos)) {
+      dueProbes.add(engineId);
+    }
+  }
+
+  /** Whether a request waits in vain at an engine that another node has heard meanwhile. */
+  private static boolean isQuietHereAlone(EngineLoad load, long peersHeardNanos, long nowNanos) {
+    long sinceNanos =
+        load.oldest()
+            .filter(oldest -> oldest.forwarder().isEmpty())
+            .map(oldest -> load.lastSignOfLifeNanos(oldest.sentNanos(), OptionalLong.empty()))
+            .orElse(nowNanos);
+    return nowNanos - sinceNanos >= QUIET_NANOS && peersHeardNanos - sinceNanos > 0;
+  }
+
+  /** When one link is lost, others may be: a node may be cut off from all engines at once. */
+  private void probeAllQuiet(long nowNanos) {
+    for (String engineId : selector.knownIds()) {
+      EngineLoad load = selector.loads().get(engineId);
+      if (load == null || !load.heardWithin(RECENT_NANOS, nowNanos)) {
+        dueProbes.add(engineId);
+      }
+    }
+  }
+
+  /** The engines whose links to probe now. */
+  public List<ServingEngine> takeDueProbes(long nowNanos) {
+    List<ServingEngine> due = new ArrayList<>();
+    if (!peers.isEmpty()) {
+      for (String engineId : dueProbes) {
+        Long probed = probedNanos.get(engineId);
+        if (probed == null || nowNanos - probed >= PROBE_PAUSE_NANOS) {
+          selector.find(engineId).ifPresent(due::add);
+        }
+      }
+    }
+    dueProbes.clear();
+    due.forEach(engine -> probedNanos.put(engine.id(), nowNanos));
+    probedNanos.keySet().retainAll(selector.knownIds());
+    return due;
+  }
+
+  /**
+   * Handles the end of a probe. An engine that does not answer and that no other node has heard
+   * since may itself be at fault, which other detectors find out.
+   *
+   * @param reached whether the engine answered, whatever it said
+   * @param askedNanos when the probe was sent
+   */
+  public void onProbed(String engineId, boolean reached, long askedNanos, long nowNanos) {
+    Optional<ServingEngine> engine = selector.find(engineId);
+    if (engine.isEmpty()) {
+      return;
+    }
+    EngineHealth health = selector.load(engine.get()).health();
+    OptionalLong heard = peerLoads.heardNanos(engineId);
+    if (reached) {
+      health.onPathWorks();
+    } else if (!peers.isEmpty() && heard.isPresent() && heard.getAsLong() - askedNanos > 0) {
+      health.onPathLost(nowNanos);
+    }
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -219,6 +219,26 @@
     return loads;
   }
 
+  /** Engines that were suspended, resumed or reached by another way since the last call. */
+  List<HealthChange> takeHealthChanges(long nowNanos) {
+    List<HealthChange> changes = new ArrayList<>();
+    loads.forEach(
+        (id, load) -> {
+          EngineHealth health = load.health();
+          if (health.takeChange()) {
+            changes.add(
+                new HealthChange(
+                    id,
+                    health.suspended(),
+                    health.throughPeers(),
+                    health.silent(),
+                    health.failureShare(nowNanos),
+                    load.running()));
+          }
+        });
+    return changes;
+  }
+
   PrefixCacheEstimates cachedParts() {
     return cachedParts;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
@@ -24,6 +25,7 @@
   private int sends;
   private boolean prefillCompleted;
   private ServingEngine engine;
+  private NetworkAddress forwarder;
   private boolean prefilling;
   private int chargedTokens;
   private long aheadTokens;
@@ -75,6 +77,20 @@
     return Optional.ofNullable(engine);
   }
 
+  /** The node that the current attempt is sent through; empty if it is sent directly. */
+  public Optional<NetworkAddress> forwarder() {
+    return Optional.ofNullable(forwarder);
+  }
+
+  void sendThrough(Optional<NetworkAddress> peer) {
+    forwarder = peer.orElse(null);
+  }
+
+  /** Lets the request be sent to an engine again that it has not reached. */
+  void allowAgain(ServingEngine unreached) {
+    triedEngines.remove(unreached.id());
+  }
+
   /** Whether the current attempt is a prefill, in which the engine only reads the prompt. */
   public boolean prefilling() {
     return prefilling;
@@ -230,6 +246,7 @@
   private void beginAttempt(
       ServingEngine chosen, PlacementEstimate estimate, Urgency attemptUrgency, long nowNanos) {
     engine = chosen;
+    forwarder = null;
     aheadTokens = estimate.aheadTokens();
     chargedTokens = estimate.readTokens();
     urgency = attemptUrgency;
@@ -278,6 +295,7 @@
       possibleRuns--;
     }
     engine = null;
+    forwarder = null;
     prefilling = false;
     chargedTokens = 0;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/SilenceDetector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/SilenceDetector.java
@@ -94,16 +94,12 @@
     return firstListedNanos.isPresent() && nowNanos - firstListedNanos.getAsLong() < routeTime;
   }
 
-  /**
-   * Suspends the engines that have gone silent while requests of this node wait there, and resumes
-   * those that have answered another node since.
-   */
+  /** Suspends the engines that have gone silent while requests of this node wait there. */
   void check(long nowNanos) {
-    selector.loads().forEach((engineId, load) -> check(engineId, load, nowNanos));
+    selector.loads().values().forEach(load -> check(load, nowNanos));
   }
 
-  private void check(String engineId, EngineLoad load, long nowNanos) {
-    peerLoads.heardNanos(engineId).ifPresent(load.health()::onPeerSignOfLife);
+  private void check(EngineLoad load, long nowNanos) {
     load.oldest()
         .filter(oldest -> isSilent(oldest, nowNanos))
         .ifPresent(oldest -> load.health().onSilence(nowNanos));
--- /dev/null
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -0,0 +1,150 @@
+package org.fallturn.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.ServingEngine;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Checks by which way a node sends requests to an engine. A node whose links were cut took each
+ * engine for faulty, and told its callers that no engine took their requests; one that went through
+ * others on weaker evidence would load them for engines that are really down, and one that never
+ * came back to its own links would load them for good.
+ */
+class EnginePathsTest {
+
+  private static final NetworkAddress PEER = new NetworkAddress("10.0.0.2", 7660);
+  private static final NetworkAddress OTHER_PEER = new NetworkAddress("10.0.0.3", 7660);
+
+  private final ServingEngine engine = Requests.engine("e-1", Requests.MODEL, EngineStage.DECODE);
+  private final Dispatcher dispatcher = Requests.dispatcher(engine);
+  private long now = Requests.START;
+
+  EnginePathsTest() {
+    dispatcher.paths().setPeers(List.of(PEER, OTHER_PEER));
+  }
+
+  private RequestProgress send() {
+    RequestProgress progress = Requests.prompt(true, 100, 3_000);
+    assertThat(dispatcher.start(progress, now)).isInstanceOf(Decision.Run.class);
+    return progress;
+  }
+
+  private void failTwice(AttemptOutcome outcome) {
+    for (int failure = 0; failure < 2; failure++) {
+      dispatcher.onFailure(send(), outcome, now);
+    }
+  }
+
+  private void pass(Duration time) {
+    now += time.toNanos();
+  }
+
+  /** Another node received a sign of life from the engine just now. */
+  private void peerHearsEngine() {
+    EngineDigest heard = new EngineDigest(1, 0, List.of(), 0, 0, 0);
+    LoadDigest digest =
+        new LoadDigest("n-2", 1, now, 1, "", Map.of("e-1", heard), List.of(), Map.of());
+    Requests.receive(dispatcher, digest, now);
+    dispatcher.onTick(now);
+  }
+
+  private void loseLink() {
+    failTwice(AttemptOutcome.NOT_SENT);
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
+  }
+
+  @Test
+  void engineThatOthersHearIsReachedThroughThem() {
+    loseLink();
+    assertThat(send().forwarder()).isPresent();
+    assertThat(dispatcher.paths().engineIdsThroughPeers()).containsExactly("e-1");
+  }
+
+  @Test
+  void engineThatNobodyHearsIsNotReachedThroughOthers() {
+    failTwice(AttemptOutcome.NOT_SENT);
+    pass(Duration.ofMillis(100));
+    dispatcher.onTick(now);
+    assertThat(send().forwarder()).isEmpty();
+  }
+
+  /** Its connections can be opened: it takes requests from others no better. */
+  @Test
+  void engineThatLosesAnswersIsNotReachedThroughOthers() {
+    failTwice(AttemptOutcome.LOST);
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
+    assertThat(send().forwarder()).isEmpty();
+  }
+
+  @Test
+  void ownLinkIsUsedAgainOnceItIsAnswered() {
+    loseLink();
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(engine);
+    dispatcher.paths().onProbed("e-1", true, now, now);
+    assertThat(send().forwarder()).isEmpty();
+  }
+
+  /** An answer by way of another node says nothing about the link of this one. */
+  @Test
+  void answerThroughAnotherNodeDoesNotEndTheDetour() {
+    loseLink();
+    RequestProgress progress = send();
+    dispatcher.onSignOfLife(progress, now);
+    dispatcher.onFinished(progress, now);
+    assertThat(send().forwarder()).isPresent();
+  }
+
+  @Test
+  void nodeThatCannotForwardIsAvoided() {
+    loseLink();
+    RequestProgress first = send();
+    NetworkAddress failed = first.forwarder().orElseThrow();
+    assertThat(dispatcher.onFailure(first, AttemptOutcome.NOT_SENT, now))
+        .isInstanceOf(Decision.Run.class);
+    assertThat(first.forwarder()).isPresent().get().isNotEqualTo(failed);
+    assertThat(send().forwarder()).isPresent().get().isNotEqualTo(failed);
+  }
+
+  /** The engine has ended after it was last heard. */
+  @Test
+  void engineThatFailsThroughOthersTooCountsAsFaulty() {
+    loseLink();
+    for (int failure = 0; failure < 3; failure++) {
+      dispatcher.onFailure(send(), AttemptOutcome.SILENT, now);
+      pass(Duration.ofSeconds(3));
+    }
+    assertThat(send().forwarder()).isEmpty();
+  }
+
+  /** Requests that hang on open connections fail only at their deadline. */
+  @Test
+  void linkThatIsQuietWhileOthersHearTheEngineIsProbed() {
+    send();
+    pass(Duration.ofMillis(900));
+    peerHearsEngine();
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(engine);
+    long asked = now;
+    pass(Duration.ofMillis(500));
+    peerHearsEngine();
+    dispatcher.paths().onProbed("e-1", false, asked, now);
+    assertThat(send().forwarder()).isPresent();
+  }
+
+  @Test
+  void nodeWithoutOthersUsesItsOwnLink() {
+    dispatcher.paths().setPeers(List.of());
+    failTwice(AttemptOutcome.SILENT);
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
+    assertThat(send().forwarder()).isEmpty();
+    assertThat(dispatcher.paths().takeDueProbes(now)).isEmpty();
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -21,7 +21,6 @@
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.Rank;
-import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.Tenant;
@@ -179,7 +178,7 @@
         bodyIsSkipped
             ? caller.callback()
             : Callback.from(
-                new BodyDiscarder(caller, maxBodyBytes())::run, caller.callback()::failed);
+                new BodyDiscarder(caller, gateway.maxBodyBytes())::run, caller.callback()::failed);
     caller.response().write(true, BufferUtil.EMPTY_BUFFER, written);
   }
 
@@ -188,11 +187,6 @@
     return request.getHeaders().contains(HttpHeader.EXPECT, HttpHeaderValue.CONTINUE.asString());
   }
 
-  private long maxBodyBytes() {
-    RoutingImage routing = gateway.routing();
-    return (routing == null ? RequestLimits.defaults() : routing.limits()).maxBodyBytes();
-  }
-
   private void dispatch(
       HandlerArguments caller, CallerRequestHead head, Admitted admitted, byte[] body) {
     if (!gateway.tryReserveBody(body.length)) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -235,7 +235,7 @@
   }
 
   void engineHealth(HealthChange change) {
-    line(change.suspended() ? LogEvent.ENGINE_SUSPENDED : LogEvent.ENGINE_RESUMED)
+    line(healthEvent(change))
         .addKeyValue("engine", change.engineId())
         .addKeyValue("silent", change.silent())
         .addKeyValue("failureShare", change.failureShare())
@@ -243,6 +243,20 @@
         .log();
   }
 
+  private static LogEvent healthEvent(HealthChange change) {
+    if (change.throughPeers()) {
+      return LogEvent.ENGINE_THROUGH_PEERS;
+    }
+    return change.suspended() ? LogEvent.ENGINE_SUSPENDED : LogEvent.ENGINE_RESUMED;
+  }
+
+  void forwarding(String requestId, String engineId) {
+    line(LogEvent.FORWARDING)
+        .addKeyValue("request", requestId)
+        .addKeyValue("engine", engineId)
+        .log();
+  }
+
   void engineLeaves(LeavingNotice notice) {
     line(LogEvent.ENGINE_LEAVES, notice.source().name())
         .addKeyValue("engine", notice.engineId())
@@ -476,6 +490,7 @@
         .addKeyValue("aheadTokens", estimate.aheadTokens())
         .addKeyValue("pacePercent", estimate.pacePercent())
         .addKeyValue("urgency", urgency)
+        .addKeyValue("through", exchange.progress().forwarder().map(Object::toString).orElse(""))
         .addKeyValue("sharedPart", sharedPart(exchange))
         .addKeyValue("routingVersion", routingVersion)
         .addKeyValue("directoryRevision", directoryRevision);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -60,6 +60,7 @@
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final QuarantineActions quarantineActions;
+  private final PathActions pathActions;
   private final RunCounter runs;
   private final Scaling scaling;
   private final List<Exchange> waitingForCacheLists = new ArrayList<>();
@@ -77,6 +78,7 @@
       CacheSurvey survey,
       Consumer<StageChange> stageChanges,
       QuarantineActions quarantineActions,
+      PathActions pathActions,
       RunCounter runs,
       Scaling scaling,
       BooleanSupplier stopping) {
@@ -88,6 +90,7 @@
     this.survey = survey;
     this.stageChanges = stageChanges;
     this.quarantineActions = quarantineActions;
+    this.pathActions = pathActions;
     this.runs = runs;
     this.scaling = scaling;
     this.stopping = stopping;
@@ -156,6 +159,8 @@
       peers.sendNow(now);
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.stages().onUnanswered(unanswered.change(), now);
+    } else if (event instanceof DispatchEvent.PathProbed probed) {
+      pathActions.onProbed(probed, now);
     } else if (event instanceof DispatchEvent.EngineGone gone) {
       quarantineActions.onEngineGone(gone.engineId(), now);
     } else if (event instanceof DispatchEvent.QuarantineLoaded loaded) {
@@ -430,6 +435,7 @@
     if (now - lastHealthNanos >= HEALTH_NANOS) {
       lastHealthNanos = now;
       dispatcher.onTick(now);
+      pathActions.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
       dispatcher.takePaceChanges(now).forEach(log::enginePace);
       updateQuarantine(now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -92,6 +92,14 @@
   /** The dispatch settings changed. */
   record ParametersChanged(DispatchParameters parameters) implements DispatchEvent {}
 
+  /**
+   * A probe of the link to an engine ended.
+   *
+   * @param reached whether the engine answered
+   * @param askedNanos when the probe was sent
+   */
+  record PathProbed(String engineId, boolean reached, long askedNanos) implements DispatchEvent {}
+
   /** A message arrived from another node. */
   record PeerMessageReceived(PeerMessage message) implements DispatchEvent {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.Request;
@@ -53,6 +54,8 @@
   private volatile HttpFields headers;
   private volatile boolean streamed;
   private volatile boolean signOfLife;
+  private volatile Optional<AttemptOutcome> forwardFailure = Optional.empty();
+  private final boolean forwarded;
   private boolean cancelled;
   private boolean beganPosted;
 
@@ -62,6 +65,7 @@
     this.call = call;
     this.protocol = protocol;
     this.timeout = timeout;
+    this.forwarded = exchange.progress().forwarder().isPresent();
   }
 
   EngineCall call() {
@@ -135,6 +139,13 @@
   @Override
   public void onHeaders(Response response) {
     headers = response.getHeaders();
+    if (forwarded) {
+      forwardFailure = ForwardingResult.of(response.getStatus(), headers).failure();
+      headers = HttpFields.build(headers).remove(ForwardingHeaders.RESULT);
+    }
+    if (forwardFailure.isPresent()) {
+      return;
+    }
     head = protocol.readHead(response.getStatus(), headers);
     if (!head.belongsTo(exchange.head().requestId())) {
       response.abort(new IllegalStateException("the answer belongs to another request"));
@@ -221,6 +232,10 @@
     if (before == State.ENDED) {
       return;
     }
+    if (forwardFailure.isPresent()) {
+      fail(forwardFailure.get());
+      return;
+    }
     if (head == null || result.getResponseFailure() != null) {
       fail(outcomeOfFailure(before, result));
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -38,6 +40,10 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
   private static final Duration BUSY_CONNECTION = Duration.ofSeconds(60);
   private static final int ASSUMED_NODES = 8;
+
+  /** Connections to one node that forwards: it may stand for all engines. */
+  private static final int FORWARDER_CONNECTIONS = 128;
+
   private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
   /** An engine reports without waiting for a slot, so one that takes longer is stuck. */
@@ -50,6 +56,7 @@
   private final NoticeReader noticeReader;
   private final Map<String, Integer> connectionsByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
+  private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
 
   EngineClient(EngineProtocol protocol, EngineNotices notices, DecisionLog log, Executor executor)
       throws Exception {
@@ -85,26 +92,59 @@
         new NetworkAddress(
             destination.getOrigin().getAddress().getHost(),
             destination.getOrigin().getAddress().getPort());
+    if (forwarders.contains(address)) {
+      return FORWARDER_CONNECTIONS;
+    }
     String service = serviceByAddress.getOrDefault(address, "");
     return connectionsByService.getOrDefault(service, PlainHttpClients.DEFAULT_CONNECTIONS);
   }
 
-  /** Sends the request of an attempt; the attempt receives the outcome. */
+  /**
+   * Sends the request of an attempt, to its engine or to the node that forwards it; the attempt
+   * receives the outcome.
+   */
   void send(Exchange exchange, EngineAttempt attempt) {
     ServingEngine engine = attempt.call().engine();
     org.eclipse.jetty.server.Request caller = exchange.request();
     HttpFields.Mutable headers = protocol.requestHeaders(caller.getHeaders(), attempt.call());
+    serviceByAddress.put(engine.address(), engine.service());
+    Optional<NetworkAddress> forwarder = exchange.progress().forwarder();
+    String key = Long.toHexString(ThreadLocalRandom.current().nextLong());
+    forwarder.ifPresent(
+        peer -> headers.put(ForwardingHeaders.ENGINE, engine.id()).put(ForwardingHeaders.KEY, key));
     Request request =
-        newRequest(
-                engine,
-                caller.getMethod(),
-                caller.getHttpURI().getPathQuery(),
-                exchange.head().requestId())
-            .headers(fields -> fields.clear().add(headers));
-    if (exchange.body().length > 0) {
-      request.body(new BytesRequestContent((String) null, exchange.body()));
-    }
-    attempt.send(request);
+        newCall(
+            forwarder.orElse(engine.address()),
+            caller.getMethod(),
+            caller.getHttpURI().getPathQuery());
+    forwarder.ifPresent(peer -> cancelWhenFailed(request, peer, key));
+    noticeReader.watch(request, engine, exchange.head().requestId());
+    attempt.send(withContent(request, headers, exchange.body()));
+  }
+
+  /** A node that forwards a request notices only late that its answer is not wanted any more. */
+  private void cancelWhenFailed(Request request, NetworkAddress peer, String key) {
+    forwarders.add(peer);
+    request.onResponseFailure(
+        (response, failure) ->
+            newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key)
+                .timeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .send(result -> {}));
+  }
+
+  /**
+   * Prepares the request of another node. That node reads the notices in the answer, and has taken
+   * the permit of the engine's limit.
+   */
+  Request newForwarded(
+      ServingEngine engine, String method, String path, HttpFields headers, byte[] body) {
+    serviceByAddress.put(engine.address(), engine.service());
+    return withContent(newCall(engine.address(), method, path), headers, body);
+  }
+
+  private static Request withContent(Request request, HttpFields headers, byte[] body) {
+    request.headers(fields -> fields.clear().add(headers));
+    return body.length == 0 ? request : request.body(new BytesRequestContent((String) null, body));
   }
 
   /** Frees a KV cache that nobody will fetch; best effort, since engines expire it anyway. */
@@ -156,18 +196,20 @@
   }
 
   private Request newRequest(ServingEngine engine, String method, String path, String requestId) {
-    NetworkAddress address = engine.address();
-    serviceByAddress.put(address, engine.service());
-    Request request =
-        client
-            .newRequest(address.host(), address.port())
-            .method(method)
-            .path(path)
-            .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+    serviceByAddress.put(engine.address(), engine.service());
+    Request request = newCall(engine.address(), method, path);
     noticeReader.watch(request, engine, requestId);
     return request;
   }
 
+  private Request newCall(NetworkAddress address, String method, String path) {
+    return client
+        .newRequest(address.host(), address.port())
+        .method(method)
+        .path(path)
+        .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
   @Override
   public void close() throws Exception {
     client.stop();
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -0,0 +1,233 @@
+package org.fallturn.node.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Jetty handler that sends requests of other nodes to engines which those nodes do not reach, and
+ * relays the answers as they come. The other node decides and accounts for everything: it chose the
+ * engine, and repeats, limits, usage and the caller are its own. This node only passes bytes on,
+ * over one hop, and says truthfully whether the engine can have got the request.
+ *
+ * <p>A call to {@link #CANCEL_PREFIX} and the key of a request ends that request, since the end of
+ * the connection between the nodes would be noticed only when a part of the answer is written.
+ * Thread-safe.
+ */
+final class EngineForwarder extends Handler.Abstract.NonBlocking {
+
+  /** Path (method DELETE), followed by the key of a request, that ends it. */
+  static final String CANCEL_PREFIX = "/forwarded/";
+
+  /** Bound on requests of other nodes, so that the callers of this one keep their share of it. */
+  private static final int MAX_REQUESTS = 256;
+
+  private static final Set<HttpHeader> CONNECTION_HEADERS =
+      EnumSet.of(HttpHeader.CONNECTION, HttpHeader.KEEP_ALIVE, HttpHeader.TRANSFER_ENCODING);
+
+  private final GatewayState gateway;
+  private final EngineClient engines;
+  private final Function<String, Optional<ServingEngine>> directory;
+  private final PathActions paths;
+  private final DecisionLog log;
+  private final AtomicInteger present = new AtomicInteger();
+  private final Map<String, ForwardedRequest> byKey = new ConcurrentHashMap<>();
+
+  /**
+   * Creates a handler.
+   *
+   * @param directory finds a listed engine by its id
+   * @param paths knows the engines that this node does not reach itself
+   */
+  EngineForwarder(
+      GatewayState gateway,
+      EngineClient engines,
+      Function<String, Optional<ServingEngine>> directory,
+      PathActions paths,
+      DecisionLog log) {
+    this.gateway = gateway;
+    this.engines = engines;
+    this.directory = directory;
+    this.paths = paths;
+    this.log = log;
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    String path = Request.getPathInContext(request);
+    String engineId = request.getHeaders().get(ForwardingHeaders.ENGINE);
+    if (engineId == null) {
+      boolean cancel = path.startsWith(CANCEL_PREFIX) && HttpMethod.DELETE.is(request.getMethod());
+      if (cancel) {
+        cancel(path.substring(CANCEL_PREFIX.length()));
+        response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+      }
+      return cancel;
+    }
+    Optional<ServingEngine> engine = directory.apply(engineId).filter(this::mayForwardTo);
+    int length = (int) Math.min(Math.max(0, request.getLength()), Integer.MAX_VALUE);
+    if (engine.isEmpty() || !gateway.tryReserveBody(length)) {
+      fail(response, callback, ForwardingResult.NOT_SENT);
+      return true;
+    }
+    Request.addCompletionListener(request, failure -> gateway.releaseBody(length));
+    forward(engine.get(), new HandlerArguments(request, response, callback));
+    return true;
+  }
+
+  private boolean mayForwardTo(ServingEngine engine) {
+    return gateway.takesRequests()
+        && !engine.leaving()
+        && !paths.unreached().contains(engine.id())
+        && present.get() < MAX_REQUESTS;
+  }
+
+  private void cancel(String key) {
+    ForwardedRequest forwarded = byKey.get(key);
+    if (forwarded != null) {
+      forwarded.abort();
+    }
+  }
+
+  private void forward(ServingEngine engine, HandlerArguments from) {
+    present.incrementAndGet();
+    gateway.beginRequest();
+    String key =
+        Objects.requireNonNullElse(from.request().getHeaders().get(ForwardingHeaders.KEY), "");
+    Request.addCompletionListener(
+        from.request(),
+        failure -> {
+          present.decrementAndGet();
+          gateway.endRequest();
+          byKey.remove(key);
+        });
+    Content.Source.asByteBuffer(
+        from.request(),
+        Promise.from(
+            body -> {
+              ForwardedRequest forwarded = new ForwardedRequest(engine, from);
+              byKey.put(key, forwarded);
+              forwarded.send(BufferUtil.toArray(body));
+            },
+            failure -> fail(from.response(), from.callback(), ForwardingResult.NOT_SENT)));
+  }
+
+  private static void fail(Response response, Callback callback, ForwardingResult result) {
+    response.setStatus(HttpStatus.BAD_GATEWAY_502);
+    response.getHeaders().put(ForwardingHeaders.RESULT, result.name());
+    response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+  }
+
+  private static HttpFields withoutConnectionHeaders(HttpFields headers) {
+    HttpFields.Mutable kept = HttpFields.build();
+    for (HttpField field : headers) {
+      if (!CONNECTION_HEADERS.contains(field.getHeader())) {
+        kept.add(field);
+      }
+    }
+    return kept.remove(ForwardingHeaders.ENGINE)
+        .remove(ForwardingHeaders.KEY)
+        .remove(ForwardingHeaders.RESULT);
+  }
+
+  /**
+   * One request on its way. Jetty calls the listeners on client threads, one at a time; any thread
+   * may abort.
+   */
+  private final class ForwardedRequest
+      implements org.eclipse.jetty.client.Response.HeadersListener,
+          org.eclipse.jetty.client.Response.AsyncContentListener,
+          org.eclipse.jetty.client.Response.CompleteListener {
+
+    private final ServingEngine engine;
+    private final HandlerArguments from;
+    private volatile org.eclipse.jetty.client.Request toEngine;
+    private volatile boolean maybeSent;
+    private boolean answerBegun;
+
+    ForwardedRequest(ServingEngine engine, HandlerArguments from) {
+      this.engine = engine;
+      this.from = from;
+    }
+
+    void send(byte[] body) {
+      HttpFields headers = withoutConnectionHeaders(from.request().getHeaders());
+      toEngine =
+          engines.newForwarded(
+              engine,
+              from.request().getMethod(),
+              from.request().getHttpURI().getPathQuery(),
+              headers,
+              body);
+      toEngine.onRequestBegin(begun -> maybeSent = begun.getAbortCause() == null);
+      log.forwarding(engines.protocol().readHead(0, headers).requestId(), engine.id());
+      toEngine.send(this);
+    }
+
+    void abort() {
+      toEngine.abort(new IllegalStateException("the node that sent it needs no answer"));
+    }
+
+    @Override
+    public void onHeaders(org.eclipse.jetty.client.Response answer) {
+      from.response().setStatus(answer.getStatus());
+      from.response()
+          .getHeaders()
+          .add(withoutConnectionHeaders(answer.getHeaders()))
+          .put(ForwardingHeaders.RESULT, ForwardingResult.ANSWERED.name());
+      String connection = answer.getHeaders().get(HttpHeader.CONNECTION);
+      if (connection != null) {
+        // An engine that leaves says so here.
+        from.response().getHeaders().put(HttpHeader.CONNECTION, connection);
+      }
+    }
+
+    @Override
+    public void onContent(
+        org.eclipse.jetty.client.Response answer, Content.Chunk chunk, Runnable demander) {
+      answerBegun = true;
+      from.response()
+          .write(
+              false,
+              ByteBuffer.wrap(BufferUtil.toArray(chunk.getByteBuffer())),
+              Callback.from(demander::run, answer::abort));
+    }
+
+    @Override
+    public void onComplete(Result result) {
+      if (result.getResponseFailure() == null && result.getResponse().getStatus() > 0) {
+        from.response().write(true, BufferUtil.EMPTY_BUFFER, from.callback());
+      } else if (answerBegun) {
+        // Ends the connection, so that an answer that broke off does not look complete.
+        from.callback().failed(new EofException("the answer broke off"));
+      } else {
+        from.response().reset();
+        fail(
+            from.response(),
+            from.callback(),
+            maybeSent ? ForwardingResult.LOST : ForwardingResult.NOT_SENT);
+      }
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -11,9 +11,9 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Probes whether an engine whose connection broke still runs. The engine counts as gone only when
- * its address refuses connections, or when another engine or a later incarnation of it answers
- * there; a missing answer proves nothing. Thread-safe.
+ * Probes whether an engine whose connection broke still runs, and whether this node reaches an
+ * engine. The engine counts as gone only when its address refuses connections, or when another
+ * engine or a later incarnation of it answers there; a missing answer proves nothing. Thread-safe.
  */
 final class EngineProbe {
 
@@ -42,6 +42,22 @@
             });
   }
 
+  /**
+   * Starts a probe of the link to an engine; posts {@link DispatchEvent.PathProbed} at its end. Any
+   * answer shows that the link works.
+   */
+  void askPath(ServingEngine engine) {
+    long askedNanos = System.nanoTime();
+    engines
+        .newReport(engine)
+        .send(
+            result -> {
+              boolean reached =
+                  result.getResponse() != null && result.getResponse().getStatus() > 0;
+              events.accept(new DispatchEvent.PathProbed(engine.id(), reached, askedNanos));
+            });
+  }
+
   private boolean isGone(ServingEngine engine, Result result, byte[] body) {
     if (result.isFailed()) {
       return result.getFailure() instanceof ConnectException;
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
@@ -0,0 +1,16 @@
+package org.fallturn.node.gateway;
+
+/** Headers between a node and the one that forwards its requests; engines never see them. */
+final class ForwardingHeaders {
+
+  /** Request header: id of the engine that the request is for. */
+  static final String ENGINE = "Fallturn-Forward-To";
+
+  /** Request header: a key, unique to the attempt, by which it can be cancelled. */
+  static final String KEY = "Fallturn-Forward-Key";
+
+  /** Answer header: what became of the request, see {@link ForwardingResult}. */
+  static final String RESULT = "Fallturn-Forward-Result";
+
+  private ForwardingHeaders() {}
+}
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingResult.java
@@ -0,0 +1,41 @@
+package org.fallturn.node.gateway;
+
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.dispatch.AttemptOutcome;
+
+/** What a node that forwarded a request says became of it. */
+enum ForwardingResult {
+  /** The answer is that of the engine. */
+  ANSWERED(Optional.empty()),
+  /** No byte of the request reached the engine. */
+  NOT_SENT(Optional.of(AttemptOutcome.NOT_SENT)),
+  /** The engine may have got the request, and no answer came. */
+  LOST(Optional.of(AttemptOutcome.LOST));
+
+  private final Optional<AttemptOutcome> failure;
+
+  ForwardingResult(Optional<AttemptOutcome> failure) {
+    this.failure = failure;
+  }
+
+  /** How the attempt failed; empty if the engine answered. */
+  Optional<AttemptOutcome> failure() {
+    return failure;
+  }
+
+  /**
+   * Reads the result from the head of an answer. A node of an earlier build forwards nothing and
+   * finds nothing at the path; any other answer without a result is that of a node that failed.
+   */
+  static ForwardingResult of(int status, HttpFields headers) {
+    String name = headers.get(ForwardingHeaders.RESULT);
+    for (ForwardingResult result : values()) {
+      if (result.name().equals(name)) {
+        return result;
+      }
+    }
+    return status == HttpStatus.NOT_FOUND_404 ? NOT_SENT : LOST;
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -75,7 +75,6 @@
 
   private static final String ROUTING = "routing";
   private static final String ENGINES = "engines";
-  private static final int PEER_THREADS = 4;
   private static final long STOP_CHECK_MILLIS = 20;
 
   private final GatewaySettings settings;
@@ -104,6 +103,7 @@
   private final Optional<ScaleDuty> scaling;
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
+  private final EngineForwarder forwarder;
   private final OrderLease lease;
   private final AtomicLong storeEra = new AtomicLong(NO_ERA);
   private final RowFollower routingFollower;
@@ -171,8 +171,11 @@
             settings.firstStart());
     PeerMessenger messenger = new PeerMessenger(overlay, dispatcher, survey, peers::send);
     this.quarantine = new QuarantineDuty(platform.quarantine().create(control), this::post, log);
-    this.quarantineActions =
-        new QuarantineActions(dispatcher, new EngineProbe(engines, this::post), quarantine, log);
+    EngineProbe probe = new EngineProbe(engines, this::post);
+    this.quarantineActions = new QuarantineActions(dispatcher, probe, quarantine, log);
+    PathActions pathActions = new PathActions(dispatcher, probe, overlay::askable);
+    this.forwarder =
+        new EngineForwarder(state, engines, id -> directory.find(id), pathActions, log);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
     this.usage = settings.duties().usage().map(windows -> newUsageDuty(duties));
     DispatchDuty duty =
@@ -184,6 +187,7 @@
             survey,
             stages::offer,
             quarantineActions,
+            pathActions,
             runCounter(dispatcher, messenger),
             newScaling(),
             state::stopping);
@@ -288,10 +292,9 @@
   }
 
   /**
-   * Starts everything. Callers are accepted when routes and engines are known. If these do not
-   * become known soon, since the store does not answer, callers are accepted anyway and their
-   * requests are refused with that reason. The callers' port opens before the other ports: opening
-   * each takes processor time while callers wait.
+   * Starts everything. Callers are accepted when routes and engines are known or, if the store does
+   * not answer soon, anyway; their requests are then refused with that reason. The callers' port
+   * opens before the other ports: opening each takes processor time while callers wait.
    */
   public void start() throws Exception {
     overlay.tables().setOnNewerVersion(() -> changeSignals.forEach(ChangeSignal::signal));
@@ -307,7 +310,7 @@
     server.addConnector(callers);
     callers.start();
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
-    peerListener = new HttpListener("peers", peerPorts.requests(), PEER_THREADS, snapshots);
+    peerListener = PeerRequestPort.open(peerPorts, forwarder, snapshots);
     openMetrics();
     quarantine.start(faultHandler);
     log.started(settings.nodeName());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
 
 /**
@@ -44,6 +45,12 @@
     return routing.get();
   }
 
+  /** The longest body that a request may have, in bytes. */
+  int maxBodyBytes() {
+    RoutingImage image = routing.get();
+    return (image == null ? RequestLimits.defaults() : image.limits()).maxBodyBytes();
+  }
+
   /** Sets the follower of the configuration table. */
   void setRouting(RowFollower follower) {
     routingFollower = follower;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -51,6 +51,10 @@
   ENGINE_SUSPENDED,
   /** This node uses a suspended engine again. */
   ENGINE_RESUMED,
+  /** This node reaches an engine only through other nodes: its own link to it does not work. */
+  ENGINE_THROUGH_PEERS,
+  /** This node sends a request of another node to an engine. */
+  FORWARDING,
   /** This node found that an engine is leaving; the detail is the source of this notice. */
   ENGINE_LEAVES,
   /** An engine asked this node to send nothing for a time. */
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -46,19 +47,25 @@
   }
 
   /**
-   * Starts on a port that is bound already, and owns it from then on.
+   * Starts on a port that is bound already, and owns it from then on. Takes any path, and adds
+   * nothing to answers.
    *
    * @param name prefix of its thread names
    * @param bound the port
-   * @param maxThreads bound on its threads
+   * @param limits bounds on what clients may take
    * @param handler what serves the requests
    * @throws Exception when the port cannot be listened at
    */
-  public HttpListener(String name, ServerSocketChannel bound, int maxThreads, Handler handler)
+  public HttpListener(
+      String name, ServerSocketChannel bound, ListenerLimits limits, Handler handler)
       throws Exception {
-    this(name, defaultLimits(maxThreads), Optional.empty(), handler);
+    this(name, limits, Optional.empty(), handler);
     InetSocketAddress local = (InetSocketAddress) bound.getLocalAddress();
     connector.setHost(local.getAddress().getHostAddress());
+    HttpConfiguration http =
+        connector.getConnectionFactory(HttpConnectionFactory.class).getHttpConfiguration();
+    http.setUriCompliance(UriCompliance.UNSAFE);
+    http.setSendDateHeader(false);
     connector.open(bound);
     server.start();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.gateway.GatewayPlatform;
 import org.fallturn.node.gateway.GatewayServer;
 import org.fallturn.node.settings.GatewaySettings;
 import org.fallturn.platform.PlatformMain;
@@ -282,6 +284,11 @@
   /** Starts a gateway and waits until it is ready. */
   public GatewayServer addGateway(NetworkAddress... seeds) throws Exception {
     GatewayServer gateway = startGateway(seeds);
+    awaitReady(gateway);
+    return gateway;
+  }
+
+  private static void awaitReady(GatewayServer gateway) throws InterruptedException {
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_SECONDS);
     while (!gateway.ready()) {
       if (System.nanoTime() - until > 0) {
@@ -289,6 +296,13 @@
       }
       TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
     }
+  }
+
+  /** Starts a gateway that reaches engines by links of its own, and waits until it is ready. */
+  public GatewayServer addGateway(EngineLinks links, NetworkAddress... seeds) throws Exception {
+    GatewayServer gateway = newGateway(0, links::putBefore, seeds);
+    gateway.start();
+    awaitReady(gateway);
     return gateway;
   }
 
@@ -310,6 +324,12 @@
    * @param metricsPort where it serves its figures; 0 for nowhere
    */
   public GatewayServer newGateway(int metricsPort, NetworkAddress... seeds) throws Exception {
+    return newGateway(metricsPort, adapters -> adapters, seeds);
+  }
+
+  private GatewayServer newGateway(
+      int metricsPort, UnaryOperator<GatewayPlatform> adapt, NetworkAddress... seeds)
+      throws Exception {
     StringBuilder seedText = new StringBuilder();
     for (NetworkAddress seed : seeds) {
       seedText.append(seedText.length() == 0 ? "" : ",").append(seed);
@@ -348,7 +368,8 @@
             usageWindow.toMillis());
     GatewaySettings settings =
         GatewaySettings.from(GatewaySettings.reader().toml("emulated", text).values());
-    GatewayServer gateway = new GatewayServer(settings, PlatformMain.platform(settings));
+    GatewayServer gateway =
+        new GatewayServer(settings, adapt.apply(PlatformMain.platform(settings)));
     gateways.add(gateway);
     return gateway;
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultProxy.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultProxy.java
@@ -61,6 +61,11 @@
     }
   }
 
+  /** Refuses connections to a TCP link from now on; open ones live on. */
+  public synchronized void stopAccepting(String link) throws IOException {
+    tcpLinks.get(link).stopAccepting();
+  }
+
   /** Sets what is wrong with a link for all its callers. */
   public void set(String link, LinkFaults next) {
     faults.set(link, next);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultLink.java
@@ -85,6 +85,11 @@
     }
   }
 
+  /** Refuses connections from now on; open ones live on. */
+  void stopAccepting() throws IOException {
+    listener.close();
+  }
+
   /** Resets the open connections that the faults in force cut. */
   void applyFaults() {
     connections.forEach(TcpFaultConnection::resetWhenCut);
