--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -137,8 +137,10 @@
       }
     }
     dueProbes.clear();
-    due.forEach(engine -> probedNanos.put(engine.id(), nowNanos));
-    probedNanos.keySet().retainAll(selector.knownIds());
+    if (!due.isEmpty()) {
+      due.forEach(engine -> probedNanos.put(engine.id(), nowNanos));
+      probedNanos.keySet().retainAll(selector.knownIds());
+    }
     return due;
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
+import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.routing.ServingEngine;
 
 /**
@@ -49,6 +50,7 @@
   private final GatewayState gateway;
   private final EngineClient engines;
   private final Function<String, Optional<ServingEngine>> directory;
+  private final EngineNotices notices;
   private final PathActions paths;
   private final DecisionLog log;
   private final AtomicInteger present = new AtomicInteger();
@@ -58,17 +60,20 @@
    * Creates a handler.
    *
    * @param directory finds a listed engine by its id
+   * @param notices knows which engines leave
    * @param paths knows the engines that this node does not reach itself
    */
   EngineForwarder(
       GatewayState gateway,
       EngineClient engines,
       Function<String, Optional<ServingEngine>> directory,
+      EngineNotices notices,
       PathActions paths,
       DecisionLog log) {
     this.gateway = gateway;
     this.engines = engines;
     this.directory = directory;
+    this.notices = notices;
     this.paths = paths;
     this.log = log;
   }
@@ -99,6 +104,7 @@
   private boolean mayForwardTo(ServingEngine engine) {
     return gateway.takesRequests()
         && !engine.leaving()
+        && !notices.isLeaving(engine.id())
         && !paths.unreached().contains(engine.id())
         && present.get() < MAX_REQUESTS;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -44,7 +44,8 @@
 
   /**
    * Starts a probe of the link to an engine; posts {@link DispatchEvent.PathProbed} at its end. Any
-   * answer shows that the link works.
+   * answer shows that the link works. An engine that asked for a rest is not asked, which shows
+   * nothing.
    */
   void askPath(ServingEngine engine) {
     long askedNanos = System.nanoTime();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -175,7 +175,7 @@
     this.quarantineActions = new QuarantineActions(dispatcher, probe, quarantine, log);
     PathActions pathActions = new PathActions(dispatcher, probe, overlay::askable);
     this.forwarder =
-        new EngineForwarder(state, engines, id -> directory.find(id), pathActions, log);
+        new EngineForwarder(state, engines, id -> directory.find(id), notices, pathActions, log);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
     this.usage = settings.duties().usage().map(windows -> newUsageDuty(duties));
     DispatchDuty duty =
