Soak: cut one gateway off from all engines

The soak had no links between gateways and engines, so that nothing drew the cut that callers saw (RECOVER) together with kills, pauses and signals. SERVED_WHEN_CUT_OFF compares first tries there with those elsewhere, by the bounds of the users' rule.

SoakCheckTest shows what the check finds and lets pass.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
@@ -23,7 +23,7 @@
   private final Map<String, NetworkAddress> addresses = new ConcurrentHashMap<>();
 
   /** Lets a gateway with these adapters reach each engine by a link of its own. */
-  GatewayPlatform putBefore(GatewayPlatform adapters) {
+  public GatewayPlatform putBefore(GatewayPlatform adapters) {
     RowDecoder<ServingEngine> decoder = adapters.engineDecoder();
     return new GatewayPlatform(
         adapters.callers(),
@@ -65,7 +65,7 @@
     }
   }
 
-  /** Puts faults on the links to all engines. */
+  /** Puts faults on the links to all engines that are known now. */
   public void setAll(LinkFaults faults) {
     addresses.keySet().forEach(id -> proxy.set(id, faults));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakBuilds.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakBuilds.java
@@ -36,12 +36,13 @@
   }
 
   /** Starts the next process; all append to the same log. */
-  ManagedProcess start(String name, Path directory, Path settings) throws IOException {
+  ManagedProcess start(String name, Path directory, Path settings, Path linkFaults)
+      throws IOException {
     boolean other = otherNext && !otherBuild.isEmpty();
     otherNext = !otherNext;
-    List<String> arguments = List.of(settings.toString());
+    List<String> arguments = List.of(settings.toString(), linkFaults.toString());
     return other
         ? ManagedProcess.startBuild(name, directory, otherBuild, PlatformMain.class, arguments)
-        : ManagedProcess.start(name, directory, PlatformMain.class, arguments);
+        : ManagedProcess.start(name, directory, SoakGatewayMain.class, arguments);
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -231,6 +231,32 @@
       return found;
     }
   },
+  /** Callers of a gateway that is cut off from all engines are served nearly as others are. */
+  SERVED_WHEN_CUT_OFF {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      for (SoakRecord.CutOff cutOff : record.control().cutOffs()) {
+        long there = served(cutOff.there());
+        long elsewhere = served(cutOff.elsewhere());
+        int failed = (int) (cutOff.there().size() - there);
+        boolean farLess =
+            there * (double) cutOff.elsewhere().size()
+                < CUT_OFF_PART * elsewhere * cutOff.there().size();
+        if (farLess && failed > FAILED_TOLERATED + FAILED_PART * cutOff.there().size()) {
+          found.add(
+              String.format(
+                  "gateway %d served %d of %d, others %d of %d",
+                  cutOff.gateway(),
+                  there,
+                  cutOff.there().size(),
+                  elsewhere,
+                  cutOff.elsewhere().size()));
+        }
+      }
+      return found;
+    }
+  },
   /** Once the faults are over, callers are served. */
   RECOVERS {
     @Override
@@ -238,7 +264,7 @@
       long from = record.calmFromNanos() + RECOVERY.toNanos();
       List<SoakRecord.Call> calm =
           record.calls().stream().filter(call -> call.sentNanos() > from).toList();
-      long served = calm.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
+      long served = served(calm);
       return served < SERVED_WHEN_CALM * calm.size() || calm.isEmpty()
           ? List.of(served + " of " + calm.size() + " served after the last fault")
           : List.of();
@@ -272,6 +298,16 @@
 
   private static final double SERVED_WHEN_CALM = 0.95;
 
+  /** How often first tries are served at a gateway that is cut off, in relation to the others. */
+  private static final double CUT_OFF_PART = 2.0 / 3;
+
+  private static final int FAILED_TOLERATED = 10;
+  private static final double FAILED_PART = 1.0 / 50;
+
+  private static long served(List<SoakRecord.Call> calls) {
+    return calls.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
+  }
+
   private static boolean isOfAnOlderConfiguration(SoakRecord.Probe probe) {
     long addedInForce = probe.route().addedNanos() + DRAIN_BOUND.toNanos();
     boolean removed = probe.route().removedNanos() != Long.MAX_VALUE;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.soak;
 
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import org.fallturn.rehearsal.emulator.EngineFault;
@@ -197,6 +198,8 @@
       return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
+  ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
+  ENGINE_LINKS_CUT(SoakGatewayMain.Fault.CUT),
   ENGINE_REJECTS(EngineFault.REJECT),
   ENGINE_FAILS(EngineFault.FAIL),
   ENGINE_LOSES_ANSWERS(EngineFault.LOSE_ANSWER),
@@ -221,7 +224,9 @@
     STORE(1, 1_000),
     OPERATOR(1, Integer.MAX_VALUE),
     /** Signals to gateways that may be stopping, starting or cut off by the other lanes. */
-    SIGNALS(1, Integer.MAX_VALUE);
+    SIGNALS(1, Integer.MAX_VALUE),
+    /** Links between one gateway and all engines, for longer than the bound on knowing. */
+    LINKS(2, Integer.MAX_VALUE);
 
     private final int times;
     private final int mostMillis;
@@ -244,23 +249,30 @@
   private final Lane lane;
   private final EngineFault engineFault;
   private final StoreFault storeFault;
+  private final SoakGatewayMain.Fault linkFault;
 
   SoakFault(Lane lane) {
-    this(lane, EngineFault.NONE, StoreFault.NONE);
+    this(lane, EngineFault.NONE, StoreFault.NONE, SoakGatewayMain.Fault.NONE);
   }
 
   SoakFault(EngineFault engineFault) {
-    this(Lane.ENGINE, engineFault, StoreFault.NONE);
+    this(Lane.ENGINE, engineFault, StoreFault.NONE, SoakGatewayMain.Fault.NONE);
   }
 
   SoakFault(StoreFault storeFault) {
-    this(Lane.FLEET, EngineFault.NONE, storeFault);
+    this(Lane.FLEET, EngineFault.NONE, storeFault, SoakGatewayMain.Fault.NONE);
   }
 
-  SoakFault(Lane lane, EngineFault engineFault, StoreFault storeFault) {
+  SoakFault(SoakGatewayMain.Fault linkFault) {
+    this(Lane.LINKS, EngineFault.NONE, StoreFault.NONE, linkFault);
+  }
+
+  SoakFault(
+      Lane lane, EngineFault engineFault, StoreFault storeFault, SoakGatewayMain.Fault linkFault) {
     this.lane = lane;
     this.engineFault = engineFault;
     this.storeFault = storeFault;
+    this.linkFault = linkFault;
   }
 
   static List<SoakFault> of(Lane lane) {
@@ -282,16 +294,29 @@
     return this == GATEWAY_KILLED || this == GATEWAY_STOPPED;
   }
 
+  /** Whether a gateway is cut off from all engines while it lasts. */
+  boolean cutsOff(int gateway, int target, int gateways) {
+    return lane == Lane.LINKS && gateway == SoakFleet.gatewayIndex(target, gateways);
+  }
+
   void begin(SoakFleet fleet, int target) throws Exception {
-    set(fleet, target, engineFault, storeFault);
+    set(fleet, target, engineFault, storeFault, linkFault);
   }
 
   void end(SoakFleet fleet, int target) throws Exception {
-    set(fleet, target, EngineFault.NONE, StoreFault.NONE);
+    set(fleet, target, EngineFault.NONE, StoreFault.NONE, SoakGatewayMain.Fault.NONE);
   }
 
-  private void set(SoakFleet fleet, int target, EngineFault ofEngine, StoreFault ofStore) {
-    if (lane == Lane.ENGINE) {
+  private void set(
+      SoakFleet fleet,
+      int target,
+      EngineFault ofEngine,
+      StoreFault ofStore,
+      SoakGatewayMain.Fault ofLinks)
+      throws IOException {
+    if (lane == Lane.LINKS) {
+      fleet.gateway(target).setLinks(ofLinks);
+    } else if (lane == Lane.ENGINE) {
       fleet.engine(target).misbehave(ofEngine);
     } else {
       fleet.platform().store().misbehave(ofStore);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -81,7 +81,16 @@
 
   /** Each start appends to the same log file. */
   void start() throws IOException {
-    process = builds.start(name, directory, settings);
+    process = builds.start(name, directory, settings, linkFaults());
+  }
+
+  private Path linkFaults() {
+    return directory.resolve(name + ".links");
+  }
+
+  /** Puts faults on the links to all engines; a process of another build has none. */
+  void setLinks(SoakGatewayMain.Fault fault) throws IOException {
+    SoakGatewayMain.write(linkFaults(), fault);
   }
 
   void kill() throws InterruptedException {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -103,15 +103,28 @@
    * @param probes requests on routes that the operator added
    * @param orders the orders that each engine took, by its id
    * @param ends when gateways were ended
+   * @param cutOffs what was asked while gateways were cut off from all engines
    */
-  record Control(List<Probe> probes, Map<String, List<StageOrder>> orders, GatewayEnds ends) {
+  record Control(
+      List<Probe> probes,
+      Map<String, List<StageOrder>> orders,
+      GatewayEnds ends,
+      List<CutOff> cutOffs) {
 
     /** Nothing was done. */
     static Control none() {
-      return new Control(List.of(), Map.of(), new GatewayEnds(List.of(), List.of()));
+      return new Control(List.of(), Map.of(), new GatewayEnds(List.of(), List.of()), List.of());
     }
   }
 
+  /**
+   * What was asked, later than the bound on knowing, while a gateway was cut off from all engines.
+   *
+   * @param there what it was asked while it was in touch, as at least one other gateway was
+   * @param elsewhere what those others were asked meanwhile
+   */
+  record CutOff(int gateway, List<Call> there, List<Call> elsewhere) {}
+
   /**
    * When gateways were ended; each time lasts until the gateway has started again.
    *
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 
 /** Plays one schedule and reports what its checks found. One thread uses it. */
@@ -75,7 +76,8 @@
             fleet.limits(),
             troubles(fleet),
             poisons,
-            new SoakRecord.Control(load.probes(this::inTouch), orders(fleet), ends(fleet)),
+            new SoakRecord.Control(
+                load.probes(this::inTouch), orders(fleet), ends(fleet), cutOffs(calls)),
             calmFrom);
       }
     }
@@ -258,6 +260,40 @@
     return times;
   }
 
+  private List<SoakRecord.CutOff> cutOffs(List<SoakRecord.Call> calls) {
+    List<SoakRecord.CutOff> cutOffs = new ArrayList<>();
+    for (SoakSchedule.Entry entry : schedule.faults()) {
+      for (int gateway = 0; gateway < gateways; gateway++) {
+        if (entry.fault().cutsOff(gateway, entry.target(), gateways)) {
+          cutOffs.add(cutOff(gateway, entry, calls));
+        }
+      }
+    }
+    return cutOffs;
+  }
+
+  private SoakRecord.CutOff cutOff(
+      int gateway, SoakSchedule.Entry entry, List<SoakRecord.Call> calls) {
+    long from = begunNanos + entry.begin().plus(SoakFleet.CONTACT).toNanos();
+    long until = begunNanos + entry.end().toNanos();
+    List<SoakRecord.Call> meanwhile =
+        calls.stream()
+            .filter(call -> call.sentNanos() >= from && call.sentNanos() < until)
+            .filter(call -> inTouch(gateway, call.sentNanos()))
+            .filter(call -> othersInTouch(gateway, call.sentNanos()))
+            .filter(call -> inTouch(call.gateway(), call.sentNanos()))
+            .toList();
+    return new SoakRecord.CutOff(
+        gateway,
+        meanwhile.stream().filter(call -> call.gateway() == gateway).toList(),
+        meanwhile.stream().filter(call -> call.gateway() != gateway).toList());
+  }
+
+  private boolean othersInTouch(int gateway, long nanos) {
+    return IntStream.range(0, gateways)
+        .anyMatch(other -> other != gateway && inTouch(other, nanos));
+  }
+
   /** Whether no trouble of a gateway has lasted to within the bound on being in touch. */
   private boolean inTouch(int gateway, long nanos) {
     return schedule.faults().stream()
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -322,7 +322,7 @@
         List.of(),
         List.of(),
         List.of(),
-        new SoakRecord.Control(List.of(), Map.of(), ends),
+        new SoakRecord.Control(List.of(), Map.of(), ends, List.of()),
         CALM);
   }
 
@@ -346,7 +346,7 @@
   private static SoakRecord probed(double atSeconds, int status) {
     SoakRecord.AddedRoute route = new SoakRecord.AddedRoute("added-0", seconds(1), seconds(9));
     SoakRecord.Probe probe = new SoakRecord.Probe(route, 0, seconds(atSeconds), status);
-    return withControl(new SoakRecord.Control(List.of(probe), Map.of(), NO_ENDS));
+    return withControl(new SoakRecord.Control(List.of(probe), Map.of(), NO_ENDS, List.of()));
   }
 
   /** The store's return from a copy hid configurations from gateways for seconds. */
@@ -361,7 +361,8 @@
   }
 
   private static SoakRecord ordered(SoakRecord.StageOrder... orders) {
-    return withControl(new SoakRecord.Control(List.of(), Map.of("d-1", List.of(orders)), NO_ENDS));
+    return withControl(
+        new SoakRecord.Control(List.of(), Map.of("d-1", List.of(orders)), NO_ENDS, List.of()));
   }
 
   @Test
@@ -373,4 +374,28 @@
     assertThat(broken(ordered(first, new SoakRecord.StageOrder("b", 6))))
         .containsExactly(SoakCheck.ORDERS_ARE_FENCED);
   }
+
+  /** Some answers of a gateway, of which the first ones are failures. */
+  private static List<SoakRecord.Call> answers(int failures, int all) {
+    List<SoakRecord.Call> calls = new ArrayList<>();
+    for (int number = 0; number < all; number++) {
+      calls.add(call("c-" + number, SoakRecord.Kind.STREAM, number < failures ? 503 : 200, WHOLE));
+    }
+    return calls;
+  }
+
+  private static List<SoakCheck> whenCutOff(int failuresThere, int failuresElsewhere) {
+    SoakRecord.CutOff cutOff =
+        new SoakRecord.CutOff(1, answers(failuresThere, 60), answers(failuresElsewhere, 200));
+    return broken(
+        withControl(new SoakRecord.Control(List.of(), Map.of(), NO_ENDS, List.of(cutOff))));
+  }
+
+  @Test
+  void callersOfAGatewayThatIsCutOffAreServedNearlyAsOthersAre() {
+    assertThat(whenCutOff(50, 2)).containsExactly(SoakCheck.SERVED_WHEN_CUT_OFF);
+    assertThat(whenCutOff(25, 2)).containsExactly(SoakCheck.SERVED_WHEN_CUT_OFF);
+    assertThat(whenCutOff(15, 2)).isEmpty();
+    assertThat(whenCutOff(50, 170)).isEmpty();
+  }
 }
