Probe a lost link on a new connection, and cancel whatever forwarded request fails

CutOffGatewayTest#callersAreServedWhileNewConnectionsAreRefused failed once beside load 28, after two passes: a probe took an open connection, which lives on, so that the gateway went back to its own link each second, and 40 requests at once, which need new connections, were refused again.

The end of a forwarded request was passed on only when its answer failed; now whenever it ends without success (callerWhoLeaves: the engine would work on, new test requestOfACallerWhoLeavesEndsAtTheEngine).

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -125,20 +125,22 @@
     }
   }
 
-  /** The engines whose links to probe now. */
-  public List<ServingEngine> takeDueProbes(long nowNanos) {
-    List<ServingEngine> due = new ArrayList<>();
+  /** The links to probe now. */
+  public List<LinkProbe> takeDueProbes(long nowNanos) {
+    List<LinkProbe> due = new ArrayList<>();
     if (!peers.isEmpty()) {
       for (String engineId : dueProbes) {
         Long probed = probedNanos.get(engineId);
         if (probed == null || nowNanos - probed >= PROBE_PAUSE_NANOS) {
-          selector.find(engineId).ifPresent(due::add);
+          selector
+              .find(engineId)
+              .ifPresent(engine -> due.add(new LinkProbe(engine, throughPeers.contains(engineId))));
         }
       }
     }
     dueProbes.clear();
     if (!due.isEmpty()) {
-      due.forEach(engine -> probedNanos.put(engine.id(), nowNanos));
+      due.forEach(probe -> probedNanos.put(probe.engine().id(), nowNanos));
       probedNanos.keySet().retainAll(selector.knownIds());
     }
     return due;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -87,7 +87,7 @@
   @Test
   void ownLinkIsUsedAgainOnceItIsAnswered() {
     loseLink();
-    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(engine);
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, true));
     dispatcher.paths().onProbed("e-1", true, now, now);
     assertThat(send().forwarder()).isEmpty();
   }
@@ -133,7 +133,7 @@
     send();
     pass(Duration.ofMillis(900));
     peerHearsEngine();
-    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(engine);
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, false));
     long asked = now;
     pass(Duration.ofMillis(500));
     peerHearsEngine();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -18,6 +18,8 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.dispatch.EngineNotices;
@@ -49,6 +51,9 @@
   /** An engine reports without waiting for a slot, so one that takes longer is stuck. */
   private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
+  /** Requests with this tag share no connections with the others. */
+  private static final String OWN_CONNECTION = "own-connection";
+
   private static final int MAX_LIST_BYTES = 2 << 20;
 
   private final HttpClient client;
@@ -125,11 +130,14 @@
   /** A node that forwards a request notices only late that its answer is not wanted any more. */
   private void cancelWhenFailed(Request request, NetworkAddress peer, String key) {
     forwarders.add(peer);
-    request.onResponseFailure(
-        (response, failure) ->
+    request.onComplete(
+        result -> {
+          if (result.isFailed()) {
             newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key)
                 .timeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .send(result -> {}));
+                .send(cancelled -> {});
+          }
+        });
   }
 
   /**
@@ -190,6 +198,13 @@
         .timeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  /** As {@link #newReport}, on a connection of its own that ends with the answer. */
+  Request newReportOnNewConnection(ServingEngine engine) {
+    return newReport(engine)
+        .tag(OWN_CONNECTION)
+        .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
+  }
+
   /** Prepares a call that this node makes on its own behalf; the caller of this method sends it. */
   Request newRequest(ServingEngine engine, String method, String path) {
     return newRequest(engine, method, path, "");
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -3,8 +3,10 @@
 import java.net.ConnectException;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.dispatch.LinkProbe;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
@@ -47,16 +49,20 @@
    * answer shows that the link works. An engine that asked for a rest is not asked, which shows
    * nothing.
    */
-  void askPath(ServingEngine engine) {
+  void askPath(LinkProbe probe) {
+    ServingEngine engine = probe.engine();
     long askedNanos = System.nanoTime();
-    engines
-        .newReport(engine)
-        .send(
-            result -> {
-              boolean reached =
-                  result.getResponse() != null && result.getResponse().getStatus() > 0;
-              events.accept(new DispatchEvent.PathProbed(engine.id(), reached, askedNanos));
-            });
+    Request call =
+        probe.onNewConnection()
+            ? engines.newReportOnNewConnection(engine)
+            : engines.newReport(engine);
+    call.send(
+        result -> {
+          if (!(result.getRequestFailure() instanceof EngineHeldBackException)) {
+            boolean reached = result.getResponse().getStatus() > 0;
+            events.accept(new DispatchEvent.PathProbed(engine.id(), reached, askedNanos));
+          }
+        });
   }
 
   private boolean isGone(ServingEngine engine, Result result, byte[] body) {
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CutOffGatewayTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CutOffGatewayTest.java
@@ -182,4 +182,25 @@
     third.close();
     awaitServed();
   }
+
+  /** The engine would work on for a caller who has left, since only the other node talks to it. */
+  @Test
+  void requestOfACallerWhoLeavesEndsAtTheEngine() throws Exception {
+    links.setAll(LinkFaults.CUT);
+    awaitServed();
+    ended.set(true);
+    for (Thread other : others) {
+      other.join();
+    }
+    platform.engines().forEach(engine -> engine.misbehave(EngineFault.SILENT));
+    EmulatedClient.Call call = send(cutOff, EmulatedPlatform.NON_IDEMPOTENT);
+    await().atMost(LONGEST).until(() -> runsOf(call.requestId()) == 1);
+    assertThat(abandoned()).isZero();
+    call.leave();
+    await().atMost(LONGEST).until(() -> abandoned() == 1);
+  }
+
+  private int abandoned() {
+    return platform.engines().stream().mapToInt(EmulatedEngine::abandoned).sum();
+  }
 }
