Soak: excuse a gateway that is suspended while it starts

A gateway that stands still cannot have opened its callers' port, so that the excuse lasts until five seconds after the suspension. Only suspensions that begin within a start count.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -226,7 +226,7 @@
         int gateway = fleet.indexOf(entry.target());
         long begin = begunNanos + entry.begin().toNanos();
         long end = begunNanos + entry.end().toNanos();
-        long started = end + START.toNanos();
+        long started = startedNanos(gateway, end);
         boolean atOnce = entry.fault() == SoakFault.GATEWAY_KILLED;
         killed.add(new SoakRecord.Trouble(gateway, atOnce ? begin : end, started));
         absent.add(new SoakRecord.Trouble(gateway, begin, started));
@@ -235,6 +235,21 @@
     return new SoakRecord.GatewayEnds(killed, absent);
   }
 
+  /** When a process has started; one that is suspended meanwhile goes on only after that. */
+  private long startedNanos(int gateway, long beginNanos) {
+    long started = beginNanos + START.toNanos();
+    for (SoakSchedule.Entry entry : schedule.faults()) {
+      long suspended = begunNanos + entry.begin().toNanos();
+      if (entry.fault().stopsGateway()
+          && entry.fault().touches(gateway, entry.target(), gateways)
+          && suspended >= beginNanos
+          && suspended < started) {
+        started = begunNanos + entry.end().toNanos() + START.toNanos();
+      }
+    }
+    return started;
+  }
+
   /**
    * When a gateway ran the other build, which may know nothing of what engines say of themselves:
    * the landed one sent on 1,627 requests in a minute to an engine that had said it leaves.
