Prepare a forwarded request before it can be cancelled

Found by reading: a call that cancels it could come between its entry in the map and its preparation, and failed with a NullPointerException; the engine would have worked on.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -132,9 +132,10 @@
         from.request(),
         Promise.from(
             body -> {
-              ForwardedRequest forwarded = new ForwardedRequest(engine, from);
+              ForwardedRequest forwarded =
+                  new ForwardedRequest(engine, from, BufferUtil.toArray(body));
               byKey.put(key, forwarded);
-              forwarded.send(BufferUtil.toArray(body));
+              forwarded.send();
             },
             failure -> fail(from.response(), from.callback(), ForwardingResult.NOT_SENT)));
   }
@@ -168,26 +169,26 @@
 
     private final ServingEngine engine;
     private final HandlerArguments from;
-    private volatile org.eclipse.jetty.client.Request toEngine;
+    private final org.eclipse.jetty.client.Request toEngine;
     private volatile boolean maybeSent;
     private boolean answerBegun;
 
-    ForwardedRequest(ServingEngine engine, HandlerArguments from) {
+    ForwardedRequest(ServingEngine engine, HandlerArguments from, byte[] body) {
       this.engine = engine;
       this.from = from;
-    }
-
-    void send(byte[] body) {
-      HttpFields headers = withoutConnectionHeaders(from.request().getHeaders());
-      toEngine =
+      this.toEngine =
           engines.newForwarded(
               engine,
               from.request().getMethod(),
               from.request().getHttpURI().getPathQuery(),
-              headers,
+              withoutConnectionHeaders(from.request().getHeaders()),
               body);
+    }
+
+    void send() {
       toEngine.onRequestBegin(begun -> maybeSent = begun.getAbortCause() == null);
-      log.forwarding(engines.protocol().readHead(0, headers).requestId(), engine.id());
+      log.forwarding(
+          engines.protocol().readHead(0, toEngine.getHeaders()).requestId(), engine.id());
       toEngine.send(this);
     }
 
