Go on ordering stages when every node has failed to get the lease

Cause, from the logs: the store was away for a second; gateway-1 and gateway-2 failed to get the lease at 533.3 s of that log, gateway-0 had at 527.1 s; each leaves the orders to the others for 20 s after that, and the first order came at 547.2 s.

Reports and numbers of engines already go on when all candidates have failed (StageControl.leads); stage orders now ask the same. The lease and its fencing tokens keep two nodes from ordering at once, as before.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StageControl.java
@@ -88,7 +88,7 @@
     if (!parameters.enabled() || !candidate) {
       return Optional.empty();
     }
-    boolean first = isOrderingNode(nowNanos);
+    boolean first = leads(nowNanos);
     Optional<StageChange> change = Optional.empty();
     for (ServiceDefinition service : services) {
       if (service.engine().isPresent()) {
@@ -126,8 +126,8 @@
 
   /**
    * Returns whether this node acts for all nodes. If all candidates have recently failed to do so,
-   * each of them tries again and the lease decides, since a late report is worse than a futile
-   * call.
+   * each of them tries again and the lease decides, since a late report, or a service without
+   * engines of one stage, is worse than a futile call.
    */
   public boolean leads(long nowNanos) {
     return isOrderingNode(nowNanos)
