Let an answer that breaks off on its way through another node not look whole

The engine's answer had no length and was to end with its connection, which was reset. The forwarding node passed "Connection: close" on, for engines that leave say so there; without a length its server then ended the answer with the connection instead of in chunks, so that the abort looked like the end.

Answers without a length are passed on in chunks, whose last one is missing when the answer breaks off. Test: answerThatIsResetOnItsWayToTheOtherNodeDoesNotLookWhole, red before ("[ans]"), green now.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
@@ -208,6 +209,13 @@
         // An engine that leaves says so here.
         from.response().getHeaders().put(HttpHeader.CONNECTION, connection);
       }
+      if (!answer.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+          && !HttpStatus.hasNoBody(answer.getStatus())) {
+        // Without the final chunk, an answer that broke off would look complete to the other node.
+        from.response()
+            .getHeaders()
+            .put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+      }
     }
 
     @Override
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CutOffGatewayTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CutOffGatewayTest.java
@@ -200,6 +200,21 @@
     await().atMost(LONGEST).until(() -> abandoned() == 1);
   }
 
+  /**
+   * The engine's answer had no length and was to end with its connection, which was reset. The
+   * other node passed on the end of the connection, and "ans" was taken for the whole answer.
+   */
+  @Test
+  void answerThatIsResetOnItsWayToTheOtherNodeDoesNotLookWhole() throws Exception {
+    links.setAll(LinkFaults.CUT);
+    awaitServed();
+    platform.engines().forEach(engine -> engine.misbehave(EngineFault.RESET_WITHOUT_LENGTH));
+    for (int number = 0; number < IN_A_ROW; number++) {
+      EmulatedClient.Answer answer = call(cutOff, EmulatedPlatform.NON_IDEMPOTENT);
+      assertThat(answer.status() == 200 && answer.whole()).as(answer.body()).isFalse();
+    }
+  }
+
   private int abandoned() {
     return platform.engines().stream().mapToInt(EmulatedEngine::abandoned).sum();
   }
