Find links that are reset, or that refuse new connections while open ones answer

Answers on open connections ended each suspension before the other nodes had reported the engine again, so that the gateway never went through them.

An engine that is suspended, or to which a connection could not be opened, is probed on a new connection; the probe's failure counts once another node hears the engine after it was sent, whatever comes over connections that were open before. Answers on these do not end a detour either: only a probe does.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -42,6 +42,7 @@
   private boolean silent;
   private boolean misdirected;
   private boolean linkSuspect;
+  private boolean connectFailed;
   private boolean throughPeers;
   private int forwardedFailuresInRow;
   private boolean reportedSuspended;
@@ -115,10 +116,16 @@
     return throughPeers;
   }
 
+  /** Returns whether a request could not be sent and no probe has been answered since. */
+  boolean connectFailed() {
+    return connectFailed;
+  }
+
   /** Records that this node reaches the engine by its own link. */
   void onPathWorks() {
+    connectFailed = false;
     if (throughPeers) {
-      onSignOfLife();
+      resume();
     }
   }
 
@@ -175,8 +182,18 @@
     failureShareAtNanos = nowNanos;
   }
 
-  /** Ends a suspension because some bytes of an answer arrived. */
+  /**
+   * Ends a suspension because some bytes of an answer arrived. They do not end a detour: open
+   * connections may live on while new ones are refused.
+   */
   void onSignOfLife() {
+    failuresInRow = 0;
+    if (!throughPeers) {
+      resume();
+    }
+  }
+
+  private void resume() {
     failuresInRow = 0;
     misdirected = false;
     suspended = false;
@@ -193,6 +210,7 @@
     }
     boolean probed = probing;
     probing = false;
+    connectFailed |= outcome == AttemptOutcome.NOT_SENT;
     updateFailureShare(1, nowNanos);
     if (outcome == AttemptOutcome.MISDIRECTED) {
       silent = false;
@@ -228,7 +246,7 @@
 
   /** Resets the engine to one that was never used. */
   void reset() {
-    onSignOfLife();
+    resume();
     failureShare = 0;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -40,8 +40,11 @@
   private final ForwardingPeers peers = new ForwardingPeers();
   private final Map<String, Long> probedNanos = new HashMap<>();
   private final Set<String> dueProbes = new HashSet<>();
+  private final Map<String, UnansweredProbe> unansweredProbes = new HashMap<>();
   private Set<String> throughPeers = Set.of();
 
+  private record UnansweredProbe(boolean onNewConnection, long askedNanos) {}
+
   EnginePaths(EngineSelector selector, PeerLoads peerLoads) {
     this.selector = selector;
     this.peerLoads = peerLoads;
@@ -97,14 +100,38 @@
   private void check(String engineId, EngineLoad load, Set<String> through, long nowNanos) {
     OptionalLong heard = peerLoads.heardNanos(engineId);
     heard.ifPresent(nanos -> load.health().onPeerSignOfLife(nanos, !peers.isEmpty()));
+    if (isLost(engineId, load, heard)) {
+      unansweredProbes.remove(engineId);
+      load.health().onPathLost(nowNanos);
+    }
     if (load.health().throughPeers()) {
       through.add(engineId);
       dueProbes.add(engineId);
+    } else if (load.health().suspended() || load.health().connectFailed()) {
+      dueProbes.add(engineId);
     } else if (heard.isPresent() && isQuietHereAlone(load, heard.getAsLong(), nowNanos)) {
       dueProbes.add(engineId);
     }
   }
 
+  /**
+   * Whether another node has heard the engine since a probe that was not answered. A probe that is
+   * refused ends long before the others can have reported. What this node has heard itself since
+   * counts against it, unless it came over a connection that was open before.
+   */
+  private boolean isLost(String engineId, EngineLoad load, OptionalLong peersHeard) {
+    UnansweredProbe probe = unansweredProbes.get(engineId);
+    if (probe == null || peers.isEmpty() || load.health().throughPeers()) {
+      return false;
+    }
+    boolean heardHere = !probe.onNewConnection() && isAfter(load.heardNanos(), probe.askedNanos());
+    return !heardHere && isAfter(peersHeard, probe.askedNanos());
+  }
+
+  private static boolean isAfter(OptionalLong heard, long nanos) {
+    return heard.isPresent() && heard.getAsLong() - nanos > 0;
+  }
+
   /** Whether a request waits in vain at an engine that another node has heard meanwhile. */
   private static boolean isQuietHereAlone(EngineLoad load, long peersHeardNanos, long nowNanos) {
     long sinceNanos =
@@ -125,6 +152,15 @@
     }
   }
 
+  /** Whether open connections to an engine say nothing about its link. */
+  private boolean isSuspect(String engineId) {
+    EngineLoad load = selector.loads().get(engineId);
+    return load != null
+        && (load.health().suspended()
+            || load.health().throughPeers()
+            || load.health().connectFailed());
+  }
+
   /** The links to probe now. */
   public List<LinkProbe> takeDueProbes(long nowNanos) {
     List<LinkProbe> due = new ArrayList<>();
@@ -134,7 +170,7 @@
         if (probed == null || nowNanos - probed >= PROBE_PAUSE_NANOS) {
           selector
               .find(engineId)
-              .ifPresent(engine -> due.add(new LinkProbe(engine, throughPeers.contains(engineId))));
+              .ifPresent(engine -> due.add(new LinkProbe(engine, isSuspect(engineId))));
         }
       }
     }
@@ -142,28 +178,28 @@
     if (!due.isEmpty()) {
       due.forEach(probe -> probedNanos.put(probe.engine().id(), nowNanos));
       probedNanos.keySet().retainAll(selector.knownIds());
+      unansweredProbes.keySet().retainAll(probedNanos.keySet());
     }
     return due;
   }
 
   /**
-   * Handles the end of a probe. An engine that does not answer and that no other node has heard
-   * since may itself be at fault, which other detectors find out.
+   * Handles the end of a probe. An engine that does not answer and that no other node hears from
+   * then on may itself be at fault, which other detectors find out.
    *
    * @param reached whether the engine answered, whatever it said
    * @param askedNanos when the probe was sent
    */
-  public void onProbed(String engineId, boolean reached, long askedNanos, long nowNanos) {
-    Optional<ServingEngine> engine = selector.find(engineId);
-    if (engine.isEmpty()) {
+  public void onProbed(LinkProbe probe, boolean reached, long askedNanos) {
+    String engineId = probe.engine().id();
+    if (selector.find(engineId).isEmpty()) {
       return;
     }
-    EngineHealth health = selector.load(engine.get()).health();
-    OptionalLong heard = peerLoads.heardNanos(engineId);
     if (reached) {
-      health.onPathWorks();
-    } else if (!peers.isEmpty() && heard.isPresent() && heard.getAsLong() - askedNanos > 0) {
-      health.onPathLost(nowNanos);
+      unansweredProbes.remove(engineId);
+      selector.load(probe.engine()).health().onPathWorks();
+    } else {
+      unansweredProbes.put(engineId, new UnansweredProbe(probe.onNewConnection(), askedNanos));
     }
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -81,14 +81,34 @@
     failTwice(AttemptOutcome.LOST);
     pass(Duration.ofMillis(100));
     peerHearsEngine();
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, true));
+    dispatcher.paths().onProbed(new LinkProbe(engine, true), true, now);
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
     assertThat(send().forwarder()).isEmpty();
   }
 
+  /**
+   * Connections that were accepted and reset at once ended requests as lost, not as never sent. The
+   * probe failed at once, too, before any other node had reported the engine again.
+   */
+  @Test
+  void engineWhoseConnectionsAreResetIsReachedThroughOthers() {
+    failTwice(AttemptOutcome.LOST);
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
+    dispatcher.paths().onProbed(new LinkProbe(engine, true), false, now);
+    assertThat(send().forwarder()).isEmpty();
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
+    assertThat(send().forwarder()).isPresent();
+  }
+
   @Test
   void ownLinkIsUsedAgainOnceItIsAnswered() {
     loseLink();
     assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, true));
-    dispatcher.paths().onProbed("e-1", true, now, now);
+    dispatcher.paths().onProbed(new LinkProbe(engine, true), true, now);
     assertThat(send().forwarder()).isEmpty();
   }
 
@@ -102,6 +122,31 @@
     assertThat(send().forwarder()).isPresent();
   }
 
+  /** A request that was sent on an open connection before is answered there. */
+  @Test
+  void answerOnAnOpenConnectionDoesNotEndTheDetour() {
+    RequestProgress early = send();
+    loseLink();
+    dispatcher.onSignOfLife(early, now);
+    dispatcher.onFinished(early, now);
+    assertThat(send().forwarder()).isPresent();
+  }
+
+  /** Answers on open connections ended each suspension before the others had reported again. */
+  @Test
+  void engineThatRefusesNewConnectionsIsReachedThroughOthersAlthoughOpenOnesAnswer() {
+    RequestProgress onOpenConnection = send();
+    dispatcher.onFailure(send(), AttemptOutcome.NOT_SENT, now);
+    dispatcher.onTick(now);
+    assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, true));
+    dispatcher.paths().onProbed(new LinkProbe(engine, true), false, now);
+    pass(Duration.ofMillis(50));
+    dispatcher.onSignOfLife(onOpenConnection, now);
+    pass(Duration.ofMillis(50));
+    peerHearsEngine();
+    assertThat(send().forwarder()).isPresent();
+  }
+
   @Test
   void nodeThatCannotForwardIsAvoided() {
     loseLink();
@@ -136,8 +181,8 @@
     assertThat(dispatcher.paths().takeDueProbes(now)).containsExactly(new LinkProbe(engine, false));
     long asked = now;
     pass(Duration.ofMillis(500));
+    dispatcher.paths().onProbed(new LinkProbe(engine, false), false, asked);
     peerHearsEngine();
-    dispatcher.paths().onProbed("e-1", false, asked, now);
     assertThat(send().forwarder()).isPresent();
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -160,7 +160,7 @@
     } else if (event instanceof DispatchEvent.StageOrderUnanswered unanswered) {
       dispatcher.stages().onUnanswered(unanswered.change(), now);
     } else if (event instanceof DispatchEvent.PathProbed probed) {
-      pathActions.onProbed(probed, now);
+      pathActions.onProbed(probed);
     } else if (event instanceof DispatchEvent.EngineGone gone) {
       quarantineActions.onEngineGone(gone.engineId(), now);
     } else if (event instanceof DispatchEvent.QuarantineLoaded loaded) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.DispatchParameters;
+import org.fallturn.core.dispatch.LinkProbe;
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.quarantine.QuarantineStore;
@@ -98,7 +99,7 @@
    * @param reached whether the engine answered
    * @param askedNanos when the probe was sent
    */
-  record PathProbed(String engineId, boolean reached, long askedNanos) implements DispatchEvent {}
+  record PathProbed(LinkProbe probe, boolean reached, long askedNanos) implements DispatchEvent {}
 
   /** A message arrived from another node. */
   record PeerMessageReceived(PeerMessage message) implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -60,7 +60,7 @@
         result -> {
           if (!(result.getRequestFailure() instanceof EngineHeldBackException)) {
             boolean reached = result.getResponse().getStatus() > 0;
-            events.accept(new DispatchEvent.PathProbed(engine.id(), reached, askedNanos));
+            events.accept(new DispatchEvent.PathProbed(probe, reached, askedNanos));
           }
         });
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PathActions.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PathActions.java
@@ -36,7 +36,7 @@
     dispatcher.paths().takeDueProbes(nowNanos).forEach(probe::askPath);
   }
 
-  void onProbed(DispatchEvent.PathProbed probed, long nowNanos) {
-    dispatcher.paths().onProbed(probed.engineId(), probed.reached(), probed.askedNanos(), nowNanos);
+  void onProbed(DispatchEvent.PathProbed probed) {
+    dispatcher.paths().onProbed(probed.probe(), probed.reached(), probed.askedNanos());
   }
 }
