Let a process without a predecessor use its whole retry budget at once

Callers of a gateway that had just started were refused (503, or 500 and 502 for requests that may be repeated) after one engine had rejected or failed their request, although another engine was free.

A process of a system that starts for the first time was treated like one that replaces another, though nothing can have been repeated before it.

The setting first_start, which the platform gives at the first start alone and which caches and leases go by already, now says so. A process that replaces another one waits as before.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/DispatchParameters.java
@@ -14,6 +14,8 @@
  * @param retryRatio allowed repeats per request, over the whole fleet
  * @param retrySlack allowed repeats beyond the ratio, over the whole fleet
  * @param retryWindow sliding window in which the ratio and the slack hold
+ * @param firstStart whether the whole system starts for the first time, so that no earlier process
+ *     of this node has repeated anything
  * @param lastResort how long a leaving engine may still be used when its service has no other
  * @param minRetryAfter shortest time after which a refused caller is told to try again
  * @param stages when engines change their stage
@@ -27,6 +29,7 @@
     double retryRatio,
     double retrySlack,
     Duration retryWindow,
+    boolean firstStart,
     Duration lastResort,
     Duration minRetryAfter,
     StageParameters stages,
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryBudget.java
@@ -9,9 +9,9 @@
  * Bounds the requests that this node repeats to one service within a sliding window: a ratio of the
  * requests that all nodes received for that service, plus a fixed slack. {@link SharedBudget}
  * shares both among the nodes that have requests to repeat, since failures may concern some nodes
- * only. A new process does not know what its predecessor repeated, so in its first window it uses
- * only the part of its share that no process uses after its first window. Only the dispatch thread
- * calls.
+ * only. A process that replaces another does not know what its predecessor repeated, so in its
+ * first window it uses only the part of its share that no process uses after its first window. One
+ * that has no predecessor uses its whole share at once. Only the dispatch thread calls.
  */
 final class RetryBudget {
 
@@ -48,11 +48,13 @@
   private double ratio;
   private double slack;
   private final long windowNanos;
+  private final boolean firstStart;
   private final SharedBudget budget;
 
   RetryBudget(DispatchParameters parameters) {
     setBounds(parameters);
     this.windowNanos = parameters.retryWindow().toNanos();
+    this.firstStart = parameters.firstStart();
     this.budget = new SharedBudget(parameters.retryWindow());
   }
 
@@ -75,7 +77,7 @@
    * @param uptimeNanos how long this process has served requests
    */
   void setOthers(BudgetDigest reported, OptionalInt nodes, long uptimeNanos) {
-    boolean steady = uptimeNanos >= windowNanos;
+    boolean steady = firstStart || uptimeNanos >= windowNanos;
     double startingSlackFraction = STARTING_SLACK_FRACTION * uptimeNanos / windowNanos;
     budget.setBounds(
         (steady ? RATIO_FRACTION : STARTING_RATIO_FRACTION) * ratio,
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -82,6 +82,7 @@
                 0.2,
                 slack,
                 Duration.ofSeconds(10),
+                false,
                 Duration.ofMillis(1_400),
                 Duration.ofMillis(200),
                 STAGES,
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/RetryBudgetTest.java
@@ -23,7 +23,12 @@
   static final double SLACK = 54;
   static final long WINDOW = Duration.ofSeconds(10).toNanos();
 
+  /** The budget of a process that replaces another one. */
   static RetryBudget budget() {
+    return budget(false);
+  }
+
+  static RetryBudget budget(boolean firstStart) {
     return new RetryBudget(
         new DispatchParameters(
             "n",
@@ -32,6 +37,7 @@
             RATIO,
             SLACK,
             Duration.ofNanos(WINDOW),
+            firstStart,
             Duration.ZERO,
             Duration.ZERO,
             Requests.STAGES,
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -82,7 +82,7 @@
       SettingDefinition.flag(
           "gateway.first_start",
           false,
-          "Whether the whole system starts for the first time, so that engines keep nothing.");
+          "Whether the whole system starts for the first time, so that engines keep nothing and nothing was repeated before.");
 
   private static final SettingDefinition<NetworkAddress> STORE =
       SettingDefinition.address("store.address", "127.0.0.1:7000", "Address of the store.");
@@ -179,6 +179,7 @@
         bounds.retryRatio(),
         bounds.retrySlack(),
         bounds.retryWindow(),
+        firstStart,
         bounds.drain().multipliedBy(LAST_RESORT_PERCENT).dividedBy(PERCENT),
         dispatch.minRetryAfter(),
         stages.parameters(),
