Avoid a node that cannot pass a request on for that engine alone

Cause: a node that could not pass on a request to one engine was avoided for all engines for two seconds. With both others avoided, requests went out on links that were known to be lost. Evidence, from the log of the gateway: a-1 was found lost and to be used through others at 34.73 s, and of the requests for it in the three seconds from 35 s on, 90 went out directly and 35 through others, while d-3 ended six times, each time unreachable for both others.

Avoided is now the pair of node and engine. A node that failed for two engines, with no answer through it in between, is avoided for all, so that one that is at fault itself is not tried for each engine anew. While all nodes are avoided, the one whose time is over first is used, and never a lost link.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -212,6 +212,7 @@
 
   /** Part of an answer came from the engine that has the request. */
   public void onSignOfLife(RequestProgress progress, long nowNanos) {
+    paths.onAnswer(progress);
     progress.engine().map(selector::load).ifPresent(load -> load.onSignOfLife(progress, nowNanos));
   }
 
@@ -243,7 +244,7 @@
             progress.chargedTokens(),
             (nowNanos - progress.sentNanos()) / NANOS_PER_MILLI);
     pace.onDone(progress, nowNanos);
-    load.onSignOfLife(progress, nowNanos);
+    onSignOfLife(progress, nowNanos);
     load.onSuccess(progress, nowNanos);
     load.promptRead(progress);
     release(progress, false);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -63,22 +63,27 @@
   /** The node to send a request through; empty to send it to the engine directly. */
   Optional<NetworkAddress> forwarderFor(ServingEngine engine, long nowNanos) {
     return selector.load(engine).health().throughPeers()
-        ? peers.choose(nowNanos)
+        ? peers.choose(engine.id(), nowNanos)
         : Optional.empty();
   }
 
+  /** Handles a part of an answer, by whichever way it came. */
+  void onAnswer(RequestProgress progress) {
+    progress.forwarder().ifPresent(peers::onAnswer);
+  }
+
   /** Handles the failure of an attempt that was sent through another node. */
   void onForwardedFailure(
       RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
     EngineHealth health = selector.load(engine).health();
     switch (outcome) {
       case NOT_SENT -> {
-        progress.forwarder().ifPresent(peer -> peers.avoid(peer, nowNanos));
+        progress.forwarder().ifPresent(peer -> peers.onFailure(peer, engine.id(), nowNanos));
         progress.allowAgain(engine);
         health.onForwardedFailure(nowNanos);
       }
       case LOST, SILENT, BROKEN_MIDWAY -> {
-        progress.forwarder().ifPresent(peer -> peers.avoid(peer, nowNanos));
+        progress.forwarder().ifPresent(peer -> peers.onFailure(peer, engine.id(), nowNanos));
         health.onForwardedFailure(nowNanos);
       }
       case MISDIRECTED -> health.onFailure(outcome, nowNanos);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.junit.jupiter.api.Test;
@@ -35,6 +36,15 @@
     return progress;
   }
 
+  private RequestProgress sendTo(ServingEngine wanted) {
+    RequestProgress progress = send();
+    for (int sent = 0; progress.engine().filter(wanted::equals).isEmpty(); sent++) {
+      assertThat(sent).as("requests sent to other engines").isLessThan(100);
+      progress = send();
+    }
+    return progress;
+  }
+
   private void failTwice(AttemptOutcome outcome) {
     for (int failure = 0; failure < 2; failure++) {
       dispatcher.onFailure(send(), outcome, now);
@@ -49,7 +59,8 @@
   private void peerHearsEngine() {
     EngineDigest heard = new EngineDigest(1, 0, List.of(), 0, 0, 0);
     LoadDigest digest =
-        new LoadDigest("n-2", 1, now, 1, "", Map.of("e-1", heard), List.of(), Map.of());
+        new LoadDigest(
+            "n-2", 1, now, 1, "", Map.of("e-1", heard, "e-2", heard), List.of(), Map.of());
     Requests.receive(dispatcher, digest, now);
     dispatcher.onTick(now);
   }
@@ -158,6 +169,35 @@
     assertThat(send().forwarder()).isPresent().get().isNotEqualTo(failed);
   }
 
+  /**
+   * Engines that end one after the other made each node that could not pass on a request to one of
+   * them look useless for all, and requests went out on links that were known to be lost: "served
+   * 46 of 240 requests, the others 418 of 419".
+   */
+  @Test
+  void nodesThatDoNotReachOneEngineStillForwardToTheOthers() {
+    ServingEngine ended = Requests.engine("e-2", Requests.MODEL, EngineStage.DECODE);
+    dispatcher.setDirectory(EngineDirectory.of(2, List.of(engine, ended)), now);
+    loseLink();
+    loseLink();
+    for (int tries = 0; tries < 2; tries++) {
+      dispatcher.onFailure(sendTo(ended), AttemptOutcome.NOT_SENT, now);
+    }
+    assertThat(sendTo(engine).forwarder()).isPresent();
+  }
+
+  /** A link that is known to be lost is worse than a node that failed a moment ago. */
+  @Test
+  void lostLinkIsNotUsedWhileAllOthersAreAvoided() {
+    loseLink();
+    RequestProgress first = send();
+    NetworkAddress earliest = first.forwarder().orElseThrow();
+    dispatcher.onFailure(first, AttemptOutcome.NOT_SENT, now);
+    pass(Duration.ofMillis(10));
+    dispatcher.onFailure(first, AttemptOutcome.NOT_SENT, now);
+    assertThat(send().forwarder()).contains(earliest);
+  }
+
   /** The engine has ended after it was last heard. */
   @Test
   void engineThatFailsThroughOthersTooCountsAsFaulty() {
