Reach new engines through other nodes while the own links are lost

Cause: what a node knows of its links is kept by engine, and an engine that replaces another has an id of its own, so that its link counted as working until requests had failed on it. Class: evidence about the node itself that is kept under the name of what lies behind the link.

While any link is lost, an engine that this node has never reached by its own link is used through others, and a probe on a new connection, sent with the next tick, tells whether the link works. A node that has lost one link alone sends a tenth of a second's requests for a new engine by the detour.

Test: newEngineIsReachedThroughOthersWhileTheOwnLinksAreLost, red before.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineHealth.java
@@ -44,6 +44,7 @@
   private boolean linkSuspect;
   private boolean connectFailed;
   private boolean throughPeers;
+  private boolean linkWorked;
   private int forwardedFailuresInRow;
   private boolean reportedSuspended;
   private boolean reportedThroughPeers;
@@ -121,9 +122,15 @@
     return connectFailed;
   }
 
+  /** Returns whether nothing has come by the own link yet and no attempt has failed on it. */
+  boolean isLinkUntried() {
+    return !linkWorked && !suspended && failuresInRow == 0;
+  }
+
   /** Records that this node reaches the engine by its own link. */
   void onPathWorks() {
     connectFailed = false;
+    linkWorked = true;
     if (throughPeers) {
       resume();
     }
@@ -188,6 +195,7 @@
    */
   void onSignOfLife() {
     failuresInRow = 0;
+    linkWorked = true;
     if (!throughPeers) {
       resume();
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -17,9 +17,10 @@
  * the engine does not work, through another node. An engine that this node does not reach although
  * others hear it is not faulty, and callers must not suffer from a link of this node alone.
  *
- * <p>Invariant: requests go through another node only to engines that another node has heard since
- * this one failed to reach them, over one hop. Probes by calls of this node find out whether a link
- * works, so that no caller's request is risked for that. Confined to one thread.
+ * <p>Invariant: requests go through another node, over one hop, only to engines that another node
+ * has heard since this one failed to reach them and, while there are such, to engines that this
+ * node has never reached. Probes by calls of this node find out whether a link works, so that no
+ * caller's request is risked for that. Confined to one thread.
  */
 public final class EnginePaths {
 
@@ -62,9 +63,11 @@
 
   /** The node to send a request through; empty to send it to the engine directly. */
   Optional<NetworkAddress> forwarderFor(ServingEngine engine, long nowNanos) {
-    return selector.load(engine).health().throughPeers()
-        ? peers.choose(engine.id(), nowNanos)
-        : Optional.empty();
+    EngineHealth health = selector.load(engine).health();
+    if (!throughPeers.isEmpty() && !peers.isEmpty() && health.isLinkUntried()) {
+      health.onPathLost(nowNanos);
+    }
+    return health.throughPeers() ? peers.choose(engine.id(), nowNanos) : Optional.empty();
   }
 
   /** Handles a part of an answer, by whichever way it came. */
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -198,6 +198,22 @@
     assertThat(send().forwarder()).contains(earliest);
   }
 
+  /**
+   * Engines that replace others have ids of their own, so a node whose links were all cut sent the
+   * first requests to each of them into the void.
+   */
+  @Test
+  void newEngineIsReachedThroughOthersWhileTheOwnLinksAreLost() {
+    loseLink();
+    ServingEngine successor = Requests.engine("e-2", Requests.MODEL, EngineStage.DECODE);
+    dispatcher.setDirectory(EngineDirectory.of(2, List.of(successor)), now);
+    assertThat(send().forwarder()).isPresent();
+    dispatcher.onTick(now);
+    assertThat(dispatcher.paths().takeDueProbes(now)).contains(new LinkProbe(successor, true));
+    dispatcher.paths().onProbed(new LinkProbe(successor, true), true, now);
+    assertThat(send().forwarder()).isEmpty();
+  }
+
   /** The engine has ended after it was last heard. */
   @Test
   void engineThatFailsThroughOthersTooCountsAsFaulty() {
