Do not probe the links of engines that limit their requests

Cause: a node probes the link to a suspended engine once a second, and the engine counts the probe like a request. With a limit of zero the window of four seconds has room for two requests of all nodes, so that the probes of three nodes left none for the one request that could have found out that the limit had ended. No request suspended it anew or resumed it, so the probes went on. Evidence: no request was placed at any engine of that service from 30 s on by any gateway, while each refusal named a wait that ran down to zero and began again at 5 s; the limit itself had ended at 36.5 s.

Class: a call of the node's own that is not counted where all are counted. An engine with a limit in force is not probed, so that nodes send it nothing that the limit does not allow but the lists, which were accounted for already.

Test: probesOfALinkDoNotPreventTryingALimitOfZero, none of the requests of a minute sent before, more than three now.

nodesThatDoNotReachOneEngineStillForwardToTheOthers depended on which engine each of its first requests went to, and failed once; it now loses both links one after the other.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -69,7 +69,7 @@
     this.pace = new PaceObserver(peerLoads, speeds::of, parameters.learnsPace());
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, notices, pace.pace(), lastResortNanos);
-    this.paths = new EnginePaths(selector, peerLoads);
+    this.paths = new EnginePaths(selector, peerLoads, notices.limits());
     this.queue = new ApplicationQueue(selector);
     this.fleet = new FleetView(selector, peerLoads, notices, speeds, pace, this::cacheTokens);
     this.promptPlacement = new PromptPlacement(selector, parameters.zone());
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -38,6 +38,7 @@
 
   private final EngineSelector selector;
   private final PeerLoads peerLoads;
+  private final EngineLimits limits;
   private final ForwardingPeers peers = new ForwardingPeers();
   private final Map<String, Long> probedNanos = new HashMap<>();
   private final Set<String> dueProbes = new HashSet<>();
@@ -46,9 +47,10 @@
 
   private record UnansweredProbe(boolean onNewConnection, long askedNanos) {}
 
-  EnginePaths(EngineSelector selector, PeerLoads peerLoads) {
+  EnginePaths(EngineSelector selector, PeerLoads peerLoads, EngineLimits limits) {
     this.selector = selector;
     this.peerLoads = peerLoads;
+    this.limits = limits;
   }
 
   /** Sets the nodes that can forward requests. */
@@ -174,8 +176,7 @@
     List<LinkProbe> due = new ArrayList<>();
     if (!peers.isEmpty()) {
       for (String engineId : dueProbes) {
-        Long probed = probedNanos.get(engineId);
-        if (probed == null || nowNanos - probed >= PROBE_PAUSE_NANOS) {
+        if (mayProbe(engineId, nowNanos)) {
           selector
               .find(engineId)
               .ifPresent(engine -> due.add(new LinkProbe(engine, isSuspect(engineId))));
@@ -191,6 +192,16 @@
     return due;
   }
 
+  /**
+   * Whether a link may be probed now. An engine that limits its requests counts probes, too, and
+   * they would leave no room for the request that finds out that the limit has ended.
+   */
+  private boolean mayProbe(String engineId, long nowNanos) {
+    Long probed = probedNanos.get(engineId);
+    boolean paused = probed == null || nowNanos - probed >= PROBE_PAUSE_NANOS;
+    return paused && !limits.limited(engineId);
+  }
+
   /**
    * Handles the end of a probe. An engine that does not answer and that no other node hears from
    * then on may itself be at fault, which other detectors find out.
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
@@ -178,8 +179,11 @@
   void nodesThatDoNotReachOneEngineStillForwardToTheOthers() {
     ServingEngine ended = Requests.engine("e-2", Requests.MODEL, EngineStage.DECODE);
     dispatcher.setDirectory(EngineDirectory.of(2, List.of(engine, ended)), now);
-    loseLink();
-    loseLink();
+    for (ServingEngine lost : List.of(engine, ended, engine, ended)) {
+      dispatcher.onFailure(sendTo(lost), AttemptOutcome.NOT_SENT, now);
+    }
+    pass(Duration.ofMillis(100));
+    peerHearsEngine();
     for (int tries = 0; tries < 2; tries++) {
       dispatcher.onFailure(sendTo(ended), AttemptOutcome.NOT_SENT, now);
     }
@@ -242,6 +246,28 @@
     assertThat(send().forwarder()).isPresent();
   }
 
+  /**
+   * An engine that names a limit of zero counts probes like requests. A node probed its link each
+   * second, since the engine was suspended, so that no request was ever sent that could have found
+   * out that the limit had ended: "1,357 of 2,701 requests served after the last fault".
+   */
+  @Test
+  void probesOfALinkDoNotPreventTryingALimitOfZero() {
+    dispatcher.setNodeCount(OptionalInt.of(1), true);
+    EngineLimits limits = dispatcher.notices().limits();
+    failTwice(AttemptOutcome.LOST);
+    limits.onLimitAnnounced("e-1", 0, now, now);
+    int sent = 0;
+    for (int tick = 0; tick < 600; tick++) {
+      pass(Duration.ofMillis(100));
+      peerHearsEngine();
+      dispatcher.paths().takeDueProbes(now).forEach(probe -> limits.onSent("e-1", now));
+      limits.onAsked("e-1", now);
+      sent += limits.tryTake("e-1", now) ? 1 : 0;
+    }
+    assertThat(sent).isGreaterThan(3);
+  }
+
   @Test
   void nodeWithoutOthersUsesItsOwnLink() {
     dispatcher.paths().setPeers(List.of());
