Test a role change of the engine stand-in at the speed of a real engine

Cause: the test's own. The stand-in runs at twenty times the speed of an engine, where a change of role lasts 200 ms, and the test asks for a state that holds only meanwhile. With its thread held for 300 ms after the order (a trial) the test fails each time with that message; with the stand-in at the speed of a real engine, where a change lasts 4 s, it passes under the same delay.

--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/engine/EngineStandInTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/engine/EngineStandInTest.java
@@ -116,14 +116,23 @@
         .containsExactly(true, false, false);
   }
 
+  /**
+   * An engine that serves while it changes its role would answer from the wrong weights. The engine
+   * runs at the speed of a real one here: at twenty times that, a change lasts 200 ms, and a test
+   * that stood still for as long found it over.
+   */
   @Test
   void roleChangeTakesTheEngineAwayAndBack() throws Exception {
-    order(decode, 1, 1, new EngineCommand.ChangeRole(EngineRole.PREFILL));
-    assertThat(decode.state().activity()).isEqualTo(Activity.CHANGING_ROLE);
-    assertThatThrownBy(() -> prefillOn(decode, "r1", "a")).hasMessageContaining("503");
-    await().atMost(TIMEOUT).until(() -> decode.state().activity() == Activity.SERVING);
-    assertThat(prefillOn(decode, "r1", "a").promptTokens()).isEqualTo(41);
-    assertThat(decode.journal().roleChangesStarted()).isOne();
+    EngineSettings settings = EngineSettings.defaults("d", EngineRole.DECODE, "m");
+    try (EngineStandIn engine =
+        new EngineStandIn(settings.withCosts(EngineCosts.DEFAULT, 1)).start()) {
+      order(engine, 1, 1, new EngineCommand.ChangeRole(EngineRole.PREFILL));
+      assertThat(engine.state().activity()).isEqualTo(Activity.CHANGING_ROLE);
+      assertThatThrownBy(() -> prefillOn(engine, "r1", "a")).hasMessageContaining("503");
+      await().atMost(TIMEOUT).until(() -> engine.state().activity() == Activity.SERVING);
+      assertThat(prefillOn(engine, "r1", "a").promptTokens()).isEqualTo(41);
+      assertThat(engine.journal().roleChangesStarted()).isOne();
+    }
   }
 
   @Test
