Count the end of an answer as a sign of life of its engine

Cause: signs of life were sampled, as parts of answers that were still coming at a tick. Class: a sign that is sampled where it should be counted.

A finished request is a sign of life now, also of the node that passed it on.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -314,14 +314,8 @@
   /** The complete answer was passed on to the caller. */
   public void onFinished(RequestProgress progress, long nowNanos) {
     pace.onDone(progress, nowNanos);
-    progress
-        .engine()
-        .map(selector::load)
-        .ifPresent(
-            load -> {
-              load.onSuccess(progress, nowNanos);
-              load.onAnswered(progress);
-            });
+    onSignOfLife(progress, nowNanos);
+    progress.engine().map(selector::load).ifPresent(load -> load.onSuccess(progress, nowNanos));
     observeResponseTime(progress, nowNanos);
     quarantine.onSuccess(progress.content(), nowNanos);
     release(progress, true);
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -268,6 +268,22 @@
     assertThat(sent).isGreaterThan(3);
   }
 
+  /**
+   * Only parts of answers that were still coming counted as signs of life. An engine whose answers
+   * are whole at once was never reported as heard, so that a node whose links hang went on sending
+   * to it for ten seconds.
+   */
+  @Test
+  void engineThatAnswersAtOnceIsReportedAsHeard() {
+    RequestProgress progress = send();
+    pass(Duration.ofMillis(5));
+    dispatcher.onFinished(progress, now);
+    pass(Duration.ofMillis(100));
+    EngineDigest reported = dispatcher.fleet().ownLoads(now).get("e-1");
+    assertThat(reported).isNotNull();
+    assertThat(reported.heardAgoMillis()).isEqualTo(100);
+  }
+
   @Test
   void nodeWithoutOthersUsesItsOwnLink() {
     dispatcher.paths().setPeers(List.of());
