Log the engines' software versions and the streams that requests continue

Change: the version of an engine's entry is decoded (an entry without one is accepted) and named by PLACED, BEGAN and ENGINES_CHANGED; the header that names the attempt which a caller continues is read, refused with 400 when it is blank or longer than 200 characters, and named by PLACED. No decision uses either yet.

Decisions are unchanged.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -14,6 +14,7 @@
  * @param caller on whose behalf it runs
  * @param rank its place in the order of urgency of its service
  * @param prompt size and parts of its prompt; empty for an application request
+ * @param resumed the stream that it continues; empty for a request that begins anew
  * @param arrivedNanos when the whole request had been received
  * @param answerByNanos the deadline: when the caller or the operator stops waiting, whichever is
  *     first
@@ -24,6 +25,7 @@
     Caller caller,
     Rank rank,
     Optional<PromptShape> prompt,
+    Optional<ResumedStream> resumed,
     long arrivedNanos,
     long answerByNanos) {
 
@@ -33,14 +35,22 @@
    */
   private static final double FIRST_TRY_MIN_FRACTION = 0.9;
 
-  /** A request whose caller is not checked, as no tenants are configured. */
+  /** A new request whose caller is not checked, as no tenants are configured. */
   public RequestEnvelope(
       String requestId,
       Route route,
       Optional<PromptShape> prompt,
       long arrivedNanos,
       long answerByNanos) {
-    this(requestId, route, Caller.UNCHECKED, Rank.of(route), prompt, arrivedNanos, answerByNanos);
+    this(
+        requestId,
+        route,
+        Caller.UNCHECKED,
+        Rank.of(route),
+        prompt,
+        Optional.empty(),
+        arrivedNanos,
+        answerByNanos);
   }
 
   /**
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/ServingEngine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/ServingEngine.java
@@ -11,6 +11,8 @@
  * @param listedId id of its entry, by which it is addressed; an engine keeps it when it restarts
  * @param bornMillis Unix time of its start in milliseconds; empty when the entry does not say
  * @param service name of the service that it serves
+ * @param softwareVersion version of its software, not of its weights; empty when the entry does not
+ *     say
  * @param address address that it listens on
  * @param zone zone that it runs in
  * @param slots requests that it runs at once
@@ -25,6 +27,7 @@
     String listedId,
     OptionalLong bornMillis,
     String service,
+    String softwareVersion,
     NetworkAddress address,
     String zone,
     int slots,
@@ -35,7 +38,7 @@
 
   private static final String INCARNATION_SEPARATOR = "@";
 
-  /** Creates an engine whose entry says neither when it started nor that it is on loan. */
+  /** Creates an engine whose entry has none of the optional fields. */
   public ServingEngine(
       String id,
       String service,
@@ -48,6 +51,7 @@
         id,
         OptionalLong.empty(),
         service,
+        "",
         address,
         zone,
         slots,
@@ -83,6 +87,16 @@
   /** Returns this engine marked as leaving. */
   public ServingEngine asLeaving() {
     return new ServingEngine(
-        listedId, bornMillis, service, address, zone, slots, true, leavesIn, reclaimable, stage);
+        listedId,
+        bornMillis,
+        service,
+        softwareVersion,
+        address,
+        zone,
+        slots,
+        true,
+        leavesIn,
+        reclaimable,
+        stage);
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineNoticesTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EngineNoticesTest.java
@@ -198,6 +198,7 @@
         "a-9",
         OptionalLong.of(millis),
         Requests.APPLICATION,
+        "",
         appOne.address(),
         "zone-1",
         8,
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -189,6 +189,7 @@
             Caller.UNCHECKED,
             rank,
             Optional.of(shape),
+            Optional.empty(),
             START,
             START + route.timeout().toNanos());
     return new RequestProgress(envelope, content(id));
--- a/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
@@ -49,6 +49,7 @@
         "i-" + number++,
         OptionalLong.empty(),
         SERVICE,
+        "",
         new NetworkAddress("10.0.0.1", 1 + number),
         zone,
         12,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -204,6 +204,7 @@
             admitted.sender(),
             admitted.rank(),
             head.prompt(),
+            route.repeatable() && route.streaming() ? head.resumed() : Optional.empty(),
             now,
             now + timeout.toNanos());
     RequestContent content =
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHead.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHead.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.fallturn.core.dispatch.PromptShape;
+import org.fallturn.core.dispatch.ResumedStream;
 
 /**
  * The parts of a caller's request line and headers that the gateway uses.
@@ -16,6 +17,7 @@
  *     place; empty when there are none
  * @param deadline how long the caller waits for the answer; empty when it does not say
  * @param prompt shape of the prompt; empty for an application request
+ * @param resumed the stream that the request continues; empty when it begins anew
  */
 public record CallerRequestHead(
     String requestId,
@@ -24,7 +26,8 @@
     String credentials,
     Optional<String> key,
     Optional<Duration> deadline,
-    Optional<PromptShape> prompt) {
+    Optional<PromptShape> prompt,
+    Optional<ResumedStream> resumed) {
 
   /** Leaves out credentials and key, since this text may be logged. */
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.Decision;
@@ -8,8 +9,6 @@
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.LimitChange;
 import org.fallturn.core.dispatch.PlacementEstimate;
-import org.fallturn.core.dispatch.PromptPart;
-import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.dispatch.RetryBudgetUse;
 import org.fallturn.core.dispatch.StuckReason;
@@ -231,6 +230,7 @@
         .addKeyValue("revision", directory.revision())
         .addKeyValue("engines", directory.all().size())
         .addKeyValue("leaving", leaving)
+        .addKeyValue("versions", LogTexts.versions(directory))
         .log();
   }
 
@@ -483,6 +483,8 @@
       Exchange exchange, ServingEngine engine, PlacementEstimate estimate, int urgency) {
     return line(LogEvent.PLACED, exchange)
         .addKeyValue("engine", engine.id())
+        .addKeyValue("version", engine.softwareVersion())
+        .addKeyValue("resumes", LogTexts.resumes(exchange))
         .addKeyValue("address", engine.address())
         .addKeyValue("arrivals", exchange.progress().runSends())
         .addKeyValue("expectedMs", Math.round(estimate.millis()))
@@ -491,24 +493,11 @@
         .addKeyValue("pacePercent", estimate.pacePercent())
         .addKeyValue("urgency", urgency)
         .addKeyValue("through", exchange.progress().forwarder().map(Object::toString).orElse(""))
-        .addKeyValue("sharedPart", sharedPart(exchange))
+        .addKeyValue("sharedPart", LogTexts.sharedPart(exchange))
         .addKeyValue("routingVersion", routingVersion)
         .addKeyValue("directoryRevision", directoryRevision);
   }
 
-  /**
-   * Returns the id of the prompt's last shared part, which tells most about where the prompt is
-   * cached; empty when there is none.
-   */
-  private static String sharedPart(Exchange exchange) {
-    return exchange
-        .envelope()
-        .prompt()
-        .flatMap(PromptShape::lastSharedPart)
-        .map(PromptPart::id)
-        .orElse("");
-  }
-
   void attemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome) {
     EngineAnswerHead head = attempt.head();
     LoggingEventBuilder line =
@@ -554,7 +543,11 @@
 
   void began(Exchange exchange, long nowNanos) {
     metrics.firstPart(nowNanos - exchange.envelope().arrivedNanos());
-    line(LogEvent.BEGAN, exchange).log();
+    Optional<ServingEngine> engine = exchange.progress().engine();
+    line(LogEvent.BEGAN, exchange)
+        .addKeyValue("engine", engine.map(ServingEngine::id).orElse(""))
+        .addKeyValue("version", engine.map(ServingEngine::softwareVersion).orElse(""))
+        .log();
   }
 
   void finished(Exchange exchange, long nowNanos) {
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -0,0 +1,53 @@
+package org.fallturn.node.gateway;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.dispatch.PromptShape;
+import org.fallturn.core.routing.EngineDirectory;
+
+/** Texts of log fields that summarize a request or the engines. Stateless. */
+final class LogTexts {
+
+  private LogTexts() {}
+
+  /** Counts the engines by service and software version: {@code llm:v1=3 llm:v2=1}. */
+  static String versions(EngineDirectory directory) {
+    Map<String, Long> counts =
+        directory.all().stream()
+            .collect(
+                Collectors.groupingBy(
+                    engine -> engine.service() + ":" + engine.softwareVersion(),
+                    TreeMap::new,
+                    Collectors.counting()));
+    return counts.entrySet().stream()
+        .map(count -> count.getKey() + "=" + count.getValue())
+        .collect(Collectors.joining(" "));
+  }
+
+  /**
+   * Returns the id of the request that brought the first event of the stream that this one
+   * continues, "?" when its caller does not name it, or an empty text when it continues none.
+   */
+  static String resumes(Exchange exchange) {
+    return exchange
+        .envelope()
+        .resumed()
+        .map(stream -> stream.firstAttemptId().orElse("?"))
+        .orElse("");
+  }
+
+  /**
+   * Returns the id of the prompt's last shared part, which tells most about where the prompt is
+   * cached; empty when there is none.
+   */
+  static String sharedPart(Exchange exchange) {
+    return exchange
+        .envelope()
+        .prompt()
+        .flatMap(PromptShape::lastSharedPart)
+        .map(PromptPart::id)
+        .orElse("");
+  }
+}
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/DispatchFaultTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DispatchFaultTest.java
@@ -140,7 +140,14 @@
       @Override
       public CallerRequestHead readHead(Request request) {
         return new CallerRequestHead(
-            "r-1", "host", "/x", "", Optional.empty(), Optional.empty(), Optional.empty());
+            "r-1",
+            "host",
+            "/x",
+            "",
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty());
       }
 
       @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
@@ -48,6 +48,7 @@
         engine.listedId(),
         engine.bornMillis(),
         engine.service(),
+        engine.softwareVersion(),
         link,
         engine.zone(),
         engine.slots(),
