Test that streams are not continued at another version (red)

Reproduces the report: of streams that engines of two versions began, some were continued at the other version, within one answer after an engine had broken off (events of v1 and v2 in one answer) and by callers who named the attempt that brought the first event at another gateway. A stream that no gateway knows, and one whose version has gone, are continued at random too.

The emulated engines have a software version, which their events name; engines of one version write what they wrote before but for that name.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -103,8 +103,33 @@
     return send(gateway, path, 0, LONGEST, new byte[bytes]);
   }
 
+  /**
+   * Continues a stream whose connection broke.
+   *
+   * @param firstAttempt id of the request that brought its first event
+   * @param lastEvent number of the last event that came
+   */
+  public Call resume(NetworkAddress gateway, int promptTokens, String firstAttempt, int lastEvent) {
+    HttpFields resumed =
+        HttpFields.build()
+            .put("Resumes", firstAttempt)
+            .put("Last-Event-Id", Integer.toString(lastEvent));
+    byte[] body = ("body of the call " + number.get() + " of " + this).getBytes(UTF_8);
+    return send(gateway, EmulatedPlatform.RESUMABLE, promptTokens, LONGEST, body, resumed);
+  }
+
   private Call send(
       NetworkAddress gateway, String path, int promptTokens, Duration deadline, byte[] body) {
+    return send(gateway, path, promptTokens, deadline, body, HttpFields.EMPTY);
+  }
+
+  private Call send(
+      NetworkAddress gateway,
+      String path,
+      int promptTokens,
+      Duration deadline,
+      byte[] body,
+      HttpFields extraHeaders) {
     String requestId = "request-" + number.incrementAndGet();
     Request request =
         client
@@ -117,6 +142,7 @@
                 headers -> {
                   write(headers, requestId, promptTokens, deadline);
                   headers.add(ownHeaders);
+                  headers.add(extraHeaders);
                 });
     CompletableFuture<Answer> answer = new CompletableFuture<>();
     request.send(
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -43,8 +43,8 @@
  */
 public final class EmulatedEngine implements AutoCloseable {
 
-  /** Events of each stream. */
-  public static final int EVENTS = 4;
+  /** Version of an engine's software unless another is given. */
+  public static final String FIRST_VERSION = "v1";
 
   private static final String REQUEST_ID = "X-Fallturn-Request-Id";
 
@@ -81,6 +81,7 @@
 
   private final String id;
   private final String service;
+  private final String softwareVersion;
   private final OptionalLong bornMillis;
   private final EngineOrderBook orders = new EngineOrderBook();
   private volatile String stage;
@@ -108,17 +109,24 @@
    * @param stage prefill, decode, or empty for an application
    */
   public EmulatedEngine(String id, String service, String stage) throws Exception {
-    this(id, service, stage, 0);
+    this(id, service, FIRST_VERSION, stage);
   }
 
-  private EmulatedEngine(String id, String service, String stage, int port) throws Exception {
-    this(id, service, stage, port, OptionalLong.empty());
+  EmulatedEngine(String id, String service, String softwareVersion, String stage) throws Exception {
+    this(id, service, softwareVersion, stage, 0, OptionalLong.empty());
   }
 
-  private EmulatedEngine(String id, String service, String stage, int port, OptionalLong bornMillis)
+  private EmulatedEngine(
+      String id,
+      String service,
+      String softwareVersion,
+      String stage,
+      int port,
+      OptionalLong bornMillis)
       throws Exception {
     this.id = id;
     this.service = service;
+    this.softwareVersion = softwareVersion;
     this.stage = stage;
     this.bornMillis = bornMillis;
     this.server = new EmulatedServer(new EngineHandler(), port);
@@ -127,18 +135,19 @@
   /** Starts on any free port, and tells when it started. */
   static EmulatedEngine bornAt(long bornMillis, String id, String service, String stage)
       throws Exception {
-    return new EmulatedEngine(id, service, stage, 0, OptionalLong.of(bornMillis));
+    return new EmulatedEngine(id, service, FIRST_VERSION, stage, 0, OptionalLong.of(bornMillis));
   }
 
   /** Another process under the address of this one, which has ended. */
   EmulatedEngine successor(String newId) throws Exception {
-    return new EmulatedEngine(newId, service, stage, address().port());
+    return new EmulatedEngine(
+        newId, service, softwareVersion, stage, address().port(), OptionalLong.empty());
   }
 
   /** The same engine once it has ended and started again: it holds nothing of before. */
   EmulatedEngine restarted() throws Exception {
     OptionalLong later = OptionalLong.of(bornMillis.orElseThrow() + 1);
-    return new EmulatedEngine(id, service, stage, address().port(), later);
+    return new EmulatedEngine(id, service, softwareVersion, stage, address().port(), later);
   }
 
   /** Whether it tells when it started, so that a restart shows though its id stays. */
@@ -171,17 +180,9 @@
    */
   public record Arrival(String requestId, long nanos, boolean prefill) {}
 
-  /** The events of a whole stream. */
+  /** The events of a whole stream of the first version. */
   public static String wholeStream() {
-    StringBuilder events = new StringBuilder();
-    for (int event = 1; event <= EVENTS; event++) {
-      events.append(event(event));
-    }
-    return events.toString();
-  }
-
-  private static String event(int number) {
-    return "id: " + number + "\ndata: piece-" + number + "\n\n";
+    return StreamEvents.after(0, FIRST_VERSION);
   }
 
   /** Its id. */
@@ -194,6 +195,11 @@
     return service;
   }
 
+  /** The version of its software, which its events name. */
+  public String softwareVersion() {
+    return softwareVersion;
+  }
+
   /** Where it listens. */
   public NetworkAddress address() {
     return server.address();
@@ -203,10 +209,11 @@
   public String row(boolean draining) {
     return String.format(
         Locale.ROOT,
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"slots\":8,"
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"%s\",\"slots\":8,"
             + "\"state\":\"%s\",\"stage\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1%s}",
         service,
         address(),
+        softwareVersion,
         draining ? "draining" : "ready",
         stage,
         born());
@@ -353,7 +360,7 @@
       if (crash.get().when() == EngineCrash.MIDWAY) {
         response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
-        part(response, event(1));
+        part(response, StreamEvents.event(1, softwareVersion));
       }
       TimeUnit.MILLISECONDS.sleep(CRASH_MILLIS);
       close(request, callback);
@@ -507,13 +514,13 @@
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
       String after = request.getHeaders().get(LAST_EVENT_ID);
       int first = after == null ? 1 : Integer.parseInt(after) + 1;
-      for (int event = first; event <= EVENTS; event++) {
+      for (int event = first; event <= StreamEvents.COUNT; event++) {
         if (breakOff && event > first) {
           part(response, "id: " + event + "\nda");
           close(request, callback);
           return;
         }
-        part(response, event(event));
+        part(response, StreamEvents.event(event, softwareVersion));
         TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
       }
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -121,12 +121,21 @@
 
   /** Starts an engine and lists it; a model engine crashes on the same contents as the others. */
   public EmulatedEngine addEngine(String id, String service, String stage) throws Exception {
-    EmulatedEngine engine =
+    return add(
         idsStay
             ? EmulatedEngine.bornAt(System.currentTimeMillis(), id, service, stage)
-            : new EmulatedEngine(id, service, stage);
+            : new EmulatedEngine(id, service, stage));
+  }
+
+  /** Starts a model engine that decodes, with a version of its software, and lists it. */
+  public synchronized EmulatedEngine addDecoder(String id, String softwareVersion)
+      throws Exception {
+    return add(new EmulatedEngine(id, MODEL_SERVICE, softwareVersion, "decode"));
+  }
+
+  private EmulatedEngine add(EmulatedEngine engine) {
     engines.add(engine);
-    if (!stage.isEmpty()) {
+    if (!engine.stage().isEmpty()) {
       crashing.accept(engine);
     }
     list(engine, false);
@@ -135,7 +144,9 @@
 
   /** Starts an engine of the same kind under an id that no engine has had. */
   public synchronized EmulatedEngine addSuccessor(EmulatedEngine engine) throws Exception {
-    return addEngine(unusedId(engine.id()), engine.service(), engine.stage());
+    return add(
+        new EmulatedEngine(
+            unusedId(engine.id()), engine.service(), engine.softwareVersion(), engine.stage()));
   }
 
   /** Two engines of one id would be taken for one: what one says of itself would hold for both. */
