Continue a broken stream only at the version that began it

Cause: candidates for a repeat were all engines of the service; an engine's version was in no decision.

Fix: from the first event on, a request names the version that began its stream, and EngineSelector, through which every choice of an engine that runs a request goes, offers no engine of another one, the last resorts included. Without one left the answer ends as one that may have run, unmarked, as before when no engine was left. Before the first event any version may still be chosen.

Of StreamVersionTest the two cases of broken streams fail when the filter is taken out of the selector.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -255,10 +255,17 @@
   /** The first part of the answer came, so the prompt has been read. */
   public void onBegan(RequestProgress progress, long nowNanos) {
     pace.onDone(progress, nowNanos);
-    progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
+    progress.engine().ifPresent(engine -> onBegan(progress, engine));
     progress.promptRead();
   }
 
+  private void onBegan(RequestProgress progress, ServingEngine engine) {
+    selector.load(engine).onBegan(progress);
+    if (progress.envelope().route().streaming()) {
+      progress.requireVersion(engine.softwareVersion());
+    }
+  }
+
   /** Why to give up an attempt that has brought no part of an answer; empty while to wait on. */
   public Optional<StuckReason> stuck(RequestProgress progress, Duration timeout, long nowNanos) {
     return silence.stuck(progress, timeout, nowNanos);
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -261,7 +261,10 @@
   /** Engines that may run the request. */
   List<ServingEngine> runCandidates(RequestProgress progress, long nowNanos) {
     List<ServingEngine> eligible =
-        candidates(progress, engine -> !isPrefillEngine(engine), nowNanos);
+        candidates(
+            progress,
+            engine -> !isPrefillEngine(engine) && progress.allowsVersionOf(engine),
+            nowNanos);
     return progress.isolated() ? withFewestRunning(eligible, nowNanos) : eligible;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -35,6 +35,7 @@
   private int overtakenCount;
   private boolean answerBegun;
   private boolean isolated;
+  private Optional<String> requiredVersion = Optional.empty();
   private CacheSource source;
   private ExpectedWork expected;
   private RetryBudgetUse budgetUse;
@@ -67,6 +68,25 @@
     isolated = value;
   }
 
+  /**
+   * The only software version whose engines may run the request: the one that began its stream.
+   * Empty while none of its events has been passed on.
+   */
+  Optional<String> requiredVersion() {
+    return requiredVersion;
+  }
+
+  void requireVersion(String softwareVersion) {
+    requiredVersion = Optional.of(softwareVersion);
+  }
+
+  /** Whether an engine's software version allows it to run the request. */
+  boolean allowsVersionOf(ServingEngine candidate) {
+    return requiredVersion
+        .filter(version -> !version.equals(candidate.softwareVersion()))
+        .isEmpty();
+  }
+
   /** The service that the request goes to; empty before the first decision. */
   public String service() {
     return service;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.quarantine.RequestContent;
@@ -116,6 +117,22 @@
     return new ServingEngine(id, service, address, "zone-1", 8, false, stage);
   }
 
+  static ServingEngine engine(String id, String service, String version, EngineStage stage) {
+    NetworkAddress address = new NetworkAddress("10.0.0.1", 1 + number++ % 60_000);
+    return new ServingEngine(
+        id,
+        OptionalLong.empty(),
+        service,
+        version,
+        address,
+        "zone-1",
+        8,
+        false,
+        Optional.empty(),
+        false,
+        stage);
+  }
+
   static ServingEngine leaving(ServingEngine engine) {
     return new ServingEngine(
         engine.id(),
