Continue a stream that a caller takes up only at the version that began it

Callers whose connection broke came back with the id of the last event, mostly to another gateway, and got the rest of the stream from engines of any version (the example of the users' record: begun at v1, gone on at v1.2 under a second id).

Cause: a request that continues a stream was placed like a new one. The gateway that gets it did not know, and had no way to know, at which version it began.

Fix: the caller names the request that brought the first event. While one version alone has served for a stream's lifetime, that is the answer and nodes tell each other nothing. Otherwise each tells all others where it places a stream, when it places it.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -51,6 +51,7 @@
   private final ServiceSplit split = new ServiceSplit();
   private final RetryRules retries;
   private final Refusals refusals;
+  private final ResumedStreams resumedStreams;
   private final ApplicationQueue queue;
   private final List<EndedWait> evictedWaits = new ArrayList<>();
   private final Quarantine quarantine;
@@ -69,6 +70,7 @@
     this.pace = new PaceObserver(peerLoads, speeds::of, parameters.learnsPace());
     this.selector =
         new EngineSelector(parameters.zone(), peerLoads, notices, pace.pace(), lastResortNanos);
+    this.resumedStreams = new ResumedStreams(selector, refusals);
     this.paths = new EnginePaths(selector, peerLoads, notices.limits());
     this.queue = new ApplicationQueue(selector);
     this.fleet = new FleetView(selector, peerLoads, notices, speeds, pace, this::cacheTokens);
@@ -89,6 +91,7 @@
   public void setDirectory(EngineDirectory directory, long nowNanos) {
     listedEngines = directory;
     fleet.setListed(directory);
+    resumedStreams.tracker().onDirectory(directory, nowNanos);
     directory.all().stream()
         .filter(ServingEngine::leaving)
         .forEach(engine -> notices.onLeaving(engine.id(), NoticeSource.LIST, nowNanos));
@@ -121,6 +124,7 @@
   /** Applies a newer set of services. */
   public void setRouting(RoutingImage image) {
     split.retain(image.routeNames());
+    resumedStreams.tracker().setRouting(image);
     routing = Optional.of(image);
   }
 
@@ -149,6 +153,11 @@
     return fleet;
   }
 
+  /** Requests that continue streams, and at which software versions streams began. */
+  public ResumedStreams resumedStreams() {
+    return resumedStreams;
+  }
+
   /** Returns a listed engine. */
   public Optional<ServingEngine> engine(String engineId) {
     return selector.find(engineId);
@@ -229,8 +238,9 @@
   /** Makes the first decision for a request. */
   public Decision start(RequestProgress progress, long nowNanos) {
     progress.chooseService(split.next(progress.envelope().route()));
+    Optional<Decision> refusal = resumedStreams.bind(progress, nowNanos);
     retries.onRequest(progress.service(), nowNanos);
-    return place(progress, nowNanos);
+    return refusal.orElseGet(() -> place(progress, nowNanos));
   }
 
   /** The prompt has been read; the handle names its KV cache, which another engine can fetch. */
@@ -255,17 +265,10 @@
   /** The first part of the answer came, so the prompt has been read. */
   public void onBegan(RequestProgress progress, long nowNanos) {
     pace.onDone(progress, nowNanos);
-    progress.engine().ifPresent(engine -> onBegan(progress, engine));
+    progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
     progress.promptRead();
   }
 
-  private void onBegan(RequestProgress progress, ServingEngine engine) {
-    selector.load(engine).onBegan(progress);
-    if (progress.envelope().route().streaming()) {
-      progress.requireVersion(engine.softwareVersion());
-    }
-  }
-
   /** Why to give up an attempt that has brought no part of an answer; empty while to wait on. */
   public Optional<StuckReason> stuck(RequestProgress progress, Duration timeout, long nowNanos) {
     return silence.stuck(progress, timeout, nowNanos);
@@ -376,7 +379,9 @@
   }
 
   private Decision noEngineLeft(RequestProgress progress, long nowNanos) {
-    return refusals.noEngineLeft(progress, timeUntilFirstOpen(progress, nowNanos));
+    return resumedStreams.isVersionGone(progress)
+        ? refusals.versionGone(progress)
+        : refusals.noEngineLeft(progress, timeUntilFirstOpen(progress, nowNanos));
   }
 
   private Optional<Duration> timeUntilFirstOpen(RequestProgress progress, long nowNanos) {
@@ -417,6 +422,9 @@
     if (progress.envelope().prompt().isEmpty()) {
       return placeApplication(progress, nowNanos);
     }
+    if (resumedStreams.lacksEngine(progress, nowNanos)) {
+      return noEngineLeft(progress, nowNanos);
+    }
     PromptShape prompt = progress.envelope().prompt().get();
     PromptPlacement.Input input =
         new PromptPlacement.Input(
@@ -474,9 +482,6 @@
     return decision;
   }
 
-  /** A request that no longer waits, and the next step for it. */
-  public record EndedWait(RequestProgress progress, Decision decision) {}
-
   /** Requests whose wait for an engine is over; called at each tick and after every event. */
   public List<EndedWait> takeEndedWaits(long nowNanos) {
     if (queue.waiting().size() == 0 && evictedWaits.isEmpty()) {
@@ -568,6 +573,7 @@
       Urgency urgency,
       long nowNanos) {
     progress.beginRun(engine, estimate, urgency, nowNanos);
+    resumedStreams.onPlaced(progress, engine, nowNanos);
     progress.sendThrough(paths.forwarderFor(engine, nowNanos));
     selector.load(engine).add(progress);
     AttemptTimeout attemptTimeout =
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RefusalCause.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RefusalCause.java
@@ -19,6 +19,10 @@
   TURNED_AWAY,
   /** Every engine has asked for no requests for a while or has reached its limit. */
   CLOSED,
+  /** The software version that began the stream is not known here. */
+  ORIGIN_UNKNOWN,
+  /** The software version that began the stream has no engine left. */
+  VERSION_GONE,
   /** The retry budget does not allow another send. */
   RETRY_BUDGET,
   /** This node is stopping. */
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -92,6 +92,31 @@
         Optional.of(atLeastMinRetryDelay(retryDelay)));
   }
 
+  /**
+   * Refuses to continue a stream of which this node does not know at which software version it
+   * began. Another node may know, or this one a moment later.
+   */
+  Decision originUnknown(RequestProgress progress) {
+    return notRun(
+        ErrorKind.NO_CAPACITY,
+        RefusalCause.ORIGIN_UNKNOWN,
+        "engines of "
+            + progress.service()
+            + " run several software versions, and it is not known which of them began the stream");
+  }
+
+  /**
+   * Refuses to continue a stream whose software version has no engine left. There is no retry
+   * delay, since a retry would be refused again.
+   */
+  Decision versionGone(RequestProgress progress) {
+    return new Decision.Refuse(
+        ErrorKind.VERSION_GONE,
+        RefusalCause.VERSION_GONE,
+        "No engine of the software version that began this stream is left; begin it anew.",
+        Optional.empty());
+  }
+
   /**
    * Ends a request that is not sent again after a failed attempt.
    *
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
@@ -0,0 +1,120 @@
+package org.fallturn.core.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.routing.Tenant;
+import org.fallturn.core.routing.WeightedService;
+import org.fallturn.core.streams.StreamOrigin;
+import org.fallturn.core.streams.StreamTracker;
+
+/**
+ * Binds a request that continues a stream to the software version that began it, and records at
+ * which version new streams are placed.
+ *
+ * <p>Invariant: a request that continues a stream is sent to no engine before the version is known.
+ * Only the dispatch thread calls.
+ */
+public final class ResumedStreams {
+
+  /** Time in which nodes that report to each other directly hear of a stream. */
+  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  private static final double NANOS_PER_MILLI = 1e6;
+
+  private final StreamTracker tracker = new StreamTracker();
+  private final EngineSelector selector;
+  private final Refusals refusals;
+
+  ResumedStreams(EngineSelector selector, Refusals refusals) {
+    this.selector = selector;
+    this.refusals = refusals;
+  }
+
+  /**
+   * At which software versions streams began; whoever receives the reports of other nodes adds
+   * them.
+   */
+  public StreamTracker tracker() {
+    return tracker;
+  }
+
+  /**
+   * Whether a report on where the stream began may still be under way. Callers come back within
+   * milliseconds after a node has ended, and a report that goes by relays takes longer.
+   */
+  public boolean awaitsOrigin(RequestProgress progress, long nowNanos) {
+    if (progress.envelope().resumed().isEmpty() || origin(progress, nowNanos).isPresent()) {
+      return false;
+    }
+    double longest = REPORT_NANOS + 2 * selector.lagMillis(nowNanos) * NANOS_PER_MILLI;
+    return nowNanos - progress.envelope().arrivedNanos() < longest;
+  }
+
+  /**
+   * Binds a request that continues a stream; does nothing with any other.
+   *
+   * @return the refusal of a stream of which nobody knows where it began
+   */
+  Optional<Decision> bind(RequestProgress progress, long nowNanos) {
+    if (progress.envelope().resumed().isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<StreamOrigin> origin = origin(progress, nowNanos);
+    if (origin.isEmpty()) {
+      return Optional.of(refusals.originUnknown(progress));
+    }
+    progress.chooseService(origin.get().service());
+    progress.requireVersion(origin.get().softwareVersion());
+    return Optional.empty();
+  }
+
+  private Optional<StreamOrigin> origin(RequestProgress progress, long nowNanos) {
+    Route route = progress.envelope().route();
+    List<String> services = route.services().stream().map(WeightedService::service).toList();
+    Optional<Long> key =
+        progress
+            .envelope()
+            .resumed()
+            .flatMap(ResumedStream::firstAttemptId)
+            .map(id -> key(progress, id));
+    return tracker.find(key, services, nowNanos);
+  }
+
+  private static long key(RequestProgress progress, String requestId) {
+    String tenant = progress.envelope().caller().tenant().map(Tenant::name).orElse("");
+    return StreamOrigin.key(tenant, requestId);
+  }
+
+  /** Records that a request is sent to an engine that runs it. */
+  void onPlaced(RequestProgress progress, ServingEngine engine, long nowNanos) {
+    RequestEnvelope envelope = progress.envelope();
+    if (!envelope.route().streaming() || !envelope.route().repeatable()) {
+      return;
+    }
+    String began =
+        envelope.resumed().flatMap(ResumedStream::firstAttemptId).orElse(envelope.requestId());
+    tracker.onPlaced(
+        new StreamOrigin(key(progress, began), engine.service(), engine.softwareVersion()),
+        nowNanos);
+  }
+
+  /** Whether a stream that has begun has no engine now that could continue it. */
+  boolean lacksEngine(RequestProgress progress, long nowNanos) {
+    return progress.requiredVersion().isPresent()
+        && selector.runCandidates(progress, nowNanos).isEmpty();
+  }
+
+  /**
+   * Whether the version that began the stream of a request has no engine left, so that no later
+   * attempt to continue it can succeed.
+   */
+  boolean isVersionGone(RequestProgress progress) {
+    return progress.possibleRuns() == 0
+        && progress.requiredVersion().isPresent()
+        && selector.listed(progress.service()).stream()
+            .noneMatch(engine -> !engine.leaving() && progress.allowsVersionOf(engine));
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/error/ErrorKind.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/error/ErrorKind.java
@@ -24,6 +24,8 @@
   NO_CAPACITY(503, Outcome.NOT_RUN, true),
   /** The same content has crashed several engines and is not sent any more; coming back is vain. */
   QUARANTINED(503, Outcome.NOT_RUN, false),
+  /** No engine is left that can continue the stream; coming back with the same request is vain. */
+  VERSION_GONE(503, Outcome.NOT_RUN, false),
   /** This node is stopping and takes no new work. */
   STOPPING(503, Outcome.NOT_RUN, true),
   /** The platform's store cannot be reached and the request needs it. */
--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
@@ -76,8 +76,11 @@
     return confirmNanos(order) + Math.min(order.rank(), MAX_SHIFTS) * staggerNanos / MAX_SHIFTS;
   }
 
-  /** Returns how long a watch that brings nothing is trusted while no other node confirms. */
-  long silenceNanos(WatchOrder order) {
+  /**
+   * Returns how long a watch that brings nothing is trusted while no other node confirms; a node in
+   * contact with the store gets confirmations at least this often.
+   */
+  public long silenceNanos(WatchOrder order) {
     return order.nodes() <= watchers ? longestWaitNanos : trustNanos;
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/OwnLoad.java
@@ -15,20 +15,23 @@
  * @param crashes contents that may crash engines, as far as others should hear of them now
  * @param mayOrder whether it may order stage changes; of all nodes that may, the first by name does
  * @param budgets its parts of retry budgets, by service
+ * @param versions the software versions that its directory listed lately, by service; see {@link
+ *     org.fallturn.core.streams.StreamReport}
  */
 public record OwnLoad(
     Map<String, EngineDigest> engines,
     Map<String, LearnedSpeed> speeds,
     List<CrashReport> crashes,
     boolean mayOrder,
-    Map<String, BudgetDigest> budgets) {
+    Map<String, BudgetDigest> budgets,
+    Map<String, Map<String, Integer>> versions) {
 
-  /** Creates the load of a node that reports no retry budgets. */
+  /** Creates the load of a node that reports neither retry budgets nor versions. */
   public OwnLoad(
       Map<String, EngineDigest> engines,
       Map<String, LearnedSpeed> speeds,
       List<CrashReport> crashes,
       boolean mayOrder) {
-    this(engines, speeds, crashes, mayOrder, Map.of());
+    this(engines, speeds, crashes, mayOrder, Map.of(), Map.of());
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.quarantine.CrashReport;
+import org.fallturn.core.streams.StreamReport;
 import org.fallturn.core.usage.UsageCounts;
 
 /**
@@ -18,6 +19,7 @@
  * @param relays relays and their possible successors; empty in most messages
  * @param tables what the sender knows of the followed tables
  * @param usage the sender's usage counts; empty in all messages of other kinds
+ * @param streams where streams began, and at which software versions they can have begun
  * @param wantsListings whether the sender asks for all known cache listings
  */
 public record PeerMessage(
@@ -29,9 +31,10 @@
     List<KnownPeer> relays,
     KnownVersions tables,
     Optional<UsageCounts> usage,
+    StreamReport streams,
     boolean wantsListings) {
 
-  /** Creates a message without usage counts. */
+  /** Creates a message without usage counts and streams. */
   public PeerMessage(
       MessageKind kind,
       PeerInfo sender,
@@ -41,12 +44,44 @@
       List<KnownPeer> relays,
       KnownVersions tables,
       boolean wantsListings) {
-    this(kind, sender, load, listings, crashes, relays, tables, Optional.empty(), wantsListings);
+    this(
+        kind,
+        sender,
+        load,
+        listings,
+        crashes,
+        relays,
+        tables,
+        Optional.empty(),
+        StreamReport.NONE,
+        wantsListings);
+  }
+
+  /** Creates a message that contains usage counts and nothing else. */
+  static PeerMessage ofUsage(PeerInfo sender, LoadDigest empty, UsageCounts usage) {
+    return new PeerMessage(
+        MessageKind.USAGE,
+        sender,
+        empty,
+        List.of(),
+        List.of(),
+        List.of(),
+        KnownVersions.none(),
+        Optional.of(usage),
+        StreamReport.NONE,
+        false);
+  }
+
+  /** Returns this message with a report on streams. */
+  public PeerMessage withStreams(StreamReport report) {
+    return new PeerMessage(
+        kind, sender, load, listings, crashes, relays, tables, usage, report, wantsListings);
   }
 
   /** Returns this message with a request for all cache listings. */
   PeerMessage askingForListings() {
-    return new PeerMessage(kind, sender, load, listings, crashes, relays, tables, usage, true);
+    return new PeerMessage(
+        kind, sender, load, listings, crashes, relays, tables, usage, streams, true);
   }
 
   /** Copies the collections. */
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/PendingUpdates.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/PendingUpdates.java
@@ -8,10 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.PlacedPrompt;
+import org.fallturn.core.streams.StreamOrigin;
 
 /**
- * Queues placed prompts and cache listings until they are sent to other nodes. Bounded: the oldest
- * entries make room, since newer ones are more relevant. One thread calls.
+ * Queues placed prompts, cache listings and origins of streams until they are sent to other nodes.
+ * Bounded: the oldest entries make room, since newer ones are more relevant. One thread calls.
  */
 final class PendingUpdates {
 
@@ -26,6 +27,13 @@
   /** The most parts in the listings of one message, some 16 bytes each. */
   private static final int MAX_PARTS_PER_MESSAGE = 400;
 
+  /** Twice what a relay of a large fleet receives within a second while versions are mixed. */
+  private static final int MAX_ORIGINS = 8_000;
+
+  /** Some 20 bytes each. */
+  private static final int MAX_ORIGINS_PER_MESSAGE = 150;
+
+  private final Deque<StreamOrigin> origins = new ArrayDeque<>();
   private final Deque<PlacedPrompt> prompts = new ArrayDeque<>();
   private final Deque<TimedListing> listings = new ArrayDeque<>();
 
@@ -50,15 +58,31 @@
     }
   }
 
+  void addOrigins(Collection<StreamOrigin> added) {
+    origins.addAll(added);
+    while (origins.size() > MAX_ORIGINS) {
+      origins.removeFirst();
+    }
+  }
+
   boolean isEmpty() {
-    return prompts.isEmpty() && listings.isEmpty();
+    return prompts.isEmpty() && listings.isEmpty() && origins.isEmpty();
+  }
+
+  /** Removes the oldest origins, as many as fit into one message. */
+  List<StreamOrigin> takeOrigins() {
+    return takeOldest(origins, MAX_ORIGINS_PER_MESSAGE);
   }
 
   /** Removes the oldest prompts, as many as fit into one message. */
   List<PlacedPrompt> takePrompts() {
-    List<PlacedPrompt> taken = new ArrayList<>();
-    while (!prompts.isEmpty() && taken.size() < MAX_PROMPTS_PER_MESSAGE) {
-      taken.add(prompts.removeFirst());
+    return takeOldest(prompts, MAX_PROMPTS_PER_MESSAGE);
+  }
+
+  private static <T> List<T> takeOldest(Deque<T> queue, int most) {
+    List<T> taken = new ArrayList<>();
+    while (!queue.isEmpty() && taken.size() < most) {
+      taken.add(queue.removeFirst());
     }
     return taken;
   }
@@ -82,5 +106,6 @@
   void clear() {
     prompts.clear();
     listings.clear();
+    origins.clear();
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayOverlay.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayOverlay.java
@@ -18,6 +18,8 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.following.WatchOrder;
 import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.streams.StreamOrigin;
+import org.fallturn.core.streams.StreamReport;
 import org.fallturn.core.usage.UsageCounts;
 
 /**
@@ -190,7 +192,9 @@
     if (message.kind() == MessageKind.REPORT) {
       groupUpdates.addPrompts(message.load().prompts());
       groupUpdates.addListings(message.listings(), nowNanos);
+      groupUpdates.addOrigins(message.streams().origins());
     }
+    viewUpdates.addOrigins(message.streams().origins());
     viewUpdates.addPrompts(message.load().prompts());
     viewUpdates.addListings(message.listings(), nowNanos);
   }
@@ -208,6 +212,12 @@
     viewUpdates.addPrompts(placed);
   }
 
+  /** Adds streams that this node placed. */
+  public void addOrigins(Collection<StreamOrigin> placed) {
+    groupUpdates.addOrigins(placed);
+    viewUpdates.addOrigins(placed);
+  }
+
   /** Adds a cache listing that an engine sent to this node. */
   public void addListing(CacheListing listing, long nowNanos) {
     groupUpdates.addListings(List.of(listing), nowNanos);
@@ -311,17 +321,7 @@
 
   /** The messages that send this node's usage counts to the collectors. */
   public List<OutgoingPeerMessage> usageMessages(UsageCounts news) {
-    PeerMessage message =
-        new PeerMessage(
-            MessageKind.USAGE,
-            self,
-            emptyLoad(1, ""),
-            List.of(),
-            List.of(),
-            List.of(),
-            KnownVersions.none(),
-            Optional.of(news),
-            false);
+    PeerMessage message = PeerMessage.ofUsage(self, emptyLoad(1, ""), news);
     return collectors.stream()
         .filter(collector -> !collector.equals(self))
         .map(collector -> new OutgoingPeerMessage(collector.address(), message))
@@ -430,8 +430,7 @@
   private void rerankIfNodesChanged(long nowNanos) {
     List<PeerInfo> known = directory.known(nowNanos);
     int nodes = loads.nodeCount(nowNanos);
-    boolean same = known.size() == ranked.size() && ranked.containsAll(known);
-    if (nodes != rankedNodes || !same) {
+    if (nodes != rankedNodes || known.size() != ranked.size() || !ranked.containsAll(known)) {
       ranked = Set.copyOf(known);
       rankedNodes = nodes;
       setRanking(new RelayRanking(self, known, nodes));
@@ -512,27 +511,26 @@
     LoadDigest group = loads.group(digest(own, groupUpdates.takePrompts()), nowNanos);
     List<CacheListing> listings = groupUpdates.takeListings(nowNanos);
     KnownVersions versions = upwardVersions.next(tablesChanged, nowNanos);
-    if (relay.isPresent()) {
-      PeerMessage report =
-          new PeerMessage(
-              MessageKind.REPORT,
-              self,
-              group,
-              listings,
-              own.crashes(),
-              List.of(),
-              versions,
-              wantsListings);
-      messages.add(new OutgoingPeerMessage(relay.get().address(), report));
+    boolean reports = relay.isPresent();
+    PeerMessage message =
+        new PeerMessage(
+                reports ? MessageKind.REPORT : MessageKind.GROUP,
+                self,
+                group,
+                listings,
+                own.crashes(),
+                reports ? List.of() : relays,
+                versions,
+                reports && wantsListings)
+            .withStreams(new StreamReport(own.versions(), groupUpdates.takeOrigins()));
+    if (reports) {
+      messages.add(new OutgoingPeerMessage(relay.get().address(), message));
       return;
     }
     if (!directory.anyHeard(nowNanos)) {
       // Others would take a node that hears none for a relay, and report to it in vain.
       return;
     }
-    PeerMessage message =
-        new PeerMessage(
-            MessageKind.GROUP, self, group, listings, own.crashes(), relays, versions, false);
     Optional<NetworkAddress> source = wantsListings ? firstHeard(nowNanos) : Optional.empty();
     for (NetworkAddress target : relayTargets(nowNanos)) {
       boolean asked = source.filter(target::equals).isPresent();
@@ -573,6 +571,7 @@
     LoadDigest ownDigest = digest(own, viewUpdates.takePrompts());
     KnownVersions versions = memberVersions.next(tablesChangedForMembers, nowNanos);
     List<CacheListing> listings = viewUpdates.takeListings(nowNanos);
+    StreamReport streams = new StreamReport(own.versions(), viewUpdates.takeOrigins());
     loads
         .views(ownDigest, nowNanos)
         .forEach(
@@ -581,14 +580,15 @@
                     new OutgoingPeerMessage(
                         member,
                         new PeerMessage(
-                            MessageKind.VIEW,
-                            self,
-                            view,
-                            listings,
-                            own.crashes(),
-                            relays,
-                            versions,
-                            false))));
+                                MessageKind.VIEW,
+                                self,
+                                view,
+                                listings,
+                                own.crashes(),
+                                relays,
+                                versions,
+                                false)
+                            .withStreams(streams))));
   }
 
   private LoadDigest digest(OwnLoad own, List<PlacedPrompt> prompts) {
--- a/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/routing/RoutingImage.java
@@ -117,6 +117,11 @@
     return routeNames;
   }
 
+  /** Returns all routes, in no particular order. */
+  public List<Route> routes() {
+    return routesByHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Returns all services. */
   public Collection<ServiceDefinition> services() {
     return services.values();
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -0,0 +1,163 @@
+package org.fallturn.core.streams;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fallturn.core.routing.EngineDirectory;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.WeightedService;
+
+/**
+ * Finds the software version that began a stream which a caller continues, possibly at another
+ * node. While all streams of a service began at one version, that version is the answer and nodes
+ * tell each other nothing. Otherwise, each node tells the others where it places streams, at the
+ * time of placement: the first event follows some tens of milliseconds later.
+ *
+ * <p>Invariant: {@link #find} never guesses. It is empty when the streams of a service can have
+ * begun at several versions, or when this node cannot know that, and nobody told where this one
+ * began. Confined to the dispatch thread.
+ */
+public final class StreamTracker {
+
+  /**
+   * How long a stream may be continued after its beginning, at least; longer if a route allows its
+   * requests more time. Well above the usual time-outs, since it costs only memory.
+   */
+  private static final Duration MIN_LIFETIME = Duration.ofSeconds(10);
+
+  /** Bounds the memory for streams, at some 100 bytes each. */
+  private static final int MAX_STREAMS = 50_000;
+
+  /** Bounds what is sent when a service gets a second version: the latest streams of this node. */
+  private static final int MAX_UNTOLD_PER_SERVICE = 2_000;
+
+  private final SoftwareVersions versions = new SoftwareVersions(MIN_LIFETIME.toNanos());
+  private final Map<Long, Known> streams = new LinkedHashMap<>();
+  private final Map<String, Deque<Known>> untold = new HashMap<>();
+  private final Set<String> services = new HashSet<>();
+  private long lifetimeNanos = MIN_LIFETIME.toNanos();
+  private boolean listFresh = true;
+
+  /** A stream and when this node placed it or heard of it. */
+  private record Known(StreamOrigin origin, long atNanos) {}
+
+  /** Applies a newer set of routes. */
+  public void setRouting(RoutingImage image) {
+    services.clear();
+    for (Route route : image.routes()) {
+      if (route.streaming() && route.repeatable()) {
+        route.services().stream().map(WeightedService::service).forEach(services::add);
+        lifetimeNanos = Math.max(lifetimeNanos, route.timeout().toNanos());
+      }
+    }
+    versions.setLifetime(lifetimeNanos);
+  }
+
+  /** Takes the engines as their directory entries describe them. */
+  public void onDirectory(EngineDirectory listed, long nowNanos) {
+    versions.onDirectory(listed, nowNanos);
+  }
+
+  /**
+   * Sets whether the directory was confirmed as the newest recently; called periodically.
+   *
+   * @param fresh false when this node may have missed engines of another version
+   */
+  public void setListFresh(boolean fresh, long nowNanos) {
+    if (fresh && !listFresh) {
+      versions.restartWatch(nowNanos);
+    }
+    listFresh = fresh;
+  }
+
+  /**
+   * Returns where a stream began; empty when that is not certain.
+   *
+   * @param key key of the request that brought its first event; empty when the caller does not name
+   *     it
+   * @param candidates services of the route; the first is taken where nobody told of the stream
+   */
+  public Optional<StreamOrigin> find(Optional<Long> key, List<String> candidates, long nowNanos) {
+    Optional<StreamOrigin> told =
+        key.map(streams::get)
+            .filter(known -> nowNanos - known.atNanos <= lifetimeNanos)
+            .map(Known::origin)
+            .filter(origin -> candidates.contains(origin.service()));
+    return told.or(
+        () ->
+            soleVersion(candidates.get(0), nowNanos)
+                .map(version -> new StreamOrigin(key.orElse(0L), candidates.get(0), version)));
+  }
+
+  private Optional<String> soleVersion(String service, long nowNanos) {
+    return listFresh ? versions.sole(service, nowNanos) : Optional.empty();
+  }
+
+  /** Records that this node sends a stream to an engine that runs it. */
+  public void onPlaced(StreamOrigin origin, long nowNanos) {
+    Known placed = new Known(origin, nowNanos);
+    remember(placed);
+    Deque<Known> waiting = untold.computeIfAbsent(origin.service(), name -> new ArrayDeque<>());
+    waiting.addLast(placed);
+    if (waiting.size() > MAX_UNTOLD_PER_SERVICE) {
+      waiting.removeFirst();
+    }
+  }
+
+  /** Takes what another node reports. */
+  public void onPeerReport(StreamReport report, long nowNanos) {
+    versions.onPeerReport(report.versions(), nowNanos);
+    report.origins().forEach(origin -> remember(new Known(origin, nowNanos)));
+  }
+
+  private void remember(Known stream) {
+    versions.onBegun(stream.origin(), stream.atNanos());
+    streams.remove(stream.origin().key());
+    streams.put(stream.origin().key(), stream);
+    Iterator<Known> oldest = streams.values().iterator();
+    while (oldest.hasNext()) {
+      boolean expired = stream.atNanos() - oldest.next().atNanos() > lifetimeNanos;
+      if (!expired && streams.size() <= MAX_STREAMS) {
+        return;
+      }
+      oldest.remove();
+    }
+  }
+
+  /** Whether the other nodes are to hear of streams that this node placed. */
+  public boolean hasUntold(long nowNanos) {
+    return untold.entrySet().stream()
+        .anyMatch(
+            waiting ->
+                !waiting.getValue().isEmpty() && soleVersion(waiting.getKey(), nowNanos).isEmpty());
+  }
+
+  /** Removes and returns the streams that the other nodes are to hear of. */
+  public List<StreamOrigin> takeUntold(long nowNanos) {
+    List<StreamOrigin> taken = new ArrayList<>();
+    for (Map.Entry<String, Deque<Known>> waiting : untold.entrySet()) {
+      if (soleVersion(waiting.getKey(), nowNanos).isEmpty()) {
+        waiting.getValue().stream()
+            .filter(known -> nowNanos - known.atNanos() <= lifetimeNanos)
+            .forEach(known -> taken.add(known.origin()));
+        waiting.getValue().clear();
+      }
+    }
+    return taken;
+  }
+
+  /** The versions that this node reports to the others; see {@link StreamReport}. */
+  public Map<String, Map<String, Integer>> reportedVersions(long nowNanos) {
+    return listFresh ? versions.report(services, nowNanos) : Map.of();
+  }
+}
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/ApplicationQueueTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/ApplicationQueueTest.java
@@ -65,8 +65,8 @@
     assertThat(dispatcher.start(waiting, after(1))).isInstanceOf(Decision.Wait.class);
     assertThat(dispatcher.takeEndedWaits(after(2))).isEmpty();
     dispatcher.onFinished(sent.get(0), after(3));
-    List<Dispatcher.EndedWait> endedWaits = dispatcher.takeEndedWaits(after(3));
-    assertThat(endedWaits).extracting(Dispatcher.EndedWait::progress).containsExactly(waiting);
+    List<EndedWait> endedWaits = dispatcher.takeEndedWaits(after(3));
+    assertThat(endedWaits).extracting(EndedWait::progress).containsExactly(waiting);
     assertThat(endedWaits.get(0).decision()).isInstanceOf(Decision.Run.class);
     assertThat(dispatcher.waitingCount()).isZero();
   }
@@ -81,7 +81,7 @@
     dispatcher.start(newer, after(400));
     dispatcher.onFinished(sent.get(0), after(401));
     assertThat(dispatcher.takeEndedWaits(after(401)))
-        .extracting(Dispatcher.EndedWait::progress)
+        .extracting(EndedWait::progress)
         .containsExactly(newer);
   }
 
@@ -92,7 +92,7 @@
     RequestProgress waiting = Requests.application(RequestKind.NON_IDEMPOTENT, 1);
     dispatcher.start(waiting, after(1));
     assertThat(dispatcher.takeEndedWaits(after(4_800))).isEmpty();
-    List<Dispatcher.EndedWait> endedWaits = dispatcher.takeEndedWaits(after(4_900));
+    List<EndedWait> endedWaits = dispatcher.takeEndedWaits(after(4_900));
     Decision.Refuse refuse = (Decision.Refuse) endedWaits.get(0).decision();
     assertThat(refuse.kind().outcome()).isEqualTo(Outcome.NOT_RUN);
     assertThat(refuse.retryAfter()).isPresent();
@@ -103,7 +103,7 @@
     Dispatcher dispatcher = singleNode(one);
     fill(dispatcher, MAX_REQUESTS);
     dispatcher.start(Requests.application(RequestKind.IDEMPOTENT, 2), after(1));
-    List<Dispatcher.EndedWait> endedWaits = dispatcher.closeWaits();
+    List<EndedWait> endedWaits = dispatcher.closeWaits();
     assertThat(((Decision.Refuse) endedWaits.get(0).decision()).kind())
         .isEqualTo(ErrorKind.STOPPING);
     RequestProgress later = Requests.application(RequestKind.IDEMPOTENT, 2);
@@ -142,7 +142,7 @@
         .toList()
         .forEach(request -> dispatcher.onFinished(request, after(5)));
     assertThat(dispatcher.takeEndedWaits(after(6)))
-        .extracting(Dispatcher.EndedWait::progress)
+        .extracting(EndedWait::progress)
         .contains(waiting);
     assertThat(dispatcher.waitingCount()).isZero();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -16,6 +16,7 @@
 import org.fallturn.core.dispatch.CacheSource;
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Dispatcher;
+import org.fallturn.core.dispatch.EndedWait;
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.NoticeSource;
 import org.fallturn.core.dispatch.RequestProgress;
@@ -64,7 +65,9 @@
   private final RunCounter runs;
   private final Scaling scaling;
   private final List<Exchange> waitingForCacheLists = new ArrayList<>();
+  private final List<Exchange> waitingForOrigin = new ArrayList<>();
   private final Map<RequestProgress, Exchange> waitingForEngine = new HashMap<>();
+  private final BooleanSupplier inContact;
   private final BooleanSupplier stopping;
   private long lastHealthNanos;
   private long lastStageNanos;
@@ -81,6 +84,7 @@
       PathActions pathActions,
       RunCounter runs,
       Scaling scaling,
+      BooleanSupplier inContact,
       BooleanSupplier stopping) {
     this.dispatcher = dispatcher;
     this.engines = engines;
@@ -93,6 +97,7 @@
     this.pathActions = pathActions;
     this.runs = runs;
     this.scaling = scaling;
+    this.inContact = inContact;
     this.stopping = stopping;
   }
 
@@ -206,7 +211,9 @@
   private void onArrived(Exchange exchange, long now) {
     active.add(exchange);
     exchange.watchForDisconnect();
-    if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
+    if (dispatcher.resumedStreams().awaitsOrigin(exchange.progress(), now)) {
+      waitingForOrigin.add(exchange);
+    } else if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
       waitingForCacheLists.add(exchange);
     } else {
       start(exchange, now);
@@ -225,8 +232,9 @@
         .isPresent();
   }
 
-  /** Starts the requests that waited to learn which engines cache their shared prompt parts. */
+  /** Starts the requests that waited to learn what other nodes know of them. */
   private void startDelayed(long now) {
+    startThoseWithOrigin(now);
     if (waitingForCacheLists.isEmpty() || survey.shouldDelayPrompts(now)) {
       return;
     }
@@ -235,6 +243,19 @@
     due.stream().filter(active::contains).forEach(exchange -> start(exchange, now));
   }
 
+  private void startThoseWithOrigin(long now) {
+    if (waitingForOrigin.isEmpty()) {
+      return;
+    }
+    waitingForOrigin.removeIf(exchange -> !active.contains(exchange));
+    List<Exchange> due =
+        waitingForOrigin.stream()
+            .filter(waiting -> !dispatcher.resumedStreams().awaitsOrigin(waiting.progress(), now))
+            .toList();
+    waitingForOrigin.removeAll(due);
+    due.forEach(exchange -> start(exchange, now));
+  }
+
   private void onPrefilled(DispatchEvent.Prefilled event, long now) {
     Exchange exchange = event.exchange();
     if (!isCurrentAttempt(exchange, event.attempt())) {
@@ -326,7 +347,8 @@
     } else if (decision instanceof Decision.Refuse refuse) {
       active.remove(exchange);
       freeSource(exchange);
-      boolean withReason = refuse.kind() == ErrorKind.QUARANTINED;
+      boolean withReason =
+          refuse.kind() == ErrorKind.QUARANTINED || refuse.kind() == ErrorKind.VERSION_GONE;
       exchange.refuse(refuse.kind(), refuse.retryAfter(), withReason ? refuse.reason() : "");
     } else if (decision instanceof Decision.PassFailure) {
       active.remove(exchange);
@@ -343,8 +365,8 @@
     log.waiting(dispatcher.waitingCount(), dispatcher.waitingBytes());
   }
 
-  private void resumeWaiting(List<Dispatcher.EndedWait> ended, long now) {
-    for (Dispatcher.EndedWait end : ended) {
+  private void resumeWaiting(List<EndedWait> ended, long now) {
+    for (EndedWait end : ended) {
       Exchange exchange = waitingForEngine.remove(end.progress());
       if (exchange != null) {
         log.waited(exchange, now);
@@ -394,7 +416,8 @@
     if (dispatcher.quarantine().takeUrgentChange()) {
       peers.sendNow(now);
       updateQuarantine(now);
-    } else if (dispatcher.fleet().hasNewPrompts()) {
+    } else if (dispatcher.fleet().hasNewPrompts()
+        || dispatcher.resumedStreams().tracker().hasUntold(now)) {
       peers.sendDue(now);
     }
   }
@@ -434,6 +457,7 @@
     runs.onTick(now);
     if (now - lastHealthNanos >= HEALTH_NANOS) {
       lastHealthNanos = now;
+      dispatcher.resumedStreams().tracker().setListFresh(inContact.getAsBoolean(), now);
       dispatcher.onTick(now);
       pathActions.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -190,13 +190,13 @@
             pathActions,
             runCounter(dispatcher, messenger),
             newScaling(),
+            state::engineListIsCurrent,
             state::stopping);
     this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
-    state.setRouting(routingFollower);
     this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
     this.engineFollower =
         newFollower(
@@ -204,6 +204,7 @@
             platform.engineFeed(),
             this::onEngineRows,
             settings.bounds().drain().dividedBy(GATHERS_PER_DRAIN));
+    state.setFollowers(routingFollower, engineFollower);
   }
 
   private OrderLease newOrderLease(DispatchParameters parameters) {
@@ -341,9 +342,7 @@
     metrics.gauge("store_lost", () -> state.storeLost() ? 1 : 0);
     metrics.gauge("ready", () -> state.ready() ? 1 : 0);
     if (settings.metricsPort() > 0) {
-      NetworkAddress address =
-          new NetworkAddress(settings.readiness().host(), settings.metricsPort());
-      openMetrics(address);
+      openMetrics(new NetworkAddress(settings.readiness().host(), settings.metricsPort()));
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -20,6 +20,7 @@
   private final long maxBodyBytesInFlight;
   private final Optional<Duration> keyLifetime;
   private volatile RowFollower routingFollower;
+  private volatile RowFollower engineFollower;
   private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final AtomicLong bodyBytes = new AtomicLong();
@@ -51,9 +52,16 @@
     return (image == null ? RequestLimits.defaults() : image.limits()).maxBodyBytes();
   }
 
-  /** Sets the follower of the configuration table. */
-  void setRouting(RowFollower follower) {
-    routingFollower = follower;
+  /** Sets the followers of the tables of routes and of engines. */
+  void setFollowers(RowFollower ofRoutes, RowFollower ofEngines) {
+    routingFollower = ofRoutes;
+    engineFollower = ofEngines;
+  }
+
+  /** Whether the known engines were confirmed recently to be all that are listed. */
+  boolean engineListIsCurrent() {
+    RowFollower follower = engineFollower;
+    return follower != null && follower.inContact(System.nanoTime());
   }
 
   /** Whether other nodes know newer routes and keys than those in force on this node. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -30,6 +30,8 @@
 import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.quarantine.CrashReport;
+import org.fallturn.core.streams.StreamOrigin;
+import org.fallturn.core.streams.StreamReport;
 import org.fallturn.core.usage.UsageCounts;
 import org.fallturn.node.json.MalformedMessageException;
 
@@ -60,6 +62,7 @@
  *  "t":{"routing":57},                     newest change that any node has seen, by table
  *  "y":2,                                  era of the store to which the versions in "t" belong
  *  "u":{"353445120":{"bakery":4}},         requests that began to run, by window and tenant
+ *  "j":{...}, "J":[...],                   streams, see {@link StreamReportCodec}
  *  "w":true}                               the sender asks for listings
  * </pre>
  *
@@ -111,6 +114,7 @@
     if (message.usage().isPresent()) {
       writeUsage(out, message.usage().get());
     }
+    StreamReportCodec.write(out, message.streams());
     if (message.wantsListings()) {
       out.writeBooleanField("w", true);
     }
@@ -329,6 +333,8 @@
     private final Map<String, Long> tables = new HashMap<>();
     private long era;
     private final Map<Long, Map<String, Integer>> usage = new HashMap<>();
+    private Map<String, Map<String, Integer>> versions = Map.of();
+    private List<StreamOrigin> origins = List.of();
 
     void read(JsonParser in) throws IOException {
       if (in.nextToken() != JsonToken.START_OBJECT) {
@@ -355,6 +361,8 @@
         case "t" -> readTables(in);
         case "y" -> era = in.getLongValue();
         case "u" -> readUsage(in);
+        case StreamReportCodec.VERSIONS_KEY -> versions = StreamReportCodec.readVersions(in);
+        case StreamReportCodec.ORIGINS_KEY -> origins = StreamReportCodec.readOrigins(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
         case "q" -> texts(in).forEach(text -> crashes.add(CrashReportText.read(text)));
@@ -560,6 +568,7 @@
           kind == MessageKind.USAGE
               ? Optional.of(new UsageCounts(load.node(), load.incarnation(), usage))
               : Optional.empty(),
+          new StreamReport(versions, origins),
           wantsListings);
     }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
@@ -10,6 +10,7 @@
 import org.fallturn.core.peers.OwnLoad;
 import org.fallturn.core.peers.PeerMessage;
 import org.fallturn.core.peers.RelayOverlay;
+import org.fallturn.core.streams.StreamTracker;
 import org.fallturn.core.usage.UsageCounts;
 
 /**
@@ -53,6 +54,7 @@
   void onMessage(PeerMessage message, long nowNanos) {
     overlay.onMessage(message, nowNanos);
     dispatcher.fleet().onPeerReport(message.load(), nowNanos);
+    dispatcher.resumedStreams().tracker().onPeerReport(message.streams(), nowNanos);
     message.crashes().forEach(report -> dispatcher.quarantine().onPeerReport(report, nowNanos));
     for (CacheListing listing : message.listings()) {
       dispatcher.fleet().onPeerCacheListing(listing, nowNanos);
@@ -83,6 +85,8 @@
     if (dispatcher.fleet().hasNewPrompts()) {
       overlay.addPrompts(dispatcher.fleet().takeNewPrompts());
     }
+    StreamTracker streams = dispatcher.resumedStreams().tracker();
+    overlay.addOrigins(streams.takeUntold(nowNanos));
     sender.accept(
         overlay.due(
             () ->
@@ -91,7 +95,8 @@
                     dispatcher.fleet().ownSpeeds(),
                     dispatcher.quarantine().takeReports(overlay.hasMembers(nowNanos), nowNanos),
                     dispatcher.stages().mayOrder(nowNanos),
-                    dispatcher.ownBudgets(nowNanos)),
+                    dispatcher.ownBudgets(nowNanos),
+                    streams.reportedVersions(nowNanos)),
             nowNanos));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -375,6 +375,14 @@
     return certain ? Math.min(current, ageNanos(nowNanos)) : current;
   }
 
+  /**
+   * Whether this node is in contact with the store, directly or through others: at most one
+   * confirmation in a row was missed. Any thread may call.
+   */
+  boolean inContact(long nowNanos) {
+    return stalenessNanos(nowNanos) < 2 * times.bounds().silenceNanos(peerReports.order());
+  }
+
   /**
    * Whether the running watch can still be relied on, though the store may have gone silent.
    *
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -25,6 +25,8 @@
 import org.fallturn.core.quarantine.CrashReport;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.quarantine.SeenCrash;
+import org.fallturn.core.streams.StreamOrigin;
+import org.fallturn.core.streams.StreamReport;
 import org.fallturn.node.json.MalformedMessageException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -76,6 +78,17 @@
         true);
   }
 
+  /** Names of services and versions may contain what separates fields elsewhere. */
+  @Test
+  void reportOnStreamsIsDecodedAsItWasEncoded() throws Exception {
+    StreamReport report =
+        new StreamReport(
+            Map.of("llm", Map.of("v1", 0, "v 1.1,\"rc\":2", 3_200), "chat", Map.of("", 7)),
+            List.of(new StreamOrigin(-1, "llm", "v1"), new StreamOrigin(5, "llm", "v1")));
+    PeerMessage message = message(Map.of()).withStreams(report);
+    assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+  }
+
   @Test
   void speedsAreEncodedInSinglePrecision() throws Exception {
     double learned = 0.020_481_312_345_678_9;
@@ -171,6 +184,9 @@
         "{\"q\":[\"00000007-9c4f 0\"]}",
         "{\"q\":[\"00000007-9c4f 0 0 0 true i-7f:12\"]}",
         "{\"e\":{\"i-7f\":\"1,2\"}}",
+        "{\"J\":[[\"llm\"]]}",
+        "{\"J\":[[\"llm\",\"v1\",\"no-key\"]]}",
+        "{\"j\":{\"llm\":{\"v1\":\"old\"}}}",
         "{\"o\":{\"llm\":\"1,2\"}}"
       })
   void malformedMessageIsRejected(String text) {
