Keep the only decode engine of a software version in its stage

Streams that a version began could go on nowhere once its only decode engine was ordered to prefill, though engines of it served: the planner takes the least loaded engine of the fullest zone, and an engine of a new version has just come and is idle.

Fix: such an engine is the last choice for a change from decode to prefill. With one version in the fleet the choice is as before, and where every candidate is the only one of its version, too.

The test failed before (v2 chosen); StagePlannerTest's other cases are unchanged.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/StagePlanner.java
@@ -243,7 +243,8 @@
 
   /**
    * Chooses an engine in the zone with the most engines of the other stage, the least loaded of
-   * these.
+   * these. The only decode engine of a software version goes last: streams that its version began
+   * can go on nowhere else.
    */
   private static Optional<StageChange> leastLoadedEngine(
       List<StageView> engines, EngineStage next) {
@@ -252,10 +253,20 @@
         engines.stream()
             .filter(view -> view.serves(other))
             .collect(Collectors.groupingBy(view -> view.engine().zone(), Collectors.counting()));
+    Map<String, Long> decodersByVersion =
+        engines.stream()
+            .filter(view -> view.serves(EngineStage.DECODE))
+            .collect(
+                Collectors.groupingBy(
+                    view -> view.engine().softwareVersion(), Collectors.counting()));
     return engines.stream()
         .filter(view -> view.serves(other))
         .min(
-            Comparator.comparingLong((StageView view) -> -byZone.get(view.engine().zone()))
+            Comparator.comparing(
+                    (StageView view) ->
+                        other == EngineStage.DECODE
+                            && decodersByVersion.get(view.engine().softwareVersion()) == 1)
+                .thenComparingLong(view -> -byZone.get(view.engine().zone()))
                 .thenComparingDouble(StageView::waitMillis)
                 .thenComparingInt(StageView::running)
                 .thenComparing(view -> view.engine().id()))
--- a/fallturn-core/src/test/java/org/fallturn/core/stages/StagePlannerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/stages/StagePlannerTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.EngineStage;
@@ -114,6 +115,36 @@
     assertThat(after(fleet(6, 7, 0, 31), 5)).isPresent();
   }
 
+  /**
+   * Guards against streams that nobody can continue: the only engine that decodes at a version
+   * changed its stage, being the least loaded of its zone.
+   */
+  @Test
+  void lastDecodeEngineOfASoftwareVersionIsKeptWhileAnotherCanChange() {
+    List<StageView> views = new ArrayList<>(fleet(6, 8, 200, 2));
+    views.add(viewOfVersion("v2", "d-0"));
+    assertThat(after(views, 3).orElseThrow().engine().softwareVersion()).isEmpty();
+    views.add(viewOfVersion("v2", "e-0"));
+    assertThat(after(views, 3).orElseThrow().engine().softwareVersion()).isEqualTo("v2");
+  }
+
+  private static StageView viewOfVersion(String version, String id) {
+    ServingEngine engine =
+        new ServingEngine(
+            id + version,
+            OptionalLong.empty(),
+            "llm",
+            version,
+            new NetworkAddress("10.0.0.1", 1),
+            "0",
+            SLOTS,
+            false,
+            Optional.empty(),
+            false,
+            EngineStage.DECODE);
+    return new StageView(engine, true, EngineStage.NONE, 0, 0);
+  }
+
   @Test
   void engineComesFromTheZoneWithMostEnginesOfItsStage() {
     List<StageView> views = fleet(200, 2);
