Give up a silent attempt only if it has relayed nothing

Callers could have got pieces of two runs in one stream: an engine's first event came between the check that its attempt still waits and the end of the attempt for its silence, and was passed on while the request was sent to another engine.

Fix: one compare-and-set decides between the first event and the end for silence (AttemptState). Ends for other reasons, after which the request goes nowhere else, are as before.

AttemptStateTest races the two; with the former get-and-set in endIfWaiting both of its cases can fail.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -511,7 +511,7 @@
     }
     AttemptTimeout timeout = attempt.timeout();
     Optional<StuckReason> stuck = dispatcher.stuck(exchange.progress(), timeout.duration(), now);
-    if (stuck.isPresent() && attempt.cancel("no answer in time")) {
+    if (stuck.isPresent() && attempt.cancelWaiting("no answer in time")) {
       AttemptOutcome outcome =
           attempt.maybeSent() ? stuck.get().outcome(timeout) : AttemptOutcome.NOT_SENT;
       log.stuck(exchange, attempt, stuck.get());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -4,7 +4,6 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
-import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -32,19 +31,10 @@
    */
   private static final int MAX_WHOLE_ANSWER_BYTES = 256 * 1024;
 
-  private enum State {
-    /** No part of an answer has been relayed. */
-    WAITING,
-    /** The beginning of the answer has been relayed. */
-    RELAYING,
-    /** Ended; whatever still arrives is ignored. */
-    ENDED
-  }
-
   private final Exchange exchange;
   private final EngineCall call;
   private final EngineProtocol protocol;
-  private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+  private final AttemptState state = new AttemptState();
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private volatile Request request;
@@ -96,7 +86,7 @@
 
   /** Whether no part of an answer has been relayed and the attempt has not ended. */
   boolean waiting() {
-    return state.get() == State.WAITING;
+    return state.waiting();
   }
 
   /** How long the engine may take to show any sign of an answer. */
@@ -111,7 +101,7 @@
 
   /** Whether the attempt has ended. */
   boolean ended() {
-    return state.get() == State.ENDED;
+    return state.ended();
   }
 
   /**
@@ -124,16 +114,31 @@
 
   /** Ends the attempt and aborts its request; false when it had ended already. */
   boolean cancel(String why) {
-    State before = state.getAndSet(State.ENDED);
-    if (before == State.ENDED) {
+    if (state.end() == AttemptState.Phase.ENDED) {
       return false;
     }
+    abort(why);
+    return true;
+  }
+
+  /**
+   * Ends the attempt and aborts its request, unless part of an answer has been relayed; false when
+   * it was not ended by this call. The request may then be sent to another engine.
+   */
+  boolean cancelWaiting(String why) {
+    if (!state.endIfWaiting()) {
+      return false;
+    }
+    abort(why);
+    return true;
+  }
+
+  private void abort(String why) {
     cancelled = true;
     Request sent = request;
     if (sent != null) {
       sent.abort(new CancellationException(why));
     }
-    return true;
   }
 
   @Override
@@ -182,7 +187,7 @@
 
   private void bufferOrRelay(ByteBuffer bytes, Response response, Runnable demander) {
     byte[] copy = BufferUtil.toArray(bytes);
-    if (state.get() == State.RELAYING) {
+    if (state.relaying()) {
       relay(ByteBuffer.wrap(copy), response, demander);
       return;
     }
@@ -206,7 +211,7 @@
   }
 
   private void relay(ByteBuffer bytes, Response response, Runnable demander) {
-    if (!mayRelay()) {
+    if (!state.relay()) {
       demander.run();
       return;
     }
@@ -221,15 +226,10 @@
         Callback.from(demander::run, failure -> response.abort(failure)));
   }
 
-  /** Whether this attempt may relay its answer; once it does, no other may begin an answer. */
-  private boolean mayRelay() {
-    return state.compareAndSet(State.WAITING, State.RELAYING) || state.get() == State.RELAYING;
-  }
-
   @Override
   public void onComplete(Result result) {
-    State before = state.getAndSet(State.ENDED);
-    if (before == State.ENDED) {
+    AttemptState.Phase before = state.end();
+    if (before == AttemptState.Phase.ENDED) {
       return;
     }
     if (forwardFailure.isPresent()) {
@@ -240,26 +240,29 @@
       fail(outcomeOfFailure(before, result));
       return;
     }
-    if (before == State.RELAYING || streamed) {
+    if (before == AttemptState.Phase.RELAYING || streamed) {
       finishRelay(before);
       return;
     }
     finishBuffered();
   }
 
-  private AttemptOutcome outcomeOfFailure(State before, Result result) {
+  private AttemptOutcome outcomeOfFailure(AttemptState.Phase before, Result result) {
     if (result.getRequestFailure() instanceof EngineHeldBackException) {
       return AttemptOutcome.HELD_BACK;
     }
-    if (before == State.RELAYING) {
+    if (before == AttemptState.Phase.RELAYING) {
       return AttemptOutcome.BROKEN_MIDWAY;
     }
     return maybeSent ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
   }
 
-  private void finishRelay(State before) {
+  private void finishRelay(AttemptState.Phase before) {
     if (streamed && framer.hasPartialEvent()) {
-      fail(before == State.RELAYING ? AttemptOutcome.BROKEN_MIDWAY : AttemptOutcome.LOST);
+      fail(
+          before == AttemptState.Phase.RELAYING
+              ? AttemptOutcome.BROKEN_MIDWAY
+              : AttemptOutcome.LOST);
       return;
     }
     exchange.beginStreamedAnswer(head.status(), protocol.answerHeaders(headers));
