Soak: releases that overlap, and callers who continue their streams

Cause: no run of ours had engines of two versions, or callers who take a stream up, so that none could find the reported fault.

Change: two lanes of releases (two engines of a further version begin, those that they replace are listed as leaving, serve on and end with their streams), so that releases overlap and several versions serve with no order; callers continue streams that broke off, and one in four that did not, at any gateway, twice at most. Two checks: a stream has events of one version over all its answers, and streams go on at least half as often as new ones are served, counted while their gateway is in touch and two engines of their version serve. A whole answer is one whose pieces are all there, whatever version names itself in them; pieces of two versions are found by the new check.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.fallturn.rehearsal.emulator.StreamEvents;
 
 /** A promise, checked on what callers and engines saw. Pure. */
 enum SoakCheck {
@@ -231,6 +232,45 @@
       return found;
     }
   },
+  /** A stream has events of one software version, over all answers. */
+  ONE_VERSION {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      for (SoakRecord.Call call : record.calls()) {
+        if (call.kind().model() && StreamEvents.versions(call.body()).size() > 1) {
+          found.add(call.requestId() + " got " + call.body());
+        }
+      }
+      for (SoakRecord.TakeUp takeUp : record.control().streams().takeUps()) {
+        if (!Set.of(takeUp.began()).containsAll(StreamEvents.versions(takeUp.body()))) {
+          found.add(
+              takeUp.firstAttempt()
+                  + " began at "
+                  + takeUp.began()
+                  + " and went on at gateway "
+                  + takeUp.gateway()
+                  + " with "
+                  + takeUp.body());
+        }
+      }
+      return found;
+    }
+  },
+  /** Streams that are taken up go on at least half as often as new ones are served. */
+  GOES_ON {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<SoakRecord.TakeUp> promised = record.control().streams().promised();
+      List<SoakRecord.Call> begun = record.control().streams().begun();
+      long wentOn = promised.stream().filter(SoakRecord.TakeUp::wentOn).count();
+      boolean less =
+          wentOn * (double) begun.size() < GOES_ON_PART * served(begun) * promised.size();
+      return promised.size() >= TAKE_UPS_COUNTED && less
+          ? List.of(wentOn + " of " + promised.size() + " streams went on")
+          : List.of();
+    }
+  },
   /** Callers of a gateway that is cut off from all engines are served nearly as others are. */
   SERVED_WHEN_CUT_OFF {
     @Override
@@ -271,6 +311,9 @@
     }
   };
 
+  private static final String WHOLE_STREAM =
+      StreamEvents.withoutVersions(EmulatedEngine.wholeStream());
+
   private static final int HTTP_OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int CRASHES_TOLERATED = 3;
@@ -304,6 +347,10 @@
   private static final int FAILED_TOLERATED = 10;
   private static final double FAILED_PART = 1.0 / 50;
 
+  private static final int TAKE_UPS_COUNTED = 12;
+
+  private static final double GOES_ON_PART = 0.5;
+
   private static long served(List<SoakRecord.Call> calls) {
     return calls.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
   }
@@ -373,7 +420,7 @@
 
   private static boolean isWhole(SoakRecord.Call call) {
     return call.kind().model()
-        ? call.body().equals(EmulatedEngine.wholeStream())
+        ? StreamEvents.withoutVersions(call.body()).equals(WHOLE_STREAM)
         : call.body().startsWith("answer of a-");
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -198,6 +198,8 @@
       return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
+  ENGINES_RELEASED(Lane.RELEASES),
+  ENGINES_RELEASED_MEANWHILE(Lane.OVERLAPPING_RELEASES),
   ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
   ENGINE_LINKS_CUT(SoakGatewayMain.Fault.CUT),
   ENGINE_REJECTS(EngineFault.REJECT),
@@ -226,7 +228,11 @@
     /** Signals to gateways that may be stopping, starting or cut off by the other lanes. */
     SIGNALS(1, Integer.MAX_VALUE),
     /** Links between one gateway and all engines, for longer than the bound on knowing. */
-    LINKS(2, Integer.MAX_VALUE);
+    LINKS(2, Integer.MAX_VALUE),
+    /** Engines of a new version begin, and those that they replace leave and end. */
+    RELEASES(1, Integer.MAX_VALUE),
+    /** Like {@link #RELEASES}, so that releases overlap. */
+    OVERLAPPING_RELEASES(1, Integer.MAX_VALUE);
 
     private final int times;
     private final int mostMillis;
@@ -299,11 +305,23 @@
     return lane == Lane.LINKS && gateway == SoakFleet.gatewayIndex(target, gateways);
   }
 
+  private boolean isRelease() {
+    return lane == Lane.RELEASES || lane == Lane.OVERLAPPING_RELEASES;
+  }
+
   void begin(SoakFleet fleet, int target) throws Exception {
+    if (isRelease()) {
+      fleet.release(target);
+      return;
+    }
     set(fleet, target, engineFault, storeFault, linkFault);
   }
 
   void end(SoakFleet fleet, int target) throws Exception {
+    if (isRelease()) {
+      fleet.endRelease(target);
+      return;
+    }
     set(fleet, target, EngineFault.NONE, StoreFault.NONE, SoakGatewayMain.Fault.NONE);
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -11,6 +12,7 @@
 import java.util.function.BiPredicate;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.StreamEvents;
 
 /** Callers that ask one request after the other of any gateway, and note what they get. */
 final class SoakLoad implements AutoCloseable {
@@ -26,10 +28,19 @@
   /** Some six copies a second, of all such contents together. */
   private static final int POISON_PAUSE_MILLIS = 300;
 
+  /** One whole stream in so many is continued as if its last events had not come. */
+  private static final int TAKE_UPS_ONE_IN = 4;
+
+  private static final int TAKE_UP_TRIES = 2;
+
+  /** A stream is promised to go on while so many engines of its version serve. */
+  private static final int ENGINES_OF_A_PROMISE = 2;
+
   private final EmulatedClient client = new EmulatedClient();
   private final Queue<SoakRecord.Call> calls = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private final Queue<SoakRecord.PoisonSend> poisonSends = new ConcurrentLinkedQueue<>();
+  private final Queue<SoakRecord.TakeUp> takeUps = new ConcurrentLinkedQueue<>();
   private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private volatile boolean stopped;
@@ -148,6 +159,9 @@
     long sent = System.nanoTime();
     EmulatedClient.Answer answer =
         client.send(gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE).await();
+    if (kind == SoakRecord.Kind.RESUMABLE_STREAM) {
+      takeUp(answer, prompt, random);
+    }
     calls.add(
         new SoakRecord.Call(
             answer.requestId(),
@@ -161,6 +175,47 @@
             answer.whole()));
   }
 
+  /**
+   * Continues a stream that broke off after its first event, and some that did not, as callers do
+   * whose connection broke; at any gateway, until its end has come or for a few tries.
+   */
+  private void takeUp(EmulatedClient.Answer begun, int prompt, Random random)
+      throws InterruptedException, ExecutionException {
+    Optional<String> version = StreamEvents.firstVersion(begun.body());
+    boolean pretend = begun.whole() && random.nextInt(TAKE_UPS_ONE_IN) == 0;
+    if (version.isEmpty() || begun.whole() && !pretend) {
+      return;
+    }
+    int last =
+        pretend ? 1 + random.nextInt(StreamEvents.COUNT - 1) : StreamEvents.last(begun.body());
+    for (int attempt = 0; attempt < TAKE_UP_TRIES && last < StreamEvents.COUNT; attempt++) {
+      int target = random.nextInt(Integer.MAX_VALUE);
+      int before = fleet.decoders(version.get());
+      long sent = System.nanoTime();
+      EmulatedClient.Answer answer =
+          client.resume(fleet.gateway(target).callers(), prompt, begun.requestId(), last).await();
+      boolean promised = Math.min(before, fleet.decoders(version.get())) >= ENGINES_OF_A_PROMISE;
+      takeUps.add(
+          new SoakRecord.TakeUp(
+              begun.requestId(),
+              fleet.indexOf(target),
+              sent,
+              version.get(),
+              answer.status(),
+              answer.body(),
+              answer.whole(),
+              promised));
+      if (StreamEvents.firstVersion(answer.body()).isPresent()) {
+        last = StreamEvents.last(answer.body());
+      }
+    }
+  }
+
+  /** The streams that callers continued. */
+  List<SoakRecord.TakeUp> takeUps() {
+    return List.copyOf(takeUps);
+  }
+
   private static String path(SoakRecord.Kind kind) {
     return switch (kind) {
       case STREAM -> EmulatedPlatform.STREAM;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -104,16 +104,69 @@
    * @param orders the orders that each engine took, by its id
    * @param ends when gateways were ended
    * @param cutOffs what was asked while gateways were cut off from all engines
+   * @param streams streams that callers began and continued
    */
   record Control(
       List<Probe> probes,
       Map<String, List<StageOrder>> orders,
       GatewayEnds ends,
-      List<CutOff> cutOffs) {
+      List<CutOff> cutOffs,
+      Streams streams) {
 
     /** Nothing was done. */
     static Control none() {
-      return new Control(List.of(), Map.of(), new GatewayEnds(List.of(), List.of()), List.of());
+      GatewayEnds noEnds = new GatewayEnds(List.of(), List.of());
+      return new Control(List.of(), Map.of(), noEnds, List.of(), Streams.none());
+    }
+  }
+
+  /**
+   * Streams that may be continued.
+   *
+   * @param begun requests for new ones, of gateways that were in touch
+   * @param takeUps requests that continued one
+   */
+  record Streams(List<Call> begun, List<TakeUp> takeUps) {
+
+    static Streams none() {
+      return new Streams(List.of(), List.of());
+    }
+
+    /** The ones that were promised to go on. */
+    List<TakeUp> promised() {
+      return takeUps.stream().filter(TakeUp::promised).toList();
+    }
+  }
+
+  /**
+   * A stream that a caller continued.
+   *
+   * @param firstAttempt id of the request that brought its first event
+   * @param gateway index of the gateway that was asked
+   * @param began the software version that began it
+   * @param status HTTP status of the answer; 0 when no whole head came
+   * @param body the events that came
+   * @param whole whether the answer looked whole
+   * @param promised whether its gateway was in touch, and two engines of its version served, from
+   *     its request to its answer
+   */
+  record TakeUp(
+      String firstAttempt,
+      int gateway,
+      long sentNanos,
+      String began,
+      int status,
+      String body,
+      boolean whole,
+      boolean promised) {
+
+    boolean wentOn() {
+      return status == 200 && whole;
+    }
+
+    TakeUp promisedOnlyIf(boolean inTouch) {
+      return new TakeUp(
+          firstAttempt, gateway, sentNanos, began, status, body, whole, promised && inTouch);
     }
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -77,7 +77,11 @@
             troubles(fleet),
             poisons,
             new SoakRecord.Control(
-                load.probes(this::inTouch), orders(fleet), ends(fleet), cutOffs(calls)),
+                load.probes(this::inTouch),
+                orders(fleet),
+                ends(fleet),
+                cutOffs(calls),
+                streams(calls, load.takeUps())),
             calmFrom);
       }
     }
@@ -287,6 +291,29 @@
     return cutOffs;
   }
 
+  /** What a gateway of another build does with streams says nothing of this one. */
+  private SoakRecord.Streams streams(List<SoakRecord.Call> calls, List<SoakRecord.TakeUp> takeUps) {
+    List<SoakRecord.Call> begun =
+        calls.stream()
+            .filter(call -> call.kind() == SoakRecord.Kind.RESUMABLE_STREAM)
+            .filter(call -> inTouch(call.gateway(), call.sentNanos()))
+            .toList();
+    return new SoakRecord.Streams(begun, ofThisBuild(takeUps));
+  }
+
+  private List<SoakRecord.TakeUp> ofThisBuild(List<SoakRecord.TakeUp> all) {
+    return all.stream()
+        .filter(one -> otherBuild.isEmpty() || !ranOtherBuild(one.gateway(), one.sentNanos()))
+        .map(
+            one ->
+                one.promisedOnlyIf(otherBuild.isEmpty() && inTouch(one.gateway(), one.sentNanos())))
+        .toList();
+  }
+
+  private boolean ranOtherBuild(int gateway, long nanos) {
+    return SoakRecord.meets(timesOfOtherBuild(gateway), gateway, nanos, nanos + 1);
+  }
+
   private SoakRecord.CutOff cutOff(
       int gateway, SoakSchedule.Entry entry, List<SoakRecord.Call> calls) {
     long from = begunNanos + entry.begin().plus(SoakFleet.CONTACT).toNanos();
@@ -335,6 +362,11 @@
                 out.printf(
                     "  %s crashed %d engines, %d arrivals%n",
                     poison.body(), poison.crashNanos().size(), poison.sends().size()));
+    List<SoakRecord.TakeUp> takeUps = record.control().streams().takeUps();
+    List<SoakRecord.TakeUp> promised = record.control().streams().promised();
+    out.printf(
+        "%d streams taken up, %d went on; %d of %d promised ones%n",
+        takeUps.size(), wentOn(takeUps), wentOn(promised), promised.size());
     boolean kept = true;
     for (SoakCheck check : SoakCheck.values()) {
       List<String> violations = check.violations(record);
@@ -345,4 +377,8 @@
     out.println(kept ? "GOOD" : "NOT GOOD: fallturn explain " + directory + "/*.log --request ID");
     return kept;
   }
+
+  private static long wentOn(List<SoakRecord.TakeUp> takeUps) {
+    return takeUps.stream().filter(SoakRecord.TakeUp::wentOn).count();
+  }
 }
