Report the version of a stream with its first event, not before

Fix: a node reports a stream when its first event has come. The preference for the version of an earlier placement, which was to keep early reports true, is gone with them.

StreamVersionTest#streamIsReportedOnceAndAtTheVersionOfItsFirstEvent failed before; MixedVersionsTest, StreamTrackerTest and DispatcherTest pass.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -266,6 +266,7 @@
   public void onBegan(RequestProgress progress, long nowNanos) {
     pace.onDone(progress, nowNanos);
     progress.engine().ifPresent(engine -> selector.load(engine).onBegan(progress));
+    resumedStreams.onBegan(progress, nowNanos);
     progress.promptRead();
   }
 
@@ -573,7 +574,6 @@
       Urgency urgency,
       long nowNanos) {
     progress.beginRun(engine, estimate, urgency, nowNanos);
-    resumedStreams.onPlaced(progress, engine, nowNanos);
     progress.sendThrough(paths.forwarderFor(engine, nowNanos));
     selector.load(engine).add(progress);
     AttemptTimeout attemptTimeout =
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -258,20 +258,14 @@
     return candidates(progress, EngineSelector::isPrefillEngine, nowNanos);
   }
 
-  /**
-   * Engines that may run the request; where there are any, those of the software version at which
-   * it was placed before.
-   */
+  /** Engines that may run the request. */
   List<ServingEngine> runCandidates(RequestProgress progress, long nowNanos) {
     List<ServingEngine> eligible =
         candidates(
             progress,
             engine -> !isPrefillEngine(engine) && progress.allowsVersionOf(engine),
             nowNanos);
-    List<ServingEngine> preferred =
-        eligible.stream().filter(progress::wasPlacedAtVersionOf).toList();
-    List<ServingEngine> chosen = preferred.isEmpty() ? eligible : preferred;
-    return progress.isolated() ? withFewestRunning(chosen, nowNanos) : chosen;
+    return progress.isolated() ? withFewestRunning(eligible, nowNanos) : eligible;
   }
 
   private List<ServingEngine> withFewestRunning(List<ServingEngine> engines, long nowNanos) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -36,7 +36,6 @@
   private boolean answerBegun;
   private boolean isolated;
   private Optional<String> requiredVersion = Optional.empty();
-  private Optional<String> placedVersion = Optional.empty();
   private CacheSource source;
   private ExpectedWork expected;
   private RetryBudgetUse budgetUse;
@@ -88,14 +87,6 @@
         .isEmpty();
   }
 
-  /**
-   * Whether an engine has the software version at which this request was last placed, which other
-   * nodes may have been told.
-   */
-  boolean wasPlacedAtVersionOf(ServingEngine candidate) {
-    return placedVersion.filter(candidate.softwareVersion()::equals).isPresent();
-  }
-
   /** The service that the request goes to; empty before the first decision. */
   public String service() {
     return service;
@@ -271,7 +262,6 @@
       ServingEngine chosen, PlacementEstimate estimate, Urgency attemptUrgency, long nowNanos) {
     beginAttempt(chosen, estimate, attemptUrgency, nowNanos);
     prefilling = false;
-    placedVersion = Optional.of(chosen.softwareVersion());
     runSends++;
     possibleRuns++;
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.routing.Route;
-import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.routing.Tenant;
 import org.fallturn.core.routing.WeightedService;
 import org.fallturn.core.streams.StreamOrigin;
@@ -12,7 +11,7 @@
 
 /**
  * Binds a request that continues a stream to the software version that began it, and records at
- * which version new streams are placed.
+ * which version streams begin.
  *
  * <p>Invariant: a request that continues a stream is sent to no engine before the version is known.
  * Only the dispatch thread calls.
@@ -88,16 +87,20 @@
     return StreamOrigin.key(tenant, requestId);
   }
 
-  /** Records that a request is sent to an engine that runs it. */
-  void onPlaced(RequestProgress progress, ServingEngine engine, long nowNanos) {
+  /**
+   * Records that a stream has begun or goes on. Not earlier: a request may move to another version
+   * before its first event, and a node that knows only the first report would be wrong.
+   */
+  void onBegan(RequestProgress progress, long nowNanos) {
     RequestEnvelope envelope = progress.envelope();
-    if (!envelope.route().streaming() || !envelope.route().repeatable()) {
+    if (progress.requiredVersion().isEmpty() || !envelope.route().repeatable()) {
       return;
     }
     String began =
         envelope.resumed().flatMap(ResumedStream::firstAttemptId).orElse(envelope.requestId());
-    tracker.onPlaced(
-        new StreamOrigin(key(progress, began), engine.service(), engine.softwareVersion()),
+    tracker.onBegan(
+        new StreamOrigin(
+            key(progress, began), progress.service(), progress.requiredVersion().get()),
         nowNanos);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/RelayOverlay.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/RelayOverlay.java
@@ -212,10 +212,10 @@
     viewUpdates.addPrompts(placed);
   }
 
-  /** Adds streams that this node placed. */
-  public void addOrigins(Collection<StreamOrigin> placed) {
-    groupUpdates.addOrigins(placed);
-    viewUpdates.addOrigins(placed);
+  /** Adds streams that began at this node. */
+  public void addOrigins(Collection<StreamOrigin> begun) {
+    groupUpdates.addOrigins(begun);
+    viewUpdates.addOrigins(begun);
   }
 
   /** Adds a cache listing that an engine sent to this node. */
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -20,8 +20,8 @@
 /**
  * Finds the software version that began a stream which a caller continues, possibly at another
  * node. While all streams of a service began at one version, that version is the answer and nodes
- * tell each other nothing. Otherwise, each node tells the others where it places streams, at the
- * time of placement: the first event follows some tens of milliseconds later.
+ * tell each other nothing. Otherwise, each node tells the others at which version its streams
+ * begin, as soon as they do; what is told of a stream never changes.
  *
  * <p>Invariant: {@link #find} never guesses. It is empty when the streams of a service can have
  * begun at several versions, or when this node cannot know that, and nobody told where this one
@@ -48,7 +48,7 @@
   private long lifetimeNanos = MIN_LIFETIME.toNanos();
   private boolean listFresh = true;
 
-  /** A stream and when this node placed it or heard of it. */
+  /** A stream and when this node began it or heard of it. */
   private record Known(StreamOrigin origin, long atNanos) {}
 
   /** Applies a newer set of routes. */
@@ -103,12 +103,12 @@
     return listFresh ? versions.sole(service, nowNanos) : Optional.empty();
   }
 
-  /** Records that this node sends a stream to an engine that runs it. */
-  public void onPlaced(StreamOrigin origin, long nowNanos) {
-    Known placed = new Known(origin, nowNanos);
-    remember(placed);
+  /** Records that the first event of a stream, or its continuation, came to this node. */
+  public void onBegan(StreamOrigin origin, long nowNanos) {
+    Known begun = new Known(origin, nowNanos);
+    remember(begun);
     Deque<Known> waiting = untold.computeIfAbsent(origin.service(), name -> new ArrayDeque<>());
-    waiting.addLast(placed);
+    waiting.addLast(begun);
     if (waiting.size() > MAX_UNTOLD_PER_SERVICE) {
       waiting.removeFirst();
     }
@@ -134,7 +134,7 @@
     }
   }
 
-  /** Whether the other nodes are to hear of streams that this node placed. */
+  /** Whether the other nodes are to hear of streams that began at this node. */
   public boolean hasUntold(long nowNanos) {
     return untold.entrySet().stream()
         .anyMatch(
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
@@ -8,6 +8,8 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.streams.StreamOrigin;
+import org.fallturn.core.streams.StreamTracker;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -57,6 +59,26 @@
     assertThat(((Decision.Refuse) next).kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
   }
 
+  /**
+   * Guards against an outdated report. A request was reported at the version of an engine that
+   * crashed, and moved to another one; its caller came back to a node that had only the first
+   * report.
+   */
+  @Test
+  void streamIsReportedOnceAndAtTheVersionOfItsFirstEvent() {
+    Dispatcher dispatcher = Requests.dispatcher(first, newer);
+    StreamTracker tracker = dispatcher.resumedStreams().tracker();
+    RequestProgress progress = Requests.prompt(true, 0, 300);
+    dispatcher.start(progress, START);
+    assertThat(tracker.takeUntold(START)).isEmpty();
+    Decision next = dispatcher.onFailure(progress, AttemptOutcome.LOST, after(10));
+    assertThat(tracker.takeUntold(after(10))).isEmpty();
+    dispatcher.onBegan(progress, after(20));
+    assertThat(tracker.takeUntold(after(20)))
+        .extracting(StreamOrigin::softwareVersion)
+        .containsExactly(versionOf(next));
+  }
+
   @Test
   void requestWithoutAnyEventMayGoToAnotherVersion() {
     Dispatcher dispatcher = Requests.dispatcher(first, newer);
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -127,16 +127,16 @@
   @Test
   void nodesTellEachOtherNothingWhileThereIsOneVersion() {
     tracker.onDirectory(directory("v1"), 0);
-    tracker.onPlaced(OLD_STREAM, LIFETIME);
+    tracker.onBegan(OLD_STREAM, LIFETIME);
     assertThat(tracker.hasUntold(LIFETIME)).isFalse();
     assertThat(tracker.takeUntold(LIFETIME)).isEmpty();
   }
 
   /** Streams that run when the second version appears have begun at the first. */
   @Test
-  void streamsPlacedBeforeTheSecondVersionAreToldWhenItAppears() {
+  void streamsOfBeforeTheSecondVersionAreToldWhenItAppears() {
     tracker.onDirectory(directory("v1"), 0);
-    tracker.onPlaced(OLD_STREAM, LIFETIME);
+    tracker.onBegan(OLD_STREAM, LIFETIME);
     tracker.onDirectory(directory("v1", "v2"), LIFETIME + 1);
     assertThat(tracker.hasUntold(LIFETIME + 1)).isTrue();
     assertThat(tracker.takeUntold(LIFETIME + 1)).containsExactly(OLD_STREAM);
@@ -265,7 +265,7 @@
     private void place(int node) {
       String version = listed.get(random.nextInt(listed.size()));
       StreamOrigin stream = new StreamOrigin(++streams, SERVICE, version);
-      trackers.get(node).onPlaced(stream, now * STEP);
+      trackers.get(node).onBegan(stream, now * STEP);
       int takenUpAfter = FIRST_EVENT_STEPS + random.nextInt(LAST_EVENT_STEPS - FIRST_EVENT_STEPS);
       int elsewhere = random.nextInt(NODES);
       in(takenUpAfter, () -> takeUp(stream, elsewhere));
