Soak: begin releases where an engine crashes meanwhile

Releases are one step under the platform's lock, an engine that cannot fetch a KV cache turns the request away, and replaced engines end on threads of their own. RelayOverlayTest shows how late streams are known by relays: within the time that a caller who comes back waits, with 8, 66 and 338 nodes.

--- a/fallturn-core/src/test/java/org/fallturn/core/peers/RelayOverlayTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/RelayOverlayTest.java
@@ -41,6 +41,9 @@
    */
   private static final int COUNTED_TWICE_MILLIS = 1_500;
 
+  /** The delay that a node assumes for what it hears through a relay. */
+  private static final int RELAY_LAG_MILLIS = 60;
+
   private static SimulatedFleet fleet(long seed, int nodes, int zones) {
     SimulatedFleet fleet = new SimulatedFleet(seed);
     for (int number = 0; number < nodes; number++) {
@@ -127,6 +130,29 @@
     assertThat(delays.get(delays.size() / 2)).isLessThanOrEqualTo(100);
   }
 
+  /**
+   * A caller who comes back to another node waits there for 100 ms, and twice the delay by relays,
+   * until the version that began its stream is known.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {8, 66, 338})
+  void beginningOfAStreamIsKnownWhileACallerWhoComesBackWaits(int nodes) {
+    SimulatedFleet fleet = fleet(6, nodes, 6);
+    fleet.run(SETTLED_MILLIS);
+    Random random = new Random(7);
+    List<Node> all = new ArrayList<>(fleet.nodes());
+    for (long key = 1; key <= 20; key++) {
+      fleet.beginStream(all.get(random.nextInt(all.size())), key);
+      long begun = fleet.millis();
+      fleet.run(300 + 5 * random.nextInt(20));
+      for (Node node : all) {
+        assertThat(node.originHeardAtMillis).as("told to all").containsKey(key);
+        int wait = node.overlay.isRelay() ? 100 : 100 + 2 * RELAY_LAG_MILLIS;
+        assertThat(node.originHeardAtMillis.get(key) - begun).isLessThan(wait);
+      }
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
   void fleetOfEqualNodesStaysSettledWhenRelaysAreKilled(long seed) {
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/SimulatedFleet.java
@@ -16,6 +16,7 @@
 import org.fallturn.core.dispatch.PlacedPrompt;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.streams.StreamOrigin;
 
 /** Nodes that exchange their load over a simulated network, in steps of 5 ms. */
 final class SimulatedFleet {
@@ -43,6 +44,7 @@
     final PeerLoads loads = new PeerLoads();
     final RelayOverlay overlay;
     final Map<String, Long> promptHeardAtMillis = new HashMap<>();
+    final Map<Long, Long> originHeardAtMillis = new HashMap<>();
     final Set<String> listedEngines = new HashSet<>();
     int running = 1;
     int sent;
@@ -121,6 +123,11 @@
         List.of(new PlacedPrompt(ENGINE, 10, List.of(new PromptPart(partId, 5_000)))));
   }
 
+  void beginStream(Node node, long key) {
+    node.originHeardAtMillis.put(key, millis);
+    node.overlay.addOrigins(List.of(new StreamOrigin(key, "llm", "v1")));
+  }
+
   long millis() {
     return millis;
   }
@@ -165,6 +172,9 @@
     for (PlacedPrompt prompt : message.load().prompts()) {
       node.promptHeardAtMillis.putIfAbsent(prompt.parts().get(0).id(), millis);
     }
+    for (StreamOrigin origin : message.streams().origins()) {
+      node.originHeardAtMillis.putIfAbsent(origin.key(), millis);
+    }
     message.listings().forEach(listing -> node.listedEngines.add(listing.engineId()));
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -444,7 +444,7 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
-    /** The engine that read the prompt gives its KV cache away once. */
+    /** The engine that read the prompt gives its KV cache away once, unless it has ended. */
     private boolean takeHandle(String source) throws IOException {
       int slash = source.indexOf('/');
       URI uri =
@@ -452,7 +452,11 @@
               "http://" + source.substring(0, slash) + HANDLE_PATH + source.substring(slash + 1));
       HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
       connection.setRequestMethod("DELETE");
-      return connection.getResponseCode() == HttpStatus.OK_200;
+      try {
+        return connection.getResponseCode() == HttpStatus.OK_200;
+      } catch (IOException e) {
+        return false;
+      }
     }
 
     private void prefill(Request request, Response response, Callback callback, EngineFault fault)
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -191,11 +191,7 @@
       return false;
     }
     crashed.add(engine);
-    try {
-      engine.close();
-    } catch (Exception e) {
-      throw new IllegalStateException(engine.id() + " does not end", e);
-    }
+    close(engine);
     return true;
   }
 
@@ -239,26 +235,45 @@
   }
 
   /**
-   * Starts an engine of another software version, which takes the place of an engine in every list.
-   * That one is listed as leaving and serves on until {@link #end}.
+   * Starts engines of another software version, which take the places of decode engines in every
+   * list. Those are listed as leaving and serve on until {@link #end}.
+   *
+   * @param target index among the decode engines of the first that is replaced
+   * @param count how many are replaced, at most
+   * @return the engines that leave
    */
-  public synchronized EmulatedEngine replaceByVersion(EmulatedEngine engine, String softwareVersion)
+  public synchronized List<EmulatedEngine> release(int target, int count, String softwareVersion)
       throws Exception {
-    EmulatedEngine next =
-        new EmulatedEngine(
-            unusedId(engine.id()), engine.service(), softwareVersion, engine.stage());
-    engines.set(engines.indexOf(engine), next);
-    replaced.add(engine);
-    crashing.accept(next);
-    list(next, false);
-    list(engine, true);
-    return next;
+    List<EmulatedEngine> decoders =
+        engines.stream().filter(engine -> engine.stage().equals("decode")).toList();
+    List<EmulatedEngine> leaving = new ArrayList<>();
+    for (int index = 0; index < Math.min(count, decoders.size()); index++) {
+      EmulatedEngine leaver = decoders.get(Math.floorMod(target + index, decoders.size()));
+      EmulatedEngine next =
+          new EmulatedEngine(
+              unusedId(leaver.id()), leaver.service(), softwareVersion, leaver.stage());
+      engines.set(engines.indexOf(leaver), next);
+      replaced.add(leaver);
+      crashing.accept(next);
+      list(next, false);
+      list(leaver, true);
+      leaving.add(leaver);
+    }
+    return leaving;
   }
 
-  /** Ends an engine that was replaced; streams that it runs break off. */
-  public void end(EmulatedEngine engine) throws Exception {
+  /** Ends an engine that was replaced, on a thread of its own; its streams break off. */
+  public void end(EmulatedEngine engine) {
     unlist(engine);
-    engine.close();
+    new Thread(() -> close(engine), "end-" + engine.id()).start();
+  }
+
+  private static void close(EmulatedEngine engine) {
+    try {
+      engine.close();
+    } catch (Exception e) {
+      throw new IllegalStateException(engine.id() + " does not end", e);
+    }
   }
 
   /** Writes an engine's row. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -299,22 +299,12 @@
    */
   void release(int target) throws Exception {
     newestVersion++;
-    List<EmulatedEngine> decoders =
-        platform.engines().stream().filter(engine -> engine.stage().equals("decode")).toList();
-    List<EmulatedEngine> leavers = new ArrayList<>();
-    for (int index = 0; index < Math.min(RELEASED_ENGINES, decoders.size()); index++) {
-      EmulatedEngine leaver = decoders.get(Math.floorMod(target + index, decoders.size()));
-      platform.replaceByVersion(leaver, "v" + newestVersion);
-      leavers.add(leaver);
-    }
-    released.put(target, leavers);
+    released.put(target, platform.release(target, RELEASED_ENGINES, "v" + newestVersion));
   }
 
   /** The engines that were replaced end, with streams that they run. */
-  void endRelease(int target) throws Exception {
-    for (EmulatedEngine leaver : released.remove(target)) {
-      platform.end(leaver);
-    }
+  void endRelease(int target) {
+    released.remove(target).forEach(platform::end);
   }
 
   /** Number of engines that run streams at a software version and do not leave. */
