Do not append a second answer to one that broke off

Callers could get an answer made of two runs that looked whole: a long answer is passed on in parts, its engine broke off, the request may be repeated, and the whole answer of another engine was written behind the parts.

Cause: the rule that lets a broken stream go on at another engine asked only whether the request may be repeated. Only a stream tells the next engine where to go on. Found while the ways by which pieces of two runs can meet were gone through; no run of the users or of ours has shown it, their answers are short.

Fix: once an answer has begun, only a stream is sent on; any other ends unmarked. BrokenStreamTest#longAnswerThatBreaksOffIsNotFollowedByThatOfAnotherEngine (through a whole gateway) and a case of StreamVersionTest failed before. The emulated application breaks off before its last byte instead of after four, so that long answers break off midway.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -12,7 +12,9 @@
 /**
  * Decides whether a request whose attempt failed may be sent again. Correctness comes first: a
  * request that may have run is repeated only where its route allows it, and on no more engines than
- * the route allows. Then the remaining time counts, and last the retry budget that all nodes share.
+ * the route allows; an answer that has begun is continued only if it is a stream, since only a
+ * stream tells another engine where to go on. Then the remaining time counts, and last the retry
+ * budget that all nodes share.
  *
  * <p>Invariant: every send beyond a request's first run and its one successful prefill is taken
  * from the budget here, whatever its purpose. Only the dispatch thread calls.
@@ -106,6 +108,9 @@
     if (outcome.mayHaveRun() && !route.repeatable()) {
       return false;
     }
+    if (outcome == AttemptOutcome.BROKEN_MIDWAY && !route.streaming()) {
+      return false;
+    }
     if (progress.possibleRuns() >= route.maxAttempts()
         || progress.runSends() >= route.maxAttempts() + MAX_SENDS_BEYOND_RUNS) {
       return false;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.streams.StreamOrigin;
 import org.fallturn.core.streams.StreamTracker;
@@ -79,6 +80,19 @@
         .containsExactly(versionOf(next));
   }
 
+  /** Only a stream can be continued; any other answer would be followed by a whole second one. */
+  @Test
+  void answerThatIsNoStreamIsNotRunAgainOnceItHasBegun() {
+    ServingEngine one = Requests.engine("a-1", Requests.APPLICATION, EngineStage.NONE);
+    ServingEngine two = Requests.engine("a-2", Requests.APPLICATION, EngineStage.NONE);
+    Dispatcher dispatcher = Requests.dispatcher(one, two);
+    RequestProgress progress = Requests.application(RequestKind.IDEMPOTENT, 2);
+    dispatcher.start(progress, START);
+    dispatcher.onBegan(progress, after(20));
+    Decision next = dispatcher.onFailure(progress, AttemptOutcome.BROKEN_MIDWAY, after(30));
+    assertThat(((Decision.Refuse) next).kind()).isEqualTo(ErrorKind.OUTCOME_UNKNOWN);
+  }
+
   @Test
   void requestWithoutAnyEventMayGoToAnotherVersion() {
     Dispatcher dispatcher = Requests.dispatcher(first, newer);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -538,7 +538,7 @@
         return;
       }
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
-      part(response, body.substring(0, 4));
+      part(response, body.substring(0, body.length() - 1));
       close(request, callback);
     }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/BrokenStreamTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/BrokenStreamTest.java
@@ -14,6 +14,12 @@
 
   private static final String LAST_CHUNK = "0\r\n\r\n";
 
+  /** More than a gateway keeps of an answer before it passes it on. */
+  private static final int LONG_ANSWER_BYTES = 400_000;
+
+  /** Enough requests to earn the budget of a repeat. */
+  private static final int ANSWERS = 40;
+
   private EmulatedPlatform platform;
   private EmulatedEngine engine;
   private GatewayServer gateway;
@@ -54,6 +60,29 @@
     assertThat(answer).contains("Transfer-Encoding: chunked", "piece-1").doesNotEndWith(LAST_CHUNK);
   }
 
+  /**
+   * Guards against an answer made of two runs. A long answer is passed on in parts; its engine
+   * broke off, the request may be repeated, and the whole answer of another engine was appended to
+   * the parts.
+   */
+  @Test
+  void longAnswerThatBreaksOffIsNotFollowedByThatOfAnotherEngine() throws Exception {
+    EmulatedEngine breaking = platform.addEngine("a-1", EmulatedPlatform.APPLICATION_SERVICE, "");
+    EmulatedEngine other = platform.addEngine("a-2", EmulatedPlatform.APPLICATION_SERVICE, "");
+    breaking.padAnswers(LONG_ANSWER_BYTES);
+    other.padAnswers(LONG_ANSWER_BYTES);
+    await().atMost(Duration.ofSeconds(15)).until(() -> gateway.engineCount() == 3);
+    for (int number = 0; number < 2 * ANSWERS; number++) {
+      if (number == ANSWERS) {
+        breaking.misbehave(EngineFault.BREAK_MIDWAY);
+      }
+      String answer =
+          answer("request-" + number, EmulatedPlatform.IDEMPOTENT, "Connection: close\r\n");
+      assertThat(answer).containsOnlyOnce("answer of a-");
+    }
+    assertThat(breaking.runs()).isNotEmpty();
+  }
+
   /**
    * A stream of two events ended with the body of a failure, as if it were whole: its first engine
    * had ended, and the engine that was to go on with it answered 500, whose body was written behind
