Ask for the contact with the store at each take-up of a stream

Callers could get events of two versions from a gateway that had been suspended: the check whether its list of engines may be out of date ran every 50 ms, and requests that had waited in its sockets came before the first one. Versions that had begun meanwhile were unknown, so that it took the only one that it knew.

Fix: StreamTracker asks at each use, by the steady clock. StreamTrackerTest#nothingIsCertainWhileTheDirectoryMayBeOutOfDate asks without a periodic call in between, which the former interface could not. Left: confirmations of other nodes that waited in a socket count from their receipt, until the next message, some 100 ms.

--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
@@ -46,7 +47,8 @@
   private final Map<String, Deque<Known>> untold = new HashMap<>();
   private final Set<String> services = new HashSet<>();
   private long lifetimeNanos = MIN_LIFETIME.toNanos();
-  private boolean listFresh = true;
+  private BooleanSupplier contact = () -> true;
+  private boolean wasInContact = true;
 
   /** A stream and when this node began it or heard of it. */
   private record Known(StreamOrigin origin, long atNanos) {}
@@ -69,15 +71,20 @@
   }
 
   /**
-   * Sets whether the directory was confirmed as the newest recently; called periodically.
-   *
-   * @param fresh false when this node may have missed engines of another version
+   * Sets how to find out whether the directory was confirmed as the newest recently. It is asked at
+   * each use: a process that was suspended gets requests before any periodic check has run.
    */
-  public void setListFresh(boolean fresh, long nowNanos) {
-    if (fresh && !listFresh) {
+  public void setContact(BooleanSupplier inContact) {
+    contact = inContact;
+  }
+
+  private boolean inContact(long nowNanos) {
+    boolean now = contact.getAsBoolean();
+    if (now && !wasInContact) {
       versions.restartWatch(nowNanos);
     }
-    listFresh = fresh;
+    wasInContact = now;
+    return now;
   }
 
   /**
@@ -100,7 +107,7 @@
   }
 
   private Optional<String> soleVersion(String service, long nowNanos) {
-    return listFresh ? versions.sole(service, nowNanos) : Optional.empty();
+    return inContact(nowNanos) ? versions.sole(service, nowNanos) : Optional.empty();
   }
 
   /** Records that the first event of a stream, or its continuation, came to this node. */
@@ -158,6 +165,6 @@
 
   /** The versions that this node reports to the others; see {@link StreamReport}. */
   public Map<String, Map<String, Integer>> reportedVersions(long nowNanos) {
-    return listFresh ? versions.report(services, nowNanos) : Map.of();
+    return inContact(nowNanos) ? versions.report(services, nowNanos) : Map.of();
   }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -38,10 +38,12 @@
       new StreamOrigin(StreamOrigin.key("", "r-1"), SERVICE, "v1");
 
   private final StreamTracker tracker = new StreamTracker();
+  private boolean inContact = true;
 
   @BeforeEach
   void configure() {
     tracker.setRouting(routing());
+    tracker.setContact(() -> inContact);
   }
 
   private static RoutingImage routing() {
@@ -117,9 +119,10 @@
   @Test
   void nothingIsCertainWhileTheDirectoryMayBeOutOfDate() {
     tracker.onDirectory(directory("v1"), 0);
-    tracker.setListFresh(false, LIFETIME);
+    inContact = false;
     assertThat(find(OLD_STREAM, LIFETIME)).isEmpty();
-    tracker.setListFresh(true, LIFETIME + 1);
+    inContact = true;
+    assertThat(find(OLD_STREAM, LIFETIME + 1)).isEmpty();
     assertThat(find(OLD_STREAM, 2 * LIFETIME)).isEmpty();
     assertThat(find(OLD_STREAM, 2 * LIFETIME + 1)).contains("v1");
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -67,7 +67,6 @@
   private final List<Exchange> waitingForCacheLists = new ArrayList<>();
   private final List<Exchange> waitingForOrigin = new ArrayList<>();
   private final Map<RequestProgress, Exchange> waitingForEngine = new HashMap<>();
-  private final BooleanSupplier inContact;
   private final BooleanSupplier stopping;
   private long lastHealthNanos;
   private long lastStageNanos;
@@ -97,8 +96,8 @@
     this.pathActions = pathActions;
     this.runs = runs;
     this.scaling = scaling;
-    this.inContact = inContact;
     this.stopping = stopping;
+    dispatcher.resumedStreams().tracker().setContact(inContact);
   }
 
   private void onCacheListed(DispatchEvent.CacheListed answer, long now) {
@@ -457,7 +456,6 @@
     runs.onTick(now);
     if (now - lastHealthNanos >= HEALTH_NANOS) {
       lastHealthNanos = now;
-      dispatcher.resumedStreams().tracker().setListFresh(inContact.getAsBoolean(), now);
       dispatcher.onTick(now);
       pathActions.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
