--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
@@ -2,10 +2,16 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpFields;
+import org.fallturn.core.dispatch.CacheSource;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.gateway.EngineCall;
+import org.fallturn.node.gateway.EngineProtocol;
 import org.fallturn.node.gateway.GatewayPlatform;
 import org.fallturn.node.gateway.RowDecoder;
 import org.fallturn.rehearsal.faults.FaultProxy;
@@ -21,13 +27,14 @@
 
   private final FaultProxy proxy = new FaultProxy(1);
   private final Map<String, NetworkAddress> addresses = new ConcurrentHashMap<>();
+  private final Map<NetworkAddress, NetworkAddress> engines = new ConcurrentHashMap<>();
 
   /** Lets a gateway with these adapters reach each engine by a link of its own. */
   public GatewayPlatform putBefore(GatewayPlatform adapters) {
     RowDecoder<ServingEngine> decoder = adapters.engineDecoder();
     return new GatewayPlatform(
         adapters.callers(),
-        adapters.engines(),
+        namingEngines(adapters.engines()),
         adapters.routingFeed(),
         adapters.isRouting(),
         adapters.routingDecoder(),
@@ -42,14 +49,57 @@
         adapters.readinessPath());
   }
 
+  /**
+   * Names the engines themselves where one is to fetch from another: the link is the gateway's, and
+   * engines reach each other whatever its faults.
+   */
+  private EngineProtocol namingEngines(EngineProtocol protocol) {
+    return (EngineProtocol)
+        Proxy.newProxyInstance(
+            EngineProtocol.class.getClassLoader(),
+            new Class<?>[] {EngineProtocol.class},
+            (self, method, arguments) -> {
+              try {
+                boolean head = method.getName().equals("requestHeaders");
+                return head
+                    ? protocol.requestHeaders(
+                        (HttpFields) arguments[0], fetchingFromEngines((EngineCall) arguments[1]))
+                    : method.invoke(protocol, arguments);
+              } catch (InvocationTargetException e) {
+                throw e.getCause();
+              }
+            });
+  }
+
+  private EngineCall fetchingFromEngines(EngineCall call) {
+    return new EngineCall(
+        call.engine(),
+        call.prefillOnly(),
+        call.source().map(from -> new CacheSource(unlinked(from.engine()), from.handle())),
+        call.fetchFrom().map(this::unlinked),
+        call.caller(),
+        call.timeLeft(),
+        call.priority(),
+        call.lastEventId());
+  }
+
+  private ServingEngine unlinked(ServingEngine engine) {
+    return at(engine, engines.getOrDefault(engine.address(), engine.address()));
+  }
+
   private ServingEngine behindLink(ServingEngine engine) {
     NetworkAddress link = addresses.computeIfAbsent(engine.id(), id -> open(id, engine.address()));
+    engines.put(link, engine.address());
+    return at(engine, link);
+  }
+
+  private static ServingEngine at(ServingEngine engine, NetworkAddress address) {
     return new ServingEngine(
         engine.listedId(),
         engine.bornMillis(),
         engine.service(),
         engine.softwareVersion(),
-        link,
+        address,
         engine.zone(),
         engine.slots(),
         engine.leaving(),
