Name reports and resumed streams by the usual terms

Names and comments only: what is reported to other nodes was called told, and a stream that a caller resumes was called taken up, the wording of the users' pages. The soak's check GOES_ON is STREAMS_RESUMED. No behaviour changes; the tests of streams, the soak's checks and MixedVersionsTest pass.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
@@ -55,7 +55,7 @@
   /**
    * Binds a request that continues a stream; does nothing with any other.
    *
-   * @return the refusal of a stream of which nobody knows where it began
+   * @return the refusal, if the version that began the stream is not known
    */
   Optional<Decision> bind(RequestProgress progress, long nowNanos) {
     if (progress.envelope().resumed().isEmpty()) {
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/SoftwareVersions.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/SoftwareVersions.java
@@ -18,7 +18,7 @@
  * <p>Invariant: {@link #sole} names a version only if no stream of the service can have begun at
  * another one within its lifetime, as far as a directory tells that has been followed for that long
  * by this node or by one that reported to it. Reports contain only what the reporting node's own
- * directory listed: repeated hearsay would never expire. Not thread-safe.
+ * directory listed: a version that nodes repeat to each other would never expire. Not thread-safe.
  */
 final class SoftwareVersions {
 
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamReport.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamReport.java
@@ -5,7 +5,7 @@
 import java.util.stream.Collectors;
 
 /**
- * What a node tells another about the versions that began streams. Immutable.
+ * What a node reports to another about the versions that began streams. Immutable.
  *
  * @param versions by service and software version, how many ms ago the sender's own directory last
  *     listed an engine of it; without a service whose versions the sender has not watched for long
@@ -14,7 +14,7 @@
  */
 public record StreamReport(Map<String, Map<String, Integer>> versions, List<StreamOrigin> origins) {
 
-  /** A report that tells nothing. */
+  /** A report without content. */
   public static final StreamReport NONE = new StreamReport(Map.of(), List.of());
 
   /** Copies the collections. */
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -21,12 +21,12 @@
 /**
  * Finds the software version that began a stream which a caller continues, possibly at another
  * node. While all streams of a service began at one version, that version is the answer and nodes
- * tell each other nothing. Otherwise, each node tells the others at which version its streams
- * begin, as soon as they do; what is told of a stream never changes.
+ * report no streams to each other. Otherwise, each node reports at which version its streams begin,
+ * as soon as they do; a report about a stream never changes.
  *
  * <p>Invariant: {@link #find} never guesses. It is empty when the streams of a service can have
- * begun at several versions, or when this node cannot know that, and nobody told where this one
- * began. Confined to the dispatch thread.
+ * begun at several versions, or when this node cannot know that, and no node reported this one.
+ * Confined to the dispatch thread.
  */
 public final class StreamTracker {
 
@@ -40,17 +40,17 @@
   private static final int MAX_STREAMS = 50_000;
 
   /** Bounds what is sent when a service gets a second version: the latest streams of this node. */
-  private static final int MAX_UNTOLD_PER_SERVICE = 2_000;
+  private static final int MAX_UNREPORTED_PER_SERVICE = 2_000;
 
   private final SoftwareVersions versions = new SoftwareVersions(MIN_LIFETIME.toNanos());
   private final Map<Long, Known> streams = new LinkedHashMap<>();
-  private final Map<String, Deque<Known>> untold = new HashMap<>();
+  private final Map<String, Deque<Known>> unreported = new HashMap<>();
   private final Set<String> services = new HashSet<>();
   private long lifetimeNanos = MIN_LIFETIME.toNanos();
   private BooleanSupplier contact = () -> true;
   private boolean wasInContact = true;
 
-  /** A stream and when this node began it or heard of it. */
+  /** A stream, and when it began at this node or was reported to it. */
   private record Known(StreamOrigin origin, long atNanos) {}
 
   /** Applies a newer set of routes. */
@@ -92,15 +92,15 @@
    *
    * @param key key of the request that brought its first event; empty when the caller does not name
    *     it
-   * @param candidates services of the route; the first is taken where nobody told of the stream
+   * @param candidates services of the route; the first is taken where no node reported the stream
    */
   public Optional<StreamOrigin> find(Optional<Long> key, List<String> candidates, long nowNanos) {
-    Optional<StreamOrigin> told =
+    Optional<StreamOrigin> reported =
         key.map(streams::get)
             .filter(known -> nowNanos - known.atNanos <= lifetimeNanos)
             .map(Known::origin)
             .filter(origin -> candidates.contains(origin.service()));
-    return told.or(
+    return reported.or(
         () ->
             soleVersion(candidates.get(0), nowNanos)
                 .map(version -> new StreamOrigin(key.orElse(0L), candidates.get(0), version)));
@@ -114,9 +114,9 @@
   public void onBegan(StreamOrigin origin, long nowNanos) {
     Known begun = new Known(origin, nowNanos);
     remember(begun);
-    Deque<Known> waiting = untold.computeIfAbsent(origin.service(), name -> new ArrayDeque<>());
+    Deque<Known> waiting = unreported.computeIfAbsent(origin.service(), name -> new ArrayDeque<>());
     waiting.addLast(begun);
-    if (waiting.size() > MAX_UNTOLD_PER_SERVICE) {
+    if (waiting.size() > MAX_UNREPORTED_PER_SERVICE) {
       waiting.removeFirst();
     }
   }
@@ -141,18 +141,18 @@
     }
   }
 
-  /** Whether the other nodes are to hear of streams that began at this node. */
-  public boolean hasUntold(long nowNanos) {
-    return untold.entrySet().stream()
+  /** Whether streams that began at this node are to be reported to the other nodes. */
+  public boolean hasUnreported(long nowNanos) {
+    return unreported.entrySet().stream()
         .anyMatch(
             waiting ->
                 !waiting.getValue().isEmpty() && soleVersion(waiting.getKey(), nowNanos).isEmpty());
   }
 
-  /** Removes and returns the streams that the other nodes are to hear of. */
-  public List<StreamOrigin> takeUntold(long nowNanos) {
+  /** Removes and returns the streams to report to the other nodes. */
+  public List<StreamOrigin> takeUnreported(long nowNanos) {
     List<StreamOrigin> taken = new ArrayList<>();
-    for (Map.Entry<String, Deque<Known>> waiting : untold.entrySet()) {
+    for (Map.Entry<String, Deque<Known>> waiting : unreported.entrySet()) {
       if (soleVersion(waiting.getKey(), nowNanos).isEmpty()) {
         waiting.getValue().stream()
             .filter(known -> nowNanos - known.atNanos() <= lifetimeNanos)
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/StreamVersionTest.java
@@ -71,11 +71,11 @@
     StreamTracker tracker = dispatcher.resumedStreams().tracker();
     RequestProgress progress = Requests.prompt(true, 0, 300);
     dispatcher.start(progress, START);
-    assertThat(tracker.takeUntold(START)).isEmpty();
+    assertThat(tracker.takeUnreported(START)).isEmpty();
     Decision next = dispatcher.onFailure(progress, AttemptOutcome.LOST, after(10));
-    assertThat(tracker.takeUntold(after(10))).isEmpty();
+    assertThat(tracker.takeUnreported(after(10))).isEmpty();
     dispatcher.onBegan(progress, after(20));
-    assertThat(tracker.takeUntold(after(20)))
+    assertThat(tracker.takeUnreported(after(20)))
         .extracting(StreamOrigin::softwareVersion)
         .containsExactly(versionOf(next));
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/peers/RelayOverlayTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/peers/RelayOverlayTest.java
@@ -146,7 +146,7 @@
       long begun = fleet.millis();
       fleet.run(300 + 5 * random.nextInt(20));
       for (Node node : all) {
-        assertThat(node.originHeardAtMillis).as("told to all").containsKey(key);
+        assertThat(node.originHeardAtMillis).as("reported to all").containsKey(key);
         int wait = node.overlay.isRelay() ? 100 : 100 + 2 * RELAY_LAG_MILLIS;
         assertThat(node.originHeardAtMillis.get(key) - begun).isLessThan(wait);
       }
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -128,22 +128,22 @@
   }
 
   @Test
-  void nodesTellEachOtherNothingWhileThereIsOneVersion() {
+  void noStreamIsReportedWhileThereIsOneVersion() {
     tracker.onDirectory(directory("v1"), 0);
     tracker.onBegan(OLD_STREAM, LIFETIME);
-    assertThat(tracker.hasUntold(LIFETIME)).isFalse();
-    assertThat(tracker.takeUntold(LIFETIME)).isEmpty();
+    assertThat(tracker.hasUnreported(LIFETIME)).isFalse();
+    assertThat(tracker.takeUnreported(LIFETIME)).isEmpty();
   }
 
   /** Streams that run when the second version appears have begun at the first. */
   @Test
-  void streamsOfBeforeTheSecondVersionAreToldWhenItAppears() {
+  void earlierStreamsAreReportedWhenASecondVersionAppears() {
     tracker.onDirectory(directory("v1"), 0);
     tracker.onBegan(OLD_STREAM, LIFETIME);
     tracker.onDirectory(directory("v1", "v2"), LIFETIME + 1);
-    assertThat(tracker.hasUntold(LIFETIME + 1)).isTrue();
-    assertThat(tracker.takeUntold(LIFETIME + 1)).containsExactly(OLD_STREAM);
-    assertThat(tracker.hasUntold(LIFETIME + 1)).isFalse();
+    assertThat(tracker.hasUnreported(LIFETIME + 1)).isTrue();
+    assertThat(tracker.takeUnreported(LIFETIME + 1)).containsExactly(OLD_STREAM);
+    assertThat(tracker.hasUnreported(LIFETIME + 1)).isFalse();
   }
 
   @Test
@@ -175,8 +175,8 @@
   }
 
   /**
-   * Nodes restart, directories lag, reports are lost, versions come and go; a stream that is taken
-   * up anywhere is found at its own version or not at all.
+   * Nodes restart, directories lag, reports are lost, versions come and go; a stream that is
+   * resumed anywhere is found at its own version or not at all.
    */
   @Property(tries = 60)
   void streamIsFoundAtItsOwnVersionOrNotAtAll(@ForAll Random random) {
@@ -269,12 +269,12 @@
       String version = listed.get(random.nextInt(listed.size()));
       StreamOrigin stream = new StreamOrigin(++streams, SERVICE, version);
       trackers.get(node).onBegan(stream, now * STEP);
-      int takenUpAfter = FIRST_EVENT_STEPS + random.nextInt(LAST_EVENT_STEPS - FIRST_EVENT_STEPS);
+      int resumedAfter = FIRST_EVENT_STEPS + random.nextInt(LAST_EVENT_STEPS - FIRST_EVENT_STEPS);
       int elsewhere = random.nextInt(NODES);
-      in(takenUpAfter, () -> takeUp(stream, elsewhere));
+      in(resumedAfter, () -> resume(stream, elsewhere));
     }
 
-    private void takeUp(StreamOrigin stream, int node) {
+    private void resume(StreamOrigin stream, int node) {
       Optional<StreamOrigin> origin =
           trackers.get(node).find(Optional.of(stream.key()), SERVICES, now * STEP);
       asked++;
@@ -285,7 +285,7 @@
     private void report(int node) {
       StreamTracker sender = trackers.get(node);
       StreamReport report =
-          new StreamReport(sender.reportedVersions(now * STEP), sender.takeUntold(now * STEP));
+          new StreamReport(sender.reportedVersions(now * STEP), sender.takeUnreported(now * STEP));
       for (int other = 0; other < NODES; other++) {
         int target = other;
         if (other != node && random.nextInt(20) > 0) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -416,7 +416,7 @@
       peers.sendNow(now);
       updateQuarantine(now);
     } else if (dispatcher.fleet().hasNewPrompts()
-        || dispatcher.resumedStreams().tracker().hasUntold(now)) {
+        || dispatcher.resumedStreams().tracker().hasUnreported(now)) {
       peers.sendDue(now);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerMessenger.java
@@ -86,7 +86,7 @@
       overlay.addPrompts(dispatcher.fleet().takeNewPrompts());
     }
     StreamTracker streams = dispatcher.resumedStreams().tracker();
-    overlay.addOrigins(streams.takeUntold(nowNanos));
+    overlay.addOrigins(streams.takeUnreported(nowNanos));
     sender.accept(
         overlay.due(
             () ->
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -242,32 +242,32 @@
           found.add(call.requestId() + " got " + call.body());
         }
       }
-      for (SoakRecord.TakeUp takeUp : record.control().streams().takeUps()) {
-        if (!Set.of(takeUp.began()).containsAll(StreamEvents.versions(takeUp.body()))) {
+      for (SoakRecord.Resumption resumption : record.control().streams().resumptions()) {
+        if (!Set.of(resumption.began()).containsAll(StreamEvents.versions(resumption.body()))) {
           found.add(
-              takeUp.firstAttempt()
+              resumption.firstAttempt()
                   + " began at "
-                  + takeUp.began()
+                  + resumption.began()
                   + " and went on at gateway "
-                  + takeUp.gateway()
+                  + resumption.gateway()
                   + " with "
-                  + takeUp.body());
+                  + resumption.body());
         }
       }
       return found;
     }
   },
-  /** Streams that are taken up go on at least half as often as new ones are served. */
-  GOES_ON {
+  /** Streams are resumed at least half as often as new ones are served. */
+  STREAMS_RESUMED {
     @Override
     List<String> violations(SoakRecord record) {
-      List<SoakRecord.TakeUp> promised = record.control().streams().promised();
+      List<SoakRecord.Resumption> promised = record.control().streams().promised();
       List<SoakRecord.Call> begun = record.control().streams().begun();
-      long wentOn = promised.stream().filter(SoakRecord.TakeUp::wentOn).count();
+      long succeeded = promised.stream().filter(SoakRecord.Resumption::succeeded).count();
       boolean less =
-          wentOn * (double) begun.size() < GOES_ON_PART * served(begun) * promised.size();
-      return promised.size() >= TAKE_UPS_COUNTED && less
-          ? List.of(wentOn + " of " + promised.size() + " streams went on")
+          succeeded * (double) begun.size() < RESUMED_PART * served(begun) * promised.size();
+      return promised.size() >= MIN_RESUMPTIONS && less
+          ? List.of(succeeded + " of " + promised.size() + " streams were resumed")
           : List.of();
     }
   },
@@ -347,9 +347,9 @@
   private static final int FAILED_TOLERATED = 10;
   private static final double FAILED_PART = 1.0 / 50;
 
-  private static final int TAKE_UPS_COUNTED = 12;
+  private static final int MIN_RESUMPTIONS = 12;
 
-  private static final double GOES_ON_PART = 0.5;
+  private static final double RESUMED_PART = 0.5;
 
   private static long served(List<SoakRecord.Call> calls) {
     return calls.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -29,18 +29,18 @@
   private static final int POISON_PAUSE_MILLIS = 300;
 
   /** One whole stream in so many is continued as if its last events had not come. */
-  private static final int TAKE_UPS_ONE_IN = 4;
+  private static final int RESUMED_ONE_IN = 4;
 
-  private static final int TAKE_UP_TRIES = 2;
+  private static final int RESUME_TRIES = 2;
 
-  /** A stream is promised to go on while so many engines of its version serve. */
+  /** A resumption is promised to succeed while so many engines of its version serve. */
   private static final int ENGINES_OF_A_PROMISE = 2;
 
   private final EmulatedClient client = new EmulatedClient();
   private final Queue<SoakRecord.Call> calls = new ConcurrentLinkedQueue<>();
   private final List<Thread> threads = new ArrayList<>();
   private final Queue<SoakRecord.PoisonSend> poisonSends = new ConcurrentLinkedQueue<>();
-  private final Queue<SoakRecord.TakeUp> takeUps = new ConcurrentLinkedQueue<>();
+  private final Queue<SoakRecord.Resumption> resumptions = new ConcurrentLinkedQueue<>();
   private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private volatile boolean stopped;
@@ -160,7 +160,7 @@
     EmulatedClient.Answer answer =
         client.send(gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE).await();
     if (kind == SoakRecord.Kind.RESUMABLE_STREAM) {
-      takeUp(answer, prompt, random);
+      resume(answer, prompt, random);
     }
     calls.add(
         new SoakRecord.Call(
@@ -179,24 +179,24 @@
    * Continues a stream that broke off after its first event, and some that did not, as callers do
    * whose connection broke; at any gateway, until its end has come or for a few tries.
    */
-  private void takeUp(EmulatedClient.Answer begun, int prompt, Random random)
+  private void resume(EmulatedClient.Answer begun, int prompt, Random random)
       throws InterruptedException, ExecutionException {
     Optional<String> version = StreamEvents.firstVersion(begun.body());
-    boolean pretend = begun.whole() && random.nextInt(TAKE_UPS_ONE_IN) == 0;
+    boolean pretend = begun.whole() && random.nextInt(RESUMED_ONE_IN) == 0;
     if (version.isEmpty() || begun.whole() && !pretend) {
       return;
     }
     int last =
         pretend ? 1 + random.nextInt(StreamEvents.COUNT - 1) : StreamEvents.last(begun.body());
-    for (int attempt = 0; attempt < TAKE_UP_TRIES && last < StreamEvents.COUNT; attempt++) {
+    for (int attempt = 0; attempt < RESUME_TRIES && last < StreamEvents.COUNT; attempt++) {
       int target = random.nextInt(Integer.MAX_VALUE);
       int before = fleet.decoders(version.get());
       long sent = System.nanoTime();
       EmulatedClient.Answer answer =
           client.resume(fleet.gateway(target).callers(), prompt, begun.requestId(), last).await();
       boolean promised = Math.min(before, fleet.decoders(version.get())) >= ENGINES_OF_A_PROMISE;
-      takeUps.add(
-          new SoakRecord.TakeUp(
+      resumptions.add(
+          new SoakRecord.Resumption(
               begun.requestId(),
               fleet.indexOf(target),
               sent,
@@ -212,8 +212,8 @@
   }
 
   /** The streams that callers continued. */
-  List<SoakRecord.TakeUp> takeUps() {
-    return List.copyOf(takeUps);
+  List<SoakRecord.Resumption> resumptions() {
+    return List.copyOf(resumptions);
   }
 
   private static String path(SoakRecord.Kind kind) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -121,20 +121,20 @@
   }
 
   /**
-   * Streams that may be continued.
+   * Streams that may be resumed.
    *
    * @param begun requests for new ones, of gateways that were in touch
-   * @param takeUps requests that continued one
+   * @param resumptions requests that continued one
    */
-  record Streams(List<Call> begun, List<TakeUp> takeUps) {
+  record Streams(List<Call> begun, List<Resumption> resumptions) {
 
     static Streams none() {
       return new Streams(List.of(), List.of());
     }
 
-    /** The ones that were promised to go on. */
-    List<TakeUp> promised() {
-      return takeUps.stream().filter(TakeUp::promised).toList();
+    /** The resumptions that were promised to succeed. */
+    List<Resumption> promised() {
+      return resumptions.stream().filter(Resumption::promised).toList();
     }
   }
 
@@ -150,7 +150,7 @@
    * @param promised whether its gateway was in touch, and two engines of its version served, from
    *     its request to its answer
    */
-  record TakeUp(
+  record Resumption(
       String firstAttempt,
       int gateway,
       long sentNanos,
@@ -160,12 +160,12 @@
       boolean whole,
       boolean promised) {
 
-    boolean wentOn() {
+    boolean succeeded() {
       return status == 200 && whole;
     }
 
-    TakeUp promisedOnlyIf(boolean inTouch) {
-      return new TakeUp(
+    Resumption promisedOnlyIf(boolean inTouch) {
+      return new Resumption(
           firstAttempt, gateway, sentNanos, began, status, body, whole, promised && inTouch);
     }
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -81,7 +81,7 @@
                 orders(fleet),
                 ends(fleet),
                 cutOffs(calls),
-                streams(calls, load.takeUps())),
+                streams(calls, load.resumptions())),
             calmFrom);
       }
     }
@@ -292,16 +292,17 @@
   }
 
   /** What a gateway of another build does with streams says nothing of this one. */
-  private SoakRecord.Streams streams(List<SoakRecord.Call> calls, List<SoakRecord.TakeUp> takeUps) {
+  private SoakRecord.Streams streams(
+      List<SoakRecord.Call> calls, List<SoakRecord.Resumption> resumptions) {
     List<SoakRecord.Call> begun =
         calls.stream()
             .filter(call -> call.kind() == SoakRecord.Kind.RESUMABLE_STREAM)
             .filter(call -> inTouch(call.gateway(), call.sentNanos()))
             .toList();
-    return new SoakRecord.Streams(begun, ofThisBuild(takeUps));
+    return new SoakRecord.Streams(begun, ofThisBuild(resumptions));
   }
 
-  private List<SoakRecord.TakeUp> ofThisBuild(List<SoakRecord.TakeUp> all) {
+  private List<SoakRecord.Resumption> ofThisBuild(List<SoakRecord.Resumption> all) {
     return all.stream()
         .filter(one -> otherBuild.isEmpty() || !ranOtherBuild(one.gateway(), one.sentNanos()))
         .map(
@@ -362,11 +363,11 @@
                 out.printf(
                     "  %s crashed %d engines, %d arrivals%n",
                     poison.body(), poison.crashNanos().size(), poison.sends().size()));
-    List<SoakRecord.TakeUp> takeUps = record.control().streams().takeUps();
-    List<SoakRecord.TakeUp> promised = record.control().streams().promised();
+    List<SoakRecord.Resumption> resumptions = record.control().streams().resumptions();
+    List<SoakRecord.Resumption> promised = record.control().streams().promised();
     out.printf(
-        "%d streams taken up, %d went on; %d of %d promised ones%n",
-        takeUps.size(), wentOn(takeUps), wentOn(promised), promised.size());
+        "%d streams resumed, %d successfully; %d of %d promised ones%n",
+        resumptions.size(), succeeded(resumptions), succeeded(promised), promised.size());
     boolean kept = true;
     for (SoakCheck check : SoakCheck.values()) {
       List<String> violations = check.violations(record);
@@ -378,7 +379,7 @@
     return kept;
   }
 
-  private static long wentOn(List<SoakRecord.TakeUp> takeUps) {
-    return takeUps.stream().filter(SoakRecord.TakeUp::wentOn).count();
+  private static long succeeded(List<SoakRecord.Resumption> resumptions) {
+    return resumptions.stream().filter(SoakRecord.Resumption::succeeded).count();
   }
 }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/MixedVersionsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/MixedVersionsTest.java
@@ -132,7 +132,7 @@
   }
 
   @Test
-  void streamTakenUpAtAnotherGatewayGoesOnAtTheVersionThatBeganIt() throws Exception {
+  void streamResumedAtAnotherGatewayGoesOnAtTheVersionThatBeganIt() throws Exception {
     for (EmulatedClient.Answer begun : beginAtBothVersions()) {
       awaitResumed(second, begun);
     }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -409,22 +409,23 @@
     assertThat(whenCutOff(50, 170)).isEmpty();
   }
 
-  private static SoakRecord.TakeUp takeUp(int status, String body) {
-    return new SoakRecord.TakeUp("begun", 0, seconds(20), "v1", status, body, status != 0, true);
+  private static SoakRecord.Resumption resumption(int status, String body) {
+    return new SoakRecord.Resumption(
+        "begun", 0, seconds(20), "v1", status, body, status != 0, true);
   }
 
-  private static SoakRecord withTakeUps(List<SoakRecord.TakeUp> takeUps) {
+  private static SoakRecord withResumptions(List<SoakRecord.Resumption> resumptions) {
     SoakRecord.Call begun = call("begun", SoakRecord.Kind.RESUMABLE_STREAM, 200, WHOLE);
-    SoakRecord.Streams streams = new SoakRecord.Streams(List.of(begun), takeUps);
+    SoakRecord.Streams streams = new SoakRecord.Streams(List.of(begun), resumptions);
     return withControl(new SoakRecord.Control(List.of(), Map.of(), NO_ENDS, List.of(), streams));
   }
 
   @Test
   void streamWithEventsOfTwoVersionsIsFound() {
-    SoakRecord.TakeUp same = takeUp(200, StreamEvents.after(2, "v1"));
-    SoakRecord.TakeUp other = takeUp(200, StreamEvents.after(2, "v2"));
-    assertThat(broken(withTakeUps(List.of(same)))).isEmpty();
-    assertThat(broken(withTakeUps(List.of(other)))).containsExactly(SoakCheck.ONE_VERSION);
+    SoakRecord.Resumption same = resumption(200, StreamEvents.after(2, "v1"));
+    SoakRecord.Resumption other = resumption(200, StreamEvents.after(2, "v2"));
+    assertThat(broken(withResumptions(List.of(same)))).isEmpty();
+    assertThat(broken(withResumptions(List.of(other)))).containsExactly(SoakCheck.ONE_VERSION);
     String mixed = StreamEvents.after(0, "v1").replace("piece-4 of v1", "piece-4 of v2");
     SoakRecord.Call answer = call("one", SoakRecord.Kind.RESUMABLE_STREAM, 200, mixed);
     assertThat(broken(oneCall(answer, 2))).containsExactly(SoakCheck.ONE_VERSION);
@@ -432,13 +433,13 @@
 
   @Test
   void streamsThatAreRefusedThoughTheirVersionServesAreFound() {
-    SoakRecord.TakeUp refused = takeUp(503, "");
-    SoakRecord.TakeUp wentOn = takeUp(200, StreamEvents.after(2, "v1"));
-    List<SoakRecord.TakeUp> half = new ArrayList<>(Collections.nCopies(6, refused));
-    half.addAll(Collections.nCopies(6, wentOn));
-    assertThat(broken(withTakeUps(half))).isEmpty();
+    SoakRecord.Resumption refused = resumption(503, "");
+    SoakRecord.Resumption succeeded = resumption(200, StreamEvents.after(2, "v1"));
+    List<SoakRecord.Resumption> half = new ArrayList<>(Collections.nCopies(6, refused));
+    half.addAll(Collections.nCopies(6, succeeded));
+    assertThat(broken(withResumptions(half))).isEmpty();
     half.add(refused);
-    assertThat(broken(withTakeUps(half))).containsExactly(SoakCheck.GOES_ON);
-    assertThat(broken(withTakeUps(Collections.nCopies(11, refused)))).isEmpty();
+    assertThat(broken(withResumptions(half))).containsExactly(SoakCheck.STREAMS_RESUMED);
+    assertThat(broken(withResumptions(Collections.nCopies(11, refused)))).isEmpty();
   }
 }
