Soak: leave out what a gateway of another build does with streams

The check ONE_VERSION left such gateways out of resumed streams only; now of all answers. Without another build nothing changes. SoakCheckTest passes.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -121,15 +121,16 @@
   }
 
   /**
-   * Streams that may be resumed.
+   * Streams of gateways that run this build.
    *
+   * @param answers all answers of model engines
    * @param begun requests for new ones, of gateways that were in touch
    * @param resumptions requests that continued one
    */
-  record Streams(List<Call> begun, List<Resumption> resumptions) {
+  record Streams(List<Call> answers, List<Call> begun, List<Resumption> resumptions) {
 
     static Streams none() {
-      return new Streams(List.of(), List.of());
+      return new Streams(List.of(), List.of(), List.of());
     }
 
     /** The resumptions that were promised to succeed. */
