--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/MixedVersionsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/MixedVersionsTest.java
@@ -172,4 +172,11 @@
     assertThat(answer.status()).isEqualTo(503);
     assertThat(runsOf(answer.requestId())).isZero();
   }
+
+  @Test
+  void unreadableNameOfAStreamIsAnInvalidRequest() throws Exception {
+    EmulatedClient.Answer answer = resume(second, "x".repeat(201));
+    assertThat(answer.status()).isEqualTo(400);
+    assertThat(runsOf(answer.requestId())).isZero();
+  }
 }
