Log which shared parts a prompt had whose attempt may have ended by a crash

Hypotheses 1 and 3 of the incident can't be told apart: a failed attempt names its content, which is new each time, and not the parts of its prompt that others may share. No logic changes.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -506,7 +506,9 @@
             .addKeyValue("outcome", outcome)
             .addKeyValue("status", head == null ? 0 : head.status());
     if (outcome.mayBeCrash()) {
-      line = line.addKeyValue("content", exchange.progress().content().fingerprint());
+      line =
+          line.addKeyValue("content", exchange.progress().content().fingerprint())
+              .addKeyValue("parts", LogTexts.sharedParts(exchange));
     }
     line.log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
@@ -50,4 +51,11 @@
         .map(PromptPart::id)
         .orElse("");
   }
+
+  /** Returns the ids of all parts of the prompt that other requests may share. */
+  static String sharedParts(Exchange exchange) {
+    return exchange.envelope().prompt().map(PromptShape::sharedParts).orElse(List.of()).stream()
+        .map(PromptPart::id)
+        .collect(Collectors.joining(" "));
+  }
 }
