--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -3,11 +3,13 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -23,6 +25,8 @@
   /** The longest that a call is waited for. */
   public static final Duration LONGEST = Duration.ofSeconds(20);
 
+  private static final int SHARED_PART_TOKENS = 100;
+
   private final HttpClient client = new HttpClient();
   private final AtomicLong number = new AtomicLong();
   private volatile HttpFields ownHeaders = HttpFields.EMPTY;
@@ -89,8 +93,7 @@
    * @param deadline how long it says that it waits
    */
   public Call send(NetworkAddress gateway, String path, int promptTokens, Duration deadline) {
-    byte[] body = ("body of the call " + number.get() + " of " + this).getBytes(UTF_8);
-    return send(gateway, path, promptTokens, deadline, body);
+    return send(gateway, path, promptTokens, deadline, ownBody());
   }
 
   /** Sends a request with a body that others may bear too. */
@@ -98,6 +101,30 @@
     return send(gateway, path, promptTokens, LONGEST, body.getBytes(UTF_8));
   }
 
+  /**
+   * Sends a request like no other whose prompt begins with the given parts, which others may have
+   * too.
+   */
+  public Call sendWithParts(NetworkAddress gateway, String path, List<String> sharedParts) {
+    String prefix =
+        sharedParts.stream()
+            .map(part -> part + ":" + SHARED_PART_TOKENS + ",")
+            .collect(Collectors.joining());
+    HttpFields prompt =
+        HttpFields.build()
+            .put(EmulatedEngine.PREFIX_HASH, prefix + ownPart() + ":" + SHARED_PART_TOKENS);
+    int tokens = SHARED_PART_TOKENS * (sharedParts.size() + 1);
+    return send(gateway, path, tokens, LONGEST, ownBody(), prompt);
+  }
+
+  private String ownPart() {
+    return "own" + Long.toHexString(number.get());
+  }
+
+  private byte[] ownBody() {
+    return ("body of the call " + number.get() + " of " + this).getBytes(UTF_8);
+  }
+
   /** Sends an application request with a body of some size. */
   public Call sendBody(NetworkAddress gateway, String path, int bytes) {
     return send(gateway, path, 0, LONGEST, new byte[bytes]);
@@ -114,8 +141,7 @@
         HttpFields.build()
             .put("Resumes", firstAttempt)
             .put("Last-Event-Id", Integer.toString(lastEvent));
-    byte[] body = ("body of the call " + number.get() + " of " + this).getBytes(UTF_8);
-    return send(gateway, EmulatedPlatform.RESUMABLE, promptTokens, LONGEST, body, resumed);
+    return send(gateway, EmulatedPlatform.RESUMABLE, promptTokens, LONGEST, ownBody(), resumed);
   }
 
   private Call send(
@@ -142,7 +168,7 @@
                 headers -> {
                   write(headers, requestId, promptTokens, deadline);
                   headers.add(ownHeaders);
-                  headers.add(extraHeaders);
+                  extraHeaders.forEach(headers::put);
                 });
     CompletableFuture<Answer> answer = new CompletableFuture<>();
     request.send(
@@ -171,7 +197,7 @@
       headers.put("X-Fallturn-Model", "m");
       headers.put("X-Fallturn-Token-Count", promptTokens + ",80");
       headers.put(
-          "X-Fallturn-Prefix-Hash",
+          EmulatedEngine.PREFIX_HASH,
           "aa:" + shared + "," + requestId.hashCode() + ":" + (promptTokens - shared));
     }
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -62,7 +62,7 @@
   private static final String CACHE_LIST_PATH = "/-/kv-list";
   private static final String REPORT_PATH = "/-/report";
   private static final String ORDER_PATH = "/-/order";
-  private static final String PREFIX_HASH = "X-Fallturn-Prefix-Hash";
+  static final String PREFIX_HASH = "X-Fallturn-Prefix-Hash";
   private static final String LAST_EVENT_ID = "Last-Event-Id";
 
   /** Says that an engine leaves. */
@@ -160,17 +160,16 @@
   }
 
   /**
-   * Crashes on a content.
+   * Crashes on some requests.
    *
-   * @param body the content's body
-   * @param when at which moment
-   * @param crashed hears of it, and is to close this engine
+   * @param crashed is called on a thread of its own, and is to close this engine
    */
-  void crashOn(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {
-    poisons.add(new Poison(body, when, crashed));
+  void crashOn(PoisonRequests requests, EngineCrash when, Consumer<EmulatedEngine> crashed) {
+    poisons.add(new Poison(requests, when, crashed));
   }
 
-  private record Poison(String body, EngineCrash when, Consumer<EmulatedEngine> crashed) {}
+  private record Poison(
+      PoisonRequests requests, EngineCrash when, Consumer<EmulatedEngine> crashed) {}
 
   /**
    * A request that reached it, whatever became of it.
@@ -352,7 +351,9 @@
     private boolean crashes(String body, Request request, Response response, Callback callback)
         throws Exception {
       Optional<Poison> crash =
-          poisons.stream().filter(known -> known.body().equals(body)).findFirst();
+          poisons.stream()
+              .filter(known -> known.requests().include(request.getHeaders(), body))
+              .findFirst();
       boolean onlyReads = request.getHeaders().contains(STAGE_HEADER);
       if (crash.isEmpty() || onlyReads && crash.get().when() != EngineCrash.WHILE_READING) {
         return false;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -165,20 +165,26 @@
    * once, and its row takes the place of the former.
    */
   public synchronized void crashOn(String body, EngineCrash when) {
-    Consumer<EmulatedEngine> before = crashing;
-    crashing =
-        before.andThen(engine -> engine.crashOn(body, when, crashed -> replace(crashed, body)));
-    modelEngines().forEach(crashing);
+    crashOn(PoisonRequests.withBody(body), when);
   }
 
-  /** When engines crashed on a content, by the steady clock. */
-  public synchronized List<Long> crashNanos(String body) {
-    return List.copyOf(crashTimes.getOrDefault(body, List.of()));
+  /** As {@link #crashOn(String, EngineCrash)}, for any requests. */
+  public synchronized void crashOn(PoisonRequests requests, EngineCrash when) {
+    Consumer<EmulatedEngine> added =
+        engine -> engine.crashOn(requests, when, crashed -> replace(crashed, requests.value()));
+    crashing = crashing.andThen(added);
+    modelEngines().forEach(added);
+  }
+
+  /** When engines crashed on a body or a part of a prompt, by the steady clock. */
+  public synchronized List<Long> crashNanos(String poison) {
+    return List.copyOf(crashTimes.getOrDefault(poison, List.of()));
   }
 
   /** The same, but nothing takes an engine's place, and its row stays. */
   public synchronized void crashForGoodOn(String body, EngineCrash when) {
-    modelEngines().forEach(engine -> engine.crashOn(body, when, this::endCrashed));
+    PoisonRequests requests = PoisonRequests.withBody(body);
+    modelEngines().forEach(engine -> engine.crashOn(requests, when, this::endCrashed));
   }
 
   private List<EmulatedEngine> modelEngines() {
@@ -214,12 +220,12 @@
   }
 
   /** The successor has the place of the engine in every list. */
-  private synchronized void replace(EmulatedEngine engine, String body) {
+  private synchronized void replace(EmulatedEngine engine, String poison) {
     int place = engines.indexOf(engine);
     if (!endCrashed(engine)) {
       return;
     }
-    crashTimes.computeIfAbsent(body, known -> new ArrayList<>()).add(System.nanoTime());
+    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
     try {
       EmulatedEngine successor =
           engine.tellsItsStart() ? engine.restarted() : engine.successor(unusedId(engine.id()));
