--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -12,7 +12,6 @@
 import org.fallturn.core.pace.PaceChange;
 import org.fallturn.core.pace.WorkKind;
 import org.fallturn.core.quarantine.Quarantine;
-import org.fallturn.core.quarantine.QuarantineStatus;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
 import org.fallturn.core.routing.RoutingImage;
@@ -54,7 +53,7 @@
   private final ResumedStreams resumedStreams;
   private final ApplicationQueue queue;
   private final List<EndedWait> evictedWaits = new ArrayList<>();
-  private final Quarantine quarantine;
+  private final QuarantineGate gate;
   private Optional<RoutingImage> routing = Optional.empty();
   private EngineDirectory listedEngines = EngineDirectory.empty();
 
@@ -63,7 +62,7 @@
     this.parameters = parameters;
     this.retries = new RetryRules(parameters, peerLoads);
     this.refusals = new Refusals(parameters);
-    this.quarantine = new Quarantine(parameters.node());
+    this.gate = new QuarantineGate(new Quarantine(parameters.node()), refusals);
     long lastResortNanos = parameters.lastResort().toNanos();
     this.notices = new EngineNotices(parameters.node(), lastResortNanos);
     this.speeds = new PrefillSpeeds(() -> this.parameters.prefillTokensPerMilli());
@@ -99,7 +98,7 @@
     queue.retain(selector.knownIds());
     silence.onDirectory(nowNanos);
     pace.onDirectory(directory());
-    quarantine.onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
+    quarantine().onDirectory(engineId -> directory.find(engineId).isPresent(), nowNanos);
   }
 
   /** The listed engines; one that announced its leaving is marked so, whatever its entry says. */
@@ -165,7 +164,7 @@
 
   /** Contents that crash engines, added by whoever gets reports from other nodes or the store. */
   public Quarantine quarantine() {
-    return quarantine;
+    return gate.quarantine();
   }
 
   /** Suspends engines that have fallen silent; called several times a second. */
@@ -174,7 +173,7 @@
     pace.onTick(nowNanos);
     paths.onTick(nowNanos);
     silence.check(nowNanos);
-    quarantine.onTick(this::lastHeard, nowNanos);
+    quarantine().onTick(this::lastHeard, nowNanos);
   }
 
   private OptionalLong lastHeard(String engineId) {
@@ -283,10 +282,11 @@
     if (!outcome.mayHaveReached()) {
       progress.uncountSend();
     }
-    if (!quarantine.status(progress.content(), nowNanos).sendable()) {
+    Optional<Decision> refusal = gate.refusal(progress, nowNanos);
+    if (refusal.isPresent()) {
       return outcome == AttemptOutcome.ANSWERED_FAILURE
           ? refusals.after(progress, outcome, Optional.empty())
-          : refusals.quarantined(progress);
+          : refusal.get();
     }
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
@@ -304,9 +304,7 @@
     if (outcome == AttemptOutcome.NOT_EXECUTED && progress.envelope().prompt().isEmpty()) {
       queue.onRejection(engine, nowNanos);
     }
-    if (outcome.mayBeCrash()) {
-      quarantine.onCrash(progress.content(), engine.id(), nowNanos);
-    }
+    gate.onFailure(progress, engine, outcome, nowNanos);
     if (outcome == AttemptOutcome.MISDIRECTED) {
       selector.cachedParts().forget(engine.id());
     } else {
@@ -328,7 +326,7 @@
     onSignOfLife(progress, nowNanos);
     progress.engine().map(selector::load).ifPresent(load -> load.onSuccess(progress, nowNanos));
     observeResponseTime(progress, nowNanos);
-    quarantine.onSuccess(progress.content(), nowNanos);
+    gate.onSuccess(progress, nowNanos);
     release(progress, true);
   }
 
@@ -399,20 +397,16 @@
     return place(progress, true, nowNanos);
   }
 
-  /**
-   * Every send to an engine goes through this method. Before each send, it refuses a content that
-   * has crashed several engines: when one was sent on under every new id, it crashed 20 engines in
-   * 14 s, and all requests that ran beside it ended with them.
-   */
+  /** Every send to an engine goes through this method. */
   private Decision place(RequestProgress progress, boolean mayPrefill, long nowNanos) {
-    QuarantineStatus status = quarantine.status(progress.content(), nowNanos);
-    if (!status.sendable()) {
-      return refusals.quarantined(progress);
-    }
-    progress.isolate(status == QuarantineStatus.SUSPECTED);
+    return gate.refusal(progress, nowNanos)
+        .orElseGet(() -> placeUnrefused(progress, mayPrefill, nowNanos));
+  }
+
+  private Decision placeUnrefused(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     Decision decision = placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
     if (!(decision instanceof Decision.Refuse)) {
-      quarantine.onSent(progress.content(), progress.envelope().requestId());
+      gate.onSent(progress);
     }
     return decision;
   }
@@ -592,7 +586,7 @@
 
   private void release(RequestProgress progress, boolean mayHaveRun) {
     progress.engine().ifPresent(engine -> selector.load(engine).remove(progress));
-    quarantine.onEnded(progress.envelope().requestId());
+    gate.onEnded(progress);
     progress.endAttempt(mayHaveRun);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptShape.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/PromptShape.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.fallturn.core.quarantine.SharedPart;
 
 /**
  * Size and parts of a prompt, known without reading its text. The last part belongs to the request
@@ -33,6 +34,11 @@
     return parts.isEmpty() ? List.of() : parts.subList(0, parts.size() - 1);
   }
 
+  /** The shared parts as the quarantine knows them. */
+  public List<SharedPart> suspectParts() {
+    return sharedParts().stream().map(part -> new SharedPart(model, part.id())).toList();
+  }
+
   /** Total length of the shared parts, in tokens. */
   public int sharedTokens() {
     return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
--- /dev/null
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/QuarantineGate.java
@@ -0,0 +1,67 @@
+package org.fallturn.core.dispatch;
+
+import java.util.Optional;
+import org.fallturn.core.quarantine.Quarantine;
+import org.fallturn.core.quarantine.QuarantineStatus;
+import org.fallturn.core.routing.ServingEngine;
+
+/**
+ * Applies the quarantine to the sends of the dispatcher: refuses requests that crash engines, lets
+ * suspected ones run where a crash does the least harm, and reports how attempts end.
+ *
+ * <p>Invariant: every send passes {@link #refusal} first. When a content was sent on under every
+ * new id, it crashed 20 engines in 14 s, and all requests that ran beside it ended with them. Only
+ * the dispatch thread calls.
+ */
+final class QuarantineGate {
+
+  private final Quarantine quarantine;
+  private final Refusals refusals;
+
+  QuarantineGate(Quarantine quarantine, Refusals refusals) {
+    this.quarantine = quarantine;
+    this.refusals = refusals;
+  }
+
+  Quarantine quarantine() {
+    return quarantine;
+  }
+
+  /**
+   * Refuses a request that must not be sent now. Otherwise isolates it if it is suspected, and
+   * returns nothing.
+   */
+  Optional<Decision> refusal(RequestProgress progress, long nowNanos) {
+    QuarantineStatus status =
+        quarantine.status(progress.content(), progress.possibleRuns() > 0, nowNanos);
+    progress.isolate(status == QuarantineStatus.SUSPECTED);
+    return switch (status) {
+      case CLEAR, SUSPECTED -> Optional.empty();
+      case ON_TRIAL -> Optional.of(refusals.onTrial(progress));
+      case QUARANTINED ->
+          Optional.of(
+              refusals.quarantined(progress, quarantine.quarantinedParts(progress.content())));
+    };
+  }
+
+  void onSent(RequestProgress progress) {
+    quarantine.onSent(progress.content(), progress.envelope().requestId());
+  }
+
+  /** Handles a failed attempt, before the request is released from its engine. */
+  void onFailure(
+      RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
+    if (outcome.mayBeCrash()) {
+      quarantine.onCrash(
+          progress.content(), engine.id(), progress.attemptForQuarantine(), nowNanos);
+    }
+  }
+
+  void onSuccess(RequestProgress progress, long nowNanos) {
+    quarantine.onSuccess(progress.content(), nowNanos);
+  }
+
+  void onEnded(RequestProgress progress) {
+    quarantine.onEnded(progress.envelope().requestId());
+  }
+}
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -1,9 +1,12 @@
 package org.fallturn.core.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.membership.RendezvousHash;
+import org.fallturn.core.quarantine.SharedPart;
 
 /**
  * Builds the answers to requests that no engine answers.
@@ -178,16 +181,35 @@
   }
 
   /**
-   * Refuses a request whose content crashes engines; there is no retry delay, since a retry would
-   * be refused again.
+   * Refuses a request whose content, or a part of whose prompt, crashes engines; there is no retry
+   * delay, since a retry would be refused again.
+   *
+   * @param parts the parts that crash engines; empty when the whole content does
    */
-  Decision quarantined(RequestProgress progress) {
-    String reason =
-        "Not sent: engines have crashed under this request, whatever its id (content "
-            + progress.content().fingerprint()
-            + ").";
-    ErrorKind kind =
-        progress.possibleRuns() == 0 ? ErrorKind.QUARANTINED : ErrorKind.OUTCOME_UNKNOWN;
-    return new Decision.Refuse(kind, RefusalCause.QUARANTINED, reason, Optional.empty());
+  Decision quarantined(RequestProgress progress, List<SharedPart> parts) {
+    String culprit =
+        parts.isEmpty()
+            ? "under this request, whatever its id (content "
+                + progress.content().fingerprint()
+                + ")"
+            : parts.stream()
+                .map(part -> "part " + part.id())
+                .collect(Collectors.joining(" and ", "under ", " of its prompt"));
+    String reason = "Not sent: engines have crashed " + culprit + ".";
+    return new Decision.Refuse(
+        suspectKind(progress), RefusalCause.QUARANTINED, reason, Optional.empty());
+  }
+
+  /** Refuses a request while another one shows whether a part of the prompt crashes engines. */
+  Decision onTrial(RequestProgress progress) {
+    return new Decision.Refuse(
+        suspectKind(progress),
+        RefusalCause.QUARANTINED,
+        "Not sent: it is being tried whether engines crash under a part of its prompt.",
+        progress.possibleRuns() == 0 ? Optional.of(minRetryAfter) : Optional.empty());
+  }
+
+  private static ErrorKind suspectKind(RequestProgress progress) {
+    return progress.possibleRuns() == 0 ? ErrorKind.QUARANTINED : ErrorKind.OUTCOME_UNKNOWN;
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.quarantine.BrokenAttempt;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
@@ -68,6 +69,14 @@
     isolated = value;
   }
 
+  /** What the engine of the current attempt had to do with the request. */
+  BrokenAttempt attemptForQuarantine() {
+    if (prefilling) {
+      return BrokenAttempt.READ_AHEAD;
+    }
+    return isolated ? BrokenAttempt.RUN_ALONE : BrokenAttempt.RUN;
+  }
+
   /**
    * The only software version whose engines may run the request: the one that began its stream.
    * Empty while none of its events has been passed on.
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -16,8 +15,8 @@
 import org.fallturn.core.membership.RendezvousHash;
 
 /**
- * Tracks the request contents under which engines have crashed, as seen by this node and others,
- * and decides which of them are no longer sent.
+ * Tracks the request contents, and the parts of prompts, under which engines have crashed, as seen
+ * by this node and others, and decides which of them are no longer sent.
  *
  * <p>A content is clear until two engines have crashed under it; then it is suspected, and with the
  * third crash it goes into quarantine. A broken connection counts as a crash only once the engine
@@ -26,8 +25,15 @@
  * #LIFETIME_MILLIS}. A crash also ends all other requests at the engine. Therefore a crash that a
  * quarantined content explains does not count against a content with fewer crashes.
  *
- * <p>Invariant: at most {@link #MAX_SUSPECTS} contents are kept, and those with the most crashes
- * stay. Performs no I/O; one thread calls.
+ * <p>The same evidence is kept for each part of a prompt that requests may share, since one part
+ * may crash engines in requests that are all different. Sound requests share most of these parts.
+ * Four things tell them apart: a part that was answered lately is not suspected; one is held back
+ * only after it has crashed an engine with few other requests; a request that lacks a part which
+ * may explain the crashes as well is sent, alone, and its outcome decides; any answer releases the
+ * parts that it had.
+ *
+ * <p>Invariant: at most {@link SuspectIndex#MAX_SUSPECTS} contents and parts are kept, and those
+ * with the most crashes stay. Performs no I/O; one thread calls.
  */
 public final class Quarantine {
 
@@ -38,12 +44,6 @@
    */
   public static final long LIFETIME_MILLIS = TimeUnit.MINUTES.toMillis(30);
 
-  /**
-   * The most contents to keep, some 300 bytes each. One crash adds as many as the engine has
-   * requests, 48 at most.
-   */
-  static final int MAX_SUSPECTS = 1_024;
-
   /**
    * The most contents in one message, some 100 bytes each, so that the message stays within a few
    * KB.
@@ -77,7 +77,7 @@
   private static final long EXPIRY_CHECK_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final String node;
-  private final Map<RequestFingerprint, Suspect> suspects = new LinkedHashMap<>();
+  private final SuspectIndex suspects = new SuspectIndex();
 
   /**
    * Suspects that may change with time or are due to be reported. Most suspects have a single known
@@ -85,7 +85,7 @@
    */
   private final Set<Suspect> active = new LinkedHashSet<>();
 
-  private final Map<Integer, Integer> sketches = new HashMap<>();
+  private final AnsweredParts answeredParts = new AnsweredParts();
 
   /**
    * Contents that this node has sent and whose requests have not ended, by request id. They show
@@ -109,23 +109,77 @@
     this.node = node;
   }
 
-  /** The status of a content that is about to be sent. */
+  /** The status of a content that is about to be sent for the first time. */
   public QuarantineStatus status(RequestContent content, long nowNanos) {
-    Suspect suspect = find(content);
-    if (suspect == null) {
-      return QuarantineStatus.CLEAR;
+    return status(content, false, nowNanos);
+  }
+
+  /**
+   * The status of a content that is about to be sent: that of its worst trait.
+   *
+   * @param mayHaveCrashed whether an engine that had this request may have crashed under it
+   */
+  public QuarantineStatus status(RequestContent content, boolean mayHaveCrashed, long nowNanos) {
+    QuarantineStatus worst = QuarantineStatus.CLEAR;
+    for (Suspect suspect : suspects.in(content)) {
+      suspect.onAsked(nowNanos);
+      QuarantineStatus status = status(suspect, content, mayHaveCrashed, nowNanos);
+      worst = status.compareTo(worst) > 0 ? status : worst;
     }
-    suspect.onAsked(nowNanos);
-    boolean inFlight = sent.values().stream().anyMatch(copy -> copy.is(suspect.content()));
-    return suspect.statusForSend(inFlight, nowNanos);
+    return worst;
+  }
+
+  private QuarantineStatus status(
+      Suspect suspect, RequestContent content, boolean mayHaveCrashed, long nowNanos) {
+    boolean inFlight = sent.values().stream().anyMatch(copy -> copy.has(suspect.content()));
+    QuarantineStatus status = suspect.statusForSend(inFlight, nowNanos);
+    if (suspect.status() == QuarantineStatus.QUARANTINED && !isHeldBack(suspect, content)) {
+      return suspect.waits(inFlight, nowNanos)
+          ? QuarantineStatus.ON_TRIAL
+          : QuarantineStatus.SUSPECTED;
+    }
+    boolean mayBeCulprit =
+        mayHaveCrashed && suspect.content().isPart() && suspect.hasSeemedToCrash();
+    return status == QuarantineStatus.CLEAR && mayBeCulprit ? QuarantineStatus.SUSPECTED : status;
+  }
+
+  /** Returns whether no node may send the content, whatever runs at present. */
+  public boolean isHeldBack(RequestContent content) {
+    return suspects.in(content).stream().anyMatch(suspect -> isHeldBack(suspect, content));
   }
 
   /**
-   * Finds the suspect for a content. Computes no fingerprint when no known content has the same
-   * sketch.
+   * Returns whether a suspect prevents that a content is sent. A part does not while something that
+   * the content lacks may have caused the same crashes: sending it without the other decides which
+   * of them it was.
    */
-  private Suspect find(RequestContent content) {
-    return sketches.containsKey(content.sketch()) ? suspects.get(content.fingerprint()) : null;
+  private boolean isHeldBack(Suspect suspect, RequestContent content) {
+    if (suspect.status() != QuarantineStatus.QUARANTINED) {
+      return false;
+    }
+    return !suspect.content().isPart()
+        || suspects.all().stream()
+            .filter(other -> other != suspect && suspect.mayBeExplainedBy(other))
+            .allMatch(other -> content.has(other.content()));
+  }
+
+  /**
+   * The shared parts for which a content is held back, for messages to people; none if the whole
+   * content is in quarantine itself.
+   */
+  public List<SharedPart> quarantinedParts(RequestContent content) {
+    List<SharedPart> found = new ArrayList<>();
+    if (suspects.in(content).stream()
+        .anyMatch(suspect -> !suspect.content().isPart() && isHeldBack(suspect, content))) {
+      return found;
+    }
+    for (int index = 0; index < content.sharedParts().size(); index++) {
+      Suspect suspect = suspects.findPart(content, index);
+      if (suspect != null && suspect.status() == QuarantineStatus.QUARANTINED) {
+        found.add(content.sharedParts().get(index));
+      }
+    }
+    return found;
   }
 
   /**
@@ -142,14 +196,33 @@
     sent.remove(requestId);
   }
 
+  /**
+   * Handles that an engine's connection broke while the engine ran the content beside others: it
+   * may have crashed.
+   */
+  public void onCrash(RequestContent content, String engineId, long nowNanos) {
+    onCrash(content, engineId, BrokenAttempt.RUN, nowNanos);
+  }
+
   /**
    * Handles that an engine's connection broke while the engine had the content: it may have
    * crashed.
    */
-  public void onCrash(RequestContent content, String engineId, long nowNanos) {
-    Suspect suspect = suspect(content.fingerprint(), nowNanos, nowNanos);
+  public void onCrash(
+      RequestContent content, String engineId, BrokenAttempt attempt, long nowNanos) {
+    SeenCrash seen = new SeenCrash(engineId, 0, false, attempt.alone());
+    onCrash(content.fingerprint(), seen, nowNanos);
+    if (attempt.accusesParts()) {
+      content.partFingerprints().stream()
+          .filter(part -> !answeredParts.isCleared(part, nowNanos))
+          .forEach(part -> onCrash(part, seen, nowNanos));
+    }
+  }
+
+  private void onCrash(RequestFingerprint content, SeenCrash seen, long nowNanos) {
+    Suspect suspect = suspect(content, nowNanos, nowNanos);
     suspect.onAsked(nowNanos);
-    if (suspect.onCrash(engineId, nowNanos, true, false, nowNanos)) {
+    if (suspect.onCrash(seen, nowNanos, true, nowNanos)) {
       onNewEvidence(suspect);
     }
     dropWithoutEvidence(suspect);
@@ -160,7 +233,7 @@
    * which the engine seemed to crash.
    */
   public void onEngineGone(String engineId, long nowNanos) {
-    for (Suspect suspect : suspects.values()) {
+    for (Suspect suspect : suspects.all()) {
       if (suspect.onGone(engineId, nowNanos)) {
         onNewEvidence(suspect);
         recordStatusChange(suspect);
@@ -202,7 +275,7 @@
    * the fewest. Runs at ticks only, since one crash ends many requests at once.
    */
   private void updateExplanations() {
-    List<Suspect> ordered = new ArrayList<>(suspects.values());
+    List<Suspect> ordered = new ArrayList<>(suspects.all());
     ordered.sort(Comparator.comparing(Suspect::crashCount).reversed());
     quarantinedSuspects.clear();
     for (Suspect suspect : ordered) {
@@ -217,13 +290,20 @@
 
   /** Handles that an engine answered the content successfully. */
   public void onSuccess(RequestContent content, long nowNanos) {
-    Suspect suspect = find(content);
-    if (suspect == null) {
-      return;
-    }
+    onSuccess(content, nowNanos, nowNanos);
+  }
+
+  private void onSuccess(RequestContent content, long answeredNanos, long nowNanos) {
+    List<Suspect> cleared = suspects.in(content);
+    content.partFingerprints().forEach(part -> answeredParts.onAnswered(part, answeredNanos));
+    cleared.forEach(suspect -> onSuccess(suspect, answeredNanos, nowNanos));
+  }
+
+  private void onSuccess(Suspect suspect, long answeredNanos, long nowNanos) {
     if (!suspect.isSignificant()) {
       drop(suspect);
-    } else if (suspect.onSuccess(nowNanos, nowNanos)) {
+    } else if (suspect.onSuccess(answeredNanos, nowNanos)) {
+      suspect.onAcquittedHere(nowNanos);
       active.add(suspect);
       urgentChange = true;
       recordStatusChange(suspect);
@@ -251,9 +331,7 @@
       evidenceIsNew = suspect.onSuccess(at(report.goodAgoMillis(), nowNanos), nowNanos);
     }
     for (SeenCrash crash : report.crashes()) {
-      long crashedNanos = at(crash.ageMillis(), nowNanos);
-      evidenceIsNew |=
-          suspect.onCrash(crash.engineId(), crashedNanos, false, crash.engineGone(), nowNanos);
+      evidenceIsNew |= suspect.onCrash(crash, at(crash.ageMillis(), nowNanos), false, nowNanos);
     }
     if (report.confirmedAgoMillis() != CrashReport.NEVER) {
       evidenceIsNew |= suspect.confirm(at(report.confirmedAgoMillis(), nowNanos), nowNanos);
@@ -264,10 +342,22 @@
     if (evidenceIsNew) {
       onNewEvidence(suspect);
     }
+    clearIfAnsweredHere(suspect, nowNanos);
     recordStatusChange(suspect);
     dropWithoutEvidence(suspect);
   }
 
+  /** Another node suspects a part that this node has seen answered: the others hear of it. */
+  private void clearIfAnsweredHere(Suspect suspect, long nowNanos) {
+    OptionalLong answered = answeredParts.lastAnswer(suspect.content());
+    if (answered.isPresent() && suspect.onSuccess(answered.getAsLong(), nowNanos)) {
+      suspect.onAcquittedHere(nowNanos);
+      active.add(suspect);
+      urgentChange = true;
+      release(suspect);
+    }
+  }
+
   private static long at(long agoMillis, long nowNanos) {
     return nowNanos - TimeUnit.MILLISECONDS.toNanos(agoMillis);
   }
@@ -301,7 +391,8 @@
     Suspect suspect = suspect(stored.content(), writtenNanos, nowNanos);
     boolean evidenceIsNew = false;
     for (String engineId : stored.engines()) {
-      evidenceIsNew |= suspect.onCrash(engineId, writtenNanos, false, true, nowNanos);
+      SeenCrash crash = new SeenCrash(engineId, 0, true, stored.content().isPart());
+      evidenceIsNew |= suspect.onCrash(crash, writtenNanos, false, nowNanos);
     }
     if (evidenceIsNew) {
       suspect.onSuspicionStored(stored.engines());
@@ -313,7 +404,7 @@
 
   /** Handles that the store has written the content. */
   public void onStored(RequestFingerprint content, long nowNanos) {
-    Suspect suspect = suspects.get(content);
+    Suspect suspect = suspects.find(content);
     if (suspect != null) {
       suspect.onStored(nowNanos);
     }
@@ -355,7 +446,7 @@
 
   private void expire(long nowNanos) {
     long lifetime = TimeUnit.MILLISECONDS.toNanos(LIFETIME_MILLIS);
-    for (Suspect suspect : List.copyOf(suspects.values())) {
+    for (Suspect suspect : List.copyOf(suspects.all())) {
       if (nowNanos - suspect.askedNanos() > lifetime) {
         suspect.expire();
         refresh(suspect);
@@ -363,25 +454,6 @@
     }
   }
 
-  private Suspect suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
-    Suspect known = suspects.get(content);
-    if (known != null) {
-      return known;
-    }
-    if (suspects.size() >= MAX_SUSPECTS) {
-      suspects.values().stream()
-          .min(
-              Comparator.comparing(Suspect::status)
-                  .thenComparing(Suspect::crashCount)
-                  .thenComparing(Suspect::askedNanos))
-          .ifPresent(this::drop);
-    }
-    Suspect added = new Suspect(content, askedNanos, nowNanos);
-    suspects.put(content, added);
-    sketches.merge(content.sketch(), 1, Integer::sum);
-    return added;
-  }
-
   private void dropWithoutEvidence(Suspect suspect) {
     if (!suspect.hasEvidence()) {
       drop(suspect);
@@ -390,11 +462,11 @@
 
   private void drop(Suspect suspect) {
     active.remove(suspect);
-    if (suspects.remove(suspect.content()) != null) {
-      explanationsCurrent = false;
-      sketches.computeIfPresent(
-          suspect.content().sketch(), (sketch, count) -> count == 1 ? null : count - 1);
-    }
+    explanationsCurrent &= !suspects.remove(suspect);
+  }
+
+  private Suspect suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
+    return suspects.findOrAdd(content, askedNanos, nowNanos, this::drop);
   }
 
   private void recordStatusChange(Suspect suspect) {
@@ -489,9 +561,12 @@
     return taken;
   }
 
-  /** The number of contents in quarantine. */
-  public int quarantined() {
+  /** The number of contents or of parts in quarantine. */
+  public int quarantined(RequestFingerprint.Kind kind) {
     return (int)
-        active.stream().filter(suspect -> suspect.status() == QuarantineStatus.QUARANTINED).count();
+        active.stream()
+            .filter(suspect -> suspect.content().kind() == kind)
+            .filter(suspect -> suspect.status() == QuarantineStatus.QUARANTINED)
+            .count();
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -14,10 +14,11 @@
 import java.util.stream.Stream;
 
 /**
- * The evidence for and against one request content.
+ * The evidence for and against one request content, or one part of a prompt.
  *
  * <p>Invariant: a crash before the last successful answer does not count, since a content that
- * crashes every engine is never answered successfully. One thread calls.
+ * crashes every engine is never answered successfully. For a part, this extends to the crashes some
+ * time after that answer. One thread calls.
  */
 final class Suspect {
 
@@ -33,13 +34,6 @@
    */
   private static final int CRASHES_TO_SUSPECT = 2;
 
-  /**
-   * Crashes within this time have one cause. The engines of a rack go down within a few ms when it
-   * loses power. The crashes of one content are apart by the time that it takes to send and begin
-   * it, some 100 ms between the first and the third.
-   */
-  private static final long ONE_CAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
   /**
    * An engine that is heard more than this time after it seemed to crash has not crashed. What it
    * sent before can arrive late, but less late than this: 25 ms until it is noticed, and 250 ms
@@ -60,12 +54,6 @@
   private static final long RENEW_NANOS =
       TimeUnit.MILLISECONDS.toNanos(Quarantine.LIFETIME_MILLIS / 3);
 
-  /** An engine that answers its first probes is alive; its connection broke for another reason. */
-  private static final int MAX_PROBES = 3;
-
-  /** The time after which an unanswered probe is repeated: some round trips to an engine. */
-  private static final long PROBE_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
-
   /** Longer than any change is reported. */
   private static final long LONG_AGO_NANOS = TimeUnit.HOURS.toNanos(1);
 
@@ -86,34 +74,6 @@
   private boolean wasQuarantined;
   private QuarantineStatus announcedStatus = QuarantineStatus.CLEAR;
 
-  /** An engine that seemed to crash. */
-  private static final class Crash {
-
-    private final long atNanos;
-    private final boolean seenHere;
-    private boolean engineGone;
-    private int probes;
-    private long probedNanos;
-
-    Crash(long atNanos, boolean seenHere, boolean engineGone) {
-      this.atNanos = atNanos;
-      this.seenHere = seenHere;
-      this.engineGone = engineGone;
-    }
-
-    boolean takeProbeDue(long nowNanos) {
-      boolean due =
-          !engineGone
-              && probes < MAX_PROBES
-              && (probes == 0 || nowNanos - probedNanos >= PROBE_PAUSE_NANOS);
-      if (due) {
-        probes++;
-        probedNanos = nowNanos;
-      }
-      return due;
-    }
-  }
-
   Suspect(RequestFingerprint content, long askedNanos, long nowNanos) {
     this.content = content;
     this.askedNanos = askedNanos;
@@ -134,23 +94,64 @@
    * The status that applies if the content is to be sent now. Once engines seem to have crashed
    * under it, this node sends one copy at a time, and none while it is suspected until it is known
    * whether the last copy crashed its engine. Otherwise copies in flight would crash more engines
-   * than are tolerated.
+   * than are tolerated. A part waits like this only after an engine with few others seemed to crash
+   * under it, since many sound requests may share it.
    *
    * @param inFlight whether this node has sent a copy whose request has not ended
    */
   QuarantineStatus statusForSend(boolean inFlight, long nowNanos) {
+    if (status == QuarantineStatus.QUARANTINED) {
+      return status;
+    }
+    if (!waits(inFlight, nowNanos)) {
+      return status;
+    }
+    return content.isPart() ? QuarantineStatus.ON_TRIAL : QuarantineStatus.QUARANTINED;
+  }
+
+  /** Returns whether nothing is sent until a copy in flight, or a crash, is decided. */
+  boolean waits(boolean inFlight, long nowNanos) {
     long undecidedCrashes = undecidedCrashes(nowNanos);
     boolean otherCopyInFlight =
         inFlight && countedCrashes().count() + undecidedCrashes >= CRASHES_TO_SUSPECT;
-    boolean waits =
-        otherCopyInFlight || status == QuarantineStatus.SUSPECTED && undecidedCrashes > 0;
-    return waits ? QuarantineStatus.QUARANTINED : status;
+    if (content.isPart()) {
+      return hasCrashedAlone() && (otherCopyInFlight || undecidedCrashes > 0);
+    }
+    return otherCopyInFlight || status == QuarantineStatus.SUSPECTED && undecidedCrashes > 0;
+  }
+
+  /** Returns whether an engine with few other requests seemed to crash. */
+  private boolean hasCrashedAlone() {
+    return crashes.values().stream().anyMatch(crash -> crash.alone());
+  }
+
+  /**
+   * Returns whether another suspect may have caused all crashes that speak against this one: it was
+   * at all of these engines, but for fewer than convict anyone, and for none with few other
+   * requests.
+   */
+  boolean mayBeExplainedBy(Suspect other) {
+    boolean convictable =
+        other.crashCount() >= CRASHES_TO_QUARANTINE
+            || other.status() == QuarantineStatus.QUARANTINED;
+    if (crashCount() == 0 || !convictable) {
+      return false;
+    }
+    List<Map.Entry<String, Crash>> unexplained =
+        certainCrashes().filter(crash -> !other.hasCrashed(crash.getKey())).toList();
+    return unexplained.size() < CRASHES_TO_QUARANTINE
+        && unexplained.stream().noneMatch(crash -> crash.getValue().alone());
+  }
+
+  private boolean hasCrashed(String engineId) {
+    Crash crash = crashes.get(engineId);
+    return crash != null && crash.engineGone();
   }
 
   /** The number of connections that broke just now, to engines that may still be alive. */
   private long undecidedCrashes(long nowNanos) {
     return crashes.values().stream()
-        .filter(crash -> !crash.engineGone && nowNanos - crash.atNanos < ALIVE_NANOS)
+        .filter(crash -> !crash.engineGone() && nowNanos - crash.atNanos() < ALIVE_NANOS)
         .count();
   }
 
@@ -165,8 +166,10 @@
     if (confirmed()) {
       return QuarantineStatus.QUARANTINED;
     }
-    List<Long> counted = countedCrashes().map(crash -> crash.getValue().atNanos).toList();
-    if (counted.size() >= CRASHES_TO_QUARANTINE && areSpreadInTime(counted)) {
+    List<Crash> counted = countedCrashes().map(Map.Entry::getValue).toList();
+    if (counted.size() >= CRASHES_TO_QUARANTINE
+        && Crash.areSpreadInTime(counted)
+        && isProven(counted)) {
       return QuarantineStatus.QUARANTINED;
     }
     return counted.size() >= CRASHES_TO_SUSPECT
@@ -182,15 +185,12 @@
     return confirmedNanos.isPresent();
   }
 
-  private static boolean areSpreadInTime(List<Long> times) {
-    long first = times.get(0);
-    long least = 0;
-    long most = 0;
-    for (long at : times) {
-      least = Math.min(least, at - first);
-      most = Math.max(most, at - first);
-    }
-    return most - least >= ONE_CAUSE_NANOS;
+  /**
+   * Returns whether crashes suffice as proof. A part that many requests share is at most engines,
+   * so it is in every crash, whatever caused it: it must have crashed an engine with few others.
+   */
+  private boolean isProven(List<Crash> counted) {
+    return !content.isPart() || counted.stream().anyMatch(crash -> crash.alone());
   }
 
   /** The ids of engines that seemed to crash under the content and are gone since. */
@@ -199,7 +199,7 @@
   }
 
   private Stream<Map.Entry<String, Crash>> certainCrashes() {
-    return crashes.entrySet().stream().filter(crash -> crash.getValue().engineGone);
+    return crashes.entrySet().stream().filter(crash -> crash.getValue().engineGone());
   }
 
   int crashCount() {
@@ -222,20 +222,20 @@
   /**
    * Handles a crash, real or apparent.
    *
+   * @param seen the engine, and what is known of its end
+   * @param atNanos time in ns of the crash
    * @param seenHere whether this node saw it
-   * @param engineGone whether the engine was found to be gone
    * @return whether this is new evidence
    */
-  boolean onCrash(
-      String engineId, long atNanos, boolean seenHere, boolean engineGone, long nowNanos) {
-    Crash known = crashes.get(engineId);
-    if (known == null ? succeededSince(atNanos) : known.engineGone || !engineGone) {
+  boolean onCrash(SeenCrash seen, long atNanos, boolean seenHere, long nowNanos) {
+    Crash known = crashes.get(seen.engineId());
+    if (known == null ? succeededSince(atNanos) : known.engineGone() || !seen.engineGone()) {
       return false;
     }
     if (known == null) {
-      crashes.put(engineId, new Crash(atNanos, seenHere, engineGone));
+      crashes.put(seen.engineId(), new Crash(seen, atNanos, seenHere));
     } else {
-      known.engineGone = true;
+      known.setEngineGone();
     }
     changedNanos = nowNanos;
     if (seenHere) {
@@ -252,7 +252,12 @@
    */
   boolean onGone(String engineId, long nowNanos) {
     Crash known = crashes.get(engineId);
-    return known != null && onCrash(engineId, known.atNanos, known.seenHere, true, nowNanos);
+    return known != null
+        && onCrash(
+            new SeenCrash(engineId, 0, true, known.alone()),
+            known.atNanos(),
+            known.seenHere(),
+            nowNanos);
   }
 
   /**
@@ -267,7 +272,7 @@
   /** The ids of engines that, as far as is known, only seem to have crashed. */
   List<String> undecidedEngines() {
     return crashes.entrySet().stream()
-        .filter(crash -> !crash.getValue().engineGone)
+        .filter(crash -> !crash.getValue().engineGone())
         .map(Map.Entry::getKey)
         .toList();
   }
@@ -278,7 +283,7 @@
    */
   List<String> takeProbes(long nowNanos) {
     if (crashes.size() < CRASHES_TO_SUSPECT
-        || crashes.values().stream().noneMatch(c -> c.seenHere)) {
+        || crashes.values().stream().noneMatch(c -> c.seenHere())) {
       return List.of();
     }
     return crashes.entrySet().stream()
@@ -288,7 +293,8 @@
   }
 
   private boolean succeededSince(long nanos) {
-    return succeededNanos.isPresent() && succeededNanos.getAsLong() - nanos >= 0;
+    return succeededNanos.isPresent()
+        && succeededNanos.getAsLong() + content.kind().clearedNanos() - nanos >= 0;
   }
 
   /**
@@ -297,11 +303,11 @@
    * @return whether it voids any evidence
    */
   boolean onSuccess(long atNanos, long nowNanos) {
-    if (succeededSince(atNanos)) {
+    if (succeededNanos.isPresent() && succeededNanos.getAsLong() - atNanos >= 0) {
       return false;
     }
     succeededNanos = OptionalLong.of(atNanos);
-    boolean evidenceVoided = crashes.values().removeIf(crash -> succeededSince(crash.atNanos));
+    boolean evidenceVoided = crashes.values().removeIf(crash -> succeededSince(crash.atNanos()));
     if (confirmed() && succeededSince(confirmedNanos.getAsLong())) {
       confirmedNanos = OptionalLong.empty();
       evidenceVoided = true;
@@ -313,6 +319,16 @@
     return evidenceVoided;
   }
 
+  /** Handles that this node knows of an answer that clears the suspect; other nodes hear of it. */
+  void onAcquittedHere(long nowNanos) {
+    seenHereNanos = nowNanos;
+  }
+
+  /** Returns whether any engine seems to have crashed under it. */
+  boolean hasSeemedToCrash() {
+    return !crashes.isEmpty();
+  }
+
   /** Handles that a caller requested the content. */
   void onAsked(long atNanos) {
     if (atNanos - askedNanos > 0) {
@@ -378,13 +394,17 @@
   /**
    * The ids of engines that crashed under the content, if it is suspected and this node, having
    * seen the last crash, should write them to the store. Returns them again only when there are
-   * others.
+   * others. For a part in quarantine the engines still matter: those that had few other requests
+   * tell it apart from the parts that came with it.
    */
   Optional<Set<String>> takeSuspicionDue() {
-    if (status() != QuarantineStatus.SUSPECTED || seenHereNanos != changedNanos) {
+    boolean wanted =
+        status() == QuarantineStatus.SUSPECTED
+            || status() == QuarantineStatus.QUARANTINED && content.isPart();
+    if (!wanted || seenHereNanos != changedNanos) {
       return Optional.empty();
     }
-    Set<String> engines = countedEngines();
+    Set<String> engines = provingEngines();
     if (storedEngines.containsAll(engines)) {
       return Optional.empty();
     }
@@ -392,8 +412,12 @@
     return Optional.of(engines);
   }
 
-  private Set<String> countedEngines() {
-    return countedCrashes().map(Map.Entry::getKey).collect(Collectors.toUnmodifiableSet());
+  /** The ids of engines whose crashes count; for a part, of those with few other requests. */
+  private Set<String> provingEngines() {
+    return countedCrashes()
+        .filter(crash -> !content.isPart() || crash.getValue().alone())
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toUnmodifiableSet());
   }
 
   /**
@@ -408,14 +432,15 @@
                 .entrySet()
                 .removeIf(
                     crash ->
-                        isAliveAfter(lastHeard.apply(crash.getKey()), crash.getValue().atNanos));
+                        isAliveAfter(lastHeard.apply(crash.getKey()), crash.getValue().atNanos()));
     if (removed) {
       updateStatus();
     }
     return removed;
   }
 
-  private static boolean isAliveAfter(OptionalLong heardNanos, long crashNanos) {
+  /** Returns whether an engine was heard so late that it had not crashed at a time. */
+  static boolean isAliveAfter(OptionalLong heardNanos, long crashNanos) {
     return heardNanos.isPresent() && heardNanos.getAsLong() - crashNanos > ALIVE_NANOS;
   }
 
@@ -448,7 +473,7 @@
 
   private long newestCrash() {
     return certainCrashes()
-        .map(crash -> crash.getValue().atNanos)
+        .map(crash -> crash.getValue().atNanos())
         .reduce((a, b) -> a - b > 0 ? a : b)
         .orElseThrow();
   }
@@ -537,7 +562,12 @@
     List<SeenCrash> seen = new ArrayList<>();
     crashes.forEach(
         (engine, crash) ->
-            seen.add(new SeenCrash(engine, millis(nowNanos - crash.atNanos), crash.engineGone)));
+            seen.add(
+                new SeenCrash(
+                    engine,
+                    millis(nowNanos - crash.atNanos()),
+                    crash.engineGone(),
+                    crash.alone())));
     return new CrashReport(
         content,
         age(confirmedNanos, nowNanos),
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -15,19 +15,31 @@
 import org.fallturn.core.quarantine.QuarantineStatusChange;
 import org.fallturn.core.quarantine.QuarantineStore;
 import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.quarantine.SharedPart;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 
 /**
  * Simulates several dispatchers in front of engines, each of which crashes a while after it begins
- * to run one certain content (the poison). A crashed engine comes back under another id. Nodes
- * report crashes to each other in messages that are delayed and may be lost. A caller whose request
- * fails tries once more at a random node. Time advances in steps.
+ * to run one certain content (the poison), or any request whose prompt has one certain part. A
+ * crashed engine comes back under another id. Nodes report crashes to each other in messages that
+ * are delayed and may be lost. A caller whose request fails tries once more at a random node. Time
+ * advances in steps.
  */
 final class CrashingFleet {
 
   static final String POISON = "poison";
+  private static final String POISON_PART = "poison-part";
+
+  /** Parts with which prompts begin. All requests share few of them. */
+  private static final int FIRST_PARTS = 2;
+
+  /** Parts in the midst of prompts, each of which is in a few requests a second. */
+  private static final int SECOND_PARTS = 40;
+
+  private static final RequestFingerprint POISON_CONTENT =
+      Requests.streamOf(POISON, 0).content().fingerprint();
 
   private static final int STEP_MILLIS = 5;
   private static final int TICK_MILLIS = 25;
@@ -59,11 +71,16 @@
   private final Map<Integer, Long> startedAt = new HashMap<>();
   private final List<Long> poisonCrashes = new ArrayList<>();
   private int engineNumber;
+  private final Random parts;
+  private int poisonRequests;
   private int innocents;
+  private int lateInnocents;
+  private int lateInnocentsHeldBack;
   private int innocentsHeldBack;
   private int innocentsAnswered;
   private int suspicions;
   private double brokenShare;
+  private boolean refusesConnections;
   private long millis;
 
   /** A request that runs at an engine until a given time. */
@@ -76,6 +93,7 @@
   CrashingFleet(long seed, int nodeCount, int engineCount) {
     Requests.numberFrom(Math.floorMod(seed, FIRST_IDS));
     random = new Random(seed);
+    parts = new Random(seed + 1);
     lossShare = random.nextInt(3) * 0.1;
     for (int engine = 0; engine < engineCount; engine++) {
       engines.add(newEngine());
@@ -143,6 +161,11 @@
     brokenShare = share;
   }
 
+  /** From now on nothing is sent to an engine that has ended: its address refuses connections. */
+  void refuseConnections() {
+    refusesConnections = true;
+  }
+
   int innocentsAnswered() {
     return innocentsAnswered;
   }
@@ -157,15 +180,75 @@
     arrive(random.nextInt(nodes.size()), POISON, 1);
   }
 
+  /** A request like no other arrives, whose prompt shares its parts with others. */
+  void innocentWithPartsArrives() {
+    arrive(random.nextInt(nodes.size()), "innocent-" + innocents++, List.of(first(), second()), 1);
+  }
+
+  /** A request like no other arrives, whose prompt has the part that crashes engines. */
+  void poisonPartArrives() {
+    List<String> shared = List.of(first(), POISON_PART, second());
+    arrive(random.nextInt(nodes.size()), "poisoned-" + poisonRequests++, shared, 1);
+  }
+
+  private String first() {
+    return "first-" + parts.nextInt(FIRST_PARTS);
+  }
+
+  private String second() {
+    return "second-" + parts.nextInt(SECOND_PARTS);
+  }
+
   private void arrive(int node, String body, int tries) {
-    RequestProgress progress = Requests.streamOf(body, now());
-    apply(node, progress, body, tries, nodes.get(node).start(progress, now()));
+    arrive(node, body, List.of(), tries);
+  }
+
+  private void arrive(int node, String body, List<String> sharedParts, int tries) {
+    RequestProgress progress = Requests.streamOf(body, sharedParts, now());
+    Decision decision = nodes.get(node).start(progress, now());
+    countLate(progress, tries, decision);
+    apply(node, progress, body, tries, decision);
+  }
+
+  /** Counts the first tries of innocents for which every node has had time to know the poison. */
+  private void countLate(RequestProgress progress, int tries, Decision decision) {
+    boolean late =
+        !poisonCrashes.isEmpty()
+            && millis > poisonCrashes.get(poisonCrashes.size() - 1) + 2 * SETTLING_MILLIS;
+    if (late && tries == 1 && !isPoison(progress)) {
+      lateInnocents++;
+      lateInnocentsHeldBack += isHeldBack(decision) ? 1 : 0;
+    }
+  }
+
+  private static boolean isHeldBack(Decision decision) {
+    return decision instanceof Decision.Refuse refuse && refuse.kind() == ErrorKind.QUARANTINED;
+  }
+
+  private static boolean isPoison(RequestProgress progress) {
+    return progress.content().has(POISON_CONTENT)
+        || progress.content().sharedParts().stream()
+            .anyMatch(part -> part.id().equals(POISON_PART));
+  }
+
+  /** Number of innocents that came first when every node had had time to know the poison. */
+  int lateInnocents() {
+    return lateInnocents;
+  }
+
+  int lateInnocentsHeldBack() {
+    return lateInnocentsHeldBack;
   }
 
   private void apply(
       int node, RequestProgress progress, String body, int tries, Decision decision) {
+    if (decision instanceof Decision.Run run && refusesConnections && hasEnded(run.engine())) {
+      Decision next = nodes.get(node).onFailure(progress, AttemptOutcome.NOT_SENT, now());
+      apply(node, progress, body, tries, next);
+      return;
+    }
     if (decision instanceof Decision.Run run) {
-      boolean poison = body.equals(POISON);
+      boolean poison = isPoison(progress);
       if (poison) {
         poisonSends.add(millis);
         if (settled(node)) {
@@ -176,15 +259,17 @@
       runs.add(new Run(node, progress, run, body, tries, millis + runMillis));
       return;
     }
-    if (decision instanceof Decision.Refuse refuse) {
-      boolean heldBack = refuse.kind() == ErrorKind.QUARANTINED;
-      innocentsHeldBack += heldBack && !body.equals(POISON) ? 1 : 0;
-    }
+    innocentsHeldBack += isHeldBack(decision) && !isPoison(progress) ? 1 : 0;
     if (tries < MAX_TRIES) {
-      schedule(10, () -> arrive(random.nextInt(nodes.size()), body, tries + 1));
+      List<String> shared = progress.content().sharedParts().stream().map(SharedPart::id).toList();
+      schedule(10, () -> arrive(random.nextInt(nodes.size()), body, shared, tries + 1));
     }
   }
 
+  private boolean hasEnded(ServingEngine engine) {
+    return engines.stream().noneMatch(one -> one.id().equals(engine.id()));
+  }
+
   /**
    * Schedules an action.
    *
@@ -299,7 +384,7 @@
    */
   private void takeBackCopies(int node, RequestFingerprint content) {
     for (Run run : List.copyOf(runs)) {
-      if (run.node == node && run.progress.content().is(content) && runs.remove(run)) {
+      if (run.node == node && run.progress.content().has(content) && runs.remove(run)) {
         Decision next = nodes.get(node).onFailure(run.progress, AttemptOutcome.WITHDRAWN, now());
         apply(node, run.progress, run.body, run.tries, next);
       }
@@ -321,7 +406,7 @@
         engines.stream().filter(one -> one.id().equals(engineOf(run))).findFirst();
     if (engine.isEmpty()) {
       breakOff(run);
-    } else if (run.body.equals(POISON)) {
+    } else if (isPoison(run.progress)) {
       poisonCrashes.add(millis);
       crash(engine.get());
     } else if (random.nextDouble() < brokenShare) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -9,6 +10,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.quarantine.RequestContent;
+import org.fallturn.core.quarantine.SharedPart;
 import org.fallturn.core.routing.Caller;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.EngineProfile;
@@ -238,7 +240,17 @@
 
   /** A resumable streaming request whose content may come again under another id. */
   static RequestProgress streamOf(String body, long nowNanos) {
-    PromptShape shape = new PromptShape("m", 400, 8, List.of());
+    return streamOf(body, List.of(), nowNanos);
+  }
+
+  /** As above, with a prompt that begins with parts which other prompts may share. */
+  static RequestProgress streamOf(String body, List<String> sharedParts, long nowNanos) {
+    List<PromptPart> parts =
+        new ArrayList<>(sharedParts.stream().map(part -> new PromptPart(part, 100)).toList());
+    if (!parts.isEmpty()) {
+      parts.add(new PromptPart("own-" + body, 100));
+    }
+    PromptShape shape = new PromptShape("m", 400, 8, parts);
     Route route = route(RequestKind.STREAMING, true, MODEL, 2);
     RequestEnvelope envelope =
         new RequestEnvelope(
@@ -247,11 +259,15 @@
             Optional.of(shape),
             nowNanos,
             nowNanos + route.timeout().toNanos());
-    return new RequestProgress(envelope, content(body));
+    return new RequestProgress(envelope, content(body, shape.suspectParts()));
   }
 
   private static RequestContent content(String body) {
-    return new RequestContent("POST host/", "", body.getBytes(StandardCharsets.UTF_8));
+    return content(body, List.of());
+  }
+
+  private static RequestContent content(String body, List<SharedPart> sharedParts) {
+    return new RequestContent("POST host/", "", body.getBytes(StandardCharsets.UTF_8), sharedParts);
   }
 
   static RequestProgress progress(Route route, Optional<PromptShape> prompt) {
--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/QuarantineTest.java
@@ -191,7 +191,7 @@
   @Test
   void floodOfOtherContentsDoesNotEvictQuarantinedOnes() {
     crash(quarantine, CULPRIT, 3);
-    for (int number = 0; number < 3 * Quarantine.MAX_SUSPECTS; number++) {
+    for (int number = 0; number < 3 * SuspectIndex.MAX_SUSPECTS; number++) {
       crashOne(quarantine, content("flood-" + number), "f-" + number, 500);
     }
     assertThat(status(CULPRIT, 510)).isEqualTo(QuarantineStatus.QUARANTINED);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
@@ -14,6 +15,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.dispatch.RequestEnvelope;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
@@ -209,7 +211,10 @@
             now + timeout.toNanos());
     RequestContent content =
         new RequestContent(
-            target(caller.request(), head), senderName(admitted.sender(), head), body);
+            target(caller.request(), head),
+            senderName(admitted.sender(), head),
+            body,
+            head.prompt().map(PromptShape::suspectParts).orElse(List.of()));
     RequestProgress progress = new RequestProgress(envelope, content);
     Exchange exchange = new Exchange(caller, head, progress, body, events, gateway);
     events.accept(new DispatchEvent.Arrived(exchange));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CrashReportText.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CrashReportText.java
@@ -11,12 +11,15 @@
  * Text form of a {@link CrashReport} in messages between nodes. Words separated by spaces: the
  * fingerprint of the content; the ms since it was last sent or crashed an engine, since it was
  * confirmed as crashing engines, and since it was answered well; whether the store holds it; then a
- * word for each crash, with engine id, ms since the crash, and whether the engine is gone,
- * separated by colons.
+ * word for each crash, with engine id, ms since the crash, whether the engine is gone, and "alone"
+ * if it had few other requests, separated by colons. Earlier builds read no more than the first
+ * three.
  */
 final class CrashReportText {
 
   private static final int FIXED_WORDS = 5;
+  private static final int FIXED_FIELDS = 3;
+  private static final String ALONE = "alone";
 
   private CrashReportText() {}
 
@@ -32,7 +35,8 @@
   }
 
   private static String write(SeenCrash crash) {
-    return crash.engineId() + ':' + crash.ageMillis() + ':' + crash.engineGone();
+    String text = crash.engineId() + ':' + crash.ageMillis() + ':' + crash.engineGone();
+    return crash.alone() ? text + ':' + ALONE : text;
   }
 
   /**
@@ -47,7 +51,11 @@
     for (int word = FIXED_WORDS; word < words.length; word++) {
       String[] fields = words[word].split(":");
       crashes.add(
-          new SeenCrash(fields[0], Long.parseLong(fields[1]), Boolean.parseBoolean(fields[2])));
+          new SeenCrash(
+              fields[0],
+              Long.parseLong(fields[1]),
+              Boolean.parseBoolean(fields[2]),
+              fields.length > FIXED_FIELDS && fields[FIXED_FIELDS].equals(ALONE)));
     }
     return new CrashReport(
         RequestFingerprint.parse(words[0]),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -476,6 +476,7 @@
             .addKeyValue("directoryRevision", directoryRevision);
     return refuse.kind() == ErrorKind.QUARANTINED
         ? line.addKeyValue("content", exchange.progress().content().fingerprint())
+            .addKeyValue("parts", LogTexts.sharedParts(exchange))
         : line;
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -22,6 +22,7 @@
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
@@ -425,11 +426,15 @@
     quarantineActions.carryOutDue(now).forEach(content -> withdrawCopies(content, now));
   }
 
-  /** Cancels running copies of a quarantined request: they would crash their engines too. */
+  /**
+   * Cancels running requests with a quarantined content, or a quarantined part in their prompts:
+   * they would crash their engines too.
+   */
   private void withdrawCopies(RequestFingerprint content, long now) {
     for (Exchange exchange : Set.copyOf(active)) {
       EngineAttempt attempt = exchange.attempt().orElse(null);
-      boolean copy = exchange.progress().content().is(content);
+      RequestContent own = exchange.progress().content();
+      boolean copy = own.has(content) && dispatcher.quarantine().isHeldBack(own);
       if (copy && attempt != null && attempt.cancel("its content is in quarantine")) {
         AttemptOutcome outcome =
             attempt.maybeSent() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -333,7 +333,8 @@
     metrics.gauge("engine_limits_per_second", () -> (long) notices.limits().perSecond());
     metrics.gauge("engine_limits_sent", () -> notices.limits().sent(System.nanoTime()));
     metrics.gauge("caches_known", survey::answered);
-    metrics.gauge("contents_in_quarantine", quarantineActions::quarantined);
+    metrics.gauge("contents_in_quarantine", quarantineActions::quarantinedContents);
+    metrics.gauge("prompt_parts_in_quarantine", quarantineActions::quarantinedParts);
     metrics.gauge("stage_changes_abandoned", stages::abandoned);
     metrics.gauge("nodes", this::nodeCount);
     metrics.gauge("relay", () -> overlay.isRelay() ? 1 : 0);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -1,11 +1,12 @@
 package org.fallturn.node.gateway;
 
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
+import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.EngineDirectory;
 
 /** Texts of log fields that summarize a request or the engines. Stateless. */
@@ -52,10 +53,16 @@
         .orElse("");
   }
 
-  /** Returns the ids of all parts of the prompt that other requests may share. */
+  /**
+   * Returns the parts of the prompt that other requests may share, each with the fingerprint by
+   * which nodes tell each other of it: {@code 5c1e07a2=part-1f0a9c4e-77}.
+   */
   static String sharedParts(Exchange exchange) {
-    return exchange.envelope().prompt().map(PromptShape::sharedParts).orElse(List.of()).stream()
-        .map(PromptPart::id)
+    RequestContent content = exchange.progress().content();
+    return IntStream.range(0, content.sharedParts().size())
+        .mapToObj(
+            index ->
+                content.sharedParts().get(index).id() + "=" + content.partFingerprints().get(index))
         .collect(Collectors.joining(" "));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.StringJoiner;
+import java.util.function.Predicate;
 import org.fallturn.core.dispatch.CacheListing;
 import org.fallturn.core.dispatch.EngineDigest;
 import org.fallturn.core.dispatch.LearnedSpeed;
@@ -58,6 +59,8 @@
  *  "q":["1f0a9c4e-77 0 300 -1 true i-7f:12:true"], contents that may crash engines: fingerprint; ms
  *                                     since it was last sent or crashed an engine, was confirmed,
  *                                     was answered well; stored; crashes: engine, ms ago, gone
+ *  "Q":["part-1f0a9c4e-77 ..."],           parts of prompts that may crash engines, likewise, under
+ *                                     a key of their own, since earlier builds can't read them
  *  "r":["10.1.0.36:7660 zone-1 8000 90"],  relays: address, zone, capacity, ms since last message
  *  "t":{"routing":57},                     newest change that any node has seen, by table
  *  "y":2,                                  era of the store to which the versions in "t" belong
@@ -108,7 +111,8 @@
     writeSpeeds(out, load.speeds());
     writeTexts(out, "p", load.prompts().stream().map(PeerCodec::text).toList());
     writeTexts(out, "l", message.listings().stream().map(PeerCodec::text).toList());
-    writeTexts(out, "q", message.crashes().stream().map(CrashReportText::write).toList());
+    writeCrashes(out, "q", message.crashes(), report -> !report.content().isPart());
+    writeCrashes(out, "Q", message.crashes(), report -> report.content().isPart());
     writeTexts(out, "r", message.relays().stream().map(PeerCodec::text).toList());
     writeTables(out, message.tables());
     if (message.usage().isPresent()) {
@@ -121,6 +125,12 @@
     out.writeEndObject();
   }
 
+  private static void writeCrashes(
+      JsonGenerator out, String key, List<CrashReport> crashes, Predicate<CrashReport> included)
+      throws IOException {
+    writeTexts(out, key, crashes.stream().filter(included).map(CrashReportText::write).toList());
+  }
+
   private static void writeEngines(JsonGenerator out, Map<String, EngineDigest> engines)
       throws IOException {
     if (engines.isEmpty()) {
@@ -365,7 +375,7 @@
         case StreamReportCodec.ORIGINS_KEY -> origins = StreamReportCodec.readOrigins(in);
         case "p" -> texts(in).forEach(text -> prompts.add(prompt(text)));
         case "l" -> texts(in).forEach(text -> listings.add(listing(text)));
-        case "q" -> texts(in).forEach(text -> crashes.add(CrashReportText.read(text)));
+        case "q", "Q" -> texts(in).forEach(text -> crashes.add(CrashReportText.read(text)));
         case "r" -> texts(in).forEach(text -> relays.add(peer(text)));
         default -> {
           if (in.currentToken().isScalarValue()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
@@ -9,7 +9,7 @@
 
 /**
  * Carries out what the quarantine asks for: probes engines, queues writes to the store, and logs
- * changes. Only the dispatch thread calls, except for {@link #quarantined()}.
+ * changes. Only the dispatch thread calls, except for the counts of what is in quarantine.
  */
 final class QuarantineActions {
 
@@ -17,7 +17,8 @@
   private final EngineProbe probe;
   private final QuarantineDuty storeDuty;
   private final DecisionLog log;
-  private volatile int quarantined;
+  private volatile int quarantinedContents;
+  private volatile int quarantinedParts;
 
   QuarantineActions(
       Dispatcher dispatcher, EngineProbe probe, QuarantineDuty storeDuty, DecisionLog log) {
@@ -30,7 +31,7 @@
   /**
    * Carries out what is due.
    *
-   * @return contents that came into quarantine since the last call
+   * @return contents and parts that came into quarantine since the last call
    */
   List<RequestFingerprint> carryOutDue(long nowNanos) {
     Quarantine quarantine = dispatcher.quarantine();
@@ -40,7 +41,8 @@
     quarantine.takeUnstored(nowNanos).forEach(storeDuty::put);
     quarantine.takeUnstoredSuspects().forEach(storeDuty::putSuspect);
     quarantine.takeReleased().forEach(storeDuty::remove);
-    quarantined = quarantine.quarantined();
+    quarantinedContents = quarantine.quarantined(RequestFingerprint.Kind.CONTENT);
+    quarantinedParts = quarantine.quarantined(RequestFingerprint.Kind.PROMPT_PART);
     List<RequestFingerprint> added = new ArrayList<>();
     for (QuarantineStatusChange change : quarantine.takeChanges()) {
       log.standingChanged(change);
@@ -63,7 +65,12 @@
   }
 
   /** Returns how many contents are in quarantine; any thread may call. */
-  int quarantined() {
-    return quarantined;
+  int quarantinedContents() {
+    return quarantinedContents;
+  }
+
+  /** Returns how many parts of prompts are in quarantine; any thread may call. */
+  int quarantinedParts() {
+    return quarantinedParts;
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestTimeline.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestTimeline.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * Timeline of one request from the structured logs of gateways: the lines about the request in time
@@ -22,8 +24,8 @@
  * routes, engines, dependencies and the process itself. The timeline has the last one about each
  * subject before the request, unless it had lapsed by then, and all until the request's last line.
  * Where the request's content is suspected of crashes, the timeline includes the lines about the
- * content under any request id. A line's process is the last word before its JSON object, or else
- * the name of the file.
+ * content under any request id; likewise for the parts of its prompt that some node suspected. A
+ * line's process is the last word before its JSON object, or else the name of the file.
  */
 public final class RequestTimeline {
 
@@ -47,6 +49,7 @@
   private static final String ENGINE = "engine";
   private static final String REST_MILLIS = "restMs";
   private static final String CONTENT = "content";
+  private static final String PARTS = "parts";
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private RequestTimeline() {}
@@ -64,6 +67,18 @@
       return fields.getOrDefault(EVENT, "");
     }
 
+    /** Returns the fingerprints of the parts of the prompt; most lines name none. */
+    Stream<String> parts() {
+      return Arrays.stream(fields.getOrDefault(PARTS, "").split(" "))
+          .map(part -> part.substring(part.indexOf('=') + 1))
+          .filter(part -> !part.isEmpty());
+    }
+
+    /** Returns the fingerprints of the content and of the parts of the prompt. */
+    Stream<String> traits() {
+      return Stream.concat(Stream.ofNullable(fields.get(CONTENT)), parts());
+    }
+
     /** Returns what the line is about; a later line about the same subject replaces it. */
     String subject() {
       return process + event() + fields.getOrDefault(ENGINE, "");
@@ -115,13 +130,19 @@
   }
 
   private static List<Line> ofSameContent(List<Line> lines, List<Line> own) {
-    Set<String> contents =
+    Set<String> wanted =
         own.stream()
             .map(line -> line.fields().get(CONTENT))
             .filter(Objects::nonNull)
             .collect(Collectors.toSet());
+    Set<String> ownParts = own.stream().flatMap(Line::parts).collect(Collectors.toSet());
+    lines.stream()
+        .filter(line -> line.event().equals(LogEvent.STANDING_CHANGED.name()))
+        .map(line -> line.fields().get(CONTENT))
+        .filter(ownParts::contains)
+        .forEach(wanted::add);
     return lines.stream()
-        .filter(line -> contents.contains(line.fields().get(CONTENT)) && !own.contains(line))
+        .filter(line -> line.traits().anyMatch(wanted::contains) && !own.contains(line))
         .toList();
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
@@ -39,6 +41,11 @@
  */
 class PeerCodecTest {
 
+  private static final RequestFingerprint PART =
+      new RequestFingerprint(RequestFingerprint.Kind.PROMPT_PART, 7, "9c50");
+
+  private static final SeenCrash ALONE = new SeenCrash("i-81", 30, true, true);
+
   private final PeerCodec codec = new PeerCodec();
 
   private static PeerInfo peer(int number) {
@@ -51,7 +58,8 @@
     return List.of(
         new CrashReport(new RequestFingerprint(-7, "9c4e"), 40, true, 12, CrashReport.NEVER, seen),
         new CrashReport(
-            new RequestFingerprint(7, "9c4f"), CrashReport.NEVER, false, 0, 3, List.of()));
+            new RequestFingerprint(7, "9c4f"), CrashReport.NEVER, false, 0, 3, List.of()),
+        new CrashReport(PART, CrashReport.NEVER, false, 0, 3, List.of(ALONE)));
   }
 
   private static PeerMessage message(Map<String, EngineDigest> engines) {
@@ -193,4 +201,12 @@
     assertThatThrownBy(() -> codec.decode(text.getBytes(StandardCharsets.UTF_8)))
         .isInstanceOf(MalformedMessageException.class);
   }
+
+  /** An earlier build rejects a whole message with a fingerprint that it cannot parse. */
+  @Test
+  void earlierBuildsFindNoPartsAmongTheContents() throws Exception {
+    JsonNode encoded = new ObjectMapper().readTree(codec.encode(message(Map.of())));
+    assertThat(encoded.get("q").toString()).doesNotContain(PART.toString());
+    assertThat(encoded.get("Q").toString()).contains(PART + " ").contains("i-81:30:true:alone");
+  }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestTimelineTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestTimelineTest.java
@@ -78,6 +78,23 @@
     assertThat(timeline.get(2)).contains("two.log", "kind=QUARANTINED");
   }
 
+  @Test
+  void listsEnginesThatCrashedUnderASuspectedPartOfThePrompt() throws Exception {
+    String first = "f1=part-01";
+    String poison = "b1=part-02";
+    Path one =
+        log(
+            "one.log",
+            line(10, "event", "ATTEMPT_FAILED", "request", "a", "parts", first, "engine", "e-1"),
+            line(20, "event", "ATTEMPT_FAILED", "request", "b", "parts", poison, "engine", "e-2"),
+            line(30, "event", "STANDING_CHANGED", "content", "part-02", "standing", "SUSPECTED"),
+            line(90, "event", "REFUSED", "request", "r", "parts", first + " " + poison));
+    List<String> timeline = RequestTimeline.of(List.of(one), "r");
+    assertThat(timeline).hasSize(3);
+    assertThat(timeline.get(0)).contains("engine=e-2");
+    assertThat(timeline.get(1)).contains("standing=SUSPECTED");
+  }
+
   @Test
   void listsWhichEnginesWereExcludedAndWhy() throws Exception {
     Path one =
