Do not take an answer without length or chunks for proof that its engine lives

A stream whose engine ended after the head came as a whole, empty one.

Cause: an answer that ends with its connection was taken for complete unless an event was partial. That cleared the part each time, for all nodes.

A node that forwards says so to the other, since it gives the answer chunks. A stream that ends with its connection before any event is an attempt that broke off.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -282,11 +282,9 @@
     if (!outcome.mayHaveReached()) {
       progress.uncountSend();
     }
-    Optional<Decision> refusal = gate.refusal(progress, nowNanos);
+    Optional<Decision> refusal = gate.refusalAfter(outcome, progress, nowNanos);
     if (refusal.isPresent()) {
-      return outcome == AttemptOutcome.ANSWERED_FAILURE
-          ? refusals.after(progress, outcome, Optional.empty())
-          : refusal.get();
+      return refusal.get();
     }
     if (wasPrefill) {
       return afterFailedPrefill(progress, nowNanos);
@@ -320,13 +318,22 @@
             prompt -> selector.cachedParts().forgetUnread(engine.id(), prompt.parts(), nowNanos));
   }
 
-  /** The complete answer was passed on to the caller. */
+  /** The complete answer, which told its end, was passed on to the caller. */
   public void onFinished(RequestProgress progress, long nowNanos) {
+    onFinished(progress, true, nowNanos);
+  }
+
+  /**
+   * The complete answer was passed on to the caller.
+   *
+   * @param endIsMarked whether the answer itself told where it ends; else its connection ended
+   */
+  public void onFinished(RequestProgress progress, boolean endIsMarked, long nowNanos) {
     pace.onDone(progress, nowNanos);
     onSignOfLife(progress, nowNanos);
     progress.engine().map(selector::load).ifPresent(load -> load.onSuccess(progress, nowNanos));
     observeResponseTime(progress, nowNanos);
-    gate.onSuccess(progress, nowNanos);
+    gate.onSuccess(progress, endIsMarked, nowNanos);
     release(progress, true);
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/QuarantineGate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/QuarantineGate.java
@@ -44,6 +44,14 @@
     };
   }
 
+  /** Ends a request that must not be sent again after a failed attempt. */
+  Optional<Decision> refusalAfter(AttemptOutcome outcome, RequestProgress progress, long nowNanos) {
+    Optional<Decision> refusal = refusal(progress, nowNanos);
+    return outcome == AttemptOutcome.ANSWERED_FAILURE
+        ? refusal.map(refused -> refusals.after(progress, outcome, Optional.empty()))
+        : refusal;
+  }
+
   void onSent(RequestProgress progress) {
     quarantine.onSent(progress.content(), progress.envelope().requestId());
   }
@@ -57,8 +65,23 @@
     }
   }
 
-  void onSuccess(RequestProgress progress, long nowNanos) {
-    quarantine.onSuccess(progress.content(), nowNanos);
+  /**
+   * Handles a complete answer, before the request is released from its engine.
+   *
+   * @param endIsMarked whether the answer itself told where it ends
+   */
+  void onSuccess(RequestProgress progress, boolean endIsMarked, long nowNanos) {
+    if (endIsMarked) {
+      quarantine.onSuccess(progress.content(), nowNanos);
+      return;
+    }
+    progress
+        .engine()
+        .filter(engine -> !engine.leaving())
+        .ifPresent(
+            engine ->
+                quarantine.onUnconfirmedSuccess(
+                    progress.content(), engine.id(), progress.attemptForQuarantine(), nowNanos));
   }
 
   void onEnded(RequestProgress progress) {
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.fallturn.core.membership.RendezvousHash;
 
 /**
@@ -86,6 +87,7 @@
   private final Set<Suspect> active = new LinkedHashSet<>();
 
   private final AnsweredParts answeredParts = new AnsweredParts();
+  private final UnconfirmedAnswers unconfirmedAnswers = new UnconfirmedAnswers();
 
   /**
    * Contents that this node has sent and whose requests have not ended, by request id. They show
@@ -233,6 +235,9 @@
    * which the engine seemed to crash.
    */
   public void onEngineGone(String engineId, long nowNanos) {
+    unconfirmedAnswers
+        .takeOf(engineId)
+        .forEach(answer -> onCrash(answer.content(), engineId, answer.attempt(), nowNanos));
     for (Suspect suspect : suspects.all()) {
       if (suspect.onGone(engineId, nowNanos)) {
         onNewEvidence(suspect);
@@ -248,8 +253,9 @@
    * @param listed tells whether an engine id is in the directory
    */
   public void onDirectory(Predicate<String> listed, long nowNanos) {
-    active.stream()
-        .flatMap(suspect -> suspect.undecidedEngines().stream())
+    Stream.concat(
+            active.stream().flatMap(suspect -> suspect.undecidedEngines().stream()),
+            unconfirmedAnswers.engines().stream())
         .filter(listed.negate())
         .distinct()
         .toList()
@@ -299,6 +305,16 @@
     cleared.forEach(suspect -> onSuccess(suspect, answeredNanos, nowNanos));
   }
 
+  /**
+   * Handles that an engine's answer ended with its connection and nothing else told its end: it may
+   * have been cut off by a crash.
+   */
+  public void onUnconfirmedSuccess(
+      RequestContent content, String engineId, BrokenAttempt attempt, long nowNanos) {
+    unconfirmedAnswers.add(
+        new UnconfirmedAnswers.UnconfirmedAnswer(content, engineId, attempt, nowNanos));
+  }
+
   private void onSuccess(Suspect suspect, long answeredNanos, long nowNanos) {
     if (!suspect.isSignificant()) {
       drop(suspect);
@@ -421,6 +437,9 @@
         explanationsCurrent = false;
       }
     }
+    unconfirmedAnswers
+        .takeConfirmed(lastHeard, nowNanos)
+        .forEach(answer -> onSuccess(answer.content(), answer.endedNanos(), nowNanos));
     if (!explanationsCurrent) {
       explanationsCurrent = true;
       updateExplanations();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -137,7 +137,7 @@
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       onFailed(failed, now);
     } else if (event instanceof DispatchEvent.Finished finished) {
-      onFinished(finished.exchange(), now);
+      onFinished(finished, now);
     } else if (event instanceof DispatchEvent.CallerGone gone) {
       onCallerGone(gone.exchange(), now);
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
@@ -286,11 +286,12 @@
     return active.contains(exchange) && exchange.attempt().filter(a -> a == attempt).isPresent();
   }
 
-  private void onFinished(Exchange exchange, long now) {
+  private void onFinished(DispatchEvent.Finished event, long now) {
+    Exchange exchange = event.exchange();
     if (active.remove(exchange)) {
       log.finished(exchange, now);
       runs.onEnded(exchange, now);
-      dispatcher.onFinished(exchange.progress(), now);
+      dispatcher.onFinished(exchange.progress(), event.attempt().endIsMarked(), now);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -8,6 +8,8 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
@@ -43,6 +45,7 @@
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
   private volatile boolean streamed;
+  private volatile boolean endIsMarked;
   private volatile boolean signOfLife;
   private volatile Optional<AttemptOutcome> forwardFailure = Optional.empty();
   private final boolean forwarded;
@@ -144,9 +147,13 @@
   @Override
   public void onHeaders(Response response) {
     headers = response.getHeaders();
+    endIsMarked = endIsMarked(headers);
     if (forwarded) {
       forwardFailure = ForwardingResult.of(response.getStatus(), headers).failure();
-      headers = HttpFields.build(headers).remove(ForwardingHeaders.RESULT);
+      headers =
+          HttpFields.build(headers)
+              .remove(ForwardingHeaders.RESULT)
+              .remove(ForwardingHeaders.END_UNMARKED);
     }
     if (forwardFailure.isPresent()) {
       return;
@@ -159,6 +166,22 @@
     streamed = isStampedSuccess() && exchange.envelope().route().streaming();
   }
 
+  /**
+   * Whether an answer tells its end. Otherwise it ends with the connection of the engine, and the
+   * answer of an engine that crashes may look complete.
+   */
+  static boolean endIsMarked(HttpFields headers) {
+    boolean delimited =
+        headers.contains(HttpHeader.CONTENT_LENGTH)
+            || headers.contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+    return delimited && !headers.contains(ForwardingHeaders.END_UNMARKED);
+  }
+
+  /** Whether the engine's answer told where it ends. */
+  boolean endIsMarked() {
+    return endIsMarked;
+  }
+
   /** Whether the engine answered a request, other than a prefill, with a success of its own. */
   private boolean isStampedSuccess() {
     return !call.prefillOnly() && head.success() && head.stamped();
@@ -257,8 +280,10 @@
     return maybeSent ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
   }
 
+  /** A stream that ends with its connection before its first event has broken off. */
   private void finishRelay(AttemptState.Phase before) {
-    if (streamed && framer.hasPartialEvent()) {
+    boolean empty = before != AttemptState.Phase.RELAYING && !endIsMarked;
+    if (streamed && (framer.hasPartialEvent() || empty)) {
       fail(
           before == AttemptState.Phase.RELAYING
               ? AttemptOutcome.BROKEN_MIDWAY
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -156,7 +156,8 @@
     }
     return kept.remove(ForwardingHeaders.ENGINE)
         .remove(ForwardingHeaders.KEY)
-        .remove(ForwardingHeaders.RESULT);
+        .remove(ForwardingHeaders.RESULT)
+        .remove(ForwardingHeaders.END_UNMARKED);
   }
 
   /**
@@ -216,6 +217,9 @@
             .getHeaders()
             .put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
       }
+      if (!EngineAttempt.endIsMarked(answer.getHeaders())) {
+        from.response().getHeaders().put(ForwardingHeaders.END_UNMARKED, "1");
+      }
     }
 
     @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
@@ -12,5 +12,10 @@
   /** Answer header: what became of the request, see {@link ForwardingResult}. */
   static final String RESULT = "Fallturn-Forward-Result";
 
+  /**
+   * Answer header: the engine's answer ended with its connection, and nothing else told its end.
+   */
+  static final String END_UNMARKED = "Fallturn-Forward-End-Unmarked";
+
   private ForwardingHeaders() {}
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -9,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -19,12 +18,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.locks.Lock;
-import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
@@ -76,7 +73,6 @@
   /** From the beginning of a run to the crash; 20 to 120 ms have been seen. */
   private static final long CRASH_MILLIS = 30;
 
-  private static final double MICROS_PER_MILLI = 1_000;
   private static final long GONE_CHECK_MILLIS = 10;
 
   private final String id;
@@ -91,16 +87,15 @@
   private final ConcurrentLinkedQueue<HttpFields> heads = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
   private final Set<String> handles = ConcurrentHashMap.newKeySet();
-  private final Map<String, String> keptParts = new ConcurrentHashMap<>();
+  private final EmulatedCache cache = new EmulatedCache();
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final AtomicInteger abandoned = new AtomicInteger();
-  private final Lock reading = new ReentrantLock(true);
   private final List<Poison> poisons = new CopyOnWriteArrayList<>();
   private volatile EngineFault standingFault = EngineFault.NONE;
-  private volatile double pace = Double.POSITIVE_INFINITY;
   private volatile boolean leaving;
   private volatile String rest = "";
   private volatile String padding = "";
+  private volatile boolean endsWithConnection;
   private volatile String limit = "";
 
   /**
@@ -230,7 +225,7 @@
 
   /** Reads prompts one after the other at so many tokens a ms; else, at once. */
   public void readAt(double tokensPerMilli) {
-    pace = tokensPerMilli;
+    cache.readAt(tokensPerMilli);
   }
 
   /** Says in every answer from now on that it is about to end; it serves on. */
@@ -247,6 +242,11 @@
     limit = perSecond;
   }
 
+  /** Answers have neither a length nor chunks from now on, and end with their connections. */
+  public void endAnswersWithConnection() {
+    endsWithConnection = true;
+  }
+
   /** Application answers are longer by so many bytes from now on. */
   public void padAnswers(int bytes) {
     padding = ".".repeat(bytes);
@@ -320,7 +320,7 @@
         return true;
       }
       if (path.equals(CACHE_LIST_PATH)) {
-        write(response, callback, cacheList());
+        write(response, callback, cache.list());
         return true;
       }
       String expected = request.getHeaders().get(EXPECT_INSTANCE);
@@ -359,6 +359,7 @@
         return false;
       }
       if (crash.get().when() == EngineCrash.MIDWAY) {
+        delimit(response);
         response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
         part(response, StreamEvents.event(1, softwareVersion));
@@ -388,31 +389,6 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
-    private String cacheList() {
-      return keptParts.entrySet().stream()
-          .map(part -> "[\"\",\"" + part.getKey() + "\"," + part.getValue() + ",\"m\"]")
-          .collect(Collectors.joining(",", "{\"epoch\":1,\"nextPageToken\":1,\"held\":[", "]}"));
-    }
-
-    /** Whatever prompt it reads, it keeps; it says nothing before it has read it. */
-    private void read(HttpFields headers) throws InterruptedException {
-      String hash = headers.get(PREFIX_HASH);
-      if (hash == null) {
-        return;
-      }
-      reading.lock();
-      try {
-        for (String part : hash.split(",", -1)) {
-          String tokens = part.substring(part.indexOf(':') + 1);
-          if (keptParts.put(part.substring(0, part.indexOf(':')), tokens) == null) {
-            TimeUnit.MICROSECONDS.sleep((long) (MICROS_PER_MILLI * Long.parseLong(tokens) / pace));
-          }
-        }
-      } finally {
-        reading.unlock();
-      }
-    }
-
     private void serve(Request request, Response response, Callback callback, EngineFault fault)
         throws Exception {
       HttpFields headers = request.getHeaders();
@@ -433,7 +409,7 @@
       } else {
         runs.add(headers.get(REQUEST_ID));
         if (!headers.contains(KV_SOURCE)) {
-          read(headers);
+          cache.read(headers.get(PREFIX_HASH));
         }
         run(request, response, callback, fault);
       }
@@ -476,7 +452,7 @@
         write(response, callback, "failed");
         return;
       }
-      read(request.getHeaders());
+      cache.read(request.getHeaders().get(PREFIX_HASH));
       String handle = "h-" + id + "-" + handleNumber.incrementAndGet();
       handles.add(handle);
       String body = "{\"kvHandle\":\"" + handle + "\",\"tokens\":10,\"version\":1}";
@@ -486,6 +462,7 @@
     private void run(Request request, Response response, Callback callback, EngineFault fault)
         throws Exception {
       response.getHeaders().put(STAMP, STAMP_PREFIX + id);
+      delimit(response);
       switch (fault) {
         case FAIL -> {
           response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
@@ -493,6 +470,11 @@
         }
         case LOSE_ANSWER -> close(request, callback);
         case SILENT -> waitUntilGone(request, callback);
+        case HEAD_ONLY -> {
+          response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+          part(response, "");
+          close(request, callback);
+        }
         case RESET_WITHOUT_LENGTH -> resetWithoutLength(request, callback);
         case WRONG_REQUEST -> {
           response.getHeaders().put(REQUEST_ID, "another");
@@ -531,9 +513,21 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
+    /** The server gives an answer of unknown length chunks, unless its connection ends with it. */
+    private void delimit(Response response) {
+      if (endsWithConnection) {
+        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+      }
+    }
+
     private void answerWhole(
         Request request, Response response, Callback callback, boolean breakOff) throws Exception {
       String body = "answer of " + id + padding;
+      if (!breakOff && endsWithConnection) {
+        part(response, body);
+        response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+        return;
+      }
       if (!breakOff) {
         write(response, callback, body);
         return;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -58,7 +58,7 @@
   private final Map<String, List<Long>> crashTimes = new HashMap<>();
   private final List<GatewayServer> gateways = new ArrayList<>();
   private final Map<String, Map<String, String>> lost = new HashMap<>();
-  private Consumer<EmulatedEngine> crashing = engine -> {};
+  private Consumer<EmulatedEngine> preparing = engine -> {};
   private int version = 1;
   private boolean idsStay;
   private Duration usageWindow = Duration.ZERO;
@@ -137,7 +137,7 @@
   private EmulatedEngine add(EmulatedEngine engine) {
     engines.add(engine);
     if (!engine.stage().isEmpty()) {
-      crashing.accept(engine);
+      preparing.accept(engine);
     }
     list(engine, false);
     return engine;
@@ -172,10 +172,19 @@
   public synchronized void crashOn(PoisonRequests requests, EngineCrash when) {
     Consumer<EmulatedEngine> added =
         engine -> engine.crashOn(requests, when, crashed -> replace(crashed, requests.value()));
-    crashing = crashing.andThen(added);
+    preparing = preparing.andThen(added);
     modelEngines().forEach(added);
   }
 
+  /**
+   * Answers of all model engines have neither a length nor chunks from now on, and end with their
+   * connections.
+   */
+  public synchronized void endAnswersWithConnection() {
+    preparing = preparing.andThen(EmulatedEngine::endAnswersWithConnection);
+    modelEngines().forEach(EmulatedEngine::endAnswersWithConnection);
+  }
+
   /** When engines crashed on a body or a part of a prompt, by the steady clock. */
   public synchronized List<Long> crashNanos(String poison) {
     return List.copyOf(crashTimes.getOrDefault(poison, List.of()));
@@ -230,7 +239,7 @@
       EmulatedEngine successor =
           engine.tellsItsStart() ? engine.restarted() : engine.successor(unusedId(engine.id()));
       engines.add(place, successor);
-      crashing.accept(successor);
+      preparing.accept(successor);
       if (!engine.tellsItsStart()) {
         unlist(engine);
       }
@@ -260,7 +269,7 @@
               unusedId(leaver.id()), leaver.service(), softwareVersion, leaver.stage());
       engines.set(engines.indexOf(leaver), next);
       replaced.add(leaver);
-      crashing.accept(next);
+      preparing.accept(next);
       list(next, false);
       list(leaver, true);
       leaving.add(leaver);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
@@ -14,6 +14,8 @@
   BREAK_MIDWAY,
   /** It runs the request; its answer without a length is reset on the way. */
   RESET_WITHOUT_LENGTH,
+  /** It runs the request and closes the connection after the head of its answer. */
+  HEAD_ONLY,
   /** It runs the request and says nothing. */
   SILENT,
   /** Its answer names another request. */
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingPromptPartTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingPromptPartTest.java
@@ -109,6 +109,18 @@
     assertThat(arrivals(sendPoison(SENDS_AFTERWARDS))).isLessThanOrEqualTo(TOLERATED_SENDS);
   }
 
+  /**
+   * An engine that crashes between two events of an answer without a length or chunks seems to have
+   * answered. That cleared the part each time: 16 engines crashed in 16 requests.
+   */
+  @Test
+  void answerThatEndsWithTheConnectionOfACrashingEngineDoesNotClearThePart() throws Exception {
+    platform.endAnswersWithConnection();
+    crashEngines(EngineCrash.MIDWAY);
+    assertThat(platform.crashes()).isLessThanOrEqualTo(TOLERATED_CRASHES);
+    assertThat(arrivals(sendPoison(SENDS_AFTERWARDS))).isLessThanOrEqualTo(TOLERATED_SENDS);
+  }
+
   @Test
   void requestsThatShareTheOtherPartsAreServed() throws Exception {
     crashEngines(EngineCrash.MIDWAY);
