Soak: parts that crash engines, answers that end with connections, a crowded gateway

Two checks: sound requests that begin as poisoned ones are not held back more often than not, and a crowded gateway serves at least three quarters as often as others meanwhile. What a part may crash before it must be held back is five engines, where contents keep their three. SoakCheckTest shows what each check finds.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -16,6 +16,8 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.fallturn.core.domain.NetworkAddress;
 
@@ -25,6 +27,9 @@
   /** The longest that a call is waited for. */
   public static final Duration LONGEST = Duration.ofSeconds(20);
 
+  /** The part with which all prompts of {@link #send} begin. */
+  public static final String FIRST_PART = "aa";
+
   private static final int SHARED_PART_TOKENS = 100;
 
   private final HttpClient client = new HttpClient();
@@ -96,6 +101,24 @@
     return send(gateway, path, promptTokens, deadline, ownBody());
   }
 
+  /**
+   * As {@link #send(NetworkAddress, String, int, Duration)}.
+   *
+   * @param lastOnConnection whether the connection ends with the answer
+   */
+  public Call send(
+      NetworkAddress gateway,
+      String path,
+      int promptTokens,
+      Duration deadline,
+      boolean lastOnConnection) {
+    HttpFields headers =
+        lastOnConnection
+            ? HttpFields.build().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE)
+            : HttpFields.EMPTY;
+    return send(gateway, path, promptTokens, deadline, ownBody(), headers);
+  }
+
   /** Sends a request with a body that others may bear too. */
   public Call sendContent(NetworkAddress gateway, String path, int promptTokens, String body) {
     return send(gateway, path, promptTokens, LONGEST, body.getBytes(UTF_8));
@@ -198,7 +221,7 @@
       headers.put("X-Fallturn-Token-Count", promptTokens + ",80");
       headers.put(
           EmulatedEngine.PREFIX_HASH,
-          "aa:" + shared + "," + requestId.hashCode() + ":" + (promptTokens - shared));
+          FIRST_PART + ":" + shared + "," + requestId.hashCode() + ":" + (promptTokens - shared));
     }
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -242,9 +242,9 @@
     limit = perSecond;
   }
 
-  /** Answers have neither a length nor chunks from now on, and end with their connections. */
-  public void endAnswersWithConnection() {
-    endsWithConnection = true;
+  /** Sets whether answers have neither a length nor chunks, and end with their connections. */
+  public void endAnswersWithConnection(boolean value) {
+    endsWithConnection = value;
   }
 
   /** Application answers are longer by so many bytes from now on. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -181,8 +181,9 @@
    * connections.
    */
   public synchronized void endAnswersWithConnection() {
-    preparing = preparing.andThen(EmulatedEngine::endAnswersWithConnection);
-    modelEngines().forEach(EmulatedEngine::endAnswersWithConnection);
+    Consumer<EmulatedEngine> added = engine -> engine.endAnswersWithConnection(true);
+    preparing = preparing.andThen(added);
+    modelEngines().forEach(added);
   }
 
   /** When engines crashed on a body or a part of a prompt, by the steady clock. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -173,16 +173,20 @@
       return found;
     }
   },
-  /** A content under which three engines have crashed is held back once all have to know. */
+  /**
+   * A content under which three engines have crashed, or a part of prompts under which five have,
+   * is held back once all have to know.
+   */
   POISON_HELD_BACK {
     @Override
     List<String> violations(SoakRecord record) {
       List<String> found = new ArrayList<>();
       for (SoakRecord.Poison poison : record.poisons()) {
-        if (poison.crashNanos().size() < CRASHES_TOLERATED) {
+        int tolerated = poison.crashesTolerated();
+        if (poison.crashNanos().size() < tolerated) {
           continue;
         }
-        long bound = poison.crashNanos().get(CRASHES_TOLERATED - 1) + SoakFleet.CONTACT.toNanos();
+        long bound = poison.crashNanos().get(tolerated - 1) + SoakFleet.CONTACT.toNanos();
         List<SoakRecord.Arrival> late =
             poison.sends().stream().filter(send -> send.nanos() > bound).toList();
         if (late.size() > SENDS_TOLERATED) {
@@ -271,30 +275,29 @@
           : List.of();
     }
   },
+  /** Requests that only begin as those with a part that crashes engines are not held back. */
+  SOUND_PARTS_SERVED {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<SoakRecord.Call> sound = record.control().beginWithPoison();
+      long heldBack = sound.stream().filter(call -> call.body().startsWith(HELD_BACK)).count();
+      return heldBack > HELD_BACK_PART * sound.size()
+          ? List.of(heldBack + " of " + sound.size() + " requests without the part held back")
+          : List.of();
+    }
+  },
   /** Callers of a gateway that is cut off from all engines are served nearly as others are. */
   SERVED_WHEN_CUT_OFF {
     @Override
     List<String> violations(SoakRecord record) {
-      List<String> found = new ArrayList<>();
-      for (SoakRecord.CutOff cutOff : record.control().cutOffs()) {
-        long there = served(cutOff.there());
-        long elsewhere = served(cutOff.elsewhere());
-        int failed = (int) (cutOff.there().size() - there);
-        boolean farLess =
-            there * (double) cutOff.elsewhere().size()
-                < CUT_OFF_PART * elsewhere * cutOff.there().size();
-        if (farLess && failed > FAILED_TOLERATED + FAILED_PART * cutOff.there().size()) {
-          found.add(
-              String.format(
-                  "gateway %d served %d of %d, others %d of %d",
-                  cutOff.gateway(),
-                  there,
-                  cutOff.there().size(),
-                  elsewhere,
-                  cutOff.elsewhere().size()));
-        }
-      }
-      return found;
+      return servedFarLess(record.control().cutOffs(), CUT_OFF_PART);
+    }
+  },
+  /** Callers of a gateway that gets most connections are served nearly as others are. */
+  SERVED_WHEN_CROWDED {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return servedFarLess(record.control().crowds(), CROWDED_PART);
     }
   },
   /** Once the faults are over, callers are served. */
@@ -316,7 +319,13 @@
 
   private static final int HTTP_OK = 200;
   private static final int NOT_FOUND = 404;
-  private static final int CRASHES_TOLERATED = 3;
+
+  /** How many engines a content may crash before all gateways have to know it. */
+  static final int CRASHES_TOLERATED = 3;
+
+  /** How many engines a part of prompts may crash before all gateways have to know it. */
+  static final int PART_CRASHES_TOLERATED = 5;
+
   private static final int REQUESTS_IN_REST_TOLERATED = 2;
 
   /** What engines that name a limit are promised, by window. */
@@ -344,6 +353,14 @@
   /** How often first tries are served at a gateway that is cut off, in relation to the others. */
   private static final double CUT_OFF_PART = 2.0 / 3;
 
+  /** The same at a gateway that gets most connections. */
+  private static final double CROWDED_PART = 3.0 / 4;
+
+  /** What the answer of a request says that is held back for crashing engines. */
+  private static final String HELD_BACK = "Not sent:";
+
+  private static final double HELD_BACK_PART = 0.5;
+
   private static final int FAILED_TOLERATED = 10;
   private static final double FAILED_PART = 1.0 / 50;
 
@@ -372,6 +389,29 @@
   /** What broke the promise, one line each. */
   abstract List<String> violations(SoakRecord record);
 
+  /** The gateways that served first tries less often than a part of what others did. */
+  private static List<String> servedFarLess(List<SoakRecord.CutOff> comparisons, double part) {
+    List<String> found = new ArrayList<>();
+    for (SoakRecord.CutOff compared : comparisons) {
+      long there = served(compared.there());
+      long elsewhere = served(compared.elsewhere());
+      int failed = (int) (compared.there().size() - there);
+      boolean farLess =
+          there * (double) compared.elsewhere().size() < part * elsewhere * compared.there().size();
+      if (farLess && failed > FAILED_TOLERATED + FAILED_PART * compared.there().size()) {
+        found.add(
+            String.format(
+                "gateway %d served %d of %d, others %d of %d",
+                compared.gateway(),
+                there,
+                compared.there().size(),
+                elsewhere,
+                compared.elsewhere().size()));
+      }
+    }
+    return found;
+  }
+
   /** How many requests of its gateway reached the engine in the rest that one was answered with. */
   private static long within(
       SoakRecord record,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -171,6 +171,39 @@
       fleet.removeRoute();
     }
   },
+  POISON_PART_COMES(Lane.PROMPT_PARTS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.addPoisonPart(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      // it comes until the end of the run
+    }
+  },
+  ANSWERS_END_WITH_CONNECTION(Lane.FRAMING) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.endAnswersWithConnection(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.markEndsOfAnswers(target);
+    }
+  },
+  GATEWAY_CROWDED(Lane.CONNECTIONS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.crowd(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.endCrowd();
+    }
+  },
   GATEWAY_RELOADED(Lane.SIGNALS) {
     @Override
     void begin(SoakFleet fleet, int target) throws Exception {
@@ -232,7 +265,13 @@
     /** Engines of a new version begin, and those that they replace leave and end. */
     RELEASES(1, Integer.MAX_VALUE),
     /** Like {@link #RELEASES}, so that releases overlap. */
-    OVERLAPPING_RELEASES(1, Integer.MAX_VALUE);
+    OVERLAPPING_RELEASES(1, Integer.MAX_VALUE),
+    /** Parts of prompts that crash model engines; last, so that seeds draw the others as ever. */
+    PROMPT_PARTS(1, Integer.MAX_VALUE),
+    /** Engines whose answers have neither a length nor chunks. */
+    FRAMING(1, Integer.MAX_VALUE),
+    /** One gateway that gets most connections, for longer than the bound on knowing. */
+    CONNECTIONS(2, Integer.MAX_VALUE);
 
     private final int times;
     private final int mostMillis;
@@ -300,6 +339,11 @@
     return this == GATEWAY_KILLED || this == GATEWAY_STOPPED;
   }
 
+  /** Whether a gateway gets most connections while it lasts. */
+  boolean crowds(int gateway, int target, int gateways) {
+    return this == GATEWAY_CROWDED && gateway == SoakFleet.gatewayIndex(target, gateways);
+  }
+
   /** Whether a gateway is cut off from all engines while it lasts. */
   boolean cutsOff(int gateway, int target, int gateways) {
     return lane == Lane.LINKS && gateway == SoakFleet.gatewayIndex(target, gateways);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -11,6 +11,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -18,6 +20,7 @@
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineCrash;
+import org.fallturn.rehearsal.emulator.PoisonRequests;
 import org.fallturn.rehearsal.emulator.RouteText;
 import org.fallturn.rehearsal.emulator.StoreCopy;
 import org.fallturn.rehearsal.emulator.StoreFault;
@@ -47,6 +50,9 @@
 
   private static final int RELEASED_ENGINES = 2;
 
+  /** One request in so many goes to any gateway while one gets most. */
+  private static final int CROWDED_ONE_OUT_OF = 6;
+
   private static final String LOOPBACK = "127.0.0.1";
 
   /** A node is told no more addresses of others than the platform names. */
@@ -82,6 +88,9 @@
   private final List<ServerSocket> reservedPorts = new ArrayList<>();
   private final List<SoakGateway> gateways = new ArrayList<>();
   private final List<String> poisons = new CopyOnWriteArrayList<>();
+  private final List<String> poisonParts = new CopyOnWriteArrayList<>();
+  private final Map<Integer, EmulatedEngine> unframed = new HashMap<>();
+  private volatile OptionalInt crowded = OptionalInt.empty();
   private final List<SoakRecord.Drain> drains = new CopyOnWriteArrayList<>();
   private final Map<Integer, Draining> draining = new HashMap<>();
   private final List<SoakRecord.Rest> rests = new CopyOnWriteArrayList<>();
@@ -259,6 +268,53 @@
     return List.copyOf(poisons);
   }
 
+  /** From now on callers send requests like no other with a part that crashes model engines. */
+  void addPoisonPart(int target) {
+    EngineCrash when =
+        Math.floorMod(target, 2) == 0 ? EngineCrash.BEFORE_ANSWER : EngineCrash.MIDWAY;
+    String part = "bad" + poisonParts.size();
+    platform.crashOn(PoisonRequests.withPromptPart(part), when);
+    poisonParts.add(part);
+  }
+
+  /** The parts of prompts that crash model engines. */
+  List<String> poisonParts() {
+    return List.copyOf(poisonParts);
+  }
+
+  void endAnswersWithConnection(int target) {
+    EmulatedEngine engine = engine(target);
+    engine.endAnswersWithConnection(true);
+    unframed.put(target, engine);
+  }
+
+  void markEndsOfAnswers(int target) {
+    unframed.remove(target).endAnswersWithConnection(false);
+  }
+
+  /** Most requests go to one gateway, each on a connection of its own. */
+  void crowd(int target) {
+    crowded = OptionalInt.of(target);
+  }
+
+  void endCrowd() {
+    crowded = OptionalInt.empty();
+  }
+
+  /** Whether one gateway gets most connections now. */
+  boolean isCrowded() {
+    return crowded.isPresent();
+  }
+
+  /**
+   * The target of a request: mostly that of the gateway that gets most connections, if one does.
+   */
+  int target(Random random) {
+    int drawn = random.nextInt(Integer.MAX_VALUE);
+    OptionalInt crowd = crowded;
+    return crowd.isPresent() && drawn % CROWDED_ONE_OUT_OF != 0 ? crowd.getAsInt() : drawn;
+  }
+
   void setStoreLink(int target, LinkFaults faults) {
     proxy.set(storeLink(Math.floorMod(target, gateways.size())), faults);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -56,6 +56,8 @@
     }
     Random random = new Random(seed - 1);
     start("poisoner", () -> sendPoisons(random));
+    Random poisoningParts = new Random(seed - 3);
+    start("part-poisoner", () -> sendPoisonParts(poisoningParts));
     Random probing = new Random(seed - 2);
     start("prober", () -> sendProbes(probing));
   }
@@ -123,6 +125,31 @@
     }
   }
 
+  private void sendPoisonParts(Random random) {
+    while (!stopped) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(POISON_PAUSE_MILLIS));
+        List<String> parts = fleet.poisonParts();
+        if (!parts.isEmpty()) {
+          sendPoisonPart(parts.get(random.nextInt(parts.size())), random);
+        }
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  /** It begins as all other prompts do; its answer is not waited for. */
+  private void sendPoisonPart(String part, Random random) {
+    int target = fleet.target(random);
+    EmulatedClient.Call call =
+        client.sendWithParts(
+            fleet.gateway(target).callers(),
+            EmulatedPlatform.RESUMABLE,
+            List.of(EmulatedClient.FIRST_PART, part));
+    poisonSends.add(new SoakRecord.PoisonSend(call.requestId(), part, fleet.indexOf(target)));
+  }
+
   /** Its answer is not waited for, so that several copies come at once. */
   private void sendPoison(String body, Random random) {
     int target = random.nextInt(Integer.MAX_VALUE);
@@ -153,12 +180,15 @@
 
   private void askOnce(SoakRecord.Kind kind, Random random)
       throws InterruptedException, ExecutionException {
-    int target = random.nextInt(Integer.MAX_VALUE);
+    int target = fleet.target(random);
     SoakGateway gateway = fleet.gateway(target);
+    boolean ownConnection = fleet.isCrowded();
     int prompt = random.nextBoolean() ? SHORT_PROMPT : LONG_PROMPT;
     long sent = System.nanoTime();
     EmulatedClient.Answer answer =
-        client.send(gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE).await();
+        client
+            .send(gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE, ownConnection)
+            .await();
     if (kind == SoakRecord.Kind.RESUMABLE_STREAM) {
       resume(answer, prompt, random);
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -84,12 +84,14 @@
   record PoisonSend(String requestId, String body, int gateway) {}
 
   /**
-   * A content that crashes engines.
+   * A content, or a part of prompts, that crashes engines.
    *
+   * @param body the content's body, or the id of the part
+   * @param crashesTolerated how many engines it may crash before all gateways have to know
    * @param crashNanos when engines crashed under it
    * @param sends what reached engines while its gateway was in touch with the others and the store
    */
-  record Poison(String body, List<Long> crashNanos, List<Arrival> sends) {}
+  record Poison(String body, int crashesTolerated, List<Long> crashNanos, List<Arrival> sends) {}
 
   /** An engine turned everything away from one time to another, and asked for rest each time. */
   record Rest(String engineId, long fromNanos, long toNanos) {}
@@ -104,6 +106,9 @@
    * @param orders the orders that each engine took, by its id
    * @param ends when gateways were ended
    * @param cutOffs what was asked while gateways were cut off from all engines
+   * @param crowds what was asked while one gateway got most connections
+   * @param beginWithPoison requests without a part that crashes engines which began as those with
+   *     it did, by the time of the check
    * @param streams streams that callers began and continued
    */
   record Control(
@@ -111,8 +116,20 @@
       Map<String, List<StageOrder>> orders,
       GatewayEnds ends,
       List<CutOff> cutOffs,
+      List<CutOff> crowds,
+      List<Call> beginWithPoison,
       Streams streams) {
 
+    /** Nobody was crowded, and no part crashed engines. */
+    Control(
+        List<Probe> probes,
+        Map<String, List<StageOrder>> orders,
+        GatewayEnds ends,
+        List<CutOff> cutOffs,
+        Streams streams) {
+      this(probes, orders, ends, cutOffs, List.of(), List.of(), streams);
+    }
+
     /** Nothing was done. */
     static Control none() {
       GatewayEnds noEnds = new GatewayEnds(List.of(), List.of());
@@ -172,7 +189,8 @@
   }
 
   /**
-   * What was asked, later than the bound on knowing, while a gateway was cut off from all engines.
+   * What was asked, later than the bound on knowing, while a gateway was cut off from all engines,
+   * or got most connections.
    *
    * @param there what it was asked while it was in touch, as at least one other gateway was
    * @param elsewhere what those others were asked meanwhile
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -80,7 +80,9 @@
                 load.probes(this::inTouch),
                 orders(fleet),
                 ends(fleet),
-                cutOffs(calls),
+                comparisons(calls, SoakFault::cutsOff),
+                comparisons(calls, SoakFault::crowds),
+                beginWithPoison(fleet, calls),
                 streams(calls, load.resumptions())),
             calmFrom);
       }
@@ -186,8 +188,21 @@
 
   private List<SoakRecord.Poison> poisons(
       SoakFleet fleet, List<SoakRecord.PoisonSend> sends, List<SoakRecord.Arrival> arrivals) {
+    List<SoakRecord.Poison> poisons =
+        poisons(fleet, fleet.poisons(), SoakCheck.CRASHES_TOLERATED, sends, arrivals);
+    poisons.addAll(
+        poisons(fleet, fleet.poisonParts(), SoakCheck.PART_CRASHES_TOLERATED, sends, arrivals));
+    return poisons;
+  }
+
+  private List<SoakRecord.Poison> poisons(
+      SoakFleet fleet,
+      List<String> bodies,
+      int crashesTolerated,
+      List<SoakRecord.PoisonSend> sends,
+      List<SoakRecord.Arrival> arrivals) {
     List<SoakRecord.Poison> poisons = new ArrayList<>();
-    for (String body : fleet.poisons()) {
+    for (String body : bodies) {
       Map<String, Integer> gateways = new HashMap<>();
       sends.stream()
           .filter(send -> send.body().equals(body))
@@ -197,7 +212,8 @@
               .filter(arrival -> gateways.containsKey(arrival.requestId()))
               .filter(arrival -> inTouch(gateways.get(arrival.requestId()), arrival.nanos()))
               .toList();
-      poisons.add(new SoakRecord.Poison(body, fleet.platform().crashNanos(body), inTouch));
+      List<Long> crashes = fleet.platform().crashNanos(body);
+      poisons.add(new SoakRecord.Poison(body, crashesTolerated, crashes, inTouch));
     }
     return poisons;
   }
@@ -279,11 +295,40 @@
     return times;
   }
 
-  private List<SoakRecord.CutOff> cutOffs(List<SoakRecord.Call> calls) {
+  /** Whether a fault means a gateway. */
+  @FunctionalInterface
+  private interface MeansGateway {
+
+    boolean test(SoakFault fault, int gateway, int target, int gateways);
+  }
+
+  /**
+   * Requests of gateways in touch that share the first part with poisoned ones, sent so long after
+   * the last crash that counts that all gateways must know which part it was.
+   */
+  private List<SoakRecord.Call> beginWithPoison(SoakFleet fleet, List<SoakRecord.Call> calls) {
+    List<SoakRecord.Call> late = new ArrayList<>();
+    for (String part : fleet.poisonParts()) {
+      List<Long> crashes = fleet.platform().crashNanos(part);
+      if (!crashes.isEmpty()) {
+        int last = Math.min(crashes.size(), SoakCheck.PART_CRASHES_TOLERATED) - 1;
+        long from = crashes.get(last) + 2 * SoakFleet.CONTACT.toNanos();
+        calls.stream()
+            .filter(call -> call.kind().model() && call.sentNanos() > from)
+            .filter(call -> inTouch(call.gateway(), call.sentNanos()))
+            .filter(call -> isThisBuild(call.gateway(), call.sentNanos()))
+            .forEach(late::add);
+      }
+    }
+    return late;
+  }
+
+  private List<SoakRecord.CutOff> comparisons(
+      List<SoakRecord.Call> calls, MeansGateway meansGateway) {
     List<SoakRecord.CutOff> cutOffs = new ArrayList<>();
     for (SoakSchedule.Entry entry : schedule.faults()) {
       for (int gateway = 0; gateway < gateways; gateway++) {
-        if (entry.fault().cutsOff(gateway, entry.target(), gateways)) {
+        if (meansGateway.test(entry.fault(), gateway, entry.target(), gateways)) {
           cutOffs.add(cutOff(gateway, entry, calls));
         }
       }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/AnswerEndsWithConnectionTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/AnswerEndsWithConnectionTest.java
@@ -29,8 +29,8 @@
     platform = new EmulatedPlatform();
     decoder = platform.addEngine("d-1", EmulatedPlatform.MODEL_SERVICE, "decode");
     application = platform.addEngine("a-1", EmulatedPlatform.APPLICATION_SERVICE, "");
-    decoder.endAnswersWithConnection();
-    application.endAnswersWithConnection();
+    decoder.endAnswersWithConnection(true);
+    application.endAnswersWithConnection(true);
     gateway = platform.addGateway();
     client = new EmulatedClient();
   }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -138,7 +138,7 @@
       SoakRecord good, List<Long> crashes, int sends, double atSeconds) {
     SoakRecord.Arrival send = new SoakRecord.Arrival("d-1", "p", seconds(atSeconds), false);
     SoakRecord.Poison poison =
-        new SoakRecord.Poison("poison", crashes, Collections.nCopies(sends, send));
+        new SoakRecord.Poison("poison", 3, crashes, Collections.nCopies(sends, send));
     return new SoakRecord(
         good.calls(),
         good.arrivals(),
@@ -409,6 +409,49 @@
     assertThat(whenCutOff(50, 170)).isEmpty();
   }
 
+  private static List<SoakCheck> whenCrowded(int failuresThere) {
+    SoakRecord.CutOff crowd = new SoakRecord.CutOff(1, answers(failuresThere, 60), answers(2, 200));
+    return broken(
+        withControl(
+            new SoakRecord.Control(
+                List.of(),
+                Map.of(),
+                NO_ENDS,
+                List.of(),
+                List.of(crowd),
+                List.of(),
+                SoakRecord.Streams.none())));
+  }
+
+  @Test
+  void callersOfAGatewayThatGetsMostConnectionsAreServedNearlyAsOthersAre() {
+    assertThat(whenCrowded(20)).containsExactly(SoakCheck.SERVED_WHEN_CROWDED);
+    assertThat(whenCrowded(14)).isEmpty();
+  }
+
+  private static List<SoakCheck> whenHeldBack(int heldBack, int others) {
+    SoakRecord.Call refused =
+        call("refused", SoakRecord.Kind.STREAM, 503, "Not sent: engines have crashed under part a");
+    List<SoakRecord.Call> sound = new ArrayList<>(Collections.nCopies(heldBack, refused));
+    sound.addAll(Collections.nCopies(others, call("served", SoakRecord.Kind.STREAM, 200, WHOLE)));
+    return broken(
+        withControl(
+            new SoakRecord.Control(
+                List.of(),
+                Map.of(),
+                NO_ENDS,
+                List.of(),
+                List.of(),
+                sound,
+                SoakRecord.Streams.none())));
+  }
+
+  @Test
+  void soundRequestsThatAreHeldBackForTheirFirstPartAreFound() {
+    assertThat(whenHeldBack(11, 10)).containsExactly(SoakCheck.SOUND_PARTS_SERVED);
+    assertThat(whenHeldBack(10, 10)).isEmpty();
+  }
+
   private static SoakRecord.Resumption resumption(int status, String body) {
     return new SoakRecord.Resumption(
         "begun", 0, seconds(20), "v1", status, body, status != 0, true);
