Let a node that has most requests use half of an engine's connections

Callers would see: when one node gets most new connections, requests wait in it though engines have room, and are given up there.

Cause: each node used an eighth of the connections that an engine takes, whatever its share of the requests.

Why it holds: a node's bound is its equal part, or its share of the running requests of half the connections if that is more.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/FleetView.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/FleetView.java
@@ -1,6 +1,7 @@
 package org.fallturn.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -72,6 +73,21 @@
     updatePeerLimits(nowNanos);
   }
 
+  /** This node's share of the requests that run at the engines of each service, 0 to 1. */
+  public Map<String, Double> loadShares(long nowNanos) {
+    Map<String, Integer> own = new HashMap<>();
+    Map<String, Integer> all = new HashMap<>();
+    for (ServingEngine engine : listed.all()) {
+      own.merge(engine.service(), selector.load(engine).running(), Integer::sum);
+      all.merge(engine.service(), selector.running(engine, nowNanos), Integer::sum);
+    }
+    Map<String, Double> shares = new HashMap<>();
+    all.forEach(
+        (service, running) ->
+            shares.put(service, running == 0 ? 0 : own.get(service) / (double) running));
+    return shares;
+  }
+
   private void onPeerReport(String engineId, EngineDigest engine, long nowNanos) {
     if (engine.leaving() > 0) {
       notices.onLeaving(engineId, NoticeSource.PEER, nowNanos);
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/BoundedConnectionPool.java
@@ -0,0 +1,31 @@
+package org.fallturn.node.gateway;
+
+import java.util.function.IntSupplier;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.DuplexConnectionPool;
+
+/**
+ * Connections to one address, up to a bound that changes. Connections beyond a bound that has
+ * fallen stay until they are idle for long enough. Thread-safe.
+ */
+final class BoundedConnectionPool extends DuplexConnectionPool {
+
+  private final IntSupplier bound;
+
+  /**
+   * Creates a pool without connections.
+   *
+   * @param greatest the greatest value of the bound
+   */
+  BoundedConnectionPool(Destination destination, int greatest, IntSupplier bound) {
+    super(destination, greatest);
+    this.bound = bound;
+  }
+
+  @Override
+  protected void tryCreate(boolean create) {
+    if (getConnectionCount() < bound.getAsInt()) {
+      super.tryCreate(create);
+    }
+  }
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -463,6 +463,7 @@
     if (now - lastHealthNanos >= HEALTH_NANOS) {
       lastHealthNanos = now;
       dispatcher.onTick(now);
+      engines.setLoadShares(dispatcher.fleet().loadShares(now));
       pathActions.onTick(now);
       dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
       dispatcher.takePaceChanges(now).forEach(log::enginePace);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ConnectionPool;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
@@ -22,6 +23,7 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.dispatch.ConnectionBound;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
@@ -41,7 +43,6 @@
 
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
   private static final Duration BUSY_CONNECTION = Duration.ofSeconds(60);
-  private static final int ASSUMED_NODES = 8;
 
   /** Connections to one node that forwards: it may stand for all engines. */
   private static final int FORWARDER_CONNECTIONS = 128;
@@ -59,49 +60,53 @@
   private final HttpClient client;
   private final EngineProtocol protocol;
   private final NoticeReader noticeReader;
-  private final Map<String, Integer> connectionsByService = new ConcurrentHashMap<>();
+  private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
   private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
+  private volatile Map<String, Double> loadShares = Map.of();
 
   EngineClient(EngineProtocol protocol, EngineNotices notices, DecisionLog log, Executor executor)
       throws Exception {
     this.protocol = protocol;
     this.noticeReader = new NoticeReader(protocol, notices, log);
-    client =
-        PlainHttpClients.start(
-            executor,
-            CONNECT_TIMEOUT,
-            destination -> new DuplexConnectionPool(destination, maxConnections(destination)));
+    client = PlainHttpClients.start(executor, CONNECT_TIMEOUT, this::newPool);
   }
 
   EngineProtocol protocol() {
     return protocol;
   }
 
-  /**
-   * Updates how many connections this node may open to one engine. Services bound the connections
-   * that an engine takes from all nodes together; a node uses its share of an assumed number of
-   * nodes, and at least two.
-   */
+  /** Updates how many connections the engines of each service accept. */
   void setServices(RoutingImage image) {
     image
         .services()
-        .forEach(
-            service ->
-                connectionsByService.put(
-                    service.name(), Math.max(2, service.maxConnections() / ASSUMED_NODES)));
+        .forEach(service -> acceptedByService.put(service.name(), service.maxConnections()));
   }
 
-  private int maxConnections(Destination destination) {
+  /**
+   * Sets this node's share of the requests that run at each service; see {@link ConnectionBound}.
+   */
+  void setLoadShares(Map<String, Double> shares) {
+    loadShares = Map.copyOf(shares);
+  }
+
+  private ConnectionPool newPool(Destination destination) {
     NetworkAddress address =
         new NetworkAddress(
             destination.getOrigin().getAddress().getHost(),
             destination.getOrigin().getAddress().getPort());
     if (forwarders.contains(address)) {
-      return FORWARDER_CONNECTIONS;
+      return new DuplexConnectionPool(destination, FORWARDER_CONNECTIONS);
     }
     String service = serviceByAddress.getOrDefault(address, "");
-    return connectionsByService.getOrDefault(service, PlainHttpClients.DEFAULT_CONNECTIONS);
+    Integer accepted = acceptedByService.get(service);
+    if (accepted == null) {
+      return new DuplexConnectionPool(destination, PlainHttpClients.DEFAULT_CONNECTIONS);
+    }
+    return new BoundedConnectionPool(
+        destination,
+        ConnectionBound.greatest(accepted),
+        () -> ConnectionBound.of(accepted, loadShares.getOrDefault(service, 0.0)));
   }
 
   /**
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -96,6 +97,7 @@
   private volatile String rest = "";
   private volatile String padding = "";
   private volatile boolean endsWithConnection;
+  private volatile CountDownLatch gate = new CountDownLatch(0);
   private volatile String limit = "";
 
   /**
@@ -242,6 +244,11 @@
     limit = perSecond;
   }
 
+  /** Requests that it runs from now on begin to be answered once the gate opens. */
+  public void holdRunsUntil(CountDownLatch opened) {
+    gate = opened;
+  }
+
   /** Sets whether answers have neither a length nor chunks, and end with their connections. */
   public void endAnswersWithConnection(boolean value) {
     endsWithConnection = value;
@@ -408,6 +415,7 @@
         refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else {
         runs.add(headers.get(REQUEST_ID));
+        gate.await();
         if (!headers.contains(KV_SOURCE)) {
           cache.read(headers.get(PREFIX_HASH));
         }
