--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -369,7 +369,7 @@
         delimit(response);
         response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
-        part(response, StreamEvents.event(1, softwareVersion));
+        EmulatedStream.part(response, StreamEvents.event(1, softwareVersion));
       }
       TimeUnit.MILLISECONDS.sleep(CRASH_MILLIS);
       close(request, callback);
@@ -480,7 +480,7 @@
         case SILENT -> waitUntilGone(request, callback);
         case HEAD_ONLY -> {
           response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
-          part(response, "");
+          EmulatedStream.part(response, "");
           close(request, callback);
         }
         case RESET_WITHOUT_LENGTH -> resetWithoutLength(request, callback);
@@ -509,13 +509,14 @@
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
       String after = request.getHeaders().get(LAST_EVENT_ID);
       int first = after == null ? 1 : Integer.parseInt(after) + 1;
+      EmulatedStream stream = new EmulatedStream(response, softwareVersion);
       for (int event = first; event <= StreamEvents.COUNT; event++) {
         if (breakOff && event > first) {
-          part(response, "id: " + event + "\nda");
+          EmulatedStream.part(response, "id: " + event + "\nda");
           close(request, callback);
           return;
         }
-        part(response, StreamEvents.event(event, softwareVersion));
+        stream.write(event);
         TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
       }
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
@@ -532,7 +533,7 @@
         Request request, Response response, Callback callback, boolean breakOff) throws Exception {
       String body = "answer of " + id + padding;
       if (!breakOff && endsWithConnection) {
-        part(response, body);
+        EmulatedStream.part(response, body);
         response.write(true, BufferUtil.EMPTY_BUFFER, callback);
         return;
       }
@@ -541,17 +542,10 @@
         return;
       }
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
-      part(response, body.substring(0, body.length() - 1));
+      EmulatedStream.part(response, body.substring(0, body.length() - 1));
       close(request, callback);
     }
 
-    private void part(Response response, String text) throws Exception {
-      try (Blocking written = new Blocking()) {
-        response.write(false, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), written);
-        written.block();
-      }
-    }
-
     private void write(Response response, Callback callback, String text) {
       response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -161,8 +161,8 @@
   }
 
   /**
-   * Lets every model engine crash on a content from now on; another starts under its address at
-   * once, and its row takes the place of the former.
+   * Lets every model engine crash on a content from now on, also one that leaves; another starts
+   * under its address at once, and its row takes the place of the former.
    */
   public synchronized void crashOn(String body, EngineCrash when) {
     crashOn(PoisonRequests.withBody(body), when);
@@ -174,6 +174,7 @@
         engine -> engine.crashOn(requests, when, crashed -> replace(crashed, requests.value()));
     preparing = preparing.andThen(added);
     modelEngines().forEach(added);
+    replaced.forEach(added);
   }
 
   /**
@@ -231,6 +232,10 @@
 
   /** The successor has the place of the engine in every list. */
   private synchronized void replace(EmulatedEngine engine, String poison) {
+    if (replaced.remove(engine)) {
+      endReplaced(engine, poison);
+      return;
+    }
     int place = engines.indexOf(engine);
     if (!endCrashed(engine)) {
       return;
@@ -250,6 +255,14 @@
     }
   }
 
+  /** An engine that leaves crashes as the others do; its place has been taken already. */
+  private void endReplaced(EmulatedEngine engine, String poison) {
+    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+    crashed.add(engine);
+    unlist(engine);
+    close(engine);
+  }
+
   /**
    * Starts engines of another software version, which take the places of decode engines in every
    * list. Those are listed as leaving and serve on until {@link #end}.
