Store with what is in quarantine the engines that prove it

Callers saw (a test of ours, CrashingRequestTest#nodesThatAllStartAnewKnowIt, once, beside load): after a restart of all nodes every request that shares a part with a content in quarantine was held back.

Cause: the row of a content in quarantine names no engines, so that a node that starts anew can't know that the content explains the crashes of the part. On the way: a write to the store took the place of another row of the same content that waited in the queue (QuarantineDutyTest fails before), and one that followed a removal took the place of the removal.

Why it holds: the engines are written first, for contents and parts alike, under the key of a suspicion, which earlier builds skip; a write takes the place of one of the same row only.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Suspect.java
@@ -392,16 +392,13 @@
   }
 
   /**
-   * The ids of engines that crashed under the content, if it is suspected and this node, having
+   * The ids of engines that crashed under the content, if it is not clear and this node, having
    * seen the last crash, should write them to the store. Returns them again only when there are
-   * others. For a part in quarantine the engines still matter: those that had few other requests
-   * tell it apart from the parts that came with it.
+   * others. In quarantine they still matter: they tell parts of prompts apart from others that came
+   * with them.
    */
   Optional<Set<String>> takeSuspicionDue() {
-    boolean wanted =
-        status() == QuarantineStatus.SUSPECTED
-            || status() == QuarantineStatus.QUARANTINED && content.isPart();
-    if (!wanted || seenHereNanos != changedNanos) {
+    if (status() == QuarantineStatus.CLEAR || seenHereNanos != changedNanos) {
       return Optional.empty();
     }
     Set<String> engines = provingEngines();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineActions.java
@@ -38,8 +38,9 @@
     for (String engineId : quarantine.takeProbes(nowNanos)) {
       dispatcher.engine(engineId).ifPresent(probe::ask);
     }
-    quarantine.takeUnstored(nowNanos).forEach(storeDuty::put);
+    // The engines first: a part in quarantine without them would hold back all that share it.
     quarantine.takeUnstoredSuspects().forEach(storeDuty::putSuspect);
+    quarantine.takeUnstored(nowNanos).forEach(storeDuty::put);
     quarantine.takeReleased().forEach(storeDuty::remove);
     quarantinedContents = quarantine.quarantined(RequestFingerprint.Kind.CONTENT);
     quarantinedParts = quarantine.quarantined(RequestFingerprint.Kind.PROMPT_PART);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/QuarantineDuty.java
@@ -44,7 +44,14 @@
    * @param held whether the store is to hold the content, or to remove it
    * @param engines engines that crashed under a suspected content; empty for one in quarantine
    */
-  private record Write(RequestFingerprint content, boolean held, Set<String> engines) {}
+  private record Write(RequestFingerprint content, boolean held, Set<String> engines) {
+
+    /** A removal concerns both rows that a content may have, any other write one of them. */
+    boolean replaces(Write earlier) {
+      boolean sameRow = engines.isEmpty() == earlier.engines.isEmpty();
+      return content.equals(earlier.content) && (!held || earlier.held && sameRow);
+    }
+  }
 
   /** A call to the store that may fail. */
   @FunctionalInterface
@@ -92,7 +99,7 @@
     if (writes.contains(write)) {
       return;
     }
-    writes.removeIf(earlier -> earlier.content().equals(write.content()));
+    writes.removeIf(write::replaces);
     if (!writes.offer(write)) {
       log.quarantineStored(write.content(), write.held(), "too many wait");
     }
