--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/CrashingFleet.java
@@ -337,6 +337,29 @@
     apply(run.node, run.progress, run.body, run.tries, next);
   }
 
+  /**
+   * Ends some engines, resets connections or restarts a node, in three of so many calls.
+   *
+   * @param mostCut the most engines that end at the same moment
+   */
+  void injectFault(Random faults, int calls, int mostCut) {
+    switch (faults.nextInt(calls)) {
+      case 0 -> powerCut(1 + faults.nextInt(mostCut));
+      case 1 -> resetConnections(0.5);
+      case 2 -> restart(faults.nextInt(nodeCount()));
+      default -> {
+        // no fault this time
+      }
+    }
+  }
+
+  void stepFor(long forMillis) {
+    long until = millis + forMillis;
+    while (millis < until) {
+      step();
+    }
+  }
+
   /** Advances the time by one step. */
   void step() {
     millis += STEP_MILLIS;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/PromptPartFleetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/PromptPartFleetTest.java
@@ -21,6 +21,11 @@
 class PromptPartFleetTest {
 
   private static final long PLAYED_MILLIS = 14_000;
+
+  /** There is about one fault in two seconds. */
+  private static final int STEPS_A_FAULT = 1_200;
+
+  private static final int MOST_ENGINES_CUT = 3;
   private static final long ROUND_MILLIS = 4_000;
   private static final int CRASHES_TOLERATED = 5;
   private static final int SENDS_TOLERATED = 3;
@@ -51,7 +56,7 @@
     fleet.restartAll();
     for (int number = 0; number < MAX_POISONED; number++) {
       fleet.poisonPartArrives();
-      step(fleet, 250);
+      fleet.stepFor(250);
     }
     assertThat(fleet.poisonSends().size() - before).isLessThanOrEqualTo(SENDS_TOLERATED);
   }
@@ -88,26 +93,7 @@
           fleet.schedule(random.nextInt(1_000), fleet::poisonPartArrives);
         }
       }
-      injectFault(fleet, random);
-      fleet.step();
-    }
-  }
-
-  /** Injects about one fault in two seconds. */
-  private static void injectFault(CrashingFleet fleet, Random random) {
-    switch (random.nextInt(1_200)) {
-      case 0 -> fleet.powerCut(1 + random.nextInt(3));
-      case 1 -> fleet.resetConnections(0.5);
-      case 2 -> fleet.restart(random.nextInt(fleet.nodeCount()));
-      default -> {
-        // no fault in this step
-      }
-    }
-  }
-
-  private static void step(CrashingFleet fleet, long millis) {
-    long until = fleet.millis() + millis;
-    while (fleet.millis() < until) {
+      fleet.injectFault(random, STEPS_A_FAULT, MOST_ENGINES_CUT);
       fleet.step();
     }
   }
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/QuarantineFleetTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/QuarantineFleetTest.java
@@ -23,6 +23,11 @@
 class QuarantineFleetTest {
 
   private static final long PLAYED_MILLIS = 9_000;
+
+  /** There is about one fault in a second. */
+  private static final int STEPS_A_FAULT = 600;
+
+  private static final int MOST_ENGINES_CUT = 4;
   private static final long ROUND_MILLIS = 4_000;
   private static final int CRASHES_TOLERATED = 3;
   private static final int SENDS_TOLERATED = 3;
@@ -73,7 +78,7 @@
     int before = fleet.poisonSends().size();
     fleet.restartAll();
     fleet.poisonArrives();
-    step(fleet, 1_000);
+    fleet.stepFor(1_000);
     assertThat(fleet.poisonSends()).hasSize(before);
   }
 
@@ -118,26 +123,7 @@
           fleet.schedule(random.nextInt(300), fleet::poisonArrives);
         }
       }
-      injectFault(fleet, random);
-      fleet.step();
-    }
-  }
-
-  /** Injects about one fault per second. */
-  private static void injectFault(CrashingFleet fleet, Random random) {
-    switch (random.nextInt(600)) {
-      case 0 -> fleet.powerCut(1 + random.nextInt(4));
-      case 1 -> fleet.resetConnections(0.5);
-      case 2 -> fleet.restart(random.nextInt(fleet.nodeCount()));
-      default -> {
-        // no fault in this step
-      }
-    }
-  }
-
-  private static void step(CrashingFleet fleet, long millis) {
-    long until = fleet.millis() + millis;
-    while (fleet.millis() < until) {
+      fleet.injectFault(random, STEPS_A_FAULT, MOST_ENGINES_CUT);
       fleet.step();
     }
   }
