--- a/review/standin/Config.java
+++ b/review/standin/Config.java
@@ -27,4 +27,13 @@
         """
         .formatted(version, timeoutMillis, timeoutMillis);
   }
+
+  /** The same for two tenants. */
+  static String withTenants(String configuration) {
+    int limits = configuration.indexOf("\"limits\"");
+    return configuration.substring(0, limits)
+        + "\"tenants\":[{\"name\":\"huka270\",\"apiKeys\":[\"key-a\"]},"
+        + "{\"name\":\"puhu251\",\"apiKeys\":[\"key-b\"]}],\n"
+        + configuration.substring(limits);
+  }
 }
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -14,6 +14,12 @@
 /** A gateway process, started with the command of the deploy file; restarted when it ends. */
 final class Gateway implements AutoCloseable {
 
+  /** Bounds of the deployment; those of reparto-vg unless a case sets others. */
+  static String contact = "3000ms";
+
+  static String drain = "2000ms";
+  static int slack = 54;
+
   final String name;
   final int front;
   final int ready;
@@ -54,11 +60,11 @@
         address = "%s"
 
         [bounds]
-        contact = "3000ms"
-        drain = "2000ms"
+        contact = "%s"
+        drain = "%s"
         grace = "8s"
         retry_ratio = 0.2
-        retry_slack = 54
+        retry_slack = %d
         retry_window = "10s"
 
         [stages]
@@ -67,7 +73,7 @@
         [log]
         format = "json"
         """
-            .formatted(name, zone, front, ready, seeds, peers, store, more);
+            .formatted(name, zone, front, ready, seeds, peers, store, contact, drain, slack, more);
     Files.writeString(settings, text);
   }
 
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -19,6 +19,8 @@
   private final Map<String, Row> rows = new TreeMap<>();
   private final List<Row> history = new ArrayList<>();
   private long version = 100;
+  private long era = 1;
+  private boolean away;
   private final MiniServer server;
 
   Store() throws IOException {
@@ -39,6 +41,41 @@
     record(new Row(table, key, null, version));
   }
 
+  /** The rows as they are now, to come back from later. */
+  synchronized Copy copy() {
+    return new Copy(new TreeMap<>(rows), version);
+  }
+
+  /** A copy of all rows, and the version at which it was taken. */
+  record Copy(Map<String, Row> rows, long version) {}
+
+  /** From now on every call is answered 503: nothing was done. */
+  synchronized void goAway() {
+    away = true;
+    notifyAll();
+  }
+
+  /**
+   * Comes back from a copy. What the operator and the engines wrote since is written again at once;
+   * what the system wrote since is gone.
+   */
+  synchronized void comeBack(Copy copy, List<String> written) {
+    Map<String, Row> before = new TreeMap<>(rows);
+    rows.clear();
+    rows.putAll(copy.rows());
+    version = copy.version();
+    history.removeIf(row -> row.ver() > version);
+    era++;
+    away = false;
+    for (String table : written) {
+      before.values().stream()
+          .filter(row -> row.table().equals(table))
+          .filter(row -> row.ver() > copy.version())
+          .forEach(row -> put(table, row.key(), row.value()));
+    }
+    notifyAll();
+  }
+
   private void record(Row row) {
     if (row.value() == null) {
       rows.remove(row.table() + "/" + row.key());
@@ -54,14 +91,20 @@
     Thread.sleep(4);
     byte[] body;
     int status = 200;
+    if (isAway()) {
+      answer(connection, 503, null);
+      return;
+    }
     switch (request.path()) {
       case "/-/rows-get" -> body = whole(request);
-      case "/-/rows-feed" ->
-          body =
-              changes(
-                  request.query("table"),
-                  Long.parseLong(request.query("after")),
-                  Long.parseLong(request.query("waitMs")));
+      case "/-/rows-feed" -> {
+        body =
+            changes(
+                request.query("table"),
+                Long.parseLong(request.query("after")),
+                Long.parseLong(request.query("waitMs")));
+        status = body != null ? 200 : isAway() ? 503 : 410;
+      }
       case "/-/rows-tx" -> {
         body = change(json.readTree(request.body()));
         status = body == null ? 412 : 200;
@@ -71,12 +114,25 @@
         status = 404;
       }
     }
+    answer(connection, status, body);
+  }
+
+  private synchronized boolean isAway() {
+    return away;
+  }
+
+  private void answer(MiniServer.Connection connection, int status, byte[] body)
+      throws IOException {
     connection.answer(
         status,
-        Map.of("Content-Type", "application/json"),
+        Map.of("Content-Type", "application/json", "Store-Era", Long.toString(era())),
         body == null ? "{\"rows\":[]}".getBytes(StandardCharsets.UTF_8) : body);
   }
 
+  private synchronized long era() {
+    return era;
+  }
+
   private synchronized byte[] whole(MiniServer.Request request) {
     String table = request.query("table");
     String from = request.query("from") == null ? "" : request.query("from");
@@ -93,6 +149,9 @@
       throws InterruptedException {
     long until = System.nanoTime() + Math.min(waitMs, 30_000) * 1_000_000;
     while (true) {
+      if (away || after > version) {
+        return null;
+      }
       List<Row> found =
           history.stream().filter(row -> row.table().equals(table) && row.ver() > after).toList();
       long left = (until - System.nanoTime()) / 1_000_000;
