--- a/review/standin/CaseUsage.java
+++ b/review/standin/CaseUsage.java
@@ -79,21 +79,13 @@
     MiniServer api = new MiniServer(this::usage);
     store.put("op", "config", Config.withTenants(Config.configuration(7, TIMEOUT_MILLIS)));
     List<Engine> engines = new ArrayList<>();
+    for (int i = 0; i < 4; i++) {
+      engines.add(new Engine("i-app" + i, "app", "", "1"));
+    }
     for (int i = 0; i < 3; i++) {
-      engines.add(
-          new Engine("i-app" + i, "app", "", "1") {
-            @Override
-            void run(
-                MiniServer.Request request,
-                MiniServer.Connection connection,
-                Map<String, String> headers)
-                throws Exception {
-              if (request.path().endsWith("/long")) {
-                Thread.sleep(LONG_WORK_MILLIS);
-              }
-              super.run(request, connection, headers);
-            }
-          });
+      Engine batch = new Engine("i-batch" + i, "batch", "", "1");
+      batch.workMillis = LONG_WORK_MILLIS;
+      engines.add(batch);
     }
     engines.add(new Engine("i-pre0", "llm", "prefill", "1"));
     engines.add(new Engine("i-dec0", "llm", "decode", "1"));
@@ -125,7 +117,7 @@
     }
     record.say("%d gateways are ready", GATEWAYS);
     AtomicBoolean stop = new AtomicBoolean();
-    for (int i = 0; i < 10; i++) {
+    for (int i = 0; i < 30; i++) {
       int number = i;
       MiniServer.thread("client-" + i, () -> call(number, gateways, stop));
     }
@@ -163,14 +155,14 @@
   }
 
   private void call(int number, List<Gateway> gateways, AtomicBoolean stop) {
-    boolean slow = number == 9 || number == 8;
+    boolean slow = number % 3 == 0;
     String key = number % 2 == 0 ? "key-a" : "key-b";
     try (Client client = new Client(gateways.get(number % GATEWAYS).front)) {
       while (!stop.get()) {
         Client.Answer answer =
             client.send(
                 "GET",
-                slow ? "/puxa403/long" : "/puxa403/2f",
+                slow ? "/taze777/2f" : "/puxa403/2f",
                 "Authorization: Bearer " + key + "\r\n",
                 new byte[0],
                 0,
--- a/review/standin/Config.java
+++ b/review/standin/Config.java
@@ -17,11 +17,14 @@
         {"name":"once","host":"ficu95.example","pathPrefix":"/pule252/","type":"non_idempotent",
          "timeoutMs":%d,"targetLatencyMs":150,"priority":2,"service":"app","maxAttempts":1},
         {"name":"again","host":"ficu95.example","pathPrefix":"/puxa403/","type":"idempotent",
-         "timeoutMs":%d,"targetLatencyMs":150,"priority":2,"service":"app","maxAttempts":2}],
+         "timeoutMs":%d,"targetLatencyMs":150,"priority":2,"service":"app","maxAttempts":2},
+        {"name":"batch","host":"ficu95.example","pathPrefix":"/taze777/","type":"idempotent",
+         "timeoutMs":10000,"targetLatencyMs":5000,"priority":3,"service":"batch","maxAttempts":2}],
         "services":[{"name":"llm","healthPath":"/health","maxConnections":300,
          "engine":{"slots":48,"kvCapacityTokens":495255,"kvTokenBytes":163840,
          "linkMbps":1900000.0,"handleTtlS":5.0,"stageSwitchS":0.81}},
-         {"name":"app","healthPath":"/health","maxConnections":100}],
+         {"name":"app","healthPath":"/health","maxConnections":100},
+         {"name":"batch","healthPath":"/health","maxConnections":100}],
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
          "idleTimeoutMs":15000}}
         """
--- a/review/standin/Probe.java
+++ b/review/standin/Probe.java
@@ -59,6 +59,19 @@
         System.out.println("small " + small + "\nlarge " + large + "\nends " + g.ends());
         stop.set(true);
       }
+      case "ghost" -> {
+        Map<String, AtomicInteger> small = new ConcurrentSkipListMap<>(), llm = new ConcurrentSkipListMap<>();
+        AtomicBoolean stop = new AtomicBoolean();
+        for (int i = 0; i < 10; i++) { int n = i; MiniServer.thread("s", () -> { Client k = new Client(g.front); while (!stop.get()) {
+          var r = n < 6 ? k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000) : k.send("POST", n < 8 ? "/lohu930/x" : "/mera411/x", "X-Fallturn-Model: m\r\nX-Fallturn-Token-Count: 100,6\r\nX-Fallturn-Prefix-Hash: 5c:50,91:50\r\n", "hi".getBytes(), 0, 3000);
+          (n < 6 ? small : llm).computeIfAbsent(r.status()+" "+r.failure()+" "+(r.millis() / 200) * 200, x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } }); }
+        Thread.sleep(4000);
+        System.out.println("before " + small + llm); small.clear(); llm.clear();
+        for (String entry : a[1].split("\\|")) { String[] kv = entry.split("=", 2); store.put("servers", kv[0], kv[1]); }
+        Thread.sleep(10000);
+        System.out.println("after " + small + llm + " ends " + g.ends());
+        stop.set(true);
+      }
       case "upload" -> {
         int n = Integer.parseInt(a[1]), pause = Integer.parseInt(a[2]), size = Integer.parseInt(a[3]);
         Map<String, AtomicInteger> small = new ConcurrentSkipListMap<>(), large = new ConcurrentSkipListMap<>();
