--- a/review/standin/CaseUploads.java
+++ b/review/standin/CaseUploads.java
@@ -55,12 +55,9 @@
     engines.add(new Engine("i-pre0", "llm", "prefill", "1"));
     engines.add(new Engine("i-dec0", "llm", "decode", "1"));
     engines.forEach(engine -> store.put("servers", engine.id, engine.entry("ready")));
-    int peers = Gateway.freePort();
+    int internalPort = Gateway.freePort();
     for (int i = 0; i < GATEWAYS; i++) {
-      int own = i == 0 ? peers : Gateway.freePort();
-      gateways.add(
-          new Gateway(
-              folder, "edge-" + (i + 1), "zone-1", store.address(), own, "127.0.0.1:" + peers, ""));
+      gateways.add(new Gateway(folder, i + 1, store.address(), internalPort, ""));
     }
     for (Gateway gateway : gateways) {
       gateway.start();
@@ -119,7 +116,7 @@
         boolean handed = handOver.get();
         int node = handed ? 0 : number % GATEWAYS;
         long from = millis(begun);
-        try (Client client = new Client(gateways.get(node).front)) {
+        try (Client client = new Client(gateways.get(node))) {
           Client.Answer answer =
               client.send("POST", "/pule252/2f", "", body, PAUSE_MILLIS, DEADLINE_MILLIS);
           long sent = answer.sentNanos() == 0 ? 0 : (answer.sentNanos() - begun) / 1_000_000;
--- a/review/standin/CaseUsage.java
+++ b/review/standin/CaseUsage.java
@@ -90,21 +90,12 @@
     engines.add(new Engine("i-pre0", "llm", "prefill", "1"));
     engines.add(new Engine("i-dec0", "llm", "decode", "1"));
     engines.forEach(engine -> store.put("servers", engine.id, engine.entry("ready")));
-    int peers = Gateway.freePort();
+    int internalPort = Gateway.freePort();
     String duties =
         "\n[duties]\napi = \"%s\"\nusage_window = \"5s\"\nusage_late = \"10s\"\n"
             .formatted(api.address());
     for (int i = 0; i < GATEWAYS; i++) {
-      int own = i == 0 ? peers : Gateway.freePort();
-      gateways.add(
-          new Gateway(
-              folder,
-              "edge-" + (i + 1),
-              "zone-1",
-              store.address(),
-              own,
-              "127.0.0.1:" + peers,
-              duties));
+      gateways.add(new Gateway(folder, i + 1, store.address(), internalPort, duties));
     }
     for (Gateway gateway : gateways) {
       gateway.start();
@@ -157,11 +148,12 @@
   private void call(int number, List<Gateway> gateways, AtomicBoolean stop) {
     boolean slow = number % 3 == 0;
     String key = number % 2 == 0 ? "key-a" : "key-b";
-    try (Client client = new Client(gateways.get(number % GATEWAYS).front)) {
+    try (Client client = new Client(gateways.get(number % GATEWAYS))) {
+      Thread.sleep(number * 135L);
       while (!stop.get()) {
         Client.Answer answer =
             client.send(
-                "GET",
+                slow ? "POST" : "GET",
                 slow ? "/taze777/2f" : "/puxa403/2f",
                 "Authorization: Bearer " + key + "\r\n",
                 new byte[0],
--- a/review/standin/CaseVersions.java
+++ b/review/standin/CaseVersions.java
@@ -101,12 +101,9 @@
     for (Engine engine : engines) {
       store.put("servers", engine.id, engine.entry("ready"));
     }
-    int peers = Gateway.freePort();
+    int internalPort = Gateway.freePort();
     for (int i = 0; i < GATEWAYS; i++) {
-      int own = i == 0 ? peers : Gateway.freePort();
-      gateways.add(
-          new Gateway(
-              folder, "edge-" + (i + 1), "zone-1", store.address(), own, "127.0.0.1:" + peers, ""));
+      gateways.add(new Gateway(folder, i + 1, store.address(), internalPort, ""));
     }
     for (Gateway gateway : gateways) {
       gateway.start();
@@ -159,7 +156,7 @@
   }
 
   private void call(Gateway gateway, AtomicBoolean stop) {
-    try (Client client = new Client(gateway.front)) {
+    try (Client client = new Client(gateway)) {
       while (!stop.get()) {
         Client.Answer answer =
             client.send(
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -22,13 +22,15 @@
     }
   }
 
+  private final String ip;
   private final int port;
   private Socket socket;
   private InputStream in;
   boolean kept;
 
-  Client(int port) {
-    this.port = port;
+  Client(Gateway gateway) {
+    this.ip = gateway.ip;
+    this.port = gateway.front;
   }
 
   static String newId() {
@@ -39,7 +41,7 @@
     kept = socket != null;
     if (socket == null) {
       socket = new Socket();
-      socket.connect(new InetSocketAddress("127.0.0.1", port), 1_000);
+      socket.connect(new InetSocketAddress(ip, port), 1_000);
       socket.setTcpNoDelay(true);
       in = new BufferedInputStream(socket.getInputStream());
     }
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -21,9 +21,9 @@
   static int slack = 54;
 
   final String name;
+  final String ip;
   final int front;
   final int ready;
-  final int peers;
   private final Path settings;
   private final Path log;
   private volatile Process process;
@@ -32,12 +32,19 @@
   private final List<String> ends = new ArrayList<>();
   private final long startedNanos = System.nanoTime();
 
-  Gateway(Path folder, String name, String zone, String store, int peers, String seeds, String more)
+  /**
+   * Creates a gateway that is not started. As on the users' machines, every gateway has an address
+   * of its own and the same internal port.
+   *
+   * @param number number of the gateway, from 1
+   * @param internalPort port that is free on all addresses
+   */
+  Gateway(Path folder, int number, String store, int internalPort, String more)
       throws IOException {
-    this.name = name;
+    this.name = "edge-" + number;
+    this.ip = ip(number);
     this.front = freePort();
     this.ready = freePort();
-    this.peers = peers;
     this.settings = folder.resolve(name + ".toml");
     this.log = folder.resolve(name + ".log");
     String text =
@@ -45,11 +52,11 @@
         [gateway]
         node_name = "%s"
         zone = "%s"
-        callers = "127.0.0.1:%d"
-        readiness = "127.0.0.1:%d"
+        callers = "%s:%d"
+        readiness = "%s:%d"
         seeds = "%s"
         metrics_port = 0
-        peers = "127.0.0.1:%d"
+        peers = "%s:%d"
 
         [machine]
         cpu_share = 0.75
@@ -73,13 +80,25 @@
         [log]
         format = "json"
         """
-            .formatted(name, zone, front, ready, seeds, peers, store, contact, drain, slack, more);
+            .formatted(
+                name, "zone-1", ip, front, ip, ready, seeds(), ip, internalPort, store, contact,
+                drain, slack, more);
     Files.writeString(settings, text);
   }
 
+  private static String ip(int number) {
+    return "127.0.0." + (10 + number);
+  }
+
+  /** The control addresses of the first three machines; their ports are not used. */
+  private static String seeds() {
+    return ip(1) + ":8146," + ip(2) + ":8146," + ip(3) + ":8146";
+  }
+
+  /** A port that is free for TCP on all loopback addresses. */
   static int freePort() throws IOException {
     try (ServerSocket socket = new ServerSocket()) {
-      socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+      socket.bind(new InetSocketAddress("0.0.0.0", 0));
       return socket.getLocalPort();
     }
   }
@@ -150,7 +169,7 @@
   /** Asks for readiness once. */
   boolean isReady() {
     try (Socket socket = new Socket()) {
-      socket.connect(new InetSocketAddress("127.0.0.1", ready), 500);
+      socket.connect(new InetSocketAddress(ip, ready), 500);
       socket.setSoTimeout(1_000);
       socket
           .getOutputStream()
--- a/review/standin/Probe.java
+++ b/review/standin/Probe.java
@@ -25,11 +25,11 @@
       });
     for (Engine e : engines) store.put("servers", e.id, e.entry("ready"));
     int peer = Gateway.freePort();
-    Gateway g = new Gateway(folder, "edge-1", "zone-1", store.address(), peer, "127.0.0.1:" + peer, "");
+    Gateway g = new Gateway(folder, 1, store.address(), peer, "");
     g.start();
     System.out.println("ready " + g.awaitReady(20));
     Thread.sleep(2000);
-    Client c = new Client(g.front);
+    Client c = new Client(g);
     switch (a[0]) {
       case "paths" -> {
         for (String p : List.of("/pule252/2f", "/pule252/2f?", "/pule252/2f?x=1&&y", "/pule252//x", "/pule252/a|b", "/pule252/%zz", "/pule252/../pule252/x","/pule252/a;b=c?q=//x", "/pule252/a?b=c d".replace(" ", "%20"), "/pule252/a?x[]=1", "/pule252/a#b")) {
@@ -50,11 +50,11 @@
         garbleMb = mb;
         Map<String, AtomicInteger> small = new ConcurrentSkipListMap<>(), large = new ConcurrentSkipListMap<>();
         AtomicBoolean stop = new AtomicBoolean();
-        for (int i = 0; i < 10; i++) MiniServer.thread("s", () -> { Client k = new Client(g.front); while (!stop.get()) { var r = k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000); small.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } });
+        for (int i = 0; i < 10; i++) MiniServer.thread("s", () -> { Client k = new Client(g); while (!stop.get()) { var r = k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000); small.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } });
         Thread.sleep(3000);
         System.out.println("before " + small);
         List<Thread> ts = new ArrayList<>();
-        for (int i = 0; i < n; i++) ts.add(MiniServer.thread("l", () -> { Client k = new Client(g.front); for (int j = 0; j < 3; j++) { var r = k.send("POST", "/lohu930/x", "X-Fallturn-Model: m\r\nX-Fallturn-Token-Count: 100,6\r\nX-Fallturn-Prefix-Hash: 5c:50,91:50\r\n", "hi".getBytes(), 0, 5000); large.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); } }));
+        for (int i = 0; i < n; i++) ts.add(MiniServer.thread("l", () -> { Client k = new Client(g); for (int j = 0; j < 3; j++) { var r = k.send("POST", "/lohu930/x", "X-Fallturn-Model: m\r\nX-Fallturn-Token-Count: 100,6\r\nX-Fallturn-Prefix-Hash: 5c:50,91:50\r\n", "hi".getBytes(), 0, 5000); large.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); } }));
         for (Thread t : ts) t.join(20000);
         System.out.println("small " + small + "\nlarge " + large + "\nends " + g.ends());
         stop.set(true);
@@ -62,7 +62,7 @@
       case "ghost" -> {
         Map<String, AtomicInteger> small = new ConcurrentSkipListMap<>(), llm = new ConcurrentSkipListMap<>();
         AtomicBoolean stop = new AtomicBoolean();
-        for (int i = 0; i < 10; i++) { int n = i; MiniServer.thread("s", () -> { Client k = new Client(g.front); while (!stop.get()) {
+        for (int i = 0; i < 10; i++) { int n = i; MiniServer.thread("s", () -> { Client k = new Client(g); while (!stop.get()) {
           var r = n < 6 ? k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000) : k.send("POST", n < 8 ? "/lohu930/x" : "/mera411/x", "X-Fallturn-Model: m\r\nX-Fallturn-Token-Count: 100,6\r\nX-Fallturn-Prefix-Hash: 5c:50,91:50\r\n", "hi".getBytes(), 0, 3000);
           (n < 6 ? small : llm).computeIfAbsent(r.status()+" "+r.failure()+" "+(r.millis() / 200) * 200, x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } }); }
         Thread.sleep(4000);
@@ -76,18 +76,18 @@
         int n = Integer.parseInt(a[1]), pause = Integer.parseInt(a[2]), size = Integer.parseInt(a[3]);
         Map<String, AtomicInteger> small = new ConcurrentSkipListMap<>(), large = new ConcurrentSkipListMap<>();
         AtomicBoolean stop = new AtomicBoolean();
-        for (int i = 0; i < 10; i++) MiniServer.thread("s", () -> { Client k = new Client(g.front); while (!stop.get()) { var r = k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000); small.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } });
+        for (int i = 0; i < 10; i++) MiniServer.thread("s", () -> { Client k = new Client(g); while (!stop.get()) { var r = k.send("POST", "/pule252/2f", "", new byte[600], 0, 1000); small.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); try { Thread.sleep(50);} catch(Exception e){} } });
         Thread.sleep(3000);
         System.out.println("before " + small);
         List<Thread> ts = new ArrayList<>();
-        for (int i = 0; i < n; i++) ts.add(MiniServer.thread("l", () -> { Client k = new Client(g.front); for (int j = 0; j < 3; j++) { var r = k.send("POST", "/pule252/2f", "", new byte[size], pause, 10000); large.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); } }));
+        for (int i = 0; i < n; i++) ts.add(MiniServer.thread("l", () -> { Client k = new Client(g); for (int j = 0; j < 3; j++) { var r = k.send("POST", "/pule252/2f", "", new byte[size], pause, 10000); large.computeIfAbsent(r.status()+" "+r.failure(), x->new AtomicInteger()).incrementAndGet(); } }));
         for (Thread t : ts) t.join(20000);
         System.out.println("small " + small + "\nlarge " + large + "\nends " + g.ends());
         for (int w = 0; w < 4; w++) {
           Thread.sleep(8000); small.clear();
           Process p = new ProcessBuilder("jcmd", "" + g.pid(), "GC.heap_info").redirectErrorStream(true).start();
           System.out.println(new String(p.getInputStream().readAllBytes()).lines().filter(l -> l.contains("used")).limit(2).toList());
-          for (int j = 0; j < 3; j++) { Client k = new Client(g.front); var r = k.send("POST", "/pule252/2f", "", new byte[size], 5, 5000); System.out.println("later " + r.status() + " " + r.failure() + " " + r.millis()); k.close(); }
+          for (int j = 0; j < 3; j++) { Client k = new Client(g); var r = k.send("POST", "/pule252/2f", "", new byte[size], 5, 5000); System.out.println("later " + r.status() + " " + r.failure() + " " + r.millis()); k.close(); }
           System.out.println("small " + small);
         }
         stop.set(true);
