--- a/review/standin/CaseUsage.java
+++ b/review/standin/CaseUsage.java
@@ -32,7 +32,9 @@
   private final Record record = new Record();
   private final List<Report> reports = new ArrayList<>();
   private final ObjectMapper json = new ObjectMapper();
+  private long highestFence;
 
+  /** Plays the case; the argument is the file of the record. */
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     CaseUsage play = new CaseUsage();
@@ -55,7 +57,9 @@
       throws Exception {
     JsonNode body = json.readTree(request.body());
     Map<String, Long> counts = new TreeMap<>();
-    body.path("counts").fields().forEachRemaining(c -> counts.put(c.getKey(), c.getValue().asLong()));
+    for (Map.Entry<String, JsonNode> count : body.path("counts").properties()) {
+      counts.put(count.getKey(), count.getValue().asLong());
+    }
     Report report =
         new Report(
             body.path("windowId").asLong(),
@@ -63,6 +67,13 @@
             request.header("X-Fallturn-Duty-Holder"),
             request.header("X-Fallturn-Fencing-Token"));
     synchronized (reports) {
+      long fence = Long.parseLong(report.fence());
+      if (fence < highestFence) {
+        record.say("%s is refused with fence %d", report.holder(), fence);
+        connection.answer(409, Map.of(), new byte[0]);
+        return;
+      }
+      highestFence = fence;
       reports.add(report);
     }
     record.say(
@@ -74,7 +85,7 @@
   private int play(boolean trouble, Path folder, List<Gateway> gateways) throws Exception {
     Gateway.contact = "4000ms";
     Gateway.drain = "3000ms";
-    Gateway.slack = 182;
+    Gateway.slack = 166;
     Store store = new Store();
     MiniServer api = new MiniServer(this::usage);
     store.put("op", "config", Config.withTenants(Config.configuration(7, TIMEOUT_MILLIS)));
--- a/review/standin/Gateway.java
+++ b/review/standin/Gateway.java
@@ -115,6 +115,7 @@
 
   void start() throws IOException {
     wanted = true;
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     launch();
     MiniServer.thread("watch-" + name, this::watch);
   }
