--- a/review/standin/MiniServer.java
+++ b/review/standin/MiniServer.java
@@ -160,6 +160,17 @@
     }
   }
 
+  /** Closes all connections; new ones are accepted. */
+  void closeConnections() {
+    for (Socket socket : open) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // Closed all the same.
+      }
+    }
+  }
+
   /** Closes the listener and all connections. */
   @Override
   public void close() {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -49,10 +49,13 @@
   /** A copy of all rows, and the version at which it was taken. */
   record Copy(Map<String, Row> rows, long version) {}
 
-  /** From now on every call is answered 503: nothing was done. */
-  synchronized void goAway() {
-    away = true;
-    notifyAll();
+  /** From now on no call is answered: connections close, and new ones are silent. */
+  void goAway() {
+    synchronized (this) {
+      away = true;
+      notifyAll();
+    }
+    server.closeConnections();
   }
 
   /**
@@ -91,8 +94,8 @@
     Thread.sleep(4);
     byte[] body;
     int status = 200;
-    if (isAway()) {
-      answer(connection, 503, null);
+    if (waitWhileAway()) {
+      connection.socket.close();
       return;
     }
     switch (request.path()) {
@@ -103,7 +106,7 @@
                 request.query("table"),
                 Long.parseLong(request.query("after")),
                 Long.parseLong(request.query("waitMs")));
-        status = body != null ? 200 : isAway() ? 503 : 410;
+        status = body == null ? 410 : 200;
       }
       case "/-/rows-tx" -> {
         body = change(json.readTree(request.body()));
@@ -117,8 +120,13 @@
     answer(connection, status, body);
   }
 
-  private synchronized boolean isAway() {
-    return away;
+  /** Returns whether the store was away when the call came; nothing was done then. */
+  private synchronized boolean waitWhileAway() throws InterruptedException {
+    boolean wasAway = away;
+    while (away) {
+      wait();
+    }
+    return wasAway;
   }
 
   private void answer(MiniServer.Connection connection, int status, byte[] body)
