Never fix the usage of a window anew that an earlier era may have fixed

Cause: the counts of a window are fixed by one row of the store, and that row was the only witness of the decision. The copy lacks it. The first holder steps aside when it meets the absent store; the next one finds no row, writes its own sums, which hold requests that ended since, and sends them. Evidence: the second report bears a fencing token of the later era; no node was killed, and RestoredUsageTest, which ends the first holder instead, breaks alike.

Change: UsageAgreement (pure, in core; the adapter only reads and writes rows) fixes a window only if it was due to be fixed for the first time after the present era had begun, with 2 s for clocks that differ. Otherwise only a row that was written in this era counts, or what this process has agreed to itself; any other node skips the window (USAGE_SKIPPED). So whatever the store loses, at most one value of a window was ever confirmed to anybody who sends. A node that starts later learns from the row of the lease by when the era had begun, on the store's own clock; a row of an earlier build tells nothing, and then the node goes by its own start.

Ruled out: sending what another node tells (messages are lost); writing the rows again after a restore (a node that was killed cannot).

Measured: UsageAgreementTest and RestoredUsageTest; before, RestoredUsageTest: "expected: {} but was: {bakery=1}".

DutyCallsTest and EarlierRowsTest call the agreement over the table in place of the table; what they check is unchanged.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
+import org.fallturn.core.port.feed.StoreEra;
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.port.table.StoreException;
 
@@ -24,7 +26,8 @@
  * the lease is not taken over a row of an earlier era, or over none, before a term and the quiet
  * time have passed: since this node first saw the row, which may be a late write of an earlier era
  * over the row of the present holder, or since it has known the present era. Fencing tokens contain
- * the era, since versions are issued again.
+ * the era, since versions are issued again. Holders pass on in the row by when the era had begun,
+ * so that a node knows how long it has lasted that started later.
  *
  * <p>Thread-safe; while one thread takes the lease, others that want it block.
  */
@@ -41,6 +44,9 @@
    */
   private static final int VERSION_BITS = 40;
 
+  /** Longer than any lease or bound of the settings lasts. */
+  private static final long LONG_AGO_NANOS = TimeUnit.HOURS.toNanos(1);
+
   private final OrderLeaseStore store;
   private final String node;
   private final Duration term;
@@ -58,6 +64,11 @@
 
     /** Lower than every era, since the first one of a store may be 0. */
     static final KnownEra NONE = new KnownEra(-1, 0);
+
+    /** Returns this era, which had begun by an earlier time if it is the one with a number. */
+    KnownEra begunBy(long number, long nanos) {
+      return number == era && nanos - sinceNanos < 0 ? new KnownEra(era, nanos) : this;
+    }
   }
 
   /**
@@ -101,12 +112,15 @@
     OrderLeaseReading reading = store.read();
     long era = reading.position().era();
     onEra(era);
+    onEraOfRow(reading);
     if (!isFree(reading)) {
       return false;
     }
     long untilMillis = reading.storeMillis() + term.toMillis();
     Optional<StorePosition> written =
-        store.write(new OrderLeaseRow(node, untilMillis, era), reading.position().version());
+        store.write(
+            new OrderLeaseRow(node, untilMillis, era, eraSinceMillis(reading, requestedNanos)),
+            reading.position().version());
     if (written.isEmpty() || written.get().era() != era) {
       return false;
     }
@@ -115,6 +129,40 @@
     return held();
   }
 
+  /** Takes over from the row of a holder by when the present era had begun. */
+  private void onEraOfRow(OrderLeaseReading reading) {
+    long nowNanos = nanoClock.getAsLong();
+    reading
+        .row()
+        .filter(row -> row.era() == reading.position().era() && row.eraSinceMillis().isPresent())
+        .ifPresent(
+            row -> {
+              long ageMillis = reading.storeMillis() - row.eraSinceMillis().getAsLong();
+              long sinceNanos = nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis);
+              knownEra.getAndUpdate(known -> known.begunBy(row.era(), sinceNanos));
+            });
+  }
+
+  /**
+   * Returns by when the era had begun on the store's clock, which was read after the request: the
+   * time is too late rather than too early.
+   */
+  private OptionalLong eraSinceMillis(OrderLeaseReading reading, long requestedNanos) {
+    KnownEra known = knownEra.get();
+    if (known.era() == 0 || known.era() != reading.position().era()) {
+      return OptionalLong.empty();
+    }
+    long ageMillis = TimeUnit.NANOSECONDS.toMillis(requestedNanos - known.sinceNanos());
+    return OptionalLong.of(reading.storeMillis() - ageMillis);
+  }
+
+  /** Returns the present era of the store, as of the last answer or message that named one. */
+  public StoreEra era() {
+    KnownEra known = knownEra.get();
+    return new StoreEra(
+        known.era(), Duration.ofNanos(Math.max(0, nanoClock.getAsLong() - known.sinceNanos())));
+  }
+
   private static long tokenOf(StorePosition written) {
     return (written.era() << VERSION_BITS) + written.version();
   }
@@ -125,12 +173,12 @@
    */
   public void onEra(long era) {
     long nowNanos = nanoClock.getAsLong();
-    long endedNanos = nowNanos - term.plus(quiet).toNanos();
+    long longAgoNanos = nowNanos - LONG_AGO_NANOS;
     knownEra.getAndUpdate(
         known -> {
           boolean nothingBefore = firstStart && known == KnownEra.NONE;
           return era > known.era()
-              ? new KnownEra(era, nothingBefore ? endedNanos : nowNanos)
+              ? new KnownEra(era, nothingBefore ? longAgoNanos : nowNanos)
               : known;
         });
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageSchedule.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageSchedule.java
@@ -1,6 +1,5 @@
 package org.fallturn.core.usage;
 
-import java.time.Duration;
 import java.util.OptionalLong;
 
 /**
@@ -12,13 +11,6 @@
  */
 public final class UsageSchedule {
 
-  /**
-   * Delay from the end of a window to its report. In this time, requests that ended at once are
-   * counted and each node publishes its sums twice more. The delay leaves enough time for another
-   * node to take over the reporting, which takes 6 s.
-   */
-  private static final Duration SETTLE_DELAY = Duration.ofMillis(2_600);
-
   private final UsageWindows windows;
   private long next;
 
@@ -42,7 +34,7 @@
     while (unixMillis >= windows.dueMillis(next) + windows.length().toMillis()) {
       next++;
     }
-    boolean settled = unixMillis >= windows.endMillis(next) + SETTLE_DELAY.toMillis();
+    boolean settled = unixMillis >= windows.settledMillis(next);
     return settled ? OptionalLong.of(next) : OptionalLong.empty();
   }
 
--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageStore.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageStore.java
@@ -1,6 +1,7 @@
 package org.fallturn.core.usage;
 
 import java.util.Optional;
+import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.port.table.StoreException;
 
 /**
@@ -9,12 +10,15 @@
  */
 public interface UsageStore {
 
+  /** Reads the row that holds the counts of a window. */
+  UsageReading read(long window) throws StoreException;
+
   /**
-   * Stores the counts of a window, unless counts of that window are stored already.
+   * Writes the counts of a window if its row still has the expected version (compare-and-set).
    *
-   * @return the stored counts of the window, which every report of it must contain; empty when
-   *     counts of later windows were stored long ago
-   * @throws StoreException when no usable answer came; the counts may have been stored
+   * @param expectedVersion the version that was read; 0 for a row that does not exist
+   * @return the position of the write; empty when the row had another version, and was not written
+   * @throws StoreException when no usable answer came; the counts may be written later
    */
-  Optional<UsageReport> fix(UsageReport proposed) throws StoreException;
+  Optional<StorePosition> write(FixedUsage counts, long expectedVersion) throws StoreException;
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageWindows.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageWindows.java
@@ -10,6 +10,13 @@
  */
 public record UsageWindows(Duration length, Duration late) {
 
+  /**
+   * Delay from the end of a window to its report. In this time, requests that ended at once are
+   * counted and each node publishes its sums twice more. The delay leaves enough time for another
+   * node to take over the reporting, which takes 6 s.
+   */
+  private static final Duration SETTLE_DELAY = Duration.ofMillis(2_600);
+
   /** Rejects a length of less than 1 ms. */
   public UsageWindows {
     if (length.toMillis() <= 0) {
@@ -27,6 +34,11 @@
     return (window + 1) * length.toMillis();
   }
 
+  /** Returns the Unix time in ms from which on a window is reported. */
+  public long settledMillis(long window) {
+    return endMillis(window) + SETTLE_DELAY.toMillis();
+  }
+
   /** Returns the Unix time in ms by which the report of a window is due. */
   public long dueMillis(long window) {
     return endMillis(window) + late.toMillis();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -374,6 +374,10 @@
         .log();
   }
 
+  void usageSkipped(UsageReport proposed) {
+    line(LogEvent.USAGE_SKIPPED).addKeyValue("window", proposed.window()).log();
+  }
+
   void usageNotReported(UsageReport report, String reason) {
     line(LogEvent.USAGE_NOT_REPORTED)
         .addKeyValue("window", report.window())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -181,8 +181,8 @@
       dispatcher.quarantine().onStored(stored.content(), now);
     } else if (event instanceof DispatchEvent.ParametersChanged changed) {
       dispatcher.setParameters(changed.parameters());
-    } else if (event instanceof DispatchEvent.UsageReported reported) {
-      runs.onReported(reported.window());
+    } else if (event instanceof DispatchEvent.UsageDone done) {
+      runs.onDone(done.window());
     } else if (event instanceof DispatchEvent.InitialCountsKnown known) {
       scaling.onInitialCounts(known.service(), known.byZone());
     } else if (event instanceof DispatchEvent.ScaleOrderAnswered answered) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -63,8 +63,8 @@
   /** This node cannot carry out the duties of the leader, although another node may. */
   record CannotLead() implements DispatchEvent {}
 
-  /** The usage of a window was reported. */
-  record UsageReported(long window) implements DispatchEvent {}
+  /** The usage of a window was reported, or never will be by this node. */
+  record UsageDone(long window) implements DispatchEvent {}
 
   /** The number of engines by zone that a service had before any was ordered became known. */
   record InitialCountsKnown(String service, Map<String, Integer> byZone) implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -19,7 +19,6 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.fallturn.core.clock.WallClock;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.EngineNotices;
@@ -35,6 +34,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.scaling.ScaleControl;
 import org.fallturn.core.stages.OrderLease;
+import org.fallturn.core.usage.UsageWindows;
 import org.fallturn.node.duty.DutyState;
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
@@ -99,7 +99,7 @@
   private final DutyThread<DispatchEvent> dispatch;
   private final FatalFaultHandler faultHandler;
   private final StageDuty stages;
-  private final Optional<UsageDuty> usage;
+  private final Optional<UsageReporting> usage;
   private final Optional<ScaleDuty> scaling;
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
@@ -177,7 +177,7 @@
     this.forwarder =
         new EngineForwarder(state, engines, id -> directory.find(id), notices, pathActions, log);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
-    this.usage = settings.duties().usage().map(windows -> newUsageDuty(duties));
+    this.usage = settings.duties().usage().map(windows -> newUsageReporting(windows, duties));
     DispatchDuty duty =
         new DispatchDuty(
             dispatcher,
@@ -216,11 +216,8 @@
         System::nanoTime);
   }
 
-  private UsageDuty newUsageDuty(DutyContext duties) {
-    return new UsageDuty(
-        duties,
-        platform.usage().create(control),
-        platform.usageApi().create(control, settings.duties().api().orElseThrow()));
+  private UsageReporting newUsageReporting(UsageWindows windows, DutyContext duties) {
+    return new UsageReporting(settings, windows, platform, control, duties);
   }
 
   private ScaleDuty newScaleDuty(DutyContext duties, NetworkAddress api) {
@@ -241,15 +238,8 @@
   }
 
   private RunCounter runCounter(Dispatcher dispatcher, PeerMessenger messenger) {
-    if (usage.isEmpty()) {
-      return RunCounter.NONE;
-    }
-    return new UsageTally(
-        settings.duties().usage().orElseThrow(),
-        new WallClock(System::nanoTime, System::currentTimeMillis),
-        settings.firstStart(),
-        new UsageFleet(overlay, dispatcher, messenger, settings.nodeName()),
-        usage.get()::offer);
+    UsageFleet fleet = new UsageFleet(overlay, dispatcher, messenger, settings.nodeName());
+    return usage.map(reporting -> reporting.newTally(fleet)).orElse(RunCounter.NONE);
   }
 
   private RowFollower newFollower(
@@ -560,7 +550,7 @@
   /** Closes the duties that give orders and report usage on behalf of the fleet. */
   private void closeDuties() {
     stages.close();
-    usage.ifPresent(UsageDuty::close);
+    usage.ifPresent(UsageReporting::close);
     scaling.ifPresent(ScaleDuty::close);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -87,6 +87,11 @@
   STAGE_CHANGE_ABANDONED,
   /** This node reported the usage of a window to the platform. */
   USAGE_REPORTED,
+  /**
+   * This node does not report the usage of a window: another one may have done so with counts that
+   * the store has lost.
+   */
+  USAGE_SKIPPED,
   /** This node could not report the usage of a window yet. */
   USAGE_NOT_REPORTED,
   /** This node ordered engines from the platform. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RunCounter.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RunCounter.java
@@ -25,7 +25,7 @@
         public void onPeerReport(UsageCounts news) {}
 
         @Override
-        public void onReported(long window) {}
+        public void onDone(long window) {}
 
         @Override
         public void onTick(long nowNanos) {}
@@ -43,8 +43,8 @@
   /** Another process sent its counts. */
   void onPeerReport(UsageCounts news);
 
-  /** The platform accepted the report of a window, sent by this node or another. */
-  void onReported(long window);
+  /** A window was reported, or will not be reported by this node. */
+  void onDone(long window);
 
   /** Called several times a second. */
   void onTick(long nowNanos);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -4,18 +4,18 @@
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.core.usage.DutyOutcome;
+import org.fallturn.core.usage.UsageAgreement;
 import org.fallturn.core.usage.UsageApi;
 import org.fallturn.core.usage.UsageReport;
-import org.fallturn.core.usage.UsageStore;
 import org.fallturn.node.duty.FaultListener;
 
 /**
  * The duty that reports usage to the platform, one window at a time, on a thread of its own. It
- * takes the lease, fixes the counts of the window in the store, and sends the report.
+ * takes the lease, agrees with the other nodes on the counts of the window, and sends the report.
  *
  * <p>Invariants: the duty sends a report only while this node holds the lease, which it checks
- * right before, and only with the counts that the store holds for the window. So no two reports of
- * a window differ, whichever node sends them and however late they take effect.
+ * right before, and only with the counts that were agreed on for the window. So no two reports of a
+ * window differ, whichever node sends them and however late they take effect.
  */
 final class UsageDuty implements AutoCloseable {
 
@@ -29,16 +29,16 @@
   private static final long STEP_ASIDE_AFTER_NANOS = TimeUnit.SECONDS.toNanos(4);
 
   private final DutyContext duty;
-  private final UsageStore store;
+  private final UsageAgreement agreement;
   private final UsageApi api;
   private final JobThread<UsageReport> jobs = new JobThread<>("usage", this::carryOut);
   private long failingSinceNanos;
   private boolean failing;
 
   /** A duty that has not started. */
-  UsageDuty(DutyContext duty, UsageStore store, UsageApi api) {
+  UsageDuty(DutyContext duty, UsageAgreement agreement, UsageApi api) {
     this.duty = duty;
-    this.store = store;
+    this.agreement = agreement;
     this.api = api;
   }
 
@@ -62,11 +62,11 @@
         failed(proposed, "another node has the lease");
         return;
       }
-      Optional<UsageReport> fixed = store.fix(proposed);
-      if (fixed.isEmpty()) {
-        done(proposed, DutyOutcome.FENCED);
+      Optional<UsageReport> agreed = agreement.agree(proposed, duty.lease().era());
+      if (agreed.isEmpty()) {
+        skip(proposed);
       } else if (duty.lease().held()) {
-        onAnswer(fixed.get(), api.report(fixed.get(), duty.node(), duty.lease().token()));
+        onAnswer(agreed.get(), api.report(agreed.get(), duty.node(), duty.lease().token()));
       } else {
         failed(proposed, "the lease has ended");
       }
@@ -94,7 +94,14 @@
   private void done(UsageReport report, DutyOutcome outcome) {
     failing = false;
     duty.log().usageReported(report, duty.lease().token(), outcome);
-    duty.events().accept(new DispatchEvent.UsageReported(report.window()));
+    duty.events().accept(new DispatchEvent.UsageDone(report.window()));
+  }
+
+  /** Another node may have reported the window with counts that nobody here knows. */
+  private void skip(UsageReport proposed) {
+    failing = false;
+    duty.log().usageSkipped(proposed);
+    duty.events().accept(new DispatchEvent.UsageDone(proposed.window()));
   }
 
   private void failed(UsageReport report, String reason) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
@@ -73,7 +73,7 @@
    * A tally that has counted nothing.
    *
    * @param firstStart whether the whole system starts for the first time
-   * @param reports takes each report that is due, repeatedly until {@link #onReported}
+   * @param reports takes each report that is due, repeatedly until {@link #onDone}
    */
   UsageTally(
       UsageWindows windows,
@@ -145,7 +145,7 @@
   }
 
   @Override
-  public void onReported(long window) {
+  public void onDone(long window) {
     schedule.onDone(window);
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
@@ -9,15 +9,20 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.InputStream;
+import java.time.Duration;
 import java.util.Base64;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.client.HttpClient;
+import org.fallturn.core.port.feed.StoreEra;
+import org.fallturn.core.port.table.StoreException;
 import org.fallturn.core.quarantine.RequestFingerprint;
 import org.fallturn.core.stages.OrderLeaseReading;
 import org.fallturn.core.stages.OrderLeaseRow;
+import org.fallturn.core.usage.UsageAgreement;
 import org.fallturn.core.usage.UsageReport;
+import org.fallturn.core.usage.UsageWindows;
 import org.fallturn.platform.InitialCountsTable;
 import org.fallturn.platform.OrderLeaseTable;
 import org.fallturn.platform.QuarantineTable;
@@ -87,15 +92,22 @@
     assertThat(withEra).isEqualTo(earlier);
   }
 
+  private static Optional<UsageReport> fix(UsageTable table, UsageReport proposed)
+      throws StoreException {
+    UsageWindows windows = new UsageWindows(Duration.ofSeconds(5), Duration.ofSeconds(10));
+    return new UsageAgreement(table, windows, () -> windows.settledMillis(proposed.window()))
+        .agree(proposed, new StoreEra(0, Duration.ZERO));
+  }
+
   /** Two builds that count the same window report what was fixed first. */
   @Test
   void theCountsThatAnEarlierBuildFixedStand() throws Exception {
     UsageTable usage = new UsageTable(client, store.address());
     Optional<UsageReport> fixed =
-        usage.fix(new UsageReport(353_445_120L, Map.of("bakery", 5L, "other", 1L)));
+        fix(usage, new UsageReport(353_445_120L, Map.of("bakery", 5L, "other", 1L)));
     assertThat(fixed).contains(new UsageReport(353_445_120L, Map.of("bakery", 4L, "farm", 0L)));
     long next = 353_445_120L + 16;
-    assertThat(usage.fix(new UsageReport(next, Map.of("bakery", 1L)))).isPresent();
+    assertThat(fix(usage, new UsageReport(next, Map.of("bakery", 1L)))).isPresent();
     assertThat(stored("usage").fieldNames()).toIterable().containsExactly("window", "counts");
   }
 
