Do not report the usage of a window once it is overdue

What callers saw: a node that took over sent reports up to one window after they had been due, some 14 s after the window's end where 10 s are allowed.

Cause: UsageSchedule skipped a window only one length after its report was due. Now it skips it when it is due; where reports are due before counts settle, a length of a window is left, so that such settings still get reports.

Evidence: two tests of UsageScheduleTest failed before (aWindowThatIsOverdueIsSkipped, aRestartedProcessBeginsWithNoWindowThatIsOverdue) and pass now; RestoredUsageTest and UsageOnEmulatorTest are green.

--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageSchedule.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageSchedule.java
@@ -4,8 +4,8 @@
 
 /**
  * Decides which window is reported next, and when. A window is reported some time after its end,
- * when the counts of the other nodes have arrived. A window is skipped once its report is overdue
- * by the length of a window.
+ * when the counts of the other nodes have arrived. A window is skipped once its report is overdue,
+ * since a late report is worth nothing.
  *
  * <p>Invariant: windows are reported in order, and never again once done. Only one thread may call.
  */
@@ -31,7 +31,7 @@
 
   /** Returns the window to report now, if any; the same one until it is done or skipped. */
   public OptionalLong due(long unixMillis) {
-    while (unixMillis >= windows.dueMillis(next) + windows.length().toMillis()) {
+    while (unixMillis >= windows.overdueMillis(next)) {
       next++;
     }
     boolean settled = unixMillis >= windows.settledMillis(next);
--- a/fallturn-core/src/main/java/org/fallturn/core/usage/UsageWindows.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/usage/UsageWindows.java
@@ -43,4 +43,12 @@
   public long dueMillis(long window) {
     return endMillis(window) + late.toMillis();
   }
+
+  /**
+   * Returns the Unix time in ms from which on a window is no longer reported. Where reports are due
+   * before counts settle, there is the length of a window to send them.
+   */
+  public long overdueMillis(long window) {
+    return Math.max(dueMillis(window), settledMillis(window) + length.toMillis());
+  }
 }
--- a/fallturn-core/src/test/java/org/fallturn/core/usage/UsageScheduleTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/usage/UsageScheduleTest.java
@@ -7,7 +7,8 @@
 
 /**
  * Guards against windows that are reported before all nodes' counts have arrived, reported twice,
- * lost when a process restarts, or reported when long overdue.
+ * lost when a process restarts, or reported when overdue, which is worth nothing and risks a second
+ * report.
  */
 class UsageScheduleTest {
 
@@ -36,6 +37,27 @@
     assertThat(window).isLessThan(FIRST);
   }
 
+  @Test
+  void aWindowThatIsOverdueIsSkipped() {
+    UsageSchedule schedule = new UsageSchedule(WINDOWS, true, START);
+    long due = WINDOWS.dueMillis(FIRST);
+    assertThat(schedule.due(due - 1)).hasValue(FIRST);
+    assertThat(schedule.due(due)).hasValue(FIRST + 1);
+  }
+
+  @Test
+  void aRestartedProcessBeginsWithNoWindowThatIsOverdue() {
+    UsageSchedule schedule = new UsageSchedule(WINDOWS, false, START);
+    assertThat(WINDOWS.dueMillis(schedule.due(START).orElseThrow())).isGreaterThan(START);
+  }
+
+  @Test
+  void aWindowThatIsDueBeforeItsCountsSettleIsReportedAllTheSame() {
+    UsageWindows strict = new UsageWindows(WINDOWS.length(), Duration.ofSeconds(1));
+    UsageSchedule schedule = new UsageSchedule(strict, true, START);
+    assertThat(schedule.due(strict.settledMillis(FIRST))).hasValue(FIRST);
+  }
+
   @Test
   void aWindowThatIsLongOverdueIsSkipped() {
     UsageSchedule schedule = new UsageSchedule(WINDOWS, true, START);
