Report usage in the soak, with requests that outlast the delay of a report

The soak played a store that goes back and showed nothing of two reports of one window: no gateway reported usage there, no check compared reports, and after each restore the lease was waited for longer than the next restore took to come.

Now gateways report windows of 3 s, all callers bear the key of a tenant, and some six requests a second run for 3.5 s, so that the sums of two gateways differ. ONE_USAGE_REPORT compares all reports of a window and the holders of a fencing token; USAGE_REPORTED asks for reports once the faults are over. The lease of orders lasts 1 s and is quiet for 0.5 s, so that gateways take over between two restores.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedApi.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedApi.java
@@ -40,8 +40,9 @@
    * @param holder who said that it has the duty
    * @param fencingToken the number that it gave
    * @param body what it said
+   * @param nanos when it came, by the steady clock
    */
-  public record Taken(String path, String holder, long fencingToken, JsonNode body) {}
+  public record Taken(String path, String holder, long fencingToken, JsonNode body, long nanos) {}
 
   /** Where it listens. */
   public NetworkAddress address() {
@@ -92,7 +93,8 @@
               Request.getPathInContext(request),
               request.getHeaders().get("X-Fallturn-Duty-Holder"),
               request.getHeaders().getLongField("X-Fallturn-Fencing-Token"),
-              body);
+              body,
+              System.nanoTime());
       response.setStatus(take(call));
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
       return true;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -97,6 +98,7 @@
   private volatile String rest = "";
   private volatile String padding = "";
   private volatile boolean endsWithConnection;
+  private volatile long runMillis;
   private volatile CountDownLatch gate = new CountDownLatch(0);
   private volatile String limit = "";
 
@@ -249,6 +251,11 @@
     gate = opened;
   }
 
+  /** From now on its runs take so long, and are answered at their end. */
+  public void runFor(Duration duration) {
+    runMillis = duration.toMillis();
+  }
+
   /** Sets whether answers have neither a length nor chunks, and end with their connections. */
   public void endAnswersWithConnection(boolean value) {
     endsWithConnection = value;
@@ -416,6 +423,10 @@
       } else {
         runs.add(headers.get(REQUEST_ID));
         gate.await();
+        if (!runToItsEnd()) {
+          close(request, callback);
+          return;
+        }
         if (!headers.contains(KV_SOURCE)) {
           cache.read(headers.get(PREFIX_HASH));
         }
@@ -423,6 +434,17 @@
       }
     }
 
+    /** Returns whether the run has come to its end, and not the engine. */
+    private boolean runToItsEnd() {
+      try {
+        TimeUnit.MILLISECONDS.sleep(runMillis);
+        return true;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return false;
+      }
+    }
+
     private void refuse(Response response, Callback callback, int status) {
       response.setStatus(status);
       response.getHeaders().put(NOT_EXECUTED, "1");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -44,6 +44,12 @@
   /** Service of the application back ends. */
   public static final String APPLICATION_SERVICE = "app";
 
+  /** Path of an application request that runs for long and may not be repeated. */
+  public static final String LONG = "/long/x";
+
+  /** Service of the application back ends whose runs take long. */
+  public static final String LONG_SERVICE = "batch";
+
   private static final long READY_SECONDS = 20;
   private static final long CHECK_MILLIS = 5;
   private static final String OPERATOR_TABLE = "op";
@@ -61,6 +67,7 @@
   private Consumer<EmulatedEngine> preparing = engine -> {};
   private int version = 1;
   private boolean idsStay;
+  private UnaryOperator<String> amending = text -> text;
   private Duration usageWindow = Duration.ZERO;
 
   /** Starts the store with the default configuration. */
@@ -88,7 +95,13 @@
   /** Puts a configuration with these routes in force. */
   public void configure(List<String> routes) {
     version += 2;
-    write(OPERATOR_TABLE, CONFIGURATION_KEY, RouteText.configuration(version, routes));
+    String text = RouteText.configuration(version, routes);
+    write(OPERATOR_TABLE, CONFIGURATION_KEY, amending.apply(text));
+  }
+
+  /** Changes the text of each configuration that {@link #configure(List)} puts in force. */
+  public void amendConfigurations(UnaryOperator<String> newAmending) {
+    amending = newAmending;
   }
 
   /** Puts the default routes in force with a limit on how long a connection may be idle. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -18,6 +18,9 @@
 
   private static final int MODEL_ATTEMPTS = 2;
 
+  /** A service of application back ends, after its name. */
+  private static final String APPLICATION = "\"healthPath\":\"/health\",\"maxConnections\":100}";
+
   private RouteText() {}
 
   /** One route to one service. */
@@ -57,11 +60,21 @@
 
   /** A whole configuration in which requests need a key of one of these tenants. */
   public static String configuration(long version, List<String> routes, List<String> tenants) {
-    String open = configuration(version, routes);
-    String withoutEnd = open.substring(0, open.length() - 1);
+    return withTenants(configuration(version, routes), tenants);
+  }
+
+  /** The same configuration, in which requests need a key of one of these tenants. */
+  public static String withTenants(String configuration, List<String> tenants) {
+    String withoutEnd = configuration.substring(0, configuration.length() - 1);
     return withoutEnd + ",\"tenants\":[" + String.join(",", tenants) + "]}";
   }
 
+  /** The same configuration with one more service of application back ends. */
+  public static String withService(String configuration, String name) {
+    return configuration.replace(
+        "{\"name\":\"app\",", "{\"name\":\"" + name + "\"," + APPLICATION + ",{\"name\":\"app\",");
+  }
+
   /** A route for each kind of request. */
   public static List<String> defaults() {
     int timeout = 4_000;
@@ -91,7 +104,9 @@
             + "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":300,"
             + "\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
             + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}},"
-            + "{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":100}],"
+            + "{\"name\":\"app\","
+            + APPLICATION
+            + "],"
             + "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":100000,"
             + "\"headerTimeoutMs\":%d,%s}}",
         version,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -236,6 +236,39 @@
       return found;
     }
   },
+  /**
+   * No window's usage is reported twice with different counts, and each fencing token is of one
+   * holder.
+   */
+  ONE_USAGE_REPORT {
+    @Override
+    List<String> violations(SoakRecord record) {
+      List<String> found = new ArrayList<>();
+      Map<Long, SoakRecord.UsageReport> windows = new HashMap<>();
+      Map<Long, String> holders = new HashMap<>();
+      for (SoakRecord.UsageReport report : record.control().usage()) {
+        SoakRecord.UsageReport before = windows.putIfAbsent(report.window(), report);
+        if (before != null && !before.counts().equals(report.counts())) {
+          found.add(before + ", then " + report);
+        }
+        String holder = holders.putIfAbsent(report.fencingToken(), report.holder());
+        if (holder != null && !holder.equals(report.holder())) {
+          found.add(report + " has a token of " + holder);
+        }
+      }
+      return found;
+    }
+  },
+  /** Once the faults are over, usage is reported. */
+  USAGE_REPORTED {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.control().usage().stream()
+              .anyMatch(report -> report.nanos() > record.calmFromNanos())
+          ? List.of()
+          : List.of("no usage was reported after the last fault");
+    }
+  },
   /** A stream has events of one software version, over all answers. */
   ONE_VERSION {
     @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -42,6 +42,25 @@
   static final double RETRY_SLACK = 12;
   static final Duration RETRY_WINDOW = Duration.ofSeconds(10);
 
+  /** Together shorter than the time between two restores of the store, in which nobody orders. */
+  static final Duration LEASE_TERM = Duration.ofSeconds(1);
+
+  static final Duration LEASE_QUIET = Duration.ofMillis(500);
+
+  /** Windows of usage, so short that a run has many. */
+  static final Duration USAGE_WINDOW = Duration.ofSeconds(3);
+
+  /** Long enough for another gateway to take over with a window that was reported. */
+  static final Duration USAGE_LATE = Duration.ofSeconds(20);
+
+  /** Longer than a gateway waits for the counts of a window to settle. */
+  private static final Duration LONG_RUN = Duration.ofMillis(3_500);
+
+  private static final int LONG_TIMEOUT_MILLIS = 8_000;
+
+  /** The key of the only tenant. */
+  static final String KEY = "key-1";
+
   /** What engines name as the requests a second that they take from all gateways together. */
   private static final List<String> LIMITS = List.of("0", "0.5", "2.2", "6");
 
@@ -77,6 +96,7 @@
   private static final String HOSTS = "127.0.0.";
 
   private static final int FIRST_HOST = 2;
+  private static final String GATEWAY_NAME = "gateway-";
 
   private final EmulatedPlatform platform;
   private final Deque<StoreCopy> copies = new ArrayDeque<>();
@@ -112,10 +132,15 @@
    */
   SoakFleet(long seed, int size, Path directory, String otherBuild) throws Exception {
     platform = new EmulatedPlatform();
+    platform.amendConfigurations(SoakFleet::withTenantAndLongRuns);
+    platform.configure(defaultRoutes());
     proxy = new FaultProxy(seed);
     addEngines("p", EmulatedPlatform.MODEL_SERVICE, "prefill", 2);
     addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 4);
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
+    for (int index = 1; index <= 2; index++) {
+      platform.addEngine("b-" + index, EmulatedPlatform.LONG_SERVICE, "").runFor(LONG_RUN);
+    }
     List<NetworkAddress> peers = new ArrayList<>();
     int peerPort = reservePort();
     int callerPort = reservePort();
@@ -128,11 +153,12 @@
               storeLink(index), new NetworkAddress(LOOPBACK, 0), platform.store().address());
       gateways.add(
           new SoakGateway(
-              "gateway-" + index,
+              GATEWAY_NAME + index,
               directory,
               new NetworkAddress(peers.get(index).host(), callerPort),
               peers.get(index),
               store,
+              platform.api().address(),
               peers.subList(0, Math.min(MAX_SEEDS, size)),
               SoakBuilds.of(otherBuild, index)));
     }
@@ -143,6 +169,20 @@
     heart.start();
   }
 
+  private static String withTenantAndLongRuns(String configuration) {
+    return RouteText.withTenants(
+        RouteText.withService(configuration, EmulatedPlatform.LONG_SERVICE),
+        List.of(RouteText.tenant("tenant-1", OptionalInt.empty(), KEY)));
+  }
+
+  private static List<String> defaultRoutes() {
+    List<String> routes = new ArrayList<>(RouteText.defaults());
+    routes.add(
+        RouteText.route(
+            "long", "non_idempotent", false, EmulatedPlatform.LONG_SERVICE, LONG_TIMEOUT_MILLIS));
+    return routes;
+  }
+
   private void beat() {
     for (long beat = 0; !Thread.currentThread().isInterrupted(); beat++) {
       platform.store().put("beats", "beat", Long.toString(beat));
@@ -191,13 +231,13 @@
 
   /** The operator removes the route that was added last. */
   void removeRoute() {
-    platform.configure(RouteText.defaults());
+    platform.configure(defaultRoutes());
     int last = routes.size() - 1;
     routes.set(last, routes.get(last).removedAt(System.nanoTime()));
   }
 
   private void configure(String added) {
-    List<String> all = new ArrayList<>(RouteText.defaults());
+    List<String> all = defaultRoutes();
     all.add(
         RouteText.route(added, "idempotent", false, EmulatedPlatform.APPLICATION_SERVICE, 4_000));
     platform.configure(all);
@@ -242,6 +282,11 @@
     return gatewayIndex(target, gateways.size());
   }
 
+  /** The index of the gateway with a name. */
+  int indexOf(String name) {
+    return Integer.parseInt(name.substring(GATEWAY_NAME.length()));
+  }
+
   static int gatewayIndex(int target, int gateways) {
     return Math.floorMod(target, gateways);
   }
@@ -250,8 +295,12 @@
     return gateways;
   }
 
+  /** The engine that is meant by a target; those whose runs take long have no faults. */
   EmulatedEngine engine(int target) {
-    List<EmulatedEngine> engines = platform.engines();
+    List<EmulatedEngine> engines =
+        platform.engines().stream()
+            .filter(engine -> !engine.service().equals(EmulatedPlatform.LONG_SERVICE))
+            .toList();
     return engines.get(Math.floorMod(target, engines.size()));
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -22,6 +22,7 @@
    * A gateway that is not started.
    *
    * @param store where it reaches the store
+   * @param api where it reports usage
    * @param seeds where it reaches some other gateways
    * @param builds which build each of its starts runs
    */
@@ -31,6 +32,7 @@
       NetworkAddress callers,
       NetworkAddress peers,
       NetworkAddress store,
+      NetworkAddress api,
       List<NetworkAddress> seeds,
       SoakBuilds builds)
       throws IOException {
@@ -39,10 +41,11 @@
     this.directory = directory;
     this.callers = callers;
     this.settings = directory.resolve(name + ".toml");
-    Files.writeString(settings, text(peers, store, seeds));
+    Files.writeString(settings, text(peers, store, api, seeds));
   }
 
-  private String text(NetworkAddress peers, NetworkAddress store, List<NetworkAddress> seeds) {
+  private String text(
+      NetworkAddress peers, NetworkAddress store, NetworkAddress api, List<NetworkAddress> seeds) {
     String seedText = String.join(",", seeds.stream().map(NetworkAddress::toString).toList());
     return String.format(
         Locale.ROOT,
@@ -63,6 +66,13 @@
         retry_ratio = %s
         retry_slack = %s
         retry_window = "%ds"
+        [stages]
+        lease_term = "%dms"
+        lease_quiet = "%dms"
+        [duties]
+        api = "%s"
+        usage_window = "%ds"
+        usage_late = "%ds"
         """,
         name,
         callers,
@@ -72,7 +82,12 @@
         SoakFleet.DRAIN.toMillis(),
         SoakFleet.RETRY_RATIO,
         SoakFleet.RETRY_SLACK,
-        SoakFleet.RETRY_WINDOW.toSeconds());
+        SoakFleet.RETRY_WINDOW.toSeconds(),
+        SoakFleet.LEASE_TERM.toMillis(),
+        SoakFleet.LEASE_QUIET.toMillis(),
+        api,
+        SoakFleet.USAGE_WINDOW.toSeconds(),
+        SoakFleet.USAGE_LATE.toSeconds());
   }
 
   NetworkAddress callers() {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.StreamEvents;
@@ -28,6 +30,11 @@
   /** Some six copies a second, of all such contents together. */
   private static final int POISON_PAUSE_MILLIS = 300;
 
+  /** Some six requests a second whose runs take long. */
+  private static final int LONG_PAUSE_MILLIS = 300;
+
+  private static final Duration LONG_DEADLINE = Duration.ofSeconds(8);
+
   /** One whole stream in so many is continued as if its last events had not come. */
   private static final int RESUMED_ONE_IN = 4;
 
@@ -50,6 +57,7 @@
 
   SoakLoad(SoakFleet fleet, long seed) throws Exception {
     this.fleet = fleet;
+    client.setHeaders(HttpFields.build().add(HttpHeader.AUTHORIZATION, "Bearer " + SoakFleet.KEY));
     for (int caller = 0; caller < CALLERS; caller++) {
       Random random = new Random(seed + caller);
       start("caller-" + caller, () -> ask(random));
@@ -60,6 +68,8 @@
     start("part-poisoner", () -> sendPoisonParts(poisoningParts));
     Random probing = new Random(seed - 2);
     start("prober", () -> sendProbes(probing));
+    Random running = new Random(seed - 4);
+    start("long-caller", () -> sendLongRuns(running));
   }
 
   private void start(String name, Runnable task) {
@@ -125,6 +135,19 @@
     }
   }
 
+  /** Their answers are not waited for: they only have to be counted. */
+  private void sendLongRuns(Random random) {
+    while (!stopped) {
+      try {
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(LONG_PAUSE_MILLIS));
+        int target = random.nextInt(Integer.MAX_VALUE);
+        client.send(fleet.gateway(target).callers(), EmulatedPlatform.LONG, 0, LONG_DEADLINE);
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
   private void sendPoisonParts(Random random) {
     while (!stopped) {
       try {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -110,6 +110,7 @@
    * @param beginWithPoison requests without a part that crashes engines which began as those with
    *     it did, by the time of the check
    * @param streams streams that callers began and continued
+   * @param usage the usage reports that the platform took, in order
    */
   record Control(
       List<Probe> probes,
@@ -118,7 +119,28 @@
       List<CutOff> cutOffs,
       List<CutOff> crowds,
       List<Call> beginWithPoison,
-      Streams streams) {
+      Streams streams,
+      List<UsageReport> usage) {
+
+    /** Usage was reported once after the faults. */
+    Control(
+        List<Probe> probes,
+        Map<String, List<StageOrder>> orders,
+        GatewayEnds ends,
+        List<CutOff> cutOffs,
+        List<CutOff> crowds,
+        List<Call> beginWithPoison,
+        Streams streams) {
+      this(
+          probes,
+          orders,
+          ends,
+          cutOffs,
+          crowds,
+          beginWithPoison,
+          streams,
+          List.of(new UsageReport(1, "gateway-0", 1, Map.of(), Long.MAX_VALUE)));
+    }
 
     /** Nobody was crowded, and no part crashed engines. */
     Control(
@@ -216,6 +238,14 @@
   /** A request on an added route to a gateway that was in touch, and the status of its answer. */
   record Probe(AddedRoute route, int gateway, long sentNanos, int status) {}
 
+  /**
+   * A usage report that the platform took from a gateway of this build.
+   *
+   * @param counts requests by tenant
+   */
+  record UsageReport(
+      long window, String holder, long fencingToken, Map<String, Long> counts, long nanos) {}
+
   /** An order that an engine took. */
   record StageOrder(String holder, long fencingToken) {}
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.fallturn.rehearsal.emulator.EmulatedApi;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 
 /** Plays one schedule and reports what its checks found. One thread uses it. */
@@ -83,7 +84,8 @@
                 comparisons(calls, SoakFault::cutsOff),
                 comparisons(calls, SoakFault::crowds),
                 beginWithPoison(fleet, calls),
-                streams(calls, load.resumptions())),
+                streams(calls, load.resumptions()),
+                usage(fleet)),
             calmFrom);
       }
     }
@@ -134,6 +136,28 @@
     return all;
   }
 
+  private List<SoakRecord.UsageReport> usage(SoakFleet fleet) {
+    List<SoakRecord.UsageReport> reports = new ArrayList<>();
+    for (EmulatedApi.Taken report : fleet.platform().api().taken()) {
+      Map<String, Long> counts = new TreeMap<>();
+      report
+          .body()
+          .path("counts")
+          .properties()
+          .forEach(count -> counts.put(count.getKey(), count.getValue().asLong()));
+      if (isThisBuild(fleet.indexOf(report.holder()), report.nanos())) {
+        reports.add(
+            new SoakRecord.UsageReport(
+                report.body().path("windowId").asLong(),
+                report.holder(),
+                report.fencingToken(),
+                counts,
+                report.nanos()));
+      }
+    }
+    return reports;
+  }
+
   private static Map<String, Integer> runs(SoakFleet fleet) {
     Map<String, Integer> runs = new HashMap<>();
     fleet
@@ -419,6 +443,17 @@
     out.printf(
         "%d streams resumed, %d successfully; %d of %d promised ones%n",
         resumptions.size(), succeeded(resumptions), succeeded(promised), promised.size());
+    List<Long> windows =
+        record.control().usage().stream()
+            .map(SoakRecord.UsageReport::window)
+            .distinct()
+            .sorted()
+            .toList();
+    out.printf(
+        "%d reports of the usage of %d windows, of %d from the first to the last%n",
+        record.control().usage().size(),
+        windows.size(),
+        windows.isEmpty() ? 0 : windows.get(windows.size() - 1) - windows.get(0) + 1);
     boolean kept = true;
     for (SoakCheck check : SoakCheck.values()) {
       List<String> violations = check.violations(record);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -490,4 +490,41 @@
     assertThat(broken(withResumptions(half))).containsExactly(SoakCheck.STREAMS_RESUMED);
     assertThat(broken(withResumptions(Collections.nCopies(11, refused)))).isEmpty();
   }
+
+  private static SoakRecord.UsageReport report(
+      String holder, long token, long requests, double atSeconds) {
+    Map<String, Long> counts = Map.of("tenant-1", requests);
+    return new SoakRecord.UsageReport(7, holder, token, counts, seconds(atSeconds));
+  }
+
+  private static List<SoakCheck> reported(SoakRecord.UsageReport... reports) {
+    return broken(
+        withControl(
+            new SoakRecord.Control(
+                List.of(),
+                Map.of(),
+                NO_ENDS,
+                List.of(),
+                List.of(),
+                List.of(),
+                SoakRecord.Streams.none(),
+                List.of(reports))));
+  }
+
+  /** A store that was restored had lost the counts that a gateway had reported before. */
+  @Test
+  void windowThatIsReportedAgainWithOtherCountsIsFound() {
+    double calm = 1e-9 * CALM + 1;
+    assertThat(reported(report("a", 1, 5, 2), report("b", 2, 5, calm))).isEmpty();
+    assertThat(reported(report("a", 1, 5, 2), report("b", 2, 6, calm)))
+        .containsExactly(SoakCheck.ONE_USAGE_REPORT);
+    assertThat(reported(report("a", 1, 5, 2), report("b", 1, 5, calm)))
+        .containsExactly(SoakCheck.ONE_USAGE_REPORT);
+  }
+
+  @Test
+  void usageThatIsNoLongerReportedIsFound() {
+    assertThat(reported(report("a", 1, 5, 1e-9 * CALM - 1)))
+        .containsExactly(SoakCheck.USAGE_REPORTED);
+  }
 }
