--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -1,9 +1,6 @@
 package org.fallturn.rehearsal.emulator;
 
-import java.io.IOException;
-import java.net.HttpURLConnection;
 import java.net.StandardSocketOptions;
-import java.net.URI;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -57,7 +54,7 @@
   private static final String KV_SOURCE = "X-Fallturn-Kv-Source";
   private static final String EXPECT_INSTANCE = "X-Fallturn-Expect-Instance";
   private static final String INSTANCE = "X-Fallturn-Instance-Id";
-  private static final String HANDLE_PATH = "/-/kv-handle/";
+  static final String HANDLE_PATH = "/-/kv-handle/";
   private static final String CACHE_LIST_PATH = "/-/kv-list";
   private static final String REPORT_PATH = "/-/report";
   private static final String ORDER_PATH = "/-/order";
@@ -418,7 +415,7 @@
         refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else if (headers.contains(STAGE_HEADER)) {
         prefill(request, response, callback, fault);
-      } else if (headers.contains(KV_SOURCE) && !takeHandle(headers.get(KV_SOURCE))) {
+      } else if (headers.contains(KV_SOURCE) && !KvSource.take(headers.get(KV_SOURCE))) {
         refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else {
         runs.add(headers.get(REQUEST_ID));
@@ -451,21 +448,6 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
-    /** The engine that read the prompt gives its KV cache away once, unless it has ended. */
-    private boolean takeHandle(String source) throws IOException {
-      int slash = source.indexOf('/');
-      URI uri =
-          URI.create(
-              "http://" + source.substring(0, slash) + HANDLE_PATH + source.substring(slash + 1));
-      HttpURLConnection connection = (HttpURLConnection) uri.toURL().openConnection();
-      connection.setRequestMethod("DELETE");
-      try {
-        return connection.getResponseCode() == HttpStatus.OK_200;
-      } catch (IOException e) {
-        return false;
-      }
-    }
-
     private void prefill(Request request, Response response, Callback callback, EngineFault fault)
         throws Exception {
       if (fault == EngineFault.LOSE_ANSWER) {
