Do not take engines that orders have left for those of before any order

How many engines a service had before any order is one row; orders keep a share of that number.

InitialCounts (pure, in core; the adapter only reads and writes) records observed counts only in an era before which nothing was written; in a later one only a node that has read them records them again. Any other node orders nothing for that service and says so (INITIAL_COUNTS_LOST). The duty takes the lease first, whose row tells since when the era has lasted.

Evidence: InitialCountsTest; with the rule taken out (trial) countsObservedAfterTheRestoreAreNotRecorded fails. DutyFaultsTest's fault is now thrown by the lease, which is read first; DutyCallsTest and EarlierRowsTest call the agreement over the table, and check what they checked.

--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/StoreEra.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/StoreEra.java
@@ -10,6 +10,12 @@
  */
 public record StoreEra(long number, Duration age) {
 
+  /**
+   * Age of an era before which nothing was written: longer than any lease or bound of the settings
+   * lasts.
+   */
+  public static final Duration LONG_AGO = Duration.ofHours(1);
+
   /**
    * Returns whether everything that was written in a time up to now is still in the store. A store
    * that names no era loses nothing.
--- a/fallturn-core/src/main/java/org/fallturn/core/scaling/InitialCountsStore.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/scaling/InitialCountsStore.java
@@ -9,13 +9,15 @@
  */
 public interface InitialCountsStore {
 
+  /** Reads the counts of a service. */
+  InitialCountsReading read(String service) throws StoreException;
+
   /**
-   * Records the counts of a service unless they have been recorded before.
+   * Writes the counts of a service unless there are any.
    *
-   * @param service the service
-   * @param observed number of engines by zone
-   * @return the recorded counts
-   * @throws StoreException when no usable answer arrived; the counts may have been recorded
+   * @param counts number of engines by zone
+   * @return whether they were written
+   * @throws StoreException when no usable answer arrived; the counts may have been written
    */
-  Map<String, Integer> fix(String service, Map<String, Integer> observed) throws StoreException;
+  boolean write(String service, Map<String, Integer> counts) throws StoreException;
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/scaling/ScalePlanner.java
@@ -90,10 +90,10 @@
       return Optional.empty();
     }
     if (initialCounts.isEmpty()) {
-      return Optional.of(new ScaleAction.RecordInitialCounts(service, lastCounts));
+      return Optional.of(new ScaleAction.RecordInitialCounts(service, lastCounts, false));
     }
     if (mayBeLost) {
-      return Optional.of(new ScaleAction.RecordInitialCounts(service, initialCounts));
+      return Optional.of(new ScaleAction.RecordInitialCounts(service, initialCounts, true));
     }
     if (!loansPay(terms)) {
       return Optional.empty();
--- a/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
@@ -44,9 +44,6 @@
    */
   private static final int VERSION_BITS = 40;
 
-  /** Longer than any lease or bound of the settings lasts. */
-  private static final long LONG_AGO_NANOS = TimeUnit.HOURS.toNanos(1);
-
   private final OrderLeaseStore store;
   private final String node;
   private final Duration term;
@@ -156,11 +153,15 @@
     return OptionalLong.of(reading.storeMillis() - ageMillis);
   }
 
-  /** Returns the present era of the store, as of the last answer or message that named one. */
+  /**
+   * Returns the present era of the store, as of the last answer or message that named one; a
+   * negative number before the first one.
+   */
   public StoreEra era() {
     KnownEra known = knownEra.get();
-    return new StoreEra(
-        known.era(), Duration.ofNanos(Math.max(0, nanoClock.getAsLong() - known.sinceNanos())));
+    boolean unknown = known == KnownEra.NONE;
+    long ageNanos = unknown ? 0 : Math.max(0, nanoClock.getAsLong() - known.sinceNanos());
+    return new StoreEra(known.era(), Duration.ofNanos(ageNanos));
   }
 
   private static long tokenOf(StorePosition written) {
@@ -173,7 +174,7 @@
    */
   public void onEra(long era) {
     long nowNanos = nanoClock.getAsLong();
-    long longAgoNanos = nowNanos - LONG_AGO_NANOS;
+    long longAgoNanos = nowNanos - StoreEra.LONG_AGO.toNanos();
     knownEra.getAndUpdate(
         known -> {
           boolean nothingBefore = firstStart && known == KnownEra.NONE;
--- a/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/scaling/ScalePlannerTest.java
@@ -81,7 +81,7 @@
 
   private void carryOut(ScaleAction action, long now) {
     if (action instanceof ScaleAction.RecordInitialCounts recorded) {
-      planner.onInitialCounts(recorded.observed());
+      planner.onInitialCounts(recorded.counts());
       return;
     }
     ScaleOrder order = ((ScaleAction.SendOrder) action).order();
@@ -183,6 +183,6 @@
     assertThat(action)
         .contains(
             new ScaleAction.RecordInitialCounts(
-                SERVICE, Map.of("a", 12, "b", 12, "c", 12, "d", 12)));
+                SERVICE, Map.of("a", 12, "b", 12, "c", 12, "d", 12), true));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -385,6 +385,10 @@
         .log();
   }
 
+  void initialCountsLost(String service) {
+    line(LogEvent.INITIAL_COUNTS_LOST).addKeyValue("service", service).log();
+  }
+
   void scaleOrdered(ScaleOrder order, long fencingToken, DutyOutcome outcome) {
     line(LogEvent.SCALE_ORDERED, outcome.name())
         .addKeyValue("service", order.service())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -32,6 +32,7 @@
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.scaling.InitialCounts;
 import org.fallturn.core.scaling.ScaleControl;
 import org.fallturn.core.stages.OrderLease;
 import org.fallturn.core.usage.UsageWindows;
@@ -222,7 +223,9 @@
 
   private ScaleDuty newScaleDuty(DutyContext duties, NetworkAddress api) {
     return new ScaleDuty(
-        duties, platform.initialCounts().create(control), platform.scaleApi().create(control, api));
+        duties,
+        new InitialCounts(platform.initialCounts().create(control)),
+        platform.scaleApi().create(control, api));
   }
 
   private Scaling newScaling() {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -94,6 +94,11 @@
   USAGE_SKIPPED,
   /** This node could not report the usage of a window yet. */
   USAGE_NOT_REPORTED,
+  /**
+   * This node orders no engines of a service: how many there were before any order may have been
+   * lost with the store.
+   */
+  INITIAL_COUNTS_LOST,
   /** This node ordered engines from the platform. */
   SCALE_ORDERED,
   /** The load figures on which this node, the one that orders stage changes, bases its orders. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ScaleDuty.java
@@ -1,9 +1,10 @@
 package org.fallturn.node.gateway;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.port.table.StoreException;
-import org.fallturn.core.scaling.InitialCountsStore;
+import org.fallturn.core.scaling.InitialCounts;
 import org.fallturn.core.scaling.ScaleAction;
 import org.fallturn.core.scaling.ScaleApi;
 import org.fallturn.core.scaling.ScaleOrder;
@@ -21,13 +22,16 @@
   /** A retry can wait: each call has its price, and an engine takes seconds to start. */
   private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  /** Nobody may ever know the counts; each look for them has its price. */
+  private static final long PAUSE_WITHOUT_COUNTS_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final DutyContext duty;
-  private final InitialCountsStore initialCounts;
+  private final InitialCounts initialCounts;
   private final ScaleApi api;
   private final JobThread<ScaleAction> jobs = new JobThread<>("scaling", this::carryOut);
 
   /** A duty that has not started. */
-  ScaleDuty(DutyContext duty, InitialCountsStore initialCounts, ScaleApi api) {
+  ScaleDuty(DutyContext duty, InitialCounts initialCounts, ScaleApi api) {
     this.duty = duty;
     this.initialCounts = initialCounts;
     this.api = api;
@@ -50,8 +54,7 @@
   private void carryOut(ScaleAction action) throws InterruptedException {
     try {
       if (action instanceof ScaleAction.RecordInitialCounts counts) {
-        Map<String, Integer> fixed = initialCounts.fix(counts.service(), counts.observed());
-        duty.events().accept(new DispatchEvent.InitialCountsKnown(counts.service(), fixed));
+        record(counts);
       } else if (action instanceof ScaleAction.SendOrder send) {
         send(send.order());
       }
@@ -62,6 +65,21 @@
     }
   }
 
+  /** Takes the lease first, whose row tells since when the store's era has lasted. */
+  private void record(ScaleAction.RecordInitialCounts proposed) throws StoreException {
+    if (!duty.lease().take()) {
+      jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
+      return;
+    }
+    Optional<Map<String, Integer>> agreed = initialCounts.agree(proposed, duty.lease().era());
+    if (agreed.isEmpty()) {
+      duty.log().initialCountsLost(proposed.service());
+      jobs.pause(PAUSE_WITHOUT_COUNTS_NANOS);
+      return;
+    }
+    duty.events().accept(new DispatchEvent.InitialCountsKnown(proposed.service(), agreed.get()));
+  }
+
   private void send(ScaleOrder order) throws StoreException, InterruptedException {
     if (!duty.lease().take() || !duty.lease().held()) {
       jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/DutyFaultsTest.java
@@ -152,18 +152,13 @@
 
   @Test
   void scaling() {
-    try (ScaleDuty duty = new ScaleDuty(context(), this::fix, null)) {
+    try (ScaleDuty duty = new ScaleDuty(context(), null, null)) {
       duty.start(listener);
       awaitContinues(
-          "scaling", () -> duty.offer(new ScaleAction.RecordInitialCounts("s", Map.of())));
+          "scaling", () -> duty.offer(new ScaleAction.RecordInitialCounts("s", Map.of(), false)));
     }
   }
 
-  private Map<String, Integer> fix(String service, Map<String, Integer> observed) {
-    failFirstTime();
-    return observed;
-  }
-
   @Test
   void quarantine() {
     QuarantineStore store =
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/EarlierRowsTest.java
@@ -18,6 +18,8 @@
 import org.fallturn.core.port.feed.StoreEra;
 import org.fallturn.core.port.table.StoreException;
 import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.scaling.InitialCounts;
+import org.fallturn.core.scaling.ScaleAction;
 import org.fallturn.core.stages.OrderLeaseReading;
 import org.fallturn.core.stages.OrderLeaseRow;
 import org.fallturn.core.usage.UsageAgreement;
@@ -140,7 +142,9 @@
   @Test
   void theStandingNumbersOfAnEarlierBuildCount() throws Exception {
     InitialCountsTable standing = new InitialCountsTable(client, store.address());
-    assertThat(standing.fix("llm", Map.of("zone-1", 1)))
-        .isEqualTo(Map.of("zone-1", 12, "zone-2", 13));
+    ScaleAction.RecordInitialCounts observed =
+        new ScaleAction.RecordInitialCounts("llm", Map.of("zone-1", 1), false);
+    assertThat(new InitialCounts(standing).agree(observed, new StoreEra(0, Duration.ZERO)))
+        .contains(Map.of("zone-1", 12, "zone-2", 13));
   }
 }
