Test that a restored store loses neither contents in quarantine nor the order of tokens

Two more rows that alone witness a decision, after an era: contents in quarantine (a node that knows one writes it again, so that nodes which all start anew afterwards hold it back) and the lease behind the fencing tokens (they rise over the restore at the platform).

--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/CrashingRequestTest.java
@@ -156,6 +156,23 @@
     assertThat(arrivalsOfFurtherSends()).isLessThanOrEqualTo(TOLERATED_SENDS);
   }
 
+  /** The copy lacks the row; a node that knows the content writes it again before all end. */
+  @Test
+  void nodesThatAllStartAnewAfterTheStoreWasRestoredKnowIt() throws Exception {
+    StoreCopy copy = platform.store().copy();
+    crashThreeEngines(EngineCrash.BEFORE_ANSWER);
+    await().atMost(LONGEST).until(() -> platform.store().holds(TABLE));
+    platform.restoreStore(copy);
+    platform.writeAgain();
+    await().atMost(LONGEST).until(() -> platform.store().holds(TABLE));
+    for (GatewayServer gateway : gateways) {
+      gateway.close();
+    }
+    gateways.clear();
+    gateways.add(platform.addGateway());
+    assertThat(arrivalsOfFurtherSends()).isLessThanOrEqualTo(TOLERATED_SENDS);
+  }
+
   @Test
   void nodeThatStartsWithoutTheStoreLearnsItFromAnother() throws Exception {
     crashThreeEngines(EngineCrash.MIDWAY);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RestoredUsageTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RestoredUsageTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,5 +92,8 @@
     await().atMost(LONGEST).until(() -> reported() >= 1 && holders() == 2);
     call(gateways.get(0));
     await().atMost(LONGEST).until(() -> reported() == 2);
+    assertThat(platform.api().taken())
+        .as("tokens rise over the restore, or the platform would refuse the new holder")
+        .isSortedAccordingTo(Comparator.comparingLong(EmulatedApi.Taken::fencingToken));
   }
 }
