Take no later era of the store for the first one

A node that starts with the whole system took the first era that it saw for the first one, whenever that was. Cut off from the store until after a restore, it would have fixed windows of before anew, taken the lease at once, and told the others in the lease's row that nothing had been lost (found by reading the fix of the usage reports; not seen in a run).

Now only a contact within 10 s of its start counts so; later, it goes by its own time, as a node that starts later does, and waits for the lease. UsageAgreementTest#nodeThatReachesTheStoreLateFixesNoWindowOfBefore failed before.

--- a/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/stages/OrderLease.java
@@ -44,12 +44,19 @@
    */
   private static final int VERSION_BITS = 40;
 
+  /**
+   * A node that starts with the whole system and reaches the store within this time takes its era
+   * for the first one. Later, the store may have been restored since the others reached it.
+   */
+  private static final long FIRST_CONTACT_NANOS = TimeUnit.SECONDS.toNanos(10);
+
   private final OrderLeaseStore store;
   private final String node;
   private final Duration term;
   private final Duration quiet;
   private final boolean firstStart;
   private final LongSupplier nanoClock;
+  private final long startedNanos;
   private final AtomicReference<KnownEra> knownEra = new AtomicReference<>(KnownEra.NONE);
   private StorePosition earlierRow = StorePosition.NONE;
   private long earlierRowSinceNanos;
@@ -90,6 +97,7 @@
     this.term = parameters.leaseTerm();
     this.quiet = parameters.leaseQuiet();
     this.nanoClock = nanoClock;
+    this.startedNanos = nanoClock.getAsLong();
   }
 
   /**
@@ -177,7 +185,10 @@
     long longAgoNanos = nowNanos - StoreEra.LONG_AGO.toNanos();
     knownEra.getAndUpdate(
         known -> {
-          boolean nothingBefore = firstStart && known == KnownEra.NONE;
+          boolean nothingBefore =
+              firstStart
+                  && known == KnownEra.NONE
+                  && nowNanos - startedNanos <= FIRST_CONTACT_NANOS;
           return era > known.era()
               ? new KnownEra(era, nothingBefore ? longAgoNanos : nowNanos)
               : known;
--- a/fallturn-core/src/test/java/org/fallturn/core/usage/UsageAgreementTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/usage/UsageAgreementTest.java
@@ -229,6 +229,19 @@
     assertThat(later.agree(WINDOW + 2, 7)).contains(counts(WINDOW + 2, 7));
   }
 
+  /** A node that starts with the whole system may reach the store only after a restore. */
+  @Test
+  void nodeThatReachesTheStoreLateFixesNoWindowOfBefore() throws StoreException {
+    Node first = startedNode(1, true);
+    Node cutOff = new Node(store, 2, 0, true);
+    Copy copy = store.copy();
+    settle(WINDOW + 1);
+    assertThat(first.agree(WINDOW + 1, 7)).isPresent();
+    store.restore(copy);
+    cutOff.lease.take();
+    assertThat(cutOff.agree(WINDOW + 1, 9)).isEmpty();
+  }
+
   @Test
   void countsWrittenAcrossARestoreAreNotReported() throws StoreException {
     Node node = startedNode(1, true);
