Decode usage reports in the emulator, not in the soak

PlatformNamesTest was red since the soak reports usage: the soak read a field by the platform's name. The emulator has the field now, and the test passes; the soak's checks are unchanged. No code of the product is touched.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedApi.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedApi.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -42,7 +43,22 @@
    * @param body what it said
    * @param nanos when it came, by the steady clock
    */
-  public record Taken(String path, String holder, long fencingToken, JsonNode body, long nanos) {}
+  public record Taken(String path, String holder, long fencingToken, JsonNode body, long nanos) {
+
+    /** The window of a usage report. */
+    public long usageWindow() {
+      return body.path("windowId").asLong();
+    }
+
+    /** The counts of a usage report, by tenant. */
+    public Map<String, Long> usageCounts() {
+      Map<String, Long> counts = new TreeMap<>();
+      body.path("counts")
+          .properties()
+          .forEach(count -> counts.put(count.getKey(), count.getValue().asLong()));
+      return counts;
+    }
+  }
 
   /** Where it listens. */
   public NetworkAddress address() {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -139,19 +139,13 @@
   private List<SoakRecord.UsageReport> usage(SoakFleet fleet) {
     List<SoakRecord.UsageReport> reports = new ArrayList<>();
     for (EmulatedApi.Taken report : fleet.platform().api().taken()) {
-      Map<String, Long> counts = new TreeMap<>();
-      report
-          .body()
-          .path("counts")
-          .properties()
-          .forEach(count -> counts.put(count.getKey(), count.getValue().asLong()));
       if (isThisBuild(fleet.indexOf(report.holder()), report.nanos())) {
         reports.add(
             new SoakRecord.UsageReport(
-                report.body().path("windowId").asLong(),
+                report.usageWindow(),
                 report.holder(),
                 report.fencingToken(),
-                counts,
+                report.usageCounts(),
                 report.nanos()));
       }
     }
