Tell how late the dispatch duty is, and on which connection each attempt was sent

Needed to tell the hypotheses on GONE and TWICE apart: histograms of the time that events wait for the dispatch duty and of the lateness of its ticks, a counter of its time by kind of event; the local address of the connection and whether anything was sent on each line that ends an attempt; a line for the end of a request that was sent for another node, which had none.

The queue's figures are taken where the ring is read, so they also count a process that does not get to run.

--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -36,6 +36,7 @@
   private final Disruptor<Slot<E>> disruptor;
   private final RingBuffer<Slot<E>> ring;
   private DutyFaultHandler faultHandler;
+  private DutyMeter<E> meter = DutyMeter.none();
   private long lastTickNanos;
   private volatile boolean ending;
   private boolean ended;
@@ -79,6 +80,12 @@
     return thread;
   }
 
+  /** Sets what measures the duty; call before {@link #start}. */
+  public DutyThread<E> measuredBy(DutyMeter<E> newMeter) {
+    meter = newMeter;
+    return this;
+  }
+
   /** Starts the thread with a listener that only logs faults. */
   public DutyThread<E> start() {
     return start(DutyState.LEARNED_AGAIN, FaultListener.LOG_ONLY);
@@ -103,7 +110,12 @@
    * @return false if the ring is full; the event is not published then
    */
   public boolean offer(E event) {
-    return ring.tryPublishEvent((slot, sequence) -> slot.event = event);
+    long now = System.nanoTime();
+    return ring.tryPublishEvent(
+        (slot, sequence) -> {
+          slot.event = event;
+          slot.offeredNanos = now;
+        });
   }
 
   /**
@@ -130,6 +142,7 @@
     if (hasEnded() || now - lastTickNanos < tickNanos) {
       return;
     }
+    long late = now - lastTickNanos - tickNanos;
     lastTickNanos = now;
     try {
       handler.onTick();
@@ -137,6 +150,7 @@
     } catch (Throwable fault) {
       applyDecision(faultHandler.onTickFault(fault));
     }
+    meter.onTick(late, System.nanoTime() - now);
   }
 
   /**
@@ -173,6 +187,7 @@
   /** An entry of the ring buffer. */
   private static final class Slot<E> {
     private E event;
+    private long offeredNanos;
   }
 
   /** Calls the duty's handler from the Disruptor's thread, which is the duty's thread. */
@@ -182,7 +197,9 @@
     public void onEvent(Slot<E> slot, long sequence, boolean endOfBatch) {
       E event = slot.event;
       slot.event = null;
+      long begun = System.nanoTime();
       handle(event);
+      meter.onEvent(event, begun - slot.offeredNanos, System.nanoTime() - begun);
       if (endOfBatch && !hasEnded()) {
         endBatch();
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -68,7 +68,7 @@
    *
    * @param detail label of the metric; must come from a closed list, or be empty
    */
-  private LoggingEventBuilder line(LogEvent event, String detail) {
+  LoggingEventBuilder line(LogEvent event, String detail) {
     metrics.count(event, detail);
     return LOG.atInfo().setMessage("gateway").addKeyValue("event", event);
   }
@@ -250,13 +250,6 @@
     return change.suspended() ? LogEvent.ENGINE_SUSPENDED : LogEvent.ENGINE_RESUMED;
   }
 
-  void forwarding(String requestId, String engineId) {
-    line(LogEvent.FORWARDING)
-        .addKeyValue("request", requestId)
-        .addKeyValue("engine", engineId)
-        .log();
-  }
-
   void engineLeaves(LeavingNotice notice) {
     line(LogEvent.ENGINE_LEAVES, notice.source().name())
         .addKeyValue("engine", notice.engineId())
@@ -510,8 +503,7 @@
   void attemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome) {
     EngineAnswerHead head = attempt.head();
     LoggingEventBuilder line =
-        line(LogEvent.ATTEMPT_FAILED, exchange, outcome.name())
-            .addKeyValue("engine", attempt.call().engine().id())
+        LogTexts.withAttempt(line(LogEvent.ATTEMPT_FAILED, exchange, outcome.name()), attempt)
             .addKeyValue("outcome", outcome)
             .addKeyValue("status", head == null ? 0 : head.status());
     if (outcome.mayBeCrash()) {
@@ -563,11 +555,13 @@
 
   void finished(Exchange exchange, long nowNanos) {
     metrics.whole(nowNanos - exchange.envelope().arrivedNanos());
-    line(LogEvent.FINISHED, exchange).addKeyValue("arrivals", exchange.progress().runSends()).log();
+    LogTexts.withLastAttempt(line(LogEvent.FINISHED, exchange), exchange)
+        .addKeyValue("arrivals", exchange.progress().runSends())
+        .log();
   }
 
   void callerGone(Exchange exchange) {
-    line(LogEvent.CALLER_GONE, exchange).log();
+    LogTexts.withLastAttempt(line(LogEvent.CALLER_GONE, exchange), exchange).log();
   }
 
   void connectionCut(ConnectionCut cut) {
@@ -581,7 +575,7 @@
   }
 
   void timeOver(Exchange exchange) {
-    line(LogEvent.TIME_OVER, exchange)
+    LogTexts.withLastAttempt(line(LogEvent.TIME_OVER, exchange), exchange)
         .addKeyValue("possibleRuns", exchange.progress().possibleRuns())
         .log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -41,6 +41,7 @@
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private volatile Request request;
   private volatile boolean maybeSent;
+  private volatile String connection = "";
   private final AttemptTimeout timeout;
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
@@ -68,10 +69,22 @@
   /** Sends the request. */
   void send(Request toSend) {
     request = toSend;
-    toSend.onRequestBegin(begun -> maybeSent = begun.getAbortCause() == null);
+    toSend.onRequestBegin(this::onBegin);
     toSend.send(this);
   }
 
+  private void onBegin(Request begun) {
+    if (begun.getAbortCause() == null) {
+      connection = LogTexts.connection(begun);
+      maybeSent = true;
+    }
+  }
+
+  /** Local address of the connection on which the request was sent; empty while it was not. */
+  String connection() {
+    return connection;
+  }
+
   /** Head of the engine's answer; null before it has arrived. */
   EngineAnswerHead head() {
     return head;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -53,7 +53,7 @@
   private final Function<String, Optional<ServingEngine>> directory;
   private final EngineNotices notices;
   private final PathActions paths;
-  private final DecisionLog log;
+  private final ForwardingLog log;
   private final AtomicInteger present = new AtomicInteger();
   private final Map<String, ForwardedRequest> byKey = new ConcurrentHashMap<>();
 
@@ -70,7 +70,7 @@
       Function<String, Optional<ServingEngine>> directory,
       EngineNotices notices,
       PathActions paths,
-      DecisionLog log) {
+      ForwardingLog log) {
     this.gateway = gateway;
     this.engines = engines;
     this.directory = directory;
@@ -172,6 +172,7 @@
     private final ServingEngine engine;
     private final HandlerArguments from;
     private final org.eclipse.jetty.client.Request toEngine;
+    private volatile String connection = "";
     private volatile boolean maybeSent;
     private boolean answerBegun;
 
@@ -188,12 +189,22 @@
     }
 
     void send() {
-      toEngine.onRequestBegin(begun -> maybeSent = begun.getAbortCause() == null);
-      log.forwarding(
-          engines.protocol().readHead(0, toEngine.getHeaders()).requestId(), engine.id());
+      toEngine.onRequestBegin(this::onBegin);
+      log.forwarding(requestId(), engine.id());
       toEngine.send(this);
     }
 
+    private void onBegin(org.eclipse.jetty.client.Request begun) {
+      if (begun.getAbortCause() == null) {
+        connection = LogTexts.connection(begun);
+        maybeSent = true;
+      }
+    }
+
+    private String requestId() {
+      return engines.protocol().readHead(0, toEngine.getHeaders()).requestId();
+    }
+
     void abort() {
       toEngine.abort(new IllegalStateException("the node that sent it needs no answer"));
     }
@@ -235,18 +246,24 @@
 
     @Override
     public void onComplete(Result result) {
-      if (result.getResponseFailure() == null && result.getResponse().getStatus() > 0) {
+      ForwardingResult outcome = outcome(result);
+      log.forwarded(requestId(), engine.id(), connection, outcome);
+      if (outcome == ForwardingResult.ANSWERED) {
         from.response().write(true, BufferUtil.EMPTY_BUFFER, from.callback());
       } else if (answerBegun) {
         // Ends the connection, so that an answer that broke off does not look complete.
         from.callback().failed(new EofException("the answer broke off"));
       } else {
         from.response().reset();
-        fail(
-            from.response(),
-            from.callback(),
-            maybeSent ? ForwardingResult.LOST : ForwardingResult.NOT_SENT);
+        fail(from.response(), from.callback(), outcome);
+      }
+    }
+
+    private ForwardingResult outcome(Result result) {
+      if (result.getResponseFailure() == null && result.getResponse().getStatus() > 0) {
+        return ForwardingResult.ANSWERED;
       }
+      return maybeSent ? ForwardingResult.LOST : ForwardingResult.NOT_SENT;
     }
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
@@ -28,6 +28,7 @@
   private final LatencyHistogram firstPart = new LatencyHistogram();
   private final LatencyHistogram whole = new LatencyHistogram();
   private final LatencyHistogram waited = new LatencyHistogram();
+  private final DispatchMeter dispatch = new DispatchMeter();
 
   /**
    * Counts an event.
@@ -59,6 +60,11 @@
     waited.record(nanos);
   }
 
+  /** Measures the dispatch duty. */
+  DispatchMeter dispatch() {
+    return dispatch;
+  }
+
   /**
    * Adds a gauge.
    *
@@ -101,6 +107,7 @@
     firstPart.write(FIRST_PART, text);
     whole.write(WHOLE, text);
     waited.write(WAITED, text);
+    dispatch.write(text);
     return text.toString();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -175,8 +175,7 @@
     EngineProbe probe = new EngineProbe(engines, this::post);
     this.quarantineActions = new QuarantineActions(dispatcher, probe, quarantine, log);
     PathActions pathActions = new PathActions(dispatcher, probe, overlay::askable);
-    this.forwarder =
-        new EngineForwarder(state, engines, id -> directory.find(id), notices, pathActions, log);
+    this.forwarder = newForwarder(pathActions);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
     this.usage = settings.duties().usage().map(windows -> newUsageReporting(windows, duties));
     DispatchDuty duty =
@@ -193,7 +192,8 @@
             newScaling(),
             state::engineListIsCurrent,
             state::stopping);
-    this.dispatch = new DutyThread<>("dispatch", RING_SIZE, TICK, duty);
+    this.dispatch =
+        new DutyThread<>("dispatch", RING_SIZE, TICK, duty).measuredBy(metrics.dispatch());
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
     this.routingFollower =
@@ -208,6 +208,11 @@
     state.setFollowers(routingFollower, engineFollower);
   }
 
+  private EngineForwarder newForwarder(PathActions paths) {
+    return new EngineForwarder(
+        state, engines, id -> directory.find(id), notices, paths, new ForwardingLog(log));
+  }
+
   private OrderLease newOrderLease(DispatchParameters parameters) {
     return new OrderLease(
         platform.orderLease().create(control),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -55,6 +55,8 @@
   ENGINE_THROUGH_PEERS,
   /** This node sends a request of another node to an engine. */
   FORWARDING,
+  /** A request that this node sent for another node ended; the detail is the result. */
+  FORWARDED,
   /** This node found that an engine is leaving; the detail is the source of this notice. */
   ENGINE_LEAVES,
   /** An engine asked this node to send nothing for a time. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -1,19 +1,35 @@
 package org.fallturn.node.gateway;
 
+import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.Request;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.EngineDirectory;
+import org.slf4j.spi.LoggingEventBuilder;
 
-/** Texts of log fields that summarize a request or the engines. Stateless. */
+/** Log fields that summarize a request, its attempts or the engines. Stateless. */
 final class LogTexts {
 
   private LogTexts() {}
 
+  /**
+   * Returns the local address of the connection that a request is sent on, which tells attempts on
+   * one connection from attempts on several; empty when it has none.
+   */
+  static String connection(Request request) {
+    Connection connection = request.getConnection();
+    return connection != null
+            && connection.getLocalSocketAddress() instanceof InetSocketAddress local
+        ? local.getAddress().getHostAddress() + ":" + local.getPort()
+        : "";
+  }
+
   /** Counts the engines by service and software version: {@code llm:v1=3 llm:v2=1}. */
   static String versions(EngineDirectory directory) {
     Map<String, Long> counts =
@@ -65,4 +81,16 @@
                 content.sharedParts().get(index).id() + "=" + content.partFingerprints().get(index))
         .collect(Collectors.joining(" "));
   }
+
+  /** Adds where the current attempt was sent and whether it was, if there is one. */
+  static LoggingEventBuilder withLastAttempt(LoggingEventBuilder line, Exchange exchange) {
+    return exchange.attempt().map(attempt -> withAttempt(line, attempt)).orElse(line);
+  }
+
+  /** Adds where an attempt was sent, and whether it was. */
+  static LoggingEventBuilder withAttempt(LoggingEventBuilder line, EngineAttempt attempt) {
+    return line.addKeyValue("engine", attempt.call().engine().id())
+        .addKeyValue("connection", attempt.connection())
+        .addKeyValue("sent", attempt.maybeSent());
+  }
 }
