--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -0,0 +1,220 @@
+package org.fallturn.node.gateway;
+
+import java.lang.reflect.Proxy;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.server.Request;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.port.feed.FeedAnswer;
+import org.fallturn.core.port.feed.FeedRow;
+import org.fallturn.core.port.feed.RowFeed;
+import org.fallturn.core.port.feed.StorePosition;
+import org.fallturn.core.quarantine.QuarantineStore;
+import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.routing.EngineStage;
+import org.fallturn.core.routing.RequestKind;
+import org.fallturn.core.routing.RequestLimits;
+import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
+import org.fallturn.core.routing.ServiceDefinition;
+import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.routing.WeightedService;
+import org.fallturn.node.settings.GatewaySettings;
+
+/**
+ * A gateway with one route and one application engine, whose store never changes. Its callers name
+ * their requests and deadlines by the headers here.
+ */
+final class OneEngineGateway {
+
+  /** Names a request; also what an engine answers with. */
+  static final String ID_HEADER = "X-Id";
+
+  /** How long the caller waits, in ms. */
+  static final String DEADLINE_HEADER = "X-Deadline";
+
+  /** Connections that the engine takes; a node that is alone may open half of them. */
+  static final int ENGINE_CONNECTIONS = 8;
+
+  /** Longer than any wait of a test, so that no answer comes from a missed deadline. */
+  private static final Duration DEADLINE = Duration.ofSeconds(300);
+
+  private static final String SETTINGS =
+      """
+      [gateway]
+      node_name = "gateway-1"
+      zone = "zone-1"
+      callers = "127.0.0.1:0"
+      readiness = "127.0.0.1:0"
+      peers = "127.0.0.1:0"
+
+      [bounds]
+      stop_linger = "1s"
+
+      [store]
+      address = "127.0.0.1:1"
+      """;
+
+  private OneEngineGateway() {}
+
+  /** Settings with free ports on loopback. */
+  static GatewaySettings settings() throws Exception {
+    return GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
+  }
+
+  /** The engine, as it is listed. */
+  static ServingEngine engine(NetworkAddress address) {
+    return new ServingEngine("e-1", "app", address, "zone-1", 8, false, EngineStage.NONE);
+  }
+
+  /**
+   * Protocol of an engine that passes the caller's headers on, and whose answers name no request
+   * and hold no notices.
+   *
+   * @param beforeSend called on the dispatch thread with the headers of each request
+   */
+  static EngineProtocol engines(UnaryOperator<HttpFields> beforeSend) {
+    return (EngineProtocol)
+        Proxy.newProxyInstance(
+            EngineProtocol.class.getClassLoader(),
+            new Class<?>[] {EngineProtocol.class},
+            (self, method, arguments) ->
+                switch (method.getName()) {
+                  case "requestHeaders" -> ownHeaders(beforeSend.apply((HttpFields) arguments[0]));
+                  case "readNotice" -> EngineNotice.NONE;
+                  case "unknownHeaders" -> List.of();
+                  case "readHead" -> head((int) arguments[0], (HttpFields) arguments[1]);
+                  case "answerHeaders" -> HttpFields.build();
+                  default -> null;
+                });
+  }
+
+  private static HttpFields.Mutable ownHeaders(HttpFields caller) {
+    HttpFields.Mutable headers = HttpFields.build();
+    caller.stream().filter(field -> field.getName().startsWith("X-")).forEach(headers::add);
+    return headers;
+  }
+
+  private static EngineAnswerHead head(int status, HttpFields headers) {
+    String id = headers.get(ID_HEADER);
+    return new EngineAnswerHead(status, false, true, id == null ? "" : id);
+  }
+
+  private static String text(Request request, String header) {
+    String text = request.getHeaders().get(header);
+    return text == null ? "" : text;
+  }
+
+  private static StorePosition at(long version) {
+    return new StorePosition(1, version);
+  }
+
+  /** Table with one row that never changes. */
+  private static final class OneRow implements RowFeed {
+
+    @Override
+    public FeedAnswer snapshot() {
+      return new FeedAnswer(List.of(new FeedRow("a", at(1), "", false)), at(1));
+    }
+
+    @Override
+    public FeedAnswer changesAfter(
+        StorePosition after, Duration wait, BooleanSupplier stillWanted) {
+      try {
+        new CountDownLatch(1).await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return new FeedAnswer(List.of(), after);
+    }
+  }
+
+  /** Store with nothing in quarantine. */
+  private static final class EmptyQuarantine implements QuarantineStore {
+
+    @Override
+    public List<StoredContent> read() {
+      return List.of();
+    }
+
+    @Override
+    public void put(RequestFingerprint content) {}
+
+    @Override
+    public void putSuspect(RequestFingerprint content, Set<String> engines) {}
+
+    @Override
+    public void remove(RequestFingerprint content) {}
+  }
+
+  private static RoutingImage routing() {
+    Route route =
+        new Route(
+            "route",
+            "host",
+            "/",
+            RequestKind.NON_IDEMPOTENT,
+            false,
+            DEADLINE,
+            DEADLINE,
+            Duration.ZERO,
+            DEADLINE,
+            0,
+            1,
+            List.of(new WeightedService("app", 1)));
+    return new RoutingImage(
+        at(1),
+        1,
+        List.of(route),
+        List.of(new ServiceDefinition("app", ENGINE_CONNECTIONS, Optional.empty())),
+        RequestLimits.defaults());
+  }
+
+  private static CallerProtocol callers() {
+    return new CallerProtocol() {
+      @Override
+      public CallerRequestHead readHead(Request request) {
+        return new CallerRequestHead(
+            text(request, ID_HEADER),
+            "host",
+            "/x",
+            "",
+            Optional.empty(),
+            Optional.ofNullable(request.getHeaders().get(DEADLINE_HEADER))
+                .map(millis -> Duration.ofMillis(Long.parseLong(millis))),
+            Optional.empty(),
+            Optional.empty());
+      }
+
+      @Override
+      public void addOwnAnswerHeaders(
+          HttpFields.Mutable headers, String requestId, Optional<Duration> retryAfter) {}
+    };
+  }
+
+  /** Adapters for the one engine. */
+  static GatewayPlatform platform(NetworkAddress address, EngineProtocol engines) {
+    ServingEngine serving = engine(address);
+    return new GatewayPlatform(
+        callers(),
+        engines,
+        http -> new OneRow(),
+        row -> true,
+        row -> routing(),
+        http -> new OneRow(),
+        row -> serving,
+        http -> null,
+        http -> new EmptyQuarantine(),
+        http -> null,
+        (http, api) -> null,
+        http -> null,
+        (http, api) -> null,
+        "/ready");
+  }
+}
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -0,0 +1,143 @@
+package org.fallturn.node.gateway;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.fallturn.core.domain.NetworkAddress;
+
+/**
+ * An engine that keeps the bytes of each connection as they come, and answers only when the test
+ * does. Thread-safe.
+ */
+final class RawEngine implements AutoCloseable {
+
+  private final ServerSocket server = new ServerSocket();
+  private final List<Connection> connections = new CopyOnWriteArrayList<>();
+  private final CountDownLatch reads;
+
+  /** An engine that reads whatever comes. */
+  RawEngine() throws IOException {
+    this(new CountDownLatch(0), 0);
+  }
+
+  /**
+   * An engine that reads nothing at first.
+   *
+   * @param reads opened when it is to read
+   * @param receiveBufferBytes what its connections hold meanwhile; 0 for the usual size
+   */
+  RawEngine(CountDownLatch reads, int receiveBufferBytes) throws IOException {
+    this.reads = reads;
+    if (receiveBufferBytes > 0) {
+      server.setReceiveBufferSize(receiveBufferBytes);
+    }
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    start(this::accept);
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task, "raw-engine");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Connection connection = new Connection(server.accept());
+        connections.add(connection);
+        start(() -> read(connection));
+      }
+    } catch (IOException e) {
+      // The engine was closed.
+    }
+  }
+
+  private void read(Connection connection) {
+    byte[] buffer = new byte[64 * 1024];
+    try {
+      reads.await();
+      InputStream in = connection.socket.getInputStream();
+      for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+        connection.append(buffer, read);
+      }
+    } catch (IOException | InterruptedException e) {
+      // The node closed the connection.
+    }
+    connection.ended = true;
+  }
+
+  NetworkAddress address() {
+    return new NetworkAddress("127.0.0.1", server.getLocalPort());
+  }
+
+  /** The connections that were accepted, in order. */
+  List<Connection> connections() {
+    return connections;
+  }
+
+  /** Whether any part of the request has come. */
+  boolean got(String requestId) {
+    return connections.stream().anyMatch(one -> one.got(requestId));
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    for (Connection connection : connections) {
+      connection.socket.close();
+    }
+  }
+
+  /** One connection and what came over it. */
+  static final class Connection {
+
+    private final Socket socket;
+    private final StringBuffer received = new StringBuffer();
+    private volatile boolean ended;
+
+    private Connection(Socket socket) {
+      this.socket = socket;
+    }
+
+    private void append(byte[] bytes, int length) {
+      received.append(new String(bytes, 0, length, StandardCharsets.ISO_8859_1));
+    }
+
+    boolean got(String requestId) {
+      return received.indexOf(OneEngineGateway.ID_HEADER + ": " + requestId + "\r\n") >= 0;
+    }
+
+    /** Number of bytes that have come. */
+    int bytes() {
+      return received.length();
+    }
+
+    /** Whether the node has closed it. */
+    boolean ended() {
+      return ended;
+    }
+
+    /** Sends bytes as they are. */
+    void send(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    /** Answers the request with a success. */
+    void answer(String requestId) throws IOException {
+      send(
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+              + OneEngineGateway.ID_HEADER
+              + ": "
+              + requestId
+              + "\r\n\r\nok");
+    }
+  }
+}
