Withhold requests whose callers have left, whatever the dispatch thread is at

Callers saw nothing; engines got requests up to 0.9 s after their callers had left. The end of a request was an event of the dispatch duty, behind all others: while that thread was late it went on placing what nobody waited for, and the HTTP client sent from its queue without a further look.

The end is now state of the request that any thread may ask for. The connection is watched from the moment at which the request is read; the thread that sees it end withdraws the current attempt itself. At the last moment before each send, the client looks at the caller's connection (a process that stood still has not been told yet) and at the deadline, and withholds the request; else it tells the engine the time that is left at that moment, not at the decision. The dispatch thread drops such requests before it decides anything for them.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -217,6 +217,7 @@
             head.prompt().map(PromptShape::suspectParts).orElse(List.of()));
     RequestProgress progress = new RequestProgress(envelope, content);
     Exchange exchange = new Exchange(caller, head, progress, body, events, gateway);
+    exchange.watchForDisconnect();
     events.accept(new DispatchEvent.Arrived(exchange));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -564,6 +564,11 @@
     LogTexts.withLastAttempt(line(LogEvent.CALLER_GONE, exchange), exchange).log();
   }
 
+  /** Logs that a request was not sent, though an engine was chosen for it. */
+  void sendWithheld(Exchange exchange, RequestEnd end) {
+    line(LogEvent.SEND_WITHHELD, exchange, end.name()).addKeyValue("end", end).log();
+  }
+
   void connectionCut(ConnectionCut cut) {
     line(LogEvent.CONNECTION_CUT, cut.cause().name())
         .addKeyValue("caller", cut.caller())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -217,7 +217,9 @@
 
   private void onArrived(Exchange exchange, long now) {
     active.add(exchange);
-    exchange.watchForDisconnect();
+    if (endIfOver(exchange, now)) {
+      return;
+    }
     if (dispatcher.resumedStreams().awaitsOrigin(exchange.progress(), now)) {
       waitingForOrigin.add(exchange);
     } else if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
@@ -227,6 +229,23 @@
     }
   }
 
+  /**
+   * Ends a request that nobody waits for, before anything is decided for it: while this thread is
+   * late, the event that tells so is still behind others.
+   */
+  private boolean endIfOver(Exchange exchange, long now) {
+    Optional<RequestEnd> end = exchange.end(now);
+    if (end.isEmpty()) {
+      return false;
+    }
+    if (end.get() == RequestEnd.CALLER_GONE) {
+      onCallerGone(exchange, now);
+    } else {
+      onDeadlineExceeded(exchange, now);
+    }
+    return true;
+  }
+
   private void start(Exchange exchange, long now) {
     execute(exchange, dispatcher.start(exchange.progress(), now), now);
   }
@@ -270,6 +289,10 @@
       return;
     }
     log.prefilled(exchange);
+    if (endIfOver(exchange, now)) {
+      engines.freeHandle(event.attempt().call().engine(), event.handle());
+      return;
+    }
     execute(exchange, dispatcher.onPrefilled(exchange.progress(), event.handle(), now), now);
   }
 
@@ -279,6 +302,10 @@
       return;
     }
     log.attemptFailed(exchange, event.attempt(), event.outcome());
+    if (exchange.end(now).filter(RequestEnd.CALLER_GONE::equals).isPresent()) {
+      onCallerGone(exchange, now);
+      return;
+    }
     runs.onFailed(exchange, event.outcome(), now);
     Optional<CacheSource> source = exchange.progress().source();
     Decision next = dispatcher.onFailure(exchange.progress(), event.outcome(), now);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -22,7 +22,7 @@
  * One request to one engine and the relay of its answer. Ends exactly once: by an answer, by a
  * failure, or by {@link #cancel}. Whoever sets the state to ENDED first decides the outcome; later
  * events are dropped. Jetty calls the listeners on client threads, one at a time; the dispatch
- * thread calls cancel.
+ * thread calls cancel, and any thread may withdraw the request.
  */
 final class EngineAttempt
     implements Response.HeadersListener, Response.AsyncContentListener, Response.CompleteListener {
@@ -149,6 +149,14 @@
     return true;
   }
 
+  /** Aborts the request, if it has not ended; the attempt ends with the failure that follows. */
+  void withdraw() {
+    Request sent = request;
+    if (sent != null && !ended()) {
+      sent.abort(new RequestOverException(RequestEnd.CALLER_GONE));
+    }
+  }
+
   private void abort(String why) {
     cancelled = true;
     Request sent = request;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -60,6 +60,7 @@
 
   private final HttpClient client;
   private final EngineProtocol protocol;
+  private final DecisionLog log;
   private final NoticeReader noticeReader;
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
@@ -69,6 +70,7 @@
   EngineClient(EngineProtocol protocol, EngineNotices notices, DecisionLog log, Executor executor)
       throws Exception {
     this.protocol = protocol;
+    this.log = log;
     this.noticeReader = new NoticeReader(protocol, notices, log);
     client = PlainHttpClients.start(executor, CONNECT_TIMEOUT, this::newPool);
   }
@@ -135,17 +137,35 @@
             forwarder.orElse(engine.address()),
             caller.getMethod(),
             caller.getHttpURI().getPathQuery());
-    forwarder.ifPresent(peer -> cancelWhenFailed(request, peer, key));
+    request.onRequestBegin(begun -> checkBeforeSend(exchange, begun));
+    forwarder.ifPresent(peer -> cancelWhenFailed(request, attempt, peer, key));
     noticeReader.watch(request, engine, exchange.head().requestId());
     attempt.send(withContent(request, headers, exchange.body()));
   }
 
+  /**
+   * Withholds a request that nobody waits for any more, and tells the others what time is left: a
+   * request may have waited long for a connection.
+   */
+  private void checkBeforeSend(Exchange exchange, Request request) {
+    long now = System.nanoTime();
+    Optional<RequestEnd> end = exchange.checkEnd(now);
+    if (end.isPresent()) {
+      log.sendWithheld(exchange, end.get());
+      request.abort(new RequestOverException(end.get()));
+      return;
+    }
+    Duration left = Duration.ofNanos(exchange.envelope().remainingNanos(now));
+    request.headers(headers -> protocol.setTimeLeft(headers, left));
+  }
+
   /** A node that forwards a request notices only late that its answer is not wanted any more. */
-  private void cancelWhenFailed(Request request, NetworkAddress peer, String key) {
+  private void cancelWhenFailed(
+      Request request, EngineAttempt attempt, NetworkAddress peer, String key) {
     forwarders.add(peer);
     request.onComplete(
         result -> {
-          if (result.isFailed()) {
+          if (result.isFailed() && attempt.maybeSent()) {
             newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key)
                 .timeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .send(cancelled -> {});
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -1,5 +1,6 @@
 package org.fallturn.node.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.dispatch.PromptPart;
@@ -15,6 +16,11 @@
   /** Builds the headers of a request to an engine from the caller's headers and the call. */
   HttpFields.Mutable requestHeaders(HttpFields callerHeaders, EngineCall call);
 
+  /**
+   * Sets how much time the caller has left, in the headers of a request that is about to be sent.
+   */
+  void setTimeLeft(HttpFields.Mutable requestHeaders, Duration timeLeft);
+
   /** Parses the head of an answer. */
   EngineAnswerHead readHead(int status, HttpFields headers);
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -23,9 +23,12 @@
 
 /**
  * One caller's request and its answer, from the last byte of the request body to the last byte of
- * the answer. Only the dispatch thread touches the progress and the current attempt; the attempt
- * that receives an answer writes it, on its client thread. The Jetty callback of the request is
- * completed exactly once.
+ * the answer. Only the dispatch thread touches the progress and sets the current attempt; the
+ * attempt that receives an answer writes it, on its client thread. The Jetty callback of the
+ * request is completed exactly once.
+ *
+ * <p>Invariant: once the caller is known to have left, or the deadline has passed, no attempt
+ * begins to be sent. Any thread may ask for that, since the dispatch thread may be late.
  */
 final class Exchange {
 
@@ -41,7 +44,8 @@
   private final AtomicBoolean completed = new AtomicBoolean();
   private volatile boolean answerBegun;
   private volatile String lastEventId = "";
-  private EngineAttempt attempt;
+  private volatile boolean callerGone;
+  private volatile EngineAttempt attempt;
   private boolean counted;
   private long waitingSinceNanos;
 
@@ -88,7 +92,7 @@
     return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
   }
 
-  /** The current attempt, if any; call on the dispatch thread. */
+  /** The current attempt, if any. */
   Optional<EngineAttempt> attempt() {
     return Optional.ofNullable(attempt);
   }
@@ -120,14 +124,47 @@
     events.accept(event);
   }
 
-  /** Starts to watch the connection; posts {@link DispatchEvent.CallerGone} when it ends. */
+  /**
+   * Starts to watch the connection. When it ends, the current attempt is withdrawn at once, and
+   * {@link DispatchEvent.CallerGone} posted.
+   */
   void watchForDisconnect() {
     if (endPoint() instanceof WatchedEndPoint watched) {
       watched.setRequestId(head.requestId());
-      watched.watch(() -> post(new DispatchEvent.CallerGone(this)));
+      watched.watch(this::onCallerGone);
     }
     request.addIdleTimeoutListener(timeout -> false);
-    request.addFailureListener(failure -> post(new DispatchEvent.CallerGone(this)));
+    request.addFailureListener(failure -> onCallerGone());
+  }
+
+  private void onCallerGone() {
+    callerGone = true;
+    EngineAttempt current = attempt;
+    if (current != null) {
+      current.withdraw();
+    }
+    post(new DispatchEvent.CallerGone(this));
+  }
+
+  /** Why nobody waits for the answer any more, as far as is known; empty while somebody does. */
+  Optional<RequestEnd> end(long nowNanos) {
+    if (callerGone) {
+      return Optional.of(RequestEnd.CALLER_GONE);
+    }
+    return envelope().remainingNanos(nowNanos) <= 0
+        ? Optional.of(RequestEnd.TIME_OVER)
+        : Optional.empty();
+  }
+
+  /**
+   * As {@link #end}, but looks at the connection itself: a process that stood still has yet to be
+   * told that the caller closed it.
+   */
+  Optional<RequestEnd> checkEnd(long nowNanos) {
+    if (!callerGone && endPoint() instanceof WatchedEndPoint watched) {
+      watched.checkDisconnect();
+    }
+    return end(nowNanos);
   }
 
   private EndPoint endPoint() {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -115,6 +115,8 @@
   WAITED,
   /** This node sends a request to an engine. */
   PLACED,
+  /** A request was not sent after all, since nobody waits for its answer; the detail says why. */
+  SEND_WITHHELD,
   /** This node itself answers a request with an error. */
   REFUSED,
   /** An engine finished the prefill of a request. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -56,6 +56,9 @@
 
   /** A leaving engine takes no requests but still answers this node's own calls. */
   private void onBegin(ServingEngine engine, boolean ofCaller, Request request) {
+    if (request.getAbortCause() != null) {
+      return;
+    }
     long now = System.nanoTime();
     if (!(ofCaller ? tryTakeRequest(engine, now) : tryTakeCall(engine, now))) {
       request.abort(new EngineHeldBackException(engine.id()));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -164,6 +164,23 @@
     register();
   }
 
+  /**
+   * Looks for a disconnect now, without waiting for the selector; the listener is called on this
+   * thread. Does nothing while the connection is not watched.
+   */
+  void checkDisconnect() {
+    Runnable listener = null;
+    synchronized (lock) {
+      if (onDisconnect != null && !sideBuffer.hasRemaining() && !readAhead()) {
+        listener = onDisconnect;
+        onDisconnect = null;
+      }
+    }
+    if (listener != null) {
+      listener.run();
+    }
+  }
+
   /**
    * Stops watching; call before the request is completed. The listener is not called after this.
    */
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
@@ -8,7 +8,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
 import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
@@ -100,16 +103,10 @@
   }
 
   /** Answers requests with these ids, each as soon as it has come. */
-  private void answerAll(String prefix, int count) throws Exception {
-    for (int number = 0; number < count; number++) {
-      String id = prefix + number;
-      await().atMost(LONGEST).until(() -> engine.got(id));
-      for (RawEngine.Connection connection : engine.connections()) {
-        if (connection.got(id)) {
-          connection.answer(id);
-        }
-      }
-    }
+  private void answerAll(String prefix, int count) {
+    Set<String> left = new HashSet<>();
+    IntStream.range(0, count).forEach(number -> left.add(prefix + number));
+    await().atMost(LONGEST).until(() -> left.removeIf(engine::answerIfCome) && left.isEmpty());
   }
 
   private void sendAll(String prefix, int count) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -88,6 +89,17 @@
     return connections.stream().anyMatch(one -> one.got(requestId));
   }
 
+  /** Answers a request with a success, if it has come; whether it has. */
+  boolean answerIfCome(String requestId) {
+    for (Connection connection : connections) {
+      if (connection.got(requestId)) {
+        connection.answer(requestId);
+        return true;
+      }
+    }
+    return false;
+  }
+
   @Override
   public void close() throws IOException {
     server.close();
@@ -126,12 +138,16 @@
     }
 
     /** Sends bytes as they are. */
-    void send(String text) throws IOException {
-      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    void send(String text) {
+      try {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
     }
 
     /** Answers the request with a success. */
-    void answer(String requestId) throws IOException {
+    void answer(String requestId) {
       send(
           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
               + OneEngineGateway.ID_HEADER
