--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
@@ -8,7 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
@@ -26,6 +28,8 @@
 class GoneCallerTest {
 
   private static final Duration LONGEST = Duration.ofSeconds(20);
+  private static final Duration DEADLINE = Duration.ofSeconds(100);
+  private static final Duration WAIT = Duration.ofMillis(300);
   private static final Duration SHORT_DEADLINE = Duration.ofMillis(150);
 
   /** With this header a request holds the dispatch thread until the test lets it go. */
@@ -44,12 +48,16 @@
 
   private final CountDownLatch held = new CountDownLatch(1);
   private final CountDownLatch release = new CountDownLatch(1);
+  private final List<Socket> callers = new ArrayList<>();
   private RawEngine engine;
   private GatewayServer gateway;
 
   @AfterEach
   void stop() throws Exception {
     release.countDown();
+    for (Socket caller : callers) {
+      caller.close();
+    }
     gateway.close();
     engine.close();
   }
@@ -81,6 +89,7 @@
     NetworkAddress address = gateway.callersAddress();
     try {
       Socket caller = new Socket(address.host(), address.port());
+      callers.add(caller);
       String head =
           "POST /x HTTP/1.1\r\nHost: host\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n"
               .formatted(OneEngineGateway.ID_HEADER, id, headers, bodyBytes);
@@ -106,7 +115,13 @@
   private void answerAll(String prefix, int count) {
     Set<String> left = new HashSet<>();
     IntStream.range(0, count).forEach(number -> left.add(prefix + number));
-    await().atMost(LONGEST).until(() -> left.removeIf(engine::answerIfCome) && left.isEmpty());
+    await()
+        .atMost(LONGEST)
+        .untilAsserted(
+            () -> {
+              left.removeIf(engine::answerIfCome);
+              assertThat(left).as("requests that have not come").isEmpty();
+            });
   }
 
   private void sendAll(String prefix, int count) {
@@ -178,6 +193,20 @@
     assertThat(engine.got("gone")).isFalse();
   }
 
+  /** The time that it waited in the client was given to the engine as well. */
+  @Test
+  void engineIsToldTheTimeThatIsLeftWhenTheRequestIsSent() throws Exception {
+    start(new RawEngine());
+    sendAll("early-", MORE_THAN_CONNECTIONS);
+    send("waits", OneEngineGateway.DEADLINE_HEADER + ": " + DEADLINE.toMillis() + "\r\n", 0);
+    awaitInFlight(MORE_THAN_CONNECTIONS + 1);
+    Thread.sleep(WAIT.toMillis());
+    answerAll("early-", MORE_THAN_CONNECTIONS);
+    await().atMost(LONGEST).until(() -> engine.got("waits"));
+    long left = Long.parseLong(engine.headerOf("waits", OneEngineGateway.TIME_LEFT_HEADER));
+    assertThat(left).isPositive().isLessThanOrEqualTo(DEADLINE.minus(WAIT).toMillis());
+  }
+
   /** What the kernel held of it was delivered when the engine read again. */
   @Test
   void engineThatReadsAgainGetsNoMoreOfARequestThatWasGivenUp() throws Exception {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -39,6 +39,9 @@
   /** How long the caller waits, in ms. */
   static final String DEADLINE_HEADER = "X-Deadline";
 
+  /** Tells the engine how much time is left, in ms. */
+  static final String TIME_LEFT_HEADER = "X-Time-Left";
+
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
@@ -87,6 +90,7 @@
             (self, method, arguments) ->
                 switch (method.getName()) {
                   case "requestHeaders" -> ownHeaders(beforeSend.apply((HttpFields) arguments[0]));
+                  case "setTimeLeft" -> setTimeLeft(arguments);
                   case "readNotice" -> EngineNotice.NONE;
                   case "unknownHeaders" -> List.of();
                   case "readHead" -> head((int) arguments[0], (HttpFields) arguments[1]);
@@ -101,6 +105,12 @@
     return headers;
   }
 
+  private static Void setTimeLeft(Object[] arguments) {
+    long millis = ((Duration) arguments[1]).toMillis();
+    ((HttpFields.Mutable) arguments[0]).put(TIME_LEFT_HEADER, millis);
+    return null;
+  }
+
   private static EngineAnswerHead head(int status, HttpFields headers) {
     String id = headers.get(ID_HEADER);
     return new EngineAnswerHead(status, false, true, id == null ? "" : id);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
@@ -89,6 +90,15 @@
     return connections.stream().anyMatch(one -> one.got(requestId));
   }
 
+  /** Value of a header of a request that has come; empty when it lacks the header. */
+  String headerOf(String requestId, String header) {
+    return connections.stream()
+        .filter(one -> one.got(requestId))
+        .map(one -> one.headerOf(requestId, header))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Answers a request with a success, if it has come; whether it has. */
   boolean answerIfCome(String requestId) {
     for (Connection connection : connections) {
@@ -127,6 +137,17 @@
       return received.indexOf(OneEngineGateway.ID_HEADER + ": " + requestId + "\r\n") >= 0;
     }
 
+    private String headerOf(String requestId, String header) {
+      String text = received.toString();
+      int id = text.indexOf(OneEngineGateway.ID_HEADER + ": " + requestId + "\r\n");
+      String head = text.substring(text.lastIndexOf("HTTP/1.1", id), text.indexOf("\r\n\r\n", id));
+      return Arrays.stream(head.split("\r\n"))
+          .filter(line -> line.startsWith(header + ": "))
+          .map(line -> line.substring(header.length() + 2))
+          .findFirst()
+          .orElse("");
+    }
+
     /** Number of bytes that have come. */
     int bytes() {
       return received.length();
