Watch a caller that has sent bytes of its next request

A caller that sent bytes of a next request and left kept its work going: those bytes ended the watch on its connection, so that its close was seen when the answer was written. The end of a connection can be seen only behind its bytes; they are now read on, up to 32 KiB for a connection, and the server gets them first, as before. Beyond that the watch ends as it did.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -24,7 +24,10 @@
  */
 final class WatchedEndPoint extends SocketChannelEndPoint {
 
-  private static final int SIDE_BUFFER_BYTES = 2_048;
+  /** Bytes of next requests that are read ahead at most; beyond them the watch ends. */
+  private static final int MAX_SIDE_BUFFER_BYTES = 32 * 1024;
+
+  private static final int READ_AHEAD_BYTES = 2_048;
 
   private final Object lock = new Object();
   private final SocketAddress caller;
@@ -171,7 +174,7 @@
   void checkDisconnect() {
     Runnable listener = null;
     synchronized (lock) {
-      if (onDisconnect != null && !sideBuffer.hasRemaining() && !readAhead()) {
+      if (onDisconnect != null && mayReadAhead() && !readAhead()) {
         listener = onDisconnect;
         onDisconnect = null;
       }
@@ -300,7 +303,8 @@
 
   /**
    * Asks the selector to report bytes that come. It does not see those in the side buffer, so that
-   * they are reported here; and nothing is reported of a refused request, which nobody reads.
+   * they are reported to the server here, though not to the watch; and nothing is reported of a
+   * refused request, which nobody reads.
    */
   @Override
   protected void needsFillInterest() {
@@ -309,7 +313,7 @@
       if (refused) {
         return;
       }
-      readAhead = sideBuffer.hasRemaining();
+      readAhead = sideBuffer.hasRemaining() && onDisconnect == null;
     }
     if (readAhead) {
       executor.execute(() -> getFillInterest().fillable());
@@ -340,49 +344,50 @@
 
   /**
    * Registers for readiness to read, unless watching has stopped: the server could then not
-   * register to read the next request, since only one registration is possible. The bytes of a next
-   * request end the watch: reading on would overwrite them.
+   * register to read the next request, since only one registration is possible.
    */
   private void register() {
     synchronized (lock) {
-      if (onDisconnect != null && !sideBuffer.hasRemaining()) {
+      if (onDisconnect != null && mayReadAhead()) {
         getFillInterest().tryRegister(new Watch());
       }
     }
   }
 
+  /** Whether bytes of next requests still fit; the end of the connection comes behind them. */
+  private boolean mayReadAhead() {
+    return sideBuffer.remaining() + READ_AHEAD_BYTES <= MAX_SIDE_BUFFER_BYTES;
+  }
+
   private void onReadable() {
     Runnable listener = null;
-    boolean again = false;
     synchronized (lock) {
       if (onDisconnect == null) {
         return;
       }
-      if (readAhead()) {
-        again = !sideBuffer.hasRemaining();
-      } else {
+      if (!readAhead()) {
         listener = onDisconnect;
         onDisconnect = null;
       }
     }
     if (listener != null) {
       listener.run();
-    } else if (again) {
+    } else {
       register();
     }
   }
 
   /**
-   * Reads into the side buffer. Bytes of a next request end the watch.
+   * Reads into the side buffer, behind what it holds.
    *
    * @return false when the caller has closed its side
    */
   private boolean readAhead() {
-    ByteBuffer buffer = BufferUtil.allocate(SIDE_BUFFER_BYTES);
+    ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
     try {
       int read = super.fill(buffer);
       endOfInput = read < 0;
-      sideBuffer = buffer;
+      addToSideBuffer(buffer);
       return read >= 0;
     } catch (IOException e) {
       endOfInput = true;
@@ -390,6 +395,17 @@
     }
   }
 
+  private void addToSideBuffer(ByteBuffer more) {
+    if (!sideBuffer.hasRemaining()) {
+      sideBuffer = more;
+    } else if (more.hasRemaining()) {
+      ByteBuffer both = BufferUtil.allocate(sideBuffer.remaining() + more.remaining());
+      BufferUtil.append(both, sideBuffer);
+      BufferUtil.append(both, more);
+      sideBuffer = both;
+    }
+  }
+
   private void onFailed(Throwable failure) {
     if (failure instanceof TimeoutException) {
       register();
