Withhold requests of other nodes that those have given up

The request is known by its key from its head on; the connections between nodes are watched as those of callers are; and at the last moment before the send the node looks at the connection and at the time left, counted from the arrival of the head, which the engine is also told. What is withheld is answered NOT_SENT.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Objects;
@@ -17,6 +18,7 @@
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -33,9 +35,9 @@
  * engine, and repeats, limits, usage and the caller are its own. This node only passes bytes on,
  * over one hop, and says truthfully whether the engine can have got the request.
  *
- * <p>A call to {@link #CANCEL_PREFIX} and the key of a request ends that request, since the end of
- * the connection between the nodes would be noticed only when a part of the answer is written.
- * Thread-safe.
+ * <p>A request ends with the connection between the nodes, and with a call to {@link
+ * #CANCEL_PREFIX} and its key, which an earlier build needs. Invariant: once its node is known to
+ * have given it up, or its time has passed, it does not begin to be sent. Thread-safe.
  */
 final class EngineForwarder extends Handler.Abstract.NonBlocking {
 
@@ -113,7 +115,7 @@
   private void cancel(String key) {
     ForwardedRequest forwarded = byKey.get(key);
     if (forwarded != null) {
-      forwarded.abort();
+      forwarded.giveUp();
     }
   }
 
@@ -122,6 +124,8 @@
     gateway.beginRequest();
     String key =
         Objects.requireNonNullElse(from.request().getHeaders().get(ForwardingHeaders.KEY), "");
+    ForwardedRequest forwarded = new ForwardedRequest(engine, from);
+    byKey.put(key, forwarded);
     Request.addCompletionListener(
         from.request(),
         failure -> {
@@ -132,12 +136,7 @@
     Content.Source.asByteBuffer(
         from.request(),
         Promise.from(
-            body -> {
-              ForwardedRequest forwarded =
-                  new ForwardedRequest(engine, from, BufferUtil.toArray(body));
-              byKey.put(key, forwarded);
-              forwarded.send();
-            },
+            body -> forwarded.send(BufferUtil.toArray(body)),
             failure -> fail(from.response(), from.callback(), ForwardingResult.NOT_SENT)));
   }
 
@@ -171,27 +170,65 @@
 
     private final ServingEngine engine;
     private final HandlerArguments from;
-    private final org.eclipse.jetty.client.Request toEngine;
+    private final long arrivedNanos = System.nanoTime();
+    private volatile org.eclipse.jetty.client.Request toEngine;
+    private volatile boolean givenUp;
     private volatile String connection = "";
     private volatile boolean maybeSent;
     private boolean answerBegun;
 
-    ForwardedRequest(ServingEngine engine, HandlerArguments from, byte[] body) {
+    ForwardedRequest(ServingEngine engine, HandlerArguments from) {
       this.engine = engine;
       this.from = from;
-      this.toEngine =
+    }
+
+    void send(byte[] body) {
+      watched().ifPresent(connection -> connection.watch(this::giveUp));
+      org.eclipse.jetty.client.Request request =
           engines.newForwarded(
               engine,
               from.request().getMethod(),
               from.request().getHttpURI().getPathQuery(),
               withoutConnectionHeaders(from.request().getHeaders()),
               body);
+      request.onRequestBegin(this::checkBeforeSend);
+      request.onRequestBegin(this::onBegin);
+      log.forwarding(requestId(), engine.id());
+      toEngine = request;
+      request.send(this);
     }
 
-    void send() {
-      toEngine.onRequestBegin(this::onBegin);
-      log.forwarding(requestId(), engine.id());
-      toEngine.send(this);
+    private Optional<WatchedEndPoint> watched() {
+      EndPoint endPoint = from.request().getConnectionMetaData().getConnection().getEndPoint();
+      return endPoint instanceof WatchedEndPoint watched ? Optional.of(watched) : Optional.empty();
+    }
+
+    /** Ends the request, since its node needs no answer any more. */
+    void giveUp() {
+      givenUp = true;
+      org.eclipse.jetty.client.Request request = toEngine;
+      if (request != null) {
+        request.abort(new RequestOverException(RequestEnd.CALLER_GONE));
+      }
+    }
+
+    /** A process that stood still has yet to be told that the other node closed the connection. */
+    private void checkBeforeSend(org.eclipse.jetty.client.Request request) {
+      watched().ifPresent(WatchedEndPoint::checkDisconnect);
+      Optional<Duration> left = timeLeft();
+      if (givenUp) {
+        request.abort(new RequestOverException(RequestEnd.CALLER_GONE));
+      } else if (left.filter(time -> time.isNegative() || time.isZero()).isPresent()) {
+        request.abort(new RequestOverException(RequestEnd.TIME_OVER));
+      } else {
+        left.ifPresent(
+            time -> request.headers(headers -> engines.protocol().setTimeLeft(headers, time)));
+      }
+    }
+
+    private Optional<Duration> timeLeft() {
+      Duration spent = Duration.ofNanos(System.nanoTime() - arrivedNanos);
+      return engines.protocol().timeLeft(from.request().getHeaders()).map(at -> at.minus(spent));
     }
 
     private void onBegin(org.eclipse.jetty.client.Request begun) {
@@ -202,11 +239,7 @@
     }
 
     private String requestId() {
-      return engines.protocol().readHead(0, toEngine.getHeaders()).requestId();
-    }
-
-    void abort() {
-      toEngine.abort(new IllegalStateException("the node that sent it needs no answer"));
+      return engines.protocol().readHead(0, from.request().getHeaders()).requestId();
     }
 
     @Override
@@ -247,6 +280,7 @@
     @Override
     public void onComplete(Result result) {
       ForwardingResult outcome = outcome(result);
+      watched().ifPresent(WatchedEndPoint::unwatch);
       log.forwarded(requestId(), engine.id(), connection, outcome);
       if (outcome == ForwardingResult.ANSWERED) {
         from.response().write(true, BufferUtil.EMPTY_BUFFER, from.callback());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProtocol.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.routing.ServingEngine;
@@ -21,6 +22,9 @@
    */
   void setTimeLeft(HttpFields.Mutable requestHeaders, Duration timeLeft);
 
+  /** Parses what {@link #setTimeLeft} set; empty when it is missing or no number. */
+  Optional<Duration> timeLeft(HttpFields requestHeaders);
+
   /** Parses the head of an answer. */
   EngineAnswerHead readHead(int status, HttpFields headers);
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerRequestPort.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerRequestPort.java
@@ -1,7 +1,14 @@
 package org.fallturn.node.gateway;
 
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.time.Duration;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
 import org.fallturn.node.http.HttpListener;
 import org.fallturn.node.http.ListenerLimits;
 
@@ -22,6 +29,28 @@
    * @param handlers asked in turn until one takes a request
    */
   static HttpListener open(PeerPorts ports, Handler... handlers) throws Exception {
-    return new HttpListener("peers", ports.requests(), LIMITS, new Handler.Sequence(handlers));
+    return new HttpListener(
+        "peers", ports.requests(), PeerConnector::new, LIMITS, new Handler.Sequence(handlers));
+  }
+
+  /** Its connections can be watched, so that a node which gives up a request is seen to close. */
+  private static final class PeerConnector extends ServerConnector {
+
+    PeerConnector(Server server, HttpConnectionFactory http) {
+      super(server, 1, 1, http);
+    }
+
+    @Override
+    protected SocketChannelEndPoint newEndPoint(
+        SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+      WatchedEndPoint endPoint =
+          new WatchedEndPoint(
+              channel, selector, key, getScheduler(), getExecutor(), PeerConnector::ignore);
+      endPoint.setIdleTimeout(getIdleTimeout());
+      return endPoint;
+    }
+
+    /** Nodes open a connection anew, so nobody needs to hear of one that was cut. */
+    private static void ignore(ConnectionCut cut) {}
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/HttpListener.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -22,6 +23,8 @@
 public final class HttpListener implements AutoCloseable {
 
   private static final int MIN_THREADS = 4;
+  private static final int ACCEPTORS = 1;
+  private static final int SELECTORS = 1;
   private static final int MAX_CONNECTIONS = 8_192;
   private static final int MAX_HEADER_BYTES = 8 * 1024;
   private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
@@ -52,14 +55,19 @@
    *
    * @param name prefix of its thread names
    * @param bound the port
+   * @param connectors creates the connector of the port
    * @param limits bounds on what clients may take
    * @param handler what serves the requests
    * @throws Exception when the port cannot be listened at
    */
   public HttpListener(
-      String name, ServerSocketChannel bound, ListenerLimits limits, Handler handler)
+      String name,
+      ServerSocketChannel bound,
+      BiFunction<Server, HttpConnectionFactory, ServerConnector> connectors,
+      ListenerLimits limits,
+      Handler handler)
       throws Exception {
-    this(name, limits, Optional.empty(), handler);
+    this(name, limits, Optional.empty(), connectors, handler);
     InetSocketAddress local = (InetSocketAddress) bound.getLocalAddress();
     connector.setHost(local.getAddress().getHostAddress());
     HttpConfiguration http =
@@ -125,7 +133,7 @@
       Optional<TlsCertificate> certificate,
       Handler handler)
       throws Exception {
-    this(name, limits, certificate, handler);
+    this(name, limits, certificate, HttpListener::plainConnector, handler);
     connector.setHost(address.host());
     connector.setPort(address.port());
     server.start();
@@ -133,7 +141,11 @@
 
   /** Wires everything but the port. */
   private HttpListener(
-      String name, ListenerLimits limits, Optional<TlsCertificate> certificate, Handler handler) {
+      String name,
+      ListenerLimits limits,
+      Optional<TlsCertificate> certificate,
+      BiFunction<Server, HttpConnectionFactory, ServerConnector> plainConnectors,
+      Handler handler) {
     QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads(), MIN_THREADS);
     threads.setName(name);
     server = new Server(threads);
@@ -144,7 +156,7 @@
     connector =
         certificate.isPresent()
             ? encrypted(certificate.get(), http)
-            : new ServerConnector(server, 1, 1, http);
+            : plainConnectors.apply(server, http);
     connector.setIdleTimeout(limits.idleTimeout().toMillis());
     connector.addBean(traffic);
     server.addConnector(connector);
@@ -152,6 +164,10 @@
     server.setHandler(handler);
   }
 
+  private static ServerConnector plainConnector(Server server, HttpConnectionFactory http) {
+    return new ServerConnector(server, ACCEPTORS, SELECTORS, http);
+  }
+
   /** Nodes are addressed by IP number, so the name that a client sends is not compared. */
   private ServerConnector encrypted(TlsCertificate certificate, HttpConnectionFactory http) {
     SslContextFactory.Server tls = certificate.newContextFactory();
@@ -159,7 +175,7 @@
     boolean checkHostName = false;
     http.getHttpConfiguration().addCustomizer(new SecureRequestCustomizer(checkHostName));
     SslConnectionFactory ssl = new SslConnectionFactory(tls, http.getProtocol());
-    return new ServerConnector(server, 1, 1, ssl, http);
+    return new ServerConnector(server, ACCEPTORS, SELECTORS, ssl, http);
   }
 
   /** Where it listens, with the real port. */
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -80,7 +80,8 @@
    * Protocol of an engine that passes the caller's headers on, and whose answers name no request
    * and hold no notices.
    *
-   * @param beforeSend called on the dispatch thread with the headers of each request
+   * @param beforeSend called with the headers of each request, on the dispatch thread or, for
+   *     another node's request, on the thread that sends it
    */
   static EngineProtocol engines(UnaryOperator<HttpFields> beforeSend) {
     return (EngineProtocol)
@@ -93,7 +94,13 @@
                   case "setTimeLeft" -> setTimeLeft(arguments);
                   case "readNotice" -> EngineNotice.NONE;
                   case "unknownHeaders" -> List.of();
-                  case "readHead" -> head((int) arguments[0], (HttpFields) arguments[1]);
+                  case "timeLeft" -> timeLeft((HttpFields) arguments[0]);
+                  case "readHead" -> {
+                    HttpFields headers = (HttpFields) arguments[1];
+                    yield (int) arguments[0] == 0
+                        ? head(0, beforeSend.apply(headers))
+                        : head((int) arguments[0], headers);
+                  }
                   case "answerHeaders" -> HttpFields.build();
                   default -> null;
                 });
@@ -111,6 +118,11 @@
     return null;
   }
 
+  private static Optional<Duration> timeLeft(HttpFields headers) {
+    return Optional.ofNullable(headers.get(TIME_LEFT_HEADER))
+        .map(millis -> Duration.ofMillis(Long.parseLong(millis)));
+  }
+
   private static EngineAnswerHead head(int status, HttpFields headers) {
     String id = headers.get(ID_HEADER);
     return new EngineAnswerHead(status, false, true, id == null ? "" : id);
