--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -6,6 +6,7 @@
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
@@ -29,6 +30,13 @@
    */
   private static final Duration CONTROL_CONNECT_TIMEOUT = Duration.ofSeconds(3);
 
+  /**
+   * Allocates each buffer anew, on the heap. The library's pool gives a buffer to two connections
+   * at once after an answer has broken off within a chunk, so that bytes of one exchange end up in
+   * another ({@code ClientBuffersTest}). Direct buffers would be freed late by the collector.
+   */
+  private static final ByteBufferPool BUFFERS = new ByteBufferPool.NonPooling();
+
   private static final Duration IDLE_CONNECTION = Duration.ofMillis(2_500);
   private static final int MAX_QUEUED = 4_096;
   private static final int BUFFER_BYTES = 8 * 1024;
@@ -56,11 +64,15 @@
   static HttpClient start(Executor executor, Duration connectTimeout, ConnectionPool.Factory pools)
       throws Exception {
     ClientConnector connector = new PlainClientConnector();
+    connector.setByteBufferPool(BUFFERS);
     connector.setSelectors(1);
     connector.setExecutor(executor);
     HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
     transport.setConnectionPoolFactory(pools);
     HttpClient client = new HttpClient(transport);
+    client.setByteBufferPool(BUFFERS);
+    client.setUseInputDirectByteBuffers(false);
+    client.setUseOutputDirectByteBuffers(false);
     client.setExecutor(executor);
     Scheduler timer = new ScheduledExecutorScheduler(TIMER_THREAD, true);
     client.setScheduler(timer);
