Cut answers of engines that go on without end

The node kept them all: 64 MB of a head, or of a failure, were read without an end, and each chunk of an event had all bytes before it searched again (1 MB in pieces of 13 bytes took 130 s).

A head may have 64 KiB, a failure or the answer to a prefill 1 MiB, an event of a stream 1 MiB; beyond that the connection is closed, and the attempt counts as lost or broken off. Only new bytes are searched for the end of an event. Large successes are relayed in parts, as before, no faster than the caller reads.

EndlessAnswerTest: headWithoutEndIsCut and failureWithoutEndIsCut failed before.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -33,6 +33,12 @@
    */
   private static final int MAX_WHOLE_ANSWER_BYTES = 256 * 1024;
 
+  /**
+   * Bound on answers that are never relayed in parts: failures and the answers to prefills. Bytes
+   * that are no answer may go on without end.
+   */
+  private static final int MAX_BUFFERED_BYTES = 1 << 20;
+
   private final Exchange exchange;
   private final EngineCall call;
   private final EngineProtocol protocol;
@@ -242,11 +248,19 @@
       relay(all, response, demander);
       return;
     }
+    if (buffer.size() > MAX_BUFFERED_BYTES) {
+      response.abort(new IllegalStateException("the answer is too long to be one"));
+      return;
+    }
     demander.run();
   }
 
   private void relayEvents(ByteBuffer bytes, Response response, Runnable demander) {
     ByteBuffer events = framer.add(bytes);
+    if (framer.isEventTooLong()) {
+      response.abort(new IllegalStateException("the event is too long to be one"));
+      return;
+    }
     if (!events.hasRemaining()) {
       demander.run();
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
@@ -1,8 +1,8 @@
 package org.fallturn.node.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -14,28 +14,50 @@
 
   private static final String ID_FIELD = "id:";
 
-  private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+  private static final int INITIAL_BYTES = 512;
+
+  /** No engine sends such an event; bytes that are no answer may go on without end. */
+  private static final int MAX_EVENT_BYTES = 1 << 20;
+
+  /** The longest line end. */
+  private static final int LINE_END_BYTES = 2;
+
+  private byte[] pending = new byte[INITIAL_BYTES];
+  private int length;
   private String lastEventId = "";
 
   /** Appends bytes and returns all events that are complete now, possibly none. */
   ByteBuffer add(ByteBuffer bytes) {
-    byte[] added = new byte[bytes.remaining()];
-    bytes.get(added);
-    pending.writeBytes(added);
-    byte[] all = pending.toByteArray();
-    int end = endOfWholeEvents(all);
+    int before = length;
+    append(bytes);
+    int end = endOfWholeEvents(Math.max(1, before - LINE_END_BYTES));
     if (end == 0) {
       return ByteBuffer.allocate(0);
     }
-    pending.reset();
-    pending.write(all, end, all.length - end);
-    rememberId(new String(all, 0, end, StandardCharsets.UTF_8));
-    return ByteBuffer.wrap(all, 0, end);
+    byte[] whole = Arrays.copyOf(pending, end);
+    length -= end;
+    System.arraycopy(pending, end, pending, 0, length);
+    rememberId(new String(whole, StandardCharsets.UTF_8));
+    return ByteBuffer.wrap(whole);
+  }
+
+  private void append(ByteBuffer bytes) {
+    int added = bytes.remaining();
+    if (length + added > pending.length) {
+      pending = Arrays.copyOf(pending, Math.max(length + added, 2 * pending.length));
+    }
+    bytes.get(pending, length, added);
+    length += added;
   }
 
   /** Whether bytes of an incomplete event are buffered. */
   boolean hasPartialEvent() {
-    return pending.size() > 0;
+    return length > 0;
+  }
+
+  /** Whether the incomplete event is longer than any event may be. */
+  boolean isEventTooLong() {
+    return length > MAX_EVENT_BYTES;
   }
 
   /** Id of the last whole event that had one; empty when none did. */
@@ -43,15 +65,15 @@
     return lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId);
   }
 
-  /** Index after the last blank line; 0 when there is none. */
-  private static int endOfWholeEvents(byte[] bytes) {
-    for (int index = bytes.length - 1; index > 0; index--) {
-      if (bytes[index] != '\n') {
+  /** Index after the last blank line that ends at an index or later; 0 when there is none. */
+  private int endOfWholeEvents(int from) {
+    for (int index = length - 1; index >= from; index--) {
+      if (pending[index] != '\n') {
         continue;
       }
       boolean blankLine =
-          bytes[index - 1] == '\n'
-              || index > 1 && bytes[index - 1] == '\r' && bytes[index - 2] == '\n';
+          pending[index - 1] == '\n'
+              || index > 1 && pending[index - 1] == '\r' && pending[index - 2] == '\n';
       if (blankLine) {
         return index + 1;
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -40,6 +40,10 @@
   private static final Duration IDLE_CONNECTION = Duration.ofMillis(2_500);
   private static final int MAX_QUEUED = 4_096;
   private static final int BUFFER_BYTES = 8 * 1024;
+
+  /** More than any answer needs; bytes that are no answer may go on without end. */
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+
   private static final String TIMER_THREAD = "calls-timer";
 
   private PlainHttpClients() {}
@@ -89,6 +93,7 @@
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
     client.setRequestBufferSize(BUFFER_BYTES);
     client.setResponseBufferSize(BUFFER_BYTES);
+    client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
     client.start();
     client.getContentDecoderFactories().clear();
     client.getProtocolHandlers().clear();
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
@@ -0,0 +1,102 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.fallturn.core.domain.NetworkAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a node whose memory a broken engine fills: the head, a failure's body or an event
+ * of its answer goes on until the node closes the connection.
+ */
+class EndlessAnswerTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+
+  /** Far more than a node may keep of one answer, and than the sockets between hold. */
+  private static final int ENDLESS_BYTES = 64 << 20;
+
+  private static final String PIECE = "X-A: " + "a".repeat(8_000) + "\r\n";
+
+  private RawEngine engine;
+  private GatewayServer gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    engine = new RawEngine();
+    gateway =
+        new GatewayServer(
+            OneEngineGateway.settings(),
+            OneEngineGateway.platform(
+                engine.address(), OneEngineGateway.engines(headers -> headers)));
+    gateway.start();
+    await().atMost(LONGEST).until(gateway::ready);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+    engine.close();
+  }
+
+  /** Sends a request, begins to answer it and goes on; returns the status line for the caller. */
+  private String statusAfter(String begin) throws Exception {
+    NetworkAddress address = gateway.callersAddress();
+    try (Socket caller = new Socket(address.host(), address.port())) {
+      caller.setSoTimeout((int) LONGEST.toMillis());
+      String head =
+          "POST /x HTTP/1.1\r\nHost: host\r\n%s: a\r\nContent-Length: 0\r\n\r\n"
+              .formatted(OneEngineGateway.ID_HEADER);
+      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      await().atMost(LONGEST).until(() -> engine.got("a"));
+      engine.connections().get(0).send(begin);
+      assertThat(goesOn()).as("the node reads on without end").isFalse();
+      byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
+      return new String(status, StandardCharsets.US_ASCII);
+    }
+  }
+
+  private boolean goesOn() {
+    try {
+      for (int sent = 0; sent < ENDLESS_BYTES; sent += PIECE.length()) {
+        engine.connections().get(0).send(PIECE);
+      }
+      return true;
+    } catch (UncheckedIOException e) {
+      return false;
+    }
+  }
+
+  @Test
+  void headWithoutEndIsCut() throws Exception {
+    assertThat(statusAfter("HTTP/1.1 200 OK\r\n")).isEqualTo("HTTP/1.1 502");
+  }
+
+  @Test
+  void failureWithoutEndIsCut() throws Exception {
+    String begin = "HTTP/1.1 500 Failed\r\n" + OneEngineGateway.ID_HEADER + ": a\r\n\r\n";
+    assertThat(statusAfter(begin)).isEqualTo("HTTP/1.1 502");
+  }
+
+  /** The stream is then broken off, as one whose engine has crashed. */
+  @Test
+  void eventWithoutEndIsFoundTooLong() {
+    EventFramer framer = new EventFramer();
+    byte[] piece = "data: endless".getBytes(StandardCharsets.US_ASCII);
+    int added = 0;
+    while (!framer.isEventTooLong()) {
+      framer.add(ByteBuffer.wrap(piece));
+      added += piece.length;
+      assertThat(added).isLessThan(ENDLESS_BYTES);
+    }
+    assertThat(framer.hasPartialEvent()).isTrue();
+  }
+}
