Take a refusal as proof of nothing when it names no request

A request that may run once can run twice, or run though its caller is told that it did not: an answer that says so but names no request counted as the answer to whichever request waited. Engines give back the id in their answers; bytes that they send behind a whole answer belong to no request, and may look like a refusal. Such an attempt counts as lost now: the engine may run it.

UnnamedRefusalTest: its first two tests failed before (503 in place of 502).

Ruled out by reading: two attempts of one request on one connection, so that a second answer to the first is taken for that to the second.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
@@ -18,6 +18,11 @@
     return status >= FIRST_SUCCESS && status < FIRST_REDIRECT;
   }
 
+  /** Whether the answer names the request. */
+  public boolean names(String id) {
+    return requestId.equals(id);
+  }
+
   /** Whether the answer belongs to the request; true when it names none. */
   public boolean belongsTo(String id) {
     return requestId.isEmpty() || requestId.equals(id);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -330,7 +330,11 @@
   }
 
   private void finishBuffered() {
-    if (head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
+    boolean misdirected = head.status() == HttpStatus.MISDIRECTED_REQUEST_421;
+    if ((misdirected || head.notExecuted()) && !head.names(exchange.head().requestId())) {
+      // Bytes behind an earlier answer may look like a refusal; the engine may run this request.
+      fail(AttemptOutcome.LOST);
+    } else if (misdirected) {
       fail(AttemptOutcome.MISDIRECTED);
     } else if (head.notExecuted()) {
       fail(AttemptOutcome.NOT_EXECUTED);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -42,6 +42,9 @@
   /** Tells the engine how much time is left, in ms. */
   static final String TIME_LEFT_HEADER = "X-Time-Left";
 
+  /** Says that the engine has not run the request. */
+  static final String NOT_EXECUTED_HEADER = "X-Not-Executed";
+
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
@@ -125,7 +128,8 @@
 
   private static EngineAnswerHead head(int status, HttpFields headers) {
     String id = headers.get(ID_HEADER);
-    return new EngineAnswerHead(status, false, true, id == null ? "" : id);
+    boolean notExecuted = headers.contains(NOT_EXECUTED_HEADER);
+    return new EngineAnswerHead(status, notExecuted, !notExecuted, id == null ? "" : id);
   }
 
   private static String text(Request request, String header) {
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/UnnamedRefusalTest.java
@@ -0,0 +1,83 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.fallturn.core.domain.NetworkAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a request that runs twice, or runs though its caller is told that it did not: an
+ * engine sends more bytes after an answer, which look like a refusal but name no request, and they
+ * were taken for the answer to the next request on the connection.
+ */
+class UnnamedRefusalTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+
+  private RawEngine engine;
+  private GatewayServer gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    engine = new RawEngine();
+    gateway =
+        new GatewayServer(
+            OneEngineGateway.settings(),
+            OneEngineGateway.platform(
+                engine.address(), OneEngineGateway.engines(headers -> headers)));
+    gateway.start();
+    await().atMost(LONGEST).until(gateway::ready);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+    engine.close();
+  }
+
+  /** Sends a request that may not be repeated; returns the status that its caller gets. */
+  private String statusAfter(String refusal) throws Exception {
+    NetworkAddress address = gateway.callersAddress();
+    try (Socket caller = new Socket(address.host(), address.port())) {
+      caller.setSoTimeout((int) LONGEST.toMillis());
+      String head =
+          "POST /x HTTP/1.1\r\nHost: host\r\n%s: once\r\nContent-Length: 0\r\n\r\n"
+              .formatted(OneEngineGateway.ID_HEADER);
+      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+      await().atMost(LONGEST).until(() -> engine.got("once"));
+      engine.connections().get(0).send(refusal);
+      byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
+      return new String(status, StandardCharsets.US_ASCII);
+    }
+  }
+
+  private static String refusal(String statusLine, String headers) {
+    return "HTTP/1.1 " + statusLine + "\r\nContent-Length: 0\r\n" + headers + "\r\n";
+  }
+
+  private static String notExecuted() {
+    return OneEngineGateway.NOT_EXECUTED_HEADER + ": 1\r\n";
+  }
+
+  @Test
+  void refusalThatNamesNoRequestProvesNothing() throws Exception {
+    assertThat(statusAfter(refusal("503 Busy", notExecuted()))).isEqualTo("HTTP/1.1 502");
+  }
+
+  @Test
+  void misdirectionThatNamesNoRequestProvesNothing() throws Exception {
+    assertThat(statusAfter(refusal("421 Other", ""))).isEqualTo("HTTP/1.1 502");
+  }
+
+  @Test
+  void refusalOfTheRequestIsPassedOn() throws Exception {
+    String named = notExecuted() + OneEngineGateway.ID_HEADER + ": once\r\n";
+    assertThat(statusAfter(refusal("503 Busy", named))).isEqualTo("HTTP/1.1 503");
+  }
+}
