Soak: callers that leave, and checks of what goes on for them

The soak had no caller that leaves, and none of its checks was on the rule; what it can't show, it doesn't guard. Four callers leave now, half of them at once. AT_MOST_ONCE covers requests of callers that left.

A link of the fault proxy that stood still delivered what it had held of a connection that the sender had reset; a network whose sender repeats nothing does not (FaultProxyTest#heldBytesOfAConnectionThatWasResetDoNotArrive).

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -88,7 +88,7 @@
   private final Set<String> handles = ConcurrentHashMap.newKeySet();
   private final EmulatedCache cache = new EmulatedCache();
   private final AtomicInteger handleNumber = new AtomicInteger();
-  private final AtomicInteger abandoned = new AtomicInteger();
+  private final OpenWork.Book openWork = new OpenWork.Book();
   private final List<Poison> poisons = new CopyOnWriteArrayList<>();
   private volatile EngineFault standingFault = EngineFault.NONE;
   private volatile boolean leaving;
@@ -304,7 +304,12 @@
 
   /** Requests whose caller closed the connection while they ran. */
   public int abandoned() {
-    return abandoned.get();
+    return (int) openWork.all().stream().filter(OpenWork::ended).count();
+  }
+
+  /** The work that it was silent on. */
+  public List<OpenWork> openWork() {
+    return openWork.all();
   }
 
   @Override
@@ -583,11 +588,12 @@
 
     /** A closed connection shows when its socket can be read to its end. */
     private void waitUntilGone(Request request, Callback callback) throws Exception {
+      Runnable end = openWork.begin(request.getHeaders().get(REQUEST_ID));
       ByteBuffer buffer = BufferUtil.allocate(1);
       while (request.getConnectionMetaData().getConnection().getEndPoint().fill(buffer) == 0) {
         TimeUnit.MILLISECONDS.sleep(GONE_CHECK_MILLIS);
       }
-      abandoned.incrementAndGet();
+      end.run();
       close(request, callback);
     }
   }
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/OpenWork.java
@@ -0,0 +1,36 @@
+package org.fallturn.rehearsal.emulator;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Work of an engine that ends only when its caller closes the connection.
+ *
+ * @param endNanos when it did, by the steady clock; the greatest value while it has not
+ */
+public record OpenWork(String requestId, long beginNanos, long endNanos) {
+
+  /** Whether the caller has closed the connection. */
+  boolean ended() {
+    return endNanos != Long.MAX_VALUE;
+  }
+
+  /** The open work of one engine. Thread-safe. */
+  static final class Book {
+
+    private final Map<Object, OpenWork> works = new ConcurrentHashMap<>();
+
+    /** Notes the begin of a work; the action returned notes its end. */
+    Runnable begin(String requestId) {
+      Object key = new Object();
+      OpenWork open = new OpenWork(requestId, System.nanoTime(), Long.MAX_VALUE);
+      works.put(key, open);
+      return () -> works.put(key, new OpenWork(requestId, open.beginNanos(), System.nanoTime()));
+    }
+
+    List<OpenWork> all() {
+      return List.copyOf(works.values());
+    }
+  }
+}
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
@@ -1,17 +1,20 @@
 package org.fallturn.rehearsal.faults;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
+import java.io.PushbackInputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 import org.fallturn.core.domain.NetworkAddress;
 
 /**
  * One forwarded connection: a thread copies each direction through one small buffer, so that a slow
- * reader slows the writer down. {@link #run()} returns when both directions have ended.
+ * reader slows the writer down. {@link #run()} returns when both directions have ended. Bytes that
+ * stood still are dropped when the sender has reset its connection meanwhile, as a network does
+ * whose sender no longer repeats them.
  */
 final class TcpFaultConnection {
 
@@ -58,11 +61,13 @@
     byte[] buffer = new byte[BUFFER_BYTES];
     long carried = 0;
     try {
-      InputStream input = from.getInputStream();
+      PushbackInputStream input = new PushbackInputStream(from.getInputStream(), 1);
       OutputStream output = to.getOutputStream();
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         delay();
-        awaitFlow(forward);
+        if (awaitFlow(forward)) {
+          failIfReset(from, input);
+        }
         int allowed = forward ? count : allowed(carried, count);
         output.write(buffer, 0, allowed);
         carried += allowed;
@@ -95,10 +100,30 @@
     }
   }
 
-  private void awaitFlow(boolean forward) throws InterruptedException {
+  /** Waits while this direction stands still; returns whether it did. */
+  private boolean awaitFlow(boolean forward) throws InterruptedException {
+    boolean stood = false;
     while (!aborted && held(forward)) {
+      stood = true;
       changes.awaitChange(HOLD_CHECK_MILLIS);
     }
+    return stood;
+  }
+
+  /** A reset shows only when the socket is read. */
+  private static void failIfReset(Socket from, PushbackInputStream input) throws IOException {
+    from.setSoTimeout(1);
+    try {
+      int next = input.read();
+      if (next >= 0) {
+        input.unread(next);
+      }
+    } catch (SocketTimeoutException e) {
+      // Nothing has come, a reset neither.
+      return;
+    } finally {
+      from.setSoTimeout(0);
+    }
   }
 
   private boolean held(boolean forward) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.fallturn.rehearsal.emulator.OpenWork;
 import org.fallturn.rehearsal.emulator.StreamEvents;
 
 /** A promise, checked on what callers and engines saw. Pure. */
@@ -47,12 +49,55 @@
   AT_MOST_ONCE {
     @Override
     List<String> violations(SoakRecord record) {
-      return record.calls().stream()
-          .filter(call -> !call.kind().repeatable() && runs(record, call) > 1)
-          .map(call -> call.requestId() + " ran " + runs(record, call) + " times")
+      Stream<String> asked =
+          record.calls().stream()
+              .filter(call -> !call.kind().repeatable())
+              .map(SoakRecord.Call::requestId);
+      Stream<String> left =
+          record.control().departures().callers().stream()
+              .filter(caller -> !caller.kind().repeatable())
+              .map(SoakRecord.Departure::requestId);
+      return Stream.concat(asked, left)
+          .filter(id -> record.runs().getOrDefault(id, 0) > 1)
+          .map(id -> id + " ran " + record.runs().get(id) + " times")
           .toList();
     }
   },
+  /** No more than a few requests reach engines later than the bound after their callers left. */
+  GONE_IS_NOT_SENT {
+    @Override
+    List<String> violations(SoakRecord record) {
+      Map<String, SoakRecord.Departure> left = leftInTouch(record);
+      List<String> found =
+          record.arrivals().stream()
+              .filter(arrival -> left.containsKey(arrival.requestId()))
+              .filter(arrival -> isLate(record, left.get(arrival.requestId()), arrival.nanos()))
+              .map(arrival -> arrival.requestId() + " reached " + arrival.engineId())
+              .toList();
+      return found.size() > SENDS_TOLERATED ? found : List.of();
+    }
+  },
+  /** Engines stop the work that may be repeated soon after its callers have left. */
+  GONE_ENDS_AT_ENGINES {
+    @Override
+    List<String> violations(SoakRecord record) {
+      Map<String, SoakRecord.Departure> left = leftInTouch(record);
+      List<OpenWork> lasting =
+          record.control().departures().openWork().stream()
+              .filter(work -> left.containsKey(work.requestId()))
+              .filter(work -> left.get(work.requestId()).kind().repeatable())
+              .filter(work -> work.beginNanos() < goneFromNanos(left.get(work.requestId())))
+              .filter(work -> work.endNanos() > left.get(work.requestId()).leftNanos())
+              .toList();
+      List<String> found =
+          lasting.stream()
+              .filter(work -> isLate(record, left.get(work.requestId()), work.endNanos()))
+              .map(work -> work.requestId() + " went on")
+              .toList();
+      boolean few = lasting.size() < MIN_LASTING;
+      return few || found.size() <= GONE_PART * lasting.size() ? List.of() : found;
+    }
+  },
   /** A request that is called not run was not run. */
   NOT_RUN_IS_TRUE {
     @Override
@@ -399,12 +444,43 @@
 
   private static final int MIN_RESUMPTIONS = 12;
 
+  /** From the close of a caller's connection until nothing more may go on for it. */
+  private static final Duration GONE_BOUND = Duration.ofMillis(500);
+
+  /** The part of the lasting work that may go on, and how much there must be to tell. */
+  private static final double GONE_PART = 0.25;
+
+  private static final int MIN_LASTING = 4;
+
   private static final double RESUMED_PART = 0.5;
 
   private static long served(List<SoakRecord.Call> calls) {
     return calls.stream().filter(call -> call.status() == HTTP_OK && call.whole()).count();
   }
 
+  private static Map<String, SoakRecord.Departure> leftInTouch(SoakRecord record) {
+    Map<String, SoakRecord.Departure> left = new HashMap<>();
+    record.control().departures().callers().stream()
+        .filter(SoakRecord.Departure::inTouch)
+        .forEach(caller -> left.put(caller.requestId(), caller));
+    return left;
+  }
+
+  private static long goneFromNanos(SoakRecord.Departure caller) {
+    return caller.leftNanos() + GONE_BOUND.toNanos();
+  }
+
+  /**
+   * Whether something went on too late for a caller, and no gateway stood still meanwhile: any may
+   * forward the request.
+   */
+  private static boolean isLate(SoakRecord record, SoakRecord.Departure caller, long nanos) {
+    long from = caller.leftNanos() - SoakFleet.CONTACT.toNanos();
+    return nanos > goneFromNanos(caller)
+        && record.troubles().stream()
+            .noneMatch(one -> one.fromNanos() < nanos && one.toNanos() > from);
+  }
+
   private static boolean isOfAnOlderConfiguration(SoakRecord.Probe probe) {
     long addedInForce = probe.route().addedNanos() + DRAIN_BOUND.toNanos();
     boolean removed = probe.route().removedNanos() != Long.MAX_VALUE;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -33,6 +33,11 @@
   /** Some six requests a second whose runs take long. */
   private static final int LONG_PAUSE_MILLIS = 300;
 
+  private static final int LEAVERS = 4;
+  private static final int FIRST_LEAVER = 5;
+  private static final int LEAVES_AT_ONCE_MILLIS = 20;
+  private static final int LEAVES_LATER_MILLIS = 1_200;
+
   private static final Duration LONG_DEADLINE = Duration.ofSeconds(8);
 
   /** One whole stream in so many is continued as if its last events had not come. */
@@ -48,6 +53,7 @@
   private final List<Thread> threads = new ArrayList<>();
   private final Queue<SoakRecord.PoisonSend> poisonSends = new ConcurrentLinkedQueue<>();
   private final Queue<SoakRecord.Resumption> resumptions = new ConcurrentLinkedQueue<>();
+  private final Queue<SoakRecord.Departure> departures = new ConcurrentLinkedQueue<>();
   private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private volatile boolean stopped;
@@ -70,6 +76,10 @@
     start("prober", () -> sendProbes(probing));
     Random running = new Random(seed - 4);
     start("long-caller", () -> sendLongRuns(running));
+    for (int leaver = 0; leaver < LEAVERS; leaver++) {
+      Random leaving = new Random(seed - FIRST_LEAVER - leaver);
+      start("leaver-" + leaver, () -> leaveEarly(leaving));
+    }
   }
 
   private void start(String name, Runnable task) {
@@ -148,6 +158,41 @@
     }
   }
 
+  /** Some callers leave at once, others after up to a second or so without an answer. */
+  private void leaveEarly(Random random) {
+    SoakRecord.Kind[] kinds = SoakRecord.Kind.values();
+    while (!stopped) {
+      try {
+        SoakRecord.Kind kind = kinds[random.nextInt(kinds.length)];
+        int target = random.nextInt(Integer.MAX_VALUE);
+        int patience = random.nextBoolean() ? LEAVES_AT_ONCE_MILLIS : LEAVES_LATER_MILLIS;
+        EmulatedClient.Call call =
+            client.send(
+                fleet.gateway(target).callers(),
+                path(kind),
+                kind.model() ? SHORT_PROMPT : 0,
+                DEADLINE);
+        TimeUnit.MILLISECONDS.sleep(random.nextInt(patience));
+        leave(call, kind, fleet.indexOf(target));
+      } catch (InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  private void leave(EmulatedClient.Call call, SoakRecord.Kind kind, int gateway) {
+    if (!call.answer().isDone()) {
+      call.leave();
+      departures.add(
+          new SoakRecord.Departure(call.requestId(), kind, gateway, System.nanoTime(), true));
+    }
+  }
+
+  /** The callers that left before they had an answer. */
+  List<SoakRecord.Departure> departures() {
+    return List.copyOf(departures);
+  }
+
   private void sendPoisonParts(Random random) {
     while (!stopped) {
       try {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fallturn.rehearsal.emulator.OpenWork;
 
 /**
  * All that callers and engines saw in one run, for the checks. Times are nanoseconds of one steady
@@ -111,6 +112,7 @@
    *     it did, by the time of the check
    * @param streams streams that callers began and continued
    * @param usage the usage reports that the platform took, in order
+   * @param departures the callers that left, and what went on for them
    */
   record Control(
       List<Probe> probes,
@@ -120,7 +122,30 @@
       List<CutOff> crowds,
       List<Call> beginWithPoison,
       Streams streams,
-      List<UsageReport> usage) {
+      List<UsageReport> usage,
+      Departures departures) {
+
+    /** Nobody left. */
+    Control(
+        List<Probe> probes,
+        Map<String, List<StageOrder>> orders,
+        GatewayEnds ends,
+        List<CutOff> cutOffs,
+        List<CutOff> crowds,
+        List<Call> beginWithPoison,
+        Streams streams,
+        List<UsageReport> usage) {
+      this(
+          probes,
+          orders,
+          ends,
+          cutOffs,
+          crowds,
+          beginWithPoison,
+          streams,
+          usage,
+          Departures.none());
+    }
 
     /** Usage was reported once after the faults. */
     Control(
@@ -178,6 +203,32 @@
     }
   }
 
+  /**
+   * Callers that closed their connections before they had an answer.
+   *
+   * @param callers those that left
+   * @param openWork work of engines that ends only when it is given up
+   */
+  record Departures(List<Departure> callers, List<OpenWork> openWork) {
+
+    static Departures none() {
+      return new Departures(List.of(), List.of());
+    }
+  }
+
+  /**
+   * A caller that left.
+   *
+   * @param gateway index of the gateway that was asked
+   * @param inTouch whether that gateway was in touch when the caller left
+   */
+  record Departure(String requestId, Kind kind, int gateway, long leftNanos, boolean inTouch) {
+
+    Departure inTouchOnlyIf(boolean was) {
+      return new Departure(requestId, kind, gateway, leftNanos, was);
+    }
+  }
+
   /**
    * A stream that a caller continued.
    *
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -17,6 +17,7 @@
 import java.util.stream.IntStream;
 import org.fallturn.rehearsal.emulator.EmulatedApi;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.fallturn.rehearsal.emulator.OpenWork;
 
 /** Plays one schedule and reports what its checks found. One thread uses it. */
 final class SoakRun {
@@ -85,7 +86,8 @@
                 comparisons(calls, SoakFault::crowds),
                 beginWithPoison(fleet, calls),
                 streams(calls, load.resumptions()),
-                usage(fleet)),
+                usage(fleet),
+                departures(fleet, load.departures())),
             calmFrom);
       }
     }
@@ -152,6 +154,22 @@
     return reports;
   }
 
+  /** What a gateway of another build does for callers that left says nothing of this one. */
+  private SoakRecord.Departures departures(SoakFleet fleet, List<SoakRecord.Departure> left) {
+    List<SoakRecord.Departure> callers =
+        left.stream()
+            .map(
+                one ->
+                    one.inTouchOnlyIf(
+                        otherBuild.isEmpty() && inTouch(one.gateway(), one.leftNanos())))
+            .toList();
+    List<OpenWork> work =
+        fleet.platform().allEngines().stream()
+            .flatMap(engine -> engine.openWork().stream())
+            .toList();
+    return new SoakRecord.Departures(callers, work);
+  }
+
   private static Map<String, Integer> runs(SoakFleet fleet) {
     Map<String, Integer> runs = new HashMap<>();
     fleet
@@ -437,6 +455,10 @@
     out.printf(
         "%d streams resumed, %d successfully; %d of %d promised ones%n",
         resumptions.size(), succeeded(resumptions), succeeded(promised), promised.size());
+    List<SoakRecord.Departure> left = record.control().departures().callers();
+    out.printf(
+        "%d callers left, %d of gateways in touch%n",
+        left.size(), left.stream().filter(SoakRecord.Departure::inTouch).count());
     List<Long> windows =
         record.control().usage().stream()
             .map(SoakRecord.UsageReport::window)
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import org.fallturn.core.domain.NetworkAddress;
@@ -62,6 +63,31 @@
     }
   }
 
+  /** A sender that resets its connection repeats nothing once the network is whole again. */
+  @Test
+  void heldBytesOfAConnectionThatWasResetDoNotArrive() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      NetworkAddress link =
+          proxy.openTcp("held", ANY, new NetworkAddress("127.0.0.1", server.getLocalPort()));
+      Socket caller = new Socket(link.host(), link.port());
+      try (Socket accepted = server.accept()) {
+        send(caller, "a");
+        assertThat(receive(accepted, 1)).isEqualTo("a");
+        proxy.set("held", LinkFaults.SILENT);
+        send(caller, "hello");
+        accepted.setSoTimeout(SILENCE_MILLIS);
+        assertThatThrownBy(() -> accepted.getInputStream().read())
+            .isInstanceOf(SocketTimeoutException.class);
+        caller.setSoLinger(true, 0);
+        caller.close();
+        proxy.heal();
+        accepted.setSoTimeout(PATIENCE_MILLIS);
+        assertThatThrownBy(() -> accepted.getInputStream().read())
+            .isInstanceOf(SocketException.class);
+      }
+    }
+  }
+
   @Test
   void aCutResetsOpenConnectionsAndNewOnes() throws IOException {
     try (Socket caller = connect("127.0.0.1")) {
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -23,11 +23,11 @@
 
   private static final SoakRecord.GatewayEnds NO_ENDS = SoakRecord.Control.none().ends();
 
-  private static long seconds(double seconds) {
+  static long seconds(double seconds) {
     return (long) (seconds * 1e9);
   }
 
-  private static SoakRecord.Call call(String id, SoakRecord.Kind kind, int status, String body) {
+  static SoakRecord.Call call(String id, SoakRecord.Kind kind, int status, String body) {
     return new SoakRecord.Call(
         id, kind, 0, seconds(20), seconds(20), Optional.empty(), status, body, status != 0);
   }
@@ -50,13 +50,13 @@
         CALM);
   }
 
-  private static List<SoakCheck> broken(SoakRecord record) {
+  static List<SoakCheck> broken(SoakRecord record) {
     return Arrays.stream(SoakCheck.values())
         .filter(check -> !check.violations(record).isEmpty())
         .toList();
   }
 
-  private static SoakRecord oneCall(SoakRecord.Call call, int runs) {
+  static SoakRecord oneCall(SoakRecord.Call call, int runs) {
     SoakRecord.Call good = call("good", SoakRecord.Kind.STREAM, 200, WHOLE);
     List<SoakRecord.Call> calls = new ArrayList<>(List.of(call));
     for (int index = 0; index < 30; index++) {
