Soak: count what goes on for callers that left beside older troubles of others

A late send was left out whenever any gateway had been killed or had stood still between the close and the contact bound before; troubles overlap so often that the check could not show the fault. Left out is now what comes within the contact bound after a gateway stood still, or while the caller's own one did.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -471,14 +471,15 @@
   }
 
   /**
-   * Whether something went on too late for a caller, and no gateway stood still meanwhile: any may
-   * forward the request.
+   * Whether something went on too late for a caller. What a gateway does shortly after it stood
+   * still does not count, and any may forward the request.
    */
   private static boolean isLate(SoakRecord record, SoakRecord.Departure caller, long nanos) {
-    long from = caller.leftNanos() - SoakFleet.CONTACT.toNanos();
+    long lately = nanos - SoakFleet.CONTACT.toNanos();
     return nanos > goneFromNanos(caller)
         && record.troubles().stream()
-            .noneMatch(one -> one.fromNanos() < nanos && one.toNanos() > from);
+            .filter(one -> one.gateway() == caller.gateway() || one.toNanos() > lately)
+            .noneMatch(one -> one.fromNanos() < nanos && one.toNanos() > caller.leftNanos());
   }
 
   private static boolean isOfAnOlderConfiguration(SoakRecord.Probe probe) {
