Free the KV cache of a request that was withheld before it was fetched

An engine keeps the KV cache of a prompt until another fetches it or it lapses. A request that had an engine to run at counted as fetching it, though it may have been withheld, or withdrawn from the HTTP client's queue; such a cache was never freed. What counts now is whether the attempt may have been sent.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -342,8 +342,10 @@
     waitingForEngine.remove(exchange.progress());
     runs.onEnded(exchange, now);
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
-    boolean running = !exchange.progress().prefilling() && exchange.progress().engine().isPresent();
-    if (!running) {
+    boolean fetches =
+        !exchange.progress().prefilling()
+            && exchange.attempt().filter(EngineAttempt::maybeSent).isPresent();
+    if (!fetches) {
       freeSource(exchange);
     }
     dispatcher.onAbandoned(exchange.progress(), now);
