Look again whether requests are taken when a body has come

A request of which only the head had come before a planned stop was passed on when its body ended, up to the last 0.1 s of the process, and cut while its engine ran it. It is now refused as not run, as one whose head comes then.

SlowBodyAtStopTest failed before.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -271,12 +271,23 @@
           return;
         }
         if (last) {
-          dispatch(caller, head, admitted, body.toByteArray());
+          finish();
           return;
         }
       }
     }
 
+    /**
+     * A slow body may end when the node has stopped taking requests: no time is left to serve it.
+     */
+    private void finish() {
+      if (gateway.takesRequests()) {
+        dispatch(caller, head, admitted, body.toByteArray());
+      } else {
+        refuse(caller, head.requestId(), ErrorKind.STOPPING, "this node is stopping");
+      }
+    }
+
     private boolean append(ByteBuffer bytes) {
       if (body.size() + bytes.remaining() > maxBytes) {
         return false;
