--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
@@ -32,13 +32,7 @@
   @BeforeEach
   void start() throws Exception {
     engine = new RawEngine();
-    gateway =
-        new GatewayServer(
-            OneEngineGateway.settings(),
-            OneEngineGateway.platform(
-                engine.address(), OneEngineGateway.engines(headers -> headers)));
-    gateway.start();
-    await().atMost(LONGEST).until(gateway::ready);
+    gateway = OneEngineGateway.start(engine, headers -> headers);
   }
 
   @AfterEach
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/GivenUpForwardingTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/GivenUpForwardingTest.java
@@ -7,8 +7,6 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.CountDownLatch;
-import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,45 +23,23 @@
   private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final Duration TIME_LEFT = Duration.ofMillis(100);
 
-  /** With this header a request stands still right before it is sent. */
-  private static final String HOLD_HEADER = "X-Hold";
-
-  private final CountDownLatch held = new CountDownLatch(1);
-  private final CountDownLatch release = new CountDownLatch(1);
+  private final RequestGate gate = new RequestGate();
   private RawEngine engine;
   private GatewayServer gateway;
 
   @BeforeEach
   void start() throws Exception {
     engine = new RawEngine();
-    gateway =
-        new GatewayServer(
-            OneEngineGateway.settings(),
-            OneEngineGateway.platform(
-                engine.address(), OneEngineGateway.engines(this::holdWhenAsked)));
-    gateway.start();
-    await().atMost(LONGEST).until(gateway::ready);
+    gateway = OneEngineGateway.start(engine, gate::pass);
   }
 
   @AfterEach
   void stop() throws Exception {
-    release.countDown();
+    gate.open();
     gateway.close();
     engine.close();
   }
 
-  private HttpFields holdWhenAsked(HttpFields headers) {
-    if (headers.contains(HOLD_HEADER)) {
-      held.countDown();
-      try {
-        release.await();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-    return headers;
-  }
-
   private Socket connect() throws IOException {
     NetworkAddress address = gateway.peersAddress();
     Socket node = new Socket(address.host(), address.port());
@@ -118,10 +94,10 @@
   @Test
   void requestWhoseNodeClosedItsConnectionMeanwhileIsNotSent() throws Exception {
     Socket node = connect();
-    write(node, head(HOLD_HEADER + ": 1\r\n", 0));
-    held.await();
+    write(node, head(RequestGate.HOLD, 0));
+    gate.awaitHeld();
     node.close();
-    release.countDown();
+    gate.open();
     await().atMost(LONGEST).until(() -> engine.got("gone") || gateway.inFlight() == 0);
     assertThat(engine.got("gone")).isFalse();
   }
@@ -130,10 +106,10 @@
   void requestWhoseTimePassedMeanwhileIsNotSent() throws Exception {
     try (Socket node = connect()) {
       String timeLeft = OneEngineGateway.TIME_LEFT_HEADER + ": " + TIME_LEFT.toMillis() + "\r\n";
-      write(node, head(HOLD_HEADER + ": 1\r\n" + timeLeft, 0));
-      held.await();
+      write(node, head(RequestGate.HOLD + timeLeft, 0));
+      gate.awaitHeld();
       Thread.sleep(TIME_LEFT.toMillis());
-      release.countDown();
+      gate.open();
       await().atMost(LONGEST).until(() -> engine.got("gone") || gateway.inFlight() == 0);
       assertThat(engine.got("gone")).isFalse();
       assertNotSent(readHead(node));
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
-import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -32,9 +31,6 @@
   private static final Duration WAIT = Duration.ofMillis(300);
   private static final Duration SHORT_DEADLINE = Duration.ofMillis(150);
 
-  /** With this header a request holds the dispatch thread until the test lets it go. */
-  private static final String HOLD_HEADER = "X-Hold";
-
   /** More requests than the node has connections to the engine. */
   private static final int MORE_THAN_CONNECTIONS = OneEngineGateway.ENGINE_CONNECTIONS;
 
@@ -46,15 +42,14 @@
 
   private static final int SMALL_BUFFER = 4_096;
 
-  private final CountDownLatch held = new CountDownLatch(1);
-  private final CountDownLatch release = new CountDownLatch(1);
+  private final RequestGate gate = new RequestGate();
   private final List<Socket> callers = new ArrayList<>();
   private RawEngine engine;
   private GatewayServer gateway;
 
   @AfterEach
   void stop() throws Exception {
-    release.countDown();
+    gate.open();
     for (Socket caller : callers) {
       caller.close();
     }
@@ -64,25 +59,7 @@
 
   private void start(RawEngine before) throws Exception {
     engine = before;
-    gateway =
-        new GatewayServer(
-            OneEngineGateway.settings(),
-            OneEngineGateway.platform(
-                engine.address(), OneEngineGateway.engines(this::holdWhenAsked)));
-    gateway.start();
-    await().atMost(LONGEST).until(gateway::ready);
-  }
-
-  private HttpFields holdWhenAsked(HttpFields headers) {
-    if (headers.contains(HOLD_HEADER)) {
-      held.countDown();
-      try {
-        release.await();
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-      }
-    }
-    return headers;
+    gateway = OneEngineGateway.start(engine, gate::pass);
   }
 
   private Socket send(String id, String headers, int bodyBytes) {
@@ -107,8 +84,8 @@
 
   /** Holds the dispatch thread with a request of its own. */
   private void holdDispatch() throws InterruptedException {
-    send("holds", HOLD_HEADER + ": 1\r\n", 0);
-    held.await();
+    send("holds", RequestGate.HOLD, 0);
+    gate.awaitHeld();
   }
 
   /** Answers requests with these ids, each as soon as it has come. */
@@ -156,7 +133,7 @@
     Socket gone = send("gone");
     awaitInFlight(2);
     gone.close();
-    release.countDown();
+    gate.open();
     awaitDispatched();
     assertThat(engine.got("holds")).isTrue();
     assertThat(engine.got("gone")).isFalse();
@@ -171,7 +148,7 @@
     try (Socket late = send("late", deadline, 0)) {
       awaitInFlight(2);
       Thread.sleep(SHORT_DEADLINE.toMillis());
-      release.countDown();
+      gate.open();
       awaitDispatched();
       assertThat(engine.got("late")).isFalse();
       assertThat(late.getInputStream().read()).as("answered").isPositive();
@@ -188,7 +165,7 @@
     holdDispatch();
     gone.close();
     answerAll("early-", MORE_THAN_CONNECTIONS);
-    release.countDown();
+    gate.open();
     awaitDispatched();
     assertThat(engine.got("gone")).isFalse();
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -1,5 +1,7 @@
 package org.fallturn.node.gateway;
 
+import static org.awaitility.Awaitility.await;
+
 import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.List;
@@ -67,6 +69,8 @@
       address = "127.0.0.1:1"
       """;
 
+  private static final Duration START = Duration.ofSeconds(20);
+
   private OneEngineGateway() {}
 
   /** Settings with free ports on loopback. */
@@ -74,6 +78,20 @@
     return GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
   }
 
+  /**
+   * Starts a gateway for the engine and waits until it is ready.
+   *
+   * @param beforeSend called with the headers of each request, see {@link #engines}
+   */
+  static GatewayServer start(RawEngine engine, UnaryOperator<HttpFields> beforeSend)
+      throws Exception {
+    GatewayServer gateway =
+        new GatewayServer(settings(), platform(engine.address(), engines(beforeSend)));
+    gateway.start();
+    await().atMost(START).until(gateway::ready);
+    return gateway;
+  }
+
   /** The engine, as it is listed. */
   static ServingEngine engine(NetworkAddress address) {
     return new ServingEngine("e-1", "app", address, "zone-1", 8, false, EngineStage.NONE);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
@@ -21,13 +21,7 @@
   @Test
   void requestWhoseBodyEndsWhenNoneAreTakenIsRefusedAsNotRun() throws Exception {
     try (RawEngine engine = new RawEngine();
-        GatewayServer gateway =
-            new GatewayServer(
-                OneEngineGateway.settings(),
-                OneEngineGateway.platform(
-                    engine.address(), OneEngineGateway.engines(headers -> headers)))) {
-      gateway.start();
-      await().atMost(LONGEST).until(gateway::ready);
+        GatewayServer gateway = OneEngineGateway.start(engine, headers -> headers)) {
       NetworkAddress address = gateway.callersAddress();
       try (Socket caller = new Socket(address.host(), address.port())) {
         caller.setSoTimeout((int) LONGEST.toMillis());
