--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedServer.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedServer.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.emulator;
 
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -15,6 +16,7 @@
   private static final String LOOPBACK = "127.0.0.1";
 
   private final Server server;
+  private final ServerConnector connector;
   private final NetworkAddress address;
 
   EmulatedServer(Handler handler) throws Exception {
@@ -30,8 +32,7 @@
     server = new Server(new QueuedThreadPool(THREADS));
     HttpConfiguration configuration = new HttpConfiguration();
     configuration.setSendServerVersion(false);
-    ServerConnector connector =
-        new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
+    connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(configuration));
     connector.setHost(LOOPBACK);
     connector.setPort(port);
     server.addConnector(connector);
@@ -45,8 +46,14 @@
     return address;
   }
 
+  /**
+   * Ends the connections before the server: the server does so on its selector, which can wait
+   * there without end for a write that only the selector itself would fail.
+   */
   @Override
   public void close() throws Exception {
+    connector.close();
+    connector.getConnectedEndPoints().forEach(EndPoint::close);
     server.stop();
   }
 }
