Share what a node does when a request begins to be sent

A request of a caller and one of another node each noted by themselves whether and on which connection they had begun, and each withheld what nobody waits for or set the time left. SendState and EngineClient.withholdOrSetTimeLeft serve both now; withdrawing and cancelling an attempt share the abort; the id of a forwarded request is read once. The comment on cancellations says whom they still serve.

No change of behaviour.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
@@ -25,6 +25,6 @@
 
   /** Whether the answer belongs to the request; true when it names none. */
   public boolean belongsTo(String id) {
-    return requestId.isEmpty() || requestId.equals(id);
+    return requestId.isEmpty() || names(id);
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -46,8 +46,7 @@
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private volatile Request request;
-  private volatile boolean maybeSent;
-  private volatile String connection = "";
+  private final SendState sendState = new SendState();
   private final AttemptTimeout timeout;
   private volatile EngineAnswerHead head;
   private volatile HttpFields headers;
@@ -75,20 +74,13 @@
   /** Sends the request. */
   void send(Request toSend) {
     request = toSend;
-    toSend.onRequestBegin(this::onBegin);
+    toSend.onRequestBegin(sendState);
     toSend.send(this);
   }
 
-  private void onBegin(Request begun) {
-    if (begun.getAbortCause() == null) {
-      connection = LogTexts.connection(begun);
-      maybeSent = true;
-    }
-  }
-
   /** Local address of the connection on which the request was sent; empty while it was not. */
   String connection() {
-    return connection;
+    return sendState.connection();
   }
 
   /** Head of the engine's answer; null before it has arrived. */
@@ -118,7 +110,7 @@
 
   /** Whether any byte of the request may have reached the engine. */
   boolean maybeSent() {
-    return maybeSent;
+    return sendState.maybeSent();
   }
 
   /** Whether the attempt has ended. */
@@ -157,17 +149,20 @@
 
   /** Aborts the request, if it has not ended; the attempt ends with the failure that follows. */
   void withdraw() {
-    Request sent = request;
-    if (sent != null && !ended()) {
-      sent.abort(new RequestOverException(RequestEnd.CALLER_GONE));
+    if (!ended()) {
+      abortRequest(new RequestOverException(RequestEnd.CALLER_GONE));
     }
   }
 
   private void abort(String why) {
     cancelled = true;
+    abortRequest(new CancellationException(why));
+  }
+
+  private void abortRequest(Exception cause) {
     Request sent = request;
     if (sent != null) {
-      sent.abort(new CancellationException(why));
+      sent.abort(cause);
     }
   }
 
@@ -312,7 +307,7 @@
     if (before == AttemptState.Phase.RELAYING) {
       return AttemptOutcome.BROKEN_MIDWAY;
     }
-    return maybeSent ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
+    return maybeSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
   }
 
   /** A stream that ends with its connection before its first event has broken off. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -143,23 +143,31 @@
     attempt.send(withContent(request, headers, exchange.body()));
   }
 
-  /**
-   * Withholds a request that nobody waits for any more, and tells the others what time is left: a
-   * request may have waited long for a connection.
-   */
   private void checkBeforeSend(Exchange exchange, Request request) {
     long now = System.nanoTime();
     Optional<RequestEnd> end = exchange.checkEnd(now);
+    end.ifPresent(cause -> log.sendWithheld(exchange, cause));
+    Duration left = Duration.ofNanos(exchange.envelope().remainingNanos(now));
+    withholdOrSetTimeLeft(request, end, Optional.of(left));
+  }
+
+  /**
+   * Withholds a request that nobody waits for any more, and tells the receiver of any other what
+   * time is left: a request may have waited long for a connection. Call when it begins.
+   *
+   * @param end why nobody waits for it; empty while somebody does
+   * @param timeLeft empty to leave the request's own figure, if it has one
+   */
+  void withholdOrSetTimeLeft(
+      Request request, Optional<RequestEnd> end, Optional<Duration> timeLeft) {
     if (end.isPresent()) {
-      log.sendWithheld(exchange, end.get());
       request.abort(new RequestOverException(end.get()));
-      return;
+    } else {
+      timeLeft.ifPresent(left -> request.headers(headers -> protocol.setTimeLeft(headers, left)));
     }
-    Duration left = Duration.ofNanos(exchange.envelope().remainingNanos(now));
-    request.headers(headers -> protocol.setTimeLeft(headers, left));
   }
 
-  /** A node that forwards a request notices only late that its answer is not wanted any more. */
+  /** A node of an earlier build notices only late that the answer is not wanted any more. */
   private void cancelWhenFailed(
       Request request, EngineAttempt attempt, NetworkAddress peer, String key) {
     forwarders.add(peer);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -173,8 +173,8 @@
     private final long arrivedNanos = System.nanoTime();
     private volatile org.eclipse.jetty.client.Request toEngine;
     private volatile boolean givenUp;
-    private volatile String connection = "";
-    private volatile boolean maybeSent;
+    private final SendState sendState = new SendState();
+    private volatile String requestId = "";
     private boolean answerBegun;
 
     ForwardedRequest(ServingEngine engine, HandlerArguments from) {
@@ -183,7 +183,7 @@
     }
 
     void send(byte[] body) {
-      watched().ifPresent(connection -> connection.watch(this::giveUp));
+      watched().ifPresent(endPoint -> endPoint.watch(this::giveUp));
       org.eclipse.jetty.client.Request request =
           engines.newForwarded(
               engine,
@@ -192,8 +192,9 @@
               withoutConnectionHeaders(from.request().getHeaders()),
               body);
       request.onRequestBegin(this::checkBeforeSend);
-      request.onRequestBegin(this::onBegin);
-      log.forwarding(requestId(), engine.id());
+      request.onRequestBegin(sendState);
+      requestId = engines.protocol().readHead(0, from.request().getHeaders()).requestId();
+      log.forwarding(requestId, engine.id());
       toEngine = request;
       request.send(this);
     }
@@ -216,14 +217,15 @@
     private void checkBeforeSend(org.eclipse.jetty.client.Request request) {
       watched().ifPresent(WatchedEndPoint::checkDisconnect);
       Optional<Duration> left = timeLeft();
+      engines.withholdOrSetTimeLeft(request, end(left), left);
+    }
+
+    private Optional<RequestEnd> end(Optional<Duration> left) {
       if (givenUp) {
-        request.abort(new RequestOverException(RequestEnd.CALLER_GONE));
-      } else if (left.filter(time -> time.isNegative() || time.isZero()).isPresent()) {
-        request.abort(new RequestOverException(RequestEnd.TIME_OVER));
-      } else {
-        left.ifPresent(
-            time -> request.headers(headers -> engines.protocol().setTimeLeft(headers, time)));
+        return Optional.of(RequestEnd.CALLER_GONE);
       }
+      return left.filter(time -> time.isNegative() || time.isZero())
+          .map(time -> RequestEnd.TIME_OVER);
     }
 
     private Optional<Duration> timeLeft() {
@@ -231,17 +233,6 @@
       return engines.protocol().timeLeft(from.request().getHeaders()).map(at -> at.minus(spent));
     }
 
-    private void onBegin(org.eclipse.jetty.client.Request begun) {
-      if (begun.getAbortCause() == null) {
-        connection = LogTexts.connection(begun);
-        maybeSent = true;
-      }
-    }
-
-    private String requestId() {
-      return engines.protocol().readHead(0, from.request().getHeaders()).requestId();
-    }
-
     @Override
     public void onHeaders(org.eclipse.jetty.client.Response answer) {
       from.response().setStatus(answer.getStatus());
@@ -281,7 +272,7 @@
     public void onComplete(Result result) {
       ForwardingResult outcome = outcome(result);
       watched().ifPresent(WatchedEndPoint::unwatch);
-      log.forwarded(requestId(), engine.id(), connection, outcome);
+      log.forwarded(requestId, engine.id(), sendState.connection(), outcome);
       if (outcome == ForwardingResult.ANSWERED) {
         from.response().write(true, BufferUtil.EMPTY_BUFFER, from.callback());
       } else if (answerBegun) {
@@ -297,7 +288,7 @@
       if (result.getResponseFailure() == null && result.getResponse().getStatus() > 0) {
         return ForwardingResult.ANSWERED;
       }
-      return maybeSent ? ForwardingResult.LOST : ForwardingResult.NOT_SENT;
+      return sendState.maybeSent() ? ForwardingResult.LOST : ForwardingResult.NOT_SENT;
     }
   }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
@@ -0,0 +1,32 @@
+package org.fallturn.node.gateway;
+
+import org.eclipse.jetty.client.Request;
+
+/**
+ * Whether a request has begun to be sent, and on which connection. Registered as the last begin
+ * listener, so that a request which an earlier one withholds counts as not sent. A client thread
+ * writes; any thread reads.
+ */
+final class SendState implements Request.BeginListener {
+
+  private volatile boolean maybeSent;
+  private volatile String connection = "";
+
+  @Override
+  public void onBegin(Request begun) {
+    if (begun.getAbortCause() == null) {
+      connection = LogTexts.connection(begun);
+      maybeSent = true;
+    }
+  }
+
+  /** Whether any byte of the request may have left. */
+  boolean maybeSent() {
+    return maybeSent;
+  }
+
+  /** Local address of the connection that it was sent on; empty while it was not sent. */
+  String connection() {
+    return connection;
+  }
+}
