--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerRequestPort.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerRequestPort.java
@@ -43,11 +43,7 @@
     @Override
     protected SocketChannelEndPoint newEndPoint(
         SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-      WatchedEndPoint endPoint =
-          new WatchedEndPoint(
-              channel, selector, key, getScheduler(), getExecutor(), PeerConnector::ignore);
-      endPoint.setIdleTimeout(getIdleTimeout());
-      return endPoint;
+      return WatchedEndPoint.of(this, channel, selector, key, PeerConnector::ignore);
     }
 
     /** Nodes open a connection anew, so nobody needs to hear of one that was cut. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedConnector.java
@@ -105,11 +105,7 @@
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-    WatchedEndPoint endPoint =
-        new WatchedEndPoint(
-            channel, selector, key, getScheduler(), getExecutor(), this::reportWhileRunning);
-    endPoint.setIdleTimeout(getIdleTimeout());
-    return endPoint;
+    return WatchedEndPoint.of(this, channel, selector, key, this::reportWhileRunning);
   }
 
   /** Connections that end with the connector are cut on purpose. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -65,6 +66,24 @@
     this.onCut = onCut;
   }
 
+  /**
+   * Creates the end of a connection that a connector has accepted.
+   *
+   * @param onCut see the constructor
+   */
+  static WatchedEndPoint of(
+      ServerConnector connector,
+      SocketChannel channel,
+      ManagedSelector selector,
+      SelectionKey key,
+      Consumer<ConnectionCut> onCut) {
+    WatchedEndPoint endPoint =
+        new WatchedEndPoint(
+            channel, selector, key, connector.getScheduler(), connector.getExecutor(), onCut);
+    endPoint.setIdleTimeout(connector.getIdleTimeout());
+    return endPoint;
+  }
+
   /** Records which request the connection serves, for the report of a cut. */
   void setRequestId(String id) {
     synchronized (lock) {
