Read ahead into the buffer of the read before

The look at a caller's connection before each send allocated 2 KiB each time, and nearly always found nothing. The side buffer is used again while it is empty. What that saves was not measured. WatchedEndPointTest and the tests of pipelined requests in GatewayOnEmulatorTest hold.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -402,7 +402,7 @@
    * @return false when the caller has closed its side
    */
   private boolean readAhead() {
-    ByteBuffer buffer = BufferUtil.allocate(READ_AHEAD_BYTES);
+    ByteBuffer buffer = sideBuffer.hasRemaining() ? newReadAheadBuffer() : emptiedSideBuffer();
     try {
       int read = super.fill(buffer);
       endOfInput = read < 0;
@@ -414,10 +414,21 @@
     }
   }
 
+  private static ByteBuffer newReadAheadBuffer() {
+    return BufferUtil.allocate(READ_AHEAD_BYTES);
+  }
+
+  /** Most reads find nothing, so that the buffer of the read before can take this one. */
+  private ByteBuffer emptiedSideBuffer() {
+    if (sideBuffer.capacity() < READ_AHEAD_BYTES) {
+      sideBuffer = newReadAheadBuffer();
+    }
+    BufferUtil.clear(sideBuffer);
+    return sideBuffer;
+  }
+
   private void addToSideBuffer(ByteBuffer more) {
-    if (!sideBuffer.hasRemaining()) {
-      sideBuffer = more;
-    } else if (more.hasRemaining()) {
+    if (more != sideBuffer && more.hasRemaining()) {
       ByteBuffer both = BufferUtil.allocate(sideBuffer.remaining() + more.remaining());
       BufferUtil.append(both, sideBuffer);
       BufferUtil.append(both, more);
