--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
@@ -8,7 +8,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -43,18 +42,11 @@
 
   /** Sends a request, begins to answer it and goes on; returns the status line for the caller. */
   private String statusAfter(String begin) throws Exception {
-    NetworkAddress address = gateway.callersAddress();
-    try (Socket caller = new Socket(address.host(), address.port())) {
-      caller.setSoTimeout((int) LONGEST.toMillis());
-      String head =
-          "POST /x HTTP/1.1\r\nHost: host\r\n%s: a\r\nContent-Length: 0\r\n\r\n"
-              .formatted(OneEngineGateway.ID_HEADER);
-      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), "a", "", 0)) {
       await().atMost(LONGEST).until(() -> engine.got("a"));
       engine.connections().get(0).send(begin);
       assertThat(goesOn()).as("the node reads on without end").isFalse();
-      byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
-      return new String(status, StandardCharsets.US_ASCII);
+      return OneEngineGateway.readStatus(caller);
     }
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/GoneCallerTest.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
-import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -63,15 +62,9 @@
   }
 
   private Socket send(String id, String headers, int bodyBytes) {
-    NetworkAddress address = gateway.callersAddress();
     try {
-      Socket caller = new Socket(address.host(), address.port());
+      Socket caller = OneEngineGateway.send(gateway.callersAddress(), id, headers, bodyBytes);
       callers.add(caller);
-      String head =
-          "POST /x HTTP/1.1\r\nHost: host\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n"
-              .formatted(OneEngineGateway.ID_HEADER, id, headers, bodyBytes);
-      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-      caller.getOutputStream().write(new byte[bodyBytes]);
       return caller;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -2,7 +2,10 @@
 
 import static org.awaitility.Awaitility.await;
 
+import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -92,6 +95,29 @@
     return gateway;
   }
 
+  /**
+   * Sends a request over a connection of its own.
+   *
+   * @param headers further headers, each with its line end
+   */
+  static Socket send(NetworkAddress port, String id, String headers, int bodyBytes)
+      throws IOException {
+    Socket caller = new Socket(port.host(), port.port());
+    caller.setSoTimeout((int) START.toMillis());
+    String head =
+        "POST /x HTTP/1.1\r\nHost: host\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n"
+            .formatted(ID_HEADER, id, headers, bodyBytes);
+    caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    caller.getOutputStream().write(new byte[bodyBytes]);
+    return caller;
+  }
+
+  /** Reads the begin of an answer: version and status. */
+  static String readStatus(Socket caller) throws IOException {
+    byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
+    return new String(status, StandardCharsets.US_ASCII);
+  }
+
   /** The engine, as it is listed. */
   static ServingEngine engine(NetworkAddress address) {
     return new ServingEngine("e-1", "app", address, "zone-1", 8, false, EngineStage.NONE);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestTargetTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestTargetTest.java
@@ -56,7 +56,7 @@
               .formatted(target, OneEngineGateway.ID_HEADER, id, headers);
       caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
       await(target).atMost(LONGEST).pollInterval(POLL).until(() -> engine.answerIfCome(id));
-      assertThat(caller.getInputStream().readNBytes(12)).asString().isEqualTo("HTTP/1.1 200");
+      assertThat(OneEngineGateway.readStatus(caller)).isEqualTo("HTTP/1.1 200");
     }
     return engine.requestLineOf(id);
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
@@ -34,7 +34,7 @@
         stop.start();
         await().atMost(LONGEST).until(() -> !gateway.takesRequests());
         write(caller, "b");
-        assertThat(caller.getInputStream().readNBytes(12)).asString().isEqualTo("HTTP/1.1 503");
+        assertThat(OneEngineGateway.readStatus(caller)).isEqualTo("HTTP/1.1 503");
         assertThat(engine.got("slow")).isFalse();
         stop.join();
       }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/UnnamedRefusalTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/UnnamedRefusalTest.java
@@ -4,9 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -37,17 +35,10 @@
 
   /** Sends a request that may not be repeated; returns the status that its caller gets. */
   private String statusAfter(String refusal) throws Exception {
-    NetworkAddress address = gateway.callersAddress();
-    try (Socket caller = new Socket(address.host(), address.port())) {
-      caller.setSoTimeout((int) LONGEST.toMillis());
-      String head =
-          "POST /x HTTP/1.1\r\nHost: host\r\n%s: once\r\nContent-Length: 0\r\n\r\n"
-              .formatted(OneEngineGateway.ID_HEADER);
-      caller.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), "once", "", 0)) {
       await().atMost(LONGEST).until(() -> engine.got("once"));
       engine.connections().get(0).send(refusal);
-      byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
-      return new String(status, StandardCharsets.US_ASCII);
+      return OneEngineGateway.readStatus(caller);
     }
   }
 
