--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptTimeout;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -53,8 +54,10 @@
   private volatile boolean streamed;
   private volatile boolean endIsMarked;
   private volatile boolean signOfLife;
+  private volatile RunEnd runEnd = RunEnd.ABORT_ORDERED;
   private volatile Optional<AttemptOutcome> forwardFailure = Optional.empty();
-  private final boolean forwarded;
+  private final Optional<NetworkAddress> forwarder;
+  private final int sendNumber;
   private boolean cancelled;
   private boolean beganPosted;
 
@@ -64,13 +67,24 @@
     this.call = call;
     this.protocol = protocol;
     this.timeout = timeout;
-    this.forwarded = exchange.progress().forwarder().isPresent();
+    this.forwarder = exchange.progress().forwarder();
+    this.sendNumber = exchange.progress().runSends() + exchange.progress().prefillAttempts();
   }
 
   EngineCall call() {
     return call;
   }
 
+  /** The node that sends the request for this one; empty when this one sends it itself. */
+  Optional<NetworkAddress> forwarder() {
+    return forwarder;
+  }
+
+  /** Which send of the request to an engine this is; the first is 1. */
+  int sendNumber() {
+    return sendNumber;
+  }
+
   /** Sends the request. */
   void send(Request toSend) {
     request = toSend;
@@ -113,6 +127,11 @@
     return sendState.maybeSent();
   }
 
+  /** How it is known that the engine no longer works on the request. */
+  RunEnd runEnd() {
+    return maybeSent() ? runEnd : RunEnd.NOT_SENT;
+  }
+
   /** Whether the attempt has ended. */
   boolean ended() {
     return state.ended();
@@ -170,7 +189,7 @@
   public void onHeaders(Response response) {
     headers = response.getHeaders();
     endIsMarked = endIsMarked(headers);
-    if (forwarded) {
+    if (forwarder.isPresent()) {
       forwardFailure = ForwardingResult.of(response.getStatus(), headers).failure();
       headers =
           HttpFields.build(headers)
@@ -281,6 +300,7 @@
 
   @Override
   public void onComplete(Result result) {
+    runEnd = result.isSucceeded() ? RunEnd.ANSWERED : RunEnd.CONNECTION_ENDED;
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
       return;
