--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -90,7 +90,6 @@
   private final EngineNotices notices;
   private final EngineClient engines;
   private final HttpClient control;
-  private final PeerPorts peerPorts;
   private final PeerExchange peers;
   private final RelayOverlay overlay;
   private final CacheSurvey survey;
@@ -104,14 +103,13 @@
   private final Optional<ScaleDuty> scaling;
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
-  private final EngineForwarder forwarder;
+  private final Forwarding forwarding;
   private final OrderLease lease;
   private final AtomicLong storeEra = new AtomicLong(NO_ERA);
   private final RowFollower routingFollower;
   private final DecodedRows<ServingEngine> engineRows;
   private final RowFollower engineFollower;
   private HttpListener readiness;
-  private HttpListener peerListener;
   private HttpListener metricsListener;
   private SettingsWatch settingsWatch;
   private volatile EngineDirectory directory = EngineDirectory.empty();
@@ -151,7 +149,7 @@
     this.notices = dispatcher.notices();
     this.engines = new EngineClient(platform.engines(), notices, log, threads);
     this.control = PlainHttpClients.startForControl(threads);
-    this.peerPorts = PeerPorts.bind(settings.peers());
+    PeerPorts peerPorts = PeerPorts.bind(settings.peers());
     this.peers = new PeerExchange(peerPorts.datagrams(), this::post);
     this.lease = newOrderLease(parameters);
     DutyContext duties = new DutyContext(lease, settings.nodeName(), this::post, log);
@@ -175,7 +173,6 @@
     EngineProbe probe = new EngineProbe(engines, this::post);
     this.quarantineActions = new QuarantineActions(dispatcher, probe, quarantine, log);
     PathActions pathActions = new PathActions(dispatcher, probe, overlay::askable);
-    this.forwarder = newForwarder(pathActions);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
     this.usage = settings.duties().usage().map(windows -> newUsageReporting(windows, duties));
     DispatchDuty duty =
@@ -196,6 +193,7 @@
         new DutyThread<>("dispatch", RING_SIZE, TICK, duty).measuredBy(metrics.dispatch());
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
+    this.forwarding = new Forwarding(peerPorts, newForwarder(pathActions), snapshots);
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
     this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
@@ -309,7 +307,7 @@
     server.addConnector(callers);
     callers.start();
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
-    peerListener = PeerRequestPort.open(peerPorts, forwarder, snapshots);
+    forwarding.start();
     openMetrics();
     quarantine.start(faultHandler);
     log.started(settings.nodeName());
@@ -422,6 +420,10 @@
     return new NetworkAddress(callers.getHost(), callers.getLocalPort());
   }
 
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
   /** Open connections of callers. */
   Collection<EndPoint> callerConnections() {
     return callers.getConnectedEndPoints();
@@ -587,9 +589,7 @@
     if (metricsListener != null) {
       metricsListener.close();
     }
-    if (peerListener != null) {
-      peerListener.close();
-    }
+    forwarding.close();
     peers.close();
     control.stop();
     engines.close();
