Send a request on only once the attempt that was given up has ended

Seen by engines: while one worked on a request, another got it. An attempt that brings no answer is given up by an abort, which the HTTP client carries out behind what one of its threads does for the same answer; the next send followed in the same call. While that thread does not get to run, nothing bounds how long both engines work on the request.

Cause, and the class of fault: an end that was ordered is taken for an end that has happened. The attempt now posts its failure when the request has ended, which is after its connection was closed, and the dispatcher decides then. Deadline and departure of the caller end the request meanwhile, as before. The abort runs on a client thread, since the end may be posted on the thread that aborts, and the dispatch thread must not wait for its own ring.

Same path: a prefill that is given up. Not this path: a content in quarantine is withdrawn and never sent on; what ends by the client itself was posted after the end already.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -555,11 +555,8 @@
     }
     AttemptTimeout timeout = attempt.timeout();
     Optional<StuckReason> stuck = dispatcher.stuck(exchange.progress(), timeout.duration(), now);
-    if (stuck.isPresent() && attempt.cancelWaiting("no answer in time")) {
-      AttemptOutcome outcome =
-          attempt.maybeSent() ? stuck.get().outcome(timeout) : AttemptOutcome.NOT_SENT;
+    if (stuck.isPresent() && engines.giveUp(attempt, stuck.get().outcome(timeout))) {
       log.stuck(exchange, attempt, stuck.get());
-      onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
     }
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -21,9 +22,12 @@
 
 /**
  * One request to one engine and the relay of its answer. Ends exactly once: by an answer, by a
- * failure, or by {@link #cancel}. Whoever sets the state to ENDED first decides the outcome; later
- * events are dropped. Jetty calls the listeners on client threads, one at a time; the dispatch
- * thread calls cancel, and any thread may withdraw the request.
+ * failure, by {@link #giveUp} or by {@link #cancel}. Whoever sets the state to ENDED first decides
+ * the outcome; later events are dropped. Jetty calls the listeners on client threads, one at a
+ * time; the dispatch thread gives up and cancels, and any thread may withdraw the request.
+ *
+ * <p>Invariant: the failure of an attempt is posted once its engine no longer works on the request,
+ * so that whoever sends the request on leaves no earlier run behind.
  */
 final class EngineAttempt
     implements Response.HeadersListener, Response.AsyncContentListener, Response.CompleteListener {
@@ -58,6 +62,7 @@
   private volatile Optional<AttemptOutcome> forwardFailure = Optional.empty();
   private final Optional<NetworkAddress> forwarder;
   private final int sendNumber;
+  private volatile AttemptOutcome outcomeOfGivingUp;
   private boolean cancelled;
   private boolean beganPosted;
 
@@ -155,14 +160,20 @@
   }
 
   /**
-   * Ends the attempt and aborts its request, unless part of an answer has been relayed; false when
-   * it was not ended by this call. The request may then be sent to another engine.
+   * Gives the attempt up, unless part of an answer has been relayed; false when it was not ended by
+   * this call. Its failure is posted once the request has ended, which may take a while: the HTTP
+   * client aborts behind what one of its threads does for the same answer.
+   *
+   * @param outcome the outcome, if the request was sent
+   * @param executor aborts the request, since the end may be posted on the thread that aborts
    */
-  boolean cancelWaiting(String why) {
+  boolean giveUp(AttemptOutcome outcome, String why, Executor executor) {
+    outcomeOfGivingUp = outcome;
     if (!state.endIfWaiting()) {
+      outcomeOfGivingUp = null;
       return false;
     }
-    abort(why);
+    executor.execute(() -> abortRequest(new CancellationException(why)));
     return true;
   }
 
@@ -303,6 +314,7 @@
     runEnd = result.isSucceeded() ? RunEnd.ANSWERED : RunEnd.CONNECTION_ENDED;
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
+      postGivenUp();
       return;
     }
     if (forwardFailure.isPresent()) {
@@ -320,6 +332,13 @@
     finishBuffered();
   }
 
+  private void postGivenUp() {
+    AttemptOutcome outcome = outcomeOfGivingUp;
+    if (outcome != null) {
+      fail(maybeSent() ? outcome : AttemptOutcome.NOT_SENT);
+    }
+  }
+
   private AttemptOutcome outcomeOfFailure(AttemptState.Phase before, Result result) {
     if (result.getRequestFailure() instanceof EngineHeldBackException) {
       return AttemptOutcome.HELD_BACK;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -24,6 +24,7 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.ConnectionBound;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
@@ -143,6 +144,13 @@
     attempt.send(withContent(request, headers, exchange.body()));
   }
 
+  /**
+   * Gives up an attempt that has brought no part of an answer; see {@link EngineAttempt#giveUp}.
+   */
+  boolean giveUp(EngineAttempt attempt, AttemptOutcome outcome) {
+    return attempt.giveUp(outcome, "no answer in time", client.getExecutor());
+  }
+
   private void checkBeforeSend(Exchange exchange, Request request) {
     long now = System.nanoTime();
     Optional<RequestEnd> end = exchange.checkEnd(now);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
+import java.util.stream.IntStream;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.fallturn.core.domain.NetworkAddress;
@@ -33,8 +34,8 @@
 import org.fallturn.node.settings.GatewaySettings;
 
 /**
- * A gateway with one route and one application engine, whose store never changes. Its callers name
- * their requests and deadlines by the headers here.
+ * A gateway with one route and one application engine, or a few, whose store never changes. Its
+ * callers name their requests and deadlines by the headers here.
  */
 final class OneEngineGateway {
 
@@ -53,6 +54,9 @@
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
+  /** Engines that may run a request that may be repeated. */
+  private static final int MAX_ATTEMPTS = 2;
+
   /** Longer than any wait of a test, so that no answer comes from a missed deadline. */
   private static final Duration DEADLINE = Duration.ofSeconds(300);
 
@@ -67,6 +71,7 @@
 
       [bounds]
       stop_linger = "1s"
+      retry_ratio = 10
 
       [store]
       address = "127.0.0.1:1"
@@ -88,8 +93,22 @@
    */
   static GatewayServer start(RawEngine engine, UnaryOperator<HttpFields> beforeSend)
       throws Exception {
-    GatewayServer gateway =
-        new GatewayServer(settings(), platform(engine.address(), engines(beforeSend)));
+    return start(RequestKind.NON_IDEMPOTENT, beforeSend, engine);
+  }
+
+  /**
+   * Starts a gateway for engines and waits until it is ready.
+   *
+   * @param kind whether requests may be repeated
+   * @param onHead called with the headers of each request and of each answer, see {@link #engines}
+   */
+  static GatewayServer start(
+      RequestKind kind, UnaryOperator<HttpFields> onHead, RawEngine... engines) throws Exception {
+    List<ServingEngine> listed =
+        IntStream.rangeClosed(1, engines.length)
+            .mapToObj(number -> engine("e-" + number, engines[number - 1].address()))
+            .toList();
+    GatewayServer gateway = new GatewayServer(settings(), platform(kind, listed, engines(onHead)));
     gateway.start();
     await().atMost(START).until(gateway::ready);
     return gateway;
@@ -118,36 +137,37 @@
     return new String(status, StandardCharsets.US_ASCII);
   }
 
-  /** The engine, as it is listed. */
+  /** The only engine, as it is listed. */
   static ServingEngine engine(NetworkAddress address) {
-    return new ServingEngine("e-1", "app", address, "zone-1", 8, false, EngineStage.NONE);
+    return engine("e-1", address);
+  }
+
+  private static ServingEngine engine(String id, NetworkAddress address) {
+    return new ServingEngine(id, "app", address, "zone-1", 8, false, EngineStage.NONE);
   }
 
   /**
    * Protocol of an engine that passes the caller's headers on, and whose answers name no request
    * and hold no notices.
    *
-   * @param beforeSend called with the headers of each request, on the dispatch thread or, for
-   *     another node's request, on the thread that sends it
+   * @param onHead called with the headers of each request, on the dispatch thread or, for another
+   *     node's request, on the thread that sends it; and with those of each answer, on the thread
+   *     that reads it
    */
-  static EngineProtocol engines(UnaryOperator<HttpFields> beforeSend) {
+  static EngineProtocol engines(UnaryOperator<HttpFields> onHead) {
     return (EngineProtocol)
         Proxy.newProxyInstance(
             EngineProtocol.class.getClassLoader(),
             new Class<?>[] {EngineProtocol.class},
             (self, method, arguments) ->
                 switch (method.getName()) {
-                  case "requestHeaders" -> ownHeaders(beforeSend.apply((HttpFields) arguments[0]));
+                  case "requestHeaders" -> ownHeaders(onHead.apply((HttpFields) arguments[0]));
                   case "setTimeLeft" -> setTimeLeft(arguments);
                   case "readNotice" -> EngineNotice.NONE;
                   case "unknownHeaders" -> List.of();
                   case "timeLeft" -> timeLeft((HttpFields) arguments[0]);
-                  case "readHead" -> {
-                    HttpFields headers = (HttpFields) arguments[1];
-                    yield (int) arguments[0] == 0
-                        ? head(0, beforeSend.apply(headers))
-                        : head((int) arguments[0], headers);
-                  }
+                  case "readHead" ->
+                      head((int) arguments[0], onHead.apply((HttpFields) arguments[1]));
                   case "answerHeaders" -> HttpFields.build();
                   default -> null;
                 });
@@ -185,12 +205,22 @@
     return new StorePosition(1, version);
   }
 
-  /** Table with one row that never changes. */
-  private static final class OneRow implements RowFeed {
+  /** Table with rows that never change; their keys are the numbers from 0. */
+  private static final class FixedRows implements RowFeed {
+
+    private final int count;
+
+    FixedRows(int count) {
+      this.count = count;
+    }
 
     @Override
     public FeedAnswer snapshot() {
-      return new FeedAnswer(List.of(new FeedRow("a", at(1), "", false)), at(1));
+      List<FeedRow> rows =
+          IntStream.range(0, count)
+              .mapToObj(number -> new FeedRow(Integer.toString(number), at(1), "", false))
+              .toList();
+      return new FeedAnswer(rows, at(1));
     }
 
     @Override
@@ -223,20 +253,20 @@
     public void remove(RequestFingerprint content) {}
   }
 
-  private static RoutingImage routing() {
+  private static RoutingImage routing(RequestKind kind) {
     Route route =
         new Route(
             "route",
             "host",
             "/",
-            RequestKind.NON_IDEMPOTENT,
+            kind,
             false,
             DEADLINE,
             DEADLINE,
             Duration.ZERO,
             DEADLINE,
             0,
-            1,
+            kind == RequestKind.NON_IDEMPOTENT ? 1 : MAX_ATTEMPTS,
             List.of(new WeightedService("app", 1)));
     return new RoutingImage(
         at(1),
@@ -268,17 +298,21 @@
     };
   }
 
-  /** Adapters for the one engine. */
+  /** Adapters for the only engine. */
   static GatewayPlatform platform(NetworkAddress address, EngineProtocol engines) {
-    ServingEngine serving = engine(address);
+    return platform(RequestKind.NON_IDEMPOTENT, List.of(engine(address)), engines);
+  }
+
+  private static GatewayPlatform platform(
+      RequestKind kind, List<ServingEngine> listed, EngineProtocol engines) {
     return new GatewayPlatform(
         callers(),
         engines,
-        http -> new OneRow(),
+        http -> new FixedRows(1),
         row -> true,
-        row -> routing(),
-        http -> new OneRow(),
-        row -> serving,
+        row -> routing(kind),
+        http -> new FixedRows(listed.size()),
+        row -> listed.get(Integer.parseInt(row.key())),
         http -> null,
         http -> new EmptyQuarantine(),
         http -> null,
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestGate.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RequestGate.java
@@ -3,10 +3,13 @@
 import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.http.HttpFields;
 
-/** Holds the thread that is about to send a request which asks for it, until it is opened. */
+/**
+ * Holds the thread that is about to send a request, or reads the head of an answer, which asks for
+ * it, until it is opened.
+ */
 final class RequestGate {
 
-  /** Header, with its line end, of a request that is held. */
+  /** Header, with its line end, of a request or answer that is held. */
   static final String HOLD = "X-Hold: 1\r\n";
 
   private final CountDownLatch held = new CountDownLatch(1);
@@ -24,7 +27,7 @@
     return headers;
   }
 
-  /** Waits until a request is held. */
+  /** Waits until a thread is held. */
   void awaitHeld() throws InterruptedException {
     held.await();
   }
