Send a request on only once the node that forwarded it has left its engine

Seen by engines: a request whose node reaches them through another one was at two of them at once. The node that gave such an attempt up, or lost the connection to the other node, sent it on at once; the other node learned of that by the end of their connection and by one call of 500 ms, which a silent link, or a node that does not get to run, loses or delays. Then its engine worked on until the caller's deadline. Nobody waited for a word that it had ended.

- A cancellation is answered once the other node has closed its connection to the engine, and repeated until then.
The next send waits for that, unless the other node told itself what became of the request, or nothing listens there any more.
- A request that may be sent on is forwarded under a lease of 1 s (chosen): the node that forwards asks for confirmation four times in it, and ends what is not confirmed.
The time of the question counts, so that an answer which was long under way prolongs nothing.
Without a confirmation the next send waits for that lease.
- A request that comes behind its cancellation is not sent.
- The log says why a forwarded request was given up, and how a run is known to be over.

A request that may not be repeated has no lease: its node never sends it on, and its answer may still come.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -51,6 +51,7 @@
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
   private volatile Request request;
+  private volatile Optional<ForwardedRun> forwardedRun = Optional.empty();
   private final SendState sendState = new SendState();
   private final AttemptTimeout timeout;
   private volatile EngineAnswerHead head;
@@ -90,8 +91,13 @@
     return sendNumber;
   }
 
-  /** Sends the request. */
-  void send(Request toSend) {
+  /**
+   * Sends the request.
+   *
+   * @param throughPeer finds out when the run has ended, if another node sends the request
+   */
+  void send(Request toSend, Optional<ForwardedRun> throughPeer) {
+    forwardedRun = throughPeer;
     request = toSend;
     toSend.onRequestBegin(sendState);
     toSend.send(this);
@@ -311,7 +317,8 @@
 
   @Override
   public void onComplete(Result result) {
-    runEnd = result.isSucceeded() ? RunEnd.ANSWERED : RunEnd.CONNECTION_ENDED;
+    runEnd = endOf(result);
+    forwardedRun.ifPresent(run -> run.onCallEnded(runEnd()));
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
       postGivenUp();
@@ -332,6 +339,13 @@
     finishBuffered();
   }
 
+  private RunEnd endOf(Result result) {
+    if (forwardFailure.isPresent()) {
+      return RunEnd.FORWARDER_ANSWERED;
+    }
+    return result.isSucceeded() ? RunEnd.ANSWERED : RunEnd.CONNECTION_ENDED;
+  }
+
   private void postGivenUp() {
     AttemptOutcome outcome = outcomeOfGivingUp;
     if (outcome != null) {
@@ -408,7 +422,19 @@
     }
   }
 
+  /** A request that goes to no other engine need not wait for the end of its run. */
   private void fail(AttemptOutcome outcome) {
+    boolean goesOn = exchange.envelope().route().repeatable() || call.prefillOnly();
+    Optional<ForwardedRun> awaited = forwardedRun.filter(run -> goesOn);
+    if (awaited.isPresent()) {
+      awaited.get().whenOver(end -> postFailure(outcome, end));
+    } else {
+      postFailure(outcome, runEnd);
+    }
+  }
+
+  private void postFailure(AttemptOutcome outcome, RunEnd end) {
+    runEnd = end;
     exchange.post(new DispatchEvent.AttemptFailed(exchange, this, outcome));
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -29,6 +29,7 @@
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.forwarding.ForwardedRequests;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.json.MalformedMessageException;
@@ -61,6 +62,7 @@
 
   private final HttpClient client;
   private final EngineProtocol protocol;
+  private final ForwardedRequests forwarded;
   private final DecisionLog log;
   private final NoticeReader noticeReader;
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
@@ -68,9 +70,20 @@
   private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
   private volatile Map<String, Double> loadShares = Map.of();
 
-  EngineClient(EngineProtocol protocol, EngineNotices notices, DecisionLog log, Executor executor)
+  /**
+   * Starts the client.
+   *
+   * @param forwarded the requests that other nodes send for this one
+   */
+  EngineClient(
+      EngineProtocol protocol,
+      EngineNotices notices,
+      ForwardedRequests forwarded,
+      DecisionLog log,
+      Executor executor)
       throws Exception {
     this.protocol = protocol;
+    this.forwarded = forwarded;
     this.log = log;
     this.noticeReader = new NoticeReader(protocol, notices, log);
     client = PlainHttpClients.start(executor, CONNECT_TIMEOUT, this::newPool);
@@ -130,18 +143,36 @@
     HttpFields.Mutable headers = protocol.requestHeaders(caller.getHeaders(), attempt.call());
     serviceByAddress.put(engine.address(), engine.service());
     Optional<NetworkAddress> forwarder = exchange.progress().forwarder();
-    String key = Long.toHexString(ThreadLocalRandom.current().nextLong());
-    forwarder.ifPresent(
-        peer -> headers.put(ForwardingHeaders.ENGINE, engine.id()).put(ForwardingHeaders.KEY, key));
     Request request =
         newCall(
             forwarder.orElse(engine.address()),
             caller.getMethod(),
             caller.getHttpURI().getPathQuery());
     request.onRequestBegin(begun -> checkBeforeSend(exchange, begun));
-    forwarder.ifPresent(peer -> cancelWhenFailed(request, attempt, peer, key));
+    Optional<ForwardedRun> run =
+        forwarder.map(peer -> newForwardedRun(request, headers, exchange, attempt.call(), peer));
     noticeReader.watch(request, engine, exchange.head().requestId());
-    attempt.send(withContent(request, headers, exchange.body()));
+    attempt.send(withContent(request, headers, exchange.body()), run);
+  }
+
+  /** Names the engine and a key for the request to the node that forwards it. */
+  private ForwardedRun newForwardedRun(
+      Request request,
+      HttpFields.Mutable headers,
+      Exchange exchange,
+      EngineCall call,
+      NetworkAddress peer) {
+    forwarders.add(peer);
+    String key = Long.toHexString(ThreadLocalRandom.current().nextLong());
+    headers.put(ForwardingHeaders.ENGINE, call.engine().id()).put(ForwardingHeaders.KEY, key);
+    if (exchange.envelope().route().repeatable() || call.prefillOnly()) {
+      headers.put(ForwardingHeaders.OWNER, forwarded.owner().toString());
+      request.onRequestBegin(begun -> forwarded.begin(key, System.nanoTime()));
+    }
+    return new ForwardedRun(
+        () -> newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key),
+        () -> forwarded.end(key, System.nanoTime()),
+        client.getScheduler());
   }
 
   /**
@@ -175,20 +206,6 @@
     }
   }
 
-  /** A node of an earlier build notices only late that the answer is not wanted any more. */
-  private void cancelWhenFailed(
-      Request request, EngineAttempt attempt, NetworkAddress peer, String key) {
-    forwarders.add(peer);
-    request.onComplete(
-        result -> {
-          if (result.isFailed() && attempt.maybeSent()) {
-            newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key)
-                .timeout(REPORT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                .send(cancelled -> {});
-          }
-        });
-  }
-
   /**
    * Prepares the request of another node. That node reads the notices in the answer, and has taken
    * the permit of the engine's limit.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -27,7 +28,10 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
 import org.fallturn.core.dispatch.EngineNotices;
+import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.ServingEngine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Jetty handler that sends requests of other nodes to engines which those nodes do not reach, and
@@ -35,12 +39,15 @@
  * engine, and repeats, limits, usage and the caller are its own. This node only passes bytes on,
  * over one hop, and says truthfully whether the engine can have got the request.
  *
- * <p>A request ends with the connection between the nodes, and with a call to {@link
- * #CANCEL_PREFIX} and its key, which an earlier build needs. Invariant: once its node is known to
- * have given it up, or its time has passed, it does not begin to be sent. Thread-safe.
+ * <p>A request ends with the connection between the nodes, with a call to {@link #CANCEL_PREFIX}
+ * and its key, and with its lease. Invariants: once its node is known to have given it up, or its
+ * time has passed, it does not begin to be sent; a cancellation is answered once this node has
+ * closed its connection to the engine. Thread-safe.
  */
 final class EngineForwarder extends Handler.Abstract.NonBlocking {
 
+  private static final Logger LOG = LoggerFactory.getLogger(EngineForwarder.class);
+
   /** Path (method DELETE), followed by the key of a request, that ends it. */
   static final String CANCEL_PREFIX = "/forwarded/";
 
@@ -55,9 +62,11 @@
   private final Function<String, Optional<ServingEngine>> directory;
   private final EngineNotices notices;
   private final PathActions paths;
+  private final ForwardingLeaseDuty leases;
   private final ForwardingLog log;
   private final AtomicInteger present = new AtomicInteger();
   private final Map<String, ForwardedRequest> byKey = new ConcurrentHashMap<>();
+  private final CancelledKeys cancelledKeys = new CancelledKeys();
 
   /**
    * Creates a handler.
@@ -65,6 +74,7 @@
    * @param directory finds a listed engine by its id
    * @param notices knows which engines leave
    * @param paths knows the engines that this node does not reach itself
+   * @param leases not started
    */
   EngineForwarder(
       GatewayState gateway,
@@ -72,13 +82,20 @@
       Function<String, Optional<ServingEngine>> directory,
       EngineNotices notices,
       PathActions paths,
-      ForwardingLog log) {
+      ForwardingLeaseDuty leases,
+      DecisionLog log) {
     this.gateway = gateway;
     this.engines = engines;
     this.directory = directory;
     this.notices = notices;
     this.paths = paths;
-    this.log = log;
+    this.leases = leases;
+    this.log = new ForwardingLog(log);
+  }
+
+  /** The leases of the requests; whoever opens the port starts and closes them. */
+  ForwardingLeaseDuty leases() {
+    return leases;
   }
 
   @Override
@@ -88,8 +105,8 @@
     if (engineId == null) {
       boolean cancel = path.startsWith(CANCEL_PREFIX) && HttpMethod.DELETE.is(request.getMethod());
       if (cancel) {
-        cancel(path.substring(CANCEL_PREFIX.length()));
-        response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+        cancel(path.substring(CANCEL_PREFIX.length()))
+            .thenRun(() -> response.write(true, BufferUtil.EMPTY_BUFFER, callback));
       }
       return cancel;
     }
@@ -112,11 +129,15 @@
         && present.get() < MAX_REQUESTS;
   }
 
-  private void cancel(String key) {
+  /** Ends a request; the result is complete once no engine works on it for this node. */
+  private CompletableFuture<Void> cancel(String key) {
+    cancelledKeys.add(key);
     ForwardedRequest forwarded = byKey.get(key);
-    if (forwarded != null) {
-      forwarded.giveUp();
+    if (forwarded == null) {
+      return CompletableFuture.completedFuture(null);
     }
+    forwarded.giveUp(ForwardingEnd.CANCELLED);
+    return forwarded.over;
   }
 
   private void forward(ServingEngine engine, HandlerArguments from) {
@@ -126,12 +147,20 @@
         Objects.requireNonNullElse(from.request().getHeaders().get(ForwardingHeaders.KEY), "");
     ForwardedRequest forwarded = new ForwardedRequest(engine, from);
     byKey.put(key, forwarded);
+    if (cancelledKeys.remove(key)) {
+      forwarded.giveUp(ForwardingEnd.CANCELLED);
+    }
+    owner(from.request())
+        .ifPresent(
+            owner -> leases.begin(key, owner, () -> forwarded.giveUp(ForwardingEnd.NOT_CONFIRMED)));
     Request.addCompletionListener(
         from.request(),
         failure -> {
           present.decrementAndGet();
           gateway.endRequest();
           byKey.remove(key);
+          leases.end(key);
+          forwarded.over.complete(null);
         });
     Content.Source.asByteBuffer(
         from.request(),
@@ -140,6 +169,17 @@
             failure -> fail(from.response(), from.callback(), ForwardingResult.NOT_SENT)));
   }
 
+  /** The node that is asked whether it still waits for a request; empty where none is to be. */
+  private static Optional<NetworkAddress> owner(Request request) {
+    String address = request.getHeaders().get(ForwardingHeaders.OWNER);
+    try {
+      return Optional.ofNullable(address).map(NetworkAddress::parse);
+    } catch (IllegalArgumentException e) {
+      LOG.warn("peers: A request to be forwarded names no address to ask at: {}.", address);
+      return Optional.empty();
+    }
+  }
+
   private static void fail(Response response, Callback callback, ForwardingResult result) {
     response.setStatus(HttpStatus.BAD_GATEWAY_502);
     response.getHeaders().put(ForwardingHeaders.RESULT, result.name());
@@ -155,6 +195,7 @@
     }
     return kept.remove(ForwardingHeaders.ENGINE)
         .remove(ForwardingHeaders.KEY)
+        .remove(ForwardingHeaders.OWNER)
         .remove(ForwardingHeaders.RESULT)
         .remove(ForwardingHeaders.END_UNMARKED);
   }
@@ -172,7 +213,8 @@
     private final HandlerArguments from;
     private final long arrivedNanos = System.nanoTime();
     private volatile org.eclipse.jetty.client.Request toEngine;
-    private volatile boolean givenUp;
+    private final CompletableFuture<Void> over = new CompletableFuture<>();
+    private volatile ForwardingEnd givenUp = ForwardingEnd.NONE;
     private final SendState sendState = new SendState();
     private volatile String requestId = "";
     private boolean answerBegun;
@@ -183,7 +225,7 @@
     }
 
     void send(byte[] body) {
-      watched().ifPresent(endPoint -> endPoint.watch(this::giveUp));
+      watched().ifPresent(endPoint -> endPoint.watch(() -> giveUp(ForwardingEnd.NODE_CLOSED)));
       org.eclipse.jetty.client.Request request =
           engines.newForwarded(
               engine,
@@ -205,10 +247,12 @@
     }
 
     /** Ends the request, since its node needs no answer any more. */
-    void giveUp() {
-      givenUp = true;
+    void giveUp(ForwardingEnd why) {
+      givenUp = why;
       org.eclipse.jetty.client.Request request = toEngine;
-      if (request != null) {
+      if (request == null) {
+        over.complete(null);
+      } else {
         request.abort(new RequestOverException(RequestEnd.CALLER_GONE));
       }
     }
@@ -221,7 +265,7 @@
     }
 
     private Optional<RequestEnd> end(Optional<Duration> left) {
-      if (givenUp) {
+      if (givenUp != ForwardingEnd.NONE) {
         return Optional.of(RequestEnd.CALLER_GONE);
       }
       return left.filter(time -> time.isNegative() || time.isZero())
@@ -272,7 +316,7 @@
     public void onComplete(Result result) {
       ForwardingResult outcome = outcome(result);
       watched().ifPresent(WatchedEndPoint::unwatch);
-      log.forwarded(requestId, engine.id(), sendState.connection(), outcome);
+      log.forwarded(requestId, engine.id(), sendState.connection(), outcome, givenUp);
       if (outcome == ForwardingResult.ANSWERED) {
         from.response().write(true, BufferUtil.EMPTY_BUFFER, from.callback());
       } else if (answerBegun) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Forwarding.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Forwarding.java
@@ -1,28 +1,46 @@
 package org.fallturn.node.gateway;
 
-import org.eclipse.jetty.server.Handler;
+import org.fallturn.core.forwarding.ForwardedRequests;
+import org.fallturn.node.duty.FaultListener;
 import org.fallturn.node.http.HttpListener;
 
-/** What this node does for the requests of other nodes, at the port where they ask for it. */
+/**
+ * What this node does for the requests of other nodes, at the port where they ask for it, and what
+ * it tells them of its own.
+ */
 final class Forwarding implements AutoCloseable {
 
   private final PeerPorts ports;
-  private final Handler[] handlers;
+  private final EngineForwarder forwarder;
+  private final ForwardedRequestsPage ownRequests;
+  private final PeerSnapshots tables;
   private HttpListener listener;
 
   /**
    * Creates a port that is not open.
    *
-   * @param handlers asked in turn until one takes a request
+   * @param ownRequests requests that other nodes send for this one
+   * @param tables tables that other nodes read at the same port
    */
-  Forwarding(PeerPorts ports, Handler... handlers) {
+  Forwarding(
+      PeerPorts ports,
+      EngineForwarder forwarder,
+      ForwardedRequests ownRequests,
+      PeerSnapshots tables) {
     this.ports = ports;
-    this.handlers = handlers;
+    this.forwarder = forwarder;
+    this.ownRequests = new ForwardedRequestsPage(ownRequests);
+    this.tables = tables;
   }
 
-  /** Starts to serve. */
-  void start() throws Exception {
-    listener = PeerRequestPort.open(ports, handlers);
+  /**
+   * Starts to serve.
+   *
+   * @param faults receives the faults of the thread that keeps the leases
+   */
+  void start(FaultListener faults) throws Exception {
+    forwarder.leases().start(faults);
+    listener = PeerRequestPort.open(ports, forwarder, ownRequests, tables);
   }
 
   @Override
@@ -30,5 +48,6 @@
     if (listener != null) {
       listener.close();
     }
+    forwarder.leases().close();
   }
 }
--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingEnd.java
@@ -0,0 +1,13 @@
+package org.fallturn.node.gateway;
+
+/** Why this node gave up a request that it sent for another one. */
+enum ForwardingEnd {
+  /** It did not. */
+  NONE,
+  /** The other node closed the connection. */
+  NODE_CLOSED,
+  /** The other node cancelled it. */
+  CANCELLED,
+  /** The other node did not confirm in time that it still waits for the answer. */
+  NOT_CONFIRMED
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
@@ -9,6 +9,12 @@
   /** Request header: a key, unique to the attempt, by which it can be cancelled. */
   static final String KEY = "Fallturn-Forward-Key";
 
+  /**
+   * Request header: address of the node that asks. It is asked which of its requests it still waits
+   * for; without it, a request goes on until its connection ends.
+   */
+  static final String OWNER = "Fallturn-Forward-Owner";
+
   /** Answer header: what became of the request, see {@link ForwardingResult}. */
   static final String RESULT = "Fallturn-Forward-Result";
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingLog.java
@@ -20,13 +20,20 @@
    * Logs how such a request ended.
    *
    * @param connection local address of the connection to the engine; empty when it had none
+   * @param givenUp why this node gave it up
    */
-  void forwarded(String requestId, String engineId, String connection, ForwardingResult result) {
+  void forwarded(
+      String requestId,
+      String engineId,
+      String connection,
+      ForwardingResult result,
+      ForwardingEnd givenUp) {
     log.line(LogEvent.FORWARDED, result.name())
         .addKeyValue("request", requestId)
         .addKeyValue("engine", engineId)
         .addKeyValue("connection", connection)
         .addKeyValue("result", result)
+        .addKeyValue("givenUp", givenUp)
         .log();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -19,11 +19,11 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.following.FollowBounds;
+import org.fallturn.core.forwarding.ForwardedRequests;
 import org.fallturn.core.peers.RelayOverlay;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
@@ -144,14 +144,14 @@
     this.faultHandler = new FatalFaultHandler(state, log, processExit, new FatalFaultShutdown());
     threads.setName("gateway");
     this.server = new Server(threads);
-    DispatchParameters parameters = settings.dispatchParameters();
-    Dispatcher dispatcher = new Dispatcher(parameters);
+    Dispatcher dispatcher = new Dispatcher(settings.dispatchParameters());
     this.notices = dispatcher.notices();
-    this.engines = new EngineClient(platform.engines(), notices, log, threads);
-    this.control = PlainHttpClients.startForControl(threads);
     PeerPorts peerPorts = PeerPorts.bind(settings.peers());
+    ForwardedRequests forwarded = new ForwardedRequests(peerPorts.address());
+    this.engines = new EngineClient(platform.engines(), notices, forwarded, log, threads);
+    this.control = PlainHttpClients.startForControl(threads);
     this.peers = new PeerExchange(peerPorts.datagrams(), this::post);
-    this.lease = newOrderLease(parameters);
+    this.lease = newOrderLease();
     DutyContext duties = new DutyContext(lease, settings.nodeName(), this::post, log);
     this.stages = new StageDuty(duties, new EngineOrders(engines));
     this.overlay =
@@ -193,7 +193,7 @@
         new DutyThread<>("dispatch", RING_SIZE, TICK, duty).measuredBy(metrics.dispatch());
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
-    this.forwarding = new Forwarding(peerPorts, newForwarder(pathActions), snapshots);
+    this.forwarding = new Forwarding(peerPorts, newForwarder(pathActions), forwarded, snapshots);
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
     this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
@@ -207,15 +207,16 @@
   }
 
   private EngineForwarder newForwarder(PathActions paths) {
+    ForwardingLeaseDuty leases = new ForwardingLeaseDuty(control);
     return new EngineForwarder(
-        state, engines, id -> directory.find(id), notices, paths, new ForwardingLog(log));
+        state, engines, id -> directory.find(id), notices, paths, leases, log);
   }
 
-  private OrderLease newOrderLease(DispatchParameters parameters) {
+  private OrderLease newOrderLease() {
     return new OrderLease(
         platform.orderLease().create(control),
         settings.nodeName(),
-        parameters.stages(),
+        settings.dispatchParameters().stages(),
         settings.firstStart(),
         System::nanoTime);
   }
@@ -307,7 +308,7 @@
     server.addConnector(callers);
     callers.start();
     readiness = ReadinessPort.open(settings.readiness(), platform.readinessPath(), state);
-    forwarding.start();
+    forwarding.start(faultHandler);
     openMetrics();
     quarantine.start(faultHandler);
     log.started(settings.nodeName());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RunEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RunEnd.java
@@ -8,6 +8,14 @@
   ANSWERED,
   /** The connection ended before the answer did. */
   CONNECTION_ENDED,
+  /** The node that forwards said what became of the request. */
+  FORWARDER_ANSWERED,
+  /** The node that forwards confirmed that it has ended its connection to the engine. */
+  FORWARDER_CONFIRMED,
+  /** Nothing listens at the node that forwards, whose connections have ended with it. */
+  FORWARDER_GONE,
+  /** The lease under which another node forwards is over. */
+  LEASE_OVER,
   /** Nothing is known but that this node has begun to end the attempt. */
   ABORT_ORDERED
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineClientTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineClientTest.java
@@ -13,6 +13,7 @@
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.forwarding.ForwardedRequests;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.node.settings.GatewaySettings;
@@ -64,8 +65,9 @@
         GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
     EngineNotices notices = new Dispatcher(settings.dispatchParameters()).notices();
     DecisionLog log = new DecisionLog(new GatewayMetrics());
+    ForwardedRequests forwarded = new ForwardedRequests(new NetworkAddress("127.0.0.1", 1));
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-        EngineClient client = new EngineClient(protocol(), notices, log, threads)) {
+        EngineClient client = new EngineClient(protocol(), notices, forwarded, log, threads)) {
       ServingEngine engine =
           new ServingEngine(
               "e-1",
