Emulator: show a request that is at two engines while a link between gateways is silent

Gateways can advertise an address of their own for other nodes (gateway.advertised), as behind a translation of addresses; the emulator puts a link with faults there. Nothing could come between two gateways before, so that nothing showed what a silent link does to requests that one sends for the other.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
@@ -24,6 +25,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.following.FollowBounds;
 import org.fallturn.core.forwarding.ForwardedRequests;
+import org.fallturn.core.peers.PeerInfo;
 import org.fallturn.core.peers.RelayOverlay;
 import org.fallturn.core.port.feed.FeedRow;
 import org.fallturn.core.port.feed.FeedTracker;
@@ -147,7 +149,8 @@
     Dispatcher dispatcher = new Dispatcher(settings.dispatchParameters());
     this.notices = dispatcher.notices();
     PeerPorts peerPorts = PeerPorts.bind(settings.peers());
-    ForwardedRequests forwarded = new ForwardedRequests(peerPorts.address());
+    PeerInfo self = settings.peerInfo(peerPorts.address());
+    ForwardedRequests forwarded = new ForwardedRequests(self.address());
     this.engines = new EngineClient(platform.engines(), notices, forwarded, log, threads);
     this.control = PlainHttpClients.startForControl(threads);
     this.peers = new PeerExchange(peerPorts.datagrams(), this::post);
@@ -156,23 +159,19 @@
     this.stages = new StageDuty(duties, new EngineOrders(engines));
     this.overlay =
         new RelayOverlay(
-            settings.peerInfo(peerPorts.address()),
+            self,
             settings.nodeName(),
             System.currentTimeMillis(),
             settings.seedPeers(),
             dispatcher.peerLoads(),
             System.nanoTime());
-    this.survey =
-        new CacheSurvey(
-            engines,
-            this::post,
-            engine -> overlay.pollsEngine(engine, System.nanoTime()),
-            settings.firstStart());
+    Predicate<String> polls = engine -> overlay.pollsEngine(engine, System.nanoTime());
+    this.survey = new CacheSurvey(engines, this::post, polls, settings.firstStart());
     PeerMessenger messenger = new PeerMessenger(overlay, dispatcher, survey, peers::send);
     this.quarantine = new QuarantineDuty(platform.quarantine().create(control), this::post, log);
     EngineProbe probe = new EngineProbe(engines, this::post);
     this.quarantineActions = new QuarantineActions(dispatcher, probe, quarantine, log);
-    PathActions pathActions = new PathActions(dispatcher, probe, overlay::askable);
+    PathActions paths = new PathActions(dispatcher, probe, overlay::askable);
     this.scaling = settings.duties().api().map(address -> newScaleDuty(duties, address));
     this.usage = settings.duties().usage().map(windows -> newUsageReporting(windows, duties));
     DispatchDuty duty =
@@ -184,7 +183,7 @@
             survey,
             stages::offer,
             quarantineActions,
-            pathActions,
+            paths,
             runCounter(dispatcher, messenger),
             newScaling(),
             state::engineListIsCurrent,
@@ -193,7 +192,7 @@
         new DutyThread<>("dispatch", RING_SIZE, TICK, duty).measuredBy(metrics.dispatch());
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
-    this.forwarding = new Forwarding(peerPorts, newForwarder(pathActions), forwarded, snapshots);
+    this.forwarding = new Forwarding(peerPorts, newForwarder(paths), forwarded, snapshots);
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
     this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.fallturn.core.dispatch.DispatchParameters;
 import org.fallturn.core.domain.NetworkAddress;
@@ -17,6 +18,7 @@
  * @param callers where callers connect
  * @param readiness where readiness is asked for
  * @param peers UDP address at which other nodes tell their load
+ * @param advertised where other nodes reach the address of {@code peers}, if not there
  * @param seeds addresses of some other nodes, by any of their ports
  * @param metricsPort port of the metrics on the same host; 0 for none
  * @param firstStart whether the whole system starts for the first time
@@ -35,6 +37,7 @@
     NetworkAddress callers,
     NetworkAddress readiness,
     NetworkAddress peers,
+    Optional<NetworkAddress> advertised,
     List<NetworkAddress> seeds,
     int metricsPort,
     boolean firstStart,
@@ -70,6 +73,12 @@
       SettingDefinition.address(
           "gateway.peers", "127.0.0.1:0", "UDP address where other nodes tell their load.");
 
+  private static final SettingDefinition<String> ADVERTISED =
+      SettingDefinition.addresses(
+          "gateway.advertised",
+          "",
+          "Where other nodes reach the peers' address, behind a translation of addresses; empty: there.");
+
   private static final SettingDefinition<String> SEEDS =
       SettingDefinition.addresses(
           "gateway.seeds", "", "Some other nodes, by any of their ports; split by commas.");
@@ -95,6 +104,7 @@
                   CALLERS,
                   READINESS,
                   PEERS,
+                  ADVERTISED,
                   SEEDS,
                   METRICS_PORT,
                   FIRST_START,
@@ -128,6 +138,7 @@
         values.get(CALLERS),
         values.get(READINESS),
         values.get(PEERS),
+        addresses(values.get(ADVERTISED)).stream().findFirst(),
         addresses(values.get(SEEDS)),
         values.get(METRICS_PORT),
         values.get(FIRST_START),
@@ -167,7 +178,9 @@
    */
   public PeerInfo peerInfo(NetworkAddress bound) {
     return new PeerInfo(
-        bound, zone, PeerInfo.capacityOf(machine.processor(), machine.bandwidthMbps()));
+        advertised.orElse(bound),
+        zone,
+        PeerInfo.capacityOf(machine.processor(), machine.bandwidthMbps()));
   }
 
   /** What the dispatcher is made with. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -50,6 +50,7 @@
   /** Service of the application back ends whose runs take long. */
   public static final String LONG_SERVICE = "batch";
 
+  private static final String ANY_PEERS_PORT = "peers = \"127.0.0.1:0\"";
   private static final long READY_SECONDS = 20;
   private static final long CHECK_MILLIS = 5;
   private static final String OPERATOR_TABLE = "op";
@@ -407,6 +408,20 @@
     return gateway;
   }
 
+  /**
+   * Starts a gateway that the others reach by a link of its own, and waits until it is ready.
+   *
+   * @param peerLink the link
+   */
+  public GatewayServer addGateway(PeerLink peerLink, NetworkAddress... seeds) throws Exception {
+    String peers =
+        "peers = \"%s\"\nadvertised = \"%s\"".formatted(peerLink.gateway(), peerLink.advertised());
+    GatewayServer gateway = newGateway(0, false, peers, adapters -> adapters, seeds);
+    gateway.start();
+    awaitReady(gateway);
+    return gateway;
+  }
+
   /** Starts a gateway without waiting. */
   public GatewayServer startGateway(NetworkAddress... seeds) throws Exception {
     GatewayServer gateway = newGateway(seeds);
@@ -434,6 +449,16 @@
       UnaryOperator<GatewayPlatform> adapt,
       NetworkAddress... seeds)
       throws Exception {
+    return newGateway(metricsPort, firstStart, ANY_PEERS_PORT, adapt, seeds);
+  }
+
+  private GatewayServer newGateway(
+      int metricsPort,
+      boolean firstStart,
+      String peers,
+      UnaryOperator<GatewayPlatform> adapt,
+      NetworkAddress... seeds)
+      throws Exception {
     StringBuilder seedText = new StringBuilder();
     for (NetworkAddress seed : seeds) {
       seedText.append(seedText.length() == 0 ? "" : ",").append(seed);
@@ -447,7 +472,7 @@
             zone = "zone-1"
             callers = "127.0.0.1:0"
             readiness = "127.0.0.1:0"
-            peers = "127.0.0.1:0"
+            %s
             seeds = "%s"
             metrics_port = %d
             first_start = %b
@@ -466,6 +491,7 @@
             usage_late = "20s"
             """,
             gateways.size() + 1,
+            peers,
             seedText,
             metricsPort,
             firstStart,
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/OpenWork.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/OpenWork.java
@@ -12,7 +12,7 @@
 public record OpenWork(String requestId, long beginNanos, long endNanos) {
 
   /** Whether the caller has closed the connection. */
-  boolean ended() {
+  public boolean ended() {
     return endNanos != Long.MAX_VALUE;
   }
 
