Skip interim answers of engines

Seen by callers: no answer until their deadline, where the engine sent an interim answer (1xx) first, whatever followed: the end of the connection, a part of the final head, or the whole final answer.

Cause: the client is stripped of all its protocol handlers, so that it follows no redirects; the ones that skip interim answers went with them, and the client then waits for a final answer whose bytes nobody reads. One handler for all interim statuses stands in for them. A switch of protocols, which nothing follows as an answer, ends the attempt.

A cut behind the size of the last chunk is left out: the body is whole then.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.http.HttpFields;
@@ -286,7 +287,15 @@
   private Request newCall(NetworkAddress address, String method, String target) {
     return new UnalteredRequest(client, address, target)
         .method(method)
-        .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS);
+        .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS)
+        .onResponseBegin(EngineClient::refuseSwitchOfProtocols);
+  }
+
+  /** Nothing that follows would be an answer. */
+  private static void refuseSwitchOfProtocols(Response answer) {
+    if (answer.getStatus() == HttpStatus.SWITCHING_PROTOCOLS_101) {
+      answer.abort(new IllegalStateException("an engine switches protocols unasked"));
+    }
   }
 
   @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -97,6 +97,7 @@
     client.start();
     client.getContentDecoderFactories().clear();
     client.getProtocolHandlers().clear();
+    client.getProtocolHandlers().put(new InterimAnswerHandler());
     return client;
   }
 }
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
@@ -0,0 +1,121 @@
+package org.fallturn.node.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.fallturn.core.domain.NetworkAddress;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against an answer that is framed as whole though its engine stopped in the middle of its
+ * head, or before the end that the head announces, and closed or reset the connection; sent
+ * directly and through another node.
+ */
+class CutHeadTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+  private static final String ID = OneEngineGateway.ID_HEADER + ": %s\r\n";
+  private static final String WITH_LENGTH =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + ID + "\r\nok";
+
+  /** Ends where the size of the last chunk is not known yet; from then on the body is whole. */
+  private static final String WITH_CHUNKS =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + ID + "\r\n2\r\nok\r\n0\r";
+
+  private static final String WITHOUT_LENGTH =
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n" + ID + "\r\n";
+
+  private RawEngine engine;
+  private GatewayServer gateway;
+
+  /** How an engine ends a connection. */
+  private enum Cut {
+    CLOSED,
+    RESET
+  }
+
+  @BeforeEach
+  void start() throws Exception {
+    engine = new RawEngine();
+    gateway = OneEngineGateway.start(engine, headers -> headers);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+    engine.close();
+  }
+
+  /** Cuts an answer before its end, behind each byte; nothing of it may reach the caller. */
+  private void cutEverywhere(String answer, Cut cut, boolean forwarded) throws Exception {
+    for (int bytes = 0; bytes < String.format(answer, "id-00").length(); bytes++) {
+      String id = String.format("%s-%02d", cut == Cut.RESET ? "rs" : "cl", bytes);
+      String sent = String.format(answer, id).substring(0, bytes);
+      try (Socket caller = forwarded ? ask(id) : callerOf(id)) {
+        cut(id, sent, cut);
+        assertThat(OneEngineGateway.readStatus(caller)).as(sent).isEqualTo("HTTP/1.1 502");
+      }
+    }
+  }
+
+  private Socket callerOf(String id) throws IOException {
+    return OneEngineGateway.send(gateway.callersAddress(), id, "", 0);
+  }
+
+  /** Asks as another node does. */
+  private Socket ask(String id) throws IOException {
+    NetworkAddress address = gateway.peersAddress();
+    Socket node = new Socket(address.host(), address.port());
+    node.setSoTimeout((int) LONGEST.toMillis());
+    String head =
+        "POST /x HTTP/1.1\r\nHost: host\r\n"
+            + String.format(ID, id)
+            + (ForwardingHeaders.ENGINE + ": e-1\r\n")
+            + (ForwardingHeaders.KEY + ": " + id + "\r\n")
+            + "Content-Length: 0\r\n\r\n";
+    node.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    return node;
+  }
+
+  private void cut(String id, String sent, Cut cut) {
+    await().atMost(LONGEST).until(() -> engine.got(id));
+    RawEngine.Connection connection =
+        engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
+    connection.send(sent);
+    if (cut == Cut.RESET) {
+      connection.reset();
+    } else {
+      connection.close();
+    }
+  }
+
+  @Test
+  void answerWithALengthIsNeverTakenForWhole() throws Exception {
+    cutEverywhere(WITH_LENGTH, Cut.CLOSED, false);
+    cutEverywhere(WITH_LENGTH, Cut.RESET, false);
+  }
+
+  @Test
+  void answerInChunksIsNeverTakenForWhole() throws Exception {
+    cutEverywhere(WITH_CHUNKS, Cut.CLOSED, false);
+    cutEverywhere(WITH_CHUNKS, Cut.RESET, false);
+  }
+
+  @Test
+  void headOfAnAnswerWithoutALengthIsNeverTakenForWhole() throws Exception {
+    cutEverywhere(WITHOUT_LENGTH, Cut.CLOSED, false);
+    cutEverywhere(WITHOUT_LENGTH, Cut.RESET, false);
+  }
+
+  @Test
+  void headThatIsCutAtAnotherNodeIsNeverTakenForWhole() throws Exception {
+    cutEverywhere(WITHOUT_LENGTH, Cut.CLOSED, true);
+    cutEverywhere(WITHOUT_LENGTH, Cut.RESET, true);
+  }
+}
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -182,6 +182,25 @@
       }
     }
 
+    /** Resets it; bytes that were sent before may be lost. */
+    void reset() {
+      try {
+        socket.setSoLinger(true, 0);
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    /** Closes it. */
+    void close() {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     /** Answers the request with a success. */
     void answer(String requestId) {
       send(
