Soak: a check of requests that are at two engines, and silent links between gateways

The users' rule on requests that run twice has a second meaning, which nothing checked: a request goes on at another engine while the one before still works on it 400 ms later, though the gateway that sent it there is in touch and reaches it. ONE_ENGINE_AT_A_TIME finds that: connections of a gateway come from a host of its own, so that an engine knows who sent what, directly or for another gateway. Excused are gateways in trouble, or cut off from the engines, within the bound on being in touch.

Gateways that are cut off are compared while no such fault holds: what they are promised holds while the others still reach them.

--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
@@ -20,6 +20,7 @@
 class CutHeadTest {
 
   private static final Duration LONGEST = Duration.ofSeconds(20);
+  private static final Duration POLL = Duration.ofMillis(2);
   private static final String ID = OneEngineGateway.ID_HEADER + ": %s\r\n";
   private static final String WITH_LENGTH =
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + ID + "\r\nok";
@@ -84,7 +85,7 @@
   }
 
   private void cut(String id, String sent, Cut cut) {
-    await().atMost(LONGEST).until(() -> engine.got(id));
+    await().pollInterval(POLL).atMost(LONGEST).until(() -> engine.got(id));
     RawEngine.Connection connection =
         engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
     connection.send(sent);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -393,8 +393,7 @@
     }
 
     private void order(Request request, Response response, Callback callback) throws Exception {
-      String expected = request.getHeaders().get(EXPECT_INSTANCE);
-      if (!id.equals(expected)) {
+      if (!id.equals(request.getHeaders().get(EXPECT_INSTANCE))) {
         refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
         return;
       }
@@ -588,7 +587,8 @@
 
     /** A closed connection shows when its socket can be read to its end. */
     private void waitUntilGone(Request request, Callback callback) throws Exception {
-      Runnable end = openWork.begin(request.getHeaders().get(REQUEST_ID));
+      String requestId = request.getHeaders().get(REQUEST_ID);
+      Runnable end = openWork.begin(requestId, Request.getRemoteAddr(request));
       ByteBuffer buffer = BufferUtil.allocate(1);
       while (request.getConnectionMetaData().getConnection().getEndPoint().fill(buffer) == 0) {
         TimeUnit.MILLISECONDS.sleep(GONE_CHECK_MILLIS);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineLinks.java
@@ -5,6 +5,7 @@
 import java.lang.reflect.InvocationTargetException;
 import java.lang.reflect.Proxy;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpFields;
 import org.fallturn.core.dispatch.CacheSource;
@@ -25,10 +26,20 @@
 
   private static final NetworkAddress ANY_PORT = new NetworkAddress("127.0.0.1", 0);
 
-  private final FaultProxy proxy = new FaultProxy(1);
+  private final FaultProxy proxy;
   private final Map<String, NetworkAddress> addresses = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, NetworkAddress> engines = new ConcurrentHashMap<>();
 
+  /** Links whose connections come from any host. */
+  public EngineLinks() {
+    this.proxy = new FaultProxy(1);
+  }
+
+  /** Links whose connections come from one host, which tells engines who sends. */
+  public EngineLinks(String sourceHost) {
+    this.proxy = new FaultProxy(1, Optional.of(sourceHost));
+  }
+
   /** Lets a gateway with these adapters reach each engine by a link of its own. */
   public GatewayPlatform putBefore(GatewayPlatform adapters) {
     RowDecoder<ServingEngine> decoder = adapters.engineDecoder();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultProxy.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/FaultProxy.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.fallturn.core.domain.NetworkAddress;
 
@@ -14,20 +15,31 @@
   private static final int MAX_LINKS = 1_024;
 
   private final long seed;
+  private final Optional<String> sourceHost;
   private final FaultTable faults = new FaultTable();
   private final Map<String, TcpFaultLink> tcpLinks = new ConcurrentHashMap<>();
   private final Map<String, UdpFaultLink> udpLinks = new ConcurrentHashMap<>();
 
   /** A proxy without links; the seed drives loss, duplication and reordering. */
   public FaultProxy(long seed) {
+    this(seed, Optional.empty());
+  }
+
+  /**
+   * A proxy without links.
+   *
+   * @param sourceHost host that its TCP connections come from, which tells it from others
+   */
+  public FaultProxy(long seed, Optional<String> sourceHost) {
     this.seed = seed;
+    this.sourceHost = sourceHost;
   }
 
   /** Opens a TCP link and gives the address that callers use in place of the target. */
   public synchronized NetworkAddress openTcp(
       String link, NetworkAddress listen, NetworkAddress target) throws IOException {
     checkRoom(link);
-    TcpFaultLink opened = new TcpFaultLink(link, listen, target, faults);
+    TcpFaultLink opened = new TcpFaultLink(link, listen, target, sourceHost, faults);
     tcpLinks.put(link, opened);
     return opened.address();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Supplier;
 import org.fallturn.core.domain.NetworkAddress;
@@ -25,15 +26,21 @@
   private final Socket caller;
   private final Socket server = new Socket();
   private final NetworkAddress target;
+  private final Optional<String> sourceHost;
   private final Supplier<LinkFaults> current;
   private final FaultTable changes;
   private final CountDownLatch bothDirections = new CountDownLatch(2);
   private volatile boolean aborted;
 
   TcpFaultConnection(
-      Socket caller, NetworkAddress target, Supplier<LinkFaults> current, FaultTable changes) {
+      Socket caller,
+      NetworkAddress target,
+      Optional<String> sourceHost,
+      Supplier<LinkFaults> current,
+      FaultTable changes) {
     this.caller = caller;
     this.target = target;
+    this.sourceHost = sourceHost;
     this.current = current;
     this.changes = changes;
   }
@@ -43,6 +50,9 @@
       caller.setTcpNoDelay(true);
       awaitFlow(true);
       server.setTcpNoDelay(true);
+      if (sourceHost.isPresent()) {
+        server.bind(new InetSocketAddress(sourceHost.get(), 0));
+      }
       server.connect(new InetSocketAddress(target.host(), target.port()), CONNECT_TIMEOUT_MILLIS);
       FaultThreads.start("fault-back", () -> copy(server, caller, false));
       copy(caller, server, true);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultLink.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
@@ -21,15 +22,22 @@
   private static final int BACKLOG = 256;
 
   private final String name;
+  private final Optional<String> sourceHost;
   private final FaultTable faults;
   private final ServerSocket listener;
   private final Semaphore places = new Semaphore(MAX_CONNECTIONS);
   private final Set<TcpFaultConnection> connections = ConcurrentHashMap.newKeySet();
   private volatile NetworkAddress target;
 
-  TcpFaultLink(String name, NetworkAddress listen, NetworkAddress target, FaultTable faults)
+  TcpFaultLink(
+      String name,
+      NetworkAddress listen,
+      NetworkAddress target,
+      Optional<String> sourceHost,
+      FaultTable faults)
       throws IOException {
     this.name = name;
+    this.sourceHost = sourceHost;
     this.target = target;
     this.faults = faults;
     this.listener = new ServerSocket();
@@ -71,7 +79,7 @@
     }
     places.acquire();
     TcpFaultConnection connection =
-        new TcpFaultConnection(caller, target, () -> faults.of(name, source), faults);
+        new TcpFaultConnection(caller, target, sourceHost, () -> faults.of(name, source), faults);
     connections.add(connection);
     FaultThreads.start("fault-link-" + name, () -> run(connection));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakBuilds.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakBuilds.java
@@ -35,12 +35,16 @@
     return gateway % 2 == 1;
   }
 
-  /** Starts the next process; all append to the same log. */
-  ManagedProcess start(String name, Path directory, Path settings, Path linkFaults)
+  /**
+   * Starts the next process; all append to the same log.
+   *
+   * @param host host that its connections to engines come from
+   */
+  ManagedProcess start(String name, Path directory, Path settings, Path linkFaults, String host)
       throws IOException {
     boolean other = otherNext && !otherBuild.isEmpty();
     otherNext = !otherNext;
-    List<String> arguments = List.of(settings.toString(), linkFaults.toString());
+    List<String> arguments = List.of(settings.toString(), linkFaults.toString(), host);
     return other
         ? ManagedProcess.startBuild(name, directory, otherBuild, PlatformMain.class, arguments)
         : ManagedProcess.start(name, directory, SoakGatewayMain.class, arguments);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -63,6 +63,15 @@
           .toList();
     }
   },
+  /** What may be repeated goes on at another engine once the one before has left it. */
+  ONE_ENGINE_AT_A_TIME {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.control().departures().overlaps().stream()
+          .map(one -> one.requestId() + " reached " + one.after() + " and was at " + one.before())
+          .toList();
+    }
+  },
   /** No more than a few requests reach engines later than the bound after their callers left. */
   GONE_IS_NOT_SENT {
     @Override
@@ -246,7 +255,7 @@
     @Override
     List<String> violations(SoakRecord record) {
       return record.control().probes().stream()
-          .filter(SoakCheck::isOfAnOlderConfiguration)
+          .filter(probe -> probe.isOfAnOlderConfiguration(DRAIN_BOUND))
           .map(
               probe ->
                   probe.route().name()
@@ -396,7 +405,6 @@
       StreamEvents.withoutVersions(EmulatedEngine.wholeStream());
 
   private static final int HTTP_OK = 200;
-  private static final int NOT_FOUND = 404;
 
   /** How many engines a content may crash before all gateways have to know it. */
   static final int CRASHES_TOLERATED = 3;
@@ -482,20 +490,6 @@
             .noneMatch(one -> one.fromNanos() < nanos && one.toNanos() > caller.leftNanos());
   }
 
-  private static boolean isOfAnOlderConfiguration(SoakRecord.Probe probe) {
-    long addedInForce = probe.route().addedNanos() + DRAIN_BOUND.toNanos();
-    boolean removed = probe.route().removedNanos() != Long.MAX_VALUE;
-    boolean lacksIt =
-        probe.status() == NOT_FOUND
-            && probe.sentNanos() > addedInForce
-            && (!removed || probe.sentNanos() < probe.route().removedNanos());
-    boolean stillHasIt =
-        probe.status() == HTTP_OK
-            && removed
-            && probe.sentNanos() > probe.route().removedNanos() + DRAIN_BOUND.toNanos();
-    return lacksIt || stillHasIt;
-  }
-
   /** What broke the promise, one line each. */
   abstract List<String> violations(SoakRecord record);
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -231,6 +231,17 @@
       return gateway == SoakFleet.gatewayIndex(target, gateways);
     }
   },
+  PEER_REQUESTS_SILENT(Lane.PEER_LINKS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.gateway(target).setPeerRequests(LinkFaults.SILENT);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.gateway(target).setPeerRequests(LinkFaults.NONE);
+    }
+  },
   ENGINES_RELEASED(Lane.RELEASES),
   ENGINES_RELEASED_MEANWHILE(Lane.OVERLAPPING_RELEASES),
   ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
@@ -271,7 +282,9 @@
     /** Engines whose answers have neither a length nor chunks. */
     FRAMING(1, Integer.MAX_VALUE),
     /** One gateway that gets most connections, for longer than the bound on knowing. */
-    CONNECTIONS(2, Integer.MAX_VALUE);
+    CONNECTIONS(2, Integer.MAX_VALUE),
+    /** Requests of the other gateways to one, whose datagrams go on. */
+    PEER_LINKS(1, Integer.MAX_VALUE);
 
     private final int times;
     private final int mostMillis;
@@ -344,6 +357,11 @@
     return this == GATEWAY_CROWDED && gateway == SoakFleet.gatewayIndex(target, gateways);
   }
 
+  /** Whether a gateway cannot have requests sent by another one while it lasts. */
+  boolean cutsPeers() {
+    return lane == Lane.PEER_LINKS;
+  }
+
   /** Whether a gateway is cut off from all engines while it lasts. */
   boolean cutsOff(int gateway, int target, int gateways) {
     return lane == Lane.LINKS && gateway == SoakFleet.gatewayIndex(target, gateways);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -20,6 +20,7 @@
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineCrash;
+import org.fallturn.rehearsal.emulator.PeerLink;
 import org.fallturn.rehearsal.emulator.PoisonRequests;
 import org.fallturn.rehearsal.emulator.RouteText;
 import org.fallturn.rehearsal.emulator.StoreCopy;
@@ -92,10 +93,6 @@
   /** Time until operator and engines have written their rows again. */
   private static final int WRITTEN_AGAIN_MILLIS = 300;
 
-  /** Gateways find each other at one port of all hosts, so that each has a host of its own. */
-  private static final String HOSTS = "127.0.0.";
-
-  private static final int FIRST_HOST = 2;
   private static final String GATEWAY_NAME = "gateway-";
 
   private final EmulatedPlatform platform;
@@ -141,12 +138,13 @@
     for (int index = 1; index <= 2; index++) {
       platform.addEngine("b-" + index, EmulatedPlatform.LONG_SERVICE, "").runFor(LONG_RUN);
     }
-    List<NetworkAddress> peers = new ArrayList<>();
+    List<PeerLink> peers = new ArrayList<>();
     int peerPort = reservePort();
     int callerPort = reservePort();
     for (int index = 0; index < size; index++) {
-      peers.add(new NetworkAddress(HOSTS + (index + FIRST_HOST), peerPort));
+      peers.add(new PeerLink(index, peerPort));
     }
+    List<NetworkAddress> seeds = peers.stream().limit(MAX_SEEDS).map(PeerLink::advertised).toList();
     for (int index = 0; index < size; index++) {
       NetworkAddress store =
           proxy.openTcp(
@@ -155,11 +153,11 @@
           new SoakGateway(
               GATEWAY_NAME + index,
               directory,
-              new NetworkAddress(peers.get(index).host(), callerPort),
+              new NetworkAddress(peers.get(index).gateway().host(), callerPort),
               peers.get(index),
               store,
               platform.api().address(),
-              peers.subList(0, Math.min(MAX_SEEDS, size)),
+              seeds,
               SoakBuilds.of(otherBuild, index)));
     }
     for (SoakGateway gateway : gateways) {
@@ -476,7 +474,9 @@
   @Override
   public void close() throws Exception {
     heart.interrupt();
-    gateways.forEach(SoakGateway::close);
+    for (SoakGateway gateway : gateways) {
+      gateway.close();
+    }
     proxy.close();
     platform.close();
     for (ServerSocket reserved : reservedPorts) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Locale;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.rehearsal.emulator.PeerLink;
+import org.fallturn.rehearsal.faults.LinkFaults;
 import org.fallturn.rehearsal.fleet.ManagedProcess;
 
 /** One gateway: a process of the real program that is started again at the same addresses. */
@@ -16,11 +18,13 @@
   private final Path directory;
   private final NetworkAddress callers;
   private final Path settings;
+  private final PeerLink peerLink;
   private ManagedProcess process;
 
   /**
    * A gateway that is not started.
    *
+   * @param peerLink where it is reached by other gateways; closed with it
    * @param store where it reaches the store
    * @param api where it reports usage
    * @param seeds where it reaches some other gateways
@@ -30,7 +34,7 @@
       String name,
       Path directory,
       NetworkAddress callers,
-      NetworkAddress peers,
+      PeerLink peerLink,
       NetworkAddress store,
       NetworkAddress api,
       List<NetworkAddress> seeds,
@@ -40,12 +44,12 @@
     this.builds = builds;
     this.directory = directory;
     this.callers = callers;
+    this.peerLink = peerLink;
     this.settings = directory.resolve(name + ".toml");
-    Files.writeString(settings, text(peers, store, api, seeds));
+    Files.writeString(settings, text(store, api, seeds));
   }
 
-  private String text(
-      NetworkAddress peers, NetworkAddress store, NetworkAddress api, List<NetworkAddress> seeds) {
+  private String text(NetworkAddress store, NetworkAddress api, List<NetworkAddress> seeds) {
     String seedText = String.join(",", seeds.stream().map(NetworkAddress::toString).toList());
     return String.format(
         Locale.ROOT,
@@ -56,6 +60,7 @@
         callers = "%s"
         readiness = "127.0.0.1:0"
         peers = "%s"
+        advertised = "%s"
         seeds = "%s"
         [store]
         address = "%s"
@@ -76,7 +81,8 @@
         """,
         name,
         callers,
-        peers,
+        peerLink.gateway(),
+        peerLink.advertised(),
         seedText,
         store,
         SoakFleet.DRAIN.toMillis(),
@@ -96,7 +102,7 @@
 
   /** Each start appends to the same log file. */
   void start() throws IOException {
-    process = builds.start(name, directory, settings, linkFaults());
+    process = builds.start(name, directory, settings, linkFaults(), senderHost());
   }
 
   private Path linkFaults() {
@@ -108,6 +114,16 @@
     SoakGatewayMain.write(linkFaults(), fault);
   }
 
+  /** Puts faults on the requests of other gateways to this one. */
+  void setPeerRequests(LinkFaults faults) {
+    peerLink.setRequests(faults);
+  }
+
+  /** Host that its connections to engines come from. */
+  String senderHost() {
+    return peerLink.gateway().host();
+  }
+
   void kill() throws InterruptedException {
     process.kill();
   }
@@ -138,9 +154,10 @@
   }
 
   @Override
-  public void close() {
+  public void close() throws IOException {
     if (process != null) {
       process.close();
     }
+    peerLink.close();
   }
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGatewayMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGatewayMain.java
@@ -37,10 +37,11 @@
   /**
    * Runs the gateway until SIGTERM.
    *
-   * @param arguments the file of the settings, and that of the faults
+   * @param arguments the file of the settings, that of the faults, and the host that connections to
+   *     engines come from
    */
   public static void main(String[] arguments) throws Exception {
-    EngineLinks links = new EngineLinks();
+    EngineLinks links = new EngineLinks(arguments[2]);
     Path file = Path.of(arguments[1]);
     Thread watcher = new Thread(() -> follow(file, links), "links");
     watcher.setDaemon(true);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.soak;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -208,14 +209,23 @@
    *
    * @param callers those that left
    * @param openWork work of engines that ends only when it is given up
+   * @param overlaps requests that went on at another engine while one still worked on them
    */
-  record Departures(List<Departure> callers, List<OpenWork> openWork) {
+  record Departures(List<Departure> callers, List<OpenWork> openWork, List<Overlap> overlaps) {
+
+    /** No request was at two engines. */
+    Departures(List<Departure> callers, List<OpenWork> openWork) {
+      this(callers, openWork, List.of());
+    }
 
     static Departures none() {
       return new Departures(List.of(), List.of());
     }
   }
 
+  /** A request that reached an engine while the one before still worked on it. */
+  record Overlap(String requestId, String before, String after) {}
+
   /**
    * A caller that left.
    *
@@ -287,7 +297,23 @@
   }
 
   /** A request on an added route to a gateway that was in touch, and the status of its answer. */
-  record Probe(AddedRoute route, int gateway, long sentNanos, int status) {}
+  record Probe(AddedRoute route, int gateway, long sentNanos, int status) {
+
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+
+    /** Whether the answer is one that a configuration allows which is in force no more. */
+    boolean isOfAnOlderConfiguration(Duration bound) {
+      boolean removed = route.removedNanos() != Long.MAX_VALUE;
+      boolean lacksIt =
+          status == NOT_FOUND
+              && sentNanos > route.addedNanos() + bound.toNanos()
+              && (!removed || sentNanos < route.removedNanos());
+      boolean stillHasIt =
+          status == OK && removed && sentNanos > route.removedNanos() + bound.toNanos();
+      return lacksIt || stillHasIt;
+    }
+  }
 
   /**
    * A usage report that the platform took from a gateway of this build.
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -87,7 +87,7 @@
                 beginWithPoison(fleet, calls),
                 streams(calls, load.resumptions()),
                 usage(fleet),
-                departures(fleet, load.departures())),
+                departures(fleet, load.departures(), arrivals)),
             calmFrom);
       }
     }
@@ -155,7 +155,8 @@
   }
 
   /** What a gateway of another build does for callers that left says nothing of this one. */
-  private SoakRecord.Departures departures(SoakFleet fleet, List<SoakRecord.Departure> left) {
+  private SoakRecord.Departures departures(
+      SoakFleet fleet, List<SoakRecord.Departure> left, List<SoakRecord.Arrival> arrivals) {
     List<SoakRecord.Departure> callers =
         left.stream()
             .map(
@@ -163,11 +164,34 @@
                     one.inTouchOnlyIf(
                         otherBuild.isEmpty() && inTouch(one.gateway(), one.leftNanos())))
             .toList();
-    List<OpenWork> work =
-        fleet.platform().allEngines().stream()
-            .flatMap(engine -> engine.openWork().stream())
-            .toList();
-    return new SoakRecord.Departures(callers, work);
+    Map<String, List<OpenWork>> works = new HashMap<>();
+    fleet.platform().allEngines().forEach(engine -> works.put(engine.id(), engine.openWork()));
+    return new SoakRecord.Departures(
+        callers,
+        works.values().stream().flatMap(List::stream).toList(),
+        SoakOverlaps.of(works, arrivals, (host, nanos) -> reaches(fleet, host, nanos)));
+  }
+
+  /** Whether the gateway that sends from a host was in touch, and its links to engines worked. */
+  private boolean reaches(SoakFleet fleet, String host, long nanos) {
+    for (int index = 0; index < gateways; index++) {
+      if (fleet.gateways().get(index).senderHost().equals(host)) {
+        return otherBuild.isEmpty() && inTouch(index, nanos) && !isCutOff(index, nanos);
+      }
+    }
+    return false;
+  }
+
+  private boolean isCutOff(int gateway, long nanos) {
+    return schedule.faults().stream()
+        .filter(entry -> entry.fault().cutsOff(gateway, entry.target(), gateways))
+        .anyMatch(entry -> isNear(entry, nanos));
+  }
+
+  /** Whether a fault lasts, or has lasted to within the bound on being in touch. */
+  private boolean isNear(SoakSchedule.Entry entry, long nanos) {
+    return nanos >= begunNanos + entry.begin().toNanos()
+        && nanos < begunNanos + entry.end().plus(SoakFleet.CONTACT).toNanos();
   }
 
   private static Map<String, Integer> runs(SoakFleet fleet) {
@@ -412,6 +436,10 @@
             .filter(call -> inTouch(gateway, call.sentNanos()))
             .filter(call -> othersInTouch(gateway, call.sentNanos()))
             .filter(call -> inTouch(call.gateway(), call.sentNanos()))
+            .filter(
+                call ->
+                    !entry.fault().cutsOff(gateway, entry.target(), gateways)
+                        || peersAreReached(call.sentNanos()))
             .toList();
     return new SoakRecord.CutOff(
         gateway,
@@ -419,6 +447,13 @@
         meanwhile.stream().filter(call -> call.gateway() != gateway).toList());
   }
 
+  /** A gateway is promised to serve when it is cut off as far as the others still reach it. */
+  private boolean peersAreReached(long nanos) {
+    return schedule.faults().stream()
+        .filter(entry -> entry.fault().cutsPeers())
+        .noneMatch(entry -> isNear(entry, nanos));
+  }
+
   private boolean othersInTouch(int gateway, long nanos) {
     return IntStream.range(0, gateways)
         .anyMatch(other -> other != gateway && inTouch(other, nanos));
@@ -428,10 +463,7 @@
   private boolean inTouch(int gateway, long nanos) {
     return schedule.faults().stream()
         .filter(entry -> entry.fault().touches(gateway, entry.target(), gateways))
-        .noneMatch(
-            entry ->
-                nanos >= begunNanos + entry.begin().toNanos()
-                    && nanos < begunNanos + entry.end().plus(SoakFleet.CONTACT).toNanos());
+        .noneMatch(entry -> isNear(entry, nanos));
   }
 
   private boolean report(SoakRecord record) {
