Avoid a node that brings no answer before its attempt is known to be over

Since the failure of a forwarded attempt waits until the other node has left its engine, up to 1.1 s while the link between the two is silent, other requests would follow the first to that node meanwhile. The failure that follows is counted once, as before.

nodeThatBringsNoAnswerIsAvoidedBeforeItsAttemptIsOver; it calls what did not exist before, so that it was not run on the code before.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EnginePaths.java
@@ -77,6 +77,20 @@
     progress.forwarder().ifPresent(peers::onAnswer);
   }
 
+  /**
+   * Avoids the node that an attempt was sent through, which brought no answer. Called before the
+   * failure of the attempt is known for certain, so that no other request follows it meanwhile.
+   */
+  public void onForwarderFailed(RequestProgress progress, long nowNanos) {
+    progress
+        .forwarder()
+        .ifPresent(
+            peer ->
+                progress
+                    .engine()
+                    .ifPresent(engine -> peers.onFailure(peer, engine.id(), nowNanos)));
+  }
+
   /** Handles the failure of an attempt that was sent through another node. */
   void onForwardedFailure(
       RequestProgress progress, ServingEngine engine, AttemptOutcome outcome, long nowNanos) {
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/EnginePathsTest.java
@@ -168,6 +168,16 @@
     assertThat(send().forwarder()).isPresent();
   }
 
+  @Test
+  void nodeThatBringsNoAnswerIsAvoidedBeforeItsAttemptIsOver() {
+    loseLink();
+    RequestProgress unanswered = send();
+    dispatcher.paths().onForwarderFailed(unanswered, now);
+    for (int sent = 0; sent < 4; sent++) {
+      assertThat(send().forwarder()).isPresent().isNotEqualTo(unanswered.forwarder());
+    }
+  }
+
   @Test
   void nodeThatCannotForwardIsAvoided() {
     loseLink();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -143,6 +143,10 @@
       }
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       onFailed(failed, now);
+    } else if (event instanceof DispatchEvent.ForwarderFailed failed) {
+      if (isCurrentAttempt(failed.exchange(), failed.attempt())) {
+        dispatcher.paths().onForwarderFailed(failed.exchange().progress(), now);
+      }
     } else if (event instanceof DispatchEvent.Finished finished) {
       onFinished(finished, now);
     } else if (event instanceof DispatchEvent.CallerGone gone) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -32,6 +32,12 @@
   record AttemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome)
       implements DispatchEvent {}
 
+  /**
+   * The node that forwards the request of an attempt brought no answer; the failure of the attempt
+   * follows once that node has ended it.
+   */
+  record ForwarderFailed(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+
   /** The answer was relayed to its end. */
   record Finished(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -427,6 +427,9 @@
     boolean goesOn = exchange.envelope().route().repeatable() || call.prefillOnly();
     Optional<ForwardedRun> awaited = forwardedRun.filter(run -> goesOn);
     if (awaited.isPresent()) {
+      if (runEnd() == RunEnd.CONNECTION_ENDED) {
+        exchange.post(new DispatchEvent.ForwarderFailed(exchange, this));
+      }
       awaited.get().whenOver(end -> postFailure(outcome, end));
     } else {
       postFailure(outcome, runEnd);
