Soak: let connections to engines come from hosts where nothing listens

Gateway 1 never ran (BindException): connections of a gateway came from the host that it listens at, and one of them took the port of another socket of it.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
@@ -15,6 +15,7 @@
 
   private static final String HOSTS = "127.0.0.";
   private static final String LINK_HOSTS = "127.0.1.";
+  private static final String SENDER_HOSTS = "127.0.2.";
   private static final int FIRST_HOST = 2;
   private static final String REQUESTS = "requests";
   private static final String DATAGRAMS = "datagrams";
@@ -22,6 +23,7 @@
   private final FaultProxy proxy = new FaultProxy(1);
   private final NetworkAddress gateway;
   private final NetworkAddress advertised;
+  private final String senderHost;
 
   /**
    * Opens a link to a gateway with a host of its own.
@@ -30,20 +32,10 @@
    * @param port the one at which all gateways find each other, see {@link #freePort}
    */
   public PeerLink(int number, int port) throws IOException {
-    this(
-        new NetworkAddress(HOSTS + (number + FIRST_HOST), port),
-        new NetworkAddress(LINK_HOSTS + (number + FIRST_HOST), port));
-  }
-
-  /**
-   * Opens a link.
-   *
-   * @param gateway where the gateway listens
-   * @param advertised where others reach it
-   */
-  public PeerLink(NetworkAddress gateway, NetworkAddress advertised) throws IOException {
-    this.gateway = gateway;
-    this.advertised = advertised;
+    int host = number + FIRST_HOST;
+    this.gateway = new NetworkAddress(HOSTS + host, port);
+    this.advertised = new NetworkAddress(LINK_HOSTS + host, port);
+    this.senderHost = SENDER_HOSTS + host;
     proxy.openTcp(REQUESTS, advertised, gateway);
     proxy.openUdp(DATAGRAMS, advertised, gateway);
   }
@@ -65,6 +57,14 @@
     return advertised;
   }
 
+  /**
+   * Host for the gateway's connections to engines, which tells them who sends. It is none that
+   * anything listens at, since a connection may take any port of its host.
+   */
+  public String senderHost() {
+    return senderHost;
+  }
+
   /** Puts faults on requests to the gateway; datagrams go on. */
   public void setRequests(LinkFaults faults) {
     proxy.set(REQUESTS, faults);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -121,7 +121,7 @@
 
   /** Host that its connections to engines come from. */
   String senderHost() {
-    return peerLink.gateway().host();
+    return peerLink.senderHost();
   }
 
   void kill() throws InterruptedException {
