Store a part of prompts as quarantined only if nothing else explains its crashes

Cause: a content that crashes three engines convicts the parts of its prompt too; while both are known with their engines, the content explains the part, and requests that lack the content are sent. The row of a quarantine names no engines. Written again after a restore, without the rows that do, the part's row explains itself by nothing, and a process that starts later holds back all that share the part.

A part that something else may explain is no longer stored as quarantined; its engines are stored as before, from which a later process draws the same conclusion. One that nothing else explains is stored as ever.

Evidence: partThatAContentExplainsIsNotHeldBackAfterTheStoreWasRestored, red on the code before. Quarantine and prompt part tests, fleets with restarts among them, hold.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -160,9 +160,7 @@
       return false;
     }
     return !suspect.content().isPart()
-        || suspects.all().stream()
-            .filter(other -> other != suspect && suspect.mayBeExplainedBy(other))
-            .allMatch(other -> content.has(other.content()));
+        || suspects.explaining(suspect).allMatch(other -> content.has(other.content()));
   }
 
   /**
@@ -537,6 +535,7 @@
   public List<RequestFingerprint> takeUnstored(long nowNanos) {
     return active.stream()
         .filter(suspect -> suspect.status() == QuarantineStatus.QUARANTINED)
+        .filter(suspects::isConclusive)
         .filter(
             suspect -> suspect.takeStoreDue(backupStoreDelay(suspect), STORE_RETRY_NANOS, nowNanos))
         .map(Suspect::content)
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/SuspectIndex.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/SuspectIndex.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * The contents and parts of prompts under suspicion, found without hashing a request that has none
@@ -55,6 +56,21 @@
     return found;
   }
 
+  /** The suspects that may have caused all crashes that speak against another one. */
+  Stream<Suspect> explaining(Suspect suspect) {
+    return suspects.values().stream()
+        .filter(other -> other != suspect && suspect.mayBeExplainedBy(other));
+  }
+
+  /**
+   * Returns whether a quarantine holds for whoever learns of it alone. That of a part which
+   * something else may explain does not: it is stored without engines, so that a process which
+   * starts later would find nothing that explains it and hold back all that share the part.
+   */
+  boolean isConclusive(Suspect suspect) {
+    return !suspect.content().isPart() || explaining(suspect).findAny().isEmpty();
+  }
+
   /** Returns the suspect for one of a content's shared parts, or null when it is none. */
   Suspect findPart(RequestContent content, int index) {
     return sketches.containsKey(content.sharedParts().get(index).sketch())
--- a/fallturn-core/src/test/java/org/fallturn/core/quarantine/PromptPartQuarantineTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/quarantine/PromptPartQuarantineTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -20,6 +22,7 @@
 
   private final Quarantine quarantine = new Quarantine("node-1");
   private final Quarantine other = new Quarantine("node-2");
+  private final List<QuarantineStore.StoredContent> written = new ArrayList<>();
   private int requests;
 
   private static long at(long millis) {
@@ -157,6 +160,54 @@
     assertThat(restarted.status(request("companion"), at(2_020)).sendable()).isTrue();
   }
 
+  /** One content crashes three engines, and all prompts begin with the part that it begins with. */
+  private void crashThreeUnderOneContent() {
+    RequestContent poison = request("everywhere");
+    for (int engine = 1; engine <= 3; engine++) {
+      quarantine.onCrash(poison, "e-" + engine, BrokenAttempt.RUN_ALONE, at(100L * engine));
+      quarantine.onEngineGone("e-" + engine, at(100L * engine + 10));
+      quarantine.onTick(heard -> OptionalLong.empty(), at(100L * engine + 20));
+      quarantine
+          .takeUnstoredSuspects()
+          .forEach((content, engines) -> written.add(stored(content, engines)));
+    }
+    for (RequestFingerprint held : quarantine.takeUnstored(at(1_510))) {
+      quarantine.onStored(held, at(1_520));
+      written.add(stored(held, Set.of()));
+    }
+  }
+
+  private void assertSoundRequestsAreSentAfter(List<QuarantineStore.StoredContent> rows) {
+    Quarantine next = new Quarantine("node-1");
+    rows.forEach(row -> next.onLoadedFromStore(row, at(2_000)));
+    next.onTick(heard -> OptionalLong.empty(), at(2_010));
+    assertThat(next.isHeldBack(request("everywhere"))).as(rows.toString()).isFalse();
+  }
+
+  /** All nodes end between any two writes to the store, and the next one reads what is there. */
+  @Test
+  void partThatAContentExplainsIsNotHeldBackAfterARestart() {
+    crashThreeUnderOneContent();
+    for (int count = 0; count <= written.size(); count++) {
+      assertSoundRequestsAreSentAfter(written.subList(0, count));
+    }
+  }
+
+  /** What is written again names no engines, which would show what explains a part. */
+  @Test
+  void partThatAContentExplainsIsNotHeldBackAfterTheStoreWasRestored() {
+    crashThreeUnderOneContent();
+    List<QuarantineStore.StoredContent> writtenAgain =
+        quarantine.stored().stream().map(held -> stored(held, Set.of())).toList();
+    assertThat(writtenAgain).isNotEmpty();
+    assertSoundRequestsAreSentAfter(writtenAgain);
+  }
+
+  private static QuarantineStore.StoredContent stored(
+      RequestFingerprint content, Set<String> engines) {
+    return new QuarantineStore.StoredContent(content, 10, engines);
+  }
+
   @Test
   void fingerprintsOfPartsDoNotReadAsThoseOfContents() {
     RequestFingerprint part = request("poison").partFingerprints().get(0);
