Write the engines that speak against a content before those of its parts

By reading: a process may end between two writes, and the next one then knows more crashes of a part than of the content that explains them, and holds the part back. The order was that of a hash table.

--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -545,13 +546,19 @@
   /**
    * The suspected contents that this node should write to the store, with the engines that crashed
    * under each. Otherwise a process that ends would lose its count. Contents with a single crash
-   * are left out, since they are the majority.
+   * are left out, since they are the majority. Parts come last: a process may end between two
+   * writes, and a part whose crashes are stored without the content that explains them would be
+   * held back.
    */
   public Map<RequestFingerprint, Set<String>> takeUnstoredSuspects() {
-    Map<RequestFingerprint, Set<String>> due = new HashMap<>();
-    for (Suspect suspect : active) {
-      suspect.takeSuspicionDue().ifPresent(engines -> due.put(suspect.content(), engines));
-    }
+    Map<RequestFingerprint, Set<String>> due = new LinkedHashMap<>();
+    active.stream()
+        .sorted(Comparator.comparing(suspect -> suspect.content().isPart()))
+        .forEach(
+            suspect ->
+                suspect
+                    .takeSuspicionDue()
+                    .ifPresent(engines -> due.put(suspect.content(), engines)));
     return due;
   }
 
