--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -160,9 +161,7 @@
       return false;
     }
     return !suspect.content().isPart()
-        || suspects.all().stream()
-            .filter(other -> other != suspect && suspect.mayBeExplainedBy(other))
-            .allMatch(other -> content.has(other.content()));
+        || suspects.explaining(suspect).allMatch(other -> content.has(other.content()));
   }
 
   /**
@@ -537,6 +536,7 @@
   public List<RequestFingerprint> takeUnstored(long nowNanos) {
     return active.stream()
         .filter(suspect -> suspect.status() == QuarantineStatus.QUARANTINED)
+        .filter(suspects::isConclusive)
         .filter(
             suspect -> suspect.takeStoreDue(backupStoreDelay(suspect), STORE_RETRY_NANOS, nowNanos))
         .map(Suspect::content)
@@ -546,13 +546,19 @@
   /**
    * The suspected contents that this node should write to the store, with the engines that crashed
    * under each. Otherwise a process that ends would lose its count. Contents with a single crash
-   * are left out, since they are the majority.
+   * are left out, since they are the majority. Parts come last: a process may end between two
+   * writes, and a part whose crashes are stored without the content that explains them would be
+   * held back.
    */
   public Map<RequestFingerprint, Set<String>> takeUnstoredSuspects() {
-    Map<RequestFingerprint, Set<String>> due = new HashMap<>();
-    for (Suspect suspect : active) {
-      suspect.takeSuspicionDue().ifPresent(engines -> due.put(suspect.content(), engines));
-    }
+    Map<RequestFingerprint, Set<String>> due = new LinkedHashMap<>();
+    active.stream()
+        .sorted(Comparator.comparing(suspect -> suspect.content().isPart()))
+        .forEach(
+            suspect ->
+                suspect
+                    .takeSuspicionDue()
+                    .ifPresent(engines -> due.put(suspect.content(), engines)));
     return due;
   }
 
