Fault proxy: drop what came before a reset on a connection that began on a silent link

Bytes that came before a reset can still be read after it. The proxy looked for the reset where a link fell silent under a connection, not where the connection began meanwhile, and delivered them when the link was whole again. The soak's own fault; its test was red before.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
@@ -30,6 +30,7 @@
   private final Supplier<LinkFaults> current;
   private final FaultTable changes;
   private final CountDownLatch bothDirections = new CountDownLatch(2);
+  private boolean stoodAtBegin;
   private volatile boolean aborted;
 
   TcpFaultConnection(
@@ -48,7 +49,7 @@
   void run() {
     try {
       caller.setTcpNoDelay(true);
-      awaitFlow(true);
+      stoodAtBegin = awaitFlow(true);
       server.setTcpNoDelay(true);
       if (sourceHost.isPresent()) {
         server.bind(new InetSocketAddress(sourceHost.get(), 0));
@@ -67,6 +68,7 @@
     close(server);
   }
 
+  /** Bytes that came before a reset are still read after it; a link that stood still drops them. */
   private void copy(Socket from, Socket to, boolean forward) {
     byte[] buffer = new byte[BUFFER_BYTES];
     long carried = 0;
@@ -75,7 +77,8 @@
       OutputStream output = to.getOutputStream();
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         delay();
-        if (awaitFlow(forward)) {
+        boolean stood = awaitFlow(forward) || forward && carried == 0 && stoodAtBegin;
+        if (stood) {
           failIfReset(from, input);
         }
         int allowed = forward ? count : allowed(carried, count);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
@@ -88,6 +88,27 @@
     }
   }
 
+  /** The same for one that began while the link stood still. */
+  @Test
+  void bytesOfAConnectionThatBeganAndWasResetMeanwhileDoNotArrive() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      NetworkAddress link =
+          proxy.openTcp("held", ANY, new NetworkAddress("127.0.0.1", server.getLocalPort()));
+      proxy.set("held", LinkFaults.SILENT);
+      Socket caller = new Socket(link.host(), link.port());
+      send(caller, "hello");
+      caller.setSoLinger(true, 0);
+      caller.close();
+      proxy.heal();
+      server.setSoTimeout(PATIENCE_MILLIS);
+      try (Socket accepted = server.accept()) {
+        accepted.setSoTimeout(PATIENCE_MILLIS);
+        assertThatThrownBy(() -> accepted.getInputStream().read())
+            .isInstanceOf(SocketException.class);
+      }
+    }
+  }
+
   @Test
   void aCutResetsOpenConnectionsAndNewOnes() throws IOException {
     try (Socket caller = connect("127.0.0.1")) {
