--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
@@ -97,6 +97,8 @@
       proxy.set("held", LinkFaults.SILENT);
       Socket caller = new Socket(link.host(), link.port());
       send(caller, "hello");
+      server.setSoTimeout(SILENCE_MILLIS);
+      assertThatThrownBy(server::accept).isInstanceOf(SocketTimeoutException.class);
       caller.setSoLinger(true, 0);
       caller.close();
       proxy.heal();
