Close the connection of an answer that does not name its request

Seen by engines: a request went on at another engine while the first still worked on it. An engine may send more bytes behind an answer; what looks like an answer in them is read in the place of the answer to the next request on that connection. Such an answer was not believed, the request was sent on at once, and the connection went back to the pool, open: the engine works on, for as long as the connection lives. The next request on it then got the answer of the one before.

A node that forwards did not look at the id at all. It passed such an answer on and said that the engine had answered; the node that had asked found the wrong id, and its cancellation was confirmed at once, since the run counted as ended. A success with a stamp and without an id was passed on to the caller as the answer.

Every answer of an engine names its request by the platform's protocol, so one that does not is no answer: attempt and forwarder abort it before its body, which closes the connection, and the run is over then.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -217,8 +217,9 @@
       return;
     }
     head = protocol.readHead(response.getStatus(), headers);
-    if (!head.belongsTo(exchange.head().requestId())) {
-      response.abort(new IllegalStateException("the answer belongs to another request"));
+    if (!head.names(exchange.head().requestId())) {
+      // These may be bytes behind an earlier answer, and the engine works while it is connected.
+      response.abort(new IllegalStateException("the answer does not name the request"));
       return;
     }
     streamed = isStampedSuccess() && exchange.envelope().route().streaming();
@@ -378,11 +379,7 @@
   }
 
   private void finishBuffered() {
-    boolean misdirected = head.status() == HttpStatus.MISDIRECTED_REQUEST_421;
-    if ((misdirected || head.notExecuted()) && !head.names(exchange.head().requestId())) {
-      // Bytes behind an earlier answer may look like a refusal; the engine may run this request.
-      fail(AttemptOutcome.LOST);
-    } else if (misdirected) {
+    if (head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
       fail(AttemptOutcome.MISDIRECTED);
     } else if (head.notExecuted()) {
       fail(AttemptOutcome.NOT_EXECUTED);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -279,6 +279,12 @@
 
     @Override
     public void onHeaders(org.eclipse.jetty.client.Response answer) {
+      EngineAnswerHead head = engines.protocol().readHead(answer.getStatus(), answer.getHeaders());
+      if (!head.names(requestId)) {
+        // The other node would find that out when the connection to the engine is free again.
+        answer.abort(new IllegalStateException("the answer does not name the request"));
+        return;
+      }
       from.response().setStatus(answer.getStatus());
       from.response()
           .getHeaders()
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
@@ -5,9 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import org.fallturn.core.domain.NetworkAddress;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -58,7 +56,8 @@
     for (int bytes = 0; bytes < String.format(answer, "id-00").length(); bytes++) {
       String id = String.format("%s-%02d", cut == Cut.RESET ? "rs" : "cl", bytes);
       String sent = String.format(answer, id).substring(0, bytes);
-      try (Socket caller = forwarded ? ask(id) : callerOf(id)) {
+      try (Socket caller =
+          forwarded ? OneEngineGateway.forward(gateway, "e-1", id, "") : callerOf(id)) {
         cut(id, sent, cut);
         assertThat(OneEngineGateway.readStatus(caller)).as(sent).isEqualTo("HTTP/1.1 502");
       }
@@ -69,21 +68,6 @@
     return OneEngineGateway.send(gateway.callersAddress(), id, "", 0);
   }
 
-  /** Asks as another node does. */
-  private Socket ask(String id) throws IOException {
-    NetworkAddress address = gateway.peersAddress();
-    Socket node = new Socket(address.host(), address.port());
-    node.setSoTimeout((int) LONGEST.toMillis());
-    String head =
-        "POST /x HTTP/1.1\r\nHost: host\r\n"
-            + String.format(ID, id)
-            + (ForwardingHeaders.ENGINE + ": e-1\r\n")
-            + (ForwardingHeaders.KEY + ": " + id + "\r\n")
-            + "Content-Length: 0\r\n\r\n";
-    node.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-    return node;
-  }
-
   private void cut(String id, String sent, Cut cut) {
     await().pollInterval(POLL).atMost(LONGEST).until(() -> engine.got(id));
     RawEngine.Connection connection =
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -131,6 +131,22 @@
     return caller;
   }
 
+  /**
+   * Has a request forwarded to an engine as another node does, over a connection of its own.
+   *
+   * @param headers further headers, each with its line end
+   */
+  static Socket forward(GatewayServer gateway, String engineId, String id, String headers)
+      throws IOException {
+    return send(
+        gateway.peersAddress(),
+        id,
+        (ForwardingHeaders.ENGINE + ": " + engineId + "\r\n")
+            + (ForwardingHeaders.KEY + ": " + id + "\r\n")
+            + headers,
+        0);
+  }
+
   /** Reads the begin of an answer: version and status. */
   static String readStatus(Socket caller) throws IOException {
     byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SilentNodeTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SilentNodeTest.java
@@ -72,20 +72,6 @@
     }
   }
 
-  private Socket ask(String headers) throws IOException {
-    Socket node = new Socket(gateway.peersAddress().host(), gateway.peersAddress().port());
-    node.setSoTimeout((int) LONGEST.toMillis());
-    write(
-        node,
-        "POST /x HTTP/1.1\r\nHost: host\r\n"
-            + (OneEngineGateway.ID_HEADER + ": asked\r\n")
-            + (ForwardingHeaders.ENGINE + ": e-1\r\n")
-            + (ForwardingHeaders.KEY + ": key\r\n")
-            + headers
-            + "Content-Length: 0\r\n\r\n");
-    return node;
-  }
-
   private static void write(Socket node, String text) throws IOException {
     node.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
@@ -100,7 +86,7 @@
 
   @Test
   void engineIsLeftWhenTheNodeThatAskedFallsSilent() throws Exception {
-    try (Socket node = ask(ownerHeader())) {
+    try (Socket node = OneEngineGateway.forward(gateway, "e-1", "asked", ownerHeader())) {
       await().atMost(LONGEST).until(() -> engine.got("asked"));
       await().atMost(LONGEST).until(() -> questions.get() >= QUESTIONS_IN_TWO_TERMS);
       assertThat(engineIsLeft()).isFalse();
@@ -114,9 +100,10 @@
   void requestThatComesBehindItsCancellationIsNotSent() throws Exception {
     try (Socket cancels =
         new Socket(gateway.peersAddress().host(), gateway.peersAddress().port())) {
-      write(cancels, "DELETE " + EngineForwarder.CANCEL_PREFIX + "key HTTP/1.1\r\nHost: x\r\n\r\n");
+      write(
+          cancels, "DELETE " + EngineForwarder.CANCEL_PREFIX + "asked HTTP/1.1\r\nHost: x\r\n\r\n");
       assertThat(cancels.getInputStream().read()).isNotNegative();
-      try (Socket node = ask("")) {
+      try (Socket node = OneEngineGateway.forward(gateway, "e-1", "asked", "")) {
         assertThat(OneEngineGateway.readStatus(node)).isEqualTo("HTTP/1.1 502");
         assertThat(engine.got("asked")).isFalse();
       }
