Fault proxy: look for a reset behind all that came on a link that stood still

Of two writes of a sender that reset its connection on a silent link, the proxy looked at the first byte behind the first one, found the second, and delivered both when the link was whole again. A reset shows only behind all that came before it, so that all of it is read now. The bound on what an answer may bring covers these bytes too.

The soak's own fault: an engine could get a request that its gateway had given up. The test that stands for this sends twice now, and failed so on the code before.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/faults/TcpFaultConnection.java
@@ -1,8 +1,9 @@
 package org.fallturn.rehearsal.faults;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.PushbackInputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -73,18 +74,20 @@
     byte[] buffer = new byte[BUFFER_BYTES];
     long carried = 0;
     try {
-      PushbackInputStream input = new PushbackInputStream(from.getInputStream(), 1);
+      InputStream input = from.getInputStream();
       OutputStream output = to.getOutputStream();
       for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
         delay();
         boolean stood = awaitFlow(forward) || forward && carried == 0 && stoodAtBegin;
+        ByteArrayOutputStream come = new ByteArrayOutputStream();
+        come.write(buffer, 0, count);
         if (stood) {
-          failIfReset(from, input);
+          readToReset(from, input, come);
         }
-        int allowed = forward ? count : allowed(carried, count);
-        output.write(buffer, 0, allowed);
+        int allowed = forward ? come.size() : allowed(carried, come.size());
+        output.write(come.toByteArray(), 0, allowed);
         carried += allowed;
-        if (allowed < count) {
+        if (allowed < come.size()) {
           abort();
           return;
         }
@@ -123,16 +126,20 @@
     return stood;
   }
 
-  /** A reset shows only when the socket is read. */
-  private static void failIfReset(Socket from, PushbackInputStream input) throws IOException {
+  /**
+   * Reads what else has come on a socket so far; fails if the sender has reset the connection,
+   * which shows only behind all that came before.
+   */
+  private static void readToReset(Socket from, InputStream input, ByteArrayOutputStream come)
+      throws IOException {
+    byte[] buffer = new byte[BUFFER_BYTES];
     from.setSoTimeout(1);
     try {
-      int next = input.read();
-      if (next >= 0) {
-        input.unread(next);
+      for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+        come.write(buffer, 0, count);
       }
     } catch (SocketTimeoutException e) {
-      // Nothing has come, a reset neither.
+      // Nothing more has come, a reset neither.
       return;
     } finally {
       from.setSoTimeout(0);
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/faults/FaultProxyTest.java
@@ -78,6 +78,7 @@
         accepted.setSoTimeout(SILENCE_MILLIS);
         assertThatThrownBy(() -> accepted.getInputStream().read())
             .isInstanceOf(SocketTimeoutException.class);
+        send(caller, "more");
         caller.setSoLinger(true, 0);
         caller.close();
         proxy.heal();
