Soak: requests of others are at engines when the links to a gateway fall silent

ONE_ENGINE_AT_A_TIME has something to judge only while a gateway forwards a request whose engine has not answered. Engines of applications answer within milliseconds, so that the links fell silent with nothing under way. Sound ones answer nothing now from 0.3 s before to 0.3 s after that moment; an engine that misbehaves otherwise goes on with that.

The check left out whatever happened while the store was in trouble. The store has no part in what a gateway sends where, so that only gateways that are stopped, or cut off from engines, are left out now: the check is stricter.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -43,6 +44,8 @@
   public static final String FIRST_VERSION = "v1";
 
   private static final String REQUEST_ID = "X-Fallturn-Request-Id";
+  private static final String UNENDED_ANSWER =
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n%s: stamp-%s\r\n\r\nans";
 
   /** Marks the answers of engines; its value names the engine behind a prefix. */
   static final String STAMP = "X-Fallturn-Response-Stamp";
@@ -90,7 +93,7 @@
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final OpenWork.Book openWork = new OpenWork.Book();
   private final List<Poison> poisons = new CopyOnWriteArrayList<>();
-  private volatile EngineFault standingFault = EngineFault.NONE;
+  private final AtomicReference<EngineFault> standing = new AtomicReference<>(EngineFault.NONE);
   private volatile boolean leaving;
   private volatile String rest = "";
   private volatile String padding = "";
@@ -221,7 +224,12 @@
 
   /** Misbehaves with every request that no queued fault is for. */
   public void misbehave(EngineFault fault) {
-    standingFault = fault;
+    standing.set(fault);
+  }
+
+  /** As {@link #misbehave}, if it misbehaves as expected until now; returns whether it did. */
+  public boolean misbehaveInPlaceOf(EngineFault expected, EngineFault fault) {
+    return standing.compareAndSet(expected, fault);
   }
 
   /** Reads prompts one after the other at so many tokens a ms; else, at once. */
@@ -359,7 +367,7 @@
         return true;
       }
       EngineFault queued = nextFaults.poll();
-      serve(request, response, callback, queued == null ? standingFault : queued);
+      serve(request, response, callback, queued == null ? standing.get() : queued);
       return true;
     }
 
@@ -564,16 +572,8 @@
     }
 
     private void resetWithoutLength(Request request, Callback callback) throws Exception {
-      String head =
-          "HTTP/1.1 200 OK\r\nConnection: close\r\n"
-              + REQUEST_ID
-              + ": "
-              + request.getHeaders().get(REQUEST_ID)
-              + "\r\n"
-              + STAMP
-              + ": stamp-"
-              + id
-              + "\r\n\r\nans";
+      String requestId = request.getHeaders().get(REQUEST_ID);
+      String head = UNENDED_ANSWER.formatted(REQUEST_ID, requestId, STAMP, id);
       EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
       try (Blocking written = new Blocking()) {
         endPoint.write(written, ByteBuffer.wrap(head.getBytes(StandardCharsets.UTF_8)));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -234,12 +234,12 @@
   PEER_REQUESTS_SILENT(Lane.PEER_LINKS) {
     @Override
     void begin(SoakFleet fleet, int target) {
-      fleet.gateway(target).setPeerRequests(LinkFaults.SILENT);
+      fleet.silencePeerRequests(target);
     }
 
     @Override
     void end(SoakFleet fleet, int target) {
-      fleet.gateway(target).setPeerRequests(LinkFaults.NONE);
+      fleet.endPeerSilence(target);
     }
   },
   ENGINES_RELEASED(Lane.RELEASES),
@@ -283,7 +283,7 @@
     FRAMING(1, Integer.MAX_VALUE),
     /** One gateway that gets most connections, for longer than the bound on knowing. */
     CONNECTIONS(2, Integer.MAX_VALUE),
-    /** Requests of the other gateways to one, whose datagrams go on. */
+    /** Requests of the other gateways to one, whose datagrams go on, while they are at engines. */
     PEER_LINKS(1, Integer.MAX_VALUE);
 
     private final int times;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -13,6 +13,9 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -20,6 +23,7 @@
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineCrash;
+import org.fallturn.rehearsal.emulator.EngineFault;
 import org.fallturn.rehearsal.emulator.PeerLink;
 import org.fallturn.rehearsal.emulator.PoisonRequests;
 import org.fallturn.rehearsal.emulator.RouteText;
@@ -68,6 +72,11 @@
   /** What an engine asks for that turns requests away. */
   static final Duration REST = Duration.ofSeconds(2);
 
+  /** Shorter than a gateway waits for any sign of an engine. */
+  private static final Duration REQUESTS_AT_ENGINES = Duration.ofMillis(300);
+
+  private static final Duration ENGINES_SILENT = Duration.ofMillis(600);
+
   private static final int RELEASED_ENGINES = 2;
 
   /** One request in so many goes to any gateway while one gets most. */
@@ -108,6 +117,7 @@
   private final List<String> poisonParts = new CopyOnWriteArrayList<>();
   private final Map<Integer, EmulatedEngine> unframed = new HashMap<>();
   private volatile OptionalInt crowded = OptionalInt.empty();
+  private final Set<Integer> peersSilent = ConcurrentHashMap.newKeySet();
   private final List<SoakRecord.Drain> drains = new CopyOnWriteArrayList<>();
   private final Map<Integer, Draining> draining = new HashMap<>();
   private final List<SoakRecord.Rest> rests = new CopyOnWriteArrayList<>();
@@ -362,6 +372,40 @@
     return crowd.isPresent() && drawn % CROWDED_ONE_OUT_OF != 0 ? crowd.getAsInt() : drawn;
   }
 
+  /**
+   * Makes requests of other gateways to one hang from a moment later on. Until then, and for a
+   * moment more, sound engines of applications answer nothing, so that it has requests of others at
+   * engines when the link falls silent.
+   */
+  void silencePeerRequests(int target) {
+    List<EmulatedEngine> silent =
+        platform.engines().stream()
+            .filter(engine -> engine.service().equals(EmulatedPlatform.APPLICATION_SERVICE))
+            .filter(engine -> engine.misbehaveInPlaceOf(EngineFault.NONE, EngineFault.SILENT))
+            .toList();
+    peersSilent.add(target);
+    after(REQUESTS_AT_ENGINES, () -> setPeerRequests(target));
+    after(
+        ENGINES_SILENT,
+        () ->
+            silent.forEach(
+                engine -> engine.misbehaveInPlaceOf(EngineFault.SILENT, EngineFault.NONE)));
+  }
+
+  private static void after(Duration delay, Runnable action) {
+    CompletableFuture.delayedExecutor(delay.toMillis(), TimeUnit.MILLISECONDS).execute(action);
+  }
+
+  void endPeerSilence(int target) {
+    peersSilent.remove(target);
+    setPeerRequests(target);
+  }
+
+  private synchronized void setPeerRequests(int target) {
+    gateway(target)
+        .setPeerRequests(peersSilent.contains(target) ? LinkFaults.SILENT : LinkFaults.NONE);
+  }
+
   void setStoreLink(int target, LinkFaults faults) {
     proxy.set(storeLink(Math.floorMod(target, gateways.size())), faults);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -172,19 +172,24 @@
         SoakOverlaps.of(works, arrivals, (host, nanos) -> reaches(fleet, host, nanos)));
   }
 
-  /** Whether the gateway that sends from a host was in touch, and its links to engines worked. */
+  /** Whether the gateway that sends from a host ran, and its links to engines worked. */
   private boolean reaches(SoakFleet fleet, String host, long nanos) {
     for (int index = 0; index < gateways; index++) {
       if (fleet.gateways().get(index).senderHost().equals(host)) {
-        return otherBuild.isEmpty() && inTouch(index, nanos) && !isCutOff(index, nanos);
+        return otherBuild.isEmpty() && !isDisturbed(index, nanos);
       }
     }
     return false;
   }
 
-  private boolean isCutOff(int gateway, long nanos) {
+  /** What becomes of the store is no excuse: it has no part in what a gateway sends where. */
+  private boolean isDisturbed(int gateway, long nanos) {
     return schedule.faults().stream()
-        .filter(entry -> entry.fault().cutsOff(gateway, entry.target(), gateways))
+        .filter(
+            entry ->
+                entry.fault().cutsOff(gateway, entry.target(), gateways)
+                    || entry.fault().stopsGateway()
+                        && entry.fault().touches(gateway, entry.target(), gateways))
         .anyMatch(entry -> isNear(entry, nanos));
   }
 
