Report the versions at which streams began, not only those that are listed

Seen by callers of systems like this one (reported, not seen here): all nodes were killed and came back while an old software version served or had just left; streams that were taken up went on at the new version, and their text was joined from two.

When every node ends, this does not come about here: a node that starts concludes nothing for the lifetime of a stream. It does where one survives. What nodes report of versions was what their directories had listed, but engines serve on after their entries have gone, as a last resort, and a node that is cut from the store begins streams by the list it has. The survivor was told of such a stream, and knew better, but its reports named the versions of the list alone; a node that started then took the version that was left for the only one there had been.

A node now reports the versions of streams that began there or that it was told of one by one, too.

Evidence: KilledNodesTest plays nodes, directories that lag, kills of all and of some, engines that serve without an entry, nodes that are cut off, chains of take-ups and late reports, 30 draws of two minutes each.

--- a/fallturn-core/src/main/java/org/fallturn/core/streams/SoftwareVersions.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/SoftwareVersions.java
@@ -17,12 +17,15 @@
  *
  * <p>Invariant: {@link #sole} names a version only if no stream of the service can have begun at
  * another one within its lifetime, as far as a directory tells that has been followed for that long
- * by this node or by one that reported to it. Reports contain only what the reporting node's own
- * directory listed: a version that nodes repeat to each other would never expire. Not thread-safe.
+ * by this node or by one that reported to it, and the streams tell that began here or were reported
+ * one by one. Engines serve on without an entry, so the directory alone does not tell. Reports
+ * contain both, but nothing from reports of versions: a version that nodes repeat to each other
+ * would never expire. Not thread-safe.
  */
 final class SoftwareVersions {
 
   private final Map<String, Map<String, Long>> listedAt = new HashMap<>();
+  private final Map<String, Map<String, Long>> begunAt = new HashMap<>();
   private final Map<String, Map<String, Long>> reportedAt = new HashMap<>();
   private Map<String, Set<String>> listed = Map.of();
   private final Set<String> reportedServices = new HashSet<>();
@@ -61,6 +64,7 @@
                     Collectors.mapping(ServingEngine::softwareVersion, Collectors.toSet())));
     noteListed(nowNanos);
     listedAt.values().forEach(versions -> forgetOld(versions, nowNanos));
+    begunAt.values().forEach(versions -> forgetOld(versions, nowNanos));
     reportedAt.values().forEach(versions -> forgetOld(versions, nowNanos));
   }
 
@@ -72,7 +76,7 @@
 
   /** Records that a stream begins at a version, whatever the directory lists. */
   void onBegun(StreamOrigin origin, long nowNanos) {
-    note(reportedAt, origin.service(), origin.softwareVersion(), nowNanos);
+    note(begunAt, origin.service(), origin.softwareVersion(), nowNanos);
   }
 
   void onPeerReport(Map<String, Map<String, Integer>> reported, long nowNanos) {
@@ -104,6 +108,7 @@
     }
     Set<String> versions = new HashSet<>(listed.getOrDefault(service, Set.of()));
     addRecent(versions, listedAt.get(service), nowNanos);
+    addRecent(versions, begunAt.get(service), nowNanos);
     addRecent(versions, reportedAt.get(service), nowNanos);
     return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
   }
@@ -132,14 +137,8 @@
     Map<String, Map<String, Integer>> report = new HashMap<>();
     for (String service : services) {
       Map<String, Integer> ages = new HashMap<>();
-      listedAt
-          .getOrDefault(service, Map.of())
-          .forEach(
-              (version, nanos) -> {
-                if (nowNanos - nanos <= lifetimeNanos) {
-                  ages.put(version, (int) TimeUnit.NANOSECONDS.toMillis(nowNanos - nanos));
-                }
-              });
+      addAges(ages, listedAt.get(service), nowNanos);
+      addAges(ages, begunAt.get(service), nowNanos);
       listed.getOrDefault(service, Set.of()).forEach(version -> ages.put(version, 0));
       if (!ages.isEmpty()) {
         report.put(service, ages);
@@ -147,4 +146,16 @@
     }
     return report;
   }
+
+  private void addAges(Map<String, Integer> ages, Map<String, Long> times, long nowNanos) {
+    if (times != null) {
+      times.forEach(
+          (version, nanos) -> {
+            if (nowNanos - nanos <= lifetimeNanos) {
+              int millis = (int) TimeUnit.NANOSECONDS.toMillis(nowNanos - nanos);
+              ages.merge(version, millis, Math::min);
+            }
+          });
+    }
+  }
 }
