Take only the word of a node that forwards for the end of its run

By reading: a node that was to forward a request and answers without a result, as its HTTP server does for a fault, counted as having said that the engine was left, and the request went on at once. Such an answer says nothing of the connection behind that node. It is LOST as before, but the next send waits for a confirmation or the lease, as after a connection that ended.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -60,7 +60,7 @@
   private volatile boolean endIsMarked;
   private volatile boolean signOfLife;
   private volatile RunEnd runEnd = RunEnd.ABORT_ORDERED;
-  private volatile Optional<AttemptOutcome> forwardFailure = Optional.empty();
+  private volatile ForwardingResult forwardingResult = ForwardingResult.ANSWERED;
   private final Optional<NetworkAddress> forwarder;
   private final int sendNumber;
   private volatile AttemptOutcome outcomeOfGivingUp;
@@ -207,13 +207,13 @@
     headers = response.getHeaders();
     endIsMarked = endIsMarked(headers);
     if (forwarder.isPresent()) {
-      forwardFailure = ForwardingResult.of(response.getStatus(), headers).failure();
+      forwardingResult = ForwardingResult.of(response.getStatus(), headers);
       headers =
           HttpFields.build(headers)
               .remove(ForwardingHeaders.RESULT)
               .remove(ForwardingHeaders.END_UNMARKED);
     }
-    if (forwardFailure.isPresent()) {
+    if (forwardingResult != ForwardingResult.ANSWERED) {
       return;
     }
     head = protocol.readHead(response.getStatus(), headers);
@@ -325,6 +325,7 @@
       postGivenUp();
       return;
     }
+    Optional<AttemptOutcome> forwardFailure = forwardingResult.failure();
     if (forwardFailure.isPresent()) {
       fail(forwardFailure.get());
       return;
@@ -341,8 +342,8 @@
   }
 
   private RunEnd endOf(Result result) {
-    if (forwardFailure.isPresent()) {
-      return RunEnd.FORWARDER_ANSWERED;
+    if (forwardingResult != ForwardingResult.ANSWERED) {
+      return forwardingResult.tellsEnd() ? RunEnd.FORWARDER_ANSWERED : RunEnd.CONNECTION_ENDED;
     }
     return result.isSucceeded() ? RunEnd.ANSWERED : RunEnd.CONNECTION_ENDED;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingResult.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingResult.java
@@ -12,7 +12,9 @@
   /** No byte of the request reached the engine. */
   NOT_SENT(Optional.of(AttemptOutcome.NOT_SENT)),
   /** The engine may have got the request, and no answer came. */
-  LOST(Optional.of(AttemptOutcome.LOST));
+  LOST(Optional.of(AttemptOutcome.LOST)),
+  /** The answer does not say; a node that fails may be connected to the engine still. */
+  UNKNOWN(Optional.of(AttemptOutcome.LOST));
 
   private final Optional<AttemptOutcome> failure;
 
@@ -25,9 +27,14 @@
     return failure;
   }
 
+  /** Whether the node that forwarded the request has left the engine. */
+  boolean tellsEnd() {
+    return this != UNKNOWN;
+  }
+
   /**
    * Reads the result from the head of an answer. A node of an earlier build forwards nothing and
-   * finds nothing at the path; any other answer without a result is that of a node that failed.
+   * finds nothing at the path.
    */
   static ForwardingResult of(int status, HttpFields headers) {
     String name = headers.get(ForwardingHeaders.RESULT);
@@ -36,6 +43,6 @@
         return result;
       }
     }
-    return status == HttpStatus.NOT_FOUND_404 ? NOT_SENT : LOST;
+    return status == HttpStatus.NOT_FOUND_404 ? NOT_SENT : UNKNOWN;
   }
 }
