Reserve memory for bodies before their bytes are kept

Cause: a body was gathered in a buffer that doubles, and memory was asked for only once it was whole. Bodies that were still coming in were not bounded; 36 of them fill a heap of 128 MB. The error was thrown in the callback that reads, where nobody ends the request, and no deadline holds before a body has come.

Every byte is reserved now before it is kept (BodyMemory, BodyBuffer): at the head where the length is known, as it comes otherwise, and until the answer has ended. Whatever finds no room is refused as not run, with a delay, and the connection goes on. Large bodies leave a quarter of the memory to those of up to 64 KiB, so that slow uploads do not keep small requests out. The bound is a setting (bounds.body_memory, 48 MiB as before), with a gauge (body_bytes). A body of known length is read into its place, without the copies of a buffer that grows.

Left: an error in a callback still ends no request; bodies that other nodes pass on are counted by their length, and copied once.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -1,7 +1,5 @@
 package org.fallturn.node.gateway;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -47,6 +45,8 @@
 
   private static final String CLOSE = HttpHeaderValue.CLOSE.asString();
 
+  private static final String NO_MEMORY = "too many bytes of bodies are in flight";
+
   private final GatewayState gateway;
   private final Consumer<DispatchEvent> events;
   private final DecisionLog log;
@@ -155,7 +155,11 @@
     if (caller.request().getLength() > maxBody) {
       throw new FallturnException(ErrorKind.TOO_LARGE, "body over " + maxBody + " bytes");
     }
-    return new BodyCollector(caller, head, new Admitted(route, sender, rank), maxBody);
+    BodyBuffer body = new BodyBuffer(gateway.bodies(), maxBody);
+    if (!body.tryReserve((int) Math.max(0, caller.request().getLength()))) {
+      throw new FallturnException(ErrorKind.NO_CAPACITY, NO_MEMORY);
+    }
+    return new BodyCollector(caller, head, new Admitted(route, sender, rank), body);
   }
 
   private void refuse(HandlerArguments caller, String requestId, ErrorKind kind, String reason) {
@@ -191,10 +195,6 @@
 
   private void dispatch(
       HandlerArguments caller, CallerRequestHead head, Admitted admitted, byte[] body) {
-    if (!gateway.tryReserveBody(body.length)) {
-      refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, "too many bytes in flight");
-      return;
-    }
     long now = System.nanoTime();
     Route route = admitted.route();
     Duration timeout =
@@ -239,15 +239,14 @@
     private final HandlerArguments caller;
     private final CallerRequestHead head;
     private final Admitted admitted;
-    private final int maxBytes;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body;
 
     BodyCollector(
-        HandlerArguments caller, CallerRequestHead head, Admitted admitted, int maxBytes) {
+        HandlerArguments caller, CallerRequestHead head, Admitted admitted, BodyBuffer body) {
       this.caller = caller;
       this.head = head;
       this.admitted = admitted;
-      this.maxBytes = maxBytes;
+      this.body = body;
     }
 
     @Override
@@ -259,15 +258,16 @@
           return;
         }
         if (Content.Chunk.isFailure(chunk)) {
+          body.release();
           log.refusedAtDoor(head.requestId(), ErrorKind.INVALID_REQUEST, "the body broke off");
           caller.callback().failed(chunk.getFailure());
           return;
         }
         boolean last = chunk.isLast();
-        boolean appended = append(chunk.getByteBuffer());
+        BodyBuffer.Added added = body.add(chunk.getByteBuffer());
         chunk.release();
-        if (!appended) {
-          refuse(caller, head.requestId(), ErrorKind.TOO_LARGE, "body over " + maxBytes);
+        if (added != BodyBuffer.Added.KEPT) {
+          refuseBody(added);
           return;
         }
         if (last) {
@@ -282,18 +282,20 @@
      */
     private void finish() {
       if (gateway.takesRequests()) {
-        dispatch(caller, head, admitted, body.toByteArray());
+        dispatch(caller, head, admitted, body.take());
       } else {
+        body.release();
         refuse(caller, head.requestId(), ErrorKind.STOPPING, "this node is stopping");
       }
     }
 
-    private boolean append(ByteBuffer bytes) {
-      if (body.size() + bytes.remaining() > maxBytes) {
-        return false;
+    private void refuseBody(BodyBuffer.Added why) {
+      body.release();
+      if (why == BodyBuffer.Added.TOO_LONG) {
+        refuse(caller, head.requestId(), ErrorKind.TOO_LARGE, "the body is too long");
+      } else {
+        refuse(caller, head.requestId(), ErrorKind.NO_CAPACITY, NO_MEMORY);
       }
-      body.writeBytes(BufferUtil.toArray(bytes));
-      return true;
     }
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -112,11 +112,11 @@
     }
     Optional<ServingEngine> engine = directory.apply(engineId).filter(this::mayForwardTo);
     int length = (int) Math.min(Math.max(0, request.getLength()), Integer.MAX_VALUE);
-    if (engine.isEmpty() || !gateway.tryReserveBody(length)) {
+    if (engine.isEmpty() || !gateway.bodies().tryReserve(length, length)) {
       fail(response, callback, ForwardingResult.NOT_SENT);
       return true;
     }
-    Request.addCompletionListener(request, failure -> gateway.releaseBody(length));
+    Request.addCompletionListener(request, failure -> gateway.bodies().release(length));
     forward(engine.get(), new HandlerArguments(request, response, callback));
     return true;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -282,7 +282,7 @@
       unwatch();
       closeConnection();
       callback.failed(new EofException("the answer broke off"));
-      gateway.releaseBody(body.length);
+      gateway.bodies().release(body.length);
     }
   }
 
@@ -300,7 +300,7 @@
       try {
         writer.write(true, last, callback);
       } finally {
-        gateway.releaseBody(body.length);
+        gateway.bodies().release(body.length);
       }
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -71,7 +71,6 @@
   private static final int GATHERS_PER_DRAIN = 4;
 
   private static final long RING_FULL_PAUSE_NANOS = 100_000;
-  private static final long MAX_BODY_BYTES_IN_FLIGHT = 48L << 20;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
 
   private static final Duration MAX_WAIT_TO_ACCEPT = Duration.ofMillis(300);
@@ -140,9 +139,8 @@
       throws Exception {
     this.settings = settings;
     this.platform = platform;
-    this.state =
-        new GatewayState(
-            platform.callers(), MAX_BODY_BYTES_IN_FLIGHT, settings.bounds().keyLifetime());
+    BodyMemory bodies = new BodyMemory(settings.bounds().bodyMemory().bytes());
+    this.state = new GatewayState(platform.callers(), bodies, settings.bounds().keyLifetime());
     this.faultHandler = new FatalFaultHandler(state, log, processExit, new FatalFaultShutdown());
     threads.setName("gateway");
     this.server = new Server(threads);
@@ -315,6 +313,7 @@
 
   private void openMetrics() throws Exception {
     metrics.gauge("in_flight", state::inFlight);
+    metrics.gauge("body_bytes", state.bodies()::reserved);
     metrics.gauge("caller_connections", () -> callerConnections().size());
     metrics.gauge("routing_version", this::routingVersion);
     metrics.gauge("store_era", overlay.tables()::era);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.fallturn.core.routing.RequestLimits;
 import org.fallturn.core.routing.RoutingImage;
@@ -17,24 +16,22 @@
 final class GatewayState {
 
   private final CallerProtocol callerProtocol;
-  private final long maxBodyBytesInFlight;
+  private final BodyMemory bodies;
   private final Optional<Duration> keyLifetime;
   private volatile RowFollower routingFollower;
   private volatile RowFollower engineFollower;
   private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
   private final AtomicInteger inFlight = new AtomicInteger();
-  private final AtomicLong bodyBytes = new AtomicLong();
   private final CountDownLatch readyLatch = new CountDownLatch(1);
   private volatile boolean stopping;
   private volatile boolean takesRequests = true;
   private volatile boolean enginesKnown;
   private volatile boolean storeLost;
 
-  GatewayState(
-      CallerProtocol callerProtocol, long maxBodyBytesInFlight, Optional<Duration> keyLifetime) {
+  GatewayState(CallerProtocol callerProtocol, BodyMemory bodies, Optional<Duration> keyLifetime) {
     this.callerProtocol = callerProtocol;
     this.keyLifetime = keyLifetime;
-    this.maxBodyBytesInFlight = maxBodyBytesInFlight;
+    this.bodies = bodies;
   }
 
   CallerProtocol callerProtocol() {
@@ -149,22 +146,9 @@
     inFlight.decrementAndGet();
   }
 
-  /**
-   * Reserves room for the body of a request; false when it would exceed the bound on the bytes of
-   * all bodies in flight.
-   *
-   * @param length bytes of the body
-   */
-  boolean tryReserveBody(int length) {
-    if (bodyBytes.addAndGet(length) > maxBodyBytesInFlight) {
-      bodyBytes.addAndGet(-length);
-      return false;
-    }
-    return true;
-  }
-
-  void releaseBody(int length) {
-    bodyBytes.addAndGet(-length);
+  /** The memory for the bodies of requests. */
+  BodyMemory bodies() {
+    return bodies;
   }
 
   /** Number of requests that are being read, served or answered. */
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -18,6 +18,7 @@
  * @param revoke how soon a key that was taken away serves nobody, where keys fail closed
  * @param revokeFailClosed whether keys are believed only while the store, or a node that reaches
  *     it, can tell that none was taken away
+ * @param bodyMemory memory for the bodies of all requests of the node
  */
 public record GatewayBounds(
     Duration contact,
@@ -29,7 +30,8 @@
     double retrySlack,
     Duration retryWindow,
     Duration revoke,
-    boolean revokeFailClosed) {
+    boolean revokeFailClosed,
+    DataSize bodyMemory) {
 
   /** Of the bound on keys, what a refusal needs on its way. */
   private static final Duration REVOKE_MARGIN = Duration.ofMillis(500);
@@ -104,6 +106,14 @@
           false,
           "Whether keys are believed only while it is known that none was taken away.");
 
+  private static final SettingDefinition<DataSize> BODY_MEMORY =
+      SettingDefinition.dataSize(
+          "bounds.body_memory",
+          DataSize.ofMebibytes(48),
+          DataSize.ofMebibytes(1),
+          DataSize.ofMebibytes(16 * 1024),
+          "Memory for the bodies of all requests of the node; more are refused.");
+
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(
           CONTACT,
@@ -115,7 +125,8 @@
           RETRY_SLACK,
           RETRY_WINDOW,
           REVOKE,
-          REVOKE_FAIL_CLOSED);
+          REVOKE_FAIL_CLOSED,
+          BODY_MEMORY);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
@@ -128,7 +139,8 @@
         values.get(RETRY_SLACK),
         values.get(RETRY_WINDOW),
         values.get(REVOKE),
-        values.get(REVOKE_FAIL_CLOSED));
+        values.get(REVOKE_FAIL_CLOSED),
+        values.get(BODY_MEMORY));
   }
 
   /** How long keys are believed without word of the newest configuration; empty for ever. */
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/FatalFaultHandlerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/FatalFaultHandlerTest.java
@@ -22,7 +22,7 @@
 
   private final List<String> steps = new CopyOnWriteArrayList<>();
   private final GatewayMetrics metrics = new GatewayMetrics();
-  private final GatewayState state = new GatewayState(null, 0, Optional.empty());
+  private final GatewayState state = new GatewayState(null, new BodyMemory(0), Optional.empty());
   private boolean stopFails;
 
   private final FatalFaultHandler handler =
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/StoreRefusesNodeTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/StoreRefusesNodeTest.java
@@ -149,7 +149,7 @@
 
   @Test
   void keysThatFailClosedAreNotTrustedOnceNothingConfirmsThem() {
-    GatewayState state = new GatewayState(null, 0, Optional.of(KEY_LIFETIME));
+    GatewayState state = new GatewayState(null, new BodyMemory(0), Optional.of(KEY_LIFETIME));
     state.setFollowers(follower, follower);
     follower.start();
     await().atMost(MAX_WAIT).until(() -> deliveredPosition.get() == 1);
@@ -163,7 +163,7 @@
 
   @Test
   void keysThatFailOpenStayTrusted() {
-    GatewayState state = new GatewayState(null, 0, Optional.empty());
+    GatewayState state = new GatewayState(null, new BodyMemory(0), Optional.empty());
     state.setFollowers(follower, follower);
     long muchLater = System.nanoTime() + TimeUnit.HOURS.toNanos(1);
     assertThat(state.keysAreTrusted(muchLater)).isTrue();
