Pass on requests whose heads are longer than a buffer of the HTTP client

Cause: the client writes the head into one buffer of 8 KB and fails the request where that is too small. It takes a larger one now, up to what it reads of an answer's head (64 KiB); the buffer of all other requests stays as it is. Heads of answers were passed on already.

Evidence: LargeHeadTest, 11 KB: directly and through another node red on the code before; the case of an answer's head holds on both.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -41,7 +41,10 @@
   private static final int MAX_QUEUED = 4_096;
   private static final int BUFFER_BYTES = 8 * 1024;
 
-  /** More than any answer needs; bytes that are no answer may go on without end. */
+  /**
+   * More than any head needs. A request whose head is longer than a buffer gets a larger one; bytes
+   * that are no answer may go on without end.
+   */
   private static final int MAX_HEAD_BYTES = 64 * 1024;
 
   private static final String TIMER_THREAD = "calls-timer";
@@ -93,6 +96,7 @@
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
     client.setRequestBufferSize(BUFFER_BYTES);
     client.setResponseBufferSize(BUFFER_BYTES);
+    client.setMaxRequestHeadersSize(MAX_HEAD_BYTES);
     client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
     client.start();
     client.getContentDecoderFactories().clear();
