Heed what an engine says in the answer to another node's request

What an engine says of leaving, resting or its limit in the answer to such a request was read by the other node alone, though the engine speaks to the connection that it came over, and the answer was passed on by this node.

The node that forwards reads the notices of these answers now, and refuses as not sent what is for an engine that rests, when it comes and again when it begins to be sent. The permit of a limit is still taken by the node that asked.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -208,13 +208,22 @@
   }
 
   /**
-   * Prepares the request of another node. That node reads the notices in the answer, and has taken
-   * the permit of the engine's limit.
+   * Prepares the request of another node, which has taken the permit of the engine's limit. What
+   * the engine says in its answer holds for this node, too, since the engine hears from it.
+   *
+   * @param requestId the caller's id
    */
   Request newForwarded(
-      ServingEngine engine, String method, String path, HttpFields headers, byte[] body) {
+      ServingEngine engine,
+      String requestId,
+      String method,
+      String path,
+      HttpFields headers,
+      byte[] body) {
     serviceByAddress.put(engine.address(), engine.service());
-    return withContent(newCall(engine.address(), method, path), headers, body);
+    Request request = newCall(engine.address(), method, path);
+    noticeReader.watchForwarded(request, engine, requestId);
+    return withContent(request, headers, body);
   }
 
   private static Request withContent(Request request, HttpFields headers, byte[] body) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -125,6 +125,7 @@
     return gateway.takesRequests()
         && !engine.leaving()
         && !notices.isLeaving(engine.id())
+        && !notices.rests(engine.id(), System.nanoTime())
         && !paths.unreached().contains(engine.id())
         && present.get() < MAX_REQUESTS;
   }
@@ -226,16 +227,17 @@
 
     void send(byte[] body) {
       watched().ifPresent(endPoint -> endPoint.watch(() -> giveUp(ForwardingEnd.NODE_CLOSED)));
+      requestId = engines.protocol().readHead(0, from.request().getHeaders()).requestId();
       org.eclipse.jetty.client.Request request =
           engines.newForwarded(
               engine,
+              requestId,
               from.request().getMethod(),
               from.request().getHttpURI().getPathQuery(),
               withoutConnectionHeaders(from.request().getHeaders()),
               body);
       request.onRequestBegin(this::checkBeforeSend);
       request.onRequestBegin(sendState);
-      requestId = engines.protocol().readHead(0, from.request().getHeaders()).requestId();
       log.forwarding(requestId, engine.id());
       toEngine = request;
       request.send(this);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongPredicate;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.fallturn.core.dispatch.EngineNotices;
@@ -44,23 +45,36 @@
    * @param requestId id of the caller's request; empty for a call on this node's own behalf
    */
   void watch(Request request, ServingEngine engine, String requestId) {
+    boolean ofCaller = !requestId.isEmpty();
+    LongPredicate mayBegin =
+        now -> ofCaller ? tryTakeRequest(engine, now) : tryTakeCall(engine, now);
+    watch(request, engine, requestId, mayBegin);
+  }
+
+  /**
+   * As {@link #watch}, for a request of another node, which has taken the permit of the engine's
+   * rate limit.
+   */
+  void watchForwarded(Request request, ServingEngine engine, String requestId) {
+    watch(request, engine, requestId, now -> notices.takesRequests(engine.id(), now));
+  }
+
+  private void watch(
+      Request request, ServingEngine engine, String requestId, LongPredicate mayBegin) {
     AtomicLong sentNanos = new AtomicLong(System.nanoTime());
     request.onRequestBegin(
         begun -> {
           sentNanos.set(System.nanoTime());
-          onBegin(engine, !requestId.isEmpty(), begun);
+          withholdUnless(mayBegin, engine, begun);
         });
     request.onResponseHeaders(answer -> onHead(engine, requestId, sentNanos.get(), answer));
     request.onResponseSuccess(answer -> onComplete(engine, requestId, sentNanos.get(), answer));
   }
 
   /** A leaving engine takes no requests but still answers this node's own calls. */
-  private void onBegin(ServingEngine engine, boolean ofCaller, Request request) {
-    if (request.getAbortCause() != null) {
-      return;
-    }
-    long now = System.nanoTime();
-    if (!(ofCaller ? tryTakeRequest(engine, now) : tryTakeCall(engine, now))) {
+  private static void withholdUnless(
+      LongPredicate mayBegin, ServingEngine engine, Request request) {
+    if (request.getAbortCause() == null && !mayBegin.test(System.nanoTime())) {
       request.abort(new EngineHeldBackException(engine.id()));
     }
   }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
@@ -51,6 +52,12 @@
   /** Says that the engine has not run the request. */
   static final String NOT_EXECUTED_HEADER = "X-Not-Executed";
 
+  /** Says that the engine is about to end. */
+  static final String LEAVING_HEADER = "X-Leaving";
+
+  /** For how many seconds the engine wants no requests from the node that reads this. */
+  static final String REST_HEADER = "X-Rest";
+
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
@@ -163,8 +170,7 @@
   }
 
   /**
-   * Protocol of an engine that passes the caller's headers on, and whose answers name no request
-   * and hold no notices.
+   * Protocol of an engine that passes the caller's headers on.
    *
    * @param onHead called with the headers of each request, on the dispatch thread or, for another
    *     node's request, on the thread that sends it; and with those of each answer, on the thread
@@ -179,7 +185,7 @@
                 switch (method.getName()) {
                   case "requestHeaders" -> ownHeaders(onHead.apply((HttpFields) arguments[0]));
                   case "setTimeLeft" -> setTimeLeft(arguments);
-                  case "readNotice" -> EngineNotice.NONE;
+                  case "readNotice" -> notice((HttpFields) arguments[1]);
                   case "unknownHeaders" -> List.of();
                   case "timeLeft" -> timeLeft((HttpFields) arguments[0]);
                   case "readHead" ->
@@ -206,6 +212,17 @@
         .map(millis -> Duration.ofMillis(Long.parseLong(millis)));
   }
 
+  private static EngineNotice notice(HttpFields headers) {
+    return new EngineNotice(
+        headers.contains(LEAVING_HEADER),
+        Optional.ofNullable(headers.get(REST_HEADER))
+            .map(seconds -> Duration.ofSeconds(Long.parseLong(seconds))),
+        OptionalDouble.empty(),
+        false,
+        Optional.empty(),
+        List.of());
+  }
+
   private static EngineAnswerHead head(int status, HttpFields headers) {
     String id = headers.get(ID_HEADER);
     boolean notExecuted = headers.contains(NOT_EXECUTED_HEADER);
