Count a request that begins while another thread aborts it as sent

By reading: the HTTP client notes an abort first and carries it out a moment later. A request whose connection came up in between begins with a cause to end, and is written all the same. It counted as not sent, since whatever had a cause when it began did; so its caller could be told that it had not run ("the node ends", a content in quarantine), or it was sent again, on another node's word too. A thread that is preempted between the two steps makes the moment as long as one likes.

Only what a listener to the begin withholds counts as not sent now (WithheldException): its abort runs on the thread that would send, between two states of the client, so that nothing is written. An abort from another thread has a cause of another kind, and leaves the outcome unknown.

Class of fault: an end that was ordered is taken for an end that has happened. This one reaches requests that may not be repeated, the first meaning of the rule on requests that run twice; whether it is what the users saw is not shown: by reading, the aborts of such requests from another thread come with callers that have left, nodes that end and quarantine, and none of these sends again.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -186,7 +186,7 @@
   /** Aborts the request, if it has not ended; the attempt ends with the failure that follows. */
   void withdraw() {
     if (!ended()) {
-      abortRequest(new RequestOverException(RequestEnd.CALLER_GONE));
+      abortRequest(new CancellationException("the caller left"));
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -7,6 +7,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -255,7 +256,7 @@
       if (request == null) {
         over.complete(null);
       } else {
-        request.abort(new RequestOverException(RequestEnd.CALLER_GONE));
+        request.abort(new CancellationException(why.name()));
       }
     }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestOverException.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestOverException.java
@@ -1,7 +1,7 @@
 package org.fallturn.node.gateway;
 
 /** A request was not sent, since nobody waits for its answer any more. */
-final class RequestOverException extends Exception {
+final class RequestOverException extends WithheldException {
 
   private static final long serialVersionUID = 1L;
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
@@ -4,8 +4,9 @@
 
 /**
  * Whether a request has begun to be sent, and on which connection. Registered as the last begin
- * listener, so that a request which an earlier one withholds counts as not sent. A client thread
- * writes; any thread reads.
+ * listener, so that a request which an earlier one withholds counts as not sent. One that another
+ * thread aborts meanwhile may be sent: the client notes the abort first and carries it out later. A
+ * client thread writes; any thread reads.
  */
 final class SendState implements Request.BeginListener {
 
@@ -14,7 +15,7 @@
 
   @Override
   public void onBegin(Request begun) {
-    if (begun.getAbortCause() == null) {
+    if (!(begun.getAbortCause() instanceof WithheldException)) {
       connection = LogTexts.connection(begun);
       maybeSent = true;
     }
