Share the set-up of tests with one engine, and of streams that may be continued

OneEngineTest starts and stops the gateway and its engine; ResumableService holds the route and the directory of the two tests of stream versions.

--- a/fallturn-core/src/test/java/org/fallturn/core/streams/KilledNodesTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/KilledNodesTest.java
@@ -7,22 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.TreeMap;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.fallturn.core.domain.NetworkAddress;
-import org.fallturn.core.port.feed.StorePosition;
-import org.fallturn.core.routing.EngineDirectory;
-import org.fallturn.core.routing.EngineStage;
-import org.fallturn.core.routing.RequestKind;
-import org.fallturn.core.routing.RequestLimits;
-import org.fallturn.core.routing.Route;
-import org.fallturn.core.routing.RoutingImage;
-import org.fallturn.core.routing.ServingEngine;
-import org.fallturn.core.routing.WeightedService;
 
 /**
  * Guards against a stream that goes on at another software version than the one that began it. The
@@ -31,7 +20,7 @@
  */
 class KilledNodesTest {
 
-  private static final String SERVICE = "llm";
+  private static final String SERVICE = ResumableService.NAME;
   private static final List<String> SERVICES = List.of(SERVICE);
   private static final long STEP = Duration.ofMillis(20).toNanos();
   private static final int NODES = 5;
@@ -62,47 +51,6 @@
     assertThat(fleet.continued).as("of %d", fleet.asked).isGreaterThan(fleet.asked / 3);
   }
 
-  private static RoutingImage routing() {
-    Duration second = Duration.ofSeconds(1);
-    List<WeightedService> services = List.of(new WeightedService(SERVICE, 1));
-    Route route =
-        new Route(
-            "route",
-            "host",
-            "/",
-            RequestKind.STREAMING,
-            true,
-            second,
-            second,
-            second,
-            second,
-            1,
-            2,
-            services);
-    return new RoutingImage(
-        new StorePosition(1, 1), 1, List.of(route), List.of(), RequestLimits.defaults());
-  }
-
-  private static EngineDirectory directory(List<String> versions) {
-    List<ServingEngine> engines = versions.stream().map(KilledNodesTest::engine).toList();
-    return EngineDirectory.of(1, engines);
-  }
-
-  private static ServingEngine engine(String version) {
-    return new ServingEngine(
-        "d-" + version,
-        OptionalLong.empty(),
-        SERVICE,
-        version,
-        new NetworkAddress("10.0.0.1", 1),
-        "zone-1",
-        8,
-        false,
-        Optional.empty(),
-        false,
-        EngineStage.DECODE);
-  }
-
   /** A node, from a start to its end; {@code listed} is the directory as it knows it. */
   private static final class Node {
 
@@ -112,7 +60,7 @@
     private boolean inContact = true;
 
     Node(List<String> listed, long step) {
-      tracker.setRouting(routing());
+      tracker.setRouting(ResumableService.routing());
       tracker.setContact(() -> inContact);
       onDirectory(listed, step);
     }
@@ -121,7 +69,7 @@
       listed.forEach(version -> leftAt.putIfAbsent(version, step));
       now.forEach(leftAt::remove);
       listed = now;
-      tracker.onDirectory(directory(now), step * STEP);
+      tracker.onDirectory(ResumableService.directory(now), step * STEP);
     }
 
     /** The versions at whose engines it may begin a stream. */
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -7,21 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.fallturn.core.domain.NetworkAddress;
-import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.routing.EngineDirectory;
-import org.fallturn.core.routing.EngineStage;
-import org.fallturn.core.routing.RequestKind;
-import org.fallturn.core.routing.RequestLimits;
-import org.fallturn.core.routing.Route;
-import org.fallturn.core.routing.RoutingImage;
-import org.fallturn.core.routing.ServingEngine;
-import org.fallturn.core.routing.WeightedService;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +21,7 @@
  */
 class StreamTrackerTest {
 
-  private static final String SERVICE = "llm";
+  private static final String SERVICE = ResumableService.NAME;
   private static final List<String> SERVICES = List.of(SERVICE);
   private static final long LIFETIME = Duration.ofSeconds(10).toNanos();
   private static final StreamOrigin OLD_STREAM =
@@ -42,48 +32,12 @@
 
   @BeforeEach
   void configure() {
-    tracker.setRouting(routing());
+    tracker.setRouting(ResumableService.routing());
     tracker.setContact(() -> inContact);
   }
 
-  private static RoutingImage routing() {
-    Duration second = Duration.ofSeconds(1);
-    Route route =
-        new Route(
-            "route",
-            "host",
-            "/",
-            RequestKind.STREAMING,
-            true,
-            second,
-            second,
-            second,
-            second,
-            1,
-            2,
-            List.of(new WeightedService(SERVICE, 1)));
-    return new RoutingImage(
-        new StorePosition(1, 1), 1, List.of(route), List.of(), RequestLimits.defaults());
-  }
-
   private static EngineDirectory directory(String... versions) {
-    List<ServingEngine> engines = new ArrayList<>();
-    for (String version : versions) {
-      engines.add(
-          new ServingEngine(
-              "d-" + version,
-              OptionalLong.empty(),
-              SERVICE,
-              version,
-              new NetworkAddress("10.0.0.1", 1),
-              "zone-1",
-              8,
-              false,
-              Optional.empty(),
-              false,
-              EngineStage.DECODE));
-    }
-    return EngineDirectory.of(1, engines);
+    return ResumableService.directory(List.of(versions));
   }
 
   private Optional<String> find(StreamOrigin stream, long nowNanos) {
@@ -159,7 +113,7 @@
   @Test
   void versionThatOnlyOthersListedExpiresHoweverOftenNodesReport() {
     StreamTracker other = new StreamTracker();
-    other.setRouting(routing());
+    other.setRouting(ResumableService.routing());
     tracker.onDirectory(directory("v2"), 0);
     other.onDirectory(directory("v2"), 0);
     Map<String, Integer> seen = Map.of("v2", 0, "v1", 0);
@@ -221,7 +175,7 @@
 
     private void start(int node) {
       StreamTracker started = new StreamTracker();
-      started.setRouting(routing());
+      started.setRouting(ResumableService.routing());
       started.onDirectory(directory(listed.toArray(String[]::new)), now * STEP);
       trackers.set(node, started);
     }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/BodyMemoryTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/BodyMemoryTest.java
@@ -6,11 +6,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -18,32 +16,17 @@
  * kept the bytes of all of them, and bounded only those that were whole, until its memory ran out
  * in the middle of one that nobody then answered.
  */
-class BodyMemoryTest {
+class BodyMemoryTest extends OneEngineTest {
 
-  private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final int LARGE_BODY = 4_000_000;
 
   /** Together over the memory for bodies of a node. */
   private static final int MANY = 20;
 
-  private RawEngine engine;
-  private GatewayServer gateway;
   private final List<Socket> callers = new ArrayList<>();
 
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
   @AfterEach
-  void stop() throws Exception {
-    leave();
-    gateway.close();
-    engine.close();
-  }
-
-  private void leave() throws IOException {
+  void leave() throws IOException {
     for (Socket caller : callers) {
       caller.close();
     }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
@@ -6,8 +6,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -15,9 +13,8 @@
  * head, or before the end that the head announces, and closed or reset the connection; sent
  * directly and through another node.
  */
-class CutHeadTest {
+class CutHeadTest extends OneEngineTest {
 
-  private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final Duration POLL = Duration.ofMillis(2);
   private static final String ID = OneEngineGateway.ID_HEADER + ": %s\r\n";
   private static final String WITH_LENGTH =
@@ -30,27 +27,12 @@
   private static final String WITHOUT_LENGTH =
       "HTTP/1.1 200 OK\r\nConnection: close\r\n" + ID + "\r\n";
 
-  private RawEngine engine;
-  private GatewayServer gateway;
-
   /** How an engine ends a connection. */
   private enum Cut {
     CLOSED,
     RESET
   }
 
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
-
   /** Cuts an answer before its end, behind each byte; nothing of it may reach the caller. */
   private void cutEverywhere(String answer, Cut cut, boolean forwarded) throws Exception {
     for (int bytes = 0; bytes < String.format(answer, "id-00").length(); bytes++) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EndlessAnswerTest.java
@@ -7,39 +7,19 @@
 import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against a node whose memory a broken engine fills: the head, a failure's body or an event
  * of its answer goes on until the node closes the connection.
  */
-class EndlessAnswerTest {
-
-  private static final Duration LONGEST = Duration.ofSeconds(20);
+class EndlessAnswerTest extends OneEngineTest {
 
   /** Far more than a node may keep of one answer, and than the sockets between hold. */
   private static final int ENDLESS_BYTES = 64 << 20;
 
   private static final String PIECE = "X-A: " + "a".repeat(8_000) + "\r\n";
 
-  private RawEngine engine;
-  private GatewayServer gateway;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
-
   /** Sends a request, begins to answer it and goes on; returns the status line for the caller. */
   private String statusAfter(String begin) throws Exception {
     try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), "a", "", 0)) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/ForwardedNoticeTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/ForwardedNoticeTest.java
@@ -4,9 +4,6 @@
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
-import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -15,30 +12,13 @@
  * leaves, in the answer to a request that the node sent for another one: what such an answer says
  * was left to the other node, whose connection it is not.
  */
-class ForwardedNoticeTest {
-
-  private static final Duration LONGEST = Duration.ofSeconds(20);
+class ForwardedNoticeTest extends OneEngineTest {
 
   /** Longer than the test. */
   private static final String REST = OneEngineGateway.REST_HEADER + ": 600\r\n";
 
   private static final String LEAVES = OneEngineGateway.LEAVING_HEADER + ": 1\r\n";
 
-  private RawEngine engine;
-  private GatewayServer gateway;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
-
   /** Has a request forwarded, whose refusal holds a notice. */
   private void refuse(String notice) throws Exception {
     try (Socket node = OneEngineGateway.forward(gateway, "e-1", "first", "")) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/InterimAnswerTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/InterimAnswerTest.java
@@ -4,9 +4,6 @@
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
-import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -16,28 +13,12 @@
  * answer (1xx) and closes the connection before the end of the final head, which the HTTP client
  * does not notice.
  */
-class InterimAnswerTest {
+class InterimAnswerTest extends OneEngineTest {
 
-  private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
   private static final String FINAL =
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n" + OneEngineGateway.ID_HEADER + ": r\r\n\r\nok";
 
-  private RawEngine engine;
-  private GatewayServer gateway;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
-
   /** Returns the status of the answer when the engine has sent these bytes and closed. */
   private String statusAfter(String bytes) throws Exception {
     try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), "r", "", 0)) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/LargeHeadTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/LargeHeadTest.java
@@ -4,37 +4,17 @@
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
-import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
  * Guards against a request that never reaches an engine though its head is within the limit: the
  * head was longer than a buffer of the HTTP client, and its failure counted against the engine.
  */
-class LargeHeadTest {
-
-  private static final Duration LONGEST = Duration.ofSeconds(20);
+class LargeHeadTest extends OneEngineTest {
 
   /** Longer than a buffer, and within the limit on heads. */
   private static final String LARGE = "X-Large: " + "h".repeat(11_000) + "\r\n";
 
-  private RawEngine engine;
-  private GatewayServer gateway;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
-
   private void assertServed(Socket caller, String id) throws Exception {
     await().atMost(LONGEST).until(() -> engine.got(id));
     assertThat("X-Large: " + engine.headerOf(id, "X-Large") + "\r\n").isEqualTo(LARGE);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/UnnamedRefusalTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/UnnamedRefusalTest.java
@@ -4,9 +4,6 @@
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
-import java.time.Duration;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -14,24 +11,7 @@
  * engine sends more bytes after an answer, which look like a refusal but name no request, and they
  * were taken for the answer to the next request on the connection.
  */
-class UnnamedRefusalTest {
-
-  private static final Duration LONGEST = Duration.ofSeconds(20);
-
-  private RawEngine engine;
-  private GatewayServer gateway;
-
-  @BeforeEach
-  void start() throws Exception {
-    engine = new RawEngine();
-    gateway = OneEngineGateway.start(engine, headers -> headers);
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    gateway.close();
-    engine.close();
-  }
+class UnnamedRefusalTest extends OneEngineTest {
 
   /** Sends a request that may not be repeated; returns the status that its caller gets. */
   private String statusAfter(String refusal) throws Exception {
