--- a/fallturn-core/src/test/java/org/fallturn/core/streams/KilledNodesTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/KilledNodesTest.java
@@ -37,15 +37,15 @@
 
   @Property(tries = 30, seed = "95")
   void streamIsContinuedAtItsOwnVersionThoughEnginesServeOnWithoutAnEntry(@ForAll Random random) {
-    Fleet fleet = new Fleet(random, false);
-    fleet.run();
-    assertThat(fleet.wrong).isEmpty();
-    assertThat(fleet.continued).as("of %d", fleet.asked).isGreaterThan(fleet.asked / 3);
+    assertContinuedAtOwnVersion(new Fleet(random, false));
   }
 
   @Property(tries = 30, seed = "95")
   void streamIsContinuedAtItsOwnVersionThoughSomeNodesSeeNoChanges(@ForAll Random random) {
-    Fleet fleet = new Fleet(random, true);
+    assertContinuedAtOwnVersion(new Fleet(random, true));
+  }
+
+  private static void assertContinuedAtOwnVersion(Fleet fleet) {
     fleet.run();
     assertThat(fleet.wrong).isEmpty();
     assertThat(fleet.continued).as("of %d", fleet.asked).isGreaterThan(fleet.asked / 3);
