--- /dev/null
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEnd.java
@@ -0,0 +1,11 @@
+package org.fallturn.node.gateway;
+
+/** How it is known that an answer has ended, as far as it is. */
+enum AnswerEnd {
+  /** No answer has come to an end. */
+  NONE,
+  /** The answer told its length, or its end. */
+  MARKED,
+  /** The answer ended with its connection, and nothing else told its end. */
+  UNMARKED
+}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -60,6 +60,7 @@
   private volatile boolean endIsMarked;
   private volatile boolean signOfLife;
   private volatile RunEnd runEnd = RunEnd.ABORT_ORDERED;
+  private volatile AnswerEnd answerEnd = AnswerEnd.NONE;
   private volatile ForwardingResult forwardingResult = ForwardingResult.ANSWERED;
   private final Optional<NetworkAddress> forwarder;
   private final int sendNumber;
@@ -143,6 +144,11 @@
     return maybeSent() ? runEnd : RunEnd.NOT_SENT;
   }
 
+  /** How it is known that the engine's answer has ended. */
+  AnswerEnd answerEnd() {
+    return answerEnd;
+  }
+
   /** Whether the attempt has ended. */
   boolean ended() {
     return state.ended();
@@ -319,6 +325,9 @@
   @Override
   public void onComplete(Result result) {
     runEnd = endOf(result);
+    if (runEnd == RunEnd.ANSWERED) {
+      answerEnd = endIsMarked ? AnswerEnd.MARKED : AnswerEnd.UNMARKED;
+    }
     forwardedRun.ifPresent(run -> run.onCallEnded(runEnd()));
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -87,13 +87,14 @@
     return exchange.attempt().map(attempt -> withAttempt(line, attempt)).orElse(line);
   }
 
-  /** Adds where an attempt was sent, whether it was, and how its run is known to be over. */
+  /** Adds where an attempt was sent, whether it was, and how run and answer are known to be over. */
   static LoggingEventBuilder withAttempt(LoggingEventBuilder line, EngineAttempt attempt) {
     return line.addKeyValue("engine", attempt.call().engine().id())
         .addKeyValue("send", attempt.sendNumber())
         .addKeyValue("through", attempt.forwarder().map(Object::toString).orElse(""))
         .addKeyValue("connection", attempt.connection())
         .addKeyValue("sent", attempt.maybeSent())
-        .addKeyValue("runEnd", attempt.runEnd());
+        .addKeyValue("runEnd", attempt.runEnd())
+        .addKeyValue("answerEnd", attempt.answerEnd());
   }
 }
