Confirm that an engine runs before an answer without an end counts as whole

Callers got a stream with its last chunk, as if it were whole, though its engine had been killed between two events; so did callers of a long or short body without a length, which ended wherever the process died.

Cause: an answer with neither a length nor chunks ends with its connection, and the end of a connection was taken for a fact about the answer. The kernel of a process that was killed closes its connections in an orderly way, as the process itself would. The class: the end of a connection is taken for the end of what went over it.

Change: such an answer is ended once its engine has answered a call that began after the connection had ended: for its report, on an open connection, and again on a new one where nothing comes, since open connections may be silent. Otherwise it has broken off: a stream that may be resumed goes on after its last event elsewhere, anything else is not shown as whole. A node that forwards does the same before it ends the answer to the other node, and says so, since the other one may not reach the engine; the answer of a node of an earlier build is checked by the one that asked. Answers that tell their end are ended as before, without a call. A success or a failure is treated alike; what says that nothing ran, and what is never passed on, is not checked.

Why it holds: a process that is gone answers nothing, whatever its kernel has sent; and an answer to a call that began after the end can only come from a process that lived on.

Not covered: an engine that asked this node for rest is not called, so that its answer without an end counts as broken off.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEnd.java
@@ -6,6 +6,8 @@
   NONE,
   /** The answer told its length, or its end. */
   MARKED,
-  /** The answer ended with its connection, and nothing else told its end. */
-  UNMARKED
+  /** The answer ended with its connection, and its engine was heard after that. */
+  CONFIRMED,
+  /** The answer ended with its connection, and its engine may have ended with it. */
+  NOT_CONFIRMED
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -440,7 +440,7 @@
   }
 
   private void send(Exchange exchange, EngineCall call, AttemptTimeout timeout) {
-    EngineAttempt attempt = new EngineAttempt(exchange, call, engines.protocol(), timeout);
+    EngineAttempt attempt = new EngineAttempt(exchange, call, engines, timeout);
     exchange.setAttempt(attempt);
     engines.send(exchange, attempt);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
@@ -47,6 +48,7 @@
   private final Exchange exchange;
   private final EngineCall call;
   private final EngineProtocol protocol;
+  private final AnswerEndCheck endCheck;
   private final AttemptState state = new AttemptState();
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
@@ -58,6 +60,7 @@
   private volatile HttpFields headers;
   private volatile boolean streamed;
   private volatile boolean endIsMarked;
+  private volatile boolean endIsConfirmedByForwarder;
   private volatile boolean signOfLife;
   private volatile RunEnd runEnd = RunEnd.ABORT_ORDERED;
   private volatile AnswerEnd answerEnd = AnswerEnd.NONE;
@@ -68,11 +71,11 @@
   private boolean cancelled;
   private boolean beganPosted;
 
-  EngineAttempt(
-      Exchange exchange, EngineCall call, EngineProtocol protocol, AttemptTimeout timeout) {
+  EngineAttempt(Exchange exchange, EngineCall call, EngineClient engines, AttemptTimeout timeout) {
     this.exchange = exchange;
     this.call = call;
-    this.protocol = protocol;
+    this.protocol = engines.protocol();
+    this.endCheck = engines.answerEndCheck();
     this.timeout = timeout;
     this.forwarder = exchange.progress().forwarder();
     this.sendNumber = exchange.progress().runSends() + exchange.progress().prefillAttempts();
@@ -211,8 +214,10 @@
   @Override
   public void onHeaders(Response response) {
     headers = response.getHeaders();
-    endIsMarked = endIsMarked(headers);
+    endIsMarked = endIsMarked(response);
     if (forwarder.isPresent()) {
+      endIsConfirmedByForwarder =
+          headers.contains(ForwardingHeaders.END_UNMARKED, ForwardingHeaders.CONFIRMED_BEFORE_END);
       forwardingResult = ForwardingResult.of(response.getStatus(), headers);
       headers =
           HttpFields.build(headers)
@@ -232,13 +237,16 @@
   }
 
   /**
-   * Whether an answer tells its end. Otherwise it ends with the connection of the engine, and the
-   * answer of an engine that crashes may look complete.
+   * Whether an answer tells its end. Otherwise it ends with the connection of the engine, which
+   * also ends when the engine crashes.
    */
-  static boolean endIsMarked(HttpFields headers) {
+  static boolean endIsMarked(Response response) {
+    HttpFields headers = response.getHeaders();
     boolean delimited =
         headers.contains(HttpHeader.CONTENT_LENGTH)
-            || headers.contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+            || headers.contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString())
+            || HttpStatus.hasNoBody(response.getStatus())
+            || HttpMethod.HEAD.is(response.getRequest().getMethod());
     return delimited && !headers.contains(ForwardingHeaders.END_UNMARKED);
   }
 
@@ -325,10 +333,40 @@
   @Override
   public void onComplete(Result result) {
     runEnd = endOf(result);
-    if (runEnd == RunEnd.ANSWERED) {
-      answerEnd = endIsMarked ? AnswerEnd.MARKED : AnswerEnd.UNMARKED;
-    }
     forwardedRun.ifPresent(run -> run.onCallEnded(runEnd()));
+    if (needsEndCheck()) {
+      endCheck.check(call.engine(), end -> complete(result, end));
+    } else {
+      complete(result, endWithoutCheck());
+    }
+  }
+
+  private AnswerEnd endWithoutCheck() {
+    if (runEnd != RunEnd.ANSWERED) {
+      return AnswerEnd.NONE;
+    }
+    if (endIsMarked) {
+      return AnswerEnd.MARKED;
+    }
+    return endIsConfirmedByForwarder ? AnswerEnd.CONFIRMED : AnswerEnd.NOT_CONFIRMED;
+  }
+
+  /** Whether the answer would be relayed as a whole one, though it may have broken off. */
+  private boolean needsEndCheck() {
+    return endWithoutCheck() == AnswerEnd.NOT_CONFIRMED
+        && !ended()
+        && !call.prefillOnly()
+        && !saysNotRun()
+        && !breaksOffVisibly(state.relaying());
+  }
+
+  /** Whether a stream ends inside an event, or with its connection before its first event. */
+  private boolean breaksOffVisibly(boolean relaying) {
+    return streamed && (framer.hasPartialEvent() || !relaying && !endIsMarked);
+  }
+
+  private void complete(Result result, AnswerEnd end) {
+    answerEnd = end;
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
       postGivenUp();
@@ -343,11 +381,13 @@
       fail(outcomeOfFailure(before, result));
       return;
     }
-    if (before == AttemptState.Phase.RELAYING || streamed) {
+    if (end == AnswerEnd.NOT_CONFIRMED && !call.prefillOnly() && !saysNotRun()) {
+      fail(outcomeOfBreak(before));
+    } else if (before == AttemptState.Phase.RELAYING || streamed) {
       finishRelay(before);
-      return;
+    } else {
+      finishBuffered();
     }
-    finishBuffered();
   }
 
   private RunEnd endOf(Result result) {
@@ -374,20 +414,26 @@
     return maybeSent() ? AttemptOutcome.LOST : AttemptOutcome.NOT_SENT;
   }
 
-  /** A stream that ends with its connection before its first event has broken off. */
   private void finishRelay(AttemptState.Phase before) {
-    boolean empty = before != AttemptState.Phase.RELAYING && !endIsMarked;
-    if (streamed && (framer.hasPartialEvent() || empty)) {
-      fail(
-          before == AttemptState.Phase.RELAYING
-              ? AttemptOutcome.BROKEN_MIDWAY
-              : AttemptOutcome.LOST);
+    if (breaksOffVisibly(before == AttemptState.Phase.RELAYING)) {
+      fail(outcomeOfBreak(before));
       return;
     }
     exchange.beginStreamedAnswer(head.status(), protocol.answerHeaders(headers));
     exchange.endAnswer(this);
   }
 
+  private static AttemptOutcome outcomeOfBreak(AttemptState.Phase before) {
+    return before == AttemptState.Phase.RELAYING
+        ? AttemptOutcome.BROKEN_MIDWAY
+        : AttemptOutcome.LOST;
+  }
+
+  /** Whether the answer says that nothing ran, which its head alone tells. */
+  private boolean saysNotRun() {
+    return head.notExecuted() || head.status() == HttpStatus.MISDIRECTED_REQUEST_421;
+  }
+
   private void finishBuffered() {
     if (head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
       fail(AttemptOutcome.MISDIRECTED);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -66,6 +66,7 @@
   private final ForwardedRequests forwarded;
   private final DecisionLog log;
   private final NoticeReader noticeReader;
+  private final AnswerEndCheck answerEndCheck = new AnswerEndCheck(this);
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
   private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
@@ -94,6 +95,11 @@
     return protocol;
   }
 
+  /** Finds out whether answers that do not tell their end are whole. */
+  AnswerEndCheck answerEndCheck() {
+    return answerEndCheck;
+  }
+
   /** Updates how many connections the engines of each service accept. */
   void setServices(RoutingImage image) {
     image
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -220,6 +220,7 @@
     private final SendState sendState = new SendState();
     private volatile String requestId = "";
     private boolean answerBegun;
+    private boolean endIsMarked;
 
     ForwardedRequest(ServingEngine engine, HandlerArguments from) {
       this.engine = engine;
@@ -305,8 +306,11 @@
             .getHeaders()
             .put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
       }
-      if (!EngineAttempt.endIsMarked(answer.getHeaders())) {
-        from.response().getHeaders().put(ForwardingHeaders.END_UNMARKED, "1");
+      endIsMarked = EngineAttempt.endIsMarked(answer);
+      if (!endIsMarked) {
+        from.response()
+            .getHeaders()
+            .put(ForwardingHeaders.END_UNMARKED, ForwardingHeaders.CONFIRMED_BEFORE_END);
       }
     }
 
@@ -324,6 +328,18 @@
     @Override
     public void onComplete(Result result) {
       ForwardingResult outcome = outcome(result);
+      if (outcome == ForwardingResult.ANSWERED && !endIsMarked) {
+        engines
+            .answerEndCheck()
+            .check(
+                engine,
+                end -> complete(end == AnswerEnd.CONFIRMED ? outcome : ForwardingResult.LOST));
+      } else {
+        complete(outcome);
+      }
+    }
+
+    private void complete(ForwardingResult outcome) {
       watched().ifPresent(WatchedEndPoint::unwatch);
       log.forwarded(requestId, engine.id(), sendState.connection(), outcome, givenUp);
       if (outcome == ForwardingResult.ANSWERED) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingHeaders.java
@@ -19,9 +19,14 @@
   static final String RESULT = "Fallturn-Forward-Result";
 
   /**
-   * Answer header: the engine's answer ended with its connection, and nothing else told its end.
+   * Answer header: the engine's answer ends with its connection, and nothing else tells its end.
+   * The value is {@link #CONFIRMED_BEFORE_END} where the node that forwards ends the answer only
+   * once it has confirmed that it is whole; earlier builds do not.
    */
   static final String END_UNMARKED = "Fallturn-Forward-End-Unmarked";
 
+  /** Value of {@link #END_UNMARKED}. */
+  static final String CONFIRMED_BEFORE_END = "confirmed";
+
   private ForwardingHeaders() {}
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -87,7 +87,9 @@
     return exchange.attempt().map(attempt -> withAttempt(line, attempt)).orElse(line);
   }
 
-  /** Adds where an attempt was sent, whether it was, and how run and answer are known to be over. */
+  /**
+   * Adds where an attempt was sent, whether it was, and how run and answer are known to be over.
+   */
   static LoggingEventBuilder withAttempt(LoggingEventBuilder line, EngineAttempt attempt) {
     return line.addKeyValue("engine", attempt.call().engine().id())
         .addKeyValue("send", attempt.sendNumber())
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -2,14 +2,18 @@
 
 import static org.awaitility.Awaitility.await;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.reflect.Proxy;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
@@ -58,6 +62,12 @@
   /** For how many seconds the engine wants no requests from the node that reads this. */
   static final String REST_HEADER = "X-Rest";
 
+  /** Where an engine is asked for its report, which {@link RawEngine} answers while it runs. */
+  static final String REPORT_PATH = "/report";
+
+  /** Names the engine that a report is asked of. */
+  static final String ENGINE_HEADER = "X-Engine";
+
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
@@ -111,11 +121,23 @@
    */
   static GatewayServer start(
       RequestKind kind, UnaryOperator<HttpFields> onHead, RawEngine... engines) throws Exception {
+    return start(kind, false, onHead, engines);
+  }
+
+  /**
+   * As above, for streams that another engine may continue, or may not.
+   *
+   * @param resumable whether it may
+   */
+  static GatewayServer start(
+      RequestKind kind, boolean resumable, UnaryOperator<HttpFields> onHead, RawEngine... engines)
+      throws Exception {
     List<ServingEngine> listed =
         IntStream.rangeClosed(1, engines.length)
             .mapToObj(number -> engine("e-" + number, engines[number - 1].address()))
             .toList();
-    GatewayServer gateway = new GatewayServer(settings(), platform(kind, listed, engines(onHead)));
+    GatewayServer gateway =
+        new GatewayServer(settings(), platform(kind, resumable, listed, engines(onHead)));
     gateway.start();
     await().atMost(START).until(gateway::ready);
     return gateway;
@@ -154,6 +176,19 @@
         0);
   }
 
+  /** Reads all that comes until the node closes the connection, or resets it. */
+  static String readToEnd(Socket caller) {
+    ByteArrayOutputStream read = new ByteArrayOutputStream();
+    try {
+      caller.getInputStream().transferTo(read);
+    } catch (SocketTimeoutException e) {
+      throw new UncheckedIOException("the node did not end the answer", e);
+    } catch (IOException e) {
+      // The node reset the connection.
+    }
+    return read.toString(StandardCharsets.UTF_8);
+  }
+
   /** Reads the begin of an answer: version and status. */
   static String readStatus(Socket caller) throws IOException {
     byte[] status = caller.getInputStream().readNBytes("HTTP/1.1 502".length());
@@ -191,6 +226,11 @@
                   case "readHead" ->
                       head((int) arguments[0], onHead.apply((HttpFields) arguments[1]));
                   case "answerHeaders" -> HttpFields.build();
+                  case "reportPath" -> REPORT_PATH;
+                  case "addresseeHeaders" ->
+                      HttpFields.build().put(ENGINE_HEADER, ((ServingEngine) arguments[0]).id());
+                  case "readReport" ->
+                      new EngineReport(EngineStage.NONE, false, 0, OptionalLong.empty());
                   default -> null;
                 });
   }
@@ -286,20 +326,20 @@
     public void remove(RequestFingerprint content) {}
   }
 
-  private static RoutingImage routing(RequestKind kind) {
+  private static RoutingImage routing(RequestKind kind, boolean resumable) {
     Route route =
         new Route(
             "route",
             "host",
             "/",
             kind,
-            false,
+            resumable,
             DEADLINE,
             DEADLINE,
             Duration.ZERO,
             DEADLINE,
             0,
-            kind == RequestKind.NON_IDEMPOTENT ? 1 : MAX_ATTEMPTS,
+            kind == RequestKind.IDEMPOTENT || resumable ? MAX_ATTEMPTS : 1,
             List.of(new WeightedService("app", 1)));
     return new RoutingImage(
         at(1),
@@ -333,17 +373,17 @@
 
   /** Adapters for the only engine. */
   static GatewayPlatform platform(NetworkAddress address, EngineProtocol engines) {
-    return platform(RequestKind.NON_IDEMPOTENT, List.of(engine(address)), engines);
+    return platform(RequestKind.NON_IDEMPOTENT, false, List.of(engine(address)), engines);
   }
 
   private static GatewayPlatform platform(
-      RequestKind kind, List<ServingEngine> listed, EngineProtocol engines) {
+      RequestKind kind, boolean resumable, List<ServingEngine> listed, EngineProtocol engines) {
     return new GatewayPlatform(
         callers(),
         engines,
         http -> new FixedRows(1),
         row -> true,
-        row -> routing(kind),
+        row -> routing(kind, resumable),
         http -> new FixedRows(listed.size()),
         row -> listed.get(Integer.parseInt(row.key())),
         http -> null,
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -16,13 +16,14 @@
 
 /**
  * An engine that keeps the bytes of each connection as they come, and answers only when the test
- * does. Thread-safe.
+ * does, but for calls for its report. Thread-safe.
  */
 final class RawEngine implements AutoCloseable {
 
   private final ServerSocket server = new ServerSocket();
   private final List<Connection> connections = new CopyOnWriteArrayList<>();
   private final CountDownLatch reads;
+  private volatile String reportAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
 
   /** An engine that reads whatever comes. */
   RawEngine() throws IOException {
@@ -69,6 +70,7 @@
       InputStream in = connection.socket.getInputStream();
       for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
         connection.append(buffer, read);
+        answerReport(connection, new String(buffer, 0, read, StandardCharsets.ISO_8859_1));
       }
     } catch (IOException | InterruptedException e) {
       // The node closed the connection.
@@ -76,6 +78,25 @@
     connection.ended = true;
   }
 
+  /** A call for its report comes in one piece, since it is short and has no body. */
+  private void answerReport(Connection connection, String read) {
+    if (!read.startsWith("GET " + OneEngineGateway.REPORT_PATH + " ")) {
+      return;
+    }
+    if (!connection.muted && !reportAnswer.isEmpty()) {
+      connection.send(reportAnswer);
+    }
+  }
+
+  /**
+   * Answers calls for its report differently from now on.
+   *
+   * @param answer the whole answer; empty to stay silent
+   */
+  void answerReportsWith(String answer) {
+    reportAnswer = answer;
+  }
+
   NetworkAddress address() {
     return new NetworkAddress("127.0.0.1", server.getLocalPort());
   }
@@ -133,6 +154,7 @@
     private final Socket socket;
     private final StringBuffer received = new StringBuffer();
     private volatile boolean ended;
+    private volatile boolean muted;
 
     private Connection(Socket socket) {
       this.socket = socket;
@@ -173,6 +195,11 @@
       return ended;
     }
 
+    /** Answers no calls for the engine's report over it from now on. */
+    void mute() {
+      muted = true;
+    }
+
     /** Sends bytes as they are. */
     void send(String text) {
       try {
