End a request on which the dispatch thread fails, and that one alone

Callers waited for their deadline: an exception on the dispatch thread, by one input of one request, left that request without a decision, and the others of the same step too, since the requests that begin, wait or are withdrawn together are taken from their lists before the first of them is handled. A request that failed at each tick would have ended the whole node after two seconds.

Change: RequestSteps carries out a step for each request and goes on after a fault; the fault is then thrown as before, so that it is logged and counted (DUTY_FAILED).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -65,6 +66,7 @@
   private final PeerMessenger peers;
   private final Set<Exchange> active = new HashSet<>();
   private final PendingRequestTerminator terminator;
+  private final RequestSteps steps = new RequestSteps(this::endAfterFault);
   private final CacheSurvey survey;
   private final Consumer<StageChange> stageChanges;
   private final QuarantineActions quarantineActions;
@@ -126,10 +128,33 @@
     }
   }
 
+  /** A fault of one request's event ends that request. */
   @Override
   public void onEvent(DispatchEvent event) {
     long now = System.nanoTime();
     applyNotices(now);
+    try {
+      apply(event, now);
+    } catch (RuntimeException fault) {
+      if (event instanceof DispatchEvent.OfRequest ofRequest) {
+        terminator.onUnhandledEvent(event);
+        endAfterFault(ofRequest.exchange());
+      }
+      throw fault;
+    }
+  }
+
+  /** A request whose answer is being relayed is left to the events that follow. */
+  private void endAfterFault(Exchange exchange) {
+    terminator.terminate(exchange);
+    if (exchange.isCompleted() && active.remove(exchange)) {
+      waitingForEngine.remove(exchange.progress());
+      runs.onEnded(exchange, System.nanoTime());
+      dispatcher.onAbandoned(exchange.progress(), System.nanoTime());
+    }
+  }
+
+  private void apply(DispatchEvent event, long now) {
     if (event instanceof DispatchEvent.Arrived arrived) {
       onArrived(arrived.exchange(), now);
     } else if (event instanceof DispatchEvent.Prefilled prefilled) {
@@ -270,7 +295,7 @@
     }
     List<Exchange> due = List.copyOf(waitingForCacheLists);
     waitingForCacheLists.clear();
-    due.stream().filter(active::contains).forEach(exchange -> start(exchange, now));
+    steps.forEach(due.stream().filter(active::contains).toList(), exchange -> start(exchange, now));
   }
 
   private void startThoseWithOrigin(long now) {
@@ -283,7 +308,7 @@
             .filter(waiting -> !dispatcher.resumedStreams().awaitsOrigin(waiting.progress(), now))
             .toList();
     waitingForOrigin.removeAll(due);
-    due.forEach(exchange -> start(exchange, now));
+    steps.forEach(due, exchange -> start(exchange, now));
   }
 
   private void onPrefilled(DispatchEvent.Prefilled event, long now) {
@@ -407,13 +432,19 @@
   }
 
   private void resumeWaiting(List<EndedWait> ended, long now) {
+    Map<Exchange, Decision> decisions = new LinkedHashMap<>();
     for (EndedWait end : ended) {
       Exchange exchange = waitingForEngine.remove(end.progress());
       if (exchange != null) {
-        log.waited(exchange, now);
-        execute(exchange, end.decision(), now);
+        decisions.put(exchange, end.decision());
       }
     }
+    steps.forEach(
+        decisions.keySet(),
+        exchange -> {
+          log.waited(exchange, now);
+          execute(exchange, decisions.get(exchange), now);
+        });
   }
 
   private static EngineCall call(
@@ -472,15 +503,17 @@
    * they would crash their engines too.
    */
   private void withdrawCopies(RequestFingerprint content, long now) {
-    for (Exchange exchange : Set.copyOf(active)) {
-      EngineAttempt attempt = exchange.attempt().orElse(null);
-      RequestContent own = exchange.progress().content();
-      boolean copy = own.has(content) && dispatcher.quarantine().isHeldBack(own);
-      if (copy && attempt != null && attempt.cancel("its content is in quarantine")) {
-        AttemptOutcome outcome =
-            attempt.maybeSent() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
-        onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
-      }
+    steps.forEach(active, exchange -> withdrawCopy(exchange, content, now));
+  }
+
+  private void withdrawCopy(Exchange exchange, RequestFingerprint content, long now) {
+    EngineAttempt attempt = exchange.attempt().orElse(null);
+    RequestContent own = exchange.progress().content();
+    boolean copy = own.has(content) && dispatcher.quarantine().isHeldBack(own);
+    if (copy && attempt != null && attempt.cancel("its content is in quarantine")) {
+      AttemptOutcome outcome =
+          attempt.maybeSent() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
+      onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
     }
   }
 
@@ -488,13 +521,7 @@
   public void onTick() {
     long now = System.nanoTime();
     applyNotices(now);
-    for (Exchange exchange : Set.copyOf(active)) {
-      if (exchange.envelope().remainingNanos(now) <= 0) {
-        onDeadlineExceeded(exchange, now);
-      } else {
-        checkTimeout(exchange, now);
-      }
-    }
+    steps.forEach(active, exchange -> checkTime(exchange, now));
     startDelayed(now);
     resumeWaiting(now);
     reportSignsOfLife(now);
@@ -542,6 +569,14 @@
     }
   }
 
+  private void checkTime(Exchange exchange, long now) {
+    if (exchange.envelope().remainingNanos(now) <= 0) {
+      onDeadlineExceeded(exchange, now);
+    } else {
+      checkTimeout(exchange, now);
+    }
+  }
+
   private void onDeadlineExceeded(Exchange exchange, long now) {
     active.remove(exchange);
     log.timeOver(exchange);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -18,31 +18,37 @@
 /** Event that the dispatch duty handles. */
 sealed interface DispatchEvent {
 
+  /** Event of one request. */
+  sealed interface OfRequest extends DispatchEvent {
+
+    /** The request. */
+    Exchange exchange();
+  }
+
   /** A whole request, body included, was read. */
-  record Arrived(Exchange exchange) implements DispatchEvent {}
+  record Arrived(Exchange exchange) implements OfRequest {}
 
   /** An engine has prefilled the prompt and holds the KV cache under the handle. */
-  record Prefilled(Exchange exchange, EngineAttempt attempt, String handle)
-      implements DispatchEvent {}
+  record Prefilled(Exchange exchange, EngineAttempt attempt, String handle) implements OfRequest {}
 
   /** The first part of the answer is about to be relayed. */
-  record AnswerBegan(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+  record AnswerBegan(Exchange exchange, EngineAttempt attempt) implements OfRequest {}
 
   /** An attempt ended without a complete, good answer. */
   record AttemptFailed(Exchange exchange, EngineAttempt attempt, AttemptOutcome outcome)
-      implements DispatchEvent {}
+      implements OfRequest {}
 
   /**
    * The node that forwards the request of an attempt brought no answer; the failure of the attempt
    * follows once that node has ended it.
    */
-  record ForwarderFailed(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+  record ForwarderFailed(Exchange exchange, EngineAttempt attempt) implements OfRequest {}
 
   /** The answer was relayed to its end. */
-  record Finished(Exchange exchange, EngineAttempt attempt) implements DispatchEvent {}
+  record Finished(Exchange exchange, EngineAttempt attempt) implements OfRequest {}
 
   /** The caller closed its connection, or the connection failed. */
-  record CallerGone(Exchange exchange) implements DispatchEvent {}
+  record CallerGone(Exchange exchange) implements OfRequest {}
 
   /** The list of engines changed. */
   record DirectoryChanged(EngineDirectory directory) implements DispatchEvent {}
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
@@ -8,9 +8,9 @@
 import org.fallturn.core.error.ErrorKind;
 
 /**
- * Answers the pending requests of a dispatch duty that failed, so that they do not wait for their
- * deadlines. Never calls the dispatcher, whose state is unknown after the failure. Runs on the
- * dispatch thread.
+ * Answers the pending requests of a dispatch duty that failed, or one request on which it failed,
+ * so that they do not wait for their deadlines. Never calls the dispatcher, whose state is unknown
+ * after the failure. Runs on the dispatch thread.
  *
  * <p>Invariant: a request is answered as not run only when no engine can have run it. An answer
  * that is already being relayed does not need the duty any more and continues.
@@ -64,7 +64,11 @@
     }
   }
 
-  private void terminate(Exchange exchange) {
+  /**
+   * Terminates a request; leaves one alone whose answer is being relayed, or whose attempt has
+   * ended, so that its event follows.
+   */
+  void terminate(Exchange exchange) {
     EngineAttempt attempt = exchange.attempt().orElse(null);
     if (attempt == null) {
       refuse(exchange, false);
