Keep a node alive when a part of its periodic work fails

A node whose dispatch ticks failed for two seconds ended, so that its callers lost their connections; all nodes read the same tables, so that one odd value which fails a computation of each tick would have ended all of them, again and again after each restart.

Cause: the tick did everything in one sequence, deadlines of requests as well as figures about engines, and one fault skipped all that came behind it: one bad element failed the whole collection.

Change: what no request waits for (health, messages, usage, quarantine, stages, load shares, figures) are parts of the tick, each with its own series of faults: a part that fails pauses, 100 ms doubled up to 3 s, and neither skips the others nor ends the node. Deadlines and requests that wait stay in the tick itself, whose failing ends a node as before, and so does an Error anywhere.

Evidence: DutyThreadFaultTest#partOfATickThatAlwaysFailsNeitherSkipsOtherPartsNorEndsTheDuty; it calls what is new and was not run on the code before, where FaultPolicyTest shows the end after 2 s. No value is known by which a tick failed.

--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyHandler.java
@@ -1,5 +1,7 @@
 package org.fallturn.node.duty;
 
+import java.util.List;
+
 /**
  * Handles the events and ticks of a {@link DutyThread}. All methods are called on the duty's own
  * thread only, so the handler's state needs no lock.
@@ -14,9 +16,17 @@
    */
   void onEvent(E event) throws Exception;
 
-  /** Called about once per tick interval, also when no event arrives. */
+  /**
+   * Called about once per tick interval, also when no event arrives. A tick that keeps failing may
+   * end the duty; work that nothing waits for belongs into {@link #tickParts}.
+   */
   void onTick() throws Exception;
 
+  /** Further work of each tick, in this order behind {@link #onTick}; asked once. */
+  default List<TickPart> tickParts() {
+    return List.of();
+  }
+
   /**
    * Called when no further event is waiting, for handlers that collect events and process them in
    * batches.
--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -7,6 +7,7 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,6 +37,7 @@
   private final Disruptor<Slot<E>> disruptor;
   private final RingBuffer<Slot<E>> ring;
   private DutyFaultHandler faultHandler;
+  private List<TickPartRunner> tickParts = List.of();
   private DutyMeter<E> meter = DutyMeter.none();
   private long lastTickNanos;
   private volatile boolean ending;
@@ -100,10 +102,16 @@
   public DutyThread<E> start(DutyState state, FaultListener faults) {
     faultHandler = new DutyFaultHandler(name, state, faults);
     lastTickNanos = System.nanoTime();
+    tickParts = handler.tickParts().stream().map(part -> newRunner(part, state, faults)).toList();
     disruptor.start();
     return this;
   }
 
+  private TickPartRunner newRunner(TickPart part, DutyState state, FaultListener faults) {
+    String partName = name + "-" + part.name();
+    return new TickPartRunner(part, new DutyFaultHandler(partName, state, faults), lastTickNanos);
+  }
+
   /**
    * Publishes an event to the ring.
    *
@@ -150,9 +158,18 @@
     } catch (Throwable fault) {
       applyDecision(faultHandler.onTickFault(fault));
     }
+    runTickParts(now);
     meter.onTick(late, System.nanoTime() - now);
   }
 
+  private void runTickParts(long nowNanos) {
+    for (TickPartRunner part : tickParts) {
+      if (!ending && !part.run(nowNanos)) {
+        end();
+      }
+    }
+  }
+
   /**
    * Ends the duty if the decision says so. Otherwise the duty continues without a pause, since a
    * pause would only delay its next events.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.fallturn.core.dispatch.AttemptOutcome;
@@ -28,6 +27,7 @@
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
+import org.fallturn.node.duty.TickPart;
 
 /**
  * Event handler of the dispatch duty: asks the dispatcher for the next step of each request and
@@ -42,24 +42,6 @@
    */
   private static final int MIN_SHARED_TOKENS_TO_WAIT = 2_000;
 
-  /** How often engines are checked for silence. The bounds on silence are some hundred ms. */
-  private static final long HEALTH_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
-  /** How often this node checks whether an engine should change its stage. */
-  private static final long STAGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
-  /**
-   * How often this node updates its share of the engines' connections; it visits all engines, and
-   * load moves between nodes over seconds.
-   */
-  private static final long SHARE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  /**
-   * How often a node that orders stages logs the figures that it decides by: one line a second for
-   * each service.
-   */
-  private static final long OUTLOOK_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private final Dispatcher dispatcher;
   private final EngineClient engines;
   private final DecisionLog log;
@@ -68,7 +50,7 @@
   private final PendingRequestTerminator terminator;
   private final RequestSteps steps = new RequestSteps(this::endAfterFault);
   private final CacheSurvey survey;
-  private final Consumer<StageChange> stageChanges;
+  private final DispatchUpkeep upkeep;
   private final QuarantineActions quarantineActions;
   private final PathActions pathActions;
   private final RunCounter runs;
@@ -77,10 +59,6 @@
   private final List<Exchange> waitingForOrigin = new ArrayList<>();
   private final Map<RequestProgress, Exchange> waitingForEngine = new HashMap<>();
   private final BooleanSupplier stopping;
-  private long lastHealthNanos;
-  private long lastStageNanos;
-  private long lastOutlookNanos;
-  private long lastShareNanos;
 
   DispatchDuty(
       Dispatcher dispatcher,
@@ -101,12 +79,12 @@
     this.terminator = new PendingRequestTerminator(engines, log);
     this.peers = peers;
     this.survey = survey;
-    this.stageChanges = stageChanges;
     this.quarantineActions = quarantineActions;
     this.pathActions = pathActions;
     this.runs = runs;
     this.scaling = scaling;
     this.stopping = stopping;
+    this.upkeep = new DispatchUpkeep(dispatcher, engines, log, pathActions, scaling, stageChanges);
     dispatcher.resumedStreams().tracker().setContact(inContact);
   }
 
@@ -524,31 +502,16 @@
     steps.forEach(active, exchange -> checkTime(exchange, now));
     startDelayed(now);
     resumeWaiting(now);
-    reportSignsOfLife(now);
-    peers.onTick(now);
-    runs.onTick(now);
-    if (now - lastHealthNanos >= HEALTH_NANOS) {
-      lastHealthNanos = now;
-      dispatcher.onTick(now);
-      pathActions.onTick(now);
-      dispatcher.takeHealthChanges(now).forEach(log::engineHealth);
-      dispatcher.takePaceChanges(now).forEach(log::enginePace);
-      updateQuarantine(now);
-    }
-    if (now - lastStageNanos >= STAGE_NANOS) {
-      lastStageNanos = now;
-      log.logDroppedLines();
-      dispatcher.wantedStageChange(now).ifPresent(stageChanges);
-      scaling.onTick(dispatcher.stages().leads(now), now);
-    }
-    if (now - lastShareNanos >= SHARE_NANOS) {
-      lastShareNanos = now;
-      engines.setLoadShares(dispatcher.fleet().loadShares(now));
-    }
-    if (now - lastOutlookNanos >= OUTLOOK_NANOS) {
-      lastOutlookNanos = now;
-      dispatcher.stages().outlooks(now).forEach(log::stageOutlook);
-    }
+  }
+
+  @Override
+  public List<TickPart> tickParts() {
+    List<TickPart> parts = new ArrayList<>();
+    parts.add(new TickPart("signs-of-life", this::reportSignsOfLife));
+    parts.add(new TickPart("messages", peers::onTick));
+    parts.add(new TickPart("usage-counts", runs::onTick));
+    parts.addAll(upkeep.parts(this::updateQuarantine));
+    return parts;
   }
 
   @Override
--- a/fallturn-node/src/test/java/org/fallturn/node/duty/DutyThreadFaultTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/duty/DutyThreadFaultTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -19,7 +20,9 @@
 
   private final List<String> handled = new CopyOnWriteArrayList<>();
   private final List<String> faults = new CopyOnWriteArrayList<>();
+  private final AtomicInteger runsOfLastPart = new AtomicInteger();
   private volatile boolean tickFails;
+  private volatile boolean partFails;
 
   /** Throws what an event asks for, and records all other events. */
   private final class ScriptedHandler implements DutyHandler<String> {
@@ -42,6 +45,19 @@
       }
     }
 
+    @Override
+    public List<TickPart> tickParts() {
+      return List.of(
+          new TickPart("odd", now -> failOnDemand()),
+          new TickPart("last", now -> runsOfLastPart.incrementAndGet()));
+    }
+
+    private void failOnDemand() {
+      if (partFails) {
+        throw new IllegalStateException("thrown by a test");
+      }
+    }
+
     @Override
     public void onEnd() {
       handled.add("end");
@@ -101,6 +117,21 @@
     assertThat(faults).hasSize(3);
   }
 
+  /** Six faults take longer, with their pauses, than a tick may fail before the duty ends. */
+  @Test
+  void partOfATickThatAlwaysFailsNeitherSkipsOtherPartsNorEndsTheDuty() {
+    partFails = true;
+    try (DutyThread<String> duty = start(DutyState.HELD_ALONE)) {
+      await().atMost(TIMEOUT).until(() -> faults.size() >= 6);
+      int runs = runsOfLastPart.get();
+      await().atMost(TIMEOUT).until(() -> runsOfLastPart.get() > runs);
+      publish(duty, "next");
+      await().atMost(TIMEOUT).until(() -> handled.contains("next"));
+    }
+    assertThat(handled).doesNotContain("end");
+    assertThat(faults).containsOnly("test-odd java.lang.IllegalStateException");
+  }
+
   @Test
   void dutyEndsWhenOutOfMemoryOrWhenAskedTo() {
     try (DutyThread<String> duty = start(DutyState.LEARNED_AGAIN)) {
