--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/AttemptOutcome.java
@@ -27,7 +27,14 @@
    */
   OUT_OF_TIME(true),
   /** The answer broke off after part of it had been passed on to the caller. */
-  BROKEN_MIDWAY(true);
+  BROKEN_MIDWAY(true),
+  /**
+   * The answer ended with its connection, and the engine, which may be healthy, has not shown since
+   * that it runs; so it is not known whether the answer is whole.
+   */
+  UNCONFIRMED(true),
+  /** As {@link #UNCONFIRMED}, after part of the answer had been passed on to the caller. */
+  UNCONFIRMED_MIDWAY(true);
 
   private final boolean mayHaveRun;
 
@@ -45,6 +52,11 @@
     return mayHaveRun;
   }
 
+  /** Whether part of an answer had been passed on to the caller. */
+  public boolean isMidway() {
+    return this == BROKEN_MIDWAY || this == UNCONFIRMED_MIDWAY;
+  }
+
   /** Whether a crash of the engine may have caused this outcome; other faults may look the same. */
   public boolean mayBeCrash() {
     return this == LOST || this == BROKEN_MIDWAY;
@@ -53,7 +65,15 @@
   /** Whether the outcome speaks against the engine or the network path to it. */
   public boolean blamesEngine() {
     return switch (this) {
-      case HELD_BACK, NOT_EXECUTED, MISDIRECTED, ANSWERED_FAILURE, WITHDRAWN, OUT_OF_TIME -> false;
+      case HELD_BACK,
+          NOT_EXECUTED,
+          MISDIRECTED,
+          ANSWERED_FAILURE,
+          WITHDRAWN,
+          OUT_OF_TIME,
+          UNCONFIRMED,
+          UNCONFIRMED_MIDWAY ->
+          false;
       case NOT_SENT, LOST, SILENT, BROKEN_MIDWAY -> true;
     };
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -108,7 +108,7 @@
     if (outcome.mayHaveRun() && !route.repeatable()) {
       return false;
     }
-    if (outcome == AttemptOutcome.BROKEN_MIDWAY && !route.streaming()) {
+    if (outcome.isMidway() && !route.streaming()) {
       return false;
     }
     if (progress.possibleRuns() >= route.maxAttempts()
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEnd.java
@@ -8,6 +8,8 @@
   MARKED,
   /** The answer ended with its connection, and its engine was heard after that. */
   CONFIRMED,
-  /** The answer ended with its connection, and its engine may have ended with it. */
+  /** The answer ended with its connection, and its engine is gone. */
+  ENGINE_GONE,
+  /** The answer ended with its connection, and nothing is known of its engine since. */
   NOT_CONFIRMED
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AttemptState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AttemptState.java
@@ -22,6 +22,10 @@
 
   private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.WAITING);
 
+  Phase phase() {
+    return phase.get();
+  }
+
   boolean waiting() {
     return phase.get() == Phase.WAITING;
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerHead.java
@@ -12,6 +12,12 @@
 
   private static final int FIRST_SUCCESS = 200;
   private static final int FIRST_REDIRECT = 300;
+  private static final int MISDIRECTED = 421;
+
+  /** Whether the head alone tells that the engine did not run the request. */
+  public boolean saysNotRun() {
+    return notExecuted || status == MISDIRECTED;
+  }
 
   /** Whether the status is 2xx. */
   public boolean success() {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.Executor;
@@ -334,15 +335,25 @@
   public void onComplete(Result result) {
     runEnd = endOf(result);
     forwardedRun.ifPresent(run -> run.onCallEnded(runEnd()));
-    if (needsEndCheck()) {
-      endCheck.check(call.engine(), end -> complete(result, end));
+    AnswerEnd end = endWithoutCheck(result);
+    if (end == AnswerEnd.NOT_CONFIRMED && needsEndCheck()) {
+      Duration patience =
+          exchange.envelope().route().repeatable()
+              ? AnswerEndCheck.PATIENCE_IF_REPEATABLE
+              : AnswerEndCheck.PATIENCE;
+      endCheck.check(call.engine(), patience, confirmed -> complete(result, confirmed));
     } else {
-      complete(result, endWithoutCheck());
+      complete(result, end);
     }
   }
 
-  private AnswerEnd endWithoutCheck() {
-    if (runEnd != RunEnd.ANSWERED) {
+  /**
+   * A request may fail although its answer came to an end: an engine may answer before it reads.
+   */
+  private AnswerEnd endWithoutCheck(Result result) {
+    if (head == null
+        || result.getResponseFailure() != null
+        || forwardingResult != ForwardingResult.ANSWERED) {
       return AnswerEnd.NONE;
     }
     if (endIsMarked) {
@@ -353,15 +364,15 @@
 
   /** Whether the answer would be relayed as a whole one, though it may have broken off. */
   private boolean needsEndCheck() {
-    return endWithoutCheck() == AnswerEnd.NOT_CONFIRMED
-        && !ended()
+    return !ended()
         && !call.prefillOnly()
-        && !saysNotRun()
-        && !breaksOffVisibly(state.relaying());
+        && !head.saysNotRun()
+        && !breaksOffVisibly(state.phase());
   }
 
   /** Whether a stream ends inside an event, or with its connection before its first event. */
-  private boolean breaksOffVisibly(boolean relaying) {
+  private boolean breaksOffVisibly(AttemptState.Phase phase) {
+    boolean relaying = phase == AttemptState.Phase.RELAYING;
     return streamed && (framer.hasPartialEvent() || !relaying && !endIsMarked);
   }
 
@@ -381,8 +392,14 @@
       fail(outcomeOfFailure(before, result));
       return;
     }
-    if (end == AnswerEnd.NOT_CONFIRMED && !call.prefillOnly() && !saysNotRun()) {
+    boolean relevant = !call.prefillOnly() && !head.saysNotRun();
+    if (end == AnswerEnd.ENGINE_GONE && relevant) {
       fail(outcomeOfBreak(before));
+    } else if (end == AnswerEnd.NOT_CONFIRMED && relevant && !breaksOffVisibly(before)) {
+      fail(
+          before == AttemptState.Phase.RELAYING
+              ? AttemptOutcome.UNCONFIRMED_MIDWAY
+              : AttemptOutcome.UNCONFIRMED);
     } else if (before == AttemptState.Phase.RELAYING || streamed) {
       finishRelay(before);
     } else {
@@ -415,7 +432,7 @@
   }
 
   private void finishRelay(AttemptState.Phase before) {
-    if (breaksOffVisibly(before == AttemptState.Phase.RELAYING)) {
+    if (breaksOffVisibly(before)) {
       fail(outcomeOfBreak(before));
       return;
     }
@@ -429,11 +446,6 @@
         : AttemptOutcome.LOST;
   }
 
-  /** Whether the answer says that nothing ran, which its head alone tells. */
-  private boolean saysNotRun() {
-    return head.notExecuted() || head.status() == HttpStatus.MISDIRECTED_REQUEST_421;
-  }
-
   private void finishBuffered() {
     if (head.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
       fail(AttemptOutcome.MISDIRECTED);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -287,6 +287,11 @@
         .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
   }
 
+  /** Runs an action on a thread of the client's timer. */
+  void runLater(Runnable action, Duration delay) {
+    client.getScheduler().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
   /** Prepares a call that this node makes on its own behalf; the caller of this method sends it. */
   Request newRequest(ServingEngine engine, String method, String path) {
     return newRequest(engine, method, path, "");
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -220,7 +220,7 @@
     private final SendState sendState = new SendState();
     private volatile String requestId = "";
     private boolean answerBegun;
-    private boolean endIsMarked;
+    private boolean needsEndCheck;
 
     ForwardedRequest(ServingEngine engine, HandlerArguments from) {
       this.engine = engine;
@@ -306,7 +306,8 @@
             .getHeaders()
             .put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
       }
-      endIsMarked = EngineAttempt.endIsMarked(answer);
+      boolean endIsMarked = EngineAttempt.endIsMarked(answer);
+      needsEndCheck = !endIsMarked && !head.saysNotRun();
       if (!endIsMarked) {
         from.response()
             .getHeaders()
@@ -327,18 +328,27 @@
 
     @Override
     public void onComplete(Result result) {
+      // The connection to the engine has ended, which is what a cancellation waits for.
+      over.complete(null);
       ForwardingResult outcome = outcome(result);
-      if (outcome == ForwardingResult.ANSWERED && !endIsMarked) {
-        engines
-            .answerEndCheck()
-            .check(
-                engine,
-                end -> complete(end == AnswerEnd.CONFIRMED ? outcome : ForwardingResult.LOST));
+      if (outcome == ForwardingResult.ANSWERED && needsEndCheck) {
+        engines.answerEndCheck().check(engine, patience(), end -> complete(outcomeOf(end)));
       } else {
         complete(outcome);
       }
     }
 
+    /** Nodes that wait to repeat a request give their address. */
+    private Duration patience() {
+      return owner(from.request()).isPresent()
+          ? AnswerEndCheck.PATIENCE_IF_REPEATABLE
+          : AnswerEndCheck.PATIENCE;
+    }
+
+    private static ForwardingResult outcomeOf(AnswerEnd end) {
+      return end == AnswerEnd.CONFIRMED ? ForwardingResult.ANSWERED : ForwardingResult.LOST;
+    }
+
     private void complete(ForwardingResult outcome) {
       watched().ifPresent(WatchedEndPoint::unwatch);
       log.forwarded(requestId, engine.id(), sendState.connection(), outcome, givenUp);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineLiveness.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineLiveness.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.net.ConnectException;
+import java.util.OptionalLong;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.routing.ServingEngine;
@@ -16,7 +17,7 @@
    * Its address refuses connections, or another engine or a later incarnation of it answers there.
    */
   GONE,
-  /** There was no answer, which proves nothing. */
+  /** There was no answer, or one that does not say which start it is of; this proves nothing. */
   UNKNOWN;
 
   private static final Logger LOG = LoggerFactory.getLogger(EngineLiveness.class);
@@ -33,18 +34,23 @@
     }
     return switch (result.getResponse().getStatus()) {
       case HttpStatus.MISDIRECTED_REQUEST_421 -> GONE;
-      case HttpStatus.OK_200 -> hasRestarted(engine, body, protocol) ? GONE : RUNS;
+      case HttpStatus.OK_200 -> ofReport(engine, body, protocol);
       default -> RUNS;
     };
   }
 
   /** An engine that restarted under the same id differs only in its start time. */
-  private static boolean hasRestarted(ServingEngine engine, byte[] body, EngineProtocol protocol) {
+  private static EngineLiveness ofReport(
+      ServingEngine engine, byte[] body, EngineProtocol protocol) {
     try {
-      return engine.isOtherIncarnation(protocol.readReport(body).bornMillis());
+      OptionalLong bornMillis = protocol.readReport(body).bornMillis();
+      if (engine.isOtherIncarnation(bornMillis)) {
+        return GONE;
+      }
+      return engine.bornMillis().isPresent() && bornMillis.isEmpty() ? UNKNOWN : RUNS;
     } catch (MalformedMessageException e) {
       LOG.warn("engines: The report of {} is not readable: {}.", engine.id(), e.getMessage());
-      return false;
+      return engine.bornMillis().isPresent() ? UNKNOWN : RUNS;
     }
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageTally.java
@@ -103,11 +103,17 @@
       if (outcome.mayHaveRun()) {
         countAsSent(exchange, nowNanos);
       }
-    } else if (outcome == AttemptOutcome.ANSWERED_FAILURE || outcome == AttemptOutcome.LOST) {
+    } else if (isRunWithoutAnswer(outcome)) {
       count(exchange, 0);
     }
   }
 
+  private static boolean isRunWithoutAnswer(AttemptOutcome outcome) {
+    return outcome == AttemptOutcome.ANSWERED_FAILURE
+        || outcome == AttemptOutcome.LOST
+        || outcome == AttemptOutcome.UNCONFIRMED;
+  }
+
   @Override
   public void onEnded(Exchange exchange, long nowNanos) {
     if (isApplication(exchange) && exchange.progress().possibleRuns() > 0) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -68,6 +68,9 @@
   /** Names the engine that a report is asked of. */
   static final String ENGINE_HEADER = "X-Engine";
 
+  /** More than the buffers of a connection hold. */
+  static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
   /** Connections that the engine takes; a node that is alone may open half of them. */
   static final int ENGINE_CONNECTIONS = 8;
 
@@ -346,7 +349,13 @@
         1,
         List.of(route),
         List.of(new ServiceDefinition("app", ENGINE_CONNECTIONS, Optional.empty())),
-        RequestLimits.defaults());
+        limits());
+  }
+
+  private static RequestLimits limits() {
+    RequestLimits usual = RequestLimits.defaults();
+    return new RequestLimits(
+        usual.maxHeaderBytes(), MAX_BODY_BYTES, usual.headerTimeout(), usual.idleTimeout());
   }
 
   private static CallerProtocol callers() {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fallturn.core.domain.NetworkAddress;
 
 /**
@@ -20,10 +21,14 @@
  */
 final class RawEngine implements AutoCloseable {
 
+  /** How it answers calls for its report. */
+  static final String REPORT = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
   private final ServerSocket server = new ServerSocket();
   private final List<Connection> connections = new CopyOnWriteArrayList<>();
   private final CountDownLatch reads;
-  private volatile String reportAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+  private final AtomicInteger reportsAsked = new AtomicInteger();
+  private volatile String reportAnswer = REPORT;
 
   /** An engine that reads whatever comes. */
   RawEngine() throws IOException {
@@ -83,6 +88,7 @@
     if (!read.startsWith("GET " + OneEngineGateway.REPORT_PATH + " ")) {
       return;
     }
+    reportsAsked.incrementAndGet();
     if (!connection.muted && !reportAnswer.isEmpty()) {
       connection.send(reportAnswer);
     }
@@ -97,6 +103,16 @@
     reportAnswer = answer;
   }
 
+  /** How often it was asked for its report. */
+  int reportsAsked() {
+    return reportsAsked.get();
+  }
+
+  /** Takes no further connections, as if its process had ended; open ones stay. */
+  void refuseConnections() throws IOException {
+    server.close();
+  }
+
   NetworkAddress address() {
     return new NetworkAddress("127.0.0.1", server.getLocalPort());
   }
@@ -219,6 +235,15 @@
       }
     }
 
+    /** Ends what it sends, and goes on to read nothing. */
+    void shutDownOutput() {
+      try {
+        socket.shutdownOutput();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
     /** Closes it. */
     void close() {
       try {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/UnmarkedEndTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/UnmarkedEndTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import org.fallturn.core.routing.RequestKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,6 +27,13 @@
   private static final String FIRST_EVENT = "id: 1\ndata: one\n\n";
   private static final String SECOND_EVENT = "id: 2\ndata: two\n\n";
 
+  private static final String REST =
+      OneEngineGateway.NOT_EXECUTED_HEADER
+          + ": 1\r\n"
+          + OneEngineGateway.REST_HEADER
+          + ": 1\r\nContent-Length: 0\r\n";
+  private static final int SMALL_BUFFER_BYTES = 4_096;
+
   private RawEngine engine;
   private RawEngine other;
   private GatewayServer gateway;
@@ -87,17 +95,25 @@
     await().atMost(LONGEST).until(() -> at.got(id));
     RawEngine.Connection connection =
         at.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
-    String named = OneEngineGateway.ID_HEADER + ": " + id + "\r\n\r\n";
-    connection.send("HTTP/1.1 200 OK\r\n" + CLOSE + named + body);
+    connection.send("HTTP/1.1 200 OK\r\n" + CLOSE + named(id) + body);
     return connection;
   }
 
-  private void answerWithLength(String id) {
-    RawEngine.Connection connection =
-        engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
-    String named = OneEngineGateway.ID_HEADER + ": " + id + "\r\n\r\n";
+  private RawEngine.Connection connectionOf(String id) {
+    return engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
+  }
+
+  private static String named(String id) {
+    return OneEngineGateway.ID_HEADER + ": " + id + "\r\n\r\n";
+  }
+
+  /** Answers one of two requests so that its connection is kept; the other request goes on. */
+  private RawEngine.Connection keepConnectionOf(String id, Socket caller) throws IOException {
+    await().atMost(LONGEST).until(() -> engine.got(id) && engine.connections().size() == 2);
     String length = "Content-Length: " + FIRST_EVENT.length() + "\r\n";
-    connection.send("HTTP/1.1 200 OK\r\n" + length + named + FIRST_EVENT);
+    connectionOf(id).send("HTTP/1.1 200 OK\r\n" + length + named(id) + FIRST_EVENT);
+    assertThat(OneEngineGateway.readToEnd(caller)).endsWith(LAST_CHUNK);
+    return connectionOf(id);
   }
 
   private String answerOfStricken(Socket caller, String body, Fate fate) throws IOException {
@@ -113,14 +129,18 @@
   @EnumSource(Fate.class)
   void streamThatEndsBetweenTwoEventsDoesNotLookWhole(Fate fate) throws Exception {
     startGateway(RequestKind.STREAMING);
-    assertThat(answerOfStricken(call("r"), FIRST_EVENT, fate)).doesNotEndWith(LAST_CHUNK);
+    assertThat(answerOfStricken(call("r"), FIRST_EVENT, fate))
+        .contains("one")
+        .doesNotEndWith(LAST_CHUNK);
   }
 
   @ParameterizedTest
   @EnumSource(Fate.class)
   void streamThatAnotherNodeForwardsDoesNotLookWhole(Fate fate) throws Exception {
     startGateway(RequestKind.STREAMING);
-    assertThat(answerOfStricken(forward("r"), FIRST_EVENT, fate)).doesNotEndWith(LAST_CHUNK);
+    assertThat(answerOfStricken(forward("r"), FIRST_EVENT, fate))
+        .contains("one")
+        .doesNotEndWith(LAST_CHUNK);
   }
 
   @ParameterizedTest
@@ -134,7 +154,9 @@
   @EnumSource(Fate.class)
   void bodyThatAnotherNodeForwardsDoesNotLookWhole(Fate fate) throws Exception {
     startGateway(RequestKind.NON_IDEMPOTENT);
-    assertThat(answerOfStricken(forward("r"), "half of the bo", fate)).doesNotEndWith(LAST_CHUNK);
+    assertThat(answerOfStricken(forward("r"), "half of the bo", fate))
+        .contains("half of the bo")
+        .doesNotEndWith(LAST_CHUNK);
   }
 
   @Test
@@ -173,12 +195,95 @@
     startGateway(RequestKind.STREAMING);
     try (Socket kept = call("kept");
         Socket caller = call("r")) {
-      await().atMost(LONGEST).until(() -> engine.got("kept") && engine.got("r"));
-      engine.connections().forEach(RawEngine.Connection::mute);
-      answerWithLength("kept");
-      assertThat(OneEngineGateway.readStatus(kept)).isEqualTo("HTTP/1.1 200");
+      keepConnectionOf("kept", kept).mute();
       begin(engine, "r", FIRST_EVENT).close();
-      assertThat(OneEngineGateway.readToEnd(caller)).endsWith(LAST_CHUNK);
+      assertThat(OneEngineGateway.readToEnd(caller)).contains("one").endsWith(LAST_CHUNK);
+    }
+  }
+
+  /** A process that has ended may have written an answer to another request before. */
+  @Test
+  void bytesOnAKeptConnectionDoNotShowThatTheEngineRuns() throws Exception {
+    startGateway(RequestKind.STREAMING);
+    engine.answerReportsWith(
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            + OneEngineGateway.ID_HEADER
+            + ": old\r\n\r\nok");
+    try (Socket kept = call("kept");
+        Socket caller = call("r")) {
+      keepConnectionOf("kept", kept);
+      engine.refuseConnections();
+      begin(engine, "r", FIRST_EVENT).close();
+      assertThat(OneEngineGateway.readToEnd(caller)).contains("one").doesNotEndWith(LAST_CHUNK);
+    }
+  }
+
+  /** A sound engine may say nothing for a second or so. */
+  @Test
+  void answerIsWholeThoughItsEngineSaysNothingForAMoment() throws Exception {
+    startGateway(RequestKind.NON_IDEMPOTENT);
+    engine.answerReportsWith("");
+    try (Socket caller = call("r")) {
+      begin(engine, "r", "body").close();
+      await().atMost(LONGEST).until(() -> engine.reportsAsked() > 2);
+      engine.answerReportsWith(RawEngine.REPORT);
+      assertThat(OneEngineGateway.readToEnd(caller)).startsWith("HTTP/1.1 200").contains("body");
+    }
+  }
+
+  @Test
+  void answerIsWholeThoughItsEngineWantsRestForAMoment() throws Exception {
+    startGateway(RequestKind.NON_IDEMPOTENT);
+    try (Socket refused = call("refused");
+        Socket caller = call("r")) {
+      await().atMost(LONGEST).until(() -> engine.got("refused") && engine.got("r"));
+      connectionOf("refused").send("HTTP/1.1 503 Busy\r\n" + REST + named("refused"));
+      assertThat(OneEngineGateway.readStatus(refused)).isEqualTo("HTTP/1.1 503");
+      begin(engine, "r", "body").close();
+      assertThat(OneEngineGateway.readToEnd(caller)).startsWith("HTTP/1.1 200").contains("body");
+    }
+  }
+
+  /** The head alone tells it, and the other node is to learn of it. */
+  @Test
+  void refusalOfAnEngineThatIsGoneIsForwarded() throws Exception {
+    startGateway(RequestKind.NON_IDEMPOTENT);
+    try (Socket node = forward("r")) {
+      await().atMost(LONGEST).until(() -> engine.got("r"));
+      String notRun = OneEngineGateway.NOT_EXECUTED_HEADER + ": 1\r\n";
+      RawEngine.Connection connection = connectionOf("r");
+      engine.refuseConnections();
+      connection.send("HTTP/1.1 503 Busy\r\n" + CLOSE + notRun + named("r"));
+      connection.close();
+      assertThat(OneEngineGateway.readStatus(node)).isEqualTo("HTTP/1.1 503");
+    }
+  }
+
+  /** The request fails then, but not its answer. */
+  @Test
+  void answerBeforeTheEndOfTheRequestDoesNotLookWhole() throws Exception {
+    engine.close();
+    engine = new RawEngine(new CountDownLatch(1), SMALL_BUFFER_BYTES);
+    startGateway(RequestKind.STREAMING);
+    int bodyBytes = OneEngineGateway.MAX_BODY_BYTES / 2;
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), "r", CLOSE, bodyBytes)) {
+      await().atMost(LONGEST).until(() -> engine.connections().size() == 1);
+      RawEngine.Connection connection = engine.connections().get(0);
+      engine.refuseConnections();
+      connection.send("HTTP/1.1 200 OK\r\n" + CLOSE + named("r") + FIRST_EVENT);
+      connection.shutDownOutput();
+      readUntil(caller, FIRST_EVENT);
+      connection.reset();
+      assertThat(OneEngineGateway.readToEnd(caller)).doesNotEndWith(LAST_CHUNK);
+    }
+  }
+
+  private static void readUntil(Socket caller, String end) throws IOException {
+    StringBuilder read = new StringBuilder();
+    while (read.indexOf(end) < 0) {
+      int next = caller.getInputStream().read();
+      assertThat(next).as("the answer ends after " + read).isNotNegative();
+      read.append((char) next);
     }
   }
 }
