Confirm the list of engines before a stream is taken for one of the sole version

Callers saw a stream go on at another software version. It had begun at an engine of a new version through another node, broke off, and was continued at a node that had been cut off or suspended meanwhile.

Cause: a node concluded "one version alone" from its list of engines while it counted as in contact, that is for up to 2.4 s after the last confirmation (4 s with one or two nodes at the same bounds). What others had listed and begun in that time it had not seen. Besides, a gap in the contact restarted the watch of versions only if somebody asked while it lasted, which a suspended process does not.

Now the conclusion needs a reading of the store that began after the request came, as a linearizable read waits for the read index, and that the tracker has applied: all that the caller can have got events from was listed before it came back. The reading is made on a thread of its own from the position up to which changes were delivered, so that it neither ends the watch nor waits for it; requests share it, and readings are 50 ms apart at least. A change that it shows is announced to the follower, and counts once delivered. A request waits up to 300 ms for it and is then refused as not run. A gap in the contact is found from the times of confirmations, also after it is over.

PLACED says how the origin of a continued stream was known, and REFUSED whether the confirmation was lacking. follow_store_confirmation counts the readings.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -108,6 +108,16 @@
             + " run several software versions, and it is not known which of them began the stream");
   }
 
+  /** Refuses to continue a stream since the list of engines could not be confirmed in time. */
+  Decision enginesUnconfirmed(RequestProgress progress) {
+    return notRun(
+        ErrorKind.NO_CAPACITY,
+        RefusalCause.ORIGIN_UNKNOWN,
+        "the store has not confirmed that engines of "
+            + progress.service()
+            + " run one software version alone");
+  }
+
   /**
    * Refuses to continue a stream whose software version has no engine left. There is no retry
    * delay, since a retry would be refused again.
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -9,6 +9,7 @@
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.core.streams.KnownOrigin;
 
 /**
  * State of one request across its attempts. Only the dispatcher modifies it, on the dispatch
@@ -37,6 +38,7 @@
   private boolean answerBegun;
   private boolean isolated;
   private Optional<String> requiredVersion = Optional.empty();
+  private Optional<KnownOrigin> resumedFrom = Optional.empty();
   private CacheSource source;
   private ExpectedWork expected;
   private RetryBudgetUse budgetUse;
@@ -89,6 +91,17 @@
     requiredVersion = Optional.of(softwareVersion);
   }
 
+  /** Requires the version at which the stream began that the request continues. */
+  void resumeFrom(KnownOrigin known) {
+    resumedFrom = Optional.of(known);
+    requireVersion(known.origin().softwareVersion());
+  }
+
+  /** Where the stream began that the request continues; empty for one that begins anew. */
+  public Optional<KnownOrigin> resumedFrom() {
+    return resumedFrom;
+  }
+
   /** Whether an engine's software version allows it to run the request. */
   boolean allowsVersionOf(ServingEngine candidate) {
     return requiredVersion
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ResumedStreams.java
@@ -6,6 +6,7 @@
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.Tenant;
 import org.fallturn.core.routing.WeightedService;
+import org.fallturn.core.streams.KnownOrigin;
 import org.fallturn.core.streams.StreamOrigin;
 import org.fallturn.core.streams.StreamTracker;
 
@@ -21,6 +22,9 @@
   /** Time in which nodes that report to each other directly hear of a stream. */
   private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+  /** Time for the store to confirm the list of engines, other such readings before it included. */
+  private static final long CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   private static final double NANOS_PER_MILLI = 1e6;
 
   private final StreamTracker tracker = new StreamTracker();
@@ -41,17 +45,31 @@
   }
 
   /**
-   * Whether a report on where the stream began may still be under way. Callers come back within
-   * milliseconds after a node has ended, and a report that goes by relays takes longer.
+   * Whether the version that began the stream may still become known: a report may be under way, or
+   * the confirmation of the list of engines. Callers come back within milliseconds after a node has
+   * ended, and a report that goes by relays takes longer.
    */
   public boolean awaitsOrigin(RequestProgress progress, long nowNanos) {
     if (progress.envelope().resumed().isEmpty() || origin(progress, nowNanos).isPresent()) {
       return false;
     }
     double longest = REPORT_NANOS + 2 * selector.lagMillis(nowNanos) * NANOS_PER_MILLI;
+    if (lacksConfirmation(progress, nowNanos)) {
+      longest = Math.max(longest, CONFIRMATION_NANOS);
+    }
     return nowNanos - progress.envelope().arrivedNanos() < longest;
   }
 
+  /**
+   * Whether the list of engines has to be confirmed before the version is known that began the
+   * stream.
+   */
+  public boolean lacksConfirmation(RequestProgress progress, long nowNanos) {
+    return progress.envelope().resumed().isPresent()
+        && tracker.lacksConfirmation(
+            key(progress), services(progress), progress.envelope().arrivedNanos(), nowNanos);
+  }
+
   /**
    * Binds a request that continues a stream; does nothing with any other.
    *
@@ -61,25 +79,34 @@
     if (progress.envelope().resumed().isEmpty()) {
       return Optional.empty();
     }
-    Optional<StreamOrigin> origin = origin(progress, nowNanos);
+    Optional<KnownOrigin> origin = origin(progress, nowNanos);
     if (origin.isEmpty()) {
-      return Optional.of(refusals.originUnknown(progress));
+      return Optional.of(
+          lacksConfirmation(progress, nowNanos)
+              ? refusals.enginesUnconfirmed(progress)
+              : refusals.originUnknown(progress));
     }
-    progress.chooseService(origin.get().service());
-    progress.requireVersion(origin.get().softwareVersion());
+    progress.chooseService(origin.get().origin().service());
+    progress.resumeFrom(origin.get());
     return Optional.empty();
   }
 
-  private Optional<StreamOrigin> origin(RequestProgress progress, long nowNanos) {
+  private Optional<KnownOrigin> origin(RequestProgress progress, long nowNanos) {
+    return tracker.find(
+        key(progress), services(progress), progress.envelope().arrivedNanos(), nowNanos);
+  }
+
+  private static List<String> services(RequestProgress progress) {
     Route route = progress.envelope().route();
-    List<String> services = route.services().stream().map(WeightedService::service).toList();
-    Optional<Long> key =
-        progress
-            .envelope()
-            .resumed()
-            .flatMap(ResumedStream::firstAttemptId)
-            .map(id -> key(progress, id));
-    return tracker.find(key, services, nowNanos);
+    return route.services().stream().map(WeightedService::service).toList();
+  }
+
+  private static Optional<Long> key(RequestProgress progress) {
+    return progress
+        .envelope()
+        .resumed()
+        .flatMap(ResumedStream::firstAttemptId)
+        .map(id -> key(progress, id));
   }
 
   private static long key(RequestProgress progress, String requestId) {
--- a/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/peers/TableVersions.java
@@ -48,21 +48,26 @@
   }
 
   /**
-   * Sets a callback that runs after each newer version or time that other nodes report, on the
-   * thread that processes the report.
+   * Sets a callback that runs after each newer version that this node has seen, and each newer
+   * version or time that other nodes report, on the thread that learned of it.
    */
   public void setOnNewerVersion(Runnable callback) {
     onNewerVersion = callback;
   }
 
   /** Handles a change that this node has seen. */
-  public synchronized void onSeen(String table, StorePosition change) {
-    boolean began = beginEra(change.era());
-    if (change.era() == era && raise(newest, table, change.version()) || began) {
+  public void onSeen(String table, StorePosition change) {
+    if (raise(table, change)) {
       hasUnsent.set(true);
+      onNewerVersion.run();
     }
   }
 
+  private synchronized boolean raise(String table, StorePosition change) {
+    boolean began = beginEra(change.era());
+    return change.era() == era && raise(newest, table, change.version()) || began;
+  }
+
   /**
    * Handles the store's answer to this node that there is no newer version.
    *
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -11,8 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.RoutingImage;
@@ -25,8 +25,9 @@
  * as soon as they do; a report about a stream never changes.
  *
  * <p>Invariant: {@link #find} never guesses. It is empty when the streams of a service can have
- * begun at several versions, or when this node cannot know that, and no node reported this one.
- * Confined to the dispatch thread.
+ * begun at several versions, or when this node cannot know that, and no node reported this one. A
+ * node cannot know it from what it read before the request came: while it was suspended or cut off,
+ * others may have begun streams at a version that it has not seen. Confined to the dispatch thread.
  */
 public final class StreamTracker {
 
@@ -47,8 +48,9 @@
   private final Map<String, Deque<Known>> unreported = new HashMap<>();
   private final Set<String> services = new HashSet<>();
   private long lifetimeNanos = MIN_LIFETIME.toNanos();
-  private BooleanSupplier contact = () -> true;
-  private boolean wasInContact = true;
+  private DirectoryContact contact = DirectoryContact.UNBROKEN;
+  private OptionalLong lastContactNanos = OptionalLong.empty();
+  private OptionalLong confirmationNanos = OptionalLong.empty();
 
   /** A stream, and when it began at this node or was reported to it. */
   private record Known(StreamOrigin origin, long atNanos) {}
@@ -71,20 +73,39 @@
   }
 
   /**
-   * Sets how to find out whether the directory was confirmed as the newest recently. It is asked at
-   * each use: a process that was suspended gets requests before any periodic check has run.
+   * The store confirmed that the directory, as given last, lists all engines.
+   *
+   * @param begunNanos when the reading of the store began
+   */
+  public void onDirectoryConfirmed(long begunNanos) {
+    confirmationNanos = OptionalLong.of(begunNanos);
+  }
+
+  /**
+   * Sets how to find out when the directory was last confirmed as the newest. It is asked at each
+   * use: a process that was suspended gets requests before any periodic check has run.
    */
-  public void setContact(BooleanSupplier inContact) {
-    contact = inContact;
+  public void setContact(DirectoryContact newContact) {
+    contact = newContact;
   }
 
+  /** Notices gaps in the contact with the store; called several times a second. */
+  public void onTick(long nowNanos) {
+    inContact(nowNanos);
+  }
+
+  /** A gap counts also if it is over by now: versions may have come and gone meanwhile. */
   private boolean inContact(long nowNanos) {
-    boolean now = contact.getAsBoolean();
-    if (now && !wasInContact) {
+    long ageNanos = contact.ageNanos(nowNanos);
+    long contactNanos = nowNanos - ageNanos;
+    long gapNanos = contactNanos - lastContactNanos.orElse(contactNanos);
+    if (gapNanos > contact.maxGapNanos()) {
       versions.restartWatch(nowNanos);
     }
-    wasInContact = now;
-    return now;
+    if (gapNanos >= 0) {
+      lastContactNanos = OptionalLong.of(contactNanos);
+    }
+    return ageNanos < contact.maxGapNanos();
   }
 
   /**
@@ -93,17 +114,51 @@
    * @param key key of the request that brought its first event; empty when the caller does not name
    *     it
    * @param candidates services of the route; the first is taken where no node reported the stream
+   * @param arrivedNanos when the request came that continues the stream
+   */
+  public Optional<KnownOrigin> find(
+      Optional<Long> key, List<String> candidates, long arrivedNanos, long nowNanos) {
+    return reported(key, candidates, nowNanos)
+        .or(() -> soleOrigin(key, candidates.get(0), arrivedNanos, nowNanos));
+  }
+
+  private Optional<KnownOrigin> reported(
+      Optional<Long> key, List<String> candidates, long nowNanos) {
+    return key.map(streams::get)
+        .filter(known -> nowNanos - known.atNanos <= lifetimeNanos)
+        .filter(known -> candidates.contains(known.origin.service()))
+        .map(
+            known ->
+                new KnownOrigin(
+                    known.origin, KnownOrigin.Evidence.REPORTED, nowNanos - known.atNanos));
+  }
+
+  private Optional<KnownOrigin> soleOrigin(
+      Optional<Long> key, String service, long arrivedNanos, long nowNanos) {
+    if (!isConfirmedSince(arrivedNanos)) {
+      return Optional.empty();
+    }
+    long ageNanos = nowNanos - confirmationNanos.getAsLong();
+    return soleVersion(service, nowNanos)
+        .map(version -> new StreamOrigin(key.orElse(0L), service, version))
+        .map(origin -> new KnownOrigin(origin, KnownOrigin.Evidence.SOLE_VERSION, ageNanos));
+  }
+
+  /**
+   * Whether a stream would be found if the store confirmed the directory by a reading that begins
+   * now.
+   *
+   * @param key as in {@link #find}, as are the others
    */
-  public Optional<StreamOrigin> find(Optional<Long> key, List<String> candidates, long nowNanos) {
-    Optional<StreamOrigin> reported =
-        key.map(streams::get)
-            .filter(known -> nowNanos - known.atNanos <= lifetimeNanos)
-            .map(Known::origin)
-            .filter(origin -> candidates.contains(origin.service()));
-    return reported.or(
-        () ->
-            soleVersion(candidates.get(0), nowNanos)
-                .map(version -> new StreamOrigin(key.orElse(0L), candidates.get(0), version)));
+  public boolean lacksConfirmation(
+      Optional<Long> key, List<String> candidates, long arrivedNanos, long nowNanos) {
+    return !isConfirmedSince(arrivedNanos)
+        && reported(key, candidates, nowNanos).isEmpty()
+        && soleVersion(candidates.get(0), nowNanos).isPresent();
+  }
+
+  private boolean isConfirmedSince(long nanos) {
+    return confirmationNanos.isPresent() && confirmationNanos.getAsLong() - nanos >= 0;
   }
 
   private Optional<String> soleVersion(String service, long nowNanos) {
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -28,27 +28,66 @@
       new StreamOrigin(StreamOrigin.key("", "r-1"), SERVICE, "v1");
 
   private final StreamTracker tracker = new StreamTracker();
-  private boolean inContact = true;
+  private final TestContact contact = new TestContact();
 
   @BeforeEach
   void configure() {
     tracker.setRouting(ResumableService.routing());
-    tracker.setContact(() -> inContact);
+    tracker.setContact(contact);
+  }
+
+  /** Contact that is unbroken until a test breaks it. */
+  private static final class TestContact implements DirectoryContact {
+
+    private static final long MAX_GAP = Duration.ofSeconds(2).toNanos();
+
+    private Optional<Long> brokenSince = Optional.empty();
+
+    @Override
+    public long ageNanos(long nowNanos) {
+      return brokenSince.map(since -> nowNanos - since).orElse(0L);
+    }
+
+    @Override
+    public long maxGapNanos() {
+      return MAX_GAP;
+    }
   }
 
   private static EngineDirectory directory(String... versions) {
     return ResumableService.directory(List.of(versions));
   }
 
+  /** Where a request continues the stream that comes now, and the store confirms the directory. */
   private Optional<String> find(StreamOrigin stream, long nowNanos) {
+    tracker.onTick(nowNanos);
+    tracker.onDirectoryConfirmed(nowNanos);
+    return findArrived(nowNanos, stream, nowNanos);
+  }
+
+  private Optional<String> findArrived(long arrivedNanos, StreamOrigin stream, long nowNanos) {
     return tracker
-        .find(Optional.of(stream.key()), SERVICES, nowNanos)
+        .find(Optional.of(stream.key()), SERVICES, arrivedNanos, nowNanos)
+        .map(KnownOrigin::origin)
         .map(StreamOrigin::softwareVersion);
   }
 
+  private boolean lacksConfirmation(long arrivedNanos, long nowNanos) {
+    return tracker.lacksConfirmation(
+        Optional.of(OLD_STREAM.key()), SERVICES, arrivedNanos, nowNanos);
+  }
+
+  private void tickUntil(long nowNanos) {
+    long step = TestContact.MAX_GAP / 2;
+    for (long now = 0; now <= nowNanos; now += step) {
+      tracker.onTick(now);
+    }
+  }
+
   @Test
   void soleVersionIsKnownOnlyOnceItWasWatchedForTheLifeOfAStream() {
     tracker.onDirectory(directory("v1"), 0);
+    tickUntil(LIFETIME - 1);
     assertThat(find(OLD_STREAM, LIFETIME - 1)).isEmpty();
     assertThat(find(OLD_STREAM, LIFETIME)).contains("v1");
   }
@@ -59,6 +98,7 @@
     Map<String, Integer> seen = Map.of("v2", 0, "v1", 4_000);
     tracker.onPeerReport(new StreamReport(Map.of(SERVICE, seen), List.of()), 0);
     assertThat(find(OLD_STREAM, 1)).isEmpty();
+    tickUntil(LIFETIME - Duration.ofSeconds(3).toNanos());
     assertThat(find(OLD_STREAM, LIFETIME - Duration.ofSeconds(3).toNanos())).contains("v2");
   }
 
@@ -66,6 +106,7 @@
   void versionThatHasLeftStillCountsForTheLifeOfItsStreams() {
     tracker.onDirectory(directory("v1"), 0);
     tracker.onDirectory(directory("v2"), LIFETIME);
+    tickUntil(2 * LIFETIME);
     assertThat(find(OLD_STREAM, 2 * LIFETIME)).isEmpty();
     assertThat(find(OLD_STREAM, 2 * LIFETIME + 1)).contains("v2");
   }
@@ -73,14 +114,47 @@
   @Test
   void nothingIsCertainWhileTheDirectoryMayBeOutOfDate() {
     tracker.onDirectory(directory("v1"), 0);
-    inContact = false;
+    contact.brokenSince = Optional.of(0L);
     assertThat(find(OLD_STREAM, LIFETIME)).isEmpty();
-    inContact = true;
+    contact.brokenSince = Optional.empty();
     assertThat(find(OLD_STREAM, LIFETIME + 1)).isEmpty();
+    tickUntil(2 * LIFETIME);
     assertThat(find(OLD_STREAM, 2 * LIFETIME)).isEmpty();
     assertThat(find(OLD_STREAM, 2 * LIFETIME + 1)).contains("v1");
   }
 
+  /** Guards against what a node took for certain that was out of step and did not notice. */
+  @Test
+  void soleVersionIsConcludedOnlyFromAReadingThatBeganAfterTheRequestCame() {
+    tracker.onDirectory(directory("v1"), 0);
+    tickUntil(LIFETIME);
+    tracker.onDirectoryConfirmed(LIFETIME);
+    assertThat(findArrived(LIFETIME + 1, OLD_STREAM, LIFETIME + 2)).isEmpty();
+    assertThat(lacksConfirmation(LIFETIME + 1, LIFETIME + 2)).isTrue();
+    tracker.onDirectoryConfirmed(LIFETIME + 1);
+    assertThat(lacksConfirmation(LIFETIME + 1, LIFETIME + 2)).isFalse();
+    assertThat(findArrived(LIFETIME + 1, OLD_STREAM, LIFETIME + 2)).contains("v1");
+  }
+
+  @Test
+  void noConfirmationIsLackedWhereItWouldNotTellTheVersion() {
+    tracker.onDirectory(directory("v1", "v2"), 0);
+    tickUntil(LIFETIME);
+    assertThat(lacksConfirmation(LIFETIME, LIFETIME)).isFalse();
+    tracker.onBegan(OLD_STREAM, LIFETIME);
+    assertThat(lacksConfirmation(LIFETIME, LIFETIME)).isFalse();
+    assertThat(findArrived(LIFETIME, OLD_STREAM, LIFETIME)).contains("v1");
+  }
+
+  /** Guards against a gap that nobody noticed while it lasted, as in a suspended process. */
+  @Test
+  void nothingIsCertainAfterAGapInContactThatIsOverBeforeAnyCheck() {
+    tracker.onDirectory(directory("v1"), 0);
+    tickUntil(LIFETIME);
+    long after = LIFETIME + TestContact.MAX_GAP + 1;
+    assertThat(find(OLD_STREAM, after)).isEmpty();
+  }
+
   @Test
   void noStreamIsReportedWhileThereIsOneVersion() {
     tracker.onDirectory(directory("v1"), 0);
@@ -105,7 +179,7 @@
     tracker.onDirectory(directory("v1", "v2"), 0);
     tracker.onPeerReport(new StreamReport(Map.of(), List.of(OLD_STREAM)), 0);
     assertThat(find(OLD_STREAM, 1)).contains("v1");
-    assertThat(tracker.find(Optional.of(OLD_STREAM.key()), List.of("other"), 1)).isEmpty();
+    assertThat(tracker.find(Optional.of(OLD_STREAM.key()), List.of("other"), 1, 1)).isEmpty();
     assertThat(find(new StreamOrigin(StreamOrigin.key("bakery", "r-1"), SERVICE, ""), 1)).isEmpty();
   }
 
@@ -229,8 +303,13 @@
     }
 
     private void resume(StreamOrigin stream, int node) {
+      long nanos = now * STEP;
+      trackers.get(node).onDirectoryConfirmed(nanos);
       Optional<StreamOrigin> origin =
-          trackers.get(node).find(Optional.of(stream.key()), SERVICES, now * STEP);
+          trackers
+              .get(node)
+              .find(Optional.of(stream.key()), SERVICES, nanos, nanos)
+              .map(KnownOrigin::origin);
       asked++;
       found += origin.isPresent() ? 1 : 0;
       wrong += origin.filter(known -> !known.equals(stream)).isPresent() ? 1 : 0;
--- a/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/duty/DutyThread.java
@@ -8,6 +8,7 @@
 import com.lmax.disruptor.dsl.ProducerType;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +26,9 @@
  */
 public final class DutyThread<E> implements AutoCloseable {
 
+  /** Pause between attempts to publish to a full ring. */
+  private static final long FULL_PAUSE_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
+
   private static final Logger LOG = LoggerFactory.getLogger(DutyThread.class);
   private static final long CLOSE_SECONDS = 5;
   private static final long IDLE_FACTOR = 5;
@@ -118,6 +122,13 @@
         });
   }
 
+  /** Publishes an event to the ring. Blocks while the ring is full. */
+  public void put(E event) {
+    while (!offer(event)) {
+      LockSupport.parkNanos(FULL_PAUSE_NANOS);
+    }
+  }
+
   /**
    * Ends the duty: its handler gets no further events or ticks. The thread keeps running and drains
    * the ring. Any thread may call this.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -487,6 +487,8 @@
         .addKeyValue("engine", engine.id())
         .addKeyValue("version", engine.softwareVersion())
         .addKeyValue("resumes", LogTexts.resumes(exchange))
+        .addKeyValue("origin", LogTexts.origin(exchange))
+        .addKeyValue("originAgeMs", LogTexts.originAgeMillis(exchange))
         .addKeyValue("address", engine.address())
         .addKeyValue("arrivals", exchange.progress().runSends())
         .addKeyValue("expectedMs", Math.round(estimate.millis()))
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -24,6 +24,7 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.quarantine.RequestFingerprint;
+import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
@@ -75,6 +76,7 @@
   private final List<Exchange> waitingForOrigin = new ArrayList<>();
   private final Map<RequestProgress, Exchange> waitingForEngine = new HashMap<>();
   private final BooleanSupplier stopping;
+  private final Runnable directoryConfirmation;
   private long lastHealthNanos;
   private long lastStageNanos;
   private long lastOutlookNanos;
@@ -91,7 +93,7 @@
       PathActions pathActions,
       RunCounter runs,
       Scaling scaling,
-      BooleanSupplier inContact,
+      Runnable directoryConfirmation,
       BooleanSupplier stopping) {
     this.dispatcher = dispatcher;
     this.engines = engines;
@@ -105,7 +107,7 @@
     this.runs = runs;
     this.scaling = scaling;
     this.stopping = stopping;
-    dispatcher.resumedStreams().tracker().setContact(inContact);
+    this.directoryConfirmation = directoryConfirmation;
   }
 
   private void onCacheListed(DispatchEvent.CacheListed answer, long now) {
@@ -152,10 +154,9 @@
     } else if (event instanceof DispatchEvent.CallerGone gone) {
       onCallerGone(gone.exchange(), now);
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
-      dispatcher.setDirectory(changed.directory(), now);
-      scaling.setDirectory(dispatcher.directory());
-      survey.onDirectory(changed.directory(), now);
-      peers.sendDue(now);
+      onDirectory(changed.directory(), now);
+    } else if (event instanceof DispatchEvent.DirectoryConfirmed confirmed) {
+      onDirectoryConfirmed(confirmed.begunNanos(), now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
       onCacheListed(answer, now);
     } else if (event instanceof DispatchEvent.RoutingChanged changed) {
@@ -198,6 +199,18 @@
     }
   }
 
+  private void onDirectory(EngineDirectory directory, long now) {
+    dispatcher.setDirectory(directory, now);
+    scaling.setDirectory(dispatcher.directory());
+    survey.onDirectory(directory, now);
+    peers.sendDue(now);
+  }
+
+  private void onDirectoryConfirmed(long begunNanos, long now) {
+    dispatcher.resumedStreams().tracker().onDirectoryConfirmed(begunNanos);
+    startThoseWithOrigin(now);
+  }
+
   private void applyNotices(long now) {
     applyLeaving(now);
     dispatcher.takeLimitChanges().forEach(log::engineLimit);
@@ -225,7 +238,7 @@
       return;
     }
     if (dispatcher.resumedStreams().awaitsOrigin(exchange.progress(), now)) {
-      waitingForOrigin.add(exchange);
+      waitForOrigin(exchange, now);
     } else if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
       waitingForCacheLists.add(exchange);
     } else {
@@ -233,6 +246,13 @@
     }
   }
 
+  private void waitForOrigin(Exchange exchange, long now) {
+    waitingForOrigin.add(exchange);
+    if (dispatcher.resumedStreams().lacksConfirmation(exchange.progress(), now)) {
+      directoryConfirmation.run();
+    }
+  }
+
   /**
    * Ends a request that nobody waits for, before anything is decided for it: while this thread is
    * late, the event that tells so is still behind others.
@@ -487,6 +507,7 @@
   @Override
   public void onTick() {
     long now = System.nanoTime();
+    dispatcher.resumedStreams().tracker().onTick(now);
     applyNotices(now);
     for (Exchange exchange : Set.copyOf(active)) {
       if (exchange.envelope().remainingNanos(now) <= 0) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -47,6 +47,13 @@
   /** The list of engines changed. */
   record DirectoryChanged(EngineDirectory directory) implements DispatchEvent {}
 
+  /**
+   * The store confirmed that the list of engines, as it was last given, is complete.
+   *
+   * @param begunNanos when the reading of the store began, in nanoTime
+   */
+  record DirectoryConfirmed(long begunNanos) implements DispatchEvent {}
+
   /** Routes and services changed. */
   record RoutingChanged(RoutingImage image) implements DispatchEvent {}
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/FollowCounts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/FollowCounts.java
@@ -23,6 +23,8 @@
     STORE_WATCH_EMPTY,
     /** This node ended a watch of the store that it could no longer rely on. */
     STORE_WATCH_ENDED,
+    /** The store was read to confirm that the list of engines is complete. */
+    STORE_CONFIRMATION,
     /** A call to the store, or taking its answer, failed. */
     STORE_FAILED,
     /** This node asked another node and got newer rows. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -5,12 +5,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.eclipse.jetty.client.HttpClient;
@@ -70,11 +67,8 @@
    */
   private static final int GATHERS_PER_DRAIN = 4;
 
-  private static final long RING_FULL_PAUSE_NANOS = 100_000;
   private static final int OUTPUT_BUFFER_BYTES = 8 * 1024;
-
   private static final Duration MAX_WAIT_TO_ACCEPT = Duration.ofMillis(300);
-
   private static final String ROUTING = "routing";
   private static final String ENGINES = "engines";
   private static final long STOP_CHECK_MILLIS = 20;
@@ -96,7 +90,7 @@
   private final CacheSurvey survey;
   private final PeerSnapshots snapshots;
   private final FollowCounts followCounts = new FollowCounts();
-  private final List<ChangeSignal> changeSignals = new CopyOnWriteArrayList<>();
+  private final ChangeSignal changeSignal = new ChangeSignal();
   private final DutyThread<DispatchEvent> dispatch;
   private final FatalFaultHandler faultHandler;
   private final StageDuty stages;
@@ -110,6 +104,7 @@
   private final RowFollower routingFollower;
   private final DecodedRows<ServingEngine> engineRows;
   private final RowFollower engineFollower;
+  private final DirectoryConfirmationDuty directoryConfirmation;
   private HttpListener readiness;
   private HttpListener metricsListener;
   private SettingsWatch settingsWatch;
@@ -184,7 +179,7 @@
             paths,
             runCounter(dispatcher, messenger),
             newScaling(),
-            state::engineListIsCurrent,
+            state::confirmDirectory,
             state::stopping);
     this.dispatch =
         new DutyThread<>("dispatch", RING_SIZE, TICK, duty).measuredBy(metrics.dispatch());
@@ -200,7 +195,18 @@
             platform.engineFeed(),
             this::onEngineRows,
             settings.bounds().drain().dividedBy(GATHERS_PER_DRAIN));
-    state.setFollowers(routingFollower, engineFollower);
+    this.directoryConfirmation = newDirectoryConfirmation();
+    state.setFollower(routingFollower, directoryConfirmation::request);
+    dispatcher.resumedStreams().tracker().setContact(directoryConfirmation);
+  }
+
+  private DirectoryConfirmationDuty newDirectoryConfirmation() {
+    return new DirectoryConfirmationDuty(
+        platform.engineFeed().create(control),
+        engineFollower,
+        change -> overlay.tables().onSeen(ENGINES, change),
+        begunNanos -> post(new DispatchEvent.DirectoryConfirmed(begunNanos)),
+        followCounts);
   }
 
   private EngineForwarder newForwarder(PathActions paths) {
@@ -251,9 +257,7 @@
       GatewayPlatform.ClientFactory<RowFeed> feed,
       Consumer<FeedTracker> onRows,
       Duration maxGather) {
-    Duration change = settings.bounds().drain();
-    ChangeSignal changeSignal = new ChangeSignal();
-    changeSignals.add(changeSignal);
+    FollowBounds bounds = FollowBounds.of(settings.bounds().drain(), settings.bounds().contact());
     return new RowFollower(
         table,
         new RowFollower.Sources(
@@ -261,8 +265,7 @@
         listener(onRows),
         log,
         followCounts,
-        new RowFollower.Times(
-            maxGather, FollowBounds.of(change, settings.bounds().contact()), changeSignal));
+        new RowFollower.Times(maxGather, bounds, changeSignal));
   }
 
   private WatchedConnector newCallersConnector(ServerSocketChannel socket) throws IOException {
@@ -292,7 +295,7 @@
    * opens before the other ports: opening each takes processor time while callers wait.
    */
   public void start() throws Exception {
-    overlay.tables().setOnNewerVersion(() -> changeSignals.forEach(ChangeSignal::signal));
+    overlay.tables().setOnNewerVersion(changeSignal::signal);
     dispatch.start(DutyState.HELD_ALONE, faultHandler);
     peers.start(faultHandler);
     stages.start(faultHandler);
@@ -300,6 +303,7 @@
     scaling.ifPresent(duty -> duty.start(faultHandler));
     routingFollower.start(faultHandler);
     engineFollower.start(faultHandler);
+    directoryConfirmation.start(faultHandler);
     server.start();
     state.awaitReady(MAX_WAIT_TO_ACCEPT);
     server.addConnector(callers);
@@ -444,9 +448,7 @@
 
   /** Posts an event to the dispatch duty. Blocks while its ring is full: no event is dropped. */
   private void post(DispatchEvent event) {
-    while (!dispatch.offer(event)) {
-      LockSupport.parkNanos(RING_FULL_PAUSE_NANOS);
-    }
+    dispatch.put(event);
   }
 
   /** Followers of both tables call, each with the era of its rows. */
@@ -581,6 +583,7 @@
     quarantine.close();
     routingFollower.close();
     engineFollower.close();
+    directoryConfirmation.close();
     server.stop();
     if (readiness != null) {
       readiness.close();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -19,7 +19,7 @@
   private final BodyMemory bodies;
   private final Optional<Duration> keyLifetime;
   private volatile RowFollower routingFollower;
-  private volatile RowFollower engineFollower;
+  private volatile Runnable directoryConfirmation = () -> {};
   private final AtomicReference<RoutingImage> routing = new AtomicReference<>();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final CountDownLatch readyLatch = new CountDownLatch(1);
@@ -49,16 +49,19 @@
     return (image == null ? RequestLimits.defaults() : image.limits()).maxBodyBytes();
   }
 
-  /** Sets the followers of the tables of routes and of engines. */
-  void setFollowers(RowFollower ofRoutes, RowFollower ofEngines) {
+  /**
+   * Sets the follower of the table of routes.
+   *
+   * @param confirmation requests that the table of engines is confirmed
+   */
+  void setFollower(RowFollower ofRoutes, Runnable confirmation) {
     routingFollower = ofRoutes;
-    engineFollower = ofEngines;
+    directoryConfirmation = confirmation;
   }
 
-  /** Whether the known engines were confirmed recently to be all that are listed. */
-  boolean engineListIsCurrent() {
-    RowFollower follower = engineFollower;
-    return follower != null && follower.inContact(System.nanoTime());
+  /** Requests that the store confirms the list of engines by a reading that begins from now on. */
+  void confirmDirectory() {
+    directoryConfirmation.run();
   }
 
   /** Whether other nodes know newer routes and keys than those in force on this node. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.eclipse.jetty.client.Connection;
@@ -56,6 +57,20 @@
         .orElse("");
   }
 
+  /** Returns how the origin of the stream is known that a request continues; empty for none. */
+  static String origin(Exchange exchange) {
+    return exchange.progress().resumedFrom().map(known -> known.evidence().name()).orElse("");
+  }
+
+  /** Returns the age of what {@link #origin} names, when it was used; 0 for none. */
+  static long originAgeMillis(Exchange exchange) {
+    return exchange
+        .progress()
+        .resumedFrom()
+        .map(known -> TimeUnit.NANOSECONDS.toMillis(known.evidenceAgeNanos()))
+        .orElse(0L);
+  }
+
   /**
    * Returns the id of the prompt's last shared part, which tells most about where the prompt is
    * cached; empty when there is none.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -69,6 +69,7 @@
   private volatile long confirmedNanos;
   private volatile long upToDateNanos = System.nanoTime();
   private volatile StorePosition position = StorePosition.NONE;
+  private volatile StorePosition delivered = StorePosition.NONE;
 
   /** What other nodes report about the table, and what this node reports to them. Thread-safe. */
   interface PeerReports {
@@ -189,10 +190,7 @@
   }
 
   private void step() throws StoreException, InterruptedException {
-    deliveryPending |= tracker.expireCorrections(System.nanoTime());
-    if (deliveryPending) {
-      deliver();
-    }
+    deliver(tracker.expireCorrections(System.nanoTime()));
     FollowState sight = sight();
     FollowStep step = plan.next(sight, System.nanoTime());
     onSource(step);
@@ -270,10 +268,11 @@
   }
 
   private void applyPeerAnswer(FeedAnswer answer) {
-    if (takeWhole(answer)) {
+    boolean changed = takeWhole(answer);
+    if (changed) {
       log.learnedFromPeer(name, answer.position());
-      deliver();
     }
+    deliver(changed);
   }
 
   /**
@@ -296,9 +295,7 @@
       boolean changed = tracker.onChanges(answer, System.nanoTime());
       position = tracker.position();
       counts.count(kindOf(answer, ended[0]));
-      if (changed) {
-        deliver();
-      }
+      deliver(changed);
       if (ended[0]) {
         onWatchEnded();
       } else {
@@ -313,17 +310,24 @@
     }
   }
 
+  private void deliver(boolean changed) {
+    if (changed || deliveryPending) {
+      deliver();
+    }
+    delivered = tracker.position();
+  }
+
   /**
    * Hands the rows to the listener. If it throws, the next step hands them over again, and until
    * then this node does not count as up to date.
    */
   private void deliver() {
-    boolean delivered = false;
+    boolean done = false;
     try {
       listener.onRows(tracker);
-      delivered = true;
+      done = true;
     } finally {
-      deliveryPending = !delivered;
+      deliveryPending = !done;
     }
   }
 
@@ -363,6 +367,14 @@
     return position;
   }
 
+  /**
+   * The position up to which the listener has been given all changes of the table; any thread may
+   * call.
+   */
+  StorePosition delivered() {
+    return delivered;
+  }
+
   /**
    * Time in ns since this node last was certain that its rows are the newest; any thread may call.
    * Reports of other nodes count as much as answers of the store.
@@ -376,11 +388,11 @@
   }
 
   /**
-   * Whether this node is in contact with the store, directly or through others: at most one
-   * confirmation in a row was missed. Any thread may call.
+   * The longest time between two confirmations while this node is in contact with the store,
+   * directly or through others: at most one confirmation in a row was missed. Any thread may call.
    */
-  boolean inContact(long nowNanos) {
-    return stalenessNanos(nowNanos) < 2 * times.bounds().silenceNanos(peerReports.order());
+  long maxContactGapNanos() {
+    return 2 * times.bounds().silenceNanos(peerReports.order());
   }
 
   /**
@@ -411,9 +423,7 @@
     FeedAnswer answer = feed.snapshot();
     boolean stale = tracker.position().isAfter(answer.position());
     onWholeRead(stale, answer.position());
-    if (takeWhole(answer)) {
-      deliver();
-    }
+    deliver(takeWhole(answer));
     if (stale) {
       times.pause().await(STALE_READ_PAUSE_MILLIS, () -> false);
     } else {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/StoreRefusesNodeTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/StoreRefusesNodeTest.java
@@ -150,7 +150,7 @@
   @Test
   void keysThatFailClosedAreNotTrustedOnceNothingConfirmsThem() {
     GatewayState state = new GatewayState(null, new BodyMemory(0), Optional.of(KEY_LIFETIME));
-    state.setFollowers(follower, follower);
+    state.setFollower(follower, () -> {});
     follower.start();
     await().atMost(MAX_WAIT).until(() -> deliveredPosition.get() == 1);
     await().atMost(MAX_WAIT).until(() -> state.keysAreTrusted(System.nanoTime()));
@@ -164,7 +164,7 @@
   @Test
   void keysThatFailOpenStayTrusted() {
     GatewayState state = new GatewayState(null, new BodyMemory(0), Optional.empty());
-    state.setFollowers(follower, follower);
+    state.setFollower(follower, () -> {});
     long muchLater = System.nanoTime() + TimeUnit.HOURS.toNanos(1);
     assertThat(state.keysAreTrusted(muchLater)).isTrue();
   }
