Reset a given-up request's connection without an orderly end before

Callers can see a request at two engines at once: an attempt gets no answer in time, the request goes on at another engine, and the first one works on it to its end. It needs an engine that takes the end of what its caller sends for that, and not for the end of the connection.

Cause: the HTTP client ends the output of a connection before it closes it. The engine's kernel gets that end first, and whoever reads then reads an orderly end for ever; the reset right behind it does not show any more. The client's end point leaves the output open now, so that the close, a reset, comes alone. A call on a connection of its own ("Connection: close") does not end its output before the answer either, which an engine could take for a caller that has left.

Evidence: AbortedRequestTest read an orderly end before.

--- a/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
@@ -11,7 +11,9 @@
 
 /**
  * A connection that tells a reset from an orderly end. The usual end point reports both as the end
- * of input, so that an answer without a length that was reset on its way would look whole.
+ * of input, so that an answer without a length that was reset on its way would look whole. Its own
+ * end is never an orderly one: a peer that reads such an end does not see the reset behind it, and
+ * may work on for a caller that still reads.
  */
 final class ResetAwareEndPoint extends SocketChannelEndPoint {
 
@@ -20,6 +22,12 @@
     super(channel, selector, key, scheduler);
   }
 
+  /** The HTTP client closes the connection after this, or once the last answer has come. */
+  @Override
+  protected void doShutdownOutput() {
+    // The peer sees a reset when the connection is closed.
+  }
+
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     if (isInputShutdown()) {
