Play signals at processes: do requests run twice?

A command of the rehearsal, by hand: three gateways and four application back ends as processes, killed and suspended by a seed, with the links of one gateway cut at times, so that requests are forwarded. Back ends print each run before it begins; every second one does not take an orderly end of its caller's output for the end of the connection.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/RehearsalMain.java
@@ -9,6 +9,7 @@
 import org.fallturn.rehearsal.load.LoadCommand;
 import org.fallturn.rehearsal.modelcheck.CheckInvariantsCommand;
 import org.fallturn.rehearsal.quickstart.QuickstartCommand;
+import org.fallturn.rehearsal.signals.SignalsCommand;
 import org.fallturn.rehearsal.soak.SoakCommand;
 
 /** Entry point of {@code fallturn-rehearsal}; each sub-command is one entry of the list. */
@@ -22,6 +23,7 @@
                   new LoadCommand(),
                   new QuickstartCommand(),
                   new CheckInvariantsCommand(),
+                  new SignalsCommand(),
                   new SoakCommand(),
                   new ExperimentCommand()))
           .toList();
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
@@ -0,0 +1,213 @@
+package org.fallturn.rehearsal.signals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.platform.PlatformMain;
+import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.PeerLink;
+import org.fallturn.rehearsal.fleet.ManagedProcess;
+import org.fallturn.rehearsal.soak.SoakGatewayMain;
+
+/**
+ * Gateways and application back ends as processes, beside a store in this process. The first
+ * gateway reaches the engines by links of its own. One thread calls.
+ */
+final class SignalsFleet implements AutoCloseable {
+
+  private static final String ENGINE_TABLE = "servers";
+  private static final String HOSTS = "127.0.0.";
+  private static final int FIRST_HOST = 12;
+
+  /** Host from which the first gateway's links reach the engines. */
+  static final String LINKED_HOST = HOSTS + (FIRST_HOST - 1);
+
+  private final Path directory;
+  private final EmulatedPlatform platform = new EmulatedPlatform();
+  private final List<Engine> engines = new ArrayList<>();
+  private final List<Engine> ended = new ArrayList<>();
+  private final List<ManagedProcess> gateways = new ArrayList<>();
+  private final List<NetworkAddress> callers = new ArrayList<>();
+  private final int peerPort = PeerLink.freePort();
+  private int enginesStarted;
+
+  /** One engine's process and when it was killed. */
+  static final class Engine {
+
+    private final String id;
+    private final ManagedProcess process;
+    private final NetworkAddress address;
+    private volatile long killedNanos = Long.MAX_VALUE;
+
+    private Engine(String id, ManagedProcess process) throws IOException {
+      this.id = id;
+      this.process = process;
+      this.address = process.address();
+    }
+
+    ManagedProcess process() {
+      return process;
+    }
+
+    String id() {
+      return id;
+    }
+  }
+
+  SignalsFleet(Path directory, int gatewayCount, int engineCount) throws Exception {
+    this.directory = directory;
+    Files.createDirectories(directory);
+    for (int engine = 0; engine < engineCount; engine++) {
+      engines.add(startEngine(0));
+    }
+    for (int gateway = 0; gateway < gatewayCount; gateway++) {
+      callers.add(new NetworkAddress(host(gateway), PeerLink.freePort()));
+      writeSettings(gateway, gatewayCount);
+      gateways.add(null);
+      startGateway(gateway);
+    }
+  }
+
+  private static String host(int gateway) {
+    return HOSTS + (FIRST_HOST + gateway);
+  }
+
+  private void writeSettings(int gateway, int gatewayCount) throws IOException {
+    List<String> seeds =
+        IntStream.range(0, gatewayCount).mapToObj(other -> host(other) + ":" + peerPort).toList();
+    String text =
+        String.format(
+            Locale.ROOT,
+            """
+            [gateway]
+            node_name = "gateway-%d"
+            zone = "zone-1"
+            callers = "%s"
+            readiness = "127.0.0.1:0"
+            peers = "%s:%d"
+            seeds = "%s"
+            [store]
+            address = "%s"
+            [bounds]
+            grace = "5s"
+            retry_slack = 10000
+            """,
+            gateway + 1,
+            callers.get(gateway),
+            host(gateway),
+            peerPort,
+            String.join(",", seeds),
+            platform.store().address());
+    Files.writeString(settings(gateway), text);
+  }
+
+  private Path settings(int gateway) {
+    return directory.resolve(gatewayName(gateway) + ".toml");
+  }
+
+  static String gatewayName(int gateway) {
+    return "gateway-" + (gateway + 1);
+  }
+
+  /** Starts the process of a gateway; the one before has ended. */
+  void startGateway(int gateway) throws IOException {
+    boolean linked = gateway == 0;
+    List<String> arguments =
+        linked
+            ? List.of(settings(0).toString(), links().toString(), LINKED_HOST)
+            : List.of(settings(gateway).toString());
+    Class<?> program = linked ? SoakGatewayMain.class : PlatformMain.class;
+    gateways.set(
+        gateway, ManagedProcess.start(gatewayName(gateway), directory, program, arguments));
+  }
+
+  private Path links() {
+    return directory.resolve("links");
+  }
+
+  /** Names the faults on the first gateway's links to the engines. */
+  void setLinks(String fault) throws IOException {
+    Path next = directory.resolve("links.next");
+    Files.writeString(next, fault);
+    Files.move(next, links(), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  ManagedProcess gateway(int index) {
+    return gateways.get(index);
+  }
+
+  NetworkAddress callers(int gateway) {
+    return callers.get(gateway);
+  }
+
+  int gatewayCount() {
+    return gateways.size();
+  }
+
+  List<Engine> engines() {
+    return engines;
+  }
+
+  private Engine startEngine(int port) throws IOException {
+    enginesStarted++;
+    String id = "a-" + enginesStarted;
+    List<String> arguments =
+        List.of(id, Integer.toString(port), Boolean.toString(enginesStarted % 2 == 0));
+    Engine engine =
+        new Engine(id, ManagedProcess.start(id, directory, EngineProcessMain.class, arguments));
+    platform.listStrange(id, row(engine.address));
+    return engine;
+  }
+
+  private static String row(NetworkAddress address) {
+    return String.format(
+        Locale.ROOT,
+        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"v1\","
+            + "\"slots\":8,\"state\":\"ready\",\"stage\":\"\",\"coldRemainingMs\":0,"
+            + "\"sequence\":1}",
+        EmulatedPlatform.APPLICATION_SERVICE,
+        address);
+  }
+
+  /** Kills an engine; another takes its place, at its port, and its row stays until unlisted. */
+  Engine replaceEngine(int index) throws IOException, InterruptedException {
+    Engine old = engines.get(index);
+    old.process.kill();
+    old.killedNanos = System.nanoTime();
+    ended.add(old);
+    engines.set(index, startEngine(old.address.port()));
+    return old;
+  }
+
+  /** Takes the row of an engine that has ended away. */
+  void unlist(Engine engine) {
+    platform.store().remove(ENGINE_TABLE, engine.id);
+  }
+
+  /** Kills all engines and reads what they printed. */
+  EngineRuns endEngines() throws IOException, InterruptedException {
+    EngineRuns runs = new EngineRuns();
+    for (Engine engine : engines) {
+      engine.process.kill();
+      engine.killedNanos = System.nanoTime();
+      ended.add(engine);
+    }
+    for (Engine engine : ended) {
+      runs.read(engine.id, Files.readAllLines(engine.process.logFile()), engine.killedNanos);
+    }
+    return runs;
+  }
+
+  @Override
+  public void close() throws Exception {
+    gateways.forEach(ManagedProcess::close);
+    engines.forEach(engine -> engine.process.close());
+    platform.close();
+  }
+}
--- /dev/null
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsRun.java
@@ -0,0 +1,280 @@
+package org.fallturn.rehearsal.signals;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.fallturn.rehearsal.emulator.EmulatedClient;
+import org.fallturn.rehearsal.emulator.EmulatedClient.Call;
+import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.fleet.ManagedProcess;
+
+/** One round: requests of both kinds, while processes are killed and suspended. */
+final class SignalsRun {
+
+  private static final int GATEWAYS = 3;
+  private static final int ENGINES = 4;
+  private static final int REQUEST_MILLIS = 12;
+  private static final Duration DEADLINE = Duration.ofMillis(3_500);
+  private static final Duration START = Duration.ofSeconds(60);
+  private static final int MIN_PAUSE_MILLIS = 250;
+  private static final int PAUSE_RANGE_MILLIS = 700;
+  private static final int MIN_FAULT_MILLIS = 100;
+  private static final int FAULT_RANGE_MILLIS = 1_900;
+  private static final String LINKS = "links";
+  private static final int LINK_MILLIS = 4_000;
+
+  /** A process that is disturbed counts as in touch again so long after. */
+  private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private final long seed;
+  private final Random random;
+  private final Duration length;
+  private final Path directory;
+  private final PrintStream out;
+  private final List<Call> calls = new ArrayList<>();
+  private final List<Call> once = new ArrayList<>();
+  private final List<Disturbance> disturbances = new ArrayList<>();
+  private final List<Repair> repairs = new ArrayList<>();
+
+  private record Disturbance(String what, long begunNanos, long endedNanos) {}
+
+  private record Repair(String target, long dueNanos, Step step) {}
+
+  /** Something that is done to a process. */
+  @FunctionalInterface
+  private interface Step {
+    void run() throws IOException, InterruptedException;
+  }
+
+  private enum Fault {
+    KILL_ENGINE,
+    SUSPEND_ENGINE,
+    KILL_GATEWAY,
+    SUSPEND_GATEWAY,
+    SILENT_LINKS,
+    CUT_LINKS
+  }
+
+  SignalsRun(long seed, Duration length, Path directory, PrintStream out) {
+    this.seed = seed;
+    this.random = new Random(seed);
+    this.length = length;
+    this.directory = directory;
+    this.out = out;
+  }
+
+  /** Plays the round; whether no request broke a promise. */
+  boolean play() throws Exception {
+    try (SignalsFleet fleet = new SignalsFleet(directory, GATEWAYS, ENGINES);
+        EmulatedClient client = new EmulatedClient()) {
+      awaitServing(fleet, client);
+      Thread load = new Thread(() -> sendUntilEnd(fleet, client), "load");
+      load.start();
+      disturbUntilEnd(fleet);
+      load.join();
+      Map<Integer, Integer> statuses = statuses();
+      return report(fleet.endEngines(), statuses);
+    }
+  }
+
+  private static void awaitServing(SignalsFleet fleet, EmulatedClient client) throws Exception {
+    long until = System.nanoTime() + START.toNanos();
+    for (int gateway = 0; gateway < fleet.gatewayCount(); gateway++) {
+      while (client.call(fleet.callers(gateway), EmulatedPlatform.IDEMPOTENT, 0).status() != 200) {
+        if (System.nanoTime() - until > 0) {
+          throw new IllegalStateException("a gateway does not serve");
+        }
+      }
+    }
+  }
+
+  private void sendUntilEnd(SignalsFleet fleet, EmulatedClient client) {
+    Random choice = new Random(seed);
+    long until = System.nanoTime() + length.toNanos();
+    try {
+      while (System.nanoTime() - until < 0) {
+        boolean repeatable = choice.nextBoolean();
+        String path = repeatable ? EmulatedPlatform.IDEMPOTENT : EmulatedPlatform.NON_IDEMPOTENT;
+        Call call =
+            client.send(fleet.callers(choice.nextInt(fleet.gatewayCount())), path, 0, DEADLINE);
+        calls.add(call);
+        if (!repeatable) {
+          once.add(call);
+        }
+        TimeUnit.MILLISECONDS.sleep(REQUEST_MILLIS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void disturbUntilEnd(SignalsFleet fleet) throws Exception {
+    long until = System.nanoTime() + length.toNanos();
+    while (System.nanoTime() - until < 0) {
+      disturb(fleet, Fault.values()[random.nextInt(Fault.values().length)]);
+      long next =
+          System.nanoTime()
+              + TimeUnit.MILLISECONDS.toNanos(
+                  MIN_PAUSE_MILLIS + random.nextInt(PAUSE_RANGE_MILLIS));
+      while (System.nanoTime() - next < 0) {
+        repair(false);
+        TimeUnit.MILLISECONDS.sleep(1);
+      }
+    }
+    repair(true);
+  }
+
+  private void repair(boolean all) throws IOException, InterruptedException {
+    for (Iterator<Repair> left = repairs.iterator(); left.hasNext(); ) {
+      Repair repair = left.next();
+      if (all || System.nanoTime() - repair.dueNanos() >= 0) {
+        left.remove();
+        repair.step().run();
+      }
+    }
+  }
+
+  private void disturb(SignalsFleet fleet, Fault fault) throws Exception {
+    int gateway = random.nextInt(fleet.gatewayCount());
+    int engine = random.nextInt(fleet.engines().size());
+    long millis = MIN_FAULT_MILLIS + random.nextInt(FAULT_RANGE_MILLIS);
+    String engineId = fleet.engines().get(engine).id();
+    switch (fault) {
+      case KILL_ENGINE -> {
+        if (free(engineId)) {
+          begin(engineId, "kill", 0);
+          SignalsFleet.Engine old = fleet.replaceEngine(engine);
+          later("row of " + engineId, millis, () -> fleet.unlist(old));
+        }
+      }
+      case SUSPEND_ENGINE -> suspend(engineId, fleet.engines().get(engine).process(), millis);
+      case KILL_GATEWAY -> {
+        if (free(SignalsFleet.gatewayName(gateway))) {
+          begin(SignalsFleet.gatewayName(gateway), "kill", 0);
+          fleet.gateway(gateway).kill();
+          fleet.startGateway(gateway);
+        }
+      }
+      case SUSPEND_GATEWAY ->
+          suspend(SignalsFleet.gatewayName(gateway), fleet.gateway(gateway), millis);
+      case SILENT_LINKS -> setLinks(fleet, "SILENT");
+      case CUT_LINKS -> setLinks(fleet, "CUT");
+      default -> throw new IllegalStateException(fault.name());
+    }
+  }
+
+  private boolean free(String target) {
+    return repairs.stream().noneMatch(repair -> repair.target().equals(target));
+  }
+
+  private void begin(String target, String what, long millis) {
+    long now = System.nanoTime();
+    disturbances.add(
+        new Disturbance(what + " " + target, now, now + TimeUnit.MILLISECONDS.toNanos(millis)));
+  }
+
+  private void later(String target, long millis, Step step) {
+    repairs.add(
+        new Repair(target, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis), step));
+  }
+
+  private void suspend(String target, ManagedProcess process, long millis)
+      throws IOException, InterruptedException {
+    if (free(target) && process.isAlive()) {
+      begin(target, "suspend", millis);
+      process.pause();
+      later(target, millis, process::resume);
+    }
+  }
+
+  private void setLinks(SignalsFleet fleet, String fault) throws IOException {
+    if (free(LINKS)) {
+      begin(LINKS, fault, LINK_MILLIS);
+      fleet.setLinks(fault);
+      later(LINKS, LINK_MILLIS, () -> fleet.setLinks("NONE"));
+    }
+  }
+
+  private Map<Integer, Integer> statuses() throws Exception {
+    Map<Integer, Integer> counts = new TreeMap<>();
+    for (Call call : calls) {
+      counts.merge(call.await().status(), 1, Integer::sum);
+    }
+    return counts;
+  }
+
+  private boolean report(EngineRuns runs, Map<Integer, Integer> statuses) {
+    out.printf(
+        Locale.ROOT,
+        "seed %d: %d requests (%d that may run once), %d runs, %d faults, statuses %s%n",
+        seed,
+        calls.size(),
+        once.size(),
+        runs.count(),
+        disturbances.size(),
+        statuses);
+    List<String> twice =
+        once.stream().map(Call::requestId).filter(id -> runs.runsOf(id) > 1).toList();
+    out.println("  ran more than once: " + twice);
+    List<EngineRuns.Overlap> overlaps = runs.overlaps();
+    List<EngineRuns.Overlap> unexcused =
+        overlaps.stream().filter(overlap -> near(overlap).isEmpty()).toList();
+    out.printf(
+        Locale.ROOT,
+        "  at two engines: %d, %d of them away from signals%n",
+        overlaps.size(),
+        unexcused.size());
+    overlaps.forEach(this::print);
+    return twice.isEmpty() && unexcused.isEmpty();
+  }
+
+  private void print(EngineRuns.Overlap overlap) {
+    out.printf(
+        Locale.ROOT,
+        "    %s at %s from %s for %d ms beside %s; %s%n",
+        overlap.earlier().requestId(),
+        overlap.earlier().engine(),
+        overlap.earlier().senderHost(),
+        TimeUnit.NANOSECONDS.toMillis(overlap.nanos()),
+        overlap.later().engine(),
+        near(overlap));
+  }
+
+  private static boolean sentOverLinks(EngineRuns.Overlap overlap) {
+    return overlap.earlier().senderHost().equals(SignalsFleet.LINKED_HOST);
+  }
+
+  /**
+   * Faults of a gateway, of the links that were used, or to the first engine, after which nothing
+   * is promised.
+   */
+  private List<String> near(EngineRuns.Overlap overlap) {
+    return disturbances.stream()
+        .filter(
+            known ->
+                known.what().contains("gateway")
+                    || known.what().contains(LINKS) && sentOverLinks(overlap)
+                    || known.what().endsWith(" " + overlap.earlier().engine()))
+        .filter(
+            known ->
+                known.begunNanos() < overlap.earlier().endedNanos()
+                    && known.endedNanos() + CONTACT_NANOS > overlap.earlier().begunNanos())
+        .map(
+            known ->
+                known.what()
+                    + " at "
+                    + TimeUnit.NANOSECONDS.toMillis(
+                        known.begunNanos() - overlap.earlier().begunNanos())
+                    + " ms")
+        .toList();
+  }
+}
