--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineProcessMain.java
@@ -23,7 +23,11 @@
 public final class EngineProcessMain {
 
   private static final String RUN_LINE = "run %s %d %s%n";
-  private static final String END_LINE = "end %s %d%n";
+  private static final String END_LINE = "end %s %d %s%n";
+
+  /** Ends the line of a run that did not end with its connection. */
+  static final String DONE = "done";
+
   private static final String REPORT = "{\"stage\":\"\",\"models\":[],\"busy\":false,\"queued\":0}";
   private static final String BODY = "a whole answer of an application";
   private static final String REQUEST_ID = "X-Fallturn-Request-Id";
@@ -75,9 +79,9 @@
     return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host);
   }
 
-  /** What it prints for the end of a run: {@code end ID NANOS}. */
-  static String endLine(String requestId, long nanos) {
-    return String.format(Locale.ROOT, END_LINE, requestId, nanos);
+  /** What it prints for the end of a run: {@code end ID NANOS done}, or {@code left}. */
+  static String endLine(String requestId, long nanos, boolean done) {
+    return String.format(Locale.ROOT, END_LINE, requestId, nanos, done ? DONE : "left");
   }
 
   /**
@@ -162,7 +166,7 @@
     String host = connection.getInetAddress().getHostAddress();
     System.out.print(runLine(requestId, System.nanoTime(), host));
     boolean done = work(connection, in, random.nextInt(isLong ? LONG_MILLIS : SHORT_MILLIS));
-    System.out.print(endLine(requestId, System.nanoTime()));
+    System.out.print(endLine(requestId, System.nanoTime(), done));
     return done && end(connection, kind, requestId);
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
@@ -18,14 +18,23 @@
 
   /** One run of a request. */
   record Run(
-      String requestId, String engine, String senderHost, long begunNanos, long endedNanos) {}
+      String requestId,
+      String engine,
+      String senderHost,
+      long begunNanos,
+      long endedNanos,
+      boolean givenUp) {}
 
   /** A request that one engine worked on while another one ran it. */
   record Overlap(Run earlier, Run later) {
 
-    /** When the earlier run ended, from the begin of the later one. */
+    /**
+     * How long the engine that was given up worked on beside the other. That may be the one whose
+     * run began later: a suspended engine reads a request after its connection was reset.
+     */
     long nanos() {
-      return earlier.endedNanos() - later.begunNanos();
+      long ended = later.givenUp() ? later.endedNanos() : earlier.endedNanos();
+      return ended - later.begunNanos();
     }
   }
 
@@ -36,18 +45,20 @@
    * @param killedNanos when the process was killed, which ended what it worked on
    */
   void read(String engine, List<String> lines, long killedNanos) {
-    Map<String, Long> ends = new HashMap<>();
+    Map<String, String[]> ends = new HashMap<>();
     for (String line : lines) {
       String[] words = line.split(" ");
       if (words[0].equals("end")) {
-        ends.put(words[1], Long.parseLong(words[2]));
+        ends.put(words[1], words);
       }
     }
     for (String line : lines) {
       String[] words = line.split(" ");
       if (words[0].equals("run")) {
-        long ended = ends.getOrDefault(words[1], killedNanos);
-        add(new Run(words[1], engine, words[3], Long.parseLong(words[2]), ended));
+        String[] end = ends.get(words[1]);
+        long ended = end == null ? killedNanos : Long.parseLong(end[2]);
+        boolean givenUp = end != null && !end[3].equals(EngineProcessMain.DONE);
+        add(new Run(words[1], engine, words[3], Long.parseLong(words[2]), ended, givenUp));
       }
     }
   }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
@@ -21,8 +21,16 @@
 
   @Test
   void requestThatRanAtTwoEnginesIsCounted() {
-    read("a", LATE, EngineProcessMain.runLine("r", 0, HOST), EngineProcessMain.endLine("r", 1));
-    read("b", LATE, EngineProcessMain.runLine("r", 2, HOST), EngineProcessMain.endLine("r", 3));
+    read(
+        "a",
+        LATE,
+        EngineProcessMain.runLine("r", 0, HOST),
+        EngineProcessMain.endLine("r", 1, true));
+    read(
+        "b",
+        LATE,
+        EngineProcessMain.runLine("r", 2, HOST),
+        EngineProcessMain.endLine("r", 3, true));
     assertThat(runs.count()).isEqualTo(2);
     assertThat(runs.runsOf("r")).isEqualTo(2);
     assertThat(runs.runsOf("other")).isZero();
@@ -37,7 +45,24 @@
         LATE,
         EngineProcessMain.runLine("r", 0, HOST),
         "something else\n",
-        EngineProcessMain.endLine("r", BEGIN + LATE + 1));
+        EngineProcessMain.endLine("r", BEGIN + LATE + 1, true));
+    assertThat(runs.overlaps()).extracting(Overlap::nanos).isEqualTo(List.of(LATE + 1));
+  }
+
+  @Test
+  void laterRunThatIsGivenUpIsFoundOnceItGoesOnForTooLong() {
+    read("a", LATE, EngineProcessMain.runLine("r", 0, HOST));
+    read(
+        "b",
+        LATE,
+        EngineProcessMain.runLine("r", BEGIN, HOST),
+        EngineProcessMain.endLine("r", BEGIN + LATE, false));
+    assertThat(runs.overlaps()).isEmpty();
+    read(
+        "c",
+        LATE,
+        EngineProcessMain.runLine("r", BEGIN + 1, HOST),
+        EngineProcessMain.endLine("r", BEGIN + LATE + 2, false));
     assertThat(runs.overlaps()).extracting(Overlap::nanos).isEqualTo(List.of(LATE + 1));
   }
 
