--- a/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
@@ -1,7 +1,6 @@
 package org.fallturn.node.http;
 
 import java.io.IOException;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -9,32 +8,24 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.thread.Scheduler;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
- * A connection that tells a reset from an orderly end, and is reset when this process closes it.
- * The usual end point reports both as the end of input, so that an answer without a length that was
- * reset on its way would look whole; and what the kernel has not sent when it is closed is still
- * delivered, even once the peer reads again long after a request was given up.
+ * A connection that tells a reset from an orderly end. The usual end point reports both as the end
+ * of input, so that an answer without a length that was reset on its way would look whole. Its own
+ * end is never an orderly one: a peer that reads such an end does not see the reset behind it, and
+ * may work on for a caller that still reads.
  */
 final class ResetAwareEndPoint extends SocketChannelEndPoint {
 
-  private static final Logger LOG = LoggerFactory.getLogger(ResetAwareEndPoint.class);
-
   ResetAwareEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
     super(channel, selector, key, scheduler);
   }
 
+  /** The HTTP client closes the connection after this, or once the last answer has come. */
   @Override
-  public void doClose() {
-    try {
-      getChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
-    } catch (IOException e) {
-      LOG.debug("connections: A connection has ended before it could be reset.", e);
-    }
-    super.doClose();
+  protected void doShutdownOutput() {
+    // The peer sees a reset when the connection is closed.
   }
 
   @Override
