Let emulated engines end as killed processes do

An emulated engine that ended closed its connections one after the other while it still answered on the others, and one that crashed closed the connection of the answer alone before it ended. Streams that end with their connection broke off inside an event only. So nothing here could show that an answer looked whole though its engine had been killed between two events.

Change: from the moment of a kill an emulated server writes nothing on any connection, new ones are refused, then all are closed (the kernel resets those with unread bytes). Engines end and crash this way. Streams are written in whole events, and an answer that ends with its connection in two parts; engines can wait between the parts of their answers, no longer than until they end.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -70,8 +69,6 @@
   /** Says how many requests a second an engine takes from all nodes together. */
   private static final String LIMIT = "Server-Limit";
 
-  private static final long EVENT_MILLIS = 5;
-
   /** From the beginning of a run to the crash; 20 to 120 ms have been seen. */
   private static final long CRASH_MILLIS = 30;
 
@@ -98,7 +95,8 @@
   private volatile String rest = "";
   private volatile String padding = "";
   private volatile boolean endsWithConnection;
-  private volatile long runMillis;
+  private volatile Duration runTime = Duration.ZERO;
+  private final AnswerParts parts = new AnswerParts();
   private volatile CountDownLatch gate = new CountDownLatch(0);
   private volatile String limit = "";
 
@@ -154,7 +152,8 @@
     return bornMillis.isPresent();
   }
 
-  private String born() {
+  /** The field of its row and its reports that tells when it started, if it tells that. */
+  String born() {
     return bornMillis.isPresent() ? ",\"born\":" + bornMillis.getAsLong() : "";
   }
 
@@ -205,16 +204,7 @@
 
   /** The row it keeps in the store. */
   public String row(boolean draining) {
-    return String.format(
-        Locale.ROOT,
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"%s\",\"slots\":8,"
-            + "\"state\":\"%s\",\"stage\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1%s}",
-        service,
-        address(),
-        softwareVersion,
-        draining ? "draining" : "ready",
-        stage,
-        born());
+    return EngineRowText.of(this, draining);
   }
 
   /** Misbehaves with the next requests, one fault each. */
@@ -258,7 +248,7 @@
 
   /** From now on its runs take so long, and are answered at their end. */
   public void runFor(Duration duration) {
-    runMillis = duration.toMillis();
+    runTime = duration;
   }
 
   /** Sets whether answers have neither a length nor chunks, and end with their connections. */
@@ -266,6 +256,14 @@
     endsWithConnection = value;
   }
 
+  /**
+   * Answers in parts from now on, with a pause after each: after each event, or after half of an
+   * answer that ends with its connection.
+   */
+  public void pauseInAnswers(Duration pause) {
+    parts.setPause(pause);
+  }
+
   /** Application answers are longer by so many bytes from now on. */
   public void padAnswers(int bytes) {
     padding = ".".repeat(bytes);
@@ -320,8 +318,11 @@
     return openWork.all();
   }
 
+  /** Ends as a process that is killed; see {@link EmulatedServer#kill}. */
   @Override
   public void close() throws Exception {
+    server.kill();
+    parts.end();
     server.close();
   }
 
@@ -386,10 +387,11 @@
         delimit(response);
         response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
-        EmulatedStream.part(response, StreamEvents.event(1, softwareVersion));
+        parts.write(response, StreamEvents.event(1, softwareVersion));
       }
       TimeUnit.MILLISECONDS.sleep(CRASH_MILLIS);
-      close(request, callback);
+      server.kill();
+      callback.failed(new EofException("crashed"));
       Runnable end = () -> crash.get().crashed().accept(EmulatedEngine.this);
       new Thread(end, "crash-" + id).start();
       return true;
@@ -432,7 +434,7 @@
       } else {
         runs.add(headers.get(REQUEST_ID));
         gate.await();
-        if (!runToItsEnd()) {
+        if (parts.endWithin(runTime)) {
           close(request, callback);
           return;
         }
@@ -443,17 +445,6 @@
       }
     }
 
-    /** Returns whether the run has come to its end, and not the engine. */
-    private boolean runToItsEnd() {
-      try {
-        TimeUnit.MILLISECONDS.sleep(runMillis);
-        return true;
-      } catch (InterruptedException e) {
-        Thread.currentThread().interrupt();
-        return false;
-      }
-    }
-
     private void refuse(Response response, Callback callback, int status) {
       response.setStatus(status);
       response.getHeaders().put(NOT_EXECUTED, "1");
@@ -496,7 +487,7 @@
         case SILENT -> waitUntilGone(request, callback);
         case HEAD_ONLY -> {
           response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
-          EmulatedStream.part(response, "");
+          parts.write(response, "");
           close(request, callback);
         }
         case RESET_WITHOUT_LENGTH -> resetWithoutLength(request, callback);
@@ -525,15 +516,14 @@
       response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/event-stream");
       String after = request.getHeaders().get(LAST_EVENT_ID);
       int first = after == null ? 1 : Integer.parseInt(after) + 1;
-      EmulatedStream stream = new EmulatedStream(response, softwareVersion);
       for (int event = first; event <= StreamEvents.COUNT; event++) {
         if (breakOff && event > first) {
-          EmulatedStream.part(response, "id: " + event + "\nda");
+          parts.write(response, "id: " + event + "\nda");
           close(request, callback);
           return;
         }
-        stream.write(event);
-        TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+        parts.write(response, StreamEvents.event(event, softwareVersion));
+        parts.pause();
       }
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
@@ -549,8 +539,10 @@
         Request request, Response response, Callback callback, boolean breakOff) throws Exception {
       String body = "answer of " + id + padding;
       if (!breakOff && endsWithConnection) {
-        EmulatedStream.part(response, body);
-        response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+        int half = body.length() / 2;
+        parts.write(response, body.substring(0, half));
+        parts.pause();
+        write(response, callback, body.substring(half));
         return;
       }
       if (!breakOff) {
@@ -558,7 +550,7 @@
         return;
       }
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
-      EmulatedStream.part(response, body.substring(0, body.length() - 1));
+      parts.write(response, body.substring(0, body.length() - 1));
       close(request, callback);
     }
 
@@ -579,7 +571,7 @@
         endPoint.write(written, ByteBuffer.wrap(head.getBytes(StandardCharsets.UTF_8)));
         written.block();
       }
-      TimeUnit.MILLISECONDS.sleep(EVENT_MILLIS);
+      parts.pause();
       SocketChannel channel = (SocketChannel) endPoint.getTransport();
       channel.setOption(StandardSocketOptions.SO_LINGER, 0);
       close(request, callback);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -244,17 +244,31 @@
     return all;
   }
 
-  /** The successor has the place of the engine in every list. */
+  /** An engine that crashes is killed, and the time is noted. */
   private synchronized void replace(EmulatedEngine engine, String poison) {
+    if (replaced.contains(engine) || engines.contains(engine)) {
+      crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+      kill(engine);
+    }
+  }
+
+  /**
+   * Kills an engine, unless it has ended before. Another starts under its address at once, and its
+   * row takes the place of the former; one that leaves is followed by none.
+   */
+  public synchronized void kill(EmulatedEngine engine) {
     if (replaced.remove(engine)) {
-      endReplaced(engine, poison);
+      endReplaced(engine);
       return;
     }
     int place = engines.indexOf(engine);
-    if (!endCrashed(engine)) {
-      return;
+    if (endCrashed(engine)) {
+      startSuccessor(engine, place);
     }
-    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+  }
+
+  /** The successor has the place of the engine in every list. */
+  private void startSuccessor(EmulatedEngine engine, int place) {
     try {
       EmulatedEngine successor =
           engine.tellsItsStart() ? engine.restarted() : engine.successor(unusedId(engine.id()));
@@ -269,9 +283,8 @@
     }
   }
 
-  /** An engine that leaves crashes as the others do; its place has been taken already. */
-  private void endReplaced(EmulatedEngine engine, String poison) {
-    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+  /** The place of an engine that leaves has been taken already. */
+  private void endReplaced(EmulatedEngine engine) {
     crashed.add(engine);
     unlist(engine);
     close(engine);
