Soak: kill answering engines, put gateways out of step in releases, write odd entries

Change: three lanes behind all others. Kills: slow engines whose answers do not tell their end are killed. Out of step: a gateway misses the store's answers and the others' datagrams, or is suspended, for less time than after which it knows that, while a service of its own gets engines of a further version; callers come back to it with streams that began elsewhere. Odd entries, alone and over the row of a sound engine. The check GATEWAYS_RUN finds processes that end unasked and duties that fail.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -160,11 +160,17 @@
    * @param lastEvent number of the last event that came
    */
   public Call resume(NetworkAddress gateway, int promptTokens, String firstAttempt, int lastEvent) {
+    return resume(gateway, EmulatedPlatform.RESUMABLE, promptTokens, firstAttempt, lastEvent);
+  }
+
+  /** As {@link #resume(NetworkAddress, int, String, int)}, for a stream of another path. */
+  public Call resume(
+      NetworkAddress gateway, String path, int promptTokens, String firstAttempt, int lastEvent) {
     HttpFields resumed =
         HttpFields.build()
             .put("Resumes", firstAttempt)
             .put("Last-Event-Id", Integer.toString(lastEvent));
-    return send(gateway, EmulatedPlatform.RESUMABLE, promptTokens, LONGEST, ownBody(), resumed);
+    return send(gateway, path, promptTokens, LONGEST, ownBody(), resumed);
   }
 
   private Call send(
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -291,17 +291,19 @@
   }
 
   /**
-   * Starts engines of another software version, which take the places of decode engines in every
-   * list. Those are listed as leaving and serve on until {@link #end}.
+   * Starts engines of another software version, which take the places of decode engines of a
+   * service in every list. Those are listed as leaving and serve on until {@link #end}.
    *
    * @param target index among the decode engines of the first that is replaced
    * @param count how many are replaced, at most
    * @return the engines that leave
    */
-  public synchronized List<EmulatedEngine> release(int target, int count, String softwareVersion)
-      throws Exception {
+  public synchronized List<EmulatedEngine> release(
+      String service, int target, int count, String softwareVersion) throws Exception {
     List<EmulatedEngine> decoders =
-        engines.stream().filter(engine -> engine.stage().equals("decode")).toList();
+        engines.stream()
+            .filter(engine -> engine.service().equals(service) && engine.stage().equals("decode"))
+            .toList();
     List<EmulatedEngine> leaving = new ArrayList<>();
     for (int index = 0; index < Math.min(count, decoders.size()); index++) {
       EmulatedEngine leaver = decoders.get(Math.floorMod(target + index, decoders.size()));
@@ -339,7 +341,12 @@
 
   /** Takes an engine's row away. */
   public void unlist(EmulatedEngine engine) {
-    remove(ENGINE_TABLE, engine.id());
+    unlist(engine.id());
+  }
+
+  /** Takes the row with an id away. */
+  public void unlist(String id) {
+    remove(ENGINE_TABLE, id);
   }
 
   /**
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
@@ -70,6 +70,11 @@
     proxy.set(REQUESTS, faults);
   }
 
+  /** Puts faults on datagrams to the gateway; requests go on. */
+  public void setDatagrams(LinkFaults faults) {
+    proxy.set(DATAGRAMS, faults);
+  }
+
   @Override
   public void close() throws IOException {
     proxy.close();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -21,6 +21,12 @@
   /** A service of application back ends, after its name. */
   private static final String APPLICATION = "\"healthPath\":\"/health\",\"maxConnections\":100}";
 
+  /** A service of model engines, after its name. */
+  private static final String MODEL =
+      "\"healthPath\":\"/health\",\"maxConnections\":300,"
+          + "\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
+          + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}}";
+
   private RouteText() {}
 
   /** One route to one service. */
@@ -75,6 +81,12 @@
         "{\"name\":\"app\",", "{\"name\":\"" + name + "\"," + APPLICATION + ",{\"name\":\"app\",");
   }
 
+  /** The same configuration with one more service of model engines. */
+  public static String withModelService(String configuration, String name) {
+    return configuration.replace(
+        "{\"name\":\"app\",", "{\"name\":\"" + name + "\"," + MODEL + ",{\"name\":\"app\",");
+  }
+
   /** A route for each kind of request. */
   public static List<String> defaults() {
     int timeout = 4_000;
@@ -101,9 +113,9 @@
     return String.format(
         Locale.ROOT,
         "{\"version\":%d,\"routes\":[%s],\"services\":["
-            + "{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":300,"
-            + "\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
-            + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}},"
+            + "{\"name\":\"llm\","
+            + MODEL
+            + ","
             + "{\"name\":\"app\","
             + APPLICATION
             + "],"
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Stream;
-import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.OpenWork;
 import org.fallturn.rehearsal.emulator.StreamEvents;
 
@@ -19,7 +18,7 @@
     @Override
     List<String> violations(SoakRecord record) {
       return record.calls().stream()
-          .filter(call -> call.whole() && call.status() == HTTP_OK && !isWhole(call))
+          .filter(call -> call.whole() && call.status() == HTTP_OK && !call.hasWholeBody())
           .map(call -> call.requestId() + " got as whole: " + call.body())
           .toList();
     }
@@ -45,6 +44,13 @@
           .toList();
     }
   },
+  /** A gateway ends only when it is killed or asked to stop, and none of its duties fails. */
+  GATEWAYS_RUN {
+    @Override
+    List<String> violations(SoakRecord record) {
+      return record.control().ends().own();
+    }
+  },
   /** What may not be repeated runs at most once. */
   AT_MOST_ONCE {
     @Override
@@ -401,9 +407,6 @@
     }
   };
 
-  private static final String WHOLE_STREAM =
-      StreamEvents.withoutVersions(EmulatedEngine.wholeStream());
-
   private static final int HTTP_OK = 200;
 
   /** How many engines a content may crash before all gateways have to know it. */
@@ -562,12 +565,6 @@
     return times.stream().filter(at -> at >= from && at < to).count();
   }
 
-  private static boolean isWhole(SoakRecord.Call call) {
-    return call.kind().model()
-        ? StreamEvents.withoutVersions(call.body()).equals(WHOLE_STREAM)
-        : call.body().startsWith("answer of a-");
-  }
-
   private static int runs(SoakRecord record, SoakRecord.Call call) {
     return record.runs().getOrDefault(call.requestId(), 0);
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -242,6 +242,67 @@
       fleet.endPeerSilence(target);
     }
   },
+  ENGINES_KILLED(Lane.KILLS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.kills().begin(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.kills().end(target);
+    }
+  },
+  GATEWAY_WITHOUT_NEWS(Lane.OUT_OF_STEP) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.setStoreLink(target, LinkFaults.SILENT);
+      fleet.gateway(target).setDatagrams(LinkFaults.SILENT);
+      fleet.upgrades().begin(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.setStoreLink(target, LinkFaults.NONE);
+      fleet.gateway(target).setDatagrams(LinkFaults.NONE);
+      fleet.upgrades().end(target);
+    }
+  },
+  GATEWAY_SUSPENDED_IN_RELEASE(Lane.OUT_OF_STEP) {
+    @Override
+    void begin(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).pause();
+      fleet.upgrades().begin(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) throws Exception {
+      fleet.gateway(target).resume();
+      fleet.upgrades().end(target);
+    }
+  },
+  ODD_ENTRY(Lane.ODD_ENTRIES) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.oddEntries().begin(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.oddEntries().end(target);
+    }
+  },
+  ODD_ENTRY_OVER_A_SOUND_ONE(Lane.ODD_ENTRIES) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.oddEntries().beginOver(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.oddEntries().end(target);
+    }
+  },
   ENGINES_RELEASED(Lane.RELEASES),
   ENGINES_RELEASED_MEANWHILE(Lane.OVERLAPPING_RELEASES),
   ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
@@ -284,12 +345,21 @@
     /** One gateway that gets most connections, for longer than the bound on knowing. */
     CONNECTIONS(2, Integer.MAX_VALUE),
     /** Requests of the other gateways to one, whose datagrams go on, while they are at engines. */
-    PEER_LINKS(1, Integer.MAX_VALUE);
+    PEER_LINKS(1, Integer.MAX_VALUE),
+    /** Engines whose answers do not tell their end are killed while they answer. */
+    KILLS(1, Integer.MAX_VALUE),
+    /**
+     * One gateway misses what changes, for less time than after which it knows that; engines of a
+     * new version join meanwhile.
+     */
+    OUT_OF_STEP(0.4, Integer.MAX_VALUE),
+    /** Entries of another writer among those of the engines. */
+    ODD_ENTRIES(1, Integer.MAX_VALUE);
 
-    private final int times;
+    private final double times;
     private final int mostMillis;
 
-    Lane(int times, int mostMillis) {
+    Lane(double times, int mostMillis) {
       this.times = times;
       this.mostMillis = mostMillis;
     }
@@ -300,7 +370,7 @@
      * @param drawnMillis the time that was drawn for it
      */
     long lastsMillis(int drawnMillis) {
-      return Math.min(mostMillis, (long) times * drawnMillis);
+      return Math.min(mostMillis, (long) (times * drawnMillis));
     }
   }
 
@@ -339,12 +409,24 @@
 
   /** Whether a gateway is out of touch, with the others or the store, while it lasts. */
   boolean touches(int gateway, int target, int gateways) {
-    return lane == Lane.FLEET || lane == Lane.STORE;
+    return lane == Lane.FLEET
+        || lane == Lane.STORE
+        || lane == Lane.OUT_OF_STEP && gateway == SoakFleet.gatewayIndex(target, gateways);
+  }
+
+  /** Whether gateways may learn later what is written into the store while it lasts. */
+  boolean delaysNotices() {
+    return this != ENGINE_DRAINS
+        && (lane == Lane.FLEET || lane == Lane.STORE || lane == Lane.OUT_OF_STEP);
   }
 
   /** Whether a gateway forgets or misses what it was told. */
   boolean stopsGateway() {
-    return restartsGateway() || this == GATEWAY_PAUSED || this == GATEWAY_FROZEN;
+    return restartsGateway() || isSuspension();
+  }
+
+  private boolean isSuspension() {
+    return this == GATEWAY_PAUSED || this == GATEWAY_FROZEN || this == GATEWAY_SUSPENDED_IN_RELEASE;
   }
 
   /** Whether another process takes a gateway's place when it ends. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -102,6 +102,9 @@
   /** Time until operator and engines have written their rows again. */
   private static final int WRITTEN_AGAIN_MILLIS = 300;
 
+  private static final Set<String> SERVICES_WITH_FAULTS =
+      Set.of(EmulatedPlatform.MODEL_SERVICE, EmulatedPlatform.APPLICATION_SERVICE);
+
   private static final String GATEWAY_NAME = "gateway-";
 
   private final EmulatedPlatform platform;
@@ -127,6 +130,9 @@
   private int newestVersion = 1;
   private final List<SoakRecord.Limit> limits = new CopyOnWriteArrayList<>();
   private final Map<Integer, List<Draining>> limited = new HashMap<>();
+  private final SoakKills kills;
+  private final SoakUpgrades upgrades;
+  private final SoakOddEntries oddEntries;
 
   /** An engine that leaves, wants rest or names a limit, since a time. */
   private record Draining(EmulatedEngine engine, long fromNanos) {}
@@ -145,9 +151,14 @@
     addEngines("p", EmulatedPlatform.MODEL_SERVICE, "prefill", 2);
     addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 4);
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
-    for (int index = 1; index <= 2; index++) {
-      platform.addEngine("b-" + index, EmulatedPlatform.LONG_SERVICE, "").runFor(LONG_RUN);
+    List<EmulatedEngine> slow = new ArrayList<>();
+    for (int index = 1; index <= 3; index++) {
+      slow.add(platform.addEngine("b-" + index, EmulatedPlatform.LONG_SERVICE, ""));
     }
+    slow.forEach(engine -> engine.runFor(LONG_RUN));
+    kills = new SoakKills(platform);
+    upgrades = new SoakUpgrades(platform);
+    oddEntries = new SoakOddEntries(platform, slow.get(0), slow.get(1));
     List<PeerLink> peers = new ArrayList<>();
     int peerPort = reservePort();
     int callerPort = reservePort();
@@ -179,7 +190,8 @@
 
   private static String withTenantAndLongRuns(String configuration) {
     return RouteText.withTenants(
-        RouteText.withService(configuration, EmulatedPlatform.LONG_SERVICE),
+        SoakUpgrades.withServices(
+            RouteText.withService(configuration, EmulatedPlatform.LONG_SERVICE)),
         List.of(RouteText.tenant("tenant-1", OptionalInt.empty(), KEY)));
   }
 
@@ -188,6 +200,7 @@
     routes.add(
         RouteText.route(
             "long", "non_idempotent", false, EmulatedPlatform.LONG_SERVICE, LONG_TIMEOUT_MILLIS));
+    routes.addAll(SoakUpgrades.routes());
     return routes;
   }
 
@@ -303,11 +316,11 @@
     return gateways;
   }
 
-  /** The engine that is meant by a target; those whose runs take long have no faults. */
+  /** The engine that is meant by a target; those of services of their own have no faults. */
   EmulatedEngine engine(int target) {
     List<EmulatedEngine> engines =
         platform.engines().stream()
-            .filter(engine -> !engine.service().equals(EmulatedPlatform.LONG_SERVICE))
+            .filter(engine -> SERVICES_WITH_FAULTS.contains(engine.service()))
             .toList();
     return engines.get(Math.floorMod(target, engines.size()));
   }
@@ -446,7 +459,10 @@
    */
   void release(int target) throws Exception {
     newestVersion++;
-    released.put(target, platform.release(target, RELEASED_ENGINES, "v" + newestVersion));
+    released.put(
+        target,
+        platform.release(
+            EmulatedPlatform.MODEL_SERVICE, target, RELEASED_ENGINES, "v" + newestVersion));
   }
 
   /** The engines that were replaced end, with streams that they run. */
@@ -458,11 +474,24 @@
   int decoders(String softwareVersion) {
     return (int)
         platform.engines().stream()
+            .filter(engine -> engine.service().equals(EmulatedPlatform.MODEL_SERVICE))
             .filter(engine -> engine.stage().equals("decode"))
             .filter(engine -> engine.softwareVersion().equals(softwareVersion))
             .count();
   }
 
+  SoakKills kills() {
+    return kills;
+  }
+
+  SoakUpgrades upgrades() {
+    return upgrades;
+  }
+
+  SoakOddEntries oddEntries() {
+    return oddEntries;
+  }
+
   void rest(int target) {
     EmulatedEngine engine = engine(target);
     resting.put(target, new Draining(engine, System.nanoTime()));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakGateway.java
@@ -1,8 +1,13 @@
 package org.fallturn.rehearsal.soak;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.fallturn.core.domain.NetworkAddress;
@@ -13,13 +18,19 @@
 /** One gateway: a process of the real program that is started again at the same addresses. */
 final class SoakGateway implements AutoCloseable {
 
+  private static final String DUTY_FAILED = "\"event\":\"DUTY_FAILED\"";
+
   private final String name;
   private final SoakBuilds builds;
   private final Path directory;
   private final NetworkAddress callers;
   private final Path settings;
   private final PeerLink peerLink;
+  private final List<String> ownEnds = new ArrayList<>();
   private ManagedProcess process;
+  private boolean toEnd;
+  private final Path log;
+  private final long logBegin;
 
   /**
    * A gateway that is not started.
@@ -46,6 +57,8 @@
     this.callers = callers;
     this.peerLink = peerLink;
     this.settings = directory.resolve(name + ".toml");
+    this.log = directory.resolve(name + ".log");
+    this.logBegin = Files.exists(log) ? Files.size(log) : 0;
     Files.writeString(settings, text(store, api, seeds));
   }
 
@@ -96,12 +109,17 @@
         SoakFleet.USAGE_LATE.toSeconds());
   }
 
+  String name() {
+    return name;
+  }
+
   NetworkAddress callers() {
     return callers;
   }
 
   /** Each start appends to the same log file. */
   void start() throws IOException {
+    toEnd = false;
     process = builds.start(name, directory, settings, linkFaults(), senderHost());
   }
 
@@ -119,19 +137,49 @@
     peerLink.setRequests(faults);
   }
 
+  /** Puts faults on the datagrams of other gateways to this one. */
+  void setDatagrams(LinkFaults faults) {
+    peerLink.setDatagrams(faults);
+  }
+
   /** Host that its connections to engines come from. */
   String senderHost() {
     return peerLink.senderHost();
   }
 
   void kill() throws InterruptedException {
+    noteOwnEnd();
     process.kill();
   }
 
-  void terminate() {
+  void terminate() throws InterruptedException {
+    noteOwnEnd();
     process.terminate();
   }
 
+  private void noteOwnEnd() throws InterruptedException {
+    if (!toEnd && !process.isAlive()) {
+      ownEnds.add(name + " ended by itself, exit code " + process.awaitExit(1));
+    }
+    toEnd = true;
+  }
+
+  /** The ends of its processes that were neither killed nor asked to stop; it is ended next. */
+  List<String> ownEnds() throws InterruptedException {
+    noteOwnEnd();
+    return List.copyOf(ownEnds);
+  }
+
+  /** How often its processes logged that a duty failed, as by an error in the program. */
+  long failedDuties() throws IOException {
+    try (InputStream logged = Files.newInputStream(log)) {
+      logged.skipNBytes(logBegin);
+      BufferedReader lines =
+          new BufferedReader(new InputStreamReader(logged, StandardCharsets.UTF_8));
+      return lines.lines().filter(line -> line.contains(DUTY_FAILED)).count();
+    }
+  }
+
   /** Suspends the process; one that has ended is left alone. */
   void pause() throws IOException, InterruptedException {
     if (process.isAlive()) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -33,6 +33,9 @@
   /** Some six requests a second whose runs take long. */
   private static final int LONG_PAUSE_MILLIS = 300;
 
+  /** Callers that come back to a gateway that is out of step. */
+  private static final int RETURNING_CALLERS = 2;
+
   private static final int LEAVERS = 4;
   private static final int FIRST_LEAVER = 5;
   private static final int LEAVES_AT_ONCE_MILLIS = 20;
@@ -56,6 +59,7 @@
   private final Queue<SoakRecord.Departure> departures = new ConcurrentLinkedQueue<>();
   private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
+  private final SoakReturns returns;
   private volatile boolean stopped;
 
   /** A request on the route with an index among the added ones. */
@@ -63,6 +67,7 @@
 
   SoakLoad(SoakFleet fleet, long seed) throws Exception {
     this.fleet = fleet;
+    this.returns = new SoakReturns(fleet, client, calls);
     client.setHeaders(HttpFields.build().add(HttpHeader.AUTHORIZATION, "Bearer " + SoakFleet.KEY));
     for (int caller = 0; caller < CALLERS; caller++) {
       Random random = new Random(seed + caller);
@@ -80,6 +85,10 @@
       Random leaving = new Random(seed - FIRST_LEAVER - leaver);
       start("leaver-" + leaver, () -> leaveEarly(leaving));
     }
+    for (int caller = 0; caller < RETURNING_CALLERS; caller++) {
+      Random returning = new Random(seed - FIRST_LEAVER - LEAVERS - caller);
+      start("returner-" + caller, () -> comeBack(returning));
+    }
   }
 
   private void start(String name, Runnable task) {
@@ -246,6 +255,18 @@
     }
   }
 
+  private void comeBack(Random random) {
+    while (!stopped) {
+      try {
+        returns.callOnce(random);
+      } catch (InterruptedException e) {
+        return;
+      } catch (ExecutionException e) {
+        throw new IllegalStateException("a call must end with an answer", e);
+      }
+    }
+  }
+
   private void askOnce(SoakRecord.Kind kind, Random random)
       throws InterruptedException, ExecutionException {
     int target = fleet.target(random);
@@ -311,7 +332,9 @@
 
   /** The streams that callers continued. */
   List<SoakRecord.Resumption> resumptions() {
-    return List.copyOf(resumptions);
+    List<SoakRecord.Resumption> all = new ArrayList<>(resumptions);
+    all.addAll(returns.resumptions());
+    return all;
   }
 
   private static String path(SoakRecord.Kind kind) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.OpenWork;
+import org.fallturn.rehearsal.emulator.StreamEvents;
 
 /**
  * All that callers and engines saw in one run, for the checks. Times are nanoseconds of one steady
@@ -77,7 +79,18 @@
       Optional<String> leaving,
       int status,
       String body,
-      boolean whole) {}
+      boolean whole) {
+
+    private static final String WHOLE_STREAM =
+        StreamEvents.withoutVersions(EmulatedEngine.wholeStream());
+
+    /** Whether the body is the whole answer of an engine. */
+    boolean hasWholeBody() {
+      return kind.model()
+          ? StreamEvents.withoutVersions(body).equals(WHOLE_STREAM)
+          : body.startsWith("answer of a-");
+    }
+  }
 
   /** A request that reached an engine. */
   record Arrival(String engineId, String requestId, long nanos, boolean prefill) {}
@@ -285,8 +298,15 @@
    *
    * @param killed from when it was killed, also while it stopped as planned
    * @param absent from when it was killed or asked to stop
+   * @param own ends of processes that were neither killed nor asked to stop, and duties that failed
    */
-  record GatewayEnds(List<Trouble> killed, List<Trouble> absent) {}
+  record GatewayEnds(List<Trouble> killed, List<Trouble> absent, List<String> own) {
+
+    /** None ended by itself. */
+    GatewayEnds(List<Trouble> killed, List<Trouble> absent) {
+      this(killed, absent, List.of());
+    }
+  }
 
   /** A route that the operator added, and removed again; never, if the time is the greatest. */
   record AddedRoute(String name, long addedNanos, long removedNanos) {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fallturn.rehearsal.emulator.EmulatedApi;
@@ -213,21 +214,25 @@
    * counts from when all gateways are in touch with the restored store.
    */
   private List<SoakRecord.Drain> drains(SoakFleet fleet) {
-    return fleet.drains().stream()
-        .map(
-            drain ->
-                new SoakRecord.Drain(
-                    drain.engineId(), knownFromNanos(drain.fromNanos()), drain.toNanos()))
-        .toList();
+    List<SoakRecord.Drain> drains = new ArrayList<>();
+    for (SoakRecord.Drain drain : fleet.drains()) {
+      long known = knownFromNanos(drain.fromNanos(), fault -> fault == SoakFault.STORE_RESTORED);
+      drains.add(new SoakRecord.Drain(drain.engineId(), known, drain.toNanos()));
+    }
+    for (SoakRecord.Drain drain : fleet.oddEntries().drains()) {
+      long known = knownFromNanos(drain.fromNanos(), SoakFault::delaysNotices);
+      drains.add(new SoakRecord.Drain(drain.engineId(), known, drain.toNanos()));
+    }
+    return drains;
   }
 
-  private long knownFromNanos(long toldNanos) {
+  private long knownFromNanos(long toldNanos, Predicate<SoakFault> delays) {
     long known = toldNanos;
     for (SoakSchedule.Entry entry : schedule.faults()) {
       long begin = begunNanos + entry.begin().toNanos();
       long inTouch = begunNanos + entry.end().plus(SoakFleet.CONTACT).toNanos();
       boolean whileAway = known + SoakFleet.DRAIN.toNanos() > begin && known < inTouch;
-      if (entry.fault() == SoakFault.STORE_RESTORED && whileAway) {
+      if (delays.test(entry.fault()) && whileAway) {
         known = inTouch;
       }
     }
@@ -303,7 +308,7 @@
     return troubles;
   }
 
-  private SoakRecord.GatewayEnds ends(SoakFleet fleet) {
+  private SoakRecord.GatewayEnds ends(SoakFleet fleet) throws IOException, InterruptedException {
     List<SoakRecord.Trouble> killed = new ArrayList<>();
     List<SoakRecord.Trouble> absent = new ArrayList<>();
     for (SoakSchedule.Entry entry : schedule.faults()) {
@@ -317,7 +322,14 @@
         absent.add(new SoakRecord.Trouble(gateway, begin, started));
       }
     }
-    return new SoakRecord.GatewayEnds(killed, absent);
+    List<String> own = new ArrayList<>();
+    for (SoakGateway gateway : fleet.gateways()) {
+      own.addAll(gateway.ownEnds());
+      if (otherBuild.isEmpty() && gateway.failedDuties() > 0) {
+        own.add(gateway.name() + " logged " + gateway.failedDuties() + " failures of duties");
+      }
+    }
+    return new SoakRecord.GatewayEnds(killed, absent, own);
   }
 
   /** When a process has started; one that is suspended meanwhile goes on only after that. */
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -18,6 +18,8 @@
 /** Each check finds what a broken gateway or engine would leave behind, and nothing else. */
 class SoakCheckTest {
 
+  private static final String FIRST_PEER_FAULT_OF_81002 =
+      "  4952 to   8017 ms  PEER_REQUESTS_SILENT 88745976";
   private static final long CALM = seconds(10);
   private static final String WHOLE = EmulatedEngine.wholeStream();
 
@@ -353,6 +355,58 @@
   }
 
   /** The store's return from a copy hid configurations from gateways for seconds. */
+  @Test
+  void gatewayThatEndsByItselfIsFound() {
+    SoakRecord.GatewayEnds own =
+        new SoakRecord.GatewayEnds(
+            List.of(), List.of(), List.of("gateway-1 ended by itself, exit code 1"));
+    SoakRecord.Control control =
+        new SoakRecord.Control(List.of(), Map.of(), own, List.of(), SoakRecord.Streams.none());
+    SoakRecord good = oneCall(call("one", SoakRecord.Kind.STREAM, 200, WHOLE), 1);
+    SoakRecord record =
+        new SoakRecord(
+            good.calls(),
+            List.of(),
+            good.runs(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            control,
+            CALM);
+    assertThat(broken(record)).containsExactly(SoakCheck.GATEWAYS_RUN);
+  }
+
+  /** Seeds that were kept play the same faults once there are more lanes. */
+  @Test
+  void lanesThatAreAddedLeaveTheFaultsOfEarlierOnes() {
+    List<SoakFault.Lane> lanes = List.of(SoakFault.Lane.values());
+    assertThat(lanes)
+        .endsWith(
+            SoakFault.Lane.PEER_LINKS,
+            SoakFault.Lane.KILLS,
+            SoakFault.Lane.OUT_OF_STEP,
+            SoakFault.Lane.ODD_ENTRIES);
+    assertThat(SoakSchedule.draw(81002, Duration.ofMinutes(1)).faults())
+        .filteredOn(entry -> entry.fault() == SoakFault.PEER_REQUESTS_SILENT)
+        .first()
+        .hasToString(FIRST_PEER_FAULT_OF_81002);
+  }
+
+  @Test
+  void gatewayIsOutOfStepForLessTimeThanAfterWhichItKnowsThat() {
+    for (long seed = 0; seed < 50; seed++) {
+      assertThat(SoakSchedule.draw(seed, Duration.ofMinutes(1)).faults())
+          .filteredOn(entry -> SoakFault.of(SoakFault.Lane.OUT_OF_STEP).contains(entry.fault()))
+          .isNotEmpty()
+          .allSatisfy(
+              entry ->
+                  assertThat(entry.end().minus(entry.begin()))
+                      .isBetween(Duration.ofMillis(500), Duration.ofMillis(2_400)));
+    }
+  }
+
   @Test
   void routeOfAnOlderConfigurationIsFound() {
     assertThat(broken(probed(3.4, 404))).isEmpty();
