--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -244,17 +244,31 @@
     return all;
   }
 
-  /** The successor has the place of the engine in every list. */
+  /** An engine that crashes is killed, and the time is noted. */
   private synchronized void replace(EmulatedEngine engine, String poison) {
+    if (replaced.contains(engine) || engines.contains(engine)) {
+      crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+      kill(engine);
+    }
+  }
+
+  /**
+   * Kills an engine, unless it has ended before. Another starts under its address at once, and its
+   * row takes the place of the former; one that leaves is followed by none.
+   */
+  public synchronized void kill(EmulatedEngine engine) {
     if (replaced.remove(engine)) {
-      endReplaced(engine, poison);
+      endReplaced(engine);
       return;
     }
     int place = engines.indexOf(engine);
-    if (!endCrashed(engine)) {
-      return;
+    if (endCrashed(engine)) {
+      startSuccessor(engine, place);
     }
-    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+  }
+
+  /** The successor has the place of the engine in every list. */
+  private void startSuccessor(EmulatedEngine engine, int place) {
     try {
       EmulatedEngine successor =
           engine.tellsItsStart() ? engine.restarted() : engine.successor(unusedId(engine.id()));
@@ -269,26 +283,27 @@
     }
   }
 
-  /** An engine that leaves crashes as the others do; its place has been taken already. */
-  private void endReplaced(EmulatedEngine engine, String poison) {
-    crashTimes.computeIfAbsent(poison, known -> new ArrayList<>()).add(System.nanoTime());
+  /** The place of an engine that leaves has been taken already. */
+  private void endReplaced(EmulatedEngine engine) {
     crashed.add(engine);
     unlist(engine);
     close(engine);
   }
 
   /**
-   * Starts engines of another software version, which take the places of decode engines in every
-   * list. Those are listed as leaving and serve on until {@link #end}.
+   * Starts engines of another software version, which take the places of decode engines of a
+   * service in every list. Those are listed as leaving and serve on until {@link #end}.
    *
    * @param target index among the decode engines of the first that is replaced
    * @param count how many are replaced, at most
    * @return the engines that leave
    */
-  public synchronized List<EmulatedEngine> release(int target, int count, String softwareVersion)
-      throws Exception {
+  public synchronized List<EmulatedEngine> release(
+      String service, int target, int count, String softwareVersion) throws Exception {
     List<EmulatedEngine> decoders =
-        engines.stream().filter(engine -> engine.stage().equals("decode")).toList();
+        engines.stream()
+            .filter(engine -> engine.service().equals(service) && engine.stage().equals("decode"))
+            .toList();
     List<EmulatedEngine> leaving = new ArrayList<>();
     for (int index = 0; index < Math.min(count, decoders.size()); index++) {
       EmulatedEngine leaver = decoders.get(Math.floorMod(target + index, decoders.size()));
@@ -326,7 +341,12 @@
 
   /** Takes an engine's row away. */
   public void unlist(EmulatedEngine engine) {
-    remove(ENGINE_TABLE, engine.id());
+    unlist(engine.id());
+  }
+
+  /** Takes the row with an id away. */
+  public void unlist(String id) {
+    remove(ENGINE_TABLE, id);
   }
 
   /**
