--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -414,9 +414,20 @@
    * @param peerLink the link
    */
   public GatewayServer addGateway(PeerLink peerLink, NetworkAddress... seeds) throws Exception {
+    return addGateway(peerLink, adapters -> adapters, seeds);
+  }
+
+  /**
+   * The same, with other adapters.
+   *
+   * @param adapt returns the adapters to use in place of the usual ones
+   */
+  public GatewayServer addGateway(
+      PeerLink peerLink, UnaryOperator<GatewayPlatform> adapt, NetworkAddress... seeds)
+      throws Exception {
     String peers =
         "peers = \"%s\"\nadvertised = \"%s\"".formatted(peerLink.gateway(), peerLink.advertised());
-    GatewayServer gateway = newGateway(0, false, peers, adapters -> adapters, seeds);
+    GatewayServer gateway = newGateway(0, false, peers, adapt, seeds);
     gateway.start();
     awaitReady(gateway);
     return gateway;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
@@ -70,6 +70,12 @@
     proxy.set(REQUESTS, faults);
   }
 
+  /** Puts faults on all that the other gateways send to the gateway. */
+  public void setAll(LinkFaults faults) {
+    setRequests(faults);
+    proxy.set(DATAGRAMS, faults);
+  }
+
   @Override
   public void close() throws IOException {
     proxy.close();
