Pause longer between confirmations of the list of engines in a larger fleet

All nodes share the reads that the store allows. At 50 ms between two readings, 338 nodes could make 6,760 a second when callers come back to all of them (computed, not measured); the pause now grows with the number of nodes up to 200 ms, below the time that a request waits for a confirmation.

--- a/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/following/FollowBounds.java
@@ -26,6 +26,11 @@
   private static final int MAX_SHIFTS = 4;
   private static final int STAGGERS_PER_BOUND = 20;
 
+  /** Bounds on the pause between two readings by which a node confirms its copy on request. */
+  private static final long MIN_CONFIRMATION_PAUSE_MILLIS = 50;
+
+  private static final long MAX_CONFIRMATION_PAUSE_MILLIS = 200;
+
   /** The rest of the time is left for a lost datagram, the call to the store and its effects. */
   private static final int TRUST_PERCENT = 60;
 
@@ -92,4 +97,13 @@
     long spread = order.nodes() * TimeUnit.MILLISECONDS.toNanos(100);
     return Math.max(confirmNanos, Math.min(spread, longestWaitNanos));
   }
+
+  /**
+   * Returns how long a node pauses between two readings by which it confirms its copy on request.
+   * The pause grows with the number of nodes, since they share the reads that the store allows.
+   */
+  public long confirmationPauseNanos(WatchOrder order) {
+    long millis = Math.max(MIN_CONFIRMATION_PAUSE_MILLIS, order.nodes());
+    return TimeUnit.MILLISECONDS.toNanos(Math.min(millis, MAX_CONFIRMATION_PAUSE_MILLIS));
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DirectoryConfirmationDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DirectoryConfirmationDuty.java
@@ -22,10 +22,7 @@
  */
 final class DirectoryConfirmationDuty implements DirectoryContact, AutoCloseable {
 
-  /** Least pause between two readings, since all nodes share the reads that the store allows. */
-  private static final long PAUSE_MILLIS = 50;
-
-  private static final long PAUSE_AFTER_FAILURE_MILLIS = 500;
+  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** How long to wait for a change that the store has and this node's follower has not. */
   private static final long MAX_DELIVERY_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -88,7 +85,9 @@
   private void work() throws InterruptedException {
     while (true) {
       awaitRequest();
-      TimeUnit.MILLISECONDS.sleep(confirm() ? PAUSE_MILLIS : PAUSE_AFTER_FAILURE_MILLIS);
+      boolean answered = confirm();
+      TimeUnit.NANOSECONDS.sleep(
+          answered ? follower.confirmationPauseNanos() : PAUSE_AFTER_FAILURE_NANOS);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RowFollower.java
@@ -395,6 +395,11 @@
     return 2 * times.bounds().silenceNanos(peerReports.order());
   }
 
+  /** How long to pause between two confirmations on request; any thread may call. */
+  long confirmationPauseNanos() {
+    return times.bounds().confirmationPauseNanos(peerReports.order());
+  }
+
   /**
    * Whether the running watch can still be relied on, though the store may have gone silent.
    *
