--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/PeerLink.java
@@ -70,6 +70,12 @@
     proxy.set(REQUESTS, faults);
   }
 
+  /** Puts faults on all that the other gateways send to the gateway. */
+  public void setAll(LinkFaults faults) {
+    setRequests(faults);
+    setDatagrams(faults);
+  }
+
   /** Puts faults on datagrams to the gateway; requests go on. */
   public void setDatagrams(LinkFaults faults) {
     proxy.set(DATAGRAMS, faults);
