Follow the engines although one announces an end that no clock reaches

What callers saw: while one engine that had been listed stood in the table as leaving in 1e13 ms or more, no node followed any change of any engine: new engines got no requests, and requests went on to engines that had gone.

Cause: the remaining time was converted to nanoseconds, which overflows and throws, first of all when a new list of engines is applied and before the list is stored. Each later list threw likewise.

Change: the times are compared before the shorter one is converted, and the selector stores the new list before it derives anything from it.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/EngineSelector.java
@@ -86,12 +86,14 @@
 
   /**
    * Applies a new list of engines. The load of an engine that is no longer listed is kept until its
-   * requests have ended.
+   * requests have ended. The list is in force before anything is derived from it, so that a fault
+   * in one engine's entry does not hide all others.
    */
   void setDirectory(EngineDirectory newDirectory, long nowNanos) {
-    departures.onChange(directory, newDirectory, nowNanos);
-    newDirectory.all().forEach(this::resetHealthIfStageChanged);
+    EngineDirectory before = directory;
     directory = newDirectory;
+    departures.onChange(before, newDirectory, nowNanos);
+    newDirectory.all().forEach(engine -> resetHealthIfStageChanged(before, engine));
     changing.prune(directory, nowNanos);
     Set<String> present = new HashSet<>();
     directory.all().forEach(engine -> present.add(engine.id()));
@@ -105,12 +107,9 @@
   /**
    * Resets the health, since failures in the former stage do not predict failures in the new one.
    */
-  private void resetHealthIfStageChanged(ServingEngine engine) {
+  private void resetHealthIfStageChanged(EngineDirectory before, ServingEngine engine) {
     boolean changed =
-        directory
-            .find(engine.id())
-            .filter(previous -> previous.stage() != engine.stage())
-            .isPresent();
+        before.find(engine.id()).filter(previous -> previous.stage() != engine.stage()).isPresent();
     if (changed) {
       load(engine).health().reset();
     }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RecentDepartures.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RecentDepartures.java
@@ -1,5 +1,6 @@
 package org.fallturn.core.dispatch;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -46,7 +47,9 @@
   private long usableNanos(ServingEngine leaving) {
     return leaving
         .leavesIn()
-        .map(left -> Math.min(usableForNanos, left.toNanos() / 2))
+        .map(left -> left.dividedBy(2))
+        .filter(half -> half.compareTo(Duration.ofNanos(usableForNanos)) < 0)
+        .map(Duration::toNanos)
         .orElse(usableForNanos);
   }
 
