Lose one row, not the table, to a fault of a decoder

What callers saw: nothing yet; no row is known that makes a decoder of today fail otherwise than by a refusal. If one did, the node would follow no further change of the table, since each reading decodes that row again.

Cause: only the refusals of a decoder were caught, and the rows of a table were decoded in one go.

Change: a RuntimeException or StackOverflowError refuses the row, with its text in the log. Rows of engines and of the configuration are decoded by one function.

Evidence: DecodedRowsTest#faultOfTheDecoderCostsOnlyItsRow red before (ArithmeticException), green after.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecodedRows.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecodedRows.java
@@ -54,11 +54,22 @@
   }
 
   private Decoded<T> decode(FeedRow row) {
+    return new Decoded<>(row.position(), tryDecode(table, decoder, row, log));
+  }
+
+  /**
+   * Decodes a row; logs one that cannot be decoded. A fault of the decoder, such as a stack
+   * overflow for deeply nested input, costs only this row.
+   */
+  static <T> Optional<T> tryDecode(
+      String table, RowDecoder<T> decoder, FeedRow row, DecisionLog log) {
     try {
-      return new Decoded<>(row.position(), Optional.of(decoder.decode(row)));
+      return Optional.of(decoder.decode(row));
     } catch (MalformedMessageException e) {
       log.rowRefused(table, row.key(), e.getMessage());
-      return new Decoded<>(row.position(), Optional.empty());
+    } catch (RuntimeException | StackOverflowError e) {
+      log.rowRefused(table, row.key(), e.toString());
     }
+    return Optional.empty();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -41,7 +41,6 @@
 import org.fallturn.node.duty.DutyState;
 import org.fallturn.node.duty.DutyThread;
 import org.fallturn.node.http.HttpListener;
-import org.fallturn.node.json.MalformedMessageException;
 import org.fallturn.node.metrics.LogSetup;
 import org.fallturn.node.settings.GatewaySettings;
 
@@ -484,14 +483,10 @@
   }
 
   private void takeRouting(FeedRow row) {
-    RoutingImage image;
-    try {
-      image = platform.routingDecoder().decode(row);
-    } catch (MalformedMessageException e) {
-      log.rowRefused("routing", row.key(), e.getMessage());
-      return;
-    }
-    if (state.offerRouting(image)) {
+    Optional<RoutingImage> decoded =
+        DecodedRows.tryDecode(ROUTING, platform.routingDecoder(), row, log);
+    if (decoded.filter(state::offerRouting).isPresent()) {
+      RoutingImage image = decoded.get();
       applyLimits(callers, image.limits());
       post(new DispatchEvent.RoutingChanged(image));
       log.routingChanged(image);
