Keep messages between nodes readable whatever the id of a prompt part

What callers saw: nothing reported. A caller, or an engine in its list of cached parts, that names a part with a blank in its id made the messages of a node unreadable for all others while they told of that part, and an id of 70,000 characters made them larger than a datagram.

Cause: the ids were written as they came into a text whose words are separated by blanks.

Change: PromptPartText writes and reads parts, and leaves out those that the text cannot hold. The parts of a prompt end there, since each builds on the one before.

Evidence: PeerCodecTest#messageStaysReadableWhateverTheIdOfAPart red before for an id with a blank ("begin 0, end -1, length 1") and #messageStaysSmallWhateverTheIdOfAPart red before; green after.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerCodec.java
@@ -18,7 +18,6 @@
 import org.fallturn.core.dispatch.LearnedSpeed;
 import org.fallturn.core.dispatch.LoadDigest;
 import org.fallturn.core.dispatch.PlacedPrompt;
-import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.limits.AnnouncedLimitDigest;
 import org.fallturn.core.limits.BudgetDigest;
@@ -293,7 +292,10 @@
   }
 
   private static String text(PlacedPrompt prompt) {
-    return prompt.engineId() + ' ' + prompt.readyInMillis() + text(prompt.parts());
+    return prompt.engineId()
+        + ' '
+        + prompt.readyInMillis()
+        + PromptPartText.writeBeginning(prompt.parts());
   }
 
   private static String text(CacheListing listing) {
@@ -302,7 +304,7 @@
         + listing.ageMillis()
         + ' '
         + listing.leastTokens()
-        + text(listing.parts());
+        + PromptPartText.writeAll(listing.parts());
   }
 
   private static String text(KnownPeer peer) {
@@ -310,12 +312,6 @@
     return info.address() + " " + info.zone() + " " + info.capacity() + " " + peer.ageMillis();
   }
 
-  private static String text(List<PromptPart> parts) {
-    StringJoiner text = new StringJoiner(" ", parts.isEmpty() ? "" : " ", "");
-    parts.forEach(part -> text.add(part.id() + ':' + part.tokens()));
-    return text.toString();
-  }
-
   PeerMessage decode(byte[] bytes) throws MalformedMessageException {
     Fields fields = new Fields();
     try (JsonParser in = json.createParser(bytes)) {
@@ -509,7 +505,7 @@
     private static PlacedPrompt prompt(String text) {
       String[] words = text.split(" ");
       return new PlacedPrompt(
-          words[0], Integer.parseInt(words[1]), parts(words, FIXED_PROMPT_FIELDS));
+          words[0], Integer.parseInt(words[1]), PromptPartText.read(words, FIXED_PROMPT_FIELDS));
     }
 
     private static CacheListing listing(String text) {
@@ -518,19 +514,7 @@
           words[0],
           Long.parseLong(words[1]),
           Integer.parseInt(words[2]),
-          parts(words, FIXED_LISTING_FIELDS));
-    }
-
-    private static List<PromptPart> parts(String[] words, int from) {
-      List<PromptPart> parts = new ArrayList<>(words.length - from);
-      for (int word = from; word < words.length; word++) {
-        int colon = words[word].lastIndexOf(':');
-        parts.add(
-            new PromptPart(
-                words[word].substring(0, colon),
-                Integer.parseInt(words[word].substring(colon + 1))));
-      }
-      return parts;
+          PromptPartText.read(words, FIXED_LISTING_FIELDS));
     }
 
     private static KnownPeer peer(String text) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerCodecTest.java
@@ -63,7 +63,10 @@
   }
 
   private static PeerMessage message(Map<String, EngineDigest> engines) {
-    List<PromptPart> parts = List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410));
+    return message(engines, List.of(new PromptPart("5c1e", 800), new PromptPart("91bd", 410)));
+  }
+
+  private static PeerMessage message(Map<String, EngineDigest> engines, List<PromptPart> parts) {
     LoadDigest load =
         new LoadDigest(
             "edge-1",
@@ -97,6 +100,28 @@
     assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
   }
 
+  /**
+   * Callers and engines choose the ids of prompt parts. Guards against an id that makes the whole
+   * message unreadable, so that other nodes no longer hear this one.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "a b", "a\tb", "a\u0000", "\ud800", "\udc00\ud800", "2", "a:b"})
+  void messageStaysReadableWhateverTheIdOfAPart(String id) throws Exception {
+    PromptPart sound = new PromptPart("5c1e", 800);
+    List<PromptPart> parts = List.of(sound, new PromptPart(id, 410));
+    PeerMessage decoded = codec.decode(codec.encode(message(Map.of(), parts)));
+    assertThat(decoded.load().prompts().get(0).parts()).startsWith(sound).isSubsetOf(parts);
+    assertThat(decoded.listings().get(0).parts()).startsWith(sound).isSubsetOf(parts);
+    assertThat(decoded.relays()).hasSize(2);
+  }
+
+  /** A part whose id is too long for a datagram is left out. */
+  @Test
+  void messageStaysSmallWhateverTheIdOfAPart() {
+    List<PromptPart> parts = List.of(new PromptPart("x".repeat(70_000), 410));
+    assertThat(codec.encode(message(Map.of(), parts)).length).isLessThan(2_000);
+  }
+
   @Test
   void speedsAreEncodedInSinglePrecision() throws Exception {
     double learned = 0.020_481_312_345_678_9;
