Read a table from another node whatever the size of its rows

What callers saw: nothing reported. With 32 or more rows of the largest size among those of engines, a node that could not reach the store, because it had just started or was refused, learned of no engine from any other node.

Cause: the HTTP client keeps at most 2 MiB of an answer, and fails the call beyond that; the call then counted as unanswered.

Change: the answer of a node may have 64 MiB, which bounds the memory only.

Evidence: PeerSnapshotsTest#tableWithLargeRowsIsReadFromAnotherNode (100 rows of 64 KiB) red before ("Buffering capacity 2097152 exceeded"), green after; #tableWithOddKeysIsReadFromAnotherNode was green before too.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -10,10 +10,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.http.HttpStatus;
@@ -60,6 +60,12 @@
    */
   private static final int MAX_UPDATE_BYTES = 16 * 1024;
 
+  /**
+   * Largest answer in bytes that is read. It bounds the memory for an answer only: other writers
+   * may have put many rows of the largest size between those of engines.
+   */
+  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
   /**
@@ -141,18 +147,19 @@
 
   private TableUpdate call(NetworkAddress peer, String path, long era, int maxBytes)
       throws StoreException {
+    org.eclipse.jetty.client.Request request =
+        client
+            .newRequest(peer.host(), peer.port())
+            .path(path)
+            .headers(
+                headers ->
+                    headers
+                        .put(MAX_BYTES_HEADER, Integer.toString(maxBytes))
+                        .put(ERA_HEADER, Long.toString(era)))
+            .timeout(timeout().toMillis(), TimeUnit.MILLISECONDS);
     try {
       ContentResponse response =
-          client
-              .newRequest(peer.host(), peer.port())
-              .path(path)
-              .headers(
-                  headers ->
-                      headers
-                          .put(MAX_BYTES_HEADER, Integer.toString(maxBytes))
-                          .put(ERA_HEADER, Long.toString(era)))
-              .timeout(timeout().toMillis(), TimeUnit.MILLISECONDS)
-              .send();
+          new CompletableResponseListener(request, MAX_ANSWER_BYTES).send().get();
       unansweredInRow.set(0);
       if (response.getStatus() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
         throw new TableTooLargeException(peer + " has too large an update of " + path);
@@ -162,9 +169,10 @@
       }
       return codec.decode(response.getContent(), TableUpdate.class);
     } catch (InterruptedException e) {
+      request.abort(e);
       Thread.currentThread().interrupt();
       throw new StoreException("interrupted", false, e);
-    } catch (TimeoutException | ExecutionException | MalformedMessageException e) {
+    } catch (ExecutionException | MalformedMessageException e) {
       unansweredInRow.incrementAndGet();
       throw new StoreException("no answer from " + peer, false, e);
     }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PeerSnapshotsTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -96,6 +97,36 @@
     return new StorePosition(1, version);
   }
 
+  private static List<FeedRow> largeRows(int count) {
+    String value = "x".repeat(64 * 1024);
+    return IntStream.range(0, count)
+        .mapToObj(number -> new FeedRow("large-" + number, at(number + 1), value, false))
+        .toList();
+  }
+
+  /** Rows of other writers as large as the store takes them must not hide the rows of engines. */
+  @Test
+  void tableWithLargeRowsIsReadFromAnotherNode() {
+    List<FeedRow> rows = new ArrayList<>(largeRows(100));
+    rows.add(new FeedRow("e-1", at(101), "sound", false));
+    serving.update(TABLE, tracker(new FeedAnswer(rows, at(101))));
+    await()
+        .ignoreExceptionsMatching(e -> e instanceof StoreException)
+        .untilAsserted(
+            () -> assertThat(asking.rows(TABLE).askAny().rows()).hasSameElementsAs(rows));
+  }
+
+  /** Keys of other writers may hold any character. */
+  @Test
+  void tableWithOddKeysIsReadFromAnotherNode() throws Exception {
+    List<FeedRow> rows = new ArrayList<>(rows(2));
+    for (String key : List.of("\ud800", "\udc00\ud800", "\u0000", " ", "a\nb", "\"}")) {
+      rows.add(row(key, ROWS));
+    }
+    serving.update(TABLE, tracker(new FeedAnswer(rows, at(ROWS))));
+    assertThat(asking.rows(TABLE).askAny().rows()).contains(row("e-1", 1), row("e-2", 2));
+  }
+
   @Test
   void onlyChangesAfterTheNamedPositionAreSent() throws Exception {
     serving.update(TABLE, tracker(changed()));
