Order the runs of a request by the time that its sends had left

Engines print how long the caller waits, by which sends are ordered; what counts is how long the engine that was left worked beside the next one.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineProcessMain.java
@@ -22,11 +22,8 @@
  */
 public final class EngineProcessMain {
 
-  private static final String RUN_LINE = "run %s %d %s%n";
-  private static final String END_LINE = "end %s %d %s%n";
-
-  /** Ends the line of a run that did not end with its connection. */
-  static final String DONE = "done";
+  private static final String RUN_LINE = "run %s %d %s %s%n";
+  private static final String END_LINE = "end %s %d%n";
 
   private static final String REPORT = "{\"stage\":\"\",\"models\":[],\"busy\":false,\"queued\":0}";
   private static final String BODY = "a whole answer of an application";
@@ -73,15 +70,18 @@
   }
 
   /**
-   * What it prints for the begin of a run: {@code run ID NANOS HOST}, with the host it came from.
+   * What it prints for the begin of a run: {@code run ID NANOS HOST LEFT}.
+   *
+   * @param host where it came from
+   * @param millisLeft the time that the caller still waits, as the request says it
    */
-  static String runLine(String requestId, long nanos, String host) {
-    return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host);
+  static String runLine(String requestId, long nanos, String host, String millisLeft) {
+    return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host, millisLeft);
   }
 
-  /** What it prints for the end of a run: {@code end ID NANOS done}, or {@code left}. */
-  static String endLine(String requestId, long nanos, boolean done) {
-    return String.format(Locale.ROOT, END_LINE, requestId, nanos, done ? DONE : "left");
+  /** What it prints for the end of a run: {@code end ID NANOS}. */
+  static String endLine(String requestId, long nanos) {
+    return String.format(Locale.ROOT, END_LINE, requestId, nanos);
   }
 
   /**
@@ -164,9 +164,10 @@
     }
     boolean isLong = random.nextInt(PERCENT) < LONG_PERCENT;
     String host = connection.getInetAddress().getHostAddress();
-    System.out.print(runLine(requestId, System.nanoTime(), host));
+    String millisLeft = head.getOrDefault("x-fallturn-deadline-ms", "0");
+    System.out.print(runLine(requestId, System.nanoTime(), host, millisLeft));
     boolean done = work(connection, in, random.nextInt(isLong ? LONG_MILLIS : SHORT_MILLIS));
-    System.out.print(endLine(requestId, System.nanoTime(), done));
+    System.out.print(endLine(requestId, System.nanoTime()));
     return done && end(connection, kind, requestId);
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
@@ -16,25 +16,28 @@
   private final Map<String, List<Run>> byRequest = new HashMap<>();
   private int count;
 
-  /** One run of a request. */
+  /**
+   * One run of a request.
+   *
+   * @param millisLeft the time that its caller still waited when it was sent
+   */
   record Run(
       String requestId,
       String engine,
       String senderHost,
+      long millisLeft,
       long begunNanos,
-      long endedNanos,
-      boolean givenUp) {}
+      long endedNanos) {}
 
-  /** A request that one engine worked on while another one ran it. */
+  /**
+   * A request that an engine worked on while it ran at the engine that it was sent to next. A
+   * suspended engine may begin later than that one.
+   */
   record Overlap(Run earlier, Run later) {
 
-    /**
-     * How long the engine that was given up worked on beside the other. That may be the one whose
-     * run began later: a suspended engine reads a request after its connection was reset.
-     */
+    /** How long the engine that was left worked on beside the other. */
     long nanos() {
-      long ended = later.givenUp() ? later.endedNanos() : earlier.endedNanos();
-      return ended - later.begunNanos();
+      return earlier.endedNanos() - Math.max(earlier.begunNanos(), later.begunNanos());
     }
   }
 
@@ -45,20 +48,24 @@
    * @param killedNanos when the process was killed, which ended what it worked on
    */
   void read(String engine, List<String> lines, long killedNanos) {
-    Map<String, String[]> ends = new HashMap<>();
+    Map<String, Long> ends = new HashMap<>();
     for (String line : lines) {
       String[] words = line.split(" ");
       if (words[0].equals("end")) {
-        ends.put(words[1], words);
+        ends.put(words[1], Long.parseLong(words[2]));
       }
     }
     for (String line : lines) {
       String[] words = line.split(" ");
       if (words[0].equals("run")) {
-        String[] end = ends.get(words[1]);
-        long ended = end == null ? killedNanos : Long.parseLong(end[2]);
-        boolean givenUp = end != null && !end[3].equals(EngineProcessMain.DONE);
-        add(new Run(words[1], engine, words[3], Long.parseLong(words[2]), ended, givenUp));
+        add(
+            new Run(
+                words[1],
+                engine,
+                words[3],
+                Long.parseLong(words[4]),
+                Long.parseLong(words[2]),
+                ends.getOrDefault(words[1], killedNanos)));
       }
     }
   }
@@ -78,11 +85,12 @@
     return byRequest.getOrDefault(requestId, List.of()).size();
   }
 
-  /** Runs that went on for longer than {@link #OVERLAP_NANOS} beside a later one. */
+  /** Runs that went on for longer than {@link #OVERLAP_NANOS} beside the next one. */
   List<Overlap> overlaps() {
     List<Overlap> found = new ArrayList<>();
     for (List<Run> runs : byRequest.values()) {
-      runs.sort(Comparator.comparingLong(Run::begunNanos));
+      runs.sort(
+          Comparator.comparingLong(Run::millisLeft).reversed().thenComparingLong(Run::begunNanos));
       for (int later = 1; later < runs.size(); later++) {
         Overlap overlap = new Overlap(runs.get(later - 1), runs.get(later));
         if (overlap.nanos() > OVERLAP_NANOS) {
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
@@ -19,18 +19,22 @@
     runs.read(engine, String.join("", lines).lines().toList(), killedNanos);
   }
 
+  private static String first(long nanos) {
+    return EngineProcessMain.runLine("r", nanos, HOST, "3000");
+  }
+
+  private static String second(long nanos) {
+    return EngineProcessMain.runLine("r", nanos, HOST, "2500");
+  }
+
+  private static String end(long nanos) {
+    return EngineProcessMain.endLine("r", nanos);
+  }
+
   @Test
   void requestThatRanAtTwoEnginesIsCounted() {
-    read(
-        "a",
-        LATE,
-        EngineProcessMain.runLine("r", 0, HOST),
-        EngineProcessMain.endLine("r", 1, true));
-    read(
-        "b",
-        LATE,
-        EngineProcessMain.runLine("r", 2, HOST),
-        EngineProcessMain.endLine("r", 3, true));
+    read("a", LATE, first(0), end(1));
+    read("b", 3 * LATE, second(2));
     assertThat(runs.count()).isEqualTo(2);
     assertThat(runs.runsOf("r")).isEqualTo(2);
     assertThat(runs.runsOf("other")).isZero();
@@ -38,38 +42,26 @@
   }
 
   @Test
-  void runThatGoesOnBesideALaterOneIsFound() {
-    read("b", LATE, EngineProcessMain.runLine("r", BEGIN, HOST));
-    read(
-        "a",
-        LATE,
-        EngineProcessMain.runLine("r", 0, HOST),
-        "something else\n",
-        EngineProcessMain.endLine("r", BEGIN + LATE + 1, true));
+  void runThatGoesOnBesideTheNextOneIsFound() {
+    read("b", LATE, second(BEGIN));
+    read("a", LATE, first(0), "something else\n", end(BEGIN + LATE + 1));
     assertThat(runs.overlaps()).extracting(Overlap::nanos).isEqualTo(List.of(LATE + 1));
   }
 
   @Test
-  void laterRunThatIsGivenUpIsFoundOnceItGoesOnForTooLong() {
-    read("a", LATE, EngineProcessMain.runLine("r", 0, HOST));
-    read(
-        "b",
-        LATE,
-        EngineProcessMain.runLine("r", BEGIN, HOST),
-        EngineProcessMain.endLine("r", BEGIN + LATE, false));
+  void runOfASuspendedEngineIsFoundOnceItGoesOnForTooLong() {
+    read("b", 9 * LATE, second(0));
+    read("a", 9 * LATE, first(BEGIN), end(BEGIN + LATE));
     assertThat(runs.overlaps()).isEmpty();
-    read(
-        "c",
-        LATE,
-        EngineProcessMain.runLine("r", BEGIN + 1, HOST),
-        EngineProcessMain.endLine("r", BEGIN + LATE + 2, false));
+    read("c", 9 * LATE, EngineProcessMain.runLine("s", 0, HOST, "2000"));
+    read("d", BEGIN + LATE + 1, EngineProcessMain.runLine("s", BEGIN, HOST, "2500"));
     assertThat(runs.overlaps()).extracting(Overlap::nanos).isEqualTo(List.of(LATE + 1));
   }
 
   @Test
   void runEndsWithItsProcess() {
-    read("a", BEGIN + LATE, EngineProcessMain.runLine("r", 0, HOST));
-    read("b", Long.MAX_VALUE, EngineProcessMain.runLine("r", BEGIN, HOST));
+    read("a", BEGIN + LATE, first(0));
+    read("b", Long.MAX_VALUE, second(BEGIN));
     assertThat(runs.overlaps()).isEmpty();
   }
 }
