--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -134,6 +134,26 @@
     write(ENGINE_TABLE, id, row);
   }
 
+  /** Lists an application back end that runs elsewhere. */
+  public void listApplication(String id, NetworkAddress address) {
+    write(
+        ENGINE_TABLE,
+        id,
+        String.format(
+            Locale.ROOT,
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"%s\","
+                + "\"slots\":8,\"state\":\"ready\",\"stage\":\"\",\"coldRemainingMs\":0,"
+                + "\"sequence\":1}",
+            APPLICATION_SERVICE,
+            address,
+            EmulatedEngine.FIRST_VERSION));
+  }
+
+  /** Takes the row of {@link #listApplication} away. */
+  public void unlistApplication(String id) {
+    remove(ENGINE_TABLE, id);
+  }
+
   /** Starts an engine and lists it; a model engine crashes on the same contents as the others. */
   public EmulatedEngine addEngine(String id, String service, String stage) throws Exception {
     return add(
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
@@ -1,4 +1,4 @@
-package org.fallturn.rehearsal.signals;
+package org.fallturn.rehearsal.emulator;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -75,12 +75,12 @@
    * @param host where it came from
    * @param millisLeft the time that the caller still waits, as the request says it
    */
-  static String runLine(String requestId, long nanos, String host, String millisLeft) {
+  public static String runLine(String requestId, long nanos, String host, String millisLeft) {
     return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host, millisLeft);
   }
 
   /** What it prints for the end of a run: {@code end ID NANOS}. */
-  static String endLine(String requestId, long nanos) {
+  public static String endLine(String requestId, long nanos) {
     return String.format(Locale.ROOT, END_LINE, requestId, nanos);
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.fallturn.rehearsal.emulator.EngineProcessMain;
 
 /** The runs that engines printed, and those that break a promise. Times are nanoTime. */
 final class EngineRuns {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
@@ -11,6 +11,7 @@
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.platform.PlatformMain;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.EngineProcessMain;
 import org.fallturn.rehearsal.emulator.PeerLink;
 import org.fallturn.rehearsal.fleet.ManagedProcess;
 import org.fallturn.rehearsal.soak.SoakGatewayMain;
@@ -21,7 +22,6 @@
  */
 final class SignalsFleet implements AutoCloseable {
 
-  private static final String ENGINE_TABLE = "servers";
   private static final String HOSTS = "127.0.0.";
   private static final int FIRST_HOST = 12;
 
@@ -161,20 +161,10 @@
         List.of(id, Integer.toString(port), Boolean.toString(enginesStarted % 2 == 0));
     Engine engine =
         new Engine(id, ManagedProcess.start(id, directory, EngineProcessMain.class, arguments));
-    platform.listStrange(id, row(engine.address));
+    platform.listApplication(id, engine.address);
     return engine;
   }
 
-  private static String row(NetworkAddress address) {
-    return String.format(
-        Locale.ROOT,
-        "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":\"v1\","
-            + "\"slots\":8,\"state\":\"ready\",\"stage\":\"\",\"coldRemainingMs\":0,"
-            + "\"sequence\":1}",
-        EmulatedPlatform.APPLICATION_SERVICE,
-        address);
-  }
-
   /** Kills an engine; another takes its place, at its port, and its row stays until unlisted. */
   Engine replaceEngine(int index) throws IOException, InterruptedException {
     Engine old = engines.get(index);
@@ -187,7 +177,7 @@
 
   /** Takes the row of an engine that has ended away. */
   void unlist(Engine engine) {
-    platform.store().remove(ENGINE_TABLE, engine.id);
+    platform.unlistApplication(engine.id);
   }
 
   /** Kills all engines and reads what they printed. */
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.fallturn.rehearsal.emulator.EngineProcessMain;
 import org.fallturn.rehearsal.signals.EngineRuns.Overlap;
 import org.junit.jupiter.api.Test;
 
