Keep the rows of other writers with the emulator

The soak named a field of the platform's rows, which only platform, deploy, the emulator and tests may know: PlatformNamesTest failed with two lines of SoakOddEntries. The texts stand in the emulator (OddRowText) now; they are the same. PlatformNamesTest, PageNamesTest and SoakCheckTest pass.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakOddEntries.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakOddEntries.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
+import org.fallturn.rehearsal.emulator.OddRowText;
 
 /**
  * Entries of another writer among those of the engines, with values that no engine writes. A sound
@@ -17,41 +18,9 @@
  */
 final class SoakOddEntries {
 
-  private static final int LEVELS = 100_000;
-  private static final int DIGITS = 2_000;
-  private static final int LONG_TEXT = 60_000;
-
   /** From when the entry is written until a sound engine leaves. */
   private static final Duration UNTIL_LEAVING = Duration.ofMillis(300);
 
-  private static final String ENTRY =
-      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"zone-1\",\"version\":%s,\"slots\":%s,"
-          + "\"state\":\"%s\",\"stage\":\"decode\",\"leaves_ms\":%s,\"spot\":%s}";
-
-  /** Nothing listens there. */
-  private static final String ADDRESS = "127.0.0.1:1";
-
-  private static final String SERVICE = EmulatedPlatform.MODEL_SERVICE;
-  private static final String VERSION = "\"v1\"";
-
-  private static final List<String> ENTRIES =
-      List.of(
-          entry(SERVICE, ADDRESS, VERSION, "8", "0", nested()),
-          entry(SERVICE, ADDRESS, VERSION, "9".repeat(DIGITS), "0", "false"),
-          entry(SERVICE, ADDRESS, VERSION, "8", "9".repeat(DIGITS), "false"),
-          entry(SERVICE, ADDRESS, VERSION, "1e400", "0", "false"),
-          entry(SERVICE, ADDRESS, VERSION, "8", "1e400", "false"),
-          entry(SERVICE, ADDRESS, "1e400", "2147483647", "0", "false"),
-          entry(SERVICE, "127.0.0.1:70000", VERSION, "8", "0", "false"),
-          entry(SERVICE, "127.0.0.1:-1", VERSION, "8", "0", "false"),
-          entry(SERVICE, "127.0.0.1:99999999999", VERSION, "8", "0", "false"),
-          entry("s".repeat(LONG_TEXT), ADDRESS, VERSION, "8", "0", "false"),
-          entry(SERVICE, ADDRESS, "\"" + "v".repeat(LONG_TEXT) + "\"", "8", "0", "false"),
-          nested(),
-          "{\"service\":\"" + SERVICE + "\"}",
-          "\u0000\u0001\ufffd{",
-          "");
-
   private final EmulatedPlatform platform;
   private final EmulatedEngine leaver;
   private final EmulatedEngine overwritten;
@@ -71,20 +40,12 @@
     this.overwritten = overwritten;
   }
 
-  private static String entry(
-      String service, String address, String version, String slots, String leaves, String spot) {
-    return ENTRY.formatted(service, address, version, slots, "ready", leaves, spot);
-  }
-
-  private static String nested() {
-    return "[".repeat(LEVELS) + "]".repeat(LEVELS);
-  }
-
   /** An entry that no engine keeps is written, and a sound engine leaves. */
   void begin(int target) {
     String id = "odd-" + target;
     written.put(target, id);
-    platform.listStrange(id, ENTRIES.get(Math.floorMod(target, ENTRIES.size())));
+    List<String> rows = OddRowText.rows();
+    platform.listStrange(id, rows.get(Math.floorMod(target, rows.size())));
     after(UNTIL_LEAVING, () -> leave(target));
   }
 
@@ -93,14 +54,12 @@
    * says the same and that it serves; and another sound engine leaves.
    */
   void beginOver(int target) {
-    String ready = overwritten.row(false);
-    String odd = ready.substring(0, ready.length() - 1) + ",\"leaves_ms\":" + Long.MAX_VALUE + "}";
     written.put(target, overwritten.id());
-    platform.listStrange(overwritten.id(), odd);
+    platform.listStrange(overwritten.id(), OddRowText.endingLate(overwritten, false));
     after(
         UNTIL_LEAVING,
         () -> {
-          platform.listStrange(overwritten.id(), odd.replace("\"ready\"", "\"draining\""));
+          platform.listStrange(overwritten.id(), OddRowText.endingLate(overwritten, true));
           leave(target);
         });
   }
