--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -189,6 +189,23 @@
     return progress(route(RequestKind.STREAMING, resumable, MODEL, 2), Optional.of(shape));
   }
 
+  /** A request that continues the stream which another one began. */
+  static RequestProgress resuming(String firstAttemptId, long nowNanos) {
+    Route route = route(RequestKind.STREAMING, true, MODEL, 2);
+    String id = "request-" + number++;
+    RequestEnvelope envelope =
+        new RequestEnvelope(
+            id,
+            route,
+            Caller.UNCHECKED,
+            Rank.of(route),
+            Optional.of(new PromptShape("m", 300, 8, List.of())),
+            Optional.of(new ResumedStream(Optional.of(firstAttemptId))),
+            nowNanos,
+            nowNanos + route.timeout().toNanos());
+    return new RequestProgress(envelope, content(id));
+  }
+
   /** A streaming request that must not be repeated, with a prompt that shares no part. */
   static RequestProgress promptAt(long nowNanos, int tokens) {
     PromptPart own = new PromptPart("own-" + number, tokens);
