Let only an answer that names its start show that an engine runs, if the engine names it

A stream of a killed engine could get its last chunk when the engine's next start, under the same id, already answered at its address with anything but a report, such as 503 while it comes up.

Cause: every status but 421 counted as a sign of life, without a look at the start. Where an engine's entry names none, each start has an id of its own, and another one answers 421.

Found by a review, which had a stream end as whole by such an answer.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
@@ -76,10 +76,7 @@
               new BufferingResponseListener() {
                 @Override
                 public void onComplete(Result result) {
-                  onCallEnded(
-                      engine,
-                      asked,
-                      EngineLiveness.of(engine, result, getContent(), engines.protocol()));
+                  onCallEnded(engine, asked, liveness(engine, result, getContent()));
                 }
               });
     } catch (RuntimeException e) {
@@ -88,6 +85,15 @@
     }
   }
 
+  private EngineLiveness liveness(ServingEngine engine, Result result, byte[] body) {
+    try {
+      return EngineLiveness.of(engine, result, body, engines.protocol());
+    } catch (RuntimeException | StackOverflowError e) {
+      LOG.warn("engines: The answer of {} is not readable.", engine.id(), e);
+      return EngineLiveness.UNKNOWN;
+    }
+  }
+
   private void onCallEnded(ServingEngine engine, List<Waiting> asked, EngineLiveness liveness) {
     boolean known = liveness != EngineLiveness.UNKNOWN;
     long now = System.nanoTime();
@@ -95,11 +101,10 @@
     settled.removeIf(answer -> !known && now - answer.giveUpNanos() < 0);
     List<Waiting> left = new ArrayList<>(asked);
     left.removeAll(settled);
+    settled.forEach(answer -> tell(answer, liveness));
     if (keepWaiting(engine, left)) {
-      Duration pause = known ? Duration.ZERO : PAUSE;
-      engines.runLater(() -> call(engine), pause);
+      engines.runLater(() -> call(engine), known ? Duration.ZERO : PAUSE);
     }
-    settled.forEach(answer -> tell(answer, liveness));
   }
 
   /** Returns whether any answer waits for a further call. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineLiveness.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineLiveness.java
@@ -35,7 +35,7 @@
     return switch (result.getResponse().getStatus()) {
       case HttpStatus.MISDIRECTED_REQUEST_421 -> GONE;
       case HttpStatus.OK_200 -> ofReport(engine, body, protocol);
-      default -> RUNS;
+      default -> engine.bornMillis().isPresent() ? UNKNOWN : RUNS;
     };
   }
 
