Notice entries that came and went, lose no event to a fault, and ask again for a confirmation

Found by a review of the fixes, together since they meet in the dispatch duty:

- ORDER: a node took one version for the only one though an engine of another had come and gone between two of its readings: changes that cancel each other left no trace.
The follower tells of a row that it never had among its rows when it went, and what was watched until then proves nothing any more.
FeedTrackerTest, StreamTrackerTest (both call what is new).
What a whole reading or another node's table jumps over is not noticed.
The event is handled whatever becomes of the notices.
What fails while a request is ended closes its connection and hides neither the first fault nor the requests behind it; counts are given back also for a request that had left the list before.
- A take-up was refused after one failed or slow reading of the store, since a confirmation was asked for once, and the next one half a second after a failure.
Requests that wait ask at each turn, and a failure is followed by a pause of 100 ms.
A reading that is older than what is known confirms nothing.

--- a/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/port/feed/FeedTracker.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -35,6 +36,7 @@
   private long lastWholeNanos;
   private StorePosition newestChange = StorePosition.NONE;
   private long periodNanos = PERIODIC_NANOS;
+  private boolean missedRows;
 
   /** Whether other nodes tell which changes they have seen. */
   public void setToldByOthers(boolean told) {
@@ -157,6 +159,7 @@
    */
   public boolean onChanges(FeedAnswer answer, long nowNanos) {
     boolean changed = false;
+    Set<String> knownBefore = Set.copyOf(rows.keySet());
     for (FeedRow row : answer.rows()) {
       onSeen(row);
       FeedRow before = rows.get(row.key());
@@ -164,7 +167,9 @@
         continue;
       }
       if (row.gone()) {
-        changed |= rows.remove(row.key()) != null;
+        boolean missed = !knownBefore.contains(row.key()) && row.position().isAfter(position);
+        missedRows |= missed;
+        changed |= rows.remove(row.key()) != null || missed;
         if (before != null) {
           restored.onRemoved(before, nowNanos);
         }
@@ -178,6 +183,16 @@
     return changed;
   }
 
+  /**
+   * Whether a row came and went since the last call, so that its value was never among {@link
+   * #rows}.
+   */
+  public boolean takeMissedRows() {
+    boolean missed = missedRows;
+    missedRows = false;
+    return missed;
+  }
+
   /** The changes after the position are gone: read whole, and again while readings may lag. */
   public void onHistoryLost(long nowNanos) {
     readWhole = true;
--- a/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/streams/StreamTracker.java
@@ -72,6 +72,11 @@
     versions.onDirectory(listed, nowNanos);
   }
 
+  /** An entry of an engine came and went, whose version this node does not know. */
+  public void onMissedEntries(long nowNanos) {
+    versions.restartWatch(nowNanos);
+  }
+
   /**
    * The store confirmed that the directory, as given last, lists all engines.
    *
--- a/fallturn-core/src/test/java/org/fallturn/core/port/feed/FeedTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/port/feed/FeedTrackerTest.java
@@ -38,6 +38,20 @@
     assertThat(tracker.position()).isEqualTo(at(7));
   }
 
+  /** Guards against an engine that served meanwhile and of which nobody hears. */
+  @Test
+  void rowThatCameAndWentIsAChangeThoughItIsNoLongerThere() {
+    tracker.onWhole(answer(5, row("a", 3)), 0);
+    tracker.onChanges(answer(6, gone("a", 6)), 0);
+    assertThat(tracker.takeMissedRows()).isFalse();
+    assertThat(tracker.onChanges(answer(8, row("b", 7), gone("b", 8)), 0)).isTrue();
+    assertThat(tracker.takeMissedRows()).isTrue();
+    assertThat(tracker.takeMissedRows()).isFalse();
+    assertThat(tracker.onChanges(answer(9, gone("c", 9)), 0)).isTrue();
+    assertThat(tracker.takeMissedRows()).isTrue();
+    assertThat(tracker.onChanges(answer(9, gone("c", 9)), 0)).isFalse();
+  }
+
   @Test
   void readingOlderThanWhatIsKnownChangesNothing() {
     tracker.onWhole(answer(9, row("a", 9)), 0);
--- a/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/streams/StreamTrackerTest.java
@@ -146,6 +146,15 @@
     assertThat(findArrived(LIFETIME, OLD_STREAM, LIFETIME)).contains("v1");
   }
 
+  @Test
+  void nothingIsCertainOnceAnEntryCameAndWentUnseen() {
+    tracker.onDirectory(directory("v1"), 0);
+    tickUntil(LIFETIME);
+    assertThat(find(OLD_STREAM, LIFETIME)).contains("v1");
+    tracker.onMissedEntries(LIFETIME);
+    assertThat(find(OLD_STREAM, LIFETIME + 1)).isEmpty();
+  }
+
   /** Guards against a gap that nobody noticed while it lasted, as in a suspended process. */
   @Test
   void nothingIsCertainAfterAGapInContactThatIsOverBeforeAnyCheck() {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DirectoryConfirmationDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DirectoryConfirmationDuty.java
@@ -22,7 +22,7 @@
  */
 final class DirectoryConfirmationDuty implements DirectoryContact, AutoCloseable {
 
-  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long PAUSE_AFTER_FAILURE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
   /** How long to wait for a change that the store has and this node's follower has not. */
   private static final long MAX_DELIVERY_NANOS = TimeUnit.SECONDS.toNanos(1);
@@ -107,7 +107,8 @@
     try {
       FeedAnswer answer = store.changesAfter(before, Duration.ZERO, () -> true);
       counts.count(FollowCounts.Kind.STORE_CONFIRMATION);
-      if (awaitDelivery(newestChange(answer, before))) {
+      boolean stale = before.isAfter(answer.position());
+      if (!stale && awaitDelivery(newestChange(answer, before))) {
         onConfirmed.accept(begunNanos);
       }
       return true;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -24,7 +24,6 @@
 import org.fallturn.core.error.ErrorKind;
 import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.quarantine.RequestFingerprint;
-import org.fallturn.core.routing.EngineDirectory;
 import org.fallturn.core.routing.ServingEngine;
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.node.duty.DutyHandler;
@@ -57,10 +56,9 @@
   private final RunCounter runs;
   private final Scaling scaling;
   private final List<Exchange> waitingForCacheLists = new ArrayList<>();
-  private final List<Exchange> waitingForOrigin = new ArrayList<>();
+  private final OriginWaits waitingForOrigin;
   private final Map<RequestProgress, Exchange> waitingForEngine = new HashMap<>();
   private final BooleanSupplier stopping;
-  private final Runnable directoryConfirmation;
 
   DispatchDuty(
       Dispatcher dispatcher,
@@ -87,7 +85,7 @@
     this.scaling = scaling;
     this.stopping = stopping;
     this.upkeep = new DispatchUpkeep(dispatcher, engines, log, pathActions, scaling, stageChanges);
-    this.directoryConfirmation = directoryConfirmation;
+    this.waitingForOrigin = new OriginWaits(dispatcher.resumedStreams(), directoryConfirmation);
   }
 
   private void onCacheListed(DispatchEvent.CacheListed answer, long now) {
@@ -108,17 +106,23 @@
     }
   }
 
-  /** A fault of one request's event ends that request. */
+  /** A fault of one request's event ends that request; one of the notices loses no event. */
   @Override
   public void onEvent(DispatchEvent event) {
     long now = System.nanoTime();
-    applyNotices(now);
+    try {
+      applyNotices(now);
+    } finally {
+      applyOrEnd(event, now);
+    }
+  }
+
+  private void applyOrEnd(DispatchEvent event, long now) {
     try {
       apply(event, now);
     } catch (RuntimeException fault) {
       if (event instanceof DispatchEvent.OfRequest ofRequest) {
-        terminator.onUnhandledEvent(event);
-        endAfterFault(ofRequest.exchange());
+        steps.endAfterFault(ofRequest.exchange(), fault, () -> terminator.onUnhandledEvent(event));
       }
       throw fault;
     }
@@ -127,7 +131,8 @@
   /** A request whose answer is being relayed is left to the events that follow. */
   private void endAfterFault(Exchange exchange) {
     terminator.terminate(exchange);
-    if (exchange.isCompleted() && active.remove(exchange)) {
+    if (exchange.isCompleted()) {
+      active.remove(exchange);
       waitingForEngine.remove(exchange.progress());
       runs.onEnded(exchange, System.nanoTime());
       dispatcher.onAbandoned(exchange.progress(), System.nanoTime());
@@ -157,7 +162,7 @@
     } else if (event instanceof DispatchEvent.CallerGone gone) {
       onCallerGone(gone.exchange(), now);
     } else if (event instanceof DispatchEvent.DirectoryChanged changed) {
-      onDirectory(changed.directory(), now);
+      onDirectory(changed, now);
     } else if (event instanceof DispatchEvent.DirectoryConfirmed confirmed) {
       onDirectoryConfirmed(confirmed.begunNanos(), now);
     } else if (event instanceof DispatchEvent.CacheListed answer) {
@@ -202,10 +207,13 @@
     }
   }
 
-  private void onDirectory(EngineDirectory directory, long now) {
-    dispatcher.setDirectory(directory, now);
+  private void onDirectory(DispatchEvent.DirectoryChanged changed, long now) {
+    dispatcher.setDirectory(changed.directory(), now);
+    if (changed.missedEntries()) {
+      dispatcher.resumedStreams().tracker().onMissedEntries(now);
+    }
     scaling.setDirectory(dispatcher.directory());
-    survey.onDirectory(directory, now);
+    survey.onDirectory(changed.directory(), now);
     peers.sendDue(now);
   }
 
@@ -240,22 +248,16 @@
     if (endIfOver(exchange, now)) {
       return;
     }
-    if (dispatcher.resumedStreams().awaitsOrigin(exchange.progress(), now)) {
-      waitForOrigin(exchange, now);
-    } else if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
+    if (waitingForOrigin.add(exchange, now)) {
+      return;
+    }
+    if (survey.shouldDelayPrompts(now) && hasLongSharedParts(exchange)) {
       waitingForCacheLists.add(exchange);
     } else {
       start(exchange, now);
     }
   }
 
-  private void waitForOrigin(Exchange exchange, long now) {
-    waitingForOrigin.add(exchange);
-    if (dispatcher.resumedStreams().lacksConfirmation(exchange.progress(), now)) {
-      directoryConfirmation.run();
-    }
-  }
-
   /**
    * Ends a request that nobody waits for, before anything is decided for it: while this thread is
    * late, the event that tells so is still behind others.
@@ -297,16 +299,8 @@
   }
 
   private void startThoseWithOrigin(long now) {
-    if (waitingForOrigin.isEmpty()) {
-      return;
-    }
-    waitingForOrigin.removeIf(exchange -> !active.contains(exchange));
-    List<Exchange> due =
-        waitingForOrigin.stream()
-            .filter(waiting -> !dispatcher.resumedStreams().awaitsOrigin(waiting.progress(), now))
-            .toList();
-    waitingForOrigin.removeAll(due);
-    steps.forEach(due, exchange -> start(exchange, now));
+    steps.forEach(
+        waitingForOrigin.takeDue(active::contains, now), exchange -> start(exchange, now));
   }
 
   private void onPrefilled(DispatchEvent.Prefilled event, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchEvent.java
@@ -50,8 +50,13 @@
   /** The caller closed its connection, or the connection failed. */
   record CallerGone(Exchange exchange) implements OfRequest {}
 
-  /** The list of engines changed. */
-  record DirectoryChanged(EngineDirectory directory) implements DispatchEvent {}
+  /**
+   * The list of engines changed.
+   *
+   * @param missedEntries whether an entry came and went since the list before
+   */
+  record DirectoryChanged(EngineDirectory directory, boolean missedEntries)
+      implements DispatchEvent {}
 
   /**
    * The store confirmed that the list of engines, as it was last given, is complete.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -499,7 +499,7 @@
     snapshots.update(ENGINES, tracker);
     overlay.tables().onSeen(ENGINES, tracker.newestChange());
     directory = EngineDirectory.of(tracker.position().version(), engineRows.read(tracker.rows()));
-    post(new DispatchEvent.DirectoryChanged(directory));
+    post(new DispatchEvent.DirectoryChanged(directory, tracker.takeMissedRows()));
     state.setEnginesKnown();
     log.enginesChanged(directory);
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestSteps.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestSteps.java
@@ -10,15 +10,15 @@
  */
 final class RequestSteps {
 
-  private final Consumer<Exchange> endAfterFault;
+  private final Consumer<Exchange> end;
 
   /**
    * Creates it.
    *
-   * @param endAfterFault ends a request whose state is unknown after a fault
+   * @param end ends a request whose state is unknown after a fault
    */
-  RequestSteps(Consumer<Exchange> endAfterFault) {
-    this.endAfterFault = endAfterFault;
+  RequestSteps(Consumer<Exchange> end) {
+    this.end = end;
   }
 
   /** Throws the first fault once the step has been tried for each request. */
@@ -28,7 +28,7 @@
       try {
         step.accept(exchange);
       } catch (RuntimeException fault) {
-        endAfterFault.accept(exchange);
+        endAfterFault(exchange, fault, () -> {});
         if (failed == null) {
           failed = fault;
         } else {
@@ -40,4 +40,20 @@
       throw failed;
     }
   }
+
+  /**
+   * Ends a request. What fails at that is added to the fault as suppressed, and the caller's
+   * connection closed.
+   *
+   * @param before what is to be done first
+   */
+  void endAfterFault(Exchange exchange, RuntimeException fault, Runnable before) {
+    try {
+      before.run();
+      end.accept(exchange);
+    } catch (RuntimeException second) {
+      fault.addSuppressed(second);
+      exchange.abort();
+    }
+  }
 }
