Bound answers that are kept whole by the heap

Answers of tables may be up to 64 MiB since many rows of the largest size have to be read, which is half of the heap of the deploy file; reading copies an answer a few times, and a node that is out of memory ends, at each start anew while the rows stand.

An end by memory was not brought about.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PeerSnapshots.java
@@ -27,6 +27,7 @@
 import org.fallturn.core.port.feed.FeedTracker;
 import org.fallturn.core.port.feed.StorePosition;
 import org.fallturn.core.port.table.StoreException;
+import org.fallturn.node.http.AnswerMemory;
 import org.fallturn.node.json.JsonCodec;
 import org.fallturn.node.json.MalformedMessageException;
 
@@ -60,12 +61,6 @@
    */
   private static final int MAX_UPDATE_BYTES = 16 * 1024;
 
-  /**
-   * Largest answer in bytes that is read. It bounds the memory for an answer only: other writers
-   * may have put many rows of the largest size between those of engines.
-   */
-  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
-
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(400);
 
   /**
@@ -159,7 +154,7 @@
             .timeout(timeout().toMillis(), TimeUnit.MILLISECONDS);
     try {
       ContentResponse response =
-          new CompletableResponseListener(request, MAX_ANSWER_BYTES).send().get();
+          new CompletableResponseListener(request, AnswerMemory.maxBytes()).send().get();
       unansweredInRow.set(0);
       if (response.getStatus() == HttpStatus.PAYLOAD_TOO_LARGE_413) {
         throw new TableTooLargeException(peer + " has too large an update of " + path);
