--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CutHeadTest.java
@@ -52,8 +52,7 @@
 
   private void cut(String id, String sent, Cut cut) {
     await().pollInterval(POLL).atMost(LONGEST).until(() -> engine.got(id));
-    RawEngine.Connection connection =
-        engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
+    RawEngine.Connection connection = engine.connectionOf(id);
     connection.send(sent);
     if (cut == Cut.RESET) {
       connection.reset();
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -122,6 +122,11 @@
     return connections;
   }
 
+  /** The connection over which a request has come, the first if there are several. */
+  Connection connectionOf(String requestId) {
+    return connections.stream().filter(one -> one.got(requestId)).findFirst().orElseThrow();
+  }
+
   /** Whether any part of the request has come. */
   boolean got(String requestId) {
     return connections.stream().anyMatch(one -> one.got(requestId));
@@ -129,20 +134,12 @@
 
   /** Value of a header of a request that has come; empty when it lacks the header. */
   String headerOf(String requestId, String header) {
-    return connections.stream()
-        .filter(one -> one.got(requestId))
-        .map(one -> one.headerOf(requestId, header))
-        .findFirst()
-        .orElseThrow();
+    return connectionOf(requestId).headerOf(requestId, header);
   }
 
   /** Request line of a request that has come. */
   String requestLineOf(String requestId) {
-    return connections.stream()
-        .filter(one -> one.got(requestId))
-        .map(one -> one.headOf(requestId)[0])
-        .findFirst()
-        .orElseThrow();
+    return connectionOf(requestId).headOf(requestId)[0];
   }
 
   /** Answers a request with a success, if it has come; whether it has. */
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/UnmarkedEndTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/UnmarkedEndTest.java
@@ -93,16 +93,11 @@
   /** Sends the beginning of an answer that does not tell its end. */
   private static RawEngine.Connection begin(RawEngine at, String id, String body) {
     await().atMost(LONGEST).until(() -> at.got(id));
-    RawEngine.Connection connection =
-        at.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
+    RawEngine.Connection connection = at.connectionOf(id);
     connection.send("HTTP/1.1 200 OK\r\n" + CLOSE + named(id) + body);
     return connection;
   }
 
-  private RawEngine.Connection connectionOf(String id) {
-    return engine.connections().stream().filter(one -> one.got(id)).findFirst().orElseThrow();
-  }
-
   private static String named(String id) {
     return OneEngineGateway.ID_HEADER + ": " + id + "\r\n\r\n";
   }
@@ -111,9 +106,9 @@
   private RawEngine.Connection keepConnectionOf(String id, Socket caller) throws IOException {
     await().atMost(LONGEST).until(() -> engine.got(id) && engine.connections().size() == 2);
     String length = "Content-Length: " + FIRST_EVENT.length() + "\r\n";
-    connectionOf(id).send("HTTP/1.1 200 OK\r\n" + length + named(id) + FIRST_EVENT);
+    engine.connectionOf(id).send("HTTP/1.1 200 OK\r\n" + length + named(id) + FIRST_EVENT);
     assertThat(OneEngineGateway.readToEnd(caller)).endsWith(LAST_CHUNK);
-    return connectionOf(id);
+    return engine.connectionOf(id);
   }
 
   private String answerOfStricken(Socket caller, String body, Fate fate) throws IOException {
@@ -237,7 +232,7 @@
     try (Socket refused = call("refused");
         Socket caller = call("r")) {
       await().atMost(LONGEST).until(() -> engine.got("refused") && engine.got("r"));
-      connectionOf("refused").send("HTTP/1.1 503 Busy\r\n" + REST + named("refused"));
+      engine.connectionOf("refused").send("HTTP/1.1 503 Busy\r\n" + REST + named("refused"));
       assertThat(OneEngineGateway.readStatus(refused)).isEqualTo("HTTP/1.1 503");
       begin(engine, "r", "body").close();
       assertThat(OneEngineGateway.readToEnd(caller)).startsWith("HTTP/1.1 200").contains("body");
@@ -251,7 +246,7 @@
     try (Socket node = forward("r")) {
       await().atMost(LONGEST).until(() -> engine.got("r"));
       String notRun = OneEngineGateway.NOT_EXECUTED_HEADER + ": 1\r\n";
-      RawEngine.Connection connection = connectionOf("r");
+      RawEngine.Connection connection = engine.connectionOf("r");
       engine.refuseConnections();
       connection.send("HTTP/1.1 503 Busy\r\n" + CLOSE + notRun + named("r"));
       connection.close();
