Look whether engines work on requests whose connection has ended, and log those that do

Cause: runEnd says how a connection ended, and nobody looked at the engine afterwards, so that the log could not tell an engine that cancels a run from one that works on. Change: the report's executions are read (with the number of requests that it has and does not name); 500 ms after an attempt at a model engine ended with its connection, the engine's report is read. A run that it still shows is logged once for each start of an engine (ENGINE_WORKS_ON). What a report proves is decided apart from I/O (OrphanedRuns). Calls for reports on connections of their own, which AnswerEndCheck had too, stand once (ReportCalls).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.eclipse.jetty.client.BufferingResponseListener;
-import org.eclipse.jetty.client.Result;
 import org.fallturn.core.routing.ServingEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -69,29 +67,12 @@
     synchronized (waitingByEngine) {
       asked = waitingByEngine.put(engine.id(), new ArrayList<>());
     }
-    try {
-      engines
-          .newReportOnNewConnection(engine)
-          .send(
-              new BufferingResponseListener() {
-                @Override
-                public void onComplete(Result result) {
-                  onCallEnded(engine, asked, liveness(engine, result, getContent()));
-                }
-              });
-    } catch (RuntimeException e) {
-      LOG.warn("engines: {} cannot be asked whether it runs.", engine.id(), e);
-      onCallEnded(engine, asked, EngineLiveness.UNKNOWN);
-    }
-  }
-
-  private EngineLiveness liveness(ServingEngine engine, Result result, byte[] body) {
-    try {
-      return EngineLiveness.of(engine, result, body, engines.protocol());
-    } catch (RuntimeException | StackOverflowError e) {
-      LOG.warn("engines: The answer of {} is not readable.", engine.id(), e);
-      return EngineLiveness.UNKNOWN;
-    }
+    engines
+        .reportCalls()
+        .call(
+            engine,
+            EngineClient.REPORT_TIMEOUT,
+            answer -> onCallEnded(engine, asked, answer.liveness()));
   }
 
   private void onCallEnded(ServingEngine engine, List<Waiting> asked, EngineLiveness liveness) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -17,9 +17,11 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.disconnect.OrphanedRun;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptTimeout;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineStage;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -50,6 +52,7 @@
   private final EngineCall call;
   private final EngineProtocol protocol;
   private final AnswerEndCheck endCheck;
+  private final OrphanedRunCheck orphanedRuns;
   private final AttemptState state = new AttemptState();
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
@@ -77,6 +80,7 @@
     this.call = call;
     this.protocol = engines.protocol();
     this.endCheck = engines.answerEndCheck();
+    this.orphanedRuns = engines.orphanedRuns();
     this.timeout = timeout;
     this.forwarder = exchange.progress().forwarder();
     this.sendNumber = exchange.progress().runSends() + exchange.progress().prefillAttempts();
@@ -497,10 +501,23 @@
       }
       awaited.get().whenOver(end -> postFailure(outcome, end));
     } else {
+      if (mayBeOrphaned()) {
+        orphanedRuns.watch(call.engine(), orphanedRun());
+      }
       postFailure(outcome, runEnd);
     }
   }
 
+  /** Whether a model engine may work on although the connection to it has ended. */
+  private boolean mayBeOrphaned() {
+    return call.engine().stage() != EngineStage.NONE && runEnd() == RunEnd.CONNECTION_ENDED;
+  }
+
+  private OrphanedRun orphanedRun() {
+    return new OrphanedRun(
+        call.engine().id(), exchange.head().requestId(), sendState.sentNanos(), System.nanoTime());
+  }
+
   private void postFailure(AttemptOutcome outcome, RunEnd end) {
     runEnd = end;
     exchange.post(new DispatchEvent.AttemptFailed(exchange, this, outcome));
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -54,7 +54,7 @@
   private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
   /** An engine reports without waiting for a slot, so one that takes longer is stuck. */
-  private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
+  static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
   /** Requests with this tag share no connections with the others. */
   private static final String OWN_CONNECTION = "own-connection";
@@ -66,7 +66,9 @@
   private final ForwardedRequests forwarded;
   private final DecisionLog log;
   private final NoticeReader noticeReader;
+  private final ReportCalls reportCalls = new ReportCalls(this);
   private final AnswerEndCheck answerEndCheck = new AnswerEndCheck(this);
+  private final OrphanedRunCheck orphanedRuns;
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
   private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
@@ -88,6 +90,8 @@
     this.forwarded = forwarded;
     this.log = log;
     this.noticeReader = new NoticeReader(protocol, notices, log);
+    this.orphanedRuns =
+        new OrphanedRunCheck(this, engine -> !notices.limits().limited(engine.id()), log);
     client = PlainHttpClients.start(executor, CONNECT_TIMEOUT, this::newPool);
   }
 
@@ -100,6 +104,16 @@
     return answerEndCheck;
   }
 
+  /** Calls that ask engines for their reports. */
+  ReportCalls reportCalls() {
+    return reportCalls;
+  }
+
+  /** Finds out whether engines work on requests whose connections have ended. */
+  OrphanedRunCheck orphanedRuns() {
+    return orphanedRuns;
+  }
+
   /** Updates how many connections the engines of each service accept. */
   void setServices(RoutingImage image) {
     image
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -57,6 +57,8 @@
   FORWARDING,
   /** A request that this node sent for another node ended; the detail is the result. */
   FORWARDED,
+  /** An engine was found at work on a request whose connection had ended long before. */
+  ENGINE_WORKS_ON,
   /** This node found that an engine is leaving; the detail is the source of this notice. */
   ENGINE_LEAVES,
   /** An engine asked this node to send nothing for a time. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RunEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RunEnd.java
@@ -8,6 +8,12 @@
   ANSWERED,
   /** The connection ended before the answer did. */
   CONNECTION_ENDED,
+  /** The connection ended, and a later report of the engine does not show the request. */
+  REPORTED,
+  /** The connection ended, and the engine is gone. */
+  ENGINE_GONE,
+  /** The connection ended, and the engine does not tell whether it still works on the request. */
+  NOT_TOLD,
   /** The node that forwards said what became of the request. */
   FORWARDER_ANSWERED,
   /** The node that forwards confirmed that it has ended its connection to the engine. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
@@ -11,12 +11,14 @@
 final class SendState implements Request.BeginListener {
 
   private volatile boolean maybeSent;
+  private volatile long sentNanos;
   private volatile String connection = "";
 
   @Override
   public void onBegin(Request begun) {
     if (!(begun.getAbortCause() instanceof WithheldException)) {
       connection = LogTexts.connection(begun);
+      sentNanos = System.nanoTime();
       maybeSent = true;
     }
   }
@@ -26,6 +28,11 @@
     return maybeSent;
   }
 
+  /** When it began to be sent, in nanoTime; 0 while it was not. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
   /** Local address of the connection that it was sent on; empty while it was not sent. */
   String connection() {
     return connection;
--- /dev/null
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineThatWorksOnTest.java
@@ -0,0 +1,95 @@
+package org.fallturn.node.gateway;
+
+import static org.awaitility.Awaitility.await;
+
+import java.net.Socket;
+import java.time.Duration;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against a request that goes on at a second model engine while the first still works on it.
+ * The end of a connection was taken for the end of the run, but some engines do not cancel a
+ * request whose connection ends.
+ */
+class EngineThatWorksOnTest {
+
+  private static final Duration LONGEST = Duration.ofSeconds(20);
+  private static final String ID = "one";
+
+  private RawEngine first;
+  private RawEngine second;
+  private GatewayServer gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    first = new RawEngine();
+    second = new RawEngine();
+    gateway = OneEngineGateway.startForModel(first, second);
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+    first.close();
+    second.close();
+  }
+
+  private RawEngine engineThatGot(String requestId) {
+    await().atMost(LONGEST).until(() -> first.got(requestId) || second.got(requestId));
+    return first.got(requestId) ? first : second;
+  }
+
+  private RawEngine otherThan(RawEngine engine) {
+    return engine == first ? second : first;
+  }
+
+  private long enginesFoundToWorkOn() {
+    return Pattern.compile("event=\"ENGINE_WORKS_ON\",detail=\"\"} (\\d+)")
+        .matcher(gateway.metrics().text())
+        .results()
+        .mapToLong(match -> Long.parseLong(match.group(1)))
+        .sum();
+  }
+
+  @Test
+  void engineThatWorksOnAfterItsConnectionHasEndedIsFound() throws Exception {
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
+      RawEngine asked = engineThatGot(ID);
+      asked.reportWork(0, ID);
+      asked.connectionOf(ID).reset();
+      await().atMost(LONGEST).until(() -> enginesFoundToWorkOn() == 1);
+    }
+  }
+
+  @Test
+  void requestOfAnEngineThatIsGoneGoesOn() throws Exception {
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
+      RawEngine asked = engineThatGot(ID);
+      asked.refuseConnections();
+      asked.connectionOf(ID).reset();
+      await().atMost(LONGEST).until(() -> otherThan(asked).got(ID));
+    }
+  }
+
+  @Test
+  void requestOfAnEngineThatAnswersNothingGoesOn() throws Exception {
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
+      RawEngine asked = engineThatGot(ID);
+      asked.answerReportsWith("");
+      asked.connectionOf(ID).reset();
+      await().atMost(LONGEST).until(() -> otherThan(asked).got(ID));
+    }
+  }
+
+  @Test
+  void requestOfAnEngineThatNamesNoWorkGoesOn() throws Exception {
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
+      RawEngine asked = engineThatGot(ID);
+      asked.connectionOf(ID).reset();
+      await().atMost(LONGEST).until(() -> otherThan(asked).got(ID));
+    }
+  }
+}
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -21,6 +21,7 @@
 import java.util.stream.IntStream;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
+import org.fallturn.core.disconnect.EngineWork;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.port.feed.FeedAnswer;
 import org.fallturn.core.port.feed.FeedRow;
@@ -139,8 +140,21 @@
         IntStream.rangeClosed(1, engines.length)
             .mapToObj(number -> engine("e-" + number, engines[number - 1].address()))
             .toList();
-    GatewayServer gateway =
-        new GatewayServer(settings(), platform(kind, resumable, listed, engines(onHead)));
+    return start(platform(kind, resumable, listed, engines(onHead)));
+  }
+
+  /** Starts a gateway for streams that may be resumed, at model engines. */
+  static GatewayServer startForModel(RawEngine... engines) throws Exception {
+    List<ServingEngine> listed =
+        IntStream.rangeClosed(1, engines.length)
+            .mapToObj(
+                number -> engine("e-" + number, engines[number - 1].address(), EngineStage.DECODE))
+            .toList();
+    return start(platform(RequestKind.STREAMING, true, listed, engines(headers -> headers)));
+  }
+
+  private static GatewayServer start(GatewayPlatform platform) throws Exception {
+    GatewayServer gateway = new GatewayServer(settings(), platform);
     gateway.start();
     await().atMost(START).until(gateway::ready);
     return gateway;
@@ -204,7 +218,11 @@
   }
 
   private static ServingEngine engine(String id, NetworkAddress address) {
-    return new ServingEngine(id, "app", address, "zone-1", 8, false, EngineStage.NONE);
+    return engine(id, address, EngineStage.NONE);
+  }
+
+  private static ServingEngine engine(String id, NetworkAddress address, EngineStage stage) {
+    return new ServingEngine(id, "app", address, "zone-1", 8, false, stage);
   }
 
   /**
@@ -230,14 +248,20 @@
                       head((int) arguments[0], onHead.apply((HttpFields) arguments[1]));
                   case "answerHeaders" -> HttpFields.build();
                   case "reportPath" -> REPORT_PATH;
+                  case "cacheListPath" -> "/cache";
+                  case "readCacheList" -> List.of();
                   case "addresseeHeaders" ->
                       HttpFields.build().put(ENGINE_HEADER, ((ServingEngine) arguments[0]).id());
-                  case "readReport" ->
-                      new EngineReport(EngineStage.NONE, false, 0, OptionalLong.empty());
+                  case "readReport" -> report((byte[]) arguments[0]);
                   default -> null;
                 });
   }
 
+  private static EngineReport report(byte[] body) {
+    Optional<EngineWork> work = RawEngine.readWork(new String(body, StandardCharsets.US_ASCII));
+    return new EngineReport(EngineStage.NONE, false, 0, OptionalLong.empty(), work);
+  }
+
   private static HttpFields.Mutable ownHeaders(HttpFields caller) {
     HttpFields.Mutable headers = HttpFields.build();
     caller.stream().filter(field -> field.getName().startsWith("X-")).forEach(headers::add);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -10,9 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.fallturn.core.disconnect.EngineWork;
 import org.fallturn.core.domain.NetworkAddress;
 
 /**
@@ -103,6 +106,24 @@
     reportAnswer = answer;
   }
 
+  /**
+   * Names the requests that it works on in its reports from now on.
+   *
+   * @param unnamed number of further ones that it does not name
+   */
+  void reportWork(int unnamed, String... running) {
+    String body = unnamed + " " + String.join(",", running);
+    reportAnswer = "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+  }
+
+  /** Reads the body of its report; empty if it names no work. */
+  static Optional<EngineWork> readWork(String body) {
+    String[] words = body.split(" ", 2);
+    return words.length < 2
+        ? Optional.empty()
+        : Optional.of(new EngineWork(Set.of(words[1].split(",")), Integer.parseInt(words[0])));
+  }
+
   /** How often it was asked for its report. */
   int reportsAsked() {
     return reportsAsked.get();
