--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineThatWorksOnTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineThatWorksOnTest.java
@@ -1,10 +1,15 @@
 package org.fallturn.node.gateway;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
 import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -19,6 +24,9 @@
   private static final Duration LONGEST = Duration.ofSeconds(20);
   private static final String ID = "one";
 
+  /** Reports after which a request that does not wait has gone on. */
+  private static final int REPORTS = 8;
+
   private RawEngine first;
   private RawEngine second;
   private GatewayServer gateway;
@@ -54,6 +62,13 @@
         .sum();
   }
 
+  private static void awaitReports(RawEngine asked, BooleanSupplier wentOn) {
+    int before = asked.reportsAsked();
+    await()
+        .atMost(LONGEST)
+        .until(() -> asked.reportsAsked() >= before + REPORTS || wentOn.getAsBoolean());
+  }
+
   @Test
   void engineThatWorksOnAfterItsConnectionHasEndedIsFound() throws Exception {
     try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
@@ -64,6 +79,46 @@
     }
   }
 
+  @Test
+  void requestWaitsWhileItsEngineReportsThatItWorksOnIt() throws Exception {
+    try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
+      RawEngine asked = engineThatGot(ID);
+      RawEngine other = otherThan(asked);
+      asked.reportWork(0, ID);
+      asked.connectionOf(ID).reset();
+      awaitReports(asked, () -> other.got(ID));
+      assertThat(other.got(ID)).isFalse();
+      asked.reportWork(0, "another");
+      await().atMost(LONGEST).until(() -> other.got(ID));
+    }
+  }
+
+  /** Such an engine may still begin what waits there or is being read. */
+  @Test
+  void requestWaitsWhileAnEngineThatWorksOnHasRequestsThatItDoesNotName() throws Exception {
+    List<Socket> callers = new ArrayList<>();
+    for (String id : List.of("a", "b", "c")) {
+      callers.add(OneEngineGateway.send(gateway.callersAddress(), id, "", 0));
+      engineThatGot(id);
+    }
+    RawEngine asked = Stream.of("a", "b", "c").filter(first::got).count() > 1 ? first : second;
+    RawEngine other = otherThan(asked);
+    List<String> both = Stream.of("a", "b", "c").filter(asked::got).toList();
+    asked.reportWork(0, both.get(0));
+    asked.connectionOf(both.get(0)).reset();
+    await().atMost(LONGEST).until(() -> enginesFoundToWorkOn() == 1);
+    asked.reportWork(1, "another");
+    await().atMost(LONGEST).until(() -> other.got(both.get(0)));
+    asked.connectionOf(both.get(1)).reset();
+    awaitReports(asked, () -> other.got(both.get(1)));
+    assertThat(other.got(both.get(1))).isFalse();
+    asked.reportWork(0, "another");
+    await().atMost(LONGEST).until(() -> other.got(both.get(1)));
+    for (Socket caller : callers) {
+      caller.close();
+    }
+  }
+
   @Test
   void requestOfAnEngineThatIsGoneGoesOn() throws Exception {
     try (Socket caller = OneEngineGateway.send(gateway.callersAddress(), ID, "", 0)) {
