Let a request go on only once its model engine no longer has it

Cause: the end of a connection was taken for the end of the run, but an engine need not cancel a request whose connection ends. Change: after an attempt at a model engine has ended with its connection, the request goes on when a report of the engine no longer shows it, when the engine is gone, or when it does not tell (500 ms without an answer; 100 ms if it had fallen silent to all nodes). An engine that was seen to cancel a run is left at once from then on, and looked at 500 ms later; one that was seen to work on once is waited for always. A node that forwards does the same before it answers, within its lease. A request that goes nowhere else waits for nothing, also one that was forwarded.

--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
@@ -12,8 +12,10 @@
  * goes on elsewhere then runs twice at a time. A report shows the engine as it was some time before
  * the call for it, so that it proves the end of a run only if it cannot be older than that end.
  *
- * <p>Invariant: a request leaves an engine unasked only if that start of the engine has been seen
- * to cancel a run, and has never been seen to work on. Not thread-safe. Times are nanoTime.
+ * <p>Invariant: a request leaves an engine that answers unasked only if that start of the engine
+ * has been seen to cancel a run, and has never been seen to work on. One that has fallen silent is
+ * left unasked too, since it is most likely dead, unless it has been seen to work on. Not
+ * thread-safe. Times are nanoTime.
  */
 public final class OrphanedRuns {
 
@@ -37,6 +39,11 @@
     return handlingByEngine.getOrDefault(engineId, DisconnectHandling.UNKNOWN);
   }
 
+  /** Whether a request may go on at another engine before the engine has been asked about it. */
+  public boolean mayGoOnUnasked(String engineId) {
+    return handlingOf(engineId) == DisconnectHandling.CANCELS;
+  }
+
   /**
    * Evaluates a report.
    *
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -162,7 +162,7 @@
   }
 
   /** Whether the current attempt may be abandoned in favor of another engine. */
-  boolean mayGoElsewhere() {
+  public boolean mayGoElsewhere() {
     Route route = envelope.route();
     return prefilling || route.repeatable() && possibleRuns < route.maxAttempts();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -572,7 +572,7 @@
     }
     AttemptTimeout timeout = attempt.timeout();
     Optional<StuckReason> stuck = dispatcher.stuck(exchange.progress(), timeout.duration(), now);
-    if (stuck.isPresent() && engines.giveUp(attempt, stuck.get().outcome(timeout))) {
+    if (stuck.isPresent() && engines.giveUp(attempt, stuck.get())) {
       log.stuck(exchange, attempt, stuck.get());
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -25,10 +25,10 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
-import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.ConnectionBound;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
+import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.forwarding.ForwardedRequests;
 import org.fallturn.core.routing.RoutingImage;
@@ -199,8 +199,8 @@
   /**
    * Gives up an attempt that has brought no part of an answer; see {@link EngineAttempt#giveUp}.
    */
-  boolean giveUp(EngineAttempt attempt, AttemptOutcome outcome) {
-    return attempt.giveUp(outcome, "no answer in time", client.getExecutor());
+  boolean giveUp(EngineAttempt attempt, StuckReason reason) {
+    return attempt.giveUp(reason, client.getExecutor());
   }
 
   private void checkBeforeSend(Exchange exchange, Request request) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -28,8 +28,10 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
+import org.fallturn.core.disconnect.OrphanedRun;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -328,9 +330,24 @@
 
     @Override
     public void onComplete(Result result) {
-      // The connection to the engine has ended, which is what a cancellation waits for.
-      over.complete(null);
       ForwardingResult outcome = outcome(result);
+      if (outcome == ForwardingResult.LOST && mayBeOrphaned()) {
+        OrphanedRun run =
+            new OrphanedRun(engine.id(), requestId, sendState.sentNanos(), System.nanoTime());
+        engines.orphanedRuns().whenOver(engine, run, false, end -> onEngineLeft(outcome));
+      } else {
+        onEngineLeft(outcome);
+      }
+    }
+
+    /** Nodes that wait to repeat a request give their address. */
+    private boolean mayBeOrphaned() {
+      return engine.stage() != EngineStage.NONE && owner(from.request()).isPresent();
+    }
+
+    /** The engine no longer works on the request, which is what a cancellation waits for. */
+    private void onEngineLeft(ForwardingResult outcome) {
+      over.complete(null);
       if (outcome == ForwardingResult.ANSWERED && needsEndCheck) {
         engines.answerEndCheck().check(engine, patience(), end -> complete(outcomeOf(end)));
       } else {
@@ -338,7 +355,6 @@
       }
     }
 
-    /** Nodes that wait to repeat a request give their address. */
     private Duration patience() {
       return owner(from.request()).isPresent()
           ? AnswerEndCheck.PATIENCE_IF_REPEATABLE
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -30,8 +31,11 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(OrphanedRunCheck.class);
 
-  /** An engine reports without waiting for a slot; one that takes longer cannot be asked. */
-  private static final Duration PATIENCE = Duration.ofMillis(150);
+  /** How long a request waits for an engine that has fallen silent and is most likely dead. */
+  private static final Duration PATIENCE_IF_SILENT = Duration.ofMillis(100);
+
+  /** How long to ask an engine that does not answer; a suspended one may go on later. */
+  private static final Duration WATCH_LIMIT = Duration.ofSeconds(5);
 
   /** Between calls to an engine while requests wait. */
   private static final Duration PAUSE = Duration.ofMillis(100);
@@ -42,7 +46,10 @@
   private final EngineClient engines;
   private final Predicate<ServingEngine> mayAsk;
   private final DecisionLog log;
+
+  /** Guarded by {@link #checks}. */
   private final OrphanedRuns runs = new OrphanedRuns();
+
   private final Map<String, EngineCheck> checks = new HashMap<>();
 
   /** The open runs of one engine; guarded by {@link #checks}. */
@@ -51,11 +58,26 @@
     private final ServingEngine engine;
     private final List<OpenRun> open = new ArrayList<>();
     private boolean callUnderWay;
+    private OptionalLong answeredNanos = OptionalLong.empty();
 
     private EngineCheck(ServingEngine engine) {
       this.engine = engine;
     }
 
+    private boolean hasAnsweredSince(OrphanedRun run) {
+      return answeredNanos.isPresent() && answeredNanos.getAsLong() - run.endedNanos() > 0;
+    }
+
+    /** Only watches the run from now on; false if nobody waits for it. */
+    private boolean stopWaiting(OpenRun run) {
+      int place = open.indexOf(run);
+      if (place < 0 || run.waiting().isEmpty()) {
+        return false;
+      }
+      open.set(place, new OpenRun(run.run(), Optional.empty()));
+      return true;
+    }
+
     private boolean anyWaits() {
       return open.stream().anyMatch(run -> run.waiting().isPresent());
     }
@@ -88,10 +110,42 @@
     this.log = log;
   }
 
-  /** Looks at a run once a report shows it as it was after its end. */
-  void watch(ServingEngine engine, OrphanedRun run) {
-    add(engine, new OpenRun(run, Optional.empty()));
-    engines.runLater(() -> ask(engine.id()), OrphanedRuns.MAX_REPORT_AGE);
+  /**
+   * Calls an action when a request may go on at another engine.
+   *
+   * @param engineSilent whether the engine has said nothing to any node for longer than a sound one
+   * @param action called once, on this thread or a client thread
+   */
+  void whenOver(
+      ServingEngine engine, OrphanedRun run, boolean engineSilent, Consumer<RunEnd> action) {
+    boolean unasked;
+    synchronized (checks) {
+      unasked = runs.mayGoOnUnasked(engine.id());
+    }
+    if (unasked) {
+      add(engine, new OpenRun(run, Optional.empty()));
+      engines.runLater(() -> ask(engine.id()), OrphanedRuns.MAX_REPORT_AGE);
+      action.accept(RunEnd.CONNECTION_ENDED);
+      return;
+    }
+    OpenRun open = new OpenRun(run, Optional.of(action));
+    add(engine, open);
+    ask(engine.id());
+    if (engineSilent) {
+      engines.runLater(() -> releaseUnlessAnswered(engine.id(), open), PATIENCE_IF_SILENT);
+    }
+  }
+
+  /** Lets a request go on whose engine has not answered since the request left it. */
+  private void releaseUnlessAnswered(String engineId, OpenRun open) {
+    boolean released;
+    synchronized (checks) {
+      EngineCheck check = checks.get(engineId);
+      released = check != null && !check.hasAnsweredSince(open.run()) && check.stopWaiting(open);
+    }
+    if (released) {
+      open.tell(RunEnd.NOT_TOLD);
+    }
   }
 
   private void add(ServingEngine engine, OpenRun run) {
@@ -115,7 +169,10 @@
     if (mayAsk.test(check.engine)) {
       engines
           .reportCalls()
-          .call(check.engine, PATIENCE, answer -> onAnswer(check, asked, askedNanos, answer));
+          .call(
+              check.engine,
+              EngineClient.REPORT_TIMEOUT,
+              answer -> onAnswer(check, asked, askedNanos, answer));
     } else {
       onAnswer(check, asked, askedNanos, ReportCalls.Answer.NONE);
     }
@@ -123,26 +180,59 @@
 
   private void onAnswer(
       EngineCheck check, List<OpenRun> asked, long askedNanos, ReportCalls.Answer answer) {
-    Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
+    Map<OpenRun, RunEnd> ended;
     Optional<Duration> next;
     synchronized (checks) {
       check.callUnderWay = false;
-      if (answer.work().isEmpty()) {
-        RunEnd end =
-            answer.liveness() == EngineLiveness.GONE ? RunEnd.ENGINE_GONE : RunEnd.NOT_TOLD;
-        check.open.forEach(run -> ended.put(run, end));
+      if (answer.work().isPresent()) {
+        ended = takeReported(check, asked, answer.work().get(), askedNanos);
+      } else if (answer.liveness() == EngineLiveness.UNKNOWN) {
+        ended = stopWaiting(check);
       } else {
-        for (OpenRun run : asked) {
-          endOf(run, answer.work().get(), askedNanos).ifPresent(end -> ended.put(run, end));
-        }
+        boolean gone = answer.liveness() == EngineLiveness.GONE;
+        ended = takeAll(check, gone ? RunEnd.ENGINE_GONE : RunEnd.NOT_TOLD);
       }
-      check.open.removeAll(ended.keySet());
       next = nextCall(check, asked);
     }
     ended.forEach(OpenRun::tell);
     next.ifPresent(delay -> engines.runLater(() -> ask(check.engine.id()), delay));
   }
 
+  private Map<OpenRun, RunEnd> takeReported(
+      EngineCheck check, List<OpenRun> asked, EngineWork work, long askedNanos) {
+    check.answeredNanos = OptionalLong.of(System.nanoTime());
+    Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
+    for (OpenRun open : asked) {
+      endOf(open, work, askedNanos).ifPresent(end -> ended.put(open, end));
+    }
+    ended.keySet().retainAll(check.open);
+    check.open.removeAll(ended.keySet());
+    return ended;
+  }
+
+  /** Lets all requests go on, and watches the runs for a while. */
+  private static Map<OpenRun, RunEnd> stopWaiting(EngineCheck check) {
+    Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
+    for (OpenRun open : List.copyOf(check.open)) {
+      if (check.stopWaiting(open)) {
+        ended.put(open, RunEnd.NOT_TOLD);
+      }
+    }
+    check.open.removeIf(OrphanedRunCheck::isOld);
+    return ended;
+  }
+
+  private static Map<OpenRun, RunEnd> takeAll(EngineCheck check, RunEnd end) {
+    Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
+    check.open.forEach(open -> ended.put(open, end));
+    check.open.clear();
+    return ended;
+  }
+
+  private static boolean isOld(OpenRun open) {
+    return System.nanoTime() - open.run().endedNanos() > WATCH_LIMIT.toNanos();
+  }
+
   /** How a run is known to be over; empty to ask again. */
   private Optional<RunEnd> endOf(OpenRun open, EngineWork work, long askedNanos) {
     OrphanedRun run = open.run();
