Leave an engine at once that ended the connection before any event, unless it works on

Change: the reason of the end decides (DisconnectCause). An engine that is not known is asked where this node gave the request up or a stream broke off midway; where the other side ended the connection before any event, the request goes on at once and the engine is looked at after it, so that the first such run at each engine may go unseen. A report without anything left shows a cancelled run, too.

--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRun.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRun.java
@@ -10,7 +10,9 @@
   private final String requestId;
   private final long sentNanos;
   private final long endedNanos;
-  private boolean seenRunning;
+  private final DisconnectCause cause;
+  private boolean seenNamed;
+  private boolean seenUnnamed;
 
   /**
    * An orphaned run.
@@ -18,12 +20,15 @@
    * @param engineId names one start of an engine
    * @param sentNanos when it began to be sent
    * @param endedNanos when its connection had ended
+   * @param cause why its connection ended
    */
-  public OrphanedRun(String engineId, String requestId, long sentNanos, long endedNanos) {
+  public OrphanedRun(
+      String engineId, String requestId, long sentNanos, long endedNanos, DisconnectCause cause) {
     this.engineId = engineId;
     this.requestId = requestId;
     this.sentNanos = sentNanos;
     this.endedNanos = endedNanos;
+    this.cause = cause;
   }
 
   /** The engine that it was sent to. */
@@ -41,15 +46,31 @@
     return endedNanos;
   }
 
+  /** Why its connection ended. */
+  public DisconnectCause cause() {
+    return cause;
+  }
+
   long sentNanos() {
     return sentNanos;
   }
 
-  boolean seenRunning() {
-    return seenRunning;
+  boolean seenNamed() {
+    return seenNamed;
+  }
+
+  /**
+   * Whether a report counted requests that it did not name, while the engine still had this one.
+   */
+  boolean seenUnnamed() {
+    return seenUnnamed;
+  }
+
+  void onNamed() {
+    seenNamed = true;
   }
 
-  void onSeenRunning() {
-    seenRunning = true;
+  void onUnnamed() {
+    seenUnnamed = true;
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
@@ -40,8 +40,12 @@
   }
 
   /** Whether a request may go on at another engine before the engine has been asked about it. */
-  public boolean mayGoOnUnasked(String engineId) {
-    return handlingOf(engineId) == DisconnectHandling.CANCELS;
+  public boolean mayGoOnUnasked(OrphanedRun run) {
+    return switch (handlingOf(run.engineId())) {
+      case UNKNOWN -> run.cause() == DisconnectCause.LOST;
+      case CANCELS -> true;
+      case WORKS_ON -> false;
+    };
   }
 
   /**
@@ -51,26 +55,33 @@
    */
   public RunEvidence onReport(OrphanedRun run, EngineWork work, long askedNanos) {
     long oldestNanos = askedNanos - MAX_REPORT_AGE.toNanos();
+    boolean showsAfterSend = oldestNanos - run.sentNanos() >= 0;
     boolean showsAfterEnd = oldestNanos - run.endedNanos() >= 0;
     if (work.running().contains(run.requestId())) {
-      run.onSeenRunning();
-      if (showsAfterEnd) {
-        handlingByEngine.put(run.engineId(), DisconnectHandling.WORKS_ON);
-        return RunEvidence.WORKED_ON;
-      }
-      return RunEvidence.TOO_EARLY;
+      run.onNamed();
+      return showsAfterEnd ? onWorkedOn(run) : RunEvidence.TOO_EARLY;
     }
-    if (run.seenRunning()) {
-      handlingByEngine.putIfAbsent(run.engineId(), DisconnectHandling.CANCELS);
-      return RunEvidence.OVER;
+    if (run.seenNamed() || showsAfterSend && work.unnamed() == 0) {
+      return onOver(run);
     }
-    boolean showsAfterSend = oldestNanos - run.sentNanos() >= 0;
-    if (!showsAfterSend) {
-      return RunEvidence.TOO_EARLY;
+    if (showsAfterEnd) {
+      return RunEvidence.NOT_NAMED;
     }
-    if (work.unnamed() == 0) {
-      return RunEvidence.OVER;
+    if (showsAfterSend) {
+      run.onUnnamed();
+    }
+    return RunEvidence.TOO_EARLY;
+  }
+
+  private RunEvidence onWorkedOn(OrphanedRun run) {
+    handlingByEngine.put(run.engineId(), DisconnectHandling.WORKS_ON);
+    return RunEvidence.WORKED_ON;
+  }
+
+  private RunEvidence onOver(OrphanedRun run) {
+    if (run.seenNamed() || run.seenUnnamed()) {
+      handlingByEngine.putIfAbsent(run.engineId(), DisconnectHandling.CANCELS);
     }
-    return showsAfterEnd ? RunEvidence.NOT_NAMED : RunEvidence.TOO_EARLY;
+    return RunEvidence.OVER;
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -17,6 +17,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.disconnect.DisconnectCause;
 import org.fallturn.core.disconnect.OrphanedRun;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptTimeout;
@@ -504,9 +505,7 @@
       }
       forwardedRun.get().whenOver(end -> postFailure(outcome, end));
     } else if (mayBeOrphaned()) {
-      boolean engineSilent = givenUpFor == StuckReason.ENGINE_SILENT;
-      orphanedRuns.whenOver(
-          call.engine(), orphanedRun(), engineSilent, end -> postFailure(outcome, end));
+      orphanedRuns.whenOver(call.engine(), orphanedRun(outcome), end -> postFailure(outcome, end));
     } else {
       postFailure(outcome, runEnd);
     }
@@ -517,9 +516,22 @@
     return call.engine().stage() != EngineStage.NONE && runEnd() == RunEnd.CONNECTION_ENDED;
   }
 
-  private OrphanedRun orphanedRun() {
+  private OrphanedRun orphanedRun(AttemptOutcome outcome) {
     return new OrphanedRun(
-        call.engine().id(), exchange.head().requestId(), sendState.sentNanos(), System.nanoTime());
+        call.engine().id(),
+        exchange.head().requestId(),
+        sendState.sentNanos(),
+        System.nanoTime(),
+        disconnectCause(outcome));
+  }
+
+  private DisconnectCause disconnectCause(AttemptOutcome outcome) {
+    if (givenUpFor != null) {
+      return givenUpFor == StuckReason.ENGINE_SILENT
+          ? DisconnectCause.ENGINE_SILENT
+          : DisconnectCause.GIVEN_UP;
+    }
+    return outcome.isMidway() ? DisconnectCause.BROKEN_MIDWAY : DisconnectCause.LOST;
   }
 
   private void postFailure(AttemptOutcome outcome, RunEnd end) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -28,6 +28,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.Promise;
+import org.fallturn.core.disconnect.DisconnectCause;
 import org.fallturn.core.disconnect.OrphanedRun;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
@@ -332,9 +333,7 @@
     public void onComplete(Result result) {
       ForwardingResult outcome = outcome(result);
       if (outcome == ForwardingResult.LOST && mayBeOrphaned()) {
-        OrphanedRun run =
-            new OrphanedRun(engine.id(), requestId, sendState.sentNanos(), System.nanoTime());
-        engines.orphanedRuns().whenOver(engine, run, false, end -> onEngineLeft(outcome));
+        engines.orphanedRuns().whenOver(engine, orphanedRun(), end -> onEngineLeft(outcome));
       } else {
         onEngineLeft(outcome);
       }
@@ -345,6 +344,16 @@
       return engine.stage() != EngineStage.NONE && owner(from.request()).isPresent();
     }
 
+    private OrphanedRun orphanedRun() {
+      DisconnectCause lost = answerBegun ? DisconnectCause.BROKEN_MIDWAY : DisconnectCause.LOST;
+      return new OrphanedRun(
+          engine.id(),
+          requestId,
+          sendState.sentNanos(),
+          System.nanoTime(),
+          givenUp == ForwardingEnd.NONE ? lost : DisconnectCause.GIVEN_UP);
+    }
+
     /** The engine no longer works on the request, which is what a cancellation waits for. */
     private void onEngineLeft(ForwardingResult outcome) {
       over.complete(null);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.fallturn.core.disconnect.DisconnectCause;
 import org.fallturn.core.disconnect.DisconnectHandling;
 import org.fallturn.core.disconnect.EngineWork;
 import org.fallturn.core.disconnect.OrphanedRun;
@@ -113,14 +114,12 @@
   /**
    * Calls an action when a request may go on at another engine.
    *
-   * @param engineSilent whether the engine has said nothing to any node for longer than a sound one
    * @param action called once, on this thread or a client thread
    */
-  void whenOver(
-      ServingEngine engine, OrphanedRun run, boolean engineSilent, Consumer<RunEnd> action) {
+  void whenOver(ServingEngine engine, OrphanedRun run, Consumer<RunEnd> action) {
     boolean unasked;
     synchronized (checks) {
-      unasked = runs.mayGoOnUnasked(engine.id());
+      unasked = runs.mayGoOnUnasked(run);
     }
     if (unasked) {
       add(engine, new OpenRun(run, Optional.empty()));
@@ -131,7 +130,7 @@
     OpenRun open = new OpenRun(run, Optional.of(action));
     add(engine, open);
     ask(engine.id());
-    if (engineSilent) {
+    if (run.cause() == DisconnectCause.ENGINE_SILENT) {
       engines.runLater(() -> releaseUnlessAnswered(engine.id(), open), PATIENCE_IF_SILENT);
     }
   }
