Repeat a request only if the routes in force allow it, too

Cause: the kind of the route was taken when the request came, up to 15 s before, and a second send was decided by it after the operator had changed the route, or put a longer prefix of another kind in force. The class: a permission that was checked once is used later without a look. Change: a repeat after a possible run needs the route that the request matched when it came and the one that it matches now.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -123,6 +123,7 @@
   /** Applies a newer set of services. */
   public void setRouting(RoutingImage image) {
     split.retain(image.routeNames());
+    retries.setRouting(image);
     resumedStreams.tracker().setRouting(image);
     routing = Optional.of(image);
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestEnvelope.java
@@ -10,7 +10,8 @@
  * unchanged. Immutable.
  *
  * @param requestId id that the caller gave this request; a retry by the caller has another
- * @param route the route that the request matched
+ * @param route the route that the request matched when it came
+ * @param path its path without the query
  * @param caller on whose behalf it runs
  * @param rank its place in the order of urgency of its service
  * @param prompt size and parts of its prompt; empty for an application request
@@ -22,6 +23,7 @@
 public record RequestEnvelope(
     String requestId,
     Route route,
+    String path,
     Caller caller,
     Rank rank,
     Optional<PromptShape> prompt,
@@ -35,7 +37,7 @@
    */
   private static final double FIRST_TRY_MIN_FRACTION = 0.9;
 
-  /** A new request whose caller is not checked, as no tenants are configured. */
+  /** A new request at a route's prefix whose caller is not checked. */
   public RequestEnvelope(
       String requestId,
       Route route,
@@ -45,6 +47,7 @@
     this(
         requestId,
         route,
+        route.pathPrefix(),
         Caller.UNCHECKED,
         Rank.of(route),
         prompt,
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RetryRules.java
@@ -3,18 +3,20 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.fallturn.core.limits.BudgetDigest;
 import org.fallturn.core.limits.BudgetState;
 import org.fallturn.core.routing.Route;
+import org.fallturn.core.routing.RoutingImage;
 
 /**
  * Decides whether a request whose attempt failed may be sent again. Correctness comes first: a
- * request that may have run is repeated only where its route allows it, and on no more engines than
- * the route allows; an answer that has begun is continued only if it is a stream, since only a
- * stream tells another engine where to go on. Then the remaining time counts, and last the retry
- * budget that all nodes share.
+ * request that may have run is repeated only where its route allows it, when it came and now, and
+ * on no more engines than the route allows; an answer that has begun is continued only if it is a
+ * stream, since only a stream tells another engine where to go on. Then the remaining time counts,
+ * and last the retry budget that all nodes share.
  *
  * <p>Invariant: every send beyond a request's first run and its one successful prefill is taken
  * from the budget here, whatever its purpose. Only the dispatch thread calls.
@@ -41,6 +43,7 @@
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private final PeerLoads peerLoads;
   private DispatchParameters parameters;
+  private Optional<RoutingImage> routing = Optional.empty();
   private OptionalInt nodeCount = OptionalInt.empty();
   private OptionalLong startedNanos = OptionalLong.empty();
 
@@ -55,6 +58,11 @@
     budgets.values().forEach(budget -> budget.setBounds(changed));
   }
 
+  /** Sets the routes in force. */
+  void setRouting(RoutingImage image) {
+    routing = Optional.of(image);
+  }
+
   /**
    * Sets the number of nodes that share the budget, this one included.
    *
@@ -105,7 +113,7 @@
   boolean mayRunAgain(
       RequestProgress progress, AttemptOutcome outcome, boolean hasCandidate, long nowNanos) {
     Route route = progress.envelope().route();
-    if (outcome.mayHaveRun() && !route.repeatable()) {
+    if (outcome.mayHaveRun() && !(route.repeatable() && repeatableNow(progress))) {
       return false;
     }
     if (outcome.isMidway() && !route.streaming()) {
@@ -121,6 +129,18 @@
     return hasCandidate && takeSend(progress, nowNanos);
   }
 
+  /**
+   * Whether the routes in force allow a repeat. A request lives for seconds, and the operator may
+   * have changed its route since it came.
+   */
+  private boolean repeatableNow(RequestProgress progress) {
+    RequestEnvelope envelope = progress.envelope();
+    return routing
+        .flatMap(image -> image.match(envelope.route().host(), envelope.path()))
+        .map(Route::repeatable)
+        .orElse(true);
+  }
+
   /** Whether one more engine may be asked for a prefill of the prompt. */
   boolean prefillsLeft(RequestProgress progress) {
     return progress.prefillAttempts() < MAX_PREFILL_ATTEMPTS;
--- a/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
+++ b/fallturn-core/src/test/java/org/fallturn/core/dispatch/Requests.java
@@ -197,6 +197,7 @@
         new RequestEnvelope(
             id,
             route,
+            route.pathPrefix(),
             Caller.UNCHECKED,
             Rank.of(route),
             Optional.of(new PromptShape("m", 300, 8, List.of())),
@@ -222,6 +223,7 @@
         new RequestEnvelope(
             id,
             route,
+            route.pathPrefix(),
             Caller.UNCHECKED,
             rank,
             Optional.of(shape),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -203,6 +203,7 @@
         new RequestEnvelope(
             head.requestId(),
             route,
+            head.path(),
             admitted.sender(),
             admitted.rank(),
             head.prompt(),
