Soak, emulator: an engine that works on after its connection has ended; quiet engines are left sooner

Cause: all engines of the emulator left a request with its connection, so that neither it nor the soak could show the second meaning of TWICE. An engine that is given up as suspected answers nobody either and was waited for 500 ms. A suspected engine is waited for 100 ms, as a silent one.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/StuckReason.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/StuckReason.java
@@ -13,6 +13,11 @@
   /** The engine has read prompts that were sent later. */
   OVERTAKEN;
 
+  /** Whether the engine answers nobody, so that it is most likely dead. */
+  public boolean engineIsQuiet() {
+    return this == ENGINE_SILENT || this == ENGINE_SUSPECTED;
+  }
+
   /**
    * The outcome of the attempt that is given up.
    *
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -526,10 +526,9 @@
   }
 
   private DisconnectCause disconnectCause(AttemptOutcome outcome) {
-    if (givenUpFor != null) {
-      return givenUpFor == StuckReason.ENGINE_SILENT
-          ? DisconnectCause.ENGINE_SILENT
-          : DisconnectCause.GIVEN_UP;
+    StuckReason reason = givenUpFor;
+    if (reason != null) {
+      return reason.engineIsQuiet() ? DisconnectCause.ENGINE_SILENT : DisconnectCause.GIVEN_UP;
     }
     return outcome.isMidway() ? DisconnectCause.BROKEN_MIDWAY : DisconnectCause.LOST;
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -211,6 +211,21 @@
     modelEngines().forEach(added);
   }
 
+  /**
+   * Model engines whose ids begin so, and their successors, work on after their connections have
+   * ended from now on.
+   */
+  public synchronized void workOnAfterEnd(String idPrefix, Duration duration) {
+    Consumer<EmulatedEngine> added =
+        engine -> {
+          if (engine.id().startsWith(idPrefix)) {
+            engine.workOnAfterEnd(duration);
+          }
+        };
+    preparing = preparing.andThen(added);
+    modelEngines().forEach(added);
+  }
+
   /** When engines crashed on a body or a part of a prompt, by the steady clock. */
   public synchronized List<Long> crashNanos(String poison) {
     return List.copyOf(crashTimes.getOrDefault(poison, List.of()));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -59,6 +59,9 @@
   static final Duration USAGE_LATE = Duration.ofSeconds(20);
 
   /** Longer than a gateway waits for the counts of a window to settle. */
+  /** How long one of the engines works on after the connection of a request has ended. */
+  private static final Duration WORKS_ON = Duration.ofSeconds(2);
+
   private static final Duration LONG_RUN = Duration.ofMillis(3_500);
 
   private static final int LONG_TIMEOUT_MILLIS = 8_000;
@@ -151,6 +154,7 @@
     addEngines("p", EmulatedPlatform.MODEL_SERVICE, "prefill", 2);
     addEngines("d", EmulatedPlatform.MODEL_SERVICE, "decode", 4);
     addEngines("a", EmulatedPlatform.APPLICATION_SERVICE, "", 3);
+    platform.workOnAfterEnd("d-2", WORKS_ON);
     List<EmulatedEngine> slow = new ArrayList<>();
     for (int index = 1; index <= 3; index++) {
       slow.add(platform.addEngine("b-" + index, EmulatedPlatform.LONG_SERVICE, ""));
