Signals: back ends that answer twice, with a refusal behind the answer, and after interim answers

Cause: the first meaning of TWICE needs a conclusion 'not run' that is false; a second answer that looks like a refusal of the same request, on a kept connection, was no part of the play by processes.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
@@ -18,6 +18,7 @@
   private static final String END_LINE = "end %s %d%n";
 
   private static final String REPORT = "{\"stage\":\"\",\"models\":[],\"busy\":false,\"queued\":0}";
+  private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\n\r\n";
   private static final String BODY = "a whole answer of an application";
   private static final int SHORT_MILLIS = 80;
   private static final int LONG_MILLIS = 2_500;
@@ -34,7 +35,11 @@
 
   /** How it answers; each kind takes its share, in percent. */
   private enum Kind {
-    WHOLE(55),
+    WHOLE(40),
+    /** Once more behind the answer, as a failure that says that nothing was run. */
+    ANSWERED_TWICE(10),
+    /** After an interim answer. */
+    AFTER_INTERIM(5),
     END_UNMARKED(15),
     NOT_RUN(10),
     FAILURE(5),
@@ -131,11 +136,14 @@
       case FAILURE -> write(connection, framed("500 Failed", requestId, "failed"));
       case CUT_SHORT -> write(connection, whole.substring(0, whole.length() - 1));
       case WHOLE -> write(connection, whole);
+      case ANSWERED_TWICE ->
+          write(connection, whole + notRun("503 Service Unavailable", requestId));
+      case AFTER_INTERIM -> write(connection, INTERIM + whole);
       default -> {
         return false;
       }
     }
-    return kind == Kind.WHOLE || kind == Kind.FAILURE;
+    return kind != Kind.END_UNMARKED && kind != Kind.CUT_SHORT;
   }
 
   private String framed(String status, String requestId, String body) {
