--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineThatWorksOnTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineThatWorksOnTest.java
@@ -4,7 +4,9 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -138,4 +140,31 @@
       await().atMost(LONGEST).until(() -> otherThan(asked).got(ID));
     }
   }
+
+  /** The node that asked for it sends the request on once its cancellation is answered. */
+  @Test
+  void cancellationOfAForwardedRequestWaitsForTheEngineThatWorksOn() throws Exception {
+    String owner = ForwardingHeaders.OWNER + ": 127.0.0.1:1\r\n";
+    try (Socket node = OneEngineGateway.forward(gateway, "e-1", ID, owner);
+        Socket canceller =
+            new Socket(gateway.peersAddress().host(), gateway.peersAddress().port())) {
+      await().atMost(LONGEST).until(() -> first.got(ID));
+      first.reportWork(0, ID);
+      breakOffMidway(first, node);
+      String call = "DELETE " + EngineForwarder.CANCEL_PREFIX + ID + " HTTP/1.1\r\nHost: h\r\n\r\n";
+      canceller.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
+      awaitReports(first, () -> hasAnswer(canceller));
+      assertThat(hasAnswer(canceller)).isFalse();
+      first.reportWork(0, "another");
+      assertThat(OneEngineGateway.readStatus(canceller)).isEqualTo("HTTP/1.1 200");
+    }
+  }
+
+  private static boolean hasAnswer(Socket connection) {
+    try {
+      return connection.getInputStream().available() > 0;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
 }
