Trust an engine after three cancelled runs, and wait longer for requests that reports do not name

Change: three cancelled runs make an engine trusted. While an engine has requests that its report does not name, a request waits up to 1.5 s, but no longer than half of its time; the run is watched after that, so that the engine is known the next time. Result: OrphanedRunsTest (18), OrphanedRunCheckTest (5), EngineThatWorksOnTest (6) pass.

--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/DisconnectHandling.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/DisconnectHandling.java
@@ -2,10 +2,10 @@
 
 /** What one start of an engine does with a run whose connection ends. */
 public enum DisconnectHandling {
-  /** Not seen yet. */
+  /** Not seen often enough. */
   UNKNOWN,
-  /** It was seen to cancel such a run. */
+  /** It was seen to cancel such runs, and never to work on. */
   CANCELS,
-  /** It was seen to work on after the connection had ended. */
+  /** It was seen to work on after a connection had ended. */
   WORKS_ON
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRun.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRun.java
@@ -10,9 +10,9 @@
   private final String requestId;
   private final long sentNanos;
   private final long endedNanos;
+  private final long answerByNanos;
   private final DisconnectCause cause;
   private boolean seenNamed;
-  private boolean seenUnnamed;
 
   /**
    * An orphaned run.
@@ -20,14 +20,21 @@
    * @param engineId names one start of an engine
    * @param sentNanos when it began to be sent
    * @param endedNanos when its connection had ended
+   * @param answerByNanos the deadline of its request
    * @param cause why its connection ended
    */
   public OrphanedRun(
-      String engineId, String requestId, long sentNanos, long endedNanos, DisconnectCause cause) {
+      String engineId,
+      String requestId,
+      long sentNanos,
+      long endedNanos,
+      long answerByNanos,
+      DisconnectCause cause) {
     this.engineId = engineId;
     this.requestId = requestId;
     this.sentNanos = sentNanos;
     this.endedNanos = endedNanos;
+    this.answerByNanos = answerByNanos;
     this.cause = cause;
   }
 
@@ -55,22 +62,16 @@
     return sentNanos;
   }
 
-  boolean seenNamed() {
-    return seenNamed;
+  /** Time that its request had left when the connection ended. */
+  long leftNanos() {
+    return answerByNanos - endedNanos;
   }
 
-  /**
-   * Whether a report counted requests that it did not name, while the engine still had this one.
-   */
-  boolean seenUnnamed() {
-    return seenUnnamed;
+  boolean seenNamed() {
+    return seenNamed;
   }
 
   void onNamed() {
     seenNamed = true;
   }
-
-  void onUnnamed() {
-    seenUnnamed = true;
-  }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
@@ -22,21 +22,48 @@
   /** The greatest age of a report, counted back from the call for it. */
   public static final Duration MAX_REPORT_AGE = Duration.ofMillis(500);
 
+  /**
+   * The longest wait for an engine that has requests which its reports do not name. At an engine
+   * that is never without any, a request would wait until its deadline.
+   */
+  private static final Duration MAX_UNNAMED_WAIT = Duration.ofMillis(1_500);
+
+  /** Part of the time left that a request may wait in this way, so that another engine has some. */
+  private static final int UNNAMED_WAIT_PART = 2;
+
+  /** A run that ends by itself just after its connection looks like a cancelled one. */
+  private static final int CANCELLED_RUNS_TO_TRUST = 3;
+
   private static final int MAX_ENGINES = 10_000;
 
-  private final Map<String, DisconnectHandling> handlingByEngine =
+  private final Map<String, Seen> seenByEngine =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, DisconnectHandling> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<String, Seen> eldest) {
           return size() > MAX_ENGINES;
         }
       };
 
+  /** What was seen of one start of an engine. */
+  private record Seen(int cancelledRuns, boolean worksOn) {
+
+    private static final Seen NOTHING = new Seen(0, false);
+
+    private DisconnectHandling handling() {
+      if (worksOn) {
+        return DisconnectHandling.WORKS_ON;
+      }
+      return cancelledRuns < CANCELLED_RUNS_TO_TRUST
+          ? DisconnectHandling.UNKNOWN
+          : DisconnectHandling.CANCELS;
+    }
+  }
+
   /** What an engine does with orphaned runs, as far as it has been seen. */
   public DisconnectHandling handlingOf(String engineId) {
-    return handlingByEngine.getOrDefault(engineId, DisconnectHandling.UNKNOWN);
+    return seenByEngine.getOrDefault(engineId, Seen.NOTHING).handling();
   }
 
   /** Whether a request may go on at another engine before the engine has been asked about it. */
@@ -61,27 +88,33 @@
       run.onNamed();
       return showsAfterEnd ? onWorkedOn(run) : RunEvidence.TOO_EARLY;
     }
-    if (run.seenNamed() || showsAfterSend && work.unnamed() == 0) {
-      return onOver(run);
-    }
-    if (showsAfterEnd) {
-      return RunEvidence.NOT_NAMED;
+    if (run.seenNamed()) {
+      return onCancelled(run);
     }
-    if (showsAfterSend) {
-      run.onUnnamed();
+    if (showsAfterSend && work.unnamed() == 0) {
+      return RunEvidence.OVER;
     }
-    return RunEvidence.TOO_EARLY;
+    return oldestNanos - run.endedNanos() >= unnamedWaitNanos(run)
+        ? RunEvidence.NOT_NAMED
+        : RunEvidence.TOO_EARLY;
+  }
+
+  /** Counted from the end of the connection to the time that a report shows for certain. */
+  private static long unnamedWaitNanos(OrphanedRun run) {
+    long wait = Math.min(MAX_UNNAMED_WAIT.toNanos(), run.leftNanos() / UNNAMED_WAIT_PART);
+    return Math.max(0, wait - MAX_REPORT_AGE.toNanos());
   }
 
   private RunEvidence onWorkedOn(OrphanedRun run) {
-    handlingByEngine.put(run.engineId(), DisconnectHandling.WORKS_ON);
+    seenByEngine.put(run.engineId(), new Seen(0, true));
     return RunEvidence.WORKED_ON;
   }
 
-  private RunEvidence onOver(OrphanedRun run) {
-    if (run.seenNamed() || run.seenUnnamed()) {
-      handlingByEngine.putIfAbsent(run.engineId(), DisconnectHandling.CANCELS);
-    }
+  private RunEvidence onCancelled(OrphanedRun run) {
+    seenByEngine.merge(
+        run.engineId(),
+        new Seen(1, false),
+        (before, one) -> new Seen(before.cancelledRuns() + 1, before.worksOn()));
     return RunEvidence.OVER;
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -522,6 +522,7 @@
         exchange.head().requestId(),
         sendState.sentNanos(),
         System.nanoTime(),
+        exchange.envelope().answerByNanos(),
         disconnectCause(outcome));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -32,6 +32,7 @@
 import org.fallturn.core.disconnect.OrphanedRun;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.core.forwarding.ForwardingLeases;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
 import org.slf4j.Logger;
@@ -346,11 +347,13 @@
 
     private OrphanedRun orphanedRun() {
       DisconnectCause lost = answerBegun ? DisconnectCause.BROKEN_MIDWAY : DisconnectCause.LOST;
+      long now = System.nanoTime();
       return new OrphanedRun(
           engine.id(),
           requestId,
           sendState.sentNanos(),
-          System.nanoTime(),
+          now,
+          now + timeLeft().orElse(ForwardingLeases.TERM).toNanos(),
           givenUp == ForwardingEnd.NONE ? lost : DisconnectCause.GIVEN_UP);
     }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
@@ -35,7 +35,7 @@
   /** How long a request waits for an engine that has fallen silent and is most likely dead. */
   private static final Duration PATIENCE_IF_SILENT = Duration.ofMillis(100);
 
-  /** How long to ask an engine that does not answer; a suspended one may go on later. */
+  /** How long to watch a run that nobody waits for; a suspended engine may go on later. */
   private static final Duration WATCH_LIMIT = Duration.ofSeconds(5);
 
   /** Between calls to an engine while requests wait. */
@@ -202,13 +202,29 @@
     check.answeredNanos = OptionalLong.of(System.nanoTime());
     Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
     for (OpenRun open : asked) {
-      endOf(open, work, askedNanos).ifPresent(end -> ended.put(open, end));
+      boolean worksOn = worksOn(check.engine);
+      RunEvidence evidence = runs.onReport(open.run(), work, askedNanos);
+      if (!worksOn && worksOn(check.engine)) {
+        logWorksOn(open.run(), askedNanos);
+      }
+      settle(check, open, evidence).ifPresent(end -> ended.put(open, end));
     }
-    ended.keySet().retainAll(check.open);
-    check.open.removeAll(ended.keySet());
+    check.open.removeIf(OrphanedRunCheck::isOldWatch);
     return ended;
   }
 
+  /** What to tell whoever waits for a run; empty to tell nothing now. */
+  private Optional<RunEnd> settle(EngineCheck check, OpenRun open, RunEvidence evidence) {
+    return switch (evidence) {
+      case OVER -> check.open.remove(open) ? Optional.of(RunEnd.REPORTED) : Optional.empty();
+      case NOT_NAMED ->
+          !worksOn(check.engine) && check.stopWaiting(open)
+              ? Optional.of(RunEnd.NOT_TOLD)
+              : Optional.empty();
+      case TOO_EARLY, WORKED_ON -> Optional.empty();
+    };
+  }
+
   /** Lets all requests go on, and watches the runs for a while. */
   private static Map<OpenRun, RunEnd> stopWaiting(EngineCheck check) {
     Map<OpenRun, RunEnd> ended = new LinkedHashMap<>();
@@ -217,7 +233,7 @@
         ended.put(open, RunEnd.NOT_TOLD);
       }
     }
-    check.open.removeIf(OrphanedRunCheck::isOld);
+    check.open.removeIf(OrphanedRunCheck::isOldWatch);
     return ended;
   }
 
@@ -228,30 +244,13 @@
     return ended;
   }
 
-  private static boolean isOld(OpenRun open) {
-    return System.nanoTime() - open.run().endedNanos() > WATCH_LIMIT.toNanos();
-  }
-
-  /** How a run is known to be over; empty to ask again. */
-  private Optional<RunEnd> endOf(OpenRun open, EngineWork work, long askedNanos) {
-    OrphanedRun run = open.run();
-    boolean worksOn = worksOn(run.engineId());
-    RunEvidence evidence = runs.onReport(run, work, askedNanos);
-    if (!worksOn && worksOn(run.engineId())) {
-      logWorksOn(run, askedNanos);
-    }
-    return switch (evidence) {
-      case OVER -> Optional.of(RunEnd.REPORTED);
-      case TOO_EARLY -> Optional.empty();
-      case WORKED_ON ->
-          open.waiting().isPresent() ? Optional.empty() : Optional.of(RunEnd.NOT_TOLD);
-      case NOT_NAMED ->
-          worksOn && open.waiting().isPresent() ? Optional.empty() : Optional.of(RunEnd.NOT_TOLD);
-    };
+  private static boolean isOldWatch(OpenRun open) {
+    long age = System.nanoTime() - open.run().endedNanos();
+    return open.waiting().isEmpty() && age > WATCH_LIMIT.toNanos();
   }
 
-  private boolean worksOn(String engineId) {
-    return runs.handlingOf(engineId) == DisconnectHandling.WORKS_ON;
+  private boolean worksOn(ServingEngine engine) {
+    return runs.handlingOf(engine.id()) == DisconnectHandling.WORKS_ON;
   }
 
   private void logWorksOn(OrphanedRun run, long seenNanos) {
