--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
@@ -33,7 +33,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(OrphanedRunCheck.class);
 
   /** How long a request waits for an engine that has fallen silent and is most likely dead. */
-  private static final Duration PATIENCE_IF_SILENT = Duration.ofMillis(100);
+  private static final Duration PATIENCE_IF_SILENT = Duration.ofMillis(250);
 
   /** How long to watch a run that nobody waits for; a suspended engine may go on later. */
   private static final Duration WATCH_LIMIT = Duration.ofSeconds(5);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
@@ -1,6 +1,5 @@
 package org.fallturn.rehearsal.emulator;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -87,20 +86,7 @@
   public static void main(String[] arguments) throws IOException {
     EngineProcessMain engine =
         new EngineProcessMain(arguments[0], OnDisconnect.valueOf(arguments[2]));
-    RawRequests.listen(Integer.parseInt(arguments[1]), engine::serve);
-  }
-
-  private void serve(Socket connection) {
-    try (connection) {
-      connection.setTcpNoDelay(true);
-      Random random = new Random();
-      InputStream in = new BufferedInputStream(connection.getInputStream());
-      while (answer(connection, in, RawRequests.read(in), random)) {
-        connection.setSoTimeout(0);
-      }
-    } catch (IOException | InterruptedException e) {
-      // The gateway has ended the connection.
-    }
+    RawRequests.listen(Integer.parseInt(arguments[1]), engine::answer);
   }
 
   /** Whether the connection can be used again. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/ModelProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/ModelProcessMain.java
@@ -1,6 +1,5 @@
 package org.fallturn.rehearsal.emulator;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -57,7 +56,7 @@
         new ModelProcessMain(arguments[0], OnDisconnect.valueOf(arguments[2]));
     engine.report = engine.reportNow();
     new Thread(engine::renewReport, "report").start();
-    RawRequests.listen(Integer.parseInt(arguments[1]), engine::serve);
+    RawRequests.listen(Integer.parseInt(arguments[1]), engine::answer);
   }
 
   private void renewReport() {
@@ -82,19 +81,6 @@
         .formatted(work.size(), String.join(",", named));
   }
 
-  private void serve(Socket connection) {
-    try (connection) {
-      connection.setTcpNoDelay(true);
-      Random random = new Random();
-      InputStream in = new BufferedInputStream(connection.getInputStream());
-      while (answer(connection, in, RawRequests.read(in), random)) {
-        connection.setSoTimeout(0);
-      }
-    } catch (IOException | InterruptedException e) {
-      // The gateway has ended the connection.
-    }
-  }
-
   /** Whether the connection can be used again. */
   private boolean answer(Socket connection, InputStream in, RawRequests.Head head, Random random)
       throws IOException, InterruptedException {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RawRequests.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RawRequests.java
@@ -1,5 +1,6 @@
 package org.fallturn.rehearsal.emulator;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -10,8 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 
 /** Requests as they are read from a plain socket, by engines that are processes of their own. */
 final class RawRequests {
@@ -57,25 +58,47 @@
     }
   }
 
+  /** What answers requests. */
+  @FunctionalInterface
+  interface Answering {
+
+    /** Answers a request; returns whether its connection can be used again. */
+    boolean answer(Socket connection, InputStream in, Head head, Random random)
+        throws IOException, InterruptedException;
+  }
+
   /**
    * Listens, says where, and serves each connection on a thread of its own; never returns.
    *
    * @param port 0 for any free one
    */
-  static void listen(int port, Consumer<Socket> serving) throws IOException {
+  static void listen(int port, Answering answering) throws IOException {
     try (ServerSocket server = new ServerSocket()) {
       server.setReuseAddress(true);
       server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
       System.out.println("listening 127.0.0.1:" + server.getLocalPort());
       while (true) {
         Socket connection = server.accept();
-        new Thread(() -> serving.accept(connection), "connection").start();
+        new Thread(() -> serve(connection, answering), "connection").start();
+      }
+    }
+  }
+
+  private static void serve(Socket connection, Answering answering) {
+    try (connection) {
+      connection.setTcpNoDelay(true);
+      Random random = new Random();
+      InputStream in = new BufferedInputStream(connection.getInputStream());
+      while (answering.answer(connection, in, read(in), random)) {
+        connection.setSoTimeout(0);
       }
+    } catch (IOException | InterruptedException e) {
+      // The gateway has ended the connection.
     }
   }
 
   /** Reads a request and its body; throws at the end of the connection. */
-  static Head read(InputStream in) throws IOException {
+  private static Head read(InputStream in) throws IOException {
     Head head = readHead(in);
     if (head.isEnd()) {
       throw new IOException("the connection has ended");
