--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -16,6 +16,8 @@
   /** How long a connection may be idle. */
   public static final Duration IDLE_TIMEOUT = Duration.ofSeconds(15);
 
+  private static final Duration TARGET = Duration.ofMillis(250);
+
   private static final int MODEL_ATTEMPTS = 2;
 
   /** A service of application back ends, after its name. */
@@ -35,13 +37,14 @@
     return String.format(
         Locale.ROOT,
         "{\"name\":\"r-%s\",\"host\":\"%s\",\"pathPrefix\":\"/%s/\",\"type\":\"%s\","
-            + "\"timeoutMs\":%d,\"targetLatencyMs\":250,\"priority\":1,\"service\":\"%s\","
+            + "\"timeoutMs\":%d,%s,\"priority\":1,\"service\":\"%s\","
             + "\"maxAttempts\":%d,\"sticky\":true,\"resumable\":%b,\"gapTargetMs\":150}",
         prefix,
         EmulatedPlatform.HOST,
         prefix,
         type,
         timeoutMillis,
+        target(TARGET),
         service,
         MODEL_ATTEMPTS,
         resumable);
@@ -104,6 +107,15 @@
     return configuration.replace(idleTimeout(IDLE_TIMEOUT), idleTimeout(timeout));
   }
 
+  /** The same configuration with another target latency of all routes. */
+  public static String withTarget(String configuration, Duration target) {
+    return configuration.replace(target(TARGET), target(target));
+  }
+
+  private static String target(Duration latency) {
+    return "\"targetLatencyMs\":" + latency.toMillis();
+  }
+
   private static String idleTimeout(Duration timeout) {
     return "\"idleTimeoutMs\":" + timeout.toMillis();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -28,6 +29,9 @@
   private static final String HOSTS = "127.0.0.";
   private static final int FIRST_HOST = 12;
 
+  /** Short, so that gateways soon give up an engine that is slow. */
+  private static final Duration TARGET = Duration.ofMillis(100);
+
   private static final List<OnDisconnect> APPLICATIONS =
       List.of(
           OnDisconnect.CANCEL,
@@ -100,7 +104,7 @@
   SignalsFleet(Path directory, int gatewayCount) throws Exception {
     this.directory = directory;
     Files.createDirectories(directory);
-    platform.amendConfigurations(SignalsFleet::withShortTargets);
+    platform.amendConfigurations(text -> RouteText.withTarget(text, TARGET));
     platform.configure(RouteText.defaults());
     for (OnDisconnect onDisconnect : APPLICATIONS) {
       engines.add(startEngine(Kind.APPLICATION, onDisconnect, 0));
@@ -121,10 +125,6 @@
     return run.engine().startsWith(Kind.MODEL.idPrefix);
   }
 
-  private static String withShortTargets(String configuration) {
-    return configuration.replace("\"targetLatencyMs\":250", "\"targetLatencyMs\":100");
-  }
-
   private static String host(int gateway) {
     return HOSTS + (FIRST_HOST + gateway);
   }
