--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/DisconnectCause.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/DisconnectCause.java
@@ -4,9 +4,9 @@
 public enum DisconnectCause {
   /** This node gave the request up. */
   GIVEN_UP,
-  /** This node gave it up since its engine had said nothing to any node for long. */
+  /** This node gave the request up since its engine answered nobody. */
   ENGINE_SILENT,
-  /** The other side ended it before any event: most engines lose or refuse a request like that. */
+  /** The other side ended it before any event. */
   LOST,
   /** It broke off between events, so that the engine was at work. */
   BROKEN_MIDWAY
--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/OrphanedRuns.java
@@ -12,10 +12,9 @@
  * goes on elsewhere then runs twice at a time. A report shows the engine as it was some time before
  * the call for it, so that it proves the end of a run only if it cannot be older than that end.
  *
- * <p>Invariant: a request leaves an engine that answers unasked only if that start of the engine
- * has been seen to cancel a run, and has never been seen to work on. One that has fallen silent is
- * left unasked too, since it is most likely dead, unless it has been seen to work on. Not
- * thread-safe. Times are nanoTime.
+ * <p>Invariant: a request leaves an engine unasked only if that start of the engine has never been
+ * seen to work on, and has been seen to cancel several runs or has ended the connection itself
+ * before any event. Not thread-safe. Times are nanoTime.
  */
 public final class OrphanedRuns {
 
@@ -28,10 +27,12 @@
    */
   private static final Duration MAX_UNNAMED_WAIT = Duration.ofMillis(1_500);
 
-  /** Part of the time left that a request may wait in this way, so that another engine has some. */
+  /**
+   * Such a wait leaves another engine this part of the time that the request has left, at least.
+   */
   private static final int UNNAMED_WAIT_PART = 2;
 
-  /** A run that ends by itself just after its connection looks like a cancelled one. */
+  /** More than one, since a run that ends by itself soon looks like a cancelled one. */
   private static final int CANCELLED_RUNS_TO_TRUST = 3;
 
   private static final int MAX_ENGINES = 10_000;
--- a/fallturn-core/src/main/java/org/fallturn/core/disconnect/RunEvidence.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/disconnect/RunEvidence.java
@@ -4,10 +4,13 @@
 public enum RunEvidence {
   /** The engine no longer has it. */
   OVER,
-  /** The engine makes no tokens of it; it may be among those that the report does not name. */
+  /**
+   * It may be among the requests that the report does not name, and has waited for them long
+   * enough.
+   */
   NOT_NAMED,
   /** The engine works on it although its connection has ended. */
   WORKED_ON,
-  /** The report may be older than the end of the connection, or than the request. */
+  /** Nothing yet: the report may be too old, or may count it without naming it. */
   TOO_EARLY
 }
