Set the time-out of a call for a report once

Found in reading the change once more: ReportCalls took a time to wait that both callers gave as the one which newReport sets already. The parameter is gone; behaviour is the same (500 ms).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerEndCheck.java
@@ -67,12 +67,7 @@
     synchronized (waitingByEngine) {
       asked = waitingByEngine.put(engine.id(), new ArrayList<>());
     }
-    engines
-        .reportCalls()
-        .call(
-            engine,
-            EngineClient.REPORT_TIMEOUT,
-            answer -> onCallEnded(engine, asked, answer.liveness()));
+    engines.reportCalls().call(engine, answer -> onCallEnded(engine, asked, answer.liveness()));
   }
 
   private void onCallEnded(ServingEngine engine, List<Waiting> asked, EngineLiveness liveness) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -54,7 +54,7 @@
   private static final Duration LIST_TIMEOUT = Duration.ofMillis(1_500);
 
   /** An engine reports without waiting for a slot, so one that takes longer is stuck. */
-  static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
   /** Requests with this tag share no connections with the others. */
   private static final String OWN_CONNECTION = "own-connection";
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/OrphanedRunCheck.java
@@ -168,10 +168,7 @@
     if (mayAsk.test(check.engine)) {
       engines
           .reportCalls()
-          .call(
-              check.engine,
-              EngineClient.REPORT_TIMEOUT,
-              answer -> onAnswer(check, asked, askedNanos, answer));
+          .call(check.engine, answer -> onAnswer(check, asked, askedNanos, answer));
     } else {
       onAnswer(check, asked, askedNanos, ReportCalls.Answer.NONE);
     }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ReportCalls.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReportCalls.java
@@ -1,8 +1,6 @@
 package org.fallturn.node.gateway;
 
-import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Result;
@@ -43,14 +41,12 @@
   /**
    * Starts a call.
    *
-   * @param patience how long to wait for the answer
    * @param answer called on a client thread, or on this one if the call cannot be made
    */
-  void call(ServingEngine engine, Duration patience, Consumer<Answer> answer) {
+  void call(ServingEngine engine, Consumer<Answer> answer) {
     try {
       engines
           .newReportOnNewConnection(engine)
-          .timeout(patience.toNanos(), TimeUnit.NANOSECONDS)
           .send(
               new BufferingResponseListener() {
                 @Override
