Answer the requests that are left before a planned stop ends, and tell engines no more time than it has

Callers saw: requests that came late in the grace (and earlier ones whose engine holds them) were passed on with their own deadline and cut without an answer when the process ended (LOST).

Cause: the end of the process was no deadline of any request. A class of its own in this code: a bound that one part knows (the stop) and those who decide do not.

Change: a planned stop has moments (StopTimes): the end of the linger, the last answers 300 ms before the end, the end. A request that arrives meanwhile is to be answered by then, what an engine is told is capped by it, and whoever is left then gets 502 (may have run) or 503 (not run, Retry-After); a stream is broken off visibly and its engine left. The log names it (TIME_OVER, end=NODE_STOPS).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -209,7 +209,7 @@
             head.prompt(),
             route.repeatable() && route.streaming() ? head.resumed() : Optional.empty(),
             now,
-            now + timeout.toNanos());
+            now + Math.min(timeout.toNanos(), gateway.remainingNanos(now)));
     RequestContent content =
         new RequestContent(
             target(caller.request(), head),
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -581,8 +581,9 @@
         .log();
   }
 
-  void timeOver(Exchange exchange) {
+  void timeOver(Exchange exchange, RequestEnd why) {
     LogTexts.withLastAttempt(line(LogEvent.TIME_OVER, exchange), exchange)
+        .addKeyValue("end", why)
         .addKeyValue("possibleRuns", exchange.progress().possibleRuns())
         .log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -259,20 +259,21 @@
   }
 
   /**
-   * Ends a request that nobody waits for, before anything is decided for it: while this thread is
-   * late, the event that tells so is still behind others.
+   * Ends a request that no engine is to answer, before anything is decided for it: while this
+   * thread is late, the event that tells so is still behind others.
    */
   private boolean endIfOver(Exchange exchange, long now) {
     Optional<RequestEnd> end = exchange.end(now);
-    if (end.isEmpty()) {
-      return false;
-    }
-    if (end.get() == RequestEnd.CALLER_GONE) {
+    end.ifPresent(why -> end(exchange, why, now));
+    return end.isPresent();
+  }
+
+  private void end(Exchange exchange, RequestEnd why, long now) {
+    if (why == RequestEnd.CALLER_GONE) {
       onCallerGone(exchange, now);
     } else {
-      onDeadlineExceeded(exchange, now);
+      onTimeOver(exchange, why, now);
     }
-    return true;
   }
 
   private void start(Exchange exchange, long now) {
@@ -459,7 +460,7 @@
   }
 
   private static Duration timeLeft(Exchange exchange, long now) {
-    return Duration.ofNanos(Math.max(0, exchange.envelope().remainingNanos(now)));
+    return Duration.ofNanos(Math.max(0, exchange.remainingNanos(now)));
   }
 
   private void send(Exchange exchange, EngineCall call, AttemptTimeout timeout) {
@@ -548,21 +549,17 @@
   }
 
   private void checkTime(Exchange exchange, long now) {
-    if (exchange.envelope().remainingNanos(now) <= 0) {
-      onDeadlineExceeded(exchange, now);
-    } else {
+    if (!endIfOver(exchange, now)) {
       checkTimeout(exchange, now);
     }
   }
 
-  private void onDeadlineExceeded(Exchange exchange, long now) {
+  private void onTimeOver(Exchange exchange, RequestEnd why, long now) {
     active.remove(exchange);
-    log.timeOver(exchange);
-    boolean mayHaveRun = exchange.progress().possibleRuns() > 0;
+    log.timeOver(exchange, why);
+    boolean possiblyRun = exchange.progress().possibleRuns() > 0;
     abandon(exchange, "its time is over", now);
-    exchange.refuse(
-        mayHaveRun ? ErrorKind.DEADLINE_EXCEEDED : ErrorKind.DEADLINE_UNREACHABLE,
-        mayHaveRun ? Optional.empty() : Optional.of(Duration.ofSeconds(1)));
+    exchange.refuse(why.errorKind(possiblyRun), why.retryAfter(possiblyRun));
   }
 
   private void checkTimeout(Exchange exchange, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -207,7 +207,7 @@
     long now = System.nanoTime();
     Optional<RequestEnd> end = exchange.checkEnd(now);
     end.ifPresent(cause -> log.sendWithheld(exchange, cause));
-    Duration left = Duration.ofNanos(exchange.envelope().remainingNanos(now));
+    Duration left = Duration.ofNanos(exchange.remainingNanos(now));
     withholdOrSetTimeLeft(request, end, Optional.of(left));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -27,7 +27,7 @@
  * attempt that receives an answer writes it, on its client thread. The Jetty callback of the
  * request is completed exactly once.
  *
- * <p>Invariant: once the caller is known to have left, or the deadline has passed, no attempt
+ * <p>Invariant: once the caller is known to have left, or no time is left for an answer, no attempt
  * begins to be sent. Any thread may ask for that, since the dispatch thread may be late.
  */
 final class Exchange {
@@ -146,11 +146,19 @@
     post(new DispatchEvent.CallerGone(this));
   }
 
-  /** Why nobody waits for the answer any more, as far as is known; empty while somebody does. */
+  /** Time in ns that is left for an answer: the caller's, or that of this process if it stops. */
+  long remainingNanos(long nowNanos) {
+    return Math.min(envelope().remainingNanos(nowNanos), gateway.remainingNanos(nowNanos));
+  }
+
+  /** Why no engine is to answer any more, as far as is known; empty while one may. */
   Optional<RequestEnd> end(long nowNanos) {
     if (callerGone) {
       return Optional.of(RequestEnd.CALLER_GONE);
     }
+    if (gateway.remainingNanos(nowNanos) <= 0) {
+      return Optional.of(RequestEnd.NODE_STOPS);
+    }
     return envelope().remainingNanos(nowNanos) <= 0
         ? Optional.of(RequestEnd.TIME_OVER)
         : Optional.empty();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -70,7 +69,6 @@
   private static final Duration MAX_WAIT_TO_ACCEPT = Duration.ofMillis(300);
   private static final String ROUTING = "routing";
   private static final String ENGINES = "engines";
-  private static final long STOP_CHECK_MILLIS = 20;
 
   private final GatewaySettings settings;
   private final GatewayPlatform platform;
@@ -98,6 +96,7 @@
   private final QuarantineDuty quarantine;
   private final QuarantineActions quarantineActions;
   private final Forwarding forwarding;
+  private final StopSequence stop;
   private final OrderLease lease;
   private final AtomicLong storeEra = new AtomicLong(NO_ERA);
   private final RowFollower routingFollower;
@@ -185,6 +184,7 @@
     this.callers = newCallersConnector(callerSocket);
     this.snapshots = new PeerSnapshots(control, overlay::askable, overlay.tables()::newest);
     this.forwarding = new Forwarding(peerPorts, newForwarder(paths), forwarded, snapshots);
+    this.stop = newStopSequence();
     this.routingFollower =
         newFollower(ROUTING, platform.routingFeed(), this::onRoutingRows, Duration.ZERO);
     this.engineRows = new DecodedRows<>(ENGINES, platform.engineDecoder(), log);
@@ -199,6 +199,11 @@
     dispatcher.resumedStreams().tracker().setContact(directoryConfirmation);
   }
 
+  private StopSequence newStopSequence() {
+    return new StopSequence(
+        state, this::refuseNewRequests, settings.bounds().stopLinger(), settings.stopWithin());
+  }
+
   private DirectoryConfirmationDuty newDirectoryConfirmation() {
     return new DirectoryConfirmationDuty(
         platform.engineFeed().create(control),
@@ -506,25 +511,15 @@
 
   /**
    * Performs a planned stop. The node is no longer ready, and its answers ask callers to close
-   * their connections. After the linger, new requests are refused as not run. Returns when every
-   * request has ended, or when the grace period is nearly over.
+   * their connections. After the linger, new requests are refused as not run. Shortly before the
+   * grace period is over, the requests that are left are answered. Returns when every request has
+   * ended, or when the process has to end.
    */
   public void stopAsPlanned() throws InterruptedException {
-    long started = System.nanoTime();
-    state.beginStop();
+    StopTimes times = stop.begin();
     closeDuties();
     log.stopping(state.inFlight());
-    long lingerEnd = started + settings.bounds().stopLinger().toNanos();
-    long stopDeadline = started + settings.stopWithin().toNanos();
-    while (System.nanoTime() - stopDeadline < 0) {
-      if (System.nanoTime() - lingerEnd >= 0) {
-        refuseNewRequests();
-        if (state.inFlight() == 0) {
-          break;
-        }
-      }
-      TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
-    }
+    stop.finish(times);
     log.stopped(state.inFlight());
   }
 
@@ -537,19 +532,9 @@
       closeDuties();
     }
 
-    /**
-     * Waits until the platform has seen that the node is not ready and running answers have ended,
-     * at most for the grace period.
-     */
     @Override
     public void awaitAnswers() throws InterruptedException {
-      long started = System.nanoTime();
-      long lingerEnd = started + settings.bounds().stopLinger().toNanos();
-      long stopDeadline = started + settings.stopWithin().toNanos();
-      while (System.nanoTime() - stopDeadline < 0
-          && (state.inFlight() > 0 || System.nanoTime() - lingerEnd < 0)) {
-        TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
-      }
+      stop.awaitAnswers();
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayState.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,6 +25,7 @@
   private final AtomicInteger inFlight = new AtomicInteger();
   private final CountDownLatch readyLatch = new CountDownLatch(1);
   private volatile boolean stopping;
+  private volatile OptionalLong answersEndNanos = OptionalLong.empty();
   private volatile boolean takesRequests = true;
   private volatile boolean enginesKnown;
   private volatile boolean storeLost;
@@ -135,10 +137,27 @@
     takesRequests = false;
   }
 
+  /** Begins a stop whose end is not known yet; allocates nothing. */
   void beginStop() {
     stopping = true;
   }
 
+  /**
+   * Begins a planned stop.
+   *
+   * @param endNanos when requests without an answer get their last one, in nanoTime
+   */
+  void beginStop(long endNanos) {
+    answersEndNanos = OptionalLong.of(endNanos);
+    stopping = true;
+  }
+
+  /** Time in ns in which this process can still answer; {@code Long.MAX_VALUE} for any time. */
+  long remainingNanos(long nowNanos) {
+    OptionalLong end = answersEndNanos;
+    return end.isEmpty() ? Long.MAX_VALUE : end.getAsLong() - nowNanos;
+  }
+
   /** Counts a request as in flight, from its head until {@link #endRequest}. */
   void beginRequest() {
     inFlight.incrementAndGet();
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -145,6 +145,9 @@
    * having announced it; the detail is the cause.
    */
   CONNECTION_CUT,
-  /** The deadline of a request passed before its answer was complete. */
+  /**
+   * The time for a request's answer passed before that was complete: its deadline, or what this
+   * process had left in a planned stop.
+   */
   TIME_OVER
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
@@ -1,9 +1,35 @@
 package org.fallturn.node.gateway;
 
-/** Why a request needs no answer any more, although it has none. */
+import java.time.Duration;
+import java.util.Optional;
+import org.fallturn.core.error.ErrorKind;
+
+/** Why a request gets no further answer of an engine, although it has none that is whole. */
 enum RequestEnd {
   /** The caller closed its connection, or the connection failed. */
-  CALLER_GONE,
+  CALLER_GONE(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STOPPING, Duration.ZERO),
   /** The deadline passed. */
-  TIME_OVER
+  TIME_OVER(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.DEADLINE_UNREACHABLE, Duration.ofSeconds(1)),
+  /** This process is about to end; other nodes serve on. */
+  NODE_STOPS(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STOPPING, Duration.ofMillis(300));
+
+  private final ErrorKind ifPossiblyRun;
+  private final ErrorKind ifNotRun;
+  private final Duration retryAfter;
+
+  RequestEnd(ErrorKind ifPossiblyRun, ErrorKind ifNotRun, Duration retryAfter) {
+    this.ifPossiblyRun = ifPossiblyRun;
+    this.ifNotRun = ifNotRun;
+    this.retryAfter = retryAfter;
+  }
+
+  /** The error that a caller who still waits is answered with. */
+  ErrorKind errorKind(boolean possiblyRun) {
+    return possiblyRun ? ifPossiblyRun : ifNotRun;
+  }
+
+  /** When the caller of a request that was not run may come back; empty if it was possibly run. */
+  Optional<Duration> retryAfter(boolean possiblyRun) {
+    return possiblyRun ? Optional.empty() : Optional.of(retryAfter);
+  }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -104,7 +104,46 @@
 
   /** Settings with free ports on loopback. */
   static GatewaySettings settings() throws Exception {
-    return GatewaySettings.from(GatewaySettings.reader().toml("test", SETTINGS).values());
+    return settings("");
+  }
+
+  /**
+   * Settings with free ports on loopback.
+   *
+   * @param bounds further lines of the section on bounds
+   */
+  private static GatewaySettings settings(String bounds) throws Exception {
+    String text = SETTINGS.replace("[bounds]\n", "[bounds]\n" + bounds + "\n");
+    return GatewaySettings.from(GatewaySettings.reader().toml("test", text).values());
+  }
+
+  /**
+   * Starts a gateway for engines and waits until it is ready.
+   *
+   * @param bounds further lines of the settings' section on bounds
+   */
+  static GatewayServer startWithBounds(String bounds, RequestKind kind, RawEngine... engines)
+      throws Exception {
+    return start(
+        settings(bounds), platform(kind, false, listed(engines), engines(headers -> headers)));
+  }
+
+  /** Begins a planned stop on a thread of its own, which ends when the process would end. */
+  static Thread beginStop(GatewayServer gateway) {
+    Thread stop =
+        new Thread(
+            () -> {
+              try {
+                gateway.stopAsPlanned();
+              } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+              }
+            },
+            "planned-stop");
+    stop.setDaemon(true);
+    stop.start();
+    await().atMost(START).until(() -> !gateway.ready());
+    return stop;
   }
 
   /**
@@ -136,11 +175,13 @@
   static GatewayServer start(
       RequestKind kind, boolean resumable, UnaryOperator<HttpFields> onHead, RawEngine... engines)
       throws Exception {
-    List<ServingEngine> listed =
-        IntStream.rangeClosed(1, engines.length)
-            .mapToObj(number -> engine("e-" + number, engines[number - 1].address()))
-            .toList();
-    return start(platform(kind, resumable, listed, engines(onHead)));
+    return start(platform(kind, resumable, listed(engines), engines(onHead)));
+  }
+
+  private static List<ServingEngine> listed(RawEngine... engines) {
+    return IntStream.rangeClosed(1, engines.length)
+        .mapToObj(number -> engine("e-" + number, engines[number - 1].address()))
+        .toList();
   }
 
   /** Starts a gateway for streams that may be resumed, at model engines. */
@@ -154,7 +195,12 @@
   }
 
   private static GatewayServer start(GatewayPlatform platform) throws Exception {
-    GatewayServer gateway = new GatewayServer(settings(), platform);
+    return start(settings(), platform);
+  }
+
+  private static GatewayServer start(GatewaySettings settings, GatewayPlatform platform)
+      throws Exception {
+    GatewayServer gateway = new GatewayServer(settings, platform);
     gateway.start();
     await().atMost(START).until(gateway::ready);
     return gateway;
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SlowBodyAtStopTest.java
@@ -30,8 +30,7 @@
             "POST /x HTTP/1.1\r\nHost: host\r\n%s: slow\r\nContent-Length: 2\r\n\r\na"
                 .formatted(OneEngineGateway.ID_HEADER));
         await().atMost(LONGEST).until(() -> gateway.inFlight() == 1);
-        Thread stop = new Thread(() -> stop(gateway));
-        stop.start();
+        Thread stop = OneEngineGateway.beginStop(gateway);
         await().atMost(LONGEST).until(() -> !gateway.takesRequests());
         write(caller, "b");
         assertThat(OneEngineGateway.readStatus(caller)).isEqualTo("HTTP/1.1 503");
@@ -44,12 +43,4 @@
   private static void write(Socket caller, String text) throws Exception {
     caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
   }
-
-  private static void stop(GatewayServer gateway) {
-    try {
-      gateway.stopAsPlanned();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
