--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -45,9 +45,9 @@
  * over one hop, and says truthfully whether the engine can have got the request.
  *
  * <p>A request ends with the connection between the nodes, with a call to {@link #CANCEL_PREFIX}
- * and its key, and with its lease. Invariants: once its node is known to have given it up, or its
- * time has passed, it does not begin to be sent; a cancellation is answered once this node has
- * closed its connection to the engine. Thread-safe.
+ * and its key, with its lease, and before this process ends in a planned stop. Invariants: once its
+ * node is known to have given it up, or its time has passed, it does not begin to be sent; a
+ * cancellation is answered once this node has closed its connection to the engine. Thread-safe.
  */
 final class EngineForwarder extends Handler.Abstract.NonBlocking {
 
@@ -127,7 +127,7 @@
   }
 
   private boolean mayForwardTo(ServingEngine engine) {
-    return gateway.takesRequests()
+    return !gateway.stopping()
         && !engine.leaving()
         && !notices.isLeaving(engine.id())
         && !notices.rests(engine.id(), System.nanoTime())
@@ -146,6 +146,16 @@
     return forwarded.over;
   }
 
+  /**
+   * Ends the requests whose nodes wait to send them on, or all that are left, since this process
+   * ends: a node that finds it gone would send a request on while its engine works on it.
+   */
+  void endForStop(boolean all) {
+    byKey.values().stream()
+        .filter(forwarded -> all || owner(forwarded.from.request()).isPresent())
+        .forEach(forwarded -> forwarded.giveUp(ForwardingEnd.NODE_STOPS));
+  }
+
   private void forward(ServingEngine engine, HandlerArguments from) {
     present.incrementAndGet();
     gateway.beginRequest();
@@ -281,8 +291,14 @@
     }
 
     private Optional<Duration> timeLeft() {
-      Duration spent = Duration.ofNanos(System.nanoTime() - arrivedNanos);
-      return engines.protocol().timeLeft(from.request().getHeaders()).map(at -> at.minus(spent));
+      long now = System.nanoTime();
+      Duration spent = Duration.ofNanos(now - arrivedNanos);
+      Duration ofProcess = Duration.ofNanos(gateway.remainingNanos(now));
+      return engines
+          .protocol()
+          .timeLeft(from.request().getHeaders())
+          .map(at -> at.minus(spent))
+          .map(left -> left.compareTo(ofProcess) < 0 ? left : ofProcess);
     }
 
     @Override
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Forwarding.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Forwarding.java
@@ -43,6 +43,11 @@
     listener = PeerRequestPort.open(ports, forwarder, ownRequests, tables);
   }
 
+  /** See {@link EngineForwarder#endForStop}. */
+  void endForStop(boolean all) {
+    forwarder.endForStop(all);
+  }
+
   @Override
   public void close() throws Exception {
     if (listener != null) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingEnd.java
@@ -9,5 +9,7 @@
   /** The other node cancelled it. */
   CANCELLED,
   /** The other node did not confirm in time that it still waits for the answer. */
-  NOT_CONFIRMED
+  NOT_CONFIRMED,
+  /** This process is about to end. */
+  NODE_STOPS
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -201,7 +201,11 @@
 
   private StopSequence newStopSequence() {
     return new StopSequence(
-        state, this::refuseNewRequests, settings.bounds().stopLinger(), settings.stopWithin());
+        state,
+        forwarding,
+        this::refuseNewRequests,
+        settings.bounds().stopLinger(),
+        settings.stopWithin());
   }
 
   private DirectoryConfirmationDuty newDirectoryConfirmation() {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StopSequence.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StopSequence.java
@@ -15,6 +15,7 @@
   private static final long CHECK_MILLIS = 20;
 
   private final GatewayState state;
+  private final Forwarding forwarding;
   private final Runnable refuseNewRequests;
   private final Supplier<StopTimes> times;
 
@@ -25,8 +26,14 @@
    * @param linger how long new requests are still taken
    * @param within how long a stop may take
    */
-  StopSequence(GatewayState state, Runnable refuseNewRequests, Duration linger, Duration within) {
+  StopSequence(
+      GatewayState state,
+      Forwarding forwarding,
+      Runnable refuseNewRequests,
+      Duration linger,
+      Duration within) {
     this.state = state;
+    this.forwarding = forwarding;
     this.refuseNewRequests = refuseNewRequests;
     this.times = () -> StopTimes.of(System.nanoTime(), linger, within);
   }
@@ -47,6 +54,7 @@
           break;
         }
       }
+      endForwarded(begun);
       TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
     }
   }
@@ -59,7 +67,15 @@
     StopTimes begun = times.get();
     while (!begun.over(System.nanoTime())
         && (state.inFlight() > 0 || !begun.lingered(System.nanoTime()))) {
+      endForwarded(begun);
       TimeUnit.MILLISECONDS.sleep(CHECK_MILLIS);
     }
   }
+
+  private void endForwarded(StopTimes begun) {
+    long now = System.nanoTime();
+    if (begun.endsRepeatableForwarded(now)) {
+      forwarding.endForStop(begun.endsAll(now));
+    }
+  }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -186,12 +186,24 @@
 
   /** Starts a gateway for streams that may be resumed, at model engines. */
   static GatewayServer startForModel(RawEngine... engines) throws Exception {
+    return startForModelWithBounds("", engines);
+  }
+
+  /**
+   * Starts a gateway for streams that may be resumed, at model engines.
+   *
+   * @param bounds further lines of the settings' section on bounds
+   */
+  static GatewayServer startForModelWithBounds(String bounds, RawEngine... engines)
+      throws Exception {
     List<ServingEngine> listed =
         IntStream.rangeClosed(1, engines.length)
             .mapToObj(
                 number -> engine("e-" + number, engines[number - 1].address(), EngineStage.DECODE))
             .toList();
-    return start(platform(RequestKind.STREAMING, true, listed, engines(headers -> headers)));
+    return start(
+        settings(bounds),
+        platform(RequestKind.STREAMING, true, listed, engines(headers -> headers)));
   }
 
   private static GatewayServer start(GatewayPlatform platform) throws Exception {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/StopTimesTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/StopTimesTest.java
@@ -18,6 +18,8 @@
     assertThat(times.lingerEnd() - BEGIN).isPositive();
     assertThat(times.answersEnd() - times.lingerEnd()).isNotNegative();
     assertThat(times.processEnd() - times.answersEnd()).isPositive();
+    assertThat(times.answersEnd() - times.repeatableForwardedEnd()).isNotNegative();
+    assertThat(times.repeatableForwardedEnd() - BEGIN).isNotNegative();
     assertThat(times.over(BEGIN)).isFalse();
     assertThat(times.over(times.processEnd())).isTrue();
   }
