Note that a request may be sent before anything that can fail, and do not send it when a check fails

A request counted as not sent though it reached its engine when memory ran out in between: the HTTP client logs what a begin listener throws and sends the request all the same, and SendState made the text of the connection's address before it noted the send. For the same reason a failed check (caller gone, time left, rest and limit of the engine) let the request go out unchecked; it is aborted now.

Class: the failure of an observer taken for no event.

That the users saw this is not shown.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -169,7 +169,7 @@
             forwarder.orElse(engine.address()),
             caller.getMethod(),
             caller.getHttpURI().getPathQuery());
-    request.onRequestBegin(begun -> checkBeforeSend(exchange, begun));
+    request.onRequestBegin(SendState.orAbort(begun -> checkBeforeSend(exchange, begun)));
     Optional<ForwardedRun> run =
         forwarder.map(peer -> newForwardedRun(request, headers, exchange, attempt.call(), peer));
     noticeReader.watch(request, engine, exchange.head().requestId());
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -252,7 +252,7 @@
               from.request().getHttpURI().getPathQuery(),
               withoutConnectionHeaders(from.request().getHeaders()),
               body);
-      request.onRequestBegin(this::checkBeforeSend);
+      request.onRequestBegin(SendState.orAbort(this::checkBeforeSend));
       request.onRequestBegin(sendState);
       log.forwarding(requestId, engine.id());
       toEngine = request;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/NoticeReader.java
@@ -63,10 +63,11 @@
       Request request, ServingEngine engine, String requestId, LongPredicate mayBegin) {
     AtomicLong sentNanos = new AtomicLong(System.nanoTime());
     request.onRequestBegin(
-        begun -> {
-          sentNanos.set(System.nanoTime());
-          withholdUnless(mayBegin, engine, begun);
-        });
+        SendState.orAbort(
+            begun -> {
+              sentNanos.set(System.nanoTime());
+              withholdUnless(mayBegin, engine, begun);
+            }));
     request.onResponseHeaders(answer -> onHead(engine, requestId, sentNanos.get(), answer));
     request.onResponseSuccess(answer -> onComplete(engine, requestId, sentNanos.get(), answer));
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
@@ -7,6 +7,9 @@
  * listener, so that a request which an earlier one withholds counts as not sent. One that another
  * thread aborts meanwhile may be sent: the client notes the abort first and carries it out later. A
  * client thread writes; any thread reads.
+ *
+ * <p>Invariant: what can fail, as for want of memory, comes after the note that the request may be
+ * sent: the client sends it although a listener has failed.
  */
 final class SendState implements Request.BeginListener {
 
@@ -17,12 +20,27 @@
   @Override
   public void onBegin(Request begun) {
     if (!(begun.getAbortCause() instanceof WithheldException)) {
-      connection = LogTexts.connection(begun);
-      sentNanos = System.nanoTime();
       maybeSent = true;
+      sentNanos = System.nanoTime();
+      connection = LogTexts.connection(begun);
     }
   }
 
+  /**
+   * Returns a check after whose failure the request is not sent. The HTTP client only logs what a
+   * listener throws.
+   */
+  static Request.BeginListener orAbort(Request.BeginListener check) {
+    return begun -> {
+      try {
+        check.onBegin(begun);
+      } catch (RuntimeException | Error failure) {
+        begun.abort(failure);
+        throw failure;
+      }
+    };
+  }
+
   /** Whether any byte of the request may have left. */
   boolean maybeSent() {
     return maybeSent;
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SendStateTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SendStateTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.junit.jupiter.api.AfterEach;
@@ -53,14 +55,35 @@
 
   /** Shows the request as it is between the two steps of an abort by another thread. */
   private static Request withCause(Request request, Throwable cause) {
+    return with(request, "getAbortCause", () -> cause);
+  }
+
+  /** Shows a request that answers one method differently. */
+  private static Request with(Request request, String name, Supplier<Object> answer) {
     return (Request)
         Proxy.newProxyInstance(
             Request.class.getClassLoader(),
             new Class<?>[] {Request.class},
             (self, method, arguments) ->
-                method.getName().equals("getAbortCause")
-                    ? cause
-                    : method.invoke(request, arguments));
+                method.getName().equals(name) ? answer.get() : method.invoke(request, arguments));
+  }
+
+  private static Object outOfMemory() {
+    throw new OutOfMemoryError("as for the test");
+  }
+
+  /** The HTTP client logs what a listener throws, and sends the request all the same. */
+  @Test
+  void requestThatBeginsWhileMemoryIsUsedUpMayBeSent() throws Exception {
+    request()
+        .onRequestBegin(
+            begun -> state.onBegin(with(begun, "getConnection", SendStateTest::outOfMemory)))
+        .send(result -> ended.countDown());
+    try (Socket connection = engine.accept()) {
+      connection.setSoTimeout((int) LONGEST.toMillis());
+      assertThat(connection.getInputStream().read()).isEqualTo('G');
+      assertThat(state.maybeSent()).isTrue();
+    }
   }
 
   @Test
@@ -75,6 +98,21 @@
     }
   }
 
+  @Test
+  void requestWhoseCheckFailsIsNotSent() throws Exception {
+    request()
+        .onRequestBegin(SendState.orAbort(begun -> outOfMemory()))
+        .onRequestBegin(state)
+        .send(result -> ended.countDown());
+    assertThat(ended.await(LONGEST.toSeconds(), TimeUnit.SECONDS)).isTrue();
+    try (Socket connection = engine.accept()) {
+      connection.setSoTimeout((int) LONGEST.toMillis());
+      assertThatThrownBy(() -> connection.getInputStream().read())
+          .isInstanceOf(SocketException.class)
+          .hasMessageContaining("reset");
+    }
+  }
+
   @Test
   void requestThatIsWithheldIsNotSent() throws Exception {
     request()
