Read connections in turns, so that one that always has more to read keeps no thread

Cause: whoever has bytes to read was read on; as many such connections as threads, and nobody else gets one. Change: the reading of a connection pauses after 64 KiB and goes on when the selector has looked at the others, for engines, callers, nodes and the store alike.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -15,13 +15,15 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.fallturn.node.http.ReadTurn;
 
 /**
  * Connection of a caller that can be watched for a disconnect while a request is served. The
  * HTTP/1.1 server reads nothing between the end of a request and its answer, so a disconnect would
  * go unnoticed. While watched, the connection is read into a side buffer, from which the next
  * request is read first. The class also measures how long the head of a request has been arriving,
- * and reports a connection that this process closes before its caller can expect that. Thread-safe.
+ * and reports a connection that this process closes before its caller can expect that. It is read
+ * in turns with others. Thread-safe.
  */
 final class WatchedEndPoint extends SocketChannelEndPoint {
 
@@ -31,6 +33,7 @@
   private static final int READ_AHEAD_BYTES = 2_048;
 
   private final Object lock = new Object();
+  private final ReadTurn turn = new ReadTurn();
   private final SocketAddress caller;
   private final Executor executor;
   private final Consumer<ConnectionCut> onCut;
@@ -239,7 +242,12 @@
         return -1;
       }
     }
-    return super.fill(buffer);
+    if (turn.takeEnd()) {
+      return 0;
+    }
+    int filled = super.fill(buffer);
+    turn.add(filled);
+    return filled;
   }
 
   private void onEndOfInput() {
@@ -328,6 +336,7 @@
   @Override
   protected void needsFillInterest() {
     boolean readAhead;
+    turn.begin();
     synchronized (lock) {
       if (refused) {
         return;
--- a/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/http/ResetAwareEndPoint.java
@@ -13,10 +13,12 @@
  * A connection that tells a reset from an orderly end. The usual end point reports both as the end
  * of input, so that an answer without a length that was reset on its way would look whole. Its own
  * end is never an orderly one: a peer that reads such an end does not see the reset behind it, and
- * may work on for a caller that still reads.
+ * may work on for a caller that still reads. It is read in turns with others.
  */
 final class ResetAwareEndPoint extends SocketChannelEndPoint {
 
+  private final ReadTurn turn = new ReadTurn();
+
   ResetAwareEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
     super(channel, selector, key, scheduler);
@@ -28,11 +30,21 @@
     // The peer sees a reset when the connection is closed.
   }
 
+  /** The reader is told when there is more, after the other connections. */
+  @Override
+  protected void needsFillInterest() {
+    turn.begin();
+    super.needsFillInterest();
+  }
+
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     if (isInputShutdown()) {
       return -1;
     }
+    if (turn.takeEnd()) {
+      return 0;
+    }
     int position = BufferUtil.flipToFill(buffer);
     int filled;
     try {
@@ -40,6 +52,7 @@
     } finally {
       BufferUtil.flipToFlush(buffer, position);
     }
+    turn.add(filled);
     if (filled > 0) {
       notIdle();
     } else if (filled < 0) {
