Close connections whose bytes bring a message no further

Cause: bounds are on heads, bodies and events; what stands between them had none.

Change: ProgressGuard compares what is read with what of it became body: 256 KiB more than 16 times that ends the connection. Engines' attempts and forwarded requests, and callers' bodies, are guarded; calls of this node's own have short time-outs and bounds of their own.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/BodyDiscarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/BodyDiscarder.java
@@ -38,6 +38,7 @@
         return;
       }
       discarded += chunk.remaining();
+      caller.progress().onBody(chunk.remaining());
       boolean last = chunk.isLast();
       chunk.release();
       if (last) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CallerRequestHandler.java
@@ -265,6 +265,7 @@
           return;
         }
         boolean last = chunk.isLast();
+        caller.progress().onBody(chunk.remaining());
         BodyBuffer.Added added = body.add(chunk.getByteBuffer());
         chunk.release();
         if (added != BodyBuffer.Added.KEPT) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -24,6 +24,7 @@
 import org.fallturn.core.dispatch.StuckReason;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.routing.EngineStage;
+import org.fallturn.node.http.ProgressGuard;
 import org.fallturn.node.json.MalformedMessageException;
 
 /**
@@ -58,6 +59,7 @@
   private final AttemptState state = new AttemptState();
   private final EventFramer framer = new EventFramer();
   private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+  private volatile ProgressGuard progress = new ProgressGuard();
   private volatile Request request;
   private volatile Optional<ForwardedRun> forwardedRun = Optional.empty();
   private final SendState sendState = new SendState();
@@ -112,6 +114,7 @@
   void send(Request toSend, Optional<ForwardedRun> throughPeer) {
     forwardedRun = throughPeer;
     request = toSend;
+    toSend.onRequestBegin(begun -> progress = EngineClient.progressOf(begun));
     toSend.onRequestBegin(sendState);
     toSend.send(this);
   }
@@ -279,6 +282,7 @@
   @Override
   public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
     signOfLife = true;
+    progress.onBody(chunk.remaining());
     if (ended()) {
       demander.run();
       return;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -25,6 +25,7 @@
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.Connection;
 import org.fallturn.core.dispatch.ConnectionBound;
 import org.fallturn.core.dispatch.EngineNotices;
 import org.fallturn.core.dispatch.PromptPart;
@@ -33,6 +34,7 @@
 import org.fallturn.core.forwarding.ForwardedRequests;
 import org.fallturn.core.routing.RoutingImage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.http.ProgressGuard;
 import org.fallturn.node.json.MalformedMessageException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -191,7 +193,7 @@
       request.onRequestBegin(begun -> forwarded.begin(key, System.nanoTime()));
     }
     return new ForwardedRun(
-        () -> newCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key),
+        () -> newOwnCall(peer, HttpMethod.DELETE.asString(), EngineForwarder.CANCEL_PREFIX + key),
         () -> forwarded.end(key, System.nanoTime()),
         client.getScheduler());
   }
@@ -313,18 +315,34 @@
 
   private Request newRequest(ServingEngine engine, String method, String path, String requestId) {
     serviceByAddress.put(engine.address(), engine.service());
-    Request request = newCall(engine.address(), method, path);
+    Request request = newOwnCall(engine.address(), method, path);
     noticeReader.watch(request, engine, requestId);
     return request;
   }
 
+  /** Its answer is short, and bounded by whoever keeps it. */
+  private Request newOwnCall(NetworkAddress address, String method, String target) {
+    Request request = newCall(address, method, target);
+    request.onRequestBegin(begun -> progressOf(begun).pause());
+    return request;
+  }
+
+  /** Prepares a call whose receiver tells {@link #progressOf} of each part of the body. */
   private Request newCall(NetworkAddress address, String method, String target) {
     return new UnalteredRequest(client, address, target)
         .method(method)
         .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS)
+        .onRequestBegin(begun -> progressOf(begun).expectMessage())
         .onResponseBegin(EngineClient::refuseSwitchOfProtocols);
   }
 
+  /** The guard of the connection on which a request is sent. */
+  static ProgressGuard progressOf(Request begun) {
+    return begun.getConnection() instanceof Connection connection
+        ? ProgressGuard.of(connection.getEndPoint())
+        : new ProgressGuard();
+  }
+
   /** Nothing that follows would be an answer. */
   private static void refuseSwitchOfProtocols(Response answer) {
     if (answer.getStatus() == HttpStatus.SWITCHING_PROTOCOLS_101) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -35,6 +35,7 @@
 import org.fallturn.core.forwarding.ForwardingLeases;
 import org.fallturn.core.routing.EngineStage;
 import org.fallturn.core.routing.ServingEngine;
+import org.fallturn.node.http.ProgressGuard;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -232,6 +233,7 @@
     private final CompletableFuture<Void> over = new CompletableFuture<>();
     private volatile ForwardingEnd givenUp = ForwardingEnd.NONE;
     private final SendState sendState = new SendState();
+    private volatile ProgressGuard progress = new ProgressGuard();
     private volatile String requestId = "";
     private boolean answerBegun;
     private boolean needsEndCheck;
@@ -253,6 +255,7 @@
               withoutConnectionHeaders(from.request().getHeaders()),
               body);
       request.onRequestBegin(SendState.orAbort(this::checkBeforeSend));
+      request.onRequestBegin(begun -> progress = EngineClient.progressOf(begun));
       request.onRequestBegin(sendState);
       log.forwarding(requestId, engine.id());
       toEngine = request;
@@ -339,6 +342,7 @@
     public void onContent(
         org.eclipse.jetty.client.Response answer, Content.Chunk chunk, Runnable demander) {
       answerBegun = true;
+      progress.onBody(chunk.remaining());
       from.response()
           .write(
               false,
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.fallturn.node.http.ProgressGuard;
 import org.fallturn.node.http.ReadTurn;
 
 /**
@@ -23,9 +24,9 @@
  * go unnoticed. While watched, the connection is read into a side buffer, from which the next
  * request is read first. The class also measures how long the head of a request has been arriving,
  * and reports a connection that this process closes before its caller can expect that. It is read
- * in turns with others. Thread-safe.
+ * in turns with others, and ends when a body goes on without progress. Thread-safe.
  */
-final class WatchedEndPoint extends SocketChannelEndPoint {
+final class WatchedEndPoint extends SocketChannelEndPoint implements ProgressGuard.Guarded {
 
   /** Bytes of next requests that are read ahead at most; beyond them the watch ends. */
   private static final int MAX_SIDE_BUFFER_BYTES = 32 * 1024;
@@ -34,6 +35,7 @@
 
   private final Object lock = new Object();
   private final ReadTurn turn = new ReadTurn();
+  private final ProgressGuard progress = new ProgressGuard();
   private final SocketAddress caller;
   private final Executor executor;
   private final Consumer<ConnectionCut> onCut;
@@ -230,6 +232,11 @@
     return filled;
   }
 
+  @Override
+  public ProgressGuard progress() {
+    return progress;
+  }
+
   private int fillFromEither(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
       if (refused) {
@@ -242,11 +249,15 @@
         return -1;
       }
     }
+    if (progress.isExceeded()) {
+      throw new IOException("the body of a request goes on without progress");
+    }
     if (turn.takeEnd()) {
       return 0;
     }
     int filled = super.fill(buffer);
     turn.add(filled);
+    progress.onRead(filled);
     return filled;
   }
 
@@ -273,6 +284,7 @@
    *     server may have read it before it reports the end of this one
    */
   Runnable beginServing() {
+    progress.expectMessage();
     synchronized (lock) {
       serving = true;
       headSinceNanos = 0;
@@ -284,6 +296,9 @@
   private void endServing(long request) {
     synchronized (lock) {
       serving = serving && request != servedRequest;
+      if (!serving) {
+        progress.pause();
+      }
     }
   }
 
