Bound the memory of engines' answers over the whole node, heads by their cost as objects

Change: EngineAnswerMemory counts what is kept of answers from before it is kept until the caller has it, fields at what they cost as objects, against one bound (bounds.answer_memory, 16 MiB; gauge answer_bytes), of which one engine may have half. A good large answer is relayed in parts when there is no room; anything else ends as lost.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.Executor;
@@ -51,6 +52,9 @@
    */
   private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+  /** A buffer that doubles may take so many times what it holds. */
+  private static final int BUFFER_GROWTH = 2;
+
   private final Exchange exchange;
   private final EngineCall call;
   private final EngineProtocol protocol;
@@ -58,7 +62,8 @@
   private final OrphanedRunCheck orphanedRuns;
   private final AttemptState state = new AttemptState();
   private final EventFramer framer = new EventFramer();
-  private final ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+  private volatile ByteArrayOutputStream buffer = new ByteArrayOutputStream();
+  private volatile EngineAnswerMemory.Share memory;
   private volatile ProgressGuard progress = new ProgressGuard();
   private volatile Request request;
   private volatile Optional<ForwardedRun> forwardedRun = Optional.empty();
@@ -110,9 +115,12 @@
    * Sends the request.
    *
    * @param throughPeer finds out when the run has ended, if another node sends the request
+   * @param answerMemory memory for what is kept of the answer, until {@link #releaseAnswer}
    */
-  void send(Request toSend, Optional<ForwardedRun> throughPeer) {
+  void send(
+      Request toSend, Optional<ForwardedRun> throughPeer, EngineAnswerMemory.Share answerMemory) {
     forwardedRun = throughPeer;
+    memory = answerMemory;
     request = toSend;
     toSend.onRequestBegin(begun -> progress = EngineClient.progressOf(begun));
     toSend.onRequestBegin(sendState);
@@ -139,6 +147,15 @@
     return buffer.toByteArray();
   }
 
+  /** Drops what is kept of the answer, since nobody needs it any more. */
+  void releaseAnswer() {
+    EngineAnswerMemory.Share kept = memory;
+    if (kept != null) {
+      kept.release();
+      buffer = new ByteArrayOutputStream(0);
+    }
+  }
+
   /** Whether no part of an answer has been relayed and the attempt has not ended. */
   boolean waiting() {
     return state.waiting();
@@ -300,23 +317,28 @@
       relay(ByteBuffer.wrap(copy), response, demander);
       return;
     }
-    buffer.writeBytes(copy);
-    if (buffer.size() > MAX_WHOLE_ANSWER_BYTES && isStampedSuccess()) {
-      ByteBuffer all = ByteBuffer.wrap(buffer.toByteArray());
-      buffer.reset();
-      relay(all, response, demander);
-      return;
-    }
-    if (buffer.size() > MAX_BUFFERED_BYTES) {
-      response.abort(new IllegalStateException("the answer is too long to be one"));
-      return;
+    int size = buffer.size() + copy.length;
+    boolean room = memory.tryGrowBody(BUFFER_GROWTH * size);
+    if (isStampedSuccess() && (!room || size > MAX_WHOLE_ANSWER_BYTES)) {
+      relay(takeBufferAnd(copy), response, demander);
+    } else if (!room || size > MAX_BUFFERED_BYTES) {
+      response.abort(new IllegalStateException("the answer is too long to be kept"));
+    } else {
+      buffer.writeBytes(copy);
+      demander.run();
     }
-    demander.run();
+  }
+
+  private ByteBuffer takeBufferAnd(byte[] more) {
+    byte[] all = Arrays.copyOf(buffer.toByteArray(), buffer.size() + more.length);
+    System.arraycopy(more, 0, all, all.length - more.length, more.length);
+    buffer = new ByteArrayOutputStream(0);
+    return ByteBuffer.wrap(all);
   }
 
   private void relayEvents(ByteBuffer bytes, Response response, Runnable demander) {
     ByteBuffer events = framer.add(bytes);
-    if (framer.isEventTooLong()) {
+    if (framer.isEventTooLong() || !memory.tryGrowBody(framer.capacity())) {
       response.abort(new IllegalStateException("the event is too long to be one"));
       return;
     }
@@ -392,6 +414,7 @@
     answerEnd = end;
     AttemptState.Phase before = state.end();
     if (before == AttemptState.Phase.ENDED) {
+      releaseAnswer();
       postGivenUp();
       return;
     }
@@ -493,6 +516,7 @@
     }
     try {
       String handle = protocol.readPrefillHandle(bufferedBody());
+      releaseAnswer();
       exchange.post(new DispatchEvent.Prefilled(exchange, this, handle));
     } catch (MalformedMessageException e) {
       fail(AttemptOutcome.LOST);
@@ -501,6 +525,9 @@
 
   /** A request that goes to no other engine need not wait for the end of its run. */
   private void fail(AttemptOutcome outcome) {
+    if (outcome != AttemptOutcome.ANSWERED_FAILURE) {
+      releaseAnswer();
+    }
     if (!mayGoElsewhere) {
       postFailure(outcome, runEnd);
     } else if (forwardedRun.isPresent()) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -20,6 +20,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpDestination;
+import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -71,6 +72,7 @@
   private final ReportCalls reportCalls = new ReportCalls(this);
   private final AnswerEndCheck answerEndCheck = new AnswerEndCheck(this);
   private final OrphanedRunCheck orphanedRuns;
+  private final EngineAnswerMemory answers;
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
   private final Set<NetworkAddress> forwarders = ConcurrentHashMap.newKeySet();
@@ -80,16 +82,19 @@
    * Starts the client.
    *
    * @param forwarded the requests that other nodes send for this one
+   * @param answers the memory for what is kept of answers
    */
   EngineClient(
       EngineProtocol protocol,
       EngineNotices notices,
       ForwardedRequests forwarded,
+      EngineAnswerMemory answers,
       DecisionLog log,
       Executor executor)
       throws Exception {
     this.protocol = protocol;
     this.forwarded = forwarded;
+    this.answers = answers;
     this.log = log;
     this.noticeReader = new NoticeReader(protocol, notices, log);
     this.orphanedRuns =
@@ -166,16 +171,18 @@
     HttpFields.Mutable headers = protocol.requestHeaders(caller.getHeaders(), attempt.call());
     serviceByAddress.put(engine.address(), engine.service());
     Optional<NetworkAddress> forwarder = exchange.progress().forwarder();
+    EngineAnswerMemory.Share memory = answers.open(engine.address());
     Request request =
         newCall(
             forwarder.orElse(engine.address()),
             caller.getMethod(),
-            caller.getHttpURI().getPathQuery());
+            caller.getHttpURI().getPathQuery(),
+            memory);
     request.onRequestBegin(SendState.orAbort(begun -> checkBeforeSend(exchange, begun)));
     Optional<ForwardedRun> run =
         forwarder.map(peer -> newForwardedRun(request, headers, exchange, attempt.call(), peer));
     noticeReader.watch(request, engine, exchange.head().requestId());
-    attempt.send(withContent(request, headers, exchange.body()), run);
+    attempt.send(withContent(request, headers, exchange.body()), run, memory);
   }
 
   /** Names the engine and a key for the request to the node that forwards it. */
@@ -243,7 +250,9 @@
       HttpFields headers,
       byte[] body) {
     serviceByAddress.put(engine.address(), engine.service());
-    Request request = newCall(engine.address(), method, path);
+    EngineAnswerMemory.Share memory = answers.open(engine.address());
+    Request request = newCall(engine.address(), method, path, memory);
+    request.onComplete(result -> memory.release());
     noticeReader.watchForwarded(request, engine, requestId);
     return withContent(request, headers, body);
   }
@@ -322,18 +331,26 @@
 
   /** Its answer is short, and bounded by whoever keeps it. */
   private Request newOwnCall(NetworkAddress address, String method, String target) {
-    Request request = newCall(address, method, target);
+    EngineAnswerMemory.Share memory = answers.open(address);
+    Request request = newCall(address, method, target, memory);
     request.onRequestBegin(begun -> progressOf(begun).pause());
+    request.onComplete(result -> memory.release());
     return request;
   }
 
-  /** Prepares a call whose receiver tells {@link #progressOf} of each part of the body. */
-  private Request newCall(NetworkAddress address, String method, String target) {
+  /**
+   * Prepares a call whose receiver tells {@link #progressOf} of each part of the body.
+   *
+   * @param memory for the head of its answer
+   */
+  private Request newCall(
+      NetworkAddress address, String method, String target, EngineAnswerMemory.Share memory) {
     return new UnalteredRequest(client, address, target)
         .method(method)
         .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS)
         .onRequestBegin(begun -> progressOf(begun).expectMessage())
-        .onResponseBegin(EngineClient::refuseSwitchOfProtocols);
+        .onResponseBegin(EngineClient::refuseSwitchOfProtocols)
+        .onResponseHeader((answer, field) -> keepField(answer, field, memory));
   }
 
   /** The guard of the connection on which a request is sent. */
@@ -343,6 +360,15 @@
         : new ProgressGuard();
   }
 
+  private static boolean keepField(
+      Response answer, HttpField field, EngineAnswerMemory.Share memory) {
+    boolean room = memory.tryAddField(field.getName(), field.getValue());
+    if (!room) {
+      answer.abort(new IllegalStateException("no memory is left for the head of an answer"));
+    }
+    return room;
+  }
+
   /** Nothing that follows would be an answer. */
   private static void refuseSwitchOfProtocols(Response answer) {
     if (answer.getStatus() == HttpStatus.SWITCHING_PROTOCOLS_101) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EventFramer.java
@@ -50,6 +50,11 @@
     length += added;
   }
 
+  /** How many bytes it keeps room for. */
+  int capacity() {
+    return pending.length;
+  }
+
   /** Whether bytes of an incomplete event are buffered. */
   boolean hasPartialEvent() {
     return length > 0;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -98,12 +98,17 @@
   }
 
   void setAttempt(EngineAttempt current) {
+    releaseAnswer();
     attempt = current;
   }
 
+  private void releaseAnswer() {
+    attempt().ifPresent(EngineAttempt::releaseAnswer);
+  }
+
   /** Drops the current attempt and starts waiting for an engine; call on the dispatch thread. */
   void beginWait(long nowNanos) {
-    attempt = null;
+    setAttempt(null);
     waitingSinceNanos = nowNanos;
   }
 
@@ -291,6 +296,7 @@
       closeConnection();
       callback.failed(new EofException("the answer broke off"));
       gateway.bodies().release(body.length);
+      releaseAnswer();
     }
   }
 
@@ -306,7 +312,7 @@
     if (completed.compareAndSet(false, true)) {
       unwatch();
       try {
-        writer.write(true, last, callback);
+        writer.write(true, last, Callback.from(callback, this::releaseAnswer));
       } finally {
         gateway.bodies().release(body.length);
       }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -142,7 +142,7 @@
     PeerPorts peerPorts = PeerPorts.bind(settings.peers());
     PeerInfo self = settings.peerInfo(peerPorts.address());
     ForwardedRequests forwarded = new ForwardedRequests(self.address());
-    this.engines = new EngineClient(platform.engines(), notices, forwarded, log, threads);
+    this.engines = newEngineClient(forwarded);
     this.control = PlainHttpClients.startForControl(threads);
     this.peers = new PeerExchange(peerPorts.datagrams(), this::post);
     this.lease = newOrderLease();
@@ -199,6 +199,12 @@
     dispatcher.resumedStreams().tracker().setContact(directoryConfirmation);
   }
 
+  private EngineClient newEngineClient(ForwardedRequests forwarded) throws Exception {
+    EngineAnswerMemory answers = new EngineAnswerMemory(settings.bounds().answerMemory().bytes());
+    metrics.gauge("answer_bytes", answers::reserved);
+    return new EngineClient(platform.engines(), notices, forwarded, answers, log, threads);
+  }
+
   private StopSequence newStopSequence() {
     return new StopSequence(
         state,
--- a/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/settings/GatewayBounds.java
@@ -19,6 +19,7 @@
  * @param revokeFailClosed whether keys are believed only while the store, or a node that reaches
  *     it, can tell that none was taken away
  * @param bodyMemory memory for the bodies of all requests of the node
+ * @param answerMemory memory for what is kept of the answers of all engines
  */
 public record GatewayBounds(
     Duration contact,
@@ -31,7 +32,8 @@
     Duration retryWindow,
     Duration revoke,
     boolean revokeFailClosed,
-    DataSize bodyMemory) {
+    DataSize bodyMemory,
+    DataSize answerMemory) {
 
   /** Of the bound on keys, what a refusal needs on its way. */
   private static final Duration REVOKE_MARGIN = Duration.ofMillis(500);
@@ -114,6 +116,14 @@
           DataSize.ofMebibytes(16 * 1024),
           "Memory for the bodies of all requests of the node; more are refused.");
 
+  private static final SettingDefinition<DataSize> ANSWER_MEMORY =
+      SettingDefinition.dataSize(
+          "bounds.answer_memory",
+          DataSize.ofMebibytes(16),
+          DataSize.ofMebibytes(1),
+          DataSize.ofMebibytes(16 * 1024),
+          "Memory for what is kept of answers while they are read; an engine has half of it.");
+
   static final List<SettingDefinition<?>> DEFINITIONS =
       List.of(
           CONTACT,
@@ -126,7 +136,8 @@
           RETRY_WINDOW,
           REVOKE,
           REVOKE_FAIL_CLOSED,
-          BODY_MEMORY);
+          BODY_MEMORY,
+          ANSWER_MEMORY);
 
   static GatewayBounds from(SettingValues values) {
     return new GatewayBounds(
@@ -140,7 +151,8 @@
         values.get(RETRY_WINDOW),
         values.get(REVOKE),
         values.get(REVOKE_FAIL_CLOSED),
-        values.get(BODY_MEMORY));
+        values.get(BODY_MEMORY),
+        values.get(ANSWER_MEMORY));
   }
 
   /** How long keys are believed without word of the newest configuration; empty for ever. */
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineClientTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineClientTest.java
@@ -66,8 +66,10 @@
     EngineNotices notices = new Dispatcher(settings.dispatchParameters()).notices();
     DecisionLog log = new DecisionLog(new GatewayMetrics());
     ForwardedRequests forwarded = new ForwardedRequests(new NetworkAddress("127.0.0.1", 1));
+    EngineAnswerMemory answers = new EngineAnswerMemory(1 << 20);
     try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
-        EngineClient client = new EngineClient(protocol(), notices, forwarded, log, threads)) {
+        EngineClient client =
+            new EngineClient(protocol(), notices, forwarded, answers, log, threads)) {
       ServingEngine engine =
           new ServingEngine(
               "e-1",
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OrphanedRunCheckTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OrphanedRunCheckTest.java
@@ -47,6 +47,7 @@
             OneEngineGateway.engines(headers -> headers),
             new Dispatcher(OneEngineGateway.settings().dispatchParameters()).notices(),
             new ForwardedRequests(new NetworkAddress("127.0.0.1", 1)),
+            new EngineAnswerMemory(1 << 20),
             new DecisionLog(metrics),
             threads);
     // The first call of a process may take longer than an engine is waited for.
