--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -327,6 +327,7 @@
     openMetrics();
     quarantine.start(faultHandler);
     log.started(settings.nodeName());
+    stop.onStarted();
   }
 
   private void openMetrics() throws Exception {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/StopSequence.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/StopSequence.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -18,6 +19,7 @@
   private final Forwarding forwarding;
   private final Runnable refuseNewRequests;
   private final Supplier<StopTimes> times;
+  private final CountDownLatch started = new CountDownLatch(1);
 
   /**
    * A sequence that has not begun.
@@ -38,10 +40,19 @@
     this.times = () -> StopTimes.of(System.nanoTime(), linger, within);
   }
 
-  /** Begins a planned stop; returns when its steps are due. */
-  StopTimes begin() {
+  /** The node has started: there is something to stop. */
+  void onStarted() {
+    started.countDown();
+  }
+
+  /**
+   * Begins a planned stop, and waits for the end of a start that is under way: callers are served
+   * before it has ended. Returns when the steps of the stop are due.
+   */
+  StopTimes begin() throws InterruptedException {
     StopTimes begun = times.get();
     state.beginStop(begun.answersEnd());
+    started.await(begun.answersEnd() - System.nanoTime(), TimeUnit.NANOSECONDS);
     return begun;
   }
 
