Signals, soak, emulator: planned stops with requests that outlast them, and engines that send without end

signals stops gateways in a planned way (SIGTERM, started again after the grace of 5 s), application back ends answer 5 in 100 requests with bytes that do not end, and a round is broken when a request that an engine ran gets no answer of a gateway that was not killed, or when a planned stop ends with another exit status; a planned stop excuses no request at two engines. The soak has a lane of engines that send without end, one or all but one of a service; it is the last, so that seeds draw the others as before.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/Blocking.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/Blocking.java
@@ -1,6 +1,8 @@
 package org.fallturn.rehearsal.emulator;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Blocker;
 import org.eclipse.jetty.util.Callback;
 
@@ -9,6 +11,14 @@
 
   private final Blocker.Callback blocker = Blocker.callback();
 
+  /** Writes bytes to a connection and waits until they are written. */
+  static void write(EndPoint endPoint, byte[] bytes) throws IOException {
+    try (Blocking written = new Blocking()) {
+      endPoint.write(written, ByteBuffer.wrap(bytes));
+      written.block();
+    }
+  }
+
   void block() throws IOException {
     blocker.block();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -493,6 +493,7 @@
         }
         case LOSE_ANSWER -> close(request, callback);
         case SILENT -> waitUntilGone(request, callback);
+        case ENDLESS -> sendWithoutEnd(request, callback);
         case HEAD_ONLY -> {
           response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
           parts.write(response, "");
@@ -575,16 +576,21 @@
       String requestId = request.getHeaders().get(REQUEST_ID);
       String head = UNENDED_ANSWER.formatted(REQUEST_ID, requestId, STAMP, id);
       EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-      try (Blocking written = new Blocking()) {
-        endPoint.write(written, ByteBuffer.wrap(head.getBytes(StandardCharsets.UTF_8)));
-        written.block();
-      }
+      Blocking.write(endPoint, head.getBytes(StandardCharsets.UTF_8));
       parts.pause();
       SocketChannel channel = (SocketChannel) endPoint.getTransport();
       channel.setOption(StandardSocketOptions.SO_LINGER, 0);
       close(request, callback);
     }
 
+    private void sendWithoutEnd(Request request, Callback callback) {
+      String requestId = request.getHeaders().get(REQUEST_ID);
+      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+      String fields = "%s: %s\r\n%s: stamp-%s\r\n".formatted(REQUEST_ID, requestId, STAMP, id);
+      EndlessAnswer.of(requestId.hashCode()).send(fields, bytes -> Blocking.write(endPoint, bytes));
+      close(request, callback);
+    }
+
     private void waitUntilGone(Request request, Callback callback) throws Exception {
       heldWork.work(request.getHeaders().get(REQUEST_ID), request);
       close(request, callback);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineFault.java
@@ -23,5 +23,7 @@
   /** Its success lacks the mark of its own answers. */
   UNSIGNED,
   /** It claims 503 without saying that it did not run the request. */
-  UNAVAILABLE_BUT_RAN
+  UNAVAILABLE_BUT_RAN,
+  /** It runs the request and sends bytes that are no answer, without end. */
+  ENDLESS
 }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
@@ -34,7 +34,7 @@
 
   /** How it answers; each kind takes its share, in percent. */
   private enum Kind {
-    WHOLE(40),
+    WHOLE(35),
     /** Once more behind the answer, as a failure that says that nothing was run. */
     ANSWERED_TWICE(10),
     /** After an interim answer. */
@@ -43,7 +43,9 @@
     NOT_RUN(10),
     FAILURE(5),
     CLOSED(5),
-    CUT_SHORT(10);
+    CUT_SHORT(10),
+    /** Bytes that are no answer, until the node closes the connection. */
+    ENDLESS(5);
 
     private final int percent;
 
@@ -112,6 +114,11 @@
     int millis = random.nextInt(isLong ? LONG_MILLIS : SHORT_MILLIS);
     boolean done = onDisconnect.work(connection, in, millis);
     System.out.print(endLine(requestId, System.nanoTime()));
+    if (done && kind == Kind.ENDLESS) {
+      EndlessAnswer.of(random.nextInt(PERCENT))
+          .send(stampedFields(requestId), connection.getOutputStream()::write);
+      return false;
+    }
     return done && end(connection, kind, requestId);
   }
 
@@ -141,8 +148,12 @@
   }
 
   private String head(String status, String requestId) {
-    return "HTTP/1.1 %s\r\n%s: %s\r\nX-Fallturn-Response-Stamp: stamp-%s\r\n"
-        .formatted(status, RawRequests.REQUEST_ID, requestId, id);
+    return "HTTP/1.1 %s\r\n".formatted(status) + stampedFields(requestId);
+  }
+
+  private String stampedFields(String requestId) {
+    return "%s: %s\r\nX-Fallturn-Response-Stamp: stamp-%s\r\n"
+        .formatted(RawRequests.REQUEST_ID, requestId, id);
   }
 
   private static void write(Socket connection, String text) throws IOException {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
@@ -9,7 +9,7 @@
 import org.fallturn.node.command.Command;
 
 /**
- * {@code signals}: requests at engines and gateways that are killed and suspended.
+ * {@code signals}: requests at engines and gateways that are killed, suspended and stopped.
  *
  * <pre>{@code
  * bin/fallturn-rehearsal signals --rounds 5 --seed 4711
@@ -26,7 +26,7 @@
 
   @Override
   public String help() {
-    return "kill and suspend engines and gateways; exit status 1 when a request runs twice";
+    return "kill, suspend and stop processes; exit status 1 when a request runs twice or is lost";
   }
 
   @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
@@ -26,6 +26,9 @@
  */
 final class SignalsFleet implements AutoCloseable {
 
+  /** From a planned stop to the end of a gateway, at the latest; shorter than some runs last. */
+  static final Duration GRACE = Duration.ofSeconds(5);
+
   private static final String HOSTS = "127.0.0.";
   private static final int FIRST_HOST = 12;
 
@@ -146,7 +149,7 @@
             [store]
             address = "%s"
             [bounds]
-            grace = "5s"
+            grace = "%ds"
             retry_slack = 10000
             """,
             gateway + 1,
@@ -154,7 +157,8 @@
             host(gateway),
             peerPort,
             String.join(",", seeds),
-            platform.store().address());
+            platform.store().address(),
+            GRACE.toSeconds());
     Files.writeString(settings(gateway), text);
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsRun.java
@@ -9,9 +9,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedClient.Call;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
@@ -29,6 +33,16 @@
   private static final int MIN_FAULT_MILLIS = 100;
   private static final int FAULT_RANGE_MILLIS = 1_900;
   private static final String LINKS = "links";
+  private static final String KILL = "kill";
+  private static final String STOP = "stop";
+  private static final int STOP_EXIT_SECONDS = 5;
+
+  /** The second one is that of a process that was stopped before it served anybody. */
+  private static final Set<Integer> GOOD_EXITS = Set.of(0, 143);
+
+  /** A connection of a killed process may seem to end before the kill has returned. */
+  private static final long KILL_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private static final int LINK_MILLIS = 4_000;
 
   /** A process that is disturbed counts as in touch again so long after. */
@@ -39,13 +53,21 @@
   private final Duration length;
   private final Path directory;
   private final PrintStream out;
-  private final List<Call> calls = new ArrayList<>();
-  private final List<Call> once = new ArrayList<>();
+  private final List<Sent> sent = new ArrayList<>();
   private final List<Disturbance> disturbances = new ArrayList<>();
+  private final List<String> wrongEnds = new ArrayList<>();
   private final List<Repair> repairs = new ArrayList<>();
 
   private record Disturbance(String what, long begunNanos, long endedNanos) {}
 
+  /**
+   * A request as it was sent.
+   *
+   * @param answeredNanos when its answer, or the end of its connection, had come
+   */
+  private record Sent(
+      Work work, int gateway, long sentNanos, Call call, AtomicLong answeredNanos) {}
+
   private record Repair(String target, long dueNanos, Step step) {}
 
   /** Something that is done to a process. */
@@ -78,7 +100,8 @@
     KILL_GATEWAY,
     SUSPEND_GATEWAY,
     SILENT_LINKS,
-    CUT_LINKS
+    CUT_LINKS,
+    STOP_GATEWAY
   }
 
   SignalsRun(long seed, Duration length, Path directory, PrintStream out) {
@@ -120,16 +143,12 @@
     try {
       while (System.nanoTime() - until < 0) {
         Work work = Work.values()[choice.nextInt(Work.values().length)];
-        Call call =
-            client.send(
-                fleet.callers(choice.nextInt(fleet.gatewayCount())),
-                work.path,
-                work.promptTokens,
-                DEADLINE);
-        calls.add(call);
-        if (work.once) {
-          once.add(call);
-        }
+        int gateway = choice.nextInt(fleet.gatewayCount());
+        long sentNanos = System.nanoTime();
+        Call call = client.send(fleet.callers(gateway), work.path, work.promptTokens, DEADLINE);
+        AtomicLong answered = new AtomicLong();
+        call.answer().thenRun(() -> answered.set(System.nanoTime()));
+        sent.add(new Sent(work, gateway, sentNanos, call, answered));
         TimeUnit.MILLISECONDS.sleep(REQUEST_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -171,7 +190,7 @@
     switch (fault) {
       case KILL_ENGINE -> {
         if (free(engineId)) {
-          begin(engineId, "kill", 0);
+          begin(engineId, KILL, 0);
           SignalsFleet.Engine old = fleet.replaceEngine(engine);
           later("row of " + engineId, millis, () -> fleet.unlist(old));
         }
@@ -179,19 +198,41 @@
       case SUSPEND_ENGINE -> suspend(engineId, fleet.engines().get(engine).process(), millis);
       case KILL_GATEWAY -> {
         if (free(SignalsFleet.gatewayName(gateway))) {
-          begin(SignalsFleet.gatewayName(gateway), "kill", 0);
+          begin(SignalsFleet.gatewayName(gateway), KILL, 0);
           fleet.gateway(gateway).kill();
           fleet.startGateway(gateway);
         }
       }
       case SUSPEND_GATEWAY ->
           suspend(SignalsFleet.gatewayName(gateway), fleet.gateway(gateway), millis);
+      case STOP_GATEWAY -> stop(fleet, gateway);
       case SILENT_LINKS -> setLinks(fleet, "SILENT");
       case CUT_LINKS -> setLinks(fleet, "CUT");
       default -> throw new IllegalStateException(fault.name());
     }
   }
 
+  /** A planned stop, after which the gateway is started again. */
+  private void stop(SignalsFleet fleet, int index) {
+    String name = SignalsFleet.gatewayName(index);
+    if (free(name)) {
+      begin(name, STOP, SignalsFleet.GRACE.toMillis());
+      ManagedProcess stopping = fleet.gateway(index);
+      stopping.terminate();
+      later(name, SignalsFleet.GRACE.toMillis(), () -> restart(fleet, index, stopping));
+    }
+  }
+
+  private void restart(SignalsFleet fleet, int index, ManagedProcess stopping)
+      throws IOException, InterruptedException {
+    OptionalInt exit = stopping.awaitExit(STOP_EXIT_SECONDS);
+    if (exit.isEmpty() || !GOOD_EXITS.contains(exit.getAsInt())) {
+      wrongEnds.add(stopping.name() + " ended a planned stop with exit status " + exit);
+      stopping.kill();
+    }
+    fleet.startGateway(index);
+  }
+
   private boolean free(String target) {
     return repairs.stream().noneMatch(repair -> repair.target().equals(target));
   }
@@ -226,8 +267,8 @@
 
   private Map<Integer, Integer> statuses() throws Exception {
     Map<Integer, Integer> counts = new TreeMap<>();
-    for (Call call : calls) {
-      counts.merge(call.await().status(), 1, Integer::sum);
+    for (Sent one : sent) {
+      counts.merge(one.call().await().status(), 1, Integer::sum);
     }
     return counts;
   }
@@ -237,13 +278,13 @@
         Locale.ROOT,
         "seed %d: %d requests (%d that may run once), %d runs, %d faults, statuses %s%n",
         seed,
-        calls.size(),
-        once.size(),
+        sent.size(),
+        once().count(),
         runs.count(),
         disturbances.size(),
         statuses);
     List<String> twice =
-        once.stream().map(Call::requestId).filter(id -> runs.runsOf(id) > 1).toList();
+        once().map(one -> one.call().requestId()).filter(id -> runs.runsOf(id) > 1).toList();
     out.println("  ran more than once: " + twice);
     List<EngineRuns.Overlap> overlaps = runs.overlaps();
     List<EngineRuns.Overlap> unexcused =
@@ -255,7 +296,34 @@
         unexcused.size(),
         overlaps.stream().filter(overlap -> SignalsFleet.isModel(overlap.earlier())).count());
     overlaps.forEach(this::print);
-    return twice.isEmpty() && unexcused.isEmpty();
+    List<String> unanswered = unanswered(runs);
+    out.println("  ran and got no answer of a gateway that was not killed: " + unanswered);
+    wrongEnds.forEach(end -> out.println("  " + end));
+    return twice.isEmpty() && unexcused.isEmpty() && unanswered.isEmpty() && wrongEnds.isEmpty();
+  }
+
+  private Stream<Sent> once() {
+    return sent.stream().filter(one -> one.work().once);
+  }
+
+  /** Requests that an engine ran and whose connection ended without an answer. */
+  private List<String> unanswered(EngineRuns runs) {
+    return sent.stream()
+        .filter(one -> one.call().answer().join().status() == 0)
+        .filter(one -> runs.runsOf(one.call().requestId()) > 0)
+        .filter(one -> !wasKilled(one))
+        .map(one -> one.call().requestId() + " at " + SignalsFleet.gatewayName(one.gateway()))
+        .toList();
+  }
+
+  private boolean wasKilled(Sent one) {
+    String kill = KILL + " " + SignalsFleet.gatewayName(one.gateway());
+    return disturbances.stream()
+        .filter(known -> known.what().equals(kill))
+        .anyMatch(
+            known ->
+                known.begunNanos() > one.sentNanos()
+                    && known.begunNanos() < one.answeredNanos().get() + KILL_NOTICE_NANOS);
   }
 
   private void print(EngineRuns.Overlap overlap) {
@@ -276,13 +344,13 @@
 
   /**
    * Faults of a gateway, of the links that were used, or to the first engine, after which nothing
-   * is promised.
+   * is promised. A planned stop is none.
    */
   private List<String> near(EngineRuns.Overlap overlap) {
     return disturbances.stream()
         .filter(
             known ->
-                known.what().contains("gateway")
+                known.what().contains("gateway") && !known.what().startsWith(STOP)
                     || known.what().contains(LINKS) && sentOverLinks(overlap)
                     || known.what().endsWith(" " + overlap.earlier().engine()))
         .filter(
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.EngineFault;
 import org.fallturn.rehearsal.emulator.StoreFault;
 import org.fallturn.rehearsal.faults.LinkFaults;
@@ -303,6 +304,32 @@
       fleet.oddEntries().end(target);
     }
   },
+  ENGINE_SENDS_WITHOUT_END(Lane.ENDLESS_ANSWERS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.engine(target).misbehave(EngineFault.ENDLESS);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.engine(target).misbehaveInPlaceOf(EngineFault.ENDLESS, EngineFault.NONE);
+    }
+  },
+  ENGINES_OF_A_SERVICE_SEND_WITHOUT_END(Lane.ENDLESS_ANSWERS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      List<EmulatedEngine> engines = fleet.sameServiceAs(fleet.engine(target));
+      engines.stream().skip(1).forEach(engine -> engine.misbehave(EngineFault.ENDLESS));
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet
+          .platform()
+          .engines()
+          .forEach(engine -> engine.misbehaveInPlaceOf(EngineFault.ENDLESS, EngineFault.NONE));
+    }
+  },
   ENGINES_RELEASED(Lane.RELEASES),
   ENGINES_RELEASED_MEANWHILE(Lane.OVERLAPPING_RELEASES),
   ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
@@ -354,7 +381,9 @@
      */
     OUT_OF_STEP(0.4, Integer.MAX_VALUE),
     /** Entries of another writer among those of the engines. */
-    ODD_ENTRIES(1, Integer.MAX_VALUE);
+    ODD_ENTRIES(1, Integer.MAX_VALUE),
+    /** Engines that send bytes that are no answer until gateways close their connections. */
+    ENDLESS_ANSWERS(1, Integer.MAX_VALUE);
 
     private final double times;
     private final int mostMillis;
