Let a forwarded request wait beyond the lease while the node that forwards says that its engine works on

Cause: silence and work were one to the node that waits, so that the lease ended both. Change: the node that forwards answers a cancellation within 250 ms: confirmed (200), or still at its engine (202), which holds until the next call has had time.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -10,7 +10,9 @@
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpField;
@@ -48,7 +50,8 @@
  * <p>A request ends with the connection between the nodes, with a call to {@link #CANCEL_PREFIX}
  * and its key, with its lease, and before this process ends in a planned stop. Invariants: once its
  * node is known to have given it up, or its time has passed, it does not begin to be sent; a
- * cancellation is answered once this node has closed its connection to the engine. Thread-safe.
+ * cancellation is confirmed once this node has closed its connection to the engine and that has
+ * left the request. Thread-safe.
  */
 final class EngineForwarder extends Handler.Abstract.NonBlocking {
 
@@ -57,6 +60,9 @@
   /** Path (method DELETE), followed by the key of a request, that ends it. */
   static final String CANCEL_PREFIX = "/forwarded/";
 
+  /** Shorter than the other node waits for an answer. */
+  private static final Duration CANCELLATION_WAIT = Duration.ofMillis(250);
+
   /** Bound on requests of other nodes, so that the callers of this one keep their share of it. */
   private static final int MAX_REQUESTS = 256;
 
@@ -111,8 +117,7 @@
     if (engineId == null) {
       boolean cancel = path.startsWith(CANCEL_PREFIX) && HttpMethod.DELETE.is(request.getMethod());
       if (cancel) {
-        cancel(path.substring(CANCEL_PREFIX.length()))
-            .thenRun(() -> response.write(true, BufferUtil.EMPTY_BUFFER, callback));
+        answerCancellation(cancel(path.substring(CANCEL_PREFIX.length())), response, callback);
       }
       return cancel;
     }
@@ -136,6 +141,23 @@
         && present.get() < MAX_REQUESTS;
   }
 
+  /** Answers once the request is over, or that it still runs. */
+  private void answerCancellation(
+      CompletableFuture<Void> over, Response response, Callback callback) {
+    AtomicBoolean answered = new AtomicBoolean();
+    Consumer<Integer> answer =
+        status -> {
+          if (answered.compareAndSet(false, true)) {
+            response.setStatus(status);
+            response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+          }
+        };
+    over.thenRun(() -> answer.accept(HttpStatus.OK_200));
+    if (!over.isDone()) {
+      engines.runLater(() -> answer.accept(HttpStatus.ACCEPTED_202), CANCELLATION_WAIT);
+    }
+  }
+
   /** Ends a request; the result is complete once no engine works on it for this node. */
   private CompletableFuture<Void> cancel(String key) {
     cancelledKeys.add(key);
