--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -64,6 +64,9 @@
 
   private static final int MAX_LIST_BYTES = 2 << 20;
 
+  /** Many times what a report of all slots of an engine takes. */
+  static final int MAX_REPORT_BYTES = 256 * 1024;
+
   private final HttpClient client;
   private final EngineProtocol protocol;
   private final ForwardedRequests forwarded;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineProbe.java
@@ -26,7 +26,7 @@
     engines
         .newReport(engine)
         .send(
-            new BufferingResponseListener() {
+            new BufferingResponseListener(EngineClient.MAX_REPORT_BYTES) {
               @Override
               public void onComplete(Result result) {
                 if (EngineLiveness.of(engine, result, getContent(), engines.protocol())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ReportCalls.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReportCalls.java
@@ -48,7 +48,7 @@
       engines
           .newReportOnNewConnection(engine)
           .send(
-              new BufferingResponseListener() {
+              new BufferingResponseListener(EngineClient.MAX_REPORT_BYTES) {
                 @Override
                 public void onComplete(Result result) {
                   answer.accept(read(engine, result, getContent()));
