--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerMemory.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAnswerMemory.java
@@ -19,6 +19,7 @@
   /** Reserved at a time, so that an answer that grows asks seldom. */
   private static final int STEP_BYTES = 16 * 1024;
 
+  /** An engine may have one of so many parts. */
   private static final int PARTS = 2;
 
   /** What a field of a head takes beside its characters. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
@@ -6,7 +6,7 @@
 
 /** Why a request gets no further answer of an engine, although it has none that is whole. */
 enum RequestEnd {
-  /** The caller closed its connection, or the connection failed. */
+  /** The caller closed its connection, or the connection failed; nobody reads an answer. */
   CALLER_GONE(ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STOPPING, Duration.ZERO),
   /** The deadline passed. */
   TIME_OVER(ErrorKind.DEADLINE_EXCEEDED, ErrorKind.DEADLINE_UNREACHABLE, Duration.ofSeconds(1)),
