Tests: name the soak's new lane; fill the memory of answers without losing any

SoakCheckTest pins the last lanes in their order, and the new one is named there now (deterministic). ManyEndlessAnswersTest#goodLargeAnswer... waited in vain for its request in the script beside load: 24 answers had been cut before, so that all engines could be suspended and the request refused. Eight failures now take nearly all of the memory and none is cut, which the test checks first; all requests are awaited before the first is answered. The assertions stay.

--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/ManyEndlessAnswersTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/ManyEndlessAnswersTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.regex.Pattern;
 import org.fallturn.core.routing.RequestKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,6 +33,12 @@
   private static final int LARGE_FAILURE_BYTES = 1_000_000;
   private static final int HEAD_BYTES = 60_000;
 
+  /** So many of this size take nearly all of the memory, and none is cut. */
+  private static final int FILLING_FAILURES = 8;
+
+  private static final int FILLING_FAILURE_BYTES = 1_040_000;
+  private static final int GOOD_ANSWER_BYTES = 250_000;
+
   /** What the many short fields of such a head cost at least, as objects. */
   private static final int HEAD_COST_BYTES = 1 << 20;
 
@@ -82,17 +89,22 @@
     return caller;
   }
 
-  /** Has each request answered with bytes that are held there; returns the connections. */
-  private List<RawEngine.Connection> answerAll(String head, String bytes) throws Exception {
-    for (int number = 0; number < REQUESTS; number++) {
+  /**
+   * Has requests answered with bytes that are held there, once all have come: an engine whose
+   * answer is cut may get no more of them. Returns the connections.
+   */
+  private List<RawEngine.Connection> answerAll(int requests, String head, String bytes)
+      throws Exception {
+    for (int number = 0; number < requests; number++) {
       send(id(number));
     }
     List<RawEngine.Connection> answering = new ArrayList<>();
-    for (int number = 0; number < REQUESTS; number++) {
-      RawEngine.Connection connection = awaitConnection(id(number));
-      answering.add(connection);
+    for (int number = 0; number < requests; number++) {
+      answering.add(awaitConnection(id(number)));
+    }
+    for (int number = 0; number < requests; number++) {
       try {
-        connection.send(head.formatted(id(number)) + bytes);
+        answering.get(number).send(head.formatted(id(number)) + bytes);
       } catch (UncheckedIOException e) {
         // The node closed the connection.
       }
@@ -108,13 +120,21 @@
     return "HTTP/1.1 " + status + "\r\n" + OneEngineGateway.ID_HEADER + ": %s\r\n";
   }
 
-  private List<RawEngine.Connection> holdLargeFailures() throws Exception {
-    return answerAll(head("500 Failed") + "\r\n", "a".repeat(LARGE_FAILURE_BYTES));
+  private List<RawEngine.Connection> holdFailures(int requests, int bytes) throws Exception {
+    return answerAll(requests, head("500 Failed") + "\r\n", "a".repeat(bytes));
+  }
+
+  private long reservedBytes() {
+    return Pattern.compile("answer_bytes (\\d+)")
+        .matcher(gateway.metrics().text())
+        .results()
+        .mapToLong(match -> Long.parseLong(match.group(1)))
+        .sum();
   }
 
   @Test
   void largeFailuresAreHeldTogetherWithinABound() throws Exception {
-    List<RawEngine.Connection> held = holdLargeFailures();
+    List<RawEngine.Connection> held = holdFailures(REQUESTS, LARGE_FAILURE_BYTES);
     await()
         .atMost(LONGEST)
         .untilAsserted(
@@ -126,7 +146,7 @@
   void headsOfManyFieldsAreHeldTogetherWithinABound() throws Exception {
     String field = "a:\r\n";
     List<RawEngine.Connection> held =
-        answerAll(head("200 OK"), field.repeat(HEAD_BYTES / field.length()));
+        answerAll(REQUESTS, head("200 OK"), field.repeat(HEAD_BYTES / field.length()));
     await()
         .atMost(LONGEST)
         .untilAsserted(
@@ -135,8 +155,9 @@
 
   @Test
   void goodLargeAnswerIsRelayedThoughOthersTakeTheMemory() throws Exception {
-    holdLargeFailures();
-    String body = "b".repeat(200_000);
+    holdFailures(FILLING_FAILURES, FILLING_FAILURE_BYTES);
+    String body = "b".repeat(GOOD_ANSWER_BYTES);
+    await().atMost(LONGEST).until(() -> MOST_HELD_BYTES - reservedBytes() < GOOD_ANSWER_BYTES);
     Socket caller = send("good");
     awaitConnection("good")
         .send(
@@ -151,10 +172,9 @@
   /** Room is given back, however the answers end. */
   @Test
   void memoryIsFreeAgainOnceTheAnswersHaveEnded() throws Exception {
-    List<RawEngine.Connection> held = holdLargeFailures();
-    assertThat(gateway.metrics().text()).doesNotContain("answer_bytes 0");
+    List<RawEngine.Connection> held = holdFailures(REQUESTS, LARGE_FAILURE_BYTES);
+    await().atMost(LONGEST).until(() -> reservedBytes() > 0);
     held.forEach(RawEngine.Connection::close);
-    await().atMost(LONGEST).until(() -> gateway.metrics().text().contains("answer_bytes 0"));
-    assertThat(gateway.inFlight()).isZero();
+    await().atMost(LONGEST).until(() -> reservedBytes() == 0 && gateway.inFlight() == 0);
   }
 }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -387,7 +387,8 @@
             SoakFault.Lane.PEER_LINKS,
             SoakFault.Lane.KILLS,
             SoakFault.Lane.OUT_OF_STEP,
-            SoakFault.Lane.ODD_ENTRIES);
+            SoakFault.Lane.ODD_ENTRIES,
+            SoakFault.Lane.ENDLESS_ANSWERS);
     assertThat(SoakSchedule.draw(81002, Duration.ofMinutes(1)).faults())
         .filteredOn(entry -> entry.fault() == SoakFault.PEER_REQUESTS_SILENT)
         .first()
