Note when a request was sent before noting that it may be sent

Found in reading the change once more. The order was turned round with the note that comes before anything that can fail: whoever saw maybeSent in between read a time of 0, by which a report older than the send would count as one after it (OrphanedRuns). Reading the clock allocates nothing, so that it may stand first, as it did before.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SendState.java
@@ -20,8 +20,8 @@
   @Override
   public void onBegin(Request begun) {
     if (!(begun.getAbortCause() instanceof WithheldException)) {
-      maybeSent = true;
       sentNanos = System.nanoTime();
+      maybeSent = true;
       connection = LogTexts.connection(begun);
     }
   }
