Say on what ground an answer tells that a request has not run

A refusal's line named its cause, and not on what ground each earlier send counts as not run, so that the log could not tell a false word of an engine from one of another node or of this one. The lines REFUSED, TIME_OVER and GIVEN_UP list the sends with their evidence; fallturn_gateway_not_run_total counts it. No decision changed.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -279,10 +279,8 @@
   public Decision onFailure(RequestProgress progress, AttemptOutcome outcome, long nowNanos) {
     boolean wasPrefill = progress.prefilling();
     progress.engine().ifPresent(engine -> onFailedEngine(progress, engine, outcome, nowNanos));
+    progress.recordFailedSend(outcome);
     release(progress, outcome.mayHaveRun());
-    if (!outcome.mayHaveReached()) {
-      progress.uncountSend();
-    }
     Optional<Decision> refusal = gate.refusalAfter(outcome, progress, nowNanos);
     if (refusal.isPresent()) {
       return refusal.get();
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -1,6 +1,9 @@
 package org.fallturn.core.dispatch;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -20,6 +23,7 @@
   private final RequestEnvelope envelope;
   private final RequestContent content;
   private final Set<String> triedEngines = new HashSet<>();
+  private final List<EndedSend> endedSends = new ArrayList<>(0);
   private String service = "";
   private int runSends;
   private int possibleRuns;
@@ -148,6 +152,11 @@
     return runSends;
   }
 
+  /** The sends that ended without an answer for the caller, in order. */
+  public List<EndedSend> endedSends() {
+    return Collections.unmodifiableList(endedSends);
+  }
+
   /** Number of times that the prompt was sent to a prefill engine. */
   public int prefillAttempts() {
     return prefillAttempts;
@@ -329,6 +338,19 @@
     return use;
   }
 
+  /**
+   * Records how the send of the current attempt ended, if there is an attempt. One of which no byte
+   * reached an engine is not counted any more.
+   */
+  void recordFailedSend(AttemptOutcome outcome) {
+    if (engine != null) {
+      endedSends.add(new EndedSend(engine.id(), prefilling, forwarder != null, outcome));
+    }
+    if (!outcome.mayHaveReached()) {
+      sends--;
+    }
+  }
+
   /**
    * Ends the current attempt.
    *
@@ -345,11 +367,6 @@
     chargedTokens = 0;
   }
 
-  /** Excludes the last attempt from the number of sends, since no byte reached an engine. */
-  void uncountSend() {
-    sends--;
-  }
-
   /**
    * Records that a prefill has been completed.
    *
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -126,7 +126,9 @@
   }
 
   void givenUp(Exchange exchange, ErrorKind kind) {
-    line(LogEvent.GIVEN_UP, exchange, kind.name()).addKeyValue("kind", kind).log();
+    withSends(line(LogEvent.GIVEN_UP, exchange, kind.name()), exchange, kind)
+        .addKeyValue("kind", kind)
+        .log();
   }
 
   void settingsReloaded() {
@@ -469,7 +471,7 @@
   private LoggingEventBuilder refused(Exchange exchange, Decision.Refuse refuse) {
     metrics.refused(refuse.cause());
     LoggingEventBuilder line =
-        line(LogEvent.REFUSED, exchange, refuse.kind().name())
+        withSends(line(LogEvent.REFUSED, exchange, refuse.kind().name()), exchange, refuse.kind())
             .addKeyValue("kind", refuse.kind())
             .addKeyValue("cause", refuse.cause())
             .addKeyValue("reason", refuse.reason())
@@ -481,6 +483,12 @@
         : line;
   }
 
+  private LoggingEventBuilder withSends(
+      LoggingEventBuilder line, Exchange exchange, ErrorKind kind) {
+    metrics.answered(kind, exchange.progress().endedSends());
+    return line.addKeyValue("sends", LogTexts.sends(exchange));
+  }
+
   private LoggingEventBuilder placed(
       Exchange exchange, ServingEngine engine, PlacementEstimate estimate, int urgency) {
     return line(LogEvent.PLACED, exchange)
@@ -581,9 +589,11 @@
         .log();
   }
 
-  void timeOver(Exchange exchange, RequestEnd why) {
-    LogTexts.withLastAttempt(line(LogEvent.TIME_OVER, exchange), exchange)
+  void timeOver(Exchange exchange, RequestEnd why, ErrorKind kind) {
+    LoggingEventBuilder line = withSends(line(LogEvent.TIME_OVER, exchange), exchange, kind);
+    LogTexts.withLastAttempt(line, exchange)
         .addKeyValue("end", why)
+        .addKeyValue("kind", kind)
         .addKeyValue("possibleRuns", exchange.progress().possibleRuns())
         .log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -556,8 +556,8 @@
 
   private void onTimeOver(Exchange exchange, RequestEnd why, long now) {
     active.remove(exchange);
-    log.timeOver(exchange, why);
     boolean possiblyRun = exchange.progress().possibleRuns() > 0;
+    log.timeOver(exchange, why, why.errorKind(possiblyRun));
     abandon(exchange, "its time is over", now);
     exchange.refuse(why.errorKind(possiblyRun), why.retryAfter(possiblyRun));
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayMetrics.java
@@ -1,22 +1,28 @@
 package org.fallturn.node.gateway;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.LongSupplier;
+import org.fallturn.core.dispatch.EndedSend;
+import org.fallturn.core.dispatch.NotRunEvidence;
 import org.fallturn.core.dispatch.RefusalCause;
+import org.fallturn.core.error.ErrorKind;
+import org.fallturn.core.error.Outcome;
 
 /**
  * Metrics of a gateway in the Prometheus text format: counters of logged events by event and
- * detail, counters of refusals by cause, latency histograms, and gauges of the node's present
- * state. All labels come from closed lists, so that the number of series is bounded. Thread-safe.
- * Written by hand, since the metrics library would lengthen a process's start.
+ * detail, counters of refusals by cause and by evidence, latency histograms, and gauges of the
+ * node's present state. All labels come from closed lists, so that the number of series is bounded.
+ * Thread-safe. Written by hand, since the metrics library would lengthen a process's start.
  */
 final class GatewayMetrics {
 
   private static final String EVENTS = "fallturn_gateway_events_total";
   private static final String REFUSALS = "fallturn_gateway_refusals_total";
+  private static final String NOT_RUN = "fallturn_gateway_not_run_total";
   private static final String FIRST_PART = "fallturn_gateway_first_part_ms";
   private static final String WHOLE = "fallturn_gateway_whole_ms";
   private static final String WAITED = "fallturn_gateway_waited_ms";
@@ -24,6 +30,7 @@
 
   private final Map<String, LongAdder> events = new ConcurrentHashMap<>();
   private final Map<RefusalCause, LongAdder> refusals = new ConcurrentHashMap<>();
+  private final Map<NotRunEvidence, LongAdder> notRun = new ConcurrentHashMap<>();
   private final Map<String, LongSupplier> gauges = new ConcurrentHashMap<>();
   private final LatencyHistogram firstPart = new LatencyHistogram();
   private final LatencyHistogram whole = new LatencyHistogram();
@@ -45,6 +52,25 @@
     refusals.computeIfAbsent(cause, key -> new LongAdder()).increment();
   }
 
+  /**
+   * Counts on what ground an answer of this node says that the request has not run, if it does.
+   *
+   * @param sends the sends of the request before
+   */
+  void answered(ErrorKind kind, List<EndedSend> sends) {
+    if (kind.outcome() != Outcome.NOT_RUN) {
+      return;
+    }
+    sends.stream().flatMap(send -> send.notRunEvidence().stream()).forEach(this::saidNotRun);
+    if (sends.isEmpty()) {
+      saidNotRun(NotRunEvidence.NO_SEND);
+    }
+  }
+
+  private void saidNotRun(NotRunEvidence evidence) {
+    notRun.computeIfAbsent(evidence, key -> new LongAdder()).increment();
+  }
+
   /** Records the time from the arrival of a whole request to the first part of its answer. */
   void firstPart(long nanos) {
     firstPart.record(nanos);
@@ -88,16 +114,8 @@
                     .append("} ")
                     .append(count.sum())
                     .append('\n'));
-    text.append("# TYPE ").append(REFUSALS).append(" counter\n");
-    new TreeMap<>(refusals)
-        .forEach(
-            (cause, count) ->
-                text.append(REFUSALS)
-                    .append("{cause=\"")
-                    .append(cause)
-                    .append("\"} ")
-                    .append(count.sum())
-                    .append('\n'));
+    writeCounters(REFUSALS, "cause", refusals, text);
+    writeCounters(NOT_RUN, "evidence", notRun, text);
     new TreeMap<>(gauges)
         .forEach(
             (name, value) -> {
@@ -110,4 +128,20 @@
     dispatch.write(text);
     return text.toString();
   }
+
+  private static <E extends Enum<E>> void writeCounters(
+      String name, String label, Map<E, LongAdder> counters, StringBuilder text) {
+    text.append("# TYPE ").append(name).append(" counter\n");
+    new TreeMap<>(counters)
+        .forEach(
+            (value, count) ->
+                text.append(name)
+                    .append('{')
+                    .append(label)
+                    .append("=\"")
+                    .append(value)
+                    .append("\"} ")
+                    .append(count.sum())
+                    .append('\n'));
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -8,6 +8,7 @@
 import java.util.stream.IntStream;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
+import org.fallturn.core.dispatch.EndedSend;
 import org.fallturn.core.dispatch.PromptPart;
 import org.fallturn.core.dispatch.PromptShape;
 import org.fallturn.core.quarantine.RequestContent;
@@ -97,6 +98,13 @@
         .collect(Collectors.joining(" "));
   }
 
+  /** Lists the ended sends of a request: {@code e-1=ENGINE_REFUSED e-2=LOST}. */
+  static String sends(Exchange exchange) {
+    return exchange.progress().endedSends().stream()
+        .map(EndedSend::toString)
+        .collect(Collectors.joining(" "));
+  }
+
   /** Adds where the current attempt was sent and whether it was, if there is one. */
   static LoggingEventBuilder withLastAttempt(LoggingEventBuilder line, Exchange exchange) {
     return exchange.attempt().map(attempt -> withAttempt(line, attempt)).orElse(line);
