Take no status of an answer for the word that a request was not forwarded

What callers could see: 503, which says that a request has not run, or a second run, after an engine ran it.

Change: only the result itself tells; an answer without one is LOST. The line of ForwardingResultTest that expected 404 to tell the end stood for the false word and is replaced by answerWithoutResultDoesNotTellThatNothingWasSent (red before: NOT_SENT). Status is no input any more, so that the tests do not name one.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -247,7 +247,7 @@
     if (forwarder.isPresent()) {
       endIsConfirmedByForwarder =
           headers.contains(ForwardingHeaders.END_UNMARKED, ForwardingHeaders.CONFIRMED_BEFORE_END);
-      forwardingResult = ForwardingResult.of(response.getStatus(), headers);
+      forwardingResult = ForwardingResult.of(headers);
       headers =
           HttpFields.build(headers)
               .remove(ForwardingHeaders.RESULT)
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingResult.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingResult.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.dispatch.AttemptOutcome;
 
 /** What a node that forwarded a request says became of it. */
@@ -33,16 +32,16 @@
   }
 
   /**
-   * Reads the result from the head of an answer. A node of an earlier build forwards nothing and
-   * finds nothing at the path.
+   * Reads the result from the headers of an answer. One without a result proves nothing, whatever
+   * its status: it may be an engine's, whose node failed while it relayed the head.
    */
-  static ForwardingResult of(int status, HttpFields headers) {
+  static ForwardingResult of(HttpFields headers) {
     String name = headers.get(ForwardingHeaders.RESULT);
     for (ForwardingResult result : values()) {
       if (result.name().equals(name)) {
         return result;
       }
     }
-    return status == HttpStatus.NOT_FOUND_404 ? NOT_SENT : UNKNOWN;
+    return UNKNOWN;
   }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/ForwardingResultTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/ForwardingResultTest.java
@@ -3,35 +3,36 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against a request that goes on at a second engine while the first still works on it: a
- * node that was to forward it fails with an answer of its HTTP server, which was taken for its word
- * that it had left the engine.
+ * Guards against a request that goes on at a second engine while the first still works on it, or
+ * that is called not run: a node that was to forward it fails with an answer that lacks its word,
+ * which was taken for one that it had left the engine, or had not sent the request.
  */
 class ForwardingResultTest {
 
-  private static ForwardingResult result(int status, String name) {
-    HttpFields headers =
-        name.isEmpty() ? HttpFields.EMPTY : HttpFields.build().put(ForwardingHeaders.RESULT, name);
-    return ForwardingResult.of(status, headers);
+  private static ForwardingResult result(String name) {
+    return ForwardingResult.of(HttpFields.build().put(ForwardingHeaders.RESULT, name));
   }
 
   @Test
   void failureOfANodeDoesNotTellThatTheRunHasEnded() {
-    ForwardingResult failed = result(HttpStatus.INTERNAL_SERVER_ERROR_500, "");
-    assertThat(failed.failure()).contains(AttemptOutcome.LOST);
-    assertThat(failed.tellsEnd()).isFalse();
-    assertThat(result(HttpStatus.BAD_GATEWAY_502, "no result").tellsEnd()).isFalse();
+    assertThat(result("no result").failure()).contains(AttemptOutcome.LOST);
+    assertThat(result("no result").tellsEnd()).isFalse();
   }
 
   @Test
   void resultTellsThatTheRunHasEnded() {
-    assertThat(result(HttpStatus.BAD_GATEWAY_502, "LOST").tellsEnd()).isTrue();
-    assertThat(result(HttpStatus.BAD_GATEWAY_502, "NOT_SENT").tellsEnd()).isTrue();
-    assertThat(result(HttpStatus.NOT_FOUND_404, "").tellsEnd()).isTrue();
+    assertThat(result("LOST").tellsEnd()).isTrue();
+    assertThat(result("NOT_SENT").tellsEnd()).isTrue();
+  }
+
+  @Test
+  void answerWithoutResultDoesNotTellThatNothingWasSent() {
+    ForwardingResult none = ForwardingResult.of(HttpFields.EMPTY);
+    assertThat(none.failure()).contains(AttemptOutcome.LOST);
+    assertThat(none.tellsEnd()).isFalse();
   }
 }
