Do not relay the rest of an answer whose head the forwarding node failed to relay

What the other node saw: an answer with status 200 or that of the engine, bytes of its body, and neither the engine's stamp nor the word of the node that forwards. Cause: the HTTP client logs what the listener of a head throws, as when memory is used up, and goes on with body and end, which the forwarder took for the rest of a relayed answer. The same class as the lost note of a send: the failure of an observer taken for no event.

Change: an answer counts as the engine's once its head has been relayed whole; otherwise its bytes are dropped and the node says LOST.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -257,6 +257,7 @@
     private final SendState sendState = new SendState();
     private volatile ProgressGuard progress = new ProgressGuard();
     private volatile String requestId = "";
+    private boolean headRelayed;
     private boolean answerBegun;
     private boolean needsEndCheck;
 
@@ -358,11 +359,17 @@
             .getHeaders()
             .put(ForwardingHeaders.END_UNMARKED, ForwardingHeaders.CONFIRMED_BEFORE_END);
       }
+      headRelayed = true;
     }
 
     @Override
     public void onContent(
         org.eclipse.jetty.client.Response answer, Content.Chunk chunk, Runnable demander) {
+      if (!headRelayed) {
+        answer.abort(new IllegalStateException("the head of the answer was not relayed"));
+        demander.run();
+        return;
+      }
       answerBegun = true;
       progress.onBody(chunk.remaining());
       from.response()
@@ -433,8 +440,9 @@
       }
     }
 
+    /** The HTTP client goes on with an answer although the listener of its head has failed. */
     private ForwardingResult outcome(Result result) {
-      if (result.getResponseFailure() == null && result.getResponse().getStatus() > 0) {
+      if (result.getResponseFailure() == null && headRelayed) {
         return ForwardingResult.ANSWERED;
       }
       return sendState.maybeSent() ? ForwardingResult.LOST : ForwardingResult.NOT_SENT;
