Keep the head of an answer only once it names the request

What callers could see: 503, which says that a request has not run, or a second run, though its engine ran it. Cause: the head of an answer was kept before it was compared with the request; when the abort that follows a mismatch fails, as for want of memory, the HTTP client goes on, and a refusal of another request that came in the place of the answer counts as the engine's word. Needs an engine that sends late second answers, and a full heap in that moment.

Change: the head is kept after the comparison, so that nothing of a foreign answer is left whatever fails in between.

HeadOfAnotherRequestTest: red before (NOT_EXECUTED), LOST now.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -256,12 +256,13 @@
     if (forwardingResult != ForwardingResult.ANSWERED) {
       return;
     }
-    head = protocol.readHead(response.getStatus(), headers);
-    if (!head.names(exchange.head().requestId())) {
+    EngineAnswerHead read = protocol.readHead(response.getStatus(), headers);
+    if (!read.names(exchange.head().requestId())) {
       // These may be bytes behind an earlier answer, and the engine works while it is connected.
       response.abort(new IllegalStateException("the answer does not name the request"));
       return;
     }
+    head = read;
     streamed = isStampedSuccess() && exchange.envelope().route().streaming();
   }
 
