Call an aborted request not run only once the HTTP client has reported its end

What callers could see: 503 for a request that another thread was just beginning to send. Cause: right after its abort, a request counted as not sent because its begin had not been noted yet, in two places (a dispatch duty that ends, a copy of a quarantined request).

Change: until the client has reported the end, the request may reach its engine: 502. One that waits in the client's queue is reported within the abort and stays 503. The release of a held KV cache looks at the same.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -366,7 +366,7 @@
     exchange.attempt().ifPresent(attempt -> attempt.cancel(why));
     boolean fetches =
         !exchange.progress().prefilling()
-            && exchange.attempt().filter(EngineAttempt::maybeSent).isPresent();
+            && exchange.attempt().filter(EngineAttempt::mayReachEngine).isPresent();
     if (!fetches) {
       freeSource(exchange);
     }
@@ -505,7 +505,7 @@
     boolean copy = own.has(content) && dispatcher.quarantine().isHeldBack(own);
     if (copy && attempt != null && attempt.cancel("its content is in quarantine")) {
       AttemptOutcome outcome =
-          attempt.maybeSent() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
+          attempt.mayReachEngine() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
       onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -76,6 +76,7 @@
   private volatile boolean endIsConfirmedByForwarder;
   private volatile boolean signOfLife;
   private volatile RunEnd runEnd = RunEnd.ABORT_ORDERED;
+  private volatile boolean callEnded;
   private volatile AnswerEnd answerEnd = AnswerEnd.NONE;
   private volatile ForwardingResult forwardingResult = ForwardingResult.ANSWERED;
   private final Optional<NetworkAddress> forwarder;
@@ -171,6 +172,14 @@
     return sendState.maybeSent();
   }
 
+  /**
+   * Whether any byte of the request may have reached the engine, or still may: another thread may
+   * be about to send a request that is aborted, until the HTTP client has reported its end.
+   */
+  boolean mayReachEngine() {
+    return request != null && (maybeSent() || !callEnded);
+  }
+
   /** How it is known that the engine no longer works on the request. */
   RunEnd runEnd() {
     return maybeSent() ? runEnd : RunEnd.NOT_SENT;
@@ -368,6 +377,7 @@
 
   @Override
   public void onComplete(Result result) {
+    callEnded = true;
     runEnd = endOf(result);
     forwardedRun.ifPresent(run -> run.onCallEnded(runEnd()));
     AnswerEnd end = endWithoutCheck(result);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
@@ -73,7 +73,7 @@
     if (attempt == null) {
       refuse(exchange, false);
     } else if (attempt.cancelled() || attempt.waiting() && attempt.cancel("the node ends")) {
-      refuse(exchange, !attempt.maybeSent());
+      refuse(exchange, !attempt.mayReachEngine());
     }
   }
 
