--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -27,7 +27,6 @@
 import org.fallturn.core.stages.StageChange;
 import org.fallturn.core.stages.StageOutlook;
 import org.fallturn.core.usage.DutyOutcome;
-import org.fallturn.core.usage.UsageReport;
 import org.fallturn.node.duty.FaultDecision;
 import org.fallturn.node.metrics.LogSetup;
 import org.slf4j.Logger;
@@ -359,27 +358,6 @@
         .log();
   }
 
-  void usageReported(UsageReport report, long fencingToken, DutyOutcome outcome) {
-    line(LogEvent.USAGE_REPORTED, outcome.name())
-        .addKeyValue("window", report.window())
-        .addKeyValue("tenants", report.counts().size())
-        .addKeyValue("requests", report.counts().values().stream().mapToLong(one -> one).sum())
-        .addKeyValue("fencingToken", fencingToken)
-        .addKeyValue("outcome", outcome)
-        .log();
-  }
-
-  void usageSkipped(UsageReport proposed) {
-    line(LogEvent.USAGE_SKIPPED).addKeyValue("window", proposed.window()).log();
-  }
-
-  void usageNotReported(UsageReport report, String reason) {
-    line(LogEvent.USAGE_NOT_REPORTED)
-        .addKeyValue("window", report.window())
-        .addKeyValue("reason", reason)
-        .log();
-  }
-
   void initialCountsLost(String service) {
     line(LogEvent.INITIAL_COUNTS_LOST).addKeyValue("service", service).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UsageDuty.java
@@ -31,6 +31,7 @@
   private final DutyContext duty;
   private final UsageAgreement agreement;
   private final UsageApi api;
+  private final UsageLog log;
   private final JobThread<UsageReport> jobs = new JobThread<>("usage", this::carryOut);
   private long failingSinceNanos;
   private boolean failing;
@@ -40,6 +41,7 @@
     this.duty = duty;
     this.agreement = agreement;
     this.api = api;
+    this.log = new UsageLog(duty.log());
   }
 
   /**
@@ -93,14 +95,14 @@
 
   private void done(UsageReport report, DutyOutcome outcome) {
     failing = false;
-    duty.log().usageReported(report, duty.lease().token(), outcome);
+    log.reported(report, duty.lease().token(), outcome);
     duty.events().accept(new DispatchEvent.UsageDone(report.window()));
   }
 
   /** Another node may have reported the window with counts that nobody here knows. */
   private void skip(UsageReport proposed) {
     failing = false;
-    duty.log().usageSkipped(proposed);
+    log.skipped(proposed);
     duty.events().accept(new DispatchEvent.UsageDone(proposed.window()));
   }
 
@@ -109,7 +111,7 @@
       failing = true;
       failingSinceNanos = System.nanoTime();
     }
-    duty.log().usageNotReported(report, reason);
+    log.notReported(report, reason);
     jobs.pause(PAUSE_AFTER_FAILURE_NANOS);
   }
 
