Let only a request's own record prove that it has not run

Class of fault: a promise made in many places, each of which chose 503 by itself; some looked at the count of possible runs, others relied on their callers to have looked (RETRY_BUDGET after a prefill, waits that end, what is foreseen, a stop, the end of the duty, which counted the last attempt itself). No false one of these was found by reading or in trials.

Change: ErrorAnswer, the only form in which this node answers a request that it has taken, cannot be built with a kind that says "not run" unless a NotRunProof is given, and cannot deny one. Only RequestProgress makes proofs, from its record of sends; a place that has none answers OUTCOME_UNKNOWN by construction. The log shows the sends of the proof itself. Kinds, causes and retry delays of answers stay as they were; a request refused before anything was decided for it (CallerRequestHandler) has no record yet and is outside.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Decision.java
@@ -50,13 +50,22 @@
   /**
    * End the request with an error of this node.
    *
-   * @param kind error kind in the answer to the caller
+   * @param answer what the caller gets
    * @param cause the cause by which metrics and logs count the refusal
    * @param reason explanation for people
-   * @param retryAfter when the caller may try again; present only where the request was not run
    */
-  record Refuse(ErrorKind kind, RefusalCause cause, String reason, Optional<Duration> retryAfter)
-      implements Decision {}
+  record Refuse(ErrorAnswer answer, RefusalCause cause, String reason) implements Decision {
+
+    /** Error kind in the answer. */
+    public ErrorKind kind() {
+      return answer.kind();
+    }
+
+    /** When the caller may try again; empty if the request may have run or a retry is in vain. */
+    public Optional<Duration> retryAfter() {
+      return answer.retryAfter();
+    }
+  }
 
   /**
    * Keep the request at this node until an engine has room for it.
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -365,6 +365,7 @@
     }
     if (!retries.takeSend(progress, nowNanos)) {
       return refusals.notRun(
+          progress,
           ErrorKind.NO_CAPACITY,
           RefusalCause.RETRY_BUDGET,
           "the retry budget of " + progress.service() + " is spent");
@@ -396,6 +397,7 @@
   private Decision place(RequestProgress progress, long nowNanos) {
     if (progress.envelope().remainingNanos(nowNanos) <= 0) {
       return refusals.notRun(
+          progress,
           ErrorKind.DEADLINE_UNREACHABLE,
           RefusalCause.TIME_OVER,
           "its time was over when it had been read");
@@ -495,6 +497,7 @@
           new EndedWait(
               expired,
               refusals.notRun(
+                  expired,
                   ErrorKind.DEADLINE_UNREACHABLE,
                   RefusalCause.TIME_OVER,
                   "no engine had room for it in its time")));
@@ -512,7 +515,7 @@
   /** Ends all waits because this node is stopping; no request waits here from now on. */
   public List<EndedWait> closeWaits() {
     return queue.close().stream()
-        .map(request -> new EndedWait(request, refusals.stopping()))
+        .map(request -> new EndedWait(request, refusals.stopping(request)))
         .toList();
   }
 
@@ -529,11 +532,7 @@
   private Decision refuseOrStartAttempt(PromptPlacement.Input input, PromptPlacement.Plan plan) {
     Optional<Duration> retryDelay = OverloadPolicy.refusal(input, plan);
     if (retryDelay.isPresent()) {
-      return new Decision.Refuse(
-          ErrorKind.NO_CAPACITY,
-          RefusalCause.FORESEEN,
-          "it would wait " + Math.round(plan.millis()) + " ms for its first token",
-          retryDelay.map(refusals::atLeastMinRetryDelay));
+      return refusals.foreseen(input.progress(), plan.millis(), retryDelay.get());
     }
     return startAttempt(input.progress(), plan, input.nowNanos());
   }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -11,8 +11,8 @@
 /**
  * Builds the answers to requests that no engine answers.
  *
- * <p>Invariant: an answer says that a request was not run only when no engine can have run it. Only
- * the dispatch thread calls.
+ * <p>Invariant: an answer says that a request was not run only with the proof of the request's own
+ * record. Only the dispatch thread calls.
  */
 final class Refusals {
 
@@ -54,8 +54,23 @@
    * @param cause cause that metrics and logs count
    * @param reason explanation for people
    */
-  Decision notRun(ErrorKind kind, RefusalCause cause, String reason) {
-    return new Decision.Refuse(kind, cause, reason, Optional.of(minRetryAfter));
+  Decision notRun(RequestProgress progress, ErrorKind kind, RefusalCause cause, String reason) {
+    return refuse(progress, kind, cause, reason, Optional.of(minRetryAfter));
+  }
+
+  /** Refuses a request with an error that tells whether an engine may have run it. */
+  private static Decision refuse(
+      RequestProgress progress,
+      ErrorKind ifNotRun,
+      RefusalCause cause,
+      String reason,
+      Optional<Duration> retryDelay) {
+    ErrorAnswer answer =
+        progress
+            .notRunProof()
+            .map(proof -> ErrorAnswer.notRun(ifNotRun, proof, retryDelay))
+            .orElseGet(() -> ErrorAnswer.possiblyRun(ErrorKind.OUTCOME_UNKNOWN));
+    return new Decision.Refuse(answer, cause, reason);
   }
 
   /**
@@ -71,6 +86,7 @@
     return closed.isPresent()
         ? allEnginesClosed(progress, closed.get())
         : notRun(
+            progress,
             ErrorKind.NO_CAPACITY,
             RefusalCause.NO_ENGINE,
             "no engine of " + progress.service() + " is there");
@@ -84,7 +100,8 @@
   private Decision allEnginesClosed(RequestProgress progress, Duration closed) {
     Duration retryDelay =
         closed.plus(RETRY_STEP_PER_RANK.multipliedBy(progress.envelope().rank().place()));
-    return new Decision.Refuse(
+    return refuse(
+        progress,
         ErrorKind.NO_CAPACITY,
         RefusalCause.CLOSED,
         "every engine of "
@@ -101,6 +118,7 @@
    */
   Decision originUnknown(RequestProgress progress) {
     return notRun(
+        progress,
         ErrorKind.NO_CAPACITY,
         RefusalCause.ORIGIN_UNKNOWN,
         "engines of "
@@ -111,6 +129,7 @@
   /** Refuses to continue a stream since the list of engines could not be confirmed in time. */
   Decision enginesUnconfirmed(RequestProgress progress) {
     return notRun(
+        progress,
         ErrorKind.NO_CAPACITY,
         RefusalCause.ORIGIN_UNKNOWN,
         "the store has not confirmed that engines of "
@@ -123,7 +142,8 @@
    * delay, since a retry would be refused again.
    */
   Decision versionGone(RequestProgress progress) {
-    return new Decision.Refuse(
+    return refuse(
+        progress,
         ErrorKind.VERSION_GONE,
         RefusalCause.VERSION_GONE,
         "No engine of the software version that began this stream is left; begin it anew.",
@@ -146,15 +166,15 @@
     }
     if (progress.possibleRuns() == 0) {
       return notRun(
+          progress,
           ErrorKind.NO_CAPACITY,
           RefusalCause.TURNED_AWAY,
           "no engine of " + progress.service() + " took it");
     }
     return new Decision.Refuse(
-        ErrorKind.OUTCOME_UNKNOWN,
+        ErrorAnswer.possiblyRun(ErrorKind.OUTCOME_UNKNOWN),
         RefusalCause.OUTCOME_UNKNOWN,
-        "an engine may have run it: " + outcome,
-        Optional.empty());
+        "an engine may have run it: " + outcome);
   }
 
   /**
@@ -175,19 +195,40 @@
     double spread = MIN_RETRY_SPREAD + (1 - MIN_RETRY_SPREAD) * draw;
     double millis = Math.min(forecastMillis, MAX_RETRY_FRACTION * left) * spread;
     Duration retryDelay = Duration.ofNanos((long) (Math.max(0, millis) * NANOS_PER_MILLI));
-    return new Decision.Refuse(
-        ErrorKind.NO_CAPACITY, cause, reason, Optional.of(atLeastMinRetryDelay(retryDelay)));
+    return refuse(
+        progress,
+        ErrorKind.NO_CAPACITY,
+        cause,
+        reason,
+        Optional.of(atLeastMinRetryDelay(retryDelay)));
+  }
+
+  /**
+   * Refuses a request whose first token would come too late.
+   *
+   * @param millis expected time until its first token
+   */
+  Decision foreseen(RequestProgress progress, double millis, Duration retryDelay) {
+    return refuse(
+        progress,
+        ErrorKind.NO_CAPACITY,
+        RefusalCause.FORESEEN,
+        "it would wait " + Math.round(millis) + " ms for its first token",
+        Optional.of(atLeastMinRetryDelay(retryDelay)));
   }
 
   /** Raises a retry delay to the configured minimum. */
-  Duration atLeastMinRetryDelay(Duration retryDelay) {
+  private Duration atLeastMinRetryDelay(Duration retryDelay) {
     return retryDelay.compareTo(minRetryAfter) > 0 ? retryDelay : minRetryAfter;
   }
 
   /** Refuses a waiting request because this node is stopping. */
-  Decision stopping() {
+  Decision stopping(RequestProgress progress) {
     return notRun(
-        ErrorKind.STOPPING, RefusalCause.STOPPING, "this node stops while it waits for an engine");
+        progress,
+        ErrorKind.STOPPING,
+        RefusalCause.STOPPING,
+        "this node stops while it waits for an engine");
   }
 
   /**
@@ -206,20 +247,16 @@
                 .map(part -> "part " + part.id())
                 .collect(Collectors.joining(" and ", "under ", " of its prompt"));
     String reason = "Not sent: engines have crashed " + culprit + ".";
-    return new Decision.Refuse(
-        suspectKind(progress), RefusalCause.QUARANTINED, reason, Optional.empty());
+    return refuse(
+        progress, ErrorKind.QUARANTINED, RefusalCause.QUARANTINED, reason, Optional.empty());
   }
 
   /** Refuses a request while another one shows whether a part of the prompt crashes engines. */
   Decision onTrial(RequestProgress progress) {
-    return new Decision.Refuse(
-        suspectKind(progress),
+    return notRun(
+        progress,
+        ErrorKind.QUARANTINED,
         RefusalCause.QUARANTINED,
-        "Not sent: it is being tried whether engines crash under a part of its prompt.",
-        progress.possibleRuns() == 0 ? Optional.of(minRetryAfter) : Optional.empty());
-  }
-
-  private static ErrorKind suspectKind(RequestProgress progress) {
-    return progress.possibleRuns() == 0 ? ErrorKind.QUARANTINED : ErrorKind.OUTCOME_UNKNOWN;
+        "Not sent: it is being tried whether engines crash under a part of its prompt.");
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/RequestProgress.java
@@ -157,6 +157,33 @@
     return Collections.unmodifiableList(endedSends);
   }
 
+  /**
+   * Shows that the request has not run; empty if an engine may have run it, or may be about to. A
+   * prefill is no run.
+   */
+  public Optional<NotRunProof> notRunProof() {
+    return possibleRuns > 0 ? Optional.empty() : Optional.of(new NotRunProof(endedSends));
+  }
+
+  /**
+   * As {@link #notRunProof}, given how the current attempt has ended, if there is one.
+   *
+   * @param outcome how it ended, which was not recorded yet
+   */
+  public Optional<NotRunProof> notRunProofAfter(AttemptOutcome outcome) {
+    if (engine == null) {
+      return notRunProof();
+    }
+    int runs = possibleRuns - (prefilling || outcome.mayHaveRun() ? 0 : 1);
+    List<EndedSend> sends = new ArrayList<>(endedSends);
+    sends.add(currentSendEndedBy(outcome));
+    return runs > 0 ? Optional.empty() : Optional.of(new NotRunProof(sends));
+  }
+
+  private EndedSend currentSendEndedBy(AttemptOutcome outcome) {
+    return new EndedSend(engine.id(), prefilling, forwarder != null, outcome);
+  }
+
   /** Number of times that the prompt was sent to a prefill engine. */
   public int prefillAttempts() {
     return prefillAttempts;
@@ -344,7 +371,7 @@
    */
   void recordFailedSend(AttemptOutcome outcome) {
     if (engine != null) {
-      endedSends.add(new EndedSend(engine.id(), prefilling, forwarder != null, outcome));
+      endedSends.add(currentSendEndedBy(outcome));
     }
     if (!outcome.mayHaveReached()) {
       sends--;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -1,13 +1,17 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.Decision;
+import org.fallturn.core.dispatch.EndedSend;
+import org.fallturn.core.dispatch.ErrorAnswer;
 import org.fallturn.core.dispatch.HealthChange;
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.LimitChange;
+import org.fallturn.core.dispatch.NotRunProof;
 import org.fallturn.core.dispatch.PlacementEstimate;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.dispatch.RetryBudgetUse;
@@ -124,10 +128,8 @@
         .log();
   }
 
-  void givenUp(Exchange exchange, ErrorKind kind) {
-    withSends(line(LogEvent.GIVEN_UP, exchange, kind.name()), exchange, kind)
-        .addKeyValue("kind", kind)
-        .log();
+  void givenUp(Exchange exchange, ErrorAnswer answer) {
+    withAnswer(line(LogEvent.GIVEN_UP, exchange, answer.kind().name()), exchange, answer).log();
   }
 
   void settingsReloaded() {
@@ -449,8 +451,8 @@
   private LoggingEventBuilder refused(Exchange exchange, Decision.Refuse refuse) {
     metrics.refused(refuse.cause());
     LoggingEventBuilder line =
-        withSends(line(LogEvent.REFUSED, exchange, refuse.kind().name()), exchange, refuse.kind())
-            .addKeyValue("kind", refuse.kind())
+        withAnswer(
+                line(LogEvent.REFUSED, exchange, refuse.kind().name()), exchange, refuse.answer())
             .addKeyValue("cause", refuse.cause())
             .addKeyValue("reason", refuse.reason())
             .addKeyValue("retryAfterMs", refuse.retryAfter().map(Duration::toMillis).orElse(0L))
@@ -461,10 +463,13 @@
         : line;
   }
 
-  private LoggingEventBuilder withSends(
-      LoggingEventBuilder line, Exchange exchange, ErrorKind kind) {
-    metrics.answered(kind, exchange.progress().endedSends());
-    return line.addKeyValue("sends", LogTexts.sends(exchange));
+  /** Adds an error of this node, and the sends before it, on which it may be based. */
+  private LoggingEventBuilder withAnswer(
+      LoggingEventBuilder line, Exchange exchange, ErrorAnswer answer) {
+    List<EndedSend> sends =
+        answer.proof().map(NotRunProof::sends).orElseGet(exchange.progress()::endedSends);
+    metrics.answered(answer.kind(), sends);
+    return line.addKeyValue("kind", answer.kind()).addKeyValue("sends", LogTexts.sends(sends));
   }
 
   private LoggingEventBuilder placed(
@@ -567,11 +572,10 @@
         .log();
   }
 
-  void timeOver(Exchange exchange, RequestEnd why, ErrorKind kind) {
-    LoggingEventBuilder line = withSends(line(LogEvent.TIME_OVER, exchange), exchange, kind);
+  void timeOver(Exchange exchange, RequestEnd why, ErrorAnswer answer) {
+    LoggingEventBuilder line = withAnswer(line(LogEvent.TIME_OVER, exchange), exchange, answer);
     LogTexts.withLastAttempt(line, exchange)
         .addKeyValue("end", why)
-        .addKeyValue("kind", kind)
         .addKeyValue("possibleRuns", exchange.progress().possibleRuns())
         .log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -17,6 +17,7 @@
 import org.fallturn.core.dispatch.Decision;
 import org.fallturn.core.dispatch.Dispatcher;
 import org.fallturn.core.dispatch.EndedWait;
+import org.fallturn.core.dispatch.ErrorAnswer;
 import org.fallturn.core.dispatch.LeavingNotice;
 import org.fallturn.core.dispatch.NoticeSource;
 import org.fallturn.core.dispatch.RequestProgress;
@@ -408,7 +409,7 @@
       freeSource(exchange);
       boolean withReason =
           refuse.kind() == ErrorKind.QUARANTINED || refuse.kind() == ErrorKind.VERSION_GONE;
-      exchange.refuse(refuse.kind(), refuse.retryAfter(), withReason ? refuse.reason() : "");
+      exchange.refuse(refuse.answer(), withReason ? refuse.reason() : "");
     } else if (decision instanceof Decision.PassFailure) {
       active.remove(exchange);
       exchange.relayEngineFailure(exchange.attempt().orElseThrow(), engines.protocol());
@@ -556,10 +557,10 @@
 
   private void onTimeOver(Exchange exchange, RequestEnd why, long now) {
     active.remove(exchange);
-    boolean possiblyRun = exchange.progress().possibleRuns() > 0;
-    log.timeOver(exchange, why, why.errorKind(possiblyRun));
+    ErrorAnswer answer = why.answer(exchange.progress());
+    log.timeOver(exchange, why, answer);
     abandon(exchange, "its time is over", now);
-    exchange.refuse(why.errorKind(possiblyRun), why.retryAfter(possiblyRun));
+    exchange.refuse(answer, "");
   }
 
   private void checkTimeout(Exchange exchange, long now) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -2,7 +2,6 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -17,9 +16,9 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.fallturn.core.dispatch.ErrorAnswer;
 import org.fallturn.core.dispatch.RequestEnvelope;
 import org.fallturn.core.dispatch.RequestProgress;
-import org.fallturn.core.error.ErrorKind;
 
 /**
  * One caller's request and its answer, from the last byte of the request body to the last byte of
@@ -261,27 +260,22 @@
     finish(ByteBuffer.wrap(failed.bufferedBody()));
   }
 
-  /** Answers with an error that this node generates; call on the dispatch thread. */
-  void refuse(ErrorKind kind, Optional<Duration> retryAfter) {
-    refuse(kind, retryAfter, "");
-  }
-
   /**
    * Answers with an error that this node generates; call on the dispatch thread.
    *
    * @param reason plain text body for people; empty for none
    */
-  void refuse(ErrorKind kind, Optional<Duration> retryAfter, String reason) {
+  void refuse(ErrorAnswer answer, String reason) {
     if (answerBegun) {
       abort();
       return;
     }
     HttpFields.Mutable headers = HttpFields.build();
-    gateway.callerProtocol().addOwnAnswerHeaders(headers, head.requestId(), retryAfter);
+    gateway.callerProtocol().addOwnAnswerHeaders(headers, head.requestId(), answer.retryAfter());
     if (!reason.isEmpty()) {
       headers.put(HttpHeader.CONTENT_TYPE, MimeTypes.Type.TEXT_PLAIN_UTF_8.asString());
     }
-    beginAnswer(kind.httpStatus(), headers);
+    beginAnswer(answer.kind().httpStatus(), headers);
     finish(BufferUtil.toBuffer(reason, StandardCharsets.UTF_8));
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -99,10 +100,8 @@
   }
 
   /** Lists the ended sends of a request: {@code e-1=ENGINE_REFUSED e-2=LOST}. */
-  static String sends(Exchange exchange) {
-    return exchange.progress().endedSends().stream()
-        .map(EndedSend::toString)
-        .collect(Collectors.joining(" "));
+  static String sends(List<EndedSend> sends) {
+    return sends.stream().map(EndedSend::toString).collect(Collectors.joining(" "));
   }
 
   /** Adds where the current attempt was sent and whether it was, if there is one. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.fallturn.core.dispatch.AttemptOutcome;
+import org.fallturn.core.dispatch.ErrorAnswer;
+import org.fallturn.core.dispatch.NotRunProof;
 import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
 
@@ -12,7 +15,7 @@
  * so that they do not wait for their deadlines. Never calls the dispatcher, whose state is unknown
  * after the failure. Runs on the dispatch thread.
  *
- * <p>Invariant: a request is answered as not run only when no engine can have run it. An answer
+ * <p>Invariant: a request is answered as not run only with the proof of its own record. An answer
  * that is already being relayed does not need the duty any more and continues.
  */
 final class PendingRequestTerminator {
@@ -50,10 +53,10 @@
       terminate(arrived.exchange());
     } else if (event instanceof DispatchEvent.Prefilled prefilled) {
       engines.freeHandle(prefilled.attempt().call().engine(), prefilled.handle());
-      refuse(prefilled.exchange(), false);
+      refuse(prefilled.exchange(), prefilled.exchange().progress().notRunProof());
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       if (failed.exchange().attempt().filter(present -> present == failed.attempt()).isPresent()) {
-        refuse(failed.exchange(), !failed.outcome().mayHaveRun());
+        refuse(failed.exchange(), failed.exchange().progress().notRunProofAfter(failed.outcome()));
       }
     } else if (event instanceof DispatchEvent.Finished finished) {
       log.finished(finished.exchange(), System.nanoTime());
@@ -70,28 +73,25 @@
    */
   void terminate(Exchange exchange) {
     EngineAttempt attempt = exchange.attempt().orElse(null);
+    RequestProgress progress = exchange.progress();
     if (attempt == null) {
-      refuse(exchange, false);
+      refuse(exchange, progress.notRunProof());
     } else if (attempt.cancelled() || attempt.waiting() && attempt.cancel("the node ends")) {
-      refuse(exchange, !attempt.mayReachEngine());
+      AttemptOutcome outcome =
+          attempt.mayReachEngine() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
+      refuse(exchange, progress.notRunProofAfter(outcome));
     }
   }
 
-  /**
-   * Refuses a request; the answer says that it was not run only when no attempt can have run it.
-   *
-   * @param exchange the request
-   * @param lastAttemptNotRun whether the last attempt has certainly not run
-   */
-  private void refuse(Exchange exchange, boolean lastAttemptNotRun) {
+  private void refuse(Exchange exchange, Optional<NotRunProof> proof) {
     if (exchange.isCompleted()) {
       return;
     }
-    RequestProgress progress = exchange.progress();
-    boolean counted = progress.engine().isPresent() && !progress.prefilling();
-    int runs = progress.possibleRuns() - (lastAttemptNotRun && counted ? 1 : 0);
-    ErrorKind kind = runs > 0 ? ErrorKind.OUTCOME_UNKNOWN : ErrorKind.STOPPING;
-    log.givenUp(exchange, kind);
-    exchange.refuse(kind, kind.hasRetryAfter() ? Optional.of(RETRY_AFTER) : Optional.empty());
+    ErrorAnswer answer =
+        proof
+            .map(shown -> ErrorAnswer.notRun(ErrorKind.STOPPING, shown, Optional.of(RETRY_AFTER)))
+            .orElseGet(() -> ErrorAnswer.possiblyRun(ErrorKind.OUTCOME_UNKNOWN));
+    log.givenUp(exchange, answer);
+    exchange.refuse(answer, "");
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.fallturn.core.dispatch.ErrorAnswer;
+import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
 
 /** Why a request gets no further answer of an engine, although it has none that is whole. */
@@ -23,13 +25,11 @@
     this.retryAfter = retryAfter;
   }
 
-  /** The error that a caller who still waits is answered with. */
-  ErrorKind errorKind(boolean possiblyRun) {
-    return possiblyRun ? ifPossiblyRun : ifNotRun;
-  }
-
-  /** When the caller of a request that was not run may come back; empty if it was possibly run. */
-  Optional<Duration> retryAfter(boolean possiblyRun) {
-    return possiblyRun ? Optional.empty() : Optional.of(retryAfter);
+  /** What a caller who still waits is answered with. */
+  ErrorAnswer answer(RequestProgress progress) {
+    return progress
+        .notRunProof()
+        .map(proof -> ErrorAnswer.notRun(ifNotRun, proof, Optional.of(retryAfter)))
+        .orElseGet(() -> ErrorAnswer.possiblyRun(ifPossiblyRun));
   }
 }
