Count signals to reload in one place from the start of the process on

What operators could see: a SIGHUP during the start has no effect, and with it a change of the file between its first reading and the watch. Cause: signals were counted by a first handler and handed over once when the settings are watched; the runtime calls a handler on a thread of its own, which may run after that.

Change: both handlers count into one semaphore; nothing is handed over.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ReloadSignal.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ReloadSignal.java
@@ -19,30 +19,26 @@
   private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
   private static final String SIGNAL_NAME = "HUP";
 
-  /** A permit for each signal that came before the settings were watched. */
-  private static final Semaphore HELD = new Semaphore(0);
-
-  private ReloadSignal() {}
-
   /**
-   * Holds signals until the settings are watched. Call first in a process: a signal that comes
-   * before the handler is installed ends it.
+   * A permit for each signal. The same from the start of the process on: the runtime calls a
+   * handler on a thread of its own, which may run after another handler has been installed.
    */
-  public static void hold() {
-    onSignal(HELD::release);
-  }
+  private static final Semaphore SIGNALS = new Semaphore(0);
 
-  /** Returns the number of signals held since the last call. */
-  static int takeHeld() {
-    return HELD.drainPermits();
-  }
+  private ReloadSignal() {}
 
   /**
-   * Installs the handler.
+   * Counts signals from now on, for whoever watches the settings. Call first in a process: a signal
+   * that comes before the handler is installed ends it.
    *
-   * @param reload runs on a thread of the Java runtime at each SIGHUP
+   * @return the signals, each to be taken once
    */
-  static void onSignal(Runnable reload) {
+  public static Semaphore count() {
+    onSignal(SIGNALS::release);
+    return SIGNALS;
+  }
+
+  private static void onSignal(Runnable reload) {
     try {
       Class<?> signalClass = Class.forName(SIGNAL_CLASS);
       Class<?> handlerClass = Class.forName(HANDLER_CLASS);
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SettingsWatch.java
@@ -22,7 +22,7 @@
   private final Path file;
   private final Consumer<GatewaySettings> changed;
   private final DecisionLog log;
-  private final Semaphore reloadRequests = new Semaphore(0);
+  private final Semaphore reloadRequests = ReloadSignal.count();
   private final DutyLoop loop = new DutyLoop("settings", this::watch);
   private String lastText = "";
 
@@ -44,8 +44,6 @@
    */
   void start(FaultListener faults) {
     lastText = text();
-    ReloadSignal.onSignal(reloadRequests::release);
-    reloadRequests.release(ReloadSignal.takeHeld());
     loop.start(faults);
   }
 
