--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -139,9 +139,9 @@
     write(ENGINE_TABLE, id, EngineRowText.of(APPLICATION_SERVICE, address, ""));
   }
 
-  /** Lists a model engine that decodes and runs elsewhere. */
-  public void listDecoder(String id, NetworkAddress address) {
-    write(ENGINE_TABLE, id, EngineRowText.of(MODEL_SERVICE, address, "decode"));
+  /** Lists a model engine that runs elsewhere. */
+  public void listModel(String id, NetworkAddress address, String stage) {
+    write(ENGINE_TABLE, id, EngineRowText.of(MODEL_SERVICE, address, stage));
   }
 
   /** Starts an engine and lists it; a model engine crashes on the same contents as the others. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
@@ -26,7 +26,7 @@
 
   @Override
   public String help() {
-    return "kill, suspend and stop processes; exit status 1 when a request runs twice or is lost";
+    return "kill, suspend and stop processes; exit status 1 when a request runs twice, is lost, or ran and is refused";
   }
 
   @Override
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -119,7 +119,7 @@
     List<String> violations(SoakRecord record) {
       return record.calls().stream()
           .filter(call -> NOT_RUN.contains(call.status()))
-          .filter(call -> !call.kind().repeatable() && runs(record, call) > 0)
+          .filter(call -> runs(record, call) > 0)
           .map(call -> call.requestId() + " was called not run (" + call.status() + ") and ran")
           .toList();
     }
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -95,6 +95,8 @@
   void requestThatRanAndIsCalledNotRunIsFound() {
     assertThat(broken(oneCall(call("ran", SoakRecord.Kind.ONCE, 503, ""), 1)))
         .containsExactly(SoakCheck.NOT_RUN_IS_TRUE);
+    assertThat(broken(oneCall(call("ran", SoakRecord.Kind.IDEMPOTENT, 503, ""), 1)))
+        .containsExactly(SoakCheck.NOT_RUN_IS_TRUE);
     assertThat(broken(oneCall(call("unknown", SoakRecord.Kind.ONCE, 502, ""), 1))).isEmpty();
   }
 
