Let the thread that begins an answer first write it alone

What callers saw: the status of one answer with the body of another (504 with the body of an engine), bytes of a stream behind a refusal, or a closed connection in place of an answer that was ready. Cause: the thread that relays an engine's answer and the dispatch thread, which ends a request whose time is over, looked at a flag and set it in two steps; on a part of a core the one may stand still between them. Found while what lies between a decision and its answer was read.

Change: one compare-and-set decides between an answer in parts and one in one piece; who loses writes nothing. What fails while a whole answer is written ends the request.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/Exchange.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -41,13 +42,23 @@
   private final GatewayState gateway;
   private final OrderedWriter writer;
   private final AtomicBoolean completed = new AtomicBoolean();
-  private volatile boolean answerBegun;
+  private final AtomicReference<AnswerForm> answer = new AtomicReference<>(AnswerForm.NONE);
   private volatile String lastEventId = "";
   private volatile boolean callerGone;
   private volatile EngineAttempt attempt;
   private boolean counted;
   private long waitingSinceNanos;
 
+  /** Which answer the caller gets; whoever sets it first writes the head. */
+  private enum AnswerForm {
+    /** None has begun. */
+    NONE,
+    /** One that is relayed in parts, which a later engine may continue. */
+    IN_PARTS,
+    /** One that is written in one piece, by one thread. */
+    WHOLE
+  }
+
   Exchange(
       HandlerArguments caller,
       CallerRequestHead head,
@@ -188,34 +199,25 @@
     return completed.get();
   }
 
-  /**
-   * Whether the head of an answer was written. The answer of a later engine then continues the same
-   * answer.
-   */
-  boolean answerBegun() {
-    return answerBegun;
-  }
-
-  /** Writes status and headers of the answer; ignored when they have been written already. */
-  void beginAnswer(int status, HttpFields.Mutable headers) {
-    if (answerBegun) {
-      return;
-    }
-    answerBegun = true;
+  private void writeHead(int status, HttpFields.Mutable headers) {
     response.setStatus(status);
     response.getHeaders().add(headers);
     closeWhenStopping();
   }
 
   /**
-   * Begins an answer that is relayed in parts. HTTP/1.1 answers are always chunked, even when the
-   * connection closes afterwards: without the final chunk a truncated answer would look complete.
+   * Begins an answer that is relayed in parts, unless an answer has begun already. HTTP/1.1 answers
+   * are always chunked, even when the connection closes afterwards: without the final chunk a
+   * truncated answer would look complete.
    */
   void beginStreamedAnswer(int status, HttpFields.Mutable headers) {
+    if (!answer.compareAndSet(AnswerForm.NONE, AnswerForm.IN_PARTS)) {
+      return;
+    }
     if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
       headers.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
     }
-    beginAnswer(status, headers);
+    writeHead(status, headers);
   }
 
   /**
@@ -225,7 +227,7 @@
    * @param written completed when the part was written
    */
   void writePart(ByteBuffer bytes, Optional<String> lastId, Callback written) {
-    if (completed.get()) {
+    if (completed.get() || answer.get() != AnswerForm.IN_PARTS) {
       written.failed(new IllegalStateException("the request is over"));
       return;
     }
@@ -235,29 +237,50 @@
 
   /** Ends an answer that was relayed in parts. */
   void endAnswer(EngineAttempt by) {
-    finish(BufferUtil.EMPTY_BUFFER);
+    if (answer.get() == AnswerForm.IN_PARTS) {
+      finish(BufferUtil.EMPTY_BUFFER);
+    }
     post(new DispatchEvent.Finished(this, by));
   }
 
-  /** Writes a complete answer in one piece. */
+  /** Writes a complete answer in one piece, unless an answer has begun already. */
   void answerWhole(EngineAttempt by, int status, HttpFields.Mutable headers, byte[] content) {
-    beginAnswer(status, headers);
-    finish(ByteBuffer.wrap(content));
+    if (answer.compareAndSet(AnswerForm.NONE, AnswerForm.WHOLE)) {
+      writeWhole(status, headers, ByteBuffer.wrap(content));
+    }
     post(new DispatchEvent.Finished(this, by));
   }
 
+  /** Whoever has begun a whole answer ends the request, whatever fails at that. */
+  private void writeWhole(int status, HttpFields.Mutable headers, ByteBuffer content) {
+    try {
+      writeHead(status, headers);
+      finish(content);
+    } catch (RuntimeException | Error failure) {
+      abort();
+      throw failure;
+    }
+  }
+
   /**
-   * Relays the failure that an engine answered with; call on the dispatch thread. When part of an
-   * answer was written already, aborts instead: the failure would make the truncated stream look
-   * complete.
+   * Answers in one piece in place of an engine's success. When part of an answer was relayed
+   * already, aborts instead, since this would make it look complete; a whole answer that another
+   * thread is writing is left to it.
    */
-  void relayEngineFailure(EngineAttempt failed, EngineProtocol protocol) {
-    if (answerBegun) {
+  private void answerInstead(int status, HttpFields.Mutable headers, ByteBuffer content) {
+    if (answer.compareAndSet(AnswerForm.NONE, AnswerForm.WHOLE)) {
+      writeWhole(status, headers, content);
+    } else if (answer.get() == AnswerForm.IN_PARTS) {
       abort();
-      return;
     }
-    beginAnswer(failed.head().status(), protocol.answerHeaders(failed.headers()));
-    finish(ByteBuffer.wrap(failed.bufferedBody()));
+  }
+
+  /** Relays the failure that an engine answered with; call on the dispatch thread. */
+  void relayEngineFailure(EngineAttempt failed, EngineProtocol protocol) {
+    answerInstead(
+        failed.head().status(),
+        protocol.answerHeaders(failed.headers()),
+        ByteBuffer.wrap(failed.bufferedBody()));
   }
 
   /**
@@ -265,18 +288,14 @@
    *
    * @param reason plain text body for people; empty for none
    */
-  void refuse(ErrorAnswer answer, String reason) {
-    if (answerBegun) {
-      abort();
-      return;
-    }
+  void refuse(ErrorAnswer error, String reason) {
     HttpFields.Mutable headers = HttpFields.build();
-    gateway.callerProtocol().addOwnAnswerHeaders(headers, head.requestId(), answer.retryAfter());
+    gateway.callerProtocol().addOwnAnswerHeaders(headers, head.requestId(), error.retryAfter());
     if (!reason.isEmpty()) {
       headers.put(HttpHeader.CONTENT_TYPE, MimeTypes.Type.TEXT_PLAIN_UTF_8.asString());
     }
-    beginAnswer(answer.kind().httpStatus(), headers);
-    finish(BufferUtil.toBuffer(reason, StandardCharsets.UTF_8));
+    answerInstead(
+        error.kind().httpStatus(), headers, BufferUtil.toBuffer(reason, StandardCharsets.UTF_8));
   }
 
   /**
