End a process whose start fails

What operators saw: a gateway that lives on, is never ready and serves nobody, when another process has one of its ports or memory runs out during the start. Cause: the exception ended the main thread alone; threads that had started by then keep the process alive.

--- a/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
+++ b/fallturn-it/src/test/java/org/fallturn/it/GatewayProcessIT.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URL;
 import java.nio.charset.StandardCharsets;
@@ -17,8 +18,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.fallturn.core.domain.NetworkAddress;
+import org.fallturn.node.gateway.ProcessExit;
 import org.fallturn.platform.PlatformMain;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedClient.Call;
@@ -158,6 +161,25 @@
     assertThat(served()).isEqualTo(200);
   }
 
+  /**
+   * Guards against a process that lives on without serving anybody: its start had failed, and the
+   * threads that had started by then kept it alive.
+   */
+  @Test
+  void startThatFailsEndsTheProcess() throws Exception {
+    process.destroyForcibly().waitFor();
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      String readiness = "readiness = \"127.0.0.1:" + taken.getLocalPort() + "\"";
+      String text = Files.readString(settings());
+      Files.writeString(settings(), text.replace("readiness = \"127.0.0.1:0\"", readiness));
+      process = newProcess();
+      assertThat(process.waitFor(LONGEST.toSeconds(), TimeUnit.SECONDS)).isTrue();
+      assertThat(process.exitValue()).isEqualTo(ProcessExit.START_FAILED);
+      assertThat(Files.readString(log()))
+          .contains("The gateway cannot start", Integer.toString(taken.getLocalPort()));
+    }
+  }
+
   /** A request is counted as finished a moment after its caller has the answer. */
   @Test
   void figuresAreServedAsText() {
