End the requests that wait for a connection first when the dispatch duty ends

What callers could see: 502, which they may not repeat, for a request that had not been sent when the duty ended. Cause: requests were ended in any order, and one that is aborted at its engine lets the next one in the HTTP client's queue begin.

Change: those that have not begun are ended first.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -31,10 +32,17 @@
     this.log = log;
   }
 
-  /** Terminates all pending requests; aborts those that cannot be answered. */
+  /**
+   * Terminates all pending requests; aborts those that cannot be answered. Those that wait for a
+   * connection come first: each that is aborted at its engine would let one of them begin.
+   */
   void terminate(Set<Exchange> active) {
     IllegalStateException failed = new IllegalStateException("requests could not be answered");
-    for (Exchange exchange : List.copyOf(active)) {
+    List<Exchange> unsentFirst =
+        active.stream()
+            .sorted(Comparator.comparing(PendingRequestTerminator::isMaybeSent))
+            .toList();
+    for (Exchange exchange : unsentFirst) {
       try {
         terminate(exchange);
       } catch (Throwable fault) {
@@ -47,6 +55,10 @@
     }
   }
 
+  private static boolean isMaybeSent(Exchange exchange) {
+    return exchange.attempt().filter(EngineAttempt::maybeSent).isPresent();
+  }
+
   /** Handles an event that the duty did not handle, or failed on. */
   void onUnhandledEvent(DispatchEvent event) {
     if (event instanceof DispatchEvent.Arrived arrived) {
