--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/HeadOfAnotherRequestTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/HeadOfAnotherRequestTest.java
@@ -2,8 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.lang.reflect.InvocationHandler;
-import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,16 +16,10 @@
 import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptTimeout;
 import org.fallturn.core.dispatch.Dispatcher;
-import org.fallturn.core.dispatch.RequestEnvelope;
-import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.domain.NetworkAddress;
 import org.fallturn.core.forwarding.ForwardedRequests;
-import org.fallturn.core.quarantine.RequestContent;
 import org.fallturn.core.routing.Caller;
-import org.fallturn.core.routing.RequestKind;
-import org.fallturn.core.routing.Route;
 import org.fallturn.core.routing.ServingEngine;
-import org.fallturn.core.routing.WeightedService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -66,51 +58,15 @@
   }
 
   private Exchange exchange() {
-    Route route =
-        new Route(
-            "route",
-            "host",
-            "/",
-            RequestKind.NON_IDEMPOTENT,
-            false,
-            LONG,
-            LONG,
-            Duration.ZERO,
-            LONG,
-            0,
-            1,
-            List.of(new WeightedService("app", 1)));
-    long now = System.nanoTime();
-    RequestEnvelope envelope =
-        new RequestEnvelope("once", route, Optional.empty(), now, now + LONG.toNanos());
-    CallerRequestHead head =
-        new CallerRequestHead(
-            "once",
-            "host",
-            "/x",
-            "",
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty());
-    return new Exchange(
-        new HandlerArguments(
-            null, stub(org.eclipse.jetty.server.Response.class, (self, m, a) -> null), null),
-        head,
-        new RequestProgress(envelope, new RequestContent("POST host/x", "", new byte[0])),
-        new byte[0],
-        events::add,
-        null);
-  }
-
-  private static <T> T stub(Class<T> type, InvocationHandler handler) {
-    return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler));
+    org.eclipse.jetty.server.Response response =
+        ExchangeStub.stub(org.eclipse.jetty.server.Response.class, (self, method, none) -> null);
+    return ExchangeStub.create(new HandlerArguments(null, response, null), events::add);
   }
 
   /** A request that begins when it is sent, and whose answer is left to the test. */
   private static Request begunWhenSent() {
     List<Request.BeginListener> listeners = new ArrayList<>();
-    return stub(
+    return ExchangeStub.stub(
         Request.class,
         (self, method, arguments) -> {
           if (method.getName().equals("onRequestBegin")) {
@@ -129,7 +85,7 @@
             .put(OneEngineGateway.ID_HEADER, "another")
             .put(OneEngineGateway.NOT_EXECUTED_HEADER, "1")
             .put("Content-Length", "0");
-    return stub(
+    return ExchangeStub.stub(
         Response.class,
         (self, method, arguments) ->
             switch (method.getName()) {
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/TwoAnswersTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/TwoAnswersTest.java
@@ -3,12 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import java.lang.reflect.InvocationHandler;
-import java.lang.reflect.Proxy;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -24,13 +21,7 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.fallturn.core.dispatch.ErrorAnswer;
-import org.fallturn.core.dispatch.RequestEnvelope;
-import org.fallturn.core.dispatch.RequestProgress;
 import org.fallturn.core.error.ErrorKind;
-import org.fallturn.core.quarantine.RequestContent;
-import org.fallturn.core.routing.RequestKind;
-import org.fallturn.core.routing.Route;
-import org.fallturn.core.routing.WeightedService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -51,20 +42,17 @@
   private final CompletableFuture<Void> closed = new CompletableFuture<>();
   private final CountDownLatch statusIsSet = new CountDownLatch(1);
   private final CountDownLatch goOn = new CountDownLatch(1);
-  private final Exchange exchange = exchange();
+  private final Exchange exchange =
+      ExchangeStub.create(new HandlerArguments(request(), response(), Callback.NOOP), event -> {});
 
   @AfterEach
   void releaseAll() {
     goOn.countDown();
   }
 
-  private static <T> T stub(Class<T> type, InvocationHandler handler) {
-    return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type}, handler));
-  }
-
   /** The first thread that sets the status is held there. */
   private Response response() {
-    return stub(
+    return ExchangeStub.stub(
         Response.class,
         (self, method, arguments) -> {
           switch (method.getName()) {
@@ -90,7 +78,7 @@
 
   private Request request() {
     EndPoint endPoint =
-        stub(
+        ExchangeStub.stub(
             EndPoint.class,
             (self, method, arguments) -> {
               if (method.getName().equals("close")) {
@@ -98,48 +86,14 @@
               }
               return null;
             });
-    Connection connection = stub(Connection.class, (self, method, arguments) -> endPoint);
+    Connection connection =
+        ExchangeStub.stub(Connection.class, (self, method, arguments) -> endPoint);
     ConnectionMetaData metaData =
-        stub(
+        ExchangeStub.stub(
             ConnectionMetaData.class,
             (self, method, arguments) ->
                 method.getName().equals("getHttpVersion") ? HttpVersion.HTTP_1_1 : connection);
-    return stub(Request.class, (self, method, arguments) -> metaData);
-  }
-
-  private Exchange exchange() {
-    Route route =
-        new Route(
-            "route",
-            "host",
-            "/",
-            RequestKind.NON_IDEMPOTENT,
-            false,
-            LONGEST,
-            LONGEST,
-            Duration.ZERO,
-            LONGEST,
-            0,
-            1,
-            List.of(new WeightedService("app", 1)));
-    CallerProtocol protocol = stub(CallerProtocol.class, (self, method, arguments) -> null);
-    return new Exchange(
-        new HandlerArguments(request(), response(), Callback.NOOP),
-        new CallerRequestHead(
-            "once",
-            "host",
-            "/x",
-            "",
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty(),
-            Optional.empty()),
-        new RequestProgress(
-            new RequestEnvelope("once", route, Optional.empty(), 0, LONGEST.toNanos()),
-            new RequestContent("POST host/x", "", new byte[0])),
-        new byte[0],
-        event -> {},
-        new GatewayState(protocol, new BodyMemory(1 << 20), Optional.empty()));
+    return ExchangeStub.stub(Request.class, (self, method, arguments) -> metaData);
   }
 
   private void inBackground(Runnable answer) throws InterruptedException {
