One place for the choice of an own answer, and for the outcome of a cancelled attempt

The choice between "not run" with proof and its opposite stood three times (Refusals, RequestEnd, PendingRequestTerminator), the outcome of an attempt that was just cancelled twice (DispatchDuty, PendingRequestTerminator), and SettingsWatchTest had its own text of settings. ErrorAnswer.of, EngineAttempt.outcomeOfCancel and OneEngineGateway.SETTINGS serve them. No behaviour changes; assertions are as they were.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/ErrorAnswer.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/ErrorAnswer.java
@@ -15,13 +15,29 @@
 public record ErrorAnswer(
     ErrorKind kind, Optional<NotRunProof> proof, Optional<Duration> retryAfter) {
 
-  /** Refuses a kind that tells more than is known. */
+  /** Rejects a kind that says "not run" without proof, or anything else in spite of it. */
   public ErrorAnswer {
     if ((kind.outcome() == Outcome.NOT_RUN) != proof.isPresent()) {
       throw new IllegalArgumentException(kind + " does not fit what is known of the run");
     }
   }
 
+  /**
+   * The answer that tells what is known.
+   *
+   * @param proof empty if the request may have run
+   * @param retryAfter when the caller may try again, if it was not run
+   */
+  public static ErrorAnswer of(
+      Optional<NotRunProof> proof,
+      ErrorKind ifNotRun,
+      Optional<Duration> retryAfter,
+      ErrorKind ifPossiblyRun) {
+    return proof
+        .map(shown -> notRun(ifNotRun, shown, retryAfter))
+        .orElseGet(() -> possiblyRun(ifPossiblyRun));
+  }
+
   /** The answer to a request that has not run. */
   public static ErrorAnswer notRun(
       ErrorKind kind, NotRunProof proof, Optional<Duration> retryAfter) {
--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Refusals.java
@@ -66,10 +66,7 @@
       String reason,
       Optional<Duration> retryDelay) {
     ErrorAnswer answer =
-        progress
-            .notRunProof()
-            .map(proof -> ErrorAnswer.notRun(ifNotRun, proof, retryDelay))
-            .orElseGet(() -> ErrorAnswer.possiblyRun(ErrorKind.OUTCOME_UNKNOWN));
+        ErrorAnswer.of(progress.notRunProof(), ifNotRun, retryDelay, ErrorKind.OUTCOME_UNKNOWN);
     return new Decision.Refuse(answer, cause, reason);
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DispatchDuty.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.AttemptTimeout;
 import org.fallturn.core.dispatch.CacheSource;
 import org.fallturn.core.dispatch.Decision;
@@ -505,9 +504,7 @@
     RequestContent own = exchange.progress().content();
     boolean copy = own.has(content) && dispatcher.quarantine().isHeldBack(own);
     if (copy && attempt != null && attempt.cancel("its content is in quarantine")) {
-      AttemptOutcome outcome =
-          attempt.mayReachEngine() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
-      onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, outcome), now);
+      onFailed(new DispatchEvent.AttemptFailed(exchange, attempt, attempt.outcomeOfCancel()), now);
     }
   }
 
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -180,6 +180,11 @@
     return request != null && (maybeSent() || !callEnded);
   }
 
+  /** The outcome of the attempt right after {@link #cancel} has ended it. */
+  AttemptOutcome outcomeOfCancel() {
+    return mayReachEngine() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
+  }
+
   /** How it is known that the engine no longer works on the request. */
   RunEnd runEnd() {
     return maybeSent() ? runEnd : RunEnd.NOT_SENT;
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PendingRequestTerminator.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.fallturn.core.dispatch.AttemptOutcome;
 import org.fallturn.core.dispatch.ErrorAnswer;
 import org.fallturn.core.dispatch.NotRunProof;
 import org.fallturn.core.dispatch.RequestProgress;
@@ -89,9 +88,7 @@
     if (attempt == null) {
       refuse(exchange, progress.notRunProof());
     } else if (attempt.cancelled() || attempt.waiting() && attempt.cancel("the node ends")) {
-      AttemptOutcome outcome =
-          attempt.mayReachEngine() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.NOT_SENT;
-      refuse(exchange, progress.notRunProofAfter(outcome));
+      refuse(exchange, progress.notRunProofAfter(attempt.outcomeOfCancel()));
     }
   }
 
@@ -100,9 +97,8 @@
       return;
     }
     ErrorAnswer answer =
-        proof
-            .map(shown -> ErrorAnswer.notRun(ErrorKind.STOPPING, shown, Optional.of(RETRY_AFTER)))
-            .orElseGet(() -> ErrorAnswer.possiblyRun(ErrorKind.OUTCOME_UNKNOWN));
+        ErrorAnswer.of(
+            proof, ErrorKind.STOPPING, Optional.of(RETRY_AFTER), ErrorKind.OUTCOME_UNKNOWN);
     log.givenUp(exchange, answer);
     exchange.refuse(answer, "");
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/RequestEnd.java
@@ -27,9 +27,6 @@
 
   /** What a caller who still waits is answered with. */
   ErrorAnswer answer(RequestProgress progress) {
-    return progress
-        .notRunProof()
-        .map(proof -> ErrorAnswer.notRun(ifNotRun, proof, Optional.of(retryAfter)))
-        .orElseGet(() -> ErrorAnswer.possiblyRun(ifPossiblyRun));
+    return ErrorAnswer.of(progress.notRunProof(), ifNotRun, Optional.of(retryAfter), ifPossiblyRun);
   }
 }
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/OneEngineGateway.java
@@ -81,7 +81,8 @@
   /** Longer than any wait of a test, so that no answer comes from a missed deadline. */
   private static final Duration DEADLINE = Duration.ofSeconds(300);
 
-  private static final String SETTINGS =
+  /** The text of settings with free ports on loopback. */
+  static final String SETTINGS =
       """
       [gateway]
       node_name = "gateway-1"
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/SettingsWatchTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/SettingsWatchTest.java
@@ -20,19 +20,6 @@
 
   private static final Duration LONGEST = Duration.ofSeconds(20);
 
-  private static final String SETTINGS =
-      """
-      [gateway]
-      node_name = "gateway-1"
-      zone = "zone-1"
-      callers = "127.0.0.1:0"
-      readiness = "127.0.0.1:0"
-      peers = "127.0.0.1:0"
-
-      [store]
-      address = "127.0.0.1:1"
-      """;
-
   @TempDir private Path folder;
 
   private final AtomicInteger reloads = new AtomicInteger();
@@ -65,7 +52,7 @@
 
   @Test
   void signalThatIsHandledAfterTheSettingsAreWatchedIsNotLost() throws Exception {
-    Path file = Files.writeString(folder.resolve("settings.toml"), SETTINGS);
+    Path file = Files.writeString(folder.resolve("settings.toml"), OneEngineGateway.SETTINGS);
     Object before = handlerNow();
     ReloadSignal.count();
     Object first = handlerNow();
