Log answers of other requests, and ids that come again over a connection

ANSWER_OF_ANOTHER names the connection, the id in the answer and its status; ID_REPEATED the request, the engine's address and the connection. Both are counted. The two places that end an answer of another request share AnswerOwnership.

Logging only: requests go the way they went.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/DecisionLog.java
@@ -49,9 +49,6 @@
 
   private static final int PERCENT = 100;
 
-  /** Characters that a line quotes at most of a text from an engine, so that lines stay short. */
-  private static final int MAX_QUOTED_CHARACTERS = 40;
-
   private final GatewayMetrics metrics;
   private volatile long routingVersion;
   private volatile long directoryRevision;
@@ -291,21 +288,17 @@
   void headerUnknown(String engineId, String name) {
     line(LogEvent.HEADER_UNKNOWN)
         .addKeyValue("engine", engineId)
-        .addKeyValue("header", shortened(name))
+        .addKeyValue("header", LogTexts.shortened(name))
         .log();
   }
 
   void noticeRefused(String engineId, String text) {
     line(LogEvent.NOTICE_REFUSED)
         .addKeyValue("engine", engineId)
-        .addKeyValue("text", shortened(text))
+        .addKeyValue("text", LogTexts.shortened(text))
         .log();
   }
 
-  private static String shortened(String text) {
-    return text.substring(0, Math.min(text.length(), MAX_QUOTED_CHARACTERS));
-  }
-
   void engineGone(String engineId) {
     line(LogEvent.ENGINE_GONE).addKeyValue("engine", engineId).log();
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineAttempt.java
@@ -58,6 +58,7 @@
   private final Exchange exchange;
   private final EngineCall call;
   private final EngineProtocol protocol;
+  private final AnswerOwnership ownership;
   private final AnswerEndCheck endCheck;
   private final OrphanedRunCheck orphanedRuns;
   private final AttemptState state = new AttemptState();
@@ -90,6 +91,7 @@
     this.exchange = exchange;
     this.call = call;
     this.protocol = engines.protocol();
+    this.ownership = engines.ownership();
     this.endCheck = engines.answerEndCheck();
     this.orphanedRuns = engines.orphanedRuns();
     this.timeout = timeout;
@@ -270,14 +272,13 @@
     if (forwardingResult != ForwardingResult.ANSWERED) {
       return;
     }
-    EngineAnswerHead read = protocol.readHead(response.getStatus(), headers);
-    if (!read.names(exchange.head().requestId())) {
-      // These may be bytes behind an earlier answer, and the engine works while it is connected.
-      response.abort(new IllegalStateException("the answer does not name the request"));
-      return;
-    }
-    head = read;
-    streamed = isStampedSuccess() && exchange.envelope().route().streaming();
+    ownership
+        .readOwn(response, headers, call.engine(), exchange.head().requestId())
+        .ifPresent(
+            read -> {
+              head = read;
+              streamed = isStampedSuccess() && exchange.envelope().route().streaming();
+            });
   }
 
   /**
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -75,6 +75,7 @@
   private final ReportCalls reportCalls = new ReportCalls(this);
   private final AnswerEndCheck answerEndCheck = new AnswerEndCheck(this);
   private final OrphanedRunCheck orphanedRuns;
+  private final AnswerOwnership ownership;
   private final EngineAnswerMemory answers;
   private final Map<String, Integer> acceptedByService = new ConcurrentHashMap<>();
   private final Map<NetworkAddress, String> serviceByAddress = new ConcurrentHashMap<>();
@@ -102,7 +103,14 @@
     this.noticeReader = new NoticeReader(protocol, notices, log);
     this.orphanedRuns =
         new OrphanedRunCheck(this, engine -> !notices.limits().limited(engine.id()), log);
-    client = PlainHttpClients.start(executor, CONNECT_TIMEOUT, this::newPool);
+    ConnectionLog connectionLog = new ConnectionLog(log);
+    this.ownership = new AnswerOwnership(protocol, connectionLog);
+    client =
+        PlainHttpClients.start(
+            executor,
+            CONNECT_TIMEOUT,
+            (owner, origin) -> new EngineDestination(owner, origin, connectionLog::idRepeated),
+            this::newPool);
   }
 
   EngineProtocol protocol() {
@@ -114,6 +122,11 @@
     return answerEndCheck;
   }
 
+  /** Ends answers that belong to other requests. */
+  AnswerOwnership ownership() {
+    return ownership;
+  }
+
   /** Calls that ask engines for their reports. */
   ReportCalls reportCalls() {
     return reportCalls;
@@ -178,6 +191,7 @@
     Request request =
         newCall(
             forwarder.orElse(engine.address()),
+            exchange.head().requestId(),
             caller.getMethod(),
             caller.getHttpURI().getPathQuery(),
             memory);
@@ -254,7 +268,7 @@
       byte[] body) {
     serviceByAddress.put(engine.address(), engine.service());
     EngineAnswerMemory.Share memory = answers.open(engine.address());
-    Request request = newCall(engine.address(), method, path, memory);
+    Request request = newCall(engine.address(), requestId, method, path, memory);
     request.onComplete(result -> memory.release());
     noticeReader.watchForwarded(request, engine, requestId);
     return withContent(request, headers, body);
@@ -335,7 +349,7 @@
   /** Its answer is short, and bounded by whoever keeps it. */
   private Request newOwnCall(NetworkAddress address, String method, String target) {
     EngineAnswerMemory.Share memory = answers.open(address);
-    Request request = newCall(address, method, target, memory);
+    Request request = newCall(address, "", method, target, memory);
     request.onRequestBegin(begun -> progressOf(begun).pause());
     request.onComplete(result -> memory.release());
     return request;
@@ -344,11 +358,16 @@
   /**
    * Prepares a call whose receiver tells {@link #progressOf} of each part of the body.
    *
+   * @param id the id that its answer is to name; empty for a call of this node's own
    * @param memory for the head of its answer
    */
   private Request newCall(
-      NetworkAddress address, String method, String target, EngineAnswerMemory.Share memory) {
-    return new UnalteredRequest(client, address, target)
+      NetworkAddress address,
+      String id,
+      String method,
+      String target,
+      EngineAnswerMemory.Share memory) {
+    return new UnalteredRequest(client, address, id, target)
         .method(method)
         .idleTimeout(BUSY_CONNECTION.toMillis(), TimeUnit.MILLISECONDS)
         .onRequestBegin(begun -> progressOf(begun).expectMessage())
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -329,12 +329,14 @@
 
     @Override
     public void onHeaders(org.eclipse.jetty.client.Response answer) {
-      EngineAnswerHead head = engines.protocol().readHead(answer.getStatus(), answer.getHeaders());
-      if (!head.names(requestId)) {
-        // The other node would find that out when the connection to the engine is free again.
-        answer.abort(new IllegalStateException("the answer does not name the request"));
-        return;
-      }
+      // The other node would find out whose it is when the connection to the engine is free again.
+      engines
+          .ownership()
+          .readOwn(answer, answer.getHeaders(), engine, requestId)
+          .ifPresent(head -> relayHead(answer, head));
+    }
+
+    private void relayHead(org.eclipse.jetty.client.Response answer, EngineAnswerHead head) {
       from.response().setStatus(answer.getStatus());
       from.response()
           .getHeaders()
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -57,6 +57,13 @@
   FORWARDING,
   /** A request that this node sent for another node ended; the detail is the result. */
   FORWARDED,
+  /**
+   * An answer names another request than the one it came for, or none where one is due; the detail
+   * says whether it bears a refusal.
+   */
+  ANSWER_OF_ANOTHER,
+  /** A request was to go over a connection to an engine that has carried one with its id. */
+  ID_REPEATED,
   /** An engine was found at work on a request whose connection had ended long before. */
   ENGINE_WORKS_ON,
   /** This node found that an engine is leaving; the detail is the source of this notice. */
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogTexts.java
@@ -19,14 +19,26 @@
 /** Log fields that summarize a request, its attempts or the engines. Stateless. */
 final class LogTexts {
 
+  /** Characters that a line quotes at most of a text from an engine, so that lines stay short. */
+  private static final int MAX_QUOTED_CHARACTERS = 40;
+
   private LogTexts() {}
 
+  /** Shortens a text from an engine. */
+  static String shortened(String text) {
+    return text.substring(0, Math.min(text.length(), MAX_QUOTED_CHARACTERS));
+  }
+
   /**
    * Returns the local address of the connection that a request is sent on, which tells attempts on
    * one connection from attempts on several; empty when it has none.
    */
   static String connection(Request request) {
-    Connection connection = request.getConnection();
+    return connection(request.getConnection());
+  }
+
+  /** Returns the local address of a connection; empty for none, or when it is closed. */
+  static String connection(Connection connection) {
     return connection != null
             && connection.getLocalSocketAddress() instanceof InetSocketAddress local
         ? local.getAddress().getHostAddress() + ":" + local.getPort()
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/PlainHttpClients.java
@@ -2,10 +2,14 @@
 
 import java.time.Duration;
 import java.util.concurrent.Executor;
+import java.util.function.BiFunction;
 import org.eclipse.jetty.client.ConnectionPool;
+import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Origin;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.transport.HttpDestination;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
@@ -70,11 +74,26 @@
    */
   static HttpClient start(Executor executor, Duration connectTimeout, ConnectionPool.Factory pools)
       throws Exception {
+    return start(executor, connectTimeout, HttpDestination::new, pools);
+  }
+
+  /**
+   * Starts a client.
+   *
+   * @param destinations creates the destination for each address
+   * @param pools creates the connection pool of each destination
+   */
+  static HttpClient start(
+      Executor executor,
+      Duration connectTimeout,
+      BiFunction<HttpClient, Origin, Destination> destinations,
+      ConnectionPool.Factory pools)
+      throws Exception {
     ClientConnector connector = new PlainClientConnector();
     connector.setByteBufferPool(BUFFERS);
     connector.setSelectors(1);
     connector.setExecutor(executor);
-    HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
+    HttpClientTransportOverHTTP transport = newTransport(connector, destinations);
     transport.setConnectionPoolFactory(pools);
     HttpClient client = new HttpClient(transport);
     client.setByteBufferPool(BUFFERS);
@@ -104,4 +123,14 @@
     client.getProtocolHandlers().put(new InterimAnswerHandler());
     return client;
   }
+
+  private static HttpClientTransportOverHTTP newTransport(
+      ClientConnector connector, BiFunction<HttpClient, Origin, Destination> destinations) {
+    return new HttpClientTransportOverHTTP(connector) {
+      @Override
+      public Destination newDestination(Origin origin) {
+        return destinations.apply(getHttpClient(), origin);
+      }
+    };
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/UnalteredRequest.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/UnalteredRequest.java
@@ -13,21 +13,29 @@
  */
 final class UnalteredRequest extends HttpRequest {
 
+  private final String id;
   private final String path;
   private final String query;
 
   /**
    * A request that has not been sent.
    *
+   * @param id the id that its answer is to name; empty for a call that has none
    * @param target path and query as they are to be sent
    */
-  UnalteredRequest(HttpClient client, NetworkAddress address, String target) {
+  UnalteredRequest(HttpClient client, NetworkAddress address, String id, String target) {
     super(client, new HttpConversation(), URI.create("http://" + address));
+    this.id = id;
     int end = target.indexOf('?');
     path = end < 0 ? target : target.substring(0, end);
     query = end < 0 ? null : target.substring(end + 1);
   }
 
+  /** The id that its answer is to name; empty for a call that has none. */
+  String id() {
+    return id;
+  }
+
   @Override
   public String getPath() {
     return path;
