Failing test: a copy of a refusal is the answer to a request that runs

What callers saw: 503 for a request that its engine runs (REFUSED); who comes back after that has it run twice (TWICE).

CopiedRefusalTest sends an id again after the engine has refused it, and has the engine send a copy of the refusal over the connection of the refusal before it answers.

--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import org.fallturn.core.disconnect.EngineWork;
 import org.fallturn.core.domain.NetworkAddress;
 
@@ -148,6 +149,19 @@
     return connections.stream().filter(one -> one.got(requestId)).findFirst().orElseThrow();
   }
 
+  /** How often a request has come, over all connections. */
+  int timesGot(String requestId) {
+    return connections.stream().mapToInt(one -> one.timesGot(requestId)).sum();
+  }
+
+  /** The connection over which a request has come, the newest if there are several. */
+  Connection lastConnectionOf(String requestId) {
+    return connections.stream()
+        .filter(one -> one.got(requestId))
+        .reduce((earlier, later) -> later)
+        .orElseThrow();
+  }
+
   /** Whether any part of the request has come. */
   boolean got(String requestId) {
     return connections.stream().anyMatch(one -> one.got(requestId));
@@ -199,7 +213,13 @@
     }
 
     boolean got(String requestId) {
-      return received.indexOf(OneEngineGateway.ID_HEADER + ": " + requestId + "\r\n") >= 0;
+      return timesGot(requestId) > 0;
+    }
+
+    /** How often a request has come over it. */
+    int timesGot(String requestId) {
+      String line = OneEngineGateway.ID_HEADER + ": " + requestId + "\r\n";
+      return received.toString().split(Pattern.quote(line), -1).length - 1;
     }
 
     private String headerOf(String requestId, String header) {
@@ -243,6 +263,15 @@
       }
     }
 
+    /** As {@link #send}, unless the node has closed it meanwhile. */
+    void sendIfOpen(String text) {
+      try {
+        send(text);
+      } catch (UncheckedIOException e) {
+        // The node has no use for the bytes.
+      }
+    }
+
     /** Resets it; bytes that were sent before may be lost. */
     void reset() {
       try {
