Send an id over a connection to an engine at most once

What callers saw: 503 (the request has not run and never will) for a request that its engine runs, and a second run once the caller came back.

Cause: an answer counted as a request's own if it bears its id, and the same id could go twice over one connection: by callers and nodes that come back, and by engines that take over an address. An engine may send a copy of a refusal later; read in the place of the next answer it names the right id and means the wrong send. The class of fault: an id that is not unique in its scope is taken for proof.

Change: EngineDestination remembers the ids that each connection has carried, for direct sends, prefills and requests of other nodes alike, and sends an id over a connection once. A request that comes again goes by another open connection, then by a new one; the one that was free is closed only if neither is to be had. Within a connection an id is then unique again, so that it tells whose an answer is, copies included; the engine is not trusted for it.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/BoundedConnectionPool.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/BoundedConnectionPool.java
@@ -22,9 +22,14 @@
     this.bound = bound;
   }
 
+  @Override
+  public int getMaxConnectionCount() {
+    return Math.min(super.getMaxConnectionCount(), bound.getAsInt());
+  }
+
   @Override
   protected void tryCreate(boolean create) {
-    if (getConnectionCount() < bound.getAsInt()) {
+    if (getConnectionCount() < getMaxConnectionCount()) {
       super.tryCreate(create);
     }
   }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ConnectionLog.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ConnectionLog.java
@@ -28,12 +28,17 @@
         .log();
   }
 
-  /** Logs that a connection which has carried a request was to carry one with its id. */
-  void idRepeated(String requestId, Connection connection) {
+  /**
+   * Logs that a connection which has carried a request was to carry one with its id.
+   *
+   * @param closes whether it is closed, since no other one is to be had
+   */
+  void idRepeated(String requestId, Connection connection, boolean closes) {
     log.line(LogEvent.ID_REPEATED, "")
         .addKeyValue("request", requestId)
         .addKeyValue("address", connection.getRemoteSocketAddress())
         .addKeyValue("connection", LogTexts.connection(connection))
+        .addKeyValue("closes", closes)
         .log();
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -3,7 +3,7 @@
 import java.util.Collections;
 import java.util.Map;
 import java.util.WeakHashMap;
-import java.util.function.BiConsumer;
+import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Origin;
@@ -13,37 +13,74 @@
 import org.eclipse.jetty.client.transport.SendFailure;
 
 /**
- * The connections to one engine, or to a node that forwards. Finds out when a request is to go over
- * a connection that has carried one with its id. Thread-safe.
+ * The connections to one engine, or to a node that forwards. Thread-safe.
+ *
+ * <p>Invariant: each connection carries an id at most once in its life, whoever sends it. An engine
+ * may repeat an answer at any later time, and only the id tells whose it is.
+ *
+ * <p>A request that comes again goes by another open connection, or else by a new one. The
+ * connection that was free is closed only if neither is to be had.
  */
 final class EngineDestination extends HttpDestination {
 
-  private final BiConsumer<String, Connection> onRepeatedId;
+  private final RepeatedIdListener listener;
 
   /** Weak, since a connection may end in ways that are not reported here. */
   private final Map<Connection, SentRequestIds> sentByConnection =
       Collections.synchronizedMap(new WeakHashMap<>());
 
-  /**
-   * Creates a destination without connections.
-   *
-   * @param onRepeatedId called with the id of a request and the connection that carried it before
-   */
-  EngineDestination(HttpClient client, Origin origin, BiConsumer<String, Connection> onRepeatedId) {
+  /** Told of connections that are passed over. */
+  @FunctionalInterface
+  interface RepeatedIdListener {
+
+    /**
+     * A connection has carried a request with the same id.
+     *
+     * @param closes whether it is closed, since no other one is to be had
+     */
+    void onRepeatedId(String requestId, Connection connection, boolean closes);
+  }
+
+  /** Creates a destination without connections. */
+  EngineDestination(HttpClient client, Origin origin, RepeatedIdListener listener) {
     super(client, origin);
-    this.onRepeatedId = onRepeatedId;
+    this.listener = listener;
   }
 
   @Override
   protected SendFailure send(IConnection connection, HttpExchange exchange) {
     String id = exchange.getRequest() instanceof UnalteredRequest request ? request.id() : "";
-    if (!id.isEmpty() && !sentOver(connection).tryAdd(id)) {
-      onRepeatedId.accept(id, connection);
+    if (id.isEmpty()) {
+      return super.send(connection, exchange);
+    }
+    SentRequestIds sent = sentOver(connection);
+    if (sent.tryAdd(id)) {
+      return super.send(connection, exchange);
+    }
+    if (sent.isFull()) {
+      connection.close();
+    } else {
+      passOver(connection, id);
     }
-    return super.send(connection, exchange);
+    return new SendFailure(new IllegalStateException("the connection is not to carry it"), true);
   }
 
   private SentRequestIds sentOver(Connection connection) {
     return sentByConnection.computeIfAbsent(connection, opened -> new SentRequestIds());
   }
+
+  private void passOver(Connection connection, String id) {
+    boolean closes = !mayGetAnother();
+    listener.onRepeatedId(id, connection, closes);
+    if (closes) {
+      connection.close();
+    }
+  }
+
+  private boolean mayGetAnother() {
+    return getConnectionPool() instanceof AbstractConnectionPool pool
+        && (pool.getIdleConnectionCount() > 0
+            || pool.getPendingConnectionCount() > 0
+            || pool.getConnectionCount() < pool.getMaxConnectionCount());
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/LogEvent.java
@@ -62,7 +62,10 @@
    * says whether it bears a refusal.
    */
   ANSWER_OF_ANOTHER,
-  /** A request was to go over a connection to an engine that has carried one with its id. */
+  /**
+   * A request was to go over a connection to an engine that has carried one with its id, and goes
+   * by another one.
+   */
   ID_REPEATED,
   /** An engine was found at work on a request whose connection had ended long before. */
   ENGINE_WORKS_ON,
