Take no answer that names a request for the answer to a call of the node's own

What operators would see: an engine that counts as gone, so that a content comes under suspicion (ENGINE_GONE), or a stage order that counts as refused while the engine carries it out.

Cause: calls of the node's own (reports, orders, cache lists, handles) share the connections of requests and bear no id. An answer too many, such as the copy of a 421 or 503, was read in their place and believed, since only its notices were left out. The same class as for requests: an answer is taken for one's own by its place alone.

Change: an answer to a call of the node's own that names a request is ended with its connection, through AnswerOwnership as for requests. A call that ends so has had no answer: reports show nothing, and an order may have been taken.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerOwnership.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/AnswerOwnership.java
@@ -35,4 +35,9 @@
     log.answerOfAnother(engine, requestId, head, LogTexts.connection(answer.getRequest()));
     return Optional.empty();
   }
+
+  /** Ends the answer to a call of this node's own, which has no id, if it names a request. */
+  void endUnlessOfOwnCall(Response answer, ServingEngine engine) {
+    readOwn(answer, answer.getHeaders(), engine, EngineClient.NO_REQUEST);
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -62,6 +62,11 @@
   /** Requests with this tag share no connections with the others. */
   private static final String OWN_CONNECTION = "own-connection";
 
+  /**
+   * In place of the id of a caller's request, for a call that this node makes on its own behalf.
+   */
+  static final String NO_REQUEST = "";
+
   private static final int MAX_LIST_BYTES = 2 << 20;
 
   /** Many times what a report of all slots of an engine takes. */
@@ -336,20 +341,17 @@
 
   /** Prepares a call that this node makes on its own behalf; the caller of this method sends it. */
   Request newRequest(ServingEngine engine, String method, String path) {
-    return newRequest(engine, method, path, "");
-  }
-
-  private Request newRequest(ServingEngine engine, String method, String path, String requestId) {
     serviceByAddress.put(engine.address(), engine.service());
     Request request = newOwnCall(engine.address(), method, path);
-    noticeReader.watch(request, engine, requestId);
+    request.onResponseHeaders(answer -> ownership.endUnlessOfOwnCall(answer, engine));
+    noticeReader.watch(request, engine, NO_REQUEST);
     return request;
   }
 
   /** Its answer is short, and bounded by whoever keeps it. */
   private Request newOwnCall(NetworkAddress address, String method, String target) {
     EngineAnswerMemory.Share memory = answers.open(address);
-    Request request = newCall(address, "", method, target, memory);
+    Request request = newCall(address, NO_REQUEST, method, target, memory);
     request.onRequestBegin(begun -> progressOf(begun).pause());
     request.onComplete(result -> memory.release());
     return request;
