--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SentRequestIds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SentRequestIds.java
@@ -9,7 +9,7 @@
  */
 final class SentRequestIds {
 
-  /** Ids of one connection; they take 64 KB at most. */
+  /** Ids of one connection; they take 32 KB at most. */
   static final int MAX_IDS = 4_096;
 
   private static final int FIRST_SLOTS = 16;
