Serve requests that waited while a connection was passed over

What callers saw: a request waited in the node's queue to an engine though a connection was free, until the next tick of the load shares (500 ms), the next request or the end of another run. If the new connection that was under way failed, all that waited failed with it.

Cause: the HTTP client queues a request whose connection is passed over again and only then releases that connection, without looking at its queue. Whoever looked for a connection meanwhile found none and was not woken; a request whose other free connection was taken meanwhile waited beside one that could have been replaced; and a request that waited for a new connection stood before others which the free one may carry.

Change: the pool tells the destination of each connection that is free again. If that one had been passed over and a request waits which it may carry, or no new connection is under way, the queue is served once more, on another thread. All pools of engines and forwarders are bounded ones for that. It cannot spin: with no connection under way a passed over one is replaced, or another is found or opened; with one under way it is served only for a request that the free connection may carry.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/BoundedConnectionPool.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/BoundedConnectionPool.java
@@ -1,6 +1,7 @@
 package org.fallturn.node.gateway;
 
 import java.util.function.IntSupplier;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Destination;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 
@@ -10,6 +11,7 @@
  */
 final class BoundedConnectionPool extends DuplexConnectionPool {
 
+  private final Destination destination;
   private final IntSupplier bound;
 
   /**
@@ -19,6 +21,7 @@
    */
   BoundedConnectionPool(Destination destination, int greatest, IntSupplier bound) {
     super(destination, greatest);
+    this.destination = destination;
     this.bound = bound;
   }
 
@@ -33,4 +36,13 @@
       super.tryCreate(create);
     }
   }
+
+  @Override
+  public boolean release(Connection connection) {
+    boolean kept = super.release(connection);
+    if (destination instanceof EngineDestination engine) {
+      engine.onReleased(connection);
+    }
+    return kept;
+  }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineClient.java
@@ -14,7 +14,6 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.ConnectionPool;
 import org.eclipse.jetty.client.Destination;
-import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -169,12 +168,12 @@
             destination.getOrigin().getAddress().getHost(),
             destination.getOrigin().getAddress().getPort());
     if (forwarders.contains(address)) {
-      return new DuplexConnectionPool(destination, FORWARDER_CONNECTIONS);
+      return newPool(destination, FORWARDER_CONNECTIONS);
     }
     String service = serviceByAddress.getOrDefault(address, "");
     Integer accepted = acceptedByService.get(service);
     if (accepted == null) {
-      return new DuplexConnectionPool(destination, PlainHttpClients.DEFAULT_CONNECTIONS);
+      return newPool(destination, PlainHttpClients.DEFAULT_CONNECTIONS);
     }
     return new BoundedConnectionPool(
         destination,
@@ -182,6 +181,10 @@
         () -> ConnectionBound.of(accepted, loadShares.getOrDefault(service, 0.0)));
   }
 
+  private static ConnectionPool newPool(Destination destination, int bound) {
+    return new BoundedConnectionPool(destination, bound, () -> bound);
+  }
+
   /**
    * Sends the request of an attempt, to its engine or to the node that forwards it; the attempt
    * receives the outcome.
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -2,7 +2,9 @@
 
 import java.util.Collections;
 import java.util.Map;
+import java.util.Set;
 import java.util.WeakHashMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
@@ -29,6 +31,9 @@
   private final Map<Connection, SentRequestIds> sentByConnection =
       Collections.synchronizedMap(new WeakHashMap<>());
 
+  /** Connections that are held by a request which they are not to carry. */
+  private final Set<Connection> passedOver = ConcurrentHashMap.newKeySet();
+
   /** Told of connections that are passed over. */
   @FunctionalInterface
   interface RepeatedIdListener {
@@ -41,7 +46,11 @@
     void onRepeatedId(String requestId, Connection connection, boolean closes);
   }
 
-  /** Creates a destination without connections. */
+  /**
+   * Creates a destination without connections.
+   *
+   * @param listener told of connections that are passed over
+   */
   EngineDestination(HttpClient client, Origin origin, RepeatedIdListener listener) {
     super(client, origin);
     this.listener = listener;
@@ -49,7 +58,7 @@
 
   @Override
   protected SendFailure send(IConnection connection, HttpExchange exchange) {
-    String id = exchange.getRequest() instanceof UnalteredRequest request ? request.id() : "";
+    String id = idOf(exchange);
     if (id.isEmpty()) {
       return super.send(connection, exchange);
     }
@@ -65,22 +74,58 @@
     return new SendFailure(new IllegalStateException("the connection is not to carry it"), true);
   }
 
+  private static String idOf(HttpExchange exchange) {
+    return exchange.getRequest() instanceof UnalteredRequest request ? request.id() : "";
+  }
+
   private SentRequestIds sentOver(Connection connection) {
     return sentByConnection.computeIfAbsent(connection, opened -> new SentRequestIds());
   }
 
   private void passOver(Connection connection, String id) {
     boolean closes = !mayGetAnother();
+    passedOver.add(connection);
     listener.onRepeatedId(id, connection, closes);
     if (closes) {
       connection.close();
     }
   }
 
+  /**
+   * Serves the requests that looked for a connection while the given one was passed over. Call when
+   * it is free again: the client does not look at its queue then.
+   */
+  void onReleased(Connection connection) {
+    if (passedOver.remove(connection) && getHttpClient().isRunning() && strands(connection)) {
+      // On another thread, so that calls do not nest for each connection that is passed over.
+      getHttpClient().getExecutor().execute(this::send);
+    }
+  }
+
+  /**
+   * Whether a request waits beside a free connection though it may go by that one, or though no new
+   * connection is on its way that will serve the queue.
+   */
+  private boolean strands(Connection free) {
+    return getQueuedRequestCount() > 0
+        && (!isConnecting()
+            || getHttpExchanges().stream().anyMatch(waiting -> mayCarry(free, idOf(waiting))));
+  }
+
+  private boolean mayCarry(Connection connection, String id) {
+    SentRequestIds sent = sentByConnection.get(connection);
+    return id.isEmpty() || sent == null || !sent.contains(id);
+  }
+
+  private boolean isConnecting() {
+    return getConnectionPool() instanceof AbstractConnectionPool pool
+        && pool.getPendingConnectionCount() > 0;
+  }
+
   private boolean mayGetAnother() {
     return getConnectionPool() instanceof AbstractConnectionPool pool
         && (pool.getIdleConnectionCount() > 0
-            || pool.getPendingConnectionCount() > 0
+            || isConnecting()
             || pool.getConnectionCount() < pool.getMaxConnectionCount());
   }
 }
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/SentRequestIds.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/SentRequestIds.java
@@ -36,6 +36,12 @@
     return true;
   }
 
+  /** Whether an id was added. */
+  synchronized boolean contains(String id) {
+    int fingerprint = fingerprint(id);
+    return slots[slotOf(slots, fingerprint)] == fingerprint;
+  }
+
   /** Whether no further id fits. */
   synchronized boolean isFull() {
     return size >= MAX_IDS;
