Drop the ids of a connection when it ends

What operators would see: memory of a node that grows with each engine that ends, up to 32 KB for each connection it had, for as long as the node runs.

Cause: the record of a connection's ids hung on a weak key alone. A weak map drops the values of dead keys only when it is used again, and the map of an address that no engine has any more is not; the HTTP client keeps the destination of each address that it has called.

Evidence: EngineDestinationTest#recordOfAConnectionEndsWithIt, red before (still on record 20 s after the connection had ended), green now; the other tests of the class, PassedOverConnectionTest and CopiedRefusalTest pass.

Change: the record goes when the client removes the connection. A thread that holds the connection at that moment finds a new record, so that a closed connection carries nothing: its request goes by another one.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -27,7 +27,10 @@
 
   private final RepeatedIdListener listener;
 
-  /** Weak, since a connection may end in ways that are not reported here. */
+  /**
+   * Without those of connections that have ended, which would stay with an address that is not used
+   * again. Weak, since a connection may end in ways that are not reported here.
+   */
   private final Map<Connection, SentRequestIds> sentByConnection =
       Collections.synchronizedMap(new WeakHashMap<>());
 
@@ -63,10 +66,12 @@
       return super.send(connection, exchange);
     }
     SentRequestIds sent = sentOver(connection);
-    if (sent.tryAdd(id)) {
+    if (connection.isClosed()) {
+      // Its record has ended with it, so that this one may be new.
+      sentByConnection.remove(connection);
+    } else if (sent.tryAdd(id)) {
       return super.send(connection, exchange);
-    }
-    if (sent.isFull()) {
+    } else if (sent.isFull()) {
       connection.close();
     } else {
       passOver(connection, id);
@@ -74,6 +79,12 @@
     return new SendFailure(new IllegalStateException("the connection is not to carry it"), true);
   }
 
+  @Override
+  public boolean remove(Connection connection) {
+    sentByConnection.remove(connection);
+    return super.remove(connection);
+  }
+
   private static String idOf(HttpExchange exchange) {
     return exchange.getRequest() instanceof UnalteredRequest request ? request.id() : "";
   }
@@ -82,6 +93,11 @@
     return sentByConnection.computeIfAbsent(connection, opened -> new SentRequestIds());
   }
 
+  /** Connections whose ids are on record. */
+  int recorded() {
+    return sentByConnection.size();
+  }
+
   private void passOver(Connection connection, String id) {
     boolean closes = !mayGetAnother();
     passedOver.add(connection);
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineDestinationTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineDestinationTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -128,4 +129,14 @@
     assertThat(accepted).hasSize(2);
     assertThat(closes).isEmpty();
   }
+
+  @Test
+  void recordOfAConnectionEndsWithIt() throws Exception {
+    send("one");
+    EngineDestination destination = (EngineDestination) client.getDestinations().get(0);
+    assertThat(destination.recorded()).isEqualTo(1);
+    accepted.get(0).close();
+    await().atMost(CONNECT_TIMEOUT).until(() -> destination.getConnectionPool().isEmpty());
+    await().atMost(CONNECT_TIMEOUT).until(() -> destination.recorded() == 0);
+  }
 }
