Know the requests that run a suspected content by themselves, not by their ids

What callers would see: a further copy of a content that crashes engines sent while one runs, and one more engine gone with all that it worked on.

Cause: the quarantine kept the contents in flight by the ids of their requests. A caller who comes again with an id while its first request is under way has two requests with that id, and the end of either counted as the end of both.

Evidence: SameIdInFlightTest, red before (SUSPECTED, that is sendable, where QUARANTINED is due while the copy runs), green now. By this test alone; no run of a node shows it.

Change: a request stands for itself there. The tests of the quarantine, of its fleet and of the dispatcher pass.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/QuarantineGate.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/QuarantineGate.java
@@ -53,7 +53,7 @@
   }
 
   void onSent(RequestProgress progress) {
-    quarantine.onSent(progress.content(), progress.envelope().requestId());
+    quarantine.onSent(progress.content(), progress);
   }
 
   /** Handles a failed attempt, before the request is released from its engine. */
@@ -85,6 +85,6 @@
   }
 
   void onEnded(RequestProgress progress) {
-    quarantine.onEnded(progress.envelope().requestId());
+    quarantine.onEnded(progress);
   }
 }
--- a/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/quarantine/Quarantine.java
@@ -91,10 +91,10 @@
   private final UnconfirmedAnswers unconfirmedAnswers = new UnconfirmedAnswers();
 
   /**
-   * Contents that this node has sent and whose requests have not ended, by request id. They show
+   * Contents that this node has sent and whose requests have not ended, by request. They show
    * whether a copy of a content is in flight.
    */
-  private final Map<String, RequestContent> sent = new HashMap<>();
+  private final Map<Object, RequestContent> sent = new HashMap<>();
 
   private final List<QuarantineStatusChange> changes = new ArrayList<>();
   private final List<RequestFingerprint> released = new ArrayList<>();
@@ -186,15 +186,15 @@
   /**
    * Handles that this node sends a content to an engine.
    *
-   * @param requestId id of the request
+   * @param request stands for the request until it ends; no id of a caller, which may come twice
    */
-  public void onSent(RequestContent content, String requestId) {
-    sent.put(requestId, content);
+  public void onSent(RequestContent content, Object request) {
+    sent.put(request, content);
   }
 
   /** Handles that a request has ended, with whatever outcome. */
-  public void onEnded(String requestId) {
-    sent.remove(requestId);
+  public void onEnded(Object request) {
+    sent.remove(request);
   }
 
   /**
