Count a content as in flight only once its request is sent

What operators would see: memory of a node that grows with each application request that waited for room at an engine and was refused without a send, by its body each; and a content that crashed engines once and then waited so is held back by that node for as long as it runs.

Cause: a decision to wait counted as a send in the quarantine. A wait that ends by a refusal (its time is over, memory for waits is used up, the node stops) is followed by none of the events that end a send, so that the content stayed in the map for good.

The growth of memory follows from the code; no run of a node measured it.

Change: only a decision to send counts. Each send passes the gate first, as before, so that of several copies that wait one is sent at a time. The tests of the queue, the quarantine, its fleet and the dispatcher pass.

--- a/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
+++ b/fallturn-core/src/main/java/org/fallturn/core/dispatch/Dispatcher.java
@@ -413,7 +413,7 @@
 
   private Decision placeUnrefused(RequestProgress progress, boolean mayPrefill, long nowNanos) {
     Decision decision = placeByCost(progress, mayPrefill && !progress.isolated(), nowNanos);
-    if (!(decision instanceof Decision.Refuse)) {
+    if (decision instanceof Decision.Prefill || decision instanceof Decision.Run) {
       gate.onSent(progress);
     }
     return decision;
