End a forwarded request on which this node fails

A node that failed on a request of another node, as for want of memory, answered 500 without its word, which the other node takes as lost. A failure before the request's end was watched for kept its part of the body memory for ever; the counts, key and lease behind it were taken one after the other in the same way. A failure after the server had been asked for the body left the request in place: it went to the engine when the body came, after the other node had been answered.

The request now holds what it has taken and gives back only that, once its end is watched for. Any failure ends it: it is given up first, so that the begin check withholds it whoever sends it later, and then the other node is told NOT_SENT if the HTTP client had not been given it, or else LOST. It is answered once, whether the client reports an end or not.

Ruled out: that a request which the client has queued goes out after its send failed.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineForwarder.java
@@ -122,13 +122,12 @@
       return cancel;
     }
     Optional<ServingEngine> engine = directory.apply(engineId).filter(this::mayForwardTo);
-    int length = (int) Math.min(Math.max(0, request.getLength()), Integer.MAX_VALUE);
-    if (engine.isEmpty() || !gateway.bodies().tryReserve(length, length)) {
+    if (engine.isEmpty()) {
       fail(response, callback, ForwardingResult.NOT_SENT);
-      return true;
+    } else {
+      forward(
+          new ForwardedRequest(engine.get(), new HandlerArguments(request, response, callback)));
     }
-    Request.addCompletionListener(request, failure -> gateway.bodies().release(length));
-    forward(engine.get(), new HandlerArguments(request, response, callback));
     return true;
   }
 
@@ -179,32 +178,34 @@
         .forEach(forwarded -> forwarded.giveUp(ForwardingEnd.NODE_STOPS));
   }
 
-  private void forward(ServingEngine engine, HandlerArguments from) {
-    present.incrementAndGet();
-    gateway.beginRequest();
-    String key =
-        Objects.requireNonNullElse(from.request().getHeaders().get(ForwardingHeaders.KEY), "");
-    ForwardedRequest forwarded = new ForwardedRequest(engine, from);
-    byKey.put(key, forwarded);
-    if (cancelledKeys.remove(key)) {
+  private void forward(ForwardedRequest forwarded) {
+    try {
+      Request.addCompletionListener(forwarded.from.request(), failure -> forwarded.release());
+      if (forwarded.tryAdmit()) {
+        begin(forwarded);
+      } else {
+        fail(forwarded.from.response(), forwarded.from.callback(), ForwardingResult.NOT_SENT);
+      }
+    } catch (RuntimeException | Error failure) {
+      forwarded.onFailure(failure);
+    }
+  }
+
+  private void begin(ForwardedRequest forwarded) {
+    HandlerArguments from = forwarded.from;
+    byKey.put(forwarded.key, forwarded);
+    if (cancelledKeys.remove(forwarded.key)) {
       forwarded.giveUp(ForwardingEnd.CANCELLED);
     }
     owner(from.request())
         .ifPresent(
-            owner -> leases.begin(key, owner, () -> forwarded.giveUp(ForwardingEnd.NOT_CONFIRMED)));
-    Request.addCompletionListener(
-        from.request(),
-        failure -> {
-          present.decrementAndGet();
-          gateway.endRequest();
-          byKey.remove(key);
-          leases.end(key);
-          forwarded.over.complete(null);
-        });
+            owner ->
+                leases.begin(
+                    forwarded.key, owner, () -> forwarded.giveUp(ForwardingEnd.NOT_CONFIRMED)));
     Content.Source.asByteBuffer(
         from.request(),
         Promise.from(
-            body -> forwarded.send(BufferUtil.toArray(body)),
+            forwarded::sendOrFail,
             failure -> fail(from.response(), from.callback(), ForwardingResult.NOT_SENT)));
   }
 
@@ -250,6 +251,8 @@
 
     private final ServingEngine engine;
     private final HandlerArguments from;
+    private final String key;
+    private final int length;
     private final long arrivedNanos = System.nanoTime();
     private volatile org.eclipse.jetty.client.Request toEngine;
     private final CompletableFuture<Void> over = new CompletableFuture<>();
@@ -257,6 +260,8 @@
     private final SendState sendState = new SendState();
     private volatile ProgressGuard progress = new ProgressGuard();
     private volatile String requestId = "";
+    private final AtomicBoolean completed = new AtomicBoolean();
+    private volatile boolean admitted;
     private boolean headRelayed;
     private boolean answerBegun;
     private boolean needsEndCheck;
@@ -264,9 +269,55 @@
     ForwardedRequest(ServingEngine engine, HandlerArguments from) {
       this.engine = engine;
       this.from = from;
+      this.key =
+          Objects.requireNonNullElse(from.request().getHeaders().get(ForwardingHeaders.KEY), "");
+      this.length = (int) Math.min(Math.max(0, from.request().getLength()), Integer.MAX_VALUE);
+    }
+
+    /** Makes room for it and counts it; false if there is no room. */
+    boolean tryAdmit() {
+      admitted = gateway.bodies().tryReserve(length, length);
+      if (admitted) {
+        present.incrementAndGet();
+        gateway.beginRequest();
+      }
+      return admitted;
     }
 
-    void send(byte[] body) {
+    /** Gives back what it holds here, once it has been answered or its connection has ended. */
+    void release() {
+      if (!admitted) {
+        return;
+      }
+      gateway.bodies().release(length);
+      present.decrementAndGet();
+      gateway.endRequest();
+      byKey.remove(key);
+      leases.end(key);
+      over.complete(null);
+    }
+
+    void sendOrFail(ByteBuffer body) {
+      try {
+        send(BufferUtil.toArray(body));
+      } catch (RuntimeException | Error failure) {
+        onFailure(failure);
+      }
+    }
+
+    /** Ends the request, since this node failed on it; never sends it from then on. */
+    void onFailure(Throwable failure) {
+      try {
+        giveUp(ForwardingEnd.NODE_FAILED);
+        complete(toEngine == null ? ForwardingResult.NOT_SENT : ForwardingResult.LOST);
+        LOG.warn("peers: A request of another node was not forwarded.", failure);
+      } catch (RuntimeException | Error second) {
+        // Ends the connection, which says nothing of the request.
+        from.callback().failed(second);
+      }
+    }
+
+    private void send(byte[] body) {
       watched().ifPresent(endPoint -> endPoint.watch(() -> giveUp(ForwardingEnd.NODE_CLOSED)));
       requestId = engines.protocol().readHead(0, from.request().getHeaders()).requestId();
       org.eclipse.jetty.client.Request request =
@@ -429,6 +480,9 @@
     }
 
     private void complete(ForwardingResult outcome) {
+      if (!completed.compareAndSet(false, true)) {
+        return;
+      }
       watched().ifPresent(WatchedEndPoint::unwatch);
       log.forwarded(requestId, engine.id(), sendState.connection(), outcome, givenUp);
       if (outcome == ForwardingResult.ANSWERED) {
--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingEnd.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/ForwardingEnd.java
@@ -11,5 +11,7 @@
   /** The other node did not confirm in time that it still waits for the answer. */
   NOT_CONFIRMED,
   /** This process is about to end. */
-  NODE_STOPS
+  NODE_STOPS,
+  /** This node failed on it, as for want of memory. */
+  NODE_FAILED
 }
