Refuse a request whose head this node failed to read

While memory is used up, some callers got 400 to proper requests, and callers do not come back after 400. HttpParser.parseNext catches whatever is thrown while it reads a head, also an OutOfMemoryError of the node's own, and reports a BadMessageException, which the server answers with 400.

The callers' port now has an error handler: where an error of this process is the cause of that exception, the answer is 503 with Retry-After, and the connection ends. Nothing of such a request has been handed to the handler, so that it has not run. The answers to malformed heads are as before, also where the parser tells them by an exception of another kind; so is a closed connection where no memory is left for an answer. A long body that is still unread may reset the connection before the answer is read, as with 400.

FailedHeadTest lets the server fail while it turns a head into a request.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/GatewayServer.java
@@ -293,6 +293,7 @@
     connector.open(socket);
     applyLimits(connector, RequestLimits.defaults());
     server.setHandler(new CallerRequestHandler(state, this::post, log));
+    server.setErrorHandler(new FailedHeadHandler(state.callerProtocol(), log));
     return connector;
   }
 
