Close a connection that this node failed to read

A second way to 400 for a proper request while memory is used up: an error that is thrown while the connection is read, as for want of a buffer, is taken by the server for the end of what the caller sends. In the middle of a body the answer is then "400 Early EOF".

The end point of a caller or of another node now closes the connection first, so that nothing is answered; the request has not been read to its end and is not run.

FailedReadTest lets one read fail. Before: red in the middle of a body ("HTTP/1.1 400 Bad Request", Early EOF); in the middle of a head the connection ended without an answer before as well.

Not mended: an error between the read and the handler, while the parser cuts a body into parts, is reported in the same way and still answered with 400 (by reading; not reproduced).

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/WatchedEndPoint.java
@@ -221,8 +221,21 @@
     getFillInterest().fillable();
   }
 
+  /**
+   * Closes the connection when this process fails to read, as for want of memory. The server would
+   * take that for the end of what the caller sends, and its request for a malformed one.
+   */
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
+    try {
+      return fillAndNote(buffer);
+    } catch (Error failure) {
+      close(failure);
+      throw failure;
+    }
+  }
+
+  private int fillAndNote(ByteBuffer buffer) throws IOException {
     int filled = fillFromEither(buffer);
     if (filled > 0) {
       onHeadBytes();
