Play callers that come back and engines that repeat their answers

The tool missed the incident of copied refusals: its callers never sent a refused request again, so that a copy never met its own request, and its engines copied refusals of runs alone, in place of the next request's answer.

Change: 85 in 100 refusals (408, 421, 429, 503) are followed by another try with the same id, to the same gateway or any, at once or after Retry-After, five tries at most within the deadline. A header tells engines the try, so that each run is judged by the try that it belongs to (RequestTries): a refused try has no run, and a request that may run once has one run at most over all tries. Engines keep their whole answers by connection (AnswerCopies); a copy comes in place of 6 in 100 next answers, also of reports and orders, and in front of 90 in 100 answers to an id that comes again on its connection. Two back ends of a service of their own turn 60 in 100 requests away, model engines 12 (3 before), and an engine takes 8 connections. The present kinds of answers keep their shares.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -30,6 +30,9 @@
   /** The part with which all prompts of {@link #send} begin. */
   public static final String FIRST_PART = "aa";
 
+  /** Header that tells which try of its request a call is. */
+  public static final String TRY = "X-Rehearsal-Try";
+
   private static final int SHARED_PART_TOKENS = 100;
 
   private final HttpClient client = new HttpClient();
@@ -119,6 +122,28 @@
     return send(gateway, path, promptTokens, deadline, ownBody(), headers);
   }
 
+  /** A request id that no other call has. */
+  public String newRequestId() {
+    return "request-" + number.incrementAndGet();
+  }
+
+  /**
+   * Sends one of the tries of a request, which share its id and its body.
+   *
+   * @param tryNumber 1 for the first
+   */
+  public Call sendTry(
+      NetworkAddress gateway,
+      String path,
+      int promptTokens,
+      Duration deadline,
+      String requestId,
+      int tryNumber) {
+    HttpFields headers = HttpFields.build().put(TRY, Integer.toString(tryNumber));
+    byte[] body = ("body of " + requestId + " of " + this).getBytes(UTF_8);
+    return send(gateway, path, promptTokens, deadline, body, headers, requestId);
+  }
+
   /** Sends a request with a body that others may bear too. */
   public Call sendContent(NetworkAddress gateway, String path, int promptTokens, String body) {
     return send(gateway, path, promptTokens, LONGEST, body.getBytes(UTF_8));
@@ -185,7 +210,17 @@
       Duration deadline,
       byte[] body,
       HttpFields extraHeaders) {
-    String requestId = "request-" + number.incrementAndGet();
+    return send(gateway, path, promptTokens, deadline, body, extraHeaders, newRequestId());
+  }
+
+  private Call send(
+      NetworkAddress gateway,
+      String path,
+      int promptTokens,
+      Duration deadline,
+      byte[] body,
+      HttpFields extraHeaders,
+      String requestId) {
     Request request =
         client
             .newRequest(gateway.host(), gateway.port())
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedPlatform.java
@@ -136,7 +136,12 @@
 
   /** Lists an application back end that runs elsewhere. */
   public void listApplication(String id, NetworkAddress address) {
-    write(ENGINE_TABLE, id, EngineRowText.of(APPLICATION_SERVICE, address, ""));
+    listApplication(id, APPLICATION_SERVICE, address);
+  }
+
+  /** Lists an application back end of some service that runs elsewhere. */
+  public void listApplication(String id, String service, NetworkAddress address) {
+    write(ENGINE_TABLE, id, EngineRowText.of(service, address, ""));
   }
 
   /** Lists a model engine that runs elsewhere. */
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EngineProcessMain.java
@@ -5,9 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 
 /**
@@ -16,7 +14,7 @@
  */
 public final class EngineProcessMain {
 
-  private static final String RUN_LINE = "run %s %d %s %s%n";
+  private static final String RUN_LINE = "run %s %d %s %s %s%n";
   private static final String END_LINE = "end %s %d%n";
 
   private static final String REPORT = "{\"stage\":\"\",\"models\":[],\"busy\":false,\"queued\":0}";
@@ -27,19 +25,25 @@
   private static final int PERCENT = 100;
   private static final int LONG_PERCENT = 30;
 
+  /** Argument of a back end that turns most requests away, and serves the others well. */
+  public static final String BUSY = "busy";
+
+  private static final int BUSY_PERCENT = 60;
+
   /** Few, so that it often turns requests away. */
   private static final int SLOTS = 4;
 
   private final String id;
   private final OnDisconnect onDisconnect;
+  private final boolean busy;
   private final Semaphore slots = new Semaphore(SLOTS);
 
-  /** Refusals that come late, in place of the answer to the next request of a connection. */
-  private final Map<Socket, String> late = new ConcurrentHashMap<>();
+  private final AnswerCopies copies = new AnswerCopies();
 
-  private EngineProcessMain(String id, OnDisconnect onDisconnect) {
+  private EngineProcessMain(String id, OnDisconnect onDisconnect, boolean busy) {
     this.id = id;
     this.onDisconnect = onDisconnect;
+    this.busy = busy;
   }
 
   /** How it answers; each kind takes its share, in percent. */
@@ -80,13 +84,15 @@
   }
 
   /**
-   * What it prints for the begin of a run: {@code run ID NANOS HOST LEFT}.
+   * What it prints for the begin of a run: {@code run ID NANOS HOST LEFT TRY}.
    *
    * @param host where it came from
    * @param millisLeft the time that the caller still waits, as the request says it
+   * @param tryNumber which of its caller's tries the run belongs to, as the request says it
    */
-  public static String runLine(String requestId, long nanos, String host, String millisLeft) {
-    return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host, millisLeft);
+  public static String runLine(
+      String requestId, long nanos, String host, String millisLeft, String tryNumber) {
+    return String.format(Locale.ROOT, RUN_LINE, requestId, nanos, host, millisLeft, tryNumber);
   }
 
   /** What it prints for the end of a run: {@code end ID NANOS}. */
@@ -97,11 +103,13 @@
   /**
    * Serves until it is killed.
    *
-   * @param arguments id, port (0 for any), and a name of {@link OnDisconnect}
+   * @param arguments id, port (0 for any), a name of {@link OnDisconnect}, and {@link #BUSY} or
+   *     nothing
    */
   public static void main(String[] arguments) throws IOException {
     EngineProcessMain engine =
-        new EngineProcessMain(arguments[0], OnDisconnect.valueOf(arguments[2]));
+        new EngineProcessMain(
+            arguments[0], OnDisconnect.valueOf(arguments[2]), arguments[3].equals(BUSY));
     RawRequests.listen(Integer.parseInt(arguments[1]), engine::answer);
   }
 
@@ -110,16 +118,16 @@
       throws IOException, InterruptedException {
     String requestId = head.requestId();
     if (!head.isFor(id)) {
-      write(connection, notRun("421 Misdirected Request", requestId));
+      send(connection, requestId, notRun("421 Misdirected Request", requestId), random);
       return true;
     }
     if (head.isControl()) {
-      write(connection, framed("200 OK", requestId, REPORT));
+      send(connection, requestId, framed("200 OK", requestId, REPORT), random);
       return true;
     }
-    Kind kind = Kind.draw(random);
+    Kind kind = busy ? drawWhenBusy(random) : Kind.draw(random);
     if (kind == Kind.NOT_RUN || !slots.tryAcquire()) {
-      write(connection, notRun("503 Service Unavailable", requestId));
+      send(connection, requestId, notRun("503 Service Unavailable", requestId), random);
       return true;
     }
     try {
@@ -129,17 +137,19 @@
     }
   }
 
+  private static Kind drawWhenBusy(Random random) {
+    return random.nextInt(PERCENT) < BUSY_PERCENT ? Kind.NOT_RUN : Kind.WHOLE;
+  }
+
   private boolean run(
       Socket connection, InputStream in, RawRequests.Head head, Kind kind, Random random)
       throws IOException, InterruptedException {
     String requestId = head.requestId();
-    boolean isLong = random.nextInt(PERCENT) < LONG_PERCENT;
+    boolean isLong = !busy && random.nextInt(PERCENT) < LONG_PERCENT;
     String host = connection.getInetAddress().getHostAddress();
-    System.out.print(runLine(requestId, System.nanoTime(), host, head.millisLeft()));
-    String stale = late.remove(connection);
-    if (stale != null) {
-      write(connection, stale);
-    }
+    System.out.print(
+        runLine(requestId, System.nanoTime(), host, head.millisLeft(), head.tryNumber()));
+    write(connection, copies.takeDue(connection, requestId, random));
     int millis = random.nextInt(isLong ? LONG_MILLIS : SHORT_MILLIS);
     boolean done = onDisconnect.work(connection, in, millis);
     System.out.print(endLine(requestId, System.nanoTime()));
@@ -148,21 +158,24 @@
           .send(stampedFields(requestId), connection.getOutputStream()::write);
       return false;
     }
-    return done && end(connection, kind, requestId);
+    return done && end(connection, kind, requestId, random);
   }
 
-  private boolean end(Socket connection, Kind kind, String requestId) throws IOException {
+  private boolean end(Socket connection, Kind kind, String requestId, Random random)
+      throws IOException {
     String whole = framed("200 OK", requestId, BODY);
     switch (kind) {
       case END_UNMARKED -> write(connection, head("200 OK", requestId) + "\r\n" + BODY);
-      case FAILURE -> write(connection, framed("500 Failed", requestId, "failed"));
-      case NOT_FOUND -> write(connection, framed("404 Not Found", requestId, "not found"));
+      case FAILURE ->
+          give(connection, requestId, framed("500 Failed", requestId, "failed"), random);
+      case NOT_FOUND ->
+          give(connection, requestId, framed("404 Not Found", requestId, "not found"), random);
       case ANSWERED_TWICE_LATE -> {
         write(connection, whole);
-        late.put(connection, notRun("503 Service Unavailable", requestId));
+        copies.sendNext(connection, notRun("503 Service Unavailable", requestId));
       }
       case CUT_SHORT -> write(connection, whole.substring(0, whole.length() - 1));
-      case WHOLE -> write(connection, whole);
+      case WHOLE -> give(connection, requestId, whole, random);
       case ANSWERED_TWICE ->
           write(connection, whole + notRun("503 Service Unavailable", requestId));
       case AFTER_INTERIM -> write(connection, INTERIM + whole);
@@ -173,6 +186,20 @@
     return kind != Kind.END_UNMARKED && kind != Kind.CUT_SHORT;
   }
 
+  /** Answers behind the copy that is due. */
+  private void send(Socket connection, String requestId, String answer, Random random)
+      throws IOException {
+    write(connection, copies.takeDue(connection, requestId, random));
+    give(connection, requestId, answer, random);
+  }
+
+  /** Writes an answer of which a copy may come later. */
+  private void give(Socket connection, String requestId, String answer, Random random)
+      throws IOException {
+    copies.given(connection, requestId, answer, random);
+    write(connection, answer);
+  }
+
   private String framed(String status, String requestId, String body) {
     return head(status, requestId) + "Content-Length: " + body.length() + "\r\n\r\n" + body;
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/ModelProcessMain.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/ModelProcessMain.java
@@ -30,7 +30,7 @@
 
   private static final int PERCENT = 100;
   private static final int SLOW_PERCENT = 5;
-  private static final int REJECTED_PERCENT = 3;
+  private static final int REJECTED_PERCENT = 12;
 
   /** Handles that have lapsed when they are to be fetched. */
   private static final int LAPSED_PERCENT = 25;
@@ -44,6 +44,7 @@
   private final OnDisconnect onDisconnect;
   private final String stage;
   private final AtomicLong handles = new AtomicLong();
+  private final AnswerCopies copies = new AnswerCopies();
 
   /** The requests that it has, each with the last event that it made. */
   private final Map<String, String> work = new ConcurrentHashMap<>();
@@ -96,18 +97,20 @@
       throws IOException, InterruptedException {
     String requestId = head.requestId();
     if (!head.isFor(id)) {
-      write(connection, whole("421 Misdirected Request", requestId, ""));
+      send(connection, requestId, whole("421 Misdirected Request", requestId, ""), random);
     } else if (head.isControl()) {
       boolean asksForReport = head.target().equals("/-/report");
-      write(connection, whole(asksForReport ? "200 OK" : "404 No", requestId, report));
+      String status = asksForReport ? "200 OK" : "404 No";
+      send(connection, requestId, whole(status, requestId, report), random);
     } else if (head.header("X-Fallturn-Stage", "").equals(PREFILL) != stage.equals(PREFILL)) {
-      write(connection, whole("421 Misdirected Request", requestId, ""));
+      send(connection, requestId, whole("421 Misdirected Request", requestId, ""), random);
     } else if (random.nextInt(PERCENT) < REJECTED_PERCENT || isLapsed(head, random)) {
-      write(connection, whole("503 Busy", requestId, ""));
+      send(connection, requestId, whole("503 Busy", requestId, ""), random);
     } else if (stage.equals(PREFILL)) {
       String handle = "h-" + id + "-" + handles.incrementAndGet();
       onDisconnect.work(connection, in, random.nextInt(USUAL_MILLIS));
-      write(connection, whole("200 OK", requestId, "{\"kvHandle\":\"" + handle + "\"}"));
+      String body = "{\"kvHandle\":\"" + handle + "\"}";
+      send(connection, requestId, whole("200 OK", requestId, body), random);
     } else {
       return run(connection, in, head, random);
     }
@@ -124,9 +127,11 @@
     String requestId = head.requestId();
     String host = connection.getInetAddress().getHostAddress();
     System.out.print(
-        EngineProcessMain.runLine(requestId, System.nanoTime(), host, head.millisLeft()));
+        EngineProcessMain.runLine(
+            requestId, System.nanoTime(), host, head.millisLeft(), head.tryNumber()));
     work.put(requestId, READING);
     try {
+      writeOrIgnore(connection, copies.takeDue(connection, requestId, random));
       return stream(connection, in, head, random);
     } finally {
       work.remove(requestId);
@@ -188,6 +193,14 @@
             id);
   }
 
+  /** Answers behind the copy that is due. */
+  private void send(Socket connection, String requestId, String answer, Random random)
+      throws IOException {
+    write(connection, copies.takeDue(connection, requestId, random));
+    copies.given(connection, requestId, answer, random);
+    write(connection, answer);
+  }
+
   /** One that works on does not notice that nobody reads. */
   private void writeOrIgnore(Socket connection, String text) throws IOException {
     try {
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RawRequests.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RawRequests.java
@@ -43,6 +43,11 @@
       return header("X-Fallturn-Deadline-Ms", "0");
     }
 
+    /** Which of its caller's tries it belongs to. */
+    String tryNumber() {
+      return header(EmulatedClient.TRY, "1");
+    }
+
     /** Whether it is meant for this engine, or for any. */
     boolean isFor(String engineId) {
       return header("X-Fallturn-Expect-Instance", engineId).equals(engineId);
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RouteText.java
@@ -21,12 +21,14 @@
   private static final int MODEL_ATTEMPTS = 2;
 
   /** A service of application back ends, after its name. */
-  private static final String APPLICATION = "\"healthPath\":\"/health\",\"maxConnections\":100}";
+  private static final String APPLICATION =
+      "\"healthPath\":\"/health\"," + maxConnections(100) + "}";
 
   /** A service of model engines, after its name. */
   private static final String MODEL =
-      "\"healthPath\":\"/health\",\"maxConnections\":300,"
-          + "\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
+      "\"healthPath\":\"/health\","
+          + maxConnections(300)
+          + ",\"engine\":{\"slots\":8,\"kvCapacityTokens\":400000,\"kvTokenBytes\":163840,"
           + "\"linkMbps\":1900000.0,\"handleTtlS\":5.0,\"stageSwitchS\":0.8}}";
 
   private RouteText() {}
@@ -112,6 +114,15 @@
     return configuration.replace(target(TARGET), target(target));
   }
 
+  /** The same configuration with another bound on connections to one engine. */
+  public static String withMaxConnections(String configuration, int connections) {
+    return configuration.replaceAll("\"maxConnections\":[0-9]+", maxConnections(connections));
+  }
+
+  private static String maxConnections(int connections) {
+    return "\"maxConnections\":" + connections;
+  }
+
   private static String target(Duration latency) {
     return "\"targetLatencyMs\":" + latency.toMillis();
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/EngineRuns.java
@@ -21,12 +21,14 @@
    * One run of a request.
    *
    * @param millisLeft the time that its caller still waited when it was sent
+   * @param tryNumber the try of its caller that it belongs to, from 1
    */
   record Run(
       String requestId,
       String engine,
       String senderHost,
       long millisLeft,
+      int tryNumber,
       long begunNanos,
       long endedNanos) {}
 
@@ -65,6 +67,7 @@
                 engine,
                 words[3],
                 Long.parseLong(words[4]),
+                Integer.parseInt(words[5]),
                 Long.parseLong(words[2]),
                 ends.getOrDefault(words[1], killedNanos)));
       }
@@ -86,6 +89,13 @@
     return byRequest.getOrDefault(requestId, List.of()).size();
   }
 
+  /** How many times this request ran for one of its tries. */
+  long runsOf(String requestId, int tryNumber) {
+    return byRequest.getOrDefault(requestId, List.of()).stream()
+        .filter(run -> run.tryNumber() == tryNumber)
+        .count();
+  }
+
   /** Runs that went on for longer than {@link #OVERLAP_NANOS} beside the next one. */
   List<Overlap> overlaps() {
     List<Overlap> found = new ArrayList<>();
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsCommand.java
@@ -1,5 +1,7 @@
 package org.fallturn.rehearsal.signals;
 
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,7 +11,8 @@
 import org.fallturn.node.command.Command;
 
 /**
- * {@code signals}: requests at engines and gateways that are killed, suspended and stopped.
+ * {@code signals}: requests at engines and gateways that are killed, suspended and stopped; refused
+ * ones come again with the same id, and engines repeat their answers.
  *
  * <pre>{@code
  * bin/fallturn-rehearsal signals --rounds 5 --seed 4711
@@ -26,7 +29,8 @@
 
   @Override
   public String help() {
-    return "kill, suspend and stop processes; exit status 1 when a request runs twice, is lost, or ran and is refused";
+    return "kill, suspend and stop processes beside callers that come back; exit status 1 when a"
+        + " request runs twice, is lost, or ran and is refused";
   }
 
   @Override
@@ -38,7 +42,10 @@
         .setDefault(DEFAULT_SECONDS)
         .help("length of a round");
     parser.addArgument("--seed").type(Long.class).required(true).help("seed of the first round");
-    parser.addArgument("--out").setDefault("signals-logs").help("folder for logs");
+    parser
+        .addArgument("--out")
+        .setDefault("signals-logs")
+        .help("folder for logs, which must have none of these seeds");
   }
 
   @Override
@@ -49,7 +56,11 @@
     List<Long> broken = new ArrayList<>();
     for (int round = 0; round < arguments.getInt("rounds"); round++) {
       long seed = first + round;
-      if (!new SignalsRun(seed, length, out.resolve("seed-" + seed), System.out).play()) {
+      Path logs = out.resolve("seed-" + seed);
+      if (Files.exists(logs)) {
+        throw new FileAlreadyExistsException(logs.toString(), null, "its runs would count again");
+      }
+      if (!new SignalsRun(seed, length, logs, System.out).play()) {
         broken.add(seed);
       }
     }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsFleet.java
@@ -21,9 +21,9 @@
 import org.fallturn.rehearsal.soak.SoakGatewayMain;
 
 /**
- * Gateways, application back ends and model engines as processes, beside a store in this process.
- * The first gateway reaches the engines by links of its own, the memory of the last one can be used
- * up. One thread calls.
+ * Gateways, application back ends (two of which turn most requests away) and model engines as
+ * processes, beside a store in this process. The first gateway reaches the engines by links of its
+ * own, the memory of the last one can be used up. One thread calls.
  */
 final class SignalsFleet implements AutoCloseable {
 
@@ -36,6 +36,9 @@
   /** Short, so that gateways soon give up an engine that is slow. */
   private static final Duration TARGET = Duration.ofMillis(100);
 
+  /** Connections to one engine; few, so that a request often meets one that it came by before. */
+  private static final int MAX_CONNECTIONS = 8;
+
   private static final List<OnDisconnect> APPLICATIONS =
       List.of(
           OnDisconnect.CANCEL,
@@ -43,6 +46,16 @@
           OnDisconnect.CANCEL,
           OnDisconnect.CANCEL_AT_RESET);
 
+  /** Path of requests to back ends that turn most requests away. */
+  static final String BUSY = "/busy/x";
+
+  /** As {@link #BUSY}, of requests that may run once. */
+  static final String BUSY_ONCE = "/busy-once/x";
+
+  private static final String BUSY_SERVICE = "busy";
+  private static final int BUSY_ENGINES = 2;
+  private static final int BUSY_TIMEOUT_MILLIS = 4_000;
+
   /** Host from which the first gateway's links reach the engines. */
   static final String LINKED_HOST = HOSTS + (FIRST_HOST - 1);
 
@@ -59,23 +72,26 @@
   private enum Kind {
     APPLICATION("a-", EngineProcessMain.class, ""),
     MODEL("m-", ModelProcessMain.class, "decode"),
-    PREFILL("p-", ModelProcessMain.class, "prefill");
+    PREFILL("p-", ModelProcessMain.class, "prefill"),
+    BUSY("b-", EngineProcessMain.class, EngineProcessMain.BUSY);
 
     private final String idPrefix;
     private final Class<?> program;
-    private final String stage;
 
-    Kind(String idPrefix, Class<?> program, String stage) {
+    /** Its stage, or how it answers. */
+    private final String part;
+
+    Kind(String idPrefix, Class<?> program, String part) {
       this.idPrefix = idPrefix;
       this.program = program;
-      this.stage = stage;
+      this.part = part;
     }
 
     private void list(EmulatedPlatform platform, String id, NetworkAddress address) {
-      if (this == APPLICATION) {
-        platform.listApplication(id, address);
-      } else {
-        platform.listModel(id, address, stage);
+      switch (this) {
+        case APPLICATION -> platform.listApplication(id, address);
+        case BUSY -> platform.listApplication(id, BUSY_SERVICE, address);
+        default -> platform.listModel(id, address, part);
       }
     }
   }
@@ -111,8 +127,8 @@
   SignalsFleet(Path directory, int gatewayCount) throws Exception {
     this.directory = directory;
     Files.createDirectories(directory);
-    platform.amendConfigurations(text -> RouteText.withTarget(text, TARGET));
-    platform.configure(RouteText.defaults());
+    platform.amendConfigurations(SignalsFleet::amend);
+    platform.configure(routes());
     for (OnDisconnect onDisconnect : APPLICATIONS) {
       engines.add(startEngine(Kind.APPLICATION, onDisconnect, 0));
     }
@@ -120,6 +136,9 @@
       engines.add(startEngine(Kind.MODEL, onDisconnect, 0));
     }
     engines.add(startEngine(Kind.PREFILL, OnDisconnect.CANCEL, 0));
+    for (int busy = 0; busy < BUSY_ENGINES; busy++) {
+      engines.add(startEngine(Kind.BUSY, OnDisconnect.CANCEL, 0));
+    }
     for (int gateway = 0; gateway < gatewayCount; gateway++) {
       callers.add(new NetworkAddress(host(gateway), PeerLink.freePort()));
       writeSettings(gateway, gatewayCount);
@@ -130,6 +149,19 @@
     }
   }
 
+  private static String amend(String configuration) {
+    String withBusy = RouteText.withService(configuration, BUSY_SERVICE);
+    return RouteText.withMaxConnections(RouteText.withTarget(withBusy, TARGET), MAX_CONNECTIONS);
+  }
+
+  private static List<String> routes() {
+    List<String> routes = new ArrayList<>(RouteText.defaults());
+    routes.add(RouteText.route("busy", "idempotent", false, BUSY_SERVICE, BUSY_TIMEOUT_MILLIS));
+    routes.add(
+        RouteText.route("busy-once", "non_idempotent", false, BUSY_SERVICE, BUSY_TIMEOUT_MILLIS));
+    return routes;
+  }
+
   /** Whether a run was at a model engine. */
   static boolean isModel(EngineRuns.Run run) {
     return run.engine().startsWith(Kind.MODEL.idPrefix);
@@ -238,7 +270,7 @@
   private Engine startEngine(Kind kind, OnDisconnect onDisconnect, int port) throws IOException {
     enginesStarted++;
     String id = kind.idPrefix + enginesStarted;
-    List<String> arguments = List.of(id, Integer.toString(port), onDisconnect.name(), kind.stage);
+    List<String> arguments = List.of(id, Integer.toString(port), onDisconnect.name(), kind.part);
     Engine engine =
         new Engine(
             kind, onDisconnect, id, ManagedProcess.start(id, directory, kind.program, arguments));
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/signals/SignalsRun.java
@@ -13,19 +13,15 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
-import java.util.stream.Stream;
 import org.fallturn.rehearsal.emulator.EmulatedClient;
-import org.fallturn.rehearsal.emulator.EmulatedClient.Call;
 import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.fleet.ManagedProcess;
+import org.fallturn.rehearsal.signals.SignalsLoad.Sent;
 
 /** One round: requests of both kinds, while processes are killed and suspended. */
 final class SignalsRun {
 
   private static final int GATEWAYS = 3;
-  private static final int REQUEST_MILLIS = 12;
-  private static final Duration DEADLINE = Duration.ofMillis(3_500);
   private static final Duration START = Duration.ofSeconds(60);
   private static final int MIN_PAUSE_MILLIS = 250;
   private static final int PAUSE_RANGE_MILLIS = 700;
@@ -36,9 +32,6 @@
   private static final String STOP = "stop";
   private static final String MEMORY = "memory";
 
-  /** Statuses that say that a request has not run and never will. */
-  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
-
   /** A sliced process runs for a quarter of each slice, as on a quarter of a core. */
   private static final int SLICE_MILLIS = 100;
 
@@ -63,7 +56,7 @@
   private final Duration length;
   private final Path directory;
   private final PrintStream out;
-  private final List<Sent> sent = new ArrayList<>();
+  private List<Sent> sent = List.of();
   private final List<Disturbance> disturbances = new ArrayList<>();
   private final List<String> wrongEnds = new ArrayList<>();
   private final List<Repair> repairs = new ArrayList<>();
@@ -71,14 +64,6 @@
 
   private record Disturbance(String what, long begunNanos, long endedNanos) {}
 
-  /**
-   * A request as it was sent.
-   *
-   * @param answeredNanos when its answer, or the end of its connection, had come
-   */
-  private record Sent(
-      Work work, int gateway, long sentNanos, Call call, AtomicLong answeredNanos) {}
-
   private record Repair(String target, long dueNanos, Step step) {}
 
   /** Something that is done to a process. */
@@ -87,24 +72,6 @@
     void run() throws IOException, InterruptedException;
   }
 
-  /** What a request asks for. */
-  private enum Work {
-    APPLICATION(EmulatedPlatform.IDEMPOTENT, 0, false),
-    APPLICATION_ONCE(EmulatedPlatform.NON_IDEMPOTENT, 0, true),
-    STREAM(EmulatedPlatform.RESUMABLE, 200, false),
-    STREAM_ONCE(EmulatedPlatform.STREAM, 200, true);
-
-    private final String path;
-    private final int promptTokens;
-    private final boolean once;
-
-    Work(String path, int promptTokens, boolean once) {
-      this.path = path;
-      this.promptTokens = promptTokens;
-      this.once = once;
-    }
-  }
-
   private enum Fault {
     KILL_ENGINE,
     SUSPEND_ENGINE,
@@ -130,12 +97,13 @@
     try (SignalsFleet fleet = new SignalsFleet(directory, GATEWAYS);
         EmulatedClient client = new EmulatedClient()) {
       awaitServing(fleet, client);
-      Thread load = new Thread(() -> sendUntilEnd(fleet, client), "load");
-      load.start();
+      SignalsLoad load = new SignalsLoad(fleet, client, seed);
+      Thread sending = new Thread(() -> load.send(length), "load");
+      sending.start();
       disturbUntilEnd(fleet);
-      load.join();
-      Map<Integer, Integer> statuses = statuses();
-      return report(fleet.endEngines(), statuses);
+      sending.join();
+      sent = load.awaitAll();
+      return report(fleet.endEngines());
     }
   }
 
@@ -150,25 +118,6 @@
     }
   }
 
-  private void sendUntilEnd(SignalsFleet fleet, EmulatedClient client) {
-    Random choice = new Random(seed);
-    long until = System.nanoTime() + length.toNanos();
-    try {
-      while (System.nanoTime() - until < 0) {
-        Work work = Work.values()[choice.nextInt(Work.values().length)];
-        int gateway = choice.nextInt(fleet.gatewayCount());
-        long sentNanos = System.nanoTime();
-        Call call = client.send(fleet.callers(gateway), work.path, work.promptTokens, DEADLINE);
-        AtomicLong answered = new AtomicLong();
-        call.answer().thenRun(() -> answered.set(System.nanoTime()));
-        sent.add(new Sent(work, gateway, sentNanos, call, answered));
-        TimeUnit.MILLISECONDS.sleep(REQUEST_MILLIS);
-      }
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private void disturbUntilEnd(SignalsFleet fleet) throws Exception {
     long until = System.nanoTime() + length.toNanos();
     while (System.nanoTime() - until < 0) {
@@ -321,26 +270,26 @@
     }
   }
 
-  private Map<Integer, Integer> statuses() throws Exception {
-    Map<Integer, Integer> counts = new TreeMap<>();
+  private boolean report(EngineRuns runs) {
+    RequestTries tries = new RequestTries();
+    Map<Integer, Integer> statuses = new TreeMap<>();
     for (Sent one : sent) {
-      counts.merge(one.call().await().status(), 1, Integer::sum);
+      RequestTries.Try seen = one.seen();
+      tries.add(seen);
+      statuses.merge(seen.status(), 1, Integer::sum);
     }
-    return counts;
-  }
-
-  private boolean report(EngineRuns runs, Map<Integer, Integer> statuses) {
     out.printf(
         Locale.ROOT,
-        "seed %d: %d requests (%d that may run once), %d runs, %d faults, statuses %s%n",
+        "seed %d: %d requests (%d that may run once), %d of them sent again, %d runs, %d faults,"
+            + " statuses %s%n",
         seed,
-        sent.size(),
-        once().count(),
+        tries.requests(),
+        tries.onceRequests(),
+        tries.returns(),
         runs.count(),
         disturbances.size(),
         statuses);
-    List<String> twice =
-        once().map(one -> one.call().requestId()).filter(id -> runs.runsOf(id) > 1).toList();
+    List<String> twice = tries.ranMoreThanOnce(runs);
     out.println("  ran more than once: " + twice);
     List<EngineRuns.Overlap> overlaps = runs.overlaps();
     List<EngineRuns.Overlap> unexcused =
@@ -355,7 +304,7 @@
     List<String> unanswered = unanswered(runs);
     out.println("  ran and got no answer of a gateway that was not killed: " + unanswered);
     wrongEnds.forEach(end -> out.println("  " + end));
-    List<String> ranThoughRefused = printRefused(runs);
+    List<RequestTries.Try> ranThoughRefused = printRefused(tries, runs);
     return twice.isEmpty()
         && unexcused.isEmpty()
         && unanswered.isEmpty()
@@ -363,36 +312,27 @@
         && ranThoughRefused.isEmpty();
   }
 
-  /** Requests that an engine ran and that were refused with an answer that says otherwise. */
-  private List<String> printRefused(EngineRuns runs) {
-    List<Sent> refused =
-        sent.stream().filter(one -> NOT_RUN.contains(one.call().answer().join().status())).toList();
-    List<String> ran =
-        refused.stream()
-            .filter(one -> runs.runsOf(one.call().requestId()) > 0)
-            .map(one -> one.call().requestId() + " at " + SignalsFleet.gatewayName(one.gateway()))
-            .toList();
+  /** Tries that an engine ran and that were refused with an answer that says otherwise. */
+  private List<RequestTries.Try> printRefused(RequestTries tries, EngineRuns runs) {
+    List<RequestTries.Try> refused = tries.refused();
+    List<RequestTries.Try> ran = tries.refusedAndRan(runs);
     out.printf(
         Locale.ROOT,
         "  refused as not run: %d (%d that may run once), of them ran: %s%n",
         refused.size(),
-        refused.stream().filter(one -> one.work().once).count(),
+        refused.stream().filter(RequestTries.Try::once).count(),
         ran);
     out.println("  ends of a gateway without memory: " + memoryEnds);
     return ran;
   }
 
-  private Stream<Sent> once() {
-    return sent.stream().filter(one -> one.work().once);
-  }
-
   /** Requests that an engine ran and whose connection ended without an answer. */
   private List<String> unanswered(EngineRuns runs) {
     return sent.stream()
-        .filter(one -> one.call().answer().join().status() == 0)
-        .filter(one -> runs.runsOf(one.call().requestId()) > 0)
+        .filter(one -> one.seen().status() == 0)
+        .filter(one -> runs.runsOf(one.call().requestId(), one.tryNumber()) > 0)
         .filter(one -> !wasKilled(one))
-        .map(one -> one.call().requestId() + " at " + SignalsFleet.gatewayName(one.gateway()))
+        .map(one -> one.seen().toString())
         .toList();
   }
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/signals/EngineRunsTest.java
@@ -21,11 +21,11 @@
   }
 
   private static String first(long nanos) {
-    return EngineProcessMain.runLine("r", nanos, HOST, "3000");
+    return EngineProcessMain.runLine("r", nanos, HOST, "3000", "1");
   }
 
   private static String second(long nanos) {
-    return EngineProcessMain.runLine("r", nanos, HOST, "2500");
+    return EngineProcessMain.runLine("r", nanos, HOST, "2500", "1");
   }
 
   private static String end(long nanos) {
@@ -54,8 +54,8 @@
     read("b", 9 * LATE, second(0));
     read("a", 9 * LATE, first(BEGIN), end(BEGIN + LATE));
     assertThat(runs.overlaps()).isEmpty();
-    read("c", 9 * LATE, EngineProcessMain.runLine("s", 0, HOST, "2000"));
-    read("d", BEGIN + LATE + 1, EngineProcessMain.runLine("s", BEGIN, HOST, "2500"));
+    read("c", 9 * LATE, EngineProcessMain.runLine("s", 0, HOST, "2000", "1"));
+    read("d", BEGIN + LATE + 1, EngineProcessMain.runLine("s", BEGIN, HOST, "2500", "1"));
     assertThat(runs.overlaps()).extracting(Overlap::nanos).isEqualTo(List.of(LATE + 1));
   }
 
