Emulated engines send their refusals twice

Change: RefusalCopies. While it is on, an engine turns six of ten requests away, and each refusal (503, 421) comes once more on its connection: a quarter in front of the next answer there, the others in front of the answer to the same id, which runs. It stands beside EngineFault, which is one fault at a time, so that it meets the others. An engine that wants rest repeats none. EmulatedClient.sendAgain sends a request again with its id; engines tell when each run began. Raw answers and crashes move out of EmulatedEngine into classes of their own, with no change of what they do.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedClient.java
@@ -30,6 +30,7 @@
   /** The part with which all prompts of {@link #send} begin. */
   public static final String FIRST_PART = "aa";
 
+  private static final String DEADLINE = "X-Fallturn-Deadline-Ms";
   private static final int SHARED_PART_TOKENS = 100;
 
   private final HttpClient client = new HttpClient();
@@ -173,6 +174,33 @@
     return send(gateway, path, promptTokens, LONGEST, ownBody(), resumed);
   }
 
+  /**
+   * Sends a request once more, with the same id.
+   *
+   * @param deadline how long it says that it still waits
+   */
+  public Call sendAgain(Call before, NetworkAddress gateway, Duration deadline) {
+    BytesRequestContent body = (BytesRequestContent) before.request().getBody();
+    body.rewind();
+    Request request =
+        post(gateway, before.request().getPath(), body)
+            .headers(
+                headers -> {
+                  before.request().getHeaders().forEach(headers::put);
+                  headers.put(DEADLINE, Long.toString(deadline.toMillis()));
+                });
+    return send(before.requestId(), request);
+  }
+
+  private Request post(NetworkAddress gateway, String path, BytesRequestContent body) {
+    return client
+        .newRequest(gateway.host(), gateway.port())
+        .method(HttpMethod.POST)
+        .path(path)
+        .timeout(LONGEST.toSeconds(), TimeUnit.SECONDS)
+        .body(body);
+  }
+
   private Call send(
       NetworkAddress gateway, String path, int promptTokens, Duration deadline, byte[] body) {
     return send(gateway, path, promptTokens, deadline, body, HttpFields.EMPTY);
@@ -187,18 +215,17 @@
       HttpFields extraHeaders) {
     String requestId = "request-" + number.incrementAndGet();
     Request request =
-        client
-            .newRequest(gateway.host(), gateway.port())
-            .method(HttpMethod.POST)
-            .path(path)
-            .timeout(LONGEST.toSeconds(), TimeUnit.SECONDS)
-            .body(new BytesRequestContent(body))
+        post(gateway, path, new BytesRequestContent(body))
             .headers(
                 headers -> {
                   write(headers, requestId, promptTokens, deadline);
                   headers.add(ownHeaders);
                   extraHeaders.forEach(headers::put);
                 });
+    return send(requestId, request);
+  }
+
+  private static Call send(String requestId, Request request) {
     CompletableFuture<Answer> answer = new CompletableFuture<>();
     request.send(
         new BufferingResponseListener() {
@@ -220,7 +247,7 @@
       HttpFields.Mutable headers, String requestId, int promptTokens, Duration deadline) {
     headers.put("Host", EmulatedPlatform.HOST);
     headers.put("X-Fallturn-Request-Id", requestId);
-    headers.put("X-Fallturn-Deadline-Ms", Long.toString(deadline.toMillis()));
+    headers.put(DEADLINE, Long.toString(deadline.toMillis()));
     if (promptTokens > 0) {
       int shared = promptTokens / 2;
       headers.put("X-Fallturn-Model", "m");
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/EmulatedEngine.java
@@ -1,8 +1,5 @@
 package org.fallturn.rehearsal.emulator;
 
-import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
-import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -12,7 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -42,9 +38,8 @@
   /** Version of an engine's software unless another is given. */
   public static final String FIRST_VERSION = "v1";
 
-  private static final String REQUEST_ID = "X-Fallturn-Request-Id";
-  private static final String UNENDED_ANSWER =
-      "HTTP/1.1 200 OK\r\nConnection: close\r\n%s: %s\r\n%s: stamp-%s\r\n\r\nans";
+  /** Names a request, in it and in its answer. */
+  static final String REQUEST_ID = "X-Fallturn-Request-Id";
 
   /** Marks the answers of engines; its value names the engine behind a prefix. */
   static final String STAMP = "X-Fallturn-Response-Stamp";
@@ -80,19 +75,19 @@
   private volatile String stage;
   private final EmulatedServer server;
   private final ConcurrentLinkedDeque<EngineFault> nextFaults = new ConcurrentLinkedDeque<>();
-  private final ConcurrentLinkedQueue<String> runs = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Run> runs = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<HttpFields> heads = new ConcurrentLinkedQueue<>();
   private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
   private final Set<String> handles = ConcurrentHashMap.newKeySet();
   private final EmulatedCache cache = new EmulatedCache();
   private final AtomicInteger handleNumber = new AtomicInteger();
   private final HeldWork heldWork = new HeldWork();
-  private final List<Poison> poisons = new CopyOnWriteArrayList<>();
+  private final RefusalCopies refusalCopies = new RefusalCopies();
+  private final EngineCrashes crashes = new EngineCrashes();
   private final AtomicReference<EngineFault> standing = new AtomicReference<>(EngineFault.NONE);
   private volatile boolean leaving;
   private volatile String rest = "";
   private volatile String padding = "";
-  private volatile boolean endsWithConnection;
   private volatile Duration runTime = Duration.ZERO;
   private final AnswerParts parts = new AnswerParts();
   private volatile CountDownLatch gate = new CountDownLatch(0);
@@ -161,12 +156,9 @@
    * @param crashed is called on a thread of its own, and is to close this engine
    */
   void crashOn(PoisonRequests requests, EngineCrash when, Consumer<EmulatedEngine> crashed) {
-    poisons.add(new Poison(requests, when, crashed));
+    crashes.add(new EngineCrashes.Crash(requests, when, crashed));
   }
 
-  private record Poison(
-      PoisonRequests requests, EngineCrash when, Consumer<EmulatedEngine> crashed) {}
-
   /**
    * A request that reached it, whatever became of it.
    *
@@ -175,6 +167,9 @@
    */
   public record Arrival(String requestId, long nanos, boolean prefill) {}
 
+  /** The beginning of a run, by the steady clock. */
+  public record Run(String requestId, long nanos) {}
+
   /** The events of a whole stream of the first version. */
   public static String wholeStream() {
     return StreamEvents.after(0, FIRST_VERSION);
@@ -220,6 +215,16 @@
     return standing.compareAndSet(expected, fault);
   }
 
+  /** Turns requests away from now on, and sends its refusals twice; see {@link RefusalCopies}. */
+  public void repeatRefusals(long seed) {
+    refusalCopies.begin(seed);
+  }
+
+  /** Ends what {@link #repeatRefusals} began. */
+  public void endRepeatingRefusals() {
+    refusalCopies.end();
+  }
+
   /** Reads prompts one after the other at so many tokens a ms; else, at once. */
   public void readAt(double tokensPerMilli) {
     cache.readAt(tokensPerMilli);
@@ -261,7 +266,7 @@
 
   /** Sets whether answers have neither a length nor chunks, and end with their connections. */
   public void endAnswersWithConnection(boolean value) {
-    endsWithConnection = value;
+    parts.endWithConnection(value);
   }
 
   /**
@@ -288,6 +293,11 @@
 
   /** Ids of the requests that it ran, in order. */
   public List<String> runs() {
+    return runs.stream().map(Run::requestId).toList();
+  }
+
+  /** The requests that it ran, in order. */
+  public List<Run> timedRuns() {
     return List.copyOf(runs);
   }
 
@@ -340,6 +350,9 @@
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
       String path = Request.getPathInContext(request);
+      if (rest.isEmpty()) {
+        refusalCopies.writeDue(endPoint(request), request.getHeaders().get(REQUEST_ID));
+      }
       if (leaving) {
         response.getHeaders().put(LEAVING, "1");
       }
@@ -353,16 +366,16 @@
         return true;
       }
       if (path.equals(CACHE_LIST_PATH)) {
-        write(response, callback, cache.list());
+        AnswerParts.writeLast(response, callback, cache.list());
         return true;
       }
       String expected = request.getHeaders().get(EXPECT_INSTANCE);
       if (path.equals(REPORT_PATH) && expected != null && !expected.equals(id)) {
-        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+        refuse(request, response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
         return true;
       }
       if (path.equals(REPORT_PATH)) {
-        write(response, callback, orders.report(stage, born() + heldWork.report()));
+        AnswerParts.writeLast(response, callback, orders.report(stage, born() + heldWork.report()));
         return true;
       }
       if (path.equals(ORDER_PATH)) {
@@ -383,17 +396,15 @@
     /** Whether this engine has crashed on the request; it says no more then. */
     private boolean crashes(String body, Request request, Response response, Callback callback)
         throws Exception {
-      Optional<Poison> crash =
-          poisons.stream()
-              .filter(known -> known.requests().include(request.getHeaders(), body))
-              .findFirst();
-      boolean onlyReads = request.getHeaders().contains(STAGE_HEADER);
-      if (crash.isEmpty() || onlyReads && crash.get().when() != EngineCrash.WHILE_READING) {
+      HttpFields headers = request.getHeaders();
+      Optional<EngineCrashes.Crash> crash =
+          crashes.of(headers, body, headers.contains(STAGE_HEADER));
+      if (crash.isEmpty()) {
         return false;
       }
       if (crash.get().when() == EngineCrash.MIDWAY) {
-        delimit(response);
-        response.getHeaders().put(REQUEST_ID, request.getHeaders().get(REQUEST_ID));
+        parts.delimit(response);
+        response.getHeaders().put(REQUEST_ID, headers.get(REQUEST_ID));
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
         parts.write(response, StreamEvents.event(1, softwareVersion));
       }
@@ -412,7 +423,7 @@
 
     private void order(Request request, Response response, Callback callback) throws Exception {
       if (!id.equals(request.getHeaders().get(EXPECT_INSTANCE))) {
-        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+        refuse(request, response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
         return;
       }
       EngineOrderBook.Answer answer =
@@ -429,18 +440,19 @@
       String expected = headers.get(EXPECT_INSTANCE);
       if (expected != null && !expected.equals(id)) {
         response.getHeaders().put(INSTANCE, id);
-        refuse(response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
+        refuse(request, response, callback, HttpStatus.MISDIRECTED_REQUEST_421);
       } else if (!rest.isEmpty()) {
         response.getHeaders().put(HttpHeader.RETRY_AFTER, rest);
-        refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
-      } else if (fault == EngineFault.REJECT) {
-        refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
+        refuse(request, response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
+      } else if (fault == EngineFault.REJECT
+          || refusalCopies.turnsAway(endPoint(request), headers.get(REQUEST_ID))) {
+        refuse(request, response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else if (headers.contains(STAGE_HEADER)) {
         prefill(request, response, callback, fault);
       } else if (headers.contains(KV_SOURCE) && !KvSource.take(headers.get(KV_SOURCE))) {
-        refuse(response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
+        refuse(request, response, callback, HttpStatus.SERVICE_UNAVAILABLE_503);
       } else {
-        runs.add(headers.get(REQUEST_ID));
+        runs.add(new Run(headers.get(REQUEST_ID), System.nanoTime()));
         gate.await();
         if (parts.endWithin(runTime)) {
           close(request, callback);
@@ -453,9 +465,13 @@
       }
     }
 
-    private void refuse(Response response, Callback callback, int status) {
+    private void refuse(Request request, Response response, Callback callback, int status) {
       response.setStatus(status);
       response.getHeaders().put(NOT_EXECUTED, "1");
+      String requestId = response.getHeaders().get(REQUEST_ID);
+      if (requestId != null) {
+        refusalCopies.add(endPoint(request), requestId, status, response.getHeaders());
+      }
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
@@ -472,24 +488,24 @@
       if (fault == EngineFault.FAIL) {
         response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
         response.getHeaders().put(STAMP, STAMP_PREFIX + id);
-        write(response, callback, "failed");
+        AnswerParts.writeLast(response, callback, "failed");
         return;
       }
       cache.read(request.getHeaders().get(PREFIX_HASH));
       String handle = "h-" + id + "-" + handleNumber.incrementAndGet();
       handles.add(handle);
       String body = "{\"kvHandle\":\"" + handle + "\",\"tokens\":10,\"version\":1}";
-      write(response, callback, body);
+      AnswerParts.writeLast(response, callback, body);
     }
 
     private void run(Request request, Response response, Callback callback, EngineFault fault)
         throws Exception {
       response.getHeaders().put(STAMP, STAMP_PREFIX + id);
-      delimit(response);
+      parts.delimit(response);
       switch (fault) {
         case FAIL -> {
           response.setStatus(HttpStatus.INTERNAL_SERVER_ERROR_500);
-          write(response, callback, "failed");
+          AnswerParts.writeLast(response, callback, "failed");
         }
         case LOSE_ANSWER -> close(request, callback);
         case SILENT -> waitUntilGone(request, callback);
@@ -502,15 +518,15 @@
         case RESET_WITHOUT_LENGTH -> resetWithoutLength(request, callback);
         case WRONG_REQUEST -> {
           response.getHeaders().put(REQUEST_ID, "another");
-          write(response, callback, "of another request");
+          AnswerParts.writeLast(response, callback, "of another request");
         }
         case UNSIGNED -> {
           response.getHeaders().remove(STAMP);
-          write(response, callback, "unsigned");
+          AnswerParts.writeLast(response, callback, "unsigned");
         }
         case UNAVAILABLE_BUT_RAN -> {
           response.setStatus(HttpStatus.SERVICE_UNAVAILABLE_503);
-          write(response, callback, "");
+          AnswerParts.writeLast(response, callback, "");
         }
         default -> answer(request, response, callback, fault == EngineFault.BREAK_MIDWAY);
       }
@@ -537,25 +553,11 @@
       response.write(true, BufferUtil.EMPTY_BUFFER, callback);
     }
 
-    /** The server gives an answer of unknown length chunks, unless its connection ends with it. */
-    private void delimit(Response response) {
-      if (endsWithConnection) {
-        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
-      }
-    }
-
     private void answerWhole(
         Request request, Response response, Callback callback, boolean breakOff) throws Exception {
       String body = "answer of " + id + padding;
-      if (!breakOff && endsWithConnection) {
-        int half = body.length() / 2;
-        parts.write(response, body.substring(0, half));
-        parts.pause();
-        write(response, callback, body.substring(half));
-        return;
-      }
       if (!breakOff) {
-        write(response, callback, body);
+        parts.writeWhole(response, callback, body);
         return;
       }
       response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
@@ -563,31 +565,25 @@
       close(request, callback);
     }
 
-    private void write(Response response, Callback callback, String text) {
-      response.write(true, ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)), callback);
+    private static EndPoint endPoint(Request request) {
+      return request.getConnectionMetaData().getConnection().getEndPoint();
     }
 
     private void close(Request request, Callback callback) {
-      request.getConnectionMetaData().getConnection().getEndPoint().close();
+      endPoint(request).close();
       callback.failed(new EofException("breaks off on command"));
     }
 
     private void resetWithoutLength(Request request, Callback callback) throws Exception {
-      String requestId = request.getHeaders().get(REQUEST_ID);
-      String head = UNENDED_ANSWER.formatted(REQUEST_ID, requestId, STAMP, id);
-      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-      Blocking.write(endPoint, head.getBytes(StandardCharsets.UTF_8));
+      EndPoint connection = endPoint(request);
+      RawAnswers.beginWithoutLength(connection, request.getHeaders().get(REQUEST_ID), id);
       parts.pause();
-      SocketChannel channel = (SocketChannel) endPoint.getTransport();
-      channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+      RawAnswers.resetAtEnd(connection);
       close(request, callback);
     }
 
     private void sendWithoutEnd(Request request, Callback callback) {
-      String requestId = request.getHeaders().get(REQUEST_ID);
-      EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-      String fields = "%s: %s\r\n%s: stamp-%s\r\n".formatted(REQUEST_ID, requestId, STAMP, id);
-      EndlessAnswer.of(requestId.hashCode()).send(fields, bytes -> Blocking.write(endPoint, bytes));
+      RawAnswers.sendWithoutEnd(endPoint(request), request.getHeaders().get(REQUEST_ID), id);
       close(request, callback);
     }
 
