Soak: callers come back after refusals that engines send twice

Half of the refused requests are sent again with their id, to the same gateway or another, at once or after Retry-After, four tries at most. Checks judge ids by their tries (SoakTries): AT_MOST_ONCE over all tries; NOT_RUN_IS_TRUE also for runs that began between a refused try and the next, which the count of runs alone cannot tell. For an id that is sent once both say what they said. Arrivals belong to the gateway of their try, and the first arrival of each try is no repeat. Checks that compare how often callers are served count first tries, as before.

--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakCheck.java
@@ -64,6 +64,7 @@
               .filter(caller -> !caller.kind().repeatable())
               .map(SoakRecord.Departure::requestId);
       return Stream.concat(asked, left)
+          .distinct()
           .filter(id -> record.runs().getOrDefault(id, 0) > 1)
           .map(id -> id + " ran " + record.runs().get(id) + " times")
           .toList();
@@ -117,9 +118,7 @@
   NOT_RUN_IS_TRUE {
     @Override
     List<String> violations(SoakRecord record) {
-      return record.calls().stream()
-          .filter(call -> NOT_RUN.contains(call.status()))
-          .filter(call -> runs(record, call) > 0)
+      return SoakTries.of(record.calls()).refusedAndRan(record).stream()
           .map(call -> call.requestId() + " was called not run (" + call.status() + ") and ran")
           .toList();
     }
@@ -143,16 +142,15 @@
   LEAVING_BY_ANSWER_GETS_NOTHING {
     @Override
     List<String> violations(SoakRecord record) {
-      Map<String, SoakRecord.Call> calls = new HashMap<>();
-      record.calls().forEach(call -> calls.put(call.requestId(), call));
+      SoakTries tries = SoakTries.of(record.calls());
       List<String> found = new ArrayList<>();
       for (SoakRecord.Call told : record.calls()) {
         String engine = told.leaving().orElse("");
         long from = told.answeredNanos() + SoakFleet.DRAIN.toNanos();
         record.arrivals().stream()
             .filter(arrival -> arrival.engineId().equals(engine) && arrival.nanos() > from)
-            .map(arrival -> calls.get(arrival.requestId()))
-            .filter(late -> late != null && late.gateway() == told.gateway())
+            .flatMap(arrival -> tries.of(arrival).stream())
+            .filter(late -> late.gateway() == told.gateway())
             .filter(late -> late.sentNanos() > from)
             .filter(
                 late ->
@@ -166,18 +164,17 @@
   RESTING_GETS_NOTHING {
     @Override
     List<String> violations(SoakRecord record) {
-      Map<String, Integer> gateways = new HashMap<>();
-      record.calls().forEach(call -> gateways.put(call.requestId(), call.gateway()));
+      SoakTries tries = SoakTries.of(record.calls());
       List<String> found = new ArrayList<>();
       for (SoakRecord.Rest rest : record.rests()) {
         List<SoakRecord.Arrival> there =
             record.arrivals().stream()
                 .filter(arrival -> arrival.engineId().equals(rest.engineId()))
-                .filter(arrival -> gateways.containsKey(arrival.requestId()))
+                .filter(arrival -> tries.of(arrival).isPresent())
                 .toList();
         there.stream()
             .filter(one -> one.nanos() > rest.fromNanos() && one.nanos() < rest.toNanos())
-            .filter(one -> within(record, gateways, there, one) > REQUESTS_IN_REST_TOLERATED)
+            .filter(one -> within(record, tries, there, one) > REQUESTS_IN_REST_TOLERATED)
             .forEach(one -> found.add(one.requestId() + " was turned away by " + one.engineId()));
       }
       return found;
@@ -187,11 +184,10 @@
   LIMIT_KEPT {
     @Override
     List<String> violations(SoakRecord record) {
-      Map<String, Integer> gateways = new HashMap<>();
-      record.calls().forEach(call -> gateways.put(call.requestId(), call.gateway()));
+      SoakTries tries = SoakTries.of(record.calls());
       List<String> found = new ArrayList<>();
       for (SoakRecord.Limit limit : record.limits()) {
-        List<Long> counted = counted(record, limit, gateways);
+        List<Long> counted = counted(record, limit, tries);
         double allowed =
             LIMIT_TIMES_TOLERATED * limit.perSecond() * LIMIT_WINDOW.toSeconds()
                 + REQUESTS_TOLERATED;
@@ -211,11 +207,10 @@
   RETRY_BUDGET {
     @Override
     List<String> violations(SoakRecord record) {
-      Map<String, SoakRecord.Kind> kinds = new HashMap<>();
-      record.calls().forEach(call -> kinds.put(call.requestId(), call.kind()));
+      SoakTries tries = SoakTries.of(record.calls());
       List<String> found = new ArrayList<>();
       for (boolean model : new boolean[] {true, false}) {
-        List<Long> repeats = repeats(record, kinds, model);
+        List<Long> repeats = repeats(record, tries, model);
         for (long end : repeats) {
           long begin = end - SoakFleet.RETRY_WINDOW.toNanos();
           long repeated = repeats.stream().filter(at -> at > begin && at <= end).count();
@@ -398,8 +393,12 @@
     @Override
     List<String> violations(SoakRecord record) {
       long from = record.calmFromNanos() + RECOVERY.toNanos();
+      SoakTries tries = SoakTries.of(record.calls());
       List<SoakRecord.Call> calm =
-          record.calls().stream().filter(call -> call.sentNanos() > from).toList();
+          record.calls().stream()
+              .filter(tries::isFirst)
+              .filter(call -> call.sentNanos() > from)
+              .toList();
       long served = served(calm);
       return served < SERVED_WHEN_CALM * calm.size() || calm.isEmpty()
           ? List.of(served + " of " + calm.size() + " served after the last fault")
@@ -428,9 +427,6 @@
 
   private static final int SENDS_TOLERATED = 3;
 
-  /** Statuses that promise that a request was not run and never will be. */
-  private static final Set<Integer> NOT_RUN = Set.of(408, 421, 429, 503);
-
   /** The drain bound of the settings, and half a second on the way. */
   private static final Duration DRAIN_BOUND = SoakFleet.DRAIN.plusMillis(500);
 
@@ -521,28 +517,24 @@
 
   /** How many requests of its gateway reached the engine in the rest that one was answered with. */
   private static long within(
-      SoakRecord record,
-      Map<String, Integer> gateways,
-      List<SoakRecord.Arrival> there,
-      SoakRecord.Arrival one) {
-    int gateway = gateways.get(one.requestId());
+      SoakRecord record, SoakTries tries, List<SoakRecord.Arrival> there, SoakRecord.Arrival one) {
+    int gateway = tries.gateway(one);
     long end = one.nanos() + SoakFleet.REST.toNanos();
     if (record.troubled(gateway, one.nanos(), end)) {
       return 0;
     }
     return there.stream()
-        .filter(other -> gateways.get(other.requestId()) == gateway)
+        .filter(other -> tries.gateway(other) == gateway)
         .filter(other -> other.nanos() > one.nanos() + UNDER_WAY.toNanos() && other.nanos() < end)
         .count();
   }
 
   /** Arrivals that count: from the bound on knowing on, of gateways that had no trouble lately. */
-  private static List<Long> counted(
-      SoakRecord record, SoakRecord.Limit limit, Map<String, Integer> gateways) {
+  private static List<Long> counted(SoakRecord record, SoakRecord.Limit limit, SoakTries tries) {
     List<SoakRecord.Arrival> there =
         record.arrivals().stream()
             .filter(arrival -> arrival.engineId().equals(limit.engineId()))
-            .filter(arrival -> gateways.containsKey(arrival.requestId()))
+            .filter(arrival -> tries.of(arrival).isPresent())
             .filter(arrival -> arrival.nanos() >= limit.fromNanos())
             .filter(arrival -> arrival.nanos() < limit.toNanos())
             .toList();
@@ -556,7 +548,7 @@
         .filter(
             arrival ->
                 !record.troubled(
-                    gateways.get(arrival.requestId()), arrival.nanos() - contact, arrival.nanos()))
+                    tries.gateway(arrival), arrival.nanos() - contact, arrival.nanos()))
         .map(SoakRecord.Arrival::nanos)
         .toList();
   }
@@ -569,20 +561,19 @@
     return record.runs().getOrDefault(call.requestId(), 0);
   }
 
-  /** When a request arrived that had arrived before; one prefill a request is no arrival. */
-  private static List<Long> repeats(
-      SoakRecord record, Map<String, SoakRecord.Kind> kinds, boolean model) {
-    Set<String> prefilled = new HashSet<>();
-    Set<String> arrived = new HashSet<>();
+  /** When a try arrived that had arrived before; one prefill a try is no arrival. */
+  private static List<Long> repeats(SoakRecord record, SoakTries tries, boolean model) {
+    Set<SoakRecord.Call> prefilled = new HashSet<>();
+    Set<SoakRecord.Call> arrived = new HashSet<>();
     List<Long> repeats = new ArrayList<>();
     record.arrivals().stream()
         .sorted((left, right) -> Long.compare(left.nanos(), right.nanos()))
-        .filter(arrival -> kinds.containsKey(arrival.requestId()))
-        .filter(arrival -> kinds.get(arrival.requestId()).model() == model)
+        .filter(arrival -> tries.of(arrival).isPresent())
         .forEach(
             arrival -> {
-              boolean free = arrival.prefill() && prefilled.add(arrival.requestId());
-              if (!free && !arrived.add(arrival.requestId())) {
+              SoakRecord.Call one = tries.of(arrival).orElseThrow();
+              boolean free = arrival.prefill() && prefilled.add(one);
+              if (one.kind().model() == model && !free && !arrived.add(one)) {
                 repeats.add(arrival.nanos());
               }
             });
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -330,6 +330,30 @@
           .forEach(engine -> engine.misbehaveInPlaceOf(EngineFault.ENDLESS, EngineFault.NONE));
     }
   },
+  ENGINE_REPEATS_REFUSALS(Lane.REPEATED_REFUSALS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet.engine(target).repeatRefusals(target);
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.platform().allEngines().forEach(EmulatedEngine::endRepeatingRefusals);
+    }
+  },
+  ENGINES_OF_A_SERVICE_REPEAT_REFUSALS(Lane.REPEATED_REFUSALS) {
+    @Override
+    void begin(SoakFleet fleet, int target) {
+      fleet
+          .sameServiceAs(fleet.engine(target))
+          .forEach(engine -> engine.repeatRefusals(target + engine.id().hashCode()));
+    }
+
+    @Override
+    void end(SoakFleet fleet, int target) {
+      fleet.platform().allEngines().forEach(EmulatedEngine::endRepeatingRefusals);
+    }
+  },
   ENGINES_RELEASED(Lane.RELEASES),
   ENGINES_RELEASED_MEANWHILE(Lane.OVERLAPPING_RELEASES),
   ENGINE_LINKS_SILENT(SoakGatewayMain.Fault.SILENT),
@@ -383,7 +407,9 @@
     /** Entries of another writer among those of the engines. */
     ODD_ENTRIES(1, Integer.MAX_VALUE),
     /** Engines that send bytes that are no answer until gateways close their connections. */
-    ENDLESS_ANSWERS(1, Integer.MAX_VALUE);
+    ENDLESS_ANSWERS(1, Integer.MAX_VALUE),
+    /** Engines that turn requests away and send their refusals twice. */
+    REPEATED_REFUSALS(1, Integer.MAX_VALUE);
 
     private final double times;
     private final int mostMillis;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakLoad.java
@@ -60,6 +60,7 @@
   private final Queue<SentProbe> probes = new ConcurrentLinkedQueue<>();
   private final SoakFleet fleet;
   private final SoakReturns returns;
+  private final SoakRetries retries;
   private volatile boolean stopped;
 
   /** A request on the route with an index among the added ones. */
@@ -68,6 +69,7 @@
   SoakLoad(SoakFleet fleet, long seed) throws Exception {
     this.fleet = fleet;
     this.returns = new SoakReturns(fleet, client, calls);
+    this.retries = new SoakRetries(fleet, client, calls);
     client.setHeaders(HttpFields.build().add(HttpHeader.AUTHORIZATION, "Bearer " + SoakFleet.KEY));
     for (int caller = 0; caller < CALLERS; caller++) {
       Random random = new Random(seed + caller);
@@ -274,24 +276,15 @@
     boolean ownConnection = fleet.isCrowded();
     int prompt = random.nextBoolean() ? SHORT_PROMPT : LONG_PROMPT;
     long sent = System.nanoTime();
-    EmulatedClient.Answer answer =
-        client
-            .send(gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE, ownConnection)
-            .await();
+    EmulatedClient.Call call =
+        client.send(
+            gateway.callers(), path(kind), kind.model() ? prompt : 0, DEADLINE, ownConnection);
+    EmulatedClient.Answer answer = call.await();
     if (kind == SoakRecord.Kind.RESUMABLE_STREAM) {
       resume(answer, prompt, random);
     }
-    calls.add(
-        new SoakRecord.Call(
-            answer.requestId(),
-            kind,
-            fleet.indexOf(target),
-            sent,
-            System.nanoTime(),
-            answer.leavingEngine(),
-            answer.status(),
-            answer.body(),
-            answer.whole()));
+    calls.add(SoakRecord.Call.of(answer, kind, fleet.indexOf(target), sent));
+    retries.callAgain(call, kind, target, sent + DEADLINE.toNanos(), random);
   }
 
   /**
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRecord.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.fallturn.rehearsal.emulator.EmulatedClient;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
 import org.fallturn.rehearsal.emulator.OpenWork;
 import org.fallturn.rehearsal.emulator.StreamEvents;
@@ -15,6 +16,7 @@
  * @param calls what callers asked and were answered
  * @param arrivals what reached engines, in order by engine
  * @param runs how often each request was run, by its id
+ * @param runNanos when the runs of each request began, by its id
  * @param drains when engines were listed as leaving
  * @param rests when engines turned requests away and asked for rest
  * @param limits when engines named how many requests a second they take
@@ -27,6 +29,7 @@
     List<Call> calls,
     List<Arrival> arrivals,
     Map<String, Integer> runs,
+    Map<String, List<Long>> runNanos,
     List<Drain> drains,
     List<Rest> rests,
     List<Limit> limits,
@@ -35,6 +38,32 @@
     Control control,
     long calmFromNanos) {
 
+  /** It is not known when runs began. */
+  SoakRecord(
+      List<Call> calls,
+      List<Arrival> arrivals,
+      Map<String, Integer> runs,
+      List<Drain> drains,
+      List<Rest> rests,
+      List<Limit> limits,
+      List<Trouble> troubles,
+      List<Poison> poisons,
+      Control control,
+      long calmFromNanos) {
+    this(
+        calls,
+        arrivals,
+        runs,
+        Map.of(),
+        drains,
+        rests,
+        limits,
+        troubles,
+        poisons,
+        control,
+        calmFromNanos);
+  }
+
   /** What a request is, as far as the checks care. */
   enum Kind {
     STREAM(false, true),
@@ -61,7 +90,7 @@
   }
 
   /**
-   * One caller's request.
+   * One try of a caller's request; those of the same id follow each other.
    *
    * @param gateway index of the gateway that was asked
    * @param answeredNanos when its answer had come
@@ -84,6 +113,20 @@
     private static final String WHOLE_STREAM =
         StreamEvents.withoutVersions(EmulatedEngine.wholeStream());
 
+    /** A try that was answered just now. */
+    static Call of(EmulatedClient.Answer answer, Kind kind, int gateway, long sentNanos) {
+      return new Call(
+          answer.requestId(),
+          kind,
+          gateway,
+          sentNanos,
+          System.nanoTime(),
+          answer.leavingEngine(),
+          answer.status(),
+          answer.body(),
+          answer.whole());
+    }
+
     /** Whether the body is the whole answer of an engine. */
     boolean hasWholeBody() {
       return kind.model()
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakReturns.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakReturns.java
@@ -58,16 +58,7 @@
     EmulatedClient.Answer answer =
         client.send(fleet.gateway(target).callers(), path, PROMPT, DEADLINE).await();
     calls.add(
-        new SoakRecord.Call(
-            answer.requestId(),
-            SoakRecord.Kind.RESUMABLE_STREAM,
-            fleet.indexOf(target),
-            sent,
-            System.nanoTime(),
-            answer.leavingEngine(),
-            answer.status(),
-            answer.body(),
-            answer.whole()));
+        SoakRecord.Call.of(answer, SoakRecord.Kind.RESUMABLE_STREAM, fleet.indexOf(target), sent));
     return answer;
   }
 
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRun.java
@@ -68,12 +68,14 @@
       try (SoakLoad load = new SoakLoad(fleet, schedule.seed())) {
         long calmFrom = inject(fleet);
         List<SoakRecord.Call> calls = load.finish();
+        List<SoakRecord.Call> first = calls.stream().filter(SoakTries.of(calls)::isFirst).toList();
         List<SoakRecord.Arrival> arrivals = arrivals(fleet);
         List<SoakRecord.Poison> poisons = poisons(fleet, load.poisonSends(), arrivals);
         return new SoakRecord(
             calls,
             arrivals,
             runs(fleet),
+            runNanos(fleet),
             drains(fleet),
             fleet.rests(),
             fleet.limits(),
@@ -83,9 +85,9 @@
                 load.probes(this::inTouch),
                 orders(fleet),
                 ends(fleet),
-                comparisons(calls, SoakFault::cutsOff),
-                comparisons(calls, SoakFault::crowds),
-                beginWithPoison(fleet, calls),
+                comparisons(first, SoakFault::cutsOff),
+                comparisons(first, SoakFault::crowds),
+                beginWithPoison(fleet, first),
                 streams(calls, load.resumptions()),
                 usage(fleet),
                 departures(fleet, load.departures(), arrivals)),
@@ -215,6 +217,15 @@
     return runs;
   }
 
+  private static Map<String, List<Long>> runNanos(SoakFleet fleet) {
+    return fleet.platform().allEngines().stream()
+        .flatMap(engine -> engine.timedRuns().stream())
+        .collect(
+            Collectors.groupingBy(
+                EmulatedEngine.Run::requestId,
+                Collectors.mapping(EmulatedEngine.Run::nanos, Collectors.toList())));
+  }
+
   /**
    * When engines were leaving. A notice that came while the store was away, or shortly before,
    * counts from when all gateways are in touch with the restored store.
@@ -424,6 +435,7 @@
       List<SoakRecord.Call> calls, List<SoakRecord.Resumption> resumptions) {
     List<SoakRecord.Call> begun =
         calls.stream()
+            .filter(SoakTries.of(calls)::isFirst)
             .filter(call -> call.kind() == SoakRecord.Kind.RESUMABLE_STREAM)
             .filter(call -> inTouch(call.gateway(), call.sentNanos()))
             .toList();
@@ -496,8 +508,11 @@
                 Collectors.groupingBy(
                     SoakRecord.Call::status, TreeMap::new, Collectors.counting()));
     out.printf(
-        "%d requests, %d arrivals at engines, by status %s%n",
-        record.calls().size(), record.arrivals().size(), statuses);
+        "%d tries of %d requests, %d arrivals at engines, by status %s%n",
+        record.calls().size(),
+        record.calls().stream().map(SoakRecord.Call::requestId).distinct().count(),
+        record.arrivals().size(),
+        statuses);
     record
         .poisons()
         .forEach(
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/soak/SoakCheckTest.java
@@ -390,7 +390,8 @@
             SoakFault.Lane.KILLS,
             SoakFault.Lane.OUT_OF_STEP,
             SoakFault.Lane.ODD_ENTRIES,
-            SoakFault.Lane.ENDLESS_ANSWERS);
+            SoakFault.Lane.ENDLESS_ANSWERS,
+            SoakFault.Lane.REPEATED_REFUSALS);
     assertThat(SoakSchedule.draw(81002, Duration.ofMinutes(1)).faults())
         .filteredOn(entry -> entry.fault() == SoakFault.PEER_REQUESTS_SILENT)
         .first()
