Tests: an engine that refuses connections takes none any more

The stand-in of a killed engine then answered the call by which a node finds out whether the engine still runs, so that an answer that had broken off looked whole.

The stand-in closes such a connection now; no assertion is changed.

--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -33,6 +33,7 @@
   private final CountDownLatch reads;
   private final AtomicInteger reportsAsked = new AtomicInteger();
   private volatile String reportAnswer = REPORT;
+  private volatile boolean refusing;
 
   /** An engine that reads whatever comes. */
   RawEngine() throws IOException {
@@ -65,6 +66,10 @@
       while (true) {
         Connection connection = new Connection(server.accept());
         connections.add(connection);
+        if (refusing) {
+          // A thread that waits for a connection may get one although the server was closed.
+          connection.close();
+        }
         start(() -> read(connection));
       }
     } catch (IOException e) {
@@ -132,6 +137,7 @@
 
   /** Takes no further connections, as if its process had ended; open ones stay. */
   void refuseConnections() throws IOException {
+    refusing = true;
     server.close();
   }
 
@@ -190,7 +196,7 @@
 
   @Override
   public void close() throws IOException {
-    server.close();
+    refuseConnections();
     for (Connection connection : connections) {
       connection.socket.close();
     }
