Serve an engine's queue once for all connections that come free together

A request whose id many connections have carried passes over all of them and frees them in one go; each of them could order a thread that serves the queue (up to 127 for a node that forwards). Those threads took a connection each and found nothing in the queue. One is ordered at a time now, which serves what was freed before it runs.

PassedOverConnectionTest, EngineDestinationTest and CopiedRefusalTest pass.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
@@ -37,6 +38,11 @@
   /** Connections that are held by a request which they are not to carry. */
   private final Set<Connection> passedOver = ConcurrentHashMap.newKeySet();
 
+  /**
+   * Whether a thread is about to serve the queue; one does so for all that are released by then.
+   */
+  private final AtomicBoolean serviceDue = new AtomicBoolean();
+
   /** Told of connections that are passed over. */
   @FunctionalInterface
   interface RepeatedIdListener {
@@ -112,12 +118,20 @@
    * it is free again: the client does not look at its queue then.
    */
   void onReleased(Connection connection) {
-    if (passedOver.remove(connection) && getHttpClient().isRunning() && strands(connection)) {
+    if (passedOver.remove(connection)
+        && getHttpClient().isRunning()
+        && strands(connection)
+        && serviceDue.compareAndSet(false, true)) {
       // On another thread, so that calls do not nest for each connection that is passed over.
-      getHttpClient().getExecutor().execute(this::send);
+      getHttpClient().getExecutor().execute(this::serveQueue);
     }
   }
 
+  private void serveQueue() {
+    serviceDue.set(false);
+    send();
+  }
+
   /**
    * Whether a request waits beside a free connection though it may go by that one, or though no new
    * connection is on its way that will serve the queue.
