Open no connection for a queue that one on its way will serve

A passed over connection that is closed has no record any more, and counted as one that may carry the requests that wait. The queue was served once more, and the client then asks for a connection more than requests wait for.

With the bound reached, which alone has a connection closed, none can be opened, so that no run of this code shows it.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -142,9 +142,10 @@
             || getHttpExchanges().stream().anyMatch(waiting -> mayCarry(free, idOf(waiting))));
   }
 
+  /** False for a connection that has ended, and its record with it. */
   private boolean mayCarry(Connection connection, String id) {
     SentRequestIds sent = sentByConnection.get(connection);
-    return id.isEmpty() || sent == null || !sent.contains(id);
+    return sent != null && !sent.contains(id);
   }
 
   private boolean isConnecting() {
