End a request whose connection could not be picked, and free the connection

What callers would see: a request without an end until their own deadline, and a connection less to its engine, each time that memory runs out while the ids of a connection grow or a line of the log is written.

Cause: the choice of a connection runs within the HTTP client's loop, which catches what its own send throws but not what is thrown around it. The request had left the queue by then, and the connection stayed in use.

Evidence: EngineDestinationTest#failureWhileAConnectionIsPassedOver*, red before (a second connection is opened, since the first was never freed), green now. The failure is thrown by the test; no run with little memory.

Change: what is thrown there fails the request, which has not begun to be sent, and frees the connection.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -71,6 +71,15 @@
     if (id.isEmpty()) {
       return super.send(connection, exchange);
     }
+    try {
+      return sendOnce(connection, exchange, id);
+    } catch (RuntimeException | Error failure) {
+      // Thrown on, it would leave the request without an end and the connection in use.
+      return new SendFailure(failure, false);
+    }
+  }
+
+  private SendFailure sendOnce(IConnection connection, HttpExchange exchange, String id) {
     SentRequestIds sent = sentOver(connection);
     if (connection.isClosed()) {
       // Its record has ended with it, so that this one may be new.
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineDestinationTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/EngineDestinationTest.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.awaitility.Awaitility.await;
 
 import java.io.BufferedReader;
@@ -12,7 +13,9 @@
 import java.net.Socket;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.eclipse.jetty.client.DuplexConnectionPool;
@@ -34,6 +37,7 @@
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private final List<Boolean> closes = new CopyOnWriteArrayList<>();
+  private volatile Optional<RuntimeException> failure = Optional.empty();
   private ServerSocket server;
   private HttpClient client;
 
@@ -47,7 +51,15 @@
             CONNECT_TIMEOUT,
             (owner, origin) ->
                 new EngineDestination(
-                    owner, origin, (id, connection, closed) -> closes.add(closed)),
+                    owner,
+                    origin,
+                    (id, connection, closed) -> {
+                      failure.ifPresent(
+                          thrown -> {
+                            throw thrown;
+                          });
+                      closes.add(closed);
+                    }),
             destination -> new DuplexConnectionPool(destination, CONNECTIONS));
   }
 
@@ -139,4 +151,14 @@
     await().atMost(CONNECT_TIMEOUT).until(() -> destination.getConnectionPool().isEmpty());
     await().atMost(CONNECT_TIMEOUT).until(() -> destination.recorded() == 0);
   }
+
+  @Test
+  void failureWhileAConnectionIsPassedOverEndsTheRequestAndKeepsTheConnection() throws Exception {
+    send("one");
+    failure = Optional.of(new IllegalStateException("no memory is left"));
+    assertThatThrownBy(() -> send("one")).isInstanceOf(ExecutionException.class);
+    failure = Optional.empty();
+    send("two");
+    assertThat(accepted).hasSize(1);
+  }
 }
