--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/EngineDestination.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.AbstractConnectionPool;
 import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.HttpClient;
@@ -37,6 +38,11 @@
   /** Connections that are held by a request which they are not to carry. */
   private final Set<Connection> passedOver = ConcurrentHashMap.newKeySet();
 
+  /**
+   * Whether a thread is about to serve the queue; one does so for all that are released by then.
+   */
+  private final AtomicBoolean serviceDue = new AtomicBoolean();
+
   /** Told of connections that are passed over. */
   @FunctionalInterface
   interface RepeatedIdListener {
@@ -65,6 +71,15 @@
     if (id.isEmpty()) {
       return super.send(connection, exchange);
     }
+    try {
+      return sendOnce(connection, exchange, id);
+    } catch (RuntimeException | Error failure) {
+      // Thrown on, it would leave the request without an end and the connection in use.
+      return new SendFailure(failure, false);
+    }
+  }
+
+  private SendFailure sendOnce(IConnection connection, HttpExchange exchange, String id) {
     SentRequestIds sent = sentOver(connection);
     if (connection.isClosed()) {
       // Its record has ended with it, so that this one may be new.
@@ -112,12 +127,20 @@
    * it is free again: the client does not look at its queue then.
    */
   void onReleased(Connection connection) {
-    if (passedOver.remove(connection) && getHttpClient().isRunning() && strands(connection)) {
+    if (passedOver.remove(connection)
+        && getHttpClient().isRunning()
+        && strands(connection)
+        && serviceDue.compareAndSet(false, true)) {
       // On another thread, so that calls do not nest for each connection that is passed over.
-      getHttpClient().getExecutor().execute(this::send);
+      getHttpClient().getExecutor().execute(this::serveQueue);
     }
   }
 
+  private void serveQueue() {
+    serviceDue.set(false);
+    send();
+  }
+
   /**
    * Whether a request waits beside a free connection though it may go by that one, or though no new
    * connection is on its way that will serve the queue.
@@ -128,9 +151,10 @@
             || getHttpExchanges().stream().anyMatch(waiting -> mayCarry(free, idOf(waiting))));
   }
 
+  /** False for a connection that has ended, and its record with it. */
   private boolean mayCarry(Connection connection, String id) {
     SentRequestIds sent = sentByConnection.get(connection);
-    return id.isEmpty() || sent == null || !sent.contains(id);
+    return sent != null && !sent.contains(id);
   }
 
   private boolean isConnecting() {
