--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RefusalCopies.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/emulator/RefusalCopies.java
@@ -19,7 +19,7 @@
  */
 final class RefusalCopies {
 
-  private static final double TURNED_AWAY_PART = 0.6;
+  private static final double TURNED_AWAY_PART = 0.8;
 
   /** Small, since such a copy ends the connection before its id can come again there. */
   private static final double BEFORE_NEXT_ANSWER_PART = 0.25;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFault.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import org.fallturn.rehearsal.emulator.EmulatedEngine;
+import org.fallturn.rehearsal.emulator.EmulatedPlatform;
 import org.fallturn.rehearsal.emulator.EngineFault;
 import org.fallturn.rehearsal.emulator.StoreFault;
 import org.fallturn.rehearsal.faults.LinkFaults;
@@ -330,28 +331,26 @@
           .forEach(engine -> engine.misbehaveInPlaceOf(EngineFault.ENDLESS, EngineFault.NONE));
     }
   },
-  ENGINE_REPEATS_REFUSALS(Lane.REPEATED_REFUSALS) {
+  MODEL_ENGINES_REPEAT_REFUSALS(Lane.REPEATED_REFUSALS) {
     @Override
     void begin(SoakFleet fleet, int target) {
-      fleet.engine(target).repeatRefusals(target);
+      fleet.repeatRefusals(EmulatedPlatform.MODEL_SERVICE, target);
     }
 
     @Override
     void end(SoakFleet fleet, int target) {
-      fleet.platform().allEngines().forEach(EmulatedEngine::endRepeatingRefusals);
+      fleet.endRepeatingRefusals();
     }
   },
-  ENGINES_OF_A_SERVICE_REPEAT_REFUSALS(Lane.REPEATED_REFUSALS) {
+  APPLICATIONS_REPEAT_REFUSALS(Lane.REPEATED_REFUSALS) {
     @Override
     void begin(SoakFleet fleet, int target) {
-      fleet
-          .sameServiceAs(fleet.engine(target))
-          .forEach(engine -> engine.repeatRefusals(target + engine.id().hashCode()));
+      fleet.repeatRefusals(EmulatedPlatform.APPLICATION_SERVICE, target);
     }
 
     @Override
     void end(SoakFleet fleet, int target) {
-      fleet.platform().allEngines().forEach(EmulatedEngine::endRepeatingRefusals);
+      fleet.endRepeatingRefusals();
     }
   },
   ENGINES_RELEASED(Lane.RELEASES),
@@ -408,8 +407,11 @@
     ODD_ENTRIES(1, Integer.MAX_VALUE),
     /** Engines that send bytes that are no answer until gateways close their connections. */
     ENDLESS_ANSWERS(1, Integer.MAX_VALUE),
-    /** Engines that turn requests away and send their refusals twice. */
-    REPEATED_REFUSALS(1, Integer.MAX_VALUE);
+    /**
+     * All engines of a service turn requests away and send their refusals twice; a single one would
+     * hardly have callers come back, since others serve them.
+     */
+    REPEATED_REFUSALS(2, Integer.MAX_VALUE);
 
     private final double times;
     private final int mostMillis;
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakFleet.java
@@ -515,6 +515,17 @@
         .toList();
   }
 
+  /** All engines of a service turn requests away, and send their refusals twice. */
+  void repeatRefusals(String service, int target) {
+    platform.engines().stream()
+        .filter(engine -> engine.service().equals(service))
+        .forEach(engine -> engine.repeatRefusals(target + engine.id().hashCode()));
+  }
+
+  void endRepeatingRefusals() {
+    platform.allEngines().forEach(EmulatedEngine::endRepeatingRefusals);
+  }
+
   private static String limit(int target) {
     return LIMITS.get(Math.floorMod(target / LIMITS.size(), LIMITS.size()));
   }
--- a/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRetries.java
+++ b/fallturn-rehearsal/src/main/java/org/fallturn/rehearsal/soak/SoakRetries.java
@@ -14,7 +14,7 @@
  */
 final class SoakRetries {
 
-  private static final double RETRIED_PART = 0.5;
+  private static final double RETRIED_PART = 0.75;
   private static final int MOST_TRIES = 4;
   private static final double MILLIS_PER_SECOND = 1_000;
 
--- a/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RefusalCopiesTest.java
+++ b/fallturn-rehearsal/src/test/java/org/fallturn/rehearsal/emulator/RefusalCopiesTest.java
@@ -58,7 +58,7 @@
         assertThat(engine.runs()).contains(id);
       }
     }
-    assertThat(refused).isBetween(REQUESTS / 2, REQUESTS * 7 / 10);
+    assertThat(refused).isBetween(REQUESTS * 7 / 10, REQUESTS * 9 / 10);
   }
 
   @Test
