--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/PassedOverConnectionTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/PassedOverConnectionTest.java
@@ -165,11 +165,11 @@
   @Test
   void requestThatCameWhileTheOnlyFreeConnectionWasPassedOverGoesByIt() throws Exception {
     openBoth();
-    AtomicReference<CompletableFuture<Result>> other = new AtomicReference<>();
+    CompletableFuture<Result> other = new CompletableFuture<>();
     Request again = request("one", HELD);
-    again.onRequestBegin(begun -> other.set(send(request("other", AT_ONCE))));
+    again.onRequestBegin(begun -> request("other", AT_ONCE).send(other::complete));
     CompletableFuture<Result> held = send(again);
-    assertAnswered(other.get());
+    assertAnswered(other);
     assertThat(held).isNotDone();
     assertThat(accepted).hasValue(CONNECTIONS);
   }
