Poll an engine that sends no cache list again only after a pause

Cause: an engine whose list is not known was due at each tick at the node that polls it, and the end of a poll is a tick.

Evidence: CacheSurveyTest#anEngineThatNeverListsItsCacheIsNotAskedWithoutPause, red before (asked twice within 1 ms), green now.

Change: after a poll without a list the engine is due again after 600 ms, the time that a node waits for the lists of others.

--- a/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
+++ b/fallturn-node/src/main/java/org/fallturn/node/gateway/CacheSurvey.java
@@ -72,6 +72,9 @@
     private long lastNanos;
     private boolean polling;
 
+    /** Whether it sent no list when it was polled last; it is then polled again after a pause. */
+    private boolean unanswered;
+
     PolledEngine(ServingEngine engine, boolean known, long nowNanos) {
       this.engine = engine;
       this.known = known;
@@ -160,6 +163,7 @@
     if (polled != null) {
       polled.polling = false;
       polled.lastNanos = nowNanos;
+      polled.unanswered = answer.parts().isEmpty();
       if (answer.parts().isPresent()) {
         onKnown(polled, nowNanos);
       }
@@ -192,7 +196,7 @@
     if (since >= (polled.known ? MAX_INTERVAL_NANOS : WAIT_FOR_PEERS_NANOS)) {
       return true;
     }
-    boolean mayBeDue = !polled.known || since >= INTERVAL_NANOS;
+    boolean mayBeDue = polled.known ? since >= INTERVAL_NANOS : !polled.unanswered;
     return mayBeDue && pollsEngine.test(polled.engine.id());
   }
 
--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CacheSurveyTest.java
@@ -184,6 +184,18 @@
     assertThat(asked).containsExactly("d-1", "d-1", "d-2");
   }
 
+  @Test
+  void anEngineThatNeverListsItsCacheIsNotAskedWithoutPause() {
+    polledHere.add("d-1");
+    survey.onDirectory(listed(engine("d-1", EngineStage.DECODE)), START);
+    survey.onTick(START);
+    survey.onAnswer(answer("d-1", false), after(1));
+    survey.onTick(after(500));
+    assertThat(asked).containsExactly("d-1");
+    survey.onTick(after(700));
+    assertThat(asked).containsExactly("d-1", "d-1");
+  }
+
   @Test
   void answersComeAsEvents() {
     polledHere.add("d-1");
