Test: copies of a failure, and of a refusal by another engine of the address

An engine that is listed at the address of the one that refused gets the same id over the same connection from one node within one request, so that no caller has to come back with its id; a copy of a 500 ends a run that is under way again.

--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/CopiedRefusalTest.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/CopiedRefusalTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import org.fallturn.core.routing.RequestKind;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -18,9 +19,10 @@
   private static final int RETURNS = OneEngineGateway.ENGINE_CONNECTIONS;
 
   private static final String ID = "once";
+  private static final String NOT_EXECUTED = OneEngineGateway.NOT_EXECUTED_HEADER + ": 1\r\n";
   private static final String REFUSAL =
-      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n%s: 1\r\n%s: %s\r\n\r\n"
-          .formatted(OneEngineGateway.NOT_EXECUTED_HEADER, OneEngineGateway.ID_HEADER, ID);
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n%s%s: %s\r\n\r\n"
+          .formatted(NOT_EXECUTED, OneEngineGateway.ID_HEADER, ID);
 
   /** Whoever sends the request: a caller of this node, or another node. */
   @FunctionalInterface
@@ -80,6 +82,35 @@
     assertAnsweredWhenItComesBack(this::sendAsCaller, 1);
   }
 
+  @Test
+  void copyOfFailureIsNotTheAnswerToItsCallerWhoComesBack() throws Exception {
+    String failure = REFUSAL.replace("503 Busy", "500 Failed").replace(NOT_EXECUTED, "");
+    try (Socket failed = sendAsCaller()) {
+      awaitArrival(1).send(failure);
+      assertThat(OneEngineGateway.readStatus(failed)).isEqualTo("HTTP/1.1 500");
+    }
+    try (Socket back = sendAsCaller()) {
+      RawEngine.Connection runs = awaitArrival(2);
+      engine.connectionOf(ID).sendIfOpen(failure);
+      runs.answer(ID);
+      assertThat(OneEngineGateway.readStatus(back)).isEqualTo("HTTP/1.1 200");
+    }
+  }
+
+  /** Another engine is listed at the address; the node tries it once the first has refused. */
+  @Test
+  void copyOfRefusalIsNotTheAnswerOfTheNextEngineAtTheAddress() throws Exception {
+    gateway.close();
+    gateway = OneEngineGateway.start(RequestKind.IDEMPOTENT, headers -> headers, engine, engine);
+    try (Socket caller = sendAsCaller()) {
+      awaitArrival(1).send(REFUSAL);
+      RawEngine.Connection runs = awaitArrival(2);
+      engine.connectionOf(ID).sendIfOpen(REFUSAL);
+      runs.answer(ID);
+      assertThat(OneEngineGateway.readStatus(caller)).isEqualTo("HTTP/1.1 200");
+    }
+  }
+
   @Test
   void noConnectionCarriesAnIdTwiceThoughAllConnectionsHaveCarriedIt() throws Exception {
     for (int times = 1; times <= RETURNS; times++) {
