--- a/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
+++ b/fallturn-node/src/test/java/org/fallturn/node/gateway/RawEngine.java
@@ -183,11 +183,13 @@
     return connectionOf(requestId).headOf(requestId)[0];
   }
 
-  /** Answers a request with a success, if it has come; whether it has. */
+  /**
+   * Answers a request with a success, if it has come over a connection that the node has not
+   * closed; whether it has.
+   */
   boolean answerIfCome(String requestId) {
     for (Connection connection : connections) {
-      if (connection.got(requestId)) {
-        connection.answer(requestId);
+      if (connection.got(requestId) && connection.answerIfOpen(requestId)) {
         return true;
       }
     }
@@ -269,12 +271,14 @@
       }
     }
 
-    /** As {@link #send}, unless the node has closed it meanwhile. */
-    void sendIfOpen(String text) {
+    /** As {@link #send}, unless the node has closed it meanwhile; whether it was sent. */
+    boolean sendIfOpen(String text) {
       try {
         send(text);
+        return true;
       } catch (UncheckedIOException e) {
         // The node has no use for the bytes.
+        return false;
       }
     }
 
@@ -308,12 +312,20 @@
 
     /** Answers the request with a success. */
     void answer(String requestId) {
-      send(
-          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-              + OneEngineGateway.ID_HEADER
-              + ": "
-              + requestId
-              + "\r\n\r\nok");
+      send(success(requestId));
+    }
+
+    /** As {@link #answer}, unless the node has closed the connection; whether it was sent. */
+    boolean answerIfOpen(String requestId) {
+      return sendIfOpen(success(requestId));
+    }
+
+    private static String success(String requestId) {
+      return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+          + OneEngineGateway.ID_HEADER
+          + ": "
+          + requestId
+          + "\r\n\r\nok";
     }
   }
 }
